--- /dev/null
+++ b/src/main/java/damsonworks/Policy.java
@@ -0,0 +1,806 @@
+package damsonworks;
+
+import java.util.*;
+
+/**
+ * The decisions of one balancer instance. Types, events and actions: RoutingApi.java; hashes and ranking:
+ * Carp.java. CARP's top score takes each request; what departs from it says at its place when it acts and
+ * what it guards.
+ */
+public final class Policy implements RoutingApi {
+    private static final int DUE = 0, PATIENCE = 1, AGAIN = 2, WATCH = 3;
+    private static final int CACHE_TRIES = 2;
+    private static final double DOUBT_SHARE = 0.05;
+    private static final double DOUBT_SAVED = 5;
+    /**
+     * A cold server takes this part less than it could: with half the fleet gone each key set is twice as
+     * large.
+     */
+    private static final double COLD_MARGIN = 2;
+    private static final int RANKS = 8;
+    private static final int SHUN_CONNECTS = 10;
+
+    private final Settings cfg;
+    private final SplittableRandom random;
+    private final Map<Integer, Server> servers = new HashMap<>();
+    private final Map<Integer, Flight> flights = new HashMap<>();
+    private final Map<Integer, Flight> timers = new HashMap<>();
+    private final Map<Long, Flight> fetches = new HashMap<>();
+    private final HotKeys hot = new HotKeys();
+    private final Throttle throttle = new Throttle();
+    private final Throttle crowd = new Throttle();
+    private final Shares shares;
+    private Server[] ranked = new Server[0];
+    private Server[] top = new Server[RANKS];
+    private double[] topScore = new double[RANKS];
+    private int topCount;
+    private Server origin;
+    private double fetchMs;
+    private double usualCost;
+    private double pace;
+    private double paceDeviation;
+    private double doubts = DOUBT_SAVED;
+    private double trials = 1;
+    private int nextToken;
+    private boolean watching;
+    private boolean asking;
+    private int watchFailures;
+
+    /** One server of the list and what this instance has seen of it. */
+    private static final class Server {
+        final int id;
+        final int hash;
+        Member member;
+        float multiplier;
+        double share;
+        int failures;
+        double shunnedUntil;
+        int doubts;
+        boolean trial;
+        boolean probed;
+
+        Server(int id) {
+            this.id = id;
+            this.hash = Carp.memberHash(id);
+        }
+    }
+
+    private final class Flight {
+        final Request request;
+        final ServiceClass kind;
+        final boolean safe;
+        final double arrivedMs;
+        final int keyHash;
+        final Server[] at = new Server[cfg.maxAttempts()];
+        final double[] sentAt = new double[cfg.maxAttempts()];
+        final boolean[] ended = new boolean[cfg.maxAttempts()];
+        int spread = 1;
+        int seen = 1;
+        int attempts;
+        int out;
+        boolean done;
+        boolean streaming;
+        boolean toOrigin;
+        boolean waiting;
+        boolean doubted;
+        Server missedAt;
+        double maybeRanSince = Double.NaN;
+        Server maybeRanAt;
+        ArrayDeque<Flight> followers;
+
+        Flight(Request request, double now) {
+            this.request = request;
+            arrivedMs = now;
+            kind = cfg.classes().get(request.serviceClass());
+            safe = kind.effect() == Effect.SAFE;
+            keyHash = Carp.keyHash(request.key() != 0 ? request.key() : Integer.toUnsignedLong(request.id()));
+        }
+
+        /** The work hinted at, in units of the usual; 1 where there is no hint. */
+        double work() {
+            return request.costMs() > 0 && usualCost > 0 ? request.costMs() / usualCost : 1;
+        }
+    }
+
+    private static final class HotKeys {
+        /** Halving span: long enough for a hot key to show at a proxy with a few requests a second. */
+        static final double SPAN_MS = 4000;
+        static final int MIN_COUNT = 6;
+        private final Map<Long, int[]> counts = new HashMap<>();
+        private double total;
+        private double halvedAt;
+
+        int seen(long key, double now) {
+            while (now - halvedAt > SPAN_MS) {
+                halvedAt = counts.isEmpty() ? now : halvedAt + SPAN_MS;
+                total /= 2;
+                counts.values().removeIf(c -> (c[0] /= 2) == 0);
+            }
+            total++;
+            return ++counts.computeIfAbsent(key, k -> new int[1])[0];
+        }
+    }
+
+    /**
+     * What the origin was asked and what it answered in time of that, both fading. Guards against the jam in
+     * which late and refused fetches are asked for again and the origin works for nobody.
+     */
+    private static final class Throttle {
+        /** Halves in this time: some ten fetches at a proxy with a few a second. */
+        static final double HALF_MS = 4000;
+        static final double HEADROOM = 1.2;
+        private double asked;
+        private double answered;
+        private double at;
+
+        /** What is left of a count after this time. */
+        static double left(double ms) {
+            return Math.pow(0.5, ms / HALF_MS);
+        }
+
+        private void fade(double now) {
+            double f = left(now - at);
+            asked *= f;
+            answered *= f;
+            at = now;
+        }
+
+        /** The part of what is wanted that should not be sent. */
+        double excess(double now) {
+            fade(now);
+            return (asked - HEADROOM * answered - 1) / (asked + 1);
+        }
+
+        double pressure(double now) {
+            fade(now);
+            return Math.max(1, (asked + 1) / (answered + 1));
+        }
+
+        void asked(double now) {
+            fade(now);
+            asked++;
+        }
+
+        void answered(double now) {
+            fade(now);
+            answered++;
+        }
+    }
+
+    /**
+     * What each tenant asks of this instance, fading. What must be refused comes off those that ask most over
+     * their quotas (max-min fair), as that is worth little. Clients' repeats swell all alike.
+     */
+    private final class Shares {
+        private final double[] asked = new double[cfg.tenants().size()];
+        private double at;
+
+        void asked(double now, int tenant) {
+            double f = Throttle.left(now - at);
+            at = now;
+            for (int t = 0; t < asked.length; t++) {
+                asked[t] *= f;
+            }
+            asked[tenant]++;
+        }
+
+        private double granted(int tenant, double multiple) {
+            return Math.min(asked[tenant], multiple * cfg.tenants().get(tenant).quotaPerSecond());
+        }
+
+        /** The part of this tenant's requests to refuse so that in all the part {@code excess} is refused. */
+        double refuse(int tenant, double excess) {
+            double goal = 0;
+            double high = 0;
+            for (int t = 0; t < asked.length; t++) {
+                goal += asked[t] * (1 - excess);
+                high = Math.max(high, asked[t] / Math.max(1e-9, cfg.tenants().get(t).quotaPerSecond()));
+            }
+            double low = 0;
+            for (int step = 0; step < 24; step++) {
+                double middle = (low + high) / 2;
+                double sum = 0;
+                for (int t = 0; t < asked.length; t++) {
+                    sum += granted(t, middle);
+                }
+                if (sum < goal) {
+                    low = middle;
+                } else {
+                    high = middle;
+                }
+            }
+            return 1 - granted(tenant, high) / asked[tenant];
+        }
+    }
+
+    /** Whether to refuse this one where a part of all must be refused. */
+    private boolean refused(Flight f, double excess) {
+        if (excess <= 0) {
+            return false;
+        }
+        return random.nextDouble() < (shares == null ? excess : shares.refuse(f.request.tenant(), excess));
+    }
+
+    /** A fresh instance that knows nothing yet. */
+    public Policy(Settings settings, long seed) {
+        cfg = settings;
+        random = new SplittableRandom(seed);
+        shares = settings.overShareWorth() < 1 && settings.tenants().size() > 1 ? new Shares() : null;
+        double shortestAim = settings.classes().stream().mapToDouble(ServiceClass::aimMs).min()
+                .orElseThrow(() -> new IllegalArgumentException("settings name no class"));
+        fetchMs = shortestAim / 4;
+        pace = shortestAim / 8;
+        paceDeviation = pace;
+        if (settings.maxAttempts() < 1) {
+            throw new IllegalArgumentException("max attempts " + settings.maxAttempts());
+        }
+    }
+
+    // ---- the list
+
+    @Override
+    public void onList(double now, ListKind kind, List<Member> members, Actions out) {
+        if (kind == ListKind.FAILED) {
+            watching = false;
+            asking = false;
+            askAgain(now, out);
+            return;
+        }
+        if (kind == ListKind.CACHED && cfg.askForList()) {
+            // The list service is small: all instances starting together must not call at once.
+            double span = Math.min(cfg.askWithinMs() / 2, cfg.instances() * cfg.connectTimeoutMs() / 2);
+            timer(random.nextDouble() * span, WATCH, null, out);
+        } else if (asking) {
+            asking = false;
+            watching = true;
+            watchFailures = 0;
+        }
+        check(members);
+        if (kind != ListKind.CHANGES) {
+            Set<Integer> named = new HashSet<>();
+            members.forEach(m -> named.add(m.id()));
+            servers.values().removeIf(s -> !named.contains(s.id));
+        }
+        for (Member m : members) {
+            if (m.state() == State.GONE) {
+                servers.remove(m.id());
+                continue;
+            }
+            Server s = servers.computeIfAbsent(m.id(), Server::new);
+            if (s.member != null && s.member.bornMs() != m.bornMs()) {
+                s.failures = 0;
+                s.shunnedUntil = 0;
+            }
+            s.member = m;
+        }
+        rank();
+    }
+
+    private void check(List<Member> members) {
+        Set<Integer> seen = new HashSet<>();
+        for (Member m : members) {
+            String id = Integer.toUnsignedString(m.id());
+            if (!seen.add(m.id())) {
+                throw new IllegalArgumentException("member " + id + " is listed twice");
+            }
+            if (!(m.weight() >= 0) || Float.isInfinite(m.weight())) {
+                throw new IllegalArgumentException("member " + id + " has weight " + m.weight());
+            }
+            if (m.zone() < 0 || m.zone() >= cfg.zones() || m.kind() < 0 || m.kind() >= cfg.kinds()) {
+                throw new IllegalArgumentException(
+                        "member " + id + ": zone " + m.zone() + ", kind " + m.kind());
+            }
+        }
+    }
+
+    private void rank() {
+        origin = null;
+        List<Server> list = new ArrayList<>();
+        for (Server s : servers.values()) {
+            if (s.member.state() != State.READY) {
+                continue;
+            }
+            if (cfg.aside() && s.member.kind() == cfg.originKind()) {
+                origin = s;
+            } else {
+                list.add(s);
+            }
+        }
+        list.sort((a, b) -> Integer.compareUnsigned(a.id, b.id));
+        ranked = list.toArray(new Server[0]);
+        float[] weights = new float[ranked.length];
+        double sum = 0;
+        for (int i = 0; i < ranked.length; i++) {
+            weights[i] = ranked[i].member.weight();
+            sum += weights[i];
+        }
+        float[] x = Carp.multipliers(weights);
+        for (int i = 0; i < ranked.length; i++) {
+            ranked[i].multiplier = x[i];
+            ranked[i].share = sum > 0 ? weights[i] / sum : 1.0 / ranked.length;
+        }
+    }
+
+    private void askAgain(double now, Actions out) {
+        watchFailures++;
+        double wait = cfg.askWithinMs() / 16 * (1 << Math.min(watchFailures, 3));
+        timer(wait * (0.5 + random.nextDouble() / 2), WATCH, null, out);
+    }
+
+    // ---- requests
+
+    @Override
+    public void onRequest(double now, Request request, Actions out) {
+        if (request.serviceClass() < 0 || request.serviceClass() >= cfg.classes().size()) {
+            throw new IllegalArgumentException("class " + request.serviceClass() + " is not in the settings");
+        }
+        if (request.tenant() < 0 || request.tenant() > 0 && request.tenant() >= cfg.tenants().size()) {
+            throw new IllegalArgumentException("tenant " + request.tenant() + " is not in the settings");
+        }
+        if (request.costMs() > 0) {
+            usualCost += (request.costMs() - usualCost) / (usualCost > 0 ? 32 : 1);
+        }
+        if (shares != null) {
+            shares.asked(now, request.tenant());
+        }
+        trials = Math.min(1, trials + DOUBT_SHARE);
+        Flight f = new Flight(request, now);
+        flights.put(request.id(), f);
+        timer(Math.max(0, request.dueMs() - now), DUE, f, out);
+        f.toOrigin = cfg.aside() && request.write();
+        if (!f.toOrigin && request.key() != 0) {
+            f.seen = hot.seen(request.key(), now);
+            f.spread = spread(f.seen);
+        }
+        advance(now, f, out);
+    }
+
+    /**
+     * The draft sends all of a key to one member. A key that locally exceeds a server's fair part is
+     * spread over as many of its top ranks as bring each under that, wherever it is as hot.
+     */
+    private int spread(int seen) {
+        int n = seen < HotKeys.MIN_COUNT ? 1 : (int) Math.ceil(seen / hot.total * ranked.length);
+        return Math.max(1, Math.min(n, ranked.length));
+    }
+
+    private void advance(double now, Flight f, Actions out) {
+        f.waiting = false;
+        boolean worthless = f.safe && f.kind.lateShare() == 0 && now > f.arrivedMs + f.kind.aimMs();
+        if (f.done || f.streaming || worthless) {
+            return;
+        }
+        Server s = null;
+        if (f.attempts < cfg.maxAttempts() && now < f.request.dueMs()) {
+            s = f.toOrigin || cfg.aside() && f.safe && f.attempts >= CACHE_TRIES && f.missedAt == null
+                    ? origin : choose(now, f, out);
+            if (s == null && cfg.aside() && f.safe) {
+                s = origin;
+            }
+        }
+        if (s == null || !maySend(now, f, s)) {
+            giveUp(f, out);
+            return;
+        }
+        if (s != origin && f.attempts == 0 && f.safe && refused(f, crowd.excess(now))) {
+            giveUp(f, out);
+            return;
+        }
+        if (s == origin && !f.request.write() && f.request.key() != 0) {
+            Flight leader = fetches.get(f.request.key());
+            if (leader != null) {
+                f.waiting = leader != f && leader.followers.add(f);
+                return;
+            }
+            double excess = throttle.excess(now);
+            boolean tooLate = excess > 0 && now + fetchMs > f.arrivedMs + f.kind.aimMs();
+            if (!tooLate) { // who is turned away as too late does not count, or the throttle stays shut
+                throttle.asked(now);
+            }
+            if (tooLate || refused(f, excess)) {
+                giveUp(f, out);
+                return;
+            }
+            fetches.put(f.request.key(), f);
+            f.followers = new ArrayDeque<>();
+        } else if (s == origin) {
+            throttle.asked(now);
+        }
+        place(now, f, s, out);
+    }
+
+    private void place(double now, Flight f, Server s, Actions out) {
+        int a = f.attempts++;
+        f.at[a] = s;
+        f.sentAt[a] = now;
+        f.out++;
+        boolean worthlessLate = s != origin && f.safe && f.kind.lateShare() == 0;
+        out.place(f.request.id(), s.id, worthlessLate ? Math.max(1, f.arrivedMs + f.kind.aimMs() - now) : 0);
+        if (s != origin && f.safe && f.attempts < cfg.maxAttempts() && f.attempts <= CACHE_TRIES) {
+            timer(patience(now, f), PATIENCE, f, out);
+        }
+    }
+
+    /**
+     * How long a cache server may take before it is doubted: three deviations over the usual time for the
+     * work hinted at, but early enough that runner-up and origin can still answer within the aim.
+     */
+    private double patience(double now, Flight f) {
+        double usual = (pace + 3 * paceDeviation) * f.work();
+        double left = Math.min(f.kind.aimMs(), f.request.dueMs() - now);
+        return Math.max(left / 4, Math.min(usual, left - 2 * fetchMs));
+    }
+
+    /**
+     * The server is overdue: runner-up if the budget allows; guards against silent and hung servers. Where
+     * the attempt stays out, its answer clears the server; where it must be called off, one slow answer is no
+     * evidence, two in a row are: shunning sound servers moves their keys to the origin.
+     */
+    private void overdue(double now, Flight f, Actions out) {
+        int a = f.attempts - 1;
+        Server s = f.at[a];
+        if (f.done || f.streaming || f.ended[a] || s == origin) {
+            return;
+        }
+        if (cfg.secondCopies() || ++s.doubts > 1) {
+            suspect(now, s);
+        }
+        if (doubts < 1 || f.request.dueMs() - now < fetchMs || !cfg.secondCopies() && !cfg.mayCancel()) {
+            return;
+        }
+        doubts--;
+        f.doubted = true;
+        if (cfg.secondCopies()) {
+            advance(now, f, out);
+        } else {
+            out.cancel(f.request.id(), a);
+        }
+    }
+
+    private void suspect(double now, Server s) {
+        s.trial = false;
+        s.probed = false;
+        s.shunnedUntil = now + SHUN_CONNECTS * cfg.connectTimeoutMs() * (1 << Math.min(s.failures, 3));
+        s.failures++;
+    }
+
+    private boolean maySend(double now, Flight f, Server s) {
+        if (f.out > 0 && !(cfg.secondCopies() && f.safe)) {
+            return false;
+        }
+        if (Double.isNaN(f.maybeRanSince) || f.safe) {
+            return true;
+        }
+        return f.kind.effect() == Effect.KEYED && now < f.maybeRanSince + f.kind.windowMs()
+                && sameGroup(f.kind.group(), f.maybeRanAt.member, s.member);
+    }
+
+    private static boolean sameGroup(Group group, Member a, Member b) {
+        return switch (group) {
+            case ALL -> true;
+            case ZONE -> a.zone() == b.zone();
+            case CELL -> a.cell() == b.cell();
+        };
+    }
+
+    private void giveUp(Flight f, Actions out) {
+        if (f.out > 0 && f.safe) {
+            return;
+        }
+        answer(f, out);
+        finish(f);
+    }
+
+    /** The final answer: a refusal only where no attempt may have run. */
+    private static void answer(Flight f, Actions out) {
+        if (f.safe || Double.isNaN(f.maybeRanSince) && f.out == 0) {
+            out.deny(f.request.id(), 0);
+        } else {
+            out.fail(f.request.id());
+        }
+    }
+
+    private void finish(Flight f) {
+        f.done = true;
+        if (f.out == 0) {
+            flights.remove(f.request.id());
+        }
+    }
+
+    // ---- choice of a server
+
+    private Server choose(double now, Flight f, Actions out) {
+        int want = Math.min(ranked.length, Math.max(RANKS, f.spread + RANKS));
+        topRanks(f.keyHash, want);
+        int offset = f.spread > 1 ? random.nextInt(f.spread) : 0;
+        Server untried = null;
+        for (int i = 0; i < topCount; i++) {
+            Server s = top[i < f.spread ? (i + offset) % f.spread : i];
+            if (tried(f, s) && s != f.missedAt) {
+                continue;
+            }
+            if (untried == null && !cold(now, s)) {
+                untried = s;
+            }
+            if (open(now, f, s, out)) {
+                return s;
+            }
+        }
+        return untried;
+    }
+
+    private static boolean tried(Flight f, Server s) {
+        for (int a = 0; a < f.attempts; a++) {
+            if (f.at[a] == s) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean open(double now, Flight f, Server s, Actions out) {
+        if (s.failures == 0 || s.probed && !s.trial) {
+            return warmEnough(now, f, s);
+        }
+        if (now < s.shunnedUntil || s.trial || !f.safe || f.attempts > 0 || trials < 1) {
+            return false;
+        }
+        trials--;
+        s.trial = true;
+        if (cfg.mayProbe()) {
+            out.probe(s.id);
+            return false;
+        }
+        return warmEnough(now, f, s);
+    }
+
+    /**
+     * The draft knows no cold member. Of one key it takes no more than a server's fair part of what this
+     * instance sees. For its warm-up a server takes only keys whose lot, the same at all instances, lies
+     * under its ramp; the others stay with their runner-up. Repeats and hot keys keep off it: they are what
+     * pushes it over.
+     */
+    private boolean warmEnough(double now, Flight f, Server s) {
+        if (!cold(now, s)) {
+            return true;
+        }
+        if (f.attempts > 0 || f.spread > 1) {
+            return false;
+        }
+        double age = now - s.member.bornMs();
+        double capacity = cfg.startCapacity() + (1 - cfg.startCapacity()) * Math.max(0, age) / cfg.warmUpMs();
+        double ramp = capacity / COLD_MARGIN / crowd.pressure(now);
+        boolean fair = f.seen <= 1 || random.nextDouble() * f.seen < hot.total * s.share;
+        return fair && Carp.lot(f.keyHash, s.hash) < ramp;
+    }
+
+    private boolean cold(double now, Server s) {
+        return s.member.bornMs() != 0 && now - s.member.bornMs() < cfg.warmUpMs();
+    }
+
+    private void topRanks(int keyHash, int want) {
+        if (top.length < want) {
+            top = new Server[want];
+            topScore = new double[want];
+        }
+        topCount = 0;
+        for (Server s : ranked) {
+            double score = Carp.score(keyHash, s.hash, s.multiplier);
+            if (topCount == want && score <= topScore[want - 1]) {
+                continue;
+            }
+            int i = topCount < want ? topCount++ : want - 1;
+            for (; i > 0 && topScore[i - 1] < score; i--) {
+                top[i] = top[i - 1];
+                topScore[i] = topScore[i - 1];
+            }
+            top[i] = s;
+            topScore[i] = score;
+        }
+    }
+
+    // ---- ends of attempts
+
+    @Override
+    public void onAttemptEnd(double now, AttemptEnd end, Actions out) {
+        Flight f = flights.get(end.request());
+        if (f == null || end.attempt() >= f.attempts || f.ended[end.attempt()]) {
+            return;
+        }
+        Server s = f.at[end.attempt()];
+        f.ended[end.attempt()] = true;
+        f.out--;
+        learn(now, f, s, end);
+        if (end.outcome().mayHaveRun() && Double.isNaN(f.maybeRanSince)) {
+            f.maybeRanSince = f.sentAt[end.attempt()];
+            f.maybeRanAt = s;
+        }
+        boolean wasDone = f.done;
+        if (end.over() || f.done) {
+            finish(f);
+        }
+        if (f.followers != null && s == origin) {
+            fetchEnded(now, f, end.outcome() == Outcome.OK, out);
+        }
+        if (!wasDone && end.over()) {
+            cancelRest(f, out);
+        } else if (!f.done) {
+            next(now, f, s, end, out);
+        }
+    }
+
+    private void next(double now, Flight f, Server s, AttemptEnd end, Actions out) {
+        if (end.outcome() == Outcome.MISS) {
+            f.toOrigin = true;
+            f.missedAt = s;
+            if (end.note() == NOTE_FETCH_OUT && f.attempts + 2 <= cfg.maxAttempts()) {
+                f.toOrigin = false;
+                f.waiting = true;
+                timer(fetchMs, AGAIN, f, out);
+                return;
+            }
+        } else if (s == origin && end.outcome() == Outcome.FULL && f.request.write()
+                && f.attempts < cfg.maxAttempts()) {
+            f.waiting = true;
+            timer(fetchMs * (0.5 + random.nextDouble()), AGAIN, f, out);
+            return;
+        }
+        if (s == origin && !f.request.write()) {
+            giveUp(f, out);
+        } else if (f.out == 0 || f.safe && cfg.secondCopies()) {
+            advance(now, f, out);
+        }
+    }
+
+    private void cancelRest(Flight f, Actions out) {
+        for (int a = 0; cfg.mayCancel() && a < f.attempts; a++) {
+            if (!f.ended[a]) {
+                out.cancel(f.request.id(), a);
+            }
+        }
+    }
+
+    /**
+     * Those who waited for a fetch find its object where it was missed; where the fetch failed, one of them
+     * tries.
+     */
+    private void fetchEnded(double now, Flight f, boolean stored, Actions out) {
+        ArrayDeque<Flight> followers = f.followers;
+        fetches.remove(f.request.key());
+        f.followers = null;
+        for (Flight w : followers) {
+            if (w.done || !w.waiting) {
+                continue;
+            }
+            w.toOrigin = !stored || w.attempts + 2 > cfg.maxAttempts();
+            advance(now, w, out);
+        }
+    }
+
+    private void learn(double now, Flight f, Server s, AttemptEnd end) {
+        if (f.doubted && end.attempt() > 0 && end.outcome() == Outcome.OK) {
+            doubts++;
+        }
+        switch (end.outcome()) {
+            case OK, MISS, FULL -> {
+                if (s != origin && end.outcome() == Outcome.FULL && end.attempt() > 0) {
+                    crowd.asked(now);
+                }
+                boolean timely = end.elapsedMs() <= f.kind.aimMs() || crowd.pressure(now) > Throttle.HEADROOM;
+                if (s == origin || timely) {
+                    s.failures = s.doubts = 0;
+                }
+                s.trial = false;
+                if (s != origin && end.outcome() == Outcome.OK) {
+                    crowd.asked(now);
+                    if (end.elapsedMs() <= f.kind.aimMs() - fetchMs) {
+                        crowd.answered(now);
+                    }
+                    double x = end.elapsedMs() / f.work();
+                    paceDeviation += (Math.abs(x - pace) - paceDeviation) / 16;
+                    pace += (x - pace) / 16;
+                    doubts = Math.min(DOUBT_SAVED, doubts + DOUBT_SHARE);
+                }
+                if (s == origin && end.outcome() == Outcome.OK) {
+                    if (now <= f.arrivedMs + f.kind.aimMs()) {
+                        throttle.answered(now);
+                    }
+                    fetchMs += (end.elapsedMs() - fetchMs) / 8;
+                }
+            }
+            case CONNECT_FAILED, RESET, TIMEOUT -> {
+                if (s != origin) {
+                    boolean shared = crowd.pressure(now) > Throttle.HEADROOM;
+                    if (end.outcome() == Outcome.TIMEOUT && s.failures <= (shared ? 1 : 0)) {
+                        crowd.asked(now);
+                    }
+                    if (end.outcome() != Outcome.RESET || s.failures > 0 || ++s.doubts > 1) {
+                        suspect(now, s);
+                    }
+                }
+            }
+            default -> s.trial = false;
+        }
+    }
+
+    @Override
+    public void onFirstByte(double now, int request, int attempt, int server, Actions out) {
+        Flight f = flights.get(request);
+        if (f != null) {
+            f.streaming = true;
+        }
+    }
+
+    @Override
+    public void onGone(double now, int request, Actions out) {
+        Flight f = flights.get(request);
+        if (f != null && !f.done) {
+            leave(now, f, out);
+        }
+    }
+
+    private void leave(double now, Flight f, Actions out) {
+        finish(f);
+        if (f.streaming) {
+            return;
+        }
+        if (f.followers == null || f.followers.isEmpty()) {
+            cancelRest(f, out);
+        }
+    }
+
+    @Override
+    public void onTimer(double now, int token, Actions out) {
+        Flight f = timers.remove(token);
+        switch (token & 3) {
+            case DUE -> {
+                if (f != null && !f.done && !f.streaming) {
+                    answer(f, out);
+                    leave(now, f, out);
+                }
+            }
+            case PATIENCE -> {
+                if (f != null) {
+                    overdue(now, f, out);
+                }
+            }
+            case AGAIN -> {
+                if (f != null && f.waiting) {
+                    advance(now, f, out);
+                }
+            }
+            case WATCH -> {
+                if (!watching && !asking) {
+                    asking = true;
+                    out.watch(true);
+                }
+            }
+        }
+    }
+
+    private void timer(double afterMs, int kind, Flight f, Actions out) {
+        int token = nextToken++ << 2 | kind;
+        if (f != null) {
+            timers.put(token, f);
+        }
+        out.setTimer(afterMs, token);
+    }
+
+    @Override
+    public void onProbed(double now, int server, Outcome outcome, double elapsedMs, float[] report,
+            Actions out) {
+        Server s = servers.get(server);
+        if (s == null || s.failures == 0) {
+            return;
+        }
+        if (outcome == Outcome.OK) {
+            s.trial = false;
+            s.probed = true;
+        } else {
+            suspect(now, s);
+        }
+    }
+
+    @Override
+    public void onPeer(double now, int peer, byte[] message, Actions out) { }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/RoutingApi.java
@@ -0,0 +1,125 @@
+package damsonworks;
+
+import java.util.List;
+
+/** What the decision module is told and what it can order: its settings, events and actions. */
+public interface RoutingApi {
+
+    /** How often a request may take effect. */
+    enum Effect { SAFE, KEYED, UNSAFE }
+
+    /** The servers that drop a repeat of a keyed request: all, those of one zone, or those of one cell. */
+    enum Group { ALL, ZONE, CELL }
+
+    /** Where load reports come from. */
+    enum Reports { NONE, WITH_ANSWERS, BY_PROBE }
+
+    /** State of a server on the list. */
+    enum State { GONE, DRAINING, READY }
+
+    /** What a list event carries. {@code FAILED}: a call for the list failed, no entries. */
+    enum ListKind { FULL, CHANGES, CACHED, FAILED }
+
+    /** How an attempt ended. */
+    enum Outcome {
+        OK(true), MISS(false), ERROR(true), FULL(false), TIMEOUT(true), CONNECT_FAILED(false), RESET(true),
+        CANCELLED(true), NOT_SENT(false);
+
+        private final boolean mayHaveRun;
+
+        Outcome(boolean mayHaveRun) {
+            this.mayHaveRun = mayHaveRun;
+        }
+
+        /** Whether the request may have taken effect (or may yet). */
+        public boolean mayHaveRun() {
+            return mayHaveRun;
+        }
+    }
+
+    /** A class of requests; times in milliseconds. */
+    record ServiceClass(String name, Effect effect, Group group, double windowMs, double aimMs,
+            double deadlineMs, double worth, double lateShare, boolean stream) { }
+
+    /** A tenant and the rate, over all instances, that is within its share. */
+    record Tenant(String name, double share, double quotaPerSecond) { }
+
+    /** One server of the list. {@code bornMs}: when it last started, 0 if long ago. */
+    record Member(int id, int zone, int kind, int cell, State state, float weight, double bornMs) { }
+
+    record Settings(int me, int instances, int zone, int zones, int kinds, boolean askForList, boolean aside,
+            int originKind, Reports reports, List<String> reportNames, boolean worthByWork,
+            double overShareWorth, boolean mayCancel, boolean mayProbe, boolean peers, boolean secondCopies,
+            boolean retryAdvice, int maxAttempts, double maxRetryAfterMs, double connectTimeoutMs,
+            double drainGraceMs,
+            double answerGraceMs, double startCapacity, double warmUpMs, double tipMultiple, double fallMs,
+            double askWithinMs, double originFallMultiple, double originFallMs, List<ServiceClass> classes,
+            List<Tenant> tenants) { }
+
+    record Request(int id, int serviceClass, int tenant, long key, double dueMs, double costMs, float bytes,
+            boolean write, boolean repeat) { }
+
+    /** The end of an attempt. {@code over}: the request has had its final answer; report: null if none. */
+    record AttemptEnd(int request, int attempt, int server, Outcome outcome, double elapsedMs, boolean over,
+            int note, float[] report) { }
+
+    int NOTE_FETCH_OUT = 3;
+
+    /** Where the module's orders go. They are carried out in order, at the time of the event. */
+    interface Actions {
+        void place(int request, int server, double timeoutMs);
+
+        /** Final answer: turned away, a retry is harmless. Advice 0: none. */
+        void deny(int request, double retryAfterMs);
+
+        /** Final answer: failed, nothing promised. */
+        void fail(int request);
+
+        /** Stops waiting for an attempt. */
+        void cancel(int request, int attempt);
+
+        /** Asks for {@link RoutingApi#onTimer} after this time. */
+        void setTimer(double afterMs, int token);
+
+        /** Tests a server. */
+        void probe(int server);
+
+        void closeIdle(int server);
+
+        /** Sends bytes to another instance; -1: to all. */
+        void tell(int peer, byte[] message);
+
+        /** Subscribes to changes of the list, or ends that. */
+        void watch(boolean on);
+
+        /** Asks for the whole list once. */
+        void fetchList();
+
+        /** A line for the operators. */
+        void log(String line);
+    }
+
+    /** News of the list of servers. */
+    void onList(double now, ListKind kind, List<Member> members, Actions out);
+
+    /** A client's request; the instance now owes exactly one final answer. */
+    void onRequest(double now, Request request, Actions out);
+
+    /** A streamed answer has begun. */
+    void onFirstByte(double now, int request, int attempt, int server, Actions out);
+
+    /** An attempt has ended. */
+    void onAttemptEnd(double now, AttemptEnd end, Actions out);
+
+    /** The client has left; no answer is owed. */
+    void onGone(double now, int request, Actions out);
+
+    /** A timer has come due. */
+    void onTimer(double now, int token, Actions out);
+
+    /** The result of a probe. */
+    void onProbed(double now, int server, Outcome outcome, double elapsedMs, float[] report, Actions out);
+
+    /** A message of another instance. */
+    void onPeer(double now, int peer, byte[] message, Actions out);
+}
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/CacheCodec.java
@@ -0,0 +1,185 @@
+package damsonworks.proxy;
+
+import damsonworks.RoutingApi;
+import damsonworks.RoutingApi.Outcome;
+import damsonworks.proxy.Exchange.Attempt;
+import damsonworks.proxy.Exchange.Command;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import java.net.SocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+
+final class CacheCodec extends ByteToMessageDecoder implements UpstreamConnection.Codec {
+    private final UpstreamConnection connection;
+    private final Dispatcher dispatcher;
+    /** Bytes of the value and its line's end that are to come; negative: none, a line is next. */
+    private int missing = -1;
+    private int length;
+    private boolean streamed;
+    private boolean dropped;
+    private int note;
+    private float[] report;
+    /** The figures of a probe's answer so far. */
+    private String stats = "";
+
+    CacheCodec(UpstreamConnection connection) {
+        this.connection = connection;
+        this.dispatcher = connection.dispatcher();
+        connection.use(this);
+    }
+
+    @Override
+    public ChannelFuture write(Channel channel, Attempt attempt, SocketAddress dial) {
+        if (attempt.exchange == null) {
+            String probe = dispatcher.probesLoad() ? "stats load\r\n" : "mn\r\n";
+            return channel.writeAndFlush(MetaCodec.text(channel.alloc(), probe));
+        }
+        Command command = attempt.exchange.command;
+        String line = command.head + Math.max(1, Math.round(attempt.untilMs - dispatcher.now())) + command.tail
+                + "\r\n";
+        ByteBuf head = MetaCodec.text(channel.alloc(), line);
+        if (command.value == null) {
+            return channel.writeAndFlush(head);
+        }
+        channel.write(head);
+        return channel.writeAndFlush(command.value.retainedDuplicate());
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+        try {
+            if (missing >= 0) {
+                value(in);
+            } else {
+                String line = MetaCodec.line(in);
+                if (line != null) {
+                    answer(ctx, line);
+                } else if (in.isReadable()) {
+                    connection.partial();
+                }
+            }
+        } catch (MetaCodec.SyntaxException e) {
+            in.skipBytes(in.readableBytes());
+            missing = -1;
+            connection.garbage(e.getMessage());
+        }
+    }
+
+    private void answer(ChannelHandlerContext ctx, String line) throws MetaCodec.SyntaxException {
+        Attempt attempt = connection.head();
+        if (attempt == null) {
+            throw new MetaCodec.SyntaxException("answer to nothing");
+        }
+        if (attempt.exchange == null) {
+            probed(line);
+        } else if (line.startsWith(MetaCodec.BUSY)) {
+            connection.ended(Outcome.FULL, 0, report(line), null);
+        } else if (line.startsWith("SERVER_ERROR")) {
+            connection.ended(Outcome.ERROR, 0, report(line), null);
+        } else if (line.startsWith("VA ") && !attempt.exchange.command.write) {
+            String word = MetaCodec.wordAt(line, 3);
+            length = MetaCodec.length(word);
+            flags(attempt, line, 4 + word.length());
+            missing = length + 2;
+            streamed = length > MetaCodec.WHOLE;
+            if (streamed) {
+                String head = MetaCodec.valueHead(length, attempt.exchange.command.id);
+                dropped = !connection.begin(MetaCodec.text(ctx.alloc(), head));
+            }
+        } else if (line.startsWith("HD ") && attempt.exchange.command.write) {
+            flags(attempt, line, 3);
+            String receipt = MetaCodec.flag(line, 3, 'c');
+            if (receipt == null) {
+                throw new MetaCodec.SyntaxException("no receipt");
+            }
+            String text = MetaCodec.receipt(attempt.exchange.command.id, receipt);
+            connection.ended(Outcome.OK, note, report, MetaCodec.text(ctx.alloc(), text));
+        } else if (line.startsWith("EN")) {
+            flags(attempt, line, 3);
+            connection.ended(Outcome.MISS, note, report, null);
+        } else {
+            throw new MetaCodec.SyntaxException("unknown line");
+        }
+    }
+
+    private float[] report(String line) {
+        return dispatcher.report(MetaCodec.flag(line, MetaCodec.BUSY.length() + 1, 'L'));
+    }
+
+    /** What the flags tell; the id must be the attempt's, or answers have lost their order. */
+    private void flags(Attempt attempt, String line, int from) throws MetaCodec.SyntaxException {
+        if (!attempt.exchange.command.id.equals(MetaCodec.flag(line, from, 'O'))) {
+            throw new MetaCodec.SyntaxException("answer to another request");
+        }
+        String hit = MetaCodec.flag(line, from, 'h');
+        note = "1".equals(hit) ? 1
+                : !"0".equals(hit) ? 0 : MetaCodec.flag(line, from, 'Z') != null ? RoutingApi.NOTE_FETCH_OUT : 2;
+        report = dispatcher.report(MetaCodec.flag(line, from, 'L'));
+    }
+
+    private void value(ByteBuf in) throws MetaCodec.SyntaxException {
+        if (!streamed) {
+            if (in.readableBytes() < missing) {
+                connection.partial();
+                return;
+            }
+            end(in, in.readerIndex() + length);
+            String head = MetaCodec.valueHead(length, connection.head().exchange.command.id);
+            ByteBuf answer = in.alloc().buffer(head.length() + missing);
+            answer.writeCharSequence(head, StandardCharsets.ISO_8859_1);
+            answer.writeBytes(in, missing);
+            missing = -1;
+            connection.ended(Outcome.OK, note, report, answer);
+            return;
+        }
+        // The value's end of line is passed on only when it is seen to be one.
+        int n = Math.min(missing - 2, in.readableBytes());
+        if (n > 0) {
+            missing -= n;
+            if (dropped) {
+                in.skipBytes(n);
+            } else {
+                connection.part(in.readRetainedSlice(n));
+            }
+        }
+        if (missing == 2 && in.readableBytes() >= 2) {
+            end(in, in.readerIndex());
+            in.skipBytes(2);
+            missing = -1;
+            connection.ended(Outcome.OK, note, report, dropped ? null : MetaCodec.text(in.alloc(), "\r\n"));
+        }
+    }
+
+    private static void end(ByteBuf in, int at) throws MetaCodec.SyntaxException {
+        if (in.getByte(at) != '\r' || in.getByte(at + 1) != '\n') {
+            throw new MetaCodec.SyntaxException("value without end");
+        }
+    }
+
+    private void probed(String line) {
+        if (line.startsWith("STAT ")) {
+            String name = MetaCodec.wordAt(line, 5);
+            stats += name + "=" + MetaCodec.wordAt(line, 6 + name.length()) + ",";
+        } else {
+            boolean ok = line.equals("MN") || line.equals("END");
+            float[] figures = MetaCodec.report(stats, dispatcher.reportNames());
+            stats = "";
+            connection.ended(ok ? Outcome.OK : Outcome.ERROR, 0, figures, null);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) throws Exception {
+        super.channelInactive(ctx);
+        connection.closed();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/Config.java
@@ -0,0 +1,125 @@
+package damsonworks.proxy;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import com.google.gson.JsonPrimitive;
+import damsonworks.RoutingApi.Settings;
+import damsonworks.wire.SettingsParser;
+import io.netty.util.NetUtil;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.SocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What the proxy is told at its start. Settings are read by the adapter's own parser, from the same paths and
+ * values; addresses are literal, as there is no DNS.
+ */
+record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, double cores,
+        int memoryMb, int sockets, InetSocketAddress peerListen, List<InetSocketAddress> peers,
+        InetSocketAddress peersAll, JsonObject known, Settings settings, List<String> zones, List<String> kinds,
+        double idleCloseMs, int streamsPerConnection) {
+
+    /** Reads the file; an IllegalArgumentException says in one line what is wrong. */
+    static Config read(String path) {
+        if (path == null || path.isEmpty()) {
+            throw new IllegalArgumentException("BALANCER_CONFIG names no file");
+        }
+        try {
+            return parse(JsonParser.parseString(Files.readString(Path.of(path))).getAsJsonObject());
+        } catch (Exception e) {
+            String message = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
+            throw new IllegalArgumentException("configuration " + path + ": "
+                    + (e instanceof IllegalArgumentException ? "" : e.getClass().getSimpleName() + " ") + message);
+        }
+    }
+
+    static Config parse(JsonObject json) {
+        Map<String, String> values = new HashMap<>();
+        flatten("", need(json, "settings"), values);
+        SettingsParser parser = new SettingsParser(values);
+        JsonObject limits = json.has("limits") ? json.getAsJsonObject("limits") : new JsonObject();
+        List<InetSocketAddress> peers = new ArrayList<>();
+        if (json.has("peers")) {
+            json.getAsJsonArray("peers").forEach(p -> peers.add(address(p.getAsString())));
+        }
+        return new Config(json.has("name") ? json.get("name").getAsString() : "proxy",
+                address(need(json, "listen").getAsString()), address(need(json, "discovery").getAsString()),
+                Long.parseUnsignedLong(need(json, "seed").getAsString(), 16), number(limits, "cores", 1),
+                (int) number(limits, "memory_mb", 192), (int) number(limits, "sockets", 1024),
+                optionalAddress(json, "peer_listen"), List.copyOf(peers), optionalAddress(json, "peers_all"),
+                json.has("known") ? json.getAsJsonObject("known") : null, parser.settings(), parser.list("zones"),
+                parser.list("kinds"), parser.number("caps.idle-close", 15_000),
+                Math.max(1, (int) parser.number("caps.streams-per-conn", 1)));
+    }
+
+    private static JsonElement need(JsonObject json, String key) {
+        JsonElement value = json.get(key);
+        if (value == null || value.isJsonNull()) {
+            throw new IllegalArgumentException("'" + key + "' is missing");
+        }
+        return value;
+    }
+
+    private static double number(JsonObject json, String key, double absent) {
+        return json.has(key) ? json.get(key).getAsDouble() : absent;
+    }
+
+    private static InetSocketAddress optionalAddress(JsonObject json, String key) {
+        String text = json.has(key) && json.get(key).isJsonPrimitive() ? json.get(key).getAsString() : "";
+        return text.isEmpty() ? null : address(text);
+    }
+
+    private static void flatten(String path, JsonElement value, Map<String, String> out) {
+        if (value.isJsonObject()) {
+            value.getAsJsonObject().entrySet().forEach(
+                    e -> flatten(path.isEmpty() ? e.getKey() : path + "." + e.getKey(), e.getValue(), out));
+        } else if (value.isJsonArray()) {
+            List<String> plain = new ArrayList<>();
+            int i = 0;
+            for (JsonElement e : value.getAsJsonArray()) {
+                if (e.isJsonPrimitive()) {
+                    plain.add(word(e.getAsString()));
+                } else {
+                    flatten(path + "." + i, e, out);
+                }
+                i++;
+            }
+            out.put(path + ".count", Integer.toString(i));
+            out.put(path, String.join(",", plain));
+        } else if (value instanceof JsonPrimitive p) {
+            out.put(path, p.getAsString());
+        }
+    }
+
+    static String word(String text) {
+        return text.replace(' ', '_').replace(',', '_');
+    }
+
+    /** A literal address with its port. */
+    static InetSocketAddress address(String text) {
+        int colon = text.lastIndexOf(':');
+        byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+        try {
+            if (ip != null) {
+                return new InetSocketAddress(InetAddress.getByAddress(ip),
+                        Integer.parseInt(text.substring(colon + 1)));
+            }
+        } catch (UnknownHostException | IllegalArgumentException e) {
+        }
+        throw new IllegalArgumentException("'" + text + "' is not an address with a port");
+    }
+
+    /** An address in the form that it is told in. */
+    static String text(SocketAddress address) {
+        return address instanceof InetSocketAddress i ? i.getAddress().getHostAddress() + ":" + i.getPort()
+                : address.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -0,0 +1,588 @@
+package damsonworks.proxy;
+
+import damsonworks.Policy;
+import damsonworks.RoutingApi.Actions;
+import damsonworks.RoutingApi.AttemptEnd;
+import damsonworks.RoutingApi.ListKind;
+import damsonworks.RoutingApi.Outcome;
+import damsonworks.RoutingApi.Reports;
+import damsonworks.RoutingApi.Request;
+import damsonworks.RoutingApi.ServiceClass;
+import damsonworks.RoutingApi.Settings;
+import damsonworks.RoutingApi.State;
+import damsonworks.proxy.Exchange.Attempt;
+import damsonworks.proxy.Exchange.Command;
+import damsonworks.proxy.Timers.Timer;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.UnpooledByteBufAllocator;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.util.collection.IntObjectHashMap;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The one caller of the decision module and the one that carries its orders out. Keeps what requests and
+ * attempts are in: an attempt ends once, a request is answered once. All of it runs on the event loop; the
+ * module is never called from within one of its own orders, what happens meanwhile waits in line.
+ */
+final class Dispatcher implements Actions {
+    private static final int MAX_LOG_LINES = 300;
+    /** What a request that the module left unanswered at its due time may still wait for it. */
+    private static final double OVERDUE_MS = 10;
+    private static final double PROBE_TIMEOUT_MS = 250;
+    private static final double RETIRE_AT = 0.7;
+    private static final long SWEEP_MS = 1000;
+    private static final double CLOSES_PER_SECOND = 10;
+    private static final double CLOSES_SAVED = 10;
+
+    private final EventLoop loop;
+    private final Timers timers;
+    private final Config config;
+    private final Settings settings;
+    private final Map<String, Integer> classes = new HashMap<>();
+    private final Map<String, Integer> tenants = new HashMap<>();
+    private final IntObjectHashMap<Exchange> exchanges = new IntObjectHashMap<>();
+    private final IntObjectHashMap<Upstream> upstreams = new IntObjectHashMap<>();
+    private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
+    private final Bootstrap bootstrap;
+    private final double epochMs = System.currentTimeMillis();
+    private final long startNanos = System.nanoTime();
+    private final long maxValueBytes;
+    private final int maxUpstream;
+    private Policy module;
+    private ListSource discovery;
+    private PeerSocket peers;
+    private ClientListener listener;
+    private Future<?> sweeper;
+    private boolean busy;
+    private boolean stopped;
+    private boolean draining;
+    private double closes = CLOSES_SAVED;
+    private double closesAtMs;
+    private int nextId;
+    private int logLines;
+    private int upstreamCount;
+    private long valueBytes;
+
+    /** Where the module's calls for the list go. */
+    interface ListSource {
+        void watch(boolean on);
+
+        void fetch();
+    }
+
+    /** What wants to know of clients that have left. */
+    interface ClientListener {
+        void left(ClientConnection client);
+    }
+
+    Dispatcher(EventLoop loop, Config config, Class<? extends Channel> upstream) {
+        this.loop = loop;
+        timers = new Timers(loop);
+        this.config = config;
+        settings = config.settings();
+        for (ServiceClass c : settings.classes()) {
+            classes.put(c.name(), classes.size());
+        }
+        settings.tenants().forEach(t -> tenants.put(t.name(), tenants.size()));
+        maxValueBytes = (long) config.memoryMb() << 20 >> 3;
+        maxUpstream = config.sockets() / 3;
+        bootstrap = new Bootstrap().group(loop).channel(upstream)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) settings.connectTimeoutMs());
+        if (upstream == Transport.BEST.socket()) {
+            bootstrap.option(ChannelOption.TCP_NODELAY, true);
+        }
+    }
+
+    /** Starts the module on the list as it was last had; discovery and peers come to be used from here on. */
+    void start(ListSource source, PeerSocket socket, ClientListener clients) {
+        discovery = source;
+        peers = socket;
+        listener = clients;
+        module = new Policy(settings, config.seed());
+        sweeper = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Ends all that it has open; the module is not called any more. */
+    void stop() {
+        stopped = true;
+        sweeper.cancel(false);
+        upstreams.values().forEach(Upstream::close);
+    }
+
+    /** Unix time in milliseconds at the start, monotonic from there: list times need no conversion. */
+    double now() {
+        return epochMs + (System.nanoTime() - startNanos) / 1e6;
+    }
+
+    List<String> reportNames() {
+        return settings.reportNames();
+    }
+
+    float[] report(String list) {
+        return settings.reports() == Reports.WITH_ANSWERS ? MetaCodec.report(list, settings.reportNames()) : null;
+    }
+
+    boolean probesLoad() {
+        return settings.reports() == Reports.BY_PROBE;
+    }
+
+    // ---- bounds
+
+    boolean reserve(int bytes) {
+        if (valueBytes + bytes > maxValueBytes) {
+            return false;
+        }
+        valueBytes += bytes;
+        return true;
+    }
+
+    void giveBack(int bytes) {
+        valueBytes -= bytes;
+    }
+
+    boolean mayClose() {
+        double now = now();
+        closes = Math.min(CLOSES_SAVED, closes + (now - closesAtMs) / 1000 * CLOSES_PER_SECOND);
+        closesAtMs = now;
+        if (closes < 1 && settings.secondCopies()) {
+            return false;
+        }
+        closes--;
+        return true;
+    }
+
+    boolean roomUpstream() {
+        return upstreamCount < maxUpstream;
+    }
+
+    void openedUpstream() {
+        upstreamCount++;
+    }
+
+    void closedUpstream() {
+        upstreamCount--;
+    }
+
+    boolean draining() {
+        return draining;
+    }
+
+    void drain() {
+        draining = true;
+    }
+
+    void left(ClientConnection client) {
+        listener.left(client);
+    }
+
+    private void sweep() {
+        double now = now();
+        for (Upstream u : upstreams.values()) {
+            u.closeIdle(now - config.idleCloseMs() * RETIRE_AT);
+            u.sweep(now);
+        }
+    }
+
+    // ---- calls of the module
+
+    private void tell(Runnable call) {
+        if (stopped) {
+            return;
+        }
+        if (busy) {
+            waiting.add(call);
+            return;
+        }
+        busy = true;
+        try {
+            for (Runnable r = call; r != null; r = waiting.poll()) {
+                try {
+                    r.run();
+                } catch (RuntimeException e) {
+                    fault(e);
+                }
+            }
+        } finally {
+            busy = false;
+        }
+    }
+
+    private void fault(RuntimeException e) {
+        StackTraceElement[] trace = e.getStackTrace();
+        log("fault: " + e + (trace.length > 0 ? " at " + trace[0] : ""));
+    }
+
+    /** A module that fails on a request must not take others with it: this one ends as failed. */
+    private void guard(Exchange x, Runnable call) {
+        try {
+            call.run();
+        } catch (RuntimeException e) {
+            fault(e);
+            finish(x, MetaCodec.FAILED);
+        }
+    }
+
+    void listed(ListKind kind, List<DiscoveryClient.Host> hosts) {
+        for (DiscoveryClient.Host h : hosts) {
+            int id = h.member().id();
+            Upstream u = upstreams.get(id);
+            if (h.member().state() == State.GONE) {
+                forget(id);
+                continue;
+            }
+            if (u == null) {
+                boolean origin = settings.aside() && h.member().kind() == settings.originKind();
+                u = new Upstream(id, origin, this, bootstrap, origin ? originConnections() : cacheConnections(),
+                        origin ? 1 : config.streamsPerConnection());
+                upstreams.put(id, u);
+            }
+            if (!h.dial().equals(u.dial) || u.bornMs != h.member().bornMs()) {
+                u.closeIdle(Double.MAX_VALUE);
+            }
+            u.dial = h.dial();
+            u.bornMs = h.member().bornMs();
+        }
+        if (kind == ListKind.FULL || kind == ListKind.CACHED) {
+            Set<Integer> named = new HashSet<>();
+            hosts.forEach(h -> named.add(h.member().id()));
+            for (Integer id : List.copyOf(upstreams.keySet())) {
+                if (!named.contains(id)) {
+                    forget(id);
+                }
+            }
+        }
+        tell(() -> module.onList(now(), kind, hosts.stream().map(DiscoveryClient.Host::member).toList(), this));
+    }
+
+    private void forget(int id) {
+        Upstream u = upstreams.remove(id);
+        if (u != null) {
+            u.closeIdle(Double.MAX_VALUE);
+        }
+    }
+
+    /** Servers accept some forty connections each, for all proxies together. */
+    private int cacheConnections() {
+        return Math.max(1, Math.min(4, 28 / Math.max(1, settings.instances())));
+    }
+
+    private int originConnections() {
+        return Math.max(4, Math.min(48, 240 / Math.max(1, settings.instances())));
+    }
+
+    void heard(int peer, byte[] message) {
+        tell(() -> module.onPeer(now(), peer, message, this));
+    }
+
+    /** Takes a request whose last byte has come; it will be answered once. */
+    void take(Exchange x) {
+        Command c = x.command;
+        double now = now();
+        Integer kind = classes.get(String.valueOf(MetaCodec.named(c.extras, "c")));
+        String owner = MetaCodec.named(c.extras, "t");
+        Integer tenant = tenants.isEmpty() || owner == null ? Integer.valueOf(0) : tenants.get(owner);
+        double wait = figure(c, "d", kind == null ? 0 : settings.classes().get(kind).deadlineMs());
+        if (kind == null || tenant == null || !(wait > 0)) {
+            x.over = true;
+            x.client.answer(x, MetaCodec.text(UnpooledByteBufAllocator.DEFAULT,
+                    "CLIENT_ERROR unknown class, tenant or deadline\r\n"));
+            free(x);
+            return;
+        }
+        x.id = ++nextId;
+        x.dueMs = now + wait;
+        exchanges.put(x.id, x);
+        double hint = figure(c, "h", Double.NaN);
+        Request request = new Request(x.id, kind, tenant, key(c.key), x.dueMs, hint / 1000,
+                (float) figure(c, "size", 0), c.write, "1".equals(MetaCodec.named(c.extras, "r")));
+        // Before the module's own timer for the same time: a silent server's attempt ends as a time-out then.
+        x.timer = after(wait, () -> due(x));
+        tell(() -> guard(x, () -> module.onRequest(now, request, this)));
+    }
+
+    private static double figure(Command c, String name, double absent) {
+        String text = MetaCodec.named(c.extras, name);
+        try {
+            return text == null ? absent : Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            return absent;
+        }
+    }
+
+    /** The module's key: what the text's hexadecimal digits say, else a hash of it that is alike everywhere. */
+    private static long key(String text) {
+        long hash = 0xcbf29ce484222325L;
+        long value = 0;
+        boolean hex = text.length() <= 16;
+        for (int i = 0; i < text.length(); i++) {
+            int digit = Character.digit(text.charAt(i), 16);
+            hex &= digit >= 0;
+            value = value << 4 | digit & 15;
+            hash = (hash ^ text.charAt(i)) * 0x100000001b3L;
+        }
+        return hex && value != 0 ? value : hash;
+    }
+
+    private void due(Exchange x) {
+        for (int i = 0; i < x.attempts.size() && !x.streaming; i++) {
+            expire(x.attempts.get(i));
+        }
+        x.timer = after(OVERDUE_MS, () -> {
+            if (!x.over && !x.streaming) {
+                log("request left unanswered by the module");
+                finish(x, MetaCodec.FAILED);
+            }
+        });
+    }
+
+    private void expire(Attempt a) {
+        if (!a.ended) {
+            if (a.connection != null) {
+                boolean unsent = a.connection.giveUp(a);
+                end(a, unsent ? Outcome.CONNECT_FAILED : Outcome.CONNECT_FAILED, 0, null, null);
+            } else {
+                end(a, Outcome.NOT_SENT, 0, null, null);
+            }
+        }
+    }
+
+    void gone(Exchange x) {
+        if (!x.over) {
+            x.over = true;
+            stop(x.timer);
+            tell(() -> module.onGone(now(), x.id, this));
+            for (Attempt a : x.attempts) {
+                if (a.firstByteMs != 0 && !a.ended) { // the rest of a long value is of no use to anyone
+                    a.connection.giveUp(a);
+                    end(a, Outcome.CANCELLED, 0, null, null);
+                }
+            }
+            free(x);
+        }
+    }
+
+    // ---- ends of attempts
+
+    /** The one end of an attempt. An answer, where there is one, is the client's if none has come before. */
+    void end(Attempt a, Outcome outcome, int note, float[] report, ByteBuf answer) {
+        if (a.ended) {
+            if (answer != null) {
+                answer.release();
+            }
+            return;
+        }
+        a.ended = true;
+        stop(a.timer);
+        double elapsed = (a.firstByteMs != 0 ? a.firstByteMs : now()) - a.sentMs;
+        Exchange x = a.exchange;
+        if (x == null) {
+            tell(() -> module.onProbed(now(), a.server, outcome, elapsed, report, this));
+            return;
+        }
+        x.out--;
+        if (answer != null && x.over) {
+            answer.release();
+        } else if (a.firstByteMs != 0) {
+            over(x);
+            if (answer != null) {
+                x.client.pass(x, answer);
+                x.client.passed(x);
+            } else {
+                x.client.breakOff(x);
+            }
+        } else if (answer != null) {
+            over(x);
+            x.client.answer(x, answer);
+        }
+        boolean over = x.over;
+        tell(() -> guard(x, () -> module.onAttemptEnd(now(), new AttemptEnd(x.id, a.index, a.server, outcome,
+                elapsed, over, note, report), this)));
+        free(x);
+    }
+
+    /** A long answer begins; false if the request is over or another answer has begun. */
+    boolean begin(Attempt a, ByteBuf head) {
+        Exchange x = a.exchange;
+        if (a.ended || x.over || x.streaming) {
+            head.release();
+            return false;
+        }
+        x.streaming = true;
+        x.source = a.connection;
+        a.firstByteMs = now();
+        stop(x.timer);
+        stop(a.timer);
+        x.client.pass(x, head);
+        tell(() -> module.onFirstByte(now(), x.id, a.index, a.server, this));
+        for (Attempt other : x.attempts) {
+            if (other != a) {
+                cancel(x.id, other.index);
+            }
+        }
+        return true;
+    }
+
+    void part(Attempt a, ByteBuf part) {
+        if (a.ended || a.exchange.over) {
+            part.release();
+        } else {
+            a.exchange.client.pass(a.exchange, part);
+        }
+    }
+
+    private void over(Exchange x) {
+        x.over = true;
+        stop(x.timer);
+    }
+
+    /** The final answer where no server gave it. */
+    private void finish(Exchange x, String text) {
+        if (x.over || x.streaming) {
+            return;
+        }
+        over(x);
+        x.client.answer(x, MetaCodec.text(UnpooledByteBufAllocator.DEFAULT, text));
+        free(x);
+    }
+
+    private void free(Exchange x) {
+        if (!x.over) {
+            return;
+        }
+        if (x.command.value != null) {
+            x.command.release();
+        }
+        if (x.out == 0) {
+            exchanges.remove(x.id);
+        }
+    }
+
+    // ---- the module's orders
+
+    @Override
+    public void place(int request, int server, double timeoutMs) {
+        Exchange x = exchanges.get(request);
+        if (x == null || x.over) {
+            log("order for a request that is over");
+            return;
+        }
+        double now = now();
+        double left = x.dueMs - now;
+        double wait = timeoutMs == 0 ? left : Math.min(timeoutMs, left);
+        Attempt a = new Attempt(x, x.attempts.size(), server, now, now + wait);
+        x.attempts.add(a);
+        x.out++;
+        Upstream u = upstreams.get(server);
+        if (u == null || wait <= 0 || a.index >= settings.maxAttempts()) {
+            tell(() -> end(a, Outcome.NOT_SENT, 0, null, null));
+            return;
+        }
+        if (wait < left) {
+            a.timer = after(wait, () -> expire(a));
+        }
+        if (!u.send(a)) {
+            tell(() -> end(a, Outcome.CONNECT_FAILED, 0, null, null));
+        }
+    }
+
+    @Override
+    public void deny(int request, double retryAfterMs) {
+        Exchange x = exchanges.get(request);
+        if (x != null) {
+            boolean advice = retryAfterMs >= 1 && settings.retryAdvice();
+            finish(x, advice ? MetaCodec.BUSY + " " + Math.round(retryAfterMs) + "\r\n" : MetaCodec.BUSY + "\r\n");
+        }
+    }
+
+    @Override
+    public void fail(int request) {
+        Exchange x = exchanges.get(request);
+        if (x != null) {
+            finish(x, MetaCodec.FAILED);
+        }
+    }
+
+    @Override
+    public void cancel(int request, int attempt) {
+        Exchange x = exchanges.get(request);
+        Attempt a = x == null || attempt >= x.attempts.size() ? null : x.attempts.get(attempt);
+        if (a == null || a.ended || a.firstByteMs != 0) {
+            return;
+        }
+        if (a.connection != null) {
+            a.connection.giveUp(a);
+        }
+        tell(() -> end(a, Outcome.CANCELLED, 0, null, null));
+    }
+
+    @Override
+    public void setTimer(double afterMs, int token) {
+        after(afterMs, () -> tell(() -> module.onTimer(now(), token, this)));
+    }
+
+    @Override
+    public void probe(int server) {
+        Upstream u = upstreams.get(server);
+        double now = now();
+        Attempt a = new Attempt(null, 0, server, now, now + PROBE_TIMEOUT_MS);
+        if (u == null || !u.send(a)) {
+            tell(() -> end(a, Outcome.CONNECT_FAILED, 0, null, null));
+        } else {
+            a.timer = after(PROBE_TIMEOUT_MS, () -> expire(a));
+        }
+    }
+
+    @Override
+    public void closeIdle(int server) {
+        Upstream u = upstreams.get(server);
+        if (u != null) {
+            u.closeIdle(Double.MAX_VALUE);
+        }
+    }
+
+    @Override
+    public void tell(int peer, byte[] message) {
+        peers.send(peer, message);
+    }
+
+    @Override
+    public void watch(boolean on) {
+        discovery.watch(on);
+    }
+
+    @Override
+    public void fetchList() {
+        discovery.fetch();
+    }
+
+    /** A line on standard error; their number is bounded. */
+    @Override
+    public void log(String line) {
+        if (++logLines <= MAX_LOG_LINES) {
+            System.err.println(line.getBytes(StandardCharsets.UTF_8).length > 500 ? line.substring(0, 500) : line);
+        }
+    }
+
+    // ---- timers
+
+    Timer after(double ms, Runnable task) {
+        return timers.after(ms, task);
+    }
+
+    private static void stop(Timer timer) {
+        if (timer != null) {
+            timer.cancel();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -0,0 +1,202 @@
+package damsonworks.proxy;
+
+import damsonworks.RoutingApi.Outcome;
+import damsonworks.proxy.Exchange.Attempt;
+import damsonworks.proxy.Exchange.Command;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.net.SocketAddress;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+
+/** HTTP/1.1 towards the origin. */
+final class OriginCodec extends SimpleChannelInboundHandler<HttpObject> implements UpstreamConnection.Codec {
+    private final UpstreamConnection connection;
+    private final Dispatcher dispatcher;
+    private HttpResponse response;
+    /** A short answer's body so far, or one whose length was not told; null where it is dropped or streamed. */
+    private CompositeByteBuf body;
+    private long missing;
+    private boolean streamed;
+    private boolean broken;
+
+    private OriginCodec(UpstreamConnection connection) {
+        this.connection = connection;
+        this.dispatcher = connection.dispatcher();
+        connection.use(this);
+    }
+
+    static ChannelHandler[] handlers(UpstreamConnection connection) {
+        return new ChannelHandler[] {new HttpClientCodec(MetaCodec.MAX_LINE, 8192, 64 << 10),
+            new OriginCodec(connection)};
+    }
+
+    @Override
+    public ChannelFuture write(Channel channel, Attempt attempt, SocketAddress dial) {
+        FullHttpRequest request;
+        if (attempt.exchange == null) {
+            String path = dispatcher.probesLoad() ? "/metrics/load" : "/alive";
+            request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
+        } else {
+            Command command = attempt.exchange.command;
+            String path = "/" + URLEncoder.encode(command.key, StandardCharsets.ISO_8859_1);
+            ByteBuf value = !command.write ? Unpooled.EMPTY_BUFFER
+                    : command.value.retainedSlice(0, command.value.readableBytes() - 2);
+            request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
+                    command.write ? HttpMethod.PUT : HttpMethod.GET, path, value);
+            request.headers().set("Req-Id", command.id).set("Req-Extra", command.extras);
+            if (command.write) {
+                request.headers().set(HttpHeaderNames.CONTENT_LENGTH, value.readableBytes());
+            }
+        }
+        request.headers().set(HttpHeaderNames.HOST, Config.text(dial));
+        return channel.writeAndFlush(request);
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+        if (broken) {
+            return;
+        }
+        if (message.decoderResult().isFailure()) {
+            fail("not HTTP");
+            return;
+        }
+        if (message instanceof HttpResponse r) {
+            begin(ctx, r);
+        }
+        if (response != null && message instanceof HttpContent content) {
+            content(content);
+            if (!broken && content instanceof LastHttpContent) {
+                end(ctx);
+            }
+        }
+    }
+
+    private void begin(ChannelHandlerContext ctx, HttpResponse r) {
+        Attempt attempt = connection.head();
+        if (r.status().code() < 200) {
+            response = null;
+            return;
+        }
+        if (attempt == null) {
+            fail("answer to nothing");
+            return;
+        }
+        response = r;
+        missing = HttpUtil.getContentLength(r, -1L);
+        if (missing < 0 && !HttpUtil.isTransferEncodingChunked(r) || missing > MetaCodec.MAX_VALUE) {
+            // Where only the connection's end ends the body, none can tell whether it is whole.
+            fail("no length or too long");
+            return;
+        }
+        streamed = r.status().code() == 200 && attempt.exchange != null && !attempt.exchange.command.write
+                && missing > MetaCodec.WHOLE;
+        body = null;
+        if (!streamed) {
+            body = ctx.alloc().compositeBuffer(64);
+            connection.partial();
+        } else if (connection.begin(MetaCodec.text(ctx.alloc(),
+                MetaCodec.valueHead((int) missing, attempt.exchange.command.id)))) {
+            return;
+        } else {
+            streamed = false; // nobody waits: what comes is read and dropped
+        }
+    }
+
+    private void content(HttpContent content) {
+        ByteBuf part = content.content();
+        if (streamed) {
+            if (part.isReadable()) {
+                connection.part(part.retain());
+            }
+        } else if (body != null) {
+            if (body.readableBytes() + part.readableBytes() > MetaCodec.MAX_VALUE) {
+                fail("too long");
+                return;
+            }
+            body.addComponent(true, part.retain());
+            connection.partial();
+        }
+    }
+
+    private void end(ChannelHandlerContext ctx) {
+        HttpResponse r = response;
+        ByteBuf whole = body;
+        response = null;
+        body = null;
+        if (!HttpUtil.isKeepAlive(r)) {
+            connection.retire();
+        }
+        Attempt attempt = connection.head();
+        float[] report = dispatcher.report(r.headers().get("Srv-Load"));
+        int code = r.status().code();
+        if (attempt.exchange == null) {
+            release(whole);
+            connection.ended(code == 200 ? Outcome.OK : Outcome.ERROR, 0, report, null);
+        } else if (code == 200) {
+            connection.ended(Outcome.OK, 0, report, answer(ctx, attempt.exchange.command, whole));
+        } else {
+            release(whole);
+            boolean declined = (code == 503 || code == 504) && "1".equals(r.headers().get("Srv-Declined"));
+            connection.ended(declined ? Outcome.FULL : Outcome.ERROR, 0, report, null);
+        }
+    }
+
+    private ByteBuf answer(ChannelHandlerContext ctx, Command command, ByteBuf whole) {
+        if (streamed || whole == null) {
+            return MetaCodec.text(ctx.alloc(), "\r\n");
+        }
+        if (command.write) {
+            String receipt = whole.toString(StandardCharsets.ISO_8859_1).trim();
+            whole.release();
+            return MetaCodec.text(ctx.alloc(), MetaCodec.receipt(command.id, receipt));
+        }
+        ByteBuf head = MetaCodec.text(ctx.alloc(), MetaCodec.valueHead(whole.readableBytes(), command.id));
+        return ctx.alloc().compositeBuffer(3).addComponent(true, head).addComponent(true, whole)
+                .addComponent(true, MetaCodec.text(ctx.alloc(), "\r\n"));
+    }
+
+    private static void release(ByteBuf buf) {
+        if (buf != null) {
+            buf.release();
+        }
+    }
+
+    private void fail(String what) {
+        broken = true;
+        release(body);
+        body = null;
+        connection.garbage(what);
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+        broken = true;
+        release(body);
+        body = null;
+        connection.closed();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close();
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/Transport.java
@@ -0,0 +1,42 @@
+package damsonworks.proxy;
+
+import io.netty.channel.Channel;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollDatagramChannel;
+import io.netty.channel.epoll.EpollDomainSocketChannel;
+import io.netty.channel.epoll.EpollIoHandler;
+import io.netty.channel.epoll.EpollServerDomainSocketChannel;
+import io.netty.channel.epoll.EpollServerSocketChannel;
+import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.netty.channel.socket.nio.NioDomainSocketChannel;
+import io.netty.channel.socket.nio.NioServerDomainSocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.channel.unix.DomainSocketAddress;
+import java.net.SocketAddress;
+import java.net.UnixDomainSocketAddress;
+import java.nio.file.Path;
+
+/**
+ * The kinds of channel in use: Linux's epoll by Netty's native library, which costs less for each event, or the
+ * JDK's own where that can't be loaded.
+ */
+record Transport(IoHandlerFactory io, Class<? extends ServerChannel> server, Class<? extends Channel> socket,
+        Class<? extends Channel> datagram, Class<? extends ServerChannel> localServer,
+        Class<? extends Channel> localSocket) {
+
+    static final Transport BEST = Epoll.isAvailable()
+            ? new Transport(EpollIoHandler.newFactory(), EpollServerSocketChannel.class, EpollSocketChannel.class,
+                    EpollDatagramChannel.class, EpollServerDomainSocketChannel.class, EpollDomainSocketChannel.class)
+            : new Transport(NioIoHandler.newFactory(), NioServerSocketChannel.class, NioSocketChannel.class,
+                    NioDatagramChannel.class, NioServerDomainSocketChannel.class, NioDomainSocketChannel.class);
+
+    SocketAddress local(Path path) {
+        return socket == EpollSocketChannel.class ? new DomainSocketAddress(path.toFile())
+                : UnixDomainSocketAddress.of(path);
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -0,0 +1,118 @@
+package damsonworks.proxy;
+
+import damsonworks.proxy.Exchange.Attempt;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
+import java.net.SocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * A server of the list with our connections to it. An attempt takes the connection that was used last of those
+ * that stand idle, so that the rest can age and be retired; else it opens one, up to a limit, or queues behind
+ * the fewest.
+ */
+final class Upstream {
+    private static final double NO_MORE_MS = 5000;
+
+    final int id;
+    final boolean origin;
+    SocketAddress dial;
+    double bornMs;
+    private double noMoreUntilMs;
+    private final Dispatcher dispatcher;
+    private final Bootstrap bootstrap;
+    private final int maxConnections;
+    private final int maxDepth;
+    private final List<UpstreamConnection> connections = new ArrayList<>(2);
+
+    Upstream(int id, boolean origin, Dispatcher dispatcher, Bootstrap bootstrap, int maxConnections,
+            int maxDepth) {
+        this.id = id;
+        this.origin = origin;
+        this.dispatcher = dispatcher;
+        this.bootstrap = bootstrap;
+        this.maxConnections = maxConnections;
+        this.maxDepth = maxDepth;
+    }
+
+    Dispatcher dispatcher() {
+        return dispatcher;
+    }
+
+    /** Sends the attempt; false if no connection has room for it. */
+    boolean send(Attempt attempt) {
+        UpstreamConnection best = null;
+        for (int i = connections.size() - 1; i >= 0; i--) {
+            UpstreamConnection c = connections.get(i);
+            if (c.usable(maxDepth) && (best == null || c.better(best))) {
+                best = c;
+            }
+        }
+        if ((best == null || best.depth() > 0 && dispatcher.now() >= noMoreUntilMs)
+                && connections.size() < maxConnections && dispatcher.roomUpstream()) {
+            best = open();
+        }
+        if (best == null) {
+            return false;
+        }
+        best.send(attempt);
+        return true;
+    }
+
+    /**
+     * A further connection did not come up while others stand: the server has as many as it takes, which says
+     * nothing against it. What was to go out on that one, and did not, goes behind the rest.
+     */
+    boolean sendElsewhere(Attempt attempt) {
+        UpstreamConnection best = null;
+        for (UpstreamConnection c : connections) {
+            if (c.connected() && c.usable(maxDepth) && (best == null || c.better(best))) {
+                best = c;
+            }
+        }
+        if (best == null) {
+            return false;
+        }
+        noMoreUntilMs = dispatcher.now() + NO_MORE_MS;
+        best.send(attempt);
+        return true;
+    }
+
+    private UpstreamConnection open() {
+        UpstreamConnection connection = new UpstreamConnection(this);
+        connections.add(connection);
+        dispatcher.openedUpstream();
+        ChannelHandler[] handlers = origin ? OriginCodec.handlers(connection)
+                : new ChannelHandler[] {new CacheCodec(connection)};
+        ChannelFuture future = bootstrap.clone().handler(new Initializer(handlers)).connect(dial);
+        connection.opening(future, dial);
+        return connection;
+    }
+
+    void closed(UpstreamConnection connection) {
+        if (connections.remove(connection)) {
+            dispatcher.closedUpstream();
+        }
+    }
+
+    void closeIdle(double sinceMs) {
+        for (UpstreamConnection c : List.copyOf(connections)) {
+            if (c.depth() == 0 && c.idleSinceMs() <= sinceMs) {
+                c.close();
+            }
+        }
+    }
+
+    void close() {
+        List.copyOf(connections).forEach(UpstreamConnection::close);
+    }
+
+    /** Ends attempts whose answer has stopped in its middle. */
+    void sweep(double now) {
+        for (UpstreamConnection c : List.copyOf(connections)) {
+            c.sweep(now);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -0,0 +1,229 @@
+package damsonworks.proxy;
+
+import damsonworks.RoutingApi.Outcome;
+import damsonworks.proxy.Exchange.Attempt;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import java.net.SocketAddress;
+import java.util.ArrayDeque;
+
+/**
+ * One connection to a server with the attempts on it, in the order in which their answers come. How an attempt
+ * ends when the connection does hangs on whether its last byte was written: only then may it have run.
+ */
+final class UpstreamConnection {
+    /** Turns an attempt into the server's protocol and its answers into calls of the methods below. */
+    interface Codec {
+        ChannelFuture write(Channel channel, Attempt attempt, SocketAddress dial);
+    }
+
+    /** A server pauses for 0.1 s at most within an answer; one that stops for this long will not go on. */
+    private static final double STALLED_MS = 3000;
+
+    /** Three times the longest pause: a short answer that has stopped for this long has been cut off. */
+    private static final double CUT_MS = 300;
+
+    private final Upstream upstream;
+    private final ArrayDeque<Attempt> attempts = new ArrayDeque<>(4);
+    private Codec codec;
+    private Channel channel;
+    private SocketAddress dial;
+    private boolean connected;
+    private boolean closed;
+    private boolean retired;
+    private boolean held;
+    private int givenUp;
+    private double idleSinceMs;
+    private double progressMs;
+    private boolean begun;
+    private boolean partial;
+    private boolean watched;
+
+    UpstreamConnection(Upstream upstream) {
+        this.upstream = upstream;
+        idleSinceMs = upstream.dispatcher().now();
+    }
+
+    Dispatcher dispatcher() {
+        return upstream.dispatcher();
+    }
+
+    void use(Codec by) {
+        codec = by;
+    }
+
+    void opening(ChannelFuture future, SocketAddress to) {
+        channel = future.channel();
+        dial = to;
+        future.addListener(f -> {
+            if (!f.isSuccess()) {
+                closed();
+                return;
+            }
+            connected = true;
+            if (attempts.isEmpty()) {
+                idleSinceMs = upstream.dispatcher().now();
+            }
+            attempts.forEach(this::write);
+        });
+    }
+
+    boolean connected() {
+        return connected;
+    }
+
+    int depth() {
+        return attempts.size();
+    }
+
+    double idleSinceMs() {
+        return idleSinceMs;
+    }
+
+    /** Whether one more attempt may go onto it. */
+    boolean usable(int maxDepth) {
+        return !closed && !retired && attempts.size() < maxDepth
+                && (!connected || channel.isActive() && channel.isWritable());
+    }
+
+    boolean better(UpstreamConnection other) {
+        return depth() != other.depth() ? depth() < other.depth() : idleSinceMs > other.idleSinceMs;
+    }
+
+    void send(Attempt attempt) {
+        attempt.connection = this;
+        attempts.add(attempt);
+        if (connected) {
+            write(attempt);
+        }
+    }
+
+    private void write(Attempt attempt) {
+        codec.write(channel, attempt, dial).addListener(f -> {
+            if (f.isSuccess()) {
+                attempt.written = true;
+            }
+        });
+    }
+
+    boolean giveUp(Attempt attempt) {
+        if (!connected) {
+            return attempts.remove(attempt);
+        }
+        if (attempts.contains(attempt) && ++givenUp == attempts.size() && upstream.dispatcher().mayClose()) {
+            close();
+        }
+        return false;
+    }
+
+    /** The server takes no more on this connection once what is on it has been answered. */
+    void retire() {
+        retired = true;
+    }
+
+    /** Stops reading while the client can't take more. */
+    void hold(boolean on) {
+        if (held != on) {
+            held = on;
+            progressMs = upstream.dispatcher().now();
+            channel.config().setAutoRead(!on);
+        }
+    }
+
+    void sweep(double now) {
+        Attempt head = attempts.peek();
+        boolean silent = connected && head != null && head.ended && now - head.untilMs > STALLED_MS;
+        if (silent || begun && !held && now - progressMs > STALLED_MS) {
+            close();
+        }
+    }
+
+    void close() {
+        retired = true;
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    // ---- what the codec has read
+
+    /** The attempt whose answer comes next; null if none is out, so that what comes is not the protocol's. */
+    Attempt head() {
+        return attempts.peek();
+    }
+
+    /** A short answer or a long one's end has come whole. */
+    void ended(Outcome outcome, int note, float[] report, ByteBuf answer) {
+        Attempt attempt = attempts.poll();
+        begun = false;
+        partial = false;
+        if (attempt.ended) {
+            givenUp--;
+        }
+        if (attempts.isEmpty()) {
+            idleSinceMs = upstream.dispatcher().now();
+        }
+        hold(false);
+        upstream.dispatcher().end(attempt, outcome, note, report, answer);
+        if (attempts.isEmpty() && retired) {
+            close();
+        }
+    }
+
+    /**
+     * Part of a short answer has come. Guards against one that is cut off on a connection that stays open: its
+     * attempt would be waited for until the request's time is up. It may have run, so it ends as a reset.
+     */
+    void partial() {
+        partial = true;
+        progressMs = upstream.dispatcher().now();
+        if (!watched) {
+            watched = true;
+            watch(CUT_MS);
+        }
+    }
+
+    private void watch(double ms) {
+        upstream.dispatcher().after(ms, () -> {
+            double left = CUT_MS - (upstream.dispatcher().now() - progressMs);
+            watched = partial && !closed && left > 0;
+            if (watched) {
+                watch(left);
+            } else if (partial && !closed) {
+                close();
+            }
+        });
+    }
+
+    /** A long answer begins; false if nobody waits for it, so that it is to be dropped. */
+    boolean begin(ByteBuf head) {
+        begun = true;
+        progressMs = upstream.dispatcher().now();
+        return upstream.dispatcher().begin(attempts.peek(), head);
+    }
+
+    void part(ByteBuf part) {
+        progressMs = upstream.dispatcher().now();
+        upstream.dispatcher().part(attempts.peek(), part);
+    }
+
+    void garbage(String what) {
+        upstream.dispatcher().log("bad answer of " + dial + ": " + what);
+        close();
+    }
+
+    void closed() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        for (Attempt a; (a = attempts.poll()) != null;) {
+            if (!connected && !a.ended && upstream.sendElsewhere(a)) {
+                continue;
+            }
+            Outcome outcome = a.written ? Outcome.RESET : Outcome.CONNECT_FAILED;
+            upstream.dispatcher().end(a, outcome, 0, null, null);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/WarmUp.java
@@ -0,0 +1,162 @@
+package damsonworks.proxy;
+
+import damsonworks.RoutingApi.ListKind;
+import damsonworks.RoutingApi.Member;
+import damsonworks.RoutingApi.State;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import java.io.IOException;
+import java.net.SocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+
+/**
+ * Takes requests of its own through the proxy's code before it says that it is ready, so that classes are
+ * loaded and hot code is compiled. Guards against the jam of a cold start on part of a core: while the first
+ * seconds' requests are interpreted they run out of time, their clients open new connections, and these cost
+ * more than the requests did. Local sockets in the private temporary folder; nothing leaves the process.
+ */
+final class WarmUp {
+    /** A few times the calls after which the JVM compiles a method; more would hold up a restart. */
+    private static final int REQUESTS = 400;
+    private static final int DEPTH = 8;
+    private static final int LIMIT_MS = 6000;
+
+    private final EventLoop loop;
+    private final Config config;
+    private final Path folder;
+    private final CountDownLatch done = new CountDownLatch(1);
+    private final List<Channel> channels = new ArrayList<>();
+    private int answered;
+    private int sent;
+
+    private WarmUp(EventLoop loop, Config config, Path folder) {
+        this.loop = loop;
+        this.config = config;
+        this.folder = folder;
+    }
+
+    /** Warms up; a failure to do so is only told, as the proxy can do without. */
+    static void run(EventLoop loop, Config config) {
+        try {
+            Path folder = Files.createTempDirectory(Path.of(System.getenv().getOrDefault("TMPDIR", "/tmp")), "warm");
+            new WarmUp(loop, config, folder).run();
+            Files.delete(folder);
+        } catch (IOException | RuntimeException e) {
+            System.err.println("no warm-up: " + e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private void run() throws InterruptedException, IOException {
+        Dispatcher dispatcher = new Dispatcher(loop, config, Transport.BEST.localSocket());
+        SocketAddress node = listen("n", Node::new);
+        SocketAddress origin = listen("o", Origin::new);
+        SocketAddress proxy = listen("p", () -> new ClientConnection(dispatcher));
+        int originKind = config.settings().originKind();
+        List<DiscoveryClient.Host> hosts = List.of(host(1, originKind == 0 ? 1 : 0, node),
+                host(2, Math.max(0, originKind), origin));
+        loop.submit(() -> {
+            dispatcher.start(new Dispatcher.ListSource() {
+                @Override
+                public void watch(boolean on) { }
+
+                @Override
+                public void fetch() { }
+            }, null, c -> { });
+            dispatcher.listed(ListKind.CACHED, hosts);
+        }).sync();
+        channels.add(new Bootstrap().group(loop).channel(Transport.BEST.localSocket())
+                .handler(new Initializer(new Client())).connect(proxy).sync().channel());
+        done.await(LIMIT_MS, TimeUnit.MILLISECONDS);
+        loop.submit(dispatcher::stop).sync();
+        for (Channel c : channels) {
+            c.close().sync();
+        }
+        for (String name : new String[] {"n", "o", "p"}) {
+            Files.deleteIfExists(folder.resolve(name));
+        }
+    }
+
+    private SocketAddress listen(String name, Supplier<ChannelHandler> handler) throws InterruptedException {
+        SocketAddress address = Transport.BEST.local(folder.resolve(name));
+        channels.add(new ServerBootstrap().group(loop).channel(Transport.BEST.localServer())
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(handler.get());
+                    }
+                }).bind(address).sync().channel());
+        return address;
+    }
+
+    private static DiscoveryClient.Host host(int id, int kind, SocketAddress dial) {
+        return new DiscoveryClient.Host(new Member(id, 0, kind, 0, State.READY, 1, 0), dial);
+    }
+
+    /** Answers reads; one in four is a miss. */
+    private static final class Node extends ByteToMessageDecoder {
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+            String line = MetaCodec.line(in);
+            if (line != null) {
+                String id = MetaCodec.flag(line, 3, 'O');
+                boolean miss = id.endsWith("0");
+                ctx.writeAndFlush(MetaCodec.text(ctx.alloc(),
+                        miss ? "EN O" + id + " h0\r\n" : "VA 5 O" + id + " h1\r\nhello\r\n"));
+            }
+        }
+    }
+
+    private static final class Origin extends ByteToMessageDecoder {
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+            String line = MetaCodec.line(in);
+            if (line != null && line.isEmpty()) {
+                ctx.writeAndFlush(MetaCodec.text(ctx.alloc(), "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"));
+            }
+        }
+    }
+
+    /** Keeps some requests in hand until enough have been answered. */
+    private final class Client extends ByteToMessageDecoder {
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            for (int i = 0; i < DEPTH; i++) {
+                send(ctx);
+            }
+        }
+
+        private void send(ChannelHandlerContext ctx) {
+            String id = Integer.toString(++sent, 4);
+            ctx.writeAndFlush(MetaCodec.text(ctx.alloc(), "mg " + Integer.toHexString(0x70000000 + sent * 7919) + " v O"
+                    + id + " Pc=" + config.settings().classes().get(0).name() + ",d=60000\r\n"));
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+            String line = MetaCodec.line(in);
+            if (line == null || line.startsWith("VA")) {
+                return;
+            }
+            if (++answered == REQUESTS) {
+                done.countDown();
+            } else if (answered < REQUESTS) {
+                send(ctx);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/wire/SettingsParser.java
@@ -0,0 +1,122 @@
+package damsonworks.wire;
+
+import damsonworks.RoutingApi.Effect;
+import damsonworks.RoutingApi.Group;
+import damsonworks.RoutingApi.Reports;
+import damsonworks.RoutingApi.ServiceClass;
+import damsonworks.RoutingApi.Settings;
+import damsonworks.RoutingApi.Tenant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Reads an instance's settings from their paths and values; unknown paths are skipped. */
+public final class SettingsParser {
+    private final Map<String, String> values;
+
+    /** Over values by path, as the real proxy's configuration has them once flattened. */
+    public SettingsParser(Map<String, String> values) {
+        this.values = values;
+    }
+
+    /** Over path=value lines, as the simulator sends them. */
+    static SettingsParser ofLines(String text) {
+        Map<String, String> values = new HashMap<>();
+        for (String line : text.split("\n")) {
+            int eq = line.indexOf('=');
+            if (eq > 0) {
+                values.put(line.substring(0, eq).trim(), line.substring(eq + 1).trim());
+            }
+        }
+        return new SettingsParser(values);
+    }
+
+    /** The settings as the module takes them; a WireException names what is missing or wrong. */
+    public Settings settings() {
+        List<String> zones = list("zones");
+        List<String> kinds = list("kinds");
+        return new Settings(integer("me"), integer("balancers"), integer("locality"), zones.size(), kinds.size(),
+                oneOf("discovery", "push", "ask") == 1, values.containsKey("extra.mode")
+                        && oneOf("extra.mode", "through", "aside") == 1, (int) number("extra.origin-kind", -1),
+                Reports.values()[oneOf("report.how", "silent", "piggyback", "pull")], list("report.names"),
+                oneOf("value-by", "request", "work") == 1, number("over-share-worth", 1),
+                flag("caps.may-cancel"), flag("caps.may-probe"), flag("caps.peers"), flag("caps.second-copies"),
+                flag("caps.retry-after"), integer("caps.max-attempts"), number("caps.max-retry-after", 0),
+                number("caps.connect-timeout"), number("guarantees.drain-grace"),
+                number("guarantees.grace-to-answer"), number("guarantees.start-capacity"),
+                number("guarantees.warm-up"), number("guarantees.tip-multiple"), number("guarantees.fall"),
+                number("guarantees.ask-within", 0), number("extra.origin-fall-multiple", 0),
+                number("extra.origin-fall", 0), classes(), tenants());
+    }
+
+    private List<ServiceClass> classes() {
+        List<ServiceClass> result = new ArrayList<>();
+        for (int i = 0; i < integer("classes.count"); i++) {
+            String p = "classes." + i + ".";
+            Effect effect = Effect.values()[oneOf(p + "idempotency", "retryable", "dedup", "fragile")];
+            boolean keyed = effect == Effect.KEYED;
+            result.add(new ServiceClass(text(p + "name"), effect,
+                    keyed ? Group.values()[oneOf(p + "group", "all", "zone", "cell")] : Group.ALL,
+                    keyed ? number(p + "window") : 0, number(p + "promise"), number(p + "deadline"),
+                    number(p + "gain", 1), number(p + "late-share", 0), flag(p + "stream")));
+        }
+        return result;
+    }
+
+    private List<Tenant> tenants() {
+        List<Tenant> result = new ArrayList<>();
+        for (int i = 0; i < (int) number("tenants.count", 0); i++) {
+            String p = "tenants." + i + ".";
+            result.add(new Tenant(text(p + "name"), number(p + "fraction", 0), number(p + "quota-per-s", 0)));
+        }
+        return result;
+    }
+
+    private String text(String key) {
+        String value = values.get(key);
+        if (value == null) {
+            throw new WireException("setting '" + key + "' is missing");
+        }
+        return value;
+    }
+
+    private double number(String key) {
+        try {
+            double value = Double.parseDouble(text(key));
+            if (Double.isFinite(value)) {
+                return value;
+            }
+        } catch (NumberFormatException e) {
+            // told below, with the key
+        }
+        throw new WireException("setting '" + key + "' is not a number: " + values.get(key));
+    }
+
+    /** A number, or this one where the key is absent. */
+    public double number(String key, double absent) {
+        return values.containsKey(key) ? number(key) : absent;
+    }
+
+    private int integer(String key) {
+        return (int) number(key);
+    }
+
+    private boolean flag(String key) {
+        return oneOf(key, "false", "true") == 1;
+    }
+
+    /** A list of plain values; empty where the key is absent. */
+    public List<String> list(String key) {
+        String value = values.getOrDefault(key, "");
+        return value.isEmpty() ? List.of() : List.of(value.split(","));
+    }
+
+    private int oneOf(String key, String... words) {
+        int i = List.of(words).indexOf(text(key));
+        if (i < 0) {
+            throw new WireException("setting '" + key + "' is none of " + String.join(", ", words) + ": " + text(key));
+        }
+        return i;
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/CarpTest.java
@@ -0,0 +1,106 @@
+package damsonworks;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class CarpTest {
+    @Test
+    void equalWeightsGiveEqualMultipliers() {
+        for (float x : Carp.multipliers(new float[] {2, 2, 2, 2})) {
+            assertThat(x).isCloseTo(1f, within(1e-6f));
+        }
+    }
+
+    /** Two members with shares 0.4 and 0.6: X1 = sqrt(0.8), X2 = 0.2/X1 + X1, by hand. */
+    @Test
+    void multipliersOfTwo() {
+        float[] x = Carp.multipliers(new float[] {6, 4});
+        assertThat(x[1]).isCloseTo(0.894427f, within(1e-6f));
+        assertThat(x[0]).isCloseTo(1.118034f, within(1e-6f));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 7, 140, 700})
+    void multipliersStayFiniteAndOrdered(int n) {
+        float[] w = new float[n];
+        for (int i = 0; i < n; i++) {
+            w[i] = 1 + i % 3;
+        }
+        float[] x = Carp.multipliers(w);
+        for (int i = 0; i < n; i++) {
+            assertThat(x[i]).isFinite().isPositive();
+            if (i > 0 && w[i] > w[i - 1]) {
+                assertThat(x[i]).isGreaterThan(x[i - 1]);
+            }
+        }
+    }
+
+    /** Text forms and both hashes of a key and an id, worked out apart from this code. */
+    @Test
+    void hashesAreThoseOfTheDraft() {
+        assertThat(Carp.keyHash(0xCAFEL)).isEqualTo(0x37D7FBC8);
+        assertThat(Carp.memberHash(0xF211902C)).isEqualTo(0xAD011C39);
+        assertThat(Carp.combine(0x12345678, 0x9ABCDEF0)).isEqualTo(0xF3C285C6);
+    }
+
+    /** Shares follow unequal weights: within five standard deviations of a fair draw and 15% for the ranking itself. */
+    @ParameterizedTest
+    @ValueSource(ints = {1, 2, 12, 60, 300})
+    void sharesFollowWeights(int n) {
+        float[] w = new float[n];
+        int[] hash = new int[n];
+        double sum = 0;
+        for (int i = 0; i < n; i++) {
+            w[i] = 1 + i % 3;
+            sum += w[i];
+            hash[i] = Carp.memberHash((i + 1) * 0x9E3779B1);
+        }
+        int[] got = draw(hash, Carp.multipliers(w), KEYS);
+        for (int i = 0; i < n; i++) {
+            double fair = KEYS * w[i] / sum;
+            assertThat((double) got[i]).isCloseTo(fair, within(0.15 * fair + 5 * Math.sqrt(fair)));
+        }
+    }
+
+    private static final int KEYS = 60000;
+
+    private static int[] draw(int[] hash, float[] x, int keys) {
+        int[] got = new int[hash.length];
+        for (int k = 1; k <= keys; k++) {
+            got[top(k * 0x9E3779B97F4A7C15L, hash, x)]++;
+        }
+        return got;
+    }
+
+    private static int top(long key, int[] hash, float[] x) {
+        int best = 0;
+        for (int i = 1; i < hash.length; i++) {
+            int u = Carp.keyHash(key);
+            if (Carp.score(u, hash[i], x[i]) > Carp.score(u, hash[best], x[best])) {
+                best = i;
+            }
+        }
+        return best;
+    }
+
+    @Test
+    void aDepartingServerOfAnEqualFleetMovesOnlyItsKeys() {
+        int[] all = new int[20];
+        for (int i = 0; i < all.length; i++) {
+            all[i] = Carp.memberHash(i + 1);
+        }
+        int[] less = java.util.Arrays.copyOf(all, 19);
+        float[] one = new float[20];
+        java.util.Arrays.fill(one, 1);
+        for (int k = 1; k < 3000; k++) {
+            int before = top(k, all, one);
+            if (before != 19) {
+                assertThat(top(k, less, one)).isEqualTo(before);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/JarIT.java
@@ -0,0 +1,120 @@
+package damsonworks;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The packaged program, started as in service. */
+@Timeout(120)
+class JarIT {
+    @TempDir
+    private Path folder;
+
+    private Process start(String command, String config, String... flags) throws IOException {
+        List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-jar", "target/damsonworks.jar", command));
+        words.addAll(List.of(flags));
+        ProcessBuilder builder = new ProcessBuilder(words);
+        builder.environment().put("TMPDIR", folder.toString());
+        if (config != null) {
+            builder.environment().put("BALANCER_CONFIG", config);
+        }
+        return builder.start();
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return socket.getLocalPort();
+        }
+    }
+
+    private static Socket connect(int port, Process process) throws IOException {
+        while (true) {
+            try {
+                return new Socket(InetAddress.getByName("127.0.0.1"), port);
+            } catch (IOException e) {
+                if (!process.isAlive()) {
+                    throw new AssertionError("ended: " + new String(process.getErrorStream().readAllBytes()));
+                }
+                Thread.onSpinWait();
+            }
+        }
+    }
+
+    @Test
+    void serveBecomesReadyAnswersAReadAndDrainsOnSigterm() throws Exception {
+        try (ServerSocket node = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            Thread script = new Thread(() -> {
+                try (Socket socket = node.accept()) {
+                    String line = new BufferedReader(new InputStreamReader(socket.getInputStream())).readLine();
+                    String id = line.substring(line.indexOf(" O") + 2).split(" ")[0];
+                    socket.getOutputStream().write(("VA 5 O" + id + " h1\r\nhello\r\n").getBytes());
+                    socket.getInputStream().read();
+                } catch (IOException e) {
+                    // the test has ended
+                }
+            });
+            script.setDaemon(true);
+            script.start();
+            int port = freePort();
+            Path config = folder.resolve("config.json");
+            Files.writeString(config, Files.readString(Path.of("src/test/resources/config.json"))
+                    .replace("127.0.0.1:0", "127.0.0.1:" + port)
+                    .replace("\"dial\": \"127.0.0.1:9\"", "\"dial\": \"127.0.0.1:" + node.getLocalPort() + "\""));
+            Process process = start("serve", config.toString());
+            try (Socket client = connect(port, process)) {
+                BufferedReader in = new BufferedReader(new InputStreamReader(client.getInputStream()));
+                client.getOutputStream().write("mn\r\n".getBytes());
+                assertThat(in.readLine()).isEqualTo("MN");
+                client.getOutputStream().write("mg 7f3a v O1 Pc=seg-text,d=60000\r\n".getBytes());
+                assertThat(in.readLine()).isEqualTo("VA 5 O1");
+                assertThat(in.readLine()).isEqualTo("hello");
+                process.destroy();
+                assertThat(in.readLine()).isNull();
+                assertThat(process.waitFor(60, TimeUnit.SECONDS)).isTrue();
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    @Test
+    void drillAnswersTheEmptyFrame() throws Exception {
+        Process process = start("drill", null);
+        process.getOutputStream().write(HexFormat.of().parseHex("1400000000000000206ec0400000000001000000"));
+        process.getOutputStream().close();
+        assertThat(process.getInputStream().readAllBytes())
+                .isEqualTo(HexFormat.of().parseHex("0c0000000000000001000000"));
+        assertThat(process.waitFor()).isZero();
+    }
+
+    @Test
+    void aConfigurationOfNoUseIsToldInOneLine() throws Exception {
+        Path broken = folder.resolve("broken.json");
+        for (String text : new String[] {null, "", "{", "[]", "{\"settings\":{}}", "{\"settings\":{},\"listen\":\"x:y\"}"}) {
+            Files.deleteIfExists(broken);
+            if (text != null) {
+                Files.writeString(broken, text);
+            }
+            Process process = start("serve", broken.toString());
+            String told = new String(process.getErrorStream().readAllBytes());
+            assertThat(told.lines()).as(told).hasSize(1);
+            assertThat(told).contains("broken.json");
+            assertThat(process.waitFor()).isEqualTo(2);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/PolicyTest.java
@@ -0,0 +1,516 @@
+package damsonworks;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import damsonworks.RoutingApi.Group;
+import damsonworks.RoutingApi.ListKind;
+import damsonworks.RoutingApi.Member;
+import damsonworks.RoutingApi.Outcome;
+import damsonworks.RoutingApi.Request;
+import damsonworks.RoutingApi.State;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+class PolicyTest {
+    // ---- CARP's path
+
+    @Test
+    void aKeyGoesToTheTopScoreAndAMissToTheOrigin() {
+        Rig rig = Rig.aside().fleet(12);
+        rig.read(1, 77);
+        int top = topRank(77, 12);
+        assertThat(rig.last().server()).isEqualTo(top);
+        rig.end(rig.last(), Outcome.MISS);
+        assertThat(rig.last().server()).isEqualTo(Rig.ORIGIN);
+        rig.end(rig.last(), Outcome.OK);
+        assertThat(rig.answers()).isZero();
+    }
+
+    private static int topRank(long key, int n) {
+        int best = 0;
+        double bestScore = -1;
+        for (int id = 1; id <= n; id++) {
+            double score = Carp.score(Carp.keyHash(key), Carp.memberHash(id), 1);
+            if (score > bestScore) {
+                best = id;
+                bestScore = score;
+            }
+        }
+        return best;
+    }
+
+    @Test
+    void listOrderDoesNotMatter() {
+        Rig up = Rig.aside().fleet(30);
+        Rig down = Rig.aside();
+        List<Member> list = new java.util.ArrayList<>();
+        for (int id = 30; id >= 1; id--) {
+            list.add(Rig.member(id, State.READY, 0));
+        }
+        down.policy.onList(down.now, ListKind.FULL, list, down);
+        for (int k = 1; k < 200; k++) {
+            up.read(k, k);
+            down.read(k, k);
+            assertThat(down.last().server()).isEqualTo(up.last().server());
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = Outcome.class, names = {"CONNECT_FAILED", "RESET"})
+    void theRunnerUpTakesFailedAndResetConnections(Outcome outcome) {
+        Rig rig = Rig.aside().fleet(12);
+        rig.read(1, 77);
+        int top = rig.last().server();
+        rig.end(rig.last(), outcome);
+        int runnerUp = rig.last().server();
+        assertThat(runnerUp).isNotIn(top, Rig.ORIGIN);
+        rig.read(2, 77);
+        if (outcome == Outcome.RESET) {
+            assertThat(rig.last().server()).as("one broken connection is no evidence").isEqualTo(top);
+            rig.end(rig.last(), outcome);
+            assertThat(rig.last().server()).isEqualTo(runnerUp);
+            rig.read(3, 77);
+        }
+        assertThat(rig.last().server()).as("the key stays with the runner-up while its server is shunned").isEqualTo(runnerUp);
+    }
+
+    @Test
+    void writesGoToTheOriginAside() {
+        Rig rig = Rig.aside().fleet(5);
+        rig.write(1, Rig.UNSAFE);
+        assertThat(rig.last().server()).isEqualTo(Rig.ORIGIN);
+    }
+
+    @Test
+    void throughModeSendsWritesByRank() {
+        Rig rig = new Rig(Rig.settings(false, false, false, Group.ALL)).fleet(5);
+        rig.write(1, Rig.UNSAFE);
+        assertThat(rig.last().server()).isEqualTo(topRank(7, 5));
+    }
+
+    @Test
+    void keylessRequestsAreRankedByTheirId() {
+        Rig rig = Rig.aside().fleet(12);
+        Set<Integer> used = new HashSet<>();
+        for (int id = 1; id <= 100; id++) {
+            rig.read(id, 0);
+            used.add(rig.last().server());
+        }
+        assertThat(used).hasSizeGreaterThan(8);
+    }
+
+    // ---- rule 1: one final answer in time
+
+    @ParameterizedTest
+    @ValueSource(ints = {Rig.SAFE, Rig.KEYED, Rig.UNSAFE})
+    void aSilentServerStillLeavesOneAnswerAtTheDeadline(int serviceClass) {
+        Rig rig = Rig.aside().fleet(5);
+        rig.policy.onRequest(rig.now, new Request(1, serviceClass, 0, 7, rig.now + 1000, Double.NaN, 0,
+                serviceClass != Rig.SAFE, false), rig);
+        rig.pass(999);
+        assertThat(rig.answers()).isZero();
+        rig.pass(1);
+        assertThat(rig.answers()).isEqualTo(1);
+        int sent = rig.placed.size();
+        rig.pass(5000);
+        assertThat(rig.answers()).isEqualTo(1);
+        assertThat(rig.placed).hasSize(sent);
+    }
+
+    @Test
+    void lateAndRepeatedNewsOfAFinishedRequestChangesNothing() {
+        Rig rig = Rig.aside().fleet(5);
+        rig.read(1, 7);
+        Rig.Placed first = rig.last();
+        rig.policy.onGone(rig.now, 1, rig);
+        int orders = rig.orders.size();
+        rig.policy.onGone(rig.now, 1, rig);
+        rig.end(first, Outcome.TIMEOUT, true, 0);
+        rig.end(first, Outcome.TIMEOUT, true, 0);
+        rig.policy.onTimer(rig.now, 123456, rig);
+        rig.pass(3000);
+        assertThat(rig.orders).hasSize(orders);
+    }
+
+    @Test
+    void anEmptyListIsAnsweredAtOnce() {
+        Rig rig = Rig.aside();
+        rig.policy.onList(rig.now, ListKind.CACHED, List.of(), rig);
+        rig.read(1, 7);
+        rig.write(2, Rig.UNSAFE);
+        assertThat(rig.denied).containsExactly(1, 2);
+    }
+
+    @Test
+    void zeroWeightsShareEqually() {
+        Rig rig = Rig.aside();
+        rig.policy.onList(rig.now, ListKind.FULL, List.of(new Member(1, 0, 0, 0, State.READY, 0, 0),
+                new Member(2, 0, 0, 0, State.READY, 0, 0)), rig);
+        Set<Integer> used = new HashSet<>();
+        for (int id = 1; id <= 40; id++) {
+            rig.read(id, id);
+            used.add(rig.last().server());
+        }
+        assertThat(used).containsExactlyInAnyOrder(1, 2);
+    }
+
+    // ---- rule 2: no effect twice
+
+    @ParameterizedTest
+    @EnumSource(value = Outcome.class, names = {"ERROR", "TIMEOUT", "RESET", "CANCELLED"})
+    void anUnsafeRequestThatMayHaveRunIsFailedNotRepeated(Outcome outcome) {
+        Rig rig = Rig.aside().fleet(5);
+        rig.write(1, Rig.UNSAFE);
+        rig.end(rig.last(), outcome);
+        rig.pass(2000);
+        assertThat(rig.placed).hasSize(1);
+        assertThat(rig.failed).containsExactly(1);
+        assertThat(rig.denied).isEmpty();
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = Outcome.class, names = {"FULL", "CONNECT_FAILED"})
+    void anUnsafeRequestKnownNotToHaveRunMayGoAgain(Outcome outcome) {
+        Rig rig = Rig.aside().fleet(5);
+        rig.write(1, Rig.UNSAFE);
+        rig.end(rig.last(), outcome);
+        rig.pass(500);
+        assertThat(rig.placed).hasSize(2);
+    }
+
+    @Test
+    void aKeyedRequestIsRepeatedOnlyInsideItsWindow() {
+        Rig inside = new Rig(Rig.settings(false, false, false, Group.ALL)).fleet(12);
+        inside.write(1, Rig.KEYED);
+        inside.now += 399;
+        inside.end(inside.last(), Outcome.RESET);
+        assertThat(inside.placed).hasSize(2);
+        Rig late = new Rig(Rig.settings(false, false, false, Group.ALL)).fleet(12);
+        late.write(1, Rig.KEYED);
+        late.now += 400;
+        late.end(late.last(), Outcome.RESET);
+        assertThat(late.placed).hasSize(1);
+        assertThat(late.answers()).isEqualTo(1);
+    }
+
+    @ParameterizedTest
+    @EnumSource(value = Group.class, names = {"ZONE", "CELL"})
+    void aKeyedRequestStaysInItsGroupAndIsNeverRefused(Group group) {
+        for (int key = 1; key < 60; key++) {
+            Rig rig = new Rig(Rig.settings(false, false, false, group)).fleet(12);
+            rig.policy.onRequest(rig.now, new Request(1, Rig.KEYED, 0, key, rig.now + 1000, Double.NaN, 0, true, false), rig);
+            int first = rig.last().server();
+            rig.end(rig.last(), Outcome.RESET);
+            if (rig.placed.size() > 1) {
+                int then = rig.last().server();
+                assertThat(group == Group.ZONE ? then % 2 : then / 4).isEqualTo(group == Group.ZONE ? first % 2 : first / 4);
+            } else {
+                assertThat(rig.failed).containsExactly(1);
+            }
+            assertThat(rig.denied).isEmpty();
+        }
+    }
+
+    @Test
+    void attemptsStayWithinTheLimitAndOneAtATime() {
+        Rig rig = Rig.aside().fleet(12);
+        rig.read(1, 7);
+        for (int i = 0; i < 6 && rig.answers() == 0; i++) {
+            rig.end(rig.last(), Outcome.CONNECT_FAILED);
+        }
+        assertThat(rig.placed).hasSizeLessThanOrEqualTo(3);
+        assertThat(rig.answers()).isEqualTo(1);
+    }
+
+    // ---- rule 3: drains
+
+    @Test
+    void aDrainingOrGoneServerGetsNothingNewNotEvenAWaitingRepeat() {
+        Rig rig = Rig.aside().fleet(3);
+        rig.change(Rig.member(1, State.DRAINING, 0), Rig.member(2, State.GONE, 0));
+        for (int id = 1; id <= 50; id++) {
+            rig.read(id, id);
+            assertThat(rig.last().server()).isEqualTo(3);
+        }
+        rig.read(99, 5);
+        rig.change(Rig.member(Rig.ORIGIN, State.DRAINING, 0));
+        int sent = rig.placed.size();
+        rig.end(rig.last(), Outcome.MISS);
+        assertThat(rig.placed).hasSize(sent);
+        assertThat(rig.denied).containsExactly(99);
+    }
+
+    // ---- rule 4: cold servers
+
+    /** At its start it takes half of 0.3, at half its warm-up half of 0.65, and all once warm. */
+    @Test
+    void aColdServerTakesNoMoreThanItsRamp() {
+        assertThat(taken(0, Outcome.OK)).isBetween(0.09, 0.21);
+        assertThat(taken(4000, Outcome.OK)).isBetween(0.24, 0.41);
+        assertThat(taken(8000, Outcome.OK)).isEqualTo(1.0);
+    }
+
+    /** Part of its own keys that server 5 gets this long after its start. */
+    private static double taken(double age, Outcome outcome) {
+        Rig rig = Rig.aside().fleet(12);
+        rig.now = 100000;
+        rig.change(Rig.member(5, State.READY, rig.now - age));
+        int own = 0;
+        int got = 0;
+        for (int key = 1; key <= 4000; key++) {
+            if (topRank(key, 12) == 5) {
+                own++;
+                rig.read(key, key);
+                got += rig.last().server() == 5 ? 1 : 0;
+                rig.end(rig.last(), outcome);
+            }
+        }
+        return (double) got / own;
+    }
+
+    /** A repeat must not land on a cold server: a lost hall came back and fell over under repeats. */
+    @Test
+    void repeatsKeepOffAColdServer() {
+        Rig rig = Rig.aside().fleet(3);
+        rig.change(Rig.member(2, State.READY, rig.now), Rig.member(3, State.READY, rig.now));
+        for (int id = 1; id <= 200; id++) {
+            rig.read(id, id);
+            Rig.Placed p = rig.last();
+            if (p.server() == 1) {
+                rig.end(p, Outcome.FULL);
+                assertThat(rig.last().server()).isNotIn(2, 3);
+            }
+            rig.end(rig.last(), Outcome.OK);
+        }
+    }
+
+    // ---- departures
+
+    /** A key that draws much of the traffic is spread over several ranks; cool again it has one server. */
+    @Test
+    void aHotKeyIsSpreadAndComesBack() {
+        Rig rig = Rig.aside().fleet(20);
+        Set<Integer> hot = new HashSet<>();
+        for (int id = 1; id <= 400; id++) {
+            rig.now += 5;
+            rig.read(id, id % 4 == 0 ? 7 : id + 1000);
+            if (id % 4 == 0 && id > 200) {
+                hot.add(rig.last().server());
+            }
+            rig.end(rig.last(), Outcome.OK);
+        }
+        assertThat(hot).hasSizeBetween(5, 12);
+        rig.now += 60000;
+        Set<Integer> calm = new HashSet<>();
+        for (int id = 1001; id <= 1020; id++) {
+            rig.now += 3000;
+            rig.read(id, 7);
+            calm.add(rig.last().server());
+            rig.end(rig.last(), Outcome.OK);
+        }
+        assertThat(calm).containsExactly(topRank(7, 20));
+    }
+
+    /** Of many misses for one key one goes to the origin; the others find the object where it was missed. */
+    @Test
+    void oneFetchPerKey() {
+        Rig rig = Rig.aside().fleet(5);
+        for (int id = 1; id <= 4; id++) {
+            rig.read(id, 7);
+        }
+        for (Rig.Placed p : List.copyOf(rig.placed)) {
+            rig.end(p, Outcome.MISS);
+        }
+        assertThat(rig.placed.stream().filter(p -> p.server() == Rig.ORIGIN)).hasSize(1);
+        rig.end(rig.last(), Outcome.OK);
+        assertThat(rig.placed).hasSize(8);
+        assertThat(rig.last().server()).isEqualTo(topRank(7, 5));
+    }
+
+    /** A server that takes work and answers none: the runner-up is asked while origin and answer still fit the aim. */
+    @Test
+    void aHungServerIsPassedOverInTime() {
+        Rig rig = Rig.aside().fleet(5);
+        rig.read(1, 7);
+        Rig.Placed hung = rig.last();
+        rig.pass(200);
+        assertThat(rig.cancelled).containsExactly("1/0");
+        rig.end(hung, Outcome.CANCELLED);
+        assertThat(rig.last().server()).isNotIn(hung.server(), Rig.ORIGIN);
+    }
+
+    /** Doubts have a budget: when all servers slow down together, few requests are sent twice. */
+    @Test
+    void aSharedSlowdownIsNotRepeatedIntoAJam() {
+        Rig rig = new Rig(Rig.settings(true, false, true, Group.ALL)).fleet(12);
+        for (int id = 1; id <= 200; id++) {
+            rig.now += 1;
+            rig.read(id, id);
+        }
+        rig.pass(400);
+        assertThat(rig.placed).hasSizeLessThan(200 + 10);
+    }
+
+    /** An origin that answers nothing in time is asked less and less, and again once it answers. */
+    @Test
+    void aJammedOriginIsLeftToRecover() {
+        Rig rig = Rig.aside().fleet(5);
+        int late = 0;
+        for (int id = 1; id <= 100; id++) {
+            rig.now += 20;
+            rig.read(id, id);
+            rig.end(rig.last(), Outcome.MISS);
+            if (rig.last().server() == Rig.ORIGIN) {
+                late += id > 50 ? 1 : 0;
+                rig.end(rig.last(), Outcome.FULL);
+            }
+        }
+        assertThat(late).isLessThan(15);
+        assertThat(rig.denied).hasSize(100);
+    }
+
+    /** A throttled origin gets no fetch that could not answer in time, and is asked again after a while of calm. */
+    @Test
+    void aThrottleDoesNotStayShut() {
+        Rig rig = Rig.aside().fleet(5);
+        int fetched = 0;
+        for (int id = 1; id <= 200; id++) {
+            rig.now += 20;
+            rig.read(id, id);
+            rig.end(rig.last(), Outcome.MISS);
+            if (rig.last().server() == Rig.ORIGIN) {
+                fetched++;
+                rig.now += 900;
+                rig.endAfter(rig.last(), Outcome.OK, 900);
+            }
+        }
+        assertThat(fetched).isLessThan(150);
+        rig.now += 30000;
+        rig.read(1000, 1000);
+        rig.end(rig.last(), Outcome.MISS);
+        assertThat(rig.last().server()).isEqualTo(Rig.ORIGIN);
+    }
+
+    /** The instances of a fleet must not call the small list service together, nor at once after a failure. */
+    @Test
+    void theListIsAskedForOnceWithDelay() {
+        Rig rig = new Rig(Rig.settings(true, true, false, Group.ALL)).fleet(5);
+        assertThat(rig.watches).isZero();
+        rig.pass(5000);
+        assertThat(rig.watches).isEqualTo(1);
+        rig.policy.onList(rig.now, ListKind.FAILED, List.of(), rig);
+        assertThat(rig.watches).isEqualTo(1);
+        rig.pass(5000);
+        assertThat(rig.watches).isEqualTo(2);
+        rig.change();
+        rig.pass(60000);
+        assertThat(rig.watches).isEqualTo(2);
+    }
+
+    /** In a crowd the tenant far over its quota is refused, the one inside its quota hardly. */
+    @Test
+    void refusalsComeOffTheTenantOverItsQuota() {
+        Rig rig = new Rig(Rig.tenants(100, 100)).fleet(12);
+        int[] refused = new int[2];
+        for (int id = 1; id <= 1000; id++) {
+            rig.now += 10;
+            int tenant = id % 10 == 0 ? 1 : 0;
+            int before = rig.denied.size();
+            rig.policy.onRequest(rig.now, new Request(id, Rig.SAFE, tenant, id, rig.now + 1000, Double.NaN, 0,
+                    false, false), rig);
+            if (rig.denied.size() > before) {
+                refused[tenant]++;
+            } else {
+                rig.endAfter(rig.last(), Outcome.OK, id % 2 == 0 ? 290 : 20);
+            }
+        }
+        assertThat(refused[0]).isGreaterThan(150);
+        assertThat(refused[1]).isLessThan(10);
+    }
+
+    /** Late answers shed reads; timely ones again let all through. */
+    @Test
+    void crowdingShedsReadsAndEnds() {
+        Rig rig = Rig.aside().fleet(12);
+        for (int id = 1; id <= 300; id++) {
+            rig.now += 10;
+            int sent = rig.placed.size();
+            rig.read(id, id);
+            if (rig.placed.size() > sent) {
+                rig.endAfter(rig.last(), Outcome.OK, 290);
+            }
+        }
+        assertThat(rig.denied).hasSizeGreaterThan(150);
+        rig.now += 60000;
+        rig.denied.clear();
+        for (int id = 1001; id <= 1300; id++) {
+            rig.now += 10;
+            rig.read(id, id);
+            rig.endAfter(rig.last(), Outcome.OK, 20);
+        }
+        assertThat(rig.denied).isEmpty();
+    }
+
+    /** A few hung servers are no crowd: their time-outs refuse nobody else. */
+    @Test
+    void hungServersDoNotShedTheOthers() {
+        Rig rig = new Rig(Rig.settings(true, false, true, Group.ALL)).fleet(12);
+        List<Rig.Placed> hung = new java.util.ArrayList<>();
+        for (int id = 1; id <= 600; id++) {
+            rig.pass(10);
+            int sent = rig.placed.size();
+            rig.read(id, id);
+            if (rig.placed.size() > sent) {
+                if (rig.last().server() <= 2) {
+                    hung.add(rig.last());
+                } else {
+                    rig.endAfter(rig.last(), Outcome.OK, 20);
+                }
+            }
+        }
+        assertThat(hung).hasSizeBetween(2, 60);
+        assertThat(rig.denied.stream().filter(id -> hung.stream().noneMatch(p -> p.request() == id))).isEmpty();
+    }
+
+    /** A suspect comes back by a trial: the probe's answer, not a client's request, finds out. */
+    @Test
+    void aShunnedServerIsProbedBeforeItGetsRequests() {
+        Rig rig = Rig.aside().fleet(3);
+        long key = 1;
+        while (topRank(key, 3) != 2) {
+            key++;
+        }
+        rig.read(1, key);
+        rig.end(rig.last(), Outcome.CONNECT_FAILED);
+        rig.end(rig.last(), Outcome.OK);
+        rig.now += 1100;
+        rig.read(2, key);
+        assertThat(rig.last().server()).isNotEqualTo(2);
+        assertThat(rig.probed).containsExactly(2);
+        rig.policy.onProbed(rig.now, 2, Outcome.OK, 3, null, rig);
+        rig.read(3, key);
+        assertThat(rig.last().server()).isEqualTo(2);
+    }
+
+    // ---- bad input
+
+    @Test
+    void nonsenseIsRefusedByName() {
+        Rig rig = Rig.aside().fleet(3);
+        assertThatThrownBy(() -> rig.change(Rig.member(1, State.READY, 0), Rig.member(1, State.READY, 0)))
+                .hasMessageContaining("member 1 is listed twice");
+        assertThatThrownBy(() -> rig.change(new Member(8, 0, 0, 0, State.READY, Float.NaN, 0)))
+                .hasMessageContaining("member 8 has weight NaN");
+        assertThatThrownBy(() -> rig.change(new Member(8, 5, 0, 0, State.READY, 1, 0))).hasMessageContaining("zone 5");
+        assertThatThrownBy(() -> rig.policy.onRequest(rig.now, new Request(1, 9, 0, 1, rig.now + 10, 1, 0, false, false), rig))
+                .hasMessageContaining("class 9");
+        assertThatThrownBy(() -> rig.policy.onRequest(rig.now, new Request(1, 0, 3, 1, rig.now + 10, 1, 0, false, false), rig))
+                .hasMessageContaining("tenant 3");
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/ClientConnectionTest.java
@@ -0,0 +1,137 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonObject;
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+
+/** What clients do to the proxy, on loopback sockets. */
+class ClientConnectionTest {
+    private static String hit(String command) {
+        return "VA 5 O" + FakeServer.id(command) + " h1\r\nhello\r\n";
+    }
+
+    @Test
+    void commandsComeInPiecesAndInHeapsAndAreAnsweredInOrder() throws Exception {
+        try (Fleet fleet = new Fleet().node(FakeServer.node(ClientConnectionTest::hit)).start();
+                Fleet.Client client = fleet.client()) {
+            client.say("m").say("n\r").say("\n");
+            assertThat(client.line()).isEqualTo("MN");
+            client.read("1").say("mn\r\n").read("2").say("nonsense\r\n");
+            assertThat(client.line()).isEqualTo("VA 5 O1");
+            assertThat(client.line()).isEqualTo("hello");
+            assertThat(client.line()).isEqualTo("MN");
+            assertThat(client.line()).isEqualTo("VA 5 O2");
+            assertThat(client.line()).isEqualTo("hello");
+            assertThat(client.line()).isEqualTo("ERROR");
+        }
+    }
+
+    @Test
+    void aSlowFirstAnswerHoldsBackAQuickSecond() throws Exception {
+        CountDownLatch second = new CountDownLatch(1);
+        FakeServer node = new FakeServer(c -> {
+            String line = c.command();
+            if (FakeServer.id(line).equals("1")) {
+                second.await();
+            }
+            c.say(hit(line));
+            second.countDown();
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+            client.read("1").read("2");
+            assertThat(client.line()).isEqualTo("VA 5 O1");
+            client.line();
+            assertThat(client.line()).isEqualTo("VA 5 O2");
+        }
+    }
+
+    @Test
+    void theCommandGoesOnUnchangedButForTheDeadline() throws Exception {
+        FakeServer node = FakeServer.node(ClientConnectionTest::hit);
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+            client.say("mg 7f3a v Oab12 Pc=text,t=acme,d=20000,r=1 q\r\n");
+            client.line();
+            assertThat(node.next()).matches("mg 7f3a v Oab12 Pc=text,t=acme,d=(20000|1\\d{4}),r=1 q");
+        }
+    }
+
+    @Test
+    void aBinaryValueOfFourMebibytesReachesTheOriginWhole() throws Exception {
+        byte[] value = new byte[MetaCodec.MAX_VALUE];
+        new Random(1).nextBytes(value);
+        FakeServer origin = new FakeServer(c -> {
+            c.request();
+            c.sayHttp(200, "", "r1");
+        });
+        try (Fleet fleet = new Fleet().origin(origin).start(); Fleet.Client client = fleet.client()) {
+            client.say("ms 7f3a " + value.length + " O9 Pc=fix,d=20000\r\n").say(value).say("\r\n");
+            assertThat(client.line()).isEqualTo("HD O9 cr1");
+            String request = origin.next();
+            assertThat(request).startsWith("PUT /7f3a HTTP/1.1\n").containsIgnoringCase("req-id: 9\n")
+                    .containsIgnoringCase("req-extra: c=fix,d=20000\n");
+            String body = request.substring(request.indexOf("\n\n") + 2);
+            assertThat(body.equals(new String(value, StandardCharsets.ISO_8859_1))).isTrue();
+        }
+    }
+
+    @Test
+    void brokenCommandsAreToldAndOnlyLostFramingEndsTheConnection() throws Exception {
+        try (Fleet fleet = new Fleet().node(FakeServer.node(ClientConnectionTest::hit)).start()) {
+            try (Fleet.Client client = fleet.client()) {
+                client.say("mg 7f3a v\r\n").say("ms 7f3a 5 v\r\nhello\r\n").say("mg 7f3a v O1 Pc=none,d=5\r\n")
+                        .read("2");
+                assertThat(client.line()).startsWith("CLIENT_ERROR");
+                assertThat(client.line()).startsWith("CLIENT_ERROR");
+                assertThat(client.line()).startsWith("CLIENT_ERROR");
+                assertThat(client.line()).isEqualTo("VA 5 O2");
+            }
+            for (String lost : new String[] {"ms 7f3a -5 O1 Pc=fix,d=500\r\n", "ms 7f3a 5 O1 Pc=fix,d=500\r\nhelloXX",
+                "ms 7f3a 4194305 O1 Pc=fix,d=500\r\n", "x".repeat(MetaCodec.MAX_LINE)}) {
+                try (Fleet.Client client = fleet.client()) {
+                    client.say(lost);
+                    assertThat(client.line()).as(lost.substring(0, 10)).startsWith("CLIENT_ERROR");
+                    assertThat(client.ended()).isTrue();
+                }
+            }
+        }
+    }
+
+    @Test
+    void aClientThatGoesAwayTakesItsAttemptsAlong() throws Exception {
+        CountDownLatch ended = new CountDownLatch(1);
+        FakeServer node = new FakeServer(c -> {
+            c.command();
+            c.awaitEnd();
+            ended.countDown();
+        });
+        try (Fleet fleet = new Fleet().node(node).start()) {
+            Fleet.Client client = fleet.client();
+            client.read("1");
+            node.next();
+            client.close();
+            assertThat(ended.await(20, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+
+    @Test
+    void aValueThatFindsNoRoomIsTurnedAwayUnseen() throws Exception {
+        FakeServer origin = new FakeServer(c -> c.sayHttp(200, "", c.request().substring(0, 3)));
+        Fleet setup = new Fleet().origin(origin);
+        JsonObject limits = new JsonObject();
+        limits.addProperty("memory_mb", 8);
+        setup.config.add("limits", limits);
+        try (Fleet fleet = setup.start(); Fleet.Client client = fleet.client()) {
+            client.say("ms 7f3a 2000000 O1 Pc=fix,d=20000\r\n").say(new byte[2_000_000]).say("\r\n");
+            assertThat(client.line()).isEqualTo("SERVER_ERROR busy");
+            client.say("ms 7f3a 5 O2 Pc=fix,d=20000\r\nhello\r\n");
+            assertThat(client.line()).isEqualTo("HD O2 cPUT");
+            assertThat(FakeServer.id(origin.next())).isEqualTo("2");
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
@@ -0,0 +1,109 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+
+/** What discovery does to the proxy, on loopback sockets. */
+class DiscoveryClientTest {
+    private static FakeServer hits() throws Exception {
+        return FakeServer.node(line -> "VA 5 O" + FakeServer.id(line) + " h1\r\nhello\r\n");
+    }
+
+    /** A list of version 43 with this one node, as it would be written. */
+    private static String list(FakeServer node, boolean whole) {
+        JsonArray hosts = new JsonArray();
+        hosts.add(Fleet.host("s-0000beef", "node-fast", node.dial(), "up"));
+        return Fleet.list(43, whole, hosts).toString();
+    }
+
+    private static String served(Fleet fleet) throws Exception {
+        try (Fleet.Client client = fleet.client()) {
+            return client.read("1").line();
+        }
+    }
+
+    @Test
+    void aWatchBringsChangesAndGoesOnFromThem() throws Exception {
+        FakeServer node = hits();
+        FakeServer discovery = new FakeServer(c -> {
+            c.request();
+            c.sayHttp(200, "", list(node, false));
+            c.request();
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().discovery(discovery).set("caps.connect-timeout", "200.0").start()) {
+            assertThat(discovery.next()).startsWith("GET /discovery/hosts?since=41&timeout_ms=");
+            assertThat(discovery.next()).startsWith("GET /discovery/hosts?since=43&timeout_ms=");
+            assertThat(served(fleet)).isEqualTo("VA 5 O1");
+            assertThat(discovery.accepted).hasSize(1);
+        }
+        node.close();
+    }
+
+    @Test
+    void failuresAndNonsenseLeaveTheListAndAreAskedAgain() throws Exception {
+        FakeServer node = hits();
+        JsonObject unknown = Fleet.list(44, true, new JsonArray());
+        unknown.getAsJsonArray("hosts").add(Fleet.host("s-1", "no-such-class", "127.0.0.1:1", "up"));
+        String[] bad = {"{", "[]", "{\"seq\":44,\"whole\":true,\"hosts\":[{}]}", unknown.toString()};
+        CountDownLatch all = new CountDownLatch(bad.length + 2);
+        FakeServer discovery = new FakeServer(c -> {
+            for (String request; (request = c.request()) != null;) {
+                int call = (int) (bad.length + 2 - all.getCount());
+                all.countDown();
+                if (call == 0) {
+                    c.sayHttp(503, "", "");
+                } else if (call == 1) {
+                    c.reset();
+                } else if (call < bad.length + 2) {
+                    c.sayHttp(200, "", bad[call - 2]);
+                } else {
+                    c.awaitEnd();
+                }
+            }
+        });
+        try (Fleet fleet = new Fleet().node(node).discovery(discovery).set("caps.connect-timeout", "50.0")
+                .set("guarantees.ask-within", "200.0").start()) {
+            for (int i = 0; i < bad.length + 3; i++) {
+                assertThat(discovery.next()).contains("since=41&");
+            }
+            assertThat(served(fleet)).isEqualTo("VA 5 O1");
+        }
+    }
+
+    @Test
+    void whereListsArePushedTheProxyFollowsByItself() throws Exception {
+        FakeServer node = hits();
+        CountDownLatch down = new CountDownLatch(1);
+        FakeServer agent = new FakeServer(c -> {
+            for (String request; (request = c.request()) != null;) {
+                if (down.getCount() > 0) {
+                    down.countDown();
+                    c.sayHttp(503, "", "");
+                } else if (request.contains("since=41")) {
+                    c.sayHttp(200, "", list(node, true));
+                } else {
+                    c.awaitEnd();
+                }
+            }
+        });
+        try (Fleet fleet = new Fleet().discovery(agent).set("discovery", "push").start()) {
+            assertThat(agent.next()).contains("since=41");
+            assertThat(agent.next()).contains("since=41");
+            assertThat(agent.next()).contains("since=43");
+            assertThat(served(fleet)).isEqualTo("VA 5 O1");
+        }
+        node.close();
+    }
+
+    @Test
+    void idsComeFromTheHostsNames() {
+        assertThat(DiscoveryClient.id("s-5be2a07c")).isEqualTo(0x5be2a07c);
+        assertThat(DiscoveryClient.id("s-f2ffffff")).isEqualTo(0xf2ffffff);
+        assertThat(DiscoveryClient.id("cache.example")).isEqualTo(DiscoveryClient.id("cache.example"));
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/DrainTest.java
@@ -0,0 +1,42 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+
+/** What SIGTERM begins: everything taken is answered, connections end between requests, and it comes to an end. */
+class DrainTest {
+    @Test
+    void whatIsInHandIsAnsweredBeforeItsConnectionEnds() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        FakeServer node = new FakeServer(c -> {
+            String line = c.command();
+            go.await();
+            c.say("VA 5 O" + FakeServer.id(line) + " h1\r\nhello\r\n");
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client idle = fleet.client();
+                Fleet.Client busy = fleet.client(); Fleet.Client half = fleet.client()) {
+            assertThat(idle.say("mn\r\n").line()).isEqualTo("MN");
+            half.say("mn\r\nm");
+            assertThat(half.line()).isEqualTo("MN");
+            busy.read("1");
+            node.next();
+            Thread drain = new Thread(fleet.proxy::drain);
+            drain.start();
+            assertThat(idle.ended()).isTrue();
+            go.countDown();
+            assertThat(busy.line()).isEqualTo("VA 5 O1");
+            assertThat(busy.line()).isEqualTo("hello");
+            assertThat(busy.ended()).isTrue();
+            half.say("n\r\n"); // a command that had been begun is still answered
+            assertThat(half.line()).isEqualTo("MN");
+            assertThat(half.ended()).isTrue();
+            idle.close();
+            busy.close();
+            half.close();
+            drain.join();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/FakeServer.java
@@ -0,0 +1,196 @@
+package damsonworks.proxy;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+
+/** A server on loopback that runs a script for each connection; cache nodes, origins and discovery in tests. */
+final class FakeServer implements AutoCloseable {
+    /** What to do with a connection; its end closes it. */
+    interface Script {
+        void run(Connection connection) throws Exception;
+    }
+
+    /** One accepted connection, with the reading that the protocols need. */
+    static final class Connection {
+        final Socket socket;
+        final InputStream in;
+        final OutputStream out;
+        private final FakeServer server;
+
+        Connection(Socket socket, FakeServer server) throws IOException {
+            this.socket = socket;
+            this.server = server;
+            in = new BufferedInputStream(socket.getInputStream());
+            out = socket.getOutputStream();
+        }
+
+        /** A line without its end; null at the end of the stream. */
+        String line() throws IOException {
+            return FakeServer.line(in);
+        }
+
+        /** The next command of a proxy, kept for the test to see; null at the end of the stream. */
+        String command() throws IOException {
+            String line = line();
+            if (line != null) {
+                server.commands.add(line);
+            }
+            return line;
+        }
+
+        /** The next HTTP request, its lines and body in one text; null at the end of the stream. */
+        String request() throws IOException {
+            StringBuilder text = new StringBuilder();
+            int length = 0;
+            for (String line; (line = line()) != null;) {
+                if (line.isEmpty()) {
+                    text.append('\n').append(new String(in.readNBytes(length), StandardCharsets.ISO_8859_1));
+                    server.commands.add(text.toString());
+                    return text.toString();
+                }
+                if (line.toLowerCase().startsWith("content-length: ")) {
+                    length = Integer.parseInt(line.substring(16));
+                }
+                text.append(line).append('\n');
+            }
+            return null;
+        }
+
+        void say(String text) throws IOException {
+            out.write(text.getBytes(StandardCharsets.ISO_8859_1));
+            out.flush();
+        }
+
+        void sayHttp(int status, String headers, String body) throws IOException {
+            say("HTTP/1.1 " + status + " X\r\n" + headers + "Content-Length: " + body.length() + "\r\n\r\n" + body);
+        }
+
+        /** Ends the connection with a reset. */
+        void reset() throws IOException {
+            socket.setSoLinger(true, 0);
+            socket.close();
+        }
+
+        /** Waits for the other side's end. */
+        void awaitEnd() throws IOException {
+            try {
+                while (in.read() >= 0) {
+                    // dropped
+                }
+            } catch (IOException e) {
+                // a reset is an end, too
+            }
+        }
+    }
+
+    /** A line without its end; null at the end of the stream. */
+    static String line(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int b; (b = in.read()) != '\n';) {
+            if (b < 0) {
+                return null;
+            }
+            if (b != '\r') {
+                line.write(b);
+            }
+        }
+        return line.toString(StandardCharsets.ISO_8859_1);
+    }
+
+    /** The id of a command or of a request to the origin. */
+    static String id(String command) {
+        int at = command.contains("Req-Id: ") ? command.indexOf("Req-Id: ") + 8
+                : command.toLowerCase().contains("req-id: ") ? command.toLowerCase().indexOf("req-id: ") + 8
+                : command.indexOf(" O") + 2;
+        return command.substring(at).split("\\s")[0];
+    }
+
+    final BlockingQueue<String> commands = new LinkedBlockingQueue<>();
+    final BlockingQueue<Connection> accepted = new LinkedBlockingQueue<>();
+    private final CopyOnWriteArrayList<Socket> sockets = new CopyOnWriteArrayList<>();
+    private final ServerSocket server;
+
+    FakeServer(Script script) throws IOException {
+        server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+        daemon(() -> {
+            while (true) {
+                Socket socket = server.accept();
+                sockets.add(socket);
+                Connection connection = new Connection(socket, this);
+                accepted.add(connection);
+                daemon(() -> {
+                    try (socket) {
+                        script.run(connection);
+                    }
+                });
+            }
+        });
+    }
+
+    /** A cache node that answers reads with what this function makes of the command's line. */
+    static FakeServer node(Function<String, String> answer) throws IOException {
+        return new FakeServer(c -> {
+            for (String line; (line = c.command()) != null;) {
+                c.say(answer.apply(line));
+            }
+        });
+    }
+
+    private interface Task {
+        void run() throws Exception;
+    }
+
+    private static void daemon(Task task) {
+        Thread thread = new Thread(() -> {
+            try {
+                task.run();
+            } catch (Exception e) {
+                // the connection or the server has been closed
+            }
+        });
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    int port() {
+        return server.getLocalPort();
+    }
+
+    /** Refuses further connections; those it has go on. */
+    void stopListening() throws IOException {
+        server.close();
+    }
+
+    String dial() {
+        return "127.0.0.1:" + port();
+    }
+
+    /** The next command that any connection read. */
+    String next() throws InterruptedException {
+        String command = commands.poll(20, TimeUnit.SECONDS);
+        if (command == null) {
+            throw new AssertionError("no command came");
+        }
+        return command;
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Socket s : sockets) {
+            s.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/Fleet.java
@@ -0,0 +1,174 @@
+package damsonworks.proxy;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import java.io.BufferedInputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A proxy on loopback with the servers that a test gives it, and clients of it. */
+final class Fleet implements AutoCloseable {
+    static final String SETTINGS = String.join("\n", "balancers=1", "me=0", "locality=0", "zones=east,west",
+            "kinds=node-fast,origin", "discovery=ask", "report.how=silent", "report.names=", "value-by=request",
+            "over-share-worth=0.1", "caps.may-cancel=true", "caps.may-probe=false", "caps.peers=true",
+            "caps.second-copies=true", "caps.retry-after=true", "caps.max-attempts=3",
+            "caps.max-retry-after=500.0", "caps.connect-timeout=2000.0", "caps.idle-close=30000.0",
+            "caps.streams-per-conn=128", "extra.mode=aside", "extra.origin-kind=1", "guarantees.drain-grace=2000.0",
+            "guarantees.grace-to-answer=20.0", "guarantees.start-capacity=0.3", "guarantees.warm-up=9000.0",
+            "guarantees.tip-multiple=3.0", "guarantees.fall=1500.0", "guarantees.ask-within=10000.0",
+            "classes.count=3", "classes.0.name=text", "classes.0.idempotency=retryable",
+            "classes.0.promise=20000.0", "classes.0.deadline=30000.0", "classes.0.gain=1.0",
+            "classes.0.late-share=0.2", "classes.0.stream=false", "classes.1.name=fix",
+            "classes.1.idempotency=fragile", "classes.1.promise=20000.0", "classes.1.deadline=30000.0",
+            "classes.1.gain=5.0", "classes.1.late-share=0.3", "classes.1.stream=false", "classes.2.name=publish",
+            "classes.2.idempotency=dedup", "classes.2.group=all", "classes.2.window=1500.0",
+            "classes.2.promise=20000.0", "classes.2.deadline=30000.0", "classes.2.gain=10.0",
+            "classes.2.late-share=0.2", "classes.2.stream=false");
+
+    final JsonObject config = new JsonObject();
+    final List<AutoCloseable> parts = new ArrayList<>();
+    private final JsonArray hosts = new JsonArray();
+    Proxy proxy;
+
+    Fleet() {
+        config.addProperty("name", "n0");
+        config.addProperty("listen", "127.0.0.1:0");
+        config.addProperty("discovery", "127.0.0.1:9");
+        config.addProperty("seed", "8c1f30d27a5be964");
+        settings(SETTINGS);
+    }
+
+    Fleet settings(String lines) {
+        JsonObject settings = new JsonObject();
+        for (String line : lines.split("\n")) {
+            settings.addProperty(line.substring(0, line.indexOf('=')), line.substring(line.indexOf('=') + 1));
+        }
+        config.add("settings", settings);
+        return this;
+    }
+
+    Fleet set(String path, String value) {
+        config.getAsJsonObject("settings").addProperty(path, value);
+        return this;
+    }
+
+    /** One entry of discovery's list. */
+    static JsonObject host(String name, String kind, String dial, String health) {
+        JsonObject h = new JsonObject();
+        h.addProperty("host", name);
+        h.addProperty("dial", dial);
+        h.addProperty("site", "east");
+        h.addProperty("class", kind);
+        h.addProperty("block", 0);
+        h.addProperty("health", health);
+        h.addProperty("share", 1.0);
+        h.addProperty("born_ms", 0);
+        return h;
+    }
+
+    static JsonObject list(long seq, boolean whole, JsonArray hosts) {
+        JsonObject list = new JsonObject();
+        list.addProperty("seq", seq);
+        list.addProperty("whole", whole);
+        list.add("hosts", hosts);
+        return list;
+    }
+
+    Fleet node(FakeServer server) {
+        hosts.add(host("s-%08x".formatted(hosts.size() + 1), "node-fast", server.dial(), "up"));
+        parts.add(server);
+        return this;
+    }
+
+    Fleet node(String dial) {
+        hosts.add(host("s-%08x".formatted(hosts.size() + 1), "node-fast", dial, "up"));
+        return this;
+    }
+
+    Fleet origin(FakeServer server) {
+        hosts.add(host("s-0000aaaa", "origin", server.dial(), "up"));
+        parts.add(server);
+        return this;
+    }
+
+    Fleet discovery(FakeServer server) {
+        config.addProperty("discovery", server.dial());
+        parts.add(server);
+        return this;
+    }
+
+    Fleet start() throws InterruptedException {
+        config.add("known", list(41, true, hosts));
+        proxy = Proxy.start(Config.parse(config));
+        return this;
+    }
+
+    Client client() throws IOException {
+        Client client = new Client(proxy.address());
+        parts.add(client);
+        return client;
+    }
+
+    @Override
+    public void close() throws Exception {
+        if (proxy != null) {
+            proxy.close();
+        }
+        for (AutoCloseable part : parts) {
+            part.close();
+        }
+    }
+
+    /** A client with a blocking socket. */
+    static final class Client implements Closeable {
+        final Socket socket;
+        private final InputStream in;
+
+        Client(InetSocketAddress to) throws IOException {
+            socket = new Socket(InetAddress.getByName("127.0.0.1"), to.getPort());
+            socket.setSoTimeout(25_000);
+            socket.setTcpNoDelay(true);
+            in = new BufferedInputStream(socket.getInputStream());
+        }
+
+        Client say(String text) throws IOException {
+            return say(text.getBytes(StandardCharsets.ISO_8859_1));
+        }
+
+        Client say(byte[] bytes) throws IOException {
+            socket.getOutputStream().write(bytes);
+            socket.getOutputStream().flush();
+            return this;
+        }
+
+        Client read(String id) throws IOException {
+            return say("mg 7f3a9c21e0b4d655 v O" + id + " Pc=text,d=20000\r\n");
+        }
+
+        /** A line without its end; null at the end of the stream. */
+        String line() throws IOException {
+            return FakeServer.line(in);
+        }
+
+        byte[] bytes(int n) throws IOException {
+            return in.readNBytes(n);
+        }
+
+        /** Whether nothing but the end of the stream is left. */
+        boolean ended() throws IOException {
+            return in.read() < 0;
+        }
+
+        @Override
+        public void close() throws IOException {
+            socket.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/StreamTest.java
@@ -0,0 +1,145 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+
+/** Values over 64 KiB: passed on as they come, held back while the client does not read. */
+class StreamTest {
+    private static final byte[] VALUE = new byte[MetaCodec.MAX_VALUE];
+
+    static {
+        new Random(7).nextBytes(VALUE);
+    }
+
+    private static void head(FakeServer.Connection c, String command) throws IOException {
+        c.say("VA " + VALUE.length + " O" + FakeServer.id(command) + " h1\r\n");
+    }
+
+    @Test
+    void aLongValueOfANodePassesWholeAndTheNextAnswerAfterIt() throws Exception {
+        FakeServer node = new FakeServer(c -> {
+            for (String line; (line = c.command()) != null;) {
+                head(c, line);
+                c.out.write(VALUE);
+                c.say("\r\n");
+            }
+        });
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+            client.read("1").read("2");
+            for (String id : new String[] {"1", "2"}) {
+                assertThat(client.line()).isEqualTo("VA " + VALUE.length + " O" + id);
+                assertThat(client.bytes(VALUE.length)).isEqualTo(VALUE);
+                assertThat(client.line()).isEmpty();
+            }
+        }
+    }
+
+    @Test
+    void aLongValueOfTheOriginPassesWhole() throws Exception {
+        FakeServer origin = new FakeServer(c -> {
+            c.request();
+            c.say("HTTP/1.1 200 OK\r\nContent-Length: " + VALUE.length + "\r\n\r\n");
+            c.out.write(VALUE);
+            c.out.flush();
+            c.awaitEnd();
+        });
+        FakeServer node = FakeServer.node(line -> "EN O" + FakeServer.id(line) + " h0\r\n");
+        try (Fleet fleet = new Fleet().node(node).origin(origin).start(); Fleet.Client client = fleet.client()) {
+            client.read("1");
+            assertThat(client.line()).isEqualTo("VA " + VALUE.length + " O1");
+            assertThat(client.bytes(VALUE.length)).isEqualTo(VALUE);
+        }
+    }
+
+    @Test
+    void theFirstBytesDoNotWaitForTheLast() throws Exception {
+        CountDownLatch seen = new CountDownLatch(1);
+        FakeServer node = new FakeServer(c -> {
+            head(c, c.command());
+            c.out.write(VALUE, 0, 1000);
+            c.out.flush();
+            seen.await();
+            c.out.write(VALUE, 1000, VALUE.length - 1000);
+            c.say("\r\n");
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+            client.read("1").line();
+            assertThat(client.bytes(1000)).hasSize(1000);
+            seen.countDown();
+            assertThat(client.bytes(VALUE.length - 1000)).hasSize(VALUE.length - 1000);
+        }
+    }
+
+    @Test
+    void aClientThatDoesNotReadHoldsTheNodeBack() throws Exception {
+        AtomicLong sent = new AtomicLong();
+        CountDownLatch over = new CountDownLatch(1);
+        FakeServer node = new FakeServer(c -> {
+            for (String line; (line = c.command()) != null;) {
+                head(c, line);
+                for (int at = 0; at < VALUE.length; at += 1 << 14) {
+                    c.out.write(VALUE, at, 1 << 14);
+                    sent.addAndGet(1 << 14);
+                }
+                c.say("\r\n");
+            }
+            over.countDown();
+        });
+        int values = 16;
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+            for (int i = 0; i < values; i++) {
+                client.read(Integer.toString(i));
+            }
+            client.line();
+            client.bytes(VALUE.length);
+            fleet.client().say("mn\r\n").line();
+            // The system's own buffers take some megabytes; a proxy that does not hold back takes all 64.
+            assertThat(sent.get()).isLessThan((long) values * VALUE.length / 2);
+            client.line();
+            for (int i = 1; i < values; i++) {
+                assertThat(client.line()).isEqualTo("VA " + VALUE.length + " O" + i);
+                client.bytes(VALUE.length + 2);
+            }
+        }
+    }
+
+    @Test
+    void aValueCutInTheMiddleEndsTheClientsConnectionAndNothingElse() throws Exception {
+        FakeServer node = new FakeServer(c -> {
+            head(c, c.command());
+            c.out.write(VALUE, 0, 100_000);
+            c.out.flush();
+        });
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+            client.read("1");
+            assertThat(client.line()).isEqualTo("VA " + VALUE.length + " O1");
+            assertThat(client.bytes(VALUE.length).length).isLessThan(VALUE.length);
+            assertThat(fleet.client().say("mn\r\n").line()).isEqualTo("MN");
+        }
+    }
+
+    @Test
+    void aClientThatLeavesInTheMiddleFreesTheNodesConnection() throws Exception {
+        CountDownLatch ended = new CountDownLatch(1);
+        FakeServer node = new FakeServer(c -> {
+            head(c, c.command());
+            c.out.write(VALUE, 0, 100_000);
+            c.out.flush();
+            c.awaitEnd();
+            ended.countDown();
+        });
+        try (Fleet fleet = new Fleet().node(node).start()) {
+            Fleet.Client client = fleet.client();
+            client.read("1").line();
+            client.close();
+            assertThat(ended.await(20, TimeUnit.SECONDS)).isTrue();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -0,0 +1,230 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+
+/** What cache nodes and the origin do to the proxy, on loopback sockets. */
+class UpstreamTest {
+    private static String hit(String command) {
+        return "VA 5 O" + FakeServer.id(command) + " h1\r\nhello\r\n";
+    }
+
+    /** An origin that answers every request in this way. */
+    private static FakeServer origin(int status, String headers, String body) throws Exception {
+        return new FakeServer(c -> {
+            while (c.request() != null) {
+                c.sayHttp(status, headers, body);
+            }
+        });
+    }
+
+    private static String refused() throws Exception {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return "127.0.0.1:" + socket.getLocalPort();
+        }
+    }
+
+    @Test
+    void aMissIsFetchedFromTheOrigin() throws Exception {
+        FakeServer node = FakeServer.node(line -> "EN O" + FakeServer.id(line) + " h0\r\n");
+        try (Fleet fleet = new Fleet().node(node).origin(origin(200, "", "master")).start();
+                Fleet.Client client = fleet.client()) {
+            client.read("1");
+            assertThat(client.line()).isEqualTo("VA 6 O1");
+            assertThat(client.line()).isEqualTo("master");
+        }
+    }
+
+    @Test
+    void oneConnectionServesRequestAfterRequest() throws Exception {
+        FakeServer node = FakeServer.node(UpstreamTest::hit);
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+            for (int i = 0; i < 5; i++) {
+                client.read("a" + i);
+                assertThat(client.line()).isEqualTo("VA 5 Oa" + i);
+                client.line();
+            }
+            assertThat(node.accepted).hasSize(1);
+        }
+    }
+
+    @Test
+    void aNodeThatRefusesConnectionsOrTurnsAwayIsPassedOver() throws Exception {
+        AtomicInteger busy = new AtomicInteger();
+        FakeServer full = FakeServer.node(line -> {
+            busy.incrementAndGet();
+            return "SERVER_ERROR busy\r\n";
+        });
+        try (Fleet fleet = new Fleet().node(refused()).node(full).node(FakeServer.node(UpstreamTest::hit))
+                .origin(origin(200, "", "fetch")).start();
+                Fleet.Client client = fleet.client()) {
+            for (int i = 0; i < 30; i++) {
+                client.say("mg " + Integer.toHexString(0x1000 + 7919 * i) + " v O" + i + " Pc=text,d=20000\r\n");
+                assertThat(client.line()).isEqualTo("VA 5 O" + i);
+                client.line();
+            }
+            assertThat(busy.get()).isPositive();
+        }
+    }
+
+    @Test
+    void anUnsafeWriteIsRefusedOnlyWhenItNeverRan() throws Exception {
+        String write = "ms 7f3a 5 O1 Pc=fix,d=2000\r\nhello\r\n";
+        try (Fleet fleet = new Fleet().origin(origin(500, "", "")).start(); Fleet.Client c = fleet.client()) {
+            assertThat(c.say(write).line()).isEqualTo("SERVER_ERROR failed");
+        }
+        try (Fleet fleet = new Fleet().origin(origin(503, "", "")).start(); Fleet.Client c = fleet.client()) {
+            assertThat(c.say(write).line()).isEqualTo("SERVER_ERROR failed");
+        }
+        try (Fleet fleet = new Fleet().origin(origin(503, "Srv-Declined: 1\r\n", "")).start();
+                Fleet.Client c = fleet.client()) {
+            assertThat(c.say(write).line()).startsWith("SERVER_ERROR busy");
+        }
+        FakeServer closed = origin(200, "", "");
+        try (Fleet fleet = new Fleet().origin(closed).start(); Fleet.Client c = fleet.client()) {
+            closed.close();
+            assertThat(c.say(write).line()).startsWith("SERVER_ERROR busy");
+        }
+    }
+
+    @Test
+    void anUnsafeWriteWhoseLastByteWentOutIsNeverSentAgain() throws Exception {
+        FakeServer origin = new FakeServer(c -> {
+            c.request();
+            c.reset();
+        });
+        try (Fleet fleet = new Fleet().origin(origin).start(); Fleet.Client client = fleet.client()) {
+            client.say("ms 7f3a 5 O1 Pc=fix,d=20000\r\nhello\r\n");
+            assertThat(client.line()).isEqualTo("SERVER_ERROR failed");
+            assertThat(client.say("mn\r\n").line()).isEqualTo("MN");
+            assertThat(origin.commands).hasSize(1);
+        }
+    }
+
+    @Test
+    void garbageEndsTheAttemptAndTheConnection() throws Exception {
+        for (String garbage : new String[] {"VA x O1\r\n", "VA 5 O7 h1\r\nhello\r\n", "VA 5 O1\r\nhelloXX", "\u0000\r\n",
+            "HD O1 cx\r\n"}) {
+            CountDownLatch ended = new CountDownLatch(1);
+            FakeServer node = new FakeServer(c -> {
+                c.command();
+                c.say(garbage);
+                c.awaitEnd();
+                ended.countDown();
+            });
+            try (Fleet fleet = new Fleet().node(node).origin(origin(200, "", "fetch")).start();
+                    Fleet.Client client = fleet.client()) {
+                client.read("1");
+                assertThat(client.line()).as(garbage).isEqualTo("VA 5 O1");
+                assertThat(client.line()).isEqualTo("fetch");
+                ended.await();
+            }
+        }
+        FakeServer broken = new FakeServer(c -> {
+            c.request();
+            c.say("what?\r\n\r\n");
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().origin(broken).start(); Fleet.Client client = fleet.client()) {
+            client.say("ms 7f3a 5 O1 Pc=fix,d=20000\r\nhello\r\n");
+            assertThat(client.line()).isEqualTo("SERVER_ERROR failed");
+        }
+    }
+
+    @Test
+    void anIdleConnectionThatTheNodeClosedIsNotWrittenTo() throws Exception {
+        CountDownLatch closed = new CountDownLatch(1);
+        FakeServer origin = new FakeServer(c -> {
+            c.request();
+            c.sayHttp(200, "", "r1");
+            c.socket.close();
+            closed.countDown();
+        });
+        try (Fleet fleet = new Fleet().origin(origin).start(); Fleet.Client client = fleet.client()) {
+            for (int i = 0; i < 3; i++) {
+                client.say("ms 7f3a 5 O" + i + " Pc=fix,d=20000\r\nhello\r\n");
+                assertThat(client.line()).isEqualTo("HD O" + i + " cr1");
+                closed.await();
+                client.say("mn\r\n").line(); // the event loop has been round
+            }
+        }
+    }
+
+    @Test
+    void givingUpOneAttemptSparesTheOthersOnItsConnection() throws Exception {
+        CountDownLatch gone = new CountDownLatch(1);
+        FakeServer pipelined = new FakeServer(c -> {
+            String first = c.command();
+            String second = c.command();
+            gone.await();
+            c.say(hit(first) + hit(second));
+            c.awaitEnd();
+        });
+        Fleet setup = new Fleet().node(pipelined).set("balancers", "60");
+        try (Fleet fleet = setup.start(); Fleet.Client other = fleet.client()) {
+            Fleet.Client leaving = fleet.client();
+            leaving.say("mg 7f3a v Oa Pc=text,d=20000\r\n");
+            pipelined.next();
+            other.say("mg 7f3b v Ob Pc=text,d=20000\r\n");
+            pipelined.next();
+            leaving.close();
+            fleet.client().say("mn\r\n").line();
+            gone.countDown();
+            assertThat(other.line()).isEqualTo("VA 5 Ob");
+        }
+    }
+
+    @Test
+    void aServerThatTakesNoFurtherConnectionIsUsedByThoseItHas() throws Exception {
+        CountDownLatch refusing = new CountDownLatch(1);
+        FakeServer[] node = new FakeServer[1];
+        node[0] = new FakeServer(c -> {
+            String first = c.command();
+            node[0].stopListening();
+            refusing.countDown();
+            String second = c.command();
+            c.say(hit(first) + hit(second));
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().node(node[0]).start(); Fleet.Client client = fleet.client()) {
+            client.read("1");
+            refusing.await();
+            client.read("2");
+            assertThat(client.line()).isEqualTo("VA 5 O1");
+            client.line();
+            assertThat(client.line()).isEqualTo("VA 5 O2");
+        }
+    }
+
+    @Test
+    void anAnswerThatStopsInItsMiddleIsNotWaitedFor() throws Exception {
+        CountDownLatch ended = new CountDownLatch(2);
+        FakeServer node = new FakeServer(c -> {
+            c.say("VA 5 O" + FakeServer.id(c.command()) + " h1\r\nhel");
+            c.awaitEnd();
+            ended.countDown();
+        });
+        FakeServer origin = new FakeServer(c -> {
+            if (c.request().startsWith("PUT")) {
+                c.say("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nr");
+                c.awaitEnd();
+                ended.countDown();
+            } else {
+                c.sayHttp(200, "", "fetch");
+            }
+        });
+        try (Fleet fleet = new Fleet().node(node).origin(origin).start(); Fleet.Client client = fleet.client()) {
+            client.read("1");
+            assertThat(client.line()).isEqualTo("VA 5 O1");
+            assertThat(client.line()).isEqualTo("fetch");
+            client.say("ms 7f3a 5 O2 Pc=fix,d=20000\r\nhello\r\n");
+            assertThat(client.line()).isEqualTo("SERVER_ERROR failed");
+            ended.await();
+        }
+    }
+}
