Count an upstream connection out when it has ended

Upstream.closed, which takes a connection off its server's list and off the proxy's count, had no caller left.

At fault: UpstreamConnection.closed, which ended the attempts only. After one to four ended connections a server, and 48 at most the origin, could not be reached again.

The test fails without it at the fifth connection.

--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -218,6 +218,8 @@
             return;
         }
         closed = true;
+        // Guards against ended connections that count on: the server's limit and the proxy's fill up for good.
+        upstream.closed(this);
         for (Attempt a; (a = attempts.poll()) != null;) {
             if (!connected && !a.ended && upstream.sendElsewhere(a)) {
                 continue;
--- a/src/test/java/damsonworks/proxy/UpstreamTest.java
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -155,6 +155,23 @@
         }
     }
 
+    @Test
+    void connectionsThatHaveEndedMakeRoomForNewOnes() throws Exception {
+        FakeServer origin = new FakeServer(c -> {
+            c.request();
+            c.sayHttp(200, "Connection: close\r\n", "r1");
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().origin(origin).set("balancers", "60").start(); // four connections at most
+                Fleet.Client client = fleet.client()) {
+            for (int i = 0; i < 12; i++) {
+                client.say("ms 7f3a 5 O" + i + " Pc=fix,d=20000\r\nhello\r\n");
+                assertThat(client.line()).isEqualTo("HD O" + i + " cr1");
+            }
+            assertThat(origin.accepted).hasSize(12);
+        }
+    }
+
     @Test
     void givingUpOneAttemptSparesTheOthersOnItsConnection() throws Exception {
         CountDownLatch gone = new CountDownLatch(1);
