Tell a time-out as a time-out

Checked and ruled out: the module answers TIMEOUT rightly (PolicyTest), the codecs note when the last byte went out, and giveUp tells unsent ones apart.

At fault: Dispatcher.expire, both arms of whose choice said CONNECT_FAILED.

The test fails without the change ("busy" for "failed").

--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -346,11 +346,15 @@
         });
     }
 
+    /**
+     * The proxy stops waiting. What went out may have run or may yet: told as a connection that failed, a write
+     * would be refused or sent again, and have its effect twice.
+     */
     private void expire(Attempt a) {
         if (!a.ended) {
             if (a.connection != null) {
                 boolean unsent = a.connection.giveUp(a);
-                end(a, unsent ? Outcome.CONNECT_FAILED : Outcome.CONNECT_FAILED, 0, null, null);
+                end(a, unsent ? Outcome.CONNECT_FAILED : Outcome.TIMEOUT, 0, null, null);
             } else {
                 end(a, Outcome.NOT_SENT, 0, null, null);
             }
--- a/src/test/java/damsonworks/proxy/UpstreamTest.java
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -106,6 +106,19 @@
         }
     }
 
+    @Test
+    void anUnsafeWriteThatWentOutAndIsNotAnsweredInTimeIsFailedNotRefused() throws Exception {
+        FakeServer origin = new FakeServer(c -> {
+            c.request();
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().origin(origin).start(); Fleet.Client client = fleet.client()) {
+            client.say("ms 7f3a 5 O1 Pc=fix,d=2000\r\nhello\r\n");
+            origin.next();
+            assertThat(client.line()).isEqualTo("SERVER_ERROR failed");
+        }
+    }
+
     @Test
     void garbageEndsTheAttemptAndTheConnection() throws Exception {
         for (String garbage : new String[] {"VA x O1\r\n", "VA 5 O7 h1\r\nhello\r\n", "VA 5 O1\r\nhelloXX", "\u0000\r\n",
