Give back the room of a write's value

Seen in reading, path by path: the bytes reserved for a value stay reserved when its request is over. With 128 MB the proxy turns every write away after 16 MB of them, for the rest of its life.

Checked and ruled out: values that find no room or have a bad end give their room back (ClientConnection.dropValue); the buffers themselves are released.

At fault: Dispatcher.free, which released the value and not its room.

The test fails without the change at the third write of 400 kB in 8 MB.

--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -465,6 +465,8 @@
             return;
         }
         if (x.command.value != null) {
+            // Guards against room that is taken for good: the proxy would come to turn every write away.
+            giveBack(x.command.value.readableBytes());
             x.command.release();
         }
         if (x.out == 0) {
--- a/src/test/java/damsonworks/proxy/ClientConnectionTest.java
+++ b/src/test/java/damsonworks/proxy/ClientConnectionTest.java
@@ -134,4 +134,23 @@
             assertThat(FakeServer.id(origin.next())).isEqualTo("2");
         }
     }
+
+    @Test
+    void theRoomOfAValueIsFreeAgainWhenItsRequestIsOver() throws Exception {
+        FakeServer origin = new FakeServer(c -> {
+            while (c.request() != null) {
+                c.sayHttp(200, "", "r1");
+            }
+        });
+        Fleet setup = new Fleet().origin(origin);
+        JsonObject limits = new JsonObject();
+        limits.addProperty("memory_mb", 8);
+        setup.config.add("limits", limits);
+        try (Fleet fleet = setup.start(); Fleet.Client client = fleet.client()) {
+            for (int i = 0; i < 6; i++) {
+                client.say("ms 7f3a 400000 O" + i + " Pc=fix,d=20000\r\n").say(new byte[400_000]).say("\r\n");
+                assertThat(client.line()).isEqualTo("HD O" + i + " cr1");
+            }
+        }
+    }
 }
