Retire the connections of a server that moved, restarted or went

Seen in reading, changes of the list: when a server's address or start changes, or it is removed, only its idle connections were closed. Busy ones took further requests at the old address, and those of a removed server, no longer swept, stayed open for good if their last answer never came.

Checked and ruled out: the module's list (removed and draining servers leave the ranking at once, PolicyTest), the same id listed again (a new Upstream).

At fault: Dispatcher.listed and forget; UpstreamConnection.giveUp, which saves on closes also where a connection is of no further use; Upstream.send, which counted such connections against the server's limit.

The test fails without the change: the second request goes to the old address.

--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -248,7 +248,7 @@
                 upstreams.put(id, u);
             }
             if (!h.dial().equals(u.dial) || u.bornMs != h.member().bornMs()) {
-                u.closeIdle(Double.MAX_VALUE);
+                u.retire();
             }
             u.dial = h.dial();
             u.bornMs = h.member().bornMs();
@@ -268,7 +268,7 @@
     private void forget(int id) {
         Upstream u = upstreams.remove(id);
         if (u != null) {
-            u.closeIdle(Double.MAX_VALUE);
+            u.retire();
         }
     }
 
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -44,14 +44,16 @@
     /** Sends the attempt; false if no connection has room for it. */
     boolean send(Attempt attempt) {
         UpstreamConnection best = null;
+        int standing = 0;
         for (int i = connections.size() - 1; i >= 0; i--) {
             UpstreamConnection c = connections.get(i);
+            standing += c.retired() ? 0 : 1;
             if (c.usable(maxDepth) && (best == null || c.better(best))) {
                 best = c;
             }
         }
         if ((best == null || best.depth() > 0 && dispatcher.now() >= noMoreUntilMs)
-                && connections.size() < maxConnections && dispatcher.roomUpstream()) {
+                && standing < maxConnections && dispatcher.roomUpstream()) {
             best = open();
         }
         if (best == null) {
@@ -105,6 +107,14 @@
         }
     }
 
+    /**
+     * Ends the connections made so far: idle ones at once, the others with their last answer. Guards against
+     * what is still sent where the server no longer is, and against connections that outlive their server.
+     */
+    void retire() {
+        List.copyOf(connections).forEach(UpstreamConnection::retire);
+    }
+
     void close() {
         List.copyOf(connections).forEach(UpstreamConnection::close);
     }
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -64,6 +64,9 @@
             connected = true;
             if (attempts.isEmpty()) {
                 idleSinceMs = upstream.dispatcher().now();
+                if (retired) {
+                    close();
+                }
             }
             attempts.forEach(this::write);
         });
@@ -111,15 +114,23 @@
         if (!connected) {
             return attempts.remove(attempt);
         }
-        if (attempts.contains(attempt) && ++givenUp == attempts.size() && upstream.dispatcher().mayClose()) {
+        if (attempts.contains(attempt) && ++givenUp == attempts.size()
+                && (retired || upstream.dispatcher().mayClose())) {
             close();
         }
         return false;
     }
 
-    /** The server takes no more on this connection once what is on it has been answered. */
+    /** Nothing more goes onto it; it closes once nobody waits for what is on it. */
     void retire() {
         retired = true;
+        if (givenUp == attempts.size()) {
+            close();
+        }
+    }
+
+    boolean retired() {
+        return retired;
     }
 
     /** Stops reading while the client can't take more. */
--- a/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
+++ b/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
@@ -44,6 +44,45 @@
         node.close();
     }
 
+    @Test
+    void aServerAtANewAddressGetsNothingMoreAtItsOldOne() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        CountDownLatch moved = new CountDownLatch(1);
+        CountDownLatch ended = new CountDownLatch(1);
+        FakeServer before = new FakeServer(c -> {
+            String line = c.command();
+            go.await();
+            c.say("VA 5 O" + FakeServer.id(line) + " h1\r\nhello\r\n");
+            c.awaitEnd();
+            ended.countDown();
+        });
+        FakeServer after = hits();
+        FakeServer discovery = new FakeServer(c -> {
+            c.request();
+            moved.await();
+            JsonArray hosts = new JsonArray();
+            hosts.add(Fleet.host("s-00000001", "node-fast", after.dial(), "up"));
+            c.sayHttp(200, "", Fleet.list(43, false, hosts).toString());
+            c.request();
+            c.awaitEnd();
+        });
+        Fleet setup = new Fleet().node(before).discovery(discovery).set("guarantees.ask-within", "200.0")
+                .set("balancers", "60"); // one connection to a node
+        try (Fleet fleet = setup.start(); Fleet.Client waiting = fleet.client()) {
+            discovery.next();
+            waiting.read("1");
+            before.next();
+            moved.countDown();
+            assertThat(discovery.next()).contains("since=43&");
+            assertThat(served(fleet)).isEqualTo("VA 5 O1");
+            assertThat(after.commands).hasSize(1);
+            go.countDown();
+            assertThat(waiting.line()).isEqualTo("VA 5 O1");
+            ended.await();
+        }
+        after.close();
+    }
+
     @Test
     void failuresAndNonsenseLeaveTheListAndAreAskedAgain() throws Exception {
         FakeServer node = hits();
