Keep a connection out of use while it is still being read

A tap of the origin's bytes showed second copies of an answer in the same read as the answer itself.

At fault: UpstreamConnection.usable. When a fetch ends, a read that waited for it may go to the origin at once, on the connection used last: the one whose bytes are still being read, so the copy behind became its answer.

The test fails without the change (the second client gets "first").

--- a/src/main/java/damsonworks/proxy/CacheCodec.java
+++ b/src/main/java/damsonworks/proxy/CacheCodec.java
@@ -49,6 +49,18 @@
         return channel.writeAndFlush(command.value.retainedDuplicate());
     }
 
+    @Override
+    public void channelRead(ChannelHandlerContext ctx, Object input) throws Exception {
+        connection.reading(true);
+        super.channelRead(ctx, input);
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
+        connection.reading(false);
+        super.channelReadComplete(ctx);
+    }
+
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
         try {
--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -70,8 +70,15 @@
         return channel.writeAndFlush(request);
     }
 
+    @Override
+    public void channelReadComplete(ChannelHandlerContext ctx) {
+        connection.reading(false);
+        ctx.fireChannelReadComplete();
+    }
+
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
+        connection.reading(true);
         if (broken) {
             return;
         }
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -32,6 +32,7 @@
     private boolean connected;
     private boolean closed;
     private boolean retired;
+    private boolean reading;
     private boolean held;
     private int givenUp;
     private double idleSinceMs;
@@ -84,9 +85,12 @@
         return idleSinceMs;
     }
 
-    /** Whether one more attempt may go onto it. */
+    /**
+     * Whether one more attempt may go onto it. Not while what has come is still being read: bytes right behind
+     * an answer would be taken for the answer to an attempt that was put on the connection in between.
+     */
     boolean usable(int maxDepth) {
-        return !closed && !retired && attempts.size() < maxDepth
+        return !closed && !retired && !reading && attempts.size() < maxDepth
                 && (!connected || channel.isActive() && channel.isWritable());
     }
 
@@ -159,6 +163,11 @@
 
     // ---- what the codec has read
 
+    /** Told when input has come and again when all of it has been read. */
+    void reading(boolean on) {
+        reading = on;
+    }
+
     /** The attempt whose answer comes next; null if none is out, so that what comes is not the protocol's. */
     Attempt head() {
         return attempts.peek();
--- a/src/test/java/damsonworks/proxy/UpstreamTest.java
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -149,6 +149,42 @@
         }
     }
 
+    /** Two reads of one key share a fetch; the second goes to the origin as soon as the first has its answer. */
+    @Test
+    void aSecondCopyBehindAnAnswerIsNotTakenForTheNextOne() throws Exception {
+        CountDownLatch missed = new CountDownLatch(2);
+        CountDownLatch go = new CountDownLatch(1);
+        FakeServer node = new FakeServer(c -> {
+            for (String line; (line = c.command()) != null;) {
+                c.say("EN O" + FakeServer.id(line) + " h0\r\n");
+                missed.countDown();
+            }
+        });
+        String first = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst";
+        FakeServer origin = new FakeServer(c -> {
+            boolean leads = FakeServer.id(c.request()).equals("1");
+            if (leads) {
+                go.await();
+            }
+            c.say(leads ? first + first : "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother");
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().node(node).origin(origin).set("caps.max-attempts", "2").start();
+                Fleet.Client one = fleet.client(); Fleet.Client two = fleet.client()) {
+            one.read("1");
+            origin.next();
+            two.read("2");
+            missed.await();
+            fleet.client().say("mn\r\n").line(); // the event loop has been round
+            fleet.client().say("mn\r\n").line();
+            go.countDown();
+            assertThat(one.line()).isEqualTo("VA 5 O1");
+            assertThat(one.line()).isEqualTo("first");
+            assertThat(two.line()).isEqualTo("VA 5 O2");
+            assertThat(two.line()).isEqualTo("other");
+        }
+    }
+
     @Test
     void anIdleConnectionThatTheNodeClosedIsNotWrittenTo() throws Exception {
         CountDownLatch closed = new CountDownLatch(1);
