Drop an origin's answer with a header line that has no colon

Checked and ruled out: the other spoilt forms of the tap, each tried on the decoder alone: status lines out of order, ICY, 2x0, two lengths, a negative one and bad chunks all come out as failed.

At fault: OriginCodec.begin, which took the decoder's word. Netty reads such a line as a name without a value.

The test fails without the change ("HD" for "failed").

--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpResponse;
@@ -25,9 +26,12 @@
 import java.net.SocketAddress;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.util.Map;
 
 /** HTTP/1.1 towards the origin. */
 final class OriginCodec extends SimpleChannelInboundHandler<HttpObject> implements UpstreamConnection.Codec {
+    private static final String LOAD = "Srv-Load";
+
     private final UpstreamConnection connection;
     private final Dispatcher dispatcher;
     private HttpResponse response;
@@ -109,6 +113,10 @@
         }
         response = r;
         missing = HttpUtil.getContentLength(r, -1L);
+        if (unreadable(r.headers())) {
+            fail("header line without colon");
+            return;
+        }
         if (missing < 0 && !HttpUtil.isTransferEncodingChunked(r) || missing > MetaCodec.MAX_VALUE) {
             // Where only the connection's end ends the body, none can tell whether it is whole.
             fail("no length or too long");
@@ -128,6 +136,19 @@
         }
     }
 
+    /**
+     * Guards against an answer with a line that is no header: the decoder takes it for a name without value. Only
+     * the load report may be of no use in an answer that is good.
+     */
+    private static boolean unreadable(HttpHeaders headers) {
+        for (Map.Entry<String, String> h : headers) {
+            if (h.getValue().isEmpty() && !h.getKey().equalsIgnoreCase(LOAD)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private void content(HttpContent content) {
         ByteBuf part = content.content();
         if (streamed) {
@@ -153,7 +174,7 @@
             connection.retire();
         }
         Attempt attempt = connection.head();
-        float[] report = dispatcher.report(r.headers().get("Srv-Load"));
+        float[] report = dispatcher.report(r.headers().get(LOAD));
         int code = r.status().code();
         if (attempt.exchange == null) {
             release(whole);
--- a/src/test/java/damsonworks/proxy/UpstreamTest.java
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -138,14 +138,17 @@
                 ended.await();
             }
         }
-        FakeServer broken = new FakeServer(c -> {
-            c.request();
-            c.say("what?\r\n\r\n");
-            c.awaitEnd();
-        });
-        try (Fleet fleet = new Fleet().origin(broken).start(); Fleet.Client client = fleet.client()) {
-            client.say("ms 7f3a 5 O1 Pc=fix,d=20000\r\nhello\r\n");
-            assertThat(client.line()).isEqualTo("SERVER_ERROR failed");
+        for (String garbage : new String[] {"what?\r\n\r\n",
+            "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2\r\n\r\nr1"}) {
+            FakeServer broken = new FakeServer(c -> {
+                c.request();
+                c.say(garbage);
+                c.awaitEnd();
+            });
+            try (Fleet fleet = new Fleet().origin(broken).start(); Fleet.Client client = fleet.client()) {
+                client.say("ms 7f3a 5 O1 Pc=fix,d=20000\r\nhello\r\n");
+                assertThat(client.line()).as(garbage).isEqualTo("SERVER_ERROR failed");
+            }
         }
     }
 
