Wait for the peers' socket to be bound

Seen: PeerSocketTest timed out once on two busy cores; its first message had not been sent. Checked: the peer's socket was open before.

At fault: PeerSocket, which bound its socket without waiting. A message sent in between fails, as the channel is not active yet. Found by a test that flickered, which now rests on it.

--- a/src/main/java/damsonworks/proxy/PeerSocket.java
+++ b/src/main/java/damsonworks/proxy/PeerSocket.java
@@ -28,7 +28,7 @@
         this.receiver = receiver;
         if (config.settings().peers() && config.peerListen() != null) {
             channel = new Bootstrap().group(loop).channel(Transport.BEST.datagram()).handler(new Handler())
-                    .bind(config.peerListen()).channel();
+                    .bind(config.peerListen()).awaitUninterruptibly().channel(); // what is sent before is lost
         }
     }
 
