Mend a test that flickered: refuse connections from the start

Seen once on two busy cores: a fake origin that had just been closed still took a connection, as its accept was under way, and answered the write that was to be refused. The port that nobody listens on needs no closing.

--- a/src/test/java/damsonworks/proxy/Fleet.java
+++ b/src/test/java/damsonworks/proxy/Fleet.java
@@ -93,8 +93,12 @@
     }
 
     Fleet origin(FakeServer server) {
-        hosts.add(host("s-0000aaaa", "origin", server.dial(), "up"));
         parts.add(server);
+        return origin(server.dial());
+    }
+
+    Fleet origin(String dial) {
+        hosts.add(host("s-0000aaaa", "origin", dial, "up"));
         return this;
     }
 
--- a/src/test/java/damsonworks/proxy/UpstreamTest.java
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -85,9 +85,7 @@
                 Fleet.Client c = fleet.client()) {
             assertThat(c.say(write).line()).startsWith("SERVER_ERROR busy");
         }
-        FakeServer closed = origin(200, "", "");
-        try (Fleet fleet = new Fleet().origin(closed).start(); Fleet.Client c = fleet.client()) {
-            closed.close();
+        try (Fleet fleet = new Fleet().origin(refused()).start(); Fleet.Client c = fleet.client()) {
             assertThat(c.say(write).line()).startsWith("SERVER_ERROR busy");
         }
     }
