Follow discovery to a new address on SIGHUP

At fault: Proxy.main set no handler, and the JVM's own ends it. DiscoveryClient could not change its address, and a connect that failed after its line had been closed would have ended the call that waited next.

The test starts the packaged program and fails without the change.

--- a/src/main/java/damsonworks/proxy/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/DiscoveryClient.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -49,6 +50,7 @@
     private final Dispatcher dispatcher;
     private final Line watchLine = new Line();
     private final Line listLine = new Line();
+    private InetSocketAddress address;
     private long version;
     private boolean watching;
 
@@ -56,6 +58,25 @@
         this.loop = loop;
         this.config = config;
         this.dispatcher = dispatcher;
+        address = config.discovery();
+    }
+
+    /**
+     * Goes on at another address. What waits at the old one is asked again there, and where nothing does, a watch
+     * begins: what the new one has to tell counts as told soon, whenever the module would have asked next.
+     */
+    void moveTo(InetSocketAddress to) {
+        if (to.equals(address)) {
+            return;
+        }
+        address = to;
+        boolean fetching = listLine.waiting();
+        watchLine.close();
+        listLine.close();
+        watch(true);
+        if (fetching) {
+            fetch();
+        }
     }
 
     /** Hands over the list as it was last had and, where lists are pushed, begins to follow it. */
@@ -206,26 +227,35 @@
                 write(channel, path);
                 return;
             }
-            channel = new Bootstrap().group(loop).channel(Transport.BEST.socket())
+            ChannelFuture connecting = new Bootstrap().group(loop).channel(Transport.BEST.socket())
                     .option(ChannelOption.TCP_NODELAY, true)
                     .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                     .handler(new Initializer(new HttpClientCodec(), new HttpObjectAggregator(MAX_LIST), new Answer()))
-                    .connect(config.discovery()).addListener(f -> {
-                        if (f.isSuccess()) {
-                            write(((ChannelFuture) f).channel(), path);
-                        } else {
-                            done(null);
-                        }
-                    }).channel();
+                    .connect(address);
+            channel = connecting.channel();
+            connecting.addListener(f -> {
+                if (connecting.channel() != channel) {
+                    return; // closed meanwhile; what waits now waits on another
+                }
+                if (f.isSuccess()) {
+                    write(channel, path);
+                } else {
+                    done(null);
+                }
+            });
         }
 
         private void write(Channel to, String path) {
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
                     Unpooled.EMPTY_BUFFER);
-            request.headers().set(HttpHeaderNames.HOST, Config.text(config.discovery()));
+            request.headers().set(HttpHeaderNames.HOST, Config.text(address));
             to.writeAndFlush(request);
         }
 
+        boolean waiting() {
+            return waiting != null;
+        }
+
         void close() {
             waiting = null;
             if (timer != null) {
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -28,6 +28,7 @@
     private final EventLoop loop = group.next();
     private final Config config;
     private final Dispatcher dispatcher;
+    private final DiscoveryClient discovery;
     private final PeerSocket peers;
     private final Set<ClientConnection> clients = new HashSet<>();
     private final int maxClients;
@@ -44,7 +45,7 @@
         dispatcher = new Dispatcher(loop, config, Transport.BEST.socket());
         peers = new PeerSocket(loop, config, dispatcher::heard);
         maxClients = Math.max(16, config.sockets() - config.sockets() / 3 - OWN_DESCRIPTORS);
-        DiscoveryClient discovery = new DiscoveryClient(loop, config, dispatcher);
+        discovery = new DiscoveryClient(loop, config, dispatcher);
         loop.submit(() -> {
             dispatcher.start(discovery, peers, this::left);
             discovery.start();
@@ -68,6 +69,7 @@
         try {
             Proxy proxy = new Proxy(config, true);
             Runtime.getRuntime().addShutdownHook(new Thread(proxy::drain));
+            Hangup.on(proxy::reload);
         } catch (Exception e) {
             System.err.println("can't listen on " + config.listen() + ": " + e.getMessage());
             System.exit(1);
@@ -148,6 +150,18 @@
         }
     }
 
+    // ---- a new configuration
+
+    /** Reads the file anew. Only discovery's address may change in service; a file of no use changes nothing. */
+    private void reload() {
+        try {
+            Config read = Config.read(System.getenv("BALANCER_CONFIG"));
+            loop.execute(() -> discovery.moveTo(read.discovery()));
+        } catch (IllegalArgumentException e) {
+            System.err.println(e.getMessage());
+        }
+    }
+
     // ---- the end
 
     /**
--- a/src/test/java/damsonworks/JarIT.java
+++ b/src/test/java/damsonworks/JarIT.java
@@ -92,6 +92,36 @@
         }
     }
 
+    @Test
+    void sighupMovesTheWatchToTheNewDiscovery() throws Exception {
+        InetAddress loopback = InetAddress.getByName("127.0.0.1");
+        try (ServerSocket before = new ServerSocket(0, 5, loopback); ServerSocket after = new ServerSocket(0, 5, loopback)) {
+            int port = freePort();
+            String text = Files.readString(Path.of("src/test/resources/config.json"))
+                    .replace("127.0.0.1:0", "127.0.0.1:" + port);
+            Path config = folder.resolve("config.json");
+            Files.writeString(config, text.replace("\"discovery\": \"127.0.0.1:9\"",
+                    "\"discovery\": \"127.0.0.1:" + before.getLocalPort() + "\""));
+            Process process = start("serve", config.toString());
+            try (Socket client = connect(port, process); Socket watch = before.accept()) {
+                BufferedReader in = new BufferedReader(new InputStreamReader(client.getInputStream()));
+                client.getOutputStream().write("mn\r\n".getBytes());
+                assertThat(in.readLine()).isEqualTo("MN");
+                Files.writeString(config, text.replace("\"discovery\": \"127.0.0.1:9\"",
+                        "\"discovery\": \"127.0.0.1:" + after.getLocalPort() + "\""));
+                new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+                try (Socket moved = after.accept()) {
+                    assertThat(new BufferedReader(new InputStreamReader(moved.getInputStream())).readLine())
+                            .startsWith("GET /discovery/hosts?since=41&timeout_ms=");
+                }
+                client.getOutputStream().write("mn\r\n".getBytes());
+                assertThat(in.readLine()).isEqualTo("MN");
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
     @Test
     void drillAnswersTheEmptyFrame() throws Exception {
         Process process = start("drill", null);
