Give up at once on a read that nobody gains from any more

Seen in reading, time-outs: where a class has no worth after its aim, a read whose attempt was stopped at the aim got no answer until it was due. What the module has given up on is to be answered at once.

Checked and ruled out: the other ways to giveUp answer in the same call, or wait for an attempt that is still out.

At fault: Policy.advance, which returned without an answer.

The test fails without the change: no answer in 25 s with a deadline of 60 s.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -366,12 +366,13 @@
 
     private void advance(double now, Flight f, Actions out) {
         f.waiting = false;
-        boolean worthless = f.safe && f.kind.lateShare() == 0 && now > f.arrivedMs + f.kind.aimMs();
-        if (f.done || f.streaming || worthless) {
+        if (f.done || f.streaming) {
             return;
         }
+        // What nobody gains from any more is given up, and so answered, at once.
+        boolean worthless = f.safe && f.kind.lateShare() == 0 && now > f.arrivedMs + f.kind.aimMs();
         Server s = null;
-        if (f.attempts < cfg.maxAttempts() && now < f.request.dueMs()) {
+        if (!worthless && f.attempts < cfg.maxAttempts() && now < f.request.dueMs()) {
             s = f.toOrigin || cfg.aside() && f.safe && f.attempts >= CACHE_TRIES && f.missedAt == null
                     ? origin : choose(now, f, out);
             if (s == null && cfg.aside() && f.safe) {
--- a/src/test/java/damsonworks/proxy/UpstreamTest.java
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -294,4 +294,15 @@
             ended.await();
         }
     }
+
+    /** A deadline longer than the test waits: an answer that is held back until then does not come. */
+    @Test
+    void aReadThatNobodyGainsFromAnyMoreIsGivenUpAtOnce() throws Exception {
+        FakeServer silent = new FakeServer(FakeServer.Connection::awaitEnd);
+        Fleet setup = new Fleet().node(silent).set("classes.0.late-share", "0").set("classes.0.promise", "300.0");
+        try (Fleet fleet = setup.start(); Fleet.Client client = fleet.client()) {
+            client.say("mg 7f3a v O1 Pc=text,d=60000\r\n");
+            assertThat(client.line()).startsWith("SERVER_ERROR busy");
+        }
+    }
 }
