Tell a refused client when to come back

Seen in reading, refusals: every refusal went out as a bare "SERVER_ERROR busy"; the settings allow advice (caps.retry-after, up to max-retry-after) and the proxy can write it, but the module always passed 0 and had no use for the limit it is told.

At fault: Policy.answer. The test fails without the change.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -493,14 +493,22 @@
     }
 
     /** The final answer: a refusal only where no attempt may have run. */
-    private static void answer(Flight f, Actions out) {
+    private void answer(Flight f, Actions out) {
         if (f.safe || Double.isNaN(f.maybeRanSince) && f.out == 0) {
-            out.deny(f.request.id(), 0);
+            out.deny(f.request.id(), comeBackMs());
         } else {
             out.fail(f.request.id());
         }
     }
 
+    /**
+     * When to come back: a server's present work is half done on average, and then it has a place again.
+     * Guards against clients that ask again at once and keep up the jam they were turned away for.
+     */
+    private double comeBackMs() {
+        return Math.min(cfg.maxRetryAfterMs(), pace / 2);
+    }
+
     private void finish(Flight f) {
         f.done = true;
         if (f.out == 0) {
--- a/src/test/java/damsonworks/proxy/UpstreamTest.java
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -305,4 +305,12 @@
             assertThat(client.line()).startsWith("SERVER_ERROR busy");
         }
     }
+
+    @Test
+    void aRefusalTellsWhenToComeBack() throws Exception {
+        try (Fleet fleet = new Fleet().start(); Fleet.Client client = fleet.client()) {
+            client.read("1");
+            assertThat(client.line()).isEqualTo("SERVER_ERROR busy 500"); // half of 2.5 s, but no more than is honoured
+        }
+    }
 }
