Let a fake server that has stopped refuse for sure

Seen once on two busy cores: aServerThatTakesNoFurtherConnection... ended without an answer. An accept under way when the socket is closed took the connection that was to be refused. The fake now waits for its accept to end. Test code only.

--- a/src/test/java/damsonworks/proxy/FakeServer.java
+++ b/src/test/java/damsonworks/proxy/FakeServer.java
@@ -8,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -120,13 +121,21 @@
     final BlockingQueue<String> commands = new LinkedBlockingQueue<>();
     final BlockingQueue<Connection> accepted = new LinkedBlockingQueue<>();
     private final CopyOnWriteArrayList<Socket> sockets = new CopyOnWriteArrayList<>();
+    private static final int ACCEPT_MS = 20;
     private final ServerSocket server;
+    private final Thread accepting;
 
     FakeServer(Script script) throws IOException {
         server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-        daemon(() -> {
-            while (true) {
-                Socket socket = server.accept();
+        server.setSoTimeout(ACCEPT_MS);
+        accepting = daemon(() -> {
+            while (!server.isClosed()) {
+                Socket socket;
+                try {
+                    socket = server.accept();
+                } catch (SocketTimeoutException e) {
+                    continue;
+                }
                 sockets.add(socket);
                 Connection connection = new Connection(socket, this);
                 accepted.add(connection);
@@ -152,7 +161,7 @@
         void run() throws Exception;
     }
 
-    private static void daemon(Task task) {
+    private static Thread daemon(Task task) {
         Thread thread = new Thread(() -> {
             try {
                 task.run();
@@ -162,15 +171,24 @@
         });
         thread.setDaemon(true);
         thread.start();
+        return thread;
     }
 
     int port() {
         return server.getLocalPort();
     }
 
-    /** Refuses further connections; those it has go on. */
+    /**
+     * Refuses further connections; those it has go on. An accept that is under way keeps the system's socket open
+     * and would take one more, so its end is waited for.
+     */
     void stopListening() throws IOException {
         server.close();
+        try {
+            accepting.join();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     String dial() {
@@ -188,7 +206,7 @@
 
     @Override
     public void close() throws IOException {
-        server.close();
+        stopListening();
         for (Socket s : sockets) {
             s.close();
         }
