Turn away what a server could not use

Checked and ruled out: lengths, lines without end, unknown classes and missing ids get an error already.

At fault: Dispatcher.take, which took the class's deadline for one that is missing, no number or infinite, and then told the server a malformed list where it was missing; ClientConnection.command, which let any byte pass.

The test fails without the change.

--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -105,7 +105,8 @@
         }
         String id = MetaCodec.flag(line, flags, 'O');
         String extras = MetaCodec.flag(line, flags, 'P');
-        boolean bad = key.isEmpty() || key.length() > 250 || id == null || id.isEmpty() || extras == null;
+        boolean bad = key.isEmpty() || key.length() > 250 || id == null || id.isEmpty() || extras == null
+                || !printable(line);
         if (bad && !write) {
             say("CLIENT_ERROR bad command line format\r\n");
             return;
@@ -125,6 +126,11 @@
         }
     }
 
+    /** Guards the servers' connections: one that reads what it can't make out closes on all that wait there. */
+    private static boolean printable(String line) {
+        return line.chars().allMatch(c -> c >= ' ' && c <= '~');
+    }
+
     private static Command command(String line, String key, String id, String extras, int flags, boolean write) {
         int list = line.indexOf(" P", flags - 1) + 2;
         int d = MetaCodec.valueAt(extras, "d");
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -39,6 +39,8 @@
     private static final int MAX_LOG_LINES = 300;
     /** What a request that the module left unanswered at its due time may still wait for it. */
     private static final double OVERDUE_MS = 10;
+    /** A day; what is longer is no deadline. */
+    private static final double MAX_WAIT_MS = 86_400_000;
     private static final double PROBE_TIMEOUT_MS = 250;
     private static final double RETIRE_AT = 0.7;
     private static final long SWEEP_MS = 1000;
@@ -292,8 +294,8 @@
         Integer kind = classes.get(String.valueOf(MetaCodec.named(c.extras, "c")));
         String owner = MetaCodec.named(c.extras, "t");
         Integer tenant = tenants.isEmpty() || owner == null ? Integer.valueOf(0) : tenants.get(owner);
-        double wait = figure(c, "d", kind == null ? 0 : settings.classes().get(kind).deadlineMs());
-        if (kind == null || tenant == null || !(wait > 0)) {
+        double wait = figure(c, "d", Double.NaN); // the servers are told it, so there is none to assume
+        if (kind == null || tenant == null || !(wait > 0 && wait <= MAX_WAIT_MS)) {
             x.over = true;
             x.client.answer(x, MetaCodec.text(UnpooledByteBufAllocator.DEFAULT,
                     "CLIENT_ERROR unknown class, tenant or deadline\r\n"));
--- a/src/test/java/damsonworks/proxy/ClientConnectionTest.java
+++ b/src/test/java/damsonworks/proxy/ClientConnectionTest.java
@@ -102,6 +102,21 @@
         }
     }
 
+    @Test
+    void whatAServerCouldNotUseIsNotPassedOn() throws Exception {
+        FakeServer node = FakeServer.node(ClientConnectionTest::hit);
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+            for (String bad : new String[] {"O1 Pc=text", "O1 Pc=text,d=", "O1 Pc=text,d=soon", "O1 Pc=text,d=NaN",
+                "O1 Pc=text,d=Infinity", "O1 Pc=text,d=-5", "O\u0001 Pc=text,d=500", "O1 Pc=text,d=500 \u00ff"}) {
+                client.say("mg 7f3a v " + bad + "\r\n");
+                assertThat(client.line()).as(bad).startsWith("CLIENT_ERROR");
+            }
+            client.read("2");
+            assertThat(client.line()).isEqualTo("VA 5 O2");
+            assertThat(node.commands).hasSize(1);
+        }
+    }
+
     @Test
     void aClientThatGoesAwayTakesItsAttemptsAlong() throws Exception {
         CountDownLatch ended = new CountDownLatch(1);
