Turn away the id of a request that is open

At fault: Dispatcher.take, which did not know which ids are open. They are kept while their requests are, so the map shrinks with them.

The test fails without the change.

--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -54,6 +54,8 @@
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> tenants = new HashMap<>();
     private final IntObjectHashMap<Exchange> exchanges = new IntObjectHashMap<>();
+    /** The open requests by their clients' ids. */
+    private final Map<String, Exchange> open = new HashMap<>();
     private final IntObjectHashMap<Upstream> upstreams = new IntObjectHashMap<>();
     private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
     private final Bootstrap bootstrap;
@@ -296,10 +298,12 @@
         Integer tenant = tenants.isEmpty() || owner == null ? Integer.valueOf(0) : tenants.get(owner);
         double wait = figure(c, "d", Double.NaN); // the servers are told it, so there is none to assume
         if (kind == null || tenant == null || !(wait > 0 && wait <= MAX_WAIT_MS)) {
-            x.over = true;
-            x.client.answer(x, MetaCodec.text(UnpooledByteBufAllocator.DEFAULT,
-                    "CLIENT_ERROR unknown class, tenant or deadline\r\n"));
-            free(x);
+            turnAway(x, "CLIENT_ERROR unknown class, tenant or deadline\r\n");
+            return;
+        }
+        // Guards the one whose id it is: a server would take this for the same request, and answer it as such.
+        if (open.putIfAbsent(c.id, x) != null) {
+            turnAway(x, "CLIENT_ERROR id of an open request\r\n");
             return;
         }
         x.id = ++nextId;
@@ -313,6 +317,12 @@
         tell(() -> guard(x, () -> module.onRequest(now, request, this)));
     }
 
+    private void turnAway(Exchange x, String text) {
+        x.over = true;
+        x.client.answer(x, MetaCodec.text(UnpooledByteBufAllocator.DEFAULT, text));
+        free(x);
+    }
+
     private static double figure(Command c, String name, double absent) {
         String text = MetaCodec.named(c.extras, name);
         try {
@@ -466,6 +476,7 @@
         if (!x.over) {
             return;
         }
+        open.remove(x.command.id, x);
         if (x.command.value != null) {
             // Guards against room that is taken for good: the proxy would come to turn every write away.
             giveBack(x.command.value.readableBytes());
--- a/src/test/java/damsonworks/proxy/ClientConnectionTest.java
+++ b/src/test/java/damsonworks/proxy/ClientConnectionTest.java
@@ -117,6 +117,28 @@
         }
     }
 
+    @Test
+    void theIdOfAnOpenRequestIsTurnedAwayAndFreeAgainOnceItIsAnswered() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        FakeServer node = new FakeServer(c -> {
+            for (String line; (line = c.command()) != null;) {
+                go.await();
+                c.say(hit(line));
+            }
+        });
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client one = fleet.client();
+                Fleet.Client two = fleet.client()) {
+            one.read("1");
+            node.next();
+            two.read("1");
+            assertThat(two.line()).startsWith("CLIENT_ERROR");
+            go.countDown();
+            assertThat(one.line()).isEqualTo("VA 5 O1");
+            two.read("1");
+            assertThat(two.line()).isEqualTo("VA 5 O1");
+        }
+    }
+
     @Test
     void aClientThatGoesAwayTakesItsAttemptsAlong() throws Exception {
         CountDownLatch ended = new CountDownLatch(1);
