--- /dev/null
+++ b/src/main/java/damsonworks/cli/Cli.java
@@ -0,0 +1,62 @@
+package damsonworks.cli;
+
+import java.io.PrintWriter;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Spec;
+
+/** The root of the command line. */
+@Command(name = "damsonworks", mixinStandardHelpOptions = true, version = "damsonworks 0.1.0",
+        description = "A proxy in front of caching nodes and one slow origin, and the tools to see it work.",
+        subcommands = {DemoCommand.class, FleetCommand.class, LoadCommand.class},
+        footerHeading = "%nWithout options, and set by the environment (see README):%n",
+        footer = {
+            "  serve   one proxy, configured by the file that BALANCER_CONFIG names",
+            "  drill   the decision module on the simulator's wire, on standard input and output",
+            "  train   starts a proxy and ends it, so that a build can archive its classes", "",
+            "Examples:",
+            "  java -jar target/damsonworks.jar demo",
+            "  java -jar target/damsonworks.jar load --target 127.0.0.1:11211 --rate 1000 --for 30s --html out.html"})
+public final class Cli implements Runnable {
+    /** Exit codes: all well, a rule broken or a run that failed, wrong use, a schedule that was not kept. */
+    static final int OK = 0;
+    static final int FAILED = 1;
+    static final int USAGE = 2;
+    static final int NOT_KEPT = 3;
+
+    @Spec
+    private CommandSpec spec;
+
+    private Cli() { }
+
+    @Override
+    public void run() {
+        throw new ParameterException(spec.commandLine(), "a command is missing");
+    }
+
+    /** Runs a command line; the process's exit code. */
+    public static int run(String... args) {
+        return line().execute(args);
+    }
+
+    /** Runs a command line that prints to these; for tests. */
+    static int run(PrintWriter out, PrintWriter err, String... args) {
+        return line().setOut(out).setErr(err).execute(args);
+    }
+
+    private static CommandLine line() {
+        return new CommandLine(new Cli())
+                .registerConverter(Duration.class, Duration::parse)
+                .registerConverter(Target.class, Target::parse)
+                .setCaseInsensitiveEnumValuesAllowed(true)
+                .setExecutionExceptionHandler((e, command, result) -> {
+                    boolean usage = e instanceof IllegalArgumentException;
+                    command.getErr().println(command.getCommandName() + ": " + (e.getMessage() == null ? e
+                            : e.getMessage()));
+                    command.getErr().flush();
+                    return usage ? USAGE : FAILED;
+                });
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/cli/DemoCommand.java
@@ -0,0 +1,99 @@
+package damsonworks.cli;
+
+import damsonworks.demo.OracleObserver;
+import damsonworks.demo.ProxiedFleet;
+import damsonworks.fleet.Fault;
+import damsonworks.fleet.FleetSpec;
+import damsonworks.fleet.FrontLayer;
+import damsonworks.fleet.Oracle;
+import damsonworks.load.Generator;
+import damsonworks.load.Report;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** {@code demo}: the whole of it on one machine, for some seconds. */
+@Command(name = "demo", mixinStandardHelpOptions = true, sortOptions = false,
+        description = {"Starts a fleet of stand-ins, real proxies before it and a front layer before these, drives "
+                + "load, and tells whether the rules held. Exit codes: 0 all rules held, 1 one was broken or "
+                + "something did not start, 2 wrong use."},
+        footerHeading = "%nExamples:%n",
+        footer = {"  demo", "  demo --nodes 12 --proxies 3 --rate 1000 --for 60s --fault evening.faults --html out.html",
+            "", "A script of faults:", "  5s    node-3     stall 2s", "  8s    node-*     spoil 3s 10%%",
+            "  10s   discovery  down 8s", "  12s   proxy-1    kill 1s"})
+final class DemoCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+
+    @Mixin
+    private FleetOptions fleetOptions;
+
+    @Mixin
+    private TrafficOptions traffic;
+
+    @Option(names = "--connections", paramLabel = "N", defaultValue = "100",
+            description = "Clients' connections at most (default: ${DEFAULT-VALUE}).")
+    private int connections;
+
+    @Option(names = "--warm-up", paramLabel = "TIME", defaultValue = "1s",
+            description = "At the start, held to the rules and not counted (default: ${DEFAULT-VALUE}).")
+    private Duration warmUp;
+
+    @Option(names = "--json", paramLabel = "FILE", description = "Writes figures and histograms.")
+    private Path json;
+
+    @Option(names = "--html", paramLabel = "FILE", description = "Writes a page with plots.")
+    private Path html;
+
+    @Override
+    public Integer call() throws Exception {
+        PrintWriter out = spec.commandLine().getOut();
+        FleetSpec fleetSpec = fleetOptions.spec();
+        List<Fault> faults = fleetOptions.faults(fleetSpec);
+        out.printf("starting %d nodes, an origin, discovery and %d proxies%n", fleetSpec.nodes(), fleetSpec.proxies());
+        out.flush();
+        try (ProxiedFleet fleet = new ProxiedFleet(fleetSpec, fleetOptions.memoryMb)) {
+            out.printf("front at %s; driving %.0f requests a second%n", fleet.front(), traffic.rate);
+            Generator.Settings settings = new Generator.Settings(List.of(fleet.front()), fleetSpec.classes(),
+                    connections, 200_000, warmUp.seconds(), 10, traffic.seed);
+            try (Generator generator = new Generator(settings, traffic.workload(fleetSpec.classes()),
+                    new OracleObserver(fleet.fleet()))) {
+                fleet.play(faults);
+                Report report = Runs.run(generator, out, () -> broken(fleet.fleet().verdict()));
+                Oracle.Verdict verdict = fleet.fleet().verdict();
+                out.println();
+                out.print(report.text());
+                print(out, fleet, verdict);
+                Runs.write(report, "Demo", json, null, html);
+                return verdict.held() ? Cli.OK : Cli.FAILED;
+            }
+        }
+    }
+
+    private static String broken(Oracle.Verdict verdict) {
+        return verdict.held() ? "" : "  BROKEN " + verdict.breaches();
+    }
+
+    private static void print(PrintWriter out, ProxiedFleet fleet, Oracle.Verdict verdict) {
+        out.println();
+        int i = 0;
+        for (FrontLayer.Share s : fleet.shares()) {
+            out.printf("%-10s %6d connections dealt%s%n", fleet.proxies().get(i++).name(), s.dealt(),
+                    s.used() ? "" : ", not in use");
+        }
+        out.printf("%,d writes took effect, %,d fetches at the origin, %,d requests went down with a killed proxy%n%n",
+                verdict.effects(), fleet.fleet().fetches(), verdict.excused());
+        for (Oracle.Rule rule : Oracle.Rule.values()) {
+            long n = verdict.breaches().getOrDefault(rule, 0L);
+            out.printf("%-6s %-18s %s%n", n == 0 ? "held" : "BROKEN", rule, n == 0 ? ""
+                    : n + " times: " + rule.meaning() + "; " + verdict.examples().get(rule));
+        }
+        out.flush();
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/cli/Runs.java
@@ -0,0 +1,45 @@
+package damsonworks.cli;
+
+import damsonworks.load.Generator;
+import damsonworks.load.HtmlReport;
+import damsonworks.load.Report;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Path;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Supplier;
+
+/** What the commands that drive load share: progress while it runs, and where its report goes. */
+final class Runs {
+    private Runs() { }
+
+    /** Runs to the end with a line of progress a second; an interrupt from the keyboard ends it early. */
+    static Report run(Generator generator, PrintWriter out, Supplier<String> more) throws Exception {
+        CompletableFuture<Report> done = generator.start();
+        while (true) {
+            try {
+                return done.get(1, TimeUnit.SECONDS);
+            } catch (TimeoutException e) {
+                out.println(generator.progress().text() + more.get());
+                out.flush();
+            } catch (ExecutionException e) {
+                throw new IOException("the run broke off: " + e.getCause(), e);
+            }
+        }
+    }
+
+    static void write(Report report, String title, Path json, Path hlog, Path html) throws IOException {
+        if (json != null) {
+            report.writeJson(json);
+        }
+        if (hlog != null) {
+            report.writeHlog(hlog);
+        }
+        if (html != null) {
+            HtmlReport.write(report, title, html);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/demo/OracleObserver.java
@@ -0,0 +1,52 @@
+package damsonworks.demo;
+
+import damsonworks.fleet.Oracle;
+import damsonworks.fleet.StandInFleet;
+import damsonworks.fleet.meta.MetaAnswer;
+import damsonworks.load.Observer;
+import damsonworks.load.Planned;
+
+/** Tells a fleet's oracle what the generator's clients ask and are answered. */
+public final class OracleObserver implements Observer {
+    private final StandInFleet fleet;
+
+    /** For this fleet's oracle. */
+    public OracleObserver(StandInFleet fleet) {
+        this.fleet = fleet;
+    }
+
+    @Override
+    public void asked(String id, Planned planned, long atNanos, long deadlineNanos) {
+        fleet.tell(o -> o.asked(id, planned.key(), planned.write(), fleet.at(atNanos), fleet.at(deadlineNanos)));
+    }
+
+    @Override
+    public void answered(String id, MetaAnswer answer, long atNanos) {
+        fleet.tell(o -> {
+            double at = fleet.at(atNanos);
+            if (answer instanceof MetaAnswer.Value v) {
+                o.answered(id, Oracle.Ending.SERVED, v.value(), -1, at);
+            } else if (answer instanceof MetaAnswer.Receipt r) {
+                o.answered(id, Oracle.Ending.SERVED, null, version(r.receipt()), at);
+            } else {
+                o.answered(id, answer instanceof MetaAnswer.Busy ? Oracle.Ending.REFUSED : Oracle.Ending.FAILED, null,
+                        -1, at);
+            }
+        });
+    }
+
+    /** The origin's receipts name the version that the write made. */
+    private static long version(String receipt) {
+        return receipt.matches("v\\d{1,18}") ? Long.parseLong(receipt.substring(1)) : -1;
+    }
+
+    @Override
+    public void unanswered(String id, long endedNanos, long atNanos) {
+        fleet.tell(o -> o.unanswered(id, endedNanos == 0 ? Double.NaN : fleet.at(endedNanos), fleet.at(atNanos)));
+    }
+
+    @Override
+    public void unsolicited(MetaAnswer answer, long atNanos) {
+        fleet.tell(o -> o.unsolicited(answer.getClass().getSimpleName() + " for " + answer.id(), fleet.at(atNanos)));
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/demo/ProxiedFleet.java
@@ -0,0 +1,197 @@
+package damsonworks.demo;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import damsonworks.fleet.Fault;
+import damsonworks.fleet.FleetSpec;
+import damsonworks.fleet.FrontLayer;
+import damsonworks.fleet.StandInFleet;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+/**
+ * Stand-ins, real proxies in front of them and a front layer before these, from start to end. Leaves nothing behind:
+ * processes and the temporary folder go when it is closed, which the virtual machine's end does too.
+ */
+public final class ProxiedFleet implements AutoCloseable {
+    /** How much longer than the front's notice a killed proxy's requests may go down with it. */
+    private static final double EXCUSE_MS = 1000;
+
+    private final StandInFleet fleet;
+    private final FrontLayer front;
+    private final List<ProxyProcess> proxies = new ArrayList<>();
+    private final int[] turns;
+    private final int memoryMb;
+    private final Path folder;
+    private final ScheduledThreadPoolExecutor helper;
+    private final Thread hook = new Thread(this::end);
+    private boolean closed;
+
+    /** Starts everything and waits until the proxies are ready. {@code memoryMb}: what each proxy is told it has. */
+    public ProxiedFleet(FleetSpec spec, int memoryMb) throws IOException {
+        this.memoryMb = memoryMb;
+        turns = new int[spec.proxies()];
+        folder = Files.createTempDirectory("damsonworks");
+        helper = new ScheduledThreadPoolExecutor(1, r -> {
+            Thread thread = new Thread(r, "proxies");
+            thread.setDaemon(true);
+            return thread;
+        });
+        Runtime.getRuntime().addShutdownHook(hook);
+        fleet = new StandInFleet(spec);
+        try {
+            for (int i = 0; i < spec.proxies(); i++) {
+                proxies.add(new ProxyProcess("proxy-" + i, folder));
+                write(i);
+                proxies.get(i).start();
+            }
+            for (ProxyProcess p : proxies) {
+                p.awaitReady();
+            }
+        } catch (IOException e) {
+            close();
+            throw e;
+        }
+        front = new FrontLayer(fleet.loop(), proxies.stream().map(ProxyProcess::listen).toList(), spec.noticeMs());
+    }
+
+    private void write(int proxy) throws IOException {
+        ProxyProcess p = proxies.get(proxy);
+        p.write(ProxyConfig.of(fleet, proxy, p.listen(), turns[proxy]++, memoryMb));
+    }
+
+    /** The stand-ins. */
+    public StandInFleet fleet() {
+        return fleet;
+    }
+
+    /** Where clients connect. */
+    public InetSocketAddress front() {
+        return front.address();
+    }
+
+    /** How connections are spread now. */
+    public List<FrontLayer.Share> shares() {
+        return fleet.on(front::shares);
+    }
+
+    /** The proxies. */
+    public List<ProxyProcess> proxies() {
+        return List.copyOf(proxies);
+    }
+
+    /** Lets these faults happen, their times counted from now. */
+    public void play(List<Fault> faults) {
+        fleet.play(faults, this::apply);
+    }
+
+    private void apply(int proxy, Fault fault) {
+        ProxyProcess p = proxies.get(proxy);
+        double now = fleet.now();
+        if (fault.action() == Fault.Action.KILL) {
+            fleet.tell(o -> o.excuse(now - 1, now + fleet.spec().noticeMs() + EXCUSE_MS));
+            front.killed(proxy);
+        }
+        helper.execute(() -> {
+            try {
+                switch (fault.action()) {
+                    case KILL -> {
+                        p.onExit(() -> later(fault.forMs(), () -> restart(proxy)));
+                        p.kill();
+                    }
+                    case TERM -> {
+                        p.onExit(() -> later(0, () -> restart(proxy)));
+                        p.terminate();
+                    }
+                    default -> {
+                        write(proxy);
+                        p.hangUp();
+                    }
+                }
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        });
+    }
+
+    private void later(double ms, Runnable task) {
+        ScheduledExecutorService on = helper;
+        if (!on.isShutdown()) {
+            on.schedule(task, (long) ms, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void restart(int proxy) {
+        try {
+            fleet.tell(o -> o.restarted(proxy));
+            write(proxy);
+            proxies.get(proxy).start();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    /** Addresses, files and process ids for scripts. */
+    public JsonObject json() {
+        JsonObject o = new JsonObject();
+        o.addProperty("front", ProxyConfig.text(front()));
+        JsonArray array = new JsonArray();
+        for (ProxyProcess p : proxies) {
+            JsonObject entry = new JsonObject();
+            entry.addProperty("name", p.name());
+            entry.addProperty("listen", ProxyConfig.text(p.listen()));
+            entry.addProperty("config", p.config().toString());
+            entry.addProperty("pid", p.pid());
+            array.add(entry);
+        }
+        o.add("proxies", array);
+        JsonArray nodes = new JsonArray();
+        fleet.nodes(0).forEach((name, address) -> {
+            JsonObject entry = new JsonObject();
+            entry.addProperty("name", name);
+            entry.addProperty("listen", ProxyConfig.text(address));
+            nodes.add(entry);
+        });
+        o.add("nodes", nodes);
+        o.addProperty("origin", ProxyConfig.text(fleet.originAddress()));
+        o.addProperty("discovery", ProxyConfig.text(fleet.discovery(0, 0)));
+        return o;
+    }
+
+    @Override
+    public void close() {
+        end();
+        try {
+            Runtime.getRuntime().removeShutdownHook(hook);
+        } catch (IllegalStateException e) {
+            // the virtual machine ends, and has run it or will
+        }
+    }
+
+    private synchronized void end() {
+        if (closed) {
+            return;
+        }
+        closed = true;
+        helper.shutdownNow();
+        proxies.forEach(ProxyProcess::close);
+        fleet.close();
+        try (Stream<Path> files = Files.walk(folder)) {
+            for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(file);
+            }
+        } catch (IOException e) {
+            System.err.println("left behind: " + folder + " (" + e.getMessage() + ")");
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/demo/ProxyProcess.java
@@ -0,0 +1,156 @@
+package damsonworks.demo;
+
+import com.google.gson.JsonObject;
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** One real proxy: a process that runs {@code serve} on a configuration of its own. */
+public final class ProxyProcess {
+    private static final long READY_MS = 30_000;
+    private static final int LOG_LINES = 12;
+
+    private final String name;
+    private final Path folder;
+    private final Path config;
+    private final InetSocketAddress listen;
+    private volatile Process process;
+    private volatile boolean ended;
+
+    /** Nothing is started yet; the address is free at the moment. */
+    ProxyProcess(String name, Path parent) throws IOException {
+        this.name = name;
+        folder = Files.createDirectories(parent.resolve(name));
+        config = folder.resolve("config.json");
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            listen = new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+        }
+    }
+
+    /** Its name in the configuration. */
+    public String name() {
+        return name;
+    }
+
+    /** Where clients connect. */
+    public InetSocketAddress listen() {
+        return listen;
+    }
+
+    /** The file of its configuration. */
+    public Path config() {
+        return config;
+    }
+
+    /** The process's id. */
+    public long pid() {
+        return process.pid();
+    }
+
+    /** Whether the process runs. */
+    public boolean alive() {
+        return process != null && process.isAlive();
+    }
+
+    void write(JsonObject json) throws IOException {
+        Path next = folder.resolve("config.next");
+        Files.writeString(next, json.toString());
+        Files.move(next, config, StandardCopyOption.ATOMIC_MOVE);
+    }
+
+    /** Starts the process on the configuration that was written last; does nothing once this has been closed. */
+    synchronized void start() throws IOException {
+        if (ended) {
+            return;
+        }
+        List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms24m", "-Xmx64m", "-XX:MaxDirectMemorySize=32m",
+                "-Xss512k", "-Dio.netty.allocator.numHeapArenas=1", "-Dio.netty.allocator.numDirectArenas=1"));
+        String path = System.getProperty("java.class.path");
+        Path archive = Path.of(path.endsWith(".jar") && !path.contains(File.pathSeparator)
+                ? path.substring(0, path.length() - 4) + ".jsa" : "none");
+        if (Files.exists(archive)) {
+            words.add("-XX:SharedArchiveFile=" + archive);
+            words.add("-Xshare:auto");
+        }
+        words.addAll(List.of("-cp", path, "damsonworks.Main", "serve"));
+        ProcessBuilder builder = new ProcessBuilder(words).redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile()));
+        builder.environment().put("BALANCER_CONFIG", config.toString());
+        builder.environment().put("TMPDIR", folder.toString());
+        process = builder.start();
+    }
+
+    /** Waits until it answers {@code mn}; an IOException has the end of its log. */
+    void awaitReady() throws IOException {
+        long until = System.nanoTime() + READY_MS * 1_000_000;
+        while (System.nanoTime() < until && process.isAlive()) {
+            try (Socket socket = new Socket()) {
+                socket.connect(listen, 1000);
+                socket.setSoTimeout(5000);
+                socket.getOutputStream().write("mn\r\n".getBytes(StandardCharsets.ISO_8859_1));
+                if (new String(socket.getInputStream().readNBytes(4), StandardCharsets.ISO_8859_1).equals("MN\r\n")) {
+                    return;
+                }
+            } catch (IOException e) {
+                pause();
+            }
+        }
+        throw new IOException(name + (process.isAlive() ? " is not ready after " + READY_MS + " ms"
+                : " ended with " + process.exitValue()) + "; its log ends:\n" + log());
+    }
+
+    private static void pause() throws IOException {
+        try {
+            TimeUnit.MILLISECONDS.sleep(20);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IOException("interrupted", e);
+        }
+    }
+
+    private String log() throws IOException {
+        List<String> lines = Files.readAllLines(folder.resolve("log"));
+        return String.join("\n", lines.subList(Math.max(0, lines.size() - LOG_LINES), lines.size()));
+    }
+
+    void kill() {
+        process.destroyForcibly();
+    }
+
+    void terminate() {
+        process.destroy();
+    }
+
+    void hangUp() throws IOException {
+        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start();
+    }
+
+    /** What is to be done once the process has ended. */
+    void onExit(Runnable then) {
+        process.onExit().thenRun(then);
+    }
+
+    /** Ends the process for good. */
+    synchronized void close() {
+        ended = true;
+        if (process != null) {
+            process.destroyForcibly();
+            try {
+                process.waitFor(5, TimeUnit.SECONDS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/fleet/AnswerLine.java
@@ -0,0 +1,53 @@
+package damsonworks.fleet;
+
+import io.netty.channel.Channel;
+import java.util.ArrayDeque;
+
+/**
+ * The answers of one connection, given in the order of their commands whenever each is ready. What is ready waits
+ * while the process is frozen.
+ */
+final class AnswerLine {
+    /** Where one command's answer goes. */
+    static final class Slot {
+        private Object answer;
+    }
+
+    private final Channel channel;
+    private final Listener listener;
+    private final ArrayDeque<Slot> slots = new ArrayDeque<>();
+
+    AnswerLine(Channel channel, Listener listener) {
+        this.channel = channel;
+        this.listener = listener;
+    }
+
+    Slot next() {
+        Slot slot = new Slot();
+        slots.add(slot);
+        return slot;
+    }
+
+    void answer(Slot slot, Object answer) {
+        slot.answer = answer;
+        flush();
+    }
+
+    boolean isEmpty() {
+        return slots.isEmpty();
+    }
+
+    void flush() {
+        if (listener.frozen()) {
+            return;
+        }
+        boolean wrote = false;
+        while (!slots.isEmpty() && slots.peek().answer != null) {
+            channel.write(slots.poll().answer);
+            wrote = true;
+        }
+        if (wrote) {
+            channel.flush();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/fleet/CacheNode.java
@@ -0,0 +1,257 @@
+package damsonworks.fleet;
+
+import damsonworks.fleet.meta.MetaCommand;
+import damsonworks.fleet.meta.MetaCommandDecoder;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.nio.charset.StandardCharsets;
+import java.util.HashSet;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A cache node: the meta commands on its sockets (one for each proxy, so that it can tell who sends), one core's
+ * worth of service behind a bounded queue, a memory, and a cold start. Belongs to the fleet's event loop.
+ */
+final class CacheNode {
+    /** What a new connection costs, and a look-up that finds nothing, as a share of a read's mean work. */
+    private static final double HANDSHAKE_WORK = 0.06;
+    private static final double MISS_WORK = 0.05;
+
+    private final StandInFleet fleet;
+    private final String name;
+    private final double speed;
+    private final Listener listener;
+    private final LruStore store;
+    private final ServiceModel<Runnable> core;
+    private final Set<AnswerLine> lines = new HashSet<>();
+    private final Random random;
+    private ColdStart start;
+    private Future<?> timer;
+    private double timerMs = Double.POSITIVE_INFINITY;
+    private double spoiltShare;
+    private boolean keepsStale;
+    private double heldAtStart;
+    private int life;
+
+    CacheNode(StandInFleet fleet, String name, double speed, long seed) {
+        this.fleet = fleet;
+        this.name = name;
+        this.speed = speed;
+        random = new Random(seed);
+        FleetSpec spec = fleet.spec();
+        store = new LruStore(spec.cacheEntries());
+        core = new ServiceModel<>(1, spec.queue());
+        start = new ColdStart(spec.coldStart(), speed, Double.NEGATIVE_INFINITY);
+        heldAtStart = spec.heldAtStart();
+        listener = new Listener(fleet.loop(), this::accepted);
+        for (int p = 0; p < spec.proxies(); p++) {
+            listener.bind();
+        }
+    }
+
+    String name() {
+        return name;
+    }
+
+    Listener listener() {
+        return listener;
+    }
+
+    // ---- what it holds
+
+    /** Keeps a value that the origin gave for a request that missed here. */
+    void fill(String key, long version) {
+        if (listener.isOpen()) {
+            store.put(key, version);
+        }
+    }
+
+    /** A write has voided the key. */
+    void drop(String key) {
+        if (!keepsStale) {
+            store.drop(key);
+        }
+    }
+
+    private Long held(String key) {
+        Long version = store.get(key);
+        if (version == null && heldThen(key)) {
+            version = fleet.origin().version(key);
+            store.put(key, version);
+        }
+        return version;
+    }
+
+    /** Whether a node that was warm at the start had this key then, if a write has not voided it since. */
+    private boolean heldThen(String key) {
+        return heldAtStart > 0 && fleet.origin().version(key) == 0
+                && (Keys.mix(key.hashCode() * 31L + name.hashCode()) >>> 11) * 0x1.0p-53 < heldAtStart;
+    }
+
+    // ---- commands
+
+    private void accepted(Channel channel, int proxy) {
+        if (listener.size() > fleet.spec().connections()) {
+            channel.close();
+            return;
+        }
+        double now = fleet.now();
+        core.offer(now, () -> { }, fleet.spec().workMs() * HANDSHAKE_WORK, speed * start.share(now));
+        arm();
+        AnswerLine line = new AnswerLine(channel, listener);
+        lines.add(line);
+        channel.closeFuture().addListener(f -> lines.remove(line));
+        channel.pipeline().addLast(new MetaCommandDecoder(), new SimpleChannelInboundHandler<MetaCommand>() {
+            @Override
+            protected void channelRead0(ChannelHandlerContext ctx, MetaCommand command) {
+                take(ctx, line, proxy, command);
+            }
+
+            @Override
+            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                ctx.close();
+            }
+        });
+    }
+
+    private void take(ChannelHandlerContext ctx, AnswerLine line, int proxy, MetaCommand command) {
+        if (command instanceof MetaCommand.Read read) {
+            read(line, proxy, read);
+        } else if (command instanceof MetaCommand.Write) {
+            line.answer(line.next(), text("CLIENT_ERROR writes go to the origin\r\n"));
+        } else if (command instanceof MetaCommand.Unusable u && u.fatal()) {
+            ctx.writeAndFlush(text("CLIENT_ERROR " + u.why() + "\r\n")).addListener(ChannelFutureListener.CLOSE);
+        } else if (command instanceof MetaCommand.Noop) {
+            line.answer(line.next(), text("MN\r\n"));
+        } else {
+            line.answer(line.next(), text("ERROR\r\n"));
+        }
+    }
+
+    private void read(AnswerLine line, int proxy, MetaCommand.Read read) {
+        double now = fleet.now();
+        fleet.oracle().sent(proxy, name, read.id(), now);
+        AnswerLine.Slot slot = line.next();
+        boolean hit = held(read.key()) != null;
+        double work = fleet.work(read.id(), read.extras()) * (hit ? 1 : MISS_WORK);
+        if (start.pushedOver(now, work)) {
+            fleet.pushedOver(this);
+            return;
+        }
+        int mine = life;
+        Runnable done = () -> {
+            if (life == mine) {
+                line.answer(slot, answer(read));
+            }
+        };
+        if (work == 0) {
+            done.run();
+        } else if (core.offer(now, done, work, speed * start.share(now))) {
+            arm();
+        } else {
+            line.answer(slot, text("SERVER_ERROR busy\r\n"));
+        }
+    }
+
+    private ByteBuf answer(MetaCommand.Read read) {
+        Long version = held(read.key());
+        if (version == null) {
+            boolean fetched = fleet.missed(read, this);
+            return text("EN O" + read.id() + (fetched ? " h0 Z\r\n" : " h0\r\n"));
+        }
+        byte[] value = new Payload(read.key(), version).bytes(fleet.spec().valueBytes());
+        if (spoiltShare > 0 && random.nextDouble() < spoiltShare) {
+            return spoilt(read, value);
+        }
+        return value("VA " + value.length + " O" + read.id() + " h1\r\n", value);
+    }
+
+    private ByteBuf spoilt(MetaCommand.Read read, byte[] value) {
+        return switch (random.nextInt(4)) {
+            case 0 -> text("\u0007\u0003 noise\r\n");
+            case 1 -> value("VA " + value.length + " Offffffffffffffff h1\r\n", value);
+            case 2 -> value("VA " + (value.length - 3) + " O" + read.id() + " h1\r\n", value);
+            default -> text("VA 99999999999 O" + read.id() + " h1\r\n");
+        };
+    }
+
+    private static ByteBuf value(String head, byte[] value) {
+        return Unpooled.wrappedBuffer(head.getBytes(StandardCharsets.ISO_8859_1), value, new byte[] {'\r', '\n'});
+    }
+
+    private static ByteBuf text(String text) {
+        return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.ISO_8859_1));
+    }
+
+    // ---- the core's time
+
+    private void arm() {
+        double finish = core.finishMs();
+        if (finish == timerMs) {
+            return;
+        }
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        timerMs = finish;
+        timer = finish == Double.POSITIVE_INFINITY ? null : fleet.loop().schedule(this::advance,
+                (long) (Math.max(0, finish - fleet.now()) * 1e6), TimeUnit.NANOSECONDS);
+    }
+
+    private void advance() {
+        timerMs = Double.POSITIVE_INFINITY;
+        timer = null;
+        double now = fleet.now();
+        core.advance(now, speed * start.share(now)).forEach(Runnable::run);
+        arm();
+    }
+
+    // ---- faults
+
+    void stall(double ms) {
+        core.stall(fleet.now(), ms);
+        arm();
+    }
+
+    void freeze(boolean on) {
+        listener.freeze(on);
+        if (!on) {
+            lines.forEach(AnswerLine::flush);
+        }
+    }
+
+    void spoil(double share) {
+        spoiltShare = share;
+    }
+
+    void keepStale(boolean on) {
+        keepsStale = on;
+        if (!on) {
+            store.clear();
+        }
+    }
+
+    /** The process dies: its memory is lost, its connections are reset, new ones refused. */
+    void die() {
+        life++;
+        listener.shut();
+        listener.reset();
+        core.clear();
+        arm();
+        store.clear();
+    }
+
+    /** A new process listens where the old one did, empty and cold. */
+    void live(Runnable then) {
+        heldAtStart = 0;
+        start = new ColdStart(fleet.spec().coldStart(), speed, fleet.now());
+        listener.reopen(then);
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/fleet/DiscoveryServer.java
@@ -0,0 +1,193 @@
+package damsonworks.fleet;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Discovery: the whole list and a watch on its changes over HTTP/1.1, a socket for each proxy, and outages. It works
+ * through its calls in turn at a bounded number of lines a second. Belongs to the fleet's event loop.
+ */
+final class DiscoveryServer {
+    /** Addresses for each proxy, so that a new configuration can name another. */
+    static final int ADDRESSES = 2;
+    private static final double LINES_PER_SECOND = 200;
+    /** A call that would wait longer is turned away. */
+    private static final double PATIENCE_MS = 2000;
+    private static final double MAX_WAIT_MS = 60_000;
+    private static final int MAX_WATCHES = 256;
+
+    private final class Watch {
+        final int proxy;
+        final ChannelHandlerContext ctx;
+        final long since;
+        Future<?> timeout;
+
+        Watch(int proxy, ChannelHandlerContext ctx, long since) {
+            this.proxy = proxy;
+            this.ctx = ctx;
+            this.since = since;
+        }
+
+        void end() {
+            if (watches.remove(this)) {
+                timeout.cancel(false);
+                answer(proxy, ctx, roster.since(since), false);
+            }
+        }
+    }
+
+    private final StandInFleet fleet;
+    private final Roster roster;
+    private final Listener listener;
+    private final List<Watch> watches = new ArrayList<>();
+    private boolean down;
+    private double freeMs;
+
+    DiscoveryServer(StandInFleet fleet, Roster roster) {
+        this.fleet = fleet;
+        this.roster = roster;
+        listener = new Listener(fleet.loop(), this::accepted);
+        for (int i = 0; i < fleet.spec().proxies() * ADDRESSES; i++) {
+            listener.bind();
+        }
+    }
+
+    Listener listener() {
+        return listener;
+    }
+
+    private void accepted(Channel channel, int socket) {
+        int proxy = socket % fleet.spec().proxies();
+        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(64 << 10),
+                new SimpleChannelInboundHandler<FullHttpRequest>() {
+                    @Override
+                    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+                        take(proxy, ctx, new QueryStringDecoder(request.uri()));
+                    }
+
+                    @Override
+                    public void channelInactive(ChannelHandlerContext ctx) {
+                        watches.removeIf(w -> w.ctx == ctx && w.timeout.cancel(false));
+                    }
+
+                    @Override
+                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                        ctx.close();
+                    }
+                });
+    }
+
+    private void take(int proxy, ChannelHandlerContext ctx, QueryStringDecoder uri) {
+        if (down) {
+            ctx.close();
+            return;
+        }
+        if (!uri.path().equals("/discovery/hosts")) {
+            send(ctx, 404, "{}");
+            return;
+        }
+        if (!uri.parameters().containsKey("since")) {
+            answer(proxy, ctx, roster.whole(), true);
+            return;
+        }
+        long since;
+        double wait;
+        try {
+            since = Long.parseLong(uri.parameters().get("since").get(0));
+            wait = Math.min(MAX_WAIT_MS, Double.parseDouble(
+                    uri.parameters().getOrDefault("timeout_ms", List.of("0")).get(0)));
+        } catch (NumberFormatException e) {
+            send(ctx, 400, "{}");
+            return;
+        }
+        if (since > roster.seq() || since == 0) {
+            answer(proxy, ctx, roster.whole(), true);
+        } else if (since < roster.seq() || watches.size() >= MAX_WATCHES) {
+            answer(proxy, ctx, roster.since(since), false);
+        } else {
+            Watch watch = new Watch(proxy, ctx, since);
+            watch.timeout = fleet.loop().schedule(watch::end, (long) Math.max(0, wait), TimeUnit.MILLISECONDS);
+            watches.add(watch);
+        }
+    }
+
+    /** The list has changed: whoever watches hears of it. */
+    void changed() {
+        List.copyOf(watches).forEach(Watch::end);
+    }
+
+    /** While down it answers nothing, and watches end. */
+    void down(boolean on) {
+        down = on;
+        if (on) {
+            List.copyOf(watches).forEach(w -> w.timeout.cancel(false));
+            watches.clear();
+            listener.close();
+        }
+    }
+
+    private void answer(int proxy, ChannelHandlerContext ctx, List<Roster.Host> hosts, boolean whole) {
+        double now = fleet.now();
+        if (freeMs - now > PATIENCE_MS) {
+            send(ctx, 503, "{}");
+            return;
+        }
+        freeMs = Math.max(now, freeMs) + hosts.size() / LINES_PER_SECOND * 1000;
+        String body = json(proxy, roster.seq(), hosts, whole).toString();
+        fleet.loop().schedule(() -> {
+            if (!down) {
+                hosts.forEach(h -> fleet.oracle().told(proxy, h.name(), h.health() == Roster.Health.UP, fleet.now()));
+                send(ctx, 200, body);
+            }
+        }, (long) (Math.max(0, freeMs - now) * 1e6), TimeUnit.NANOSECONDS);
+    }
+
+    private static void send(ChannelHandlerContext ctx, int status, String body) {
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status), Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
+                .set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+        ctx.writeAndFlush(response);
+    }
+
+    /** A list as a proxy is told it, with the addresses that it dials. */
+    static JsonObject json(int proxy, long seq, List<Roster.Host> hosts, boolean whole) {
+        JsonObject list = new JsonObject();
+        list.addProperty("seq", seq);
+        list.addProperty("whole", whole);
+        JsonArray entries = new JsonArray();
+        for (Roster.Host h : hosts) {
+            JsonObject entry = new JsonObject();
+            entry.addProperty("host", h.name());
+            entry.addProperty("dial", h.addresses().get(Math.min(proxy, h.addresses().size() - 1)));
+            entry.addProperty("site", h.site());
+            entry.addProperty("class", h.kind());
+            entry.addProperty("block", h.block());
+            entry.addProperty("health", h.health().name().toLowerCase(Locale.ROOT));
+            entry.addProperty("share", 1.0);
+            entry.addProperty("born_ms", h.bornMs());
+            entries.add(entry);
+        }
+        list.add("hosts", entries);
+        return list;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/fleet/FrontLayer.java
@@ -0,0 +1,243 @@
+package damsonworks.fleet;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.util.ReferenceCountUtil;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The plain front layer: deals clients' connections out to proxies in turn, and passes bytes both ways. It notices
+ * late that a proxy refuses connections, and later that it takes them again; until then it goes on dealing. Belongs
+ * to one event loop.
+ */
+public final class FrontLayer implements AutoCloseable {
+    private static final int CONNECT_MS = 500;
+    private static final long LOOK_MS = 100;
+
+    private static final class Target {
+        final InetSocketAddress address;
+        boolean used = true;
+        boolean refusing;
+        double changedMs;
+        long dealt;
+        final Set<Channel> clients = new HashSet<>();
+
+        Target(InetSocketAddress address) {
+            this.address = address;
+        }
+    }
+
+    /** What one proxy has been dealt: connections in all, those open now, and whether it is in use. */
+    public record Share(InetSocketAddress proxy, long dealt, int open, boolean used) { }
+
+    private final EventLoop loop;
+    private final double noticeMs;
+    private final List<Target> targets = new ArrayList<>();
+    private final Listener listener;
+    private final InetSocketAddress address;
+    private final Future<?> looking;
+    private int turn;
+
+    /** Opens the front at a free port; not to be called on the event loop. {@code noticeMs}: how late it sees. */
+    public FrontLayer(EventLoop loop, List<InetSocketAddress> proxies, double noticeMs) {
+        this.loop = loop;
+        this.noticeMs = noticeMs;
+        proxies.forEach(p -> targets.add(new Target(p)));
+        listener = new Listener(loop, this::accepted);
+        address = listener.bind();
+        looking = loop.scheduleWithFixedDelay(this::look, LOOK_MS, LOOK_MS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Where clients connect. */
+    public InetSocketAddress address() {
+        return address;
+    }
+
+    /** How connections are spread now; on the event loop only. */
+    public List<Share> shares() {
+        return targets.stream().map(t -> new Share(t.address, t.dealt, t.clients.size(), t.used)).toList();
+    }
+
+    /**
+     * The process of a proxy is about to be killed: its connections end with a reset, as those of a process that
+     * dies do. On the event loop only.
+     */
+    public void killed(int proxy) {
+        for (Channel c : List.copyOf(targets.get(proxy).clients)) {
+            if (c instanceof SocketChannel s) {
+                s.config().setSoLinger(0);
+            }
+            c.close();
+        }
+    }
+
+    private Target pick() {
+        for (int i = 0; i < targets.size(); i++) {
+            Target t = targets.get(turn++ % targets.size());
+            if (t.used) {
+                return t;
+            }
+        }
+        return targets.get(turn++ % targets.size());
+    }
+
+    private void accepted(Channel client, int socket) {
+        Target target = pick();
+        target.dealt++;
+        target.clients.add(client);
+        client.closeFuture().addListener(f -> target.clients.remove(client));
+        client.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
+        client.config().setAutoRead(false);
+        ChannelFuture up = connect(target, new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new Relay(client));
+            }
+        });
+        up.addListener(f -> {
+            if (f.isSuccess()) {
+                client.pipeline().addLast(new Relay(up.channel()));
+                client.config().setAutoRead(true);
+                up.channel().closeFuture().addListener(g -> client.close());
+                client.closeFuture().addListener(g -> up.channel().close());
+            } else {
+                turnAway(client);
+            }
+        });
+    }
+
+    /**
+     * Ends a client's connection for which no proxy was to be had. Closing it with the request unread would send a
+     * reset, which says that somebody may have had it.
+     */
+    private static void turnAway(Channel client) {
+        client.pipeline().addLast(new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext ctx, Object message) {
+                ReferenceCountUtil.release(message);
+            }
+
+            @Override
+            public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+                if (event instanceof ChannelInputShutdownEvent) {
+                    ctx.close();
+                }
+            }
+
+            @Override
+            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                ctx.close();
+            }
+        });
+        ((DuplexChannel) client).shutdownOutput();
+        client.config().setAutoRead(true);
+    }
+
+    private ChannelFuture connect(Target target, ChannelInitializer<Channel> handler) {
+        ChannelFuture future = new Bootstrap().group(loop).channel(Sockets.BEST.client())
+                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS).handler(handler).connect(target.address);
+        future.addListener(f -> seen(target, !f.isSuccess()));
+        return future;
+    }
+
+    private void seen(Target target, boolean refusing) {
+        if (target.refusing != refusing) {
+            target.refusing = refusing;
+            target.changedMs = System.nanoTime() / 1e6;
+        }
+    }
+
+    /** A proxy is tried when its state differs from what the front goes by, and believed after the notice. */
+    private void look() {
+        double now = System.nanoTime() / 1e6;
+        for (Target t : targets) {
+            if (t.used == t.refusing && now - t.changedMs >= noticeMs) {
+                t.used = !t.refusing;
+            }
+            if (t.refusing || !t.used) {
+                ChannelFuture tried = connect(t, new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        // nothing is asked of it
+                    }
+                });
+                tried.addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
+                        .addListener(f -> tried.channel().close());
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        looking.cancel(false);
+        loop.execute(() -> {
+            listener.shut();
+            listener.close();
+        });
+    }
+
+    /** Passes what comes on to the other side, reads no faster than that takes it, and hands on a half-close. */
+    private static final class Relay extends ChannelInboundHandlerAdapter {
+        private final Channel other;
+
+        Relay(Channel other) {
+            this.other = other;
+        }
+
+        @Override
+        public void channelRead(ChannelHandlerContext ctx, Object message) {
+            other.write((ByteBuf) message).addListener(ChannelFutureListener.CLOSE_ON_FAILURE);
+        }
+
+        @Override
+        public void channelReadComplete(ChannelHandlerContext ctx) {
+            other.flush();
+            if (!other.isWritable()) {
+                ctx.channel().config().setAutoRead(false);
+            }
+        }
+
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            if (ctx.channel().isWritable()) {
+                other.config().setAutoRead(true);
+            }
+        }
+
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event instanceof ChannelInputShutdownEvent && other instanceof DuplexChannel d) {
+                d.shutdownOutput();
+                if (d.isInputShutdown()) {
+                    ctx.close();
+                }
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            if (other instanceof SocketChannel s) {
+                s.config().setSoLinger(0); // a reset goes on as a reset
+            }
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/fleet/Oracle.java
@@ -0,0 +1,292 @@
+package damsonworks.fleet;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/**
+ * Knows what a run owes its clients and what was done, and tells each breach of the rules. It is told of events with
+ * their times, does no I/O, and forgets what is older than {@link #MEMORY_MS}, so its memory hangs on the rate and
+ * not on the run's length. Times in milliseconds of one clock.
+ */
+public final class Oracle {
+    /** For how long a finished request and its effects are remembered. */
+    static final double MEMORY_MS = 30_000;
+    private static final int EXAMPLES = 5;
+
+    /** The rules that can be broken. */
+    public enum Rule {
+        LOST("no final answer in time"),
+        ANSWERED_TWICE("a second answer, or one to nothing"),
+        RAN_TWICE("a write took effect twice"),
+        REFUSED_AND_RAN("refused, so said to be harmless to repeat, and had run"),
+        STALE("a read showed an older value than one already confirmed"),
+        WRONG_VALUE("a value that was not made for its request"),
+        SENT_AFTER_DRAIN("sent to a node later than the grace after being told"),
+        PUSHED_OVER("a cold node was pushed over");
+
+        private final String meaning;
+
+        Rule(String meaning) {
+            this.meaning = meaning;
+        }
+
+        /** In words for people. */
+        public String meaning() {
+            return meaning;
+        }
+    }
+
+    /** How a request ended for its client. */
+    public enum Ending { SERVED, REFUSED, FAILED }
+
+    /** Counts of breaches and the first examples of each. */
+    public record Verdict(Map<Rule, Long> breaches, Map<Rule, List<String>> examples, long asked, long effects,
+            long excused) {
+        /** Whether all rules held. */
+        public boolean held() {
+            return breaches.isEmpty();
+        }
+    }
+
+    private static final class Asked {
+        final String key;
+        final boolean write;
+        final double atMs;
+        final double deadlineMs;
+        Ending ending;
+        double endedMs = Double.NaN;
+        int effects;
+
+        Asked(String key, boolean write, double atMs, double deadlineMs) {
+            this.key = key;
+            this.write = write;
+            this.atMs = atMs;
+            this.deadlineMs = deadlineMs;
+        }
+    }
+
+    private record Confirmed(double atMs, long version) { }
+
+    private record Told(double atMs, boolean wanted) { }
+
+    private final double drainGraceMs;
+    private final double answerGraceMs;
+    private final Map<String, Asked> asked = new LinkedHashMap<>();
+    private final Map<String, Integer> keyedEffects = new LinkedHashMap<>();
+    private final ArrayDeque<Map.Entry<String, Double>> keyedAges = new ArrayDeque<>();
+    private final Map<String, ArrayDeque<Confirmed>> confirmed = new HashMap<>();
+    private final Map<String, Told> told = new HashMap<>();
+    private final ArrayDeque<double[]> excuses = new ArrayDeque<>();
+    private final Map<Rule, Long> breaches = new EnumMap<>(Rule.class);
+    private final Map<Rule, List<String>> examples = new EnumMap<>(Rule.class);
+    private long requests;
+    private long effects;
+    private long excused;
+
+    /** Graces in milliseconds, as the rules word them. */
+    public Oracle(double drainGraceMs, double answerGraceMs) {
+        this.drainGraceMs = drainGraceMs;
+        this.answerGraceMs = answerGraceMs;
+    }
+
+    // ---- clients
+
+    /** A client has sent a request; {@code deadlineMs} is the time when it gives up. */
+    public void asked(String id, String key, boolean write, double atMs, double deadlineMs) {
+        requests++;
+        Asked before = asked.put(id, new Asked(key, write, atMs, deadlineMs));
+        if (before != null) {
+            asked.get(id).effects = before.effects;
+        }
+        forget(atMs);
+    }
+
+    /**
+     * A client has had an answer. {@code value}: a served read's; {@code version}: what a served write's receipt
+     * confirms, negative if it names none.
+     */
+    public void answered(String id, Ending ending, byte[] value, long version, double atMs) {
+        Asked a = asked.get(id);
+        if (a == null || a.ending != null) {
+            breach(Rule.ANSWERED_TWICE, id + " at " + ms(atMs));
+            return;
+        }
+        a.ending = ending;
+        a.endedMs = atMs;
+        if (atMs > a.deadlineMs + answerGraceMs) {
+            breach(Rule.LOST, id + " answered " + ms(atMs - a.deadlineMs) + " after its deadline");
+        }
+        if (ending == Ending.REFUSED && a.effects > 0) {
+            breach(Rule.REFUSED_AND_RAN, id);
+        } else if (ending == Ending.SERVED && a.write) {
+            if (a.effects == 0 || version < 0) {
+                breach(Rule.WRONG_VALUE, id + ": a receipt for a write that has not run");
+            } else {
+                ArrayDeque<Confirmed> history = confirmed.computeIfAbsent(a.key, k -> new ArrayDeque<>(2));
+                history.add(new Confirmed(atMs, version));
+                trim(history, atMs);
+            }
+        } else if (ending == Ending.SERVED) {
+            served(id, a, value);
+        }
+    }
+
+    private void served(String id, Asked a, byte[] value) {
+        Payload payload = value == null ? null : Payload.read(value);
+        if (payload == null || !payload.key().equals(a.key)) {
+            breach(Rule.WRONG_VALUE, id + ": " + (payload == null ? "spoilt" : "the value of another key"));
+            return;
+        }
+        long least = 0;
+        for (Confirmed c : confirmed.getOrDefault(a.key, new ArrayDeque<>())) {
+            if (c.atMs() <= a.atMs) {
+                least = Math.max(least, c.version());
+            }
+        }
+        if (payload.version() < least) {
+            breach(Rule.STALE, id + ": version " + payload.version() + " of " + a.key + ", " + least
+                    + " had been confirmed before it was asked");
+        }
+    }
+
+    /**
+     * A client's time is up, and it has no answer. Not a breach if its connection ended within an excused time:
+     * what a proxy held when it was killed is for the client to repeat.
+     *
+     * @param endedMs when its connection ended, NaN if it stands
+     */
+    public void unanswered(String id, double endedMs, double atMs) {
+        Asked a = asked.get(id);
+        if (a == null || a.ending != null) {
+            return;
+        }
+        a.ending = Ending.FAILED;
+        a.endedMs = atMs;
+        for (double[] excuse : excuses) {
+            if (endedMs >= excuse[0] && endedMs <= excuse[1]) {
+                excused++;
+                return;
+            }
+        }
+        breach(Rule.LOST, id + (Double.isNaN(endedMs) ? ": nothing came" : ": its connection ended"));
+    }
+
+    /** An answer that no request waited for. */
+    public void unsolicited(String what, double atMs) {
+        breach(Rule.ANSWERED_TWICE, what + " at " + ms(atMs));
+    }
+
+    /** A proxy is killed: connections that end between these times lose what they held. */
+    public void excuse(double fromMs, double untilMs) {
+        excuses.add(new double[] {fromMs, untilMs});
+        if (excuses.size() > 1000) {
+            excuses.poll();
+        }
+    }
+
+    // ---- servers
+
+    /** A write has taken effect. {@code idempotencyKey} is null where it carries none. */
+    public void effect(String id, String idempotencyKey, double atMs) {
+        effects++;
+        Asked a = asked.computeIfAbsent(id, i -> new Asked("", true, atMs, atMs));
+        if (++a.effects > 1) {
+            breach(Rule.RAN_TWICE, id);
+        } else if (a.ending == Ending.REFUSED) {
+            breach(Rule.REFUSED_AND_RAN, id);
+        }
+        if (idempotencyKey != null) {
+            if (keyedEffects.merge(idempotencyKey, 1, Integer::sum) > 1 && a.effects == 1) {
+                breach(Rule.RAN_TWICE, id + " by its key " + idempotencyKey);
+            }
+            keyedAges.add(Map.entry(idempotencyKey, atMs));
+        }
+    }
+
+    /** A repeat of a keyed write has been dropped and given the first one's receipt: it has run, but not again. */
+    public void repeated(String id, String idempotencyKey, double atMs) {
+        Asked a = asked.computeIfAbsent(id, i -> new Asked("", true, atMs, atMs));
+        a.effects = Math.max(1, a.effects);
+        if (a.ending == Ending.REFUSED) {
+            breach(Rule.REFUSED_AND_RAN, id + " by its key " + idempotencyKey);
+        }
+    }
+
+    /** A proxy has been told of a node. {@code wanted}: whether it may be sent anything new. */
+    public void told(int proxy, String node, boolean wanted, double atMs) {
+        told.compute(proxy + " " + node, (k, t) -> t != null && t.wanted() == wanted ? t : new Told(atMs, wanted));
+    }
+
+    /** A proxy has restarted and knows nothing of what it was told. */
+    public void restarted(int proxy) {
+        told.keySet().removeIf(k -> k.startsWith(proxy + " "));
+    }
+
+    /** A proxy's command has come to a node; {@code atMs}: its first byte's time. */
+    public void sent(int proxy, String node, String id, double atMs) {
+        Told t = told.get(proxy + " " + node);
+        if (t != null && !t.wanted() && atMs > t.atMs() + drainGraceMs) {
+            breach(Rule.SENT_AFTER_DRAIN, id + " to " + node + " by proxy " + proxy + ", " + ms(atMs - t.atMs())
+                    + " after it was told");
+        }
+    }
+
+    /** A node has been pushed over. */
+    public void pushedOver(String node, double atMs) {
+        breach(Rule.PUSHED_OVER, node + " at " + ms(atMs));
+    }
+
+    // ---- the verdict
+
+    /** What has been seen so far. */
+    public Verdict verdict() {
+        return new Verdict(Map.copyOf(breaches), Map.copyOf(examples), requests, effects, excused);
+    }
+
+    /** Requests, finished or not, that are remembered at the moment. */
+    int remembered() {
+        return asked.size();
+    }
+
+    private void breach(Rule rule, String what) {
+        breaches.merge(rule, 1L, Long::sum);
+        List<String> some = examples.computeIfAbsent(rule, r -> new ArrayList<>());
+        if (some.size() < EXAMPLES) {
+            some.add(what);
+        }
+    }
+
+    private void forget(double now) {
+        for (Iterator<Asked> i = asked.values().iterator(); i.hasNext();) {
+            Asked a = i.next();
+            double ended = Double.isNaN(a.endedMs) ? a.deadlineMs : a.endedMs;
+            if (now - ended <= MEMORY_MS) {
+                break;
+            }
+            i.remove();
+        }
+        while (!keyedAges.isEmpty() && now - keyedAges.peek().getValue() > MEMORY_MS) {
+            keyedEffects.remove(keyedAges.poll().getKey());
+        }
+    }
+
+    /** Of confirmations so old that every open request was asked after them, the highest is enough. */
+    private static void trim(ArrayDeque<Confirmed> history, double now) {
+        while (history != null && history.size() > 1 && now - history.peek().atMs() > MEMORY_MS) {
+            Confirmed old = history.poll();
+            Confirmed next = history.poll();
+            history.addFirst(new Confirmed(next.atMs(), Math.max(old.version(), next.version())));
+        }
+    }
+
+    private static String ms(double ms) {
+        return String.format(Locale.ROOT, "%.0f ms", ms);
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/fleet/OriginServer.java
@@ -0,0 +1,172 @@
+package damsonworks.fleet;
+
+import damsonworks.fleet.meta.MetaCommand;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpVersion;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * The origin: HTTP/1.1, a few slots and a bounded queue. It alone knows a key's version, counts what takes effect,
+ * drops the nodes' copies on a write and fills the nodes that missed. Belongs to the fleet's event loop.
+ */
+final class OriginServer {
+    private static final int MAX_BODY = 4 << 20;
+    private static final double WRITE_WORK = 1.5;
+    /** The queue, in slots' worth: some seconds of work. */
+    private static final int QUEUE_PER_SLOT = 16;
+
+    private record Receipt(long version, double atMs) { }
+
+    private final StandInFleet fleet;
+    private final Listener listener;
+    private final ServiceModel<Runnable> slots;
+    private final Map<String, Long> versions = new HashMap<>();
+    /** The receipts of keyed writes for as long as repeats are dropped, oldest first. */
+    private final Map<String, Receipt> receipts = new LinkedHashMap<>();
+    private final Set<AnswerLine> lines = new HashSet<>();
+    private Future<?> timer;
+    private double timerMs = Double.POSITIVE_INFINITY;
+    private long fetches;
+
+    OriginServer(StandInFleet fleet) {
+        this.fleet = fleet;
+        slots = new ServiceModel<>(fleet.spec().originSlots(), fleet.spec().originSlots() * QUEUE_PER_SLOT);
+        listener = new Listener(fleet.loop(), this::accepted);
+        listener.bind();
+    }
+
+    Listener listener() {
+        return listener;
+    }
+
+    /** How many writes of the key have run. */
+    long version(String key) {
+        return versions.getOrDefault(key, 0L);
+    }
+
+    /** Fetches served so far. */
+    long fetches() {
+        return fetches;
+    }
+
+    private void accepted(Channel channel, int socket) {
+        AnswerLine line = new AnswerLine(channel, listener);
+        lines.add(line);
+        channel.closeFuture().addListener(f -> lines.remove(line));
+        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY),
+                new SimpleChannelInboundHandler<FullHttpRequest>() {
+                    @Override
+                    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+                        take(line, request);
+                    }
+
+                    @Override
+                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                        ctx.close();
+                    }
+                });
+    }
+
+    private void take(AnswerLine line, FullHttpRequest request) {
+        AnswerLine.Slot slot = line.next();
+        String key = request.uri().substring(1);
+        String id = request.headers().get("Req-Id", "");
+        String extras = request.headers().get("Req-Extra", "");
+        boolean write = request.method().equals(HttpMethod.PUT);
+        if (request.uri().equals("/alive") || !write && !request.method().equals(HttpMethod.GET) || id.isEmpty()) {
+            line.answer(slot, response(id.isEmpty() ? 400 : 200, "", false));
+            return;
+        }
+        Runnable run = () -> line.answer(slot, response(200, write ? write(key, id, extras) : read(key, id), false));
+        double work = fleet.originWork(id) * (write ? WRITE_WORK : 1);
+        if (slots.offer(fleet.now(), run, work, 1)) {
+            arm();
+        } else {
+            line.answer(slot, response(503, "", true));
+        }
+    }
+
+    private String read(String key, String id) {
+        long version = version(key);
+        fetches++;
+        fleet.fetched(key, id, version);
+        return new String(new Payload(key, version).bytes(fleet.spec().valueBytes()), StandardCharsets.ISO_8859_1);
+    }
+
+    private String write(String key, String id, String extras) {
+        double now = fleet.now();
+        String idempotencyKey = MetaCommand.named(extras, "k");
+        receipts.values().removeIf(r -> now - r.atMs() > FleetSpec.REPEAT_WINDOW_MS);
+        Receipt before = idempotencyKey == null ? null : receipts.get(idempotencyKey);
+        if (before != null) {
+            fleet.oracle().repeated(id, idempotencyKey, now);
+            return "v" + before.version();
+        }
+        long version = versions.merge(key, 1L, Long::sum);
+        if (idempotencyKey != null) {
+            receipts.put(idempotencyKey, new Receipt(version, now));
+        }
+        fleet.oracle().effect(id, idempotencyKey, now);
+        fleet.voided(key);
+        return "v" + version;
+    }
+
+    private static FullHttpResponse response(int status, String body, boolean declined) {
+        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status), Unpooled.copiedBuffer(body, StandardCharsets.ISO_8859_1));
+        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+        if (declined) {
+            response.headers().set("Srv-Declined", "1");
+        }
+        return response;
+    }
+
+    private void arm() {
+        double finish = slots.finishMs();
+        if (finish == timerMs) {
+            return;
+        }
+        if (timer != null) {
+            timer.cancel(false);
+        }
+        timerMs = finish;
+        timer = finish == Double.POSITIVE_INFINITY ? null : fleet.loop().schedule(() -> {
+            timerMs = Double.POSITIVE_INFINITY;
+            timer = null;
+            slots.advance(fleet.now(), 1).forEach(Runnable::run);
+            arm();
+        }, (long) (Math.max(0, finish - fleet.now()) * 1e6), TimeUnit.NANOSECONDS);
+    }
+
+    // ---- faults
+
+    void stall(double ms) {
+        slots.stall(fleet.now(), ms);
+        arm();
+    }
+
+    void freeze(boolean on) {
+        listener.freeze(on);
+        if (!on) {
+            lines.forEach(AnswerLine::flush);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/fleet/StandInFleet.java
@@ -0,0 +1,315 @@
+package damsonworks.fleet;
+
+import com.google.gson.JsonObject;
+import damsonworks.fleet.meta.MetaCommand;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * A fleet of stand-ins on loopback: cache nodes, the origin, discovery, and the oracle that all of them report to.
+ * Everything runs on one event loop of its own; public methods may be called from any other thread.
+ */
+public final class StandInFleet implements AutoCloseable {
+    /** How long a miss waits for the fetch that fills it. */
+    private static final double MISS_MEMORY_MS = 10_000;
+    private static final String SITE = "loopback";
+
+    /** What carries out faults of proxies. Called on the fleet's event loop; must not wait. */
+    public interface ProxyFaults {
+        /** Carries out a fault whose target is a proxy. */
+        void apply(int proxy, Fault fault);
+    }
+
+    private record Missed(String key, Set<CacheNode> nodes, double atMs) { }
+
+    private final FleetSpec spec;
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Sockets.BEST.io());
+    private final EventLoop loop = group.next();
+    private final long startNanos = System.nanoTime();
+    private final long startUnixMs = System.currentTimeMillis();
+    private final Oracle oracle;
+    private final Roster roster = new Roster();
+    private final Map<String, CacheNode> nodes = new LinkedHashMap<>();
+    private final OriginServer origin;
+    private final DiscoveryServer discovery;
+    private final Map<String, Double> classWork = new HashMap<>();
+    /** Where each request has missed, oldest first, and how many fetches of a key are out. */
+    private final Map<String, Missed> misses = new LinkedHashMap<>();
+    private final Map<String, Integer> fetching = new HashMap<>();
+    private ProxyFaults proxyFaults = (proxy, fault) -> { };
+
+    /** Opens all sockets; returns when they listen. */
+    public StandInFleet(FleetSpec spec) {
+        this.spec = spec;
+        oracle = new Oracle(spec.drainGraceMs(), spec.answerGraceMs());
+        spec.classes().forEach(c -> classWork.put(c.name(), c.work()));
+        SplittableRandom random = new SplittableRandom(spec.seed());
+        origin = new OriginServer(this);
+        roster.put(new Roster.Host("origin", List.of(text(origin.listener().addresses().get(0))), SITE, "origin", 0,
+                Roster.Health.UP, 0));
+        for (int i = 0; i < spec.nodes(); i++) {
+            String name = "node-" + i;
+            // Fast and slow machines, as merged fleets have them.
+            boolean fast = random.nextDouble() < 0.59;
+            double speed = fast ? random.nextDouble(1.5, 2.1) : random.nextDouble(0.77, 1);
+            CacheNode node = new CacheNode(this, name, speed, random.nextLong());
+            nodes.put(name, node);
+            roster.put(new Roster.Host(name, node.listener().addresses().stream().map(StandInFleet::text).toList(),
+                    SITE, fast ? "node-fast" : "node-slow", i, Roster.Health.UP, 0));
+        }
+        discovery = new DiscoveryServer(this, roster);
+    }
+
+    private static String text(InetSocketAddress address) {
+        return address.getAddress().getHostAddress() + ":" + address.getPort();
+    }
+
+    // ---- for people and tools
+
+    /** What it was made by. */
+    public FleetSpec spec() {
+        return spec;
+    }
+
+    /** The names that the list may hold for sites. */
+    public List<String> sites() {
+        return List.of(SITE);
+    }
+
+    /** The names that the list may hold for kinds; the last is the origin's. */
+    public List<String> kinds() {
+        return List.of("node-fast", "node-slow", "origin");
+    }
+
+    /** Where each node listens for this proxy, by name. */
+    public Map<String, InetSocketAddress> nodes(int proxy) {
+        Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
+        nodes.forEach((name, node) -> addresses.put(name, node.listener().addresses().get(proxy)));
+        return addresses;
+    }
+
+    /** Where the origin listens. */
+    public InetSocketAddress originAddress() {
+        return origin.listener().addresses().get(0);
+    }
+
+    /** Where discovery listens for this proxy; it has two addresses and takes turns with them. */
+    public InetSocketAddress discovery(int proxy, int turn) {
+        return discovery.listener().addresses().get(turn % DiscoveryServer.ADDRESSES * spec.proxies() + proxy);
+    }
+
+    /** The list as this proxy would be told it now. */
+    public JsonObject known(int proxy) {
+        return on(() -> DiscoveryServer.json(proxy, roster.seq(), roster.whole(), true));
+    }
+
+    /** What the oracle has seen so far. */
+    public Oracle.Verdict verdict() {
+        return on(oracle::verdict);
+    }
+
+    /** Fetches that the origin has served so far. */
+    public long fetches() {
+        return on(origin::fetches);
+    }
+
+    /** Has something said to the oracle, in turn with what the stand-ins say; waits for nothing. */
+    public void tell(Consumer<Oracle> what) {
+        loop.execute(() -> what.accept(oracle));
+    }
+
+    /** Milliseconds since the start. */
+    public double now() {
+        return at(System.nanoTime());
+    }
+
+    /** A {@link System#nanoTime()} in milliseconds since the start. */
+    public double at(long nanos) {
+        return (nanos - startNanos) / 1e6;
+    }
+
+    /** The event loop that all of it runs on. */
+    public EventLoop loop() {
+        return loop;
+    }
+
+    /** Runs something on the event loop and waits for what it gives; not to be called there. */
+    public <T> T on(Callable<T> what) {
+        return loop.submit(what).syncUninterruptibly().getNow();
+    }
+
+    /** Lets these faults happen, their times counted from now. */
+    public void play(List<Fault> faults, ProxyFaults proxies) {
+        loop.execute(() -> {
+            proxyFaults = proxies;
+            faults.forEach(f -> after(f.atMs(), () -> apply(f)));
+        });
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 2, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    // ---- for the stand-ins, on the event loop
+
+    Oracle oracle() {
+        return oracle;
+    }
+
+    OriginServer origin() {
+        return origin;
+    }
+
+    /** Work of a request, in milliseconds at speed 1: drawn by its id, so the same wherever it goes. */
+    double work(String id, String extras) {
+        return spec.workMs() * classWork.getOrDefault(String.valueOf(MetaCommand.named(extras, "c")), 1.0) * draw(id);
+    }
+
+    double originWork(String id) {
+        return spec.originMs() * draw(id + "o");
+    }
+
+    /** Of mean 1: half of it fixed, half exponential. */
+    private double draw(String id) {
+        double u = (Keys.mix(id.hashCode() * 0x9e3779b97f4a7c15L ^ spec.seed()) >>> 11) * 0x1.0p-53;
+        return 0.5 - 0.5 * Math.log(1 - u);
+    }
+
+    /** A read has missed at a node; whether a fetch of its key is out already. */
+    boolean missed(MetaCommand.Read read, CacheNode node) {
+        double now = now();
+        for (var i = misses.values().iterator(); i.hasNext();) {
+            Missed m = i.next();
+            if (now - m.atMs() <= MISS_MEMORY_MS) {
+                break;
+            }
+            i.remove();
+            fetching.computeIfPresent(m.key(), (k, n) -> n > 1 ? n - 1 : null);
+        }
+        boolean out = fetching.containsKey(read.key());
+        Missed m = misses.get(read.id());
+        if (m == null) {
+            m = new Missed(read.key(), new HashSet<>(), now);
+            misses.put(read.id(), m);
+            fetching.merge(read.key(), 1, Integer::sum);
+        }
+        m.nodes().add(node);
+        return out;
+    }
+
+    /** The origin has made a value for a request: it is kept where that request missed. */
+    void fetched(String key, String id, long version) {
+        Missed m = misses.remove(id);
+        if (m != null) {
+            fetching.computeIfPresent(m.key(), (k, n) -> n > 1 ? n - 1 : null);
+            m.nodes().forEach(n -> n.fill(key, version));
+        }
+    }
+
+    void voided(String key) {
+        nodes.values().forEach(n -> n.drop(key));
+    }
+
+    void pushedOver(CacheNode node) {
+        oracle.pushedOver(node.name(), now());
+        node.die();
+        notice(node.name(), Roster.Health.REMOVED);
+    }
+
+    // ---- faults
+
+    private void after(double ms, Runnable task) {
+        loop.schedule(task, (long) (ms * 1e6), TimeUnit.NANOSECONDS);
+    }
+
+    private void notice(String name, Roster.Health health) {
+        after(spec.noticeMs(), () -> {
+            roster.health(name, health);
+            discovery.changed();
+        });
+    }
+
+    private void apply(Fault f) {
+        if (f.target().startsWith("proxy-")) {
+            proxyFaults.apply(Integer.parseInt(f.target().substring(6)), f);
+        } else if (f.target().equals("discovery")) {
+            discovery.down(true);
+            after(f.forMs(), () -> discovery.down(false));
+        } else if (f.target().equals("origin")) {
+            applyToOrigin(f);
+        } else {
+            applyToNode(nodes.get(f.target()), f);
+        }
+    }
+
+    private void applyToOrigin(Fault f) {
+        switch (f.action()) {
+            case STALL -> origin.stall(f.forMs());
+            case RESET -> origin.listener().reset();
+            default -> {
+                origin.stall(f.forMs());
+                origin.freeze(true);
+                after(f.forMs(), () -> {
+                    origin.freeze(false);
+                    if (f.action() == Fault.Action.SILENCE) {
+                        origin.listener().reset();
+                    }
+                });
+            }
+        }
+    }
+
+    private void applyToNode(CacheNode node, Fault f) {
+        switch (f.action()) {
+            case STALL -> node.stall(f.forMs());
+            case RESET -> node.listener().reset();
+            case FREEZE, SILENCE -> {
+                node.stall(f.forMs());
+                node.freeze(true);
+                after(f.forMs(), () -> {
+                    if (f.action() == Fault.Action.SILENCE) {
+                        node.listener().reset();
+                    }
+                    node.freeze(false);
+                });
+            }
+            case LEAVE -> {
+                node.die();
+                notice(node.name(), Roster.Health.REMOVED);
+            }
+            case DRAIN -> notice(node.name(), Roster.Health.DRAINING);
+            case RESTART -> {
+                node.die();
+                after(f.forMs(), () -> node.live(() -> {
+                    Roster.Host host = roster.get(node.name()).born(startUnixMs + (long) now());
+                    after(spec.noticeMs(), () -> {
+                        roster.put(host);
+                        discovery.changed();
+                    });
+                }));
+            }
+            case SPOIL -> {
+                node.spoil(f.share());
+                after(f.forMs(), () -> node.spoil(0));
+            }
+            case STALE -> {
+                node.keepStale(true);
+                after(f.forMs(), () -> node.keepStale(false));
+            }
+            default -> throw new IllegalStateException(f.action() + " at " + f.target());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/load/Connection.java
@@ -0,0 +1,153 @@
+package damsonworks.load;
+
+import damsonworks.fleet.TrafficClass;
+import damsonworks.fleet.meta.MetaAnswer;
+import damsonworks.fleet.meta.MetaAnswerDecoder;
+import damsonworks.load.Generator.Pending;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.SimpleChannelInboundHandler;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+
+/** One of a generator's connections with the requests on it, in the order in which their answers are due. */
+final class Connection {
+    private final Generator generator;
+    private final ArrayDeque<Pending> pending = new ArrayDeque<>(4);
+    private final ArrayDeque<Runnable> unsent = new ArrayDeque<>(4);
+    private Channel channel;
+    private boolean connected;
+    private boolean ended;
+    private boolean broken;
+    private long answered;
+
+    Connection(Generator generator) {
+        this.generator = generator;
+    }
+
+    void open(Bootstrap bootstrap, InetSocketAddress to) {
+        ChannelFuture future = bootstrap.clone().handler(new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel c) {
+                c.pipeline().addLast(new MetaAnswerDecoder(), new Answers());
+            }
+        }).connect(to);
+        channel = future.channel();
+        future.addListener(f -> {
+            if (!f.isSuccess()) {
+                ended = true;
+                generator.connectFailed(this, f.cause());
+                return;
+            }
+            connected = true;
+            unsent.forEach(Runnable::run);
+            unsent.clear();
+        });
+    }
+
+    boolean connected() {
+        return connected;
+    }
+
+    long answered() {
+        return answered;
+    }
+
+    int depth() {
+        return pending.size();
+    }
+
+    /** Whether one more request may go onto it: not behind one that has been given up. */
+    boolean usable() {
+        Pending head = pending.peek();
+        return !ended && !broken && (head == null || !head.ended);
+    }
+
+    /** Nobody waits for what is on it any more, and an answer is overdue. */
+    boolean spent() {
+        return !pending.isEmpty() && pending.stream().allMatch(p -> p.ended);
+    }
+
+    Pending poll() {
+        return pending.poll();
+    }
+
+    void close() {
+        channel.close();
+    }
+
+    void send(Pending p, TrafficClass kind) {
+        pending.add(p);
+        if (connected) {
+            write(p, kind);
+        } else {
+            unsent.add(() -> write(p, kind));
+        }
+    }
+
+    private void write(Pending p, TrafficClass kind) {
+        long left = Math.max(1, (p.deadlineNanos - System.nanoTime()) / 1_000_000);
+        StringBuilder line = new StringBuilder(96);
+        line.append(p.planned.write() ? "ms " : "mg ").append(p.planned.key()).append(' ');
+        if (p.planned.write()) {
+            line.append(p.planned.valueBytes());
+        } else {
+            line.append('v');
+        }
+        line.append(" O").append(p.id).append(" Pc=").append(kind.name()).append(",d=").append(left);
+        if (kind.kind() == TrafficClass.Kind.KEYED) {
+            line.append(",k=").append(p.id);
+        }
+        line.append("\r\n");
+        ByteBuf out = channel.alloc().buffer(line.length() + p.planned.valueBytes() + 2);
+        ByteBufUtil.writeAscii(out, line);
+        if (p.planned.write()) {
+            for (int i = 0; i < p.planned.valueBytes(); i++) {
+                out.writeByte('a' + i % 26);
+            }
+            out.writeByte('\r').writeByte('\n');
+        }
+        channel.writeAndFlush(out);
+    }
+
+    private final class Answers extends SimpleChannelInboundHandler<MetaAnswer> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, MetaAnswer answer) {
+            Pending head = pending.peek();
+            if (broken) {
+                return;
+            }
+            if (head == null || answer.id() != null && !answer.id().equals(head.id)) {
+                broken = true; // what follows can't be told whose it is
+                generator.unsolicited(answer);
+                ctx.close();
+                return;
+            }
+            pending.poll();
+            answered++;
+            generator.answered(head, answer);
+            if (pending.isEmpty()) {
+                generator.freed(Connection.this);
+            }
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (!ended) {
+                ended = true;
+                generator.ended(Connection.this, !broken);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            broken = true;
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/load/Generator.java
@@ -0,0 +1,409 @@
+package damsonworks.load;
+
+import damsonworks.fleet.Keys;
+import damsonworks.fleet.Sockets;
+import damsonworks.fleet.TrafficClass;
+import damsonworks.fleet.meta.MetaAnswer;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Sends a workload to a target over the meta protocol, each request when it is meant to go, whatever has become of
+ * those before it. One event loop; a request goes onto a connection that stands idle, else onto a new one up to the
+ * limit, else behind others. It ends by its answer or by its own deadline, and by nothing else.
+ */
+public final class Generator implements AutoCloseable {
+    private static final int BATCH = 256;
+    private static final long TICK_NANOS = 2_000_000;
+    private static final long RETRY_NANOS = 50_000_000;
+    private static final long READY_NANOS = 2_000_000_000L;
+    private static final int CONNECT_MS = 2000;
+    /** How often a request goes out again whose connection ended before it had answered anything. */
+    private static final int MAX_RESENT_UNUSED = 3;
+
+    /**
+     * @param targets        in turn, one for each connection that is opened
+     * @param classes        as the workload's requests name them by index; each with its deadline
+     * @param connections    open at most
+     * @param maxOutstanding requests out or waiting at most, over all connections: memory's bound. Beyond it the
+     *                       schedule is late, and the report says so
+     * @param warmUpSeconds  at the start, sent and not counted
+     * @param maxLagMs       up to which lag at p99.9 the schedule counts as kept
+     * @param seed           of request ids; generators that run side by side want different ones
+     */
+    public record Settings(List<InetSocketAddress> targets, List<TrafficClass> classes, int connections,
+            int maxOutstanding, double warmUpSeconds, double maxLagMs, long seed) {
+        /** Checks the ranges. */
+        public Settings {
+            if (targets.isEmpty() || classes.isEmpty()) {
+                throw new IllegalArgumentException("a generator needs a target and a class of requests");
+            }
+            if (connections < 1 || connections > 60_000 || maxOutstanding < 1 || maxOutstanding > 5_000_000) {
+                throw new IllegalArgumentException(connections + " connections and " + maxOutstanding
+                        + " outstanding; it takes 1 to 60,000 and 1 to 5,000,000");
+            }
+            if (!(warmUpSeconds >= 0) || !(maxLagMs > 0)) {
+                throw new IllegalArgumentException("a warm-up lasts 0 s or longer, and a lag to keep is above 0 ms");
+            }
+        }
+    }
+
+    /** A request that has left the schedule and has not ended, or whose late answer may still come. */
+    static final class Pending {
+        final String id;
+        final Planned planned;
+        final long meantNanos;
+        final long deadlineNanos;
+        final boolean counted;
+        boolean ended;
+        int resent;
+        long connectionEndedNanos;
+
+        Pending(String id, Planned planned, long meantNanos, long deadlineNanos, boolean counted) {
+            this.id = id;
+            this.planned = planned;
+            this.meantNanos = meantNanos;
+            this.deadlineNanos = deadlineNanos;
+            this.counted = counted;
+        }
+    }
+
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Sockets.BEST.io());
+    private final EventLoop loop = group.next();
+    private final Settings settings;
+    private final Workload workload;
+    private final Observer observer;
+    private final Recorder recorder = new Recorder();
+    private final CompletableFuture<Report> done = new CompletableFuture<>();
+    private final Bootstrap bootstrap;
+    private final SplittableRandom random;
+    private final List<Connection> connections = new ArrayList<>();
+    private final ArrayDeque<Connection> idle = new ArrayDeque<>();
+    /** What has no connection to go onto. */
+    private final ArrayDeque<Pending> waiting = new ArrayDeque<>();
+    /** The open requests of each class in the order of their deadlines. */
+    private final List<Set<Pending>> open = new ArrayList<>();
+    private final Pauses pauses = new Pauses();
+    private Planned next;
+    private long startNanos;
+    private long warmNanos;
+    private long lastMeantNanos;
+    private long lastSentNanos;
+    private long planned;
+    private long number;
+    private int held;
+    private int targetTurn;
+    private long retryNanos;
+    private long secondNanos;
+    private boolean over;
+
+    /** Sends nothing yet. */
+    public Generator(Settings settings, Workload workload, Observer observer) {
+        this.settings = settings;
+        this.workload = workload;
+        this.observer = observer;
+        random = new SplittableRandom(settings.seed());
+        settings.classes().forEach(c -> open.add(new LinkedHashSet<>()));
+        bootstrap = new Bootstrap().group(loop).channel(Sockets.BEST.client()).option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS);
+    }
+
+    /** Opens some connections, then begins; the future has the report when the last request has ended. */
+    public CompletableFuture<Report> start() {
+        loop.execute(() -> {
+            for (int i = 0; i < Math.min(settings.connections(), 8); i++) {
+                connect();
+            }
+            awaitReady(System.nanoTime() + READY_NANOS);
+        });
+        return done;
+    }
+
+    private void awaitReady(long until) {
+        if (connections.stream().allMatch(Connection::connected) || System.nanoTime() > until) {
+            startNanos = System.nanoTime();
+            warmNanos = startNanos + (long) (settings.warmUpSeconds() * 1e9);
+            lastSentNanos = warmNanos;
+            lastMeantNanos = warmNanos;
+            secondNanos = warmNanos + 1_000_000_000L;
+            next = workload.next();
+            pump();
+            tick();
+        } else {
+            loop.schedule(() -> awaitReady(until), 1, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Plans nothing more; what is out is waited for. */
+    public void stop() {
+        loop.execute(() -> next = null);
+    }
+
+    /** How the run stands, for a line of progress; may be called from any thread. */
+    public Progress progress() {
+        return loop.submit(() -> new Progress((System.nanoTime() - startNanos) / 1e9, held, connections.size(),
+                recorder.lastRow(), recorder.lag.getValueAtPercentile(99.9) / 1e3)).syncUninterruptibly().getNow();
+    }
+
+    /**
+     * A run on its way.
+     *
+     * @param seconds     since the start
+     * @param outstanding requests out or waiting
+     * @param row         what the last whole second saw; null before the first
+     * @param lagMs       schedule lag at p99.9 so far
+     */
+    public record Progress(double seconds, int outstanding, int connections, Recorder.Row row, double lagMs) {
+        /** In one line for people. */
+        public String text() {
+            return row == null ? String.format("%6.1f s  starting, %d connections", seconds, connections)
+                    : String.format("%6.1f s  sent %6d/s  served %6d  refused %5d  failed %5d  unanswered %5d  "
+                            + "p50 %8.2f ms  p99 %8.2f ms  max %8.2f ms  out %5d", seconds, row.sent(), row.served(),
+                            row.refused(), row.failed(), row.unanswered(), row.p50(), row.p99(), row.max(),
+                            outstanding);
+        }
+    }
+
+    @Override
+    public void close() {
+        pauses.close();
+        workload.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    // ---- the schedule
+
+    private void pump() {
+        for (int i = 0; next != null; i++) {
+            long now = System.nanoTime();
+            long meant = startNanos + next.atNanos();
+            if (meant > now) {
+                loop.schedule(this::pump, meant - now, TimeUnit.NANOSECONDS);
+                return;
+            }
+            if (held >= settings.maxOutstanding()) {
+                recorder.outOfRoom++;
+                loop.schedule(this::pump, TICK_NANOS, TimeUnit.NANOSECONDS);
+                return;
+            }
+            if (i >= BATCH) {
+                loop.execute(this::pump); // answers are read in between
+                return;
+            }
+            send(next, meant);
+            next = workload.next();
+        }
+    }
+
+    private void send(Planned p, long meant) {
+        long now = System.nanoTime();
+        String id = Keys.hex(Keys.mix(settings.seed() * 0x9e3779b97f4a7c15L + ++number));
+        long deadline = meant + (long) (settings.classes().get(p.kind()).deadlineMs() * 1e6);
+        boolean counted = meant >= warmNanos;
+        Pending pending = new Pending(id, p, meant, deadline, counted);
+        if (counted) {
+            planned++;
+            lastMeantNanos = meant;
+            lastSentNanos = now;
+            recorder.sent(now - meant);
+        }
+        held++;
+        open.get(p.kind()).add(pending);
+        observer.asked(id, p, now, deadline);
+        dispatch(pending);
+    }
+
+    private void dispatch(Pending pending) {
+        Connection c = pick();
+        if (c == null) {
+            waiting.add(pending);
+        } else {
+            c.send(pending, settings.classes().get(pending.planned.kind()));
+        }
+    }
+
+    private Connection pick() {
+        for (Connection c; (c = idle.pollLast()) != null;) {
+            if (c.usable()) {
+                return c;
+            }
+        }
+        if (connections.size() < settings.connections() && System.nanoTime() >= retryNanos) {
+            connect();
+            Connection c = idle.pollLast();
+            if (c != null) {
+                return c;
+            }
+        }
+        Connection best = null;
+        for (int i = 0; i < 4 && !connections.isEmpty(); i++) {
+            Connection c = connections.get(random.nextInt(connections.size()));
+            if (c.usable() && (best == null || c.depth() < best.depth())) {
+                best = c;
+            }
+        }
+        for (Iterator<Connection> i = connections.iterator(); best == null && i.hasNext();) {
+            Connection c = i.next();
+            best = c.usable() ? c : null;
+        }
+        return best;
+    }
+
+    private void connect() {
+        InetSocketAddress to = settings.targets().get(targetTurn++ % settings.targets().size());
+        Connection c = new Connection(this);
+        connections.add(c);
+        idle.add(c);
+        recorder.opened++;
+        c.open(bootstrap, to);
+    }
+
+    // ---- what connections tell
+
+    void freed(Connection c) {
+        idle.add(c);
+    }
+
+    void connectFailed(Connection c, Throwable cause) {
+        recorder.connectErrors++;
+        retryNanos = System.nanoTime() + RETRY_NANOS;
+        ended(c, false);
+    }
+
+    /** A connection has ended. Cleanly: what it has not answered goes out once more, as the protocol asks. */
+    void ended(Connection c, boolean cleanly) {
+        connections.remove(c);
+        idle.remove(c);
+        long now = System.nanoTime();
+        boolean lost = false;
+        for (Pending p; (p = c.poll()) != null;) {
+            if (p.ended) {
+                held--;
+            } else if (!c.connected()) {
+                waiting.add(p);
+            } else if (cleanly && p.resent < (c.answered() == 0 ? MAX_RESENT_UNUSED : 1)) {
+                p.resent++;
+                recorder.resent++;
+                waiting.add(p);
+            } else {
+                p.connectionEndedNanos = now;
+                lost = true;
+            }
+        }
+        recorder.resets += lost ? 1 : 0;
+        loop.execute(this::redispatch);
+    }
+
+    private void redispatch() {
+        for (Pending p; (p = waiting.peek()) != null;) {
+            Connection c = p.ended ? null : pick();
+            if (p.ended) {
+                held--;
+            } else if (c == null) {
+                return;
+            } else {
+                c.send(p, settings.classes().get(p.planned.kind()));
+            }
+            waiting.poll();
+        }
+    }
+
+    void answered(Pending p, MetaAnswer answer) {
+        held--;
+        if (p.ended) {
+            return; // its time was up before; the answer is of no use to anyone
+        }
+        long now = System.nanoTime();
+        end(p, now);
+        observer.answered(p.id, answer, now);
+        if (!p.counted) {
+            return;
+        }
+        if (p.planned.write() ? answer instanceof MetaAnswer.Receipt : answer instanceof MetaAnswer.Value) {
+            recorder.served++;
+        } else if (answer instanceof MetaAnswer.Busy) {
+            recorder.refused++;
+        } else {
+            recorder.failed++;
+        }
+    }
+
+    void unsolicited(MetaAnswer answer) {
+        recorder.outOfTurn++;
+        observer.unsolicited(answer, System.nanoTime());
+    }
+
+    private void end(Pending p, long now) {
+        p.ended = true;
+        open.get(p.planned.kind()).remove(p);
+        if (p.counted) {
+            recorder.ended(now - p.meantNanos);
+        }
+    }
+
+    // ---- time
+
+    private void tick() {
+        if (over) {
+            return;
+        }
+        long now = System.nanoTime();
+        for (Set<Pending> requests : open) {
+            while (!requests.isEmpty()) {
+                Pending first = requests.iterator().next();
+                if (first.deadlineNanos > now) {
+                    break;
+                }
+                expire(first);
+            }
+        }
+        if (!waiting.isEmpty()) {
+            redispatch();
+        }
+        if (now >= secondNanos) {
+            secondNanos += 1_000_000_000L;
+            recorder.second((now - warmNanos) / 1e9);
+        }
+        connections.stream().filter(Connection::spent).toList().forEach(Connection::close);
+        if (next == null && open.stream().allMatch(Set::isEmpty)) {
+            finish(now);
+            return;
+        }
+        loop.schedule(this::tick, TICK_NANOS, TimeUnit.NANOSECONDS);
+    }
+
+    private void expire(Pending p) {
+        end(p, p.deadlineNanos);
+        if (p.connectionEndedNanos != 0) {
+            held--; // no connection holds it any more
+        }
+        if (p.counted) {
+            recorder.unanswered++;
+        }
+        observer.unanswered(p.id, p.connectionEndedNanos, p.deadlineNanos);
+    }
+
+    private void finish(long now) {
+        over = true;
+        recorder.second((now - warmNanos) / 1e9);
+        double asked = Math.max(1e-3, (lastMeantNanos - warmNanos) / 1e9);
+        double took = Math.max(1e-3, (lastSentNanos - warmNanos) / 1e9);
+        boolean kept = recorder.lag.getValueAtPercentile(99.9) / 1e3 <= settings.maxLagMs()
+                && took <= asked * 1.01 + settings.maxLagMs() / 1e3;
+        List.copyOf(connections).forEach(Connection::close);
+        done.complete(Report.of(recorder, planned / asked, recorder.sent / took, kept, took, pauses.histogram(),
+                workload.unreadable()));
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/load/Observer.java
@@ -0,0 +1,21 @@
+package damsonworks.load;
+
+import damsonworks.fleet.meta.MetaAnswer;
+
+/** What watches each request of a run. Called on the generator's event loop; times are {@link System#nanoTime()}. */
+public interface Observer {
+    /** Watches nothing. */
+    Observer NONE = new Observer() { };
+
+    /** A request goes out. */
+    default void asked(String id, Planned planned, long atNanos, long deadlineNanos) { }
+
+    /** Its answer has come whole. */
+    default void answered(String id, MetaAnswer answer, long atNanos) { }
+
+    /** Its time is up without one; {@code endedNanos}: when its connection ended, 0 if it stands or never was. */
+    default void unanswered(String id, long endedNanos, long atNanos) { }
+
+    /** An answer has come that nobody waits for, or another than was due. */
+    default void unsolicited(MetaAnswer answer, long atNanos) { }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/load/SyntheticWorkload.java
@@ -0,0 +1,97 @@
+package damsonworks.load;
+
+import damsonworks.fleet.Keys;
+import damsonworks.fleet.TrafficClass;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * Traffic that is drawn: arrivals by a rate and a shape, classes by their shares, keys by Zipf's law. The popular
+ * keys move on: every {@code keyStaySeconds} the ranks are dealt to other keys, one rank in a hundred of the space.
+ * The same seed gives the same requests.
+ */
+public final class SyntheticWorkload implements Workload {
+    /** How arrivals are spaced. */
+    public enum Arrivals { POISSON, CONSTANT }
+
+    /**
+     * @param rate           mean requests a second, above 0
+     * @param seconds        how long, above 0
+     * @param keys           in the key space
+     * @param zipf           exponent of the keys' popularity; 0 for all alike
+     * @param keyStaySeconds after which time the popular keys move on; 0 for never
+     * @param valueBytes     of a write
+     */
+    public record Settings(double rate, double seconds, Shape shape, Arrivals arrivals, int keys, double zipf,
+            double keyStaySeconds, int valueBytes, List<TrafficClass> classes, long seed) {
+        /** Checks the ranges. */
+        public Settings {
+            if (!(rate > 0 && rate <= 10_000_000) || !(seconds > 0 && seconds <= 604_800)) {
+                throw new IllegalArgumentException(rate + " a second for " + seconds
+                        + " s: a rate is above 0 and 10 million at most, a run a week at most");
+            }
+            if (valueBytes < 0 || valueBytes > 4 << 20 || !(keyStaySeconds >= 0)) {
+                throw new IllegalArgumentException("values have 0 to 4 MiB, and keys stay 0 s or longer");
+            }
+        }
+    }
+
+    /** In one step of this length the rate counts as constant. */
+    private static final double STEP_S = 0.01;
+
+    private final Settings settings;
+    private final SplittableRandom random;
+    private final Zipf zipf;
+    private final double[] shares;
+    private double atS;
+
+    /** Begins at time 0. */
+    public SyntheticWorkload(Settings settings) {
+        this.settings = settings;
+        random = new SplittableRandom(settings.seed());
+        zipf = new Zipf(settings.keys(), settings.zipf());
+        shares = new double[settings.classes().size()];
+        double sum = 0;
+        for (int i = 0; i < shares.length; i++) {
+            sum += settings.classes().get(i).share();
+            shares[i] = sum;
+        }
+    }
+
+    @Override
+    public Planned next() {
+        if (!advance()) {
+            return null;
+        }
+        double draw = random.nextDouble() * shares[shares.length - 1];
+        int kind = 0;
+        while (shares[kind] <= draw && kind < shares.length - 1) {
+            kind++;
+        }
+        boolean write = settings.classes().get(kind).write();
+        return new Planned((long) (atS * 1e9), kind, key(), write, write ? settings.valueBytes() : 0);
+    }
+
+    /** Goes on by as much of the rate's integral as lies between two arrivals. */
+    private boolean advance() {
+        double owed = settings.arrivals() == Arrivals.CONSTANT ? 1 : -Math.log(1 - random.nextDouble());
+        while (atS < settings.seconds()) {
+            double rate = settings.rate() * settings.shape().at(atS / settings.seconds());
+            double step = Math.min(STEP_S, settings.seconds() - atS);
+            if (rate * step >= owed) {
+                atS += owed / rate;
+                return atS < settings.seconds();
+            }
+            owed -= rate * step;
+            atS += step;
+        }
+        return false;
+    }
+
+    private String key() {
+        long rank = zipf.rank(random.nextDouble());
+        long moved = settings.keyStaySeconds() == 0 ? 0
+                : (long) (atS / settings.keyStaySeconds()) * Math.max(1, settings.keys() / 100);
+        return Keys.key((rank + moved) % settings.keys());
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/ArchitectureTest.java
@@ -0,0 +1,64 @@
+package damsonworks;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.classes;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** Who may know whom, and where no I/O may be. */
+class ArchitectureTest {
+    private static final JavaClasses ALL = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("damsonworks");
+
+    private static final String[] IO = {"io.netty..", "java.net..", "java.nio..", "java.io..", "sun..",
+        "java.util.concurrent.."};
+
+    @Test
+    void decisionsDoNoInputOrOutputAndReadNoClock() {
+        noClasses().that().haveFullyQualifiedName("damsonworks.Policy").or().haveFullyQualifiedName("damsonworks.Carp")
+                .or().haveFullyQualifiedName("damsonworks.RoutingApi").or().resideInAnyPackage("damsonworks.drain..",
+                        "damsonworks.route..", "damsonworks.ledger..", "damsonworks.hotkey..", "damsonworks.evidence..")
+                .should().dependOnClassesThat().resideInAnyPackage(IO)
+                .orShould().dependOnClassesThat().haveFullyQualifiedName("java.lang.Thread")
+                .orShould().callMethod(System.class, "nanoTime")
+                .orShould().callMethod(System.class, "currentTimeMillis").check(ALL);
+    }
+
+    @Test
+    void theModelsOfStandInsAndLoadDoNoInputOrOutput() {
+        noClasses().that().haveNameMatching("damsonworks\\.fleet\\.(Oracle|ServiceModel|ColdStart|LruStore|Roster|"
+                + "FaultScript|Fault|Payload|Keys|TrafficClass|FleetSpec)(\\$.*)?")
+                .or().haveNameMatching("damsonworks\\.load\\.(Shape|Zipf|SyntheticWorkload|Planned)(\\$.*)?")
+                .should().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.net..", "java.io..")
+                .orShould().callMethod(System.class, "nanoTime").check(ALL);
+    }
+
+    @Test
+    void theProxyKnowsNothingOfTheTools() {
+        noClasses().that().resideInAnyPackage("damsonworks.proxy..", "damsonworks.wire..")
+                .should().dependOnClassesThat().resideInAnyPackage("damsonworks.fleet..", "damsonworks.load..",
+                        "damsonworks.demo..", "damsonworks.cli..", "picocli..", "org.HdrHistogram..").check(ALL);
+    }
+
+    @Test
+    void standInsKnowTheProtocolAndNotTheProxy() {
+        noClasses().that().resideInAPackage("damsonworks.fleet..")
+                .should().dependOnClassesThat().resideInAnyPackage("damsonworks", "damsonworks.proxy..",
+                        "damsonworks.wire..", "damsonworks.load..", "damsonworks.demo..", "damsonworks.cli..").check(ALL);
+        noClasses().that().resideInAPackage("damsonworks.load..")
+                .should().dependOnClassesThat().resideInAnyPackage("damsonworks", "damsonworks.proxy..",
+                        "damsonworks.wire..", "damsonworks.demo..", "damsonworks.cli..").check(ALL);
+        noClasses().that().resideInAPackage("damsonworks.demo..")
+                .should().dependOnClassesThat().resideInAnyPackage("damsonworks", "damsonworks.proxy..",
+                        "damsonworks.wire..", "damsonworks.cli..").check(ALL);
+    }
+
+    @Test
+    void onlyTheMainClassKnowsTheCommandLine() {
+        classes().that().resideInAPackage("damsonworks.cli..").should().onlyHaveDependentClassesThat()
+                .resideInAnyPackage("damsonworks", "damsonworks.cli..").check(ALL);
+    }
+}
--- a/src/test/java/damsonworks/JarIT.java
+++ b/src/test/java/damsonworks/JarIT.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStreamReader;
@@ -26,7 +28,7 @@
 
     private Process start(String command, String config, String... flags) throws IOException {
         List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-jar", "target/damsonworks.jar", command));
+                "-Djava.io.tmpdir=" + folder, "-jar", "target/damsonworks.jar", command));
         words.addAll(List.of(flags));
         ProcessBuilder builder = new ProcessBuilder(words);
         builder.environment().put("TMPDIR", folder.toString());
@@ -122,6 +124,60 @@
         }
     }
 
+    /** The newcomer's second command, through a fault that the rules stand, and a Ctrl-C in the middle. */
+    @Test
+    void theDemoHoldsItsRulesAndLeavesNothingBehind() throws Exception {
+        Path script = folder.resolve("x.faults");
+        Files.writeString(script, "500ms node-0 stall 200ms\n1s node-1 reset\n");
+        String[] flags = {"--nodes", "3", "--proxies", "2", "--rate", "40", "--patience", "15", "--fault",
+            script.toString(), "--for"};
+        List<String> words = new ArrayList<>(List.of(flags));
+        words.add("3s");
+        Process process = start("demo", null, words.toArray(String[]::new));
+        String told = new String(process.getInputStream().readAllBytes());
+        assertThat(process.waitFor()).as(told).isZero();
+        assertThat(told).contains("held   LOST").doesNotContain("BROKEN");
+        words.set(words.size() - 1, "10m");
+        process = start("demo", null, words.toArray(String[]::new));
+        BufferedReader lines = process.inputReader();
+        while (!lines.readLine().contains("sent ")) {
+            // the proxies start
+        }
+        List<ProcessHandle> proxies = process.descendants().toList();
+        assertThat(proxies).hasSize(2);
+        new ProcessBuilder("kill", "-INT", Long.toString(process.pid())).start().waitFor();
+        process.waitFor();
+        assertThat(proxies).noneMatch(ProcessHandle::isAlive);
+        try (var files = Files.list(folder)) {
+            assertThat(files).containsExactly(script);
+        }
+    }
+
+    @Test
+    void fleetWritesItsAddressesForScripts() throws Exception {
+        Path json = folder.resolve("fleet.json");
+        Process process = start("fleet", null, "--nodes", "2", "--proxies", "1", "--held", "1", "--json",
+                json.toString());
+        BufferedReader lines = process.inputReader();
+        while (!lines.readLine().contains("interrupt it to end")) {
+            // it starts
+        }
+        JsonObject told = JsonParser.parseString(Files.readString(json)).getAsJsonObject();
+        JsonObject proxy = told.getAsJsonArray("proxies").get(0).getAsJsonObject();
+        assertThat(ProcessHandle.of(proxy.get("pid").getAsLong())).isPresent();
+        assertThat(Path.of(proxy.get("config").getAsString())).exists();
+        assertThat(told.getAsJsonArray("nodes")).hasSize(2);
+        String[] listen = proxy.get("listen").getAsString().split(":");
+        try (Socket client = new Socket(listen[0], Integer.parseInt(listen[1]))) {
+            client.getOutputStream().write("mg 7f3a v O1 Pc=seg-text,d=30000\r\n".getBytes());
+            assertThat(new BufferedReader(new InputStreamReader(client.getInputStream())).readLine())
+                    .startsWith("VA ");
+        }
+        process.destroy();
+        process.waitFor();
+        assertThat(ProcessHandle.of(proxy.get("pid").getAsLong())).isEmpty();
+    }
+
     @Test
     void drillAnswersTheEmptyFrame() throws Exception {
         Process process = start("drill", null);
--- /dev/null
+++ b/src/test/java/damsonworks/cli/CliTest.java
@@ -0,0 +1,106 @@
+package damsonworks.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import damsonworks.fleet.FleetSpec;
+import damsonworks.fleet.StandInFleet;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+@Timeout(60)
+class CliTest {
+    @TempDir
+    private Path folder;
+    private String out;
+    private String err;
+
+    private int run(String... args) {
+        StringWriter o = new StringWriter();
+        StringWriter e = new StringWriter();
+        int code = Cli.run(new PrintWriter(o, true), new PrintWriter(e, true), args);
+        out = o.toString();
+        err = e.toString();
+        return code;
+    }
+
+    private JsonObject json(String name) throws Exception {
+        return JsonParser.parseString(Files.readString(folder.resolve(name))).getAsJsonObject();
+    }
+
+    @Test
+    void loadWritesItsReportsAndMergeJoinsThem() throws Exception {
+        FleetSpec spec = FleetSpec.standard(1, 1, 1).withWork(0, 0).withHeld(1);
+        try (StandInFleet fleet = new StandInFleet(spec)) {
+            String target = "127.0.0.1:" + fleet.nodes(0).get("node-0").getPort();
+            for (String name : new String[] {"a", "b"}) {
+                int code = run("load", "--target", target, "--rate", "100", "--for", "1s", "--mix", "seg-text=1",
+                        "--arrivals", "constant", "--max-lag", "60s", "--json", folder.resolve(name).toString(),
+                        "--html", folder.resolve("page").toString(), "--hlog", folder.resolve("hlog").toString());
+                assertThat(code).as(err).isZero();
+            }
+        }
+        JsonObject a = json("a");
+        assertThat(a.get("requests").getAsLong()).isBetween(99L, 100L);
+        assertThat(a.get("served")).isEqualTo(a.get("requests"));
+        assertThat(a.get("kept_schedule").getAsBoolean()).isTrue();
+        assertThat(a.get("rate_asked").getAsDouble()).isBetween(98.0, 103.0);
+        assertThat(Files.readString(folder.resolve("page"))).startsWith("<!doctype html>");
+        assertThat(Files.readString(folder.resolve("hlog"))).startsWith("#[Histogram log format version");
+        assertThat(run("load", "merge", folder.resolve("a").toString(), folder.resolve("b").toString(), "--json",
+                folder.resolve("both").toString())).isZero();
+        assertThat(json("both").get("requests").getAsLong())
+                .isEqualTo(a.get("requests").getAsLong() + json("b").get("requests").getAsLong());
+    }
+
+    @Test
+    void aTraceThatCantBeKeptExitsWithThree() throws Exception {
+        StringBuilder trace = new StringBuilder("time_ms,class,key,op,value_bytes\nnonsense\n");
+        for (int i = 0; i < 20_000; i++) {
+            trace.append(i).append(",seg-text,7f,read,0\n");
+        }
+        Files.writeString(folder.resolve("day.csv"), trace);
+        try (StandInFleet fleet = new StandInFleet(FleetSpec.standard(1, 1, 1).withWork(0, 0).withHeld(1))) {
+            assertThat(run("load", "--target", "127.0.0.1:" + fleet.nodes(0).get("node-0").getPort(), "--trace",
+                    folder.resolve("day.csv").toString(), "--speed", "1000000", "--json",
+                    folder.resolve("r").toString())).isEqualTo(3);
+        }
+        assertThat(out).contains("SCHEDULE NOT KEPT", "1 lines of the trace can't be read, the first: [2]");
+        assertThat(json("r").get("kept_schedule").getAsBoolean()).isFalse();
+    }
+
+    @Test
+    void wrongUseIsToldWithTheFixAndExitsWithTwo() throws Exception {
+        assertThat(run("load", "--target", "127.0.0.1:1", "--for", "20")).isEqualTo(2);
+        assertThat(err).contains("name the unit");
+        assertThat(run("load", "--target", "here")).isEqualTo(2);
+        assertThat(err).contains("HOST:PORT");
+        assertThat(run("load", "--target", "127.0.0.1:1", "--rate", "-3")).isEqualTo(2);
+        assertThat(err).contains("a rate is above 0");
+        assertThat(run("load", "--target", "127.0.0.1:1", "--mix", "text=1:now")).isEqualTo(2);
+        assertThat(err).contains("NAME=SHARE[:read|unsafe|keyed[:DEADLINE_MS]]");
+        assertThat(run("lod")).isEqualTo(2);
+        assertThat(run()).isEqualTo(2);
+        Files.writeString(folder.resolve("x.faults"), "5s node-1 stal 2s\n");
+        assertThat(run("demo", "--fault", folder.resolve("x.faults").toString())).isNotZero();
+        assertThat(err).contains("x.faults:1: ", "did you mean stall?");
+        assertThat(run("demo", "--nodes", "0")).isEqualTo(2);
+        assertThat(err).contains("nodes is 0");
+    }
+
+    @Test
+    void helpShowsExamples() {
+        for (String command : new String[] {"load", "demo", "fleet"}) {
+            assertThat(run(command, "--help")).isZero();
+            assertThat(out).contains("Examples:", command + " --");
+        }
+        assertThat(run("--help")).isZero();
+        assertThat(out).contains("serve", "BALANCER_CONFIG");
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/demo/OracleCatchesTest.java
@@ -0,0 +1,109 @@
+package damsonworks.demo;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.demo.BrokenProxy.Breach;
+import damsonworks.fleet.Fault;
+import damsonworks.fleet.FleetSpec;
+import damsonworks.fleet.Oracle;
+import damsonworks.fleet.Oracle.Rule;
+import damsonworks.fleet.StandInFleet;
+import damsonworks.fleet.TrafficClass;
+import damsonworks.load.Generator;
+import damsonworks.load.Shape;
+import damsonworks.load.SyntheticWorkload;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** The oracle sees each kind of breach when a proxy or a node commits it over real sockets, and none otherwise. */
+@Timeout(60)
+class OracleCatchesTest {
+    private static final List<TrafficClass> CLASSES = TrafficClass.mix("seg-text=3,fix-submit=1:unsafe", 4000);
+    private static final FleetSpec SPEC = FleetSpec.standard(2, 1, 1).withClasses(CLASSES).withWork(0, 0).withHeld(0)
+            .withBounds(1000, 10_000, 1000, 60).withTimes(0, 60_000, 50, 20_000);
+
+    private static Oracle.Verdict drive(StandInFleet fleet, Breach breach, int connections) throws Exception {
+        try (BrokenProxy proxy = new BrokenProxy(fleet, breach)) {
+            Generator.Settings settings = new Generator.Settings(List.of(proxy.address()), CLASSES, connections, 10_000,
+                    0, 10, 1);
+            try (Generator generator = new Generator(settings, new SyntheticWorkload(new SyntheticWorkload.Settings(
+                    100, 1, Shape.STEADY, SyntheticWorkload.Arrivals.CONSTANT, 8, 1, 0, 10, CLASSES, 1)),
+                    new OracleObserver(fleet))) {
+                assertThat(generator.start().get(50, TimeUnit.SECONDS).requests()).isBetween(99L, 100L);
+            }
+            return fleet.verdict();
+        }
+    }
+
+    @ParameterizedTest
+    @CsvSource({"REPEATS_WRITES,RAN_TWICE", "REFUSES_WHAT_RAN,REFUSED_AND_RAN", "KEEPS_VALUES,STALE",
+        "MIXES_KEYS,WRONG_VALUE", "CUTS_VALUES,WRONG_VALUE"})
+    void aProxyThatBreaksOneRule(Breach breach, Rule rule) throws Exception {
+        try (StandInFleet fleet = new StandInFleet(SPEC)) {
+            assertThat(drive(fleet, breach, 8).breaches()).containsOnlyKeys(rule);
+        }
+    }
+
+    @Test
+    void anHonestProxyBreaksNone() throws Exception {
+        try (StandInFleet fleet = new StandInFleet(SPEC)) {
+            Oracle.Verdict verdict = drive(fleet, Breach.NONE, 8);
+            assertThat(verdict.breaches()).isEmpty();
+            assertThat(verdict.effects()).isBetween(10L, 40L);
+        }
+    }
+
+    /** Answers that get lost or come twice shift those behind them on the connection, so more than one rule breaks. */
+    @ParameterizedTest
+    @CsvSource({"LOSES_ANSWERS,LOST", "ANSWERS_TWICE,ANSWERED_TWICE"})
+    void aProxyThatMiscountsAnswers(Breach breach, Rule rule) throws Exception {
+        try (StandInFleet fleet = new StandInFleet(SPEC)) {
+            assertThat(drive(fleet, breach, 8).breaches()).containsKey(rule);
+        }
+    }
+
+    private static void awaitTold(StandInFleet fleet, String what) throws IOException {
+        InetSocketAddress to = fleet.discovery(0, 0);
+        for (String list = ""; !list.contains(what);) {
+            try (InputStream in = URI.create("http://127.0.0.1:" + to.getPort() + "/discovery/hosts").toURL()
+                    .openStream()) {
+                list = new String(in.readAllBytes());
+            }
+        }
+    }
+
+    @Test
+    void aProxyThatSendsOnToADrainingNode() throws Exception {
+        try (StandInFleet fleet = new StandInFleet(SPEC)) {
+            fleet.play(List.of(new Fault(0, "node-0", Fault.Action.DRAIN, 0, 0)), (p, f) -> { });
+            awaitTold(fleet, "draining");
+            assertThat(drive(fleet, Breach.IGNORES_DRAINS, 8).breaches()).containsOnlyKeys(Rule.SENT_AFTER_DRAIN);
+        }
+    }
+
+    @Test
+    void aProxyThatFloodsAColdNode() throws Exception {
+        try (StandInFleet fleet = new StandInFleet(SPEC.withWork(100, 0))) {
+            fleet.play(List.of(new Fault(0, "node-0", Fault.Action.RESTART, 0, 0)), (p, f) -> { });
+            awaitTold(fleet, "\"born_ms\":" + Long.toString(System.currentTimeMillis()).charAt(0));
+            assertThat(drive(fleet, Breach.FLOODS_COLD_NODES, 8).breaches()).containsKey(Rule.PUSHED_OVER);
+        }
+    }
+
+    @Test
+    void aNodeThatKeepsWhatAWriteHasVoided() throws Exception {
+        try (StandInFleet fleet = new StandInFleet(SPEC)) {
+            fleet.play(List.of(new Fault(0, "node-0", Fault.Action.STALE, 60_000, 0),
+                    new Fault(0, "node-1", Fault.Action.STALE, 60_000, 0)), (p, f) -> { });
+            assertThat(drive(fleet, Breach.NONE, 8).breaches()).containsOnlyKeys(Rule.STALE);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/load/GeneratorTest.java
@@ -0,0 +1,297 @@
+package damsonworks.load;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.google.gson.JsonObject;
+import damsonworks.fleet.Fault;
+import damsonworks.fleet.FleetSpec;
+import damsonworks.fleet.StandInFleet;
+import damsonworks.fleet.TrafficClass;
+import damsonworks.load.SyntheticWorkload.Arrivals;
+import java.io.BufferedReader;
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import org.HdrHistogram.HistogramLogReader;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The generator against targets that stall, refuse, reset, lie or say nothing. */
+@Timeout(90)
+class GeneratorTest {
+    private static final FleetSpec QUICK = FleetSpec.standard(1, 1, 1).withWork(0, 0).withHeld(1)
+            .withBounds(20_000, 100_000, 500, 50);
+
+    private static List<TrafficClass> reads(double deadlineMs) {
+        return TrafficClass.mix("seg-text=1", deadlineMs);
+    }
+
+    private static Workload constant(double rate, double seconds, List<TrafficClass> classes) {
+        return new SyntheticWorkload(new SyntheticWorkload.Settings(rate, seconds, Shape.STEADY, Arrivals.CONSTANT,
+                1000, 1, 0, 20, classes, 1));
+    }
+
+    private static Report run(InetSocketAddress to, Workload workload, List<TrafficClass> classes, int connections,
+            int outstanding) throws Exception {
+        Generator.Settings settings = new Generator.Settings(List.of(to), classes, connections, outstanding, 0, 10, 1);
+        try (Generator generator = new Generator(settings, workload, Observer.NONE)) {
+            return generator.start().get(60, TimeUnit.SECONDS);
+        }
+    }
+
+    /** A target by a script for each connection. */
+    private interface Script {
+        void run(Socket socket, BufferedReader in) throws Exception;
+    }
+
+    private static ServerSocket target(Script script) throws IOException {
+        ServerSocket server = new ServerSocket(0, 100, InetAddress.getLoopbackAddress());
+        Thread accepting = new Thread(() -> {
+            while (!server.isClosed()) {
+                try {
+                    Socket socket = server.accept();
+                    Thread thread = new Thread(() -> {
+                        try (socket) {
+                            script.run(socket, new BufferedReader(new InputStreamReader(socket.getInputStream(),
+                                    StandardCharsets.ISO_8859_1)));
+                        } catch (Exception e) {
+                            // the generator has closed it
+                        }
+                    });
+                    thread.setDaemon(true);
+                    thread.start();
+                } catch (IOException e) {
+                    return;
+                }
+            }
+        });
+        accepting.setDaemon(true);
+        accepting.start();
+        return server;
+    }
+
+    private static InetSocketAddress at(ServerSocket server) {
+        return (InetSocketAddress) server.getLocalSocketAddress();
+    }
+
+    private static String id(String line) {
+        return line.substring(line.indexOf(" O") + 2).split(" ")[0];
+    }
+
+    private static void sums(Report r) {
+        assertThat(r.served() + r.refused() + r.failed() + r.unanswered()).isEqualTo(r.requests());
+        assertThat(r.latency().getTotalCount()).isEqualTo(r.requests());
+    }
+
+    /**
+     * A stall of S seconds in a run of T at a constant rate: of all requests, (S - x) / T wait longer than x. The
+     * share can't be lower whatever the machine does; the margin above it is for the machine's own pauses.
+     */
+    @Test
+    void aStallStandsInTheTailAsArithmeticSaysWhereAClosedLoopHidesIt() throws Exception {
+        double seconds = 6;
+        double rate = 200;
+        double stall = 2;
+        try (StandInFleet fleet = new StandInFleet(QUICK)) {
+            InetSocketAddress node = fleet.nodes(0).get("node-0");
+            List<Double> closed = new ArrayList<>();
+            CountDownLatch ended = new CountDownLatch(1);
+            fleet.play(List.of(new Fault(2000, "node-0", Fault.Action.FREEZE, stall * 1000, 0)), (p, f) -> { });
+            Thread loop = new Thread(() -> {
+                closedLoop(node, closed, ended);
+            });
+            loop.start();
+            Report r = run(node, constant(rate, seconds, reads(10_000)), reads(10_000), 64, 100_000);
+            ended.countDown();
+            loop.join();
+            sums(r);
+            assertThat(r.requests()).isBetween((long) (rate * seconds) - 1, (long) (rate * seconds));
+            assertThat(r.served()).isEqualTo(r.requests());
+            for (double x : new double[] {0.25, 0.5, 1, 1.5, 1.9}) {
+                double expected = (stall - x) / seconds;
+                double seen = share(r.latency(), x);
+                assertThat(seen).as("over %s s", x).isBetween(expected - 0.01, expected + 0.05);
+            }
+            long over = closed.stream().filter(s -> s > 0.5).count();
+            assertThat((double) over / closed.size()).as("closed loop: %d of %d", over, closed.size())
+                    .isBetween(1e-9, 0.02);
+        }
+    }
+
+    private static double share(Histogram h, double seconds) {
+        return h.getCountBetweenValues((long) (seconds * 1e6), h.getMaxValue()) / (double) h.getTotalCount();
+    }
+
+    /** One request at a time, each 5 ms after the last one's answer, latency from its sending: what many tools do. */
+    private static void closedLoop(InetSocketAddress to, List<Double> latencies, CountDownLatch ended) {
+        try (Socket socket = new Socket(to.getAddress(), to.getPort())) {
+            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream()));
+            do {
+                long before = System.nanoTime();
+                socket.getOutputStream().write("mg 7f3a v O1 Pc=seg-text,d=9000\r\n".getBytes());
+                in.readLine();
+                in.readLine();
+                latencies.add((System.nanoTime() - before) / 1e9);
+            } while (!ended.await(5, TimeUnit.MILLISECONDS));
+        } catch (IOException | InterruptedException e) {
+            throw new AssertionError(e);
+        }
+    }
+
+    @Test
+    void aTargetThatNeverAnswersIsChargedEachRequestsDeadline() throws Exception {
+        try (ServerSocket silent = target((s, in) -> in.lines().count())) {
+            Report r = run(at(silent), constant(100, 1, reads(300)), reads(300), 4, 1000);
+            sums(r);
+            assertThat(r.unanswered()).isEqualTo(r.requests()).isBetween(99L, 100L);
+            assertThat(r.latency().getMinValue()).isBetween(299_000L, 301_000L);
+        }
+    }
+
+    @Test
+    void aTargetThatRefusesConnectionsIsNotWaitedForAndCounted() throws Exception {
+        ServerSocket gone = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        gone.close();
+        Report r = run(new InetSocketAddress(InetAddress.getLoopbackAddress(), gone.getLocalPort()),
+                constant(100, 1, reads(300)), reads(300), 4, 1000);
+        sums(r);
+        assertThat(r.unanswered()).isEqualTo(r.requests()).isBetween(99L, 100L);
+        assertThat(r.connectErrors()).isPositive();
+    }
+
+    @Test
+    void aTargetThatResetsLosesWhatWasOnTheConnection() throws Exception {
+        try (ServerSocket resets = target((s, in) -> {
+            in.readLine();
+            s.setSoLinger(true, 0);
+        })) {
+            Report r = run(at(resets), constant(50, 1, reads(300)), reads(300), 4, 1000);
+            sums(r);
+            assertThat(r.unanswered()).isEqualTo(r.requests());
+            assertThat(r.resets()).isPositive();
+        }
+    }
+
+    @Test
+    void aConnectionClosedCleanlyBetweenRequestsCostsNoAnswer() throws Exception {
+        try (ServerSocket closes = target((s, in) -> {
+            for (int i = 0; i < 5; i++) {
+                s.getOutputStream().write(("VA 2 O" + id(in.readLine()) + "\r\nhi\r\n").getBytes());
+            }
+            s.shutdownOutput();
+            in.lines().count();
+        })) {
+            Report r = run(at(closes), constant(100, 1, reads(20_000)), reads(20_000), 4, 1000);
+            sums(r);
+            assertThat(r.served()).isEqualTo(r.requests());
+            assertThat(r.connectionsOpened()).isGreaterThan(10);
+        }
+    }
+
+    @Test
+    void anAnswerOutOfTurnIsNobodysAndEndsTheConnection() throws Exception {
+        try (ServerSocket mixes = target((s, in) -> {
+            in.readLine();
+            s.getOutputStream().write("VA 2 Offff\r\nhi\r\n".getBytes());
+            in.lines().count();
+        })) {
+            Report r = run(at(mixes), constant(50, 1, reads(300)), reads(300), 4, 1000);
+            sums(r);
+            assertThat(r.served()).isZero();
+            assertThat(r.outOfTurn()).isPositive();
+            assertThat(r.unanswered()).isEqualTo(r.requests());
+        }
+    }
+
+    @Test
+    void refusalsFailuresAndMissesAreTold() throws Exception {
+        try (ServerSocket refuses = target((s, in) -> {
+            String[] answers = {"SERVER_ERROR busy 20\r\n", "SERVER_ERROR failed\r\n", "EN O%s\r\n"};
+            for (int i = 0;; i++) {
+                s.getOutputStream().write(answers[i % 3].formatted(id(in.readLine())).getBytes());
+            }
+        })) {
+            Report r = run(at(refuses), constant(90, 1, reads(20_000)), reads(20_000), 1, 1000);
+            sums(r);
+            assertThat(r.refused()).isBetween(29L, 31L);
+            assertThat(r.failed()).isEqualTo(r.requests() - r.refused());
+        }
+    }
+
+    @Test
+    void aTraceTooFastToReplayIsReportedAndNotSlowedQuietly() throws Exception {
+        StringBuilder lines = new StringBuilder();
+        for (int i = 0; i < 50_000; i++) {
+            lines.append(i).append(",seg-text,").append(Integer.toHexString(i)).append(",read,0\n");
+        }
+        try (StandInFleet fleet = new StandInFleet(QUICK)) {
+            Report r = run(fleet.nodes(0).get("node-0"), new TraceWorkload(new ByteArrayInputStream(
+                    lines.toString().getBytes()), TraceFormat.CSV, reads(20_000), 1e6), reads(20_000), 8, 100_000);
+            sums(r);
+            assertThat(r.keptSchedule()).isFalse();
+            assertThat(r.requests()).isEqualTo(50_000);
+            assertThat(r.rateAsked()).isGreaterThan(2 * r.rateSent());
+            assertThat(r.lag().getMaxValue()).isGreaterThan(10_000);
+        }
+    }
+
+    @Test
+    void whatIsOutIsBoundedAndTheBoundIsTold() throws Exception {
+        try (ServerSocket silent = target((s, in) -> in.lines().count())) {
+            Report r = run(at(silent), constant(2000, 1, reads(400)), reads(400), 4, 100);
+            sums(r);
+            assertThat(r.outOfRoom()).isPositive();
+            assertThat(r.keptSchedule()).isFalse();
+        }
+    }
+
+    @Test
+    void reportsAreMergedByTheirHistograms(@TempDir Path folder) throws Exception {
+        List<Report> reports = new ArrayList<>();
+        try (StandInFleet fleet = new StandInFleet(QUICK);
+                ServerSocket silent = target((s, in) -> in.lines().count())) {
+            reports.add(run(fleet.nodes(0).get("node-0"), constant(300, 1, reads(400)), reads(400), 8, 1000));
+            reports.add(run(at(silent), constant(100, 1, reads(400)), reads(400), 8, 1000));
+        }
+        List<Report> read = new ArrayList<>();
+        for (Report r : reports) {
+            Path file = folder.resolve(read.size() + ".json");
+            r.writeJson(file);
+            read.add(Report.read(file));
+            assertThat(read.get(read.size() - 1).json()).isEqualTo(r.json());
+        }
+        Report merged = Report.merge(read);
+        sums(merged);
+        assertThat(merged.requests()).isEqualTo(reports.get(0).requests() + reports.get(1).requests());
+        // A quarter of all waited 400 ms: the joint p90 says so. An average of the two would say some 200 ms.
+        assertThat(merged.latency().getValueAtPercentile(90)).isBetween(399_000L, 401_000L);
+        JsonObject json = merged.json();
+        for (String figure : new String[] {"p50", "p90", "p99", "p999", "max"}) {
+            assertThat(json.getAsJsonObject("latency_ms").get(figure).getAsDouble()).isNotNegative();
+            assertThat(json.getAsJsonObject("schedule_lag_ms").get(figure).getAsDouble()).isNotNegative();
+        }
+        Path hlog = folder.resolve("x.hlog");
+        merged.writeHlog(hlog);
+        try (HistogramLogReader reader = new HistogramLogReader(hlog.toFile())) {
+            assertThat(((Histogram) reader.nextIntervalHistogram()).getTotalCount()).isEqualTo(merged.requests());
+        }
+        String page = HtmlReport.page(merged, "a <b>");
+        assertThat(page).contains("<svg", "a &lt;b&gt;", "polyline").doesNotContain("http://", "https://", "NaN");
+        Files.writeString(folder.resolve("bad.json"), "{}");
+        assertThatThrownBy(() -> Report.read(folder.resolve("bad.json"))).hasMessageContaining("bad.json");
+    }
+}
