--- /dev/null
+++ b/src/jmh/java/damsonworks/DecisionBenchmark.java
@@ -0,0 +1,137 @@
+package damsonworks;
+
+import damsonworks.RoutingApi.Actions;
+import damsonworks.RoutingApi.AttemptEnd;
+import damsonworks.RoutingApi.Effect;
+import damsonworks.RoutingApi.Group;
+import damsonworks.RoutingApi.ListKind;
+import damsonworks.RoutingApi.Member;
+import damsonworks.RoutingApi.Outcome;
+import damsonworks.RoutingApi.Reports;
+import damsonworks.RoutingApi.Request;
+import damsonworks.RoutingApi.ServiceClass;
+import damsonworks.RoutingApi.Settings;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** What the decision module costs for one read that is served at its first attempt: decision and outcome. */
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(value = 1, jvmArgs = {"-XX:+UseSerialGC", "-Xmx512m"})
+@State(Scope.Thread)
+public class DecisionBenchmark {
+    private static final int KEYS = 20_000;
+
+    /** Servers on the list, the origin not counted. */
+    @Param({"12", "140", "1000"})
+    public int servers;
+
+    private final SplittableRandom random = new SplittableRandom(1);
+    private final Orders orders = new Orders();
+    private Policy module;
+    private double now = 1e12;
+    private int id;
+
+    private record Timer(double atMs, int token) { }
+
+    /** Remembers where the module sends a request and which timers it wants, and drops all else. */
+    private static final class Orders implements Actions {
+        private int server;
+        private double now;
+        private final PriorityQueue<Timer> timers = new PriorityQueue<>(Comparator.comparingDouble(Timer::atMs));
+
+        @Override
+        public void place(int request, int to, double timeoutMs) {
+            server = to;
+        }
+
+        @Override
+        public void deny(int request, double retryAfterMs) {
+            server = 0;
+        }
+
+        @Override
+        public void fail(int request) {
+            server = 0;
+        }
+
+        @Override
+        public void cancel(int request, int attempt) { }
+
+        @Override
+        public void setTimer(double afterMs, int token) {
+            timers.add(new Timer(now + afterMs, token));
+        }
+
+        @Override
+        public void probe(int to) { }
+
+        @Override
+        public void closeIdle(int to) { }
+
+        @Override
+        public void tell(int peer, byte[] message) { }
+
+        @Override
+        public void watch(boolean on) { }
+
+        @Override
+        public void fetchList() { }
+
+        @Override
+        public void log(String line) { }
+    }
+
+    /** A fleet that is warm. */
+    @Setup
+    public void start() {
+        ServiceClass read = new ServiceClass("read", Effect.SAFE, Group.ALL, 0, 250, 1000, 1, 0.3, false);
+        Settings settings = new Settings(0, 5, 0, 4, 3, true, true, 2, Reports.NONE, List.of(), false, 0.1, true,
+                false, false, true, true, 3, 500, 500, 2000, 20, 0.3, 9000, 3, 1500, 10_000, 0, 3000, List.of(read),
+                List.of());
+        module = new Policy(settings, 1);
+        List<Member> members = new ArrayList<>();
+        for (int i = 1; i <= servers; i++) {
+            members.add(new Member(i * 7919, i % 4, i % 2, i % 5, RoutingApi.State.READY, 1, 0));
+        }
+        members.add(new Member(3, 0, 2, 0, RoutingApi.State.READY, 1, 0));
+        module.onList(now, ListKind.FULL, members, orders);
+    }
+
+    /** One request from its coming to its end, at ten a second for each server, with the timers that come due. */
+    @Benchmark
+    public int served() {
+        now += 100.0 / servers;
+        orders.now = now;
+        for (Timer t; (t = orders.timers.peek()) != null && t.atMs() <= now;) {
+            orders.timers.poll();
+            module.onTimer(now, t.token(), orders);
+        }
+        int request = ++id;
+        long key = random.nextInt(KEYS) * 0x9e3779b97f4a7c15L;
+        orders.server = 0;
+        module.onRequest(now, new Request(request, 0, 0, key, now + 1000, Double.NaN, 0, false, false), orders);
+        int server = orders.server;
+        if (server != 0) {
+            module.onAttemptEnd(now + 0.5, new AttemptEnd(request, 0, server, Outcome.OK, 0.5, true, 1, null), orders);
+        }
+        return server;
+    }
+}
