--- a/src/main/java/damsonworks/load/Generator.java
+++ b/src/main/java/damsonworks/load/Generator.java
@@ -397,7 +397,7 @@
 
     private void finish(long now) {
         over = true;
-        recorder.second((now - warmNanos) / 1e9);
+        recorder.end((now - warmNanos) / 1e9);
         double asked = Math.max(1e-3, (lastMeantNanos - warmNanos) / 1e9);
         double took = Math.max(1e-3, (lastSentNanos - warmNanos) / 1e9);
         boolean kept = recorder.lag.getValueAtPercentile(99.9) / 1e3 <= settings.maxLagMs()
--- a/src/main/java/damsonworks/load/Recorder.java
+++ b/src/main/java/damsonworks/load/Recorder.java
@@ -89,6 +89,16 @@
         }
     }
 
+    /** The run is over: what has come since the last row joins that one, as a row of its own would seem a fall. */
+    void end(double atSecond) {
+        secondsInSpan = secondsPerRow - 1;
+        second(atSecond);
+        if (rows.size() > 1) {
+            Row part = rows.remove(rows.size() - 1);
+            rows.add(rows.remove(rows.size() - 1).with(part));
+        }
+    }
+
     /** Halves the rows and doubles the seconds that further ones stand for. */
     private void thin() {
         List<Row> half = new ArrayList<>();
--- a/src/test/java/damsonworks/demo/OracleCatchesTest.java
+++ b/src/test/java/damsonworks/demo/OracleCatchesTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import damsonworks.Await;
 import damsonworks.demo.BrokenProxy.Breach;
 import damsonworks.fleet.Fault;
 import damsonworks.fleet.FleetSpec;
@@ -12,9 +13,7 @@
 import damsonworks.load.Generator;
 import damsonworks.load.Shape;
 import damsonworks.load.SyntheticWorkload;
-import java.io.IOException;
 import java.io.InputStream;
-import java.net.InetSocketAddress;
 import java.net.URI;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -70,14 +69,13 @@
         }
     }
 
-    private static void awaitTold(StandInFleet fleet, String what) throws IOException {
-        InetSocketAddress to = fleet.discovery(0, 0);
-        for (String list = ""; !list.contains(what);) {
-            try (InputStream in = URI.create("http://127.0.0.1:" + to.getPort() + "/discovery/hosts").toURL()
-                    .openStream()) {
-                list = new String(in.readAllBytes());
+    private static void awaitTold(StandInFleet fleet, String what) {
+        URI list = URI.create("http://127.0.0.1:" + fleet.discovery(0, 0).getPort() + "/discovery/hosts");
+        Await.until("the list says " + what, () -> {
+            try (InputStream in = list.toURL().openStream()) {
+                return new String(in.readAllBytes()).contains(what);
             }
-        }
+        });
     }
 
     @Test
--- a/src/test/java/damsonworks/fleet/StandInFleetTest.java
+++ b/src/test/java/damsonworks/fleet/StandInFleetTest.java
@@ -5,6 +5,7 @@
 
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
+import damsonworks.Await;
 import java.io.BufferedInputStream;
 import java.io.ByteArrayOutputStream;
 import java.io.Closeable;
@@ -20,7 +21,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -99,12 +99,6 @@
                 .thenApply(r -> JsonParser.parseString(r.body()).getAsJsonObject());
     }
 
-    private static void await(BooleanSupplier condition) {
-        while (!condition.getAsBoolean()) {
-            Thread.onSpinWait();
-        }
-    }
-
     private void fault(Fault.Action action, String target, double forMs, double share) {
         fleet.play(List.of(new Fault(0, target, action, forMs, share)), (p, f) -> { });
         fleet.on(() -> null); // the fault's own timer is due, and runs before anything that comes in later
@@ -203,13 +197,7 @@
         assertThatThrownBy(watch::join).isInstanceOf(Exception.class);
         assertThatThrownBy(() -> discovery("").join()).isInstanceOf(Exception.class);
         fault(Fault.Action.DOWN, "discovery", 0, 0);
-        await(() -> {
-            try {
-                return discovery("").join().has("seq");
-            } catch (RuntimeException e) {
-                return false;
-            }
-        });
+        Await.until("discovery is back", () -> discovery("").join().has("seq"));
     }
 
     @Test
@@ -219,7 +207,7 @@
         discovery("").join();
         double told = fleet.now();
         try (Peer node = node(0, 0)) {
-            await(() -> fleet.now() > told + 2 * QUICK.drainGraceMs());
+            Await.until("the grace is over", () -> fleet.now() > told + 2 * QUICK.drainGraceMs());
             node.read("1").line();
         }
         assertThat(fleet.verdict().breaches()).containsOnlyKeys(Oracle.Rule.SENT_AFTER_DRAIN);
@@ -278,7 +266,7 @@
     void aNodeThatLeftRefusesAndIsRemovedFromTheList() throws Exception {
         start(QUICK);
         fault(Fault.Action.LEAVE, "node-0", 0, 0);
-        await(() -> discovery("").join().getAsJsonArray("hosts").size() == 2);
+        Await.until("the node is off the list", () -> discovery("").join().getAsJsonArray("hosts").size() == 2);
         assertThatThrownBy(() -> node(0, 0)).isInstanceOf(IOException.class);
     }
 
@@ -287,7 +275,7 @@
         start(QUICK.withHeld(1));
         InetSocketAddress before = fleet.nodes(0).get("node-0");
         fault(Fault.Action.RESTART, "node-0", 50, 0);
-        await(() -> discovery("").join().getAsJsonArray("hosts").asList().stream().anyMatch(h ->
+        Await.until("the node is born", () -> discovery("").join().getAsJsonArray("hosts").asList().stream().anyMatch(h ->
                 h.getAsJsonObject().get("born_ms").getAsLong() > 0));
         assertThat(fleet.nodes(0).get("node-0")).isEqualTo(before);
         try (Peer node = node(0, 0)) {
@@ -299,7 +287,7 @@
     void aColdNodeThatIsSentTooMuchFallsAndStaysDown() throws Exception {
         start(QUICK.withWork(200, 0));
         fault(Fault.Action.RESTART, "node-0", 0, 0);
-        await(() -> discovery("").join().getAsJsonArray("hosts").asList().stream().anyMatch(h ->
+        Await.until("the node is born", () -> discovery("").join().getAsJsonArray("hosts").asList().stream().anyMatch(h ->
                 h.getAsJsonObject().get("born_ms").getAsLong() > 0));
         try (Peer node = node(0, 0)) {
             StringBuilder flood = new StringBuilder();
@@ -307,7 +295,7 @@
                 flood.append("mg ").append(Keys.key(i)).append(" v O").append(i).append(" Pc=seg-text,d=1000\r\n");
             }
             node.say(flood.toString());
-            await(() -> !fleet.verdict().held());
+            Await.until("the node falls", () -> !fleet.verdict().held());
         }
         assertThat(fleet.verdict().breaches()).containsOnlyKeys(Oracle.Rule.PUSHED_OVER);
         assertThatThrownBy(() -> node(0, 0)).isInstanceOf(IOException.class);
@@ -359,18 +347,19 @@
             }
             assertThat(fleet.on(front::shares)).extracting(FrontLayer.Share::dealt).containsExactly(2L, 2L);
             fault(Fault.Action.RESTART, "node-0", 1000, 0);
-            int ended = 0;
-            while (fleet.on(front::shares).get(0).used()) {
+            int[] ended = {0};
+            Await.until("the front leaves it out", () -> {
                 try (Peer client = new Peer(front.address())) {
-                    ended += client.say("mn\r\n").line() == null ? 1 : 0; // dealt to the dead one
+                    ended[0] += client.say("mn\r\n").line() == null ? 1 : 0; // dealt to the dead one
                 }
-            }
-            assertThat(ended).isPositive();
+                return !fleet.on(front::shares).get(0).used();
+            });
+            assertThat(ended[0]).isPositive();
             try (Peer client = new Peer(front.address()); Peer next = new Peer(front.address())) {
                 assertThat(client.say("mn\r\n").line()).isEqualTo("MN");
                 assertThat(next.say("mn\r\n").line()).isEqualTo("MN");
             }
-            await(() -> fleet.on(front::shares).get(0).used());
+            Await.until("the proxy is back", () -> fleet.on(front::shares).get(0).used());
             long before = fleet.on(front::shares).get(0).dealt();
             try (Peer client = new Peer(front.address()); Peer next = new Peer(front.address())) {
                 assertThat(client.say("mn\r\n").line()).isEqualTo("MN");
