--- /dev/null
+++ b/src/main/java/damsonworks/cli/ControlOption.java
@@ -0,0 +1,17 @@
+package damsonworks.cli;
+
+import damsonworks.control.ControlClient;
+import java.io.IOException;
+import java.nio.file.Path;
+import picocli.CommandLine.Option;
+
+/** Which proxy a command is for. */
+final class ControlOption {
+    @Option(names = "--control", paramLabel = "PATH", required = true,
+            description = "The control socket that the proxy was started with.")
+    private Path path;
+
+    ControlClient connect() throws IOException {
+        return new ControlClient(path);
+    }
+}
--- a/src/main/java/damsonworks/cli/DemoCommand.java
+++ b/src/main/java/damsonworks/cli/DemoCommand.java
@@ -41,6 +41,10 @@
             description = "Clients' connections at most (default: ${DEFAULT-VALUE}).")
     private int connections;
 
+    @Option(names = "--connection-stay", paramLabel = "TIME", defaultValue = "0s",
+            description = "How long clients keep a connection, on average; 0s: for good (default: ${DEFAULT-VALUE}).")
+    private Duration connectionStay;
+
     @Option(names = "--warm-up", paramLabel = "TIME", defaultValue = "1s",
             description = "At the start, held to the rules and not counted (default: ${DEFAULT-VALUE}).")
     private Duration warmUp;
@@ -61,11 +65,13 @@
         try (ProxiedFleet fleet = new ProxiedFleet(fleetSpec, fleetOptions.memoryMb)) {
             out.printf("front at %s; driving %.0f requests a second%n", fleet.front(), traffic.rate);
             Generator.Settings settings = new Generator.Settings(List.of(fleet.front()), fleetSpec.classes(),
-                    connections, 200_000, warmUp.seconds(), 10, traffic.seed);
+                    connections, 1, 200_000, connectionStay.seconds(), warmUp.seconds(), 10, traffic.seed);
             try (Generator generator = new Generator(settings, traffic.workload(fleetSpec.classes()),
                     new OracleObserver(fleet.fleet()))) {
                 fleet.play(faults);
-                Report report = Runs.run(generator, out, () -> broken(fleet.fleet().verdict()));
+                Report report = Runs.run(generator, out, () -> fleet.watch().text()
+                        + broken(fleet.fleet().verdict()));
+                fleet.fleet().awaitGrace();
                 Oracle.Verdict verdict = fleet.fleet().verdict();
                 out.println();
                 out.print(report.text());
@@ -87,6 +93,10 @@
             out.printf("%-10s %6d connections dealt%s%n", fleet.proxies().get(i++).name(), s.dealt(),
                     s.used() ? "" : ", not in use");
         }
+        if (fleet.watch().looks() > 0) {
+            out.printf("drains were looked at %d times, and progress had fallen %d times%n", fleet.watch().looks(),
+                    fleet.watch().backward());
+        }
         out.printf("%,d writes took effect, %,d fetches at the origin, %,d requests went down with a killed proxy%n%n",
                 verdict.effects(), fleet.fleet().fetches(), verdict.excused());
         for (Oracle.Rule rule : Oracle.Rule.values()) {
--- a/src/main/java/damsonworks/cli/LoadCommand.java
+++ b/src/main/java/damsonworks/cli/LoadCommand.java
@@ -59,10 +59,18 @@
             description = "Connections at most; further requests queue behind others (default: ${DEFAULT-VALUE}).")
     private int connections;
 
+    @Option(names = "--depth", paramLabel = "N", defaultValue = "1000000",
+            description = "Requests on one connection at most; more wait, and are charged it (default: no bound).")
+    private int depth;
+
     @Option(names = "--max-outstanding", paramLabel = "N", defaultValue = "200000",
             description = "Requests out at most, the bound on memory (default: ${DEFAULT-VALUE}).")
     private int maxOutstanding;
 
+    @Option(names = "--connection-stay", paramLabel = "TIME", defaultValue = "0s",
+            description = "How long a connection is kept, on average; 0s: for good (default: ${DEFAULT-VALUE}).")
+    private Duration connectionStay;
+
     @Option(names = "--warm-up", paramLabel = "TIME", defaultValue = "0s",
             description = "At the start, sent and not counted (default: ${DEFAULT-VALUE}).")
     private Duration warmUp;
@@ -103,7 +111,7 @@
                 : TrafficClass.mix("seg-text=57,seg-image=38,fix-submit=2.7:unsafe,track-publish=1.8:keyed",
                         deadline.ms());
         Generator.Settings settings = new Generator.Settings(targets.stream().map(Target::address).toList(), classes,
-                connections, maxOutstanding, warmUp.seconds(), maxLag.ms(), traffic.seed);
+                connections, depth, maxOutstanding, connectionStay.seconds(), warmUp.seconds(), maxLag.ms(), traffic.seed);
         Workload workload = trace == null ? traffic.workload(classes)
                 : new TraceWorkload(Files.newInputStream(trace), format, classes, speed);
         try (Generator generator = new Generator(settings, workload, Observer.NONE)) {
--- /dev/null
+++ b/src/main/java/damsonworks/cli/StatusCommand.java
@@ -0,0 +1,62 @@
+package damsonworks.cli;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import damsonworks.control.ControlClient;
+import java.io.PrintWriter;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+
+/** {@code status}: what a running proxy says of itself. */
+@Command(name = "status", mixinStandardHelpOptions = true, sortOptions = false,
+        description = "Shows what a running proxy has open and how a drain goes.",
+        footerHeading = "%nExamples:%n",
+        footer = {"  status --control /run/proxy.sock", "  status --control /run/proxy.sock --watch",
+            "  status --control /run/proxy.sock --json"})
+final class StatusCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+
+    @Mixin
+    private ControlOption control;
+
+    @Option(names = "--watch", description = "Once a second, until interrupted or the proxy ends.")
+    private boolean watch;
+
+    @Option(names = "--json", description = "As JSON, one line each time.")
+    private boolean json;
+
+    @Override
+    public Integer call() throws Exception {
+        PrintWriter out = spec.commandLine().getOut();
+        try (ControlClient client = control.connect()) {
+            do {
+                JsonObject status = client.ask(ControlClient.request("status"));
+                out.println(json ? status.toString() : text(status));
+                out.flush();
+                if (watch) {
+                    TimeUnit.SECONDS.sleep(1);
+                }
+            } while (watch);
+        }
+        return Cli.OK;
+    }
+
+    /** A line a section: its name, then its figures. */
+    static String text(JsonObject status) {
+        StringBuilder s = new StringBuilder();
+        for (Map.Entry<String, JsonElement> section : status.entrySet()) {
+            s.append(String.format("%-8s", section.getKey()));
+            section.getValue().getAsJsonObject().entrySet()
+                    .forEach(e -> s.append(' ').append(e.getKey()).append('=').append(e.getValue().getAsString()));
+            s.append(System.lineSeparator());
+        }
+        return s.toString().stripTrailing();
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/control/ProxyControl.java
@@ -0,0 +1,60 @@
+package damsonworks.control;
+
+import com.google.gson.JsonObject;
+import damsonworks.drain.Drain;
+import damsonworks.proxy.Proxy;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Locale;
+
+/** Hangs a proxy's own status and its drain on a control socket. */
+public final class ProxyControl {
+    private ProxyControl() { }
+
+    /** Opens the socket; not to be called on the event loop. */
+    public static ControlServer open(Proxy proxy, Path path) throws IOException {
+        ControlRegistry registry = new ControlRegistry();
+        long startNanos = System.nanoTime();
+        registry.section("proxy", () -> {
+            Proxy.Status s = proxy.status();
+            JsonObject o = new JsonObject();
+            o.addProperty("name", proxy.name());
+            o.addProperty("pid", ProcessHandle.current().pid());
+            o.addProperty("up_s", (System.nanoTime() - startNanos) / 1_000_000_000L);
+            o.addProperty("clients", s.clients());
+            o.addProperty("owed", s.owed());
+            o.addProperty("answered", s.answered());
+            o.addProperty("upstream", s.upstream());
+            return o;
+        });
+        registry.section("drain", () -> progress(proxy.drainProgress()));
+        registry.command("drain", arguments -> {
+            Drain.Begun begun = proxy.drain(ControlRegistry.number(arguments, "deadline_ms"));
+            JsonObject o = progress(proxy.drainProgress());
+            o.addProperty("already", begun.already());
+            o.addProperty("words", begun.words());
+            return o;
+        });
+        registry.command("drain-cancel", arguments -> {
+            String why = proxy.cancelDrain();
+            if (why != null) {
+                throw new IllegalArgumentException(why);
+            }
+            return progress(proxy.drainProgress());
+        });
+        return new ControlServer(proxy.loop(), path, registry);
+    }
+
+    private static JsonObject progress(Drain.Progress p) {
+        JsonObject o = new JsonObject();
+        o.addProperty("phase", p.phase().name().toLowerCase(Locale.ROOT));
+        o.addProperty("share", p.share());
+        o.addProperty("owed", p.owed());
+        o.addProperty("connections", p.connections());
+        o.addProperty("left_ms", Math.round(p.leftMs()));
+        o.addProperty("deadline_left_ms", Math.round(p.deadlineLeftMs()));
+        o.addProperty("drains", p.drains());
+        o.addProperty("cancels", p.cancels());
+        return o;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/control/SocketFile.java
@@ -0,0 +1,94 @@
+package damsonworks.control;
+
+import java.io.IOException;
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.channels.SocketChannel;
+import java.nio.file.Files;
+import java.nio.file.LinkOption;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.attribute.BasicFileAttributes;
+import java.nio.file.attribute.PosixFilePermissions;
+
+/**
+ * The file of a control socket: nobody but its owner may ever connect, and one that somebody listens on is not taken
+ * away. It is made in a folder of its own that none but the owner may enter, and moved to its place when its mode is
+ * set: bound there, it could be reached before.
+ */
+final class SocketFile {
+    /** What the system lets a local socket's path have (sun_path, less its end), in bytes. */
+    private static final int MAX_PATH = 107;
+
+    private final Path path;
+    private final Path folder;
+    private Object key;
+
+    private SocketFile(Path path, Path folder) {
+        this.path = path;
+        this.folder = folder;
+    }
+
+    /** Makes room for a socket at this path; an IOException says why it can't be had. */
+    static SocketFile prepare(Path wanted) throws IOException {
+        Path path = wanted.toAbsolutePath();
+        if (Files.exists(path, LinkOption.NOFOLLOW_LINKS)) {
+            if (!Files.readAttributes(path, BasicFileAttributes.class,
+                    LinkOption.NOFOLLOW_LINKS).isOther()) {
+                throw new IOException(path + " is there and no socket; name another path");
+            }
+            if (listens(path)) {
+                throw new IOException("somebody listens at " + path + "; is this proxy running already?");
+            }
+        }
+        if (path.getParent() == null || !Files.isDirectory(path.getParent())) {
+            throw new IOException("no folder " + path.getParent() + " for the control socket");
+        }
+        Path folder = Files.createTempDirectory(path.getParent(), ".c",
+                PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rwx------")));
+        SocketFile file = new SocketFile(path, folder);
+        if (file.temporary().toString().getBytes().length > MAX_PATH || path.toString().getBytes().length > MAX_PATH) {
+            Files.delete(folder);
+            throw new IOException("the path " + path + " is too long for a socket; " + MAX_PATH
+                    + " bytes at most, some 25 of them for a temporary folder beside it");
+        }
+        return file;
+    }
+
+    private static boolean listens(Path path) {
+        try (SocketChannel channel = SocketChannel.open(StandardProtocolFamily.UNIX)) {
+            return channel.connect(UnixDomainSocketAddress.of(path));
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    /** Where the socket is to be bound. */
+    Path temporary() {
+        return folder.resolve("s");
+    }
+
+    /** The socket listens: it takes its place. */
+    void publish() throws IOException {
+        Files.setPosixFilePermissions(temporary(), PosixFilePermissions.fromString("rw-------"));
+        key = fileKey(temporary());
+        Files.move(temporary(), path, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        Files.delete(folder);
+    }
+
+    private static Object fileKey(Path of) throws IOException {
+        return Files.readAttributes(of, BasicFileAttributes.class, LinkOption.NOFOLLOW_LINKS)
+                .fileKey();
+    }
+
+    /** Takes the file away if it is still this one. */
+    void remove() {
+        try {
+            if (key != null && key.equals(fileKey(path))) {
+                Files.delete(path);
+            }
+        } catch (IOException e) {
+            // it has gone already
+        }
+    }
+}
--- a/src/main/java/damsonworks/demo/OracleObserver.java
+++ b/src/main/java/damsonworks/demo/OracleObserver.java
@@ -5,9 +5,13 @@
 import damsonworks.fleet.meta.MetaAnswer;
 import damsonworks.load.Observer;
 import damsonworks.load.Planned;
+import java.util.concurrent.TimeUnit;
 
 /** Tells a fleet's oracle what the generator's clients ask and are answered. */
 public final class OracleObserver implements Observer {
+    /** What an answer's way through the event loops may take after its time was noted. */
+    private static final long LOOP_MS = 100;
+
     private final StandInFleet fleet;
 
     /** For this fleet's oracle. */
@@ -40,9 +44,17 @@
         return receipt.matches("v\\d{1,18}") ? Long.parseLong(receipt.substring(1)) : -1;
     }
 
+    /** The rules give an answer some time more than its client does, so the oracle is told when that is over. */
     @Override
     public void unanswered(String id, long endedNanos, long atNanos) {
-        fleet.tell(o -> o.unanswered(id, endedNanos == 0 ? Double.NaN : fleet.at(endedNanos), fleet.at(atNanos)));
+        double ended = endedNanos == 0 ? Double.NaN : fleet.at(endedNanos);
+        fleet.loop().schedule(() -> fleet.tell(o -> o.unanswered(id, ended, fleet.at(atNanos))),
+                (long) fleet.spec().answerGraceMs() + LOOP_MS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void late(String id, MetaAnswer answer, long atNanos) {
+        answered(id, answer, atNanos);
     }
 
     @Override
--- a/src/main/java/damsonworks/demo/ProxiedFleet.java
+++ b/src/main/java/damsonworks/demo/ProxiedFleet.java
@@ -2,10 +2,13 @@
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
+import damsonworks.control.ControlClient;
 import damsonworks.fleet.Fault;
 import damsonworks.fleet.FleetSpec;
 import damsonworks.fleet.FrontLayer;
+import damsonworks.fleet.Sockets;
 import damsonworks.fleet.StandInFleet;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
@@ -26,10 +29,14 @@
 public final class ProxiedFleet implements AutoCloseable {
     /** How much longer than the front's notice a killed proxy's requests may go down with it. */
     private static final double EXCUSE_MS = 1000;
+    private static final long LOOK_MS = 250;
 
     private final StandInFleet fleet;
     private final FrontLayer front;
     private final List<ProxyProcess> proxies = new ArrayList<>();
+    /** The front is a machine of its own, and must not wait for the nodes. */
+    private final MultiThreadIoEventLoopGroup frontGroup = new MultiThreadIoEventLoopGroup(1, Sockets.BEST.io());
+    private final ProxyWatch watch;
     private final int[] turns;
     private final int memoryMb;
     private final Path folder;
@@ -62,7 +69,9 @@
             close();
             throw e;
         }
-        front = new FrontLayer(fleet.loop(), proxies.stream().map(ProxyProcess::listen).toList(), spec.noticeMs());
+        watch = new ProxyWatch(proxies);
+        helper.scheduleWithFixedDelay(watch::look, 0, LOOK_MS, TimeUnit.MILLISECONDS);
+        front = new FrontLayer(frontGroup.next(), proxies.stream().map(ProxyProcess::listen).toList(), spec.noticeMs());
     }
 
     private void write(int proxy) throws IOException {
@@ -82,7 +91,12 @@
 
     /** How connections are spread now. */
     public List<FrontLayer.Share> shares() {
-        return fleet.on(front::shares);
+        return frontGroup.next().submit(front::shares).syncUninterruptibly().getNow();
+    }
+
+    /** What the proxies' control sockets have told. */
+    public ProxyWatch watch() {
+        return watch;
     }
 
     /** The proxies. */
@@ -100,7 +114,7 @@
         double now = fleet.now();
         if (fault.action() == Fault.Action.KILL) {
             fleet.tell(o -> o.excuse(now - 1, now + fleet.spec().noticeMs() + EXCUSE_MS));
-            front.killed(proxy);
+            frontGroup.next().submit(() -> front.killed(proxy)).syncUninterruptibly();
         }
         helper.execute(() -> {
             try {
@@ -109,6 +123,13 @@
                         p.onExit(() -> later(fault.forMs(), () -> restart(proxy)));
                         p.kill();
                     }
+                    case RETIRE -> {
+                        p.onExit(() -> later(0, () -> restart(proxy)));
+                        JsonObject request = ControlClient.request("drain");
+                        request.addProperty("deadline_ms", fault.forMs());
+                        ask(p, request);
+                    }
+                    case RECALL -> ask(p, ControlClient.request("drain-cancel"));
                     case TERM -> {
                         p.onExit(() -> later(0, () -> restart(proxy)));
                         p.terminate();
@@ -124,6 +145,14 @@
         });
     }
 
+    private static void ask(ProxyProcess p, JsonObject request) throws IOException {
+        try (ControlClient client = new ControlClient(p.control())) {
+            client.ask(request);
+        } catch (ControlClient.RefusedException e) {
+            System.err.println(p.name() + ": " + e.getMessage());
+        }
+    }
+
     private void later(double ms, Runnable task) {
         ScheduledExecutorService on = helper;
         if (!on.isShutdown()) {
@@ -151,6 +180,7 @@
             entry.addProperty("name", p.name());
             entry.addProperty("listen", ProxyConfig.text(p.listen()));
             entry.addProperty("config", p.config().toString());
+            entry.addProperty("control", p.control().toString());
             entry.addProperty("pid", p.pid());
             array.add(entry);
         }
@@ -185,6 +215,7 @@
         closed = true;
         helper.shutdownNow();
         proxies.forEach(ProxyProcess::close);
+        frontGroup.shutdownGracefully(0, 2, TimeUnit.SECONDS).syncUninterruptibly();
         fleet.close();
         try (Stream<Path> files = Files.walk(folder)) {
             for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
--- a/src/main/java/damsonworks/demo/ProxyProcess.java
+++ b/src/main/java/damsonworks/demo/ProxyProcess.java
@@ -52,6 +52,11 @@
         return config;
     }
 
+    /** Its control socket. */
+    public Path control() {
+        return folder.resolve("control");
+    }
+
     /** The process's id. */
     public long pid() {
         return process.pid();
@@ -83,7 +88,7 @@
             words.add("-XX:SharedArchiveFile=" + archive);
             words.add("-Xshare:auto");
         }
-        words.addAll(List.of("-cp", path, "damsonworks.Main", "serve"));
+        words.addAll(List.of("-cp", path, "damsonworks.Main", "serve", "--control", control().toString()));
         ProcessBuilder builder = new ProcessBuilder(words).redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile()));
         builder.environment().put("BALANCER_CONFIG", config.toString());
--- /dev/null
+++ b/src/main/java/damsonworks/demo/ProxyWatch.java
@@ -0,0 +1,100 @@
+package damsonworks.demo;
+
+import com.google.gson.JsonObject;
+import damsonworks.control.ControlClient;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Looks at the proxies through their control sockets: who answers how much, how a drain goes, and whether its
+ * progress ever fell. Used by one thread; what it has seen may be read by any.
+ */
+public final class ProxyWatch {
+    private static final class Seen {
+        ControlClient client;
+        long pid;
+        long answered;
+        double perSecond;
+        String phase = "";
+        double share;
+        int drains;
+    }
+
+    private final List<ProxyProcess> proxies;
+    private final List<Seen> seen = new ArrayList<>();
+    private long lastNanos = System.nanoTime();
+    private volatile String text = "";
+    private volatile int backward;
+    private volatile int looks;
+
+    ProxyWatch(List<ProxyProcess> proxies) {
+        this.proxies = proxies;
+        proxies.forEach(p -> seen.add(new Seen()));
+    }
+
+    /** Each proxy's part of the answers, and its drain where one is under way. */
+    public String text() {
+        return text;
+    }
+
+    /** How often a drain's progress stood lower than before. */
+    public int backward() {
+        return backward;
+    }
+
+    /** How often a drain under way was looked at. */
+    public int looks() {
+        return looks;
+    }
+
+    void look() {
+        long now = System.nanoTime();
+        double seconds = (now - lastNanos) / 1e9;
+        lastNanos = now;
+        double all = 0;
+        for (int i = 0; i < seen.size(); i++) {
+            Seen s = seen.get(i);
+            try {
+                if (s.client == null) {
+                    s.client = new ControlClient(proxies.get(i).control());
+                }
+                take(s, s.client.ask(ControlClient.request("status")), seconds);
+            } catch (IOException e) {
+                s.client = null;
+                s.perSecond = 0;
+                s.phase = "away";
+            }
+            all += s.perSecond;
+        }
+        StringBuilder line = new StringBuilder("  parts");
+        for (Seen s : seen) {
+            line.append(String.format(Locale.ROOT, " %3.0f%%", all == 0 ? 0 : 100 * s.perSecond / all));
+            if (!s.phase.equals("serving")) {
+                line.append(s.phase.equals("away") ? " (away)" : String.format(Locale.ROOT, " (%s %.0f%%)", s.phase,
+                        100 * s.share));
+            }
+        }
+        text = line.toString();
+    }
+
+    private void take(Seen s, JsonObject status, double seconds) {
+        JsonObject proxy = status.getAsJsonObject("proxy");
+        long pid = proxy.get("pid").getAsLong();
+        long answered = proxy.get("answered").getAsLong();
+        s.perSecond = pid == s.pid ? (answered - s.answered) / seconds : 0;
+        s.answered = answered;
+        JsonObject drain = status.getAsJsonObject("drain");
+        s.phase = drain.get("phase").getAsString();
+        double share = drain.get("share").getAsDouble();
+        int drains = drain.get("drains").getAsInt();
+        if (!s.phase.equals("serving")) {
+            looks++;
+            backward += pid == s.pid && drains == s.drains && share < s.share ? 1 : 0;
+            s.share = share;
+        }
+        s.drains = drains;
+        s.pid = pid;
+    }
+}
--- a/src/main/java/damsonworks/fleet/Fault.java
+++ b/src/main/java/damsonworks/fleet/Fault.java
@@ -36,6 +36,10 @@
         KILL("proxy", true, false),
         /** A proxy is told to end and started again when it has. */
         TERM("proxy", false, false),
+        /** A proxy is asked to drain within this time, and started again when it has ended. */
+        RETIRE("proxy", true, false),
+        /** A proxy's drain is taken back. */
+        RECALL("proxy", false, false),
         /** A proxy is told to read its configuration again. */
         HUP("proxy", false, false);
 
--- a/src/main/java/damsonworks/fleet/FrontLayer.java
+++ b/src/main/java/damsonworks/fleet/FrontLayer.java
@@ -1,7 +1,10 @@
 package damsonworks.fleet;
 
+import damsonworks.fleet.meta.MetaAnswer;
+import damsonworks.fleet.meta.MetaAnswerDecoder;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -10,11 +13,13 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -23,13 +28,15 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The plain front layer: deals clients' connections out to proxies in turn, and passes bytes both ways. It notices
- * late that a proxy refuses connections, and later that it takes them again; until then it goes on dealing. Belongs
- * to one event loop.
+ * The plain front layer: deals clients' connections out to the proxy that has fewest, and passes bytes both ways. It asks each
+ * proxy whether it serves, and notices late that one has died or drains, and that it serves again; until then it goes
+ * on dealing. Belongs to one event loop.
  */
 public final class FrontLayer implements AutoCloseable {
     private static final int CONNECT_MS = 500;
-    private static final long LOOK_MS = 100;
+    private static final long LOOK_MS = 250;
+    /** A proxy that is asked whether it serves and says nothing for so long does not. */
+    private static final long ANSWER_MS = 2000;
 
     private static final class Target {
         final InetSocketAddress address;
@@ -88,14 +95,17 @@
         }
     }
 
+    /** Of those in use the one with the fewest connections, in turn where they have as many. */
     private Target pick() {
+        Target best = null;
+        turn++;
         for (int i = 0; i < targets.size(); i++) {
-            Target t = targets.get(turn++ % targets.size());
-            if (t.used) {
-                return t;
+            Target t = targets.get((turn + i) % targets.size());
+            if (t.used && (best == null || t.clients.size() < best.clients.size())) {
+                best = t;
             }
         }
-        return targets.get(turn++ % targets.size());
+        return best != null ? best : targets.get(turn % targets.size());
     }
 
     private void accepted(Channel client, int socket) {
@@ -151,11 +161,9 @@
     }
 
     private ChannelFuture connect(Target target, ChannelInitializer<Channel> handler) {
-        ChannelFuture future = new Bootstrap().group(loop).channel(Sockets.BEST.client())
+        return new Bootstrap().group(loop).channel(Sockets.BEST.client())
                 .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS).handler(handler).connect(target.address);
-        future.addListener(f -> seen(target, !f.isSuccess()));
-        return future;
     }
 
     private void seen(Target target, boolean refusing) {
@@ -165,24 +173,63 @@
         }
     }
 
-    /** A proxy is tried when its state differs from what the front goes by, and believed after the notice. */
+    /** Each proxy is asked whether it serves, and believed when it has said the same for the time of the notice. */
     private void look() {
         double now = System.nanoTime() / 1e6;
         for (Target t : targets) {
             if (t.used == t.refusing && now - t.changedMs >= noticeMs) {
                 t.used = !t.refusing;
             }
-            if (t.refusing || !t.used) {
-                ChannelFuture tried = connect(t, new ChannelInitializer<>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        // nothing is asked of it
-                    }
-                });
-                tried.addListener(ChannelFutureListener.CLOSE_ON_FAILURE)
-                        .addListener(f -> tried.channel().close());
+            ask(t);
+        }
+    }
+
+    private void ask(Target target) {
+        connect(target, new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                channel.pipeline().addLast(new MetaAnswerDecoder(), new Answer(target));
+            }
+        }).addListener(f -> {
+            if (!f.isSuccess()) {
+                seen(target, true);
+            }
+        });
+    }
+
+    /** A look at a proxy: it is asked {@code mn}, and whatever else comes of that than {@code MN} is no. */
+    private final class Answer extends SimpleChannelInboundHandler<MetaAnswer> {
+        private final Target target;
+        private boolean told;
+
+        Answer(Target target) {
+            this.target = target;
+        }
+
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            ctx.writeAndFlush(Unpooled.copiedBuffer("mn\r\n", StandardCharsets.ISO_8859_1));
+            ctx.executor().schedule(() -> ctx.close(), ANSWER_MS, TimeUnit.MILLISECONDS);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, MetaAnswer answer) {
+            told = true;
+            seen(target, !(answer instanceof MetaAnswer.Noop));
+            ctx.close();
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            if (!told) {
+                seen(target, true);
             }
         }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
     }
 
     @Override
--- a/src/main/java/damsonworks/fleet/Oracle.java
+++ b/src/main/java/damsonworks/fleet/Oracle.java
@@ -98,11 +98,12 @@
 
     // ---- clients
 
-    /** A client has sent a request; {@code deadlineMs} is the time when it gives up. */
+    /** A client has sent a request, perhaps once more; {@code deadlineMs} is the time when it gives up. */
     public void asked(String id, String key, boolean write, double atMs, double deadlineMs) {
-        requests++;
         Asked before = asked.put(id, new Asked(key, write, atMs, deadlineMs));
-        if (before != null) {
+        if (before == null) {
+            requests++;
+        } else {
             asked.get(id).effects = before.effects;
         }
         forget(atMs);
--- a/src/main/java/damsonworks/fleet/StandInFleet.java
+++ b/src/main/java/damsonworks/fleet/StandInFleet.java
@@ -120,6 +120,11 @@
         return on(oracle::verdict);
     }
 
+    /** Waits until the last requests' grace is over, so that a verdict holds all that the oracle is to be told. */
+    public void awaitGrace() {
+        loop.schedule(() -> { }, (long) spec.answerGraceMs() + 200, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
     /** Fetches that the origin has served so far. */
     public long fetches() {
         return on(origin::fetches);
--- a/src/main/java/damsonworks/load/Connection.java
+++ b/src/main/java/damsonworks/load/Connection.java
@@ -17,7 +17,11 @@
 
 /** One of a generator's connections with the requests on it, in the order in which their answers are due. */
 final class Connection {
+    /** For how long a late answer is listened for. */
+    private static final long OVERDUE_NANOS = 300_000_000;
+
     private final Generator generator;
+    private final long untilNanos;
     private final ArrayDeque<Pending> pending = new ArrayDeque<>(4);
     private final ArrayDeque<Runnable> unsent = new ArrayDeque<>(4);
     private Channel channel;
@@ -26,8 +30,14 @@
     private boolean broken;
     private long answered;
 
-    Connection(Generator generator) {
+    /** {@code untilNanos}: when it is old, and ended between requests. */
+    Connection(Generator generator, long untilNanos) {
         this.generator = generator;
+        this.untilNanos = untilNanos;
+    }
+
+    boolean old() {
+        return untilNanos != Long.MAX_VALUE && System.nanoTime() - untilNanos > 0;
     }
 
     void open(Bootstrap bootstrap, InetSocketAddress to) {
@@ -65,12 +75,13 @@
     /** Whether one more request may go onto it: not behind one that has been given up. */
     boolean usable() {
         Pending head = pending.peek();
-        return !ended && !broken && (head == null || !head.ended);
+        return !ended && !broken && !old() && pending.size() < generator.depth() && (head == null || !head.ended);
     }
 
-    /** Nobody waits for what is on it any more, and an answer is overdue. */
+    /** Nobody waits for what is on it any more, and an answer is long overdue. */
     boolean spent() {
-        return !pending.isEmpty() && pending.stream().allMatch(p -> p.ended);
+        return !pending.isEmpty() && System.nanoTime() - pending.peek().deadlineNanos > OVERDUE_NANOS
+                && pending.stream().allMatch(p -> p.ended);
     }
 
     Pending poll() {
@@ -91,6 +102,7 @@
     }
 
     private void write(Pending p, TrafficClass kind) {
+        generator.written(p);
         long left = Math.max(1, (p.deadlineNanos - System.nanoTime()) / 1_000_000);
         StringBuilder line = new StringBuilder(96);
         line.append(p.planned.write() ? "ms " : "mg ").append(p.planned.key()).append(' ');
--- a/src/main/java/damsonworks/load/Generator.java
+++ b/src/main/java/damsonworks/load/Generator.java
@@ -37,25 +37,27 @@
      * @param targets        in turn, one for each connection that is opened
      * @param classes        as the workload's requests name them by index; each with its deadline
      * @param connections    open at most
+     * @param depth          requests on one connection at most; more wait until one is free
      * @param maxOutstanding requests out or waiting at most, over all connections: memory's bound. Beyond it the
      *                       schedule is late, and the report says so
+     * @param staySeconds    how long a connection is kept, on average, and then ended between requests; 0 for good
      * @param warmUpSeconds  at the start, sent and not counted
      * @param maxLagMs       up to which lag at p99.9 the schedule counts as kept
      * @param seed           of request ids; generators that run side by side want different ones
      */
     public record Settings(List<InetSocketAddress> targets, List<TrafficClass> classes, int connections,
-            int maxOutstanding, double warmUpSeconds, double maxLagMs, long seed) {
+            int depth, int maxOutstanding, double staySeconds, double warmUpSeconds, double maxLagMs, long seed) {
         /** Checks the ranges. */
         public Settings {
             if (targets.isEmpty() || classes.isEmpty()) {
                 throw new IllegalArgumentException("a generator needs a target and a class of requests");
             }
-            if (connections < 1 || connections > 60_000 || maxOutstanding < 1 || maxOutstanding > 5_000_000) {
+            if (connections < 1 || connections > 60_000 || depth < 1 || maxOutstanding < 1 || maxOutstanding > 5_000_000) {
                 throw new IllegalArgumentException(connections + " connections and " + maxOutstanding
                         + " outstanding; it takes 1 to 60,000 and 1 to 5,000,000");
             }
-            if (!(warmUpSeconds >= 0) || !(maxLagMs > 0)) {
-                throw new IllegalArgumentException("a warm-up lasts 0 s or longer, and a lag to keep is above 0 ms");
+            if (!(staySeconds >= 0) || !(warmUpSeconds >= 0) || !(maxLagMs > 0)) {
+                throw new IllegalArgumentException("connections stay and a warm-up lasts 0 s or longer, and a lag to keep is above 0 ms");
             }
         }
     }
@@ -221,7 +223,6 @@
         }
         held++;
         open.get(p.kind()).add(pending);
-        observer.asked(id, p, now, deadline);
         dispatch(pending);
     }
 
@@ -263,7 +264,10 @@
 
     private void connect() {
         InetSocketAddress to = settings.targets().get(targetTurn++ % settings.targets().size());
-        Connection c = new Connection(this);
+        // From half of the stay to one and a half of it, so that connections do not all end together.
+        long until = settings.staySeconds() == 0 ? Long.MAX_VALUE
+                : System.nanoTime() + (long) (settings.staySeconds() * (0.5 + random.nextDouble()) * 1e9);
+        Connection c = new Connection(this, until);
         connections.add(c);
         idle.add(c);
         recorder.opened++;
@@ -272,8 +276,20 @@
 
     // ---- what connections tell
 
+    void written(Pending p) {
+        observer.asked(p.id, p.planned, System.nanoTime(), p.deadlineNanos);
+    }
+
+    int depth() {
+        return settings.depth();
+    }
+
     void freed(Connection c) {
-        idle.add(c);
+        if (c.old()) {
+            c.close();
+        } else {
+            idle.add(c);
+        }
     }
 
     void connectFailed(Connection c, Throwable cause) {
@@ -322,10 +338,11 @@
 
     void answered(Pending p, MetaAnswer answer) {
         held--;
+        long now = System.nanoTime();
         if (p.ended) {
-            return; // its time was up before; the answer is of no use to anyone
+            observer.late(p.id, answer, now);
+            return;
         }
-        long now = System.nanoTime();
         end(p, now);
         observer.answered(p.id, answer, now);
         if (!p.counted) {
@@ -376,7 +393,7 @@
             secondNanos += 1_000_000_000L;
             recorder.second((now - warmNanos) / 1e9);
         }
-        connections.stream().filter(Connection::spent).toList().forEach(Connection::close);
+        connections.stream().filter(c -> c.spent() || c.depth() == 0 && c.old()).toList().forEach(Connection::close);
         if (next == null && open.stream().allMatch(Set::isEmpty)) {
             finish(now);
             return;
--- a/src/main/java/damsonworks/load/Observer.java
+++ b/src/main/java/damsonworks/load/Observer.java
@@ -7,7 +7,7 @@
     /** Watches nothing. */
     Observer NONE = new Observer() { };
 
-    /** A request goes out. */
+    /** A request is written to a connection; once more for each time that it goes out again. */
     default void asked(String id, Planned planned, long atNanos, long deadlineNanos) { }
 
     /** Its answer has come whole. */
@@ -16,6 +16,9 @@
     /** Its time is up without one; {@code endedNanos}: when its connection ended, 0 if it stands or never was. */
     default void unanswered(String id, long endedNanos, long atNanos) { }
 
+    /** An answer has come after its request's time was up. */
+    default void late(String id, MetaAnswer answer, long atNanos) { }
+
     /** An answer has come that nobody waits for, or another than was due. */
     default void unsolicited(MetaAnswer answer, long atNanos) { }
 }
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.ByteToMessageDecoder;
@@ -26,6 +27,7 @@
     private boolean closing;
     private boolean finished;
     private boolean readPaused;
+    private ChannelFuture lastWrite;
     private double activeMs;
 
     ClientConnection(Dispatcher dispatcher) {
@@ -38,9 +40,19 @@
         activeMs = dispatcher.now();
     }
 
-    /** Between requests: nothing owed and nothing begun. */
+    /** Between requests: nothing owed, nothing begun, and all answers handed to the system. */
     boolean idle() {
-        return exchanges.isEmpty() && incoming == null && actualReadableBytes() == 0;
+        return exchanges.isEmpty() && written() && incoming == null && actualReadableBytes() == 0;
+    }
+
+    /** Guards the end of an answer that the client takes slowly: ending our side drops what is not written yet. */
+    private boolean written() {
+        return lastWrite == null || lastWrite.isDone();
+    }
+
+    /** It has been ended from our side. */
+    boolean ending() {
+        return finished;
     }
 
     double activeMs() {
@@ -87,7 +99,7 @@
 
     private void command(String line) throws MetaCodec.SyntaxException {
         if (line.equals("mn")) {
-            say("MN\r\n");
+            say(dispatcher.drainTold() ? "SERVER_ERROR draining\r\n" : "MN\r\n");
             return;
         }
         boolean write = line.startsWith("ms ");
@@ -222,7 +234,7 @@
         Exchange head;
         while (!finished && (head = exchanges.peek()) != null) {
             if (head.answer != null) {
-                ctx.write(head.answer);
+                lastWrite = ctx.write(head.answer);
                 head.answer = null;
                 wrote = true;
             }
@@ -234,9 +246,16 @@
         if (wrote) {
             activeMs = dispatcher.now();
             ctx.flush();
+            if (!written()) {
+                lastWrite.addListener(f -> endIfDue());
+            }
         }
         regulate();
-        if (exchanges.isEmpty() && (closing || dispatcher.draining() && idle())) {
+        endIfDue();
+    }
+
+    private void endIfDue() {
+        if (exchanges.isEmpty() && written() && (closing || dispatcher.draining() && idle())) {
             finish();
         }
     }
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -3,6 +3,7 @@
 import damsonworks.Policy;
 import damsonworks.RoutingApi.Actions;
 import damsonworks.RoutingApi.AttemptEnd;
+import damsonworks.RoutingApi.Effect;
 import damsonworks.RoutingApi.ListKind;
 import damsonworks.RoutingApi.Outcome;
 import damsonworks.RoutingApi.Reports;
@@ -10,6 +11,7 @@
 import damsonworks.RoutingApi.ServiceClass;
 import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.State;
+import damsonworks.drain.Drain;
 import damsonworks.proxy.Exchange.Attempt;
 import damsonworks.proxy.Exchange.Command;
 import damsonworks.proxy.Timers.Timer;
@@ -70,7 +72,11 @@
     private Future<?> sweeper;
     private boolean busy;
     private boolean stopped;
+    /** Connections end after the last answer that they are owed. */
     private boolean draining;
+    /** Clients that ask are told so. */
+    private boolean drainTold;
+    private long answered;
     private double closes = CLOSES_SAVED;
     private double closesAtMs;
     private int nextId;
@@ -170,6 +176,10 @@
         return upstreamCount < maxUpstream;
     }
 
+    int upstreamConnections() {
+        return upstreamCount;
+    }
+
     void openedUpstream() {
         upstreamCount++;
     }
@@ -182,8 +192,52 @@
         return draining;
     }
 
-    void drain() {
-        draining = true;
+    boolean drainTold() {
+        return drainTold;
+    }
+
+    void drain(boolean ending, boolean told) {
+        draining = ending;
+        drainTold = told;
+    }
+
+    /** Requests that have had no final answer. */
+    int owed() {
+        return open.size();
+    }
+
+    /** Requests that have had theirs, or whose clients have gone. */
+    long answered() {
+        return answered;
+    }
+
+    /** A drain's deadline has come: each open request gets its final answer now. */
+    void answerAll() {
+        for (Exchange x : List.copyOf(open.values())) {
+            over(x);
+            tell(() -> module.onGone(now(), x.id, this));
+            if (x.streaming) {
+                x.client.breakOff(x);
+            } else {
+                boolean safe = settings.classes().get(x.serviceClass).effect() == Effect.SAFE;
+                boolean refuse = Drain.mayRefuse(safe, withdraw(x));
+                x.client.answer(x, MetaCodec.text(UnpooledByteBufAllocator.DEFAULT,
+                        refuse ? MetaCodec.BUSY + "\r\n" : MetaCodec.FAILED));
+            }
+            free(x);
+        }
+    }
+
+    /** Gives up all that is out for a request; whether any attempt of it may have run, or may yet. */
+    private boolean withdraw(Exchange x) {
+        boolean ran = false;
+        for (Attempt a : x.attempts) {
+            if (!a.ended) {
+                expire(a);
+            }
+            ran |= a.mayHaveRun;
+        }
+        return ran;
     }
 
     void left(ClientConnection client) {
@@ -307,6 +361,7 @@
             return;
         }
         x.id = ++nextId;
+        x.serviceClass = kind;
         x.dueMs = now + wait;
         exchanges.put(x.id, x);
         double hint = figure(c, "h", Double.NaN);
@@ -375,8 +430,7 @@
 
     void gone(Exchange x) {
         if (!x.over) {
-            x.over = true;
-            stop(x.timer);
+            over(x);
             tell(() -> module.onGone(now(), x.id, this));
             for (Attempt a : x.attempts) {
                 if (a.firstByteMs != 0 && !a.ended) { // the rest of a long value is of no use to anyone
@@ -399,6 +453,7 @@
             return;
         }
         a.ended = true;
+        a.mayHaveRun = outcome.mayHaveRun();
         stop(a.timer);
         double elapsed = (a.firstByteMs != 0 ? a.firstByteMs : now()) - a.sentMs;
         Exchange x = a.exchange;
@@ -459,6 +514,7 @@
 
     private void over(Exchange x) {
         x.over = true;
+        answered++;
         stop(x.timer);
     }
 
--- a/src/main/java/damsonworks/proxy/Exchange.java
+++ b/src/main/java/damsonworks/proxy/Exchange.java
@@ -17,6 +17,8 @@
     UpstreamConnection source;
 
     int id;
+    /** The index of its class in the settings. */
+    int serviceClass;
     double dueMs;
     /** It has had its final answer, or the client has gone: nothing more may be sent for it. */
     boolean over;
@@ -69,6 +71,8 @@
         boolean written;
         /** It has had its one outcome. */
         boolean ended;
+        /** Whether, as it ended, it may have run or may yet. */
+        boolean mayHaveRun;
         /** When the first bytes of a long answer came, else 0. */
         double firstByteMs;
         Timer timer;
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -1,18 +1,11 @@
 package damsonworks.proxy;
 
 import damsonworks.RoutingApi.ServiceClass;
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
+import damsonworks.drain.Drain;
+import damsonworks.drain.DrainPlan;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.WriteBufferWaterMark;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
-import java.util.HashSet;
-import java.util.List;
-import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -20,9 +13,10 @@
 public final class Proxy {
     /** Connections still come so long after SIGTERM, with some room for a slow machine. */
     private static final double LISTEN_ON_MS = 500;
+    /** What an answer may take beyond the longest deadline. */
+    private static final double ANSWER_ROOM_MS = 150;
     /** Descriptors that the JVM, the listening socket, discovery and peers need. */
     private static final int OWN_DESCRIPTORS = 64;
-    private static final int BACKLOG = 512;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
     private final EventLoop loop = group.next();
@@ -30,12 +24,10 @@
     private final Dispatcher dispatcher;
     private final DiscoveryClient discovery;
     private final PeerSocket peers;
-    private final Set<ClientConnection> clients = new HashSet<>();
-    private final int maxClients;
+    private final Acceptor acceptor;
+    private final Drainer drainer;
     private final CountDownLatch ended = new CountDownLatch(1);
-    private final Channel server;
-    private double drainEndsMs;
-    private double listenEndsMs;
+    private volatile Runnable whenEnded = () -> { };
 
     private Proxy(Config config, boolean warm) throws InterruptedException {
         this.config = config;
@@ -44,35 +36,37 @@
         }
         dispatcher = new Dispatcher(loop, config, Transport.BEST.socket());
         peers = new PeerSocket(loop, config, dispatcher::heard);
-        maxClients = Math.max(16, config.sockets() - config.sockets() / 3 - OWN_DESCRIPTORS);
+        acceptor = new Acceptor(dispatcher,
+                Math.max(16, config.sockets() - config.sockets() / 3 - OWN_DESCRIPTORS));
+        drainer = new Drainer(loop, dispatcher, acceptor, this::ended);
         discovery = new DiscoveryClient(loop, config, dispatcher);
         loop.submit(() -> {
-            dispatcher.start(discovery, peers, this::left);
+            dispatcher.start(discovery, peers, acceptor::left);
             discovery.start();
-            loop.scheduleWithFixedDelay(this::sweep, 1, 1, TimeUnit.SECONDS);
+            loop.scheduleWithFixedDelay(acceptor::sweep, 1, 1, TimeUnit.SECONDS);
         }).syncUninterruptibly();
-        server = new ServerBootstrap().group(group).channel(Transport.BEST.server())
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
-                .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(64 << 10, 128 << 10))
-                .childHandler(new ChannelInitializer<>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        accepted(channel);
-                    }
-                }).bind(config.listen()).sync().channel();
-    }
-
-    /** Runs a proxy by the configuration that the environment names, until SIGTERM. */
-    public static void main() {
+        acceptor.listen(group, config.listen());
+    }
+
+    private void ended() {
+        ended.countDown();
+        whenEnded.run();
+    }
+
+    /** Runs a proxy by the configuration that the environment names, until SIGTERM or the end of a drain. */
+    public static Proxy main() {
         Config config = configuration();
         try {
             Proxy proxy = new Proxy(config, true);
             Runtime.getRuntime().addShutdownHook(new Thread(proxy::drain));
             Hangup.on(proxy::reload);
+            // Not on the event loop, which the process's end waits for.
+            proxy.whenEnded = () -> new Thread(() -> System.exit(0), "drained").start();
+            return proxy;
         } catch (Exception e) {
             System.err.println("can't listen on " + config.listen() + ": " + e.getMessage());
             System.exit(1);
+            throw new IllegalStateException(e);
         }
     }
 
@@ -102,54 +96,13 @@
     }
 
     InetSocketAddress address() {
-        return (InetSocketAddress) server.localAddress();
+        return acceptor.address();
     }
 
     InetSocketAddress peerAddress() {
         return peers.address();
     }
 
-    // ---- clients
-
-    /**
-     * A connection that the kernel has accepted counts as taken, so where there are too many the one that has
-     * stood idle longest makes room.
-     */
-    private void accepted(Channel channel) {
-        ClientConnection client = new ClientConnection(dispatcher);
-        channel.pipeline().addLast(client);
-        clients.add(client);
-        if (clients.size() > maxClients) {
-            ClientConnection oldest = null;
-            for (ClientConnection c : clients) {
-                if (c != client && c.idle() && (oldest == null || c.activeMs() < oldest.activeMs())) {
-                    oldest = c;
-                }
-            }
-            if (oldest != null) {
-                oldest.close();
-            } else {
-                server.config().setAutoRead(false);
-            }
-        }
-    }
-
-    private void left(ClientConnection client) {
-        clients.remove(client);
-        if (clients.size() <= maxClients && !server.config().isAutoRead()) {
-            server.config().setAutoRead(true);
-        }
-    }
-
-    private void sweep() {
-        double now = dispatcher.now();
-        for (ClientConnection c : List.copyOf(clients)) {
-            if (c.stalled(now)) {
-                c.close();
-            }
-        }
-    }
-
     // ---- a new configuration
 
     /** Reads the file anew. Only discovery's address may change in service; a file of no use changes nothing. */
@@ -165,20 +118,16 @@
     // ---- the end
 
     /**
-     * Goes on taking connections while they may still come, answers everything, ends each connection between
-     * requests and returns when none is left or no answer could be in time any more.
+     * What SIGTERM begins: goes on taking connections while they may still come, answers everything, ends each
+     * connection between requests, and returns when none is left or no answer could be in time any more.
      */
     void drain() {
         double longest = 0;
         for (ServiceClass c : config.settings().classes()) {
             longest = Math.max(longest, c.deadlineMs());
         }
-        double wait = longest;
-        loop.execute(() -> {
-            listenEndsMs = dispatcher.now() + LISTEN_ON_MS;
-            drainEndsMs = dispatcher.now() + LISTEN_ON_MS + wait + 150;
-            drainOn();
-        });
+        DrainPlan plan = DrainPlan.terminated(LISTEN_ON_MS, longest + ANSWER_ROOM_MS);
+        loop.execute(() -> drainer.begin(plan));
         try {
             ended.await();
         } catch (InterruptedException e) {
@@ -186,24 +135,46 @@
         }
     }
 
-    private void drainOn() {
-        double now = dispatcher.now();
-        if (now >= listenEndsMs) {
-            dispatcher.drain();
-            server.close();
-            for (ClientConnection c : new ArrayList<>(clients)) {
-                if (c.idle()) {
-                    c.finish();
-                }
-            }
-            if (clients.isEmpty() || now >= drainEndsMs) {
-                ended.countDown();
-                return;
-            }
-        }
-        loop.schedule(this::drainOn, 20, TimeUnit.MILLISECONDS);
+    /** Begins a drain that can be watched and taken back, or joins one. On the event loop only. */
+    public Drain.Begun drain(double deadlineMs) {
+        return drainer.begin(DrainPlan.asked(deadlineMs));
+    }
+
+    /** Takes a drain back; null if that was done, else why it can't be. On the event loop only. */
+    public String cancelDrain() {
+        return drainer.cancel();
+    }
+
+    /** How a drain goes. On the event loop only. */
+    public Drain.Progress drainProgress() {
+        return drainer.progress();
+    }
+
+    /** The proxy's name in its configuration. */
+    public String name() {
+        return config.name();
     }
 
+    /** The one event loop that everything runs on. */
+    public EventLoop loop() {
+        return loop;
+    }
+
+    /** What is open now. On the event loop only. */
+    public Status status() {
+        return new Status(acceptor.open(), dispatcher.owed(), dispatcher.answered(), dispatcher.upstreamConnections());
+    }
+
+    /**
+     * What is open.
+     *
+     * @param clients  their connections
+     * @param owed     requests without a final answer
+     * @param answered requests answered since the start
+     * @param upstream connections to nodes and origin
+     */
+    public record Status(int clients, int owed, long answered, int upstream) { }
+
     /** Ends at once; for tests. */
     void close() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
--- a/src/test/java/damsonworks/JarIT.java
+++ b/src/test/java/damsonworks/JarIT.java
@@ -124,6 +124,54 @@
         }
     }
 
+    /** Also through a SIGHUP in its middle; the commands' own ends and the socket's file are looked at. */
+    @Test
+    void aDrainIsAskedForWatchedTakenBackAndEndsTheProcess() throws Exception {
+        int port = freePort();
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, Files.readString(Path.of("src/test/resources/config.json"))
+                .replace("127.0.0.1:0", "127.0.0.1:" + port));
+        Path control = folder.resolve("control");
+        Process process = start("serve", config.toString(), "--control", control.toString());
+        String[] at = {"--control", control.toString()};
+        try (Socket client = connect(port, process)) {
+            BufferedReader in = new BufferedReader(new InputStreamReader(client.getInputStream()));
+            client.getOutputStream().write("mn\r\nm".getBytes()); // half a command holds a drain up
+            assertThat(in.readLine()).isEqualTo("MN");
+            Await.until("the socket is there", () -> Files.exists(control));
+            assertThat(output(0, "status", at)).contains("clients=1", "phase=serving");
+            assertThat(output(0, "drain", at[0], at[1], "--deadline", "60s")).startsWith("draining; ").contains(" s to the deadline");
+            assertThat(output(0, "drain", at[0], at[1], "--deadline", "90s")).contains("under way already");
+            new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+            assertThat(output(0, "status", at)).contains("phase=draining");
+            assertThat(output(0, "drain", at[0], at[1], "--cancel")).contains("in full service");
+            assertThat(output(1, "drain", at[0], at[1], "--cancel")).contains("no drain is under way");
+            assertThat(output(1, "drain", at[0], at[1], "--deadline", "0s")).contains("deadline");
+            client.getOutputStream().write("n\r\nm".getBytes());
+            assertThat(in.readLine()).isEqualTo("MN");
+            Process wait = start("drain", null, at[0], at[1], "--deadline", "60s", "--wait");
+            BufferedReader bar = wait.inputReader();
+            assertThat(bar.readLine()).contains("draining");
+            assertThat(bar.readLine()).startsWith("[").contains("1 connections");
+            client.getOutputStream().write("n\r\n".getBytes());
+            assertThat(in.readLine()).isEqualTo("SERVER_ERROR draining");
+            assertThat(in.readLine()).isNull();
+            assertThat(process.waitFor()).isZero();
+            assertThat(wait.waitFor()).isZero();
+            assertThat(control).doesNotExist();
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
+    private String output(int code, String command, String... flags) throws Exception {
+        Process process = start(command, null, flags);
+        String told = new String(process.getInputStream().readAllBytes())
+                + new String(process.getErrorStream().readAllBytes());
+        assertThat(process.waitFor()).as(told).isEqualTo(code);
+        return told;
+    }
+
     /** The newcomer's second command, through a fault that the rules stand, and a Ctrl-C in the middle. */
     @Test
     void theDemoHoldsItsRulesAndLeavesNothingBehind() throws Exception {
--- a/src/test/java/damsonworks/demo/OracleCatchesTest.java
+++ b/src/test/java/damsonworks/demo/OracleCatchesTest.java
@@ -27,17 +27,18 @@
 class OracleCatchesTest {
     private static final List<TrafficClass> CLASSES = TrafficClass.mix("seg-text=3,fix-submit=1:unsafe", 4000);
     private static final FleetSpec SPEC = FleetSpec.standard(2, 1, 1).withClasses(CLASSES).withWork(0, 0).withHeld(0)
-            .withBounds(1000, 10_000, 1000, 60).withTimes(0, 60_000, 50, 20_000);
+            .withBounds(1000, 10_000, 1000, 60).withTimes(0, 60_000, 50, 1000);
 
     private static Oracle.Verdict drive(StandInFleet fleet, Breach breach, int connections) throws Exception {
         try (BrokenProxy proxy = new BrokenProxy(fleet, breach)) {
-            Generator.Settings settings = new Generator.Settings(List.of(proxy.address()), CLASSES, connections, 10_000,
-                    0, 10, 1);
+            Generator.Settings settings = new Generator.Settings(List.of(proxy.address()), CLASSES, connections, 8, 10_000,
+                    0, 0, 10, 1);
             try (Generator generator = new Generator(settings, new SyntheticWorkload(new SyntheticWorkload.Settings(
                     100, 1, Shape.STEADY, SyntheticWorkload.Arrivals.CONSTANT, 8, 1, 0, 10, CLASSES, 1)),
                     new OracleObserver(fleet))) {
                 assertThat(generator.start().get(50, TimeUnit.SECONDS).requests()).isBetween(99L, 100L);
             }
+            fleet.awaitGrace();
             return fleet.verdict();
         }
     }
--- /dev/null
+++ b/src/test/java/damsonworks/drain/DrainTest.java
@@ -0,0 +1,249 @@
+package damsonworks.drain;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import damsonworks.drain.Drain.Counts;
+import damsonworks.drain.Drain.Orders;
+import damsonworks.drain.Drain.Phase;
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.Tuple;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** The state machine in virtual time. */
+class DrainTest {
+    private final Drain drain = new Drain();
+
+    private static Counts open(int owed, int connections, int idle) {
+        return new Counts(owed, connections, idle, 0);
+    }
+
+    @Test
+    void servingOrdersNothing() {
+        assertThat(drain.tick(0, open(5, 9, 4))).isEqualTo(Orders.NONE);
+        assertThat(drain.draining()).isFalse();
+        assertThat(drain.progress(0).phase()).isEqualTo(Phase.SERVING);
+    }
+
+    @Test
+    void idleConnectionsAreEndedInEvenSteps() {
+        drain.begin(0, DrainPlan.asked(10_000)); // over 2 s
+        int idle = 1000;
+        int most = 0;
+        int half = 0;
+        for (int now = 20; now <= 2000; now += 20) {
+            int end = drain.tick(now, open(0, idle, idle)).endIdle();
+            most = Math.max(most, end);
+            idle -= end;
+            half = now == 1000 ? idle : half;
+        }
+        assertThat(idle).isZero();
+        assertThat(most).isLessThanOrEqualTo(12);
+        assertThat(half).isBetween(480, 520);
+    }
+
+    @Test
+    void connectionsInUseEndAfterTheirAnswerOnceThePaceIsOver() {
+        drain.begin(0, DrainPlan.asked(10_000));
+        assertThat(drain.ending(1999)).isFalse();
+        assertThat(drain.ending(2000)).isTrue();
+        drain.begin(2000, DrainPlan.terminated(500, 1000));
+        assertThat(drain.ending(2499)).isFalse();
+        assertThat(drain.ending(2500)).isTrue();
+    }
+
+    @Test
+    void progressIsWhatIsGoneOfTheMostThatWasOpen() {
+        drain.tick(0, open(10, 90, 80));
+        drain.begin(0, DrainPlan.asked(10_000));
+        drain.tick(20, open(0, 50, 50));
+        assertThat(drain.progress(20).share()).isEqualTo(0.5);
+        drain.tick(40, open(0, 80, 80)); // others came
+        assertThat(drain.progress(40).share()).isEqualTo(0.5);
+        drain.tick(60, open(0, 25, 25));
+        assertThat(drain.progress(60).share()).isEqualTo(0.75);
+        drain.tick(1000, open(0, 25, 25));
+        assertThat(drain.progress(1000).leftMs()).isBetween(1000.0, 1500.0);
+    }
+
+    @Test
+    void drainedMeansThatNothingWasOpenForAWhile() {
+        drain.begin(0, DrainPlan.asked(30_000));
+        assertThat(drain.tick(100, open(0, 0, 0)).exit()).isFalse();
+        assertThat(drain.tick(900, open(1, 1, 0)).exit()).isFalse(); // one came after all
+        assertThat(drain.tick(1000, open(0, 0, 0)).exit()).isFalse();
+        assertThat(drain.tick(1500, open(0, 1, 0)).exit()).isFalse(); // one that asks for nothing is none
+        assertThat(drain.tick(1899, open(0, 0, 0)).exit()).isFalse();
+        assertThat(drain.progress(1899).share()).isLessThan(1);
+        assertThat(drain.tick(1900, open(0, 0, 0))).isEqualTo(new Orders(0, false, false, true));
+        assertThat(drain.progress(1900).phase()).isEqualTo(Phase.DRAINED);
+        assertThat(drain.progress(1900).share()).isEqualTo(1);
+    }
+
+    @Test
+    void atTheDeadlineAllIsAnsweredAndTheProcessEnds() {
+        drain.begin(0, DrainPlan.asked(5000));
+        assertThat(drain.tick(4999, open(2, 3, 0)).answerAll()).isFalse();
+        assertThat(drain.tick(5000, open(2, 3, 0))).isEqualTo(new Orders(0, false, true, true));
+        assertThat(drain.progress(5001).phase()).isEqualTo(Phase.EXPIRED);
+        assertThat(drain.cancel()).contains("too late");
+    }
+
+    @Test
+    void aCancelLeadsBackAndASecondDrainBeginsAnew() {
+        drain.begin(0, DrainPlan.asked(5000));
+        drain.tick(4000, open(2, 3, 1));
+        assertThat(drain.cancel()).isNull();
+        assertThat(drain.cancel()).contains("no drain");
+        assertThat(drain.tick(6000, open(2, 3, 1))).isEqualTo(Orders.NONE);
+        drain.begin(7000, DrainPlan.asked(5000));
+        assertThat(drain.progress(7000).share()).isZero();
+        assertThat(drain.tick(11_999, open(2, 3, 0)).exit()).isFalse();
+        assertThat(drain.progress(11_999).drains()).isEqualTo(2);
+        assertThat(drain.progress(11_999).cancels()).isEqualTo(1);
+    }
+
+    @Test
+    void askedTwiceTheShorterDeadlineHoldsAndIsTold() {
+        assertThat(drain.begin(0, DrainPlan.asked(5000)).already()).isFalse();
+        Drain.Begun longer = drain.begin(1000, DrainPlan.asked(60_000));
+        assertThat(longer.already()).isTrue();
+        assertThat(longer.deadlineLeftMs()).isEqualTo(4000);
+        assertThat(longer.words()).contains("its own deadline is the shorter");
+        assertThat(drain.begin(1000, DrainPlan.asked(500)).words()).contains("shortened");
+        assertThat(drain.tick(1500, open(1, 1, 0)).answerAll()).isTrue();
+    }
+
+    @Test
+    void aTerminationTakesOverAndCantBeTakenBack() {
+        drain.begin(0, DrainPlan.asked(60_000));
+        drain.tick(100, open(1, 5, 4));
+        drain.begin(100, DrainPlan.terminated(500, 1000));
+        assertThat(drain.cancel()).contains("can't be taken back");
+        assertThat(drain.tick(599, open(1, 5, 4))).isEqualTo(new Orders(0, true, false, false));
+        assertThat(drain.tick(600, open(1, 5, 4))).isEqualTo(new Orders(4, false, false, false));
+        assertThat(drain.tick(1600, open(1, 1, 0))).isEqualTo(new Orders(0, false, true, true));
+    }
+
+    @Test
+    void aTerminationLeavesASoonerDeadline() {
+        drain.begin(0, DrainPlan.asked(1000));
+        drain.begin(900, DrainPlan.terminated(500, 1000));
+        assertThat(drain.tick(1000, open(1, 1, 0)).answerAll()).isTrue();
+    }
+
+    @Test
+    void aPlanOfNoSenseIsRefused() {
+        assertThatThrownBy(() -> DrainPlan.asked(0)).hasMessageContaining("deadline");
+        assertThatThrownBy(() -> DrainPlan.asked(Double.NaN)).hasMessageContaining("deadline");
+        assertThatThrownBy(() -> DrainPlan.asked(1e9)).hasMessageContaining("hour");
+    }
+
+    @Test
+    void onlyWhatIsHarmlessToRepeatIsRefused() {
+        assertThat(Drain.mayRefuse(true, true)).isTrue();
+        assertThat(Drain.mayRefuse(false, false)).isTrue();
+        assertThat(Drain.mayRefuse(false, true)).isFalse();
+    }
+
+    // ---- any interleaving
+
+    /** What can happen at one step of 20 ms. */
+    enum Step { NOTHING, CONNECT, REQUEST, ANSWER, CLIENT_LEAVES, DRAIN, DRAIN_SHORT, CANCEL, TERMINATE }
+
+    @Provide
+    Arbitrary<List<Step>> steps() {
+        return Arbitraries.frequency(Tuple.of(6, Step.NOTHING), Tuple.of(4, Step.CONNECT),
+                Tuple.of(4, Step.REQUEST), Tuple.of(4, Step.ANSWER),
+                Tuple.of(1, Step.CLIENT_LEAVES), Tuple.of(1, Step.DRAIN),
+                Tuple.of(1, Step.DRAIN_SHORT), Tuple.of(1, Step.CANCEL),
+                Tuple.of(1, Step.TERMINATE)).list().ofMinSize(50).ofMaxSize(200);
+    }
+
+    /**
+     * A model of the proxy carries the orders out: connections with at most one request each. Whatever happens when:
+     * progress never falls within a drain, the deadline is kept to a step, nothing is taken once it does not listen,
+     * every request is answered once, and after the end nothing is open.
+     */
+    @Property(tries = 500, seed = "21")
+    void everyInterleavingKeepsItsPromises(@ForAll("steps") List<Step> steps,
+            @ForAll @IntRange(min = 0, max = 30) int first) {
+        Drain machine = new Drain();
+        int idle = first;
+        int busy = 0;
+        long taken = 0;
+        long answered = 0;
+        double share = 0;
+        int drains = 0;
+        double bound = Double.POSITIVE_INFINITY;
+        boolean listen = true;
+        boolean exit = false;
+        double now = 0;
+        for (int i = 0; i < steps.size() + 5000 && !exit; i++) {
+            now += 20;
+            Step step = i < steps.size() ? steps.get(i) : i == steps.size() ? Step.TERMINATE : Step.ANSWER;
+            switch (step) {
+                case CONNECT -> idle += listen ? 1 : 0;
+                case REQUEST -> {
+                    if (idle > 0) {
+                        idle--;
+                        busy++;
+                        taken++;
+                    }
+                }
+                case ANSWER -> {
+                    if (busy > 0) {
+                        busy--;
+                        answered++;
+                        idle += machine.ending(now) ? 0 : 1;
+                    }
+                }
+                case CLIENT_LEAVES -> {
+                    idle -= idle > 0 ? 1 : 0;
+                }
+                case DRAIN -> bound = Math.min(bound, now + machine.begin(now, DrainPlan.asked(4000)).deadlineLeftMs());
+                case DRAIN_SHORT ->
+                    bound = Math.min(bound, now + machine.begin(now, DrainPlan.asked(300)).deadlineLeftMs());
+                case TERMINATE ->
+                    bound = Math.min(bound, now + machine.begin(now, DrainPlan.terminated(500, 1000)).deadlineLeftMs());
+                case CANCEL -> {
+                    if (machine.cancel() == null) {
+                        bound = Double.POSITIVE_INFINITY;
+                    }
+                }
+                default -> { }
+            }
+            Orders orders = machine.tick(now, new Counts(busy, idle + busy, idle, answered));
+            assertThat(orders.endIdle()).isBetween(0, idle);
+            idle -= orders.endIdle();
+            listen = orders.listen();
+            exit = orders.exit();
+            if (orders.answerAll()) {
+                answered += busy;
+                busy = 0;
+            }
+            Drain.Progress p = machine.progress(now);
+            if (p.drains() != drains) {
+                drains = p.drains();
+                share = 0;
+            }
+            assertThat(machine.draining()).isEqualTo(p.phase() != Phase.SERVING);
+            if (machine.draining()) {
+                assertThat(p.share()).isBetween(share, 1.0);
+                share = p.share();
+                assertThat(now).isLessThan(bound + 40);
+            } else {
+                assertThat(listen).isTrue();
+            }
+        }
+        assertThat(exit).isTrue();
+        assertThat(busy).isZero();
+        assertThat(answered).isEqualTo(taken);
+    }
+}
--- a/src/test/java/damsonworks/load/GeneratorTest.java
+++ b/src/test/java/damsonworks/load/GeneratorTest.java
@@ -47,7 +47,8 @@
 
     private static Report run(InetSocketAddress to, Workload workload, List<TrafficClass> classes, int connections,
             int outstanding) throws Exception {
-        Generator.Settings settings = new Generator.Settings(List.of(to), classes, connections, outstanding, 0, 10, 1);
+        Generator.Settings settings = new Generator.Settings(List.of(to), classes, connections, 100_000, outstanding, 0, 0, 10,
+                1);
         try (Generator generator = new Generator(settings, workload, Observer.NONE)) {
             return generator.start().get(60, TimeUnit.SECONDS);
         }
@@ -202,6 +203,21 @@
         }
     }
 
+    @Test
+    void connectionsThatAreOldAreEndedBetweenRequests() throws Exception {
+        try (StandInFleet fleet = new StandInFleet(QUICK)) {
+            Generator.Settings settings = new Generator.Settings(List.of(fleet.nodes(0).get("node-0")), reads(20_000),
+                    4, 100, 1000, 0.1, 0, 10, 1);
+            try (Generator generator = new Generator(settings, constant(100, 2, reads(20_000)), Observer.NONE)) {
+                Report r = generator.start().get(60, TimeUnit.SECONDS);
+                sums(r);
+                assertThat(r.served()).isEqualTo(r.requests());
+                assertThat(r.connectionsOpened()).isGreaterThan(10);
+                assertThat(r.resent()).isZero();
+            }
+        }
+    }
+
     @Test
     void anAnswerOutOfTurnIsNobodysAndEndsTheConnection() throws Exception {
         try (ServerSocket mixes = target((s, in) -> {
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/DrainOnRequestTest.java
@@ -0,0 +1,300 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonArray;
+import damsonworks.Await;
+import damsonworks.drain.Drain;
+import damsonworks.drain.Drain.Phase;
+import java.net.ConnectException;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A drain that an operator asks for, on sockets: what is owed is answered, and a cancel gives all of it back. */
+@Timeout(60)
+class DrainOnRequestTest {
+    /** Far beyond what any of it takes. */
+    private static final double LONG_MS = 12_000;
+
+    private static <T> T on(Fleet fleet, Callable<T> what) {
+        return fleet.proxy.loop().submit(what).syncUninterruptibly().getNow();
+    }
+
+    private static Drain.Begun drain(Fleet fleet, double deadlineMs) {
+        return on(fleet, () -> fleet.proxy.drain(deadlineMs));
+    }
+
+    private static Drain.Progress progress(Fleet fleet) {
+        return on(fleet, fleet.proxy::drainProgress);
+    }
+
+    private static void awaitPhase(Fleet fleet, Phase phase) {
+        Await.until("the proxy is " + phase, () -> progress(fleet).phase() == phase);
+    }
+
+    private static String hit(String command) {
+        return "VA 5 O" + FakeServer.id(command) + " h1\r\nhello\r\n";
+    }
+
+    /** A node that answers each command when it is let. */
+    private static FakeServer held(CountDownLatch go) throws Exception {
+        return new FakeServer(c -> {
+            for (String line; (line = c.command()) != null;) {
+                go.await();
+                c.say(hit(line));
+            }
+        });
+    }
+
+    @Test
+    void requestsInLineAreAllAnsweredBeforeTheirConnectionEnds() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        FakeServer node = held(go);
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+            client.read("1");
+            node.next();
+            drain(fleet, LONG_MS);
+            client.read("2").read("3"); // behind the drain, on a connection that is owed an answer
+            Await.until("they are taken", () -> on(fleet, fleet.proxy::status).owed() == 3);
+            go.countDown();
+            for (String id : new String[] {"1", "2", "3"}) {
+                assertThat(client.line()).isEqualTo("VA 5 O" + id);
+                client.line();
+            }
+            assertThat(client.ended()).isTrue();
+            awaitPhase(fleet, Phase.DRAINED);
+            assertThat(progress(fleet).share()).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void aWriteInTheMiddleOfItsValueIsServed() throws Exception {
+        FakeServer origin = new FakeServer(c -> {
+            while (c.request() != null) {
+                c.sayHttp(200, "", "r1");
+            }
+        });
+        try (Fleet fleet = new Fleet().origin(origin).start(); Fleet.Client client = fleet.client()) {
+            client.say("mn\r\nms 7f3a 5 O1 Pc=fix,d=20000\r\nhel");
+            assertThat(client.line()).isEqualTo("MN");
+            drain(fleet, LONG_MS);
+            Await.until("idle connections would have gone", () -> progress(fleet).leftMs() >= 0
+                    && on(fleet, fleet.proxy::status).clients() == 1);
+            client.say("lo\r\n");
+            assertThat(client.line()).isEqualTo("HD O1 cr1");
+            assertThat(client.ended()).isTrue();
+            awaitPhase(fleet, Phase.DRAINED);
+        }
+    }
+
+    @Test
+    void aLongAnswerUnderWayIsPassedOnToItsEnd() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        int length = 300_000;
+        FakeServer node = new FakeServer(c -> {
+            String line = c.command();
+            c.say("VA " + length + " O" + FakeServer.id(line) + " h1\r\n" + "x".repeat(length / 2));
+            go.await();
+            c.say("x".repeat(length / 2) + "\r\n");
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+            client.read("1");
+            assertThat(client.line()).isEqualTo("VA " + length + " O1");
+            drain(fleet, LONG_MS);
+            go.countDown();
+            assertThat(client.bytes(length)).hasSize(length);
+            assertThat(client.line()).isEmpty();
+            assertThat(client.ended()).isTrue();
+        }
+    }
+
+    @Test
+    void newConnectionsAreServedAndThenEndedAndClientsThatAskAreTold() throws Exception {
+        try (Fleet fleet = new Fleet().node(FakeServer.node(DrainOnRequestTest::hit)).start();
+                Fleet.Client busy = fleet.client()) {
+            busy.say("m"); // half a command keeps the drain under way
+            Await.until("it is read", () -> on(fleet, fleet.proxy::status).clients() == 1);
+            drain(fleet, LONG_MS);
+            try (Fleet.Client late = fleet.client()) {
+                late.say("mn\r\n").read("1");
+                assertThat(late.line()).isEqualTo("SERVER_ERROR draining");
+                assertThat(late.line()).isEqualTo("VA 5 O1");
+                late.line();
+                assertThat(late.ended()).isTrue();
+            }
+            busy.say("n\r\n");
+            assertThat(busy.line()).isEqualTo("SERVER_ERROR draining");
+            assertThat(busy.ended()).isTrue();
+        }
+    }
+
+    @Test
+    void aCancelHalfwayGivesFullServiceBackAndASecondDrainWorks() throws Exception {
+        try (Fleet fleet = new Fleet().node(FakeServer.node(DrainOnRequestTest::hit)).start()) {
+            Fleet.Client[] clients = new Fleet.Client[40];
+            for (int i = 0; i < clients.length; i++) {
+                clients[i] = fleet.client();
+                clients[i].say("mn\r\n").line();
+            }
+            drain(fleet, LONG_MS); // its pace is 5 s
+            Await.until("half of them are ended", () -> on(fleet, fleet.proxy::status).clients() <= 20);
+            assertThat(on(fleet, fleet.proxy::cancelDrain)).isNull();
+            int left = on(fleet, fleet.proxy::status).clients();
+            assertThat(left).isPositive();
+            int serving = 0;
+            for (Fleet.Client c : clients) {
+                c.read("c" + serving);
+                if (c.line() != null) {
+                    c.line();
+                    c.say("mn\r\n");
+                    assertThat(c.line()).isEqualTo("MN");
+                    serving++;
+                }
+            }
+            int stay = serving;
+            assertThat(stay).isBetween(1, left);
+            Await.until("what had been ended is gone", () -> on(fleet, fleet.proxy::status).clients() == stay);
+            try (Fleet.Client late = fleet.client()) {
+                late.read("x");
+                assertThat(late.line()).isEqualTo("VA 5 Ox");
+                late.line();
+                late.read("y");
+                assertThat(late.line()).isEqualTo("VA 5 Oy");
+                assertThat(progress(fleet).phase()).isEqualTo(Phase.SERVING);
+                assertThat(drain(fleet, LONG_MS).already()).isFalse();
+            }
+            awaitPhase(fleet, Phase.DRAINED);
+            assertThat(on(fleet, fleet.proxy::cancelDrain)).contains("too late");
+        }
+    }
+
+    /** A refusal says that repeating is harmless: a read gets it, a write that may have run does not. */
+    @Test
+    void atTheDeadlineWhatIsOwedIsAnsweredByTheRules() throws Exception {
+        FakeServer silent = new FakeServer(FakeServer.Connection::awaitEnd);
+        FakeServer origin = new FakeServer(c -> {
+            c.request();
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().node(silent).origin(origin).start(); Fleet.Client read = fleet.client();
+                Fleet.Client write = fleet.client()) {
+            read.read("1");
+            write.say("ms 7f3a 5 O2 Pc=fix,d=20000\r\nhello\r\n");
+            origin.next();
+            Await.until("both are taken", () -> on(fleet, fleet.proxy::status).owed() == 2);
+            double before = System.nanoTime() / 1e6;
+            drain(fleet, 500);
+            assertThat(read.line()).isEqualTo("SERVER_ERROR busy");
+            assertThat(write.line()).isEqualTo("SERVER_ERROR failed");
+            assertThat(System.nanoTime() / 1e6 - before).isBetween(499.0, 15_000.0); // and not at their own deadline
+            assertThat(read.ended()).isTrue();
+            assertThat(write.ended()).isTrue();
+            assertThat(progress(fleet).phase()).isEqualTo(Phase.EXPIRED);
+        }
+    }
+
+    /** Seen: its connection ended as soon as the last answer was in the proxy's own buffer, and cut it off. */
+    @Test
+    void aClientThatReadsSlowlyGetsItsAnswersWhole() throws Exception {
+        int length = 4_000_000;
+        FakeServer node = new FakeServer(c -> {
+            for (String line; (line = c.command()) != null;) {
+                c.say("VA " + length + " O" + FakeServer.id(line) + " h1\r\n" + "x".repeat(length) + "\r\n");
+            }
+        });
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+            for (int i = 0; i < 10; i++) { // more than the system's own buffers take
+                client.read("" + i);
+            }
+            Await.until("all are answered", () -> on(fleet, fleet.proxy::status).answered() == 10);
+            drain(fleet, LONG_MS);
+            Thread end = new Thread(fleet.proxy::drain); // what SIGTERM begins ends connections at once
+            end.start();
+            Await.until("SIGTERM's time to listen is over", () -> {
+                try {
+                    fleet.client().close();
+                    return false;
+                } catch (ConnectException e) {
+                    return true;
+                }
+            });
+            for (int i = 0; i < 10; i++) {
+                assertThat(client.line()).isEqualTo("VA " + length + " O" + i);
+                assertThat(client.bytes(length)).hasSize(length);
+                assertThat(client.line()).isEmpty();
+            }
+            assertThat(client.ended()).isTrue();
+            end.join();
+        }
+    }
+
+    @Test
+    void aClientThatNeverReadsHoldsTheEndBackToTheDeadlineAndNoLonger() throws Exception {
+        int length = 4_000_000;
+        FakeServer node = new FakeServer(c -> {
+            for (String line; (line = c.command()) != null;) {
+                c.say("VA " + length + " O" + FakeServer.id(line) + " h1\r\n" + "x".repeat(length) + "\r\n");
+            }
+        });
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+            for (int i = 0; i < 10; i++) { // more than the system's own buffers take
+                client.read("" + i);
+            }
+            node.next();
+            drain(fleet, 700);
+            awaitPhase(fleet, Phase.EXPIRED);
+            fleet.proxy.drain(); // returns once the proxy has ended
+        }
+    }
+
+    @Test
+    void sigtermDuringADrainTakesOver() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        FakeServer node = held(go);
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+            client.read("1");
+            node.next();
+            drain(fleet, LONG_MS);
+            Thread end = new Thread(fleet.proxy::drain);
+            end.start();
+            Await.until("it can't be taken back", () ->
+                    String.valueOf(on(fleet, fleet.proxy::cancelDrain)).contains("told to end"));
+            go.countDown();
+            assertThat(client.line()).isEqualTo("VA 5 O1");
+            client.line();
+            assertThat(client.ended()).isTrue();
+            end.join();
+        }
+    }
+
+    @Test
+    void theLastServerGoesMeanwhileAndEveryRequestStillHasItsAnswer() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        FakeServer node = held(go);
+        JsonArray gone = new JsonArray();
+        gone.add(Fleet.host("s-00000001", "node-fast", node.dial(), "draining"));
+        CountDownLatch tell = new CountDownLatch(1);
+        FakeServer discovery = new FakeServer(c -> {
+            while (c.request() != null) {
+                tell.await();
+                c.sayHttp(200, "", Fleet.list(42, false, gone).toString());
+            }
+        });
+        try (Fleet fleet = new Fleet().node(node).discovery(discovery).set("discovery", "push").start();
+                Fleet.Client before = fleet.client(); Fleet.Client after = fleet.client()) {
+            before.read("1");
+            node.next();
+            drain(fleet, LONG_MS);
+            tell.countDown();
+            Await.until("discovery has been asked twice", () -> discovery.commands.size() >= 2);
+            after.say("mg 7f3a9c21e0b4d655 v O2 Pc=text,d=1000\r\n");
+            assertThat(after.line()).matches("SERVER_ERROR .*|VA 5 O2");
+            go.countDown();
+            assertThat(before.line()).isEqualTo("VA 5 O1");
+            awaitPhase(fleet, Phase.DRAINED);
+        }
+    }
+}
