--- a/src/main/java/damsonworks/drain/Drain.java
+++ b/src/main/java/damsonworks/drain/Drain.java
@@ -94,10 +94,13 @@
             return new Begun(false, wish.deadlineMs(), "draining");
         }
         double left = deadlineMs - now;
+        if (phase != Phase.DRAINING) {
+            return new Begun(true, 0, "the drain is over; the process ends");
+        }
         boolean shorter = wish.deadlineMs() < left;
-        if (phase == Phase.DRAINING && wish.last() && !plan.last()) {
+        if (wish.last() && !plan.last()) {
             start(now, wish.within(left));
-        } else if (phase == Phase.DRAINING && shorter) {
+        } else if (shorter) {
             deadlineMs = now + wish.deadlineMs();
         }
         return new Begun(true, deadlineMs - now, "a drain was under way already; "
--- a/src/main/java/damsonworks/fleet/CacheNode.java
+++ b/src/main/java/damsonworks/fleet/CacheNode.java
@@ -12,8 +12,6 @@
 import java.util.HashSet;
 import java.util.Random;
 import java.util.Set;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 
 /**
  * A cache node: the meta commands on its sockets (one for each proxy, so that it can tell who sends), one core's
@@ -29,12 +27,10 @@
     private final double speed;
     private final Listener listener;
     private final LruStore store;
-    private final ServiceModel<Runnable> core;
+    private final Service core;
     private final Set<AnswerLine> lines = new HashSet<>();
     private final Random random;
     private ColdStart start;
-    private Future<?> timer;
-    private double timerMs = Double.POSITIVE_INFINITY;
     private double spoiltShare;
     private boolean keepsStale;
     private double heldAtStart;
@@ -47,7 +43,7 @@
         random = new Random(seed);
         FleetSpec spec = fleet.spec();
         store = new LruStore(spec.cacheEntries());
-        core = new ServiceModel<>(1, spec.queue());
+        core = new Service(fleet, new ServiceModel<>(1, spec.queue()), () -> speed * start.share(fleet.now()));
         start = new ColdStart(spec.coldStart(), speed, Double.NEGATIVE_INFINITY);
         heldAtStart = spec.heldAtStart();
         listener = new Listener(fleet.loop(), this::accepted);
@@ -102,9 +98,7 @@
             channel.close();
             return;
         }
-        double now = fleet.now();
-        core.offer(now, () -> { }, fleet.spec().workMs() * HANDSHAKE_WORK, speed * start.share(now));
-        arm();
+        core.offer(() -> { }, fleet.spec().workMs() * HANDSHAKE_WORK);
         AnswerLine line = new AnswerLine(channel, listener);
         lines.add(line);
         channel.closeFuture().addListener(f -> lines.remove(line));
@@ -153,9 +147,7 @@
         };
         if (work == 0) {
             done.run();
-        } else if (core.offer(now, done, work, speed * start.share(now))) {
-            arm();
-        } else {
+        } else if (!core.offer(done, work)) {
             line.answer(slot, text("SERVER_ERROR busy\r\n"));
         }
     }
@@ -190,34 +182,10 @@
         return Unpooled.wrappedBuffer(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
-    // ---- the core's time
-
-    private void arm() {
-        double finish = core.finishMs();
-        if (finish == timerMs) {
-            return;
-        }
-        if (timer != null) {
-            timer.cancel(false);
-        }
-        timerMs = finish;
-        timer = finish == Double.POSITIVE_INFINITY ? null : fleet.loop().schedule(this::advance,
-                (long) (Math.max(0, finish - fleet.now()) * 1e6), TimeUnit.NANOSECONDS);
-    }
-
-    private void advance() {
-        timerMs = Double.POSITIVE_INFINITY;
-        timer = null;
-        double now = fleet.now();
-        core.advance(now, speed * start.share(now)).forEach(Runnable::run);
-        arm();
-    }
-
     // ---- faults
 
     void stall(double ms) {
-        core.stall(fleet.now(), ms);
-        arm();
+        core.stall(ms);
     }
 
     void freeze(boolean on) {
@@ -244,7 +212,6 @@
         listener.shut();
         listener.reset();
         core.clear();
-        arm();
         store.clear();
     }
 
--- a/src/main/java/damsonworks/fleet/Oracle.java
+++ b/src/main/java/damsonworks/fleet/Oracle.java
@@ -61,6 +61,7 @@
         final double atMs;
         final double deadlineMs;
         Ending ending;
+        boolean unanswered;
         double endedMs = Double.NaN;
         int effects;
 
@@ -115,6 +116,9 @@
      */
     public void answered(String id, Ending ending, byte[] value, long version, double atMs) {
         Asked a = asked.get(id);
+        if (a != null && a.unanswered) {
+            return; // lost, and told so; that it comes at last is no second answer
+        }
         if (a == null || a.ending != null) {
             breach(Rule.ANSWERED_TWICE, id + " at " + ms(atMs));
             return;
@@ -169,6 +173,7 @@
             return;
         }
         a.ending = Ending.FAILED;
+        a.unanswered = true;
         a.endedMs = atMs;
         for (double[] excuse : excuses) {
             if (endedMs >= excuse[0] && endedMs <= excuse[1]) {
--- a/src/main/java/damsonworks/fleet/OriginServer.java
+++ b/src/main/java/damsonworks/fleet/OriginServer.java
@@ -20,8 +20,6 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.Future;
-import java.util.concurrent.TimeUnit;
 
 /**
  * The origin: HTTP/1.1, a few slots and a bounded queue. It alone knows a key's version, counts what takes effect,
@@ -37,18 +35,17 @@
 
     private final StandInFleet fleet;
     private final Listener listener;
-    private final ServiceModel<Runnable> slots;
+    private final Service slots;
     private final Map<String, Long> versions = new HashMap<>();
     /** The receipts of keyed writes for as long as repeats are dropped, oldest first. */
     private final Map<String, Receipt> receipts = new LinkedHashMap<>();
     private final Set<AnswerLine> lines = new HashSet<>();
-    private Future<?> timer;
-    private double timerMs = Double.POSITIVE_INFINITY;
     private long fetches;
 
     OriginServer(StandInFleet fleet) {
         this.fleet = fleet;
-        slots = new ServiceModel<>(fleet.spec().originSlots(), fleet.spec().originSlots() * QUEUE_PER_SLOT);
+        int places = fleet.spec().originSlots();
+        slots = new Service(fleet, new ServiceModel<>(places, places * QUEUE_PER_SLOT), () -> 1);
         listener = new Listener(fleet.loop(), this::accepted);
         listener.bind();
     }
@@ -97,9 +94,7 @@
         }
         Runnable run = () -> line.answer(slot, response(200, write ? write(key, id, extras) : read(key, id), false));
         double work = fleet.originWork(id) * (write ? WRITE_WORK : 1);
-        if (slots.offer(fleet.now(), run, work, 1)) {
-            arm();
-        } else {
+        if (!slots.offer(run, work)) {
             line.answer(slot, response(503, "", true));
         }
     }
@@ -139,28 +134,10 @@
         return response;
     }
 
-    private void arm() {
-        double finish = slots.finishMs();
-        if (finish == timerMs) {
-            return;
-        }
-        if (timer != null) {
-            timer.cancel(false);
-        }
-        timerMs = finish;
-        timer = finish == Double.POSITIVE_INFINITY ? null : fleet.loop().schedule(() -> {
-            timerMs = Double.POSITIVE_INFINITY;
-            timer = null;
-            slots.advance(fleet.now(), 1).forEach(Runnable::run);
-            arm();
-        }, (long) (Math.max(0, finish - fleet.now()) * 1e6), TimeUnit.NANOSECONDS);
-    }
-
     // ---- faults
 
     void stall(double ms) {
-        slots.stall(fleet.now(), ms);
-        arm();
+        slots.stall(ms);
     }
 
     void freeze(boolean on) {
--- a/src/test/java/damsonworks/drain/DrainTest.java
+++ b/src/test/java/damsonworks/drain/DrainTest.java
@@ -93,6 +93,7 @@
         assertThat(drain.tick(5000, open(2, 3, 0))).isEqualTo(new Orders(0, false, true, true));
         assertThat(drain.progress(5001).phase()).isEqualTo(Phase.EXPIRED);
         assertThat(drain.cancel()).contains("too late");
+        assertThat(drain.begin(5001, DrainPlan.asked(1000)).words()).contains("is over");
     }
 
     @Test
--- a/src/test/java/damsonworks/fleet/OracleTest.java
+++ b/src/test/java/damsonworks/fleet/OracleTest.java
@@ -46,7 +46,8 @@
         oracle.asked("2", "k", false, 0, 1000);
         oracle.answered("2", FAILED, null, -1, 1051);
         broken(Rule.LOST);
-        assertThat(oracle.verdict().breaches()).containsEntry(Rule.LOST, 2L);
+        oracle.answered("1", SERVED, value("k", 0), -1, 2000); // lost already, and counted once
+        assertThat(oracle.verdict().breaches()).containsOnly(Map.entry(Rule.LOST, 2L));
     }
 
     @Test
--- a/src/test/java/damsonworks/proxy/DrainOnRequestTest.java
+++ b/src/test/java/damsonworks/proxy/DrainOnRequestTest.java
@@ -17,6 +17,7 @@
 class DrainOnRequestTest {
     /** Far beyond what any of it takes. */
     private static final double LONG_MS = 12_000;
+    private static final int LONG_VALUE = 4_000_000;
 
     private static <T> T on(Fleet fleet, Callable<T> what) {
         return fleet.proxy.loop().submit(what).syncUninterruptibly().getNow();
@@ -48,6 +49,14 @@
         });
     }
 
+    private static FakeServer longValues() throws Exception {
+        return new FakeServer(c -> {
+            for (String line; (line = c.command()) != null;) {
+                c.say("VA " + LONG_VALUE + " O" + FakeServer.id(line) + " h1\r\n" + "x".repeat(LONG_VALUE) + "\r\n");
+            }
+        });
+    }
+
     @Test
     void requestsInLineAreAllAnsweredBeforeTheirConnectionEnds() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
@@ -199,12 +208,7 @@
     /** Seen: its connection ended as soon as the last answer was in the proxy's own buffer, and cut it off. */
     @Test
     void aClientThatReadsSlowlyGetsItsAnswersWhole() throws Exception {
-        int length = 4_000_000;
-        FakeServer node = new FakeServer(c -> {
-            for (String line; (line = c.command()) != null;) {
-                c.say("VA " + length + " O" + FakeServer.id(line) + " h1\r\n" + "x".repeat(length) + "\r\n");
-            }
-        });
+        FakeServer node = longValues();
         try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
             for (int i = 0; i < 10; i++) { // more than the system's own buffers take
                 client.read("" + i);
@@ -222,8 +226,8 @@
                 }
             });
             for (int i = 0; i < 10; i++) {
-                assertThat(client.line()).isEqualTo("VA " + length + " O" + i);
-                assertThat(client.bytes(length)).hasSize(length);
+                assertThat(client.line()).isEqualTo("VA " + LONG_VALUE + " O" + i);
+                assertThat(client.bytes(LONG_VALUE)).hasSize(LONG_VALUE);
                 assertThat(client.line()).isEmpty();
             }
             assertThat(client.ended()).isTrue();
@@ -233,12 +237,7 @@
 
     @Test
     void aClientThatNeverReadsHoldsTheEndBackToTheDeadlineAndNoLonger() throws Exception {
-        int length = 4_000_000;
-        FakeServer node = new FakeServer(c -> {
-            for (String line; (line = c.command()) != null;) {
-                c.say("VA " + length + " O" + FakeServer.id(line) + " h1\r\n" + "x".repeat(length) + "\r\n");
-            }
-        });
+        FakeServer node = longValues();
         try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
             for (int i = 0; i < 10; i++) { // more than the system's own buffers take
                 client.read("" + i);
