Find the longest idle connection by a scan again, not by sorting; drop dead code

Four things were dead: Generator.stop (with a comment that said it was used), a parameter, AnswerLine.isEmpty, a call for its side effect in Drain.

Change: one stream of idle connections, with min where one is wanted and sort where several are.

Result: behaviour as before; tests of acceptor, drain, generator and boundaries green.

--- a/src/main/java/damsonworks/cli/Runs.java
+++ b/src/main/java/damsonworks/cli/Runs.java
@@ -16,7 +16,7 @@
 final class Runs {
     private Runs() { }
 
-    /** Runs to the end with a line of progress a second; an interrupt from the keyboard ends it early. */
+    /** Runs to the end with a line of progress a second. */
     static Report run(Generator generator, PrintWriter out, Supplier<String> more) throws Exception {
         CompletableFuture<Report> done = generator.start();
         while (true) {
--- a/src/main/java/damsonworks/drain/Drain.java
+++ b/src/main/java/damsonworks/drain/Drain.java
@@ -40,8 +40,8 @@
     }
 
     /**
-     * How it goes. {@code share} is what is done of what was to do, connections and requests, 0 to 1; it never falls within one drain, and
-     * is 1 only when nothing is left. {@code leftMs} is an estimate, {@code deadlineLeftMs} the bound on it.
+     * How it goes. {@code share} is what is done of what was to do, connections and requests, 0 to 1; it never falls
+     * within one drain, and is 1 only when nothing is left. {@code leftMs} is an estimate, {@code deadlineLeftMs} the bound on it.
      */
     public record Progress(Phase phase, double share, int owed, int connections, double leftMs,
             double deadlineLeftMs, int drains, int cancels) { }
@@ -89,8 +89,7 @@
             drains++;
             start(now, wish);
             share = 0;
-            most = 0;
-            done();
+            most = counts.connections() + counts.owed();
             return new Begun(false, wish.deadlineMs(), "draining");
         }
         double left = deadlineMs - now;
--- a/src/main/java/damsonworks/fleet/AnswerLine.java
+++ b/src/main/java/damsonworks/fleet/AnswerLine.java
@@ -33,10 +33,6 @@
         flush();
     }
 
-    boolean isEmpty() {
-        return slots.isEmpty();
-    }
-
     void flush() {
         if (listener.frozen()) {
             return;
--- a/src/main/java/damsonworks/load/Connection.java
+++ b/src/main/java/damsonworks/load/Connection.java
@@ -51,7 +51,7 @@
         future.addListener(f -> {
             if (!f.isSuccess()) {
                 ended = true;
-                generator.connectFailed(this, f.cause());
+                generator.connectFailed(this);
                 return;
             }
             connected = true;
--- a/src/main/java/damsonworks/load/Generator.java
+++ b/src/main/java/damsonworks/load/Generator.java
@@ -148,11 +148,6 @@
         }
     }
 
-    /** Plans nothing more; what is out is waited for. */
-    public void stop() {
-        loop.execute(() -> next = null);
-    }
-
     /** How the run stands, for a line of progress; may be called from any thread. */
     public Progress progress() {
         return loop.submit(() -> new Progress((System.nanoTime() - startNanos) / 1e9, held, connections.size(),
@@ -292,7 +287,7 @@
         }
     }
 
-    void connectFailed(Connection c, Throwable cause) {
+    void connectFailed(Connection c) {
         recorder.connectErrors++;
         retryNanos = System.nanoTime() + RETRY_NANOS;
         ended(c, false);
--- a/src/main/java/damsonworks/proxy/Acceptor.java
+++ b/src/main/java/damsonworks/proxy/Acceptor.java
@@ -11,10 +11,13 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Stream;
 
 /** The listening socket and the clients' connections that came through it, with their bound. */
 final class Acceptor {
     private static final int BACKLOG = 512;
+    private static final Comparator<ClientConnection> LONGEST_IDLE =
+            Comparator.comparingDouble(ClientConnection::activeMs);
 
     private final Dispatcher dispatcher;
     private final int maxClients;
@@ -53,12 +56,8 @@
         channel.pipeline().addLast(client);
         clients.add(client);
         if (clients.size() > maxClients) {
-            List<ClientConnection> oldest = idle(1, client);
-            if (oldest.isEmpty()) {
-                server.config().setAutoRead(false);
-            } else {
-                oldest.get(0).close();
-            }
+            idleClients().filter(c -> c != client).min(LONGEST_IDLE).ifPresentOrElse(ClientConnection::close,
+                    () -> server.config().setAutoRead(false));
         }
     }
 
@@ -90,16 +89,12 @@
     }
 
     int idle() {
-        int idle = 0;
-        for (ClientConnection c : clients) {
-            idle += c.idle() && !c.ending() ? 1 : 0;
-        }
-        return idle;
+        return (int) idleClients().count();
     }
 
     /** Ends so many connections between requests, those first that have stood idle longest. */
     void endIdle(int many) {
-        idle(many, null).forEach(ClientConnection::finish);
+        idleClients().sorted(LONGEST_IDLE).limit(many).toList().forEach(ClientConnection::finish);
     }
 
     /** Ends all connections, whatever is on them. */
@@ -107,8 +102,7 @@
         List.copyOf(clients).forEach(ClientConnection::finish);
     }
 
-    private List<ClientConnection> idle(int many, ClientConnection not) {
-        return clients.stream().filter(c -> c != not && c.idle() && !c.ending())
-                .sorted(Comparator.comparingDouble(ClientConnection::activeMs)).limit(many).toList();
+    private Stream<ClientConnection> idleClients() {
+        return clients.stream().filter(c -> c.idle() && !c.ending());
     }
 }
