Keep descriptors in reserve in the generator; a lead-in for the demo

A generator that had used up its descriptors broke off, as the virtual machine could then not even load its own files.

A demo at full rate began with everything cold and lost 2 or 3 requests in its first second, which hid whether a drain loses any. The cancel that races the deadline is now also caused over sockets.

--- a/src/main/java/damsonworks/cli/DemoCommand.java
+++ b/src/main/java/damsonworks/cli/DemoCommand.java
@@ -8,6 +8,7 @@
 import damsonworks.fleet.Oracle;
 import damsonworks.load.Generator;
 import damsonworks.load.Report;
+import damsonworks.load.Workload;
 import java.io.PrintWriter;
 import java.nio.file.Path;
 import java.util.List;
@@ -28,6 +29,8 @@
             "", "A script of faults:", "  5s    node-3     stall 2s", "  8s    node-*     spoil 3s 10%%",
             "  10s   discovery  down 8s", "  12s   proxy-1    kill 1s"})
 final class DemoCommand implements Callable<Integer> {
+    private static final double LEAD_IN_SHARE = 0.25;
+
     @Spec
     private CommandSpec spec;
 
@@ -49,6 +52,11 @@
             description = "At the start, held to the rules and not counted (default: ${DEFAULT-VALUE}).")
     private Duration warmUp;
 
+    @Option(names = "--lead-in", paramLabel = "TIME", defaultValue = "0s",
+            description = "Before all that, a quarter of the rate for so long, held to the rules too: a fleet in "
+                    + "service was not started a second ago. Faults count from its end (default: ${DEFAULT-VALUE}).")
+    private Duration leadIn;
+
     @Option(names = "--json", paramLabel = "FILE", description = "Writes figures and histograms.")
     private Path json;
 
@@ -64,10 +72,15 @@
         out.flush();
         try (ProxiedFleet fleet = new ProxiedFleet(fleetSpec, fleetOptions.memoryMb)) {
             out.printf("front at %s; driving %.0f requests a second%n", fleet.front(), traffic.rate);
-            Generator.Settings settings = new Generator.Settings(List.of(fleet.front()), fleetSpec.classes(),
-                    connections, 1, 200_000, connectionStay.seconds(), warmUp.seconds(), 10, traffic.seed);
-            try (Generator generator = new Generator(settings, traffic.workload(fleetSpec.classes()),
-                    new OracleObserver(fleet.fleet()))) {
+            if (leadIn.seconds() > 0) {
+                // Another seed, so that the oracle takes none of its requests for one of the run's.
+                try (Generator generator = generator(fleet, traffic.leadIn(fleetSpec.classes(),
+                        traffic.rate * LEAD_IN_SHARE, leadIn.seconds()), 0, ~traffic.seed)) {
+                    Runs.run(generator, out, () -> "  lead-in");
+                }
+            }
+            try (Generator generator = generator(fleet, traffic.workload(fleetSpec.classes()), warmUp.seconds(),
+                    traffic.seed)) {
                 fleet.play(faults);
                 Report report = Runs.run(generator, out, () -> fleet.watch().text()
                         + broken(fleet.fleet().verdict()));
@@ -82,6 +95,13 @@
         }
     }
 
+    private Generator generator(ProxiedFleet fleet, Workload workload, double warmUpSeconds, long seed) {
+        Generator.Settings settings = new Generator.Settings(List.of(fleet.front()),
+                fleet.fleet().spec().classes(), connections, 1, 200_000, connectionStay.seconds(), warmUpSeconds, 10,
+                seed);
+        return new Generator(settings, workload, new OracleObserver(fleet.fleet()));
+    }
+
     private static String broken(Oracle.Verdict verdict) {
         return verdict.held() ? "" : "  BROKEN " + verdict.breaches();
     }
--- a/src/main/java/damsonworks/cli/TrafficOptions.java
+++ b/src/main/java/damsonworks/cli/TrafficOptions.java
@@ -49,4 +49,10 @@
         return new SyntheticWorkload(new SyntheticWorkload.Settings(rate, length.seconds(), shape, arrivals, keys,
                 zipf, keyStay.seconds(), valueBytes, classes, seed));
     }
+
+    /** Steady traffic over the same keys before the run itself, at another rate. */
+    SyntheticWorkload leadIn(List<TrafficClass> classes, double leadRate, double seconds) {
+        return new SyntheticWorkload(new SyntheticWorkload.Settings(leadRate, seconds, Shape.STEADY, arrivals, keys,
+                zipf, keyStay.seconds(), valueBytes, classes, seed));
+    }
 }
--- a/src/main/java/damsonworks/load/Connection.java
+++ b/src/main/java/damsonworks/load/Connection.java
@@ -49,17 +49,22 @@
         }).connect(to);
         channel = future.channel();
         future.addListener(f -> {
-            if (!f.isSuccess()) {
-                ended = true;
-                generator.connectFailed(this);
-                return;
+            if (f.isSuccess()) {
+                connected = true;
+                unsent.forEach(Runnable::run);
+                unsent.clear();
+            } else {
+                // A socket that could not even be opened has no event loop and tells on another thread.
+                generator.loop().execute(() -> failed(f.cause()));
             }
-            connected = true;
-            unsent.forEach(Runnable::run);
-            unsent.clear();
         });
     }
 
+    private void failed(Throwable cause) {
+        ended = true;
+        generator.connectFailed(this, cause);
+    }
+
     boolean connected() {
         return connected;
     }
--- a/src/main/java/damsonworks/load/Generator.java
+++ b/src/main/java/damsonworks/load/Generator.java
@@ -107,6 +107,8 @@
     private long number;
     private int held;
     private int targetTurn;
+    /** Connections open at most: what was asked, or what the process's descriptors allow. */
+    private int most;
     private long retryNanos;
     private long secondNanos;
     private boolean over;
@@ -117,6 +119,7 @@
         this.workload = workload;
         this.observer = observer;
         random = new SplittableRandom(settings.seed());
+        most = settings.connections();
         settings.classes().forEach(c -> open.add(new LinkedHashSet<>()));
         bootstrap = new Bootstrap().group(loop).channel(Sockets.BEST.client()).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS);
@@ -125,7 +128,8 @@
     /** Opens some connections, then begins; the future has the report when the last request has ended. */
     public CompletableFuture<Report> start() {
         loop.execute(() -> {
-            for (int i = 0; i < Math.min(settings.connections(), 8); i++) {
+            bound(Descriptors.room());
+            for (int i = 0; i < Math.min(most, 8); i++) {
                 connect();
             }
             awaitReady(System.nanoTime() + READY_NANOS);
@@ -236,7 +240,7 @@
                 return c;
             }
         }
-        if (connections.size() < settings.connections() && System.nanoTime() >= retryNanos) {
+        if (connections.size() < most && System.nanoTime() >= retryNanos) {
             connect();
             Connection c = idle.pollLast();
             if (c != null) {
@@ -287,12 +291,24 @@
         }
     }
 
-    void connectFailed(Connection c) {
+    void connectFailed(Connection c, Throwable cause) {
         recorder.connectErrors++;
+        if (Descriptors.usedUp(cause)) {
+            bound(connections.size() - 1); // others have taken what there was to begin with
+        }
         retryNanos = System.nanoTime() + RETRY_NANOS;
         ended(c, false);
     }
 
+    private void bound(int connections) {
+        most = Math.max(1, Math.min(most, connections));
+        recorder.connectionsShort = settings.connections() - most;
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
     /** A connection has ended. Cleanly: what it has not answered goes out once more, as the protocol asks. */
     void ended(Connection c, boolean cleanly) {
         connections.remove(c);
--- a/src/main/java/damsonworks/load/Recorder.java
+++ b/src/main/java/damsonworks/load/Recorder.java
@@ -45,6 +45,8 @@
     long resent;
     long opened;
     long outOfRoom;
+    /** How many connections fewer than asked for the process's descriptors allow. */
+    long connectionsShort;
 
     Recorder() {
         latency.setStartTimeStamp(System.currentTimeMillis());
--- a/src/main/java/damsonworks/load/Report.java
+++ b/src/main/java/damsonworks/load/Report.java
@@ -29,11 +29,12 @@
  * @param keptSchedule whether they went when they were meant to
  * @param seconds      from the first counted request to the last
  * @param lag          how late each request left
+ * @param connectionsShort how many connections fewer than asked for the process's descriptors allowed
  * @param pauses       how late a thread of the generator's own woke: its pauses, which are not the target's
  */
 public record Report(long requests, long served, long refused, long failed, long unanswered, double rateAsked,
         double rateSent, boolean keptSchedule, double seconds, long connectErrors, long resets, long outOfTurn,
-        long resent, long connectionsOpened, long outOfRoom, Histogram latency, Histogram lag, Histogram pauses,
+        long resent, long connectionsOpened, long outOfRoom, long connectionsShort, Histogram latency, Histogram lag, Histogram pauses,
         List<Recorder.Row> rows, Workload.Unreadable unreadable) {
 
     private static final Gson GSON = new GsonBuilder().setPrettyPrinting().create();
@@ -45,7 +46,7 @@
         r.latency.setEndTimeStamp(System.currentTimeMillis());
         r.lag.setEndTimeStamp(System.currentTimeMillis());
         return new Report(r.requests(), r.served, r.refused, r.failed, r.unanswered, rateAsked, rateSent, kept,
-                seconds, r.connectErrors, r.resets, r.outOfTurn, r.resent, r.opened, r.outOfRoom, r.latency, r.lag,
+                seconds, r.connectErrors, r.resets, r.outOfTurn, r.resent, r.opened, r.outOfRoom, r.connectionsShort, r.latency, r.lag,
                 pauses, r.rows(), unreadable);
     }
 
@@ -72,6 +73,7 @@
         o.addProperty("resent", resent);
         o.addProperty("connections_opened", connectionsOpened);
         o.addProperty("out_of_room", outOfRoom);
+        o.addProperty("connections_short", connectionsShort);
         if (unreadable != null) {
             o.add("unreadable_lines", GSON.toJsonTree(unreadable));
         }
@@ -132,6 +134,7 @@
                     o.get("connect_errors").getAsLong(), o.get("resets").getAsLong(),
                     o.get("out_of_turn").getAsLong(), o.get("resent").getAsLong(),
                     o.get("connections_opened").getAsLong(), o.get("out_of_room").getAsLong(),
+                    o.get("connections_short").getAsLong(),
                     decode(h.get("latency").getAsString()), decode(h.get("schedule_lag").getAsString()),
                     decode(h.get("own_pauses").getAsString()), rows, o.has("unreadable_lines")
                             ? GSON.fromJson(o.get("unreadable_lines"), Workload.Unreadable.class) : null);
@@ -174,6 +177,7 @@
             all.resent += r.resent;
             all.opened += r.connectionsOpened;
             all.outOfRoom += r.outOfRoom;
+            all.connectionsShort += r.connectionsShort;
             asked += r.rateAsked;
             sent += r.rateSent;
             seconds = Math.max(seconds, r.seconds);
@@ -204,8 +208,8 @@
 
     private Report withRows(List<Recorder.Row> other) {
         return new Report(requests, served, refused, failed, unanswered, rateAsked, rateSent, keptSchedule, seconds,
-                connectErrors, resets, outOfTurn, resent, connectionsOpened, outOfRoom, latency, lag, pauses, other,
-                unreadable);
+                connectErrors, resets, outOfTurn, resent, connectionsOpened, outOfRoom, connectionsShort, latency, lag, pauses,
+                other, unreadable);
     }
 
     // ---- for people
@@ -232,6 +236,10 @@
         if (outOfRoom > 0) {
             s.append("The bound on outstanding requests was reached; raise --max-outstanding.\n");
         }
+        if (connectionsShort > 0) {
+            s.append(String.format("The process's descriptors allow %,d connections fewer than asked for; raise "
+                    + "ulimit -n.%n", connectionsShort));
+        }
         if (unreadable != null && unreadable.lines() > 0) {
             s.append(String.format("%,d lines of the trace can't be read, the first: %s%n", unreadable.lines(),
                     unreadable.first()));
--- a/src/test/java/damsonworks/JarIT.java
+++ b/src/test/java/damsonworks/JarIT.java
@@ -201,6 +201,24 @@
         }
     }
 
+    /** A target that never answers needs a connection for each request, and there are not as many descriptors. */
+    @Test
+    void aGeneratorShortOfDescriptorsGoesOnWithWhatItHas() throws Exception {
+        Path json = folder.resolve("short.json");
+        try (ServerSocket target = new ServerSocket(0, 500, InetAddress.getByName("127.0.0.1"))) {
+            String load = String.join(" ", "load --target", "127.0.0.1:" + target.getLocalPort(), "--rate 300 --for 2s",
+                    "--connections 500 --depth 1 --deadline 500ms --json", json.toString());
+            Process process = new ProcessBuilder("sh", "-c", "ulimit -n 100; exec '" + System.getProperty("java.home")
+                    + "/bin/java' -jar target/damsonworks.jar " + load).start();
+            String told = new String(process.getInputStream().readAllBytes());
+            assertThat(process.waitFor()).as(told + new String(process.getErrorStream().readAllBytes())).isIn(0, 3);
+            JsonObject report = JsonParser.parseString(Files.readString(json)).getAsJsonObject();
+            assertThat(report.get("requests").getAsLong()).isEqualTo(report.get("unanswered").getAsLong()).isPositive();
+            assertThat(report.get("connections_short").getAsInt()).isGreaterThan(400);
+            assertThat(told).contains("ulimit -n");
+        }
+    }
+
     @Test
     void fleetWritesItsAddressesForScripts() throws Exception {
         Path json = folder.resolve("fleet.json");
--- a/src/test/java/damsonworks/load/GeneratorTest.java
+++ b/src/test/java/damsonworks/load/GeneratorTest.java
@@ -187,6 +187,17 @@
         }
     }
 
+    @Test
+    void descriptorsLeaveARoomAndAReserve() {
+        assertThat(Descriptors.room(100, 40)).isEqualTo(100 - 40 - Descriptors.RESERVE);
+        assertThat(Descriptors.room(50, 45)).isEqualTo(1);
+        assertThat(Descriptors.room(-1, 40)).isEqualTo(Integer.MAX_VALUE);
+        assertThat(Descriptors.room(Long.MAX_VALUE, 40)).isEqualTo(Integer.MAX_VALUE);
+        assertThat(Descriptors.usedUp(new IOException("x", new java.net.SocketException("Too many open files"))))
+                .isTrue();
+        assertThat(Descriptors.usedUp(new java.net.ConnectException("Connection refused"))).isFalse();
+    }
+
     @Test
     void aConnectionClosedCleanlyBetweenRequestsCostsNoAnswer() throws Exception {
         try (ServerSocket closes = target((s, in) -> {
--- a/src/test/java/damsonworks/proxy/DrainOnRequestTest.java
+++ b/src/test/java/damsonworks/proxy/DrainOnRequestTest.java
@@ -8,7 +8,9 @@
 import damsonworks.drain.Drain.Phase;
 import java.net.ConnectException;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -180,6 +182,39 @@
         }
     }
 
+    /** Whichever of them is first: the request has one answer, its own after a cancel and a refusal after the deadline. */
+    @Test
+    void aCancelRacingTheDeadlineLeavesOneOfTheTwo() throws Exception {
+        int deadlineMs = 100;
+        for (int offset = -6; offset <= 6; offset += 2) {
+            CountDownLatch go = new CountDownLatch(1);
+            try (Fleet fleet = new Fleet().node(held(go)).start(); Fleet.Client client = fleet.client()) {
+                client.read("1");
+                Await.until("it is taken", () -> on(fleet, fleet.proxy::status).owed() == 1);
+                CompletableFuture<String> cancelled = new CompletableFuture<>();
+                int after = deadlineMs + offset;
+                on(fleet, () -> {
+                    fleet.proxy.loop().schedule(() -> cancelled.complete(String.valueOf(fleet.proxy.cancelDrain())),
+                            after, TimeUnit.MILLISECONDS);
+                    return fleet.proxy.drain(deadlineMs);
+                });
+                if (cancelled.get(30, TimeUnit.SECONDS).equals("null")) {
+                    assertThat(progress(fleet).phase()).isEqualTo(Phase.SERVING);
+                    go.countDown();
+                    assertThat(client.line()).isEqualTo("VA 5 O1");
+                    client.line();
+                    client.say("mn\r\n");
+                    assertThat(client.line()).isEqualTo("MN");
+                } else {
+                    assertThat(cancelled.get()).contains("too late");
+                    assertThat(client.line()).isEqualTo("SERVER_ERROR busy");
+                    go.countDown(); // and what the node still says goes nowhere
+                    assertThat(client.ended()).isTrue();
+                }
+            }
+        }
+    }
+
     /** A refusal says that repeating is harmless: a read gets it, a write that may have run does not. */
     @Test
     void atTheDeadlineWhatIsOwedIsAnsweredByTheRules() throws Exception {
