Take a reset that only a write sees for a reset, so the generator resends nothing then

A connection's reset may show first in a failed write, after which it ends as if cleanly. What was on it went out once more then, writes too, though they may have been had. Found by turning the condition for a resend round and seeing no test fail: a test now ends a connection cleanly over an unanswered request, and one resets it, and each fails with the condition turned.

--- a/src/main/java/damsonworks/load/Connection.java
+++ b/src/main/java/damsonworks/load/Connection.java
@@ -13,6 +13,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import java.net.InetSocketAddress;
+import java.nio.channels.ClosedChannelException;
 import java.util.ArrayDeque;
 
 /** One of a generator's connections with the requests on it, in the order in which their answers are due. */
@@ -129,7 +130,10 @@
             }
             out.writeByte('\r').writeByte('\n');
         }
-        channel.writeAndFlush(out);
+        channel.writeAndFlush(out).addListener(f -> {
+            // A reset may be seen here and nowhere else; what was on the connection may have been had.
+            broken |= !f.isSuccess() && !(f.cause() instanceof ClosedChannelException);
+        });
     }
 
     private final class Answers extends SimpleChannelInboundHandler<MetaAnswer> {
--- a/src/test/java/damsonworks/load/GeneratorTest.java
+++ b/src/test/java/damsonworks/load/GeneratorTest.java
@@ -13,10 +13,12 @@
 import java.io.ByteArrayInputStream;
 import java.io.IOException;
 import java.io.InputStreamReader;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -24,6 +26,7 @@
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.HdrHistogram.Histogram;
 import org.HdrHistogram.HistogramLogReader;
 import org.junit.jupiter.api.Test;
@@ -184,6 +187,7 @@
             sums(r);
             assertThat(r.unanswered()).isEqualTo(r.requests());
             assertThat(r.resets()).isPositive();
+            assertThat(r.resent()).as("it may have been had").isZero();
         }
     }
 
@@ -193,9 +197,9 @@
         assertThat(Descriptors.room(50, 45)).isEqualTo(1);
         assertThat(Descriptors.room(-1, 40)).isEqualTo(Integer.MAX_VALUE);
         assertThat(Descriptors.room(Long.MAX_VALUE, 40)).isEqualTo(Integer.MAX_VALUE);
-        assertThat(Descriptors.usedUp(new IOException("x", new java.net.SocketException("Too many open files"))))
+        assertThat(Descriptors.usedUp(new IOException("x", new SocketException("Too many open files"))))
                 .isTrue();
-        assertThat(Descriptors.usedUp(new java.net.ConnectException("Connection refused"))).isFalse();
+        assertThat(Descriptors.usedUp(new ConnectException("Connection refused"))).isFalse();
     }
 
     @Test
@@ -214,6 +218,24 @@
         }
     }
 
+    @Test
+    void whatACleanCloseLeavesUnansweredIsSentOnceMore() throws Exception {
+        AtomicInteger connections = new AtomicInteger();
+        try (ServerSocket closes = target((s, in) -> {
+            boolean first = connections.getAndIncrement() == 0;
+            for (String line; (line = in.readLine()) != null && !first;) {
+                s.getOutputStream().write(("VA 2 O" + id(line) + "\r\nhi\r\n").getBytes());
+            }
+            s.shutdownOutput();
+            in.lines().count();
+        })) {
+            Report r = run(at(closes), constant(50, 1, reads(20_000)), reads(20_000), 1, 1000);
+            sums(r);
+            assertThat(r.served()).isEqualTo(r.requests());
+            assertThat(r.resent()).isPositive();
+        }
+    }
+
     @Test
     void connectionsThatAreOldAreEndedBetweenRequests() throws Exception {
         try (StandInFleet fleet = new StandInFleet(QUICK)) {
