--- a/src/test/java/damsonworks/proxy/DrainOnRequestTest.java
+++ b/src/test/java/damsonworks/proxy/DrainOnRequestTest.java
@@ -6,6 +6,7 @@
 import damsonworks.Await;
 import damsonworks.drain.Drain;
 import damsonworks.drain.Drain.Phase;
+import damsonworks.drain.DrainPlan;
 import java.net.ConnectException;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
@@ -182,6 +183,26 @@
         }
     }
 
+    /** It is never seen idle, so the pace does not end it. */
+    @Test
+    void aConnectionInUseEndsWithItsAnswerOnceThePaceIsOver() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        FakeServer node = held(go);
+        double deadlineMs = 10_000;
+        double paceMs = DrainPlan.asked(deadlineMs).paceMs();
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+            client.read("1");
+            node.next();
+            drain(fleet, deadlineMs);
+            Await.until("the pace is over", () -> progress(fleet).deadlineLeftMs() < deadlineMs - paceMs - 200);
+            go.countDown();
+            assertThat(client.line()).isEqualTo("VA 5 O1");
+            client.line();
+            client.say("mn\r\n");
+            assertThat(client.ended()).as("ended with its answer, not some time after").isTrue();
+        }
+    }
+
     /** Whichever of them is first: the request has one answer, its own after a cancel and a refusal after the deadline. */
     @Test
     void aCancelRacingTheDeadlineLeavesOneOfTheTwo() throws Exception {
