Tell a pool of the servers it loses; one way from a list's entry to a server as pools see it

A removal names a server by its number, and the router looked up its name for the pools after it had forgotten it: a pool that selects by host names or labels kept a server that was gone, and one whose name or labels had changed. Nothing was sent there (its connections had been dropped), but attempts were spent on it and the pool counted as serving. What a pool had and does not select any more is now gone for it, whatever the reason. Descriptions go with their list event, as one that waits in line could forget those of the next. Host and Installation made the same Pool.Server twice; now the entry holds it.

--- a/src/main/java/damsonworks/proxy/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/DiscoveryClient.java
@@ -6,6 +6,7 @@
 import damsonworks.RoutingApi.ListKind;
 import damsonworks.RoutingApi.Member;
 import damsonworks.RoutingApi.State;
+import damsonworks.route.Pool;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -44,7 +45,8 @@
     private static final int MAX_LIST = 4 << 20;
     private static final int MAX_LABELS = 64;
 
-    record Host(Member member, SocketAddress dial, String name, Set<String> labels) { }
+    /** An entry of the list, for the module, for connections and for pools. */
+    record Host(Member member, SocketAddress dial, Pool.Server server) { }
 
     private final EventLoop loop;
     private final Config config;
@@ -195,7 +197,8 @@
         double born = h.has("born_ms") ? h.get("born_ms").getAsDouble() : 0;
         int cell = h.has("block") ? h.get("block").getAsInt() : 0;
         return new Host(new Member(id(name), zone, kind, cell, state, weight, born),
-                Config.address(h.get("dial").getAsString()), name, labels(name, h));
+                Config.address(h.get("dial").getAsString()),
+                new Pool.Server(name, config.zones().get(zone), config.kinds().get(kind), labels(name, h)));
     }
 
     /** Words that installations may put on their servers for pools to select by; most have none. */
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -128,8 +128,7 @@
         discovery = source;
         peers = socket;
         listener = clients;
-        router = routing == null ? null
-                : new Router(settings, config.seed(), config.zones(), config.kinds(), routing);
+        router = routing == null ? null : new Router(settings, config.seed(), routing);
         module = router != null ? router : new Policy(settings, config.seed());
         sweeper = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
@@ -331,9 +330,6 @@
             }
             u.dial = h.dial();
             u.bornMs = h.member().bornMs();
-            if (router != null) {
-                router.describe(h.member(), h.name(), h.labels());
-            }
         }
         if (kind == ListKind.FULL || kind == ListKind.CACHED) {
             Set<Integer> named = new HashSet<>();
@@ -344,7 +340,12 @@
                 }
             }
         }
-        tell(() -> module.onList(now(), kind, hosts.stream().map(DiscoveryClient.Host::member).toList(), this));
+        tell(() -> {
+            if (router != null) { // with its event and not before it: another may wait in line
+                hosts.forEach(h -> router.describe(h.member().id(), h.server()));
+            }
+            module.onList(now(), kind, hosts.stream().map(DiscoveryClient.Host::member).toList(), this);
+        });
     }
 
     private void forget(int id) {
--- a/src/main/java/damsonworks/proxy/Installation.java
+++ b/src/main/java/damsonworks/proxy/Installation.java
@@ -31,12 +31,7 @@
 
     /** The servers of the list as it was last had. */
     public List<Pool.Server> servers() {
-        return hosts.stream().map(this::server).toList();
-    }
-
-    private Pool.Server server(DiscoveryClient.Host h) {
-        return new Pool.Server(h.name(), config.zones().get(h.member().zone()), config.kinds().get(h.member().kind()),
-                h.labels());
+        return hosts.stream().map(DiscoveryClient.Host::server).toList();
     }
 
     /** A pool's servers for a key, the one that takes it first; those that drain and the origin are left out. */
@@ -45,14 +40,14 @@
         for (DiscoveryClient.Host h : hosts) {
             Member m = h.member();
             boolean origin = config.settings().aside() && m.kind() == config.settings().originKind();
-            if (m.state() == State.READY && !origin && pool.selects(server(h))) {
+            if (m.state() == State.READY && !origin && pool.selects(h.server())) {
                 own.add(h);
             }
         }
         own.sort(Comparator.comparing(h -> h.member().id(), Integer::compareUnsigned));
         float[] weights = new float[own.size()];
         for (int i = 0; i < weights.length; i++) {
-            weights[i] = pool.weight(server(own.get(i)), own.get(i).member().weight());
+            weights[i] = pool.weight(own.get(i).server(), own.get(i).member().weight());
         }
         float[] multipliers = Carp.multipliers(weights);
         int hash = Carp.keyHash(key(key));
@@ -63,7 +58,7 @@
             order.add(i);
         }
         order.sort(Comparator.comparingDouble(i -> -scores[i]));
-        return order.stream().map(i -> own.get(i).name()).toList();
+        return order.stream().map(i -> own.get(i).server().host()).toList();
     }
 
     /** The module's key: what the text's hexadecimal digits say, else a hash of it that is alike everywhere. */
--- a/src/main/java/damsonworks/proxy/WarmUp.java
+++ b/src/main/java/damsonworks/proxy/WarmUp.java
@@ -3,6 +3,7 @@
 import damsonworks.RoutingApi.ListKind;
 import damsonworks.RoutingApi.Member;
 import damsonworks.RoutingApi.State;
+import damsonworks.route.Pool;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -105,7 +106,8 @@
     }
 
     private static DiscoveryClient.Host host(int id, int kind, SocketAddress dial) {
-        return new DiscoveryClient.Host(new Member(id, 0, kind, 0, State.READY, 1, 0), dial, "", Set.of());
+        return new DiscoveryClient.Host(new Member(id, 0, kind, 0, State.READY, 1, 0), dial,
+                new Pool.Server("", "", "", Set.of()));
     }
 
     /** Answers reads; one in four is a miss. */
--- a/src/main/java/damsonworks/route/Router.java
+++ b/src/main/java/damsonworks/route/Router.java
@@ -129,8 +129,6 @@
 
     private final Settings settings;
     private final long seed;
-    private final List<String> siteNames;
-    private final List<String> kindNames;
     private final Map<Integer, Pool.Server> described = new HashMap<>();
     private final Map<Integer, Member> members = new LinkedHashMap<>();
     private final Map<Integer, Journey> journeys = new HashMap<>();
@@ -146,16 +144,10 @@
     private Map<Route, Way> ways = new HashMap<>();
     private int nextToken;
 
-    /**
-     * Begins with these routes; requests that none matches go to all servers by the settings.
-     *
-     * @param siteNames by the numbers that members name their zones by; likewise the kinds
-     */
-    public Router(Settings settings, long seed, List<String> siteNames, List<String> kindNames, Routing routing) {
+    /** Begins with these routes; requests that none matches go to all servers by the settings. */
+    public Router(Settings settings, long seed, Routing routing) {
         this.settings = settings;
         this.seed = seed;
-        this.siteNames = List.copyOf(siteNames);
-        this.kindNames = List.copyOf(kindNames);
         all = new Lane(Pool.ALL, seed);
         lanes.add(all);
         anyWay = new Way(new Route("", null, Set.of(), Set.of(), Set.of(), "", null, null), all, null,
@@ -242,14 +234,9 @@
 
     // ---- the list
 
-    /** Tells a server's name and labels, before the list event that names it. */
-    public void describe(Member member, String host, Set<String> labels) {
-        described.put(member.id(), new Pool.Server(host, name(siteNames, member.zone()),
-                name(kindNames, member.kind()), labels));
-    }
-
-    private static String name(List<String> names, int number) {
-        return number >= 0 && number < names.size() ? names.get(number) : "";
+    /** Tells what pools select a server by, before the list event that names it. */
+    public void describe(int id, Pool.Server server) {
+        described.put(id, server);
     }
 
     @Override
@@ -275,17 +262,15 @@
         drain(out);
     }
 
-    /** Hands a lane what of the list is its own. */
+    /** Hands a lane what of the list is its own; what it had and has no more is gone for it. */
     private void select(double now, Lane lane, ListKind kind, List<Member> changes, Actions out) {
         List<Member> own = new ArrayList<>();
         for (Member m : changes) {
-            Pool.Server s = described.getOrDefault(m.id(), new Pool.Server("", name(siteNames, m.zone()),
-                    name(kindNames, m.kind()), Set.of()));
-            boolean origin = settings.aside() && m.kind() == settings.originKind();
-            if (lane == all || (origin ? lane.pool.origin() : lane.pool.selects(s))) {
-                float weight = lane.pool.weight(s, m.weight());
-                own.add(weight == m.weight() ? m : new Member(m.id(), m.zone(), m.kind(), m.cell(), m.state(), weight,
-                        m.bornMs()));
+            Pool.Server s = described.get(m.id());
+            if (s != null && (lane == all || (origin(m) ? lane.pool.origin() : lane.pool.selects(s)))) {
+                own.add(with(m, m.state(), lane.pool.weight(s, m.weight())));
+            } else if (lane == all || origin(m) || lane.ready.containsKey(m.id())) {
+                own.add(with(m, State.GONE, m.weight()));
             }
         }
         if (kind != ListKind.CHANGES && kind != ListKind.FAILED) {
@@ -294,7 +279,7 @@
         for (Member m : own) {
             if (m.state() == State.GONE) {
                 lane.ready.remove(m.id());
-            } else if (!settings.aside() || m.kind() != settings.originKind()) {
+            } else if (!origin(m)) {
                 lane.ready.put(m.id(), m.state() == State.READY);
             }
         }
@@ -302,6 +287,15 @@
                 lane.orders(now, out));
     }
 
+    private boolean origin(Member m) {
+        return settings.aside() && m.kind() == settings.originKind();
+    }
+
+    private static Member with(Member m, State state, float weight) {
+        return state == m.state() && weight == m.weight() ? m
+                : new Member(m.id(), m.zone(), m.kind(), m.cell(), state, weight, m.bornMs());
+    }
+
     // ---- requests
 
     /** A request without the text of its key, so that only routes for any key can match. */
--- a/src/test/java/damsonworks/route/RouterRig.java
+++ b/src/test/java/damsonworks/route/RouterRig.java
@@ -80,7 +80,7 @@
         // Writes go to the caches' own servers here, so that their second attempts can be looked at: no origin aside.
         settings = new Settings(0, 4, 0, 2, 2, true, false, -1, Reports.NONE, List.of(), false, 1, true, true, false,
                 copies, true, 3, 500, 100, GRACE_MS, 20, 0.3, 8000, 3, 2000, 10_000, 0, 0, classes, List.of());
-        router = new Router(settings, 42, List.of("east", "west"), List.of("node", "big"), routing);
+        router = new Router(settings, 42, routing);
     }
 
     /** Servers 1 to n; odd ones stand in the west, and each is called {@code s-NUMBER}. */
@@ -103,7 +103,7 @@
                 toldToDrain.putIfAbsent(m.id(), now);
             } else {
                 list.put(m.id(), m);
-                router.describe(m, "s-" + m.id(), Set.of());
+                router.describe(m.id(), new Pool.Server("s-" + m.id(), m.zone() == 0 ? "east" : "west", "node", Set.of()));
                 if (m.state() == State.DRAINING) {
                     toldToDrain.putIfAbsent(m.id(), now);
                 } else {
--- a/src/test/java/damsonworks/route/RouterTest.java
+++ b/src/test/java/damsonworks/route/RouterTest.java
@@ -147,6 +147,24 @@
         assertThat(sent).isBetween(1, 400 * 3 / 10 / 2 + 30);
     }
 
+    /** A pool by names knows no more of a server that is gone than its number. */
+    @Test
+    void aServerThatIsGoneOrIsSelectedNoMoreIsGoneForItsPool() {
+        RouterRig rig = new RouterRig(routing(1, List.of(hosts("a", "s-1", "s-2")), List.of(),
+                route("a", "a*", "a", null, null))).fleet(3);
+        assertThat(rig.router.pools().get(1).servers()).isEqualTo(2);
+        rig.list(ListKind.CHANGES, List.of(RouterRig.member(1, State.GONE, 0)));
+        assertThat(rig.router.pools().get(1).servers()).isEqualTo(1);
+        for (int i = 0; i < 50; i++) {
+            assertThat(rig.out(rig.ask(RouterRig.READ, "a" + i)).server()).isEqualTo(2);
+        }
+        Member two = RouterRig.member(2, State.READY, 0);
+        rig.router.describe(2, new Pool.Server("renamed", "east", "node", Set.of()));
+        rig.router.onList(rig.now, ListKind.CHANGES, List.of(two), rig);
+        assertThat(rig.router.pools().get(1).servers()).isZero();
+        assertThat(rig.of(rig.ask(RouterRig.READ, "a1")).answer).isEqualTo("refused");
+    }
+
     /** All of one pool fails at once: its requests must not push the other's cold server over. */
     @Test
     void whatFallsBackKeepsOffColdServers() {
