Build a reload's route table once and off the event loop; take out what stood twice

A reload built the table of all routes three times, the last time on the event loop, where 10,000 routes hold all requests up. Routing now holds it, made on the thread that reads the file, and a matcher binds an installation's names to it. A request's way is found by its route itself; before, all the route's names were hashed for each request. The router counts versions, which had been handed through four types.

Behaviour is as it was; tests call the new names and assert the same.

--- a/src/jmh/java/damsonworks/RouteMatchBenchmark.java
+++ b/src/jmh/java/damsonworks/RouteMatchBenchmark.java
@@ -37,7 +37,7 @@
     public int routes;
 
     private final String[] keys = new String[KEYS];
-    private RouteTable table;
+    private RouteTable.Matcher matcher;
     private int next;
 
     /** Builds the table, and keys of which one in ten has no route. */
@@ -49,7 +49,7 @@
             all.add(new Route("r" + i, new Glob(key), Set.of(), i % 4 == 2 ? Set.of("seg-text", "seg-image") : Set.of(),
                     Set.of(), "p", null, null));
         }
-        table = new RouteTable(all, List.of(), CLASSES, Routing.FRONTS);
+        matcher = new RouteTable(all).matcher(List.of(), CLASSES, Routing.FRONTS);
         SplittableRandom random = new SplittableRandom(1);
         for (int k = 0; k < KEYS; k++) {
             int i = random.nextInt(routes);
@@ -61,6 +61,6 @@
     @Benchmark
     public Route match() {
         int k = next++ & KEYS - 1;
-        return table.match(keys[k], -1, k & 3, Routing.META);
+        return matcher.match(keys[k], -1, k & 3, Routing.META);
     }
 }
--- a/src/main/java/damsonworks/cli/ConfigCommand.java
+++ b/src/main/java/damsonworks/cli/ConfigCommand.java
@@ -185,7 +185,7 @@
         if (c == null) {
             return Cli.FAILED;
         }
-        Explanation.text(RoutingSections.routing(c, 1), installation, key, kind, tenant, front)
+        Explanation.text(RoutingSections.routing(c), installation, key, kind, tenant, front)
                 .forEach(out()::println);
         out().flush();
         return Cli.OK;
--- a/src/main/java/damsonworks/cli/DemoCommand.java
+++ b/src/main/java/damsonworks/cli/DemoCommand.java
@@ -44,10 +44,6 @@
             description = "Clients' connections at most (default: ${DEFAULT-VALUE}).")
     private int connections;
 
-    @Option(names = "--connection-stay", paramLabel = "TIME", defaultValue = "0s",
-            description = "How long clients keep a connection, on average; 0s: for good (default: ${DEFAULT-VALUE}).")
-    private Duration connectionStay;
-
     @Option(names = "--warm-up", paramLabel = "TIME", defaultValue = "1s",
             description = "At the start, held to the rules and not counted (default: ${DEFAULT-VALUE}).")
     private Duration warmUp;
@@ -97,7 +93,7 @@
 
     private Generator generator(ProxiedFleet fleet, Workload workload, double warmUpSeconds, long seed) {
         Generator.Settings settings = new Generator.Settings(List.of(fleet.front()),
-                fleet.fleet().spec().classes(), connections, 1, 200_000, connectionStay.seconds(), warmUpSeconds, 10,
+                fleet.fleet().spec().classes(), connections, 1, 200_000, traffic.connectionStay.seconds(), warmUpSeconds, 10,
                 seed);
         return new Generator(settings, workload, new OracleObserver(fleet.fleet()));
     }
--- a/src/main/java/damsonworks/cli/LoadCommand.java
+++ b/src/main/java/damsonworks/cli/LoadCommand.java
@@ -32,9 +32,6 @@
             "  load --target 127.0.0.1:11211 --trace day.csv --speed 4 --json out.json",
             "  load merge a.json b.json --html both.html"})
 final class LoadCommand implements Callable<Integer> {
-    /** The generator's own deadline where a class names none, in milliseconds. */
-    private static final String DEADLINE = "5s";
-
     @Spec
     private CommandSpec spec;
 
@@ -46,11 +43,12 @@
     private TrafficOptions traffic;
 
     @Option(names = "--mix", paramLabel = "MIX",
+            defaultValue = "seg-text=57,seg-image=38,fix-submit=2.7:unsafe,track-publish=1.8:keyed",
             description = "Classes as NAME=SHARE[:read|unsafe|keyed[:DEADLINE_MS]], separated by commas "
-                    + "(default: seg-text=57,seg-image=38,fix-submit=2.7:unsafe,track-publish=1.8:keyed).")
+                    + "(default: ${DEFAULT-VALUE}).")
     private String mix;
 
-    @Option(names = "--deadline", paramLabel = "TIME", defaultValue = DEADLINE,
+    @Option(names = "--deadline", paramLabel = "TIME", defaultValue = "5s",
             description = "When a request without answer ends, where its class names no other "
                     + "(default: ${DEFAULT-VALUE}).")
     private Duration deadline;
@@ -67,10 +65,6 @@
             description = "Requests out at most, the bound on memory (default: ${DEFAULT-VALUE}).")
     private int maxOutstanding;
 
-    @Option(names = "--connection-stay", paramLabel = "TIME", defaultValue = "0s",
-            description = "How long a connection is kept, on average; 0s: for good (default: ${DEFAULT-VALUE}).")
-    private Duration connectionStay;
-
     @Option(names = "--warm-up", paramLabel = "TIME", defaultValue = "0s",
             description = "At the start, sent and not counted (default: ${DEFAULT-VALUE}).")
     private Duration warmUp;
@@ -107,11 +101,9 @@
             throw new ParameterException(spec.commandLine(), "--target HOST:PORT is missing");
         }
         PrintWriter out = spec.commandLine().getOut();
-        List<TrafficClass> classes = mix != null ? TrafficClass.mix(mix, deadline.ms())
-                : TrafficClass.mix("seg-text=57,seg-image=38,fix-submit=2.7:unsafe,track-publish=1.8:keyed",
-                        deadline.ms());
+        List<TrafficClass> classes = TrafficClass.mix(mix, deadline.ms());
         Generator.Settings settings = new Generator.Settings(targets.stream().map(Target::address).toList(), classes,
-                connections, depth, maxOutstanding, connectionStay.seconds(), warmUp.seconds(), maxLag.ms(), traffic.seed);
+                connections, depth, maxOutstanding, traffic.connectionStay.seconds(), warmUp.seconds(), maxLag.ms(), traffic.seed);
         Workload workload = trace == null ? traffic.workload(classes)
                 : new TraceWorkload(Files.newInputStream(trace), format, classes, speed);
         try (Generator generator = new Generator(settings, workload, Observer.NONE)) {
--- a/src/main/java/damsonworks/cli/TrafficOptions.java
+++ b/src/main/java/damsonworks/cli/TrafficOptions.java
@@ -41,6 +41,10 @@
             description = "Length of a write's value (default: ${DEFAULT-VALUE}).")
     int valueBytes;
 
+    @Option(names = "--connection-stay", paramLabel = "TIME", defaultValue = "0s",
+            description = "How long a connection is kept, on average; 0s: for good (default: ${DEFAULT-VALUE}).")
+    Duration connectionStay;
+
     @Option(names = "--seed", paramLabel = "N", defaultValue = "1",
             description = "Of all that is drawn; the same gives the same requests (default: ${DEFAULT-VALUE}).")
     long seed;
--- a/src/main/java/damsonworks/config/ConfigFile.java
+++ b/src/main/java/damsonworks/config/ConfigFile.java
@@ -30,7 +30,7 @@
     public static String format(Source source, Problems problems) {
         Problems found = new Problems();
         Document document = Parser.parse(source, found);
-        found.all().forEach(p -> problems.add(p.place(), p.message(), p.fix()));
+        problems.addAll(found);
         return found.none() ? Formatter.format(document) : null;
     }
 
--- a/src/main/java/damsonworks/config/Difference.java
+++ b/src/main/java/damsonworks/config/Difference.java
@@ -21,11 +21,6 @@
     /** What has become of an entry. */
     public enum Kind { ADDED, REMOVED, CHANGED, RENAMED }
 
-    /** The entry, as it is now if it still is. */
-    public Entry entry() {
-        return after != null ? after : before;
-    }
-
     /** All differences, by section and name. */
     public static List<Difference> between(Configuration a, Configuration b) {
         Map<String, Entry> before = keyed(a);
--- a/src/main/java/damsonworks/config/Loader.java
+++ b/src/main/java/damsonworks/config/Loader.java
@@ -100,7 +100,7 @@
             loader.file(root, root.toString(), Parser.start(source));
             Path changed = loader.changed();
             if (changed == null || i == TRIES) {
-                found.all().forEach(p -> problems.add(p.place(), p.message(), p.fix()));
+                problems.addAll(found);
                 if (changed != null) {
                     problems.add(Parser.start(new Source(changed.toString(), "")), "the file changed while the "
                             + "configuration was read, " + TRIES + " times in a row", "try again when it is at rest");
--- a/src/main/java/damsonworks/config/Parser.java
+++ b/src/main/java/damsonworks/config/Parser.java
@@ -192,7 +192,7 @@
         List<Label> labels = new ArrayList<>();
         Token t = ahead();
         while ((t.is(Kind.NAME) || t.is(Kind.STRING)) && t.lineEndsBefore() == 0 && labels.size() < MAX_LABELS) {
-            labels.add(new Label(t.place(), t.text(), t.raw(), t.is(Kind.STRING)));
+            labels.add(new Label(t.place(), t.text(), t.raw()));
             take();
             t = ahead();
         }
@@ -316,7 +316,7 @@
                 take();
                 List<String> before = takeLoose(false);
                 before.removeIf(String::isEmpty);
-                comma = ahead2(Kind.COMMA);
+                comma = takeIfNext(Kind.COMMA);
                 elements.add(new Element(single(t), new Notes(before, trailing())));
                 continue;
             }
@@ -337,7 +337,7 @@
     }
 
     /** Takes a word of this kind if it is next, over comments on the way only if it is. */
-    private boolean ahead2(Kind kind) {
+    private boolean takeIfNext(Kind kind) {
         int i = at;
         while (tokens.get(i).is(Kind.COMMENT)) {
             i++;
--- a/src/main/java/damsonworks/config/Problems.java
+++ b/src/main/java/damsonworks/config/Problems.java
@@ -15,12 +15,12 @@
     private final Set<Problem> all = new LinkedHashSet<>();
     private long more;
 
-    /** Something wrong that no fix can be named for. */
-    public void add(Place place, String message) {
-        add(place, message, null);
+    /** All that others have found, too. */
+    void addAll(Problems others) {
+        others.all().forEach(p -> add(p.place(), p.message(), p.fix()));
     }
 
-    /** Something wrong and what would most likely mend it. */
+    /** Something wrong and what would most likely mend it, null if nothing can be said. */
     public void add(Place place, String message, String fix) {
         if (all.size() < MOST) {
             all.add(new Problem(place, message, fix));
--- a/src/main/java/damsonworks/config/Syntax.java
+++ b/src/main/java/damsonworks/config/Syntax.java
@@ -40,7 +40,7 @@
             List<String> closing) implements Item { }
 
     /** A block's label, a name or a string. */
-    record Label(Place place, String text, String raw, boolean quoted) { }
+    record Label(Place place, String text, String raw) { }
 
     /** What stands behind an equals sign. */
     sealed interface Value permits Text, Word, Quantity, Listing {
--- a/src/main/java/damsonworks/config/edge/Changes.java
+++ b/src/main/java/damsonworks/config/edge/Changes.java
@@ -18,8 +18,8 @@
     /** A few lines for each difference; none if the two mean the same. */
     public static List<String> text(Configuration before, Configuration after) {
         List<String> lines = new ArrayList<>();
-        Routing a = RoutingSections.routing(before, 1);
-        Routing b = RoutingSections.routing(after, 1);
+        Routing a = RoutingSections.routing(before);
+        Routing b = RoutingSections.routing(after);
         for (Difference d : Difference.between(before, after)) {
             lines.add(head(d));
             d.detail().forEach(l -> lines.add("    " + l));
--- a/src/main/java/damsonworks/config/edge/EdgeFile.java
+++ b/src/main/java/damsonworks/config/edge/EdgeFile.java
@@ -30,6 +30,6 @@
         if (!problems.none()) {
             throw new IllegalArgumentException(problems.text() + file + " is not taken");
         }
-        return RoutingSections.routing(configuration, known.version() + 1);
+        return RoutingSections.routing(configuration);
     }
 }
--- a/src/main/java/damsonworks/config/edge/Explanation.java
+++ b/src/main/java/damsonworks/config/edge/Explanation.java
@@ -60,9 +60,9 @@
 
     private static Route match(List<Route> routes, String key, String kind, String tenant, String front) {
         // A name that the request lacks is one that no route knows.
-        RouteTable table = new RouteTable(routes, tenant == null ? List.of() : List.of(tenant),
-                kind == null ? List.of() : List.of(kind), Routing.FRONTS);
-        return table.match(key, 0, 0, Routing.FRONTS.indexOf(front));
+        return new RouteTable(routes).matcher(tenant == null ? List.of() : List.of(tenant),
+                kind == null ? List.of() : List.of(kind), Routing.FRONTS)
+                .match(key, 0, 0, Routing.FRONTS.indexOf(front));
     }
 
     private static String why(Route first, Route second) {
--- a/src/main/java/damsonworks/config/edge/RoutingSections.java
+++ b/src/main/java/damsonworks/config/edge/RoutingSections.java
@@ -174,12 +174,12 @@
     // ---- from entries to routing
 
     /** What a checked configuration sets. */
-    public static Routing routing(Configuration configuration, int version) {
+    public static Routing routing(Configuration configuration) {
         Map<String, Pool> pools = new LinkedHashMap<>();
         configuration.of("pool").forEach(e -> pools.put(e.name(), pool(e)));
         Map<String, RoutePolicy> policies = new LinkedHashMap<>();
         configuration.of("policy").forEach(e -> policies.put(e.name(), policy(e)));
-        return new Routing(version, configuration.hash(), pools, policies, routes(configuration));
+        return new Routing(configuration.hash(), pools, policies, new RouteTable(routes(configuration)));
     }
 
     /** A line for each pool that selects none of these servers. */
--- a/src/main/java/damsonworks/control/ProxyControl.java
+++ b/src/main/java/damsonworks/control/ProxyControl.java
@@ -56,7 +56,7 @@
 
     private static JsonObject routing(Router router) {
         JsonObject o = new JsonObject();
-        o.addProperty("version", router.routing().version());
+        o.addProperty("version", router.version());
         o.addProperty("hash", router.routing().hash());
         JsonArray pools = new JsonArray();
         router.pools().stream().limit(MAX_SHOWN).forEach(p -> {
--- a/src/main/java/damsonworks/load/Report.java
+++ b/src/main/java/damsonworks/load/Report.java
@@ -46,8 +46,8 @@
         r.latency.setEndTimeStamp(System.currentTimeMillis());
         r.lag.setEndTimeStamp(System.currentTimeMillis());
         return new Report(r.requests(), r.served, r.refused, r.failed, r.unanswered, rateAsked, rateSent, kept,
-                seconds, r.connectErrors, r.resets, r.outOfTurn, r.resent, r.opened, r.outOfRoom, r.connectionsShort, r.latency, r.lag,
-                pauses, r.rows(), unreadable);
+                seconds, r.connectErrors, r.resets, r.outOfTurn, r.resent, r.opened, r.outOfRoom,
+                r.connectionsShort, r.latency, r.lag, pauses, r.rows(), unreadable);
     }
 
     // ---- as JSON
--- a/src/main/java/damsonworks/proxy/Config.java
+++ b/src/main/java/damsonworks/proxy/Config.java
@@ -28,9 +28,9 @@
         InetSocketAddress peersAll, JsonObject known, Settings settings, List<String> zones, List<String> kinds,
         double idleCloseMs, int streamsPerConnection) {
 
-    /** What routes may name here. {@code version}: of the routes held, 0 for none. */
-    Known names(int version) {
-        return new Known(version, settings.classes().stream().map(c -> c.name()).toList(),
+    /** What routes may name here. */
+    Known names() {
+        return new Known(settings.classes().stream().map(c -> c.name()).toList(),
                 settings.tenants().stream().map(t -> t.name()).toList(), zones, kinds);
     }
 
--- a/src/main/java/damsonworks/proxy/Installation.java
+++ b/src/main/java/damsonworks/proxy/Installation.java
@@ -26,7 +26,7 @@
 
     /** What routes may name here. */
     public Known known() {
-        return config.names(0);
+        return config.names();
     }
 
     /** The servers of the list as it was last had. */
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -31,14 +31,12 @@
     private final Drainer drainer;
     private final Edge edge;
     private final CountDownLatch ended = new CountDownLatch(1);
-    /** The version of the routes that were last taken; of the thread that reloads. */
-    private int routes = 1;
     private volatile Runnable whenEnded = () -> { };
 
     private Proxy(Config config, Edge edge, boolean warm) throws InterruptedException {
         this.config = config;
         this.edge = edge;
-        Routing routing = edge == null ? null : edge.read(config.names(0));
+        Routing routing = edge == null ? null : edge.read(config.names());
         if (warm) {
             WarmUp.run(loop, config);
         }
@@ -150,8 +148,7 @@
             return;
         }
         try {
-            Routing routing = edge.read(config.names(routes));
-            routes = routing.version();
+            Routing routing = edge.read(config.names());
             loop.execute(() -> dispatcher.route(routing));
         } catch (IllegalArgumentException e) {
             System.err.println(e.getMessage());
--- a/src/main/java/damsonworks/route/Known.java
+++ b/src/main/java/damsonworks/route/Known.java
@@ -5,11 +5,9 @@
 /**
  * What an instance knows and routes may name.
  *
- * @param version of the routes it holds, 0 for none; the next have one more
  * @param classes of requests
  * @param tenants whose requests are told apart; none where they are not
  * @param sites   where servers stand
  * @param kinds   of servers
  */
-public record Known(int version, List<String> classes, List<String> tenants, List<String> sites,
-        List<String> kinds) { }
+public record Known(List<String> classes, List<String> tenants, List<String> sites, List<String> kinds) { }
--- a/src/main/java/damsonworks/route/RouteTable.java
+++ b/src/main/java/damsonworks/route/RouteTable.java
@@ -33,6 +33,7 @@
     /** Two routes that no rule tells apart. */
     public record Conflict(Route first, Route second) { }
 
+    private final List<Route> routes;
     private final Names tenants;
     private final Names classes;
     private final Names fronts;
@@ -51,19 +52,47 @@
     /** Names of the table's own numbers; 0 stands for any and for names that no route knows. */
     private static final class Names {
         private final Map<String, Integer> numbers = new HashMap<>();
-        private final int[] byIndex;
 
-        Names(Collection<Set<String>> named, List<String> known) {
+        Names(Collection<Set<String>> named) {
             named.forEach(set -> set.stream().sorted().forEach(n -> numbers.putIfAbsent(n, numbers.size() + 1)));
-            byIndex = known.stream().mapToInt(n -> numbers.getOrDefault(n, ANY)).toArray();
+        }
+
+        /** The numbers of these, in their order. */
+        int[] byIndex(List<String> known) {
+            return known.stream().mapToInt(n -> numbers.getOrDefault(n, ANY)).toArray();
         }
 
         int[] of(Set<String> names) {
             return names.isEmpty() ? new int[] {ANY} : names.stream().mapToInt(numbers::get).toArray();
         }
+    }
+
+    /** Finds routes for requests that name tenant, class and front by their index in lists of the installation. */
+    public static final class Matcher {
+        private final RouteTable table;
+        private final int[] tenants;
+        private final int[] classes;
+        private final int[] fronts;
+
+        private Matcher(RouteTable table, int[] tenants, int[] classes, int[] fronts) {
+            this.table = table;
+            this.tenants = tenants;
+            this.classes = classes;
+            this.fronts = fronts;
+        }
 
-        int at(int index) {
-            return index >= 0 && index < byIndex.length ? byIndex[index] : ANY;
+        /**
+         * The route of a request, or null if none matches.
+         *
+         * @param tenant index in the list of tenants, likewise class and front; any other number is a name no route
+         *               knows
+         */
+        public Route match(CharSequence key, int tenant, int kind, int front) {
+            return table.match(key, at(tenants, tenant), at(classes, kind), at(fronts, front));
+        }
+
+        private static int at(int[] numbers, int index) {
+            return index >= 0 && index < numbers.length ? numbers[index] : ANY;
         }
     }
 
@@ -174,22 +203,18 @@
         boolean forLonger() {
             return !empty() || patterns.length > 0;
         }
-
     }
 
-    /**
-     * For requests that name class, tenant and front by their index in these lists. An IllegalArgumentException tells
-     * of a conflict or of too much.
-     */
-    public RouteTable(List<Route> routes, List<String> tenants, List<String> classes, List<String> fronts) {
-        this(routes, tenants, classes, fronts, null);
+    /** An IllegalArgumentException tells of a conflict or of too much. */
+    public RouteTable(List<Route> routes) {
+        this(routes, null);
     }
 
-    private RouteTable(List<Route> routes, List<String> tenantNames, List<String> classNames, List<String> frontNames,
-            Set<Conflict> conflicts) {
-        tenants = new Names(routes.stream().map(Route::tenants).toList(), tenantNames);
-        classes = new Names(routes.stream().map(Route::classes).toList(), classNames);
-        fronts = new Names(routes.stream().map(Route::fronts).toList(), frontNames);
+    private RouteTable(List<Route> routes, Set<Conflict> conflicts) {
+        this.routes = List.copyOf(routes);
+        tenants = new Names(routes.stream().map(Route::tenants).toList());
+        classes = new Names(routes.stream().map(Route::classes).toList());
+        fronts = new Names(routes.stream().map(Route::fronts).toList());
         Map<String, List<Route>> patterns = new HashMap<>();
         for (Route r : routes) {
             if (r.pattern()) {
@@ -203,7 +228,7 @@
         int capacity = Integer.highestOneBit(Math.max(8, nodes.size() * 4));
         hashes = new long[capacity];
         table = new Node[capacity];
-        filter = new long[capacity / 4 / Long.SIZE * FILTER_BITS + 1 + FILTER_BITS];
+        filter = new long[Math.max(1, capacity / 4 * FILTER_BITS / Long.SIZE)];
         characters = new char[nodes.keySet().stream().mapToInt(b -> b.length() + 1).sum()];
         int offset = 0;
         for (Node n : nodes.values()) {
@@ -225,10 +250,21 @@
     /** The pairs of routes that no rule tells apart and that one request could match. */
     public static Set<Conflict> conflicts(List<Route> routes) {
         Set<Conflict> found = new LinkedHashSet<>();
-        new RouteTable(routes, List.of(), List.of(), List.of(), found);
+        new RouteTable(routes, found);
         return found;
     }
 
+    /** All of them. */
+    public List<Route> routes() {
+        return routes;
+    }
+
+    /** For requests that name tenant, class and front by their index in these lists. */
+    public Matcher matcher(List<String> tenantNames, List<String> classNames, List<String> frontNames) {
+        return new Matcher(this, tenants.byIndex(tenantNames), classes.byIndex(classNames),
+                fronts.byIndex(frontNames));
+    }
+
     // ---- the making
 
     private static void meet(Route a, Route b, Set<Conflict> conflicts) {
@@ -302,11 +338,15 @@
     private static long hash(String text) {
         long h = SEED;
         for (int i = 0; i < text.length(); i++) {
-            h = (h ^ text.charAt(i)) * PRIME;
+            h = step(h, text.charAt(i));
         }
         return h;
     }
 
+    private static long step(long hash, char next) {
+        return (hash ^ next) * PRIME;
+    }
+
     private int start(long hash) {
         return (int) (hash * 0x9e3779b97f4a7c15L >>> 40) & table.length - 1;
     }
@@ -345,15 +385,8 @@
 
     // ---- the match
 
-    /**
-     * The route of a request, or null if none matches.
-     *
-     * @param tenant index in the list of tenants, likewise class and front; any other number is a name no route knows
-     */
-    public Route match(CharSequence key, int tenant, int kind, int front) {
-        int t = tenants.at(tenant);
-        int c = classes.at(kind);
-        int f = fronts.at(front);
+    /** By the table's own numbers of tenant, class and front. */
+    private Route match(CharSequence key, int t, int c, int f) {
         Node n = null;
         long hash = SEED;
         int at = 0;
@@ -363,7 +396,7 @@
                 break;
             }
             while (at < length) {
-                hash = (hash ^ key.charAt(at++)) * PRIME;
+                hash = step(hash, key.charAt(at++));
             }
             Node longer = find(hash, key, length);
             if (longer != null) {
--- a/src/main/java/damsonworks/route/Router.java
+++ b/src/main/java/damsonworks/route/Router.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -140,8 +141,11 @@
     private final Lane all;
     private final Way anyWay;
     private Routing routing;
-    private RouteTable table;
-    private Map<Route, Way> ways = new HashMap<>();
+    private RouteTable.Matcher matcher;
+    /** How many routings there have been. */
+    private int version;
+    /** By the route itself: its table gives the same ones, and hashing all that it says is more than a match. */
+    private Map<Route, Way> ways = new IdentityHashMap<>();
     private int nextToken;
 
     /** Begins with these routes; requests that none matches go to all servers by the settings. */
@@ -189,18 +193,18 @@
         }
         named.values().forEach(lane -> lane.leaving = true);
         Map<String, Limits> limits = new HashMap<>();
-        Map<Route, Way> before = ways;
-        before.values().forEach(w -> limits.putIfAbsent(w.limits.policy.name(), w.limits));
+        ways.values().forEach(w -> limits.putIfAbsent(w.limits.policy.name(), w.limits));
         limits.values().removeIf(l -> !l.policy.equals(next.policies().get(l.policy.name())));
         next.policies().values().forEach(p -> limits.putIfAbsent(p.name(), new Limits(p)));
-        ways = new HashMap<>();
+        ways = new IdentityHashMap<>();
         for (Route r : next.routes()) {
             ways.put(r, new Way(r, used.get(r.pool()), r.fallback() == null ? null : used.get(r.fallback()),
                     r.policy() == null ? anyWay.limits : limits.get(r.policy())));
         }
-        table = new RouteTable(next.routes(), settings.tenants().stream().map(Tenant::name).toList(),
+        matcher = next.table().matcher(settings.tenants().stream().map(Tenant::name).toList(),
                 settings.classes().stream().map(ServiceClass::name).toList(), Routing.FRONTS);
         routing = next;
+        version++;
         lanes.removeIf(lane -> lane.leaving && lane.reachable == 0);
     }
 
@@ -209,6 +213,11 @@
         return routing;
     }
 
+    /** Counts what has held, from 1. */
+    public int version() {
+        return version;
+    }
+
     /** The pools, that of all servers first. */
     public List<PoolStatus> pools() {
         return lanes.stream().map(l -> new PoolStatus(l.name, (int) l.ready.values().stream().filter(r -> r).count(),
@@ -306,7 +315,7 @@
 
     /** A client's request with its key's text and its front's index in {@link Routing#FRONTS}. */
     public void onRequest(double now, Request request, CharSequence key, int front, Actions out) {
-        Route route = table.match(key, settings.tenants().isEmpty() ? -1 : request.tenant(), request.serviceClass(),
+        Route route = matcher.match(key, settings.tenants().isEmpty() ? -1 : request.tenant(), request.serviceClass(),
                 front);
         Way way = route == null ? anyWay : ways.get(route);
         way.requests++;
--- a/src/main/java/damsonworks/route/Routing.java
+++ b/src/main/java/damsonworks/route/Routing.java
@@ -7,13 +7,13 @@
 import java.util.Set;
 
 /**
- * All that is set about routing, checked: names are told once and known, and no two routes are equally specific.
+ * All that is set about routing, checked: names are told once and known, and no two routes are equally specific. Large
+ * ones take their time to make, so they are made before they are handed to an event loop.
  *
- * @param version counts what this instance has had, from 1
- * @param hash    alike for what means the same
+ * @param hash  alike for what means the same
+ * @param table the routes, ready to be matched
  */
-public record Routing(int version, String hash, Map<String, Pool> pools, Map<String, RoutePolicy> policies,
-        List<Route> routes) {
+public record Routing(String hash, Map<String, Pool> pools, Map<String, RoutePolicy> policies, RouteTable table) {
     /** The fronts that there are, by the index that requests name them by. */
     public static final List<String> FRONTS = List.of("meta", "http", "mqtt");
     /** The index of the meta front in {@link #FRONTS}. */
@@ -23,9 +23,8 @@
     public Routing {
         pools = new LinkedHashMap<>(pools);
         policies = new LinkedHashMap<>(policies);
-        routes = List.copyOf(routes);
         Set<String> names = new HashSet<>();
-        for (Route r : routes) {
+        for (Route r : table.routes()) {
             if (!names.add(r.name())) {
                 throw new IllegalArgumentException("two routes are called " + r.name());
             }
@@ -34,9 +33,10 @@
                 throw new IllegalArgumentException("route " + r.name() + " names what there is not");
             }
         }
-        RouteTable.conflicts(routes).stream().findFirst().ifPresent(c -> {
-            throw new IllegalArgumentException("routes " + c.first().name() + " and " + c.second().name()
-                    + " are equally specific");
-        });
+    }
+
+    /** All routes. */
+    public List<Route> routes() {
+        return table.routes();
     }
 }
--- a/src/test/java/damsonworks/proxy/DrainOnRequestTest.java
+++ b/src/test/java/damsonworks/proxy/DrainOnRequestTest.java
@@ -8,7 +8,6 @@
 import damsonworks.drain.Drain.Phase;
 import damsonworks.drain.DrainPlan;
 import java.net.ConnectException;
-import java.util.concurrent.Callable;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -22,16 +21,12 @@
     private static final double LONG_MS = 12_000;
     private static final int LONG_VALUE = 4_000_000;
 
-    private static <T> T on(Fleet fleet, Callable<T> what) {
-        return fleet.proxy.loop().submit(what).syncUninterruptibly().getNow();
-    }
-
     private static Drain.Begun drain(Fleet fleet, double deadlineMs) {
-        return on(fleet, () -> fleet.proxy.drain(deadlineMs));
+        return fleet.on(() -> fleet.proxy.drain(deadlineMs));
     }
 
     private static Drain.Progress progress(Fleet fleet) {
-        return on(fleet, fleet.proxy::drainProgress);
+        return fleet.on(fleet.proxy::drainProgress);
     }
 
     private static void awaitPhase(Fleet fleet, Phase phase) {
@@ -69,7 +64,7 @@
             node.next();
             drain(fleet, LONG_MS);
             client.read("2").read("3"); // behind the drain, on a connection that is owed an answer
-            Await.until("they are taken", () -> on(fleet, fleet.proxy::status).owed() == 3);
+            Await.until("they are taken", () -> fleet.on(fleet.proxy::status).owed() == 3);
             go.countDown();
             for (String id : new String[] {"1", "2", "3"}) {
                 assertThat(client.line()).isEqualTo("VA 5 O" + id);
@@ -93,7 +88,7 @@
             assertThat(client.line()).isEqualTo("MN");
             drain(fleet, LONG_MS);
             Await.until("idle connections would have gone", () -> progress(fleet).leftMs() >= 0
-                    && on(fleet, fleet.proxy::status).clients() == 1);
+                    && fleet.on(fleet.proxy::status).clients() == 1);
             client.say("lo\r\n");
             assertThat(client.line()).isEqualTo("HD O1 cr1");
             assertThat(client.ended()).isTrue();
@@ -128,7 +123,7 @@
         try (Fleet fleet = new Fleet().node(FakeServer.node(DrainOnRequestTest::hit)).start();
                 Fleet.Client busy = fleet.client()) {
             busy.say("m"); // half a command keeps the drain under way
-            Await.until("it is read", () -> on(fleet, fleet.proxy::status).clients() == 1);
+            Await.until("it is read", () -> fleet.on(fleet.proxy::status).clients() == 1);
             drain(fleet, LONG_MS);
             try (Fleet.Client late = fleet.client()) {
                 late.say("mn\r\n").read("1");
@@ -152,9 +147,9 @@
                 clients[i].say("mn\r\n").line();
             }
             drain(fleet, LONG_MS); // its pace is 5 s
-            Await.until("half of them are ended", () -> on(fleet, fleet.proxy::status).clients() <= 20);
-            assertThat(on(fleet, fleet.proxy::cancelDrain)).isNull();
-            int left = on(fleet, fleet.proxy::status).clients();
+            Await.until("half of them are ended", () -> fleet.on(fleet.proxy::status).clients() <= 20);
+            assertThat(fleet.on(fleet.proxy::cancelDrain)).isNull();
+            int left = fleet.on(fleet.proxy::status).clients();
             assertThat(left).isPositive();
             int serving = 0;
             for (Fleet.Client c : clients) {
@@ -168,7 +163,7 @@
             }
             int stay = serving;
             assertThat(stay).isBetween(1, left);
-            Await.until("what had been ended is gone", () -> on(fleet, fleet.proxy::status).clients() == stay);
+            Await.until("what had been ended is gone", () -> fleet.on(fleet.proxy::status).clients() == stay);
             try (Fleet.Client late = fleet.client()) {
                 late.read("x");
                 assertThat(late.line()).isEqualTo("VA 5 Ox");
@@ -179,7 +174,7 @@
                 assertThat(drain(fleet, LONG_MS).already()).isFalse();
             }
             awaitPhase(fleet, Phase.DRAINED);
-            assertThat(on(fleet, fleet.proxy::cancelDrain)).contains("too late");
+            assertThat(fleet.on(fleet.proxy::cancelDrain)).contains("too late");
         }
     }
 
@@ -211,10 +206,10 @@
             CountDownLatch go = new CountDownLatch(1);
             try (Fleet fleet = new Fleet().node(held(go)).start(); Fleet.Client client = fleet.client()) {
                 client.read("1");
-                Await.until("it is taken", () -> on(fleet, fleet.proxy::status).owed() == 1);
+                Await.until("it is taken", () -> fleet.on(fleet.proxy::status).owed() == 1);
                 CompletableFuture<String> cancelled = new CompletableFuture<>();
                 int after = deadlineMs + offset;
-                on(fleet, () -> {
+                fleet.on(() -> {
                     fleet.proxy.loop().schedule(() -> cancelled.complete(String.valueOf(fleet.proxy.cancelDrain())),
                             after, TimeUnit.MILLISECONDS);
                     return fleet.proxy.drain(deadlineMs);
@@ -249,7 +244,7 @@
             read.read("1");
             write.say("ms 7f3a 5 O2 Pc=fix,d=20000\r\nhello\r\n");
             origin.next();
-            Await.until("both are taken", () -> on(fleet, fleet.proxy::status).owed() == 2);
+            Await.until("both are taken", () -> fleet.on(fleet.proxy::status).owed() == 2);
             double before = System.nanoTime() / 1e6;
             drain(fleet, 500);
             assertThat(read.line()).isEqualTo("SERVER_ERROR busy");
@@ -269,7 +264,7 @@
             for (int i = 0; i < 10; i++) { // more than the system's own buffers take
                 client.read("" + i);
             }
-            Await.until("all are answered", () -> on(fleet, fleet.proxy::status).answered() == 10);
+            Await.until("all are answered", () -> fleet.on(fleet.proxy::status).answered() == 10);
             drain(fleet, LONG_MS);
             Thread end = new Thread(fleet.proxy::drain); // what SIGTERM begins ends connections at once
             end.start();
@@ -316,7 +311,7 @@
             Thread end = new Thread(fleet.proxy::drain);
             end.start();
             Await.until("it can't be taken back", () ->
-                    String.valueOf(on(fleet, fleet.proxy::cancelDrain)).contains("told to end"));
+                    String.valueOf(fleet.on(fleet.proxy::cancelDrain)).contains("told to end"));
             go.countDown();
             assertThat(client.line()).isEqualTo("VA 5 O1");
             client.line();
--- a/src/test/java/damsonworks/proxy/Fleet.java
+++ b/src/test/java/damsonworks/proxy/Fleet.java
@@ -13,6 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.Callable;
 
 /** A proxy on loopback with the servers that a test gives it, and clients of it. */
 final class Fleet implements AutoCloseable {
@@ -117,12 +118,16 @@
             if (routing == null) {
                 throw new IllegalArgumentException("no routes");
             }
-            return new Routing(known.version() + 1, routing.hash(), routing.pools(), routing.policies(),
-                    routing.routes());
+            return routing;
         });
         return this;
     }
 
+    /** What this comes to on the proxy's event loop. */
+    <T> T on(Callable<T> what) {
+        return proxy.loop().submit(what).syncUninterruptibly().getNow();
+    }
+
     Client client() throws IOException {
         Client client = new Client(proxy.address());
         parts.add(client);
--- a/src/test/java/damsonworks/proxy/RoutesTest.java
+++ b/src/test/java/damsonworks/proxy/RoutesTest.java
@@ -11,7 +11,6 @@
 import damsonworks.config.edge.RoutingSections;
 import damsonworks.route.Router;
 import damsonworks.route.Routing;
-import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -27,11 +26,7 @@
         Problems problems = new Problems();
         Configuration c = ConfigFile.read(new Source("x", text), EdgeFile.schema(null), problems);
         assertThat(problems.text()).isEmpty();
-        return RoutingSections.routing(c, 1);
-    }
-
-    private static <T> T on(Fleet fleet, Callable<T> what) {
-        return fleet.proxy.loop().submit(what).syncUninterruptibly().getNow();
+        return RoutingSections.routing(c);
     }
 
     private static FakeServer node(String value) {
@@ -63,7 +58,7 @@
                 assertThat(get(client, "b" + i, "b" + i)).isEqualTo("two");
                 assertThat(get(client, "c" + i, "c" + i)).isIn("one", "two");
             }
-            assertThat(on(fleet, () -> fleet.proxy.router().routes())).extracting(Router.RouteStatus::requests)
+            assertThat(fleet.on(() -> fleet.proxy.router().routes())).extracting(Router.RouteStatus::requests)
                     .containsExactly(20L, 20L, 20L);
         }
     }
@@ -75,7 +70,7 @@
             for (int i = 0; i < 20; i++) {
                 assertThat(get(client, "a" + i, "a" + i)).isEqualTo("two");
             }
-            assertThat(on(fleet, () -> fleet.proxy.router().routes().get(0).fallbacks())).isEqualTo(20);
+            assertThat(fleet.on(() -> fleet.proxy.router().routes().get(0).fallbacks())).isEqualTo(20);
         }
     }
 
@@ -106,7 +101,7 @@
             client.say("ms a1 5 O1 Pc=fix,d=20000\r\nhello\r\n");
             assertThat(client.line()).isEqualTo("SERVER_ERROR failed");
             assertThat(origin.commands).hasSize(1);
-            assertThat(on(fleet, () -> fleet.proxy.router().routes().get(0).fallbacks())).isZero();
+            assertThat(fleet.on(() -> fleet.proxy.router().routes().get(0).fallbacks())).isZero();
         }
     }
 
@@ -125,14 +120,14 @@
             one.next();
             fleet.routing = routing(POOLS.substring(POOLS.indexOf("pool two")) + "route all { pool = two }");
             fleet.proxy.reroute();
-            Await.until("the new routes hold", () -> on(fleet, () -> fleet.proxy.router().routing().version()) == 2);
+            Await.until("the new routes hold", () -> fleet.on(() -> fleet.proxy.router().version()) == 2);
             assertThat(get(after, "a1", "2")).isEqualTo("two");
-            assertThat(on(fleet, () -> fleet.proxy.router().pools())).extracting(Router.PoolStatus::name)
+            assertThat(fleet.on(() -> fleet.proxy.router().pools())).extracting(Router.PoolStatus::name)
                     .containsExactly("", "one", "two");
             go.countDown();
             assertThat(before.line()).isEqualTo("VA 3 O1");
             assertThat(before.line()).isEqualTo("one");
-            Await.until("the pool that vanished has ended", () -> on(fleet, () -> fleet.proxy.router().pools())
+            Await.until("the pool that vanished has ended", () -> fleet.on(() -> fleet.proxy.router().pools())
                     .size() == 2);
         }
     }
@@ -143,10 +138,10 @@
             fleet.routing = null; // reading them fails
             fleet.proxy.reroute();
             assertThat(get(client, "a1", "1")).isEqualTo("one");
-            assertThat(on(fleet, () -> fleet.proxy.router().routing().version())).isEqualTo(1);
+            assertThat(fleet.on(() -> fleet.proxy.router().version())).isEqualTo(1);
             fleet.routing = routing(ROUTES);
             fleet.proxy.reroute();
-            Await.until("the next hold", () -> on(fleet, () -> fleet.proxy.router().routing().version()) == 2);
+            Await.until("the next hold", () -> fleet.on(() -> fleet.proxy.router().version()) == 2);
         }
     }
 }
--- a/src/test/java/damsonworks/route/RouteTableTest.java
+++ b/src/test/java/damsonworks/route/RouteTableTest.java
@@ -24,6 +24,10 @@
         return new Route(name, key == null ? null : new Glob(key), tenants, classes, fronts, "p", null, null);
     }
 
+    private static RouteTable.Matcher matcher(List<Route> routes) {
+        return new RouteTable(routes).matcher(TENANTS, CLASSES, Routing.FRONTS);
+    }
+
     private static Set<String> some(Random random, List<String> names) {
         List<String> some = new ArrayList<>(names);
         Collections.shuffle(some, random);
@@ -82,10 +86,10 @@
         Random random = new Random(seed);
         List<Route> routes = routes(random, 1 + random.nextInt(40));
         drop(routes);
-        RouteTable table = new RouteTable(routes, TENANTS, CLASSES, Routing.FRONTS);
+        RouteTable.Matcher table = matcher(routes);
         List<Route> shuffled = new ArrayList<>(routes);
         Collections.shuffle(shuffled, random);
-        RouteTable other = new RouteTable(shuffled, TENANTS, CLASSES, Routing.FRONTS);
+        RouteTable.Matcher other = matcher(shuffled);
         for (int i = 0; i < 60; i++) {
             String key = text(random, "ab", 6);
             int t = random.nextInt(TENANTS.size());
@@ -130,9 +134,9 @@
 
     @Test
     void aWholeKeyIsMoreThanABeginningAndNamesAreNoPartOfEachOther() {
-        RouteTable table = new RouteTable(List.of(route("exact", "abc", Set.of(), Set.of(), Set.of()),
+        RouteTable.Matcher table = matcher(List.of(route("exact", "abc", Set.of(), Set.of(), Set.of()),
                 route("prefix", "abc*", Set.of("t1"), Set.of(), Set.of()), route("short", "a*", Set.of(), Set.of(),
-                Set.of()), route("pattern", "abc*z", Set.of(), Set.of(), Set.of())), TENANTS, CLASSES, Routing.FRONTS);
+                Set.of()), route("pattern", "abc*z", Set.of(), Set.of(), Set.of())));
         assertThat(table.match("abc", 0, 0, 0).name()).isEqualTo("exact");
         assertThat(table.match("abcd", 0, 0, 0).name()).isEqualTo("prefix");
         assertThat(table.match("abcz", 0, 0, 0).name()).isEqualTo("pattern");
@@ -149,7 +153,7 @@
             routes.add(route("r" + i, "team" + i % 7 + "/" + i + (i % 3 == 0 ? "" : i % 3 == 1 ? "/*" : "/*/v?"), Set.of(),
                     i % 2 == 0 ? Set.of("c1") : Set.of(), Set.of()));
         }
-        RouteTable table = new RouteTable(routes, TENANTS, CLASSES, Routing.FRONTS);
+        RouteTable.Matcher table = matcher(routes);
         String[] keys = {"team3/3", "team4/4/x", "team5/5/x/v1", "none"};
         var threads = (com.sun.management.ThreadMXBean) ManagementFactory.getThreadMXBean();
         long least = Long.MAX_VALUE;
@@ -169,7 +173,7 @@
     void twoEquallySpecificRoutesAreRefused() {
         List<Route> routes = List.of(route("a", "x*", Set.of("t1", "t2"), Set.of(), Set.of()),
                 route("b", "x*", Set.of("t2", "t3"), Set.of(), Set.of()));
-        assertThatThrownBy(() -> new RouteTable(routes, TENANTS, CLASSES, Routing.FRONTS))
+        assertThatThrownBy(() -> new RouteTable(routes))
                 .hasMessageContaining("equally specific");
         assertThat(RouteTable.conflicts(routes)).hasSize(1);
     }
--- a/src/test/java/damsonworks/route/RouterTest.java
+++ b/src/test/java/damsonworks/route/RouterTest.java
@@ -47,7 +47,7 @@
         pools.forEach(p -> byName.put(p.name(), p));
         Map<String, RoutePolicy> named = new LinkedHashMap<>();
         policies.forEach(p -> named.put(p.name(), p));
-        return new Routing(version, "h" + version, byName, named, List.of(routes));
+        return new Routing("h" + version, byName, named, new RouteTable(List.of(routes)));
     }
 
     /** Keys that begin with e go east, those with w go west, each with the other to fall back on. */
@@ -256,7 +256,7 @@
         rig.end(rig.out(open), Outcome.OK);
         assertThat(rig.router.pools()).extracting(Router.PoolStatus::name).containsExactly("", "west");
         assertThat(rig.of(open).answer).isEqualTo("served");
-        assertThat(rig.router.routing().version()).isEqualTo(2);
+        assertThat(rig.router.version()).isEqualTo(2);
     }
 
     /** Nobody is in the pool any more, but an open request may still fall back on it. */
