Let a fault be waited for: a due timer need not run before later tasks

Change: faults due now happen in the task that hands them in, and play() can be waited for; the two other tests with the same belief wait for it, or for what the list says.

--- a/src/main/java/damsonworks/fleet/StandInFleet.java
+++ b/src/main/java/damsonworks/fleet/StandInFleet.java
@@ -15,6 +15,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.Future;
 import java.util.function.Consumer;
 
 /**
@@ -155,11 +156,20 @@
         return loop.submit(what).syncUninterruptibly().getNow();
     }
 
-    /** Lets these faults happen, their times counted from now. */
-    public void play(List<Fault> faults, ProxyFaults proxies) {
-        loop.execute(() -> {
+    /**
+     * Lets these faults happen, their times counted from now; done when those that are due now have happened. They
+     * are not left to a timer: an event loop may run what is handed in later before a timer that is due.
+     */
+    public Future<?> play(List<Fault> faults, ProxyFaults proxies) {
+        return loop.submit(() -> {
             proxyFaults = proxies;
-            faults.forEach(f -> after(f.atMs(), () -> apply(f)));
+            for (Fault f : faults) {
+                if (f.atMs() <= 0) {
+                    apply(f);
+                } else {
+                    after(f.atMs(), () -> apply(f));
+                }
+            }
         });
     }
 
--- a/src/test/java/damsonworks/demo/OracleCatchesTest.java
+++ b/src/test/java/damsonworks/demo/OracleCatchesTest.java
@@ -101,7 +101,7 @@
     void aNodeThatKeepsWhatAWriteHasVoided() throws Exception {
         try (StandInFleet fleet = new StandInFleet(SPEC)) {
             fleet.play(List.of(new Fault(0, "node-0", Fault.Action.STALE, 60_000, 0),
-                    new Fault(0, "node-1", Fault.Action.STALE, 60_000, 0)), (p, f) -> { });
+                    new Fault(0, "node-1", Fault.Action.STALE, 60_000, 0)), (p, f) -> { }).get();
             assertThat(drive(fleet, Breach.NONE, 8).breaches()).containsOnlyKeys(Rule.STALE);
         }
     }
--- a/src/test/java/damsonworks/fleet/StandInFleetTest.java
+++ b/src/test/java/damsonworks/fleet/StandInFleetTest.java
@@ -99,10 +99,9 @@
                 .thenApply(r -> JsonParser.parseString(r.body()).getAsJsonObject());
     }
 
-    private void fault(Fault.Action action, String target, double forMs, double share) {
-        fleet.play(List.of(new Fault(0, target, action, forMs, share)), (p, f) -> { });
-        fleet.on(() -> null); // the fault's own timer is due, and runs before anything that comes in later
-        fleet.on(() -> null);
+    /** Returns when the fault has happened. */
+    private void fault(Fault.Action action, String target, double forMs, double share) throws Exception {
+        fleet.play(List.of(new Fault(0, target, action, forMs, share)), (p, f) -> { }).get();
     }
 
     // ---- the protocol
@@ -204,7 +203,7 @@
     void aNodeThatDrainsIsToldOfAndASendAfterTheGraceIsSeen() throws Exception {
         start(QUICK);
         fault(Fault.Action.DRAIN, "node-0", 0, 0);
-        discovery("").join();
+        Await.until("the list says so", () -> discovery("").join().toString().contains("draining"));
         double told = fleet.now();
         try (Peer node = node(0, 0)) {
             Await.until("the grace is over", () -> fleet.now() > told + 2 * QUICK.drainGraceMs());
