--- a/src/main/java/damsonworks/Main.java
+++ b/src/main/java/damsonworks/Main.java
@@ -2,7 +2,9 @@
 
 import damsonworks.cli.Cli;
 import damsonworks.config.edge.EdgeFile;
+import damsonworks.control.ControlRegistry;
 import damsonworks.control.ControlServer;
+import damsonworks.control.Door;
 import damsonworks.control.ProxyControl;
 import damsonworks.proxy.Proxy;
 import damsonworks.wire.Drill;
@@ -44,14 +46,26 @@
             }
         }
         Proxy proxy = edge == null ? Proxy.main() : Proxy.main(new EdgeFile(Path.of(edge)));
-        if (control != null) {
-            try {
-                ControlServer server = ProxyControl.open(proxy, Path.of(control));
+        if (control == null && proxy.operator() == null) {
+            return; // nobody asks, so nothing of it is loaded
+        }
+        ControlRegistry registry = ProxyControl.registry(proxy);
+        try {
+            if (control != null) {
+                ControlServer server = new ControlServer(proxy.loop(), Path.of(control), registry);
                 Runtime.getRuntime().addShutdownHook(new Thread(server::close));
-            } catch (IOException | InvalidPathException e) {
-                System.err.println("no control socket: " + e.getMessage());
-                System.exit(1);
             }
+        } catch (IOException | InvalidPathException e) {
+            System.err.println("no control socket: " + e.getMessage());
+            System.exit(1);
+        }
+        try {
+            if (proxy.operator() != null) {
+                new Door(proxy.loop(), proxy.operator(), registry); // as long as the process serves
+            }
+        } catch (Exception e) {
+            System.err.println("can't listen for operators on " + proxy.operator() + ": " + e.getMessage());
+            System.exit(1);
         }
     }
 }
--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -20,7 +20,6 @@
     private static final int RANKS = 8;
     private static final int SHUN_CONNECTS = 10;
 
-    private final Settings cfg;
     private final SplittableRandom random;
     private final Map<Integer, Server> servers = new HashMap<>();
     private final Map<Integer, Flight> flights = new HashMap<>();
@@ -29,7 +28,8 @@
     private final HotKeys hot = new HotKeys();
     private final Throttle throttle = new Throttle();
     private final Throttle crowd = new Throttle();
-    private final Shares shares;
+    private Settings cfg;
+    private Shares shares;
     private Server[] ranked = new Server[0];
     private Server[] top = new Server[RANKS];
     private double[] topScore = new double[RANKS];
@@ -71,6 +71,7 @@
         final boolean safe;
         final double arrivedMs;
         final int keyHash;
+        final Shares charged = shares;
         final Server[] at = new Server[cfg.maxAttempts()];
         final double[] sentAt = new double[cfg.maxAttempts()];
         final boolean[] ended = new boolean[cfg.maxAttempts()];
@@ -96,6 +97,10 @@
             keyHash = Carp.keyHash(request.key() != 0 ? request.key() : Integer.toUnsignedLong(request.id()));
         }
 
+        int maxAttempts() { // fewer than at its start where the settings have become stricter
+            return Math.min(at.length, cfg.maxAttempts());
+        }
+
         /** The work hinted at, in units of the usual; 1 where there is no hint. */
         double work() {
             return request.costMs() > 0 && usualCost > 0 ? request.costMs() / usualCost : 1;
@@ -172,7 +177,8 @@
      * their quotas (max-min fair), as that is worth little. Clients' repeats swell all alike.
      */
     private final class Shares {
-        private final double[] asked = new double[cfg.tenants().size()];
+        private final List<Tenant> tenants = cfg.tenants();
+        private final double[] asked = new double[tenants.size()];
         private double at;
 
         void asked(double now, int tenant) {
@@ -185,7 +191,7 @@
         }
 
         private double granted(int tenant, double multiple) {
-            return Math.min(asked[tenant], multiple * cfg.tenants().get(tenant).quotaPerSecond());
+            return Math.min(asked[tenant], multiple * tenants.get(tenant).quotaPerSecond());
         }
 
         /** The part of this tenant's requests to refuse so that in all the part {@code excess} is refused. */
@@ -194,7 +200,7 @@
             double high = 0;
             for (int t = 0; t < asked.length; t++) {
                 goal += asked[t] * (1 - excess);
-                high = Math.max(high, asked[t] / Math.max(1e-9, cfg.tenants().get(t).quotaPerSecond()));
+                high = Math.max(high, asked[t] / Math.max(1e-9, tenants.get(t).quotaPerSecond()));
             }
             double low = 0;
             for (int step = 0; step < 24; step++) {
@@ -215,25 +221,38 @@
 
     /** Whether to refuse this one where a part of all must be refused. */
     private boolean refused(Flight f, double excess) {
-        if (excess <= 0) {
-            return false;
-        }
-        return random.nextDouble() < (shares == null ? excess : shares.refuse(f.request.tenant(), excess));
+        Shares s = f.charged;
+        double part = s == null || excess <= 0 ? excess : s.refuse(f.request.tenant(), excess);
+        return part > 0 && random.nextDouble() < part;
     }
 
     /** A fresh instance that knows nothing yet. */
     public Policy(Settings settings, long seed) {
-        cfg = settings;
         random = new SplittableRandom(seed);
-        shares = settings.overShareWorth() < 1 && settings.tenants().size() > 1 ? new Shares() : null;
-        double shortestAim = settings.classes().stream().mapToDouble(ServiceClass::aimMs).min()
-                .orElseThrow(() -> new IllegalArgumentException("settings name no class"));
+        onSettings(0, settings, null);
+        double shortestAim = settings.classes().stream().mapToDouble(ServiceClass::aimMs).min().orElseThrow();
         fetchMs = shortestAim / 4;
         pace = shortestAim / 8;
         paceDeviation = pace;
-        if (settings.maxAttempts() < 1) {
-            throw new IllegalArgumentException("max attempts " + settings.maxAttempts());
+    }
+
+    @Override
+    public void onSettings(double now, Settings next, Actions out) {
+        if (next.classes().isEmpty() || next.maxAttempts() < 1) {
+            throw new IllegalArgumentException("no class, or max attempts " + next.maxAttempts());
         }
+        boolean same = cfg != null && cfg.tenants().equals(next.tenants());
+        cfg = next;
+        if (!same) { // open requests stay charged where they were
+            shares = next.overShareWorth() < 1 && next.tenants().size() > 1 ? new Shares() : null;
+        }
+        rank();
+    }
+
+    @Override
+    public boolean avoids(double now, int server) {
+        Server s = servers.get(server);
+        return s != null && (s.member.state() != State.READY || s.failures > 0 && (!s.probed || s.trial));
     }
 
     // ---- the list
@@ -372,7 +391,7 @@
         // What nobody gains from any more is given up, and so answered, at once.
         boolean worthless = f.safe && f.kind.lateShare() == 0 && now > f.arrivedMs + f.kind.aimMs();
         Server s = null;
-        if (!worthless && f.attempts < cfg.maxAttempts() && now < f.request.dueMs()) {
+        if (!worthless && f.attempts < f.maxAttempts() && now < f.request.dueMs()) {
             s = f.toOrigin || cfg.aside() && f.safe && f.attempts >= CACHE_TRIES && f.missedAt == null
                     ? origin : choose(now, f, out);
             if (s == null && cfg.aside() && f.safe) {
@@ -417,7 +436,7 @@
         f.out++;
         boolean worthlessLate = s != origin && f.safe && f.kind.lateShare() == 0;
         out.place(f.request.id(), s.id, worthlessLate ? Math.max(1, f.arrivedMs + f.kind.aimMs() - now) : 0);
-        if (s != origin && f.safe && f.attempts < cfg.maxAttempts() && f.attempts <= CACHE_TRIES) {
+        if (s != origin && f.safe && f.attempts < f.maxAttempts() && f.attempts <= CACHE_TRIES) {
             timer(patience(now, f), PATIENCE, f, out);
         }
     }
@@ -642,14 +661,14 @@
         if (end.outcome() == Outcome.MISS) {
             f.toOrigin = true;
             f.missedAt = s;
-            if (end.note() == NOTE_FETCH_OUT && f.attempts + 2 <= cfg.maxAttempts()) {
+            if (end.note() == NOTE_FETCH_OUT && f.attempts + 2 <= f.maxAttempts()) {
                 f.toOrigin = false;
                 f.waiting = true;
                 timer(fetchMs, AGAIN, f, out);
                 return;
             }
         } else if (s == origin && end.outcome() == Outcome.FULL && f.request.write()
-                && f.attempts < cfg.maxAttempts()) {
+                && f.attempts < f.maxAttempts()) {
             f.waiting = true;
             timer(fetchMs * (0.5 + random.nextDouble()), AGAIN, f, out);
             return;
@@ -681,7 +700,7 @@
             if (w.done || !w.waiting) {
                 continue;
             }
-            w.toOrigin = !stored || w.attempts + 2 > cfg.maxAttempts();
+            w.toOrigin = !stored || w.attempts + 2 > w.maxAttempts();
             advance(now, w, out);
         }
     }
--- a/src/main/java/damsonworks/RoutingApi.java
+++ b/src/main/java/damsonworks/RoutingApi.java
@@ -99,6 +99,15 @@
         void log(String line);
     }
 
+    /**
+     * Other settings hold from now on, for requests to come. Those under way keep their class and its terms; of
+     * attempts they get no more than either allows. What has been learnt of servers stays.
+     */
+    void onSettings(double now, Settings settings, Actions out);
+
+    /** Whether this server of the list gets no ordinary request now, because it drains or has failed. */
+    boolean avoids(double now, int server);
+
     /** News of the list of servers. */
     void onList(double now, ListKind kind, List<Member> members, Actions out);
 
--- a/src/main/java/damsonworks/control/ControlRegistry.java
+++ b/src/main/java/damsonworks/control/ControlRegistry.java
@@ -4,13 +4,16 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParseException;
 import com.google.gson.JsonParser;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Supplier;
 
 /**
- * What can be asked of a running proxy. Each subsystem registers its part of {@code status} and its commands; all of
- * them run on the event loop and must not wait. Used on the event loop only.
+ * What can be asked of a running proxy. Each subsystem registers its part of {@code status}, its figures and its
+ * commands; all of them run on the event loop and must not wait. The control socket and the door are two faces of it.
+ * Used on the event loop only.
  */
 public final class ControlRegistry {
     /** The protocol's version. */
@@ -24,6 +27,7 @@
 
     private final Map<String, Command> commands = new TreeMap<>();
     private final Map<String, Supplier<JsonObject>> sections = new TreeMap<>();
+    private final List<Supplier<List<Figure>>> figures = new ArrayList<>();
 
     /** With the commands {@code status} and {@code help}. */
     public ControlRegistry() {
@@ -54,6 +58,23 @@
         }
     }
 
+    /** Adds figures; where there are any, {@code status} shows them all in a section of their own. */
+    public void figures(Supplier<List<Figure>> some) {
+        if (figures.isEmpty()) {
+            section("figures", () -> {
+                JsonObject o = new JsonObject();
+                figures().forEach(f -> o.addProperty(f.name(), f.value()));
+                return o;
+            });
+        }
+        figures.add(some);
+    }
+
+    /** All figures as they are now. */
+    List<Figure> figures() {
+        return figures.stream().flatMap(some -> some.get().stream()).toList();
+    }
+
     /** Answers one line. */
     String answer(String line) {
         JsonObject answer = new JsonObject();
--- /dev/null
+++ b/src/main/java/damsonworks/control/DoorCall.java
@@ -0,0 +1,10 @@
+package damsonworks.control;
+
+/** What operators can ask for at the door: one word on a line. Answered on the event loop, so it must not wait. */
+interface DoorCall {
+    /** The word. */
+    String word();
+
+    /** The answer, each line with its end. */
+    String answer(ControlRegistry registry);
+}
--- /dev/null
+++ b/src/main/java/damsonworks/control/DumpCall.java
@@ -0,0 +1,21 @@
+package damsonworks.control;
+
+/** All figures in the line form of statsd, then {@code END}. */
+final class DumpCall implements DoorCall {
+    private static final String PREFIX = "edge_balancer.";
+
+    @Override
+    public String word() {
+        return "DUMP";
+    }
+
+    @Override
+    public String answer(ControlRegistry registry) {
+        StringBuilder text = new StringBuilder(1024);
+        for (Figure f : registry.figures()) {
+            text.append(PREFIX).append(f.name()).append(':').append(f.value()).append('|')
+                    .append(f.kind() == Figure.Kind.COUNT ? 'c' : 'g').append('\n');
+        }
+        return text.append("END\n").toString();
+    }
+}
--- a/src/main/java/damsonworks/control/ProxyControl.java
+++ b/src/main/java/damsonworks/control/ProxyControl.java
@@ -2,23 +2,24 @@
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
+import damsonworks.control.Figure.Kind;
 import damsonworks.drain.Drain;
 import damsonworks.proxy.Proxy;
 import damsonworks.route.Router;
-import java.io.IOException;
-import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.List;
 import java.util.Locale;
 
-/** Hangs a proxy's own status and its drain on a control socket. */
+/** Hangs a proxy's own status, its figures and its drain on what operators ask by. */
 public final class ProxyControl {
     /** Of pools, and of the routes with most requests. */
     private static final int MAX_SHOWN = 50;
 
     private ProxyControl() { }
 
-    /** Opens the socket; not to be called on the event loop. */
-    public static ControlServer open(Proxy proxy, Path path) throws IOException {
+    /** What can be asked of this proxy, by whatever way. */
+    public static ControlRegistry registry(Proxy proxy) {
         ControlRegistry registry = new ControlRegistry();
         long startNanos = System.nanoTime();
         registry.section("proxy", () -> {
@@ -31,6 +32,7 @@
             o.addProperty("owed", s.owed());
             o.addProperty("answered", s.answered());
             o.addProperty("upstream", s.upstream());
+            o.addProperty("handover", s.handover().name().toLowerCase(Locale.ROOT));
             return o;
         });
         if (proxy.router() != null) {
@@ -51,7 +53,24 @@
             }
             return progress(proxy.drainProgress());
         });
-        return new ControlServer(proxy.loop(), path, registry);
+        registry.figures(() -> figures(proxy.status()));
+        return registry;
+    }
+
+    private static List<Figure> figures(Proxy.Status s) {
+        List<Figure> figures = new ArrayList<>();
+        s.classes().forEach((name, c) -> {
+            figures.add(new Figure("succeeded." + name, Kind.COUNT, c.succeeded()));
+            figures.add(new Figure("declined." + name, Kind.COUNT, c.declined()));
+            figures.add(new Figure("aborted." + name, Kind.COUNT, c.aborted()));
+        });
+        figures.add(new Figure("forwards", Kind.COUNT, s.forwards()));
+        figures.add(new Figure("outstanding", Kind.GAUGE, s.owed()));
+        figures.add(new Figure("discovered", Kind.GAUGE, s.discovered()));
+        figures.add(new Figure("ejected", Kind.GAUGE, s.ejected()));
+        figures.add(new Figure("sighup_applied", Kind.COUNT, s.applied()));
+        figures.add(new Figure("sighup_rejected", Kind.COUNT, s.rejected()));
+        return figures;
     }
 
     private static JsonObject routing(Router router) {
--- a/src/main/java/damsonworks/drain/DrainPlan.java
+++ b/src/main/java/damsonworks/drain/DrainPlan.java
@@ -42,6 +42,14 @@
         return new DrainPlan(listenMs, listenMs, 0, 0, listenMs + longestDeadlineMs, true, true);
     }
 
+    /**
+     * What SIGTERM begins where a successor serves at the same socket: connections are the successor's from now on,
+     * those here go over to it as each falls idle.
+     */
+    public static DrainPlan succeeded(double longestDeadlineMs) {
+        return new DrainPlan(0, 0, 0, 0, longestDeadlineMs, true, true);
+    }
+
     /** This plan with a deadline of this long at most. */
     DrainPlan within(double ms) {
         return new DrainPlan(listenMs, holdIdleMs, paceMs, quietMs, Math.min(deadlineMs, Math.max(1, ms)), hidden,
--- a/src/main/java/damsonworks/proxy/Acceptor.java
+++ b/src/main/java/damsonworks/proxy/Acceptor.java
@@ -4,18 +4,25 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.epoll.EpollChannelOption;
+import io.netty.channel.epoll.EpollServerSocketChannel;
+import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.unix.FileDescriptor;
 import java.net.InetSocketAddress;
 import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.function.Consumer;
 import java.util.stream.Stream;
 
 /** The listening socket and the clients' connections that came through it, with their bound. */
-final class Acceptor {
+final class Acceptor implements Dispatcher.ClientListener {
     private static final int BACKLOG = 512;
+    private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(64 << 10, 128 << 10);
     private static final Comparator<ClientConnection> LONGEST_IDLE =
             Comparator.comparingDouble(ClientConnection::activeMs);
 
@@ -23,24 +30,75 @@
     private final int maxClients;
     private final Set<ClientConnection> clients = new HashSet<>();
     private Channel server;
+    /** New connections are another process's. */
+    private boolean left;
+    private Consumer<ClientConnection> retire = ClientConnection::finish;
 
     Acceptor(Dispatcher dispatcher, int maxClients) {
         this.dispatcher = dispatcher;
         this.maxClients = maxClients;
     }
 
+    /** How an idle connection ends, where it does not just end. */
+    void retireBy(Consumer<ClientConnection> by) {
+        retire = by;
+    }
+
+    @Override
+    public void retire(ClientConnection client) {
+        retire.accept(client);
+    }
+
     /** Listens from here on; waits until it does, so not to be called on the event loop. */
     void listen(EventLoopGroup group, InetSocketAddress address) throws InterruptedException {
-        server = new ServerBootstrap().group(group).channel(Transport.BEST.server())
+        ServerBootstrap bootstrap = bootstrap(group).channel(Transport.BEST.server());
+        if (Transport.BEST.passesDescriptors()) {
+            // So that another process can serve beside this one, should it not get this one's socket.
+            bootstrap.option(EpollChannelOption.SO_REUSEPORT, true);
+        }
+        server = bootstrap.bind(address).sync().channel();
+    }
+
+    /** The same at a socket that listens already. */
+    void listen(EventLoopGroup group, FileDescriptor socket) throws InterruptedException {
+        server = bootstrap(group).channelFactory(() -> new EpollServerSocketChannel(socket.intValue()))
+                .option(ChannelOption.AUTO_READ, false).register().sync().channel();
+        server.config().setAutoRead(true); // only now is there a handler for what it accepts
+    }
+
+    private ServerBootstrap bootstrap(EventLoopGroup group) {
+        return new ServerBootstrap().group(group)
                 .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
-                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(64 << 10, 128 << 10))
+                .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         accepted(channel);
                     }
-                }).bind(address).sync().channel();
+                });
+    }
+
+    /** Takes a client's connection that another process has accepted. */
+    void adopt(EventLoop loop, FileDescriptor client) {
+        Channel channel = new EpollSocketChannel(client.intValue());
+        channel.config().setOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK);
+        accepted(channel);
+        loop.register(channel);
+    }
+
+    Channel channel() {
+        return server;
+    }
+
+    /** Takes new connections, or leaves them to the process that shares the socket. */
+    void accept(boolean on) {
+        left = !on;
+        regulate();
+    }
+
+    private void regulate() {
+        server.config().setAutoRead(!left && clients.size() <= maxClients);
     }
 
     InetSocketAddress address() {
@@ -57,15 +115,14 @@
         clients.add(client);
         if (clients.size() > maxClients) {
             idleClients().filter(c -> c != client).min(LONGEST_IDLE).ifPresentOrElse(ClientConnection::close,
-                    () -> server.config().setAutoRead(false));
+                    this::regulate);
         }
     }
 
-    void left(ClientConnection client) {
+    @Override
+    public void left(ClientConnection client) {
         clients.remove(client);
-        if (clients.size() <= maxClients && !server.config().isAutoRead()) {
-            server.config().setAutoRead(true);
-        }
+        regulate();
     }
 
     void sweep() {
@@ -94,7 +151,7 @@
 
     /** Ends so many connections between requests, those first that have stood idle longest. */
     void endIdle(int many) {
-        idleClients().sorted(LONGEST_IDLE).limit(many).toList().forEach(ClientConnection::finish);
+        idleClients().sorted(LONGEST_IDLE).limit(many).toList().forEach(this::retire);
     }
 
     /** Ends all connections, whatever is on them. */
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -19,6 +19,8 @@
     private static final int MAX_PIPELINED = 32;
     private static final long LINGER_MS = 300;
     private static final double STALLED_MS = 10_000;
+    /** A client waits for so long before it may send a value; then it is turned away. */
+    private static final double ROOM_WAIT_MS = 2000;
 
     private final Dispatcher dispatcher;
     /** The answers that are owed, in the order of their requests. */
@@ -26,11 +28,14 @@
     private ChannelHandlerContext ctx;
     /** The write whose value is being read, with the bytes still to come; the value is null if there's no room. */
     private Command incoming;
+    private ValueBuffer value;
     private int missing;
-    private int reserved;
+    /** The value's room is waited for, and the client's sending with it. */
+    private boolean awaitsRoom;
     private boolean closing;
     private boolean finished;
     private boolean readPaused;
+    private boolean passing;
     private ChannelFuture lastWrite;
     private double activeMs;
 
@@ -54,9 +59,9 @@
         return lastWrite == null || lastWrite.isDone();
     }
 
-    /** It has been ended from our side. */
+    /** It has been ended from our side, or is on its way to another process. */
     boolean ending() {
-        return finished;
+        return finished || passing;
     }
 
     double activeMs() {
@@ -80,7 +85,7 @@
             in.skipBytes(in.readableBytes());
             return;
         }
-        if (replies.size() >= MAX_PIPELINED || !ctx.channel().isWritable()) {
+        if (replies.size() >= MAX_PIPELINED || !ctx.channel().isWritable() || awaitsRoom) {
             pauseReading();
             return;
         }
@@ -131,9 +136,8 @@
         if (write) {
             incoming = command != null ? command : new Command(Routing.META, key, null, true, null, "", "", "");
             missing = length + 2;
-            if (command != null && dispatcher.reserve(missing)) {
-                reserved = missing;
-                command.value = ctx.alloc().buffer(Math.min(missing, 16 << 10), missing);
+            if (command != null) {
+                claimRoom(command);
             }
         } else {
             take(command);
@@ -168,30 +172,57 @@
         }
     }
 
+    /** Room for the whole value, now or in a while; without any the value is read and dropped. */
+    private void claimRoom(Command command) {
+        command.room = dispatcher.values().claim(missing, () -> {
+            if (incoming == command) {
+                awaitsRoom = false;
+                value = new ValueBuffer(ctx.alloc(), missing);
+                regulate();
+            }
+        });
+        if (command.room != null && command.room.granted()) {
+            value = new ValueBuffer(ctx.alloc(), missing);
+        } else if (command.room != null) {
+            awaitsRoom = true;
+            dispatcher.after(ROOM_WAIT_MS, () -> {
+                if (incoming == command && awaitsRoom) {
+                    awaitsRoom = false;
+                    command.release();
+                    regulate();
+                }
+            });
+        }
+    }
+
     private void value(ByteBuf in) throws MetaCodec.SyntaxException {
         int n = Math.min(missing, in.readableBytes());
         missing -= n;
-        if (incoming.value == null) {
+        if (value == null) {
             in.skipBytes(n);
         } else {
-            incoming.value.writeBytes(in, n);
+            value.add(in, n);
         }
         if (missing > 0) {
             return;
         }
         Command command = incoming;
         incoming = null;
-        if (command.value == null) {
+        if (value == null) {
             // No room for the value, or no request that could be made of it. Nothing was sent on.
+            if (command.id != null) {
+                dispatcher.counters().ended(command.terms.kind(), Counters.Ending.DECLINED);
+            }
             say(command.id == null ? "CLIENT_ERROR bad command line format\r\n" : MetaCodec.BUSY + "\r\n");
             return;
         }
+        command.value = value.whole();
+        value = null;
         int end = command.value.writerIndex();
         if (command.value.getByte(end - 2) != '\r' || command.value.getByte(end - 1) != '\n') {
-            dropValue(command);
+            command.release();
             throw new MetaCodec.SyntaxException("bad data chunk");
         }
-        reserved = 0;
         take(command);
     }
 
@@ -202,10 +233,13 @@
         dispatcher.take(reply.exchange);
     }
 
-    private void dropValue(Command command) {
-        command.release();
-        dispatcher.giveBack(reserved);
-        reserved = 0;
+    private void dropIncoming() {
+        if (value != null) {
+            value.release();
+            value = null;
+        }
+        incoming.release();
+        incoming = null;
     }
 
     // ---- answers
@@ -352,18 +386,56 @@
     }
 
     private void endIfDue() {
-        if (replies.isEmpty() && written() && (closing || dispatcher.draining() && idle())) {
+        if (replies.isEmpty() && written() && closing) {
             finish();
+        } else if (dispatcher.draining() && idle()) {
+            dispatcher.retire(this);
         }
     }
 
+    /**
+     * Passes the connection to the process that takes over, and ends it here without a word to the client. In a task
+     * of its own: what is being read or written now is done then.
+     */
+    void pass(HandoverLink to) {
+        if (passing || finished) {
+            return;
+        }
+        passing = true;
+        ctx.channel().config().setAutoRead(false); // what comes now is the other process's to read
+        ctx.executor().execute(() -> {
+            if (idle() && !finished) {
+                to.pass(ctx.channel(), this::passed);
+            } else {
+                stay();
+            }
+        });
+    }
+
+    private void passed(boolean done) {
+        if (done) {
+            finished = true;
+            ctx.close(); // this process's hold on the socket alone
+        } else {
+            stay();
+            if (idle()) {
+                finish();
+            }
+        }
+    }
+
+    private void stay() {
+        passing = false;
+        ctx.channel().config().setAutoRead(true);
+    }
+
     private void regulate() {
         for (Reply r : replies) {
             if (r.source != null) {
                 r.source.hold(r != replies.peek() || !ctx.channel().isWritable());
             }
         }
-        if (readPaused && replies.size() < MAX_PIPELINED && ctx.channel().isWritable()) {
+        if (readPaused && replies.size() < MAX_PIPELINED && ctx.channel().isWritable() && !awaitsRoom) {
             readPaused = false;
             ctx.channel().config().setAutoRead(true);
             // What has been read already waits in the decoder; it is not told of the pause's end otherwise.
@@ -403,8 +475,7 @@
         finished = true;
         super.channelInactive(context);
         if (incoming != null) {
-            dropValue(incoming);
-            incoming = null;
+            dropIncoming();
         }
         for (Reply r; (r = replies.poll()) != null;) {
             r.drop();
--- a/src/main/java/damsonworks/proxy/Config.java
+++ b/src/main/java/damsonworks/proxy/Config.java
@@ -1,13 +1,19 @@
 package damsonworks.proxy;
 
+import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import com.google.gson.JsonPrimitive;
+import com.google.gson.Strictness;
+import com.google.gson.stream.JsonReader;
+import com.google.gson.stream.JsonToken;
 import damsonworks.RoutingApi.Settings;
 import damsonworks.route.Known;
 import damsonworks.wire.SettingsParser;
 import io.netty.util.NetUtil;
+import java.io.IOException;
+import java.io.StringReader;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
@@ -26,7 +32,7 @@
 record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, double cores,
         int memoryMb, int sockets, InetSocketAddress peerListen, List<InetSocketAddress> peers,
         InetSocketAddress peersAll, JsonObject known, Settings settings, List<String> zones, List<String> kinds,
-        double idleCloseMs, int streamsPerConnection) {
+        double idleCloseMs, int streamsPerConnection, InetSocketAddress operator, JsonObject file) {
 
     /** What routes may name here. */
     Known names() {
@@ -40,7 +46,7 @@
             throw new IllegalArgumentException("BALANCER_CONFIG names no file");
         }
         try {
-            return parse(JsonParser.parseString(Files.readString(Path.of(path))).getAsJsonObject());
+            return parse(json(path));
         } catch (Exception e) {
             String message = String.valueOf(e.getMessage()).lines().findFirst().orElse("");
             throw new IllegalArgumentException("configuration " + path + ": "
@@ -48,6 +54,67 @@
         }
     }
 
+    /**
+     * Reads the file again in service. One that lacks a key which it had before is of no use either: it has been cut
+     * or written by hand, and what was meant by the missing key nobody can say.
+     */
+    Config again(String path) {
+        Config next = read(path);
+        String lost = lost("", file, next.file);
+        if (lost != null) {
+            throw new IllegalArgumentException("configuration " + path + ": '" + lost + "' is missing");
+        }
+        return next;
+    }
+
+    private static JsonObject json(String path) throws IOException {
+        JsonReader reader = new JsonReader(new StringReader(Files.readString(Path.of(path))));
+        reader.setStrictness(Strictness.STRICT);
+        JsonObject json = JsonParser.parseReader(reader).getAsJsonObject();
+        if (reader.peek() != JsonToken.END_DOCUMENT) {
+            throw new IllegalArgumentException("more than one object");
+        }
+        return json;
+    }
+
+    /** The first key of the one that the other lacks; of a list's entries, a key that all of the one's have. */
+    private static String lost(String path, JsonElement before, JsonElement now) {
+        if (before.isJsonObject()) {
+            for (Map.Entry<String, JsonElement> e : before.getAsJsonObject().entrySet()) {
+                String at = path.isEmpty() ? e.getKey() : path + "." + e.getKey();
+                JsonElement there = now.isJsonObject() ? now.getAsJsonObject().get(e.getKey()) : null;
+                String lost = there == null ? at : e.getKey().equals("known") ? null : lost(at, e.getValue(), there);
+                if (lost != null) {
+                    return lost;
+                }
+            }
+        } else if (before.isJsonArray() && now.isJsonArray()) {
+            JsonObject common = common(before.getAsJsonArray());
+            for (JsonElement e : now.getAsJsonArray()) {
+                String lost = lost(path, common, e);
+                if (lost != null) {
+                    return lost;
+                }
+            }
+        }
+        return null;
+    }
+
+    private static JsonObject common(JsonArray list) {
+        JsonObject common = null;
+        for (JsonElement e : list) {
+            if (!e.isJsonObject()) {
+                return new JsonObject();
+            }
+            if (common == null) {
+                common = e.getAsJsonObject().deepCopy();
+            } else {
+                common.keySet().retainAll(e.getAsJsonObject().keySet());
+            }
+        }
+        return common == null ? new JsonObject() : common;
+    }
+
     static Config parse(JsonObject json) {
         Map<String, String> values = new HashMap<>();
         flatten("", need(json, "settings"), values);
@@ -64,7 +131,7 @@
                 optionalAddress(json, "peer_listen"), List.copyOf(peers), optionalAddress(json, "peers_all"),
                 json.has("known") ? json.getAsJsonObject("known") : null, parser.settings(), parser.list("zones"),
                 parser.list("kinds"), parser.number("caps.idle-close", 15_000),
-                Math.max(1, (int) parser.number("caps.streams-per-conn", 1)));
+                Math.max(1, (int) parser.number("caps.streams-per-conn", 1)), optionalAddress(json, "operator"), json);
     }
 
     private static JsonElement need(JsonObject json, String key) {
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/Counters.java
@@ -0,0 +1,104 @@
+package damsonworks.proxy;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * What has come of requests and attempts since the process began. Each is counted once, where its one end is decided.
+ * A class that the settings name no more keeps its counts: what only grows must not vanish.
+ */
+final class Counters {
+    /** Of classes that are remembered; beyond, the counts of those that vanished first are given up. */
+    static final int MAX_CLASSES = 256;
+
+    /** What comes of a request. */
+    enum Ending {
+        /** Answered with what a server made for it. */
+        SUCCEEDED,
+        /** Refused: trying again is harmless. */
+        DECLINED,
+        /** Failed, or rejected as no request that could be carried out. */
+        ABORTED,
+        /** Its client left before. Counts for nothing. */
+        GONE
+    }
+
+    /** One class. */
+    static final class Tally {
+        private long succeeded;
+        private long declined;
+        private long aborted;
+
+        long succeeded() {
+            return succeeded;
+        }
+
+        long declined() {
+            return declined;
+        }
+
+        long aborted() {
+            return aborted;
+        }
+    }
+
+    private final Map<String, Tally> classes = new LinkedHashMap<>();
+    private long forwards;
+    private long applied;
+    private long rejected;
+
+    /** These classes are in the settings now; they are told of from here on, at 0 if nothing has come. */
+    void know(Iterable<String> names) {
+        for (String name : names) {
+            Tally tally = classes.remove(name);
+            classes.put(name, tally == null ? new Tally() : tally); // behind those that have vanished
+        }
+        while (classes.size() > MAX_CLASSES) {
+            classes.remove(classes.keySet().iterator().next());
+        }
+    }
+
+    /** A request of this class has ended; one of a class that is not known counts for nothing. */
+    void ended(String name, Ending ending) {
+        Tally tally = classes.get(name);
+        if (tally == null) {
+            return;
+        }
+        switch (ending) {
+            case SUCCEEDED -> tally.succeeded++;
+            case DECLINED -> tally.declined++;
+            case ABORTED -> tally.aborted++;
+            case GONE -> { }
+        }
+    }
+
+    /** An attempt has been written whole to a cache node. */
+    void forwarded() {
+        forwards++;
+    }
+
+    /** A file read at SIGHUP was taken, or turned down. */
+    void reloaded(boolean taken) {
+        if (taken) {
+            applied++;
+        } else {
+            rejected++;
+        }
+    }
+
+    Map<String, Tally> classes() {
+        return classes;
+    }
+
+    long forwards() {
+        return forwards;
+    }
+
+    long applied() {
+        return applied;
+    }
+
+    long rejected() {
+        return rejected;
+    }
+}
--- a/src/main/java/damsonworks/proxy/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/DiscoveryClient.java
@@ -1,5 +1,6 @@
 package damsonworks.proxy;
 
+import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
@@ -28,7 +29,9 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
@@ -49,10 +52,12 @@
     record Host(Member member, SocketAddress dial, Pool.Server server) { }
 
     private final EventLoop loop;
-    private final Config config;
     private final Dispatcher dispatcher;
     private final Line watchLine = new Line();
     private final Line listLine = new Line();
+    /** The entries of the list as discovery words them, by their hosts' names. */
+    private final Map<String, JsonObject> entries = new LinkedHashMap<>();
+    private Config config;
     private InetSocketAddress address;
     private long version;
     private boolean watching;
@@ -65,14 +70,16 @@
     }
 
     /**
-     * Goes on at another address. What waits at the old one is asked again there, and where nothing does, a watch
-     * begins: what the new one has to tell counts as told soon, whenever the module would have asked next.
+     * Goes on by another configuration. Where its address is another, what waits at the old one is asked again there,
+     * and where nothing does, a watch begins: what the new one has to tell counts as told soon, whenever the module
+     * would have asked next.
      */
-    void moveTo(InetSocketAddress to) {
-        if (to.equals(address)) {
+    void settle(Config next) {
+        config = next;
+        if (next.discovery().equals(address)) {
             return;
         }
-        address = to;
+        address = next.discovery();
         boolean fetching = listLine.waiting();
         watchLine.close();
         listLine.close();
@@ -82,13 +89,18 @@
         }
     }
 
-    /** Hands over the list as it was last had and, where lists are pushed, begins to follow it. */
-    void start() {
+    /**
+     * Hands over the list as it was last had and, where lists are pushed, begins to follow it.
+     *
+     * @param list in discovery's form; null if there is none
+     */
+    void start(JsonObject list) {
         List<Host> known = List.of();
-        if (config.known() != null) {
+        if (list != null) {
             try {
-                known = hosts(config, config.known());
-                version = seq(config.known());
+                known = hosts(config, list);
+                version = seq(list);
+                keep(list);
             } catch (RuntimeException e) {
                 dispatcher.log("the list in the configuration is of no use: " + e.getMessage());
             }
@@ -154,9 +166,35 @@
             throw new IllegalArgumentException("changes up to " + seq + " after " + version);
         }
         version = seq;
+        keep(json);
         dispatcher.listed(whole ? ListKind.FULL : ListKind.CHANGES, hosts);
     }
 
+    private void keep(JsonObject json) {
+        if (json.get("whole").getAsBoolean()) {
+            entries.clear();
+        }
+        for (JsonElement e : json.getAsJsonArray("hosts")) {
+            JsonObject host = e.getAsJsonObject();
+            if (host.get("health").getAsString().equals("removed")) {
+                entries.remove(host.get("host").getAsString());
+            } else {
+                entries.put(host.get("host").getAsString(), host);
+            }
+        }
+    }
+
+    /** The whole list as it is held now, in discovery's form. */
+    JsonObject list() {
+        JsonArray hosts = new JsonArray();
+        entries.values().forEach(hosts::add);
+        JsonObject list = new JsonObject();
+        list.addProperty("seq", version);
+        list.addProperty("whole", true);
+        list.add("hosts", hosts);
+        return list;
+    }
+
     private void failed(RuntimeException cause) {
         dispatcher.log("discovery: " + cause.getMessage());
         dispatcher.listed(ListKind.FAILED, List.of());
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -13,6 +13,8 @@
 import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.State;
 import damsonworks.drain.Drain;
+import damsonworks.flow.ByteBudget;
+import damsonworks.proxy.Counters.Ending;
 import damsonworks.proxy.Exchange.Attempt;
 import damsonworks.proxy.Exchange.Command;
 import damsonworks.proxy.Timers.Timer;
@@ -24,6 +26,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.util.collection.IntObjectHashMap;
+import io.netty.util.internal.PlatformDependent;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -34,6 +37,7 @@
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 /**
  * The one caller of the decision module and the one that carries its orders out. Keeps what requests and
@@ -47,6 +51,11 @@
     /** A day; what is longer is no deadline. */
     private static final double MAX_WAIT_MS = 86_400_000;
     private static final double PROBE_TIMEOUT_MS = 250;
+    /** Of the memory for buffers, values that are kept whole get one part of so many; the rest is for what passes. */
+    private static final int VALUES_PART = 2;
+    /** To one cache node, ordinarily and with those that pass long answers on. */
+    private static final int CONNECTIONS = 4;
+    private static final int CONNECTIONS_IN_ALL = 12;
     private static final double RETIRE_AT = 0.7;
     private static final long SWEEP_MS = 1000;
     private static final double CLOSES_PER_SECOND = 10;
@@ -54,8 +63,7 @@
 
     private final EventLoop loop;
     private final Timers timers;
-    private final Config config;
-    private final Settings settings;
+    private final Counters counters = new Counters();
     private final Map<String, Integer> classes = new HashMap<>();
     private final Map<String, Integer> tenants = new HashMap<>();
     private final IntObjectHashMap<Exchange> exchanges = new IntObjectHashMap<>();
@@ -66,8 +74,10 @@
     private final Bootstrap bootstrap;
     private final double epochMs = System.currentTimeMillis();
     private final long startNanos = System.nanoTime();
-    private final long maxValueBytes;
+    private final ByteBudget values;
     private final int maxUpstream;
+    private Config config;
+    private Settings settings;
     private RoutingApi module;
     /** The module where routes are set, else null. */
     private Router router;
@@ -87,7 +97,6 @@
     private int nextId;
     private int logLines;
     private int upstreamCount;
-    private long valueBytes;
 
     /** Where the module's calls for the list go. */
     interface ListSource {
@@ -96,24 +105,22 @@
         void fetch();
     }
 
-    /** What wants to know of clients that have left. */
+    /** What wants to know of clients that have left, or should. */
     interface ClientListener {
         void left(ClientConnection client);
+
+        /** It is between requests, and none is wanted from it any more. */
+        void retire(ClientConnection client);
     }
 
     Dispatcher(EventLoop loop, Config config, Class<? extends Channel> upstream) {
         this.loop = loop;
         timers = new Timers(loop);
-        this.config = config;
-        settings = config.settings();
-        for (ServiceClass c : settings.classes()) {
-            classes.put(c.name(), classes.size());
-        }
-        settings.tenants().forEach(t -> tenants.put(t.name(), tenants.size()));
-        maxValueBytes = (long) config.memoryMb() << 20 >> 3;
+        use(config);
+        values = new ByteBudget(Math.min((long) config.memoryMb() << 20 >> 3,
+                PlatformDependent.maxDirectMemory() / VALUES_PART));
         maxUpstream = config.sockets() / 3;
-        bootstrap = new Bootstrap().group(loop).channel(upstream)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) settings.connectTimeoutMs());
+        bootstrap = new Bootstrap().group(loop).channel(upstream);
         if (upstream == Transport.BEST.socket()) {
             bootstrap.option(ChannelOption.TCP_NODELAY, true);
         }
@@ -133,6 +140,51 @@
         sweeper = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
+    private void use(Config next) {
+        config = next;
+        settings = next.settings();
+        classes.clear();
+        settings.classes().forEach(c -> classes.put(c.name(), classes.size()));
+        tenants.clear();
+        settings.tenants().forEach(t -> tenants.put(t.name(), tenants.size()));
+        counters.know(classes.keySet());
+    }
+
+    /** Takes other settings for requests to come; those under way keep what held when they came. */
+    void settle(Config next) {
+        use(next);
+        tell(() -> module.onSettings(now(), next.settings(), this));
+    }
+
+    /** The longest that any request may be waited for, of those that are open and those to come. */
+    double longestDeadlineMs() {
+        return Stream.concat(settings.classes().stream(), open.values().stream().map(x -> x.kind))
+                .mapToDouble(ServiceClass::deadlineMs).max().orElse(0);
+    }
+
+    double connectTimeoutMs() {
+        return settings.connectTimeoutMs();
+    }
+
+    Counters counters() {
+        return counters;
+    }
+
+    /** The cache nodes of the list. */
+    int discovered() {
+        return (int) cacheNodes().count();
+    }
+
+    /** Those of them that get no ordinary request now. */
+    int ejected() {
+        double now = now();
+        return (int) cacheNodes().filter(u -> module.avoids(now, u.id)).count();
+    }
+
+    private Stream<Upstream> cacheNodes() {
+        return upstreams.values().stream().filter(u -> !u.origin);
+    }
+
     /** The routes, or null where there are none. */
     Router router() {
         return router;
@@ -169,16 +221,9 @@
 
     // ---- bounds
 
-    boolean reserve(int bytes) {
-        if (valueBytes + bytes > maxValueBytes) {
-            return false;
-        }
-        valueBytes += bytes;
-        return true;
-    }
-
-    void giveBack(int bytes) {
-        valueBytes -= bytes;
+    /** The room for values that are kept whole. */
+    ByteBudget values() {
+        return values;
     }
 
     boolean mayClose() {
@@ -234,12 +279,13 @@
     /** A drain's deadline has come: each open request gets its final answer now. */
     void answerAll() {
         for (Exchange x : List.copyOf(open.values())) {
-            over(x);
+            x.over = true; // before its attempts end, or the module would answer
+            boolean refused = !x.streaming && Drain.mayRefuse(x.kind.effect() == Effect.SAFE, withdraw(x));
+            over(x, refused ? Ending.DECLINED : Ending.ABORTED);
             tell(() -> module.onGone(now(), x.id, this));
-            boolean safe = settings.classes().get(x.serviceClass).effect() == Effect.SAFE;
             if (x.streaming) {
                 x.sink.breakOff();
-            } else if (Drain.mayRefuse(safe, withdraw(x))) {
+            } else if (refused) {
                 x.sink.refused(0);
             } else {
                 x.sink.failed();
@@ -264,6 +310,10 @@
         listener.left(client);
     }
 
+    void retire(ClientConnection client) {
+        listener.retire(client);
+    }
+
     private void sweep() {
         double now = now();
         for (Upstream u : upstreams.values()) {
@@ -307,7 +357,7 @@
             call.run();
         } catch (RuntimeException e) {
             fault(e);
-            finish(x, Sink::failed);
+            finish(x, Ending.ABORTED, Sink::failed);
         }
     }
 
@@ -321,8 +371,9 @@
             }
             if (u == null) {
                 boolean origin = settings.aside() && h.member().kind() == settings.originKind();
-                u = new Upstream(id, origin, this, bootstrap, origin ? originConnections() : cacheConnections(),
-                        origin ? 1 : config.streamsPerConnection());
+                u = origin ? new Upstream(id, true, this, bootstrap, originConnections(), originConnections(), 1)
+                        : new Upstream(id, false, this, bootstrap, cacheConnections(CONNECTIONS),
+                                cacheConnections(CONNECTIONS_IN_ALL), config.streamsPerConnection());
                 upstreams.put(id, u);
             }
             if (!h.dial().equals(u.dial) || u.bornMs != h.member().bornMs()) {
@@ -356,8 +407,8 @@
     }
 
     /** Servers accept some forty connections each, for all proxies together. */
-    private int cacheConnections() {
-        return Math.max(1, Math.min(4, 28 / Math.max(1, settings.instances())));
+    private int cacheConnections(int most) {
+        return Math.max(1, Math.min(most, 28 / Math.max(1, settings.instances())));
     }
 
     private int originConnections() {
@@ -387,7 +438,8 @@
             return;
         }
         x.id = ++nextId;
-        x.serviceClass = kind;
+        x.kind = settings.classes().get(kind);
+        x.maxAttempts = settings.maxAttempts();
         x.dueMs = now + wait;
         exchanges.put(x.id, x);
         Request request = new Request(x.id, kind, tenant, Installation.key(c.key), x.dueMs, terms.work() / 1000,
@@ -405,6 +457,7 @@
 
     private void turnAway(Exchange x, String why) {
         x.over = true;
+        counters.ended(x.command.terms.kind(), Ending.ABORTED);
         x.sink.rejected(why);
         free(x);
     }
@@ -416,7 +469,7 @@
         x.timer = after(OVERDUE_MS, () -> {
             if (!x.over && !x.streaming) {
                 log("request left unanswered by the module");
-                finish(x, Sink::failed);
+                finish(x, Ending.ABORTED, Sink::failed);
             }
         });
     }
@@ -438,7 +491,7 @@
 
     void gone(Exchange x) {
         if (!x.over) {
-            over(x);
+            over(x, Ending.GONE);
             tell(() -> module.onGone(now(), x.id, this));
             for (Attempt a : x.attempts) {
                 if (a.firstByteMs != 0 && !a.ended) { // the rest of a long value is of no use to anyone
@@ -472,15 +525,15 @@
         x.out--;
         if (answer != null && x.over) {
             answer.release();
-        } else if (a.firstByteMs != 0) {
-            over(x);
+        } else if (a.firstByteMs != 0 && !x.over) {
+            over(x, answer != null ? Ending.SUCCEEDED : Ending.ABORTED);
             if (answer != null) {
                 x.sink.end();
             } else {
                 x.sink.breakOff();
             }
         } else if (answer != null) {
-            over(x);
+            over(x, Ending.SUCCEEDED);
             x.sink.answer(answer);
         }
         boolean over = x.over;
@@ -517,18 +570,19 @@
         }
     }
 
-    private void over(Exchange x) {
+    private void over(Exchange x, Ending ending) {
         x.over = true;
         answered++;
+        counters.ended(x.kind.name(), ending);
         stop(x.timer);
     }
 
     /** The final answer where no server gave it. */
-    private void finish(Exchange x, Consumer<Sink> answer) {
+    private void finish(Exchange x, Ending ending, Consumer<Sink> answer) {
         if (x.over || x.streaming) {
             return;
         }
-        over(x);
+        over(x, ending);
         answer.accept(x.sink);
         free(x);
     }
@@ -538,11 +592,7 @@
             return;
         }
         open.remove(x.command.id, x);
-        if (x.command.value != null) {
-            // Guards against room that is taken for good: the proxy would come to turn every write away.
-            giveBack(x.command.value.readableBytes());
-            x.command.release();
-        }
+        x.command.release();
         if (x.out == 0) {
             exchanges.remove(x.id);
         }
@@ -564,7 +614,7 @@
         x.attempts.add(a);
         x.out++;
         Upstream u = upstreams.get(server);
-        if (u == null || wait <= 0 || a.index >= settings.maxAttempts()) {
+        if (u == null || wait <= 0 || a.index >= Math.min(x.maxAttempts, settings.maxAttempts())) {
             tell(() -> end(a, Outcome.NOT_SENT, 0, null, null));
             return;
         }
@@ -580,7 +630,7 @@
     public void deny(int request, double retryAfterMs) {
         Exchange x = exchanges.get(request);
         if (x != null) {
-            finish(x, s -> s.refused(settings.retryAdvice() ? retryAfterMs : 0));
+            finish(x, Ending.DECLINED, s -> s.refused(settings.retryAdvice() ? retryAfterMs : 0));
         }
     }
 
@@ -588,7 +638,7 @@
     public void fail(int request) {
         Exchange x = exchanges.get(request);
         if (x != null) {
-            finish(x, Sink::failed);
+            finish(x, Ending.ABORTED, Sink::failed);
         }
     }
 
--- a/src/main/java/damsonworks/proxy/Exchange.java
+++ b/src/main/java/damsonworks/proxy/Exchange.java
@@ -1,5 +1,7 @@
 package damsonworks.proxy;
 
+import damsonworks.RoutingApi.ServiceClass;
+import damsonworks.flow.ByteBudget;
 import damsonworks.proxy.Timers.Timer;
 import io.netty.buffer.ByteBuf;
 import java.util.ArrayList;
@@ -11,8 +13,10 @@
     final Command command;
 
     int id;
-    /** The index of its class in the settings. */
-    int serviceClass;
+    /** Its class as the settings had it when it came. */
+    ServiceClass kind;
+    /** How often it may be tried by the settings of that time. */
+    int maxAttempts;
     double dueMs;
     /** It has had its final answer, or the client has gone: nothing more may be sent for it. */
     boolean over;
@@ -42,6 +46,8 @@
         final String tail;
         /** The value with its line's end; null for reads. Kept for attempts to come, until it is over. */
         ByteBuf value;
+        /** The room that its value has; null for reads. */
+        ByteBudget.Ticket room;
 
         Command(int front, String key, String id, boolean write, Terms terms, String extras, String head,
                 String tail) {
@@ -55,11 +61,16 @@
             this.tail = tail;
         }
 
+        /** Frees the value and its room, which would else be taken for good. */
         void release() {
             if (value != null) {
                 value.release();
                 value = null;
             }
+            if (room != null) {
+                room.release();
+                room = null;
+            }
         }
     }
 
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/HandoverLink.java
@@ -0,0 +1,156 @@
+package damsonworks.proxy;
+
+import com.google.gson.JsonObject;
+import damsonworks.takeover.Handover;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.unix.FileDescriptor;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+/**
+ * Where a successor asks: a local socket in the instance's private folder. Lines come in; the state goes out as one
+ * line, then descriptors: the listening socket and, once this process has been told to end, its idle clients.
+ */
+final class HandoverLink {
+    /** The version of what is passed over; a process that speaks another starts beside this one, without it. */
+    static final int VERSION = 1;
+    static final String STATE = "STATE " + VERSION;
+    static final String SOCKET = "SOCKET";
+    static final String SERVING = "SERVING";
+    private static final int MAX_LINE = 64;
+    private static final int MAX_LINKS = 4;
+    private static final String NAME = "takeover";
+
+    private final EventLoop loop;
+    private final Path folder;
+    private final Handover handover;
+    private final Acceptor acceptor;
+    private final Supplier<JsonObject> state;
+    private final Map<Long, Channel> links = new HashMap<>();
+    private Channel server;
+    private Channel successor;
+    private long nextLink;
+
+    /** {@code state}: asked on the event loop. */
+    HandoverLink(EventLoop loop, Path folder, Handover handover, Acceptor acceptor, Supplier<JsonObject> state) {
+        this.loop = loop;
+        this.folder = folder;
+        this.handover = handover;
+        this.acceptor = acceptor;
+        this.state = state;
+    }
+
+    /** The folder that processes of one instance share; null where there is none, or none that can be used. */
+    static Path folder() {
+        String folder = System.getenv("TMPDIR");
+        return folder == null || folder.isEmpty() || !Transport.BEST.passesDescriptors() ? null : Path.of(folder);
+    }
+
+    static Path path(Path folder) {
+        return folder.resolve(NAME);
+    }
+
+    /** Listens in the place of whoever did before; waits until it does, so not to be called on the event loop. */
+    void open() throws IOException, InterruptedException {
+        Path own = folder.resolve(NAME + "." + ProcessHandle.current().pid());
+        Files.deleteIfExists(own);
+        server = new ServerBootstrap().group(loop).channel(Transport.BEST.localServer())
+                .childHandler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        accepted(channel);
+                    }
+                }).bind(Transport.BEST.local(own)).sync().channel();
+        Files.move(own, path(folder), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    private void accepted(Channel channel) {
+        if (links.size() >= MAX_LINKS) {
+            channel.close();
+            return;
+        }
+        long number = ++nextLink;
+        links.put(number, channel);
+        channel.pipeline().addLast(new LineBasedFrameDecoder(MAX_LINE), new Link(number));
+    }
+
+    /**
+     * Passes a client's connection on. What it has sent and nobody has read waits in the system for the successor.
+     *
+     * @param done told whether that was done; the connection is then the successor's
+     */
+    void pass(Channel client, Consumer<Boolean> done) {
+        if (successor == null || !handover.passes()) {
+            done.accept(false);
+            return;
+        }
+        successor.writeAndFlush(Transport.descriptor(client)).addListener(f -> done.accept(f.isSuccess()));
+    }
+
+    private final class Link extends SimpleChannelInboundHandler<ByteBuf> {
+        private final long number;
+
+        Link(long number) {
+            this.number = number;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
+            boolean granted = switch (line.toString(StandardCharsets.US_ASCII)) {
+                case STATE -> handover.asked(number) && say(ctx, state.get() + "\n");
+                case SOCKET -> handover.wanted(number) && send(ctx, Transport.descriptor(acceptor.channel()));
+                case SERVING -> handover.serves(number) && serves(ctx.channel());
+                default -> false;
+            };
+            if (!granted) {
+                ctx.close();
+            }
+        }
+
+        private boolean say(ChannelHandlerContext ctx, String text) {
+            ctx.writeAndFlush(ByteBufUtil.writeUtf8(ctx.alloc(), text));
+            return true;
+        }
+
+        private boolean send(ChannelHandlerContext ctx, FileDescriptor descriptor) {
+            ctx.writeAndFlush(descriptor);
+            return true;
+        }
+
+        private boolean serves(Channel channel) {
+            successor = channel;
+            acceptor.accept(handover.accepts());
+            return true;
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            links.remove(number);
+            handover.lost(number);
+            if (successor == ctx.channel()) {
+                successor = null;
+            }
+            acceptor.accept(handover.accepts());
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -1,10 +1,10 @@
 package damsonworks.proxy;
 
 import damsonworks.RoutingApi.Outcome;
+import damsonworks.flow.ByteBudget;
 import damsonworks.proxy.Exchange.Attempt;
 import damsonworks.proxy.Exchange.Command;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -26,6 +26,7 @@
 import java.net.SocketAddress;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.Map;
 
 /** HTTP/1.1 towards the origin. */
@@ -36,7 +37,9 @@
     private final Dispatcher dispatcher;
     private HttpResponse response;
     /** A short answer's body so far, or one whose length was not told; null where it is dropped or streamed. */
-    private CompositeByteBuf body;
+    private ValueBuffer body;
+    /** Room for a body whose length was not told, claimed as it grows: whoever finds none does not wait for it. */
+    private final ArrayDeque<ByteBudget.Ticket> room = new ArrayDeque<>();
     private long missing;
     private boolean streamed;
     private boolean broken;
@@ -117,16 +120,19 @@
             fail("header line without colon");
             return;
         }
-        if (missing < 0 && !HttpUtil.isTransferEncodingChunked(r) || missing > MetaCodec.MAX_VALUE) {
-            // Where only the connection's end ends the body, none can tell whether it is whole.
-            fail("no length or too long");
+        if (missing > MetaCodec.MAX_VALUE) {
+            fail("too long");
+            return;
+        }
+        if (missing < 0 && !HttpUtil.isTransferEncodingChunked(r) && HttpUtil.isKeepAlive(r)) {
+            fail("no length and no end"); // none can tell whether it is whole
             return;
         }
         streamed = r.status().code() == 200 && attempt.exchange != null && !attempt.exchange.command.write
                 && missing > MetaCodec.WHOLE;
         body = null;
         if (!streamed) {
-            body = ctx.alloc().compositeBuffer(64);
+            body = new ValueBuffer(ctx.alloc(), missing < 0 ? MetaCodec.MAX_VALUE : (int) missing);
             connection.partial();
         } else if (connection.begin((int) missing)) {
             return;
@@ -155,21 +161,38 @@
                 connection.part(part.retain());
             }
         } else if (body != null) {
-            if (body.readableBytes() + part.readableBytes() > MetaCodec.MAX_VALUE) {
+            int length = body.length() + part.readableBytes();
+            if (length > MetaCodec.MAX_VALUE) {
                 fail("too long");
-                return;
+            } else if (!claim(length - MetaCodec.WHOLE)) {
+                fail("no room for it");
+            } else {
+                body.add(part, part.readableBytes());
+                connection.partial();
             }
-            body.addComponent(true, part.retain());
-            connection.partial();
         }
     }
 
+    private boolean claim(int bytes) {
+        while (room.size() * (long) MetaCodec.WHOLE < bytes) {
+            ByteBudget.Ticket ticket = dispatcher.values().claim(MetaCodec.WHOLE, () -> { });
+            if (ticket == null || !ticket.granted()) {
+                if (ticket != null) {
+                    ticket.release();
+                }
+                return false;
+            }
+            room.add(ticket);
+        }
+        return true;
+    }
+
     private void end(ChannelHandlerContext ctx) {
         HttpResponse r = response;
-        ByteBuf whole = body;
+        ByteBuf whole = body == null ? null : body.whole();
         response = null;
-        body = null;
-        if (!HttpUtil.isKeepAlive(r)) {
+        drop();
+        if (!HttpUtil.isKeepAlive(r) || !HttpUtil.isContentLengthSet(r) && !HttpUtil.isTransferEncodingChunked(r)) {
             connection.retire();
         }
         Attempt attempt = connection.head();
@@ -205,23 +228,35 @@
         }
     }
 
+    /** Lets go of the body; what has been handed on is in the client's hands. */
+    private void drop() {
+        if (body != null) {
+            body.release();
+            body = null;
+        }
+        for (ByteBudget.Ticket t; (t = room.poll()) != null;) {
+            t.release();
+        }
+    }
+
     private void fail(String what) {
         broken = true;
-        release(body);
-        body = null;
+        drop();
         connection.garbage(what);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         broken = true;
-        release(body);
-        body = null;
+        drop();
         connection.closed();
     }
 
+    /** A body that only the connection's end ends is whole if that is an orderly one (RFC 9112, 6.3). */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        broken = true;
+        drop();
         ctx.close();
     }
 }
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -1,14 +1,21 @@
 package damsonworks.proxy;
 
-import damsonworks.RoutingApi.ServiceClass;
+import com.google.gson.JsonObject;
 import damsonworks.drain.Drain;
 import damsonworks.drain.DrainPlan;
+import damsonworks.flow.ByteBudget;
 import damsonworks.route.Known;
 import damsonworks.route.Router;
 import damsonworks.route.Routing;
+import damsonworks.takeover.Handover;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.unix.FileDescriptor;
+import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -23,17 +30,19 @@
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
     private final EventLoop loop = group.next();
-    private final Config config;
+    private Config config;
     private final Dispatcher dispatcher;
     private final DiscoveryClient discovery;
     private final PeerSocket peers;
     private final Acceptor acceptor;
     private final Drainer drainer;
     private final Edge edge;
+    private final Handover handover = new Handover();
+    private final HandoverLink link;
     private final CountDownLatch ended = new CountDownLatch(1);
     private volatile Runnable whenEnded = () -> { };
 
-    private Proxy(Config config, Edge edge, boolean warm) throws InterruptedException {
+    private Proxy(Config config, Edge edge, boolean warm, Path shared) throws InterruptedException, IOException {
         this.config = config;
         this.edge = edge;
         Routing routing = edge == null ? null : edge.read(config.names());
@@ -44,14 +53,49 @@
         peers = new PeerSocket(loop, config, dispatcher::heard);
         acceptor = new Acceptor(dispatcher,
                 Math.max(16, config.sockets() - config.sockets() / 3 - OWN_DESCRIPTORS));
-        drainer = new Drainer(loop, dispatcher, acceptor, this::ended);
         discovery = new DiscoveryClient(loop, config, dispatcher);
+        link = new HandoverLink(loop, shared, handover, acceptor, this::state);
+        acceptor.retireBy(c -> {
+            if (handover.passes()) {
+                c.pass(link);
+            } else {
+                c.finish();
+            }
+        });
+        drainer = new Drainer(loop, dispatcher, acceptor, this::ended);
+        TakeoverLink old = TakeoverLink.ask(loop, shared); // as late as can be: what it tells is of now
+        JsonObject state = old == null ? null : old.state();
         loop.submit(() -> {
-            dispatcher.start(discovery, peers, acceptor::left, routing);
-            discovery.start();
+            dispatcher.start(discovery, peers, acceptor, routing);
+            discovery.start(newer(state, config.known()));
             loop.scheduleWithFixedDelay(acceptor::sweep, 1, 1, TimeUnit.SECONDS);
         }).syncUninterruptibly();
-        acceptor.listen(group, config.listen());
+        FileDescriptor socket = old == null ? null : old.socket();
+        if (socket != null) {
+            acceptor.listen(group, socket);
+            old.serving(client -> acceptor.adopt(loop, client));
+        } else {
+            acceptor.listen(group, config.listen());
+        }
+        if (shared != null) {
+            link.open();
+        }
+    }
+
+    /** What a successor must know: what this process was told of the servers binds both. */
+    private JsonObject state() {
+        JsonObject state = new JsonObject();
+        state.addProperty("v", HandoverLink.VERSION);
+        state.add("list", discovery.list());
+        return state;
+    }
+
+    private static JsonObject newer(JsonObject state, JsonObject known) {
+        if (state == null) {
+            return known;
+        }
+        JsonObject list = state.getAsJsonObject("list");
+        return known != null && known.get("seq").getAsLong() > list.get("seq").getAsLong() ? known : list;
     }
 
     private void ended() {
@@ -74,9 +118,9 @@
     public static Proxy main(Edge edge) {
         Config config = configuration();
         try {
-            Proxy proxy = new Proxy(config, edge, true);
+            Proxy proxy = new Proxy(config, edge, true, HandoverLink.folder());
             Runtime.getRuntime().addShutdownHook(new Thread(proxy::drain));
-            Hangup.on(proxy::reload);
+            Hangup.on(() -> proxy.reload(System.getenv("BALANCER_CONFIG")));
             // Not on the event loop, which the process's end waits for.
             proxy.whenEnded = () -> new Thread(() -> System.exit(0), "drained").start();
             return proxy;
@@ -104,21 +148,26 @@
     /** Starts a proxy and ends it; the process's exit code. */
     public static int train() {
         try {
-            new Proxy(configuration(), null, true).close();
+            new Proxy(configuration(), null, true, null).close();
             return 0;
-        } catch (InterruptedException e) {
+        } catch (InterruptedException | IOException e) {
             return 1;
         }
     }
 
     /** Starts without a warm-up. */
-    static Proxy start(Config config) throws InterruptedException {
-        return new Proxy(config, null, false);
+    static Proxy start(Config config) throws InterruptedException, IOException {
+        return new Proxy(config, null, false, null);
     }
 
     /** Starts without a warm-up, with routes. */
-    static Proxy start(Config config, Edge edge) throws InterruptedException {
-        return new Proxy(config, edge, false);
+    static Proxy start(Config config, Edge edge) throws InterruptedException, IOException {
+        return new Proxy(config, edge, false, null);
+    }
+
+    /** Starts without a warm-up, as the successor of whoever serves by this folder. */
+    static Proxy start(Config config, Path shared) throws InterruptedException, IOException {
+        return new Proxy(config, null, false, shared);
     }
 
     InetSocketAddress address() {
@@ -129,29 +178,34 @@
         return peers.address();
     }
 
-    // ---- a new configuration
-
-    /** Reads the file anew. Only discovery's address may change in service; a file of no use changes nothing. */
-    private void reload() {
-        try {
-            Config read = Config.read(System.getenv("BALANCER_CONFIG"));
-            loop.execute(() -> discovery.moveTo(read.discovery()));
-        } catch (IllegalArgumentException e) {
-            System.err.println(e.getMessage());
-        }
-        reroute();
+    ByteBudget values() {
+        return dispatcher.values();
     }
 
-    /** Reads the routes anew. All of them are taken or, if anything is wrong with them, none. */
-    void reroute() {
-        if (edge == null) {
-            return;
-        }
+    // ---- a new configuration
+
+    /**
+     * Reads the file anew, and the routes. All of it is taken or, if anything is wrong with it, nothing. One at a time:
+     * each signal has a thread of its own, and what was read last must be what holds.
+     */
+    synchronized void reload(String path) {
         try {
-            Routing routing = edge.read(config.names());
-            loop.execute(() -> dispatcher.route(routing));
+            Config next = config.again(path);
+            Routing routing = edge == null ? null : edge.read(next.names());
+            config = next;
+            loop.execute(() -> {
+                dispatcher.settle(next);
+                discovery.settle(next);
+                if (routing != null) {
+                    dispatcher.route(routing);
+                }
+                dispatcher.counters().reloaded(true);
+            });
         } catch (IllegalArgumentException e) {
-            System.err.println(e.getMessage());
+            loop.execute(() -> {
+                dispatcher.log("the settings stay as they are: " + e.getMessage());
+                dispatcher.counters().reloaded(false);
+            });
         }
     }
 
@@ -167,12 +221,12 @@
      * connection between requests, and returns when none is left or no answer could be in time any more.
      */
     void drain() {
-        double longest = 0;
-        for (ServiceClass c : config.settings().classes()) {
-            longest = Math.max(longest, c.deadlineMs());
-        }
-        DrainPlan plan = DrainPlan.terminated(LISTEN_ON_MS, longest + ANSWER_ROOM_MS);
-        loop.execute(() -> drainer.begin(plan));
+        loop.execute(() -> {
+            handover.terminated();
+            double longest = dispatcher.longestDeadlineMs() + ANSWER_ROOM_MS;
+            drainer.begin(handover.passes() ? DrainPlan.succeeded(longest)
+                    : DrainPlan.terminated(LISTEN_ON_MS, longest));
+        });
         try {
             ended.await();
         } catch (InterruptedException e) {
@@ -205,20 +259,48 @@
         return loop;
     }
 
-    /** What is open now. On the event loop only. */
+    /** Where operators ask, or null where nobody is to. */
+    public InetSocketAddress operator() {
+        String told = System.getenv("BALANCER_OPERATOR");
+        return config.operator() != null || told == null || told.isEmpty() ? config.operator() : Config.address(told);
+    }
+
+    /** What is open now, and what has come of what was. On the event loop only. */
     public Status status() {
-        return new Status(acceptor.open(), dispatcher.owed(), dispatcher.answered(), dispatcher.upstreamConnections());
+        Counters c = dispatcher.counters();
+        Map<String, Endings> classes = new LinkedHashMap<>();
+        c.classes().forEach((name, t) -> classes.put(name, new Endings(t.succeeded(), t.declined(), t.aborted())));
+        return new Status(acceptor.open(), dispatcher.owed(), dispatcher.answered(), dispatcher.upstreamConnections(),
+                classes, c.forwards(), dispatcher.discovered(), dispatcher.ejected(), c.applied(), c.rejected(),
+                handover.phase());
     }
 
     /**
-     * What is open.
+     * How requests of one class have ended since the start.
+     *
+     * @param succeeded answered with what a server made for them
+     * @param declined  refused
+     * @param aborted   failed
+     */
+    public record Endings(long succeeded, long declined, long aborted) { }
+
+    /**
+     * What is open, and what has come of what was.
      *
-     * @param clients  their connections
-     * @param owed     requests without a final answer
-     * @param answered requests answered since the start
-     * @param upstream connections to nodes and origin
+     * @param clients    their connections
+     * @param owed       requests without a final answer
+     * @param answered   requests answered since the start
+     * @param upstream   connections to nodes and origin
+     * @param classes    how requests have ended, by their classes' names
+     * @param forwards   attempts written whole to cache nodes
+     * @param discovered cache nodes in the list
+     * @param ejected    those of them that get no ordinary request now
+     * @param applied    files taken at SIGHUP
+     * @param rejected   files turned down at SIGHUP
+     * @param handover   how far a successor has come
      */
-    public record Status(int clients, int owed, long answered, int upstream) { }
+    public record Status(int clients, int owed, long answered, int upstream, Map<String, Endings> classes,
+            long forwards, int discovered, int ejected, long applied, long rejected, Handover.Phase handover) { }
 
     /** Ends at once; for tests. */
     void close() {
--- a/src/main/java/damsonworks/proxy/Transport.java
+++ b/src/main/java/damsonworks/proxy/Transport.java
@@ -17,6 +17,8 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.channel.unix.DomainSocketAddress;
+import io.netty.channel.unix.FileDescriptor;
+import io.netty.channel.unix.UnixChannel;
 import java.net.SocketAddress;
 import java.net.UnixDomainSocketAddress;
 import java.nio.file.Path;
@@ -36,6 +38,16 @@
             : new Transport(NioIoHandler.newFactory(), NioServerSocketChannel.class, NioSocketChannel.class,
                     NioDatagramChannel.class, NioServerDomainSocketChannel.class, NioDomainSocketChannel.class);
 
+    /** Whether sockets can be passed to another process. */
+    boolean passesDescriptors() {
+        return socket == EpollSocketChannel.class;
+    }
+
+    /** What stands for a channel's socket in another process's hands; only where sockets can be passed. */
+    static FileDescriptor descriptor(Channel channel) {
+        return new FileDescriptor(((UnixChannel) channel).fd().intValue());
+    }
+
     /** A local socket's address. */
     public SocketAddress local(Path path) {
         return socket == EpollSocketChannel.class ? new DomainSocketAddress(path.toFile())
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -4,6 +4,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelOption;
 import java.net.SocketAddress;
 import java.util.ArrayList;
 import java.util.List;
@@ -24,16 +25,19 @@
     private final Dispatcher dispatcher;
     private final Bootstrap bootstrap;
     private final int maxConnections;
+    /** With those that pass long answers on. */
+    private final int mostConnections;
     private final int maxDepth;
     private final List<UpstreamConnection> connections = new ArrayList<>(2);
 
     Upstream(int id, boolean origin, Dispatcher dispatcher, Bootstrap bootstrap, int maxConnections,
-            int maxDepth) {
+            int mostConnections, int maxDepth) {
         this.id = id;
         this.origin = origin;
         this.dispatcher = dispatcher;
         this.bootstrap = bootstrap;
         this.maxConnections = maxConnections;
+        this.mostConnections = mostConnections;
         this.maxDepth = maxDepth;
     }
 
@@ -41,21 +45,33 @@
         return dispatcher;
     }
 
-    /** Sends the attempt; false if no connection has room for it. */
+    /**
+     * Sends the attempt; false if no connection has room for it. What is put behind a long answer waits as long as its
+     * client takes to read it, so such a connection is the last resort, and one more is opened in its place.
+     */
     boolean send(Attempt attempt) {
         UpstreamConnection best = null;
+        UpstreamConnection busy = null;
         int standing = 0;
+        int all = 0;
         for (int i = connections.size() - 1; i >= 0; i--) {
             UpstreamConnection c = connections.get(i);
-            standing += c.retired() ? 0 : 1;
-            if (c.usable(maxDepth) && (best == null || c.better(best))) {
-                best = c;
+            standing += c.retired() || c.streaming() ? 0 : 1;
+            all += c.retired() ? 0 : 1;
+            if (!c.usable(maxDepth)) {
+                continue;
+            }
+            if (c.streaming()) {
+                busy = busy == null || c.better(busy) ? c : busy;
+            } else {
+                best = best == null || c.better(best) ? c : best;
             }
         }
         if ((best == null || best.depth() > 0 && dispatcher.now() >= noMoreUntilMs)
-                && standing < maxConnections && dispatcher.roomUpstream()) {
+                && standing < maxConnections && all < mostConnections && dispatcher.roomUpstream()) {
             best = open();
         }
+        best = best == null ? busy : best;
         if (best == null) {
             return false;
         }
@@ -88,7 +104,8 @@
         dispatcher.openedUpstream();
         ChannelHandler[] handlers = origin ? OriginCodec.handlers(connection)
                 : new ChannelHandler[] {new CacheCodec(connection)};
-        ChannelFuture future = bootstrap.clone().handler(new Initializer(handlers)).connect(dial);
+        ChannelFuture future = bootstrap.clone().handler(new Initializer(handlers))
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) dispatcher.connectTimeoutMs()).connect(dial);
         connection.opening(future, dial);
         return connection;
     }
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -73,6 +73,11 @@
         });
     }
 
+    /** A long answer is being passed on. */
+    boolean streaming() {
+        return begun;
+    }
+
     boolean connected() {
         return connected;
     }
@@ -110,6 +115,9 @@
         codec.write(channel, attempt, dial).addListener(f -> {
             if (f.isSuccess()) {
                 attempt.written = true;
+                if (attempt.exchange != null && !upstream.origin) {
+                    upstream.dispatcher().counters().forwarded();
+                }
             }
         });
     }
@@ -220,6 +228,7 @@
     /** A long answer begins; false if nobody waits for it, so that it is to be dropped. */
     boolean begin(int length) {
         begun = true;
+        partial = false; // its line may have come in pieces; from here on the client may be what it waits for
         progressMs = upstream.dispatcher().now();
         return upstream.dispatcher().begin(attempts.peek(), length);
     }
--- a/src/main/java/damsonworks/proxy/WarmUp.java
+++ b/src/main/java/damsonworks/proxy/WarmUp.java
@@ -78,7 +78,13 @@
 
                 @Override
                 public void fetch() { }
-            }, null, c -> { }, null);
+            }, null, new Dispatcher.ClientListener() {
+                @Override
+                public void left(ClientConnection client) { }
+
+                @Override
+                public void retire(ClientConnection client) { }
+            }, null);
             dispatcher.listed(ListKind.CACHED, hosts);
         }).sync();
         channels.add(new Bootstrap().group(loop).channel(Transport.BEST.localSocket())
--- a/src/main/java/damsonworks/route/Router.java
+++ b/src/main/java/damsonworks/route/Router.java
@@ -128,7 +128,6 @@
 
     private record Due(Lane lane, int token) { }
 
-    private final Settings settings;
     private final long seed;
     private final Map<Integer, Pool.Server> described = new HashMap<>();
     private final Map<Integer, Member> members = new LinkedHashMap<>();
@@ -140,6 +139,7 @@
     private final List<Lane> lanes = new ArrayList<>();
     private final Lane all;
     private final Way anyWay;
+    private Settings settings;
     private Routing routing;
     private RouteTable.Matcher matcher;
     /** How many routings there have been. */
@@ -201,13 +201,43 @@
             ways.put(r, new Way(r, used.get(r.pool()), r.fallback() == null ? null : used.get(r.fallback()),
                     r.policy() == null ? anyWay.limits : limits.get(r.policy())));
         }
-        matcher = next.table().matcher(settings.tenants().stream().map(Tenant::name).toList(),
-                settings.classes().stream().map(ServiceClass::name).toList(), Routing.FRONTS);
         routing = next;
+        bind();
         version++;
         lanes.removeIf(lane -> lane.leaving && lane.reachable == 0);
     }
 
+    /** Gives the names in the routes their indices in the settings. */
+    private void bind() {
+        matcher = routing.table().matcher(settings.tenants().stream().map(Tenant::name).toList(),
+                settings.classes().stream().map(ServiceClass::name).toList(), Routing.FRONTS);
+    }
+
+    @Override
+    public void onSettings(double now, Settings next, Actions out) {
+        for (Lane lane : List.copyOf(lanes)) {
+            lane.module.onSettings(now, next, lane.orders(now, out));
+        }
+        settings = next;
+        bind();
+        drain(out);
+    }
+
+    /** A server that one pool still uses is not avoided. */
+    @Override
+    public boolean avoids(double now, int server) {
+        boolean listed = false;
+        for (Lane lane : lanes) {
+            if (lane.ready.containsKey(server)) {
+                listed = true;
+                if (!lane.module.avoids(now, server)) {
+                    return false;
+                }
+            }
+        }
+        return listed;
+    }
+
     /** What holds now. */
     public Routing routing() {
         return routing;
--- a/src/main/java/damsonworks/wire/SettingsParser.java
+++ b/src/main/java/damsonworks/wire/SettingsParser.java
@@ -8,8 +8,10 @@
 import damsonworks.RoutingApi.Tenant;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Reads an instance's settings from their paths and values; unknown paths are skipped. */
 public final class SettingsParser {
@@ -42,7 +44,7 @@
                 Reports.values()[oneOf("report.how", "silent", "piggyback", "pull")], list("report.names"),
                 oneOf("value-by", "request", "work") == 1, number("over-share-worth", 1),
                 flag("caps.may-cancel"), flag("caps.may-probe"), flag("caps.peers"), flag("caps.second-copies"),
-                flag("caps.retry-after"), integer("caps.max-attempts"), number("caps.max-retry-after", 0),
+                flag("caps.retry-after"), (int) positive("caps.max-attempts", 1), number("caps.max-retry-after", 0),
                 number("caps.connect-timeout"), number("guarantees.drain-grace"),
                 number("guarantees.grace-to-answer"), number("guarantees.start-capacity"),
                 number("guarantees.warm-up"), number("guarantees.tip-multiple"), number("guarantees.fall"),
@@ -51,14 +53,21 @@
     }
 
     private List<ServiceClass> classes() {
+        if (integer("classes.count") < 1) {
+            throw new WireException("settings name no class");
+        }
         List<ServiceClass> result = new ArrayList<>();
+        Set<String> names = new HashSet<>();
         for (int i = 0; i < integer("classes.count"); i++) {
             String p = "classes." + i + ".";
+            if (text(p + "name").isEmpty() || !names.add(text(p + "name"))) {
+                throw new WireException("setting '" + p + "name' is empty or another class's: " + text(p + "name"));
+            }
             Effect effect = Effect.values()[oneOf(p + "idempotency", "retryable", "dedup", "fragile")];
             boolean keyed = effect == Effect.KEYED;
             result.add(new ServiceClass(text(p + "name"), effect,
                     keyed ? Group.values()[oneOf(p + "group", "all", "zone", "cell")] : Group.ALL,
-                    keyed ? number(p + "window") : 0, number(p + "promise"), number(p + "deadline"),
+                    keyed ? number(p + "window") : 0, positive(p + "promise", 0), positive(p + "deadline", 0),
                     number(p + "gain", 1), number(p + "late-share", 0), flag(p + "stream")));
         }
         return result;
@@ -98,6 +107,15 @@
         return values.containsKey(key) ? number(key) : absent;
     }
 
+    /** Over 0, and no less than this. */
+    private double positive(String key, double least) {
+        double value = number(key);
+        if (!(value > 0 && value >= least)) {
+            throw new WireException("setting '" + key + "' is not over 0: " + values.get(key));
+        }
+        return value;
+    }
+
     private int integer(String key) {
         return (int) number(key);
     }
--- /dev/null
+++ b/src/test/java/damsonworks/control/DoorTest.java
@@ -0,0 +1,115 @@
+package damsonworks.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.Await;
+import damsonworks.control.Figure.Kind;
+import damsonworks.proxy.Transport;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(60)
+class DoorTest {
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
+    private final EventLoop loop = group.next();
+    private final ControlRegistry registry = new ControlRegistry();
+    private Door door;
+
+    @BeforeEach
+    void open() throws Exception {
+        registry.figures(() -> List.of(new Figure("succeeded.read", Kind.COUNT, 812),
+                new Figure("outstanding", Kind.GAUGE, 14)));
+        door = new Door(loop, new InetSocketAddress("127.0.0.1", 0), registry);
+    }
+
+    @AfterEach
+    void close() {
+        door.close();
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).syncUninterruptibly();
+    }
+
+    private Socket caller(String text) throws IOException {
+        Socket socket = new Socket("127.0.0.1", door.address().getPort());
+        socket.setSoTimeout(20_000);
+        socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+        return socket;
+    }
+
+    /** All that is answered until the door ends the call. */
+    private String ask(String text) throws IOException {
+        try (Socket socket = caller(text)) {
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        }
+    }
+
+    @Test
+    void aCallIsAnsweredAndItsConnectionEnds() throws Exception {
+        assertThat(ask("HEALTH\r\n")).isEqualTo("OK\n");
+        assertThat(ask("HEALTH\n")).isEqualTo("OK\n");
+        assertThat(ask("DUMP\r\n")).isEqualTo(
+                "edge_balancer.succeeded.read:812|c\nedge_balancer.outstanding:14|g\nEND\n");
+    }
+
+    @Test
+    void whatIsNoCallIsToldSo() throws Exception {
+        assertThat(ask("HELP\r\n")).startsWith("ERR").contains("DUMP, HEALTH").endsWith("\n");
+        assertThat(ask("\r\n")).startsWith("ERR");
+        assertThat(ask("x".repeat(Door.MAX_LINE + 10))).startsWith("ERR").contains("256 bytes");
+    }
+
+    @Test
+    void oneAnswerForAConnectionWhateverComesBehind() throws Exception {
+        assertThat(ask("HEALTH\r\nDUMP\r\nHEALTH\r\n")).isEqualTo("OK\n");
+    }
+
+    @Test
+    void hundredsThatSayNothingOrHalfACallStayFewAndHoldNobodyUp() throws Exception {
+        List<Socket> silent = new ArrayList<>();
+        try {
+            for (int i = 0; i < 300; i++) {
+                silent.add(caller(i % 2 == 0 ? "" : "HEAL"));
+                if (i % 50 == 0) {
+                    assertThat(ask("HEALTH\r\n")).isEqualTo("OK\n");
+                }
+            }
+            Await.until("most have been ended", () -> silent.stream().filter(DoorTest::ended).count()
+                    >= 300 - Door.MAX_CALLERS);
+            assertThat(ask("HEALTH\r\n")).isEqualTo("OK\n");
+        } finally {
+            for (Socket s : silent) {
+                s.close();
+            }
+        }
+    }
+
+    /** Whether the other side has ended it; waits a moment at most. */
+    private static boolean ended(Socket socket) {
+        try {
+            socket.setSoTimeout(1);
+            return socket.getInputStream().read() < 0;
+        } catch (SocketException e) {
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    @Test
+    void statusShowsTheSameFigures() {
+        String status = loop.submit(() -> registry.answer("{\"v\":1,\"command\":\"status\"}")).syncUninterruptibly()
+                .getNow();
+        assertThat(status).contains("\"figures\":{\"succeeded.read\":812,\"outstanding\":14}");
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/flow/ByteBudgetTest.java
@@ -0,0 +1,98 @@
+package damsonworks.flow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.flow.ByteBudget.Ticket;
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+class ByteBudgetTest {
+    private static final int MB = 1 << 20;
+    private final List<String> granted = new ArrayList<>();
+
+    private Ticket claim(ByteBudget budget, int bytes, String name) {
+        return budget.claim(bytes, () -> granted.add(name));
+    }
+
+    @Example
+    void largeOnesWaitInLineAndSmallOnesPass() {
+        ByteBudget budget = new ByteBudget(8 * MB);
+        Ticket a = claim(budget, 4 * MB, "a");
+        Ticket b = claim(budget, 4 * MB, "b");
+        Ticket c = claim(budget, MB, "c");
+        assertThat(a.granted()).isTrue();
+        assertThat(b.granted()).isFalse();
+        assertThat(c.granted()).as("would fit, but came behind a large one").isFalse();
+        assertThat(claim(budget, ByteBudget.SMALL, "small").granted()).isTrue();
+        a.release();
+        assertThat(granted).containsExactly("b", "c");
+    }
+
+    @Example
+    void aPartIsLeftToSmallOnes() {
+        ByteBudget budget = new ByteBudget(8 * MB);
+        for (int i = 0; i < 6; i++) {
+            assertThat(claim(budget, MB, "large").granted()).isTrue();
+        }
+        assertThat(claim(budget, MB, "one more").granted()).isFalse();
+        for (int i = 0; i < 32; i++) {
+            assertThat(claim(budget, ByteBudget.SMALL, "small").granted()).isTrue();
+        }
+        assertThat(claim(budget, 1, "full").granted()).isFalse();
+    }
+
+    @Example
+    void whatCanNeverFitIsToldSo() {
+        ByteBudget budget = new ByteBudget(4 * MB);
+        assertThat(budget.claim(4 * MB, () -> { })).isNull();
+        assertThat(budget.claim(-1, () -> { })).isNull();
+        Ticket all = budget.claim(3 * MB, () -> { });
+        for (int i = 0; i < ByteBudget.MAX_WAITING; i++) {
+            assertThat(budget.claim(3 * MB, () -> { })).isNotNull();
+        }
+        assertThat(budget.claim(3 * MB, () -> { })).isNull();
+        assertThat(all.granted()).isTrue();
+    }
+
+    @Example
+    void oneThatLeavesTheLineIsNeverGranted() {
+        ByteBudget budget = new ByteBudget(4 * MB);
+        Ticket a = claim(budget, 3 * MB, "a");
+        Ticket b = claim(budget, 3 * MB, "b");
+        b.release();
+        a.release();
+        a.release();
+        assertThat(granted).isEmpty();
+        assertThat(budget.used()).isZero();
+    }
+
+    /** Claims and releases in any order: never over the bound, everybody gets room in the end, nothing is left over. */
+    @Property(tries = 1000)
+    void theBoundHoldsAndNobodyStarves(@ForAll @Size(max = 60) List<@IntRange(min = 1, max = 3 * MB) Integer> sizes,
+            @ForAll @Size(max = 60) List<@IntRange(min = 0, max = 59) Integer> releases) {
+        ByteBudget budget = new ByteBudget(4 * MB);
+        List<Ticket> held = new ArrayList<>();
+        int next = 0;
+        for (int bytes : sizes) {
+            held.add(budget.claim(bytes % 3 == 0 ? bytes : 1 + bytes % ByteBudget.SMALL, () -> { }));
+            if (next < releases.size() && releases.get(next) < held.size()) {
+                held.remove((int) releases.get(next)).release();
+            }
+            next++;
+            assertThat(budget.used()).isBetween(0L, 4L * MB);
+        }
+        while (!held.isEmpty()) {
+            Ticket done = held.stream().filter(Ticket::granted).findFirst().orElse(null);
+            assertThat(done).as("somebody has room while any wait").isNotNull();
+            held.remove(done);
+            done.release();
+        }
+        assertThat(budget.used()).isZero();
+        assertThat(budget.waiting()).isZero();
+    }
+}
--- a/src/test/java/damsonworks/proxy/FakeServer.java
+++ b/src/test/java/damsonworks/proxy/FakeServer.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
@@ -28,6 +29,8 @@
         final Socket socket;
         final InputStream in;
         final OutputStream out;
+        /** For scripts that wait for their test. */
+        final Semaphore pause = new Semaphore(0);
         private final FakeServer server;
 
         Connection(Socket socket, FakeServer server) throws IOException {
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/FiguresTest.java
@@ -0,0 +1,159 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.Await;
+import damsonworks.proxy.Proxy.Endings;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.atomic.AtomicLong;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What the proxy counts, against what scripted peers have counted on their side, to the last one. */
+@Timeout(60)
+class FiguresTest {
+    private static Proxy.Status status(Fleet fleet) {
+        return fleet.on(fleet.proxy::status);
+    }
+
+    @Test
+    void everyRequestIsCountedOnceByWhatItsClientRead() throws Exception {
+        AtomicLong commands = new AtomicLong();
+        FakeServer node = new FakeServer(c -> {
+            for (String line; (line = c.command()) != null;) {
+                long n = commands.incrementAndGet();
+                String id = FakeServer.id(line);
+                if (n % 7 == 0) {
+                    c.say("SERVER_ERROR busy\r\n");
+                } else if (n % 5 == 0) {
+                    c.say("EN O" + id + " h0\r\n");
+                } else {
+                    c.say("VA 2 O" + id + " h1\r\nhi\r\n");
+                }
+            }
+        });
+        AtomicLong writes = new AtomicLong();
+        FakeServer origin = new FakeServer(c -> {
+            for (String request; (request = c.request()) != null;) {
+                boolean write = request.startsWith("PUT");
+                if (write && writes.incrementAndGet() % 3 == 0) {
+                    c.sayHttp(500, "", "");
+                } else {
+                    c.sayHttp(200, "", write ? "v1" : "fetched");
+                }
+            }
+        });
+        long[] served = new long[2];
+        long[] refused = new long[2];
+        long[] failed = new long[2];
+        Random random = new Random(11);
+        try (Fleet fleet = new Fleet().node(node).origin(origin).start(); Fleet.Client client = fleet.client()) {
+            for (int i = 0; i < 400; i++) {
+                boolean write = random.nextInt(4) == 0;
+                int kind = write ? 1 : 0;
+                client.say(write ? "ms 7f3a9c21e0b4d65" + i % 8 + " 2 Ow" + i + " Pc=fix,d=20000\r\nab\r\n"
+                        : "mg 7f3a9c21e0b4d65" + i % 8 + " v Or" + i + " Pc=text,d=20000\r\n");
+                String line = client.line();
+                if (line.startsWith("VA")) {
+                    client.line();
+                    served[kind]++;
+                } else if (line.startsWith("HD")) {
+                    served[kind]++;
+                } else if (line.startsWith("SERVER_ERROR busy")) {
+                    refused[kind]++;
+                } else {
+                    failed[kind]++;
+                }
+            }
+            Proxy.Status s = status(fleet);
+            assertThat(s.classes().get("text")).isEqualTo(new Endings(served[0], refused[0], failed[0]));
+            assertThat(s.classes().get("fix")).isEqualTo(new Endings(served[1], refused[1], failed[1]));
+            assertThat(s.classes().get("publish")).isEqualTo(new Endings(0, 0, 0));
+            assertThat(s.forwards()).isEqualTo(commands.get());
+            assertThat(served[0]).isPositive();
+            assertThat(failed[1]).isPositive();
+            assertThat(s.owed()).isZero();
+            assertThat(s.discovered()).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void aRejectedCommandOfAKnownClassHasFailedAndOneOfNoClassCountsForNothing() throws Exception {
+        try (Fleet fleet = new Fleet().start(); Fleet.Client client = fleet.client()) {
+            client.say("mg k v O1 Pc=text,d=x\r\nmg k v O2 Pc=none,d=100\r\nmg k v O3\r\nnonsense\r\n");
+            for (int i = 0; i < 4; i++) {
+                assertThat(client.line()).matches("(CLIENT_)?ERROR.*");
+            }
+            assertThat(status(fleet).classes()).containsOnlyKeys("text", "fix", "publish")
+                    .containsEntry("text", new Endings(0, 0, 1));
+        }
+    }
+
+    @Test
+    void aLongAnswerThatBreaksOffHasFailedAndAClientThatLeftCountsForNothing() throws Exception {
+        FakeServer node = new FakeServer(c -> {
+            String line = c.command();
+            c.say("VA 200000 O" + FakeServer.id(line) + " h1\r\n" + "x".repeat(100_000));
+            if (FakeServer.id(line).equals("gone")) {
+                c.awaitEnd();
+            }
+        });
+        try (Fleet fleet = new Fleet().node(node).start()) {
+            try (Fleet.Client client = fleet.client()) {
+                client.read("1").line();
+                assertThat(client.bytes(200_000)).hasSizeLessThan(200_000);
+            }
+            assertThat(status(fleet).classes().get("text")).isEqualTo(new Endings(0, 0, 1));
+            try (Fleet.Client client = fleet.client()) {
+                client.read("gone").line();
+                assertThat(status(fleet).owed()).isEqualTo(1);
+            }
+            Await.until("it is not owed any more", () -> status(fleet).owed() == 0);
+            assertThat(status(fleet).classes().get("text")).isEqualTo(new Endings(0, 0, 1));
+        }
+    }
+
+    @Test
+    void whatADrainsDeadlineEndsIsCounted() throws Exception {
+        FakeServer silent = new FakeServer(c -> {
+            while (c.command() != null) {
+                // never answered
+            }
+        });
+        FakeServer origin = new FakeServer(c -> {
+            c.request();
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().node(silent).origin(origin).start(); Fleet.Client client = fleet.client()) {
+            client.read("1").say("ms k 2 O2 Pc=fix,d=20000\r\nab\r\n");
+            silent.next();
+            origin.next();
+            fleet.on(() -> fleet.proxy.drain(100));
+            assertThat(client.line()).isEqualTo("SERVER_ERROR busy");
+            assertThat(client.line()).isEqualTo("SERVER_ERROR failed");
+            assertThat(status(fleet).classes()).containsEntry("text", new Endings(0, 1, 0))
+                    .containsEntry("fix", new Endings(0, 0, 1));
+        }
+    }
+
+    @Test
+    void aNodeThatCannotBeReachedIsAvoidedAndToldAsSuch() throws Exception {
+        FakeServer gone = FakeServer.node(line -> "");
+        gone.close();
+        List<String> answers = new ArrayList<>();
+        try (Fleet fleet = new Fleet().node(gone.dial()).node(FakeServer.node(
+                line -> "VA 2 O" + FakeServer.id(line) + " h1\r\nhi\r\n")).start(); Fleet.Client client = fleet.client()) {
+            assertThat(status(fleet).ejected()).isZero();
+            for (int i = 0; i < 8; i++) {
+                client.say("mg 7f3a9c21e0b4d65" + i + " v O" + i + " Pc=text,d=20000\r\n");
+                answers.add(client.line());
+                client.line();
+            }
+            assertThat(answers).allMatch(a -> a.startsWith("VA"));
+            assertThat(status(fleet).ejected()).isEqualTo(1);
+            assertThat(status(fleet).discovered()).isEqualTo(2);
+        }
+    }
+}
--- a/src/test/java/damsonworks/proxy/Fleet.java
+++ b/src/test/java/damsonworks/proxy/Fleet.java
@@ -11,6 +11,8 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
@@ -38,6 +40,7 @@
     final List<AutoCloseable> parts = new ArrayList<>();
     private final JsonArray hosts = new JsonArray();
     Proxy proxy;
+    private Path shared;
     /** The routes, or null; a test may put others in their place. */
     volatile Routing routing;
 
@@ -63,6 +66,13 @@
         return this;
     }
 
+    Fleet memory(int megabytes) {
+        JsonObject limits = new JsonObject();
+        limits.addProperty("memory_mb", megabytes);
+        config.add("limits", limits);
+        return this;
+    }
+
     /** One entry of discovery's list. */
     static JsonObject host(String name, String kind, String dial, String health) {
         JsonObject h = new JsonObject();
@@ -112,9 +122,16 @@
         return this;
     }
 
-    Fleet start() throws InterruptedException {
+    /** The proxy begins as the successor of whoever serves by this folder. */
+    Fleet shared(Path folder) {
+        shared = folder;
+        return this;
+    }
+
+    Fleet start() throws InterruptedException, IOException {
         config.add("known", list(41, true, hosts));
-        proxy = routing == null ? Proxy.start(Config.parse(config)) : Proxy.start(Config.parse(config), known -> {
+        proxy = shared != null ? Proxy.start(Config.parse(config), shared)
+                : routing == null ? Proxy.start(Config.parse(config)) : Proxy.start(Config.parse(config), known -> {
             if (routing == null) {
                 throw new IllegalArgumentException("no routes");
             }
@@ -123,6 +140,20 @@
         return this;
     }
 
+    /** Has the proxy read this text, as at SIGHUP; returns when it has been taken or turned down. */
+    void reload(String text) throws IOException {
+        Path file = Files.createTempFile("config", ".json");
+        Files.writeString(file, text);
+        proxy.reload(file.toString());
+        on(() -> null); // behind what the reload handed in
+        Files.delete(file);
+    }
+
+    /** Has the proxy read the configuration as it is now. */
+    void reload() throws IOException {
+        reload(config.toString());
+    }
+
     /** What this comes to on the proxy's event loop. */
     <T> T on(Callable<T> what) {
         return proxy.loop().submit(what).syncUninterruptibly().getNow();
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/LargeValuesTest.java
@@ -0,0 +1,229 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.Await;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Values to 4 MiB, many at a time, in pieces cut anywhere, taken and given slowly. */
+@Timeout(90)
+class LargeValuesTest {
+    private static final byte[] VALUE = new byte[MetaCodec.MAX_VALUE];
+
+    static {
+        new Random(7).nextBytes(VALUE);
+    }
+
+    private static long used(Fleet fleet) {
+        return fleet.on(() -> fleet.proxy.values().used());
+    }
+
+    private static FakeServer origin() throws IOException {
+        return new FakeServer(c -> {
+            for (String request; (request = c.request()) != null;) {
+                c.sayHttp(200, "", "v" + (request.length() - request.indexOf("\n\n") - 2));
+            }
+        });
+    }
+
+    private static void write(Fleet.Client client, String id, int length) throws IOException {
+        client.say("ms 7f3a9c21e0b4d655 " + length + " O" + id + " Pc=publish,d=30000,k=" + id + "\r\n");
+        client.say(Arrays.copyOf(VALUE, length)).say("\r\n");
+    }
+
+    /** Together they are ten times what there is room for: clients wait to send, and nothing is turned away. */
+    @Test
+    void writesFarOverTheRoomWaitAndAreAllCarriedOut() throws Exception {
+        try (Fleet fleet = new Fleet().memory(64).origin(origin()).start()) {
+            List<Thread> threads = new ArrayList<>();
+            List<String> answers = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                String id = "w" + i;
+                Thread t = new Thread(() -> {
+                    try (Fleet.Client client = fleet.client()) {
+                        write(client, id, VALUE.length);
+                        String line = client.line();
+                        synchronized (answers) {
+                            answers.add(line);
+                        }
+                    } catch (IOException e) {
+                        synchronized (answers) {
+                            answers.add(e.toString());
+                        }
+                    }
+                });
+                threads.add(t);
+                t.start();
+            }
+            for (Thread t : threads) {
+                t.join();
+            }
+            assertThat(answers).hasSize(20).allMatch(a -> a.endsWith(" cv" + VALUE.length));
+            Await.until("all room is free", () -> used(fleet) == 0);
+        }
+    }
+
+    @Test
+    void smallWritesPassLargeOnesThatAreSentSlowly() throws Exception {
+        try (Fleet fleet = new Fleet().memory(64).origin(origin()).start(); Fleet.Client small = fleet.client()) {
+            List<Fleet.Client> slow = new ArrayList<>();
+            for (int i = 0; i < 4; i++) {
+                Fleet.Client client = fleet.client();
+                client.say("ms 7f3a9c21e0b4d655 " + VALUE.length + " Os" + i + " Pc=publish,d=30000,k=s\r\nxyz");
+                slow.add(client);
+            }
+            Await.until("room is taken", () -> used(fleet) > VALUE.length);
+            write(small, "1", 1000);
+            assertThat(small.line()).isEqualTo("HD O1 cv1000");
+            for (Fleet.Client client : slow) {
+                client.close();
+            }
+            Await.until("all room is free", () -> used(fleet) == 0);
+        }
+    }
+
+    /** One that comes to nothing gives its room back, at whatever byte it ends. */
+    @Test
+    void aWriteThatBreaksOffGivesItsRoomBack() throws Exception {
+        try (Fleet fleet = new Fleet().memory(64).origin(origin()).start()) {
+            for (int length : new int[] {0, 1, 65_535, 65_536, 65_537, 1_000_000}) {
+                for (int cut : new int[] {0, 1, length / 2, length}) {
+                    Fleet.Client client = fleet.client();
+                    client.say("ms 7f3a9c21e0b4d655 " + length + " Oc Pc=publish,d=30000,k=c\r\n");
+                    client.say(Arrays.copyOf(VALUE, Math.min(cut, length)));
+                    client.close();
+                }
+            }
+            Await.until("all room is free", () -> used(fleet) == 0);
+            try (Fleet.Client client = fleet.client()) {
+                for (int length : new int[] {0, 1, 65_534, 65_535, 65_536, 65_537, 131_072, 1_000_000}) {
+                    write(client, "w" + length, length);
+                    assertThat(client.line()).isEqualTo("HD Ow" + length + " cv" + length);
+                }
+            }
+        }
+    }
+
+    /** The node's answer in pieces cut at each byte of its first line and of its end. */
+    @Test
+    void aLongAnswerMayBeCutAnywhere() throws Exception {
+        int length = 70_000;
+        FakeServer node = new FakeServer(c -> {
+            for (String line; (line = c.command()) != null;) {
+                String id = FakeServer.id(line);
+                byte[] head = ("VA " + length + " O" + id + " h1\r\n").getBytes();
+                int cut = Integer.parseInt(id.substring(1));
+                byte[] all = new byte[head.length + length + 2];
+                System.arraycopy(head, 0, all, 0, head.length);
+                System.arraycopy(VALUE, 0, all, head.length, length);
+                all[all.length - 2] = '\r';
+                all[all.length - 1] = '\n';
+                int at = cut < head.length + 3 ? cut : all.length - (cut - head.length - 3) - 1;
+                c.socket.setTcpNoDelay(true);
+                c.out.write(all, 0, at);
+                c.out.flush();
+                Thread.yield();
+                c.out.write(all, at, all.length - at);
+                c.out.flush();
+            }
+        });
+        byte[] expected = Arrays.copyOf(VALUE, length);
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+            for (int cut = 0; cut < 30; cut++) {
+                client.read("c" + cut);
+                assertThat(client.line()).isEqualTo("VA " + length + " Oc" + cut);
+                assertThat(client.bytes(length)).isEqualTo(expected);
+                assertThat(client.line()).isEmpty();
+            }
+        }
+    }
+
+    /** A short answer's watch must not end a long one whose line came in pieces and whose client is slow. */
+    @Test
+    void aClientThatPausesInALongAnswerGetsItWhole() throws Exception {
+        FakeServer node = new FakeServer(c -> {
+            String line = c.command();
+            c.socket.setTcpNoDelay(true);
+            c.say("VA " + VALUE.length + " O");
+            c.pause.acquire(); // the first part of the line is on its way
+            c.say(FakeServer.id(line) + " h1\r\n");
+            c.out.write(VALUE);
+            c.say("\r\n");
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+            client.read("1");
+            FakeServer.Connection c = node.accepted.take();
+            node.next();
+            c.pause.release();
+            assertThat(client.line()).isEqualTo("VA " + VALUE.length + " O1");
+            double until = System.nanoTime() / 1e6 + 900; // three times the watch over short answers
+            Await.until("the client has paused", () -> System.nanoTime() / 1e6 > until);
+            assertThat(client.bytes(VALUE.length)).isEqualTo(VALUE);
+            assertThat(client.line()).isEmpty();
+        }
+    }
+
+    /** What would wait behind a long answer that its client takes slowly goes by another connection. */
+    @Test
+    void aSlowReaderHoldsUpNobodyElse() throws Exception {
+        FakeServer node = new FakeServer(c -> {
+            for (String line; (line = c.command()) != null;) {
+                String id = FakeServer.id(line);
+                if (id.startsWith("long")) {
+                    c.say("VA " + VALUE.length + " O" + id + " h1\r\n");
+                    c.out.write(VALUE);
+                    c.say("\r\n");
+                } else {
+                    c.say("VA 2 O" + id + " h1\r\nhi\r\n");
+                }
+            }
+        });
+        try (Fleet fleet = new Fleet().node(node).start()) {
+            List<Fleet.Client> slow = new ArrayList<>();
+            for (int i = 0; i < 6; i++) { // more than there are connections to a node ordinarily
+                Fleet.Client client = fleet.client();
+                assertThat(client.read("long" + i).line()).isEqualTo("VA " + VALUE.length + " Olong" + i);
+                slow.add(client);
+            }
+            try (Fleet.Client client = fleet.client()) {
+                for (int i = 0; i < 20; i++) {
+                    assertThat(client.read("s" + i).line()).isEqualTo("VA 2 Os" + i);
+                    client.line();
+                }
+            }
+            for (Fleet.Client client : slow) {
+                assertThat(client.bytes(VALUE.length)).isEqualTo(VALUE);
+            }
+        }
+    }
+
+    /** RFC 9112, 6.3: without a length the body ends with the connection, and an orderly end makes it whole. */
+    @Test
+    void aBodyThatEndsWithItsConnectionIsWholeIfThatEndIsOrderly() throws Exception {
+        FakeServer misses = FakeServer.node(line -> "EN O" + FakeServer.id(line) + " h0\r\n");
+        FakeServer origin = new FakeServer(c -> {
+            String request = c.request();
+            c.say("HTTP/1.1 200 \r\nConnection: close\r\n\r\n");
+            c.out.write(VALUE, 0, 100_000);
+            c.out.flush();
+            if (request.contains(": cut")) {
+                c.reset();
+            }
+        });
+        try (Fleet fleet = new Fleet().node(misses).origin(origin).start(); Fleet.Client client = fleet.client()) {
+            client.read("whole");
+            assertThat(client.line()).isEqualTo("VA 100000 Owhole");
+            assertThat(client.bytes(100_000)).isEqualTo(Arrays.copyOf(VALUE, 100_000));
+            assertThat(client.line()).isEmpty();
+            assertThat(client.read("cut").line()).startsWith("SERVER_ERROR");
+            Await.until("all room is free", () -> used(fleet) == 0);
+        }
+    }
+}
--- a/src/test/java/damsonworks/proxy/RoutesTest.java
+++ b/src/test/java/damsonworks/proxy/RoutesTest.java
@@ -119,7 +119,7 @@
             before.say("mg a1 v O1 Pc=text,d=20000\r\n");
             one.next();
             fleet.routing = routing(POOLS.substring(POOLS.indexOf("pool two")) + "route all { pool = two }");
-            fleet.proxy.reroute();
+            fleet.reload();
             Await.until("the new routes hold", () -> fleet.on(() -> fleet.proxy.router().version()) == 2);
             assertThat(get(after, "a1", "2")).isEqualTo("two");
             assertThat(fleet.on(() -> fleet.proxy.router().pools())).extracting(Router.PoolStatus::name)
@@ -136,11 +136,11 @@
     void routesOfNoUseChangeNothing() throws Exception {
         try (Fleet fleet = fleet(ROUTES).node(node("one")).node(node("two")).start(); Fleet.Client client = fleet.client()) {
             fleet.routing = null; // reading them fails
-            fleet.proxy.reroute();
+            fleet.reload();
             assertThat(get(client, "a1", "1")).isEqualTo("one");
             assertThat(fleet.on(() -> fleet.proxy.router().version())).isEqualTo(1);
             fleet.routing = routing(ROUTES);
-            fleet.proxy.reroute();
+            fleet.reload();
             Await.until("the next hold", () -> fleet.on(() -> fleet.proxy.router().version()) == 2);
         }
     }
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/UpgradeTest.java
@@ -0,0 +1,233 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.Await;
+import damsonworks.takeover.Handover.Phase;
+import java.io.IOException;
+import java.net.StandardProtocolFamily;
+import java.net.UnixDomainSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** A new process beside the old one, here two proxies in one JVM: the sockets change hands as between processes. */
+@Timeout(120)
+class UpgradeTest {
+    @TempDir
+    private Path folder;
+
+    private static FakeServer node() throws Exception {
+        return FakeServer.node(line -> "VA 2 O" + FakeServer.id(line) + " h1\r\nhi\r\n");
+    }
+
+    /** The fleet's proxy, at an address of its own so that the next one can be told it. */
+    private Fleet serving(FakeServer node) throws Exception {
+        Fleet fleet = new Fleet().node(node).shared(folder).start();
+        fleet.config.addProperty("listen", "127.0.0.1:" + fleet.proxy.address().getPort());
+        return fleet;
+    }
+
+    private Proxy successor(Fleet fleet) throws Exception {
+        Proxy next = Proxy.start(Config.parse(fleet.config), folder);
+        fleet.parts.add(next::close);
+        return next;
+    }
+
+    private static Phase phase(Proxy proxy) {
+        return proxy.loop().submit(() -> proxy.status().handover()).syncUninterruptibly().getNow();
+    }
+
+    private static long answered(Proxy proxy) {
+        return proxy.loop().submit(() -> proxy.status().answered()).syncUninterruptibly().getNow();
+    }
+
+    private static Thread end(Proxy proxy) {
+        Thread ending = new Thread(proxy::drain, "ending");
+        ending.start();
+        return ending;
+    }
+
+    private static void served(Fleet.Client client, String id) throws Exception {
+        assertThat(client.line()).isEqualTo("VA 2 O" + id);
+        assertThat(client.line()).isEqualTo("hi");
+    }
+
+    @Test
+    void aClientsConnectionOutlivesTheProcessThatTookIt() throws Exception {
+        try (Fleet fleet = serving(node()); Fleet.Client client = fleet.client()) {
+            served(client.read("1"), "1");
+            Proxy next = successor(fleet);
+            Await.until("the successor is believed", () -> phase(fleet.proxy) == Phase.SERVED);
+            served(client.read("2"), "2");
+            assertThat(answered(fleet.proxy)).as("the old one still has its connections").isEqualTo(2);
+            Thread ending = end(fleet.proxy);
+            ending.join();
+            served(client.read("3").read("4"), "3");
+            served(client, "4");
+            assertThat(answered(next)).isEqualTo(2);
+            served(fleet.client().read("5"), "5");
+        }
+    }
+
+    @Test
+    void whatIsUnderWayIsAnsweredByTheOldProcessAndItsConnectionGoesOver() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        FakeServer slow = new FakeServer(c -> {
+            for (String line; (line = c.command()) != null;) {
+                go.await();
+                c.say("VA 2 O" + FakeServer.id(line) + " h1\r\nhi\r\n");
+            }
+        });
+        try (Fleet fleet = serving(slow); Fleet.Client client = fleet.client()) {
+            client.read("1");
+            slow.next();
+            Proxy next = successor(fleet);
+            Await.until("the successor is believed", () -> phase(fleet.proxy) == Phase.SERVED);
+            Thread ending = end(fleet.proxy);
+            client.say("mg 7f3a9c21e0b4d655 v O2 Pc=te"); // half a command keeps the connection where it is
+            go.countDown();
+            served(client, "1");
+            client.say("xt,d=20000\r\n");
+            served(client, "2");
+            ending.join();
+            assertThat(answered(fleet.proxy)).isEqualTo(2);
+            served(client.read("3"), "3");
+            assertThat(answered(next)).isEqualTo(1);
+        }
+    }
+
+    /** Clients that never pause, on old connections and on new ones, through several upgrades. */
+    @Test
+    void nothingIsTurnedBackUnheard() throws Exception {
+        AtomicBoolean over = new AtomicBoolean();
+        List<Throwable> troubles = new ArrayList<>();
+        long[] served = new long[8];
+        try (Fleet fleet = serving(node())) {
+            List<Thread> clients = new ArrayList<>();
+            for (int c = 0; c < served.length; c++) {
+                int number = c;
+                Thread thread = new Thread(() -> {
+                    try {
+                        Fleet.Client client = new Fleet.Client(fleet.proxy.address());
+                        for (int i = 0; !over.get(); i++) {
+                            String id = number + "x" + i;
+                            if (number % 2 == 1 && i % 10 == 9) {
+                                client.close();
+                                client = new Fleet.Client(fleet.proxy.address());
+                            }
+                            served(client.read(id), id);
+                            served[number]++;
+                        }
+                        client.close();
+                    } catch (Throwable e) {
+                        synchronized (troubles) {
+                            troubles.add(e);
+                        }
+                    }
+                });
+                clients.add(thread);
+                thread.start();
+            }
+            Proxy old = fleet.proxy;
+            for (int upgrade = 0; upgrade < 10; upgrade++) {
+                Proxy next = successor(fleet);
+                Proxy before = old;
+                Await.until("the successor is believed", () -> phase(before) == Phase.SERVED);
+                end(before).join();
+                before.close();
+                Await.until("clients go on", () -> answered(next) > 20);
+                old = next;
+            }
+            over.set(true);
+            for (Thread t : clients) {
+                t.join();
+            }
+            assertThat(troubles).isEmpty();
+            assertThat(served).doesNotContain(0);
+        }
+    }
+
+    @Test
+    void aSuccessorThatGoesGivesTheClientsBack() throws Exception {
+        try (Fleet fleet = serving(node())) {
+            Proxy next = successor(fleet);
+            Await.until("the successor is believed", () -> phase(fleet.proxy) == Phase.SERVED);
+            next.close();
+            Await.until("the old one is alone", () -> phase(fleet.proxy) == Phase.ALONE);
+            served(fleet.client().read("1"), "1");
+            assertThat(answered(fleet.proxy)).isEqualTo(1);
+        }
+    }
+
+    @Test
+    void oneThatAsksAndNeverServesHoldsNobodyUp() throws Exception {
+        try (Fleet fleet = serving(node());
+                SocketChannel hung = SocketChannel.open(StandardProtocolFamily.UNIX)) {
+            hung.connect(UnixDomainSocketAddress.of(HandoverLink.path(folder)));
+            hung.write(ByteBuffer.wrap("STATE 1\nSOCKET\n".getBytes(StandardCharsets.US_ASCII)));
+            Await.until("it has the socket", () -> phase(fleet.proxy) == Phase.TAKEN);
+            served(fleet.client().read("1"), "1");
+            successor(fleet);
+            Await.until("the newer is believed", () -> phase(fleet.proxy) == Phase.SERVED);
+        }
+    }
+
+    @Test
+    void wordsOutOfTurnEndTheLinkAndNothingElse() throws Exception {
+        try (Fleet fleet = serving(node())) {
+            for (String words : new String[] {"SERVING\n", "SOCKET\n", "STATE 9\n", "x".repeat(200), "STATE 1\nSERVING\n"}) {
+                try (SocketChannel link = SocketChannel.open(StandardProtocolFamily.UNIX)) {
+                    link.connect(UnixDomainSocketAddress.of(HandoverLink.path(folder)));
+                    link.write(ByteBuffer.wrap(words.getBytes(StandardCharsets.US_ASCII)));
+                    if (words.length() < 100) {
+                        ByteBuffer rest = ByteBuffer.allocate(1 << 16);
+                        while (link.read(rest) >= 0) {
+                            rest.clear();
+                        }
+                    }
+                }
+                Await.until("the old one is alone", () -> phase(fleet.proxy) == Phase.ALONE);
+            }
+            served(fleet.client().read("1"), "1");
+        }
+    }
+
+    /** A socket file whose process was killed, one that answers nothing, one that answers nonsense. */
+    @Test
+    void whereTheOldProcessIsOfNoUseTheNewOneServesAnyway() throws Exception {
+        Path path = HandoverLink.path(folder);
+        for (String answer : new String[] {null, "", "{\"v\":9}\n", "{\"v\":1,\"li\n", "nonsense\n"}) {
+            Files.deleteIfExists(path);
+            try (ServerSocketChannel old = ServerSocketChannel.open(StandardProtocolFamily.UNIX)) {
+                old.bind(UnixDomainSocketAddress.of(path));
+                if (answer == null) {
+                    old.close();
+                } else {
+                    Thread answering = new Thread(() -> {
+                        try {
+                            old.accept().write(ByteBuffer.wrap(answer.getBytes(StandardCharsets.US_ASCII)));
+                        } catch (IOException e) {
+                            // the test is over
+                        }
+                    });
+                    answering.setDaemon(true);
+                    answering.start();
+                }
+                try (Fleet fleet = serving(node())) {
+                    served(fleet.client().read("1"), "1");
+                }
+            }
+        }
+    }
+}
