--- a/src/main/java/damsonworks/Main.java
+++ b/src/main/java/damsonworks/Main.java
@@ -24,12 +24,21 @@
     public static void main(String[] args) {
         switch (args.length == 0 ? "" : args.length == 1 || args[0].equals("serve") ? args[0] : "") {
             case "serve" -> serve(args);
-            case "train" -> System.exit(Proxy.train());
+            case "train" -> System.exit(Proxy.train(Main::openDoor));
             case "drill" -> System.exit(Drill.main());
             default -> System.exit(Cli.run(args));
         }
     }
 
+    /** What a proxy that is asked loads, so that it stands in the archive. */
+    private static void openDoor(Proxy proxy) {
+        try {
+            Door.practise(proxy.loop(), ProxyControl.registry(proxy));
+        } catch (Exception e) {
+            System.err.println("the door was not tried: " + e);
+        }
+    }
+
     /** Read by hand: a proxy's start waits for nothing that it does not need. */
     private static void serve(String[] args) {
         String control = null;
--- a/src/main/java/damsonworks/control/Door.java
+++ b/src/main/java/damsonworks/control/Door.java
@@ -13,6 +13,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -57,6 +58,19 @@
                 }).bind(address).sync().channel();
     }
 
+    /** Opens a door, asks all that can be asked there, and closes it. */
+    public static void practise(EventLoop loop, ControlRegistry registry) throws Exception {
+        try (Door door = new Door(loop, new InetSocketAddress("127.0.0.1", 0), registry)) {
+            for (String word : CALLS.keySet()) {
+                try (Socket caller = new Socket()) {
+                    caller.connect(door.address());
+                    caller.getOutputStream().write((word + "\r\n").getBytes(StandardCharsets.US_ASCII));
+                    caller.getInputStream().readAllBytes();
+                }
+            }
+        }
+    }
+
     /** Where it listens. */
     public InetSocketAddress address() {
         return (InetSocketAddress) server.localAddress();
--- a/src/main/java/damsonworks/proxy/Acceptor.java
+++ b/src/main/java/damsonworks/proxy/Acceptor.java
@@ -22,7 +22,7 @@
 /** The listening socket and the clients' connections that came through it, with their bound. */
 final class Acceptor implements Dispatcher.ClientListener {
     private static final int BACKLOG = 512;
-    private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(64 << 10, 128 << 10);
+    private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 << 10, 64 << 10);
     private static final Comparator<ClientConnection> LONGEST_IDLE =
             Comparator.comparingDouble(ClientConnection::activeMs);
 
--- a/src/main/java/damsonworks/proxy/CacheCodec.java
+++ b/src/main/java/damsonworks/proxy/CacheCodec.java
@@ -187,6 +187,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        dispatcher.ended(cause);
         ctx.close();
     }
 }
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -485,6 +485,7 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        dispatcher.ended(cause);
         ctx.close();
     }
 }
--- a/src/main/java/damsonworks/proxy/Counters.java
+++ b/src/main/java/damsonworks/proxy/Counters.java
@@ -72,7 +72,7 @@
         }
     }
 
-    /** An attempt has been written whole to a cache node. */
+    /** An attempt has been written whole to a cache node, or to the origin in its place. */
     void forwarded() {
         forwards++;
     }
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -27,6 +27,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.util.collection.IntObjectHashMap;
 import io.netty.util.internal.PlatformDependent;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -53,6 +54,7 @@
     private static final double PROBE_TIMEOUT_MS = 250;
     /** Of the memory for buffers, values that are kept whole get one part of so many; the rest is for what passes. */
     private static final int VALUES_PART = 2;
+    private static final double AVOIDED_MS = 1000;
     /** To one cache node, ordinarily and with those that pass long answers on. */
     private static final int CONNECTIONS = 4;
     private static final int CONNECTIONS_IN_ALL = 12;
@@ -175,10 +177,10 @@
         return (int) cacheNodes().count();
     }
 
-    /** Those of them that get no ordinary request now. */
+    /** Those of them that get no ordinary request now, and have got nothing for a while: not even to be tried again. */
     int ejected() {
         double now = now();
-        return (int) cacheNodes().filter(u -> module.avoids(now, u.id)).count();
+        return (int) cacheNodes().filter(u -> now - u.sentMs() > AVOIDED_MS && module.avoids(now, u.id)).count();
     }
 
     private Stream<Upstream> cacheNodes() {
@@ -695,6 +697,13 @@
         discovery.fetch();
     }
 
+    /** A connection ends by this. That its other side has ended it is ordinary; anything else is told. */
+    void ended(Throwable cause) {
+        if (!(cause instanceof IOException)) {
+            log("a connection ends by " + cause);
+        }
+    }
+
     /** A line on standard error; their number is bounded. */
     @Override
     public void log(String line) {
--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -255,6 +255,7 @@
     /** A body that only the connection's end ends is whole if that is an orderly one (RFC 9112, 6.3). */
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        dispatcher.ended(cause);
         broken = true;
         drop();
         ctx.close();
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /** One real proxy: its sockets, their bounds and its end. */
 public final class Proxy {
@@ -145,10 +146,12 @@
         }
     }
 
-    /** Starts a proxy and ends it; the process's exit code. */
-    public static int train() {
+    /** Starts a proxy, has it used and ends it; the process's exit code. */
+    public static int train(Consumer<Proxy> use) {
         try {
-            new Proxy(configuration(), null, true, null).close();
+            Proxy proxy = new Proxy(configuration(), null, true, null);
+            use.accept(proxy);
+            proxy.close();
             return 0;
         } catch (InterruptedException | IOException e) {
             return 1;
@@ -292,9 +295,9 @@
      * @param answered   requests answered since the start
      * @param upstream   connections to nodes and origin
      * @param classes    how requests have ended, by their classes' names
-     * @param forwards   attempts written whole to cache nodes
+     * @param forwards   attempts written whole to cache nodes or the origin
      * @param discovered cache nodes in the list
-     * @param ejected    those of them that get no ordinary request now
+     * @param ejected    those of them that get no ordinary request now and got nothing for a second
      * @param applied    files taken at SIGHUP
      * @param rejected   files turned down at SIGHUP
      * @param handover   how far a successor has come
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -21,6 +21,8 @@
     final boolean origin;
     SocketAddress dial;
     double bornMs;
+    /** When something was last put on a connection to it. */
+    private double sentMs = Double.NEGATIVE_INFINITY;
     private double noMoreUntilMs;
     private final Dispatcher dispatcher;
     private final Bootstrap bootstrap;
@@ -75,10 +77,15 @@
         if (best == null) {
             return false;
         }
+        sentMs = dispatcher.now();
         best.send(attempt);
         return true;
     }
 
+    double sentMs() {
+        return sentMs;
+    }
+
     /**
      * A further connection did not come up while others stand: the server has as many as it takes, which says
      * nothing against it. What was to go out on that one, and did not, goes behind the rest.
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -115,7 +115,7 @@
         codec.write(channel, attempt, dial).addListener(f -> {
             if (f.isSuccess()) {
                 attempt.written = true;
-                if (attempt.exchange != null && !upstream.origin) {
+                if (attempt.exchange != null) {
                     upstream.dispatcher().counters().forwarded();
                 }
             }
