Upgrades in the demo's fault scripts; the warm-up's own resets are not told

Need: the stand-ins are to play what the operators do. A fault script can say 'upgrade': a new process starts beside the one that serves, is asked at its door until it says yes, and the old one is told to end. The warm-up's own connections ended with a warning in the log, for want of a handler.

--- a/src/main/java/damsonworks/demo/ProxiedFleet.java
+++ b/src/main/java/damsonworks/demo/ProxiedFleet.java
@@ -81,7 +81,11 @@
 
     private void write(int proxy) throws IOException {
         ProxyProcess p = proxies.get(proxy);
-        p.write(ProxyConfig.of(fleet, proxy, p.listen(), turns[proxy]++, memoryMb));
+        p.write(config(proxy));
+    }
+
+    private synchronized JsonObject config(int proxy) {
+        return ProxyConfig.of(fleet, proxy, proxies.get(proxy).listen(), turns[proxy]++, memoryMb);
     }
 
     /** The stand-ins. */
@@ -135,6 +139,7 @@
                         ask(p, request);
                     }
                     case RECALL -> ask(p, ControlClient.request("drain-cancel"));
+                    case UPGRADE -> new Thread(() -> upgrade(proxy), "upgrade").start(); // it waits
                     case TERM -> {
                         p.onExit(() -> later(0, () -> restart(proxy)));
                         p.terminate();
@@ -165,6 +170,14 @@
         }
     }
 
+    private void upgrade(int proxy) {
+        try {
+            proxies.get(proxy).upgrade(config(proxy));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private void restart(int proxy) {
         try {
             fleet.tell(o -> o.restarted(proxy));
--- a/src/main/java/damsonworks/demo/ProxyProcess.java
+++ b/src/main/java/damsonworks/demo/ProxyProcess.java
@@ -27,6 +27,10 @@
     private final Path edge;
     private volatile Process process;
     private volatile boolean ended;
+    /** How often it has been upgraded: the old and the new process want control sockets of their own. */
+    private volatile int upgrades;
+    /** Where the process that was started last is asked for its health, or null where nobody asks. */
+    private InetSocketAddress door;
 
     /** Nothing is started yet; the address is free at the moment. {@code edge}: its file of routes, or null. */
     ProxyProcess(String name, Path parent, Path edge) throws IOException {
@@ -34,8 +38,13 @@
         this.edge = edge;
         folder = Files.createDirectories(parent.resolve(name));
         config = folder.resolve("config.json");
+        listen = free();
+    }
+
+    /** An address that nobody listens at now. */
+    private static InetSocketAddress free() throws IOException {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            listen = new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
         }
     }
 
@@ -56,7 +65,7 @@
 
     /** Its control socket. */
     public Path control() {
-        return folder.resolve("control");
+        return folder.resolve(upgrades == 0 ? "control" : "control-" + upgrades);
     }
 
     /** The process's id. */
@@ -70,6 +79,9 @@
     }
 
     void write(JsonObject json) throws IOException {
+        if (door != null) {
+            json.addProperty("operator", ProxyConfig.text(door));
+        }
         Path next = folder.resolve("config.next");
         Files.writeString(next, json.toString());
         Files.move(next, config, StandardCopyOption.ATOMIC_MOVE);
@@ -101,15 +113,46 @@
         process = builder.start();
     }
 
+    /**
+     * Starts a new process beside the one that serves and ends that one once the new one says at its door that it
+     * takes clients; waits for all of it.
+     *
+     * @param json the new process's configuration, but for the door
+     */
+    synchronized void upgrade(JsonObject json) throws IOException {
+        if (ended) {
+            return;
+        }
+        Process old = process;
+        door = free();
+        write(json);
+        upgrades++;
+        start();
+        awaitAnswer(door, "HEALTH\r\n", "OK");
+        old.destroy();
+        try {
+            if (!old.waitFor(READY_MS, TimeUnit.MILLISECONDS)) {
+                old.destroyForcibly();
+            }
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Waits until it answers {@code mn}; an IOException has the end of its log. */
     void awaitReady() throws IOException {
+        awaitAnswer(listen, "mn\r\n", "MN");
+    }
+
+    private void awaitAnswer(InetSocketAddress at, String call, String answer) throws IOException {
         long until = System.nanoTime() + READY_MS * 1_000_000;
         while (System.nanoTime() < until && process.isAlive()) {
             try (Socket socket = new Socket()) {
-                socket.connect(listen, 1000);
+                socket.connect(at, 1000);
                 socket.setSoTimeout(5000);
-                socket.getOutputStream().write("mn\r\n".getBytes(StandardCharsets.ISO_8859_1));
-                if (new String(socket.getInputStream().readNBytes(4), StandardCharsets.ISO_8859_1).equals("MN\r\n")) {
+                socket.getOutputStream().write(call.getBytes(StandardCharsets.ISO_8859_1));
+                byte[] read = socket.getInputStream().readNBytes(answer.length());
+                if (new String(read, StandardCharsets.ISO_8859_1).equals(answer)) {
                     return;
                 }
             } catch (IOException e) {
--- a/src/main/java/damsonworks/fleet/Fault.java
+++ b/src/main/java/damsonworks/fleet/Fault.java
@@ -36,6 +36,8 @@
         KILL("proxy", true, false),
         /** A proxy is told to end and started again when it has. */
         TERM("proxy", false, false),
+        /** A new process takes over from a proxy that serves, which is then told to end. */
+        UPGRADE("proxy", false, false),
         /** A proxy is asked to drain within this time, and started again when it has ended. */
         RETIRE("proxy", true, false),
         /** A proxy's drain is taken back. */
--- a/src/main/java/damsonworks/proxy/WarmUp.java
+++ b/src/main/java/damsonworks/proxy/WarmUp.java
@@ -116,8 +116,16 @@
                 new Pool.Server("", "", "", Set.of()));
     }
 
+    /** One whose connection ends with the warm-up, and be it by a reset. */
+    private abstract static class Peer extends ByteToMessageDecoder {
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
     /** Answers reads; one in four is a miss. */
-    private static final class Node extends ByteToMessageDecoder {
+    private static final class Node extends Peer {
         @Override
         protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
             String line = MetaCodec.line(in);
@@ -130,7 +138,7 @@
         }
     }
 
-    private static final class Origin extends ByteToMessageDecoder {
+    private static final class Origin extends Peer {
         @Override
         protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
             String line = MetaCodec.line(in);
@@ -141,7 +149,7 @@
     }
 
     /** Keeps some requests in hand until enough have been answered. */
-    private final class Client extends ByteToMessageDecoder {
+    private final class Client extends Peer {
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             for (int i = 0; i < DEPTH; i++) {
--- a/src/test/java/damsonworks/JarIT.java
+++ b/src/test/java/damsonworks/JarIT.java
@@ -228,6 +228,19 @@
         assertThat(told).contains("held   LOST", "held   RAN_TWICE").doesNotContain("BROKEN");
     }
 
+    /** Each proxy gives way to a new process while it serves, one of them twice; nobody is turned back unheard. */
+    @Test
+    void upgradesUnderLoadLoseNothing() throws Exception {
+        Path script = folder.resolve("x.faults");
+        Files.writeString(script, "1s proxy-0 upgrade\n2s proxy-1 upgrade\n4s proxy-0 upgrade\n");
+        Process process = start("demo", null, "--nodes", "4", "--proxies", "2", "--rate", "60", "--patience", "15",
+                "--lead-in", "1s", "--fault", script.toString(), "--for", "8s");
+        String told = new String(process.getInputStream().readAllBytes());
+        assertThat(process.waitFor()).as(told).isZero();
+        assertThat(told).contains("held   LOST", "held   RAN_TWICE").doesNotContain("BROKEN");
+        assertThat(told).contains(" 0 unanswered");
+    }
+
     /** A target that never answers needs a connection for each request, and there are not as many descriptors. */
     @Test
     void aGeneratorShortOfDescriptorsGoesOnWithWhatItHas() throws Exception {
