Take out two imports that nothing uses, and set one in order

Found on a second reading of the change. Only import lines changed; behaviour and tests are as they were.

--- a/src/main/java/damsonworks/fleet/StandInFleet.java
+++ b/src/main/java/damsonworks/fleet/StandInFleet.java
@@ -5,7 +5,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -14,8 +13,8 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.Callable;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 
 /**
--- a/src/test/java/damsonworks/proxy/SettingsReloadTest.java
+++ b/src/test/java/damsonworks/proxy/SettingsReloadTest.java
@@ -6,7 +6,6 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
