Pass on at a takeover what the decision module has learnt; tell an ignored SIGHUP

Need: a new process knew the list of its predecessor and nothing else: it sent to servers that were known to be silent, took hot keys to cold servers and opened the throttle on the origin anew. Now servers that have failed, hot keys, the load and the usual pace go over with the list; a server that has started since, or is not listed, is taken as new.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -112,6 +112,8 @@
         static final double SPAN_MS = 4000;
         static final int MIN_COUNT = 6;
         private final Map<Long, int[]> counts = new HashMap<>();
+        /** As many keys as can be hot at a time are passed on, with room. */
+        static final int MAX_TOLD = 256;
         private double total;
         private double halvedAt;
 
@@ -124,6 +126,19 @@
             total++;
             return ++counts.computeIfAbsent(key, k -> new int[1])[0];
         }
+
+        List<Hot> hottest() {
+            return counts.entrySet().stream().filter(e -> e.getValue()[0] >= MIN_COUNT)
+                    .sorted((a, b) -> b.getValue()[0] - a.getValue()[0]).limit(MAX_TOLD)
+                    .map(e -> new Hot(e.getKey(), e.getValue()[0])).toList();
+        }
+
+        /** As if this had been seen here: not more than that, since the other may go on for a while. */
+        void resume(double now, double asked, List<Hot> hottest) {
+            total = asked;
+            halvedAt = now;
+            hottest.forEach(h -> counts.put(h.key(), new int[] {h.count()}));
+        }
     }
 
     /**
@@ -170,6 +185,17 @@
             fade(now);
             answered++;
         }
+
+        Load load(double now) {
+            fade(now);
+            return new Load(asked, answered);
+        }
+
+        void resume(double now, Load load) {
+            asked = load.asked();
+            answered = load.answered();
+            at = now;
+        }
     }
 
     /**
@@ -255,6 +281,38 @@
         return s != null && (s.member.state() != State.READY || s.failures > 0 && (!s.probed || s.trial));
     }
 
+    @Override
+    public Map<String, Experience> experience(double now) {
+        List<Seen> seen = servers.values().stream().filter(s -> s.failures > 0 || s.doubts > 0)
+                .map(s -> new Seen(s.id, s.member.bornMs(), s.failures, s.shunnedUntil, s.doubts)).toList();
+        return Map.of("", new Experience(fetchMs, pace, paceDeviation, usualCost, throttle.load(now),
+                crowd.load(now), hot.total, hot.hottest(), seen));
+    }
+
+    /** Guards against a successor that sends to servers known to be silent, and floods a cold origin. */
+    @Override
+    public void resume(double now, Map<String, Experience> learnt) {
+        Experience e = learnt.get("");
+        if (e == null) {
+            return;
+        }
+        fetchMs = e.fetchMs();
+        pace = e.paceMs();
+        paceDeviation = e.paceDeviationMs();
+        usualCost = e.usualCost();
+        throttle.resume(now, e.origin());
+        crowd.resume(now, e.crowd());
+        hot.resume(now, e.asked(), e.hot());
+        for (Seen seen : e.servers()) {
+            Server s = servers.get(seen.id());
+            if (s != null && s.member.bornMs() == seen.bornMs()) {
+                s.failures = seen.failures();
+                s.shunnedUntil = seen.shunnedUntilMs();
+                s.doubts = seen.doubts();
+            }
+        }
+    }
+
     // ---- the list
 
     @Override
--- a/src/main/java/damsonworks/RoutingApi.java
+++ b/src/main/java/damsonworks/RoutingApi.java
@@ -1,6 +1,7 @@
 package damsonworks;
 
 import java.util.List;
+import java.util.Map;
 
 /** What the decision module is told and what it can order: its settings, events and actions. */
 public interface RoutingApi {
@@ -65,6 +66,19 @@
 
     int NOTE_FETCH_OUT = 3;
 
+    /** What has been seen of a server; the times are those of events. {@code failures}: since it last answered. */
+    record Seen(int id, double bornMs, int failures, double shunnedUntilMs, int doubts) { }
+
+    /** A key that is asked for often, with its count, which fades. */
+    record Hot(long key, int count) { }
+
+    /** What was asked for and what came in time of that; both fade. */
+    record Load(double asked, double answered) { }
+
+    /** What a module has learnt in service, for another that goes on in its place. Times in milliseconds. */
+    record Experience(double fetchMs, double paceMs, double paceDeviationMs, double usualCost, Load origin,
+            Load crowd, double asked, List<Hot> hot, List<Seen> servers) { }
+
     /** Where the module's orders go. They are carried out in order, at the time of the event. */
     interface Actions {
         void place(int request, int server, double timeoutMs);
@@ -108,6 +122,12 @@
     /** Whether this server of the list gets no ordinary request now, because it drains or has failed. */
     boolean avoids(double now, int server);
 
+    /** What has been learnt so far, by the pool's name; that of all servers has none. */
+    Map<String, Experience> experience(double now);
+
+    /** Goes on where another left off. Of servers that are not in the list, or have started since, nothing is taken. */
+    void resume(double now, Map<String, Experience> learnt);
+
     /** News of the list of servers. */
     void onList(double now, ListKind kind, List<Member> members, Actions out);
 
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -5,6 +5,7 @@
 import damsonworks.RoutingApi.Actions;
 import damsonworks.RoutingApi.AttemptEnd;
 import damsonworks.RoutingApi.Effect;
+import damsonworks.RoutingApi.Experience;
 import damsonworks.RoutingApi.ListKind;
 import damsonworks.RoutingApi.Outcome;
 import damsonworks.RoutingApi.Reports;
@@ -158,6 +159,16 @@
         tell(() -> module.onSettings(now(), next.settings(), this));
     }
 
+    /** What the module has learnt, for another process that takes over. */
+    Map<String, Experience> experience() {
+        return module.experience(now());
+    }
+
+    /** Goes on where another process left off; after the list that it held. */
+    void resume(Map<String, Experience> learnt) {
+        tell(() -> module.resume(now(), learnt));
+    }
+
     /** The longest that any request may be waited for, of those that are open and those to come. */
     double longestDeadlineMs() {
         return Stream.concat(settings.classes().stream(), open.values().stream().map(x -> x.kind))
--- a/src/main/java/damsonworks/proxy/HandoverLink.java
+++ b/src/main/java/damsonworks/proxy/HandoverLink.java
@@ -1,6 +1,5 @@
 package damsonworks.proxy;
 
-import com.google.gson.JsonObject;
 import damsonworks.takeover.Handover;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
@@ -27,9 +26,7 @@
  * line, then descriptors: the listening socket and, once this process has been told to end, its idle clients.
  */
 final class HandoverLink {
-    /** The version of what is passed over; a process that speaks another starts beside this one, without it. */
-    static final int VERSION = 1;
-    static final String STATE = "STATE " + VERSION;
+    static final String STATE = "STATE " + TakeoverState.VERSION;
     static final String SOCKET = "SOCKET";
     static final String SERVING = "SERVING";
     private static final int MAX_LINE = 64;
@@ -40,14 +37,14 @@
     private final Path folder;
     private final Handover handover;
     private final Acceptor acceptor;
-    private final Supplier<JsonObject> state;
+    private final Supplier<TakeoverState> state;
     private final Map<Long, Channel> links = new HashMap<>();
     private Channel server;
     private Channel successor;
     private long nextLink;
 
     /** {@code state}: asked on the event loop. */
-    HandoverLink(EventLoop loop, Path folder, Handover handover, Acceptor acceptor, Supplier<JsonObject> state) {
+    HandoverLink(EventLoop loop, Path folder, Handover handover, Acceptor acceptor, Supplier<TakeoverState> state) {
         this.loop = loop;
         this.folder = folder;
         this.handover = handover;
@@ -112,7 +109,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
             boolean granted = switch (line.toString(StandardCharsets.US_ASCII)) {
-                case STATE -> handover.asked(number) && say(ctx, state.get() + "\n");
+                case STATE -> handover.asked(number) && say(ctx, state.get().json() + "\n");
                 case SOCKET -> handover.wanted(number) && send(ctx, Transport.descriptor(acceptor.channel()));
                 case SERVING -> handover.serves(number) && serves(ctx.channel());
                 default -> false;
--- a/src/main/java/damsonworks/proxy/Hangup.java
+++ b/src/main/java/damsonworks/proxy/Hangup.java
@@ -19,9 +19,13 @@
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
             MethodHandle run = MethodHandles.lookup()
                     .findVirtual(Runnable.class, "run", MethodType.methodType(void.class)).bindTo(task);
-            signal.getMethod("handle", signal, handler).invoke(null,
+            Object before = signal.getMethod("handle", signal, handler).invoke(null,
                     signal.getConstructor(String.class).newInstance("HUP"), MethodHandleProxies
                             .asInterfaceInstance(handler, MethodHandles.dropArguments(run, 0, signal)));
+            // The JVM leaves a signal ignored that was so at its start, as under nohup, and says nothing of it.
+            if (before == handler.getField("SIG_IGN").get(null)) {
+                System.err.println("SIGHUP is ignored where this was started (nohup?): no file is taken by it");
+            }
         } catch (ReflectiveOperationException e) {
             System.err.println("no handler for SIGHUP: " + e);
         }
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -1,6 +1,7 @@
 package damsonworks.proxy;
 
 import com.google.gson.JsonObject;
+import damsonworks.RoutingApi.Experience;
 import damsonworks.drain.Drain;
 import damsonworks.drain.DrainPlan;
 import damsonworks.flow.ByteBudget;
@@ -65,10 +66,13 @@
         });
         drainer = new Drainer(loop, dispatcher, acceptor, this::ended);
         TakeoverLink old = TakeoverLink.ask(loop, shared); // as late as can be: what it tells is of now
-        JsonObject state = old == null ? null : old.state();
+        TakeoverState state = old == null ? null : old.state();
         loop.submit(() -> {
             dispatcher.start(discovery, peers, acceptor, routing);
             discovery.start(newer(state, config.known()));
+            if (state != null) {
+                dispatcher.resume(state.learnt());
+            }
             loop.scheduleWithFixedDelay(acceptor::sweep, 1, 1, TimeUnit.SECONDS);
         }).syncUninterruptibly();
         FileDescriptor socket = old == null ? null : old.socket();
@@ -84,18 +88,20 @@
     }
 
     /** What a successor must know: what this process was told of the servers binds both. */
-    private JsonObject state() {
-        JsonObject state = new JsonObject();
-        state.addProperty("v", HandoverLink.VERSION);
-        state.add("list", discovery.list());
-        return state;
+    private TakeoverState state() {
+        return new TakeoverState(discovery.list(), dispatcher.experience());
+    }
+
+    /** What is passed over of what has been learnt; for tests, on the event loop only. */
+    Map<String, Experience> knows() {
+        return dispatcher.experience();
     }
 
-    private static JsonObject newer(JsonObject state, JsonObject known) {
+    private static JsonObject newer(TakeoverState state, JsonObject known) {
         if (state == null) {
             return known;
         }
-        JsonObject list = state.getAsJsonObject("list");
+        JsonObject list = state.list();
         return known != null && known.get("seq").getAsLong() > list.get("seq").getAsLong() ? known : list;
     }
 
--- a/src/main/java/damsonworks/proxy/TakeoverLink.java
+++ b/src/main/java/damsonworks/proxy/TakeoverLink.java
@@ -1,7 +1,5 @@
 package damsonworks.proxy;
 
-import com.google.gson.JsonObject;
-import com.google.gson.JsonParser;
 import damsonworks.takeover.Takeover;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
@@ -28,7 +26,7 @@
     private static final int STEP_MS = 50;
 
     private final EventLoop loop;
-    private final Promise<JsonObject> state;
+    private final Promise<TakeoverState> state;
     private final Promise<FileDescriptor> socket;
     private final Takeover takeover = new Takeover(now());
     private Channel channel;
@@ -77,7 +75,7 @@
     }
 
     /** The old process's state; null if it gives none. Waits, so not to be called on the event loop. */
-    JsonObject state() throws InterruptedException {
+    TakeoverState state() throws InterruptedException {
         return state.sync().getNow();
     }
 
@@ -124,14 +122,11 @@
         }
 
         private void told(ChannelHandlerContext ctx, String line) {
-            JsonObject read = null;
+            TakeoverState read = null;
             try {
-                read = JsonParser.parseString(line).getAsJsonObject();
-                if (read.get("v").getAsInt() != HandoverLink.VERSION || !read.has("list")) {
-                    read = null;
-                }
+                read = TakeoverState.read(line);
             } catch (RuntimeException e) {
-                System.err.println("takeover: the old process's state can't be read");
+                System.err.println("takeover: the old process's state can't be read: " + e.getMessage());
             }
             if (takeover.told(now(), read != null)) {
                 // Before the socket is asked for: read as bytes, a descriptor would be dropped.
--- a/src/main/java/damsonworks/route/Router.java
+++ b/src/main/java/damsonworks/route/Router.java
@@ -223,6 +223,22 @@
         drain(out);
     }
 
+    @Override
+    public Map<String, Experience> experience(double now) {
+        Map<String, Experience> learnt = new HashMap<>();
+        lanes.stream().filter(l -> !l.leaving).forEach(l -> learnt.put(l.name, l.module.experience(now).get("")));
+        return learnt;
+    }
+
+    @Override
+    public void resume(double now, Map<String, Experience> learnt) {
+        for (Lane lane : lanes) {
+            if (learnt.containsKey(lane.name)) {
+                lane.module.resume(now, Map.of("", learnt.get(lane.name)));
+            }
+        }
+    }
+
     /** A server that one pool still uses is not avoided. */
     @Override
     public boolean avoids(double now, int server) {
--- a/src/test/java/damsonworks/PolicyTest.java
+++ b/src/test/java/damsonworks/PolicyTest.java
@@ -513,4 +513,58 @@
         assertThatThrownBy(() -> rig.policy.onRequest(rig.now, new Request(1, 0, 3, 1, rig.now + 10, 1, 0, false, false), rig))
                 .hasMessageContaining("tenant 3");
     }
+
+    // ---- what is learnt, passed on
+
+    /** A successor keeps off a server that its predecessor has given up, and asks it again when that one would have. */
+    @Test
+    void aSuccessorKnowsWhichServersHaveFailed() {
+        Rig old = Rig.aside().fleet(12);
+        old.read(1, 77);
+        int top = old.last().server();
+        old.end(old.last(), Outcome.CONNECT_FAILED);
+        int runnerUp = old.last().server();
+        Rig next = Rig.aside().fleet(12);
+        next.policy.resume(next.now, old.policy.experience(old.now));
+        next.read(1, 77);
+        assertThat(next.last().server()).isEqualTo(runnerUp);
+        assertThat(next.policy.avoids(next.now, top)).isTrue();
+        next.pass(20_000);
+        next.read(2, 77);
+        assertThat(next.probed).as("its time has come as it would have at the other").contains(top);
+    }
+
+    @Test
+    void whatIsKnownOfAServerThatHasStartedSinceIsForgotten() {
+        Rig old = Rig.aside().fleet(12);
+        old.read(1, 77);
+        int top = old.last().server();
+        old.end(old.last(), Outcome.CONNECT_FAILED);
+        Rig next = Rig.aside().fleet(12);
+        next.change(Rig.member(top, State.READY, -20_000));
+        next.policy.resume(next.now, old.policy.experience(old.now));
+        next.read(1, 77);
+        assertThat(next.last().server()).isEqualTo(top);
+    }
+
+    /** Hot keys go to several servers at once, and the throttle on the origin does not open anew. */
+    @Test
+    void aSuccessorKnowsHotKeysAndTheOriginsLoad() {
+        Rig old = Rig.aside().fleet(12);
+        for (int i = 1; i <= 200; i++) {
+            old.read(i, i % 2 == 0 ? 77 : 1000 + i);
+        }
+        Rig next = Rig.aside().fleet(12);
+        next.policy.resume(next.now, old.policy.experience(old.now));
+        Set<Integer> servers = new HashSet<>();
+        for (int i = 1; i <= 40; i++) {
+            next.read(i, 77);
+            servers.add(next.last().server());
+        }
+        assertThat(servers).hasSizeGreaterThan(3);
+        RoutingApi.Experience told = old.policy.experience(old.now).get("");
+        RoutingApi.Experience kept = next.policy.experience(next.now).get("");
+        assertThat(kept.origin()).isEqualTo(told.origin());
+        assertThat(kept.fetchMs()).isEqualTo(told.fetchMs());
+    }
 }
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/TakeoverStateTest.java
@@ -0,0 +1,74 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import damsonworks.RoutingApi.Experience;
+import damsonworks.RoutingApi.Hot;
+import damsonworks.RoutingApi.Load;
+import damsonworks.RoutingApi.Seen;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/** What is passed over comes to be read as it was meant, or not at all. */
+class TakeoverStateTest {
+    private static JsonObject list() {
+        JsonArray hosts = new JsonArray();
+        hosts.add(Fleet.host("s-0000beef", "node-fast", "127.0.0.1:9", "draining"));
+        return Fleet.list(43, true, hosts);
+    }
+
+    private static TakeoverState state() {
+        return new TakeoverState(list(), Map.of("", new Experience(1, 2, 3, 0, new Load(4, 5), new Load(6, 7), 8,
+                List.of(new Hot(-1, 9)), List.of(new Seen(-5, 0, 1, 1.7e12, 0)))));
+    }
+
+    @Property(tries = 300)
+    void whatIsToldIsRead(@ForAll @Size(9) List<@DoubleRange(max = 1e14) Double> f,
+            @ForAll @Size(max = 20) List<Long> keys, @ForAll @Size(max = 20) List<Integer> ids,
+            @ForAll @IntRange(max = 1000) int count) {
+        Experience e = new Experience(f.get(0), f.get(1), f.get(2), f.get(3), new Load(f.get(4), f.get(5)),
+                new Load(f.get(6), f.get(7)), f.get(8), keys.stream().map(k -> new Hot(k, count)).toList(),
+                ids.stream().map(i -> new Seen(i, f.get(1), count, f.get(0), count)).toList());
+        TakeoverState told = new TakeoverState(list(), Map.of("", e, "pool", e));
+        assertThat(TakeoverState.read(told.json())).isEqualTo(told);
+    }
+
+    @Example
+    void whatIsCutOffAnywhereIsNotRead() {
+        String line = state().json();
+        for (int cut = 0; cut < line.length(); cut++) {
+            String part = line.substring(0, cut);
+            assertThatThrownBy(() -> TakeoverState.read(part)).as(part).isInstanceOf(RuntimeException.class);
+        }
+    }
+
+    @Example
+    void figuresThatCannotBeAreNotRead() {
+        String line = state().json();
+        for (String figure : new String[] {"-1.0", "NaN", "1e300", "\"x\"", "null", "[]"}) {
+            String wrong = line.replace("\"figures\":[1.0", "\"figures\":[" + figure);
+            assertThat(wrong).isNotEqualTo(line);
+            assertThatThrownBy(() -> TakeoverState.read(wrong)).as(figure).isInstanceOf(RuntimeException.class);
+        }
+        assertThatThrownBy(() -> TakeoverState.read(line.replace("\"v\":1", "\"v\":2")))
+                .isInstanceOf(IllegalArgumentException.class);
+    }
+
+    /** A process that has been started before this was added tells its list alone. */
+    @Example
+    void aListAloneIsEnough() {
+        JsonObject state = new JsonObject();
+        state.addProperty("v", 1);
+        state.add("list", list());
+        assertThat(TakeoverState.read(state.toString())).isEqualTo(new TakeoverState(list(), Map.of()));
+    }
+}
--- a/src/test/java/damsonworks/proxy/UpgradeTest.java
+++ b/src/test/java/damsonworks/proxy/UpgradeTest.java
@@ -158,6 +158,27 @@
         }
     }
 
+    /** One of two servers refuses connections, and the old process has found out. */
+    @Test
+    void whatIsKnownOfServersGoesOver() throws Exception {
+        FakeServer gone = node();
+        String dial = gone.dial();
+        gone.close();
+        FakeServer up = node();
+        try (Fleet fleet = new Fleet().node(up).node(dial).shared(folder).start();
+                Fleet.Client client = fleet.client()) {
+            fleet.config.addProperty("listen", "127.0.0.1:" + fleet.proxy.address().getPort());
+            Await.until("the old one has tried it", () -> {
+                client.say("mg " + Long.toHexString(System.nanoTime()) + " v O1 Pc=text,d=20000\r\n");
+                served(client, "1");
+                return fleet.on(() -> fleet.proxy.knows().get("").servers().size()) == 1;
+            });
+            Proxy next = successor(fleet);
+            assertThat(next.loop().submit(() -> next.status().ejected()).syncUninterruptibly().getNow())
+                    .as("before it has sent anything").isEqualTo(1);
+        }
+    }
+
     @Test
     void aSuccessorThatGoesGivesTheClientsBack() throws Exception {
         try (Fleet fleet = serving(node())) {
