--- a/src/main/java/damsonworks/cli/DemoCommand.java
+++ b/src/main/java/damsonworks/cli/DemoCommand.java
@@ -11,6 +11,7 @@
 import damsonworks.load.Workload;
 import java.io.PrintWriter;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -26,10 +27,13 @@
                 + "something did not start, 2 wrong use."},
         footerHeading = "%nExamples:%n",
         footer = {"  demo", "  demo --nodes 12 --proxies 3 --rate 1000 --for 60s --fault evening.faults --html out.html",
+            "  demo --upgrade 6s --for 60s", "  demo --rate 100 --values 4mb:0.02,64kb:0.1",
             "", "A script of faults:", "  5s    node-3     stall 2s", "  8s    node-*     spoil 3s 10%%",
             "  10s   discovery  down 8s", "  12s   proxy-1    kill 1s"})
 final class DemoCommand implements Callable<Integer> {
     private static final double LEAD_IN_SHARE = 0.25;
+    /** What a process needs to start at all. */
+    private static final double MIN_UPGRADE_MS = 100;
 
     @Spec
     private CommandSpec spec;
@@ -44,6 +48,11 @@
             description = "Clients' connections at most (default: ${DEFAULT-VALUE}).")
     private int connections;
 
+    @Option(names = "--depth", paramLabel = "N", defaultValue = "1",
+            description = "Requests on one connection at most; with few connections they are pipelined "
+                    + "(default: ${DEFAULT-VALUE}).")
+    private int depth;
+
     @Option(names = "--warm-up", paramLabel = "TIME", defaultValue = "1s",
             description = "At the start, held to the rules and not counted (default: ${DEFAULT-VALUE}).")
     private Duration warmUp;
@@ -53,6 +62,10 @@
                     + "service was not started a second ago. Faults count from its end (default: ${DEFAULT-VALUE}).")
     private Duration leadIn;
 
+    @Option(names = "--upgrade", paramLabel = "TIME",
+            description = "A new process takes over from the next proxy each time so much has passed.")
+    private Duration upgrade;
+
     @Option(names = "--json", paramLabel = "FILE", description = "Writes figures and histograms.")
     private Path json;
 
@@ -62,8 +75,10 @@
     @Override
     public Integer call() throws Exception {
         PrintWriter out = spec.commandLine().getOut();
-        FleetSpec fleetSpec = fleetOptions.spec();
-        List<Fault> faults = fleetOptions.faults(fleetSpec);
+        FleetSpec standard = fleetOptions.spec();
+        FleetSpec fleetSpec = standard.withValues(traffic.sizes(standard.values().usual()));
+        List<Fault> faults = new ArrayList<>(fleetOptions.faults(fleetSpec));
+        upgrades(fleetSpec, faults);
         out.printf("starting %d nodes, an origin, discovery and %d proxies%n", fleetSpec.nodes(), fleetSpec.proxies());
         out.flush();
         try (ProxiedFleet fleet = new ProxiedFleet(fleetSpec, fleetOptions.memoryMb, fleetOptions.edge)) {
@@ -91,9 +106,18 @@
         }
     }
 
+    /** The proxies in turn, each in its time. */
+    private void upgrades(FleetSpec fleetSpec, List<Fault> faults) {
+        double every = upgrade == null ? Double.POSITIVE_INFINITY : Math.max(MIN_UPGRADE_MS, upgrade.ms());
+        int turn = 0;
+        for (double at = every; at < traffic.length.ms(); at += every) {
+            faults.add(new Fault(at, "proxy-" + turn++ % fleetSpec.proxies(), Fault.Action.UPGRADE, 0, 0));
+        }
+    }
+
     private Generator generator(ProxiedFleet fleet, Workload workload, double warmUpSeconds, long seed) {
         Generator.Settings settings = new Generator.Settings(List.of(fleet.front()),
-                fleet.fleet().spec().classes(), connections, 1, 200_000, traffic.connectionStay.seconds(), warmUpSeconds, 10,
+                fleet.fleet().spec().classes(), connections, depth, 200_000, traffic.connectionStay.seconds(), warmUpSeconds, 10,
                 seed);
         return new Generator(settings, workload, new OracleObserver(fleet.fleet()));
     }
@@ -109,6 +133,10 @@
             out.printf("%-10s %6d connections dealt%s%n", fleet.proxies().get(i++).name(), s.dealt(),
                     s.used() ? "" : ", not in use");
         }
+        if (fleet.watch().taken() + fleet.watch().turnedDown() > 0) {
+            out.printf("files were taken %d times at SIGHUP, and turned down %d times%n", fleet.watch().taken(),
+                    fleet.watch().turnedDown());
+        }
         if (fleet.watch().looks() > 0) {
             out.printf("drains were looked at %d times, and progress had fallen %d times%n", fleet.watch().looks(),
                     fleet.watch().backward());
--- a/src/main/java/damsonworks/cli/FleetOptions.java
+++ b/src/main/java/damsonworks/cli/FleetOptions.java
@@ -68,7 +68,7 @@
         FleetSpec standard = FleetSpec.standard(nodes, proxies, seed);
         return standard.withClasses(TrafficClass.SUBTITLES.stream().map(c -> c.patient(patience)).toList())
                 .withWork(work.ms(), originTime.ms())
-                .withBounds(cache, standard.queue(), connections, standard.valueBytes())
+                .withBounds(cache, standard.queue(), connections, standard.values().usual())
                 .withHeld(held)
                 .withTimes(notice.ms(), standard.warmUpMs(), standard.drainGraceMs(),
                         standard.answerGraceMs() * patience);
--- a/src/main/java/damsonworks/cli/LoadCommand.java
+++ b/src/main/java/damsonworks/cli/LoadCommand.java
@@ -61,6 +61,10 @@
             description = "Requests on one connection at most; more wait, and are charged it (default: no bound).")
     private int depth;
 
+    @Option(names = "--read-rate", paramLabel = "BYTES", defaultValue = "0",
+            description = "How fast each connection takes answers, in bytes a second; 0: as they come (default: 0).")
+    private int readRate;
+
     @Option(names = "--max-outstanding", paramLabel = "N", defaultValue = "200000",
             description = "Requests out at most, the bound on memory (default: ${DEFAULT-VALUE}).")
     private int maxOutstanding;
@@ -103,7 +107,8 @@
         PrintWriter out = spec.commandLine().getOut();
         List<TrafficClass> classes = TrafficClass.mix(mix, deadline.ms());
         Generator.Settings settings = new Generator.Settings(targets.stream().map(Target::address).toList(), classes,
-                connections, depth, maxOutstanding, traffic.connectionStay.seconds(), warmUp.seconds(), maxLag.ms(), traffic.seed);
+                connections, depth, maxOutstanding, traffic.connectionStay.seconds(), warmUp.seconds(), maxLag.ms(),
+                traffic.seed, readRate);
         Workload workload = trace == null ? traffic.workload(classes)
                 : new TraceWorkload(Files.newInputStream(trace), format, classes, speed);
         try (Generator generator = new Generator(settings, workload, Observer.NONE)) {
--- a/src/main/java/damsonworks/demo/OracleObserver.java
+++ b/src/main/java/damsonworks/demo/OracleObserver.java
@@ -3,6 +3,7 @@
 import damsonworks.fleet.Oracle;
 import damsonworks.fleet.StandInFleet;
 import damsonworks.fleet.meta.MetaAnswer;
+import damsonworks.fleet.meta.MetaAnswerDecoder;
 import damsonworks.load.Observer;
 import damsonworks.load.Planned;
 import java.util.concurrent.TimeUnit;
@@ -29,7 +30,8 @@
         fleet.tell(o -> {
             double at = fleet.at(atNanos);
             if (answer instanceof MetaAnswer.Value v) {
-                o.answered(id, Oracle.Ending.SERVED, v.value(), -1, at);
+                o.answered(id, Oracle.Ending.SERVED, v.value(), -1,
+                        v.value().length > MetaAnswerDecoder.LONG ? fleet.at(v.begunNanos()) : at);
             } else if (answer instanceof MetaAnswer.Receipt r) {
                 o.answered(id, Oracle.Ending.SERVED, null, version(r.receipt()), at);
             } else {
--- a/src/main/java/damsonworks/demo/ProxiedFleet.java
+++ b/src/main/java/damsonworks/demo/ProxiedFleet.java
@@ -30,6 +30,8 @@
     /** How much longer than the front's notice a killed proxy's requests may go down with it. */
     private static final double EXCUSE_MS = 1000;
     private static final long LOOK_MS = 250;
+    /** How long a file of no use lies there. */
+    private static final double MISFILE_MS = 300;
 
     private final StandInFleet fleet;
     private final FrontLayer front;
@@ -38,6 +40,8 @@
     private final MultiThreadIoEventLoopGroup frontGroup = new MultiThreadIoEventLoopGroup(1, Sockets.BEST.io());
     private final ProxyWatch watch;
     private final int[] turns;
+    /** Which proxies have been given other settings. */
+    private final boolean[] retuned;
     private final int memoryMb;
     private final Path folder;
     private final ScheduledThreadPoolExecutor helper;
@@ -53,6 +57,7 @@
     public ProxiedFleet(FleetSpec spec, int memoryMb, Path edge) throws IOException {
         this.memoryMb = memoryMb;
         turns = new int[spec.proxies()];
+        retuned = new boolean[spec.proxies()];
         folder = Files.createTempDirectory("damsonworks");
         helper = new ScheduledThreadPoolExecutor(1, r -> {
             Thread thread = new Thread(r, "proxies");
@@ -85,7 +90,7 @@
     }
 
     private synchronized JsonObject config(int proxy) {
-        return ProxyConfig.of(fleet, proxy, proxies.get(proxy).listen(), turns[proxy]++, memoryMb);
+        return ProxyConfig.of(fleet, proxy, proxies.get(proxy).listen(), turns[proxy]++, memoryMb, retuned[proxy]);
     }
 
     /** The stand-ins. */
@@ -140,6 +145,17 @@
                     }
                     case RECALL -> ask(p, ControlClient.request("drain-cancel"));
                     case UPGRADE -> new Thread(() -> upgrade(proxy), "upgrade").start(); // it waits
+                    case RETUNE -> {
+                        retuned[proxy] = !retuned[proxy];
+                        write(proxy);
+                        p.hangUp();
+                    }
+                    case MISFILE -> {
+                        String whole = config(proxy).toString();
+                        p.write(whole.substring(0, whole.length() / 2));
+                        p.hangUp();
+                        later(MISFILE_MS, () -> mend(proxy)); // or the proxy could not be started again
+                    }
                     case TERM -> {
                         p.onExit(() -> later(0, () -> restart(proxy)));
                         p.terminate();
@@ -178,6 +194,14 @@
         }
     }
 
+    private void mend(int proxy) {
+        try {
+            write(proxy);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private void restart(int proxy) {
         try {
             fleet.tell(o -> o.restarted(proxy));
--- a/src/main/java/damsonworks/demo/ProxyConfig.java
+++ b/src/main/java/damsonworks/demo/ProxyConfig.java
@@ -15,8 +15,12 @@
 
     private ProxyConfig() { }
 
-    /** {@code turn}: how often the proxy has been started or told anew; seeds and discovery's address hang on it. */
-    static JsonObject of(StandInFleet fleet, int proxy, InetSocketAddress listen, int turn, int memoryMb) {
+    /**
+     * {@code turn}: how often the proxy has been started or told anew; seeds and discovery's address hang on it.
+     * {@code retuned}: with a class that nobody uses and one attempt less.
+     */
+    static JsonObject of(StandInFleet fleet, int proxy, InetSocketAddress listen, int turn, int memoryMb,
+            boolean retuned) {
         FleetSpec spec = fleet.spec();
         JsonObject o = new JsonObject();
         o.addProperty("name", "proxy-" + proxy);
@@ -33,7 +37,7 @@
         report.add("names", new JsonArray());
         settings.add("report", report);
         settings.add("caps", object("may-cancel", true, "may-probe", false, "peers", false, "second-copies", true,
-                "retry-after", true, "max-attempts", 3, "max-retry-after", 500.0, "connect-timeout",
+                "retry-after", true, "max-attempts", retuned ? 2 : 3, "max-retry-after", 500.0, "connect-timeout",
                 CONNECT_TIMEOUT_MS, "idle-close", IDLE_CLOSE_MS, "streams-per-conn", 16));
         settings.add("extra", object("mode", "aside", "origin-kind", fleet.kinds().indexOf("origin"),
                 "origin-fall-multiple", 0.0, "origin-fall", 3000.0));
@@ -49,6 +53,11 @@
             }, "promise", c.aimMs(), "deadline", c.deadlineMs(), "gain", c.worth(), "late-share", 0.3, "stream",
                     false, "group", "all", "window", 1500.0));
         }
+        if (retuned) {
+            JsonObject extra = classes.get(0).getAsJsonObject().deepCopy();
+            extra.addProperty("name", "seg-extra");
+            classes.add(extra);
+        }
         settings.add("classes", classes);
         o.add("settings", settings);
         return o;
--- a/src/main/java/damsonworks/demo/ProxyProcess.java
+++ b/src/main/java/damsonworks/demo/ProxyProcess.java
@@ -82,8 +82,13 @@
         if (door != null) {
             json.addProperty("operator", ProxyConfig.text(door));
         }
+        write(json.toString());
+    }
+
+    /** Writes a file of this text, whatever it is worth. */
+    void write(String text) throws IOException {
         Path next = folder.resolve("config.next");
-        Files.writeString(next, json.toString());
+        Files.writeString(next, text);
         Files.move(next, config, StandardCopyOption.ATOMIC_MOVE);
     }
 
--- a/src/main/java/damsonworks/demo/ProxyWatch.java
+++ b/src/main/java/damsonworks/demo/ProxyWatch.java
@@ -20,6 +20,8 @@
         String phase = "";
         double share;
         int drains;
+        long taken;
+        long turnedDown;
     }
 
     private final List<ProxyProcess> proxies;
@@ -28,6 +30,8 @@
     private volatile String text = "";
     private volatile int backward;
     private volatile int looks;
+    private volatile long taken;
+    private volatile long turnedDown;
 
     ProxyWatch(List<ProxyProcess> proxies) {
         this.proxies = proxies;
@@ -49,6 +53,16 @@
         return looks;
     }
 
+    /** How often files were taken at SIGHUP, as far as has been seen. */
+    public long taken() {
+        return taken;
+    }
+
+    /** How often they were turned down. */
+    public long turnedDown() {
+        return turnedDown;
+    }
+
     void look() {
         long now = System.nanoTime();
         double seconds = (now - lastNanos) / 1e9;
@@ -95,6 +109,13 @@
             s.share = share;
         }
         s.drains = drains;
+        JsonObject figures = status.getAsJsonObject("figures");
+        long applied = figures.get("sighup_applied").getAsLong();
+        long rejected = figures.get("sighup_rejected").getAsLong();
+        taken += applied - (pid == s.pid ? s.taken : 0);
+        turnedDown += rejected - (pid == s.pid ? s.turnedDown : 0);
+        s.taken = applied;
+        s.turnedDown = rejected;
         s.pid = pid;
     }
 }
--- a/src/main/java/damsonworks/fleet/CacheNode.java
+++ b/src/main/java/damsonworks/fleet/CacheNode.java
@@ -158,7 +158,7 @@
             boolean fetched = fleet.missed(read, this);
             return text("EN O" + read.id() + (fetched ? " h0 Z\r\n" : " h0\r\n"));
         }
-        byte[] value = new Payload(read.key(), version).bytes(fleet.spec().valueBytes());
+        byte[] value = new Payload(read.key(), version).bytes(fleet.spec().values().bytesOf(read.key()));
         if (spoiltShare > 0 && random.nextDouble() < spoiltShare) {
             return spoilt(read, value);
         }
--- a/src/main/java/damsonworks/fleet/Fault.java
+++ b/src/main/java/damsonworks/fleet/Fault.java
@@ -43,7 +43,11 @@
         /** A proxy's drain is taken back. */
         RECALL("proxy", false, false),
         /** A proxy is told to read its configuration again. */
-        HUP("proxy", false, false);
+        HUP("proxy", false, false),
+        /** The same with other settings: a class appears and fewer attempts are allowed, or the other way round. */
+        RETUNE("proxy", false, false),
+        /** A proxy is told to read a file that is cut off. */
+        MISFILE("proxy", false, false);
 
         private final String targets;
         private final boolean lasts;
--- a/src/main/java/damsonworks/fleet/FleetSpec.java
+++ b/src/main/java/damsonworks/fleet/FleetSpec.java
@@ -16,7 +16,7 @@
  * @param cacheEntries keys that a node holds
  * @param queue        commands that wait at a node beside the one it works on, before it turns away
  * @param connections  that a node accepts at most
- * @param valueBytes   the least length of a value
+ * @param values       how long values are, at least
  * @param heldAtStart  the share of all keys, 0 to 1, that a node which is warm at the start holds when first asked
  * @param noticeMs     how late the roster and the front layer see a change
  * @param warmUpMs     how long a node that has just started is cold
@@ -24,7 +24,7 @@
  * @param answerGraceMs how much later than its deadline an answer may come
  */
 public record FleetSpec(int nodes, int proxies, long seed, List<TrafficClass> classes, double workMs, double originMs,
-        int originSlots, int cacheEntries, int queue, int connections, int valueBytes, double heldAtStart,
+        int originSlots, int cacheEntries, int queue, int connections, ValueSizes values, double heldAtStart,
         double noticeMs, double warmUpMs, double drainGraceMs, double answerGraceMs) {
 
     /** The rules' figures: a cold node falls when sent this many times what it can do over this time. */
@@ -46,7 +46,6 @@
         range("cache entries", cacheEntries, 1, 10_000_000);
         range("queue", queue, 0, 100_000);
         range("connections", connections, 1, 100_000);
-        range("value bytes", valueBytes, 0, 4 << 20);
         range("share of keys held at the start", heldAtStart, 0, 1);
         range("notice", noticeMs, 0, 60_000);
         range("warm-up", warmUpMs, 0, 600_000);
@@ -65,38 +64,44 @@
 
     /** A fleet like that of the first installation, with work small enough for one machine. */
     public static FleetSpec standard(int nodes, int proxies, long seed) {
-        return new FleetSpec(nodes, proxies, seed, TrafficClass.SUBTITLES, 3, 25, 8, 20_000, 60, 42, 400, 0.92,
+        return new FleetSpec(nodes, proxies, seed, TrafficClass.SUBTITLES, 3, 25, 8, 20_000, 60, 42, ValueSizes.of(400), 0.92,
                 1500, 9000, 2000, 50);
     }
 
     /** This with other classes. */
     public FleetSpec withClasses(List<TrafficClass> other) {
         return new FleetSpec(nodes, proxies, seed, other, workMs, originMs, originSlots, cacheEntries, queue,
-                connections, valueBytes, heldAtStart, noticeMs, warmUpMs, drainGraceMs, answerGraceMs);
+                connections, values, heldAtStart, noticeMs, warmUpMs, drainGraceMs, answerGraceMs);
     }
 
     /** This with nodes and an origin of other speed. */
     public FleetSpec withWork(double work, double origin) {
         return new FleetSpec(nodes, proxies, seed, classes, work, origin, originSlots, cacheEntries, queue,
-                connections, valueBytes, heldAtStart, noticeMs, warmUpMs, drainGraceMs, answerGraceMs);
+                connections, values, heldAtStart, noticeMs, warmUpMs, drainGraceMs, answerGraceMs);
     }
 
     /** This with other bounds at each node. */
     public FleetSpec withBounds(int entries, int waiting, int accepted, int bytes) {
         return new FleetSpec(nodes, proxies, seed, classes, workMs, originMs, originSlots, entries, waiting,
-                accepted, bytes, heldAtStart, noticeMs, warmUpMs, drainGraceMs, answerGraceMs);
+                accepted, ValueSizes.of(bytes), heldAtStart, noticeMs, warmUpMs, drainGraceMs, answerGraceMs);
+    }
+
+    /** This with values of other lengths. */
+    public FleetSpec withValues(ValueSizes other) {
+        return new FleetSpec(nodes, proxies, seed, classes, workMs, originMs, originSlots, cacheEntries, queue,
+                connections, other, heldAtStart, noticeMs, warmUpMs, drainGraceMs, answerGraceMs);
     }
 
     /** This with nodes that hold another share of the keys at the start. */
     public FleetSpec withHeld(double share) {
         return new FleetSpec(nodes, proxies, seed, classes, workMs, originMs, originSlots, cacheEntries, queue,
-                connections, valueBytes, share, noticeMs, warmUpMs, drainGraceMs, answerGraceMs);
+                connections, values, share, noticeMs, warmUpMs, drainGraceMs, answerGraceMs);
     }
 
     /** This with other times of notice, warm-up and grace. */
     public FleetSpec withTimes(double notice, double warmUp, double drainGrace, double answerGrace) {
         return new FleetSpec(nodes, proxies, seed, classes, workMs, originMs, originSlots, cacheEntries, queue,
-                connections, valueBytes, heldAtStart, notice, warmUp, drainGrace, answerGrace);
+                connections, values, heldAtStart, notice, warmUp, drainGrace, answerGrace);
     }
 
     ColdStart.Settings coldStart() {
--- a/src/main/java/damsonworks/fleet/OriginServer.java
+++ b/src/main/java/damsonworks/fleet/OriginServer.java
@@ -26,7 +26,7 @@
  * drops the nodes' copies on a write and fills the nodes that missed. Belongs to the fleet's event loop.
  */
 final class OriginServer {
-    private static final int MAX_BODY = 4 << 20;
+    private static final byte[] NOTHING = {};
     private static final double WRITE_WORK = 1.5;
     /** The queue, in slots' worth: some seconds of work. */
     private static final int QUEUE_PER_SLOT = 16;
@@ -68,7 +68,7 @@
         AnswerLine line = new AnswerLine(channel, listener);
         lines.add(line);
         channel.closeFuture().addListener(f -> lines.remove(line));
-        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(MAX_BODY),
+        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(ValueSizes.MAX),
                 new SimpleChannelInboundHandler<FullHttpRequest>() {
                     @Override
                     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
@@ -89,31 +89,31 @@
         String extras = request.headers().get("Req-Extra", "");
         boolean write = request.method().equals(HttpMethod.PUT);
         if (request.uri().equals("/alive") || !write && !request.method().equals(HttpMethod.GET) || id.isEmpty()) {
-            line.answer(slot, response(id.isEmpty() ? 400 : 200, "", false));
+            line.answer(slot, response(id.isEmpty() ? 400 : 200, NOTHING, false));
             return;
         }
         Runnable run = () -> line.answer(slot, response(200, write ? write(key, id, extras) : read(key, id), false));
         double work = fleet.originWork(id) * (write ? WRITE_WORK : 1);
         if (!slots.offer(run, work)) {
-            line.answer(slot, response(503, "", true));
+            line.answer(slot, response(503, NOTHING, true));
         }
     }
 
-    private String read(String key, String id) {
+    private byte[] read(String key, String id) {
         long version = version(key);
         fetches++;
         fleet.fetched(key, id, version);
-        return new String(new Payload(key, version).bytes(fleet.spec().valueBytes()), StandardCharsets.ISO_8859_1);
+        return new Payload(key, version).bytes(fleet.spec().values().bytesOf(key));
     }
 
-    private String write(String key, String id, String extras) {
+    private byte[] write(String key, String id, String extras) {
         double now = fleet.now();
         String idempotencyKey = MetaCommand.named(extras, "k");
         receipts.values().removeIf(r -> now - r.atMs() > FleetSpec.REPEAT_WINDOW_MS);
         Receipt before = idempotencyKey == null ? null : receipts.get(idempotencyKey);
         if (before != null) {
             fleet.oracle().repeated(id, idempotencyKey, now);
-            return "v" + before.version();
+            return receipt(before.version());
         }
         long version = versions.merge(key, 1L, Long::sum);
         if (idempotencyKey != null) {
@@ -121,12 +121,16 @@
         }
         fleet.oracle().effect(id, idempotencyKey, now);
         fleet.voided(key);
-        return "v" + version;
+        return receipt(version);
     }
 
-    private static FullHttpResponse response(int status, String body, boolean declined) {
+    private static byte[] receipt(long version) {
+        return ("v" + version).getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static FullHttpResponse response(int status, byte[] body, boolean declined) {
         FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(status), Unpooled.copiedBuffer(body, StandardCharsets.ISO_8859_1));
+                HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
         response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
         if (declined) {
             response.headers().set("Srv-Declined", "1");
--- a/src/main/java/damsonworks/fleet/meta/MetaAnswer.java
+++ b/src/main/java/damsonworks/fleet/meta/MetaAnswer.java
@@ -6,8 +6,8 @@
     /** The id that the answer names, or null. */
     String id();
 
-    /** A served read. */
-    record Value(String id, byte[] value) implements MetaAnswer { }
+    /** A served read; {@code begunNanos}: when its first line came, by {@link System#nanoTime()}. */
+    record Value(String id, byte[] value, long begunNanos) implements MetaAnswer { }
 
     /** A served write. */
     record Receipt(String id, String receipt) implements MetaAnswer { }
--- a/src/main/java/damsonworks/fleet/meta/MetaAnswerDecoder.java
+++ b/src/main/java/damsonworks/fleet/meta/MetaAnswerDecoder.java
@@ -8,10 +8,18 @@
 
 /** Turns a server's bytes into {@link MetaAnswer}s. What can't be framed raises a decoder's exception. */
 public final class MetaAnswerDecoder extends ByteToMessageDecoder {
+    /** Values over this length are timed by their first bytes. */
+    public static final int LONG = 64 << 10;
     private static final String BUSY = "SERVER_ERROR busy";
 
     private String valueId;
     private int length = -1;
+    private long begunNanos;
+
+    /** Whether a value has begun that is timed by its first bytes, and has not come whole. */
+    public boolean inLongValue() {
+        return length > LONG;
+    }
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
@@ -27,7 +35,7 @@
             if (in.readByte() != '\r' | in.readByte() != '\n') {
                 throw new CorruptedFrameException("value without end");
             }
-            out.add(new MetaAnswer.Value(valueId, value));
+            out.add(new MetaAnswer.Value(valueId, value, begunNanos));
         }
     }
 
@@ -40,6 +48,7 @@
                     throw new CorruptedFrameException("bad data length");
                 }
                 valueId = MetaLines.flag(words, 2, 'O');
+                begunNanos = System.nanoTime();
             }
             case "HD" -> out.add(new MetaAnswer.Receipt(MetaLines.flag(words, 1, 'O'),
                     String.valueOf(MetaLines.flag(words, 1, 'c'))));
--- a/src/main/java/damsonworks/load/Connection.java
+++ b/src/main/java/damsonworks/load/Connection.java
@@ -12,6 +12,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.traffic.ChannelTrafficShapingHandler;
 import java.net.InetSocketAddress;
 import java.nio.channels.ClosedChannelException;
 import java.util.ArrayDeque;
@@ -20,11 +21,13 @@
 final class Connection {
     /** For how long a late answer is listened for. */
     private static final long OVERDUE_NANOS = 300_000_000;
+    private static final long CHECK_MS = 100;
 
     private final Generator generator;
     private final long untilNanos;
     private final ArrayDeque<Pending> pending = new ArrayDeque<>(4);
     private final ArrayDeque<Runnable> unsent = new ArrayDeque<>(4);
+    private final MetaAnswerDecoder decoder = new MetaAnswerDecoder();
     private Channel channel;
     private boolean connected;
     private boolean ended;
@@ -45,7 +48,10 @@
         ChannelFuture future = bootstrap.clone().handler(new ChannelInitializer<>() {
             @Override
             protected void initChannel(Channel c) {
-                c.pipeline().addLast(new MetaAnswerDecoder(), new Answers());
+                if (generator.readBytes() > 0) {
+                    c.pipeline().addLast(new ChannelTrafficShapingHandler(0, generator.readBytes(), CHECK_MS));
+                }
+                c.pipeline().addLast(decoder, new Answers());
             }
         }).connect(to);
         channel = future.channel();
@@ -66,6 +72,11 @@
         generator.connectFailed(this, cause);
     }
 
+    /** Whether this request's answer is a long one that has begun to come: its first bytes are what was in time. */
+    boolean receives(Pending p) {
+        return !ended && !broken && pending.peek() == p && decoder.inLongValue();
+    }
+
     boolean connected() {
         return connected;
     }
@@ -100,6 +111,7 @@
 
     void send(Pending p, TrafficClass kind) {
         pending.add(p);
+        p.on = this;
         if (connected) {
             write(p, kind);
         } else {
--- a/src/main/java/damsonworks/load/Generator.java
+++ b/src/main/java/damsonworks/load/Generator.java
@@ -30,6 +30,7 @@
     private static final long RETRY_NANOS = 50_000_000;
     private static final long READY_NANOS = 2_000_000_000L;
     private static final int CONNECT_MS = 2000;
+    private static final int SLOW_BUFFER = 32 << 10;
     /** How often a request goes out again whose connection ended before it had answered anything. */
     private static final int MAX_RESENT_UNUSED = 3;
 
@@ -44,9 +45,17 @@
      * @param warmUpSeconds  at the start, sent and not counted
      * @param maxLagMs       up to which lag at p99.9 the schedule counts as kept
      * @param seed           of request ids; generators that run side by side want different ones
+     * @param readBytes      how fast each connection takes answers, in bytes a second; 0: as fast as they come
      */
     public record Settings(List<InetSocketAddress> targets, List<TrafficClass> classes, int connections,
-            int depth, int maxOutstanding, double staySeconds, double warmUpSeconds, double maxLagMs, long seed) {
+            int depth, int maxOutstanding, double staySeconds, double warmUpSeconds, double maxLagMs, long seed,
+            int readBytes) {
+        /** Takes answers as fast as they come. */
+        public Settings(List<InetSocketAddress> targets, List<TrafficClass> classes, int connections, int depth,
+                int maxOutstanding, double staySeconds, double warmUpSeconds, double maxLagMs, long seed) {
+            this(targets, classes, connections, depth, maxOutstanding, staySeconds, warmUpSeconds, maxLagMs, seed, 0);
+        }
+
         /** Checks the ranges. */
         public Settings {
             if (targets.isEmpty() || classes.isEmpty()) {
@@ -56,6 +65,9 @@
                 throw new IllegalArgumentException(connections + " connections and " + maxOutstanding
                         + " outstanding; it takes 1 to 60,000 and 1 to 5,000,000");
             }
+            if (readBytes < 0) {
+                throw new IllegalArgumentException("connections read " + readBytes + " bytes a second; 0 or more");
+            }
             if (!(staySeconds >= 0) || !(warmUpSeconds >= 0) || !(maxLagMs > 0)) {
                 throw new IllegalArgumentException("connections stay and a warm-up lasts 0 s or longer, and a lag to keep is above 0 ms");
             }
@@ -71,6 +83,10 @@
         final boolean counted;
         boolean ended;
         int resent;
+        /** Its time is up, and the rest of its answer is on its way. */
+        boolean begun;
+        /** The connection that it went onto last. */
+        Connection on;
         long connectionEndedNanos;
 
         Pending(String id, Planned planned, long meantNanos, long deadlineNanos, boolean counted) {
@@ -106,6 +122,8 @@
     private long planned;
     private long number;
     private int held;
+    /** Requests whose time is up and whose long answers are still coming. */
+    private int begun;
     private int targetTurn;
     /** Connections open at most: what was asked, or what the process's descriptors allow. */
     private int most;
@@ -123,6 +141,9 @@
         settings.classes().forEach(c -> open.add(new LinkedHashSet<>()));
         bootstrap = new Bootstrap().group(loop).channel(Sockets.BEST.client()).option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS);
+        if (settings.readBytes() > 0) {
+            bootstrap.option(ChannelOption.SO_RCVBUF, SLOW_BUFFER); // or the system would read for the client
+        }
     }
 
     /** Opens some connections, then begins; the future has the report when the last request has ended. */
@@ -283,6 +304,10 @@
         return settings.depth();
     }
 
+    int readBytes() {
+        return settings.readBytes();
+    }
+
     void freed(Connection c) {
         if (c.old()) {
             c.close();
@@ -318,6 +343,10 @@
         for (Pending p; (p = c.poll()) != null;) {
             if (p.ended) {
                 held--;
+            } else if (p.begun) {
+                p.connectionEndedNanos = now;
+                lost = true;
+                expire(p);
             } else if (!c.connected()) {
                 waiting.add(p);
             } else if (cleanly && p.resent < (c.answered() == 0 ? MAX_RESENT_UNUSED : 1)) {
@@ -375,6 +404,7 @@
 
     private void end(Pending p, long now) {
         p.ended = true;
+        begun -= p.begun ? 1 : 0;
         open.get(p.planned.kind()).remove(p);
         if (p.counted) {
             recorder.ended(now - p.meantNanos);
@@ -405,7 +435,7 @@
             recorder.second((now - warmNanos) / 1e9);
         }
         connections.stream().filter(c -> c.spent() || c.depth() == 0 && c.old()).toList().forEach(Connection::close);
-        if (next == null && open.stream().allMatch(Set::isEmpty)) {
+        if (next == null && begun == 0 && open.stream().allMatch(Set::isEmpty)) {
             finish(now);
             return;
         }
@@ -413,6 +443,12 @@
     }
 
     private void expire(Pending p) {
+        if (p.on != null && p.on.receives(p)) {
+            p.begun = true;
+            begun++;
+            open.get(p.planned.kind()).remove(p);
+            return;
+        }
         end(p, p.deadlineNanos);
         if (p.connectionEndedNanos != 0) {
             held--; // no connection holds it any more
--- a/src/main/java/damsonworks/load/SyntheticWorkload.java
+++ b/src/main/java/damsonworks/load/SyntheticWorkload.java
@@ -2,6 +2,7 @@
 
 import damsonworks.fleet.Keys;
 import damsonworks.fleet.TrafficClass;
+import damsonworks.fleet.ValueSizes;
 import java.util.List;
 import java.util.SplittableRandom;
 
@@ -20,18 +21,18 @@
      * @param keys           in the key space
      * @param zipf           exponent of the keys' popularity; 0 for all alike
      * @param keyStaySeconds after which time the popular keys move on; 0 for never
-     * @param valueBytes     of a write
+     * @param values         how long a write's value is
      */
     public record Settings(double rate, double seconds, Shape shape, Arrivals arrivals, int keys, double zipf,
-            double keyStaySeconds, int valueBytes, List<TrafficClass> classes, long seed) {
+            double keyStaySeconds, ValueSizes values, List<TrafficClass> classes, long seed) {
         /** Checks the ranges. */
         public Settings {
             if (!(rate > 0 && rate <= 10_000_000) || !(seconds > 0 && seconds <= 604_800)) {
                 throw new IllegalArgumentException(rate + " a second for " + seconds
                         + " s: a rate is above 0 and 10 million at most, a run a week at most");
             }
-            if (valueBytes < 0 || valueBytes > 4 << 20 || !(keyStaySeconds >= 0)) {
-                throw new IllegalArgumentException("values have 0 to 4 MiB, and keys stay 0 s or longer");
+            if (!(keyStaySeconds >= 0)) {
+                throw new IllegalArgumentException("keys stay 0 s or longer");
             }
         }
     }
@@ -69,7 +70,8 @@
             kind++;
         }
         boolean write = settings.classes().get(kind).write();
-        return new Planned((long) (atS * 1e9), kind, key(), write, write ? settings.valueBytes() : 0);
+        String key = key();
+        return new Planned((long) (atS * 1e9), kind, key, write, write ? settings.values().bytesOf(key) : 0);
     }
 
     /** Goes on by as much of the rate's integral as lies between two arrivals. */
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -12,7 +12,6 @@
 import damsonworks.RoutingApi.Request;
 import damsonworks.RoutingApi.ServiceClass;
 import damsonworks.RoutingApi.Settings;
-import damsonworks.RoutingApi.State;
 import damsonworks.drain.Drain;
 import damsonworks.flow.ByteBudget;
 import damsonworks.proxy.Counters.Ending;
@@ -32,10 +31,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -55,14 +52,7 @@
     private static final double PROBE_TIMEOUT_MS = 250;
     /** Of the memory for buffers, values that are kept whole get one part of so many; the rest is for what passes. */
     private static final int VALUES_PART = 2;
-    private static final double AVOIDED_MS = 1000;
-    /** To one cache node, ordinarily and with those that pass long answers on. */
-    private static final int CONNECTIONS = 4;
-    private static final int CONNECTIONS_IN_ALL = 12;
-    private static final double RETIRE_AT = 0.7;
     private static final long SWEEP_MS = 1000;
-    private static final double CLOSES_PER_SECOND = 10;
-    private static final double CLOSES_SAVED = 10;
 
     private final EventLoop loop;
     private final Timers timers;
@@ -72,13 +62,11 @@
     private final IntObjectHashMap<Exchange> exchanges = new IntObjectHashMap<>();
     /** The open requests by their clients' ids. */
     private final Map<String, Exchange> open = new HashMap<>();
-    private final IntObjectHashMap<Upstream> upstreams = new IntObjectHashMap<>();
     private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
-    private final Bootstrap bootstrap;
     private final double epochMs = System.currentTimeMillis();
     private final long startNanos = System.nanoTime();
     private final ByteBudget values;
-    private final int maxUpstream;
+    private final Servers servers;
     private Config config;
     private Settings settings;
     private RoutingApi module;
@@ -95,11 +83,8 @@
     /** Clients that ask are told so. */
     private boolean drainTold;
     private long answered;
-    private double closes = CLOSES_SAVED;
-    private double closesAtMs;
     private int nextId;
     private int logLines;
-    private int upstreamCount;
 
     /** Where the module's calls for the list go. */
     interface ListSource {
@@ -122,11 +107,11 @@
         use(config);
         values = new ByteBudget(Math.min((long) config.memoryMb() << 20 >> 3,
                 PlatformDependent.maxDirectMemory() / VALUES_PART));
-        maxUpstream = config.sockets() / 3;
-        bootstrap = new Bootstrap().group(loop).channel(upstream);
+        Bootstrap bootstrap = new Bootstrap().group(loop).channel(upstream);
         if (upstream == Transport.BEST.socket()) {
             bootstrap.option(ChannelOption.TCP_NODELAY, true);
         }
+        servers = new Servers(this, bootstrap, config.sockets() / 3);
     }
 
     /**
@@ -140,7 +125,8 @@
         listener = clients;
         router = routing == null ? null : new Router(settings, config.seed(), routing);
         module = router != null ? router : new Policy(settings, config.seed());
-        sweeper = loop.scheduleWithFixedDelay(this::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        sweeper = loop.scheduleWithFixedDelay(() -> servers.sweep(config.idleCloseMs()), SWEEP_MS, SWEEP_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     private void use(Config next) {
@@ -183,19 +169,18 @@
         return counters;
     }
 
-    /** The cache nodes of the list. */
-    int discovered() {
-        return (int) cacheNodes().count();
+    /** The servers of the list, with our connections to them. */
+    Servers servers() {
+        return servers;
     }
 
-    /** Those of them that get no ordinary request now, and have got nothing for a while: not even to be tried again. */
-    int ejected() {
-        double now = now();
-        return (int) cacheNodes().filter(u -> now - u.sentMs() > AVOIDED_MS && module.avoids(now, u.id)).count();
+    /** Whether the module sends this server nothing ordinary now. */
+    boolean avoids(int server) {
+        return module.avoids(now(), server);
     }
 
-    private Stream<Upstream> cacheNodes() {
-        return upstreams.values().stream().filter(u -> !u.origin);
+    Settings settings() {
+        return settings;
     }
 
     /** The routes, or null where there are none. */
@@ -212,7 +197,7 @@
     void stop() {
         stopped = true;
         sweeper.cancel(false);
-        upstreams.values().forEach(Upstream::close);
+        servers.close();
     }
 
     /** Unix time in milliseconds at the start, monotonic from there: list times need no conversion. */
@@ -239,33 +224,6 @@
         return values;
     }
 
-    boolean mayClose() {
-        double now = now();
-        closes = Math.min(CLOSES_SAVED, closes + (now - closesAtMs) / 1000 * CLOSES_PER_SECOND);
-        closesAtMs = now;
-        if (closes < 1 && settings.secondCopies()) {
-            return false;
-        }
-        closes--;
-        return true;
-    }
-
-    boolean roomUpstream() {
-        return upstreamCount < maxUpstream;
-    }
-
-    int upstreamConnections() {
-        return upstreamCount;
-    }
-
-    void openedUpstream() {
-        upstreamCount++;
-    }
-
-    void closedUpstream() {
-        upstreamCount--;
-    }
-
     boolean draining() {
         return draining;
     }
@@ -327,14 +285,6 @@
         listener.retire(client);
     }
 
-    private void sweep() {
-        double now = now();
-        for (Upstream u : upstreams.values()) {
-            u.closeIdle(now - config.idleCloseMs() * RETIRE_AT);
-            u.sweep(now);
-        }
-    }
-
     // ---- calls of the module
 
     private void tell(Runnable call) {
@@ -375,35 +325,7 @@
     }
 
     void listed(ListKind kind, List<DiscoveryClient.Host> hosts) {
-        for (DiscoveryClient.Host h : hosts) {
-            int id = h.member().id();
-            Upstream u = upstreams.get(id);
-            if (h.member().state() == State.GONE) {
-                forget(id);
-                continue;
-            }
-            if (u == null) {
-                boolean origin = settings.aside() && h.member().kind() == settings.originKind();
-                u = origin ? new Upstream(id, true, this, bootstrap, originConnections(), originConnections(), 1)
-                        : new Upstream(id, false, this, bootstrap, cacheConnections(CONNECTIONS),
-                                cacheConnections(CONNECTIONS_IN_ALL), config.streamsPerConnection());
-                upstreams.put(id, u);
-            }
-            if (!h.dial().equals(u.dial) || u.bornMs != h.member().bornMs()) {
-                u.retire();
-            }
-            u.dial = h.dial();
-            u.bornMs = h.member().bornMs();
-        }
-        if (kind == ListKind.FULL || kind == ListKind.CACHED) {
-            Set<Integer> named = new HashSet<>();
-            hosts.forEach(h -> named.add(h.member().id()));
-            for (Integer id : List.copyOf(upstreams.keySet())) {
-                if (!named.contains(id)) {
-                    forget(id);
-                }
-            }
-        }
+        servers.listed(kind, hosts, config.streamsPerConnection());
         tell(() -> {
             if (router != null) { // with its event and not before it: another may wait in line
                 hosts.forEach(h -> router.describe(h.member().id(), h.server()));
@@ -412,22 +334,6 @@
         });
     }
 
-    private void forget(int id) {
-        Upstream u = upstreams.remove(id);
-        if (u != null) {
-            u.retire();
-        }
-    }
-
-    /** Servers accept some forty connections each, for all proxies together. */
-    private int cacheConnections(int most) {
-        return Math.max(1, Math.min(most, 28 / Math.max(1, settings.instances())));
-    }
-
-    private int originConnections() {
-        return Math.max(4, Math.min(48, 240 / Math.max(1, settings.instances())));
-    }
-
     void heard(int peer, byte[] message) {
         tell(() -> module.onPeer(now(), peer, message, this));
     }
@@ -626,7 +532,7 @@
         Attempt a = new Attempt(x, x.attempts.size(), server, now, now + wait);
         x.attempts.add(a);
         x.out++;
-        Upstream u = upstreams.get(server);
+        Upstream u = servers.get(server);
         if (u == null || wait <= 0 || a.index >= Math.min(x.maxAttempts, settings.maxAttempts())) {
             tell(() -> end(a, Outcome.NOT_SENT, 0, null, null));
             return;
@@ -675,7 +581,7 @@
 
     @Override
     public void probe(int server) {
-        Upstream u = upstreams.get(server);
+        Upstream u = servers.get(server);
         double now = now();
         Attempt a = new Attempt(null, 0, server, now, now + PROBE_TIMEOUT_MS);
         if (u == null || !u.send(a)) {
@@ -687,7 +593,7 @@
 
     @Override
     public void closeIdle(int server) {
-        Upstream u = upstreams.get(server);
+        Upstream u = servers.get(server);
         if (u != null) {
             u.closeIdle(Double.MAX_VALUE);
         }
--- a/src/main/java/damsonworks/proxy/HandoverLink.java
+++ b/src/main/java/damsonworks/proxy/HandoverLink.java
@@ -42,6 +42,7 @@
     private Channel server;
     private Channel successor;
     private long nextLink;
+    private int passed;
 
     /** {@code state}: asked on the event loop. */
     HandoverLink(EventLoop loop, Path folder, Handover handover, Acceptor acceptor, Supplier<TakeoverState> state) {
@@ -96,7 +97,15 @@
             done.accept(false);
             return;
         }
-        successor.writeAndFlush(Transport.descriptor(client)).addListener(f -> done.accept(f.isSuccess()));
+        successor.writeAndFlush(Transport.descriptor(client)).addListener(f -> {
+            passed += f.isSuccess() ? 1 : 0;
+            done.accept(f.isSuccess());
+        });
+    }
+
+    /** Clients' connections that the successor has been given. */
+    int passed() {
+        return passed;
     }
 
     private final class Link extends SimpleChannelInboundHandler<ByteBuf> {
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -79,6 +79,7 @@
         if (socket != null) {
             acceptor.listen(group, socket);
             old.serving(client -> acceptor.adopt(loop, client));
+            loop.execute(() -> dispatcher.log(old.told()));
         } else {
             acceptor.listen(group, config.listen());
         }
@@ -106,6 +107,9 @@
     }
 
     private void ended() {
+        if (handover.passes()) {
+            dispatcher.log("passed " + link.passed() + " clients on");
+        }
         ended.countDown();
         whenEnded.run();
     }
@@ -279,8 +283,8 @@
         Counters c = dispatcher.counters();
         Map<String, Endings> classes = new LinkedHashMap<>();
         c.classes().forEach((name, t) -> classes.put(name, new Endings(t.succeeded(), t.declined(), t.aborted())));
-        return new Status(acceptor.open(), dispatcher.owed(), dispatcher.answered(), dispatcher.upstreamConnections(),
-                classes, c.forwards(), dispatcher.discovered(), dispatcher.ejected(), c.applied(), c.rejected(),
+        return new Status(acceptor.open(), dispatcher.owed(), dispatcher.answered(), dispatcher.servers().connections(),
+                classes, c.forwards(), dispatcher.servers().discovered(), dispatcher.servers().ejected(), c.applied(), c.rejected(),
                 handover.phase());
     }
 
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -0,0 +1,162 @@
+package damsonworks.proxy;
+
+import damsonworks.RoutingApi.ListKind;
+import damsonworks.RoutingApi.Settings;
+import damsonworks.RoutingApi.State;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.util.collection.IntObjectHashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Stream;
+
+/** The servers of the list with our connections to them, and what bounds these over all servers. */
+final class Servers {
+    private static final double AVOIDED_MS = 1000;
+    /** To one cache node, ordinarily and with those that pass long answers on. */
+    private static final int CONNECTIONS = 4;
+    private static final int CONNECTIONS_IN_ALL = 12;
+    /** Our connections are ended at this part of the time after which a server ends them. */
+    private static final double RETIRE_AT = 0.7;
+    private static final double CLOSES_PER_SECOND = 10;
+    private static final double CLOSES_SAVED = 10;
+
+    private final Dispatcher dispatcher;
+    private final Bootstrap bootstrap;
+    private final int maxConnections;
+    private final IntObjectHashMap<Upstream> servers = new IntObjectHashMap<>();
+    private double closes = CLOSES_SAVED;
+    private double closesAtMs;
+    private int connections;
+
+    /** {@code maxConnections}: to all servers together. */
+    Servers(Dispatcher dispatcher, Bootstrap bootstrap, int maxConnections) {
+        this.dispatcher = dispatcher;
+        this.bootstrap = bootstrap;
+        this.maxConnections = maxConnections;
+    }
+
+    /** One of the list; null if it is not in it. */
+    Upstream get(int id) {
+        return servers.get(id);
+    }
+
+    /** Takes news of the list: who is new, gone, or at another address. */
+    void listed(ListKind kind, List<DiscoveryClient.Host> hosts, int streams) {
+        for (DiscoveryClient.Host h : hosts) {
+            int id = h.member().id();
+            if (h.member().state() == State.GONE) {
+                forget(id);
+                continue;
+            }
+            Upstream u = servers.get(id);
+            if (u == null) {
+                u = added(h, streams);
+            }
+            if (!h.dial().equals(u.dial) || u.bornMs != h.member().bornMs()) {
+                u.retire();
+            }
+            u.dial = h.dial();
+            u.bornMs = h.member().bornMs();
+        }
+        if (kind == ListKind.FULL || kind == ListKind.CACHED) {
+            Set<Integer> named = new HashSet<>();
+            hosts.forEach(h -> named.add(h.member().id()));
+            for (Integer id : List.copyOf(servers.keySet())) {
+                if (!named.contains(id)) {
+                    forget(id);
+                }
+            }
+        }
+    }
+
+    private Upstream added(DiscoveryClient.Host h, int streams) {
+        Settings settings = dispatcher.settings();
+        boolean origin = settings.aside() && h.member().kind() == settings.originKind();
+        int id = h.member().id();
+        Upstream u = origin ? new Upstream(id, true, dispatcher, bootstrap, originConnections(), originConnections(), 1)
+                : new Upstream(id, false, dispatcher, bootstrap, cacheConnections(CONNECTIONS),
+                        cacheConnections(CONNECTIONS_IN_ALL), streams);
+        servers.put(id, u);
+        return u;
+    }
+
+    private void forget(int id) {
+        Upstream u = servers.remove(id);
+        if (u != null) {
+            u.retire();
+        }
+    }
+
+    /** Servers accept some forty connections each, for all proxies together. */
+    private int cacheConnections(int most) {
+        return Math.max(1, Math.min(most, 28 / Math.max(1, dispatcher.settings().instances())));
+    }
+
+    private int originConnections() {
+        return Math.max(4, Math.min(48, 240 / Math.max(1, dispatcher.settings().instances())));
+    }
+
+    // ---- bounds
+
+    /** Whether one more connection may be closed only because nobody waits for what is on it. */
+    boolean mayClose() {
+        double now = dispatcher.now();
+        closes = Math.min(CLOSES_SAVED, closes + (now - closesAtMs) / 1000 * CLOSES_PER_SECOND);
+        closesAtMs = now;
+        if (closes < 1 && dispatcher.settings().secondCopies()) {
+            return false;
+        }
+        closes--;
+        return true;
+    }
+
+    /** Whether one more connection may be opened. */
+    boolean room() {
+        return connections < maxConnections;
+    }
+
+    /** Connections that are open or being opened. */
+    int connections() {
+        return connections;
+    }
+
+    void opened() {
+        connections++;
+    }
+
+    void closed() {
+        connections--;
+    }
+
+    /** {@code idleCloseMs}: when servers close connections that stand idle. */
+    void sweep(double idleCloseMs) {
+        double now = dispatcher.now();
+        for (Upstream u : servers.values()) {
+            u.closeIdle(now - idleCloseMs * RETIRE_AT);
+            u.sweep(now);
+        }
+    }
+
+    /** Ends all connections. */
+    void close() {
+        servers.values().forEach(Upstream::close);
+    }
+
+    // ---- figures
+
+    /** The cache nodes of the list. */
+    int discovered() {
+        return (int) cacheNodes().count();
+    }
+
+    /** Those of them that get no ordinary request now, and have got nothing for a while: not even to be tried again. */
+    int ejected() {
+        double now = dispatcher.now();
+        return (int) cacheNodes().filter(u -> now - u.sentMs() > AVOIDED_MS && dispatcher.avoids(u.id)).count();
+    }
+
+    private Stream<Upstream> cacheNodes() {
+        return servers.values().stream().filter(u -> !u.origin);
+    }
+}
--- a/src/main/java/damsonworks/proxy/TakeoverLink.java
+++ b/src/main/java/damsonworks/proxy/TakeoverLink.java
@@ -29,6 +29,8 @@
     private final Promise<TakeoverState> state;
     private final Promise<FileDescriptor> socket;
     private final Takeover takeover = new Takeover(now());
+    private final double askedMs = now();
+    private int bytes;
     private Channel channel;
     private Consumer<FileDescriptor> clients;
 
@@ -92,6 +94,11 @@
         });
     }
 
+    /** What has come over, and how long it took, in words for the log. */
+    String told() {
+        return "took over in %.1f ms, with %d bytes of what the old process knew".formatted(now() - askedMs, bytes);
+    }
+
     private void say(String line) {
         channel.writeAndFlush(ByteBufUtil.writeAscii(channel.alloc(), line + "\n"));
     }
@@ -123,10 +130,12 @@
 
         private void told(ChannelHandlerContext ctx, String line) {
             TakeoverState read = null;
+            bytes = line.length();
             try {
                 read = TakeoverState.read(line);
             } catch (RuntimeException e) {
-                System.err.println("takeover: the old process's state can't be read: " + e.getMessage());
+                System.err.println("takeover: the old process's state can't be read: "
+                        + String.valueOf(e.getMessage()).lines().findFirst().orElse(""));
             }
             if (takeover.told(now(), read != null)) {
                 // Before the socket is asked for: read as bytes, a descriptor would be dropped.
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -70,7 +70,7 @@
             }
         }
         if ((best == null || best.depth() > 0 && dispatcher.now() >= noMoreUntilMs)
-                && standing < maxConnections && all < mostConnections && dispatcher.roomUpstream()) {
+                && standing < maxConnections && all < mostConnections && dispatcher.servers().room()) {
             best = open();
         }
         best = best == null ? busy : best;
@@ -108,7 +108,7 @@
     private UpstreamConnection open() {
         UpstreamConnection connection = new UpstreamConnection(this);
         connections.add(connection);
-        dispatcher.openedUpstream();
+        dispatcher.servers().opened();
         ChannelHandler[] handlers = origin ? OriginCodec.handlers(connection)
                 : new ChannelHandler[] {new CacheCodec(connection)};
         ChannelFuture future = bootstrap.clone().handler(new Initializer(handlers))
@@ -119,7 +119,7 @@
 
     void closed(UpstreamConnection connection) {
         if (connections.remove(connection)) {
-            dispatcher.closedUpstream();
+            dispatcher.servers().closed();
         }
     }
 
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -127,7 +127,7 @@
             return attempts.remove(attempt);
         }
         if (attempts.contains(attempt) && ++givenUp == attempts.size()
-                && (retired || upstream.dispatcher().mayClose())) {
+                && (retired || upstream.dispatcher().servers().mayClose())) {
             close();
         }
         return false;
--- a/src/test/java/damsonworks/JarIT.java
+++ b/src/test/java/damsonworks/JarIT.java
@@ -241,6 +241,67 @@
         assertThat(told).contains(" 0 unanswered");
     }
 
+    /**
+     * A new process is killed at whatever moment of its start and takeover, and then the old one at whatever moment of
+     * its end: there is always somebody who answers on a connection that is opened afresh.
+     */
+    @Test
+    void whicheverProcessIsKilledSomebodyServes() throws Exception {
+        int port = freePort();
+        Path config = folder.resolve("config.json");
+        Files.writeString(config, Files.readString(Path.of("src/test/resources/config.json"))
+                .replace("127.0.0.1:0", "127.0.0.1:" + port));
+        Process serving = start("serve", config.toString());
+        List<Process> all = new ArrayList<>(List.of(serving));
+        try {
+            noop(port, serving);
+            for (int step = 0; step < 6; step++) {
+                Process next = start("serve", config.toString());
+                all.add(next);
+                next.waitFor(150L * step, TimeUnit.MILLISECONDS);
+                next.destroyForcibly().waitFor();
+                noop(port, serving);
+            }
+            for (int step = 0; step < 3; step++) {
+                Process next = start("serve", config.toString());
+                all.add(next);
+                String told = next.errorReader().readLine();
+                assertThat(told).as("the new one's first word").contains("took over in");
+                if (step > 0) {
+                    serving.destroy();
+                    serving.waitFor(20L * (step - 1), TimeUnit.MILLISECONDS);
+                }
+                serving.destroyForcibly().waitFor();
+                noop(port, next);
+                serving = next;
+            }
+        } finally {
+            all.forEach(Process::destroyForcibly);
+        }
+    }
+
+    private static void noop(int port, Process process) throws IOException {
+        try (Socket client = connect(port, process)) {
+            client.setSoTimeout(30_000);
+            client.getOutputStream().write("mn\r\n".getBytes());
+            assertThat(new BufferedReader(new InputStreamReader(client.getInputStream())).readLine()).isEqualTo("MN");
+        }
+    }
+
+    /** Values of up to 4 MiB, a process that takes over every second, settings that change and a file of no use. */
+    @Test
+    void theOperatorsDaysInTheDemo() throws Exception {
+        Path script = folder.resolve("x.faults");
+        Files.writeString(script, "1s proxy-0 retune\n1500ms proxy-1 misfile\n3s proxy-1 retune\n4s proxy-1 retune\n");
+        Process process = start("demo", null, "--nodes", "4", "--proxies", "2", "--rate", "40", "--patience", "15",
+                "--lead-in", "1s", "--values", "4mb:0.03,100kb:0.1", "--upgrade", "2500ms", "--fault",
+                script.toString(), "--for", "6s");
+        String told = new String(process.getInputStream().readAllBytes());
+        assertThat(process.waitFor()).as(told).isZero();
+        assertThat(told).contains("held   LOST", "held   WRONG_VALUE", "held   RAN_TWICE", " 0 unanswered")
+                .containsPattern("files were taken [1-9].* turned down 1 times").doesNotContain("BROKEN");
+    }
+
     /** A target that never answers needs a connection for each request, and there are not as many descriptors. */
     @Test
     void aGeneratorShortOfDescriptorsGoesOnWithWhatItHas() throws Exception {
--- a/src/test/java/damsonworks/demo/OracleCatchesTest.java
+++ b/src/test/java/damsonworks/demo/OracleCatchesTest.java
@@ -10,6 +10,7 @@
 import damsonworks.fleet.Oracle.Rule;
 import damsonworks.fleet.StandInFleet;
 import damsonworks.fleet.TrafficClass;
+import damsonworks.fleet.ValueSizes;
 import damsonworks.load.Generator;
 import damsonworks.load.Shape;
 import damsonworks.load.SyntheticWorkload;
@@ -34,7 +35,8 @@
             Generator.Settings settings = new Generator.Settings(List.of(proxy.address()), CLASSES, connections, 8, 10_000,
                     0, 0, 10, 1);
             try (Generator generator = new Generator(settings, new SyntheticWorkload(new SyntheticWorkload.Settings(
-                    100, 1, Shape.STEADY, SyntheticWorkload.Arrivals.CONSTANT, 8, 1, 0, 10, CLASSES, 1)),
+                    100, 1, Shape.STEADY, SyntheticWorkload.Arrivals.CONSTANT, 8, 1, 0, ValueSizes.of(10), CLASSES,
+                    1)),
                     new OracleObserver(fleet))) {
                 assertThat(generator.start().get(50, TimeUnit.SECONDS).requests()).isBetween(99L, 100L);
             }
--- a/src/test/java/damsonworks/load/GeneratorTest.java
+++ b/src/test/java/damsonworks/load/GeneratorTest.java
@@ -8,6 +8,7 @@
 import damsonworks.fleet.FleetSpec;
 import damsonworks.fleet.StandInFleet;
 import damsonworks.fleet.TrafficClass;
+import damsonworks.fleet.ValueSizes;
 import damsonworks.load.SyntheticWorkload.Arrivals;
 import java.io.BufferedReader;
 import java.io.ByteArrayInputStream;
@@ -45,7 +46,7 @@
 
     private static Workload constant(double rate, double seconds, List<TrafficClass> classes) {
         return new SyntheticWorkload(new SyntheticWorkload.Settings(rate, seconds, Shape.STEADY, Arrivals.CONSTANT,
-                1000, 1, 0, 20, classes, 1));
+                1000, 1, 0, ValueSizes.of(20), classes, 1));
     }
 
     private static Report run(InetSocketAddress to, Workload workload, List<TrafficClass> classes, int connections,
--- a/src/test/java/damsonworks/load/WorkloadTest.java
+++ b/src/test/java/damsonworks/load/WorkloadTest.java
@@ -6,6 +6,7 @@
 
 import damsonworks.fleet.Keys;
 import damsonworks.fleet.TrafficClass;
+import damsonworks.fleet.ValueSizes;
 import damsonworks.load.SyntheticWorkload.Arrivals;
 import java.io.ByteArrayInputStream;
 import java.nio.charset.StandardCharsets;
@@ -33,7 +34,7 @@
     private static SyntheticWorkload drawn(double rate, double seconds, Shape shape, Arrivals arrivals, double zipf,
             double stay, long seed) {
         return new SyntheticWorkload(new SyntheticWorkload.Settings(rate, seconds, shape, arrivals, 1000, zipf, stay,
-                100, CLASSES, seed));
+                ValueSizes.of(100), CLASSES, seed));
     }
 
     @Test
