--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -267,7 +267,8 @@
         if (next.classes().isEmpty() || next.maxAttempts() < 1) {
             throw new IllegalArgumentException("no class, or max attempts " + next.maxAttempts());
         }
-        boolean same = cfg != null && cfg.tenants().equals(next.tenants());
+        boolean same = cfg != null && cfg.tenants().equals(next.tenants())
+                && cfg.overShareWorth() == next.overShareWorth();
         cfg = next;
         if (!same) { // open requests stay charged where they were
             shares = next.overShareWorth() < 1 && next.tenants().size() > 1 ? new Shares() : null;
--- a/src/main/java/damsonworks/control/ControlRegistry.java
+++ b/src/main/java/damsonworks/control/ControlRegistry.java
@@ -58,6 +58,12 @@
         }
     }
 
+    /** One section of {@code status} as it is now; null if there is none of this name. */
+    JsonObject section(String name) {
+        Supplier<JsonObject> section = sections.get(name);
+        return section == null ? null : section.get();
+    }
+
     /** Adds figures; where there are any, {@code status} shows them all in a section of their own. */
     public void figures(Supplier<List<Figure>> some) {
         if (figures.isEmpty()) {
--- a/src/main/java/damsonworks/control/ProxyControl.java
+++ b/src/main/java/damsonworks/control/ProxyControl.java
@@ -32,7 +32,15 @@
             o.addProperty("owed", s.owed());
             o.addProperty("answered", s.answered());
             o.addProperty("upstream", s.upstream());
-            o.addProperty("handover", s.handover().name().toLowerCase(Locale.ROOT));
+            o.addProperty("value_bytes", s.kept());
+            o.addProperty("values_waiting", s.waiting());
+            return o;
+        });
+        registry.section(HandoverCall.SECTION, () -> {
+            Proxy.Status s = proxy.status();
+            JsonObject o = new JsonObject();
+            o.addProperty("phase", s.handover().name().toLowerCase(Locale.ROOT));
+            o.addProperty("successors", s.handovers());
             return o;
         });
         if (proxy.router() != null) {
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -32,7 +32,8 @@
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
     private final EventLoop loop = group.next();
-    private Config config;
+    /** Written by the thread of a signal, and read by others too. */
+    private volatile Config config;
     private final Dispatcher dispatcher;
     private final DiscoveryClient discovery;
     private final PeerSocket peers;
@@ -285,7 +286,7 @@
         c.classes().forEach((name, t) -> classes.put(name, new Endings(t.succeeded(), t.declined(), t.aborted())));
         return new Status(acceptor.open(), dispatcher.owed(), dispatcher.answered(), dispatcher.servers().connections(),
                 classes, c.forwards(), dispatcher.servers().discovered(), dispatcher.servers().ejected(), c.applied(), c.rejected(),
-                handover.phase());
+                handover.phase(), handover.taken(), dispatcher.values().used(), dispatcher.values().waiting());
     }
 
     /**
@@ -311,9 +312,13 @@
      * @param applied    files taken at SIGHUP
      * @param rejected   files turned down at SIGHUP
      * @param handover   how far a successor has come
+     * @param handovers  how often one has come to serve
+     * @param kept       bytes of values that are kept whole
+     * @param waiting    clients whose values wait for room
      */
     public record Status(int clients, int owed, long answered, int upstream, Map<String, Endings> classes,
-            long forwards, int discovered, int ejected, long applied, long rejected, Handover.Phase handover) { }
+            long forwards, int discovered, int ejected, long applied, long rejected, Handover.Phase handover,
+            int handovers, long kept, int waiting) { }
 
     /** Ends at once; for tests. */
     void close() {
--- a/src/test/java/damsonworks/PolicyTest.java
+++ b/src/test/java/damsonworks/PolicyTest.java
@@ -416,7 +416,22 @@
     /** In a crowd the tenant far over its quota is refused, the one inside its quota hardly. */
     @Test
     void refusalsComeOffTheTenantOverItsQuota() {
+        int[] refused = refusedInACrowd(new Rig(Rig.tenants(100, 100)).fleet(12));
+        assertThat(refused[0]).isGreaterThan(150);
+        assertThat(refused[1]).isLessThan(10);
+    }
+
+    /** Where what is over a share is worth as much as the rest, all are refused alike, also from a reload on. */
+    @Test
+    void otherSettingsMayEndTheTenantsShares() {
         Rig rig = new Rig(Rig.tenants(100, 100)).fleet(12);
+        rig.policy.onSettings(rig.now, Rig.worth(Rig.tenants(100, 100), 1), rig);
+        int[] refused = refusedInACrowd(rig);
+        assertThat(refused[0]).isGreaterThan(150);
+        assertThat(refused[1]).as("a tenth of the requests").isGreaterThan(15);
+    }
+
+    private static int[] refusedInACrowd(Rig rig) {
         int[] refused = new int[2];
         for (int id = 1; id <= 1000; id++) {
             rig.now += 10;
@@ -430,8 +445,7 @@
                 rig.endAfter(rig.last(), Outcome.OK, id % 2 == 0 ? 290 : 20);
             }
         }
-        assertThat(refused[0]).isGreaterThan(150);
-        assertThat(refused[1]).isLessThan(10);
+        return refused;
     }
 
     /** Late answers shed reads; timely ones again let all through. */
--- a/src/test/java/damsonworks/Rig.java
+++ b/src/test/java/damsonworks/Rig.java
@@ -56,6 +56,16 @@
                 List.of(new Tenant("a", 0.5, first), new Tenant("b", 0.5, second)));
     }
 
+    /** The same, where what a tenant sends over its quota is worth this part. */
+    static Settings worth(Settings s, double overShareWorth) {
+        return new Settings(s.me(), s.instances(), s.zone(), s.zones(), s.kinds(), s.askForList(), s.aside(),
+                s.originKind(), s.reports(), s.reportNames(), s.worthByWork(), overShareWorth, s.mayCancel(),
+                s.mayProbe(), s.peers(), s.secondCopies(), s.retryAdvice(), s.maxAttempts(), s.maxRetryAfterMs(),
+                s.connectTimeoutMs(), s.drainGraceMs(), s.answerGraceMs(), s.startCapacity(), s.warmUpMs(),
+                s.tipMultiple(), s.fallMs(), s.askWithinMs(), s.originFallMultiple(), s.originFallMs(), s.classes(),
+                s.tenants());
+    }
+
     private static Settings settings(boolean aside, boolean ask, boolean copies, Group group, List<Tenant> tenants) {
         List<ServiceClass> classes = List.of(
                 new ServiceClass("read", Effect.SAFE, Group.ALL, 0, 300, 1000, 1, 0.2, false),
--- a/src/test/java/damsonworks/control/DoorTest.java
+++ b/src/test/java/damsonworks/control/DoorTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.gson.JsonObject;
 import damsonworks.Await;
 import damsonworks.control.Figure.Kind;
 import damsonworks.proxy.Transport;
@@ -62,9 +63,20 @@
                 "edge_balancer.succeeded.read:812|c\nedge_balancer.outstanding:14|g\nEND\n");
     }
 
+    @Test
+    void whereAnUpgradeStandsIsTold() throws Exception {
+        assertThat(ask("HANDOVER\r\n")).isEqualTo("ERR nothing is handed over here\n");
+        registry.section("handover", () -> {
+            JsonObject o = new JsonObject();
+            o.addProperty("phase", "served");
+            return o;
+        });
+        assertThat(ask("HANDOVER\r\n")).isEqualTo("OK served\n");
+    }
+
     @Test
     void whatIsNoCallIsToldSo() throws Exception {
-        assertThat(ask("HELP\r\n")).startsWith("ERR").contains("DUMP, HEALTH").endsWith("\n");
+        assertThat(ask("HELP\r\n")).startsWith("ERR").contains("DUMP, HANDOVER, HEALTH").endsWith("\n");
         assertThat(ask("\r\n")).startsWith("ERR");
         assertThat(ask("x".repeat(Door.MAX_LINE + 10))).startsWith("ERR").contains("256 bytes");
     }
--- a/src/test/java/damsonworks/proxy/SettingsReloadTest.java
+++ b/src/test/java/damsonworks/proxy/SettingsReloadTest.java
@@ -6,6 +6,7 @@
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
+import damsonworks.Await;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -128,6 +129,7 @@
                 clients.add(client);
             }
             slow.next();
+            Await.until("each has been sent once", () -> status(fleet).forwards() == clients.size());
             fleet.config.getAsJsonObject("settings").getAsJsonObject("caps").addProperty("max-attempts", 1);
             fleet.reload();
             long before = status(fleet).forwards();
