Long answers have a limit at each server, so that slow readers leave connections to short ones

What it does not do: the standstill is the same with it. Ruled out by runs: these connections, and the stand-in's own time to make values.

--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -461,12 +461,25 @@
         free(x);
     }
 
-    /** A long answer begins; false if the request is over or another answer has begun. */
-    boolean begin(Attempt a, int length) {
+    /**
+     * A long answer begins; false if the request is over, another answer has begun, or there is no room to pass one more
+     * on. The last is nobody's failure but ours: the request is refused, with the time to come back, and the server's
+     * answer dropped.
+     */
+    boolean begin(Attempt a, int length, boolean admitted) {
         Exchange x = a.exchange;
         if (a.ended || x.over || x.streaming) {
             return false;
         }
+        if (!admitted) {
+            if (x.kind.effect() == Effect.SAFE) {
+                finish(x, Ending.DECLINED, s -> s.refused(settings.retryAdvice() ? settings.maxRetryAfterMs() : 0));
+            } else {
+                finish(x, Ending.ABORTED, Sink::failed);
+            }
+            end(a, Outcome.CANCELLED, 0, null, null);
+            return false;
+        }
         x.streaming = true;
         a.firstByteMs = now();
         stop(x.timer);
--- a/src/main/java/damsonworks/proxy/Servers.java
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -116,6 +116,20 @@
         return connections < maxConnections;
     }
 
+    /** What may be open to all servers together. */
+    int maxConnections() {
+        return maxConnections;
+    }
+
+    /** Long answers that come from any of them now. */
+    int streams() {
+        int streams = 0;
+        for (Upstream u : servers.values()) {
+            streams += u.streams();
+        }
+        return streams;
+    }
+
     /** Connections that are open or being opened. */
     int connections() {
         return connections;
--- a/src/test/java/damsonworks/load/GeneratorTest.java
+++ b/src/test/java/damsonworks/load/GeneratorTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.google.gson.JsonObject;
+import damsonworks.Await;
 import damsonworks.fleet.Fault;
 import damsonworks.fleet.FleetSpec;
 import damsonworks.fleet.StandInFleet;
@@ -58,6 +59,26 @@
         }
     }
 
+    /** Values over 64 KiB are timed by their first bytes, as clients do, and their rest is waited for. */
+    @Test
+    void aLongAnswerThatHasBegunInTimeIsWaitedFor() throws Exception {
+        String value = "x".repeat(100_000);
+        try (ServerSocket slow = target((s, in) -> {
+            for (String line; (line = in.readLine()) != null;) {
+                String id = line.substring(line.indexOf(" O") + 2).split(" ")[0];
+                s.getOutputStream().write(("VA 100000 O" + id + "\r\n" + value.substring(1)).getBytes());
+                long until = System.nanoTime() + 900_000_000; // three times the request's deadline
+                Await.until("the deadline has gone", () -> System.nanoTime() > until);
+                s.getOutputStream().write("x\r\n".getBytes());
+            }
+        })) {
+            List<TrafficClass> classes = reads(300);
+            Report r = run(at(slow), constant(5, 1, classes), classes, 10, 100);
+            assertThat(r.served()).isEqualTo(r.requests()).isPositive();
+            assertThat(r.unanswered()).isZero();
+        }
+    }
+
     /** A target by a script for each connection. */
     private interface Script {
         void run(Socket socket, BufferedReader in) throws Exception;
