--- a/src/main/java/damsonworks/demo/ProxyProcess.java
+++ b/src/main/java/damsonworks/demo/ProxyProcess.java
@@ -98,8 +98,9 @@
             return;
         }
         List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms24m", "-Xmx64m", "-XX:MaxDirectMemorySize=32m",
-                "-Xss512k", "-Dio.netty.allocator.numHeapArenas=1", "-Dio.netty.allocator.numDirectArenas=1"));
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms24m", "-Xmx40m", "-XX:MaxDirectMemorySize=56m",
+                "-Xss512k", "-Dio.netty.allocator.type=pooled", "-Dio.netty.allocator.numHeapArenas=1",
+                "-Dio.netty.allocator.numDirectArenas=1", "-Dio.netty.allocator.maxOrder=6")); // as in deploy
         String path = System.getProperty("java.class.path");
         Path archive = Path.of(path.endsWith(".jar") && !path.contains(File.pathSeparator)
                 ? path.substring(0, path.length() - 4) + ".jsa" : "none");
--- a/src/main/java/damsonworks/fleet/Payload.java
+++ b/src/main/java/damsonworks/fleet/Payload.java
@@ -11,6 +11,9 @@
  */
 public record Payload(String key, long version) {
 
+    /** After so many bytes the filler repeats: no power of two, or parts in the wrong order would look right. */
+    private static final int PERIOD = 65_521;
+
     /** The value's bytes; {@code size} is the least length, in bytes. */
     public byte[] bytes(int size) {
         byte[] head = (key + "@" + version + ":").getBytes(StandardCharsets.ISO_8859_1);
@@ -21,9 +24,18 @@
         return value;
     }
 
+    /** The first period letter by letter, and the rest as copies of it, which take a tenth of the time. */
     private void fill(byte[] value, int from) {
+        int end = value.length - 1;
+        letters(value, from, Math.min(end, from + PERIOD));
+        for (int at = from + PERIOD; at < end; at += PERIOD) {
+            System.arraycopy(value, from, value, at, Math.min(PERIOD, end - at));
+        }
+    }
+
+    private void letters(byte[] value, int from, int end) {
         long state = Keys.mix(key.hashCode() * 31L + version);
-        for (int i = from; i < value.length - 1; i++) {
+        for (int i = from; i < end; i++) {
             if ((i - from) % 12 == 11) {
                 state = Keys.mix(state);
             }
--- a/src/main/java/damsonworks/proxy/Config.java
+++ b/src/main/java/damsonworks/proxy/Config.java
@@ -9,15 +9,14 @@
 import com.google.gson.stream.JsonReader;
 import com.google.gson.stream.JsonToken;
 import damsonworks.RoutingApi.Settings;
+import damsonworks.proxy.discovery.Addresses;
+import damsonworks.proxy.discovery.DiscoveryClient;
+import damsonworks.proxy.discovery.ListForm;
 import damsonworks.route.Known;
 import damsonworks.wire.SettingsParser;
-import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.io.StringReader;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.SocketAddress;
-import java.net.UnknownHostException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -40,6 +39,16 @@
                 settings.tenants().stream().map(t -> t.name()).toList(), zones, kinds);
     }
 
+    /** What discovery's list may name. */
+    ListForm listForm() {
+        return new ListForm(zones, kinds);
+    }
+
+    /** Where the list comes from, and how. */
+    DiscoveryClient.Settings discoverySettings() {
+        return new DiscoveryClient.Settings(discovery, listForm(), settings.askForList());
+    }
+
     /** Reads the file; an IllegalArgumentException says in one line what is wrong. */
     static Config read(String path) {
         if (path == null || path.isEmpty()) {
@@ -122,10 +131,10 @@
         JsonObject limits = json.has("limits") ? json.getAsJsonObject("limits") : new JsonObject();
         List<InetSocketAddress> peers = new ArrayList<>();
         if (json.has("peers")) {
-            json.getAsJsonArray("peers").forEach(p -> peers.add(address(p.getAsString())));
+            json.getAsJsonArray("peers").forEach(p -> peers.add(Addresses.parse(p.getAsString())));
         }
         return new Config(json.has("name") ? json.get("name").getAsString() : "proxy",
-                address(need(json, "listen").getAsString()), address(need(json, "discovery").getAsString()),
+                Addresses.parse(need(json, "listen").getAsString()), Addresses.parse(need(json, "discovery").getAsString()),
                 Long.parseUnsignedLong(need(json, "seed").getAsString(), 16), number(limits, "cores", 1),
                 (int) number(limits, "memory_mb", 192), (int) number(limits, "sockets", 1024),
                 optionalAddress(json, "peer_listen"), List.copyOf(peers), optionalAddress(json, "peers_all"),
@@ -148,7 +157,7 @@
 
     private static InetSocketAddress optionalAddress(JsonObject json, String key) {
         String text = json.has(key) && json.get(key).isJsonPrimitive() ? json.get(key).getAsString() : "";
-        return text.isEmpty() ? null : address(text);
+        return text.isEmpty() ? null : Addresses.parse(text);
     }
 
     private static void flatten(String path, JsonElement value, Map<String, String> out) {
@@ -160,7 +169,7 @@
             int i = 0;
             for (JsonElement e : value.getAsJsonArray()) {
                 if (e.isJsonPrimitive()) {
-                    plain.add(word(e.getAsString()));
+                    plain.add(ListForm.word(e.getAsString()));
                 } else {
                     flatten(path + "." + i, e, out);
                 }
@@ -172,28 +181,4 @@
             out.put(path, p.getAsString());
         }
     }
-
-    static String word(String text) {
-        return text.replace(' ', '_').replace(',', '_');
-    }
-
-    /** A literal address with its port. */
-    static InetSocketAddress address(String text) {
-        int colon = text.lastIndexOf(':');
-        byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
-        try {
-            if (ip != null) {
-                return new InetSocketAddress(InetAddress.getByAddress(ip),
-                        Integer.parseInt(text.substring(colon + 1)));
-            }
-        } catch (UnknownHostException | IllegalArgumentException e) {
-        }
-        throw new IllegalArgumentException("'" + text + "' is not an address with a port");
-    }
-
-    /** An address in the form that it is told in. */
-    static String text(SocketAddress address) {
-        return address instanceof InetSocketAddress i ? i.getAddress().getHostAddress() + ":" + i.getPort()
-                : address.toString();
-    }
 }
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -18,6 +18,9 @@
 import damsonworks.proxy.Exchange.Attempt;
 import damsonworks.proxy.Exchange.Command;
 import damsonworks.proxy.Timers.Timer;
+import damsonworks.proxy.discovery.DiscoveryClient;
+import damsonworks.proxy.discovery.Host;
+import damsonworks.proxy.discovery.ListSource;
 import damsonworks.route.Router;
 import damsonworks.route.Routing;
 import io.netty.bootstrap.Bootstrap;
@@ -43,7 +46,7 @@
  * attempts are in: an attempt ends once, a request is answered once. All of it runs on the event loop; the
  * module is never called from within one of its own orders, what happens meanwhile waits in line.
  */
-final class Dispatcher implements Actions {
+final class Dispatcher implements Actions, DiscoveryClient.Listener {
     private static final int MAX_LOG_LINES = 300;
     /** What a request that the module left unanswered at its due time may still wait for it. */
     private static final double OVERDUE_MS = 10;
@@ -86,13 +89,6 @@
     private int nextId;
     private int logLines;
 
-    /** Where the module's calls for the list go. */
-    interface ListSource {
-        void watch(boolean on);
-
-        void fetch();
-    }
-
     /** What wants to know of clients that have left, or should. */
     interface ClientListener {
         void left(ClientConnection client);
@@ -324,13 +320,14 @@
         }
     }
 
-    void listed(ListKind kind, List<DiscoveryClient.Host> hosts) {
+    @Override
+    public void listed(ListKind kind, List<Host> hosts) {
         servers.listed(kind, hosts, config.streamsPerConnection());
         tell(() -> {
             if (router != null) { // with its event and not before it: another may wait in line
                 hosts.forEach(h -> router.describe(h.member().id(), h.server()));
             }
-            module.onList(now(), kind, hosts.stream().map(DiscoveryClient.Host::member).toList(), this);
+            module.onList(now(), kind, hosts.stream().map(Host::member).toList(), this);
         });
     }
 
@@ -461,25 +458,12 @@
         free(x);
     }
 
-    /**
-     * A long answer begins; false if the request is over, another answer has begun, or there is no room to pass one more
-     * on. The last is nobody's failure but ours: the request is refused, with the time to come back, and the server's
-     * answer dropped.
-     */
-    boolean begin(Attempt a, int length, boolean admitted) {
+    /** A long answer begins; false if the request is over or another answer has begun. */
+    boolean begin(Attempt a, int length) {
         Exchange x = a.exchange;
         if (a.ended || x.over || x.streaming) {
             return false;
         }
-        if (!admitted) {
-            if (x.kind.effect() == Effect.SAFE) {
-                finish(x, Ending.DECLINED, s -> s.refused(settings.retryAdvice() ? settings.maxRetryAfterMs() : 0));
-            } else {
-                finish(x, Ending.ABORTED, Sink::failed);
-            }
-            end(a, Outcome.CANCELLED, 0, null, null);
-            return false;
-        }
         x.streaming = true;
         a.firstByteMs = now();
         stop(x.timer);
--- a/src/main/java/damsonworks/proxy/Installation.java
+++ b/src/main/java/damsonworks/proxy/Installation.java
@@ -3,6 +3,7 @@
 import damsonworks.Carp;
 import damsonworks.RoutingApi.Member;
 import damsonworks.RoutingApi.State;
+import damsonworks.proxy.discovery.Host;
 import damsonworks.route.Known;
 import damsonworks.route.Pool;
 import java.util.ArrayList;
@@ -12,11 +13,11 @@
 /** What an instance's own configuration tells of the installation, for tools that look at it without a proxy. */
 public final class Installation {
     private final Config config;
-    private final List<DiscoveryClient.Host> hosts;
+    private final List<Host> hosts;
 
     private Installation(Config config) {
         this.config = config;
-        hosts = config.known() == null ? List.of() : DiscoveryClient.hosts(config, config.known());
+        hosts = config.known() == null ? List.of() : config.listForm().hosts(config.known());
     }
 
     /** Reads the file that a proxy is configured by; an IllegalArgumentException says what is wrong with it. */
@@ -31,13 +32,13 @@
 
     /** The servers of the list as it was last had. */
     public List<Pool.Server> servers() {
-        return hosts.stream().map(DiscoveryClient.Host::server).toList();
+        return hosts.stream().map(Host::server).toList();
     }
 
     /** A pool's servers for a key, the one that takes it first; those that drain and the origin are left out. */
     public List<String> ranks(Pool pool, String key) {
-        List<DiscoveryClient.Host> own = new ArrayList<>();
-        for (DiscoveryClient.Host h : hosts) {
+        List<Host> own = new ArrayList<>();
+        for (Host h : hosts) {
             Member m = h.member();
             boolean origin = config.settings().aside() && m.kind() == config.settings().originKind();
             if (m.state() == State.READY && !origin && pool.selects(h.server())) {
--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -4,6 +4,7 @@
 import damsonworks.flow.ByteBudget;
 import damsonworks.proxy.Exchange.Attempt;
 import damsonworks.proxy.Exchange.Command;
+import damsonworks.proxy.discovery.Addresses;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -73,7 +74,7 @@
                 request.headers().set(HttpHeaderNames.CONTENT_LENGTH, value.readableBytes());
             }
         }
-        request.headers().set(HttpHeaderNames.HOST, Config.text(dial));
+        request.headers().set(HttpHeaderNames.HOST, Addresses.text(dial));
         return channel.writeAndFlush(request);
     }
 
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -5,10 +5,14 @@
 import damsonworks.drain.Drain;
 import damsonworks.drain.DrainPlan;
 import damsonworks.flow.ByteBudget;
+import damsonworks.proxy.discovery.Addresses;
+import damsonworks.proxy.discovery.DiscoveryClient;
 import damsonworks.route.Known;
 import damsonworks.route.Router;
 import damsonworks.route.Routing;
 import damsonworks.takeover.Handover;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.unix.FileDescriptor;
@@ -56,7 +60,8 @@
         peers = new PeerSocket(loop, config, dispatcher::heard);
         acceptor = new Acceptor(dispatcher,
                 Math.max(16, config.sockets() - config.sockets() / 3 - OWN_DESCRIPTORS));
-        discovery = new DiscoveryClient(loop, config, dispatcher);
+        discovery = new DiscoveryClient(loop, new Bootstrap().group(loop).channel(Transport.BEST.socket())
+                .option(ChannelOption.TCP_NODELAY, true), config.discoverySettings(), dispatcher);
         link = new HandoverLink(loop, shared, handover, acceptor, this::state);
         acceptor.retireBy(c -> {
             if (handover.passes()) {
@@ -209,7 +214,7 @@
             config = next;
             loop.execute(() -> {
                 dispatcher.settle(next);
-                discovery.settle(next);
+                discovery.settle(next.discoverySettings());
                 if (routing != null) {
                     dispatcher.route(routing);
                 }
@@ -276,7 +281,7 @@
     /** Where operators ask, or null where nobody is to. */
     public InetSocketAddress operator() {
         String told = System.getenv("BALANCER_OPERATOR");
-        return config.operator() != null || told == null || told.isEmpty() ? config.operator() : Config.address(told);
+        return config.operator() != null || told == null || told.isEmpty() ? config.operator() : Addresses.parse(told);
     }
 
     /** What is open now, and what has come of what was. On the event loop only. */
--- a/src/main/java/damsonworks/proxy/Servers.java
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -3,6 +3,7 @@
 import damsonworks.RoutingApi.ListKind;
 import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.State;
+import damsonworks.proxy.discovery.Host;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.util.collection.IntObjectHashMap;
 import java.util.HashSet;
@@ -42,8 +43,8 @@
     }
 
     /** Takes news of the list: who is new, gone, or at another address. */
-    void listed(ListKind kind, List<DiscoveryClient.Host> hosts, int streams) {
-        for (DiscoveryClient.Host h : hosts) {
+    void listed(ListKind kind, List<Host> hosts, int streams) {
+        for (Host h : hosts) {
             int id = h.member().id();
             if (h.member().state() == State.GONE) {
                 forget(id);
@@ -70,7 +71,7 @@
         }
     }
 
-    private Upstream added(DiscoveryClient.Host h, int streams) {
+    private Upstream added(Host h, int streams) {
         Settings settings = dispatcher.settings();
         boolean origin = settings.aside() && h.member().kind() == settings.originKind();
         int id = h.member().id();
@@ -116,20 +117,6 @@
         return connections < maxConnections;
     }
 
-    /** What may be open to all servers together. */
-    int maxConnections() {
-        return maxConnections;
-    }
-
-    /** Long answers that come from any of them now. */
-    int streams() {
-        int streams = 0;
-        for (Upstream u : servers.values()) {
-            streams += u.streams();
-        }
-        return streams;
-    }
-
     /** Connections that are open or being opened. */
     int connections() {
         return connections;
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -1,6 +1,5 @@
 package damsonworks.proxy;
 
-import damsonworks.flow.StreamLimit;
 import damsonworks.proxy.Exchange.Attempt;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelFuture;
@@ -31,7 +30,6 @@
     /** With those that pass long answers on. */
     private final int mostConnections;
     private final int maxDepth;
-    private final StreamLimit streamLimit;
     private final List<UpstreamConnection> connections = new ArrayList<>(2);
 
     Upstream(int id, boolean origin, Dispatcher dispatcher, Bootstrap bootstrap, int maxConnections,
@@ -43,7 +41,6 @@
         this.maxConnections = maxConnections;
         this.mostConnections = mostConnections;
         this.maxDepth = maxDepth;
-        streamLimit = StreamLimit.of(maxConnections, mostConnections, dispatcher.servers().maxConnections());
     }
 
     Dispatcher dispatcher() {
@@ -85,20 +82,6 @@
         return true;
     }
 
-    /** Long answers that come from it now. */
-    int streams() {
-        int streams = 0;
-        for (UpstreamConnection c : connections) {
-            streams += c.streaming() ? 1 : 0;
-        }
-        return streams;
-    }
-
-    /** Whether one more may be passed on. */
-    boolean mayStream() {
-        return streamLimit.admits(streams(), dispatcher.servers().streams());
-    }
-
     double sentMs() {
         return sentMs;
     }
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -227,11 +227,10 @@
 
     /** A long answer begins; false if nobody waits for it, so that it is to be dropped. */
     boolean begin(int length) {
-        boolean admitted = upstream.mayStream();
         begun = true;
         partial = false; // its line may have come in pieces; from here on the client may be what it waits for
         progressMs = upstream.dispatcher().now();
-        return upstream.dispatcher().begin(attempts.peek(), length, admitted);
+        return upstream.dispatcher().begin(attempts.peek(), length);
     }
 
     void part(ByteBuf part) {
--- a/src/main/java/damsonworks/proxy/WarmUp.java
+++ b/src/main/java/damsonworks/proxy/WarmUp.java
@@ -3,6 +3,8 @@
 import damsonworks.RoutingApi.ListKind;
 import damsonworks.RoutingApi.Member;
 import damsonworks.RoutingApi.State;
+import damsonworks.proxy.discovery.Host;
+import damsonworks.proxy.discovery.ListSource;
 import damsonworks.route.Pool;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
@@ -69,10 +71,10 @@
         SocketAddress origin = listen("o", Origin::new);
         SocketAddress proxy = listen("p", () -> new ClientConnection(dispatcher));
         int originKind = config.settings().originKind();
-        List<DiscoveryClient.Host> hosts = List.of(host(1, originKind == 0 ? 1 : 0, node),
+        List<Host> hosts = List.of(host(1, originKind == 0 ? 1 : 0, node),
                 host(2, Math.max(0, originKind), origin));
         loop.submit(() -> {
-            dispatcher.start(new Dispatcher.ListSource() {
+            dispatcher.start(new ListSource() {
                 @Override
                 public void watch(boolean on) { }
 
@@ -111,8 +113,8 @@
         return address;
     }
 
-    private static DiscoveryClient.Host host(int id, int kind, SocketAddress dial) {
-        return new DiscoveryClient.Host(new Member(id, 0, kind, 0, State.READY, 1, 0), dial,
+    private static Host host(int id, int kind, SocketAddress dial) {
+        return new Host(new Member(id, 0, kind, 0, State.READY, 1, 0), dial,
                 new Pool.Server("", "", "", Set.of()));
     }
 
--- a/src/main/java/damsonworks/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/discovery/DiscoveryClient.java
@@ -1,18 +1,16 @@
-package damsonworks.proxy;
+package damsonworks.proxy.discovery;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import damsonworks.RoutingApi.ListKind;
-import damsonworks.RoutingApi.Member;
-import damsonworks.RoutingApi.State;
-import damsonworks.route.Pool;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
@@ -25,20 +23,38 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
-import java.net.SocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import java.util.zip.CRC32;
 
-final class DiscoveryClient implements Dispatcher.ListSource {
+/**
+ * Asks discovery for the list of servers, by a watch and by single calls, and holds it as it was told last. A call that
+ * fails is told as such: when to ask again is for whoever decides. On the event loop only.
+ */
+public final class DiscoveryClient implements ListSource {
+    /** What is done with the news. */
+    public interface Listener {
+        /** The list or changes of it; {@code FAILED}: a call for it failed, no entries. */
+        void listed(ListKind kind, List<Host> hosts);
+
+        /** A line for the operators. */
+        void log(String line);
+    }
+
+    /**
+     * What the configuration says of discovery.
+     *
+     * @param address where it listens
+     * @param form    what entries of its list may name
+     * @param ask     whether it is one service for all instances, which is asked when the decision module wants to;
+     *                else lists are pushed, and a watch that has ended is begun again at once
+     */
+    public record Settings(InetSocketAddress address, ListForm form, boolean ask) { }
+
     private static final int WAIT_MS = 20_000;
     /** How much longer than its wait a call may take before it counts as failed. */
     private static final int PATIENCE_MS = 4000;
@@ -46,27 +62,24 @@
     /** Where lists are pushed, a watch that has ended is begun again after this time. */
     private static final int AGAIN_MS = 250;
     private static final int MAX_LIST = 4 << 20;
-    private static final int MAX_LABELS = 64;
-
-    /** An entry of the list, for the module, for connections and for pools. */
-    record Host(Member member, SocketAddress dial, Pool.Server server) { }
 
     private final EventLoop loop;
-    private final Dispatcher dispatcher;
+    private final Bootstrap bootstrap;
+    private final Listener listener;
     private final Line watchLine = new Line();
     private final Line listLine = new Line();
     /** The entries of the list as discovery words them, by their hosts' names. */
     private final Map<String, JsonObject> entries = new LinkedHashMap<>();
-    private Config config;
-    private InetSocketAddress address;
+    private Settings settings;
     private long version;
     private boolean watching;
 
-    DiscoveryClient(EventLoop loop, Config config, Dispatcher dispatcher) {
+    /** Calls nobody yet. {@code bootstrap}: for connections on this event loop. */
+    public DiscoveryClient(EventLoop loop, Bootstrap bootstrap, Settings settings, Listener listener) {
         this.loop = loop;
-        this.config = config;
-        this.dispatcher = dispatcher;
-        address = config.discovery();
+        this.bootstrap = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS);
+        this.settings = settings;
+        this.listener = listener;
     }
 
     /**
@@ -74,12 +87,12 @@
      * and where nothing does, a watch begins: what the new one has to tell counts as told soon, whenever the module
      * would have asked next.
      */
-    void settle(Config next) {
-        config = next;
-        if (next.discovery().equals(address)) {
+    public void settle(Settings next) {
+        boolean moved = !next.address().equals(settings.address());
+        settings = next;
+        if (!moved) {
             return;
         }
-        address = next.discovery();
         boolean fetching = listLine.waiting();
         watchLine.close();
         listLine.close();
@@ -94,19 +107,19 @@
      *
      * @param list in discovery's form; null if there is none
      */
-    void start(JsonObject list) {
+    public void start(JsonObject list) {
         List<Host> known = List.of();
         if (list != null) {
             try {
-                known = hosts(config, list);
+                known = settings.form().hosts(list);
                 version = seq(list);
                 keep(list);
             } catch (RuntimeException e) {
-                dispatcher.log("the list in the configuration is of no use: " + e.getMessage());
+                listener.log("the list in the configuration is of no use: " + e.getMessage());
             }
         }
-        dispatcher.listed(ListKind.CACHED, known);
-        if (!config.settings().askForList()) {
+        listener.listed(ListKind.CACHED, known);
+        if (!settings.ask()) {
             watch(true);
         }
     }
@@ -146,7 +159,7 @@
             apply(json);
         } catch (RuntimeException e) {
             watching = false;
-            if (config.settings().askForList()) {
+            if (settings.ask()) {
                 failed(e);
             } else {
                 loop.schedule(() -> watch(true), AGAIN_MS, TimeUnit.MILLISECONDS);
@@ -159,7 +172,7 @@
     }
 
     private void apply(JsonObject json) {
-        List<Host> hosts = hosts(config, json);
+        List<Host> hosts = settings.form().hosts(json);
         boolean whole = json.get("whole").getAsBoolean();
         long seq = seq(json);
         if (!whole && seq < version) {
@@ -167,7 +180,7 @@
         }
         version = seq;
         keep(json);
-        dispatcher.listed(whole ? ListKind.FULL : ListKind.CHANGES, hosts);
+        listener.listed(whole ? ListKind.FULL : ListKind.CHANGES, hosts);
     }
 
     private void keep(JsonObject json) {
@@ -185,7 +198,7 @@
     }
 
     /** The whole list as it is held now, in discovery's form. */
-    JsonObject list() {
+    public JsonObject list() {
         JsonArray hosts = new JsonArray();
         entries.values().forEach(hosts::add);
         JsonObject list = new JsonObject();
@@ -196,76 +209,14 @@
     }
 
     private void failed(RuntimeException cause) {
-        dispatcher.log("discovery: " + cause.getMessage());
-        dispatcher.listed(ListKind.FAILED, List.of());
+        listener.log("discovery: " + cause.getMessage());
+        listener.listed(ListKind.FAILED, List.of());
     }
 
     private static long seq(JsonObject json) {
         return json.get("seq").getAsLong();
     }
 
-    /** The hosts of a list; an exception says what is wrong with one. */
-    static List<Host> hosts(Config config, JsonObject json) {
-        List<Host> hosts = new ArrayList<>();
-        Set<Integer> ids = new HashSet<>();
-        for (JsonElement e : json.getAsJsonArray("hosts")) {
-            Host h = host(config, e.getAsJsonObject());
-            if (!ids.add(h.member().id())) {
-                throw new IllegalArgumentException("a host is listed twice");
-            }
-            hosts.add(h);
-        }
-        return hosts;
-    }
-
-    private static Host host(Config config, JsonObject h) {
-        String name = h.get("host").getAsString();
-        State state = switch (h.get("health").getAsString()) {
-            case "up" -> State.READY;
-            case "draining" -> State.DRAINING;
-            case "removed" -> State.GONE;
-            default -> throw new IllegalArgumentException("host " + name + ": unknown health");
-        };
-        int zone = config.zones().indexOf(Config.word(h.get("site").getAsString()));
-        int kind = config.kinds().indexOf(Config.word(h.get("class").getAsString()));
-        float weight = h.has("share") ? h.get("share").getAsFloat() : 1;
-        if (zone < 0 || kind < 0 || !(weight >= 0) || Float.isInfinite(weight)) {
-            throw new IllegalArgumentException("host " + name + ": unknown site or class, or bad share");
-        }
-        double born = h.has("born_ms") ? h.get("born_ms").getAsDouble() : 0;
-        int cell = h.has("block") ? h.get("block").getAsInt() : 0;
-        return new Host(new Member(id(name), zone, kind, cell, state, weight, born),
-                Config.address(h.get("dial").getAsString()),
-                new Pool.Server(name, config.zones().get(zone), config.kinds().get(kind), labels(name, h)));
-    }
-
-    /** Words that installations may put on their servers for pools to select by; most have none. */
-    private static Set<String> labels(String name, JsonObject h) {
-        if (!h.has("labels")) {
-            return Set.of();
-        }
-        Set<String> labels = new HashSet<>();
-        h.getAsJsonArray("labels").forEach(l -> labels.add(l.getAsString()));
-        if (labels.size() > MAX_LABELS) {
-            throw new IllegalArgumentException("host " + name + ": more than " + MAX_LABELS + " labels");
-        }
-        return labels;
-    }
-
-    static int id(String name) {
-        String digits = name.substring(name.lastIndexOf('-') + 1);
-        try {
-            if (digits.length() <= 8) {
-                return Integer.parseUnsignedInt(digits, 16);
-            }
-        } catch (NumberFormatException e) {
-            // not of that form
-        }
-        CRC32 sum = new CRC32();
-        sum.update(name.getBytes(StandardCharsets.UTF_8));
-        return (int) sum.getValue();
-    }
-
     /** A connection for one call at a time, kept between calls. */
     private final class Line {
         private Channel channel;
@@ -283,11 +234,12 @@
                 write(channel, path);
                 return;
             }
-            ChannelFuture connecting = new Bootstrap().group(loop).channel(Transport.BEST.socket())
-                    .option(ChannelOption.TCP_NODELAY, true)
-                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-                    .handler(new Initializer(new HttpClientCodec(), new HttpObjectAggregator(MAX_LIST), new Answer()))
-                    .connect(address);
+            ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
+                @Override
+                protected void initChannel(Channel c) {
+                    c.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_LIST), new Answer());
+                }
+            }).connect(settings.address());
             channel = connecting.channel();
             connecting.addListener(f -> {
                 if (connecting.channel() != channel) {
@@ -304,7 +256,7 @@
         private void write(Channel to, String path) {
             DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
                     Unpooled.EMPTY_BUFFER);
-            request.headers().set(HttpHeaderNames.HOST, Config.text(address));
+            request.headers().set(HttpHeaderNames.HOST, Addresses.text(settings.address()));
             to.writeAndFlush(request);
         }
 
@@ -344,7 +296,7 @@
                         json = JsonParser.parseString(response.content().toString(StandardCharsets.UTF_8))
                                 .getAsJsonObject();
                     } catch (RuntimeException e) {
-                        dispatcher.log("discovery: no JSON");
+                        listener.log("discovery: no JSON");
                     }
                 }
                 if (!HttpUtil.isKeepAlive(response)) {
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/discovery/Host.java
@@ -0,0 +1,14 @@
+package damsonworks.proxy.discovery;
+
+import damsonworks.RoutingApi.Member;
+import damsonworks.route.Pool;
+import java.net.SocketAddress;
+
+/**
+ * An entry of the list.
+ *
+ * @param member for the decision module
+ * @param dial   where it listens
+ * @param server what pools select it by
+ */
+public record Host(Member member, SocketAddress dial, Pool.Server server) { }
--- a/src/test/java/damsonworks/ArchitectureTest.java
+++ b/src/test/java/damsonworks/ArchitectureTest.java
@@ -71,6 +71,13 @@
                         "damsonworks.wire..", "damsonworks.cli..").check(ALL);
     }
 
+    /** What hears of servers knows nothing of requests. */
+    @Test
+    void discoveryKnowsNothingOfTheCore() {
+        noClasses().that().resideInAPackage("damsonworks.proxy.discovery")
+                .should().dependOnClassesThat().resideInAPackage("damsonworks.proxy").check(ALL);
+    }
+
     @Test
     void onlyTheMainClassKnowsTheCommandLine() {
         classes().that().resideInAPackage("damsonworks.cli..").should().onlyHaveDependentClassesThat()
--- /dev/null
+++ b/src/test/java/damsonworks/HerdTest.java
@@ -0,0 +1,91 @@
+package damsonworks;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.RoutingApi.Group;
+import damsonworks.RoutingApi.ListKind;
+import damsonworks.RoutingApi.Member;
+import damsonworks.RoutingApi.Settings;
+import damsonworks.RoutingApi.State;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** Forty-eight instances that a release starts in one moment, with one seed, before a small discovery. */
+class HerdTest {
+    private static final int INSTANCES = 48;
+    private static final double STEP_MS = 10;
+
+    private final List<Rig> rigs = new ArrayList<>();
+    private final List<Member> list = List.of(Rig.member(Rig.ORIGIN, State.READY, 0), Rig.member(1, State.READY, 0),
+            Rig.member(2, State.READY, 0));
+    /** Calls of all instances, step by step. */
+    private final List<Integer> calls = new ArrayList<>();
+    private final int[] answered = new int[INSTANCES];
+
+    HerdTest() {
+        Settings settings = Rig.settings(true, true, false, Group.ALL);
+        for (int me = 0; me < INSTANCES; me++) {
+            Rig rig = new Rig(Rig.at(settings, me, INSTANCES));
+            rig.policy.onList(rig.now, ListKind.CACHED, list, rig);
+            rigs.add(rig);
+        }
+    }
+
+    /** Lets time pass; discovery answers so many calls a second and turns the others away. */
+    private void pass(double ms, double perSecond) {
+        double room = 0;
+        for (double at = 0; at < ms; at += STEP_MS) {
+            room = Math.min(perSecond, room + perSecond * STEP_MS / 1000);
+            int now = 0;
+            for (int i = 0; i < INSTANCES; i++) {
+                Rig rig = rigs.get(i);
+                int before = rig.watches;
+                rig.pass(STEP_MS);
+                if (rig.watches > before) {
+                    now++;
+                    boolean served = room >= 1;
+                    room -= served ? 1 : 0;
+                    answered[i] += served ? 1 : 0;
+                    rig.policy.onList(rig.now, served ? ListKind.FULL : ListKind.FAILED, served ? list : List.of(), rig);
+                }
+            }
+            calls.add(now);
+        }
+    }
+
+    private int most(int steps) {
+        int most = 0;
+        for (int i = 0; i + steps <= calls.size(); i++) {
+            most = Math.max(most, calls.subList(i, i + steps).stream().mapToInt(c -> c).sum());
+        }
+        return most;
+    }
+
+    @Test
+    void theFirstCallsAreSpread() {
+        pass(6000, 1000);
+        assertThat(calls.stream().mapToInt(c -> c).sum()).as("one each").isEqualTo(INSTANCES);
+        assertThat(most(1)).as("in 10 ms").isLessThanOrEqualTo(6);
+        assertThat(most(20)).as("in 200 ms").isLessThanOrEqualTo(INSTANCES / 4);
+    }
+
+    /** Those turned away come back later and later (in step it would be all 48 at once), apart from one another, and serve by the list they know. */
+    @Test
+    void whoIsTurnedAwayWaitsLongerAndNotInStep() {
+        pass(3000, 0);
+        int early = calls.stream().mapToInt(c -> c).sum();
+        pass(27_000, 0);
+        calls.clear();
+        pass(30_000, 0);
+        int late = calls.stream().mapToInt(c -> c).sum();
+        assertThat(late / 30.0).as("calls a second of all").isBetween(1.0, early / 3.0);
+        assertThat(most(20)).as("in 200 ms, of " + late + " in half a minute").isLessThanOrEqualTo(INSTANCES / 4);
+        for (Rig rig : rigs) {
+            rig.read(1, 77);
+            assertThat(rig.last().server()).isIn(1, 2);
+        }
+        pass(30_000, 2);
+        assertThat(answered).as("all have the list once discovery takes two calls a second").doesNotContain(0);
+    }
+}
--- a/src/test/java/damsonworks/fleet/PayloadTest.java
+++ b/src/test/java/damsonworks/fleet/PayloadTest.java
@@ -33,6 +33,18 @@
         assertThat(Payload.read(Arrays.copyOf(value, value.length - cut))).isNull();
     }
 
+    /** What a proxy that mixes up the parts of a long value makes of it. */
+    @Property(tries = 50, seed = "7")
+    void partsInTheWrongOrderAreSeen(@ForAll @IntRange(min = 1, max = 62) int from,
+            @ForAll @IntRange(min = 0, max = 62) int to) {
+        byte[] value = new Payload(Keys.key(5), 12).bytes(4 << 20);
+        assertThat(Payload.read(value)).isEqualTo(new Payload(Keys.key(5), 12));
+        byte[] mixed = value.clone();
+        int part = 64 << 10;
+        System.arraycopy(value, from * part, mixed, to * part, part);
+        assertThat(Payload.read(mixed)).isEqualTo(from == to ? new Payload(Keys.key(5), 12) : null);
+    }
+
     @Property(tries = 500, seed = "7")
     void noiseIsNoValueAndNoCrash(@ForAll @Size(max = 60) byte[] noise) {
         assertThat(Payload.read(noise)).isNull();
