A successor that goes gives the takeover's name back, so the old process can be asked again

Now each process's socket has a file of its own, the name is a link to it, and the old process takes it back when a successor that served is lost. Ruled out: the state machine (it accepts again, as its interleavings show) and the accepting itself.

--- a/src/main/java/damsonworks/proxy/HandoverLink.java
+++ b/src/main/java/damsonworks/proxy/HandoverLink.java
@@ -18,6 +18,7 @@
 import java.nio.file.StandardCopyOption;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
@@ -32,9 +33,13 @@
     private static final int MAX_LINE = 64;
     private static final int MAX_LINKS = 4;
     private static final String NAME = "takeover";
+    /** Numbers those of one process, which only tests have several of. */
+    private static final AtomicInteger LINKS = new AtomicInteger();
 
     private final EventLoop loop;
     private final Path folder;
+    /** This process's own socket; null where nobody shares a folder. */
+    private final Path own;
     private final Handover handover;
     private final Acceptor acceptor;
     private final Supplier<TakeoverState> state;
@@ -48,6 +53,8 @@
     HandoverLink(EventLoop loop, Path folder, Handover handover, Acceptor acceptor, Supplier<TakeoverState> state) {
         this.loop = loop;
         this.folder = folder;
+        own = folder == null ? null
+                : folder.resolve(NAME + "." + ProcessHandle.current().pid() + "." + LINKS.incrementAndGet());
         this.handover = handover;
         this.acceptor = acceptor;
         this.state = state;
@@ -65,7 +72,6 @@
 
     /** Listens in the place of whoever did before; waits until it does, so not to be called on the event loop. */
     void open() throws IOException, InterruptedException {
-        Path own = folder.resolve(NAME + "." + ProcessHandle.current().pid());
         Files.deleteIfExists(own);
         server = new ServerBootstrap().group(loop).channel(Transport.BEST.localServer())
                 .childHandler(new ChannelInitializer<>() {
@@ -74,7 +80,37 @@
                         accepted(channel);
                     }
                 }).bind(Transport.BEST.local(own)).sync().channel();
-        Files.move(own, path(folder), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+        publish();
+    }
+
+    /**
+     * Has the name that newcomers ask by lead here. Each process's socket keeps a file of its own: a successor that
+     * goes has taken the name, and the old process would be out of reach for the next one.
+     */
+    private void publish() throws IOException {
+        Path next = folder.resolve(own.getFileName() + ".name");
+        Files.deleteIfExists(next);
+        Files.createSymbolicLink(next, own.getFileName());
+        Files.move(next, path(folder), StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    private void reclaim() {
+        try {
+            publish();
+        } catch (IOException e) {
+            System.err.println("takeover: no way back to the name: " + e.getMessage());
+        }
+    }
+
+    /** Leaves nothing behind but the name, which may be a successor's. */
+    void close() {
+        try {
+            if (own != null) {
+                Files.deleteIfExists(own);
+            }
+        } catch (IOException e) {
+            // the folder goes with the instance
+        }
     }
 
     private void accepted(Channel channel) {
@@ -147,11 +183,14 @@
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
             links.remove(number);
-            handover.lost(number);
+            boolean gone = handover.lost(number);
             if (successor == ctx.channel()) {
                 successor = null;
             }
             acceptor.accept(handover.accepts());
+            if (gone) {
+                reclaim();
+            }
         }
 
         @Override
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -116,6 +116,7 @@
         if (handover.passes()) {
             dispatcher.log("passed " + link.passed() + " clients on");
         }
+        link.close();
         ended.countDown();
         whenEnded.run();
     }
--- a/src/main/java/damsonworks/takeover/Handover.java
+++ b/src/main/java/damsonworks/takeover/Handover.java
@@ -80,13 +80,18 @@
         return true;
     }
 
-    /** A link has ended, with its process or without. */
-    public void lost(long link) {
+    /**
+     * A link has ended, with its process or without; whether it was a successor's that served, so that this process is
+     * the one to be asked again.
+     */
+    public boolean lost(long link) {
         if (link != successor) {
-            return;
+            return false;
         }
+        boolean served = phase == Phase.SERVED;
         successor = 0;
         phase = phase == Phase.RETIRING ? Phase.ENDING : phase == Phase.ENDING ? phase : Phase.ALONE;
+        return served;
     }
 
     /** This process has been told to end. One that does not serve yet is left to itself. */
--- a/src/test/java/damsonworks/JarIT.java
+++ b/src/test/java/damsonworks/JarIT.java
@@ -255,7 +255,7 @@
         List<Process> all = new ArrayList<>(List.of(serving));
         try {
             noop(port, serving);
-            for (int step = 0; step < 3; step++) {
+            for (int step = 0; step < 9; step++) {
                 Process next = start("serve", config.toString());
                 all.add(next);
                 next.waitFor(150L * step, TimeUnit.MILLISECONDS);
--- a/src/test/java/damsonworks/proxy/UpgradeTest.java
+++ b/src/test/java/damsonworks/proxy/UpgradeTest.java
@@ -188,6 +188,8 @@
             Await.until("the old one is alone", () -> phase(fleet.proxy) == Phase.ALONE);
             served(fleet.client().read("1"), "1");
             assertThat(answered(fleet.proxy)).isEqualTo(1);
+            successor(fleet);
+            Await.until("the next one finds the old one", () -> phase(fleet.proxy) == Phase.SERVED);
         }
     }
 
