One option for the mix of values in fleet, load and demo

ValueOptions holds both now; two lines that were too long are broken. Behaviour and tests are as they were.

--- a/src/main/java/damsonworks/cli/DemoCommand.java
+++ b/src/main/java/damsonworks/cli/DemoCommand.java
@@ -75,8 +75,7 @@
     @Override
     public Integer call() throws Exception {
         PrintWriter out = spec.commandLine().getOut();
-        FleetSpec standard = fleetOptions.spec();
-        FleetSpec fleetSpec = standard.withValues(traffic.sizes(standard.values().usual()));
+        FleetSpec fleetSpec = traffic.values.in(fleetOptions.spec());
         List<Fault> faults = new ArrayList<>(fleetOptions.faults(fleetSpec));
         upgrades(fleetSpec, faults);
         out.printf("starting %d nodes, an origin, discovery and %d proxies%n", fleetSpec.nodes(), fleetSpec.proxies());
--- a/src/main/java/damsonworks/cli/FleetCommand.java
+++ b/src/main/java/damsonworks/cli/FleetCommand.java
@@ -6,7 +6,6 @@
 import damsonworks.fleet.Fault;
 import damsonworks.fleet.FleetSpec;
 import damsonworks.fleet.Oracle;
-import damsonworks.fleet.ValueSizes;
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -35,9 +34,8 @@
     @Mixin
     private FleetOptions options;
 
-    @Option(names = "--values", paramLabel = "MIX", defaultValue = "",
-            description = "Shares of all keys with longer values, as SIZE:SHARE separated by commas: 4mb:0.05,64kb:0.1.")
-    private String values;
+    @Mixin
+    private ValueOptions values;
 
     @Option(names = "--for", paramLabel = "TIME", description = "Ends after this time.")
     private Duration length;
@@ -48,8 +46,7 @@
     @Override
     public Integer call() throws Exception {
         PrintWriter out = spec.commandLine().getOut();
-        FleetSpec standard = options.spec();
-        FleetSpec fleetSpec = standard.withValues(ValueSizes.parse(values, standard.values().usual()));
+        FleetSpec fleetSpec = values.in(options.spec());
         List<Fault> faults = options.faults(fleetSpec);
         try (ProxiedFleet fleet = new ProxiedFleet(fleetSpec, options.memoryMb, options.edge)) {
             JsonObject addresses = fleet.json();
--- a/src/main/java/damsonworks/cli/TrafficOptions.java
+++ b/src/main/java/damsonworks/cli/TrafficOptions.java
@@ -1,11 +1,11 @@
 package damsonworks.cli;
 
 import damsonworks.fleet.TrafficClass;
-import damsonworks.fleet.ValueSizes;
 import damsonworks.load.Shape;
 import damsonworks.load.SyntheticWorkload;
 import damsonworks.load.SyntheticWorkload.Arrivals;
 import java.util.List;
+import picocli.CommandLine.Mixin;
 import picocli.CommandLine.Option;
 
 /** What drawn traffic is like: options that {@code load} and {@code demo} share. */
@@ -42,9 +42,8 @@
             description = "Length of a write's value (default: ${DEFAULT-VALUE}).")
     int valueBytes;
 
-    @Option(names = "--values", paramLabel = "MIX", defaultValue = "",
-            description = "Shares of all keys with longer values, as SIZE:SHARE separated by commas: 4mb:0.05,64kb:0.1.")
-    String values;
+    @Mixin
+    ValueOptions values;
 
     @Option(names = "--connection-stay", paramLabel = "TIME", defaultValue = "0s",
             description = "How long a connection is kept, on average; 0s: for good (default: ${DEFAULT-VALUE}).")
@@ -54,19 +53,14 @@
             description = "Of all that is drawn; the same gives the same requests (default: ${DEFAULT-VALUE}).")
     long seed;
 
-    /** How long values are that have this length usually. */
-    ValueSizes sizes(int usual) {
-        return ValueSizes.parse(values, usual);
-    }
-
     SyntheticWorkload workload(List<TrafficClass> classes) {
         return new SyntheticWorkload(new SyntheticWorkload.Settings(rate, length.seconds(), shape, arrivals, keys,
-                zipf, keyStay.seconds(), sizes(valueBytes), classes, seed));
+                zipf, keyStay.seconds(), values.sizes(valueBytes), classes, seed));
     }
 
     /** Steady traffic over the same keys before the run itself, at another rate. */
     SyntheticWorkload leadIn(List<TrafficClass> classes, double leadRate, double seconds) {
         return new SyntheticWorkload(new SyntheticWorkload.Settings(leadRate, seconds, Shape.STEADY, arrivals, keys,
-                zipf, keyStay.seconds(), sizes(valueBytes), classes, seed));
+                zipf, keyStay.seconds(), values.sizes(valueBytes), classes, seed));
     }
 }
--- a/src/main/java/damsonworks/control/Door.java
+++ b/src/main/java/damsonworks/control/Door.java
@@ -35,7 +35,8 @@
     static final int MAX_LINE = 256;
     private static final int STAY_S = 5;
 
-    private static final Map<String, DoorCall> CALLS = List.<DoorCall>of(new HealthCall(), new DumpCall(), new HandoverCall()).stream()
+    private static final Map<String, DoorCall> CALLS = List
+            .<DoorCall>of(new HealthCall(), new DumpCall(), new HandoverCall()).stream()
             .collect(Collectors.toUnmodifiableMap(DoorCall::word, Function.identity()));
 
     private final ControlRegistry registry;
--- a/src/main/java/damsonworks/proxy/Config.java
+++ b/src/main/java/damsonworks/proxy/Config.java
@@ -134,7 +134,8 @@
             json.getAsJsonArray("peers").forEach(p -> peers.add(Addresses.parse(p.getAsString())));
         }
         return new Config(json.has("name") ? json.get("name").getAsString() : "proxy",
-                Addresses.parse(need(json, "listen").getAsString()), Addresses.parse(need(json, "discovery").getAsString()),
+                Addresses.parse(need(json, "listen").getAsString()),
+                Addresses.parse(need(json, "discovery").getAsString()),
                 Long.parseUnsignedLong(need(json, "seed").getAsString(), 16), number(limits, "cores", 1),
                 (int) number(limits, "memory_mb", 192), (int) number(limits, "sockets", 1024),
                 optionalAddress(json, "peer_listen"), List.copyOf(peers), optionalAddress(json, "peers_all"),
