Leave a node with no place for a connection to its runner-up, and hold one place each

Nobody learnt of it: Policy booked it as a full queue and asked again with the next request, and Upstream.send opened a second connection beside the first although places are shared (28 / instances, made for nodes that hold forty).

Change: a first refusal that is followed by the server's end of the connection is an outcome of its own, NO_PLACE. The module leaves that server's keys to the runner-up for a while, as for any server that can't be contacted, without a failure booked; each instance tries again at its own time, at longer and longer intervals. Once a server had no place, a proxy is content with one connection a node unless that one can't be used at the moment.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -19,6 +19,7 @@
     private static final double COLD_MARGIN = 2;
     private static final int RANKS = 8;
     private static final int SHUN_CONNECTS = 10;
+    private static final int MAX_TURNED_AWAY = 4;
 
     private final SplittableRandom random;
     private final Map<Integer, Server> servers = new HashMap<>();
@@ -57,6 +58,8 @@
         double shunnedUntil;
         int doubts;
         boolean trial;
+        int turnedAway;
+        double noPlaceUntil;
         boolean probed;
 
         Server(int id) {
@@ -347,8 +350,8 @@
             }
             Server s = servers.computeIfAbsent(m.id(), Server::new);
             if (s.member != null && s.member.bornMs() != m.bornMs()) {
-                s.failures = 0;
-                s.shunnedUntil = 0;
+                s.failures = s.turnedAway = 0;
+                s.shunnedUntil = s.noPlaceUntil = 0;
             }
             s.member = m;
         }
@@ -544,6 +547,15 @@
         s.failures++;
     }
 
+    /**
+     * All the server's places are taken by others: it can't be contacted, and the runner-up has its keys
+     * until one may have come free. It is not at fault. Each instance asks again at a time of its own.
+     */
+    private void noPlace(double now, Server s) {
+        int times = 1 << Math.min(s.turnedAway++, MAX_TURNED_AWAY);
+        s.noPlaceUntil = now + SHUN_CONNECTS * cfg.connectTimeoutMs() * times * (0.5 + random.nextDouble());
+    }
+
     private boolean maySend(double now, Flight f, Server s) {
         if (f.out > 0 && !(cfg.secondCopies() && f.safe)) {
             return false;
@@ -627,6 +639,9 @@
     }
 
     private boolean open(double now, Flight f, Server s, Actions out) {
+        if (now < s.noPlaceUntil) {
+            return false;
+        }
         if (s.failures == 0 || s.probed && !s.trial) {
             return warmEnough(now, f, s);
         }
@@ -776,7 +791,7 @@
                 }
                 boolean timely = end.elapsedMs() <= f.kind.aimMs() || crowd.pressure(now) > Throttle.HEADROOM;
                 if (s == origin || timely) {
-                    s.failures = s.doubts = 0;
+                    s.failures = s.doubts = s.turnedAway = 0;
                 }
                 s.trial = false;
                 if (s != origin && end.outcome() == Outcome.OK) {
@@ -796,6 +811,10 @@
                     fetchMs += (end.elapsedMs() - fetchMs) / 8;
                 }
             }
+            case NO_PLACE -> {
+                s.trial = false;
+                noPlace(now, s);
+            }
             case CONNECT_FAILED, RESET, TIMEOUT -> {
                 if (s != origin) {
                     boolean shared = crowd.pressure(now) > Throttle.HEADROOM;
--- a/src/main/java/damsonworks/RoutingApi.java
+++ b/src/main/java/damsonworks/RoutingApi.java
@@ -21,10 +21,13 @@
     /** What a list event carries. {@code FAILED}: a call for the list failed, no entries. */
     enum ListKind { FULL, CHANGES, CACHED, FAILED }
 
-    /** How an attempt ended. */
+    /**
+     * How an attempt ended. {@code NO_PLACE}: the server holds as many connections as it takes, none of them ours; it
+     * turned a new one away, unheard.
+     */
     enum Outcome {
         OK(true), MISS(false), ERROR(true), FULL(false), TIMEOUT(true), CONNECT_FAILED(false), RESET(true),
-        CANCELLED(true), NOT_SENT(false);
+        CANCELLED(true), NOT_SENT(false), NO_PLACE(false);
 
         private final boolean mayHaveRun;
 
--- a/src/main/java/damsonworks/proxy/Servers.java
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -19,6 +19,8 @@
     private static final int CONNECTIONS_IN_ALL = 12;
     /** Our connections are ended at this part of the time after which a server ends them. */
     private static final double RETIRE_AT = 0.7;
+    /** So long after one had no place, servers are taken to have few: some rounds of trying them again. */
+    private static final double SCARCE_MS = 60_000;
     private static final double CLOSES_PER_SECOND = 10;
     private static final double CLOSES_SAVED = 10;
 
@@ -29,6 +31,7 @@
     private double closes = CLOSES_SAVED;
     private double closesAtMs;
     private int connections;
+    private double scarceUntilMs = Double.NEGATIVE_INFINITY;
 
     /** {@code maxConnections}: to all servers together. */
     Servers(Dispatcher dispatcher, Bootstrap bootstrap, int maxConnections) {
@@ -100,6 +103,16 @@
 
     // ---- bounds
 
+    /** A server had no place for a further connection. */
+    void turnedAway() {
+        scarceUntilMs = dispatcher.now() + SCARCE_MS;
+    }
+
+    /** Whether servers have too few places for all proxies, so that each should be content with one. */
+    boolean scarce() {
+        return dispatcher.now() < scarceUntilMs;
+    }
+
     /** Whether one more connection may be closed only because nobody waits for what is on it. */
     boolean mayClose() {
         double now = dispatcher.now();
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -70,7 +70,7 @@
             }
         }
         if ((best == null || best.depth() > 0 && dispatcher.now() >= noMoreUntilMs)
-                && standing < maxConnections && all < mostConnections && dispatcher.servers().room()) {
+                && standing < (best != null && !origin && dispatcher.servers().scarce() ? 1 : maxConnections) && all < mostConnections && dispatcher.servers().room()) {
             best = open();
         }
         best = best == null ? busy : best;
@@ -105,6 +105,13 @@
         return true;
     }
 
+    /** A new connection was turned away; whether none other stands. */
+    boolean turnedAway() {
+        dispatcher.servers().turnedAway();
+        noMoreUntilMs = dispatcher.now() + NO_MORE_MS;
+        return connections.isEmpty();
+    }
+
     private UpstreamConnection open() {
         UpstreamConnection connection = new UpstreamConnection(this);
         connections.add(connection);
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -24,6 +24,9 @@
     /** Three times the longest pause: a short answer that has stopped for this long has been cut off. */
     private static final double CUT_MS = 300;
 
+    /** A server that has no place for a connection ends it right behind its answer. */
+    private static final double PLACE_MS = 5;
+
     private final Upstream upstream;
     private final ArrayDeque<Attempt> attempts = new ArrayDeque<>(4);
     private Codec codec;
@@ -40,6 +43,9 @@
     private boolean begun;
     private boolean partial;
     private boolean watched;
+    private boolean answered;
+    /** The first attempt, where it was turned away and it is not yet known why. */
+    private Attempt turnedAway;
 
     UpstreamConnection(Upstream upstream) {
         this.upstream = upstream;
@@ -194,12 +200,31 @@
             idleSinceMs = upstream.dispatcher().now();
         }
         hold(false);
-        upstream.dispatcher().end(attempt, outcome, note, report, answer);
+        boolean first = !answered;
+        answered = true;
+        if (first && outcome == Outcome.FULL && !upstream.origin) {
+            turnedAway = attempt;
+            upstream.dispatcher().after(PLACE_MS, () -> turnedAway(Outcome.FULL));
+        } else {
+            upstream.dispatcher().end(attempt, outcome, note, report, answer);
+        }
         if (attempts.isEmpty() && retired) {
             close();
         }
     }
 
+    /**
+     * The end of a first attempt that was turned away. Guards against proxies that ask again and again for a place at
+     * a server which has given all of them to others: only one that ends the connection as well has none left.
+     */
+    private void turnedAway(Outcome outcome) {
+        if (turnedAway != null) {
+            Attempt attempt = turnedAway;
+            turnedAway = null;
+            upstream.dispatcher().end(attempt, outcome, 0, null, null);
+        }
+    }
+
     /**
      * Part of a short answer has come. Guards against one that is cut off on a connection that stays open: its
      * attempt would be waited for until the request's time is up. It may have run, so it ends as a reset.
@@ -250,6 +275,9 @@
         closed = true;
         // Guards against ended connections that count on: the server's limit and the proxy's fill up for good.
         upstream.closed(this);
+        if (turnedAway != null) {
+            turnedAway(upstream.turnedAway() ? Outcome.NO_PLACE : Outcome.FULL);
+        }
         for (Attempt a; (a = attempts.poll()) != null;) {
             if (!connected && !a.ended && upstream.sendElsewhere(a)) {
                 continue;
--- a/src/main/java/damsonworks/route/Router.java
+++ b/src/main/java/damsonworks/route/Router.java
@@ -458,7 +458,7 @@
                 end.elapsedMs(), end.over(), end.note(), end.report());
         j.missed = end.outcome() == Outcome.MISS;
         j.failed |= switch (end.outcome()) {
-            case FULL, TIMEOUT, CONNECT_FAILED, RESET, NOT_SENT -> true;
+            case FULL, TIMEOUT, CONNECT_FAILED, RESET, NOT_SENT, NO_PLACE -> true;
             default -> false;
         };
         guarded(j, () -> lane.module.onAttemptEnd(now, own, lane.orders(now, out)));
--- a/src/test/java/damsonworks/PolicyTest.java
+++ b/src/test/java/damsonworks/PolicyTest.java
@@ -290,6 +290,28 @@
         }
     }
 
+    /** Fewer places than proxies: who has none keeps to the runner-up, and tries again by and by. */
+    @Test
+    void aServerWithNoPlaceLeftIsNoFailureAndIsTriedAgainLater() {
+        Rig rig = Rig.aside().fleet(6);
+        rig.read(1, 77);
+        Rig.Placed first = rig.last();
+        rig.end(first, Outcome.NO_PLACE);
+        int runnerUp = rig.last().server();
+        assertThat(runnerUp).isNotEqualTo(first.server());
+        rig.end(rig.last(), Outcome.OK);
+        assertThat(rig.policy.avoids(rig.now, first.server())).isFalse();
+        rig.read(2, 77);
+        assertThat(rig.last().server()).isEqualTo(runnerUp);
+        rig.end(rig.last(), Outcome.OK);
+        rig.pass(2000);
+        rig.read(3, 77);
+        assertThat(rig.last().server()).isEqualTo(first.server());
+        rig.end(rig.last(), Outcome.OK);
+        rig.read(4, 77);
+        assertThat(rig.last().server()).isEqualTo(first.server());
+    }
+
     // ---- departures
 
     /** A key that draws much of the traffic is spread over several ranks; cool again it has one server. */
--- a/src/test/java/damsonworks/proxy/UpstreamTest.java
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -72,6 +72,40 @@
         }
     }
 
+    /** Guards against requests that ask in vain, one after the other, for a place that others hold. */
+    @Test
+    void aNodeThatHasNoPlaceLeftIsLeftToItsRunnerUpForAWhile() throws Exception {
+        FakeServer crowded = new FakeServer(c -> {
+            c.command();
+            c.say("SERVER_ERROR busy\r\n");
+        });
+        try (Fleet fleet = new Fleet().node(crowded).node(FakeServer.node(UpstreamTest::hit)).start();
+                Fleet.Client client = fleet.client()) {
+            for (int i = 0; i < 60; i++) {
+                client.say("mg " + Integer.toHexString(0x1000 + 7919 * i) + " v O" + i + " Pc=text,d=20000\r\n");
+                assertThat(client.line()).isEqualTo("VA 5 O" + i);
+                client.line();
+            }
+            assertThat(crowded.commands).hasSize(1);
+            assertThat(fleet.on(() -> fleet.proxy.status().ejected())).isZero();
+        }
+    }
+
+    /** A refusal on a connection that stays is of that moment alone. */
+    @Test
+    void aNodeWhoseQueueIsFullIsAskedAgain() throws Exception {
+        FakeServer full = FakeServer.node(line -> "SERVER_ERROR busy\r\n");
+        try (Fleet fleet = new Fleet().node(full).node(FakeServer.node(UpstreamTest::hit)).start();
+                Fleet.Client client = fleet.client()) {
+            for (int i = 0; i < 60; i++) {
+                client.say("mg " + Integer.toHexString(0x1000 + 7919 * i) + " v O" + i + " Pc=text,d=20000\r\n");
+                assertThat(client.line()).isEqualTo("VA 5 O" + i);
+                client.line();
+            }
+            assertThat(full.commands).hasSizeGreaterThan(10);
+        }
+    }
+
     @Test
     void anUnsafeWriteIsRefusedOnlyWhenItNeverRan() throws Exception {
         String write = "ms 7f3a 5 O1 Pc=fix,d=2000\r\nhello\r\n";
