Peers tell each other the list's version, so that a silent watch is begun anew

At 21 s ten of fourteen proxies still held 36 nodes that had gone 5 to 9 s before; those that had been restarted held the new list. 22 nodes a proxy counted as avoided, nearly all of them gone ones.

Change: damsonworks.peer decides, without I/O, whether a version that discovery has told is news to the others (one message of 9 bytes to all, only where no peer has told that version) and whether what a peer holds should have come here too: after 0.5 s and a turn by the number of instances the watch is begun anew. A claim changes no list; false ones cost calls at doubling intervals. A watch waits 7 to 13 s, each its own time, and 2 s more, in place of 20 and 4.

--- /dev/null
+++ b/src/main/java/damsonworks/peer/ListNews.java
@@ -0,0 +1,107 @@
+package damsonworks.peer;
+
+import java.util.Arrays;
+import java.util.SplittableRandom;
+
+/**
+ * Finds out from peers that discovery has news which this proxy has not been told. A watch that has fallen silent looks
+ * like one with nothing to say; each proxy alone learns of it only when the watch's wait is over. Of many proxies some
+ * are told in time, so each tells the others the version of the list that it has come to hold, where none has told it
+ * that version before: whoever is not told the same soon afterwards asks anew.
+ *
+ * <p>A claim is no news by itself: what the list holds comes from discovery alone. A wrong one costs a call, and the
+ * next call on account of peers waits twice as long, until discovery has confirmed one.
+ */
+public final class ListNews {
+    /** So long may a watch take to tell what another has told already: a few times what it takes one by one. */
+    static final double LAG_MS = 500;
+    /** Whoever asks does so within this time, for each instance: discovery takes calls in turn. */
+    static final double TURN_MS = 50;
+    /** The longest time between calls on account of peers. */
+    static final double LONGEST_MS = 60_000;
+
+    private final SplittableRandom random;
+    private final int instances;
+    /** The versions that peers have told last; who holds one of them has nothing to tell. */
+    private final long[] told = new long[16];
+    private int tells;
+    private long held;
+    private long claimed;
+    private double dueMs = Double.POSITIVE_INFINITY;
+    private double pauseMs = LAG_MS;
+
+    /** What follows from an event. */
+    public enum Order {
+        /** Nothing. */
+        NONE,
+        /** Tell all peers the version that is held. */
+        TELL,
+        /** Call {@link #due} again at {@link #dueMs}. */
+        WAIT,
+        /** Ask discovery anew. */
+        ASK
+    }
+
+    /**
+     * For one of so many instances, at least 1.
+     *
+     * @param seed apart from that of other instances, so that they do not ask at once
+     */
+    public ListNews(int instances, long seed) {
+        if (instances < 1) {
+            throw new IllegalArgumentException(instances + " instances");
+        }
+        this.instances = instances;
+        random = new SplittableRandom(seed);
+    }
+
+    /** Discovery has told this proxy that version. */
+    public Order held(long version) {
+        if (version <= held) {
+            return Order.NONE;
+        }
+        if (claimed > held) {
+            pauseMs = LAG_MS; // there was news
+        }
+        held = version;
+        if (claimed <= held) {
+            dueMs = Double.POSITIVE_INFINITY;
+        }
+        return Arrays.stream(told).anyMatch(v -> v == version) ? Order.NONE : Order.TELL;
+    }
+
+    /** The list that this proxy starts with; that it is held is no news to anybody. */
+    public void begin(long version) {
+        held = Math.max(held, version);
+    }
+
+    /** A peer claims to hold that version. */
+    public Order heard(double nowMs, long version) {
+        told[tells++ % told.length] = version;
+        if (version <= held || version <= claimed) {
+            return Order.NONE;
+        }
+        claimed = version;
+        if (dueMs != Double.POSITIVE_INFINITY) {
+            return Order.NONE;
+        }
+        dueMs = nowMs + pauseMs + random.nextDouble() * TURN_MS * instances;
+        return Order.WAIT;
+    }
+
+    /** When to look again, in milliseconds; infinite for never. */
+    public double dueMs() {
+        return dueMs;
+    }
+
+    /** The time has come; what was claimed may have been told by now. */
+    public Order due(double nowMs) {
+        if (nowMs < dueMs) {
+            return Order.NONE;
+        }
+        dueMs = Double.POSITIVE_INFINITY;
+        claimed = held; // discovery's answer settles it
+        pauseMs = Math.min(LONGEST_MS, pauseMs * 2);
+        return Order.ASK;
+    }
+}
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -77,6 +77,7 @@
     private Router router;
     private ListSource discovery;
     private PeerSocket peers;
+    private PeerNews news;
     private ClientListener listener;
     private Future<?> sweeper;
     private boolean busy;
@@ -331,7 +332,22 @@
         });
     }
 
+    @Override
+    public void version(long seq) {
+        if (news != null) {
+            news.held(seq);
+        }
+    }
+
+    /** What peers are told of the list, and what they tell; null: nothing. */
+    void news(PeerNews by) {
+        news = by;
+    }
+
     void heard(int peer, byte[] message) {
+        if (news != null && news.heard(message)) {
+            return;
+        }
         tell(() -> module.onPeer(now(), peer, message, this));
     }
 
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/PeerNews.java
@@ -0,0 +1,52 @@
+package damsonworks.proxy;
+
+import damsonworks.peer.ListNews;
+import damsonworks.peer.ListNews.Order;
+import damsonworks.peer.PeerMessage;
+import damsonworks.proxy.discovery.DiscoveryClient;
+
+/** Carries out what {@link ListNews} orders: tells peers, and has discovery asked. On the event loop only. */
+final class PeerNews {
+    private static final int ALL = -1;
+
+    private final Dispatcher dispatcher;
+    private final PeerSocket peers;
+    private final DiscoveryClient discovery;
+    private final ListNews news;
+
+    PeerNews(Dispatcher dispatcher, PeerSocket peers, DiscoveryClient discovery, ListNews news) {
+        this.dispatcher = dispatcher;
+        this.peers = peers;
+        this.discovery = discovery;
+        this.news = news;
+    }
+
+    /** Discovery has told that version. */
+    void held(long version) {
+        carryOut(news.held(version));
+    }
+
+    /** Whether that message was one of these. */
+    boolean heard(byte[] message) {
+        long version = PeerMessage.listVersion(message);
+        if (version < 0) {
+            return false;
+        }
+        carryOut(news.heard(dispatcher.now(), version));
+        return true;
+    }
+
+    private void carryOut(Order order) {
+        switch (order) {
+            case NONE -> { }
+            case TELL -> peers.send(ALL, PeerMessage.list(discovery.version()));
+            case WAIT -> dispatcher.after(news.dueMs() - dispatcher.now(), this::due);
+            case ASK -> discovery.renew();
+        }
+    }
+
+    private void due() {
+        Order order = news.due(dispatcher.now());
+        carryOut(order == Order.NONE && news.dueMs() < Double.POSITIVE_INFINITY ? Order.WAIT : order);
+    }
+}
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -5,6 +5,7 @@
 import damsonworks.drain.Drain;
 import damsonworks.drain.DrainPlan;
 import damsonworks.flow.ByteBudget;
+import damsonworks.peer.ListNews;
 import damsonworks.proxy.discovery.Addresses;
 import damsonworks.proxy.discovery.DiscoveryClient;
 import damsonworks.route.Known;
@@ -76,6 +77,11 @@
         loop.submit(() -> {
             dispatcher.start(discovery, peers, acceptor, routing);
             discovery.start(newer(state, config.known()));
+            if (config.settings().peers()) {
+                ListNews news = new ListNews(config.settings().instances(), config.ownSeed());
+                news.begin(discovery.version());
+                dispatcher.news(new PeerNews(dispatcher, peers, discovery, news));
+            }
             if (state != null) {
                 dispatcher.resume(state.learnt());
             }
--- a/src/main/java/damsonworks/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/discovery/DiscoveryClient.java
@@ -27,6 +27,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -41,6 +42,9 @@
         /** The list or changes of it; {@code FAILED}: a call for it failed, no entries. */
         void listed(ListKind kind, List<Host> hosts);
 
+        /** Discovery has told this version of the list. */
+        void version(long seq);
+
         /** A line for the operators. */
         void log(String line);
     }
@@ -50,14 +54,19 @@
      *
      * @param address where it listens
      * @param form    what entries of its list may name
+     * @param seed    apart from that of other instances, so that they do not call at once
      * @param ask     whether it is one service for all instances, which is asked when the decision module wants to;
      *                else lists are pushed, and a watch that has ended is begun again at once
      */
-    public record Settings(InetSocketAddress address, ListForm form, boolean ask) { }
+    public record Settings(InetSocketAddress address, ListForm form, long seed, boolean ask) { }
 
-    private static final int WAIT_MS = 20_000;
-    /** How much longer than its wait a call may take before it counts as failed. */
-    private static final int PATIENCE_MS = 4000;
+    /**
+     * How long a watch may wait. It may have fallen silent, which nobody sees before its wait is over; but discovery is
+     * one service for all, and each end is a call.
+     */
+    private static final int WAIT_MS = 10_000;
+    /** How much longer than its wait a call may take before it counts as failed: its news counts as told by then. */
+    private static final int PATIENCE_MS = 2000;
     private static final int CONNECT_MS = 1000;
     /** Where lists are pushed, a watch that has ended is begun again after this time. */
     private static final int AGAIN_MS = 250;
@@ -66,6 +75,7 @@
     private final EventLoop loop;
     private final Bootstrap bootstrap;
     private final Listener listener;
+    private final SplittableRandom random;
     private final Line watchLine = new Line();
     private final Line listLine = new Line();
     /** The entries of the list as discovery words them, by their hosts' names. */
@@ -80,6 +90,7 @@
         this.bootstrap = bootstrap.clone().option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS);
         this.settings = settings;
         this.listener = listener;
+        random = new SplittableRandom(settings.seed());
     }
 
     /**
@@ -128,12 +139,26 @@
     public void watch(boolean on) {
         watching = on;
         if (on) {
-            watchLine.call("/discovery/hosts?since=" + version + "&timeout_ms=" + WAIT_MS, WAIT_MS, this::watched);
+            int wait = (int) (WAIT_MS * (0.7 + 0.6 * random.nextDouble())); // or those of all proxies end together
+            watchLine.call("/discovery/hosts?since=" + version + "&timeout_ms=" + wait, wait, this::watched);
         } else {
             watchLine.close();
         }
     }
 
+    /** The version of the list that is held. */
+    public long version() {
+        return version;
+    }
+
+    /** Begins the watch anew where there is one: it may have fallen silent. */
+    public void renew() {
+        if (watching) {
+            watchLine.close();
+            watch(true);
+        }
+    }
+
     @Override
     public void fetch() {
         listLine.call("/discovery/hosts", 0, json -> {
@@ -181,6 +206,7 @@
         version = seq;
         keep(json);
         listener.listed(whole ? ListKind.FULL : ListKind.CHANGES, hosts);
+        listener.version(seq);
     }
 
     private void keep(JsonObject json) {
--- /dev/null
+++ b/src/test/java/damsonworks/peer/ListNewsTest.java
@@ -0,0 +1,132 @@
+package damsonworks.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import damsonworks.peer.ListNews.Order;
+import java.util.Arrays;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** A tier of proxies before one discovery, in virtual time. */
+class ListNewsTest {
+    private static final double STEP_MS = 10;
+
+    /** Proxies of which some hear nothing on their watch until they ask anew. */
+    private static final class Tier {
+        final ListNews[] proxies;
+        final long[] holds;
+        final boolean[] silent;
+        final int[] asked;
+        final SplittableRandom random;
+        final double loss;
+        long discovery;
+        double now;
+        int messages;
+
+        Tier(int instances, double loss, long seed) {
+            proxies = new ListNews[instances];
+            holds = new long[instances];
+            silent = new boolean[instances];
+            asked = new int[instances];
+            random = new SplittableRandom(seed);
+            this.loss = loss;
+            for (int i = 0; i < instances; i++) {
+                proxies[i] = new ListNews(instances, seed + i);
+            }
+        }
+
+        void change() {
+            discovery++;
+            for (int i = 0; i < proxies.length; i++) {
+                if (!silent[i]) {
+                    told(i);
+                }
+            }
+        }
+
+        void told(int i) {
+            holds[i] = discovery;
+            if (proxies[i].held(discovery) == Order.TELL) {
+                for (int to = 0; to < proxies.length; to++) {
+                    if (to != i && random.nextDouble() >= loss) {
+                        messages++;
+                        claim(to, PeerMessage.listVersion(PeerMessage.list(discovery)));
+                    }
+                }
+            }
+        }
+
+        void claim(int to, long version) {
+            proxies[to].heard(now, version);
+        }
+
+        void pass(double ms) {
+            for (double end = now + ms; now < end; now += STEP_MS) {
+                for (int i = 0; i < proxies.length; i++) {
+                    if (proxies[i].due(now) == Order.ASK) {
+                        asked[i]++;
+                        silent[i] = false;
+                        told(i);
+                    }
+                }
+            }
+        }
+    }
+
+    /** Guards against a fleet that goes on with a list of which every second proxy could have told. */
+    @Property(tries = 60)
+    void whoHearsNothingAsksAsSoonAsOthersHaveHeard(@ForAll @IntRange(min = 2, max = 72) int instances,
+            @ForAll @DoubleRange(min = 0, max = 0.5) double loss, @ForAll long seed) {
+        Tier tier = new Tier(instances, loss, seed);
+        for (int i = 0; i < instances; i++) {
+            tier.silent[i] = i % 2 == 1;
+        }
+        for (int change = 0; change < 8; change++) {
+            tier.change();
+            tier.pass(3 * ListNews.LAG_MS + 2 * ListNews.TURN_MS * instances);
+        }
+        assertThat(tier.holds).containsOnly(8);
+        assertThat(Arrays.stream(tier.asked).max().orElseThrow()).isLessThanOrEqualTo(3);
+    }
+
+    /** What is told grows with what there is to tell, and not with who could. */
+    @Test
+    void aVersionIsToldOnceByThoseWhoHaveNotHeardItAndNobodyAsksWhereAllAreTold() {
+        Tier tier = new Tier(14, 0, 1);
+        tier.change();
+        tier.pass(5000);
+        assertThat(tier.messages).isEqualTo(13);
+        assertThat(tier.asked).containsOnly(0);
+    }
+
+    /** Guards against a peer that makes all the others call, or keeps them from telling. */
+    @Test
+    void oneThatClaimsWhatIsNotSoCostsFewCallsAndKeepsNobodyFromTheNews() {
+        Tier tier = new Tier(8, 0, 1);
+        for (int s = 0; s < 600; s++) {
+            for (int i = 0; i < 8; i++) {
+                tier.claim(i, 1L << 40 | s);
+            }
+            tier.pass(100);
+        }
+        assertThat(Arrays.stream(tier.asked).max().orElseThrow()).isLessThanOrEqualTo(7);
+        tier.silent[3] = true;
+        tier.change();
+        tier.pass(ListNews.LONGEST_MS);
+        assertThat(tier.holds).containsOnly(1);
+    }
+
+    @Test
+    void whatIsNoMessageAboutTheListIsNone() {
+        assertThat(PeerMessage.listVersion(new byte[0])).isNegative();
+        assertThat(PeerMessage.listVersion(new byte[9])).isNegative();
+        assertThat(PeerMessage.listVersion(new byte[] {'L', 0, 0, 0, 0, 0, 0, 0})).isNegative();
+        assertThat(PeerMessage.listVersion(PeerMessage.list(77))).isEqualTo(77);
+        assertThatThrownBy(() -> new ListNews(0, 1)).hasMessageContaining("0 instances");
+    }
+}
--- a/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
+++ b/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
@@ -4,6 +4,11 @@
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
+import damsonworks.Await;
+import damsonworks.peer.PeerMessage;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 
@@ -44,6 +49,41 @@
         node.close();
     }
 
+    /** Guards against a list that stays old for as long as a watch may wait, where another proxy has the news. */
+    @Test
+    void aWatchThatFellSilentIsBegunAnewOnAPeersWord() throws Exception {
+        FakeServer node = hits();
+        CountDownLatch silent = new CountDownLatch(1);
+        FakeServer discovery = new FakeServer(c -> {
+            c.request();
+            if (silent.getCount() > 0) {
+                silent.countDown();
+                c.awaitEnd();
+                return;
+            }
+            c.sayHttp(200, "", list(node, false));
+            c.request();
+            c.awaitEnd();
+        });
+        InetAddress local = InetAddress.getByName("127.0.0.1");
+        try (DatagramSocket peer = new DatagramSocket(0, local)) {
+            Fleet fleet = new Fleet().discovery(discovery).set("caps.connect-timeout", "200.0");
+            JsonArray peers = new JsonArray();
+            peers.add("127.0.0.1:" + peer.getLocalPort());
+            fleet.config.add("peers", peers);
+            fleet.config.addProperty("peers_all", "127.0.0.1:" + peer.getLocalPort());
+            fleet.config.addProperty("peer_listen", "127.0.0.1:0");
+            try (fleet) {
+                fleet.start();
+                silent.await();
+                peer.send(new DatagramPacket(PeerMessage.list(43), 9, fleet.proxy.peerAddress()));
+                Await.until("the list is news", () -> served(fleet).equals("VA 5 O1"));
+                assertThat(discovery.accepted).hasSize(2);
+            }
+        }
+        node.close();
+    }
+
     @Test
     void aServerAtANewAddressGetsNothingMoreAtItsOldOne() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
