Cold nodes of a whole fleet take what they can, not half of it

For 9 s each new one got single digits of requests in 3 s while the warm ones got a hundred and more, were overdue in 2,678 of 4,400 answers in five seconds, and jammed; the jam (crowd.pressure, up to 2.4) then cut what the cold ones got once more. warmEnough in Policy gave a cold node half of what it can do (COLD_MARGIN 2, for a fleet of which half is gone) divided by the pressure: each proxy's caution alone is harmless, all together they leave the new nodes idle.

Change: the margin follows from the list: what is there now over what is usually there (fades within some warm-ups), 1 for a fleet whose nodes were replaced. The pressure counts only from half the multiple that makes a cold node fall.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -12,11 +12,10 @@
     private static final int CACHE_TRIES = 2;
     private static final double DOUBT_SHARE = 0.05;
     private static final double DOUBT_SAVED = 5;
-    /**
-     * A cold server takes this part less than it could: with half the fleet gone each key set is twice as
-     * large.
-     */
-    private static final double COLD_MARGIN = 2;
+    /** Of what makes a cold server fall over, more than its part may reach it for want of other servers. */
+    private static final double COLD_ROOM = 0.5;
+    /** In so many warm-ups a fleet that has shrunk counts as the usual one by half. */
+    private static final double USUAL_WARM_UPS = 4;
     private static final int RANKS = 8;
     private static final int SHUN_CONNECTS = 10;
     private static final int MAX_TURNED_AWAY = 4;
@@ -40,6 +39,10 @@
     private double usualCost;
     private double pace;
     private double paceDeviation;
+    /** What the list's servers are together, and what they usually are; the latter fades to the former. */
+    private double weight;
+    private double usualWeight;
+    private double weighedAt;
     private double doubts = DOUBT_SAVED;
     private double trials = 1;
     private int nextToken;
@@ -277,7 +280,7 @@
         if (!same) { // open requests stay charged where they were
             shares = next.overShareWorth() < 1 && next.tenants().size() > 1 ? new Shares() : null;
         }
-        rank();
+        rank(now);
     }
 
     @Override
@@ -355,7 +358,7 @@
             }
             s.member = m;
         }
-        rank();
+        rank(now);
     }
 
     private void check(List<Member> members) {
@@ -375,7 +378,7 @@
         }
     }
 
-    private void rank() {
+    private void rank(double now) {
         origin = null;
         List<Server> list = new ArrayList<>();
         for (Server s : servers.values()) {
@@ -396,6 +399,10 @@
             weights[i] = ranked[i].member.weight();
             sum += weights[i];
         }
+        weight = sum;
+        double fade = Math.pow(0.5, (now - weighedAt) / Math.max(1, USUAL_WARM_UPS * cfg.warmUpMs()));
+        usualWeight = Math.max(sum, usualWeight * fade);
+        weighedAt = now;
         float[] x = Carp.multipliers(weights);
         for (int i = 0; i < ranked.length; i++) {
             ranked[i].multiplier = x[i];
@@ -553,7 +560,8 @@
      */
     private void noPlace(double now, Server s) {
         int times = 1 << Math.min(s.turnedAway++, MAX_TURNED_AWAY);
-        s.noPlaceUntil = now + SHUN_CONNECTS * cfg.connectTimeoutMs() * times * (0.5 + random.nextDouble());
+        double wait = SHUN_CONNECTS * cfg.connectTimeoutMs() * times;
+        s.noPlaceUntil = now + wait * (0.5 + random.nextDouble());
     }
 
     private boolean maySend(double now, Flight f, Server s) {
@@ -660,8 +668,10 @@
     /**
      * The draft knows no cold member. Of one key it takes no more than a server's fair part of what this
      * instance sees. For its warm-up a server takes only keys whose lot, the same at all instances, lies
-     * under its ramp; the others stay with their runner-up. Repeats and hot keys keep off it: they are what
-     * pushes it over.
+     * under its ramp; the others stay with their runner-up. The ramp is what it can do, less where servers are
+     * missing and each has the keys of others, and where a jam brings clients' repeats. Any less would leave
+     * the keys of a replaced server to warm ones that have their own: all instances alike would jam these.
+     * Repeats and hot keys keep off it: they are what pushes it over.
      */
     private boolean warmEnough(double now, Flight f, Server s) {
         if (!cold(now, s)) {
@@ -672,7 +682,8 @@
         }
         double age = now - s.member.bornMs();
         double capacity = cfg.startCapacity() + (1 - cfg.startCapacity()) * Math.max(0, age) / cfg.warmUpMs();
-        double ramp = capacity / COLD_MARGIN / crowd.pressure(now);
+        double room = Math.min(1, cfg.tipMultiple() * COLD_ROOM / crowd.pressure(now));
+        double ramp = capacity * (usualWeight > 0 ? weight / usualWeight : 1) * room;
         boolean fair = f.seen <= 1 || random.nextDouble() * f.seen < hot.total * s.share;
         return fair && Carp.lot(f.keyHash, s.hash) < ramp;
     }
