--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -668,10 +668,10 @@
     /**
      * The draft knows no cold member. Of one key it takes no more than a server's fair part of what this
      * instance sees. For its warm-up a server takes only keys whose lot, the same at all instances, lies
-     * under its ramp; the others stay with their runner-up. The ramp is what it can do, less where servers are
-     * missing and each has the keys of others, and where a jam brings clients' repeats. Any less would leave
-     * the keys of a replaced server to warm ones that have their own: all instances alike would jam these.
-     * Repeats and hot keys keep off it: they are what pushes it over.
+     * under its ramp; the others stay with their runner-up. The ramp is what it can do, less where servers
+     * are missing and each has the keys of others, and where a jam brings clients' repeats. Any less would
+     * leave the keys of a replaced server to warm ones that have their own: all instances alike would jam
+     * these. Repeats and hot keys keep off it: they are what pushes it over.
      */
     private boolean warmEnough(double now, Flight f, Server s) {
         if (!cold(now, s)) {
