Only the server's own end, at several servers, counts as a lack of places

Change: an end of our own tells nothing of places; a proxy contents itself with one connection a node only once a tenth of the nodes, two at least, had none left.

--- a/src/main/java/damsonworks/proxy/Servers.java
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -21,6 +21,8 @@
     private static final double RETIRE_AT = 0.7;
     /** So long after one had no place, servers are taken to have few: some rounds of trying them again. */
     private static final double SCARCE_MS = 60_000;
+    /** Of the servers, two at least, so many must have had no place. */
+    private static final double SCARCE_PART = 0.1;
     private static final double CLOSES_PER_SECOND = 10;
     private static final double CLOSES_SAVED = 10;
 
@@ -103,9 +105,13 @@
 
     // ---- bounds
 
-    /** A server had no place for a further connection. */
+    /** A server had no place for a further connection; one by itself may be at its limit for reasons of its own. */
     void turnedAway() {
-        scarceUntilMs = dispatcher.now() + SCARCE_MS;
+        double since = dispatcher.now() - SCARCE_MS;
+        long full = cacheNodes().filter(u -> u.turnedAwayMs() > since).count();
+        if (full >= Math.max(2, discovered() * SCARCE_PART)) {
+            scarceUntilMs = dispatcher.now() + SCARCE_MS;
+        }
     }
 
     /** Whether servers have too few places for all proxies, so that each should be content with one. */
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -24,6 +24,7 @@
     /** When something was last put on a connection to it. */
     private double sentMs = Double.NEGATIVE_INFINITY;
     private double noMoreUntilMs;
+    private double turnedAwayMs = Double.NEGATIVE_INFINITY;
     private final Dispatcher dispatcher;
     private final Bootstrap bootstrap;
     private final int maxConnections;
@@ -82,6 +83,11 @@
         return true;
     }
 
+    /** When it last had no place for a new connection. */
+    double turnedAwayMs() {
+        return turnedAwayMs;
+    }
+
     double sentMs() {
         return sentMs;
     }
@@ -107,6 +113,7 @@
 
     /** A new connection was turned away; whether none other stands. */
     boolean turnedAway() {
+        turnedAwayMs = dispatcher.now();
         dispatcher.servers().turnedAway();
         noMoreUntilMs = dispatcher.now() + NO_MORE_MS;
         return connections.isEmpty();
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -276,7 +276,8 @@
         // Guards against ended connections that count on: the server's limit and the proxy's fill up for good.
         upstream.closed(this);
         if (turnedAway != null) {
-            turnedAway(upstream.turnedAway() ? Outcome.NO_PLACE : Outcome.FULL);
+            // Where the end is ours (what came behind could not be read), it tells nothing of places.
+            turnedAway(!retired && upstream.turnedAway() ? Outcome.NO_PLACE : Outcome.FULL);
         }
         for (Attempt a; (a = attempts.poll()) != null;) {
             if (!connected && !a.ended && upstream.sendElsewhere(a)) {
--- a/src/test/java/damsonworks/proxy/UpstreamTest.java
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -91,6 +91,25 @@
         }
     }
 
+    /** Guards against a spoilt answer that is taken for a lack of places: what ends the connection then is the proxy. */
+    @Test
+    void aRefusalWithNoiseBehindItTellsNothingOfPlaces() throws Exception {
+        FakeServer noisy = new FakeServer(c -> {
+            c.command();
+            c.say("SERVER_ERROR busy\r\nnoise\r\n");
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().node(noisy).node(FakeServer.node(UpstreamTest::hit)).start();
+                Fleet.Client client = fleet.client()) {
+            for (int i = 0; i < 60; i++) {
+                client.say("mg " + Integer.toHexString(0x1000 + 7919 * i) + " v O" + i + " Pc=text,d=20000\r\n");
+                assertThat(client.line()).isEqualTo("VA 5 O" + i);
+                client.line();
+            }
+            assertThat(noisy.commands).hasSizeGreaterThan(10);
+        }
+    }
+
     /** A refusal on a connection that stays is of that moment alone. */
     @Test
     void aNodeWhoseQueueIsFullIsAskedAgain() throws Exception {
