One seed per instance, one loop of reads in the tests, one place to wait for list news

Change: Settings.ownSeed serves Policy, discovery and the list news, in place of the same sum in Policy and Config; UpstreamTest's four loops of reads are one method; that a timer which comes too early waits again is decided in ListNews and not in PeerNews; DiscoveryClient.renew no longer closes what the call it makes closes anyway. No behaviour changed, and the tests keep their assertions.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -260,8 +260,7 @@
 
     /** A fresh instance that knows nothing yet. */
     public Policy(Settings settings, long seed) {
-        // Apart by the instance's own number too: a release may start all of them with one seed.
-        random = new SplittableRandom(seed + settings.me() * 0x9e3779b97f4a7c15L);
+        random = new SplittableRandom(settings.ownSeed(seed));
         onSettings(0, settings, null);
         double shortestAim = settings.classes().stream().mapToDouble(ServiceClass::aimMs).min().orElseThrow();
         fetchMs = shortestAim / 4;
--- a/src/main/java/damsonworks/RoutingApi.java
+++ b/src/main/java/damsonworks/RoutingApi.java
@@ -58,7 +58,12 @@
             double drainGraceMs,
             double answerGraceMs, double startCapacity, double warmUpMs, double tipMultiple, double fallMs,
             double askWithinMs, double originFallMultiple, double originFallMs, List<ServiceClass> classes,
-            List<Tenant> tenants) { }
+            List<Tenant> tenants) {
+        /** A seed of this instance's own: a release may start all of them with one. */
+        public long ownSeed(long seed) {
+            return seed + me * 0x9e3779b97f4a7c15L;
+        }
+    }
 
     record Request(int id, int serviceClass, int tenant, long key, double dueMs, double costMs, float bytes,
             boolean write, boolean repeat) { }
--- a/src/main/java/damsonworks/peer/ListNews.java
+++ b/src/main/java/damsonworks/peer/ListNews.java
@@ -97,7 +97,7 @@
     /** The time has come; what was claimed may have been told by now. */
     public Order due(double nowMs) {
         if (nowMs < dueMs) {
-            return Order.NONE;
+            return dueMs == Double.POSITIVE_INFINITY ? Order.NONE : Order.WAIT;
         }
         dueMs = Double.POSITIVE_INFINITY;
         claimed = held; // discovery's answer settles it
--- a/src/main/java/damsonworks/proxy/Config.java
+++ b/src/main/java/damsonworks/proxy/Config.java
@@ -39,11 +39,6 @@
                 settings.tenants().stream().map(t -> t.name()).toList(), zones, kinds);
     }
 
-    /** Apart by the instance's own number too: a release may start all of them with one seed. */
-    long ownSeed() {
-        return seed + settings.me() * 0x9e3779b97f4a7c15L;
-    }
-
     /** What discovery's list may name. */
     ListForm listForm() {
         return new ListForm(zones, kinds);
@@ -51,7 +46,7 @@
 
     /** Where the list comes from, and how. */
     DiscoveryClient.Settings discoverySettings() {
-        return new DiscoveryClient.Settings(discovery, listForm(), ownSeed(), settings.askForList());
+        return new DiscoveryClient.Settings(discovery, listForm(), settings.ownSeed(seed), settings.askForList());
     }
 
     /** Reads the file; an IllegalArgumentException says in one line what is wrong. */
--- a/src/main/java/damsonworks/proxy/PeerNews.java
+++ b/src/main/java/damsonworks/proxy/PeerNews.java
@@ -40,13 +40,9 @@
         switch (order) {
             case NONE -> { }
             case TELL -> peers.send(ALL, PeerMessage.list(discovery.version()));
-            case WAIT -> dispatcher.after(news.dueMs() - dispatcher.now(), this::due);
+            case WAIT -> dispatcher.after(news.dueMs() - dispatcher.now(),
+                    () -> carryOut(news.due(dispatcher.now())));
             case ASK -> discovery.renew();
         }
     }
-
-    private void due() {
-        Order order = news.due(dispatcher.now());
-        carryOut(order == Order.NONE && news.dueMs() < Double.POSITIVE_INFINITY ? Order.WAIT : order);
-    }
 }
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -2,6 +2,7 @@
 
 import com.google.gson.JsonObject;
 import damsonworks.RoutingApi.Experience;
+import damsonworks.RoutingApi.Settings;
 import damsonworks.drain.Drain;
 import damsonworks.drain.DrainPlan;
 import damsonworks.flow.ByteBudget;
@@ -78,7 +79,8 @@
             dispatcher.start(discovery, peers, acceptor, routing);
             discovery.start(newer(state, config.known()));
             if (config.settings().peers()) {
-                ListNews news = new ListNews(config.settings().instances(), config.ownSeed());
+                Settings settings = config.settings();
+                ListNews news = new ListNews(settings.instances(), settings.ownSeed(config.seed()));
                 news.begin(discovery.version());
                 dispatcher.news(new PeerNews(dispatcher, peers, discovery, news));
             }
--- a/src/main/java/damsonworks/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/discovery/DiscoveryClient.java
@@ -154,7 +154,6 @@
     /** Begins the watch anew where there is one: it may have fallen silent. */
     public void renew() {
         if (watching) {
-            watchLine.close();
             watch(true);
         }
     }
--- a/src/test/java/damsonworks/proxy/UpstreamTest.java
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -23,6 +23,15 @@
         });
     }
 
+    /** So many reads of as many keys, one after the other, each served with what a node made for it. */
+    private static void servesReads(Fleet.Client client, int reads) throws Exception {
+        for (int i = 0; i < reads; i++) {
+            client.say("mg " + Integer.toHexString(0x1000 + 7919 * i) + " v O" + i + " Pc=text,d=20000\r\n");
+            assertThat(client.line()).isEqualTo("VA 5 O" + i);
+            client.line();
+        }
+    }
+
     private static String refused() throws Exception {
         try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
             return "127.0.0.1:" + socket.getLocalPort();
@@ -63,11 +72,7 @@
         try (Fleet fleet = new Fleet().node(refused()).node(full).node(FakeServer.node(UpstreamTest::hit))
                 .origin(origin(200, "", "fetch")).start();
                 Fleet.Client client = fleet.client()) {
-            for (int i = 0; i < 30; i++) {
-                client.say("mg " + Integer.toHexString(0x1000 + 7919 * i) + " v O" + i + " Pc=text,d=20000\r\n");
-                assertThat(client.line()).isEqualTo("VA 5 O" + i);
-                client.line();
-            }
+            servesReads(client, 30);
             assertThat(busy.get()).isPositive();
         }
     }
@@ -81,11 +86,7 @@
         });
         try (Fleet fleet = new Fleet().node(crowded).node(FakeServer.node(UpstreamTest::hit)).start();
                 Fleet.Client client = fleet.client()) {
-            for (int i = 0; i < 60; i++) {
-                client.say("mg " + Integer.toHexString(0x1000 + 7919 * i) + " v O" + i + " Pc=text,d=20000\r\n");
-                assertThat(client.line()).isEqualTo("VA 5 O" + i);
-                client.line();
-            }
+            servesReads(client, 60);
             assertThat(crowded.commands).hasSize(1);
             assertThat(fleet.on(() -> fleet.proxy.status().ejected())).isZero();
         }
@@ -101,11 +102,7 @@
         });
         try (Fleet fleet = new Fleet().node(noisy).node(FakeServer.node(UpstreamTest::hit)).start();
                 Fleet.Client client = fleet.client()) {
-            for (int i = 0; i < 60; i++) {
-                client.say("mg " + Integer.toHexString(0x1000 + 7919 * i) + " v O" + i + " Pc=text,d=20000\r\n");
-                assertThat(client.line()).isEqualTo("VA 5 O" + i);
-                client.line();
-            }
+            servesReads(client, 60);
             assertThat(noisy.commands).hasSizeGreaterThan(10);
         }
     }
@@ -116,11 +113,7 @@
         FakeServer full = FakeServer.node(line -> "SERVER_ERROR busy\r\n");
         try (Fleet fleet = new Fleet().node(full).node(FakeServer.node(UpstreamTest::hit)).start();
                 Fleet.Client client = fleet.client()) {
-            for (int i = 0; i < 60; i++) {
-                client.say("mg " + Integer.toHexString(0x1000 + 7919 * i) + " v O" + i + " Pc=text,d=20000\r\n");
-                assertThat(client.line()).isEqualTo("VA 5 O" + i);
-                client.line();
-            }
+            servesReads(client, 60);
             assertThat(full.commands).hasSizeGreaterThan(10);
         }
     }
