Two tests of slow clients in a drain, for what is held back and for what waits in the proxy

A second test has answers of 64 KiB fill the system's buffers until the proxy's own are in use, which is what the first was written for.

--- a/src/test/java/damsonworks/proxy/DrainOnRequestTest.java
+++ b/src/test/java/damsonworks/proxy/DrainOnRequestTest.java
@@ -256,7 +256,6 @@
         }
     }
 
-    /** Seen: its connection ended as soon as the last answer was in the proxy's own buffer, and cut it off. */
     @Test
     void aClientThatReadsSlowlyGetsItsAnswersWhole() throws Exception {
         FakeServer node = longValues();
@@ -264,18 +263,8 @@
             for (int i = 0; i < 10; i++) { // more than the system's own buffers take
                 client.read("" + i);
             }
-            Await.until("all are answered", () -> fleet.on(fleet.proxy::status).answered() == 10);
-            drain(fleet, LONG_MS);
-            Thread end = new Thread(fleet.proxy::drain); // what SIGTERM begins ends connections at once
-            end.start();
-            Await.until("SIGTERM's time to listen is over", () -> {
-                try {
-                    fleet.client().close();
-                    return false;
-                } catch (ConnectException e) {
-                    return true;
-                }
-            });
+            Await.until("all are under way, held back by the client", () -> fleet.on(fleet.proxy::status).owed() == 10);
+            Thread end = drainAndTerminate(fleet);
             for (int i = 0; i < 10; i++) {
                 assertThat(client.line()).isEqualTo("VA " + LONG_VALUE + " O" + i);
                 assertThat(client.bytes(LONG_VALUE)).hasSize(LONG_VALUE);
@@ -286,6 +275,62 @@
         }
     }
 
+    /** Seen: its connection ended as soon as the last answer was in the proxy's own buffer, and cut it off. */
+    @Test
+    void answersThatWaitInTheProxyForTheirClientReachItWhole() throws Exception {
+        String value = "x".repeat(MetaCodec.WHOLE);
+        FakeServer node = FakeServer.node(line -> "VA " + value.length() + " O" + FakeServer.id(line) + " h1\r\n" + value
+                + "\r\n");
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client first = fleet.client(1 << 16);
+                Fleet.Client client = fleet.client(1 << 16)) {
+            // So many that the system's buffers are full and the proxy's own are in use: it reads no further command then.
+            int fit = 0;
+            while (answeredSoon(fleet, fit)) {
+                first.read("" + fit++);
+            }
+            first.close();
+            for (int i = 1; i < fit; i++) { // one more would be a command that is still to be read
+                client.read("" + i);
+            }
+            answeredSoon(fleet, 2 * (fit - 1));
+            Thread end = drainAndTerminate(fleet);
+            Thread.sleep(300); // time for an end that comes too early
+            for (int i = 1; i < fit; i++) {
+                assertThat(client.line()).isEqualTo("VA " + value.length() + " O" + i);
+                assertThat(client.bytes(value.length())).hasSize(value.length());
+                assertThat(client.line()).isEmpty();
+            }
+            end.join();
+        }
+    }
+
+    /** Whether so many have been answered within a time that is long for one; a slow machine only makes it too careful. */
+    private static boolean answeredSoon(Fleet fleet, int many) throws InterruptedException {
+        for (int i = 0; i < 100; i++) {
+            if (fleet.on(fleet.proxy::status).answered() >= many) {
+                return true;
+            }
+            Thread.sleep(5);
+        }
+        return false;
+    }
+
+    /** What SIGTERM begins ends connections at once; returns when the proxy has stopped listening. */
+    private static Thread drainAndTerminate(Fleet fleet) {
+        drain(fleet, LONG_MS);
+        Thread end = new Thread(fleet.proxy::drain);
+        end.start();
+        Await.until("SIGTERM's time to listen is over", () -> {
+            try {
+                fleet.client().close();
+                return false;
+            } catch (ConnectException e) {
+                return true;
+            }
+        });
+        return end;
+    }
+
     @Test
     void aClientThatNeverReadsHoldsTheEndBackToTheDeadlineAndNoLonger() throws Exception {
         FakeServer node = longValues();
--- a/src/test/java/damsonworks/proxy/Fleet.java
+++ b/src/test/java/damsonworks/proxy/Fleet.java
@@ -160,7 +160,12 @@
     }
 
     Client client() throws IOException {
-        Client client = new Client(proxy.address());
+        return client(0);
+    }
+
+    /** One whose system keeps no more than so many unread bytes for it; 0 for the usual. */
+    Client client(int receiveBuffer) throws IOException {
+        Client client = new Client(proxy.address(), receiveBuffer);
         parts.add(client);
         return client;
     }
@@ -180,8 +185,12 @@
         final Socket socket;
         private final InputStream in;
 
-        Client(InetSocketAddress to) throws IOException {
-            socket = new Socket(InetAddress.getByName("127.0.0.1"), to.getPort());
+        Client(InetSocketAddress to, int receiveBuffer) throws IOException {
+            socket = new Socket();
+            if (receiveBuffer > 0) {
+                socket.setReceiveBufferSize(receiveBuffer); // the window is agreed on when the connection is made
+            }
+            socket.connect(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), to.getPort()));
             socket.setSoTimeout(25_000);
             socket.setTcpNoDelay(true);
             in = new BufferedInputStream(socket.getInputStream());
--- a/src/test/java/damsonworks/proxy/UpgradeTest.java
+++ b/src/test/java/damsonworks/proxy/UpgradeTest.java
@@ -119,12 +119,12 @@
                 int number = c;
                 Thread thread = new Thread(() -> {
                     try {
-                        Fleet.Client client = new Fleet.Client(fleet.proxy.address());
+                        Fleet.Client client = new Fleet.Client(fleet.proxy.address(), 0);
                         for (int i = 0; !over.get(); i++) {
                             String id = number + "x" + i;
                             if (number % 2 == 1 && i % 10 == 9) {
                                 client.close();
-                                client = new Fleet.Client(fleet.proxy.address());
+                                client = new Fleet.Client(fleet.proxy.address(), 0);
                             }
                             served(client.read(id), id);
                             served[number]++;
