Some two proxies tell a version of the list, however many there are

Discovery tells all in one moment and a message takes 5 to 30 ms, so ListNews.held found no version told before and all told all others.

Change: each waits for a random part of 50 ms times instances, and has nothing to tell once another has.

--- a/src/main/java/damsonworks/peer/ListNews.java
+++ b/src/main/java/damsonworks/peer/ListNews.java
@@ -6,8 +6,9 @@
 /**
  * Finds out from peers that discovery has news which this proxy has not been told. A watch that has fallen silent looks
  * like one with nothing to say; each proxy alone learns of it only when the watch's wait is over. Of many proxies some
- * are told in time, so each tells the others the version of the list that it has come to hold, where none has told it
- * that version before: whoever is not told the same soon afterwards asks anew.
+ * are told in time, so each tells the others the version of the list that it has come to hold: whoever is not told the
+ * same soon afterwards asks anew. Discovery tells all in one moment, so each waits for a random part of a time that grows
+ * with their number, and has nothing to tell once another has: some two of them tell a version, however many there are.
  *
  * <p>A claim is no news by itself: what the list holds comes from discovery alone. A wrong one costs a call, and the
  * next call on account of peers waits twice as long, until discovery has confirmed one.
@@ -15,7 +16,10 @@
 public final class ListNews {
     /** So long may a watch take to tell what another has told already: a few times what it takes one by one. */
     static final double LAG_MS = 500;
-    /** Whoever asks does so within this time, for each instance: discovery takes calls in turn. */
+    /**
+     * Whoever asks, or tells, does so within this time for each instance: discovery takes calls in turn, and a message
+     * takes less than this, so that most learn that a version has been told before their own turn comes.
+     */
     static final double TURN_MS = 50;
     /** The longest time between calls on account of peers. */
     static final double LONGEST_MS = 60_000;
@@ -27,7 +31,8 @@
     private int tells;
     private long held;
     private long claimed;
-    private double dueMs = Double.POSITIVE_INFINITY;
+    private double tellMs = Double.POSITIVE_INFINITY;
+    private double askMs = Double.POSITIVE_INFINITY;
     private double pauseMs = LAG_MS;
 
     /** What follows from an event. */
@@ -56,7 +61,7 @@
     }
 
     /** Discovery has told this proxy that version. */
-    public Order held(long version) {
+    public Order held(double nowMs, long version) {
         if (version <= held) {
             return Order.NONE;
         }
@@ -65,9 +70,21 @@
         }
         held = version;
         if (claimed <= held) {
-            dueMs = Double.POSITIVE_INFINITY;
+            askMs = Double.POSITIVE_INFINITY;
         }
-        return Arrays.stream(told).anyMatch(v -> v == version) ? Order.NONE : Order.TELL;
+        if (tellMs != Double.POSITIVE_INFINITY || toldAlready() || instances == 1) {
+            return Order.NONE;
+        }
+        tellMs = nowMs + turn();
+        return Order.WAIT;
+    }
+
+    private double turn() {
+        return random.nextDouble() * TURN_MS * instances;
+    }
+
+    private boolean toldAlready() {
+        return Arrays.stream(told).anyMatch(v -> v == held);
     }
 
     /** The list that this proxy starts with; that it is held is no news to anybody. */
@@ -82,26 +99,32 @@
             return Order.NONE;
         }
         claimed = version;
-        if (dueMs != Double.POSITIVE_INFINITY) {
+        if (askMs != Double.POSITIVE_INFINITY) {
             return Order.NONE;
         }
-        dueMs = nowMs + pauseMs + random.nextDouble() * TURN_MS * instances;
+        askMs = nowMs + pauseMs + turn();
         return Order.WAIT;
     }
 
     /** When to look again, in milliseconds; infinite for never. */
     public double dueMs() {
-        return dueMs;
+        return Math.min(tellMs, askMs);
     }
 
-    /** The time has come; what was claimed may have been told by now. */
+    /** The time has come, or a timer thinks so. What follows is one order; there may be more to come at {@link #dueMs}. */
     public Order due(double nowMs) {
-        if (nowMs < dueMs) {
-            return dueMs == Double.POSITIVE_INFINITY ? Order.NONE : Order.WAIT;
+        if (nowMs >= tellMs) {
+            tellMs = Double.POSITIVE_INFINITY;
+            if (!toldAlready()) {
+                return Order.TELL;
+            }
+        }
+        if (nowMs >= askMs) { // what was claimed has not been told by now
+            askMs = Double.POSITIVE_INFINITY;
+            claimed = held; // discovery's answer settles it
+            pauseMs = Math.min(LONGEST_MS, pauseMs * 2);
+            return Order.ASK;
         }
-        dueMs = Double.POSITIVE_INFINITY;
-        claimed = held; // discovery's answer settles it
-        pauseMs = Math.min(LONGEST_MS, pauseMs * 2);
-        return Order.ASK;
+        return dueMs() == Double.POSITIVE_INFINITY ? Order.NONE : Order.WAIT;
     }
 }
--- a/src/main/java/damsonworks/proxy/PeerNews.java
+++ b/src/main/java/damsonworks/proxy/PeerNews.java
@@ -23,7 +23,7 @@
 
     /** Discovery has told that version. */
     void held(long version) {
-        carryOut(news.held(version));
+        carryOut(news.held(dispatcher.now(), version));
     }
 
     /** Whether that message was one of these. */
@@ -38,11 +38,13 @@
 
     private void carryOut(Order order) {
         switch (order) {
-            case NONE -> { }
             case TELL -> peers.send(ALL, PeerMessage.list(discovery.version()));
-            case WAIT -> dispatcher.after(news.dueMs() - dispatcher.now(),
-                    () -> carryOut(news.due(dispatcher.now())));
             case ASK -> discovery.renew();
+            case NONE, WAIT -> { }
+        }
+        double due = news.dueMs();
+        if (order != Order.NONE && due != Double.POSITIVE_INFINITY) {
+            dispatcher.after(Math.max(0, due - dispatcher.now()), () -> carryOut(news.due(dispatcher.now())));
         }
     }
 }
