--- a/src/main/java/damsonworks/Main.java
+++ b/src/main/java/damsonworks/Main.java
@@ -43,18 +43,24 @@
     private static void serve(String[] args) {
         String control = null;
         String edge = null;
+        long figuresMs = 0;
         for (int i = 1; i < args.length; i += 2) {
             String value = i + 1 < args.length ? args[i + 1] : "";
             if (args[i].equals("--control") && control == null && !value.isEmpty()) {
                 control = value;
             } else if (args[i].equals("--edge") && edge == null && !value.isEmpty()) {
                 edge = value;
+            } else if (args[i].equals("--figures") && figuresMs == 0 && value.matches("[1-9][0-9]{0,4}s")) {
+                figuresMs = 1000 * Long.parseLong(value.substring(0, value.length() - 1));
             } else {
-                System.err.println("usage: serve [--edge FILE] [--control PATH]");
+                System.err.println("usage: serve [--edge FILE] [--control PATH] [--figures SECONDSs]");
                 System.exit(2);
             }
         }
         Proxy proxy = edge == null ? Proxy.main() : Proxy.main(new EdgeFile(Path.of(edge)));
+        if (figuresMs > 0) {
+            proxy.logFigures(figuresMs);
+        }
         if (control == null && proxy.operator() == null) {
             return; // nobody asks, so nothing of it is loaded
         }
--- a/src/main/java/damsonworks/cli/DemoCommand.java
+++ b/src/main/java/damsonworks/cli/DemoCommand.java
@@ -6,6 +6,7 @@
 import damsonworks.fleet.FleetSpec;
 import damsonworks.fleet.FrontLayer;
 import damsonworks.fleet.Oracle;
+import damsonworks.fleet.Unrest;
 import damsonworks.load.Generator;
 import damsonworks.load.Report;
 import damsonworks.load.Workload;
@@ -27,13 +28,12 @@
                 + "something did not start, 2 wrong use."},
         footerHeading = "%nExamples:%n",
         footer = {"  demo", "  demo --nodes 12 --proxies 3 --rate 1000 --for 60s --fault evening.faults --html out.html",
-            "  demo --upgrade 6s --for 60s", "  demo --rate 100 --values 4mb:0.02,64kb:0.1",
+            "  demo --upgrade 6s --for 60s", "  demo --proxies 14 --nodes 60 --release 10s --replace 500ms",
+            "  demo --rate 100 --values 4mb:0.02,64kb:0.1",
             "", "A script of faults:", "  5s    node-3     stall 2s", "  8s    node-*     spoil 3s 10%%",
             "  10s   discovery  down 8s", "  12s   proxy-1    kill 1s"})
 final class DemoCommand implements Callable<Integer> {
     private static final double LEAD_IN_SHARE = 0.25;
-    /** What a process needs to start at all. */
-    private static final double MIN_UPGRADE_MS = 100;
 
     @Spec
     private CommandSpec spec;
@@ -66,6 +66,15 @@
             description = "A new process takes over from the next proxy each time so much has passed.")
     private Duration upgrade;
 
+    @Option(names = "--release", paramLabel = "TIME",
+            description = "At this time a release goes wrong: eight in ten proxies are killed in one moment, and start "
+                    + "together a second later.")
+    private Duration release;
+
+    @Option(names = "--replace", paramLabel = "TIME",
+            description = "The next node dies each time so much has passed, and is back a second later, empty and cold.")
+    private Duration replace;
+
     @Option(names = "--json", paramLabel = "FILE", description = "Writes figures and histograms.")
     private Path json;
 
@@ -77,7 +86,7 @@
         PrintWriter out = spec.commandLine().getOut();
         FleetSpec fleetSpec = traffic.values.in(fleetOptions.spec());
         List<Fault> faults = new ArrayList<>(fleetOptions.faults(fleetSpec));
-        upgrades(fleetSpec, faults);
+        faults.addAll(unrest(fleetSpec));
         out.printf("starting %d nodes, an origin, discovery and %d proxies%n", fleetSpec.nodes(), fleetSpec.proxies());
         out.flush();
         try (ProxiedFleet fleet = new ProxiedFleet(fleetSpec, fleetOptions.memoryMb, fleetOptions.edge)) {
@@ -105,13 +114,19 @@
         }
     }
 
-    /** The proxies in turn, each in its time. */
-    private void upgrades(FleetSpec fleetSpec, List<Fault> faults) {
-        double every = upgrade == null ? Double.POSITIVE_INFINITY : Math.max(MIN_UPGRADE_MS, upgrade.ms());
-        int turn = 0;
-        for (double at = every; at < traffic.length.ms(); at += every) {
-            faults.add(new Fault(at, "proxy-" + turn++ % fleetSpec.proxies(), Fault.Action.UPGRADE, 0, 0));
+    /** What the options ask for, beside the script. */
+    private List<Fault> unrest(FleetSpec of) {
+        List<Fault> faults = new ArrayList<>();
+        if (upgrade != null) {
+            faults.addAll(Unrest.upgrades(upgrade.ms(), traffic.length.ms(), of.proxies()));
+        }
+        if (release != null) {
+            faults.addAll(Unrest.release(release.ms(), of.proxies()));
+        }
+        if (replace != null) {
+            faults.addAll(Unrest.replacements(replace.ms(), traffic.length.ms(), of.nodes()));
         }
+        return faults;
     }
 
     private Generator generator(ProxiedFleet fleet, Workload workload, double warmUpSeconds, long seed) {
--- /dev/null
+++ b/src/main/java/damsonworks/figures/FleetWork.java
@@ -0,0 +1,131 @@
+package damsonworks.figures;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Adds up the lines of all processes of a tier. A proxy that was started again is two processes, and both count. Lines may
+ * come in any order; of those of one process the latest holds.
+ */
+public final class FleetWork {
+    /** Who wrote a line. */
+    private record Life(String proxy, long pid) { }
+
+    /** Since when each process avoids a node, while it does. */
+    private final Map<String, Map<Life, Long>> avoiding = new HashMap<>();
+    private final Map<String, Spell> spells = new TreeMap<>();
+    private final Map<Life, WorkLine> latest = new LinkedHashMap<>();
+    private final List<WorkLine> lines = new ArrayList<>();
+    private int unread;
+
+    /**
+     * How a node came to be avoided: from the time at which the first process was seen to, to the last that joined while
+     * others still did. As coarse as the lines are apart.
+     *
+     * @param node    its id
+     * @param fromMs  when the first was seen to avoid it, by the Unix clock
+     * @param tookMs  until the last was
+     * @param proxies how many did, at some time of the spell
+     */
+    public record Left(String node, long fromMs, long tookMs, int proxies) { }
+
+    /** One time for which some process avoids a node. */
+    private static final class Spell {
+        long fromMs;
+        long lastMs;
+        final Set<Life> who = new HashSet<>();
+    }
+
+    /** What one process has done. */
+    public Collection<WorkLine> processes() {
+        return latest.values();
+    }
+
+    /** Takes one line of a log; others than those of figures are passed over. */
+    public void add(String line) {
+        WorkLine.parse(line).ifPresentOrElse(this::add, () -> {
+            if (line.startsWith(WorkLine.MARK)) {
+                unread++;
+            }
+        });
+    }
+
+    /** Takes one line. */
+    public void add(WorkLine line) {
+        lines.add(line);
+        latest.merge(new Life(line.proxy(), line.pid()), line, (a, b) -> b.atMs() >= a.atMs() ? b : a);
+    }
+
+    /** Lines of figures that were cut off. */
+    public int unread() {
+        return unread;
+    }
+
+    /** How much of this all have done. */
+    public long total(Work work) {
+        return latest.values().stream().mapToLong(l -> l.count(work)).sum();
+    }
+
+    /** For how long all of them are told of, in milliseconds: from the start of the first to the last line. */
+    public long spanMs() {
+        long from = latest.values().stream().mapToLong(l -> l.atMs() - l.upMs()).min().orElse(0);
+        return latest.values().stream().mapToLong(WorkLine::atMs).max().orElse(0) - from;
+    }
+
+    /** Connections turned away for want of a place, by node, the most first. */
+    public List<Map.Entry<String, Long>> turnedAway() {
+        Map<String, Long> sums = new TreeMap<>();
+        latest.values().forEach(l -> l.nodes().stream().filter(n -> n.noPlace() > 0)
+                .forEach(n -> sums.merge(n.id(), n.noPlace(), Long::sum)));
+        return sums.entrySet().stream().sorted(Map.Entry.<String, Long>comparingByValue(Comparator.reverseOrder())).toList();
+    }
+
+    /** How each node that any process has avoided came to be, in the order of time. */
+    public List<Left> left() {
+        List<Left> all = new ArrayList<>();
+        avoiding.clear();
+        spells.clear();
+        lines.stream().sorted(Comparator.comparingLong(WorkLine::atMs)).forEach(l -> {
+            Life life = new Life(l.proxy(), l.pid());
+            Set<String> now = new HashSet<>();
+            l.nodes().stream().filter(WorkLine.Node::avoided).forEach(n -> now.add(n.id()));
+            for (String node : now) {
+                if (avoiding.computeIfAbsent(node, k -> new HashMap<>()).putIfAbsent(life, l.atMs()) == null) {
+                    joins(node, life, l.atMs());
+                }
+            }
+            avoiding.forEach((node, who) -> {
+                if (!now.contains(node) && who.remove(life) != null && who.isEmpty()) {
+                    all.add(ended(node));
+                }
+            });
+        });
+        List.copyOf(spells.keySet()).forEach(node -> all.add(ended(node)));
+        all.sort(Comparator.comparingLong(Left::fromMs).thenComparing(Left::node));
+        return all;
+    }
+
+    private void joins(String node, Life life, long atMs) {
+        Spell spell = spells.computeIfAbsent(node, n -> {
+            Spell s = new Spell();
+            s.fromMs = atMs;
+            return s;
+        });
+        if (spell.who.add(life)) {
+            spell.lastMs = atMs;
+        }
+    }
+
+    private Left ended(String node) {
+        Spell s = spells.remove(node);
+        return new Left(node, s.fromMs, s.lastMs - s.fromMs, s.who.size());
+    }
+}
--- a/src/main/java/damsonworks/proxy/Counters.java
+++ b/src/main/java/damsonworks/proxy/Counters.java
@@ -1,5 +1,6 @@
 package damsonworks.proxy;
 
+import damsonworks.figures.Work;
 import java.util.LinkedHashMap;
 import java.util.Map;
 
@@ -43,6 +44,7 @@
     }
 
     private final Map<String, Tally> classes = new LinkedHashMap<>();
+    private final long[] done = new long[Work.values().length];
     private long forwards;
     private long applied;
     private long rejected;
@@ -65,13 +67,32 @@
             return;
         }
         switch (ending) {
-            case SUCCEEDED -> tally.succeeded++;
-            case DECLINED -> tally.declined++;
-            case ABORTED -> tally.aborted++;
+            case SUCCEEDED -> {
+                tally.succeeded++;
+                did(Work.SERVED);
+            }
+            case DECLINED -> {
+                tally.declined++;
+                did(Work.REFUSED);
+            }
+            case ABORTED -> {
+                tally.aborted++;
+                did(Work.FAILED);
+            }
             case GONE -> { }
         }
     }
 
+    /** This was done once more. */
+    void did(Work work) {
+        done[work.ordinal()]++;
+    }
+
+    /** How often this was done. */
+    long done(Work work) {
+        return done[work.ordinal()];
+    }
+
     /** An attempt has been written whole to a cache node, or to the origin in its place. */
     void forwarded() {
         forwards++;
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -14,6 +14,7 @@
 import damsonworks.RoutingApi.Settings;
 import damsonworks.drain.Drain;
 import damsonworks.flow.ByteBudget;
+import damsonworks.figures.Work;
 import damsonworks.proxy.Counters.Ending;
 import damsonworks.proxy.Exchange.Attempt;
 import damsonworks.proxy.Exchange.Command;
@@ -87,6 +88,8 @@
     /** Clients that ask are told so. */
     private boolean drainTold;
     private long answered;
+    private final double startedMs;
+    private long firstServedMs = -1;
     private int nextId;
     private int logLines;
 
@@ -101,6 +104,7 @@
     Dispatcher(EventLoop loop, Config config, Class<? extends Channel> upstream) {
         this.loop = loop;
         timers = new Timers(loop);
+        startedMs = now();
         use(config);
         values = new ByteBudget(Math.min((long) config.memoryMb() << 20 >> 3,
                 PlatformDependent.maxDirectMemory() / VALUES_PART));
@@ -235,6 +239,16 @@
     }
 
     /** Requests that have had no final answer. */
+    /** When it was made, on the clock of {@link #now}. */
+    double startedMs() {
+        return startedMs;
+    }
+
+    /** How long after that it first served a request; negative: it has not yet. */
+    long firstServedMs() {
+        return firstServedMs;
+    }
+
     int owed() {
         return open.size();
     }
@@ -321,8 +335,16 @@
         }
     }
 
+    @Override
+    public void called() {
+        counters.did(Work.LIST_CALLS);
+    }
+
     @Override
     public void listed(ListKind kind, List<Host> hosts) {
+        if (kind == ListKind.FAILED) {
+            counters.did(Work.LIST_FAILURES);
+        }
         servers.listed(kind, hosts, config.streamsPerConnection());
         tell(() -> {
             if (router != null) { // with its event and not before it: another may wait in line
@@ -505,6 +527,9 @@
     private void over(Exchange x, Ending ending) {
         x.over = true;
         answered++;
+        if (ending == Ending.SUCCEEDED && firstServedMs < 0) {
+            firstServedMs = Math.round(now() - startedMs);
+        }
         counters.ended(x.kind.name(), ending);
         stop(x.timer);
     }
@@ -543,9 +568,10 @@
         double left = x.dueMs - now;
         double wait = timeoutMs == 0 ? left : Math.min(timeoutMs, left);
         Attempt a = new Attempt(x, x.attempts.size(), server, now, now + wait);
+        Upstream u = servers.get(server);
+        count(x, u);
         x.attempts.add(a);
         x.out++;
-        Upstream u = servers.get(server);
         if (u == null || wait <= 0 || a.index >= Math.min(x.maxAttempts, settings.maxAttempts())) {
             tell(() -> end(a, Outcome.NOT_SENT, 0, null, null));
             return;
@@ -558,6 +584,19 @@
         }
     }
 
+    private void count(Exchange x, Upstream to) {
+        counters.did(Work.ATTEMPTS);
+        if (!x.attempts.isEmpty()) {
+            counters.did(x.out > 0 ? Work.SECOND_COPIES : Work.RETRIES);
+        }
+        if (to != null && to.origin && !x.command.write) {
+            counters.did(Work.FETCHES);
+        }
+        if (to != null && !to.origin && avoids(to.id)) {
+            counters.did(Work.TRIALS);
+        }
+    }
+
     @Override
     public void deny(int request, double retryAfterMs) {
         Exchange x = exchanges.get(request);
@@ -595,6 +634,7 @@
     @Override
     public void probe(int server) {
         Upstream u = servers.get(server);
+        counters.did(Work.TRIALS);
         double now = now();
         Attempt a = new Attempt(null, 0, server, now, now + PROBE_TIMEOUT_MS);
         if (u == null || !u.send(a)) {
--- a/src/main/java/damsonworks/proxy/PeerSocket.java
+++ b/src/main/java/damsonworks/proxy/PeerSocket.java
@@ -1,5 +1,6 @@
 package damsonworks.proxy;
 
+import damsonworks.figures.Work;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -16,6 +17,7 @@
 
     private final Config config;
     private final Receiver receiver;
+    private final Counters counters;
     private Channel channel;
 
     /** What takes the messages of peers. */
@@ -23,9 +25,10 @@
         void heard(int peer, byte[] message);
     }
 
-    PeerSocket(EventLoop loop, Config config, Receiver receiver) {
+    PeerSocket(EventLoop loop, Config config, Receiver receiver, Counters counters) {
         this.config = config;
         this.receiver = receiver;
+        this.counters = counters;
         if (config.settings().peers() && config.peerListen() != null) {
             channel = new Bootstrap().group(loop).channel(Transport.BEST.datagram()).handler(new Handler())
                     .bind(config.peerListen()).awaitUninterruptibly().channel(); // what is sent before is lost
@@ -43,6 +46,7 @@
         if (channel == null || to == null || message.length > MAX_MESSAGE) {
             return;
         }
+        counters.did(Work.MESSAGES_SENT);
         channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(message), to));
     }
 
@@ -52,6 +56,7 @@
         protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
             int peer = config.peers().indexOf(packet.sender());
             if (peer >= 0 && packet.content().readableBytes() <= MAX_MESSAGE) {
+                counters.did(Work.MESSAGES_HEARD);
                 receiver.heard(peer, ByteBufUtil.getBytes(packet.content()));
             }
         }
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -19,6 +19,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.unix.FileDescriptor;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
@@ -59,7 +60,7 @@
             WarmUp.run(config);
         }
         dispatcher = new Dispatcher(loop, config, Transport.BEST.socket());
-        peers = new PeerSocket(loop, config, dispatcher::heard);
+        peers = new PeerSocket(loop, config, dispatcher::heard, dispatcher.counters());
         acceptor = new Acceptor(dispatcher,
                 Math.max(16, config.sockets() - config.sockets() / 3 - OWN_DESCRIPTORS));
         discovery = new DiscoveryClient(loop, new Bootstrap().group(loop).channel(Transport.BEST.socket())
@@ -272,6 +273,15 @@
         return drainer.cancel();
     }
 
+    /** Writes a line of figures to the log each time so much has passed, at least a second. */
+    public void logFigures(long everyMs) {
+        workLog(System.err).every(loop, Math.max(1000, everyMs));
+    }
+
+    WorkLog workLog(PrintStream out) {
+        return new WorkLog(config.name(), dispatcher, out);
+    }
+
     /** How a drain goes. On the event loop only. */
     public Drain.Progress drainProgress() {
         return drainer.progress();
--- a/src/main/java/damsonworks/proxy/Servers.java
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -3,6 +3,8 @@
 import damsonworks.RoutingApi.ListKind;
 import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.State;
+import damsonworks.figures.Work;
+import damsonworks.figures.WorkLine;
 import damsonworks.proxy.discovery.Host;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.util.collection.IntObjectHashMap;
@@ -107,6 +109,7 @@
 
     /** A server had no place for a further connection; one by itself may be at its limit for reasons of its own. */
     void turnedAway() {
+        dispatcher.counters().did(Work.NO_PLACE);
         double since = dispatcher.now() - SCARCE_MS;
         long full = cacheNodes().filter(u -> u.turnedAwayMs() > since).count();
         if (full >= Math.max(2, discovered() * SCARCE_PART)) {
@@ -143,6 +146,7 @@
 
     void opened() {
         connections++;
+        dispatcher.counters().did(Work.CONNECTIONS);
     }
 
     void closed() {
@@ -176,6 +180,13 @@
         return (int) cacheNodes().filter(u -> now - u.sentMs() > AVOIDED_MS && dispatcher.avoids(u.id)).count();
     }
 
+    /** Those of them that are avoided, or had no place for a connection. */
+    List<WorkLine.Node> troubled() {
+        return cacheNodes().filter(u -> u.turnedAwayTimes() > 0 || dispatcher.avoids(u.id)).limit(WorkLine.MAX_NODES)
+                .map(u -> new WorkLine.Node(Integer.toHexString(u.id), u.openedTimes(), u.turnedAwayTimes(),
+                        dispatcher.avoids(u.id))).toList();
+    }
+
     private Stream<Upstream> cacheNodes() {
         return servers.values().stream().filter(u -> !u.origin);
     }
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -25,6 +25,8 @@
     private double sentMs = Double.NEGATIVE_INFINITY;
     private double noMoreUntilMs;
     private double turnedAwayMs = Double.NEGATIVE_INFINITY;
+    private long turnedAway;
+    private long opened;
     private final Dispatcher dispatcher;
     private final Bootstrap bootstrap;
     private final int maxConnections;
@@ -70,8 +72,9 @@
                 best = best == null || c.better(best) ? c : best;
             }
         }
-        if ((best == null || best.depth() > 0 && dispatcher.now() >= noMoreUntilMs)
-                && standing < (best != null && !origin && dispatcher.servers().scarce() ? 1 : maxConnections) && all < mostConnections && dispatcher.servers().room()) {
+        int wanted = best != null && !origin && dispatcher.servers().scarce() ? 1 : maxConnections;
+        if ((best == null || best.depth() > 0 && dispatcher.now() >= noMoreUntilMs) && standing < wanted
+                && all < mostConnections && dispatcher.servers().room()) {
             best = open();
         }
         best = best == null ? busy : best;
@@ -88,6 +91,16 @@
         return turnedAwayMs;
     }
 
+    /** How often that was so. */
+    long turnedAwayTimes() {
+        return turnedAway;
+    }
+
+    /** Connections to it that were begun. */
+    long openedTimes() {
+        return opened;
+    }
+
     double sentMs() {
         return sentMs;
     }
@@ -114,6 +127,7 @@
     /** A new connection was turned away; whether none other stands. */
     boolean turnedAway() {
         turnedAwayMs = dispatcher.now();
+        turnedAway++;
         dispatcher.servers().turnedAway();
         noMoreUntilMs = dispatcher.now() + NO_MORE_MS;
         return connections.isEmpty();
@@ -123,6 +137,7 @@
         UpstreamConnection connection = new UpstreamConnection(this);
         connections.add(connection);
         dispatcher.servers().opened();
+        opened++;
         ChannelHandler[] handlers = origin ? OriginCodec.handlers(connection)
                 : new ChannelHandler[] {new CacheCodec(connection)};
         ChannelFuture future = bootstrap.clone().handler(new Initializer(handlers))
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -1,6 +1,7 @@
 package damsonworks.proxy;
 
 import damsonworks.RoutingApi.Outcome;
+import damsonworks.figures.Work;
 import damsonworks.proxy.Exchange.Attempt;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
@@ -65,6 +66,7 @@
         dial = to;
         future.addListener(f -> {
             if (!f.isSuccess()) {
+                upstream.dispatcher().counters().did(Work.CONNECTIONS_FAILED);
                 closed();
                 return;
             }
--- a/src/main/java/damsonworks/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/discovery/DiscoveryClient.java
@@ -42,6 +42,9 @@
         /** The list or changes of it; {@code FAILED}: a call for it failed, no entries. */
         void listed(ListKind kind, List<Host> hosts);
 
+        /** Discovery is being asked. */
+        void called();
+
         /** Discovery has told this version of the list. */
         void version(long seq);
 
@@ -254,6 +257,7 @@
                 close();
             }
             waiting = then;
+            listener.called();
             timer = loop.schedule(() -> done(null), waitMs + PATIENCE_MS, TimeUnit.MILLISECONDS);
             if (channel != null && channel.isActive()) {
                 write(channel, path);
--- a/src/test/java/damsonworks/cli/CliTest.java
+++ b/src/test/java/damsonworks/cli/CliTest.java
@@ -4,12 +4,16 @@
 
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
+import damsonworks.figures.Work;
+import damsonworks.figures.WorkLine;
 import damsonworks.fleet.FleetSpec;
 import damsonworks.fleet.StandInFleet;
 import java.io.PrintWriter;
 import java.io.StringWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
@@ -34,6 +38,24 @@
         return JsonParser.parseString(Files.readString(folder.resolve(name))).getAsJsonObject();
     }
 
+    @Test
+    void figuresAddsUpOverLogsAndSaysWhereThereAreNone() throws Exception {
+        Path logs = Files.createDirectory(folder.resolve("logs"));
+        Files.write(logs.resolve("p0.log"), new byte[] {(byte) 0xff, '\n'});
+        assertThat(run("figures", logs.toString())).isEqualTo(1);
+        assertThat(err).contains("no figures in these logs");
+        for (int p = 0; p < 3; p++) {
+            WorkLine.Node node = new WorkLine.Node("1a", 4, 2, true);
+            Files.writeString(logs.resolve("p" + p + ".log"), "ready\n" + new WorkLine("p" + p, 7, 21_000, 20_000, 35, 900,
+                    Map.of(Work.SERVED, 1000L, Work.ATTEMPTS, 1500L), List.of(node)).text() + "\nfigures {\"pro");
+        }
+        assertThat(run("figures", "--each", logs.toString())).as(err).isZero();
+        assertThat(out).contains("3 processes of 3 proxies, 20 s").containsPattern("attempts +4,500 +225.00 +1.5000")
+                .contains("1a=6").contains("start to first served, ms    least 35").contains("3 lines of figures were cut");
+        assertThat(run("figures", folder.resolve("nowhere").toString())).isEqualTo(1);
+        assertThat(err).contains("nowhere: there is no such file or folder");
+    }
+
     @Test
     void loadWritesItsReportsAndMergeJoinsThem() throws Exception {
         FleetSpec spec = FleetSpec.standard(1, 1, 1).withWork(0, 0).withHeld(1);
--- a/src/test/java/damsonworks/proxy/PeerSocketTest.java
+++ b/src/test/java/damsonworks/proxy/PeerSocketTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.gson.JsonArray;
+import damsonworks.figures.Work;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.net.DatagramPacket;
@@ -40,8 +41,10 @@
             fleet.config.addProperty("peer_listen", "127.0.0.1:0");
             Config config = Config.parse(fleet.config);
             EventLoop loop = group.next();
+            Counters counters = new Counters();
             LinkedBlockingQueue<String> heard = new LinkedBlockingQueue<>();
-            PeerSocket socket = new PeerSocket(loop, config, (from, message) -> heard.add(from + new String(message)));
+            PeerSocket socket = new PeerSocket(loop, config, (from, message) -> heard.add(from + new String(message)),
+                    counters);
             socket.send(1, "to one".getBytes());
             assertThat(receive(peer)).isEqualTo("to one");
             socket.send(-1, "to all".getBytes());
@@ -53,6 +56,8 @@
             peer.send(new DatagramPacket(new byte[300], 300, socket.address()));
             peer.send(new DatagramPacket("hi".getBytes(), 2, socket.address()));
             assertThat(heard.poll(20, TimeUnit.SECONDS)).isEqualTo("1hi");
+            assertThat(counters.done(Work.MESSAGES_SENT)).isEqualTo(3);
+            assertThat(counters.done(Work.MESSAGES_HEARD)).isEqualTo(1);
         } finally {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
         }
