Nested quotas: caps that hold in any sliding window, and idle shares lent at a pace

Need: on release evenings one partner's app takes another's promised share.

Change: damsonworks.quota, decisions without I/O: a tree of quotas in requests, bytes and writes over windows from 1 s to 1 h; SlidingCount (64 steps, the one partly in the window counted whole, so that no window exceeds its cap), Lending (weighted max-min), charges along the whole path or none, pay-back, settling and debt, and bounded nodes for names that nobody named.

Ruled out: token buckets and GCRA (cap plus burst), weighted sliding counters (error at the arrivals' choice), lending by amount and not by rate (an hour's idle share used at once leaves its owner nothing when it comes back).

--- /dev/null
+++ b/src/jmh/java/damsonworks/quota/QuotaBenchmark.java
@@ -0,0 +1,75 @@
+package damsonworks.quota;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** One admission at depth 3 and its settling: one quota at each of four levels. Half of all are refused. */
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.NANOSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(value = 1, jvmArgs = {"-XX:+UseSerialGC", "-Xmx2g"})
+@State(Scope.Thread)
+public class QuotaBenchmark {
+    /** Device classes, in all. */
+    @Param({"10", "1000", "100000"})
+    public int nodes;
+
+    private final SplittableRandom random = new SplittableRandom(1);
+    private final Ticket ticket = new Ticket();
+    private final String[][] paths = new String[1024][];
+    private QuotaTree tree;
+    private double now = 1e12;
+    private int at;
+
+    /** Three organisations of two apps each, with as many device classes beneath them as it takes. */
+    @Setup
+    public void begin() {
+        int each = Math.max(1, nodes / 6);
+        List<QuotaSpec> orgs = new ArrayList<>();
+        for (int o = 0; o < 3; o++) {
+            List<QuotaSpec> apps = new ArrayList<>();
+            for (int a = 0; a < 2; a++) {
+                List<QuotaSpec> devices = new ArrayList<>();
+                for (int d = 0; d < each; d++) {
+                    devices.add(new QuotaSpec("device-" + d, 1, List.of(limit(0, 400)), List.of()));
+                }
+                apps.add(new QuotaSpec("app-" + a, 1, List.of(limit(100, 500)), devices));
+            }
+            orgs.add(new QuotaSpec("org-" + o, 1, List.of(limit(300, 800)), apps));
+        }
+        tree = new QuotaTree(new QuotaSpec("all", 1, List.of(limit(0, 1000)), orgs), 1, 1);
+        for (int i = 0; i < paths.length; i++) {
+            paths[i] = new String[] {"org-" + random.nextInt(3), "app-" + random.nextInt(2),
+                "device-" + random.nextInt(each)};
+        }
+    }
+
+    private static Limit limit(long guarantee, long cap) {
+        return new Limit(Measure.REQUESTS, 1000, guarantee, cap);
+    }
+
+    /** 2,000 a second are asked for, of a cap of 1,000. */
+    @Benchmark
+    public double admitAndSettle() {
+        now += 0.5;
+        double wait = tree.admit(now, paths[at++ & 1023], 400, false, ticket);
+        if (wait == 0) {
+            tree.settle(now, ticket, 380);
+        }
+        return wait;
+    }
+}
--- a/src/test/java/damsonworks/ArchitectureTest.java
+++ b/src/test/java/damsonworks/ArchitectureTest.java
@@ -21,7 +21,8 @@
         noClasses().that().haveFullyQualifiedName("damsonworks.Policy").or().haveFullyQualifiedName("damsonworks.Carp")
                 .or().haveFullyQualifiedName("damsonworks.RoutingApi")
                 .or().haveFullyQualifiedName("damsonworks.peer.ListNews").or().resideInAnyPackage("damsonworks.drain..",
-                        "damsonworks.route..", "damsonworks.takeover..", "damsonworks.flow..", "damsonworks.ledger..", "damsonworks.figures..", "damsonworks.hotkey..", "damsonworks.evidence..")
+                        "damsonworks.route..", "damsonworks.takeover..", "damsonworks.flow..", "damsonworks.ledger..", "damsonworks.figures..", "damsonworks.quota..",
+                        "damsonworks.hotkey..", "damsonworks.evidence..")
                 .should().dependOnClassesThat().resideInAnyPackage(IO)
                 .orShould().dependOnClassesThat().haveFullyQualifiedName("java.lang.Thread")
                 .orShould().callMethod(System.class, "nanoTime")
--- /dev/null
+++ b/src/test/java/damsonworks/quota/SlidingCountTest.java
@@ -0,0 +1,77 @@
+package damsonworks.quota;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** Against a log of everything. */
+class SlidingCountTest {
+    private record Counted(double at, long much) { }
+
+    private static long exact(List<Counted> log, double from, double to) {
+        return log.stream().filter(c -> c.at > from && c.at <= to).mapToLong(Counted::much).sum();
+    }
+
+    @Property(tries = 300)
+    void itIsNeverUnderTheExactSumAndNeverOverThatOfOneStepMore(@ForAll long seed,
+            @ForAll @IntRange(min = 1000, max = 3_600_000) int window) {
+        SplittableRandom random = new SplittableRandom(seed);
+        SlidingCount count = new SlidingCount(window);
+        List<Counted> log = new ArrayList<>();
+        double now = 1e12 + random.nextDouble() * window;
+        double step = (double) window / SlidingCount.PARTS;
+        for (int i = 0; i < 150; i++) {
+            now += random.nextInt(4) == 0 ? 0 : random.nextDouble() * window / (random.nextInt(60) + 1);
+            if (random.nextInt(5) == 0 && !log.isEmpty()) {
+                Counted back = log.remove(random.nextInt(log.size()));
+                count.takeBack(now, back.at, back.much);
+            } else {
+                Counted c = new Counted(now, random.nextInt(1000));
+                log.add(c);
+                count.add(now, c.much);
+            }
+            assertThat(count.sum(now)).isBetween(exact(log, now - window, now),
+                    exact(log, now - window - step - 1e-3, now));
+        }
+    }
+
+    @Property(tries = 300)
+    void whoComesWhenItSaysFindsRoom(@ForAll long seed, @ForAll @IntRange(min = 1, max = 500) int limit) {
+        SplittableRandom random = new SplittableRandom(seed);
+        SlidingCount count = new SlidingCount(1000);
+        double now = 1e9 + random.nextDouble() * 1000;
+        for (int i = 0; i < 200; i++) {
+            now += random.nextDouble() * 40;
+            long much = random.nextInt(limit) + 1;
+            double wait = count.roomInMs(now, much, limit);
+            if (wait > 0) {
+                assertThat(wait).isLessThanOrEqualTo(1000 + 1000.0 / SlidingCount.PARTS);
+                if (random.nextBoolean()) {
+                    now += wait + 1e-6;
+                    assertThat(count.sum(now) + much).isLessThanOrEqualTo(limit);
+                }
+            } else {
+                count.add(now, much);
+            }
+        }
+    }
+
+    @Test
+    void aSteadyRateIsLetInButForOnePartInSixtyFour() {
+        SlidingCount count = new SlidingCount(1000);
+        int in = 0;
+        for (double now = 1e9; now < 1e9 + 100_000; now += 0.5) {
+            if (count.sum(now) < 1000) {
+                count.add(now, 1);
+                in++;
+            }
+        }
+        assertThat(in).isBetween(98_000, 100_000);
+    }
+}
