--- a/src/main/java/damsonworks/fleet/CacheNode.java
+++ b/src/main/java/damsonworks/fleet/CacheNode.java
@@ -26,7 +26,7 @@
     private final String name;
     private final double speed;
     private final Listener listener;
-    private final LruStore store;
+    private final LruStore<String> store;
     private final Service core;
     private final Set<AnswerLine> lines = new HashSet<>();
     private final Random random;
@@ -42,7 +42,7 @@
         this.speed = speed;
         random = new Random(seed);
         FleetSpec spec = fleet.spec();
-        store = new LruStore(spec.cacheEntries());
+        store = new LruStore<>(spec.cacheEntries());
         core = new Service(fleet, new ServiceModel<>(1, spec.queue()), () -> speed * start.share(fleet.now()));
         start = new ColdStart(spec.coldStart(), speed, Double.NEGATIVE_INFINITY);
         heldAtStart = spec.heldAtStart();
--- a/src/main/java/damsonworks/fleet/ColdStart.java
+++ b/src/main/java/damsonworks/fleet/ColdStart.java
@@ -6,7 +6,7 @@
  * What a server that has just started can do, and whether it is pushed over: sent more than {@code multiple} times
  * its present capacity over a window, it falls and stays down.
  */
-final class ColdStart {
+public final class ColdStart {
     private record Sent(double atMs, double workMs) { }
 
     /**
@@ -16,8 +16,8 @@
      * @param windowMs over which time that is counted
      * @param slackMs  work that may come beyond it, for chance
      */
-    record Settings(double from, double warmMs, double multiple, double windowMs, double slackMs) {
-        Settings {
+    public record Settings(double from, double warmMs, double multiple, double windowMs, double slackMs) {
+        public Settings {
             if (!(from > 0 && from <= 1) || !(warmMs >= 0) || !(multiple >= 1) || !(windowMs > 0) || !(slackMs >= 0)) {
                 throw new IllegalArgumentException("cold start of no sense: " + from + " of the capacity, warm after "
                         + warmMs + " ms, falls at " + multiple + " times it for " + windowMs + " ms");
@@ -32,25 +32,25 @@
     private double sentMs;
 
     /** {@code bornMs}: when it started; negative infinity for long ago. */
-    ColdStart(Settings settings, double speed, double bornMs) {
+    public ColdStart(Settings settings, double speed, double bornMs) {
         this.settings = settings;
         this.speed = speed;
         this.bornMs = bornMs;
     }
 
     /** The share of its capacity that a server has now. */
-    double share(double now) {
+    public double share(double now) {
         double age = now - bornMs;
         return age >= settings.warmMs() ? 1
                 : settings.from() + (1 - settings.from()) * Math.max(0, age) / settings.warmMs();
     }
 
-    boolean cold(double now) {
+    public boolean cold(double now) {
         return now - bornMs < settings.warmMs();
     }
 
     /** Counts work that has been sent to it; true if that pushes it over. */
-    boolean pushedOver(double now, double workMs) {
+    public boolean pushedOver(double now, double workMs) {
         if (!cold(now)) {
             window.clear();
             sentMs = 0;
--- a/src/main/java/damsonworks/fleet/LruStore.java
+++ b/src/main/java/damsonworks/fleet/LruStore.java
@@ -3,12 +3,16 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** A cache node's memory: the version held of each key, least recently used first out. */
-final class LruStore {
-    private final Map<String, Long> versions;
+/**
+ * A cache node's memory: the version held of each key, least recently used first out.
+ *
+ * @param <K> what a key is
+ */
+public final class LruStore<K> {
+    private final Map<K, Long> versions;
 
     /** {@code entries}: how many keys it holds, at least 1. */
-    LruStore(int entries) {
+    public LruStore(int entries) {
         if (entries < 1) {
             throw new IllegalArgumentException("a cache holds 1 entry or more, not " + entries);
         }
@@ -16,30 +20,30 @@
             private static final long serialVersionUID = 1L;
 
             @Override
-            protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+            protected boolean removeEldestEntry(Map.Entry<K, Long> eldest) {
                 return size() > entries;
             }
         };
     }
 
     /** The version held, or null. */
-    Long get(String key) {
+    public Long get(K key) {
         return versions.get(key);
     }
 
-    void put(String key, long version) {
+    public void put(K key, long version) {
         versions.put(key, version);
     }
 
-    void drop(String key) {
+    public void drop(K key) {
         versions.remove(key);
     }
 
-    void clear() {
+    public void clear() {
         versions.clear();
     }
 
-    int size() {
+    public int size() {
         return versions.size();
     }
 }
--- a/src/main/java/damsonworks/fleet/ServiceModel.java
+++ b/src/main/java/damsonworks/fleet/ServiceModel.java
@@ -12,7 +12,7 @@
  *
  * @param <J> what is worked on
  */
-final class ServiceModel<J> {
+public final class ServiceModel<J> {
     private record Job<J>(J what, double workMs) { }
 
     private record Running<J>(J what, double finishMs, long number) { }
@@ -25,7 +25,7 @@
     private long begun;
 
     /** {@code places}: at least 1; {@code maxQueue}: how many may wait beside those that run, at least 0. */
-    ServiceModel(int places, int maxQueue) {
+    public ServiceModel(int places, int maxQueue) {
         if (places < 1 || maxQueue < 0) {
             throw new IllegalArgumentException(places + " places with a queue of " + maxQueue);
         }
@@ -39,7 +39,7 @@
     }
 
     /** Takes work, in milliseconds at speed 1; false if the queue is full. {@code speed} is above 0. */
-    boolean offer(double now, J what, double workMs, double speed) {
+    public boolean offer(double now, J what, double workMs, double speed) {
         if (running.size() >= places && queue.size() >= maxQueue) {
             return false;
         }
@@ -56,7 +56,7 @@
     }
 
     /** Stands still for this long from now on: what runs is done so much later. */
-    void stall(double now, double ms) {
+    public void stall(double now, double ms) {
         double added = now + ms - Math.max(now, stalledUntilMs);
         if (added > 0) {
             stalledUntilMs = now + ms;
@@ -67,12 +67,12 @@
     }
 
     /** When the next of the running work will be done; positive infinity if there is none. */
-    double finishMs() {
+    public double finishMs() {
         return running.isEmpty() ? Double.POSITIVE_INFINITY : running.peek().finishMs();
     }
 
     /** What has been done by now, in order. */
-    List<J> advance(double now, double speed) {
+    public List<J> advance(double now, double speed) {
         List<J> done = new ArrayList<>(1);
         while (finishMs() <= now) {
             Running<J> r = running.poll();
@@ -82,13 +82,13 @@
         return done;
     }
 
-    void clear() {
+    public void clear() {
         queue.clear();
         running.clear();
     }
 
     /** How much is held: running and waiting. */
-    int load() {
+    public int load() {
         return queue.size() + running.size();
     }
 }
--- a/src/main/java/damsonworks/load/Zipf.java
+++ b/src/main/java/damsonworks/load/Zipf.java
@@ -2,28 +2,34 @@
 
 import java.util.Arrays;
 
-/** Ranks drawn by Zipf's law: rank {@code r} (from 0) with a weight of {@code 1 / (r + 1)^exponent}. */
-final class Zipf {
+/** Ranks drawn by Zipf's law: rank {@code r} (from 0) with a weight of {@code 1 / (r + 1 + offset)^exponent}. */
+public final class Zipf {
     /** The most ranks; a table of them is 8 MB. */
-    static final int MAX_RANKS = 1_000_000;
+    public static final int MAX_RANKS = 1_000_000;
 
     private final double[] upTo;
 
-    Zipf(int ranks, double exponent) {
-        if (ranks < 1 || ranks > MAX_RANKS || !(exponent >= 0 && exponent <= 5)) {
+    public Zipf(int ranks, double exponent) {
+        this(ranks, exponent, 0);
+    }
+
+    /** {@code offset}: 0 or more; flattens the head, as Mandelbrot's addition to the law does. */
+    public Zipf(int ranks, double exponent, double offset) {
+        if (ranks < 1 || ranks > MAX_RANKS || !(exponent >= 0 && exponent <= 5) || !(offset >= 0)) {
             throw new IllegalArgumentException(ranks + " keys with an exponent of " + exponent
-                    + "; it takes 1 to " + MAX_RANKS + " keys and an exponent of 0 to 5");
+                    + ", offset " + offset + "; it takes 1 to " + MAX_RANKS + " keys, an exponent of 0 to 5 and an offset of 0 "
+                    + "or more");
         }
         upTo = new double[ranks];
         double sum = 0;
         for (int i = 0; i < ranks; i++) {
-            sum += Math.pow(i + 1, -exponent);
+            sum += Math.pow(i + 1 + offset, -exponent);
             upTo[i] = sum;
         }
     }
 
     /** The rank for a draw from 0 to 1. */
-    int rank(double draw) {
+    public int rank(double draw) {
         int at = Arrays.binarySearch(upTo, draw * upTo[upTo.length - 1]);
         return Math.min(upTo.length - 1, at < 0 ? -at - 1 : at);
     }
--- /dev/null
+++ b/src/main/java/damsonworks/model/ClientsModel.java
@@ -0,0 +1,229 @@
+package damsonworks.model;
+
+import damsonworks.RoutingApi.Effect;
+import damsonworks.RoutingApi.Request;
+import damsonworks.RoutingApi.ServiceClass;
+import damsonworks.load.Zipf;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * The clients and the front layer: arrivals that wait for no answer, dealt out unevenly to the instances of a zone, and
+ * clients that come again. What a first try is worth counts once, at the second in which it came.
+ */
+final class ClientsModel {
+    /** One way between a client and an instance, in milliseconds. */
+    private static final double CLIENT_MS = 0.6;
+    private static final double BACKOFF_MS = 30;
+    /** Clients that keep to the time they were told. */
+    private static final double HONOUR = 0.85;
+    /** A client that gets no answer closes its connection so much later, when the rule has been looked at. */
+    private static final double LEAVE_MS = 60;
+    /** One instance in so many has several times the traffic of the others. */
+    private static final int BUSY_ONE_IN = 20;
+    private static final double BUSY_TIMES = 4;
+    private static final double ZIPF = 0.9;
+    private static final double OFFSET = 16;
+    private static final int KEYS_PER_NODE = 100;
+
+    private final FleetPlay play;
+    private final FleetDraw draw;
+    private final SplittableRandom random;
+    private final Zipf keys;
+    private final int manyKeys;
+    private final double[] weights;
+    private final double[] zoneWeights;
+    private final boolean[] known;
+    private double rate = 1;
+    private double impatient;
+    private double retryTimes = 1;
+    private double hotPart;
+    private long hotKey;
+    private int hotInstance = -1;
+    private double hotInstancePart;
+    private int nextRequest = 1;
+
+    ClientsModel(FleetPlay play, SplittableRandom random) {
+        this.play = play;
+        this.random = random;
+        draw = play.draw();
+        manyKeys = KEYS_PER_NODE * draw.nodes();
+        keys = new Zipf(manyKeys, ZIPF, OFFSET);
+        weights = new double[draw.instances()];
+        for (int i = 0; i < weights.length; i++) {
+            weights[i] = (0.5 + random.nextDouble()) * (random.nextInt(BUSY_ONE_IN) == 0 ? BUSY_TIMES : 1);
+        }
+        zoneWeights = new double[draw.zones()];
+        for (int z = 0; z < zoneWeights.length; z++) {
+            zoneWeights[z] = 0.7 + 0.6 * random.nextDouble();
+        }
+        known = new boolean[draw.instances()];
+        Arrays.fill(known, true);
+    }
+
+    /** How many of the most popular keys make up this part of all reads. */
+    int keysFor(double part) {
+        return Math.min(manyKeys, keys.rank(part) + 1);
+    }
+
+    // ---- what happens to them
+
+    /** So many times the usual number come. */
+    void rate(double times) {
+        rate = times;
+    }
+
+    /** A zone gets so many times its usual share. */
+    void shift(int zone, double times) {
+        zoneWeights[zone] *= times;
+    }
+
+    /** This part leave early, and all come again so many times as soon. */
+    void restless(double part, double soon) {
+        impatient = part;
+        retryTimes = soon;
+    }
+
+    /** One key has this part of all reads. */
+    void hot(double part) {
+        hotPart = part;
+        hotKey = 1 + random.nextInt(manyKeys);
+    }
+
+    /** One instance takes this part of all requests. */
+    void crowd(int instance, double part) {
+        hotInstance = instance;
+        hotInstancePart = part;
+    }
+
+    /** The front comes to know that an instance takes requests, or that it doesn't. */
+    void front(int instance, boolean takes) {
+        known[instance] = takes;
+    }
+
+    // ---- arrivals
+
+    void run(double untilMs) {
+        if (play.time().now() < untilMs) {
+            new Client().come();
+            play.time().after(-Math.log(1 - random.nextDouble()) * 1000 / (draw.perSecond() * rate), () -> run(untilMs));
+        }
+    }
+
+    private int pick() {
+        if (hotInstance >= 0 && random.nextDouble() < hotInstancePart && known[hotInstance]) {
+            return hotInstance;
+        }
+        int zone = weighed(zoneWeights, List.of());
+        List<Integer> there = new ArrayList<>();
+        for (int i = 0; i < known.length; i++) {
+            if (known[i] && i % draw.zones() == zone) {
+                there.add(i);
+            }
+        }
+        if (there.isEmpty()) {
+            for (int i = 0; i < known.length; i++) {
+                if (known[i]) {
+                    there.add(i);
+                }
+            }
+        }
+        return there.isEmpty() ? -1 : there.get(weighed(weights, there));
+    }
+
+    /** The place of one drawn by weight: of those named, or of all. */
+    private int weighed(double[] by, List<Integer> named) {
+        int many = named.isEmpty() ? by.length : named.size();
+        double sum = 0;
+        for (int i = 0; i < many; i++) {
+            sum += by[named.isEmpty() ? i : named.get(i)];
+        }
+        double at = random.nextDouble() * sum;
+        for (int i = 0; i < many; i++) {
+            at -= by[named.isEmpty() ? i : named.get(i)];
+            if (at < 0) {
+                return i;
+            }
+        }
+        return many - 1;
+    }
+
+    /** One client with one wish, for which it may come several times. */
+    private final class Client implements Ask.Client {
+        private final double cameMs = play.time().now();
+        private final int classIndex = FleetDraw.classOf(random.nextDouble());
+        private final ServiceClass kind = FleetDraw.CLASSES.get(classIndex);
+        private final boolean write = kind.effect() != Effect.SAFE;
+        private final long key = hotPart > 0 && random.nextDouble() < hotPart ? hotKey
+                : 1 + keys.rank(random.nextDouble());
+        private final double workMs = draw.workMs() * (write ? 1.5 : 1)
+                * -(Math.log(1 - random.nextDouble()) + Math.log(1 - random.nextDouble())) / 2;
+        private int tries;
+        private Ask open;
+
+        void come() {
+            play.tally().add(cameMs, Figure.WORTH_ASKED, kind.worth());
+            play.tally().add(cameMs, Figure.FIRST_TRIES);
+            go();
+        }
+
+        private void go() {
+            tries++;
+            int instance = pick();
+            if (instance < 0 || !play.instance(instance).takes()) {
+                play.tally().add(play.time().now(), Figure.ABANDONED);
+                again(0);
+                return;
+            }
+            InstanceModel at = play.instance(instance);
+            double wait = draw.tryShare() * kind.deadlineMs();
+            int id = nextRequest++;
+            play.time().after(CLIENT_MS, () -> {
+                if (!at.takes()) {
+                    again(0);
+                    return;
+                }
+                Ask ask = new Ask(new Request(id, classIndex, 0, key, play.time().now() + wait, Double.NaN, 0, write,
+                        tries > 1), kind, workMs, this);
+                open = ask;
+                at.take(ask);
+                boolean early = random.nextDouble() < impatient;
+                play.time().after(early ? wait * random.nextDouble() : wait + LEAVE_MS, () -> {
+                    if (open == ask) { // nothing came: what may have run is asked for again only where that does no harm
+                        open = null;
+                        at.leave(ask);
+                        if (!early && kind.effect() != Effect.UNSAFE) {
+                            again(0);
+                        }
+                    }
+                });
+            });
+        }
+
+        @Override
+        public void answered(Ask ask, Ask.Answer answer, double retryAfterMs) {
+            play.time().after(CLIENT_MS, () -> {
+                if (open != ask) {
+                    return;
+                }
+                open = null;
+                double took = play.time().now() - cameMs;
+                if (answer == Ask.Answer.SERVED) {
+                    play.tally().add(cameMs, Figure.WORTH_EARNED, took <= kind.aimMs() ? kind.worth()
+                            : took <= kind.deadlineMs() ? kind.worth() * kind.lateShare() : 0);
+                } else if (answer == Ask.Answer.REFUSED || kind.effect() != Effect.UNSAFE) {
+                    again(random.nextDouble() < HONOUR ? retryAfterMs : 0);
+                }
+            });
+        }
+
+        private void again(double advisedMs) {
+            double wait = Math.max(advisedMs, BACKOFF_MS * (1 << tries - 1) * (0.5 + random.nextDouble())) / retryTimes;
+            if (tries <= draw.retries() && play.time().now() + wait < cameMs + kind.deadlineMs()) {
+                play.time().after(wait, this::go);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/model/FleetPlay.java
@@ -0,0 +1,330 @@
+package damsonworks.model;
+
+import damsonworks.Carp;
+import damsonworks.Policy;
+import damsonworks.RoutingApi;
+import damsonworks.RoutingApi.Member;
+import damsonworks.RoutingApi.ServiceClass;
+import damsonworks.RoutingApi.Settings;
+import damsonworks.RoutingApi.State;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.BiFunction;
+import java.util.function.Consumer;
+
+/**
+ * One run: a tier of instances before one fleet for so many seconds of virtual time. What happens to them is set before it
+ * with {@link #at}; counts and broken rules are read after it.
+ */
+public final class FleetPlay {
+    /** When a run begins; an age of 0 means long ago, so time begins later. */
+    static final double START_MS = 100_000;
+    private static final double SWEEP_MS = 1000;
+    private static final double PEER_LOST = 0.02;
+    private static final double PEER_LEAST_MS = 3.6;
+    private static final double PEER_MOST_MS = 30;
+    /** A process that starts takes clients after this time, within a second. */
+    private static final double BOOT_MS = 1500;
+    /** The front goes on sending to one that has died for this time, within two seconds. */
+    private static final double FRONT_MS = 970;
+    /** New connections go on coming to one that was told to end. */
+    private static final double LAST_COMERS_MS = 300;
+    /** All memory is so much more than the keys that it is to hold. */
+    private static final double ROOM = 1.1;
+    /** Writes void this part of the reads' hits, as they are one request in twenty: the memory makes up for it. */
+    private static final double VOIDED = 0.045;
+    private static final double MOST_HELD = 0.995;
+
+    private final FleetDraw draw;
+    private final double seconds;
+    private final SplittableRandom random;
+    private final VirtualTime time = new VirtualTime(START_MS);
+    private final Rules rules = new Rules();
+    private final Tally tally;
+    private final Network network;
+    private final DiscoveryModel discovery;
+    private final OriginModel origin;
+    private final ClientsModel clients;
+    private final TreeMap<Integer, NodeModel> nodes = new TreeMap<>();
+    private final InstanceModel[] instances;
+    private final BiFunction<Settings, Long, RoutingApi> modules;
+    private final int entries;
+    private int nextNode = 1;
+
+    /** A run with the program's own decision module. */
+    public FleetPlay(FleetDraw draw, double seconds) {
+        this(draw, seconds, Policy::new);
+    }
+
+    /** {@code modules}: makes the decision module of an instance from its settings and seed. */
+    FleetPlay(FleetDraw draw, double seconds, BiFunction<Settings, Long, RoutingApi> modules) {
+        if (!(seconds >= 1 && seconds <= 100_000)) {
+            throw new IllegalArgumentException("a run of " + seconds + " s; it takes 1 to 100,000");
+        }
+        this.draw = draw;
+        this.seconds = seconds;
+        this.modules = modules;
+        random = new SplittableRandom(draw.seed() * 0x9e3779b97f4a7c15L + 1);
+        tally = new Tally(START_MS, (int) Math.ceil(seconds));
+        network = new Network(draw, random.split());
+        discovery = new DiscoveryModel(draw, time, tally);
+        origin = new OriginModel(draw, time, tally, random.split());
+        clients = new ClientsModel(this, random.split());
+        int held = clients.keysFor(Math.min(MOST_HELD, draw.hits() + VOIDED));
+        entries = (int) Math.max(1, held * ROOM / draw.nodes());
+        discovery.begin(new Member(FleetDraw.ORIGIN, OriginModel.ZONE, FleetDraw.ORIGIN_KIND, 0, State.READY, 1, 0));
+        for (int i = 0; i < draw.nodes(); i++) {
+            NodeModel n = newNode(0);
+            discovery.begin(member(n, State.READY));
+        }
+        warm(held);
+        instances = new InstanceModel[draw.instances()];
+        for (int i = 0; i < instances.length; i++) {
+            instances[i] = new InstanceModel(i, this, random.split());
+        }
+    }
+
+    /** What nodes were asked for lately: each of the most popular keys at the node that ranks first. */
+    private void warm(int held) {
+        List<NodeModel> all = List.copyOf(nodes.values());
+        float[] shares = new float[all.size()];
+        for (int i = 0; i < shares.length; i++) {
+            shares[i] = all.get(i).weight;
+        }
+        float[] multipliers = Carp.multipliers(shares);
+        for (long key = held; key >= 1; key--) {
+            int hash = Carp.keyHash(key);
+            int best = 0;
+            double score = -1;
+            for (int i = 0; i < shares.length; i++) {
+                double s = Carp.score(hash, Carp.memberHash(all.get(i).id), multipliers[i]);
+                if (s > score) {
+                    score = s;
+                    best = i;
+                }
+            }
+            all.get(best).put(key);
+        }
+    }
+
+    private NodeModel newNode(double bornMs) {
+        int id = nextNode++;
+        return node(id, id % draw.zones(), bornMs);
+    }
+
+    private NodeModel node(int id, int zone, double bornMs) {
+        boolean fast = new SplittableRandom(draw.seed() + id).nextDouble() < draw.fastShare();
+        int room = (int) Math.ceil(entries * 2 * (fast ? FleetDraw.FAST : FleetDraw.SLOW) / (FleetDraw.FAST + FleetDraw.SLOW));
+        NodeModel n = new NodeModel(id, zone, bornMs, fast, draw, room, time, rules, random.split());
+        nodes.put(id, n);
+        return n;
+    }
+
+    private static Member member(NodeModel n, State state) {
+        return new Member(n.id, n.zone, 0, n.id / 8, state, n.weight, n.bornMs);
+    }
+
+    // ---- the run
+
+    /** Has this happen so many seconds after the beginning. */
+    public FleetPlay at(double second, Runnable what) {
+        time.at(START_MS + second * 1000, what);
+        return this;
+    }
+
+    /** Plays it to the end; what is open then is seen to its own end. */
+    public FleetPlay run() {
+        double until = START_MS + seconds * 1000;
+        for (InstanceModel i : instances) {
+            i.start();
+        }
+        clients.run(until);
+        sweep(until);
+        time.passTo(until + 2 * longestDeadlineMs());
+        return this;
+    }
+
+    private void sweep(double until) {
+        for (InstanceModel i : instances) {
+            i.sweep();
+        }
+        if (time.now() < until) {
+            time.after(SWEEP_MS, () -> sweep(until));
+        }
+    }
+
+    /** How long it lasts. */
+    double seconds() {
+        return seconds;
+    }
+
+    /** What it was played with. */
+    public FleetDraw draw() {
+        return draw;
+    }
+
+    /** What was counted. */
+    public Tally tally() {
+        return tally;
+    }
+
+    /** What was broken. */
+    public Rules rules() {
+        return rules;
+    }
+
+    /** The versions of the list that the instances hold; 0: none but the kept one. */
+    public List<Long> versions() {
+        List<Long> all = new ArrayList<>();
+        for (InstanceModel i : instances) {
+            all.add(i.version());
+        }
+        return all;
+    }
+
+    VirtualTime time() {
+        return time;
+    }
+
+    Network network() {
+        return network;
+    }
+
+    DiscoveryModel discovery() {
+        return discovery;
+    }
+
+    OriginModel origin() {
+        return origin;
+    }
+
+    ClientsModel clients() {
+        return clients;
+    }
+
+    RoutingApi module(Settings settings, long seed) {
+        return modules.apply(settings, seed);
+    }
+
+    NodeModel node(int id) {
+        return nodes.get(id);
+    }
+
+    List<NodeModel> nodes() {
+        return List.copyOf(nodes.values());
+    }
+
+    InstanceModel instance(int i) {
+        return instances[i];
+    }
+
+    double longestDeadlineMs() {
+        return FleetDraw.CLASSES.stream().mapToDouble(ServiceClass::deadlineMs).max().orElseThrow();
+    }
+
+    /** The origin has carried it out: what was read is kept where it was missed, what was written voids the copies. */
+    void stored(Attempt a) {
+        Ask ask = a.ask;
+        if (ask.request.write()) {
+            boolean again = ask.ran++ > 0 && (ask.kind.windowMs() == 0 || time.now() > ask.ranMs + ask.kind.windowMs());
+            if (again || ask.answer == Ask.Answer.REFUSED) {
+                rules.broken(Rules.Rule.NO_EFFECT_TWICE, time.now(), "request " + ask.request.id() + " (" + ask.kind.name()
+                        + ") has run " + (again ? "twice" : "and was refused"));
+            }
+            ask.ranMs = ask.ran == 1 ? time.now() : ask.ranMs;
+            nodes.values().forEach(n -> n.drop(ask.request.key()));
+        } else if (!ask.over) {
+            ask.attempts.stream().filter(t -> t.missed && nodes.containsKey(t.server)).limit(2)
+                    .forEach(t -> nodes.get(t.server).put(ask.request.key()));
+        }
+    }
+
+    /** A datagram from one instance to each of the others; late, or lost. */
+    void tell(InstanceModel from, Consumer<InstanceModel> what) {
+        for (InstanceModel to : instances) {
+            if (to == from) {
+                continue;
+            }
+            tally.add(time.now(), Figure.MESSAGES);
+            if (random.nextDouble() >= PEER_LOST) {
+                time.after(PEER_LEAST_MS + (PEER_MOST_MS - PEER_LEAST_MS) * random.nextDouble(), () -> {
+                    if (to.hears(from)) {
+                        what.accept(to);
+                    }
+                });
+            }
+        }
+    }
+
+    // ---- what happens to it
+
+    /** Kills an instance; it starts again by itself. */
+    void kill(int i) {
+        if (instances[i].up()) {
+            instances[i].kill();
+            startAgain(i);
+        }
+    }
+
+    private void startAgain(int i) {
+        double bootMs = BOOT_MS + 1000 * random.nextDouble();
+        time.after(FRONT_MS + 1830 * random.nextDouble(), () -> clients.front(i, instances[i].takes()));
+        time.after(bootMs, () -> {
+            instances[i].start();
+            clients.front(i, true);
+        });
+    }
+
+    /** Tells an instance to end in order; it starts again. */
+    void restart(int i) {
+        clients.front(i, false);
+        time.after(LAST_COMERS_MS, () -> {
+            if (instances[i].up()) {
+                instances[i].retire(() -> startAgain(i));
+            }
+        });
+    }
+
+    /** This node drains, ends, and a cold one takes its part under a new id. */
+    void replace(NodeModel n, double drainMs) {
+        if (drainMs > 0) {
+            n.drain();
+            discovery.changed(member(n, State.DRAINING));
+        }
+        time.after(drainMs, () -> {
+            n.go();
+            nodes.remove(n.id, n);
+            discovery.changed(new Member(n.id, n.zone, 0, n.id / 8, State.GONE, n.weight, n.bornMs));
+            NodeModel cold = newNode(time.now());
+            discovery.changed(member(cold, State.READY));
+        });
+    }
+
+    /** A node says nothing for so long, and comes back cold under its id. */
+    void lose(NodeModel n, double ms) {
+        n.silent(true);
+        time.after(ms, () -> {
+            if (nodes.get(n.id) == n) {
+                n.go();
+                NodeModel back = node(n.id, n.zone, time.now());
+                discovery.changed(member(back, State.READY));
+            }
+        });
+    }
+
+    /** Draws so many of a list. */
+    <T> List<T> some(List<T> all, int many) {
+        List<T> rest = new ArrayList<>(all);
+        List<T> drawn = new ArrayList<>();
+        while (drawn.size() < many && !rest.isEmpty()) {
+            drawn.add(rest.remove(random.nextInt(rest.size())));
+        }
+        return drawn;
+    }
+
+    SplittableRandom random() {
+        return random;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/model/InstanceModel.java
@@ -0,0 +1,484 @@
+package damsonworks.model;
+
+import damsonworks.RoutingApi;
+import damsonworks.RoutingApi.AttemptEnd;
+import damsonworks.RoutingApi.Effect;
+import damsonworks.RoutingApi.ListKind;
+import damsonworks.RoutingApi.Member;
+import damsonworks.RoutingApi.Outcome;
+import damsonworks.RoutingApi.Request;
+import damsonworks.RoutingApi.Settings;
+import damsonworks.RoutingApi.State;
+import damsonworks.model.Rules.Rule;
+import damsonworks.peer.ListNews;
+import damsonworks.peer.ListNews.Order;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+
+/**
+ * One proxy: the real decision module and the real news of the list, and what carries their orders out as the core does. It
+ * can be killed, drained and started again. Holds each order against the rules.
+ */
+final class InstanceModel implements RoutingApi.Actions {
+    /** Part of a watch's time, at random, after which it is begun anew; as the discovery client has it. */
+    private static final double WATCH_MS = 10_000;
+    /** A final answer counts as held back if for so long, and to the end of its time, nothing was out for it. */
+    private static final double HELD_MS = 50;
+    /** So much later than told is still in time, as on the operators' sockets. */
+    private static final double SLACK_MS = 50;
+    /** Attempts that nobody waits for end their connection at most so often, as the core has it. */
+    private static final double CLOSES_PER_SECOND = 10;
+    /** A connection that owes an answer for so long after its attempt was given up is ended. */
+    private static final double STALLED_MS = 2000;
+
+    private final int me;
+    private final FleetPlay play;
+    private final VirtualTime time;
+    private final Tally tally;
+    private final Rules rules;
+    private final Settings settings;
+    private final SplittableRandom random;
+    private final Map<Integer, Ask> asks = new HashMap<>();
+    private final Map<Integer, Link> links = new TreeMap<>();
+    /** When this instance was told that a node drains or is gone. */
+    private final Map<Integer, Double> wantedNothingMs = new HashMap<>();
+    private RoutingApi policy;
+    private ListNews news;
+    private List<Member> kept = List.of();
+    private long version;
+    private int life;
+    private boolean up;
+    private boolean draining;
+    private boolean deaf;
+    private double closes = CLOSES_PER_SECOND;
+    private double closesAtMs;
+
+    InstanceModel(int me, FleetPlay play, SplittableRandom random) {
+        this.me = me;
+        this.play = play;
+        this.random = random;
+        time = play.time();
+        tally = play.tally();
+        rules = play.rules();
+        settings = play.draw().settings(me);
+    }
+
+    int zone() {
+        return settings.zone();
+    }
+
+    /** Whether it takes requests. */
+    boolean takes() {
+        return up && !draining;
+    }
+
+    boolean up() {
+        return up;
+    }
+
+    long version() {
+        return version;
+    }
+
+    /** Requests and connections that it holds, and what its module does. */
+    int held() {
+        return asks.size() + links.size() + wantedNothingMs.size();
+    }
+
+    RoutingApi policy() {
+        return policy;
+    }
+
+    // ---- its life
+
+    /** Starts with the list as it was last had, and knows nothing else. */
+    void start() {
+        life++;
+        up = true;
+        draining = false;
+        policy = play.module(settings, random.nextLong());
+        news = new ListNews(settings.instances(), settings.ownSeed(random.nextLong()));
+        news.begin(version);
+        if (kept.isEmpty()) {
+            kept = play.discovery().known();
+        }
+        wantedNothingMs.clear();
+        policy.onList(time.now(), ListKind.CACHED, kept, this);
+    }
+
+    /** Ends at once. What it held is for the clients to ask again; its connections are reset. */
+    void kill() {
+        life++;
+        up = false;
+        kept = play.discovery().known();
+        play.discovery().leave(me);
+        asks.values().stream().filter(a -> !a.over).forEach(a -> tally.add(time.now(), Figure.ABANDONED));
+        asks.clear();
+        List.copyOf(links.values()).forEach(Link::close);
+        links.clear();
+    }
+
+    /** Takes nothing new, answers what it has, and ends when the longest deadline is over. */
+    void retire(Runnable ended) {
+        draining = true;
+        later(play.longestDeadlineMs() + 2 * SLACK_MS, () -> {
+            for (Ask a : asks.values()) {
+                if (!a.over) {
+                    rules.broken(Rule.NO_REQUEST_LOST, time.now(), name(a) + " was open as the process ended in order");
+                }
+            }
+            kill();
+            ended.run();
+        });
+    }
+
+    /** Hears nothing of its peers, nor they of it. */
+    void deaf(boolean on) {
+        deaf = on;
+    }
+
+    /** What only this life of it is to see. */
+    private void later(double ms, Runnable what) {
+        int mine = life;
+        time.after(ms, () -> {
+            if (mine == life) {
+                what.run();
+            }
+        });
+    }
+
+    private String name(Ask a) {
+        return "request " + a.request.id() + " (" + a.kind.name() + ") at instance " + me;
+    }
+
+    // ---- requests
+
+    /** Takes a request, which it now owes exactly one final answer in time. */
+    void take(Ask ask) {
+        asks.put(ask.request.id(), ask);
+        ask.idleSinceMs = time.now();
+        tally.add(time.now(), Figure.REQUESTS);
+        double left = ask.request.dueMs() - time.now();
+        later(left, () -> { // before the module's own timer: a silent server's attempt ends as a time-out then
+            for (int i = 0; i < ask.attempts.size() && !ask.over; i++) {
+                expire(ask.attempts.get(i));
+            }
+        });
+        later(left + SLACK_MS, () -> {
+            if (!ask.over) {
+                rules.broken(Rule.NO_REQUEST_LOST, time.now(), name(ask) + " had no answer in time");
+            }
+        });
+        policy.onRequest(time.now(), ask.request, this);
+    }
+
+    /** Its client waits no longer. */
+    void leave(Ask ask) {
+        if (up && !ask.over && asks.get(ask.request.id()) == ask) {
+            over(ask);
+            policy.onGone(time.now(), ask.request.id(), this);
+        }
+    }
+
+    private void over(Ask ask) {
+        ask.over = true;
+        if (ask.out == 0) {
+            asks.remove(ask.request.id());
+        }
+    }
+
+    private void answer(Ask ask, Ask.Answer answer, double retryAfterMs) {
+        if (ask == null || ask.over) {
+            rules.broken(Rule.NO_REQUEST_LOST, time.now(), "a second answer to " + (ask == null ? "a request" : name(ask)));
+            return;
+        }
+        if (answer != Ask.Answer.SERVED && ask.out == 0 && time.now() - ask.idleSinceMs > HELD_MS
+                && time.now() >= ask.request.dueMs() - 1) {
+            tally.add(time.now(), Figure.HELD_BACK);
+        }
+        ask.answer = answer;
+        over(ask);
+        tally.add(time.now(), switch (answer) {
+            case SERVED -> Figure.SERVED;
+            case REFUSED -> Figure.REFUSED;
+            case FAILED -> Figure.FAILED;
+        });
+        ask.client.answered(ask, answer, retryAfterMs);
+    }
+
+    @Override
+    public void deny(int request, double retryAfterMs) {
+        Ask ask = asks.get(request);
+        if (ask != null && ask.kind.effect() != Effect.SAFE && ask.attempts.stream().anyMatch(a -> !a.neverRan)) {
+            rules.broken(Rule.NO_EFFECT_TWICE, time.now(), name(ask) + " was refused and may have run");
+        }
+        answer(ask, Ask.Answer.REFUSED, retryAfterMs);
+    }
+
+    @Override
+    public void fail(int request) {
+        answer(asks.get(request), Ask.Answer.FAILED, 0);
+    }
+
+    // ---- attempts
+
+    @Override
+    public void place(int request, int server, double timeoutMs) {
+        Ask ask = asks.get(request);
+        if (ask == null || ask.over) {
+            rules.broken(Rule.NO_REQUEST_LOST, time.now(), "something is sent for a request that is over, at instance " + me);
+            return;
+        }
+        holdAgainstRules(ask, server);
+        Attempt a = new Attempt(ask, ask.attempts.size(), server, time.now());
+        tally.add(time.now(), Figure.ATTEMPTS);
+        if (ask.out > 0) {
+            tally.add(time.now(), Figure.SECOND_COPIES);
+        }
+        ask.attempts.add(a);
+        ask.out++;
+        double left = ask.request.dueMs() - time.now();
+        if (timeoutMs > 0 && timeoutMs < left) {
+            later(timeoutMs, () -> expire(a));
+        }
+        if (server == FleetDraw.ORIGIN) {
+            fetch(a);
+        } else {
+            send(a);
+        }
+    }
+
+    private void holdAgainstRules(Ask ask, int server) {
+        if (ask.attempts.size() >= settings.maxAttempts()) {
+            rules.broken(Rule.NO_EFFECT_TWICE, time.now(), name(ask) + " is tried a time too often");
+        }
+        Double told = wantedNothingMs.get(server);
+        if (told != null && time.now() > told + settings.drainGraceMs() + SLACK_MS) {
+            rules.broken(Rule.DRAINS_KEPT, time.now(), name(ask) + " goes to node " + server + ", told of "
+                    + Math.round(time.now() - told) + " ms ago");
+        }
+        for (Attempt a : ask.attempts) {
+            if (a.neverRan || ask.kind.effect() == Effect.SAFE) {
+                continue;
+            }
+            if (ask.kind.effect() == Effect.UNSAFE || time.now() > a.sentMs + ask.kind.windowMs() + SLACK_MS) {
+                rules.broken(Rule.NO_EFFECT_TWICE, time.now(), name(ask) + " is sent again and may have run");
+            }
+        }
+    }
+
+    private void send(Attempt a) {
+        NodeModel node = play.node(a.server);
+        if (node == null || node.gone()) {
+            later(2 * play.network().delayMs(zone(), zone()), () -> ended(a, Outcome.CONNECT_FAILED));
+            return;
+        }
+        Link link = links.get(a.server);
+        if (link == null || !link.usable() || link.node() != node) {
+            if (!node.answers() || !play.network().passes(zone(), node.zone)) {
+                later(settings.connectTimeoutMs(), () -> ended(a, Outcome.CONNECT_FAILED));
+                return;
+            }
+            link = new Link(this, node, time, play.network());
+            if (!node.accept(link)) {
+                tally.add(time.now(), Figure.NO_PLACE);
+                later(4 * play.network().delayMs(zone(), node.zone), () -> ended(a, Outcome.NO_PLACE));
+                return;
+            }
+            tally.add(time.now(), Figure.CONNECTIONS);
+            links.put(a.server, link);
+        }
+        link.send(a);
+    }
+
+    private void fetch(Attempt a) {
+        if (!play.network().passes(zone(), OriginModel.ZONE)) {
+            return; // the time-out, or the module, ends it
+        }
+        double delay = play.network().delayMs(zone(), OriginModel.ZONE);
+        time.after(delay, () -> play.origin().take(a, done -> {
+            if (done) {
+                play.stored(a);
+            }
+            time.after(delay, () -> {
+                if (play.network().passes(zone(), OriginModel.ZONE)) {
+                    ended(a, done ? Outcome.OK : Outcome.FULL);
+                }
+            });
+        }));
+    }
+
+    private void expire(Attempt a) {
+        if (!a.ended) {
+            tally.add(time.now(), Figure.TIMED_OUT);
+            ended(a, Outcome.TIMEOUT);
+            gaveUp(a);
+        }
+    }
+
+    private void gaveUp(Attempt a) {
+        closes = Math.min(CLOSES_PER_SECOND, closes + (time.now() - closesAtMs) / 1000 * CLOSES_PER_SECOND);
+        closesAtMs = time.now();
+        if (a.link != null && closes >= 1) {
+            closes--;
+            a.link.gaveUp();
+        }
+    }
+
+    @Override
+    public void cancel(int request, int attempt) {
+        Ask ask = asks.get(request);
+        if (ask != null && attempt < ask.attempts.size()) {
+            Attempt a = ask.attempts.get(attempt);
+            later(0, () -> { // not within the module's own call
+                if (!a.ended) {
+                    ended(a, Outcome.CANCELLED);
+                    gaveUp(a);
+                }
+            });
+        }
+    }
+
+    /** The one end of an attempt, if this life of the instance began it. */
+    void ended(Attempt a, Outcome outcome) {
+        Ask ask = a.ask;
+        if (a.ended || asks.get(ask.request.id()) != ask) {
+            return;
+        }
+        a.ended = true;
+        a.neverRan = !outcome.mayHaveRun();
+        a.missed = outcome == Outcome.MISS;
+        if (--ask.out == 0) {
+            ask.idleSinceMs = time.now();
+        }
+        if (outcome == Outcome.RESET) {
+            tally.add(time.now(), Figure.RESETS);
+        }
+        if (outcome == Outcome.OK && !ask.over) {
+            answer(ask, Ask.Answer.SERVED, 0);
+        } else if (ask.over && ask.out == 0) {
+            asks.remove(ask.request.id());
+        }
+        policy.onAttemptEnd(time.now(), new AttemptEnd(ask.request.id(), a.index, a.server, outcome, time.now() - a.sentMs,
+                ask.over, 0, null), this);
+    }
+
+    void closed(Link link) {
+        links.remove(link.node().id, link);
+    }
+
+    /** Ends what has stood idle for long, or still owes an answer that nobody waits for. */
+    void sweep() {
+        links.values().stream().filter(l -> l.stalledSince(time.now() - STALLED_MS)).toList().forEach(Link::reset);
+        links.values().stream().filter(l -> l.idleSince(time.now() - FleetDraw.IDLE_CLOSE_MS)).toList().forEach(Link::close);
+    }
+
+    // ---- the list, and what peers tell of it
+
+    @Override
+    public void watch(boolean on) {
+        call();
+    }
+
+    @Override
+    public void fetchList() {
+        call();
+    }
+
+    private void call() {
+        int mine = life;
+        play.discovery().call(me, new DiscoveryModel.Watcher() {
+            @Override
+            public void list(long told, boolean whole, List<Member> members) {
+                if (mine == life) {
+                    listed(told, whole, members);
+                    if (whole) {
+                        later(WATCH_MS * (0.7 + 0.6 * random.nextDouble()), InstanceModel.this::call);
+                    }
+                }
+            }
+
+            @Override
+            public void failed() {
+                if (mine == life) {
+                    policy.onList(time.now(), ListKind.FAILED, List.of(), InstanceModel.this);
+                }
+            }
+        });
+    }
+
+    private void listed(long told, boolean whole, List<Member> members) {
+        version = Math.max(version, told);
+        Set<Integer> named = new HashSet<>();
+        for (Member m : members) {
+            named.add(m.id());
+            if (m.state() == State.READY) {
+                wantedNothingMs.remove(m.id());
+            } else {
+                wantedNothingMs.putIfAbsent(m.id(), time.now());
+            }
+        }
+        for (Link link : List.copyOf(links.values())) {
+            if (whole ? !named.contains(link.node().id) : wantedNothingMs.containsKey(link.node().id)) {
+                link.retire();
+            }
+        }
+        wantedNothingMs.values().removeIf(at -> time.now() - at > 10 * settings.drainGraceMs());
+        policy.onList(time.now(), whole ? ListKind.FULL : ListKind.CHANGES, members, this);
+        carryOut(news.held(time.now(), version));
+    }
+
+    private void carryOut(Order order) {
+        switch (order) {
+            case TELL -> {
+                long told = version;
+                play.tell(this, peer -> peer.carryOut(peer.news.heard(time.now(), told)));
+            }
+            case ASK -> call();
+            case NONE, WAIT -> { }
+        }
+        if (order != Order.NONE && news.dueMs() != Double.POSITIVE_INFINITY) {
+            later(Math.max(0.01, news.dueMs() - time.now()), () -> carryOut(news.due(time.now())));
+        }
+    }
+
+    @Override
+    public void tell(int peer, byte[] message) {
+        play.tell(this, other -> {
+            if (peer < 0 || peer == other.me) {
+                other.policy.onPeer(time.now(), me, message, other);
+            }
+        });
+    }
+
+    /** Whether a message may reach it from that one. */
+    boolean hears(InstanceModel other) {
+        return up && !deaf && !other.deaf && play.network().passes(zone(), other.zone());
+    }
+
+    // ---- the rest
+
+    @Override
+    public void setTimer(double afterMs, int token) {
+        later(afterMs, () -> policy.onTimer(time.now(), token, this));
+    }
+
+    @Override
+    public void probe(int server) { }
+
+    @Override
+    public void closeIdle(int server) {
+        Link link = links.get(server);
+        if (link != null && link.idleSince(Double.POSITIVE_INFINITY)) {
+            link.close();
+        }
+    }
+
+    @Override
+    public void log(String line) { }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/model/Link.java
@@ -0,0 +1,126 @@
+package damsonworks.model;
+
+import damsonworks.RoutingApi.Outcome;
+import java.util.ArrayDeque;
+import java.util.List;
+
+/**
+ * One connection of an instance to a node. Answers come in the order of its requests; one that is lost holds up all that
+ * come after it, as on a link that swallows packets.
+ */
+final class Link {
+    private record Answer(Attempt attempt, Outcome outcome) { }
+
+    private final InstanceModel owner;
+    private final NodeModel node;
+    private final VirtualTime time;
+    private final Network network;
+    private final ArrayDeque<Attempt> out = new ArrayDeque<>();
+    private final ArrayDeque<Answer> early = new ArrayDeque<>();
+    private double readyMs;
+    private double usedMs;
+    private boolean mute;
+    private boolean retired;
+    private boolean closed;
+
+    Link(InstanceModel owner, NodeModel node, VirtualTime time, Network network) {
+        this.owner = owner;
+        this.node = node;
+        this.time = time;
+        this.network = network;
+        usedMs = time.now();
+        readyMs = time.now() + 2 * network.delayMs(owner.zone(), node.zone);
+    }
+
+    NodeModel node() {
+        return node;
+    }
+
+    boolean usable() {
+        return !closed && !retired && out.size() < FleetDraw.STREAMS;
+    }
+
+    boolean idleSince(double ms) {
+        return out.isEmpty() && usedMs < ms;
+    }
+
+    boolean stalledSince(double ms) {
+        return !out.isEmpty() && out.peek().ended && out.peek().sentMs < ms;
+    }
+
+    void send(Attempt attempt) {
+        attempt.link = this;
+        usedMs = time.now();
+        out.add(attempt);
+        double at = Math.max(time.now(), readyMs) + network.delayMs(owner.zone(), node.zone);
+        time.at(at, () -> {
+            if (!closed && network.passes(owner.zone(), node.zone)) {
+                node.arrive(this, attempt);
+            }
+        });
+    }
+
+    /** The node has an answer; it comes in its turn. */
+    void answered(Attempt attempt, Outcome outcome, int from) {
+        if (mute || network.losesAnswer() || !network.passes(from, owner.zone())) {
+            mute = true; // what comes after it can't be told from its answer
+            return;
+        }
+        time.after(network.delayMs(from, owner.zone()), () -> arrived(new Answer(attempt, outcome)));
+    }
+
+    private void arrived(Answer answer) {
+        if (closed) {
+            return;
+        }
+        early.add(answer);
+        for (boolean more = true; more;) {
+            more = false;
+            for (Answer a : early) {
+                if (a.attempt() == out.peek()) {
+                    early.remove(a);
+                    out.poll();
+                    usedMs = time.now();
+                    owner.ended(a.attempt(), a.outcome());
+                    more = !closed;
+                    break;
+                }
+            }
+        }
+        if (out.isEmpty() && retired) {
+            close();
+        }
+    }
+
+    /** Nobody waits for this one any more: with nothing else on it, the connection ends. */
+    void gaveUp() {
+        if (!closed && out.stream().allMatch(a -> a.ended)) {
+            close();
+        }
+    }
+
+    /** Nothing new goes onto it. */
+    void retire() {
+        retired = true;
+        if (out.isEmpty()) {
+            close();
+        }
+    }
+
+    /** The other side, or what lies between, has ended it. */
+    void reset() {
+        if (!closed) {
+            close();
+            List.copyOf(out).forEach(a -> owner.ended(a, Outcome.RESET));
+            out.clear();
+        }
+    }
+
+    void close() {
+        if (!closed) {
+            closed = true;
+            node.left(this);
+            owner.closed(this);
+        }
+    }
+}
--- a/src/test/java/damsonworks/VirtualTime.java
+++ b/src/main/java/damsonworks/model/VirtualTime.java
@@ -1,4 +1,4 @@
-package damsonworks;
+package damsonworks.model;
 
 import java.util.PriorityQueue;
 
--- a/src/test/java/damsonworks/ArchitectureTest.java
+++ b/src/test/java/damsonworks/ArchitectureTest.java
@@ -53,18 +53,30 @@
                 .orShould().callMethod(System.class, "nanoTime").check(ALL);
     }
 
+    /** The same seed gives the same run on any machine. */
+    @Test
+    void theModelOfTheFleetDoesNoInputOrOutputAndReadsNoClock() {
+        noClasses().that().resideInAPackage("damsonworks.model")
+                .should().dependOnClassesThat().resideInAnyPackage(IO)
+                .orShould().dependOnClassesThat().resideInAnyPackage("damsonworks.proxy..", "damsonworks.cli..",
+                        "damsonworks.demo..")
+                .orShould().callMethod(System.class, "nanoTime")
+                .orShould().callMethod(System.class, "currentTimeMillis").check(ALL);
+    }
+
     @Test
     void theProxyKnowsNothingOfTheTools() {
         noClasses().that().resideInAnyPackage("damsonworks.proxy..", "damsonworks.wire..")
                 .should().dependOnClassesThat().resideInAnyPackage("damsonworks.fleet..", "damsonworks.load..",
-                        "damsonworks.demo..", "damsonworks.cli..", "picocli..", "org.HdrHistogram..").check(ALL);
+                        "damsonworks.demo..", "damsonworks.model..", "damsonworks.cli..", "picocli..", "org.HdrHistogram..").check(ALL);
     }
 
     @Test
     void standInsKnowTheProtocolAndNotTheProxy() {
         noClasses().that().resideInAPackage("damsonworks.fleet..")
                 .should().dependOnClassesThat().resideInAnyPackage("damsonworks", "damsonworks.proxy..",
-                        "damsonworks.wire..", "damsonworks.load..", "damsonworks.demo..", "damsonworks.cli..").check(ALL);
+                        "damsonworks.wire..", "damsonworks.load..", "damsonworks.demo..", "damsonworks.model..",
+                        "damsonworks.cli..").check(ALL);
         noClasses().that().resideInAPackage("damsonworks.load..")
                 .should().dependOnClassesThat().resideInAnyPackage("damsonworks", "damsonworks.proxy..",
                         "damsonworks.wire..", "damsonworks.demo..", "damsonworks.cli..").check(ALL);
--- a/src/test/java/damsonworks/fleet/ServiceModelTest.java
+++ b/src/test/java/damsonworks/fleet/ServiceModelTest.java
@@ -99,7 +99,7 @@
 
     @Test
     void theLeastRecentlyUsedKeyGoesFirst() {
-        LruStore store = new LruStore(2);
+        LruStore<String> store = new LruStore<>(2);
         store.put("a", 1);
         store.put("b", 1);
         store.get("a");
--- /dev/null
+++ b/src/test/java/damsonworks/model/Mutant.java
@@ -0,0 +1,104 @@
+package damsonworks.model;
+
+import damsonworks.Policy;
+import damsonworks.RoutingApi;
+import damsonworks.RoutingApi.Actions;
+import damsonworks.RoutingApi.ListKind;
+import damsonworks.RoutingApi.Member;
+import damsonworks.RoutingApi.Settings;
+import damsonworks.RoutingApi.State;
+import java.lang.reflect.InvocationTargetException;
+import java.lang.reflect.Proxy;
+import java.util.List;
+
+/** The decision module with one line of it wrong: each breaks one of the rules. */
+enum Mutant {
+    /** What may have run is refused, so that its client asks again. */
+    REFUSES_WHAT_MAY_HAVE_RUN(Rules.Rule.NO_EFFECT_TWICE) {
+        @Override
+        Object order(Actions out, String name, Object[] args) throws ReflectiveOperationException {
+            if (name.equals("fail")) {
+                out.deny((int) args[0], 0);
+                return null;
+            }
+            return super.order(out, name, args);
+        }
+    },
+    /** One answer in fifty is forgotten. */
+    FORGETS_ANSWERS(Rules.Rule.NO_REQUEST_LOST) {
+        @Override
+        Object order(Actions out, String name, Object[] args) throws ReflectiveOperationException {
+            return (name.equals("deny") || name.equals("fail")) && (int) args[0] % 50 == 0 ? null
+                    : super.order(out, name, args);
+        }
+    },
+    /** A node that drains is taken for one that doesn't, and one that is gone is kept. */
+    KEEPS_WHAT_DRAINS(Rules.Rule.DRAINS_KEPT) {
+        @Override
+        Member member(Member m) {
+            return m.state() == State.READY ? m
+                    : new Member(m.id(), m.zone(), m.kind(), m.cell(), State.READY, m.weight(), m.bornMs());
+        }
+    },
+    /** Whatever goes to a node goes to the newest. */
+    PREFERS_THE_NEWEST(Rules.Rule.NO_COLD_NODE_PUSHED_OVER) {
+        private int newest;
+
+        @Override
+        Member member(Member m) {
+            newest = m.kind() == FleetDraw.ORIGIN_KIND ? newest : Math.max(newest, m.id());
+            return m;
+        }
+
+        @Override
+        Object order(Actions out, String name, Object[] args) throws ReflectiveOperationException {
+            if (name.equals("place") && (int) args[1] != FleetDraw.ORIGIN) {
+                args[1] = newest;
+            }
+            return super.order(out, name, args);
+        }
+    };
+
+    final Rules.Rule breaks;
+
+    Mutant(Rules.Rule breaks) {
+        this.breaks = breaks;
+    }
+
+    /** What comes of an order of the module. */
+    Object order(Actions out, String name, Object[] args) throws ReflectiveOperationException {
+        for (var m : Actions.class.getMethods()) {
+            if (m.getName().equals(name)) {
+                return m.invoke(out, args);
+            }
+        }
+        throw new NoSuchMethodException(name);
+    }
+
+    /** What the module is told of a member. */
+    Member member(Member m) {
+        return m;
+    }
+
+    /** Such a module. */
+    RoutingApi module(Settings settings, long seed) {
+        Policy real = new Policy(settings, seed);
+        return (RoutingApi) Proxy.newProxyInstance(Mutant.class.getClassLoader(), new Class<?>[] {RoutingApi.class},
+                (self, method, args) -> {
+                    for (int i = 0; args != null && i < args.length; i++) {
+                        if (args[i] instanceof Actions out) {
+                            args[i] = Proxy.newProxyInstance(Mutant.class.getClassLoader(), new Class<?>[] {Actions.class},
+                                    (s, order, how) -> order(out, order.getName(), how));
+                        }
+                    }
+                    if (method.getName().equals("onList") && args[1] != ListKind.FAILED) {
+                        args[2] = ((List<?>) args[2]).stream().map(m -> member((Member) m)).toList();
+                    }
+                    try {
+                        return method.invoke(real, args);
+                    } catch (InvocationTargetException e) {
+                        throw e.getCause();
+                    }
+                });
+    }
+}
--- a/src/test/java/damsonworks/quota/LeaseTest.java
+++ b/src/test/java/damsonworks/quota/LeaseTest.java
@@ -2,7 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import damsonworks.VirtualTime;
+import damsonworks.model.VirtualTime;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
