--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -192,6 +192,12 @@
             answered++;
         }
 
+        /** The way there was broken: no word on its load. Taken for a jam, it goes on for seconds after. */
+        void withdrawn(double now) {
+            fade(now);
+            asked = Math.max(0, asked - 1);
+        }
+
         Load load(double now) {
             fade(now);
             return new Load(asked, answered);
@@ -794,6 +800,9 @@
         if (f.doubted && end.attempt() > 0 && end.outcome() == Outcome.OK) {
             doubts++;
         }
+        if (s == origin && outOfReach(end.outcome())) {
+            throttle.withdrawn(now);
+        }
         switch (end.outcome()) {
             case OK, MISS, FULL -> {
                 if (s != origin && end.outcome() == Outcome.FULL && end.attempt() > 0) {
@@ -840,6 +849,10 @@
         }
     }
 
+    private static boolean outOfReach(Outcome outcome) {
+        return outcome == Outcome.CONNECT_FAILED || outcome == Outcome.RESET || outcome == Outcome.NOT_SENT;
+    }
+
     @Override
     public void onFirstByte(double now, int request, int attempt, int server, Actions out) {
         Flight f = flights.get(request);
--- a/src/test/java/damsonworks/PolicyTest.java
+++ b/src/test/java/damsonworks/PolicyTest.java
@@ -445,6 +445,31 @@
         assertThat(rig.last().server()).isEqualTo(Rig.ORIGIN);
     }
 
+    /**
+     * An origin that can't be reached for a while, or whose connections break, has not been too busy to answer: once the way
+     * is free, each miss is fetched.
+     */
+    @ParameterizedTest
+    @EnumSource(names = {"CONNECT_FAILED", "RESET", "NOT_SENT"})
+    void anOriginOutOfReachIsNotTakenForAJammedOne(Outcome broken) {
+        Rig rig = Rig.aside().fleet(5);
+        int id = 0;
+        while (++id <= 100) {
+            rig.now += 20;
+            rig.read(id, id);
+            rig.end(rig.last(), Outcome.MISS);
+            assertThat(rig.last().server()).as("request %d", id).isEqualTo(Rig.ORIGIN);
+            rig.end(rig.last(), broken);
+        }
+        for (; id <= 150; id++) {
+            rig.now += 20;
+            rig.read(id, id);
+            rig.end(rig.last(), Outcome.MISS);
+            assertThat(rig.last().server()).as("request %d", id).isEqualTo(Rig.ORIGIN);
+            rig.end(rig.last(), Outcome.OK);
+        }
+    }
+
     /** The instances of a fleet must not call the small list service together, nor at once after a failure. */
     @Test
     void theListIsAskedForOnceWithDelay() {
