--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -1,5 +1,6 @@
 package damsonworks;
 
+import damsonworks.peer.PeerMessage;
 import java.util.*;
 
 /**
@@ -19,6 +20,9 @@
     private static final int RANKS = 8;
     private static final int SHUN_CONNECTS = 10;
     private static final int MAX_TURNED_AWAY = 4;
+    private static final int ALL_PEERS = -1;
+    /** Who was answered within so many connect time-outs, 20 s here, still has the connection. */
+    private static final int HELD_CONNECTS = 200;
 
     private final SplittableRandom random;
     private final Map<Integer, Server> servers = new HashMap<>();
@@ -63,6 +67,7 @@
         boolean trial;
         int turnedAway;
         double noPlaceUntil;
+        double answeredAt = Double.NEGATIVE_INFINITY;
         boolean probed;
 
         Server(int id) {
@@ -360,6 +365,7 @@
             if (s.member != null && s.member.bornMs() != m.bornMs()) {
                 s.failures = s.turnedAway = 0;
                 s.shunnedUntil = s.noPlaceUntil = 0;
+                s.answeredAt = Double.NEGATIVE_INFINITY;
             }
             s.member = m;
         }
@@ -561,12 +567,35 @@
 
     /**
      * All the server's places are taken by others: it can't be contacted, and the runner-up has its keys
-     * until one may have come free. It is not at fault. Each instance asks again at a time of its own.
+     * until one may have come free. It is not at fault. Each instance asks again at a time of its own, and
+     * the later the more they are, as it is all together that ask; and it tells the others, who would else
+     * find the same out one by one, each at the cost of an attempt.
      */
-    private void noPlace(double now, Server s) {
-        int times = 1 << Math.min(s.turnedAway++, MAX_TURNED_AWAY);
-        double wait = SHUN_CONNECTS * cfg.connectTimeoutMs() * times;
-        s.noPlaceUntil = now + wait * (0.5 + random.nextDouble());
+    private void noPlace(double now, Server s, Actions out) {
+        boolean told = now < s.noPlaceUntil; // by a peer, while this attempt was out
+        leave(now, s, 1 << Math.min(s.turnedAway++, MAX_TURNED_AWAY));
+        if (cfg.peers() && !told) {
+            out.tell(ALL_PEERS, PeerMessage.full(s.id));
+        }
+    }
+
+    private void leave(double now, Server s, int times) {
+        double least = SHUN_CONNECTS * cfg.connectTimeoutMs();
+        double wait = Math.min(least * (1 << MAX_TURNED_AWAY),
+                Math.max(least, cfg.instances() * cfg.connectTimeoutMs()) * times);
+        s.noPlaceUntil = Math.max(s.noPlaceUntil, now + wait * (0.5 + random.nextDouble()));
+    }
+
+    /**
+     * A peer has found no place at a server. Who has a place of its own there keeps to it, so a peer that is
+     * wrong costs no more than that: until the time is over, the runner-up has what had no place here anyway.
+     */
+    @Override
+    public void onPeer(double now, int peer, byte[] message, Actions out) {
+        Server s = servers.get(PeerMessage.fullServer(message));
+        if (s != null && s != origin && now - s.answeredAt > HELD_CONNECTS * cfg.connectTimeoutMs()) {
+            leave(now, s, 1);
+        }
     }
 
     private boolean maySend(double now, Flight f, Server s) {
@@ -729,7 +758,7 @@
         Server s = f.at[end.attempt()];
         f.ended[end.attempt()] = true;
         f.out--;
-        learn(now, f, s, end);
+        learn(now, f, s, end, out);
         if (end.outcome().mayHaveRun() && Double.isNaN(f.maybeRanSince)) {
             f.maybeRanSince = f.sentAt[end.attempt()];
             f.maybeRanAt = s;
@@ -796,7 +825,7 @@
         }
     }
 
-    private void learn(double now, Flight f, Server s, AttemptEnd end) {
+    private void learn(double now, Flight f, Server s, AttemptEnd end, Actions out) {
         if (f.doubted && end.attempt() > 0 && end.outcome() == Outcome.OK) {
             doubts++;
         }
@@ -805,6 +834,8 @@
         }
         switch (end.outcome()) {
             case OK, MISS, FULL -> {
+                s.answeredAt = now;
+                s.noPlaceUntil = 0;
                 if (s != origin && end.outcome() == Outcome.FULL && end.attempt() > 0) {
                     crowd.asked(now);
                 }
@@ -832,7 +863,7 @@
             }
             case NO_PLACE -> {
                 s.trial = false;
-                noPlace(now, s);
+                noPlace(now, s, out);
             }
             case CONNECT_FAILED, RESET, TIMEOUT -> {
                 if (s != origin) {
@@ -930,7 +961,4 @@
             suspect(now, s);
         }
     }
-
-    @Override
-    public void onPeer(double now, int peer, byte[] message, Actions out) { }
 }
--- a/src/test/java/damsonworks/PolicyTest.java
+++ b/src/test/java/damsonworks/PolicyTest.java
@@ -9,6 +9,7 @@
 import damsonworks.RoutingApi.Outcome;
 import damsonworks.RoutingApi.Request;
 import damsonworks.RoutingApi.State;
+import damsonworks.peer.PeerMessage;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -338,6 +339,60 @@
         assertThat(rig.last().server()).isEqualTo(first.server());
     }
 
+    /** What one finds out costs an attempt; the others are told, and leave the server alone without asking. */
+    @Test
+    void peersAreToldOfAServerWithNoPlaceAndLeaveItToItsRunnerUp() {
+        Rig one = Rig.peers(0, 100).fleet(6);
+        one.read(1, 77);
+        int top = one.last().server();
+        one.end(one.last(), Outcome.NO_PLACE);
+        assertThat(one.told).hasSize(1);
+
+        Rig other = Rig.peers(1, 100).fleet(6);
+        other.policy.onPeer(other.now, 0, one.told.get(0), other);
+        other.read(1, 77);
+        assertThat(other.last().server()).isNotEqualTo(top);
+        other.end(other.last(), Outcome.OK);
+        other.pass(4900); // half of what 100 instances wait at least
+        other.read(2, 77);
+        assertThat(other.last().server()).isNotEqualTo(top);
+        other.end(other.last(), Outcome.OK);
+        other.pass(11_000);
+        other.read(3, 77);
+        assertThat(other.last().server()).isEqualTo(top);
+        other.end(other.last(), Outcome.NO_PLACE);
+        assertThat(other.told).hasSize(1);
+    }
+
+    /** A peer that is wrong, or lies, takes no place from who has one; nor does a message that can't be read. */
+    @Test
+    void whoHasAPlaceKeepsItWhateverPeersSay() {
+        Rig rig = Rig.peers(1, 100).fleet(6);
+        rig.read(1, 77);
+        Rig.Placed first = rig.last();
+        rig.end(first, Outcome.OK);
+        rig.policy.onPeer(rig.now, 0, PeerMessage.full(first.server()), rig);
+        rig.policy.onPeer(rig.now, 0, PeerMessage.full(12345), rig);
+        rig.policy.onPeer(rig.now, 0, PeerMessage.full(Rig.ORIGIN), rig);
+        rig.policy.onPeer(rig.now, 0, new byte[] {'F', 1}, rig);
+        rig.policy.onPeer(rig.now, 0, new byte[0], rig);
+        rig.read(2, 77);
+        assertThat(rig.last().server()).isEqualTo(first.server());
+        rig.end(rig.last(), Outcome.MISS);
+        assertThat(rig.last().server()).isEqualTo(Rig.ORIGIN);
+    }
+
+    /** Two that find it out at once tell it once: who was told meanwhile says nothing. */
+    @Test
+    void whoWasToldMeanwhileTellsNobody() {
+        Rig rig = Rig.peers(1, 100).fleet(6);
+        rig.read(1, 77);
+        Rig.Placed first = rig.last();
+        rig.policy.onPeer(rig.now, 0, PeerMessage.full(first.server()), rig);
+        rig.end(first, Outcome.NO_PLACE);
+        assertThat(rig.told).isEmpty();
+    }
+
     // ---- departures
 
     /** A key that draws much of the traffic is spread over several ranks; cool again it has one server. */
--- a/src/test/java/damsonworks/Rig.java
+++ b/src/test/java/damsonworks/Rig.java
@@ -36,6 +36,7 @@
     final List<String> cancelled = new ArrayList<>();
     final List<Integer> probed = new ArrayList<>();
     final List<Timer> timers = new ArrayList<>();
+    final List<byte[]> told = new ArrayList<>();
     final List<String> orders = new ArrayList<>();
     final Map<Integer, Integer> attempts = new HashMap<>();
     final Policy policy;
@@ -66,10 +67,19 @@
         return with(s, me, instances, s.overShareWorth());
     }
 
+    /** One of so many instances that may send each other messages. */
+    static Rig peers(int me, int instances) {
+        return new Rig(with(settings(true, false, false, Group.ALL), me, instances, 0.1, true));
+    }
+
     private static Settings with(Settings s, int me, int instances, double overShareWorth) {
+        return with(s, me, instances, overShareWorth, s.peers());
+    }
+
+    private static Settings with(Settings s, int me, int instances, double overShareWorth, boolean peers) {
         return new Settings(me, instances, s.zone(), s.zones(), s.kinds(), s.askForList(), s.aside(),
                 s.originKind(), s.reports(), s.reportNames(), s.worthByWork(), overShareWorth, s.mayCancel(),
-                s.mayProbe(), s.peers(), s.secondCopies(), s.retryAdvice(), s.maxAttempts(), s.maxRetryAfterMs(),
+                s.mayProbe(), peers, s.secondCopies(), s.retryAdvice(), s.maxAttempts(), s.maxRetryAfterMs(),
                 s.connectTimeoutMs(), s.drainGraceMs(), s.answerGraceMs(), s.startCapacity(), s.warmUpMs(),
                 s.tipMultiple(), s.fallMs(), s.askWithinMs(), s.originFallMultiple(), s.originFallMs(), s.classes(),
                 s.tenants());
@@ -203,6 +213,7 @@
 
     @Override
     public void tell(int peer, byte[] message) {
+        told.add(message);
         orders.add("tell " + peer);
     }
 
--- a/src/test/java/damsonworks/model/FleetPlayTest.java
+++ b/src/test/java/damsonworks/model/FleetPlayTest.java
@@ -80,15 +80,17 @@
         assertThat(p.rules().told()).isEmpty();
         // A watch is begun anew every 10 s, at a start, and where peers know better or a call was turned away.
         assertThat(c.total(Figure.CALLS)).as("calls for the list").isLessThanOrEqualTo(n * 14);
-        // Some two tell the others of a version: one for each that goes and one for each that comes.
-        assertThat(c.total(Figure.MESSAGES)).as("messages").isLessThanOrEqualTo((n - 1) * replaced * 2 * 4);
+        // Some two tell the others of a version, one for each that goes and one for each that comes; and who is turned away.
+        assertThat(c.total(Figure.MESSAGES)).as("messages")
+                .isLessThanOrEqualTo((n - 1) * (replaced * 2 * 4 + c.total(Figure.NO_PLACE)));
         // What each may send by itself is five, and a twentieth of what it has answered; one that helped is given back.
         assertThat(c.total(Figure.SECOND_COPIES)).as("second copies")
                 .isLessThanOrEqualTo(n * 5 * 2 + c.total(Figure.REQUESTS) / 10);
         assertThat(c.total(Figure.FETCHES_AGAIN)).as("fetches of a key under way")
                 .isLessThanOrEqualTo(c.total(Figure.FETCHES) / 8);
+        // Where all had to find it out by themselves, it was some six times for each of those without a place.
         assertThat(c.total(Figure.NO_PLACE)).as("turned away").isLessThanOrEqualTo(n <= p.draw().places() ? 0
-                : (n - p.draw().places()) * 60.0 * 10);
+                : (n - p.draw().places()) * 60.0);
     }
 
     /** Discovery is away while most start anew: what was kept goes on serving, and the calls are spread. */
