--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -20,6 +20,8 @@
     private static final int RANKS = 8;
     private static final int SHUN_CONNECTS = 10;
     private static final int MAX_TURNED_AWAY = 4;
+    /** So many servers of a zone in a row, and no other that answers, are a way that is cut off. */
+    private static final int CUT_SERVERS = 3;
     private static final int ALL_PEERS = -1;
     /** Who was answered within so many connect time-outs, 20 s here, still has the connection. */
     private static final int HELD_CONNECTS = 200;
@@ -29,6 +31,8 @@
     private final Map<Integer, Flight> flights = new HashMap<>();
     private final Map<Integer, Flight> timers = new HashMap<>();
     private final Map<Long, Flight> fetches = new HashMap<>();
+    private final Map<Integer, Way> ways = new HashMap<>();
+    private final Way toOrigin = new Way();
     private final HotKeys hot = new HotKeys();
     private final Throttle throttle = new Throttle();
     private final Throttle crowd = new Throttle();
@@ -54,6 +58,24 @@
     private boolean asking;
     private int watchFailures;
 
+    /** What this instance has seen of the way to the servers of one zone. */
+    private static final class Way {
+        /** Servers in a row that became suspect, with no answer from any other in between. */
+        int silent;
+        double closedUntil;
+
+        void suspected(double now, double ms, int doublings) {
+            if (++silent >= CUT_SERVERS) {
+                closedUntil = now + ms * (1 << Math.min(silent - CUT_SERVERS, doublings));
+            }
+        }
+
+        void answered() {
+            silent = 0;
+            closedUntil = 0;
+        }
+    }
+
     /** One server of the list and what this instance has seen of it. */
     private static final class Server {
         final int id;
@@ -95,6 +117,8 @@
         boolean toOrigin;
         boolean waiting;
         boolean doubted;
+        boolean givenUp;
+        double answerBy;
         Server missedAt;
         double maybeRanSince = Double.NaN;
         Server maybeRanAt;
@@ -480,11 +504,16 @@
             }
         }
         if (s == null || !maySend(now, f, s)) {
-            giveUp(f, out);
+            giveUp(now, f, out);
             return;
         }
         if (s != origin && f.attempts == 0 && f.safe && refused(f, crowd.excess(now))) {
-            giveUp(f, out);
+            giveUp(now, f, out);
+            return;
+        }
+        // Three in a row found no way there: the next would wait for nothing, and be told late.
+        if (s == origin && now < toOrigin.closedUntil) {
+            giveUp(now, f, out);
             return;
         }
         if (s == origin && !f.request.write() && f.request.key() != 0) {
@@ -499,7 +528,7 @@
                 throttle.asked(now);
             }
             if (tooLate || refused(f, excess)) {
-                giveUp(f, out);
+                giveUp(now, f, out);
                 return;
             }
             fetches.put(f.request.key(), f);
@@ -512,6 +541,7 @@
 
     private void place(double now, Flight f, Server s, Actions out) {
         int a = f.attempts++;
+        f.givenUp = false;
         f.at[a] = s;
         f.sentAt[a] = now;
         f.out++;
@@ -538,6 +568,13 @@
      * evidence, two in a row are: shunning sound servers moves their keys to the origin.
      */
     private void overdue(double now, Flight f, Actions out) {
+        if (f.givenUp && !f.done && !f.streaming) {
+            if (now >= f.answerBy) {
+                answer(f, out);
+                leave(now, f, out);
+            }
+            return;
+        }
         int a = f.attempts - 1;
         Server s = f.at[a];
         if (f.done || f.streaming || f.ended[a] || s == origin) {
@@ -547,6 +584,7 @@
             suspect(now, s);
         }
         if (doubts < 1 || f.request.dueMs() - now < fetchMs || !cfg.secondCopies() && !cfg.mayCancel()) {
+            giveUp(now, f, out);
             return;
         }
         doubts--;
@@ -558,9 +596,14 @@
         }
     }
 
+    /**
+     * A fault between zones would else be found server by server, each at the cost of a request that waits:
+     * where several of a zone fall silent and none answers, all of it is left alone as one server would be.
+     */
     private void suspect(double now, Server s) {
         s.trial = false;
         s.probed = false;
+        way(s).suspected(now, SHUN_CONNECTS * cfg.connectTimeoutMs(), 3);
         s.shunnedUntil = now + SHUN_CONNECTS * cfg.connectTimeoutMs() * (1 << Math.min(s.failures, 3));
         s.failures++;
     }
@@ -598,6 +641,10 @@
         }
     }
 
+    private Way way(Server s) {
+        return ways.computeIfAbsent(s.member.zone(), z -> new Way());
+    }
+
     private boolean maySend(double now, Flight f, Server s) {
         if (f.out > 0 && !(cfg.secondCopies() && f.safe)) {
             return false;
@@ -617,8 +664,18 @@
         };
     }
 
-    private void giveUp(Flight f, Actions out) {
+    /**
+     * Nothing more is sent for it. What is still out is waited for as long as a sound server may take, and
+     * no longer: a client that is told late can't come again.
+     */
+    private void giveUp(double now, Flight f, Actions out) {
         if (f.out > 0 && f.safe) {
+            if (!f.givenUp) {
+                f.givenUp = true;
+                double wait = Math.max(1, patience(now, f));
+                f.answerBy = now + wait;
+                timer(wait, PATIENCE, f, out);
+            }
             return;
         }
         answer(f, out);
@@ -685,7 +742,7 @@
             return false;
         }
         if (s.failures == 0 || s.probed && !s.trial) {
-            return warmEnough(now, f, s);
+            return now >= way(s).closedUntil && warmEnough(now, f, s);
         }
         if (now < s.shunnedUntil || s.trial || !f.safe || f.attempts > 0 || trials < 1) {
             return false;
@@ -794,7 +851,7 @@
             return;
         }
         if (s == origin && !f.request.write()) {
-            giveUp(f, out);
+            giveUp(now, f, out);
         } else if (f.out == 0 || f.safe && cfg.secondCopies()) {
             advance(now, f, out);
         }
@@ -832,10 +889,18 @@
         if (s == origin && outOfReach(end.outcome())) {
             throttle.withdrawn(now);
         }
+        if (s == origin && end.outcome() == Outcome.CONNECT_FAILED) {
+            toOrigin.suspected(now, SHUN_CONNECTS / 2 * cfg.connectTimeoutMs(), 0);
+        } else if (s == origin && end.outcome() != Outcome.TIMEOUT && end.outcome() != Outcome.CANCELLED) {
+            toOrigin.answered();
+        }
         switch (end.outcome()) {
             case OK, MISS, FULL -> {
                 s.answeredAt = now;
                 s.noPlaceUntil = 0;
+                if (s != origin) {
+                    way(s).answered();
+                }
                 if (s != origin && end.outcome() == Outcome.FULL && end.attempt() > 0) {
                     crowd.asked(now);
                 }
