--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -117,8 +117,6 @@
         boolean toOrigin;
         boolean waiting;
         boolean doubted;
-        boolean givenUp;
-        double answerBy;
         Server missedAt;
         double maybeRanSince = Double.NaN;
         Server maybeRanAt;
@@ -504,16 +502,16 @@
             }
         }
         if (s == null || !maySend(now, f, s)) {
-            giveUp(now, f, out);
+            giveUp(f, out);
             return;
         }
         if (s != origin && f.attempts == 0 && f.safe && refused(f, crowd.excess(now))) {
-            giveUp(now, f, out);
+            giveUp(f, out);
             return;
         }
         // Three in a row found no way there: the next would wait for nothing, and be told late.
         if (s == origin && now < toOrigin.closedUntil) {
-            giveUp(now, f, out);
+            giveUp(f, out);
             return;
         }
         if (s == origin && !f.request.write() && f.request.key() != 0) {
@@ -528,7 +526,7 @@
                 throttle.asked(now);
             }
             if (tooLate || refused(f, excess)) {
-                giveUp(now, f, out);
+                giveUp(f, out);
                 return;
             }
             fetches.put(f.request.key(), f);
@@ -541,7 +539,6 @@
 
     private void place(double now, Flight f, Server s, Actions out) {
         int a = f.attempts++;
-        f.givenUp = false;
         f.at[a] = s;
         f.sentAt[a] = now;
         f.out++;
@@ -568,13 +565,6 @@
      * evidence, two in a row are: shunning sound servers moves their keys to the origin.
      */
     private void overdue(double now, Flight f, Actions out) {
-        if (f.givenUp && !f.done && !f.streaming) {
-            if (now >= f.answerBy) {
-                answer(f, out);
-                leave(now, f, out);
-            }
-            return;
-        }
         int a = f.attempts - 1;
         Server s = f.at[a];
         if (f.done || f.streaming || f.ended[a] || s == origin) {
@@ -584,7 +574,6 @@
             suspect(now, s);
         }
         if (doubts < 1 || f.request.dueMs() - now < fetchMs || !cfg.secondCopies() && !cfg.mayCancel()) {
-            giveUp(now, f, out);
             return;
         }
         doubts--;
@@ -664,18 +653,8 @@
         };
     }
 
-    /**
-     * Nothing more is sent for it. What is still out is waited for as long as a sound server may take, and
-     * no longer: a client that is told late can't come again.
-     */
-    private void giveUp(double now, Flight f, Actions out) {
+    private void giveUp(Flight f, Actions out) {
         if (f.out > 0 && f.safe) {
-            if (!f.givenUp) {
-                f.givenUp = true;
-                double wait = Math.max(1, patience(now, f));
-                f.answerBy = now + wait;
-                timer(wait, PATIENCE, f, out);
-            }
             return;
         }
         answer(f, out);
@@ -851,7 +830,7 @@
             return;
         }
         if (s == origin && !f.request.write()) {
-            giveUp(now, f, out);
+            giveUp(f, out);
         } else if (f.out == 0 || f.safe && cfg.secondCopies()) {
             advance(now, f, out);
         }
