--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -571,7 +571,7 @@
             return;
         }
         if (cfg.secondCopies() || ++s.doubts > 1) {
-            suspect(now, s);
+            silent(now, s);
         }
         if (doubts < 1 || f.request.dueMs() - now < fetchMs || !cfg.secondCopies() && !cfg.mayCancel()) {
             return;
@@ -589,10 +589,16 @@
      * A fault between zones would else be found server by server, each at the cost of a request that waits:
      * where several of a zone fall silent and none answers, all of it is left alone as one server would be.
      */
+    private void silent(double now, Server s) {
+        if (s.failures == 0) { // one server is one, with however many attempts at it
+            way(s).suspected(now, SHUN_CONNECTS * cfg.connectTimeoutMs(), 3);
+        }
+        suspect(now, s);
+    }
+
     private void suspect(double now, Server s) {
         s.trial = false;
         s.probed = false;
-        way(s).suspected(now, SHUN_CONNECTS * cfg.connectTimeoutMs(), 3);
         s.shunnedUntil = now + SHUN_CONNECTS * cfg.connectTimeoutMs() * (1 << Math.min(s.failures, 3));
         s.failures++;
     }
@@ -915,7 +921,9 @@
                     if (end.outcome() == Outcome.TIMEOUT && s.failures <= (shared ? 1 : 0)) {
                         crowd.asked(now);
                     }
-                    if (end.outcome() != Outcome.RESET || s.failures > 0 || ++s.doubts > 1) {
+                    if (end.outcome() != Outcome.RESET) {
+                        silent(now, s);
+                    } else if (s.failures > 0 || ++s.doubts > 1) {
                         suspect(now, s);
                     }
                 }
--- a/src/test/java/damsonworks/PolicyTest.java
+++ b/src/test/java/damsonworks/PolicyTest.java
@@ -10,6 +10,7 @@
 import damsonworks.RoutingApi.Request;
 import damsonworks.RoutingApi.State;
 import damsonworks.peer.PeerMessage;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -50,7 +51,7 @@
     void listOrderDoesNotMatter() {
         Rig up = Rig.aside().fleet(30);
         Rig down = Rig.aside();
-        List<Member> list = new java.util.ArrayList<>();
+        List<Member> list = new ArrayList<>();
         for (int id = 30; id >= 1; id--) {
             list.add(Rig.member(id, State.READY, 0));
         }
@@ -492,6 +493,26 @@
         assertThat(again).as("once its time is over and one answers").isGreaterThan(10);
     }
 
+    /** Attempts that one server ends together, or answers that can't be read, are no evidence against its zone. */
+    @ParameterizedTest
+    @EnumSource(names = {"CONNECT_FAILED", "RESET"})
+    void manyFailuresOfOneServerDoNotCloseItsZone(Outcome outcome) {
+        Rig rig = new Rig(Rig.settings(true, false, true, Group.ALL)).fleet(40);
+        List<Rig.Placed> at = new ArrayList<>();
+        for (int id = 1; id <= 6; id++) {
+            rig.read(id, 7); // all at one server
+            at.add(rig.last());
+        }
+        int bad = at.get(0).server();
+        at.stream().filter(p -> p.server() == bad).forEach(p -> rig.end(p, outcome));
+        int there = 0;
+        for (int id = 100; id < 160; id++) {
+            rig.read(id, id);
+            there += rig.last().server() % 2 == bad % 2 ? 1 : 0;
+        }
+        assertThat(there).as("reads at the zone's other servers").isGreaterThan(15);
+    }
+
     /** Four bad servers of a zone in which others answer are four bad servers. */
     @Test
     void aZoneInWhichOthersAnswerStaysOpen() {
@@ -676,7 +697,7 @@
     @Test
     void hungServersDoNotShedTheOthers() {
         Rig rig = new Rig(Rig.settings(true, false, true, Group.ALL)).fleet(12);
-        List<Rig.Placed> hung = new java.util.ArrayList<>();
+        List<Rig.Placed> hung = new ArrayList<>();
         for (int id = 1; id <= 600; id++) {
             rig.pass(10);
             int sent = rig.placed.size();
