The oracle blames a proxy only for what it had taken, by the front's own record

Cause: with all ten proxies killed at 10 s the demo said BROKEN LOST.

Change: the front remembers which proxy took the connection of a client's port, the generator tells the port, and the oracle judges by it: requests that none took are counted apart, and an excuse holds for the one proxy that was killed, until it is started again. What a proxy owed while it was stopped may come late, for the faults to come.

--- a/src/main/java/damsonworks/cli/DemoCommand.java
+++ b/src/main/java/damsonworks/cli/DemoCommand.java
@@ -133,7 +133,7 @@
         Generator.Settings settings = new Generator.Settings(List.of(fleet.front()),
                 fleet.fleet().spec().classes(), connections, depth, 200_000, traffic.connectionStay.seconds(), warmUpSeconds, 10,
                 seed);
-        return new Generator(settings, workload, new OracleObserver(fleet.fleet()));
+        return new Generator(settings, workload, new OracleObserver(fleet.fleet(), fleet::takenBy));
     }
 
     private static String broken(Oracle.Verdict verdict) {
@@ -155,8 +155,9 @@
             out.printf("drains were looked at %d times, and progress had fallen %d times%n", fleet.watch().looks(),
                     fleet.watch().backward());
         }
-        out.printf("%,d writes took effect, %,d fetches at the origin, %,d requests went down with a killed proxy%n%n",
-                verdict.effects(), fleet.fleet().fetches(), verdict.excused());
+        out.printf("%,d writes took effect, %,d fetches at the origin, %,d requests went down with a killed proxy, "
+                + "%,d were taken by none%n%n", verdict.effects(), fleet.fleet().fetches(), verdict.excused(),
+                verdict.untaken());
         for (Oracle.Rule rule : Oracle.Rule.values()) {
             long n = verdict.breaches().getOrDefault(rule, 0L);
             out.printf("%-6s %-18s %s%n", n == 0 ? "held" : "BROKEN", rule, n == 0 ? ""
--- a/src/main/java/damsonworks/demo/OracleObserver.java
+++ b/src/main/java/damsonworks/demo/OracleObserver.java
@@ -7,6 +7,7 @@
 import damsonworks.load.Observer;
 import damsonworks.load.Planned;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntUnaryOperator;
 
 /** Tells a fleet's oracle what the generator's clients ask and are answered. */
 public final class OracleObserver implements Observer {
@@ -14,10 +15,12 @@
     private static final long LOOP_MS = 100;
 
     private final StandInFleet fleet;
+    private final IntUnaryOperator takenBy;
 
-    /** For this fleet's oracle. */
-    public OracleObserver(StandInFleet fleet) {
+    /** For this fleet's oracle; {@code takenBy}: which proxy took the connection from a client's port, negative for none. */
+    public OracleObserver(StandInFleet fleet, IntUnaryOperator takenBy) {
         this.fleet = fleet;
+        this.takenBy = takenBy;
     }
 
     @Override
@@ -26,16 +29,17 @@
     }
 
     @Override
-    public void answered(String id, MetaAnswer answer, long atNanos) {
+    public void answered(String id, MetaAnswer answer, int port, long atNanos) {
+        int proxy = takenBy.applyAsInt(port);
         fleet.tell(o -> {
             double at = fleet.at(atNanos);
             if (answer instanceof MetaAnswer.Value v) {
-                o.answered(id, Oracle.Ending.SERVED, v.value(), -1,
+                o.answered(id, proxy, Oracle.Ending.SERVED, v.value(), -1,
                         v.value().length > MetaAnswerDecoder.LONG ? fleet.at(v.begunNanos()) : at);
             } else if (answer instanceof MetaAnswer.Receipt r) {
-                o.answered(id, Oracle.Ending.SERVED, null, version(r.receipt()), at);
+                o.answered(id, proxy, Oracle.Ending.SERVED, null, version(r.receipt()), at);
             } else {
-                o.answered(id, answer instanceof MetaAnswer.Busy ? Oracle.Ending.REFUSED : Oracle.Ending.FAILED, null,
+                o.answered(id, proxy, answer instanceof MetaAnswer.Busy ? Oracle.Ending.REFUSED : Oracle.Ending.FAILED, null,
                         -1, at);
             }
         });
@@ -48,15 +52,16 @@
 
     /** The rules give an answer some time more than its client does, so the oracle is told when that is over. */
     @Override
-    public void unanswered(String id, long endedNanos, long atNanos) {
+    public void unanswered(String id, int port, long endedNanos, long atNanos) {
+        int proxy = takenBy.applyAsInt(port);
         double ended = endedNanos == 0 ? Double.NaN : fleet.at(endedNanos);
-        fleet.loop().schedule(() -> fleet.tell(o -> o.unanswered(id, ended, fleet.at(atNanos))),
+        fleet.loop().schedule(() -> fleet.tell(o -> o.unanswered(id, proxy, ended, fleet.at(atNanos))),
                 (long) fleet.spec().answerGraceMs() + LOOP_MS, TimeUnit.MILLISECONDS);
     }
 
     @Override
-    public void late(String id, MetaAnswer answer, long atNanos) {
-        answered(id, answer, atNanos);
+    public void late(String id, MetaAnswer answer, int port, long atNanos) {
+        answered(id, answer, port, atNanos);
     }
 
     @Override
--- a/src/main/java/damsonworks/demo/ProxiedFleet.java
+++ b/src/main/java/damsonworks/demo/ProxiedFleet.java
@@ -27,8 +27,6 @@
  * processes and the temporary folder go when it is closed, which the virtual machine's end does too.
  */
 public final class ProxiedFleet implements AutoCloseable {
-    /** How much longer than the front's notice a killed proxy's requests may go down with it. */
-    private static final double EXCUSE_MS = 1000;
     private static final long LOOK_MS = 250;
     /** How long a file of no use lies there. */
     private static final double MISFILE_MS = 300;
@@ -103,6 +101,11 @@
         return front.address();
     }
 
+    /** The number of the proxy that took the connection from that port of a client's, negative if none did. */
+    public int takenBy(int clientPort) {
+        return front.takenBy(clientPort);
+    }
+
     /** How connections are spread now. */
     public List<FrontLayer.Share> shares() {
         return frontGroup.next().submit(front::shares).syncUninterruptibly().getNow();
@@ -127,7 +130,7 @@
         ProxyProcess p = proxies.get(proxy);
         double now = fleet.now();
         if (fault.action() == Fault.Action.KILL) {
-            fleet.tell(o -> o.excuse(now - 1, now + fleet.spec().noticeMs() + EXCUSE_MS));
+            fleet.tell(o -> o.killed(proxy, now - 1));
             frontGroup.next().submit(() -> front.killed(proxy)).syncUninterruptibly();
         }
         helper.execute(() -> {
@@ -204,7 +207,7 @@
 
     private void restart(int proxy) {
         try {
-            fleet.tell(o -> o.restarted(proxy));
+            fleet.tell(o -> o.restarted(proxy, fleet.now()));
             write(proxy);
             proxies.get(proxy).start();
         } catch (IOException e) {
--- a/src/main/java/damsonworks/fleet/FrontLayer.java
+++ b/src/main/java/damsonworks/fleet/FrontLayer.java
@@ -23,8 +23,10 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Future;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -33,6 +35,8 @@
  * on dealing. Belongs to one event loop.
  */
 public final class FrontLayer implements AutoCloseable {
+    /** In place of a proxy's number: a connection that none took, as the one that it was dealt to was away. */
+    public static final int NOBODY = -1;
     private static final int CONNECT_MS = 500;
     private static final long LOOK_MS = 250;
     /** A proxy that is asked whether it serves and says nothing for so long does not. */
@@ -61,6 +65,8 @@
     private final InetSocketAddress address;
     private final Future<?> looking;
     private int turn;
+    /** Which proxy has taken the connection from a client's port, as far as is known; bounded by the ports there are. */
+    private final Map<Integer, Integer> taken = new ConcurrentHashMap<>();
 
     /** Opens the front at a free port; not to be called on the event loop. {@code noticeMs}: how late it sees. */
     public FrontLayer(EventLoop loop, List<InetSocketAddress> proxies, double noticeMs) {
@@ -108,8 +114,18 @@
         return best != null ? best : targets.get(turn % targets.size());
     }
 
+    /**
+     * The number of the proxy that took the last connection from this port of a client's, {@link #NOBODY} while none
+     * has. May be called from any thread.
+     */
+    public int takenBy(int clientPort) {
+        return taken.getOrDefault(clientPort, NOBODY);
+    }
+
     private void accepted(Channel client, int socket) {
         Target target = pick();
+        int port = ((InetSocketAddress) client.remoteAddress()).getPort();
+        taken.put(port, NOBODY);
         target.dealt++;
         target.clients.add(client);
         client.closeFuture().addListener(f -> target.clients.remove(client));
@@ -123,6 +139,7 @@
         });
         up.addListener(f -> {
             if (f.isSuccess()) {
+                taken.put(port, targets.indexOf(target));
                 client.pipeline().addLast(new Relay(up.channel()));
                 client.config().setAutoRead(true);
                 up.channel().closeFuture().addListener(g -> client.close());
--- a/src/main/java/damsonworks/fleet/Oracle.java
+++ b/src/main/java/damsonworks/fleet/Oracle.java
@@ -19,6 +19,7 @@
     /** For how long a finished request and its effects are remembered. */
     static final double MEMORY_MS = 30_000;
     private static final int EXAMPLES = 5;
+    private static final int MAX_EXCUSES = 10_000;
 
     /** The rules that can be broken. */
     public enum Rule {
@@ -48,7 +49,7 @@
 
     /** Counts of breaches and the first examples of each. */
     public record Verdict(Map<Rule, Long> breaches, Map<Rule, List<String>> examples, long asked, long effects,
-            long excused) {
+            long excused, long untaken) {
         /** Whether all rules held. */
         public boolean held() {
             return breaches.isEmpty();
@@ -77,6 +78,14 @@
 
     private record Told(double atMs, boolean wanted) { }
 
+    /** When a proxy need not answer: it is dead, or stands still. */
+    private record Excuse(int proxy, double fromMs, double untilMs, boolean standsStill) {
+        boolean covers(int by, Asked a, double endedMs) {
+            return by == proxy && (standsStill ? a.atMs <= untilMs && a.deadlineMs >= fromMs
+                    : endedMs >= fromMs && endedMs <= untilMs);
+        }
+    }
+
     private final double drainGraceMs;
     private final double answerGraceMs;
     private final Map<String, Asked> asked = new LinkedHashMap<>();
@@ -84,12 +93,13 @@
     private final ArrayDeque<Map.Entry<String, Double>> keyedAges = new ArrayDeque<>();
     private final Map<String, ArrayDeque<Confirmed>> confirmed = new HashMap<>();
     private final Map<String, Told> told = new HashMap<>();
-    private final ArrayDeque<double[]> excuses = new ArrayDeque<>();
+    private final List<Excuse> excuses = new ArrayList<>();
     private final Map<Rule, Long> breaches = new EnumMap<>(Rule.class);
     private final Map<Rule, List<String>> examples = new EnumMap<>(Rule.class);
     private long requests;
     private long effects;
     private long excused;
+    private long untaken;
 
     /** Graces in milliseconds, as the rules word them. */
     public Oracle(double drainGraceMs, double answerGraceMs) {
@@ -111,10 +121,10 @@
     }
 
     /**
-     * A client has had an answer. {@code value}: a served read's; {@code version}: what a served write's receipt
-     * confirms, negative if it names none.
+     * A client has had an answer, by that proxy. {@code value}: a served read's; {@code version}: what a served write's
+     * receipt confirms, negative if it names none.
      */
-    public void answered(String id, Ending ending, byte[] value, long version, double atMs) {
+    public void answered(String id, int proxy, Ending ending, byte[] value, long version, double atMs) {
         Asked a = asked.get(id);
         if (a != null && a.unanswered) {
             return; // lost, and told so; that it comes at last is no second answer
@@ -125,7 +135,8 @@
         }
         a.ending = ending;
         a.endedMs = atMs;
-        if (atMs > a.deadlineMs + answerGraceMs) {
+        if (atMs > a.deadlineMs + answerGraceMs
+                && excuses.stream().noneMatch(e -> e.standsStill() && e.covers(proxy, a, atMs))) {
             breach(Rule.LOST, id + " answered " + ms(atMs - a.deadlineMs) + " after its deadline");
         }
         if (ending == Ending.REFUSED && a.effects > 0) {
@@ -162,12 +173,13 @@
     }
 
     /**
-     * A client's time is up, and it has no answer. Not a breach if its connection ended within an excused time:
-     * what a proxy held when it was killed is for the client to repeat.
+     * A client's time is up, and it has no answer. Not a breach if the proxy was excused: what it held when it was
+     * killed or stopped is for the client to repeat. Nor if no proxy had taken it.
      *
+     * @param proxy   that the request's connection was dealt to, negative if no proxy took that
      * @param endedMs when its connection ended, NaN if it stands
      */
-    public void unanswered(String id, double endedMs, double atMs) {
+    public void unanswered(String id, int proxy, double endedMs, double atMs) {
         Asked a = asked.get(id);
         if (a == null || a.ending != null) {
             return;
@@ -175,13 +187,14 @@
         a.ending = Ending.FAILED;
         a.unanswered = true;
         a.endedMs = atMs;
-        for (double[] excuse : excuses) {
-            if (endedMs >= excuse[0] && endedMs <= excuse[1]) {
-                excused++;
-                return;
-            }
+        if (proxy < 0) {
+            untaken++;
+        } else if (excuses.stream().anyMatch(e -> e.covers(proxy, a, endedMs))) {
+            excused++;
+        } else {
+            breach(Rule.LOST, id + " by proxy " + proxy + (Double.isNaN(endedMs) ? ": nothing came"
+                    : ": its connection ended"));
         }
-        breach(Rule.LOST, id + (Double.isNaN(endedMs) ? ": nothing came" : ": its connection ended"));
     }
 
     /** An answer that no request waited for. */
@@ -189,11 +202,20 @@
         breach(Rule.ANSWERED_TWICE, what + " at " + ms(atMs));
     }
 
-    /** A proxy is killed: connections that end between these times lose what they held. */
-    public void excuse(double fromMs, double untilMs) {
-        excuses.add(new double[] {fromMs, untilMs});
-        if (excuses.size() > 1000) {
-            excuses.poll();
+    /** A proxy is killed: connections to it that end until it is started again lose what they held. */
+    public void killed(int proxy, double atMs) {
+        excuse(new Excuse(proxy, atMs, Double.POSITIVE_INFINITY, false));
+    }
+
+    /** A proxy stands still between these times: what it had to answer then may come late or never. */
+    public void stopped(int proxy, double fromMs, double untilMs) {
+        excuse(new Excuse(proxy, fromMs, untilMs, true));
+    }
+
+    private void excuse(Excuse excuse) {
+        excuses.add(excuse);
+        if (excuses.size() > MAX_EXCUSES) {
+            excuses.remove(0);
         }
     }
 
@@ -230,9 +252,11 @@
         told.compute(proxy + " " + node, (k, t) -> t != null && t.wanted() == wanted ? t : new Told(atMs, wanted));
     }
 
-    /** A proxy has restarted and knows nothing of what it was told. */
-    public void restarted(int proxy) {
+    /** A proxy is started again and knows nothing of what it was told; what it takes from now on it has to answer. */
+    public void restarted(int proxy, double atMs) {
         told.keySet().removeIf(k -> k.startsWith(proxy + " "));
+        excuses.replaceAll(e -> e.proxy() == proxy && e.untilMs() > atMs && !e.standsStill()
+                ? new Excuse(proxy, e.fromMs(), atMs, false) : e);
     }
 
     /** A proxy's command has come to a node; {@code atMs}: its first byte's time. */
@@ -253,7 +277,7 @@
 
     /** What has been seen so far. */
     public Verdict verdict() {
-        return new Verdict(Map.copyOf(breaches), Map.copyOf(examples), requests, effects, excused);
+        return new Verdict(Map.copyOf(breaches), Map.copyOf(examples), requests, effects, excused, untaken);
     }
 
     /** Requests, finished or not, that are remembered at the moment. */
--- a/src/main/java/damsonworks/load/Connection.java
+++ b/src/main/java/damsonworks/load/Connection.java
@@ -30,6 +30,7 @@
     private final MetaAnswerDecoder decoder = new MetaAnswerDecoder();
     private Channel channel;
     private boolean connected;
+    private int port;
     private boolean ended;
     private boolean broken;
     private long answered;
@@ -58,6 +59,7 @@
         future.addListener(f -> {
             if (f.isSuccess()) {
                 connected = true;
+                port = ((InetSocketAddress) channel.localAddress()).getPort();
                 unsent.forEach(Runnable::run);
                 unsent.clear();
             } else {
@@ -81,6 +83,11 @@
         return connected;
     }
 
+    /** The client's port; 0 before the connection has come up. */
+    int port() {
+        return port;
+    }
+
     long answered() {
         return answered;
     }
@@ -163,7 +170,7 @@
             }
             pending.poll();
             answered++;
-            generator.answered(head, answer);
+            generator.answered(head, answer, port);
             if (pending.isEmpty()) {
                 generator.freed(Connection.this);
             }
--- a/src/main/java/damsonworks/load/Generator.java
+++ b/src/main/java/damsonworks/load/Generator.java
@@ -376,15 +376,15 @@
         }
     }
 
-    void answered(Pending p, MetaAnswer answer) {
+    void answered(Pending p, MetaAnswer answer, int port) {
         held--;
         long now = System.nanoTime();
         if (p.ended) {
-            observer.late(p.id, answer, now);
+            observer.late(p.id, answer, port, now);
             return;
         }
         end(p, now);
-        observer.answered(p.id, answer, now);
+        observer.answered(p.id, answer, port, now);
         if (!p.counted) {
             return;
         }
@@ -456,7 +456,7 @@
         if (p.counted) {
             recorder.unanswered++;
         }
-        observer.unanswered(p.id, p.connectionEndedNanos, p.deadlineNanos);
+        observer.unanswered(p.id, p.on == null ? 0 : p.on.port(), p.connectionEndedNanos, p.deadlineNanos);
     }
 
     private void finish(long now) {
