--- /dev/null
+++ b/src/main/java/damsonworks/cli/LabCommand.java
@@ -0,0 +1,136 @@
+package damsonworks.cli;
+
+import damsonworks.config.Problems;
+import damsonworks.lab.LabRun;
+import damsonworks.lab.Outcome;
+import damsonworks.lab.OutcomeText;
+import damsonworks.lab.Scenario;
+import damsonworks.lab.ScenarioFile;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.stream.Stream;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** {@code lab}: scenarios in which several processes meet faults between them. */
+@Command(name = "lab", mixinStandardHelpOptions = true, sortOptions = false,
+        description = "Starts several processes of the program before stand-ins, cuts them apart, and judges what comes of it.",
+        footerHeading = "%nExamples:%n", footer = {"  lab list", "  lab check lab/zone-cut.conf",
+            "  lab run lab/zone-cut.conf --seed 3 --repeat 3 --html zone.html"})
+final class LabCommand implements Runnable {
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new ParameterException(spec.commandLine(), "one of run, check and list is missing");
+    }
+
+    private PrintWriter out() {
+        return spec.commandLine().getOut();
+    }
+
+    private ScenarioFile read(Path file) {
+        Problems problems = new Problems();
+        ScenarioFile scenario = ScenarioFile.read(file, problems);
+        if (problems.none()) {
+            return scenario;
+        }
+        spec.commandLine().getErr().print(problems.text());
+        spec.commandLine().getErr().flush();
+        return null;
+    }
+
+    @Command(name = "run", mixinStandardHelpOptions = true, description = {"Plays scenarios one after another.",
+        "Exit codes: 0 all that was expected held, 1 something was broken, 2 wrong use, 3 the machine was too busy to judge."})
+    private int play(@Parameters(arity = "1..*", paramLabel = "FILE") List<Path> files,
+            @Option(names = "--seed", paramLabel = "N", defaultValue = "1",
+                    description = "Draws requests, speeds and faults (default: ${DEFAULT-VALUE}).") long seed,
+            @Option(names = "--repeat", paramLabel = "N", defaultValue = "1",
+                    description = "So many seeds from that one on (default: ${DEFAULT-VALUE}).") int repeat,
+            @Option(names = "--json", paramLabel = "OUT", description = "Writes verdicts, figures and series.") Path json,
+            @Option(names = "--html", paramLabel = "OUT", description = "Writes a page with time lines.") Path html,
+            @Option(names = "--logs", paramLabel = "DIR", description = "Keeps the proxies' logs.") Path logs)
+            throws IOException, InterruptedException {
+        List<ScenarioFile> scenarios = new ArrayList<>();
+        for (Path file : files) {
+            scenarios.add(read(file));
+        }
+        if (scenarios.contains(null)) {
+            return Cli.USAGE;
+        }
+        if (repeat < 1 || repeat > 1000) {
+            throw new ParameterException(spec.commandLine(), "--repeat takes 1 to 1000, not " + repeat);
+        }
+        boolean terminal = System.console() != null;
+        Consumer<String> progress = line -> {
+            if (terminal) {
+                out().println(line);
+                out().flush();
+            }
+        };
+        List<Outcome> outcomes = new ArrayList<>();
+        for (ScenarioFile file : scenarios) {
+            for (long s = seed; s < seed + repeat; s++) {
+                Scenario scenario = file.scenario(s);
+                Path own = logs == null ? null : logs.resolve(scenario.name() + "-" + s);
+                Outcome outcome = new LabRun(scenario, s, own, progress).play();
+                outcomes.add(outcome);
+                out().print(OutcomeText.text(outcome));
+                out().flush();
+            }
+        }
+        if (json != null) {
+            Files.writeString(json, OutcomeText.json(outcomes));
+        }
+        if (html != null) {
+            Files.writeString(html, OutcomeText.html(outcomes));
+        }
+        return code(outcomes);
+    }
+
+    private static int code(List<Outcome> outcomes) {
+        List<Outcome.Judgement> all = outcomes.stream().map(Outcome::judgement).toList();
+        return all.contains(Outcome.Judgement.BROKEN) ? Cli.FAILED
+                : all.contains(Outcome.Judgement.TOO_BUSY) ? Cli.NOT_KEPT : Cli.OK;
+    }
+
+    @Command(name = "check", mixinStandardHelpOptions = true,
+            description = "Tells all mistakes of scenarios without playing them. Exit codes: 0 none, 1 some.")
+    private int check(@Parameters(arity = "1..*", paramLabel = "FILE") List<Path> files) {
+        boolean well = true;
+        for (Path file : files) {
+            ScenarioFile scenario = read(file);
+            well &= scenario != null;
+            if (scenario != null) {
+                out().println(summary(file, scenario));
+            }
+        }
+        out().flush();
+        return well ? Cli.OK : Cli.FAILED;
+    }
+
+    @Command(name = "list", mixinStandardHelpOptions = true, description = "Tells what stands in a folder.")
+    private int list(@Parameters(arity = "0..1", paramLabel = "DIR", defaultValue = "lab",
+            description = "The folder (default: ${DEFAULT-VALUE}).") Path folder) throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            return check(files.filter(f -> f.toString().endsWith(".conf")).sorted().toList());
+        }
+    }
+
+    private static String summary(Path file, ScenarioFile scenario) {
+        Scenario s = scenario.scenario(1);
+        return String.format("%-28s %d proxies, %d nodes, %d zones, %.0f requests/s for %.0f s, %d faults: %s", file,
+                s.fleet().proxies(), s.fleet().nodes(), s.fleet().layout().zones().size(), s.rate(), s.forMs() / 1000,
+                s.bands().size(), s.bands().stream().map(Scenario.Band::name).distinct().toList());
+    }
+}
--- a/src/main/java/damsonworks/config/Configuration.java
+++ b/src/main/java/damsonworks/config/Configuration.java
@@ -59,6 +59,16 @@
             return has(attribute) ? ((BigDecimal) settings.get(attribute).values().get(0)).doubleValue() : absent;
         }
 
+        /** A whole number. */
+        public int count(String attribute, int absent) {
+            return (int) number(attribute, absent);
+        }
+
+        /** A share as a part of one. */
+        public double share(String attribute, double absent) {
+            return has(attribute) ? number(attribute, 0) / 100 : absent;
+        }
+
         /** Whether a flag is on; off if it has no value. */
         public boolean on(String attribute) {
             return has(attribute) && (Boolean) settings.get(attribute).values().get(0);
--- a/src/main/java/damsonworks/config/Lexer.java
+++ b/src/main/java/damsonworks/config/Lexer.java
@@ -74,6 +74,9 @@
             while (at < text.length() && word(text.charAt(at))) {
                 at++;
             }
+            if (text.startsWith("*", at) && text.charAt(at - 1) == '-') {
+                at++; // all that begin so, as in proxy-*
+            }
             add(Kind.NAME, text.substring(from, at), from);
         } else {
             stray(c);
--- a/src/main/java/damsonworks/demo/OracleObserver.java
+++ b/src/main/java/damsonworks/demo/OracleObserver.java
@@ -1,11 +1,14 @@
 package damsonworks.demo;
 
 import damsonworks.fleet.Oracle;
+import damsonworks.fleet.Series.What;
 import damsonworks.fleet.StandInFleet;
 import damsonworks.fleet.meta.MetaAnswer;
 import damsonworks.fleet.meta.MetaAnswerDecoder;
 import damsonworks.load.Observer;
 import damsonworks.load.Planned;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntUnaryOperator;
 
@@ -16,6 +19,8 @@
 
     private final StandInFleet fleet;
     private final IntUnaryOperator takenBy;
+    /** When open requests were asked, and until when an answer is in time; on the fleet's event loop only. */
+    private final Map<String, double[]> open = new HashMap<>();
 
     /** For this fleet's oracle; {@code takenBy}: which proxy took the connection from a client's port, negative for none. */
     public OracleObserver(StandInFleet fleet, IntUnaryOperator takenBy) {
@@ -25,7 +30,10 @@
 
     @Override
     public void asked(String id, Planned planned, long atNanos, long deadlineNanos) {
-        fleet.tell(o -> o.asked(id, planned.key(), planned.write(), fleet.at(atNanos), fleet.at(deadlineNanos)));
+        fleet.tell(o -> {
+            o.asked(id, planned.key(), planned.write(), fleet.at(atNanos), fleet.at(deadlineNanos));
+            open.putIfAbsent(id, new double[] {fleet.at(atNanos), fleet.at(deadlineNanos)});
+        });
     }
 
     @Override
@@ -33,6 +41,9 @@
         int proxy = takenBy.applyAsInt(port);
         fleet.tell(o -> {
             double at = fleet.at(atNanos);
+            count(id, proxy, answer instanceof MetaAnswer.Busy ? What.REFUSED
+                    : answer instanceof MetaAnswer.Value || answer instanceof MetaAnswer.Receipt ? What.SERVED
+                    : What.FAILED, at);
             if (answer instanceof MetaAnswer.Value v) {
                 o.answered(id, proxy, Oracle.Ending.SERVED, v.value(), -1,
                         v.value().length > MetaAnswerDecoder.LONG ? fleet.at(v.begunNanos()) : at);
@@ -45,6 +56,16 @@
         });
     }
 
+    private void count(String id, int proxy, What how, double at) {
+        double[] times = open.remove(id);
+        if (times != null) {
+            fleet.count(s -> {
+                s.add(proxy, What.ASKED, 1, times[0]);
+                s.add(proxy, how == What.SERVED && at > times[1] ? What.LATE : how, 1, at);
+            });
+        }
+    }
+
     /** The origin's receipts name the version that the write made. */
     private static long version(String receipt) {
         return receipt.matches("v\\d{1,18}") ? Long.parseLong(receipt.substring(1)) : -1;
@@ -55,7 +76,10 @@
     public void unanswered(String id, int port, long endedNanos, long atNanos) {
         int proxy = takenBy.applyAsInt(port);
         double ended = endedNanos == 0 ? Double.NaN : fleet.at(endedNanos);
-        fleet.loop().schedule(() -> fleet.tell(o -> o.unanswered(id, proxy, ended, fleet.at(atNanos))),
+        fleet.loop().schedule(() -> fleet.tell(o -> {
+            o.unanswered(id, proxy, ended, fleet.at(atNanos));
+            count(id, proxy, What.UNANSWERED, fleet.at(atNanos));
+        }),
                 (long) fleet.spec().answerGraceMs() + LOOP_MS, TimeUnit.MILLISECONDS);
     }
 
--- a/src/main/java/damsonworks/demo/ProxiedFleet.java
+++ b/src/main/java/damsonworks/demo/ProxiedFleet.java
@@ -6,6 +6,7 @@
 import damsonworks.fleet.Fault;
 import damsonworks.fleet.FleetSpec;
 import damsonworks.fleet.FrontLayer;
+import damsonworks.fleet.LinkFault;
 import damsonworks.fleet.Sockets;
 import damsonworks.fleet.StandInFleet;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
@@ -14,6 +15,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
@@ -28,6 +30,8 @@
  */
 public final class ProxiedFleet implements AutoCloseable {
     private static final long LOOK_MS = 250;
+    /** What a process that stood still needs for what has piled up, beyond its signal's way. */
+    private static final double SETTLE_MS = 500;
     /** How long a file of no use lies there. */
     private static final double MISFILE_MS = 300;
 
@@ -42,7 +46,9 @@
     private final boolean[] retuned;
     private final int memoryMb;
     private final Path folder;
-    private final ScheduledThreadPoolExecutor helper;
+    private final ScheduledThreadPoolExecutor helper = executor("proxies");
+    /** Apart from the helper: a process that stands still does not answer. */
+    private final ScheduledThreadPoolExecutor watcher = executor("watch");
     private final Thread hook = new Thread(this::end);
     private boolean closed;
 
@@ -57,16 +63,11 @@
         turns = new int[spec.proxies()];
         retuned = new boolean[spec.proxies()];
         folder = Files.createTempDirectory("damsonworks");
-        helper = new ScheduledThreadPoolExecutor(1, r -> {
-            Thread thread = new Thread(r, "proxies");
-            thread.setDaemon(true);
-            return thread;
-        });
         Runtime.getRuntime().addShutdownHook(hook);
         fleet = new StandInFleet(spec);
         try {
             for (int i = 0; i < spec.proxies(); i++) {
-                proxies.add(new ProxyProcess("proxy-" + i, folder, edge));
+                proxies.add(new ProxyProcess("proxy-" + i, fleet.host(i), folder, edge));
                 write(i);
                 proxies.get(i).start();
             }
@@ -78,10 +79,18 @@
             throw e;
         }
         watch = new ProxyWatch(proxies);
-        helper.scheduleWithFixedDelay(watch::look, 0, LOOK_MS, TimeUnit.MILLISECONDS);
+        watcher.scheduleWithFixedDelay(watch::look, 0, LOOK_MS, TimeUnit.MILLISECONDS);
         front = new FrontLayer(frontGroup.next(), proxies.stream().map(ProxyProcess::listen).toList(), spec.noticeMs());
     }
 
+    private static ScheduledThreadPoolExecutor executor(String name) {
+        return new ScheduledThreadPoolExecutor(1, r -> {
+            Thread thread = new Thread(r, name);
+            thread.setDaemon(true);
+            return thread;
+        });
+    }
+
     private void write(int proxy) throws IOException {
         ProxyProcess p = proxies.get(proxy);
         p.write(config(proxy));
@@ -126,6 +135,35 @@
         fleet.play(faults, this::apply);
     }
 
+    /** The same with what goes wrong between parts of the fleet. */
+    public void play(List<Fault> faults, List<LinkFault> links) throws IOException {
+        if (faults.stream().anyMatch(f -> f.state() == Fault.State.OLDER)) {
+            for (int p = 0; p < proxies.size(); p++) {
+                StateFolder.copy(proxies.get(p).state(), folder.resolve("older-" + p));
+            }
+        }
+        links.forEach(fleet::play);
+        play(faults);
+    }
+
+    /** The first proxy whose process ended though nothing asked it to, with the end of its log; null if there is none. */
+    public String died() throws IOException {
+        for (ProxyProcess p : proxies) {
+            if (p.died()) {
+                return p.name() + " ended by itself; its log ends:\n" + p.log();
+            }
+        }
+        return null;
+    }
+
+    /** Copies the proxies' logs to a folder. */
+    public void keepLogs(Path to) throws IOException {
+        Files.createDirectories(to);
+        for (ProxyProcess p : proxies) {
+            Files.copy(p.logFile(), to.resolve(p.name() + ".log"), StandardCopyOption.REPLACE_EXISTING);
+        }
+    }
+
     private void apply(int proxy, Fault fault) {
         ProxyProcess p = proxies.get(proxy);
         double now = fleet.now();
@@ -133,14 +171,21 @@
             fleet.tell(o -> o.killed(proxy, now - 1));
             frontGroup.next().submit(() -> front.killed(proxy)).syncUninterruptibly();
         }
+        if (fault.action() == Fault.Action.STOP) {
+            fleet.tell(o -> o.stopped(proxy, now, now + fault.forMs() + SETTLE_MS));
+        }
         helper.execute(() -> {
             try {
                 switch (fault.action()) {
                     case KILL -> {
-                        p.onExit(() -> later(fault.forMs(), () -> restart(proxy)));
+                        p.onExit(() -> later(fault.forMs(), () -> {
+                            treat(proxy, fault.state());
+                            restart(proxy);
+                        }));
                         p.kill();
                     }
                     case RETIRE -> {
+                        p.endsSoon();
                         p.onExit(() -> later(0, () -> restart(proxy)));
                         JsonObject request = ControlClient.request("drain");
                         request.addProperty("deadline_ms", fault.forMs());
@@ -159,6 +204,10 @@
                         p.hangUp();
                         later(MISFILE_MS, () -> mend(proxy)); // or the proxy could not be started again
                     }
+                    case STOP -> {
+                        p.stop();
+                        later(fault.forMs(), () -> goOn(p));
+                    }
                     case TERM -> {
                         p.onExit(() -> later(0, () -> restart(proxy)));
                         p.terminate();
@@ -197,6 +246,25 @@
         }
     }
 
+    /** Does to the folder of state of a proxy that is away what a fault says. */
+    private void treat(int proxy, Fault.State state) {
+        try {
+            Path other = proxies.get((proxy + 1) % proxies.size()).state();
+            new StateFolder(proxies.get(proxy).state(), folder.resolve("older-" + proxy), other,
+                    fleet.spec().seed() * 31 + proxy).treat(state);
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
+    private static void goOn(ProxyProcess p) {
+        try {
+            p.goOn();
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+
     private void mend(int proxy) {
         try {
             write(proxy);
@@ -259,6 +327,7 @@
         }
         closed = true;
         helper.shutdownNow();
+        watcher.shutdownNow();
         proxies.forEach(ProxyProcess::close);
         frontGroup.shutdownGracefully(0, 2, TimeUnit.SECONDS).syncUninterruptibly();
         fleet.close();
--- a/src/main/java/damsonworks/demo/ProxyConfig.java
+++ b/src/main/java/damsonworks/demo/ProxyConfig.java
@@ -29,14 +29,21 @@
         o.addProperty("seed", Keys.hex(Keys.mix(spec.seed() * 1009 + proxy * 31L + turn)));
         o.add("limits", object("cores", 1.0, "memory_mb", memoryMb, "sockets", 1024));
         o.add("known", fleet.known(proxy));
-        JsonObject settings = object("me", proxy, "balancers", spec.proxies(), "locality", 0, "discovery", "ask",
+        boolean peers = fleet.peers() != null;
+        if (peers) {
+            o.addProperty("peer_listen", text(fleet.peers().listen(proxy)));
+            o.add("peers", array(fleet.peers().peers(proxy).stream().map(ProxyConfig::text).toList()));
+            o.addProperty("peers_all", text(fleet.peers().all(proxy)));
+        }
+        JsonObject settings = object("me", proxy, "balancers", spec.proxies(), "locality",
+                spec.layout().zoneOf(proxy), "discovery", "ask",
                 "value-by", "request", "over-share-worth", 0.1);
         settings.add("zones", array(fleet.sites()));
         settings.add("kinds", array(fleet.kinds()));
         JsonObject report = object("how", "silent");
         report.add("names", new JsonArray());
         settings.add("report", report);
-        settings.add("caps", object("may-cancel", true, "may-probe", false, "peers", false, "second-copies", true,
+        settings.add("caps", object("may-cancel", true, "may-probe", false, "peers", peers, "second-copies", true,
                 "retry-after", true, "max-attempts", retuned ? 2 : 3, "max-retry-after", 500.0, "connect-timeout",
                 CONNECT_TIMEOUT_MS, "idle-close", IDLE_CLOSE_MS, "streams-per-conn", 16));
         settings.add("extra", object("mode", "aside", "origin-kind", fleet.kinds().indexOf("origin"),
--- a/src/main/java/damsonworks/demo/ProxyProcess.java
+++ b/src/main/java/damsonworks/demo/ProxyProcess.java
@@ -21,20 +21,24 @@
     private static final int LOG_LINES = 12;
 
     private final String name;
+    private final InetAddress host;
     private final Path folder;
     private final Path config;
     private final InetSocketAddress listen;
     private final Path edge;
     private volatile Process process;
     private volatile boolean ended;
+    /** Whether the process that runs has been told to end, or has been killed. */
+    private volatile boolean toEnd;
     /** How often it has been upgraded: the old and the new process want control sockets of their own. */
     private volatile int upgrades;
     /** Where the process that was started last is asked for its health, or null where nobody asks. */
     private InetSocketAddress door;
 
     /** Nothing is started yet; the address is free at the moment. {@code edge}: its file of routes, or null. */
-    ProxyProcess(String name, Path parent, Path edge) throws IOException {
+    ProxyProcess(String name, InetAddress host, Path parent, Path edge) throws IOException {
         this.name = name;
+        this.host = host;
         this.edge = edge;
         folder = Files.createDirectories(parent.resolve(name));
         config = folder.resolve("config.json");
@@ -42,9 +46,9 @@
     }
 
     /** An address that nobody listens at now. */
-    private static InetSocketAddress free() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+    private InetSocketAddress free() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, host)) {
+            return new InetSocketAddress(host, socket.getLocalPort());
         }
     }
 
@@ -113,12 +117,33 @@
             words.addAll(List.of("--edge", edge.toAbsolutePath().toString()));
         }
         ProcessBuilder builder = new ProcessBuilder(words).redirectErrorStream(true)
-                .redirectOutput(ProcessBuilder.Redirect.appendTo(folder.resolve("log").toFile()));
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(logFile().toFile()));
         builder.environment().put("BALANCER_CONFIG", config.toString());
         builder.environment().put("TMPDIR", folder.toString());
+        toEnd = false;
         process = builder.start();
     }
 
+    /** Whether its process has ended though nothing asked it to. */
+    boolean died() {
+        return !ended && !toEnd && process != null && !process.isAlive();
+    }
+
+    /** Where what is to outlast a process would be kept; the program keeps nothing there yet. */
+    Path state() throws IOException {
+        return Files.createDirectories(folder.resolve("state"));
+    }
+
+    /** The file that its processes write to. */
+    Path logFile() {
+        return folder.resolve("log");
+    }
+
+    /** The process is about to end, by something that it is told elsewhere. */
+    void endsSoon() {
+        toEnd = true;
+    }
+
     /**
      * Starts a new process beside the one that serves and ends that one once the new one says at its door that it
      * takes clients; waits for all of it.
@@ -178,21 +203,37 @@
         }
     }
 
-    private String log() throws IOException {
-        List<String> lines = Files.readAllLines(folder.resolve("log"));
+    /** The last lines of its log. */
+    String log() throws IOException {
+        List<String> lines = Files.readAllLines(logFile());
         return String.join("\n", lines.subList(Math.max(0, lines.size() - LOG_LINES), lines.size()));
     }
 
     void kill() {
+        toEnd = true;
         process.destroyForcibly();
     }
 
     void terminate() {
+        toEnd = true;
         process.destroy();
     }
 
     void hangUp() throws IOException {
-        new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start();
+        signal("HUP");
+    }
+
+    /** The process stands still until {@link #goOn}. */
+    void stop() throws IOException {
+        signal("STOP");
+    }
+
+    void goOn() throws IOException {
+        signal("CONT");
+    }
+
+    private void signal(String name) throws IOException {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start();
     }
 
     /** What is to be done once the process has ended. */
--- a/src/main/java/damsonworks/fleet/CacheNode.java
+++ b/src/main/java/damsonworks/fleet/CacheNode.java
@@ -46,7 +46,7 @@
         core = new Service(fleet, new ServiceModel<>(1, spec.queue()), () -> speed * start.share(fleet.now()));
         start = new ColdStart(spec.coldStart(), speed, Double.NEGATIVE_INFINITY);
         heldAtStart = spec.heldAtStart();
-        listener = new Listener(fleet.loop(), this::accepted);
+        listener = new Listener(fleet.loop(), seed, this::accepted);
         for (int p = 0; p < spec.proxies(); p++) {
             listener.bind();
         }
@@ -99,6 +99,7 @@
             return;
         }
         core.offer(() -> { }, fleet.spec().workMs() * HANDSHAKE_WORK);
+        fleet.series().count(proxy, Series.What.OPENED);
         AnswerLine line = new AnswerLine(channel, listener);
         lines.add(line);
         channel.closeFuture().addListener(f -> lines.remove(line));
@@ -132,6 +133,7 @@
     private void read(AnswerLine line, int proxy, MetaCommand.Read read) {
         double now = fleet.now();
         fleet.oracle().sent(proxy, name, read.id(), now);
+        fleet.series().attempt(proxy, fleet.spec().layout().zoneOf(Parties.number(name)));
         AnswerLine.Slot slot = line.next();
         boolean hit = held(read.key()) != null;
         double work = fleet.work(read.id(), read.extras()) * (hit ? 1 : MISS_WORK);
--- a/src/main/java/damsonworks/fleet/DiscoveryServer.java
+++ b/src/main/java/damsonworks/fleet/DiscoveryServer.java
@@ -65,7 +65,7 @@
     DiscoveryServer(StandInFleet fleet, Roster roster) {
         this.fleet = fleet;
         this.roster = roster;
-        listener = new Listener(fleet.loop(), this::accepted);
+        listener = new Listener(fleet.loop(), ~fleet.spec().seed(), this::accepted);
         for (int i = 0; i < fleet.spec().proxies() * ADDRESSES; i++) {
             listener.bind();
         }
@@ -97,6 +97,7 @@
     }
 
     private void take(int proxy, ChannelHandlerContext ctx, QueryStringDecoder uri) {
+        fleet.series().count(proxy, Series.What.CALLS);
         if (down) {
             ctx.close();
             return;
--- a/src/main/java/damsonworks/fleet/Fault.java
+++ b/src/main/java/damsonworks/fleet/Fault.java
@@ -1,14 +1,35 @@
 package damsonworks.fleet;
 
 /**
- * One thing that goes wrong, when, and where.
+ * One thing that goes wrong in one part of a fleet, when, and where. What goes wrong between two is a {@link LinkFault}.
  *
  * @param atMs   after the start
  * @param target {@code node-3}, {@code node-*}, {@code origin}, {@code discovery}, {@code proxy-1}
  * @param forMs  how long it lasts; 0 where the action has no length
  * @param share  of answers that come spoilt, 0 to 1; 0 for other actions
+ * @param state  what becomes of a killed proxy's folder of state until it is started again
  */
-public record Fault(double atMs, String target, Action action, double forMs, double share) {
+public record Fault(double atMs, String target, Action action, double forMs, double share, State state) {
+    /** What becomes of what an instance keeps beyond its life. */
+    public enum State {
+        /** Nothing. */
+        KEPT,
+        /** All of it is gone. */
+        LOST,
+        /** Each file is cut off somewhere. */
+        CUT_SHORT,
+        /** One byte of each file is another. */
+        DAMAGED,
+        /** It is what it was when the faults began. */
+        OLDER,
+        /** It is what another instance has kept. */
+        OTHER
+    }
+
+    /** One that leaves what instances keep alone. */
+    public Fault(double atMs, String target, Action action, double forMs, double share) {
+        this(atMs, target, action, forMs, share, State.KEPT);
+    }
 
     /** What can go wrong, and with what. */
     public enum Action {
@@ -34,6 +55,8 @@
         DOWN("discovery", true, false),
         /** A proxy is killed and started again after this time. */
         KILL("proxy", true, false),
+        /** A proxy's process stands still, and then believes that it is still then. */
+        STOP("proxy", true, false),
         /** A proxy is told to end and started again when it has. */
         TERM("proxy", false, false),
         /** A new process takes over from a proxy that serves, which is then told to end. */
@@ -59,12 +82,14 @@
             this.shared = shared;
         }
 
-        boolean fits(String target) {
+        /** Whether it can happen to that part. */
+        public boolean fits(String target) {
             String kind = target.startsWith("node-") ? "node" : target.startsWith("proxy-") ? "proxy" : target;
             return (" " + targets + " ").contains(" " + kind + " ");
         }
 
-        String targets() {
+        /** The kinds of part that it can happen to. */
+        public String targets() {
             return targets;
         }
 
--- a/src/main/java/damsonworks/fleet/FaultScript.java
+++ b/src/main/java/damsonworks/fleet/FaultScript.java
@@ -29,12 +29,12 @@
     }
 
     private final String name;
-    private final FleetSpec spec;
+    private final Parties parties;
     private final List<String> errors = new ArrayList<>();
 
     private FaultScript(String name, FleetSpec spec) {
         this.name = name;
-        this.spec = spec;
+        parties = new Parties(spec);
     }
 
     /** The faults of a script for such a fleet, in the order of their times. {@code name} is for messages. */
@@ -72,10 +72,9 @@
             error(number, "'" + words[2] + "' is no action", nearest(words[2]));
             return;
         }
-        List<String> targets = targets(words[1]);
+        List<String> targets = parties.match(words[1]);
         if (targets.isEmpty()) {
-            error(number, "'" + words[1] + "' is no part of this fleet", "node-0 to node-" + (spec.nodes() - 1)
-                    + ", node-*, origin, discovery, proxy-0 to proxy-" + (spec.proxies() - 1));
+            error(number, "'" + words[1] + "' is no part of this fleet", parties.hint());
             return;
         }
         if (!action.fits(targets.get(0))) {
@@ -108,21 +107,6 @@
         errors.add(name + ":" + number + ": " + what + "; try: " + fix);
     }
 
-    private List<String> targets(String word) {
-        List<String> all = new ArrayList<>();
-        if (word.equals("origin") || word.equals("discovery")) {
-            all.add(word);
-        }
-        String kind = word.startsWith("node-") ? "node-" : word.startsWith("proxy-") ? "proxy-" : null;
-        int many = kind == null ? 0 : kind.equals("node-") ? spec.nodes() : spec.proxies();
-        for (int i = 0; i < many; i++) {
-            if (word.equals(kind + "*") || word.equals(kind + i)) {
-                all.add(kind + i);
-            }
-        }
-        return all;
-    }
-
     private static Fault.Action action(String word) {
         for (Fault.Action a : Fault.Action.values()) {
             if (a.name().toLowerCase(Locale.ROOT).equals(word)) {
--- /dev/null
+++ b/src/main/java/damsonworks/fleet/LinkHandler.java
@@ -0,0 +1,214 @@
+package damsonworks.fleet;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelDuplexHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelPromise;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.channels.ClosedChannelException;
+import java.util.ArrayDeque;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * A connection's link: what it does to the bytes that come and go, before any other handler of the stand-in's sees them.
+ * A stream loses nothing and keeps its order; it is late, stands still, or is reset. What is cut is kept back and goes
+ * on when the way is whole again, as the system's resends would have it. Belongs to the channel's event loop.
+ */
+final class LinkHandler extends ChannelDuplexHandler {
+    /** What a system waits before it sends a lost piece once more, at first; doubled each time. */
+    private static final double RESEND_MS = 200;
+    private static final int MAX_RESENDS = 5;
+
+    /** One direction. */
+    private final class Side {
+        private final boolean inward;
+        private final ArrayDeque<Held> held = new ArrayDeque<>();
+        private Way way = Way.OPEN;
+        private double lastDueMs;
+        /** A piece stands still half way, until the way changes. */
+        private boolean still;
+        private boolean scheduled;
+
+        Side(boolean inward) {
+            this.inward = inward;
+        }
+
+        void settle(Way next) {
+            way = next;
+            still = false;
+            release();
+        }
+
+        void take(Object message, ChannelPromise promise) {
+            if (!inward && way.reset() > 0 && random.nextDouble() < way.reset()) {
+                ReferenceCountUtil.release(message);
+                promise.tryFailure(new ClosedChannelException());
+                reset(ctx.channel());
+                return;
+            }
+            Object rest = message;
+            ChannelPromise last = promise;
+            boolean halts = false;
+            if (!inward && way.hold() > 0 && message instanceof ByteBuf b && b.readableBytes() > 1
+                    && random.nextDouble() < way.hold()) {
+                ByteBuf half = b.readRetainedSlice(b.readableBytes() / 2);
+                add(half, ctx.newPromise(), false);
+                halts = true;
+            }
+            add(rest, last, halts);
+            release();
+        }
+
+        private void add(Object message, ChannelPromise promise, boolean halts) {
+            double due = nowMs() + way.delayMs() + way.jitterMs() * random.nextDouble() + resends();
+            lastDueMs = Math.max(lastDueMs, due);
+            held.add(new Held(message, promise, lastDueMs, halts));
+        }
+
+        private double resends() {
+            double late = 0;
+            for (int i = 0; i < MAX_RESENDS && way.lose() > 0 && random.nextDouble() < way.lose(); i++) {
+                late += RESEND_MS * (1 << i);
+            }
+            return late;
+        }
+
+        /** Passes on what is due. */
+        void release() {
+            boolean passed = false;
+            double now = nowMs();
+            while (!held.isEmpty() && !way.cut() && !still) {
+                Held next = held.peek();
+                if (next.dueMs() > now) {
+                    wake(next.dueMs() - now);
+                    break;
+                }
+                if (next.halts()) {
+                    still = true;
+                    held.poll();
+                    held.addFirst(new Held(next.message(), next.promise(), next.dueMs(), false));
+                    break;
+                }
+                held.poll();
+                passed = true;
+                pass(next);
+            }
+            if (passed && inward) {
+                ctx.fireChannelReadComplete();
+            } else if (passed) {
+                ctx.flush();
+            }
+        }
+
+        private void pass(Held next) {
+            if (inward) {
+                ctx.fireChannelRead(next.message());
+            } else if (next.message() == CLOSE) {
+                ctx.close(next.promise());
+            } else {
+                ctx.write(next.message(), next.promise());
+            }
+        }
+
+        private void wake(double inMs) {
+            if (!scheduled) {
+                scheduled = true;
+                ctx.executor().schedule(() -> {
+                    scheduled = false;
+                    release();
+                }, (long) Math.ceil(inMs * 1e6), TimeUnit.NANOSECONDS);
+            }
+        }
+
+        boolean passesAtOnce() {
+            return way == Way.OPEN && held.isEmpty() && !still;
+        }
+
+        void drop() {
+            for (Held h; (h = held.poll()) != null;) {
+                if (h.message() != CLOSE) {
+                    ReferenceCountUtil.release(h.message());
+                }
+                if (h.promise() != null) {
+                    h.promise().tryFailure(new ClosedChannelException());
+                }
+            }
+        }
+    }
+
+    private record Held(Object message, ChannelPromise promise, double dueMs, boolean halts) { }
+
+    private static final Object CLOSE = new Object();
+
+    private final SplittableRandom random;
+    private final Side in = new Side(true);
+    private final Side out = new Side(false);
+    private ChannelHandlerContext ctx;
+
+    /** With these ways to begin with. */
+    LinkHandler(Way in, Way out, SplittableRandom random) {
+        this.random = random;
+        this.in.way = in;
+        this.out.way = out;
+    }
+
+    private static double nowMs() {
+        return System.nanoTime() / 1e6;
+    }
+
+    private static void reset(Channel channel) {
+        if (channel instanceof SocketChannel s) {
+            s.config().setSoLinger(0);
+        }
+        channel.unsafe().close(channel.unsafe().voidPromise());
+    }
+
+    /** The ways have changed: what waited for that goes on. */
+    void settle(Way inward, Way outward) {
+        in.settle(inward);
+        out.settle(outward);
+    }
+
+    @Override
+    public void handlerAdded(ChannelHandlerContext context) {
+        ctx = context;
+    }
+
+    @Override
+    public void handlerRemoved(ChannelHandlerContext context) {
+        in.drop();
+        out.drop();
+    }
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object message) {
+        if (in.passesAtOnce()) {
+            context.fireChannelRead(message);
+        } else {
+            in.take(message, null);
+        }
+    }
+
+    @Override
+    public void write(ChannelHandlerContext context, Object message, ChannelPromise promise) {
+        if (out.passesAtOnce()) {
+            context.write(message, promise);
+        } else {
+            out.take(message, promise);
+        }
+    }
+
+    /** An end goes the same way as the bytes before it. */
+    @Override
+    public void close(ChannelHandlerContext context, ChannelPromise promise) {
+        if (out.held.isEmpty() && !out.way.cut()) {
+            context.close(promise);
+        } else {
+            out.add(CLOSE, promise, false);
+            out.release();
+        }
+    }
+}
--- a/src/main/java/damsonworks/fleet/OriginServer.java
+++ b/src/main/java/damsonworks/fleet/OriginServer.java
@@ -46,8 +46,10 @@
         this.fleet = fleet;
         int places = fleet.spec().originSlots();
         slots = new Service(fleet, new ServiceModel<>(places, places * QUEUE_PER_SLOT), () -> 1);
-        listener = new Listener(fleet.loop(), this::accepted);
-        listener.bind();
+        listener = new Listener(fleet.loop(), fleet.spec().seed(), this::accepted);
+        for (int p = 0; p < fleet.spec().proxies(); p++) {
+            listener.bind();
+        }
     }
 
     Listener listener() {
@@ -65,6 +67,7 @@
     }
 
     private void accepted(Channel channel, int socket) {
+        fleet.series().count(socket, Series.What.OPENED);
         AnswerLine line = new AnswerLine(channel, listener);
         lines.add(line);
         channel.closeFuture().addListener(f -> lines.remove(line));
@@ -72,7 +75,7 @@
                 new SimpleChannelInboundHandler<FullHttpRequest>() {
                     @Override
                     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-                        take(line, request);
+                        take(line, socket, request);
                     }
 
                     @Override
@@ -82,7 +85,7 @@
                 });
     }
 
-    private void take(AnswerLine line, FullHttpRequest request) {
+    private void take(AnswerLine line, int proxy, FullHttpRequest request) {
         AnswerLine.Slot slot = line.next();
         String key = request.uri().substring(1);
         String id = request.headers().get("Req-Id", "");
@@ -92,6 +95,7 @@
             line.answer(slot, response(id.isEmpty() ? 400 : 200, NOTHING, false));
             return;
         }
+        fleet.series().count(proxy, write ? Series.What.WRITES : Series.What.FETCHES);
         Runnable run = () -> line.answer(slot, response(200, write ? write(key, id, extras) : read(key, id), false));
         double work = fleet.originWork(id) * (write ? WRITE_WORK : 1);
         if (!slots.offer(run, work)) {
--- /dev/null
+++ b/src/main/java/damsonworks/fleet/PeerRelay.java
@@ -0,0 +1,127 @@
+package damsonworks.fleet;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.SocketException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What lies between proxies: each sends to an address of its own for each peer, and hears a peer from that peer's
+ * address, so that a datagram can be lost, late, doubled or overtaken on one way of one pair. What comes from anywhere
+ * else than a proxy's own socket is dropped. Belongs to the fleet's event loop.
+ */
+public final class PeerRelay {
+    /** What one may be overtaken by. */
+    private static final double OVERTAKEN_MS = 20;
+
+    private final StandInFleet fleet;
+    private final Links links;
+    private final SplittableRandom random;
+    /** Where each proxy listens. */
+    private final List<InetSocketAddress> proxies = new ArrayList<>();
+    /** {@code [i][k]}: what stands for peer k at proxy i; {@code [i][n]}: all peers at proxy i. */
+    private final Channel[][] ends;
+
+    /** Opens all sockets, waiting for it; not on the event loop. */
+    PeerRelay(StandInFleet fleet, Links links) {
+        this.fleet = fleet;
+        this.links = links;
+        int n = fleet.spec().proxies();
+        random = new SplittableRandom(fleet.spec().seed() * 31 + 7);
+        ends = new Channel[n][n + 1];
+        for (int i = 0; i < n; i++) {
+            proxies.add(free(fleet.host(i)));
+            for (int k = 0; k <= n; k++) {
+                ends[i][k] = new Bootstrap().group(fleet.loop()).channel(Sockets.BEST.datagram()).handler(new End(i, k))
+                        .bind("127.0.0.1", 0).syncUninterruptibly().channel();
+            }
+        }
+    }
+
+    private static InetSocketAddress free(InetAddress host) {
+        try (DatagramSocket socket = new DatagramSocket(0, host)) {
+            return new InetSocketAddress(host, socket.getLocalPort());
+        } catch (SocketException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    /** Where this proxy is to listen; free at the moment. */
+    public InetSocketAddress listen(int proxy) {
+        return proxies.get(proxy);
+    }
+
+    /** The addresses at which this proxy reaches each, its own number's among them. */
+    public List<InetSocketAddress> peers(int proxy) {
+        List<InetSocketAddress> all = new ArrayList<>();
+        for (int k = 0; k < proxies.size(); k++) {
+            all.add((InetSocketAddress) ends[proxy][k].localAddress());
+        }
+        return all;
+    }
+
+    /** The address at which this proxy reaches all others. */
+    public InetSocketAddress all(int proxy) {
+        return (InetSocketAddress) ends[proxy][proxies.size()].localAddress();
+    }
+
+    private final class End extends SimpleChannelInboundHandler<DatagramPacket> {
+        private final int proxy;
+        private final int peer;
+
+        End(int proxy, int peer) {
+            this.proxy = proxy;
+            this.peer = peer;
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
+            if (!packet.sender().equals(proxies.get(proxy))) {
+                return;
+            }
+            fleet.series().count(proxy, Series.What.MESSAGES);
+            fleet.series().add(proxy, Series.What.BYTES, packet.content().readableBytes(), fleet.now());
+            for (int to = 0; to < proxies.size(); to++) {
+                if (peer == to || peer == proxies.size() && to != proxy) {
+                    relay(proxy, to, packet.content());
+                }
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            // a proxy that is away refuses; nobody hears of it, as on a real network
+        }
+    }
+
+    private void relay(int from, int to, ByteBuf message) {
+        Way way = links.way(Parties.proxy(from), Parties.proxy(to));
+        if (way == Way.OPEN) {
+            deliver(from, to, message.retainedDuplicate());
+            return;
+        }
+        if (way.cut() || random.nextDouble() < way.lose()) {
+            return;
+        }
+        for (int copies = random.nextDouble() < way.twice() ? 2 : 1; copies > 0; copies--) {
+            double late = way.delayMs() + random.nextDouble() * way.jitterMs()
+                    + (random.nextDouble() < way.reorder() ? OVERTAKEN_MS : 0);
+            ByteBuf copy = message.retainedDuplicate();
+            fleet.loop().schedule(() -> deliver(from, to, copy), (long) (late * 1e6), TimeUnit.NANOSECONDS);
+        }
+    }
+
+    private void deliver(int from, int to, ByteBuf message) {
+        ends[to][from].writeAndFlush(new DatagramPacket(message, proxies.get(to)));
+    }
+}
--- a/src/main/java/damsonworks/fleet/StandInFleet.java
+++ b/src/main/java/damsonworks/fleet/StandInFleet.java
@@ -4,6 +4,7 @@
 import damsonworks.fleet.meta.MetaCommand;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -24,7 +25,6 @@
 public final class StandInFleet implements AutoCloseable {
     /** How long a miss waits for the fetch that fills it. */
     private static final double MISS_MEMORY_MS = 10_000;
-    private static final String SITE = "loopback";
 
     /** What carries out faults of proxies. Called on the fleet's event loop; must not wait. */
     public interface ProxyFaults {
@@ -34,6 +34,7 @@
 
     private record Missed(String key, Set<CacheNode> nodes, double atMs) { }
 
+    private final int number = Hosts.next();
     private final FleetSpec spec;
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Sockets.BEST.io());
     private final EventLoop loop = group.next();
@@ -44,6 +45,9 @@
     private final Map<String, CacheNode> nodes = new LinkedHashMap<>();
     private final OriginServer origin;
     private final DiscoveryServer discovery;
+    private final Links links;
+    private final Series series;
+    private final PeerRelay peers;
     private final Map<String, Double> classWork = new HashMap<>();
     /** Where each request has missed, oldest first, and how many fetches of a key are out. */
     private final Map<String, Missed> misses = new LinkedHashMap<>();
@@ -54,22 +58,29 @@
     public StandInFleet(FleetSpec spec) {
         this.spec = spec;
         oracle = new Oracle(spec.drainGraceMs(), spec.answerGraceMs());
+        links = new Links(spec);
+        series = new Series(spec.proxies(), spec.layout().zones().size(), this::now);
         spec.classes().forEach(c -> classWork.put(c.name(), c.work()));
         SplittableRandom random = new SplittableRandom(spec.seed());
         origin = new OriginServer(this);
-        roster.put(new Roster.Host("origin", List.of(text(origin.listener().addresses().get(0))), SITE, "origin", 0,
+        roster.put(new Roster.Host(Parties.ORIGIN, texts(origin.listener()), sites().get(0), "origin", 0,
                 Roster.Health.UP, 0));
         for (int i = 0; i < spec.nodes(); i++) {
-            String name = "node-" + i;
+            String name = Parties.node(i);
             // Fast and slow machines, as merged fleets have them.
             boolean fast = random.nextDouble() < 0.59;
             double speed = fast ? random.nextDouble(1.5, 2.1) : random.nextDouble(0.77, 1);
             CacheNode node = new CacheNode(this, name, speed, random.nextLong());
             nodes.put(name, node);
-            roster.put(new Roster.Host(name, node.listener().addresses().stream().map(StandInFleet::text).toList(),
-                    SITE, fast ? "node-fast" : "node-slow", i, Roster.Health.UP, 0));
+            roster.put(new Roster.Host(name, texts(node.listener()), sites().get(spec.layout().zoneOf(i)), fast ? "node-fast" : "node-slow", i, Roster.Health.UP, 0));
         }
         discovery = new DiscoveryServer(this, roster);
+        peers = spec.layout().peers() ? new PeerRelay(this, links) : null;
+        relink();
+    }
+
+    private static List<String> texts(Listener listener) {
+        return listener.addresses().stream().map(StandInFleet::text).toList();
     }
 
     private static String text(InetSocketAddress address) {
@@ -85,7 +96,7 @@
 
     /** The names that the list may hold for sites. */
     public List<String> sites() {
-        return List.of(SITE);
+        return spec.layout().zones();
     }
 
     /** The names that the list may hold for kinds; the last is the origin's. */
@@ -100,11 +111,34 @@
         return addresses;
     }
 
-    /** Where the origin listens. */
+    /** Where the origin listens for the first proxy. */
     public InetSocketAddress originAddress() {
         return origin.listener().addresses().get(0);
     }
 
+    /** Datagrams between proxies, or null where these know nothing of each other. */
+    public PeerRelay peers() {
+        return peers;
+    }
+
+    /** What each proxy did in each second so far. */
+    public List<Series.Row> rows() {
+        return on(series::rows);
+    }
+
+    /** Has something counted, in turn with what the stand-ins count; waits for nothing. */
+    public void count(Consumer<Series> what) {
+        loop.execute(() -> what.accept(series));
+    }
+
+    /**
+     * The address of the machine that this proxy stands for: one of its own on loopback, so that no other socket can take its
+     * port while it is away.
+     */
+    public InetAddress host(int proxy) {
+        return Hosts.of(number, proxy);
+    }
+
     /** Where discovery listens for this proxy; it has two addresses and takes turns with them. */
     public InetSocketAddress discovery(int proxy, int turn) {
         return discovery.listener().addresses().get(turn % DiscoveryServer.ADDRESSES * spec.proxies() + proxy);
@@ -172,6 +206,41 @@
         });
     }
 
+    /** Lets something go wrong between parts of the fleet, its time counted from now. */
+    public void play(LinkFault fault) {
+        loop.execute(() -> {
+            if (fault.atMs() <= 0) {
+                begin(fault);
+            } else {
+                after(fault.atMs(), () -> begin(fault));
+            }
+        });
+    }
+
+    private void begin(LinkFault fault) {
+        links.begin(fault);
+        relink();
+        after(fault.forMs(), () -> {
+            links.end(fault);
+            relink();
+        });
+    }
+
+    /** Tells all stand-ins what their links are like now. */
+    private void relink() {
+        for (int p = 0; p < spec.proxies(); p++) {
+            String proxy = Parties.proxy(p);
+            for (CacheNode n : nodes.values()) {
+                n.listener().ways(p, links.way(proxy, n.name()), links.way(n.name(), proxy));
+            }
+            origin.listener().ways(p, links.way(proxy, Parties.ORIGIN), links.way(Parties.ORIGIN, proxy));
+            for (int i = 0; i < DiscoveryServer.ADDRESSES; i++) {
+                discovery.listener().ways(i * spec.proxies() + p, links.way(proxy, Parties.DISCOVERY),
+                        links.way(Parties.DISCOVERY, proxy));
+            }
+        }
+    }
+
     @Override
     public void close() {
         group.shutdownGracefully(0, 2, TimeUnit.SECONDS).syncUninterruptibly();
@@ -187,6 +256,10 @@
         return origin;
     }
 
+    Series series() {
+        return series;
+    }
+
     /** Work of a request, in milliseconds at speed 1: drawn by its id, so the same wherever it goes. */
     double work(String id, String extras) {
         return spec.workMs() * classWork.getOrDefault(String.valueOf(MetaCommand.named(extras, "c")), 1.0) * draw(id);
@@ -257,12 +330,12 @@
     }
 
     private void apply(Fault f) {
-        if (f.target().startsWith("proxy-")) {
-            proxyFaults.apply(Integer.parseInt(f.target().substring(6)), f);
-        } else if (f.target().equals("discovery")) {
+        if (Parties.isProxy(f.target())) {
+            proxyFaults.apply(Parties.number(f.target()), f);
+        } else if (f.target().equals(Parties.DISCOVERY)) {
             discovery.down(true);
             after(f.forMs(), () -> discovery.down(false));
-        } else if (f.target().equals("origin")) {
+        } else if (f.target().equals(Parties.ORIGIN)) {
             applyToOrigin(f);
         } else {
             applyToNode(nodes.get(f.target()), f);
--- /dev/null
+++ b/src/main/java/damsonworks/lab/LabRun.java
@@ -0,0 +1,91 @@
+package damsonworks.lab;
+
+import damsonworks.demo.OracleObserver;
+import damsonworks.demo.ProxiedFleet;
+import damsonworks.fleet.Oracle;
+import damsonworks.fleet.Series;
+import damsonworks.fleet.TrafficClass;
+import damsonworks.fleet.ValueSizes;
+import damsonworks.load.Generator;
+import damsonworks.load.Report;
+import damsonworks.load.Shape;
+import damsonworks.load.SyntheticWorkload;
+import damsonworks.load.SyntheticWorkload.Arrivals;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+
+/** Plays one scenario from the first process's start to the last one's end; leaves nothing behind. */
+public final class LabRun {
+    private static final double LEAD_IN_SHARE = 0.25;
+    private static final double ZIPF = 0.95;
+    private static final int VALUE_BYTES = 200;
+    private static final int MEMORY_MB = 192;
+
+    private final Scenario scenario;
+    private final long seed;
+    private final Path logs;
+    private final Consumer<String> progress;
+
+    /** {@code logs}: a folder for the proxies' logs, or null; {@code progress}: takes a line a second. */
+    public LabRun(Scenario scenario, long seed, Path logs, Consumer<String> progress) {
+        this.scenario = scenario;
+        this.seed = seed;
+        this.logs = logs;
+        this.progress = progress;
+    }
+
+    /** Plays it; an IOException says what did not start. */
+    public Outcome play() throws IOException, InterruptedException {
+        try (ProxiedFleet fleet = new ProxiedFleet(scenario.fleet(), MEMORY_MB, null)) {
+            List<TrafficClass> classes = scenario.fleet().classes();
+            if (scenario.leadInMs() > 0) {
+                // Another seed, so that the oracle takes none of its requests for one of the run's.
+                run(fleet, workload(scenario.rate() * LEAD_IN_SHARE, scenario.leadInMs(), classes), ~seed);
+            }
+            double zeroMs = fleet.fleet().now();
+            fleet.play(scenario.faults(), scenario.links());
+            Report report = run(fleet, workload(scenario.rate(), scenario.forMs(), classes), seed);
+            fleet.fleet().awaitGrace();
+            Oracle.Verdict verdict = fleet.fleet().verdict();
+            int zero = (int) (zeroMs / 1000);
+            List<Series.Row> rows = fleet.fleet().rows().stream().filter(r -> r.second() >= zero)
+                    .map(r -> new Series.Row(r.second() - zero, r.proxy(), r.counts(), r.attempts())).toList();
+            String died = fleet.died();
+            if (logs != null) {
+                fleet.keepLogs(logs);
+            }
+            return new Outcome(scenario, seed, report, verdict, rows, died);
+        }
+    }
+
+    private SyntheticWorkload workload(double rate, double ms, List<TrafficClass> classes) {
+        return new SyntheticWorkload(new SyntheticWorkload.Settings(rate, ms / 1000, Shape.STEADY, Arrivals.POISSON,
+                scenario.keys(), ZIPF, 0, ValueSizes.of(VALUE_BYTES), classes, seed));
+    }
+
+    private Report run(ProxiedFleet fleet, SyntheticWorkload workload, long clients)
+            throws IOException, InterruptedException {
+        Generator.Settings settings = new Generator.Settings(List.of(fleet.front()), scenario.fleet().classes(),
+                scenario.connections(), 1, 200_000, 0, 0, 10, clients);
+        try (Generator generator = new Generator(settings, workload, new OracleObserver(fleet.fleet(), fleet::takenBy))) {
+            CompletableFuture<Report> done = generator.start();
+            while (true) {
+                try {
+                    return done.get(1, TimeUnit.SECONDS);
+                } catch (TimeoutException e) {
+                    Oracle.Verdict verdict = fleet.fleet().verdict();
+                    progress.accept(generator.progress().text() + fleet.watch().text()
+                            + (verdict.held() ? "" : "  BROKEN " + verdict.breaches()));
+                } catch (ExecutionException e) {
+                    throw new IOException("the run broke off: " + e.getCause(), e);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/lab/Outcome.java
@@ -0,0 +1,75 @@
+package damsonworks.lab;
+
+import damsonworks.fleet.Oracle;
+import damsonworks.fleet.Series;
+import damsonworks.fleet.Series.What;
+import damsonworks.load.Report;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Stream;
+
+/**
+ * What came of one run of a scenario.
+ *
+ * @param report  of the clients
+ * @param verdict on the rules
+ * @param rows    what each proxy did, second by second from the lead-in's end
+ * @param died    the proxy that ended by itself, with the end of its log; null if none did
+ */
+public record Outcome(Scenario scenario, long seed, Report report, Oracle.Verdict verdict, List<Series.Row> rows,
+        String died) {
+    /** Longer pauses of the lab's own process make an answer late by themselves: half of what the rules give one. */
+    static final double PAUSE_PART = 0.5;
+
+    /** Whether all held, something was broken, or the machine was too busy to tell. */
+    public enum Judgement { HELD, BROKEN, TOO_BUSY }
+
+    /** The part of the counted requests that was served in time. */
+    public double served() {
+        return (double) report.served() / Math.max(1, report.requests());
+    }
+
+    /** The part of the requests that left later than they were meant to, by more than a bearable pause. */
+    public double leftLate() {
+        return 1 - report.lag().getPercentileAtOrBelowValue((long) (bearablePauseMs() * 1e3)) / 100;
+    }
+
+    private double bearablePauseMs() {
+        return PAUSE_PART * scenario.fleet().answerGraceMs();
+    }
+
+    /** How often something was seen, over all proxies. */
+    public long total(What what) {
+        return rows.stream().mapToLong(r -> r.counts().getOrDefault(what, 0L)).sum();
+    }
+
+    /** Each expectation held against it. */
+    public List<Expectation.Result> results() {
+        Stream<Expectation.Result> more = died == null ? Stream.empty()
+                : Stream.of(new Expectation.Result("processes", false, died.lines().findFirst().orElse(""), "none dies by itself"));
+        return Stream.concat(scenario.expectations().stream().map(e -> e.check(this)), more).toList();
+    }
+
+    /** By which measure the lab's machine was too busy to judge by; null if it was not. */
+    public String busy() {
+        double pause = report.pauses().getMaxValue() / 1e3;
+        double most = bearablePauseMs();
+        if (pause > most) {
+            return String.format(Locale.ROOT, "the lab's process stood still for %.0f ms, and %.0f are bearable", pause, most);
+        }
+        return report.keptSchedule() ? null : "requests left later than they were meant to";
+    }
+
+    /** The whole of it. */
+    public Judgement judgement() {
+        if (died != null) {
+            return Judgement.BROKEN;
+        }
+        List<Expectation> broken = scenario.expectations().stream().filter(e -> !e.check(this).held()).toList();
+        if (broken.isEmpty()) {
+            return Judgement.HELD;
+        }
+        return busy() != null && broken.stream().allMatch(e -> e.mayBeTheLabs(this)) ? Judgement.TOO_BUSY
+                : Judgement.BROKEN;
+    }
+}
--- a/src/main/java/damsonworks/load/LineChart.java
+++ b/src/main/java/damsonworks/load/LineChart.java
@@ -20,6 +20,9 @@
      */
     public record Line(String name, String colour, List<double[]> points) { }
 
+    /** A span across, from and to, shaded behind the lines and named. */
+    public record Band(String name, double from, double to) { }
+
     private LineChart() { }
 
     /** The text as it may stand in a page. */
@@ -29,6 +32,11 @@
 
     /** The lines over one axis each way, both from 0; {@code across} and {@code up} say what these are. */
     public static String svg(String across, String up, List<Line> lines) {
+        return svg(across, up, lines, List.of());
+    }
+
+    /** The same over shaded spans. */
+    public static String svg(String across, String up, List<Line> lines, List<Band> bands) {
         double maxX = 1e-9;
         double maxY = 1e-9;
         for (Line l : lines) {
@@ -41,6 +49,13 @@
         double top = Math.ceil(maxY / step) * step;
         StringBuilder s = new StringBuilder();
         s.append(String.format(Locale.ROOT, "<svg viewBox=\"0 0 %d %d\" role=\"img\">", WIDTH, HEIGHT));
+        for (Band b : bands) {
+            double from = x(Math.max(0, Math.min(b.from(), maxX)), maxX);
+            double to = x(Math.max(0, Math.min(b.to(), maxX)), maxX);
+            s.append(String.format(Locale.ROOT, "<rect x=\"%.1f\" y=\"%d\" width=\"%.1f\" height=\"%d\" fill=\"#b00020\" "
+                    + "fill-opacity=\"0.1\"><title>%s</title></rect>", from, TOP, Math.max(1, to - from),
+                    HEIGHT - BOTTOM - TOP, escape(b.name())));
+        }
         for (double y = 0; y <= top + step / 2; y += step) {
             double at = y(y, top);
             s.append(String.format(Locale.ROOT, "<line x1=\"%d\" x2=\"%d\" y1=\"%.1f\" y2=\"%.1f\" stroke=\"#ddd\"/>"
--- /dev/null
+++ b/src/test/java/damsonworks/LabIT.java
@@ -0,0 +1,90 @@
+package damsonworks;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonParser;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The lab as people run it: several processes of the packaged program, and faults between them. */
+@Timeout(180)
+class LabIT {
+    @TempDir
+    private Path folder;
+
+    private String printed;
+
+    private int lab(String... words) throws IOException, InterruptedException {
+        Path out = folder.resolve("out");
+        List<String> all = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-jar", "target/damsonworks.jar", "lab"));
+        all.addAll(List.of(words));
+        int code = new ProcessBuilder(all).redirectErrorStream(true).redirectOutput(out.toFile()).start().waitFor();
+        printed = Files.readString(out);
+        return code;
+    }
+
+    private static long sum(JsonObject outcome, String what, int from, int to) {
+        long sum = 0;
+        for (JsonElement e : outcome.getAsJsonArray("series")) {
+            JsonObject row = e.getAsJsonObject();
+            int second = row.get("second").getAsInt();
+            sum += second >= from && second < to && row.has(what) ? row.get(what).getAsLong() : 0;
+        }
+        return sum;
+    }
+
+    @Test
+    void cutsAndKillsAreBorneAndSeen() throws Exception {
+        Path json = folder.resolve("json");
+        Path html = folder.resolve("html");
+        int code = lab("run", "lab/ci-cuts-and-kills.conf", "--json", json.toString(), "--html", html.toString(), "--logs",
+                folder.resolve("logs").toString());
+        assertThat(code).as(printed).isZero();
+        JsonObject outcome = JsonParser.parseString(Files.readString(json)).getAsJsonArray().get(0).getAsJsonObject();
+        assertThat(outcome.get("judgement").getAsString()).isEqualTo("held");
+        assertThat(sum(outcome, "served", 0, 60)).isGreaterThan(400);
+        assertThat(Files.readString(html)).contains("zone a is cut off");
+        assertThat(folder.resolve("logs")).isDirectoryRecursivelyContaining("glob:**/proxy-3.log");
+    }
+
+    /** What can't hold is told as broken, so a verdict of "held" says something. */
+    @Test
+    void whatIsExpectedAndDoesNotHoldIsBroken() throws Exception {
+        Path file = Files.writeString(folder.resolve("dead.conf"), """
+                fleet {
+                  proxies = 2
+                  nodes = 2
+                  rate = 50/s
+                  patience = 8
+                  lead-in = 0s
+                  for = 6s
+                }
+                fault "all are away" {
+                  at = 1s
+                  kill = [proxy-*]
+                  again-after = 1h
+                }
+                expect {
+                  served = 90%
+                }
+                """);
+        assertThat(lab("run", file.toString())).as(printed).isEqualTo(1);
+        assertThat(printed).contains("BROKEN served").contains("held   rules").doesNotContain("by itself");
+    }
+
+    @Test
+    void aMistakeIsToldWithoutARun() throws Exception {
+        Path file = Files.writeString(folder.resolve("wrong.conf"), "fault \"x\" {\n  at = 1s\n  kil = [proxy-*]\n}\n");
+        assertThat(lab("run", file.toString())).isEqualTo(2);
+        assertThat(printed).contains("wrong.conf:3").contains("did you mean kill?");
+    }
+}
--- a/src/test/java/damsonworks/fleet/StandInFleetTest.java
+++ b/src/test/java/damsonworks/fleet/StandInFleetTest.java
@@ -45,42 +45,6 @@
         fleet.close();
     }
 
-    private static final class Peer implements Closeable {
-        private final Socket socket = new Socket();
-        private final InputStream in;
-
-        Peer(InetSocketAddress to) throws IOException {
-            socket.connect(to, 10_000);
-            socket.setSoTimeout(20_000);
-            in = new BufferedInputStream(socket.getInputStream());
-        }
-
-        Peer say(String text) throws IOException {
-            socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-            return this;
-        }
-
-        Peer read(String id) throws IOException {
-            return say("mg " + KEY + " v O" + id + " Pc=seg-text,d=1000\r\n");
-        }
-
-        String line() throws IOException {
-            ByteArrayOutputStream line = new ByteArrayOutputStream();
-            for (int b; (b = in.read()) != '\n';) {
-                if (b < 0) {
-                    return null;
-                }
-                line.write(b);
-            }
-            return line.toString(StandardCharsets.ISO_8859_1).trim();
-        }
-
-        @Override
-        public void close() throws IOException {
-            socket.close();
-        }
-    }
-
     private Peer node(int proxy, int number) throws IOException {
         return new Peer(fleet.nodes(proxy).get("node-" + number));
     }
@@ -110,15 +74,15 @@
     void whatMissedIsFilledByTheOriginsAnswerAndVoidedByAWrite() throws Exception {
         start(QUICK);
         try (Peer node = node(0, 0); Peer other = node(1, 1)) {
-            assertThat(node.read("1").line()).isEqualTo("EN O1 h0");
-            assertThat(other.read("2").line()).isEqualTo("EN O2 h0 Z");
+            assertThat(node.read(KEY, "1").line()).isEqualTo("EN O1 h0");
+            assertThat(other.read(KEY, "2").line()).isEqualTo("EN O2 h0 Z");
             String value = origin("GET", "1", "c=seg-text").body();
             assertThat(Payload.read(value.getBytes(StandardCharsets.ISO_8859_1))).isEqualTo(new Payload(KEY, 0));
-            assertThat(node.read("3").line()).isEqualTo("VA " + value.length() + " O3 h1");
+            assertThat(node.read(KEY, "3").line()).isEqualTo("VA " + value.length() + " O3 h1");
             assertThat(node.line()).isEqualTo(value);
-            assertThat(other.read("4").line()).startsWith("EN"); // its own request has not been answered
+            assertThat(other.read(KEY, "4").line()).startsWith("EN"); // its own request has not been answered
             assertThat(origin("PUT", "5", "c=fix-submit").body()).isEqualTo("v1");
-            assertThat(node.read("6").line()).startsWith("EN");
+            assertThat(node.read(KEY, "6").line()).startsWith("EN");
             assertThat(fleet.verdict().effects()).isEqualTo(1);
         }
     }
@@ -153,13 +117,13 @@
         start(QUICK.withWork(60_000, 0).withHeld(1).withBounds(10, 1, 2, 100));
         try (Peer node = node(0, 0); Peer second = node(0, 0)) {
             for (int i = 1; i <= 3; i++) { // one runs, beside the handshakes' work; one waits
-                node.read("" + i);
+                node.read(KEY, "" + i);
             }
-            second.read("4");
+            second.read(KEY, "4");
             assertThat(second.line()).isEqualTo("SERVER_ERROR busy");
             try (Peer third = node(0, 0)) {
                 assertThatThrownBy(() -> {
-                    if (third.read("5").line() == null) {
+                    if (third.read(KEY, "5").line() == null) {
                         throw new SocketException("closed");
                     }
                 }).isInstanceOf(SocketException.class);
@@ -207,7 +171,7 @@
         double told = fleet.now();
         try (Peer node = node(0, 0)) {
             Await.until("the grace is over", () -> fleet.now() > told + 2 * QUICK.drainGraceMs());
-            node.read("1").line();
+            node.read(KEY, "1").line();
         }
         assertThat(fleet.verdict().breaches()).containsOnlyKeys(Oracle.Rule.SENT_AFTER_DRAIN);
     }
@@ -219,7 +183,7 @@
             assertThat(node.say("mn\r\n").line()).isEqualTo("MN");
             double before = fleet.now();
             fault(Fault.Action.FREEZE, "node-0", 300, 0);
-            assertThat(node.read("1").line()).startsWith("VA");
+            assertThat(node.read(KEY, "1").line()).startsWith("VA");
             assertThat(fleet.now() - before).isGreaterThanOrEqualTo(300);
         }
     }
@@ -231,7 +195,7 @@
             assertThat(node.say("mn\r\n").line()).isEqualTo("MN");
             double before = fleet.now();
             fault(Fault.Action.STALL, "node-0", 300, 0);
-            node.read("1");
+            node.read(KEY, "1");
             assertThat(node.line()).startsWith("VA");
             assertThat(fleet.now() - before).isGreaterThanOrEqualTo(300);
         }
@@ -246,7 +210,7 @@
             assertThatThrownBy(node::line).isInstanceOf(SocketException.class);
         }
         try (Peer node = node(0, 0)) {
-            assertThat(node.read("1").line()).startsWith("VA");
+            assertThat(node.read(KEY, "1").line()).startsWith("VA");
         }
     }
 
@@ -256,7 +220,7 @@
         try (Peer node = node(0, 0)) {
             assertThat(node.say("mn\r\n").line()).isEqualTo("MN");
             fault(Fault.Action.SILENCE, "node-0", 200, 0);
-            node.read("1");
+            node.read(KEY, "1");
             assertThatThrownBy(node::line).isInstanceOf(SocketException.class);
         }
     }
@@ -278,7 +242,7 @@
                 h.getAsJsonObject().get("born_ms").getAsLong() > 0));
         assertThat(fleet.nodes(0).get("node-0")).isEqualTo(before);
         try (Peer node = node(0, 0)) {
-            assertThat(node.read("1").line()).startsWith("EN");
+            assertThat(node.read(KEY, "1").line()).startsWith("EN");
         }
     }
 
@@ -306,7 +270,7 @@
         fault(Fault.Action.SPOIL, "node-0", 60_000, 1);
         for (int i = 0; i < 12; i++) {
             try (Peer node = node(0, 0)) {
-                String line = node.read("1").line();
+                String line = node.read(KEY, "1").line();
                 if (line.startsWith("VA") && line.contains(" O1 ") && line.split(" ")[1].length() < 8) {
                     int length = Integer.parseInt(line.split(" ")[1]);
                     assertThat(node.line().length()).as("a length that does not fit").isGreaterThan(length);
@@ -320,13 +284,13 @@
         start(QUICK.withHeld(1));
         fault(Fault.Action.STALE, "node-0", 60_000, 0);
         try (Peer node = node(0, 0)) {
-            node.read("1").line();
+            node.read(KEY, "1").line();
             node.line();
             fleet.tell(o -> o.asked("w", KEY, true, fleet.now(), fleet.now() + 1000));
             assertThat(origin("PUT", "w", "c=fix-submit").body()).isEqualTo("v1");
             fleet.tell(o -> o.answered("w", 0, Oracle.Ending.SERVED, null, 1, fleet.now()));
             fleet.tell(o -> o.asked("2", KEY, false, fleet.now(), fleet.now() + 1000));
-            assertThat(node.read("2").line()).startsWith("VA");
+            assertThat(node.read(KEY, "2").line()).startsWith("VA");
             byte[] value = node.line().getBytes(StandardCharsets.ISO_8859_1);
             fleet.tell(o -> o.answered("2", 0, Oracle.Ending.SERVED, value, -1, fleet.now()));
         }
