--- /dev/null
+++ b/src/main/java/damsonworks/cli/ModelCheckCommand.java
@@ -0,0 +1,51 @@
+package damsonworks.cli;
+
+import damsonworks.model.check.Explorer;
+import damsonworks.model.check.MemberProtocol;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Spec;
+
+/** {@code model check}: all states that a small system can reach. */
+@Command(name = "check", mixinStandardHelpOptions = true, sortOptions = false,
+        description = {"Explores all states that three instances with the real knowledge of each other can reach while messages "
+                + "are lost, doubled and overtaken, and processes die and start again.",
+            "Exit codes: 0 nothing broken, 1 something broken, 2 wrong use."},
+        footerHeading = "%nExamples:%n", footer = "  model check --messages 2 --suspicions 2 --deaths 1 --states 2000000")
+final class ModelCheckCommand implements Callable<Integer> {
+    @Spec
+    private CommandSpec spec;
+
+    @Option(names = "--messages", paramLabel = "N", defaultValue = "1",
+            description = "Under way at once, 1 to 4 (default: ${DEFAULT-VALUE}).")
+    private int messages;
+
+    @Option(names = "--suspicions", paramLabel = "N", defaultValue = "2",
+            description = "Of anybody by anybody in all, 0 to 8 (default: ${DEFAULT-VALUE}).")
+    private int suspicions;
+
+    @Option(names = "--deaths", paramLabel = "N", defaultValue = "2",
+            description = "Of processes in all, 0 to 4 (default: ${DEFAULT-VALUE}).")
+    private int deaths;
+
+    @Option(names = "--states", paramLabel = "N", defaultValue = "1000000",
+            description = "Gives up after so many (default: ${DEFAULT-VALUE}).")
+    private long states;
+
+    @Override
+    public Integer call() {
+        if (messages < 1 || messages > 4 || suspicions < 0 || suspicions > 8 || deaths < 0 || deaths > 4 || states < 1) {
+            throw new ParameterException(spec.commandLine(), "it takes 1 to 4 messages, up to 8 suspicions and 4 deaths, and a "
+                    + "state or more");
+        }
+        long began = System.nanoTime();
+        Explorer.Result result = new Explorer<>(MemberProtocol.real(
+                new MemberProtocol.Bounds(messages, suspicions, deaths))).run(states);
+        spec.commandLine().getOut().printf("%s%.1f s%n", result.text(), (System.nanoTime() - began) / 1e9);
+        spec.commandLine().getOut().flush();
+        return result.broken() == null ? Cli.OK : Cli.FAILED;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/member/Entry.java
@@ -0,0 +1,177 @@
+package damsonworks.member;
+
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.TreeSet;
+
+/**
+ * What is known of one instance. Entries of the same instance form a join semilattice: {@link #join} is associative,
+ * commutative and idempotent, so any two that have heard the same come to hold the same, in whatever order and however often
+ * they heard it.
+ *
+ * <ol>
+ * <li>The higher incarnation holds; an instance raises its own, nobody else's.
+ * <li>In one incarnation the higher life holds: two processes under one name, of which one has to go beyond the other.
+ * <li>In one life the later {@link State} holds, and what the instance says of itself by the higher version.
+ * </ol>
+ *
+ * @param id          its number, 0 to {@link #MAX_ID}
+ * @param incarnation 1 to {@link #MAX_INCARNATION}, raised at each start and each refutation
+ * @param life        drawn by the process at its start, 0 to 65,535: tells two processes of one name apart
+ * @param state       what is believed
+ * @param confirmers  of a suspicion, those who did not reach it either, {@link #MOST_CONFIRMERS} at most
+ * @param zone        where it stands, 0 to 255
+ * @param version     of what it says of itself: phase and notes
+ * @param phase       of its service
+ * @param notes       what other parts of the program publish by it, by a number 0 to 7, {@link #MOST_NOTE} bytes each at most
+ *                    and {@link #MOST_NOTES} together, so that three entries fit in any message
+ * @param address     where it is reached, 6 bytes; empty where the settings name it
+ */
+public record Entry(int id, long incarnation, int life, State state, TreeSet<Integer> confirmers, int zone, int version,
+        Phase phase, Map<Integer, byte[]> notes, byte[] address) {
+    /** The highest number of an instance. */
+    public static final int MAX_ID = 65_534;
+    /** The highest incarnation; at one a second it lasts 136 years. */
+    public static final long MAX_INCARNATION = 0xffff_ffffL;
+    /** How many confirmers a suspicion names at most; beyond it the lowest numbers. */
+    public static final int MOST_CONFIRMERS = 4;
+    /** What one part may publish, in bytes. */
+    public static final int MOST_NOTE = 24;
+    /** What all parts may publish together, in bytes. */
+    public static final int MOST_NOTES = 32;
+    /** How many parts may publish. */
+    public static final int NOTES = 8;
+    private static final byte[] NONE = {};
+
+    /** Checks the ranges. */
+    public Entry {
+        if (id < 0 || id > MAX_ID || incarnation < 1 || incarnation > MAX_INCARNATION || life < 0 || life > 0xffff
+                || zone < 0 || zone > 255 || version < 0) {
+            throw new IllegalArgumentException("instance " + id + " in incarnation " + incarnation + ", life " + life
+                    + ", zone " + zone + ", version " + version + " is out of range");
+        }
+        if (confirmers.size() > MOST_CONFIRMERS || address.length != 0 && address.length != 6 || notes.entrySet().stream()
+                .anyMatch(n -> n.getKey() < 0 || n.getKey() >= NOTES || n.getValue().length > MOST_NOTE)
+                || notes.values().stream().mapToInt(n -> n.length).sum() > MOST_NOTES) {
+            throw new IllegalArgumentException("instance " + id + " has too much to say");
+        }
+    }
+
+    /** An instance that begins a life. */
+    public static Entry begin(int id, long incarnation, int life, int zone, byte[] address) {
+        return new Entry(id, incarnation, life, State.ALIVE, new TreeSet<>(), zone, 0, Phase.STARTING, Map.of(), address);
+    }
+
+    /** Whether what is said of a life here holds against what is said there: 0 for the same life in one incarnation. */
+    public int compareLife(Entry other) {
+        int by = Long.compare(incarnation, other.incarnation);
+        return by != 0 ? by : Integer.compare(life, other.life);
+    }
+
+    /** Both as one; this itself if the other adds nothing. */
+    public Entry join(Entry other) {
+        int by = compareLife(other);
+        if (by != 0) {
+            return by > 0 ? this : other;
+        }
+        State both = state.compareTo(other.state) >= 0 ? state : other.state;
+        TreeSet<Integer> confirming = confirming(both, other);
+        Entry said = version >= other.version ? this : other;
+        if (both == state && said == this && confirming.equals(confirmers)) {
+            return this;
+        }
+        return new Entry(id, incarnation, life, both, confirming, said.zone, said.version, said.phase, said.notes,
+                said.address);
+    }
+
+    /** The lowest of all who confirm; once it is dead nobody asks who did. */
+    private TreeSet<Integer> confirming(State both, Entry other) {
+        TreeSet<Integer> all = new TreeSet<>();
+        if (both == State.SUSPECT) {
+            all.addAll(confirmers);
+            all.addAll(other.confirmers);
+            while (all.size() > MOST_CONFIRMERS) {
+                all.pollLast();
+            }
+        }
+        return all;
+    }
+
+    /** The same believed to be in that state. */
+    Entry in(State later) {
+        return new Entry(id, incarnation, life, later, new TreeSet<>(), zone, version, phase, notes, address);
+    }
+
+    /** The same with one more who does not reach it. */
+    Entry suspectedBy(int instance) {
+        TreeSet<Integer> all = new TreeSet<>(confirmers);
+        all.add(instance);
+        while (all.size() > MOST_CONFIRMERS) {
+            all.pollLast();
+        }
+        return new Entry(id, incarnation, life, State.SUSPECT, all, zone, version, phase, notes, address);
+    }
+
+    /** The same alive in another incarnation. */
+    Entry again(long higher) {
+        return new Entry(id, higher, life, State.ALIVE, new TreeSet<>(), zone, version, phase, notes, address);
+    }
+
+    /** The same with something else to say, by the next version. */
+    Entry saying(Phase now, Map<Integer, byte[]> all) {
+        return new Entry(id, incarnation, life, state, confirmers, zone, version + 1, now, Map.copyOf(all), address);
+    }
+
+    /** One part's note replaced; empty takes it out. */
+    Entry noting(int part, byte[] bytes) {
+        Map<Integer, byte[]> all = new HashMap<>(notes);
+        if (bytes.length == 0) {
+            all.remove(part);
+        } else {
+            all.put(part, bytes.clone());
+        }
+        return saying(phase, all);
+    }
+
+    /** A part's note, empty if it has none. */
+    public byte[] note(int part) {
+        return notes.getOrDefault(part, NONE).clone();
+    }
+
+    /**
+     * What counts in a digest. Suspicions do not: they pass, and while answers get lost there is always one somewhere.
+     */
+    long hash() {
+        State settled = state == State.SUSPECT ? State.ALIVE : state;
+        long h = mix(id * 0x9e3779b97f4a7c15L + incarnation);
+        return mix(h ^ ((long) life << 34 | (long) version << 3 | settled.ordinal()));
+    }
+
+    /** A thorough mix of 64 bits (Stafford's variant 13). */
+    static long mix(long x) {
+        long z = (x ^ x >>> 30) * 0xbf58476d1ce4e5b9L;
+        z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
+        return z ^ z >>> 31;
+    }
+
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Entry e && id == e.id && incarnation == e.incarnation && life == e.life && state == e.state
+                && confirmers.equals(e.confirmers) && zone == e.zone && version == e.version && phase == e.phase
+                && Arrays.equals(address, e.address) && notes.keySet().equals(e.notes.keySet())
+                && notes.keySet().stream().allMatch(k -> Arrays.equals(notes.get(k), e.notes.get(k)));
+    }
+
+    @Override
+    public int hashCode() {
+        return Long.hashCode(hash()) * 31 + state.ordinal() + confirmers.hashCode();
+    }
+
+    @Override
+    public String toString() {
+        return id + (state == State.ALIVE ? " alive" : state == State.SUSPECT ? " suspected by " + confirmers
+                : state == State.DEAD ? " dead" : " left") + " in " + incarnation + "/" + Integer.toHexString(life)
+                + " v" + version;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/member/Membership.java
@@ -0,0 +1,710 @@
+package damsonworks.member;
+
+import damsonworks.member.Message.Kind;
+import damsonworks.member.Send.Urgency;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+
+/**
+ * One instance's part in the view that the fleet keeps. Takes times and messages, gives messages: whoever owns the sockets
+ * calls {@link #tick} when {@link #dueMs} has come, {@link #heard} for each message, and sends what {@link #outgoing} hands
+ * out. Messages may be lost, late, doubled, out of order, or wrong.
+ *
+ * <p>Every second round asks the one that follows on a ring of all that live, so that each is watched by somebody; the others
+ * go through all in a drawn order, as in SWIM. Every fourth looks for one that is gone, so that a healed cut is found from
+ * both sides. One that does not answer, not by helpers either, is suspected; a few that all can name look at once, and when
+ * they confirm it, it is soon given up. An instance gives another up only if it has failed to reach it itself.
+ */
+public final class Membership {
+    /** The most bytes of a message. */
+    public static final int ROOM = 250;
+
+    /** What of the budget for messages is free: one for all parts of the program, which somebody else keeps. */
+    public interface Allowance {
+        /**
+         * Takes a message's bytes out of the budget.
+         *
+         * @return whether there was room for it; if not, it must not be sent
+         */
+        boolean take(double nowMs, int bytes, Urgency urgency);
+
+        /** How many bytes may be added to a message for what may as well go later; 0 or less for none. */
+        int spare(double nowMs);
+    }
+    /** A call that comes so much later than it was due means that this process stood still. */
+    static final double STILL_MS = 500;
+    /** News waits so long for more of it. */
+    private static final double GATHER_MS = 40;
+    /** Slices are compared with others only so often. */
+    private static final double DIFFER_MS = 150;
+    private static final double BUSY_DIFFER_MS = 600;
+    private static final int SLICE_MESSAGES = 3;
+    private static final int RETURN_ROUNDS = 4;
+    private static final int JOIN_ASKS = 3;
+    private static final int RING_ASKS = 2;
+    private static final int MOST_PROBES = 64;
+    private static final int LEAST_MANY = 3;
+    private static final int PART_MANY = 12;
+    /** Who was heard within this time stands on this side of a cut. */
+    private static final double HEARD_MS = 1500;
+    /** An own attempt that is older says nothing of now. */
+    private static final double EVIDENCE_MS = 1500;
+    /** Those who were not to look wait so much longer for the word of those who were. */
+    private static final double OTHERS_MS = 3000;
+    /** Who is to look at one that is suspected is asked again so often, as more are. */
+    private static final double LOOK_MS = 600;
+    /** A death that comes without a suspicion is believed only so much later. */
+    private static final double CLAIM_MS = 800;
+
+    private record Claim(Entry said, double dueMs) { }
+
+    private final MemberSettings settings;
+    private final int me;
+    private final SplittableRandom random;
+    private final Allowance allowance;
+    private final Knowledge knowledge;
+    private final Table table;
+    private final Own own;
+    private final News news = new News();
+    private final Health health = new Health();
+    private final Map<Integer, Probe> probes = new LinkedHashMap<>();
+    private final Map<Integer, Suspicion> suspicions = new HashMap<>();
+    /** Deaths that are not believed yet, by who is said to be dead. */
+    private final Map<Integer, Claim> claims = new LinkedHashMap<>();
+    private final Map<Integer, Double> heardMs = new HashMap<>();
+    private final Map<Integer, Double> goneMs = new HashMap<>();
+    /** Probes that have failed last, with their targets: an answer to one of them came late. */
+    private final Map<Integer, Integer> late = new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<Integer, Integer> eldest) {
+            return size() > MOST_PROBES;
+        }
+    };
+    /** Those who do not know what is held of them. */
+    private final Set<Integer> owed = new HashSet<>();
+    private final List<Send> out = new ArrayList<>();
+    private final List<Integer> order = new ArrayList<>();
+    /** The numbers of those that live but for this one, by their place on the ring; null when that has changed. */
+    private List<Integer> others;
+    private double lastMs = Double.NaN;
+    private double roundMs;
+    private double flushMs = Double.POSITIVE_INFINITY;
+    private double differMs;
+    private double repliedMs = Double.NEGATIVE_INFINITY;
+    private int turn;
+    private int number;
+    private long unreadable;
+
+    /**
+     * Begins a life. Nothing is sent before the first {@link #tick}.
+     *
+     * @param me         this instance's number
+     * @param zone       where it stands, 0 to 255
+     * @param address    where it is reached, 6 bytes; empty where the settings name it
+     * @param remembered the incarnation of its last life; 0 if nothing is remembered
+     * @param seed       new at each start
+     * @param allowance  what may be sent
+     */
+    public Membership(MemberSettings settings, int me, int zone, byte[] address, long remembered, long seed,
+            Allowance allowance) {
+        this.settings = settings;
+        this.allowance = allowance;
+        this.me = me;
+        random = new SplittableRandom(seed);
+        knowledge = new Knowledge(Entry.begin(me, remembered + 1, random.nextInt(0x10000), zone, address), settings.most());
+        table = knowledge.table();
+        own = knowledge.own();
+        news.changed(me);
+        number = random.nextInt(0x10000);
+    }
+
+    // ---- what it is told
+
+    /** What this instance says of its service from now on. */
+    public void phase(Phase phase) {
+        own.phase(phase);
+        ownChanged();
+    }
+
+    /** What one part of the program, 0 to 7, publishes by this instance; empty for nothing. */
+    public void note(int part, byte[] bytes) {
+        own.note(part, bytes);
+        ownChanged();
+    }
+
+    /** This instance leaves for good; to be followed by a {@link #tick} whose messages still go out. */
+    public void leave(double nowMs) {
+        own.leave();
+        ownChanged();
+        probes.clear();
+        suspicions.clear();
+        flush(nowMs, 2 * settings.fanout());
+    }
+
+    private void ownChanged() {
+        if (table.join(own.entry()) != null) {
+            news.changed(me);
+        }
+    }
+
+    /** A message has come. {@code from}: whose address it came from, negative if addresses tell nothing. */
+    public void heard(double nowMs, int from, byte[] body) {
+        wake(nowMs);
+        Message m = Message.decode(body);
+        if (m == null || from >= 0 && m.entries().get(0).id() != from || m.entries().get(0).id() == me) {
+            unreadable++;
+            return;
+        }
+        int sender = m.entries().get(0).id();
+        m.entries().forEach(e -> take(nowMs, e));
+        Entry held = table.get(sender);
+        if (held == null) {
+            return; // no room for it
+        }
+        heardMs.put(sender, nowMs);
+        Entry said = m.entries().get(0);
+        if (held.compareLife(said) != 0 || held.state() != said.state()) {
+            owed.add(sender);
+        }
+        switch (m.kind()) {
+            case PING -> send(nowMs, Kind.ACK, sender, m.number(), Message.NOBODY, Urgency.ANSWER);
+            case ACK -> answered(nowMs, m, sender);
+            case HELP -> help(nowMs, m, sender);
+            case DIFFER -> differ(nowMs, m, sender);
+            case NEWS, SLICES -> { }
+        }
+        if (m.kind() == Kind.ACK && m.digest() != table.digest() && nowMs >= differMs) {
+            // While there is news under way digests differ for that alone.
+            differMs = nowMs + (news.isEmpty() ? DIFFER_MS : BUSY_DIFFER_MS);
+            sendSlices(nowMs, sender, 0);
+        }
+    }
+
+    /** Takes in what is said of somebody. */
+    private void take(double nowMs, Entry said) {
+        if (said.id() == me) {
+            boolean thisLife = said.life() == own.entry().life();
+            if (knowledge.take(nowMs, said) == Knowledge.Heard.REFUTED) {
+                if (thisLife) {
+                    health.suspected();
+                }
+                news.changed(me);
+            }
+        } else if (settings.names(said.id()) || said.address().length > 0 || settings.seeds().contains(said.id())) {
+            if (!heldBack(nowMs, said)) {
+                apply(nowMs, said);
+            }
+        }
+    }
+
+    /**
+     * A death of which no suspicion was heard before comes from beyond a cut, or late. The one concerned is asked first, and
+     * told so that it may refute; it is believed when that has not come in time. Otherwise a cut that heals would have each
+     * side give up its own neighbours for a moment.
+     */
+    private boolean heldBack(double nowMs, Entry said) {
+        Entry held = table.get(said.id());
+        if (said.state() != State.DEAD || held == null || held.state() != State.ALIVE || held.compareLife(said) != 0) {
+            return false;
+        }
+        if (claims.putIfAbsent(said.id(), new Claim(said, nowMs + CLAIM_MS)) == null) {
+            post(nowMs, said.id(), new Message(Kind.NEWS, 0, Message.NOBODY, table.digest(), new int[0],
+                    List.of(own.entry(), said)), Urgency.CHANGE);
+        }
+        return true;
+    }
+
+    private void apply(double nowMs, Entry said) {
+        Entry before = table.get(said.id());
+        Entry now = table.join(said);
+        if (now == null) {
+            return;
+        }
+        news.changed(now.id());
+        boolean livedBefore = before != null && before.state().lives();
+        if (livedBefore != now.state().lives()) {
+            others = null;
+        }
+        if (now.state().lives()) {
+            goneMs.remove(now.id());
+        } else {
+            goneMs.putIfAbsent(now.id(), nowMs);
+            probes.values().removeIf(p -> p.target == now.id() && p.why != Probe.Why.RETURN);
+        }
+        Suspicion s = suspicions.get(now.id());
+        if (s != null && (now.state() != State.SUSPECT || !s.of(now))) {
+            suspicions.remove(now.id());
+            s = null;
+        }
+        if (now.state() == State.SUSPECT && s == null && own.entry().state() != State.LEFT) {
+            suspicions.put(now.id(), new Suspicion(now, nowMs)); // the next tick looks
+        }
+    }
+
+    // ---- time
+
+    /** Does what is due. */
+    public void tick(double nowMs) {
+        wake(nowMs);
+        for (Probe p : List.copyOf(probes.values())) {
+            if (p.nextMs <= nowMs && probes.get(p.number) == p) {
+                advance(nowMs, p);
+            }
+        }
+        for (Claim c : List.copyOf(claims.values())) {
+            if (c.dueMs() <= nowMs) {
+                claims.remove(c.said().id());
+                apply(nowMs, c.said());
+            }
+        }
+        for (int id : List.copyOf(suspicions.keySet())) {
+            Suspicion s = suspicions.get(id);
+            if (s != null && s.lookMs <= nowMs) {
+                s.lookMs = nowMs + LOOK_MS;
+                if (nowMs - s.failedMs > EVIDENCE_MS * health.longer() && looks(table.get(id))) {
+                    probe(nowMs, id, Probe.Why.CONFIRM);
+                }
+            }
+            if (s != null && endMs(id) <= nowMs) {
+                end(nowMs, id);
+            }
+        }
+        if (own.entry().state() != State.LEFT && nowMs >= roundMs) {
+            round(nowMs);
+        }
+        if (news.takeFresh() && flushMs == Double.POSITIVE_INFINITY) {
+            flushMs = nowMs + GATHER_MS;
+        }
+        if (nowMs >= flushMs) {
+            flush(nowMs, settings.fanout());
+        }
+    }
+
+    /** When {@link #tick} wants to be called next, in milliseconds; after anything else that was told, at once. */
+    public double dueMs() {
+        double due = own.entry().state() == State.LEFT ? Double.POSITIVE_INFINITY : roundMs;
+        for (Probe p : probes.values()) {
+            due = Math.min(due, p.nextMs);
+        }
+        for (int id : suspicions.keySet()) {
+            due = Math.min(due, Math.min(endMs(id), suspicions.get(id).lookMs));
+        }
+        for (Claim c : claims.values()) {
+            due = Math.min(due, c.dueMs());
+        }
+        return Math.min(due, flushMs);
+    }
+
+    /** What is to go out now, in the order in which it was decided; handed out once. */
+    public List<Send> outgoing() {
+        List<Send> all = List.copyOf(out);
+        out.clear();
+        return all;
+    }
+
+    /** A process that stood still knows nothing of the others, and must not hold its own silence against them. */
+    private void wake(double nowMs) {
+        if (!Double.isNaN(lastMs)) {
+            double late = nowMs - Math.max(lastMs, dueMs());
+            if (late > STILL_MS) {
+                health.stoodStill();
+                probes.clear();
+                claims.replaceAll((id, c) -> new Claim(c.said(), c.dueMs() + late));
+                suspicions.values().forEach(s -> {
+                    s.beganMs += late;
+                    s.failedMs = Double.NEGATIVE_INFINITY;
+                });
+                roundMs = nowMs;
+            }
+        }
+        lastMs = nowMs;
+    }
+
+    private void round(double nowMs) {
+        roundMs = nowMs + settings.roundMs() * health.slower() * (0.9 + 0.2 * random.nextDouble());
+        turn++;
+        goneMs.entrySet().removeIf(e -> {
+            boolean forget = !settings.names(e.getKey()) && nowMs - e.getValue() > settings.forgetMs();
+            if (forget) {
+                table.forget(e.getKey());
+                heardMs.remove(e.getKey());
+                news.drop(e.getKey());
+            }
+            return forget;
+        });
+        List<Integer> ring = others();
+        if (ring.isEmpty() || turn % RETURN_ROUNDS == 0) {
+            List<Integer> gone = gone();
+            for (int i = ring.isEmpty() ? JOIN_ASKS : 1; i > 0 && !gone.isEmpty(); i--) {
+                probe(nowMs, gone.remove(random.nextInt(gone.size())), Probe.Why.RETURN);
+            }
+            if (ring.isEmpty()) {
+                return;
+            }
+        }
+        int target = turn % 2 == 0 ? drawn(ring) : next(ring);
+        if (target >= 0) {
+            probe(nowMs, target, Probe.Why.ROUND);
+        }
+    }
+
+    /** Those who may be there and do not live as far as is known. */
+    private List<Integer> gone() {
+        Set<Integer> all = new HashSet<>(settings.seeds());
+        for (int i = 0; i < settings.configured(); i++) {
+            all.add(i);
+        }
+        all.addAll(goneMs.keySet());
+        all.remove(me);
+        all.removeIf(id -> table.get(id) != null && table.get(id).state().lives());
+        return new ArrayList<>(all.stream().sorted().toList());
+    }
+
+    private List<Integer> others() {
+        if (others == null) {
+            others = table.all().stream().filter(e -> e.id() != me && e.state().lives()).map(Entry::id)
+                    .sorted(Comparator.comparingLong(id -> Entry.mix(id))).toList();
+        }
+        return others;
+    }
+
+    /** The next on the ring that this instance neither suspects nor asks already; negative if there is none. */
+    private int next(List<Integer> ring) {
+        long mine = Entry.mix(me);
+        int at = 0;
+        while (at < ring.size() && Entry.mix(ring.get(at)) < mine) {
+            at++;
+        }
+        for (int i = 0; i < ring.size(); i++) {
+            int id = ring.get((at + i) % ring.size());
+            Suspicion s = suspicions.get(id);
+            if ((s == null || s.failedMs == Double.NEGATIVE_INFINITY) && probes.values().stream().noneMatch(
+                    p -> p.target == id && p.why == Probe.Why.ROUND)) {
+                return id;
+            }
+        }
+        return -1;
+    }
+
+    /** All of them in a drawn order, one after another. */
+    private int drawn(List<Integer> ring) {
+        while (true) {
+            if (order.isEmpty()) {
+                order.addAll(ring);
+                for (int i = order.size() - 1; i > 0; i--) {
+                    int k = random.nextInt(i + 1);
+                    Integer swap = order.get(i);
+                    order.set(i, order.get(k));
+                    order.set(k, swap);
+                }
+            }
+            int id = order.remove(order.size() - 1);
+            Entry e = table.get(id);
+            if (e != null && e.state().lives()) {
+                return id;
+            }
+        }
+    }
+
+    // ---- probes
+
+    private void probe(double nowMs, int target, Probe.Why why) {
+        boolean running = probes.values().stream().anyMatch(p -> p.target == target && p.why == why);
+        if (!running) {
+            begin(nowMs, new Probe(number(), target, why, Message.NOBODY, 0, nowMs));
+        }
+    }
+
+    private int number() {
+        do {
+            number = (number + 1) & 0xffff;
+        } while (probes.containsKey(number));
+        return number;
+    }
+
+    private void begin(double nowMs, Probe p) {
+        if (probes.size() < MOST_PROBES && ask(nowMs, p)) {
+            probes.put(p.number, p);
+        }
+    }
+
+    /** Whether there was room to ask; who was not asked has not failed to answer. */
+    private boolean ask(double nowMs, Probe p) {
+        p.nextMs = nowMs + settings.directMs() * health.slower();
+        boolean sent = send(nowMs, Kind.PING, p.target, p.number, Message.NOBODY,
+                p.why == Probe.Why.RETURN ? Urgency.OTHER : Urgency.CHANGE);
+        p.asked += sent ? 1 : 0;
+        return sent;
+    }
+
+    private void advance(double nowMs, Probe p) {
+        boolean over = nowMs >= p.beganMs + settings.probeMs() * health.slower() * health.longer();
+        if (p.why == Probe.Why.RETURN || over) {
+            probes.remove(p.number);
+            failed(nowMs, p);
+            return;
+        }
+        if (p.asked == 1 && !many() && (p.why == Probe.Why.ROUND || p.why == Probe.Why.LAST)) {
+            // Those who confirm a suspicion are helpers themselves; at a cut there is no way round.
+            helpers(p.target).forEach(h -> send(nowMs, Kind.HELP, h, p.number, p.target, Urgency.CHANGE));
+        }
+        ask(nowMs, p);
+        p.nextMs = Math.min(p.nextMs, p.beganMs + settings.probeMs() * health.slower() * health.longer());
+    }
+
+    private List<Integer> helpers(int target) {
+        return drawn(settings.helpers(), target);
+    }
+
+    /** So many of those that live and are not suspected, drawn. */
+    private List<Integer> drawn(int many, int but) {
+        List<Integer> all = new ArrayList<>(others());
+        List<Integer> some = new ArrayList<>();
+        while (some.size() < many && !all.isEmpty()) {
+            int id = all.remove(random.nextInt(all.size()));
+            if (id != but && !suspicions.containsKey(id)) {
+                some.add(id);
+            }
+        }
+        return some;
+    }
+
+    private void help(double nowMs, Message m, int asker) {
+        if (m.target() != me && table.get(m.target()) != null) {
+            begin(nowMs, new Probe(number(), m.target(), Probe.Why.HELP, asker, m.number(), nowMs));
+        }
+    }
+
+    private void answered(double nowMs, Message m, int sender) {
+        Probe p = probes.get(m.number());
+        if (p == null && m.target() == Message.NOBODY && Integer.valueOf(sender).equals(late.remove(m.number()))) {
+            health.late();
+        }
+        if (p == null || p.target != (m.target() == Message.NOBODY ? sender : m.target())) {
+            return;
+        }
+        probes.remove(p.number);
+        health.answered(p.asked);
+        if (p.why == Probe.Why.HELP) {
+            send(nowMs, Kind.ACK, p.asker, p.askerNumber, p.target, Urgency.ANSWER);
+        }
+        Suspicion s = suspicions.get(p.target);
+        if (s != null) {
+            s.failedMs = Double.NEGATIVE_INFINITY; // it has been told, and refutes what others say
+        }
+    }
+
+    private void failed(double nowMs, Probe p) {
+        Entry e = table.get(p.target);
+        if (p.why == Probe.Why.RETURN || p.why == Probe.Why.HELP || e == null || !e.state().lives()) {
+            return;
+        }
+        late.put(p.number, p.target);
+        if (p.why == Probe.Why.LAST) {
+            if (suspicions.containsKey(p.target)) {
+                apply(nowMs, e.in(State.DEAD));
+            }
+            return;
+        }
+        boolean first = e.state() == State.ALIVE;
+        apply(nowMs, e.suspectedBy(me));
+        Suspicion s = suspicions.get(p.target);
+        if (s != null) {
+            s.failedMs = nowMs;
+        }
+        if (p.why == Probe.Why.ROUND) {
+            // Where one is gone there may be more: those behind it on the ring are asked at once.
+            for (int i = 0; i < RING_ASKS; i++) {
+                int next = next(others());
+                if (next >= 0) {
+                    probe(nowMs, next, Probe.Why.ROUND);
+                }
+            }
+        }
+        Collection<Integer> told = first ? lookers(e) : table.get(p.target).confirmers();
+        told.stream().filter(t -> t != me && t != p.target).forEach(
+                t -> send(nowMs, Kind.NEWS, t, 0, Message.NOBODY, Urgency.CHANGE));
+    }
+
+    // ---- suspicions
+
+    /**
+     * Those who look at once after one that is suspected; alike at all whose views are. Who is suspected looks after nobody:
+     * at a cut those on this side soon take the place of those on the other.
+     */
+    private List<Integer> lookers(Entry suspect) {
+        long salt = Entry.mix(suspect.id() * 31L + suspect.incarnation());
+        List<Integer> all = new ArrayList<>(others());
+        all.add(me);
+        boolean many = many();
+        double since = lastMs - HEARD_MS;
+        all.removeIf(id -> id == suspect.id() || suspicions.containsKey(id)
+                || many && id != me && heardMs.getOrDefault(id, Double.NEGATIVE_INFINITY) < since);
+        all.sort(Comparator.comparingLong(id -> Entry.mix(id ^ salt)));
+        return all.subList(0, Math.min(settings.confirmers(), all.size()));
+    }
+
+    /**
+     * So many are suspected at once that a way is cut rather than that they died one by one. Those who would be named to look
+     * then stand beyond the cut for the most part, so only such are named as were just heard, and one of them is enough.
+     */
+    private boolean many() {
+        return suspicions.size() > Math.max(LEAST_MANY, others().size() / PART_MANY);
+    }
+
+    private boolean looks(Entry suspect) {
+        return lookers(suspect).contains(me);
+    }
+
+    private double endMs(int id) {
+        Suspicion s = suspicions.get(id);
+        Entry e = table.get(id);
+        int wanted = Math.min(many() ? 1 : settings.confirmers(), others().size() - suspicions.size());
+        double end = s.endMs(settings, e.confirmers().size(), wanted);
+        boolean mine = e.confirmers().contains(me) || s.failedMs != Double.NEGATIVE_INFINITY;
+        double slow = s.beganMs + (end - s.beganMs) * health.slower() * health.longer();
+        double looking = probes.values().stream().filter(p -> p.target == id && p.why == Probe.Why.LAST)
+                .mapToDouble(p -> p.nextMs).findFirst().orElse(Double.NEGATIVE_INFINITY);
+        return Math.max(looking, slow + (mine ? 0 : OTHERS_MS));
+    }
+
+    private void end(double nowMs, int id) {
+        Suspicion s = suspicions.get(id);
+        if (nowMs - s.failedMs <= EVIDENCE_MS * health.longer()) {
+            apply(nowMs, table.get(id).in(State.DEAD));
+        } else if (probes.values().stream().noneMatch(p -> p.target == id && p.why == Probe.Why.LAST)) {
+            s.failedMs = Double.NEGATIVE_INFINITY;
+            probe(nowMs, id, Probe.Why.LAST);
+            if (probes.values().stream().noneMatch(p -> p.target == id && p.why == Probe.Why.LAST)) {
+                s.beganMs = nowMs; // too much to do; later
+            }
+        }
+    }
+
+    // ---- what goes out
+
+    private void flush(double nowMs, int many) {
+        flushMs = Double.POSITIVE_INFINITY;
+        if (news.isEmpty()) {
+            return;
+        }
+        for (int to : drawn(many, me)) {
+            send(nowMs, Kind.NEWS, to, 0, Message.NOBODY, Urgency.OTHER);
+        }
+    }
+
+    /** Whether there was room for it. */
+    private boolean send(double nowMs, Kind kind, int to, int probe, int target, Urgency urgency) {
+        List<Entry> entries = new ArrayList<>(List.of(own.entry()));
+        Entry its = table.get(to);
+        if (its != null && (owed.remove(to) || its.state() != State.ALIVE)) {
+            entries.add(its);
+        }
+        if (target != Message.NOBODY && target != to && table.get(target) != null) {
+            entries.add(table.get(target));
+        }
+        int bytes = Message.headBytes(kind) + entries.stream().mapToInt(Message::bytes).sum();
+        int room = Math.min(ROOM - bytes, kind == Kind.NEWS ? ROOM : allowance.spare(nowMs));
+        List<Entry> more = news.take(table, room, me);
+        more.removeIf(e -> entries.stream().anyMatch(x -> x.id() == e.id()));
+        entries.addAll(more);
+        return post(nowMs, to, new Message(kind, probe, target, table.digest(), new int[0], entries), urgency);
+    }
+
+    private boolean post(double nowMs, int to, Message message, Urgency urgency) {
+        byte[] body = message.encode();
+        boolean room = allowance.take(nowMs, body.length, urgency);
+        if (room) {
+            out.add(new Send(to, body, urgency));
+        }
+        return room;
+    }
+
+    private void differ(double nowMs, Message m, int sender) {
+        List<Integer> slices = new ArrayList<>();
+        for (int i = 0; i < Table.SLICES; i++) {
+            if (m.slices()[i] != table.digest(i)) {
+                slices.add(i);
+            }
+        }
+        if (slices.isEmpty()) {
+            return;
+        }
+        if (m.number() == 0) {
+            if (nowMs < repliedMs + DIFFER_MS) {
+                return; // many find at once that this one lags behind, and one of them is enough
+            }
+            repliedMs = nowMs;
+            sendSlices(nowMs, sender, 1);
+        }
+        List<Entry> left = new ArrayList<>();
+        slices.forEach(i -> left.addAll(table.ofSlice(i)));
+        left.removeIf(e -> e.id() == me);
+        for (int i = 0; i < SLICE_MESSAGES && (i == 0 || !left.isEmpty()); i++) {
+            sendSome(nowMs, sender, left);
+        }
+    }
+
+    private void sendSome(double nowMs, int to, List<Entry> left) {
+        List<Entry> entries = new ArrayList<>(List.of(own.entry()));
+        int room = ROOM - Message.headBytes(Kind.SLICES) - Message.bytes(own.entry());
+        while (!left.isEmpty()) {
+            int at = random.nextInt(left.size());
+            int bytes = Message.bytes(left.get(at));
+            if (bytes > room) {
+                break;
+            }
+            room -= bytes;
+            entries.add(left.remove(at));
+        }
+        post(nowMs, to, new Message(Kind.SLICES, 0, Message.NOBODY, table.digest(), new int[0], entries), Urgency.OTHER);
+    }
+
+    /** {@code reply}: 1 if this answers the other's own. */
+    private void sendSlices(double nowMs, int to, int reply) {
+        int[] digests = new int[Table.SLICES];
+        for (int i = 0; i < digests.length; i++) {
+            digests[i] = table.digest(i);
+        }
+        post(nowMs, to, new Message(Kind.DIFFER, reply, Message.NOBODY, table.digest(), digests, List.of(own.entry())),
+                Urgency.CHANGE);
+    }
+
+    // ---- what it knows
+
+    /** The fleet as this instance sees it now. */
+    public View view(double nowMs) {
+        return new View(me, nowMs, List.copyOf(table.all()), table.digest(), settings.configured() == 0 ? null
+                : new Configured(settings.configured()), own.disputed());
+    }
+
+    /** Alike for instances that hold the same. */
+    public int digest() {
+        return table.digest();
+    }
+
+    /** What is held of an instance, null if nothing is. */
+    public Entry entry(int id) {
+        return table.get(id);
+    }
+
+    /** The incarnation that is to be remembered beyond this life. */
+    public long incarnation() {
+        return own.entry().incarnation();
+    }
+
+    /** Messages that could not be read, or came under another's name. */
+    public long unreadable() {
+        return unreadable;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/member/Message.java
@@ -0,0 +1,190 @@
+package damsonworks.member;
+
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+
+/**
+ * What instances say to one another of who lives, as {@code docs/design/members-wire.md} lays it out. Whatever the kind, the
+ * sender's own entry and as many others as there is room for come with it.
+ *
+ * @param kind    what it is
+ * @param number  of the probe that it belongs to, 0 to 65,535
+ * @param target  whom a helper is to reach, or has reached; {@link #NOBODY} otherwise
+ * @param digest  of all that the sender knows
+ * @param slices  digests of the sender's slices in a {@link Kind#DIFFER}; empty otherwise
+ * @param entries the sender's own first
+ */
+public record Message(Kind kind, int number, int target, int digest, int[] slices, List<Entry> entries) {
+    /** No instance's number. */
+    public static final int NOBODY = 0xffff;
+    private static final int HEAD_BYTES = 1 + 1 + 2 + 2 + 4;
+    private static final int SLICE_BYTES = 2 * Table.SLICES;
+    private static final int ADDRESS = 0x10;
+    private static final int NOTES = 0x20;
+    private static final int CONFIRMERS = 0x40;
+
+    /** The kinds. */
+    public enum Kind {
+        /** Do you live? */
+        PING,
+        /** I do, or the one that was asked after does. */
+        ACK,
+        /** Ask after that one for me. */
+        HELP,
+        /** What has changed; wants no answer. */
+        NEWS,
+        /** Our digests differ; mine by slice. Wants the entries of the slices that differ, and yours. */
+        DIFFER,
+        /** The entries of slices that differ; wants no answer. */
+        SLICES
+    }
+
+    // ---- to bytes
+
+    /** The bytes that this takes without entries. */
+    static int headBytes(Kind kind) {
+        return HEAD_BYTES + (kind == Kind.DIFFER ? SLICE_BYTES : 0);
+    }
+
+    /** The bytes that an entry takes. */
+    static int bytes(Entry e) {
+        int n = 1 + 2 + 1 + varint(e.incarnation()) + 2 + varint(e.version());
+        n += e.address().length;
+        if (!e.confirmers().isEmpty()) {
+            n += 1 + 2 * e.confirmers().size();
+        }
+        if (!e.notes().isEmpty()) {
+            n++;
+            for (byte[] note : e.notes().values()) {
+                n += 1 + note.length;
+            }
+        }
+        return n;
+    }
+
+    /** As it goes out. */
+    public byte[] encode() {
+        int size = headBytes(kind) + entries.stream().mapToInt(Message::bytes).sum();
+        ByteBuffer out = ByteBuffer.allocate(size);
+        out.put((byte) kind.ordinal()).put((byte) entries.size()).putShort((short) number).putShort((short) target)
+                .putInt(digest);
+        if (kind == Kind.DIFFER) {
+            for (int s : slices) {
+                out.putShort((short) s);
+            }
+        }
+        entries.forEach(e -> encode(e, out));
+        return out.array();
+    }
+
+    private static void encode(Entry e, ByteBuffer out) {
+        out.put((byte) (e.state().ordinal() | e.phase().ordinal() << 2 | (e.address().length > 0 ? ADDRESS : 0)
+                | (e.notes().isEmpty() ? 0 : NOTES) | (e.confirmers().isEmpty() ? 0 : CONFIRMERS)));
+        out.putShort((short) e.id()).put((byte) e.zone());
+        putVarint(out, e.incarnation());
+        out.putShort((short) e.life());
+        putVarint(out, e.version());
+        out.put(e.address());
+        if (!e.confirmers().isEmpty()) {
+            out.put((byte) e.confirmers().size());
+            e.confirmers().forEach(c -> out.putShort(c.shortValue()));
+        }
+        if (!e.notes().isEmpty()) {
+            out.put((byte) e.notes().size());
+            e.notes().forEach((part, bytes) -> out.put((byte) (part << 5 | bytes.length)).put(bytes));
+        }
+    }
+
+    private static int varint(long value) {
+        int n = 1;
+        for (long v = value >>> 7; v != 0; v >>>= 7) {
+            n++;
+        }
+        return n;
+    }
+
+    private static void putVarint(ByteBuffer out, long value) {
+        long v = value;
+        while (v >= 0x80) {
+            out.put((byte) (v | 0x80));
+            v >>>= 7;
+        }
+        out.put((byte) v);
+    }
+
+    // ---- from bytes
+
+    /** What came in; null if it is none of these, cut short, or longer than it says. */
+    public static Message decode(byte[] bytes) {
+        ByteBuffer in = ByteBuffer.wrap(bytes);
+        if (bytes.length < HEAD_BYTES) {
+            return null;
+        }
+        int kind = in.get();
+        int many = in.get() & 0xff;
+        if (kind < 0 || kind >= Kind.values().length || bytes.length < headBytes(Kind.values()[kind])) {
+            return null;
+        }
+        int number = in.getShort() & 0xffff;
+        int target = in.getShort() & 0xffff;
+        int digest = in.getInt();
+        int[] slices = new int[kind == Kind.DIFFER.ordinal() ? Table.SLICES : 0];
+        for (int i = 0; i < slices.length; i++) {
+            slices[i] = in.getShort() & 0xffff;
+        }
+        List<Entry> entries = new ArrayList<>(many);
+        try {
+            for (int i = 0; i < many; i++) {
+                entries.add(entry(in));
+            }
+        } catch (BufferUnderflowException | IllegalArgumentException e) {
+            return null;
+        }
+        return in.hasRemaining() || many == 0 ? null
+                : new Message(Kind.values()[kind], number, target, digest, slices, entries);
+    }
+
+    private static Entry entry(ByteBuffer in) {
+        int flags = in.get();
+        int id = in.getShort() & 0xffff;
+        int zone = in.get() & 0xff;
+        long incarnation = getVarint(in);
+        int life = in.getShort() & 0xffff;
+        long version = getVarint(in);
+        byte[] address = new byte[(flags & ADDRESS) != 0 ? 6 : 0];
+        in.get(address);
+        TreeSet<Integer> confirmers = new TreeSet<>();
+        for (int n = (flags & CONFIRMERS) != 0 ? in.get() & 0xff : 0; n > 0; n--) {
+            confirmers.add(in.getShort() & 0xffff);
+        }
+        Map<Integer, byte[]> notes = new HashMap<>();
+        for (int n = (flags & NOTES) != 0 ? in.get() & 0xff : 0; n > 0; n--) {
+            int head = in.get() & 0xff;
+            byte[] note = new byte[head & 0x1f];
+            in.get(note);
+            notes.put(head >> 5, note);
+        }
+        if (flags < 0 || version > Integer.MAX_VALUE) {
+            throw new IllegalArgumentException("an entry of another form");
+        }
+        return new Entry(id, incarnation, life, State.values()[flags & 3], confirmers, zone, (int) version,
+                Phase.values()[flags >> 2 & 3], Map.copyOf(notes), address);
+    }
+
+    private static long getVarint(ByteBuffer in) {
+        long value = 0;
+        for (int shift = 0; shift < 63; shift += 7) {
+            byte b = in.get();
+            value |= (long) (b & 0x7f) << shift;
+            if (b >= 0) {
+                return value;
+            }
+        }
+        throw new IllegalArgumentException("a number that does not end");
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/member/News.java
@@ -0,0 +1,72 @@
+package damsonworks.member;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What has changed and is still to be passed on with whatever is sent: those first that have gone out least, each as often as the
+ * logarithm of the fleet (SWIM, section 4.1).
+ */
+final class News {
+    private static final int MOST = 4096;
+
+    private final Map<Integer, Integer> sent = new LinkedHashMap<>();
+    private boolean fresh;
+
+    /** The entry of an instance has changed. */
+    void changed(int id) {
+        sent.remove(id);
+        sent.put(id, 0);
+        fresh = true;
+        if (sent.size() > MOST) {
+            sent.remove(sent.keySet().iterator().next());
+        }
+    }
+
+    /** Whether anything has changed since the last call. */
+    boolean takeFresh() {
+        boolean was = fresh;
+        fresh = false;
+        return was;
+    }
+
+    /** Nothing more is passed on of it. */
+    void drop(int id) {
+        sent.remove(id);
+    }
+
+    boolean isEmpty() {
+        return sent.isEmpty();
+    }
+
+    /** Entries to send with a message of so many bytes' room; {@code without}: whose entry is in it already. */
+    List<Entry> take(Table table, int room, int without) {
+        int most = 32 - Integer.numberOfLeadingZeros(table.size() + 1);
+        List<Map.Entry<Integer, Integer>> order = new ArrayList<>(sent.entrySet());
+        order.sort(Comparator.comparingInt(Map.Entry::getValue));
+        List<Entry> taken = new ArrayList<>();
+        if (room <= 0) {
+            return taken;
+        }
+        int left = room;
+        for (Map.Entry<Integer, Integer> e : order) {
+            Entry entry = table.get(e.getKey());
+            int bytes = entry == null ? 0 : Message.bytes(entry);
+            if (entry == null) {
+                sent.remove(e.getKey());
+            } else if (e.getKey() != without && bytes <= left) {
+                left -= bytes;
+                taken.add(entry);
+                if (e.getValue() + 1 >= most) {
+                    sent.remove(e.getKey());
+                } else {
+                    sent.put(e.getKey(), e.getValue() + 1);
+                }
+            }
+        }
+        return taken;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/member/Suspicion.java
@@ -0,0 +1,31 @@
+package damsonworks.member;
+
+/**
+ * A suspicion under way. It lasts the longer the fewer confirm it: from the longest time with one who suspects down to the
+ * least with all who were to look (Lifeguard, section IV.B).
+ */
+final class Suspicion {
+    final long incarnation;
+    final int life;
+    double beganMs;
+    /** When this instance asks next whether it is to look. */
+    double lookMs;
+    /** When this instance itself did not reach it last; negative infinity if it has not tried. */
+    double failedMs = Double.NEGATIVE_INFINITY;
+
+    Suspicion(Entry entry, double nowMs) {
+        incarnation = entry.incarnation();
+        life = entry.life();
+        beganMs = nowMs;
+    }
+
+    boolean of(Entry entry) {
+        return incarnation == entry.incarnation() && life == entry.life();
+    }
+
+    /** When it is over. */
+    double endMs(MemberSettings s, int confirmers, int wanted) {
+        double part = wanted <= 0 ? 1 : Math.min(1, Math.log(Math.max(1, confirmers)) / Math.log(wanted + 1));
+        return beganMs + Math.max(s.leastMs(), s.longestMs() - (s.longestMs() - s.leastMs()) * part);
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/model/ViewPlay.java
@@ -0,0 +1,282 @@
+package damsonworks.model;
+
+import damsonworks.member.Entry;
+import damsonworks.member.MemberSettings;
+import damsonworks.member.Membership;
+import damsonworks.member.Phase;
+import damsonworks.member.Send;
+import damsonworks.member.State;
+import damsonworks.peer.Outbox;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.BooleanSupplier;
+import java.util.function.IntPredicate;
+
+/**
+ * Instances that keep a view of each other in virtual time: the real {@code Membership}, its messages lost, late and cut.
+ * Each instance's clock is the same; its process may die, start again, or stand still.
+ */
+public final class ViewPlay {
+    /** What an instance may send, as the proxy has it. */
+    public static final double BYTES_PER_SECOND = 2000;
+    /** What it may send at once. */
+    public static final double BURST = 6000;
+    private static final int ZONES = 4;
+    private static final double START_MS = 1000;
+
+    private final class Instance {
+        final int id;
+        Membership members;
+        Outbox outbox;
+        long life;
+        double stoppedUntilMs;
+        long bytes;
+        long messages;
+        /** Events of an earlier wait are void. */
+        long waits;
+        private final List<Runnable> missed = new ArrayList<>();
+
+        Instance(int id) {
+            this.id = id;
+        }
+
+        void start(long remembered) {
+            life++;
+            outbox = new Outbox(BYTES_PER_SECOND, BURST);
+            members = new Membership(settings, id, id % ZONES, new byte[0], remembered, random.nextLong(), new Budget(outbox));
+            members.phase(Phase.SERVING);
+            go();
+        }
+
+        void go() {
+            long mine = ++waits;
+            members.tick(time.now());
+            for (Send s : members.outgoing()) {
+                bytes += Budget.bytes(s.body().length);
+                messages++;
+                post(id, s.to(), s.body());
+            }
+            watch(this);
+            double due = members.dueMs();
+            if (due < Double.POSITIVE_INFINITY) {
+                time.at(Math.max(time.now() + 0.01, due), () -> {
+                    if (members != null && waits == mine) {
+                        whenAwake(this::go);
+                    }
+                });
+            }
+        }
+
+        void whenAwake(Runnable what) {
+            if (time.now() < stoppedUntilMs) {
+                missed.add(what);
+            } else {
+                what.run();
+            }
+        }
+
+        void wakeUp() {
+            List<Runnable> all = List.copyOf(missed);
+            missed.clear();
+            all.forEach(Runnable::run);
+        }
+    }
+
+    private final MemberSettings settings;
+    private final VirtualTime time = new VirtualTime(0);
+    private final SplittableRandom random;
+    private final List<Instance> instances = new ArrayList<>();
+    private final double loss;
+    private final double twice;
+    private double zoneMs;
+    private IntPredicate side = i -> true;
+    private boolean cut;
+    private boolean oneWay;
+    /** Who was given up though it lived and was within reach, by number and incarnation. */
+    private final Set<String> falseDeaths = new HashSet<>();
+    private double quietFromMs = Double.POSITIVE_INFINITY;
+
+    /**
+     * So many instances, started within a second.
+     *
+     * @param loss  of messages, 0 to 1
+     * @param twice of messages that come twice, 0 to 1
+     */
+    public ViewPlay(int many, double loss, double twice, long seed) {
+        if (many < 1 || many > 10_000 || !(loss >= 0 && loss < 1) || !(twice >= 0 && twice <= 1)) {
+            throw new IllegalArgumentException(many + " instances at a loss of " + loss + "; it takes 1 to 10000 and 0 to 1");
+        }
+        settings = MemberSettings.of(many);
+        this.loss = loss;
+        this.twice = twice;
+        random = new SplittableRandom(seed);
+        for (int i = 0; i < many; i++) {
+            Instance instance = new Instance(i);
+            instances.add(instance);
+            time.at(random.nextDouble() * START_MS, () -> instance.start(0));
+        }
+    }
+
+    // ---- the network
+
+    /** One way between zones takes so much more. */
+    public ViewPlay zonesApart(double ms) {
+        zoneMs = ms;
+        return this;
+    }
+
+    private boolean reaches(int from, int to) {
+        return !cut || side.test(from) == side.test(to) || oneWay && !side.test(from);
+    }
+
+    private void post(int from, int to, byte[] body) {
+        if (!reaches(from, to) || random.nextDouble() < loss) {
+            return;
+        }
+        for (int copies = random.nextDouble() < twice ? 2 : 1; copies > 0; copies--) {
+            double late = 0.3 + random.nextDouble() * 1.5 + (from % ZONES == to % ZONES ? 0 : zoneMs);
+            time.after(late, () -> {
+                Instance i = instances.get(to);
+                if (i.members != null) {
+                    i.whenAwake(() -> {
+                        i.members.heard(time.now(), from, body);
+                        i.go();
+                    });
+                }
+            });
+        }
+    }
+
+    /** From now on those for whom this holds and the others do not hear each other. */
+    public void cut(IntPredicate side) {
+        this.side = side;
+        cut = true;
+    }
+
+    /** The same, but these hear the others, who do not hear them. */
+    public void cutOneWay(IntPredicate side) {
+        cut(side);
+        oneWay = true;
+    }
+
+    /** The way is whole again. */
+    public void heal() {
+        cut = false;
+        oneWay = false;
+    }
+
+    // ---- processes
+
+    /** Its process dies. */
+    public void kill(int id) {
+        instances.get(id).members = null;
+        instances.get(id).missed.clear();
+    }
+
+    /** It starts; {@code remembers}: with its last life's incarnation. */
+    public void start(int id, long remembered) {
+        instances.get(id).start(remembered);
+    }
+
+    /** Its process stands still for so long. */
+    public void stop(int id, double ms) {
+        Instance i = instances.get(id);
+        i.stoppedUntilMs = time.now() + ms;
+        time.after(ms, i::wakeUp);
+    }
+
+    /** It leaves, and its process ends. */
+    public void leave(int id) {
+        Instance i = instances.get(id);
+        i.members.leave(time.now());
+        i.go();
+        kill(id);
+    }
+
+    /** Lets so much time pass. */
+    public void pass(double ms) {
+        time.passTo(time.now() + ms);
+    }
+
+    /** The time now, in milliseconds. */
+    public double now() {
+        return time.now();
+    }
+
+    // ---- what is seen
+
+    /** From now on whoever gives up one that lives and is within reach is counted. */
+    public void countFalseDeaths() {
+        quietFromMs = time.now();
+    }
+
+    private void watch(Instance i) {
+        if (time.now() < quietFromMs) {
+            return;
+        }
+        for (Instance other : instances) {
+            Entry e = other.members == null ? null : i.members.entry(other.id);
+            if (e != null && e.state() == State.DEAD && e.compareLife(other.members.entry(e.id())) == 0
+                    && reaches(i.id, other.id) && time.now() >= other.stoppedUntilMs) {
+                falseDeaths.add(e.id() + "/" + e.incarnation());
+            }
+        }
+    }
+
+    /** How often one was given up that lived. */
+    public int falseDeaths() {
+        return falseDeaths.size();
+    }
+
+    /** Whether all that live and reach one another hold the same, and it is true. */
+    public boolean settled() {
+        if (time.now() < START_MS) {
+            return false;
+        }
+        for (Instance i : instances) {
+            if (i.members == null) {
+                continue;
+            }
+            for (Instance other : instances) {
+                Entry e = i.members.entry(other.id);
+                boolean lives = other.members != null && reaches(i.id, other.id) && reaches(other.id, i.id);
+                if (lives ? e == null || !e.state().lives() || i.members.digest() != other.members.digest()
+                        : e != null && e.state().lives()) {
+                    return false;
+                }
+            }
+        }
+        return true;
+    }
+
+    /** Whether all that live hold that one for alive, or for gone. */
+    public boolean allHold(int id, boolean alive) {
+        return instances.stream().filter(i -> i.members != null).allMatch(i -> {
+            Entry e = i.members.entry(id);
+            return alive ? e != null && e.state().lives() : e == null || !e.state().lives();
+        });
+    }
+
+    /** Lets time pass until something holds; how long that took in milliseconds, or the limit. */
+    public double until(BooleanSupplier what, double limitMs) {
+        double began = time.now();
+        while (time.now() - began < limitMs && !what.getAsBoolean()) {
+            pass(20);
+        }
+        return time.now() - began;
+    }
+
+    /** Bytes sent so far by the one that sent most, and on average. */
+    public double[] bytes() {
+        return new double[] {instances.stream().mapToLong(i -> i.bytes).max().orElse(0),
+            instances.stream().mapToLong(i -> i.bytes).average().orElse(0)};
+    }
+
+    /** The view's own membership of an instance, or null while it is dead. */
+    public Membership of(int id) {
+        return instances.get(id).members;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/model/check/MemberProtocol.java
@@ -0,0 +1,276 @@
+package damsonworks.model.check;
+
+import damsonworks.member.Entry;
+import damsonworks.member.Knowledge;
+import damsonworks.member.State;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.TreeSet;
+import java.util.function.Function;
+import java.util.function.UnaryOperator;
+
+/**
+ * Three instances that tell each other what they know, over the real {@link Knowledge}. A message is lost, doubled, or
+ * overtakes others; each instance suspects and gives up others at any time; it dies, and starts again with or without its
+ * incarnation. Holds that an entry's incarnation never goes back at anybody, that nothing is taken back but by the next one, and that those who live, once they exchange
+ * without loss, all come to hold the same and hold each other for alive.
+ */
+public final class MemberProtocol implements Protocol<MemberProtocol.Fleet> {
+    /** How many take part. */
+    public static final int INSTANCES = 3;
+    /** Rounds of everybody telling everybody in which all has to be settled. */
+    private static final int ROUNDS = 6;
+    private static final int[][] ORDERS = {{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}};
+
+    /**
+     * How far it goes.
+     *
+     * @param messages   under way at once
+     * @param suspicions of anybody by anybody, in all
+     * @param deaths     of processes, in all
+     */
+    public record Bounds(int messages, int suspicions, int deaths) { }
+
+    /** A message: all that the sender knew. */
+    private record Mail(int to, List<Entry> entries) { }
+
+    /** One state of all. A process that is dead has no knowledge; what it remembers is its last incarnation. */
+    public record Fleet(List<Knowledge> alive, long[] remembered, List<Mail> mail, int suspicions, int deaths, int lives) {
+        private Knowledge of(int id) {
+            return alive.get(id);
+        }
+    }
+
+    private final Bounds bounds;
+    private final Function<Entry, Knowledge> begin;
+    private final UnaryOperator<Knowledge> copy;
+
+    /** {@code begin} and {@code copy}: the knowledge to explore. */
+    public MemberProtocol(Bounds bounds, Function<Entry, Knowledge> begin, UnaryOperator<Knowledge> copy) {
+        this.bounds = bounds;
+        this.begin = begin;
+        this.copy = copy;
+    }
+
+    /** The knowledge as the program has it. */
+    public static MemberProtocol real(Bounds bounds) {
+        return new MemberProtocol(bounds, e -> new Real(e), k -> new Real(k));
+    }
+
+    private static final class Real extends Knowledge {
+        Real(Entry self) {
+            super(self, INSTANCES);
+        }
+
+        Real(Knowledge of) {
+            super(of);
+        }
+    }
+
+    private Knowledge life(int id, long remembered, int life) {
+        return begin.apply(Entry.begin(id, remembered + 1, life, 0, new byte[0]));
+    }
+
+    @Override
+    public Fleet initial() {
+        List<Knowledge> all = new ArrayList<>();
+        for (int i = 0; i < INSTANCES; i++) {
+            all.add(life(i, 0, 1));
+        }
+        for (Knowledge k : all) {
+            all.forEach(other -> k.take(0, other.self()));
+        }
+        return new Fleet(all, new long[INSTANCES], List.of(), 0, 0, 1);
+    }
+
+    // ---- moves
+
+    @Override
+    public List<Move<Fleet>> moves(Fleet f) {
+        List<Move<Fleet>> moves = new ArrayList<>();
+        for (int i = 0; i < INSTANCES; i++) {
+            if (f.of(i) == null) {
+                moves.add(start(f, i, true));
+                moves.add(start(f, i, false));
+                continue;
+            }
+            for (int j = 0; j < INSTANCES; j++) {
+                if (i != j) {
+                    send(f, i, j, moves);
+                    doubt(f, i, j, moves);
+                }
+            }
+            if (f.deaths() < bounds.deaths()) {
+                moves.add(die(f, i));
+            }
+        }
+        for (int m = 0; m < f.mail().size(); m++) {
+            if (m == 0 || !f.mail().get(m).equals(f.mail().get(m - 1))) {
+                mail(f, m, moves);
+            }
+        }
+        return moves;
+    }
+
+    private static Fleet with(Fleet f, int id, Knowledge k, List<Mail> mail, int suspicions, int deaths, int lives,
+            long[] remembered) {
+        List<Knowledge> alive = new ArrayList<>(f.alive());
+        alive.set(id, k);
+        return new Fleet(alive, remembered, mail, suspicions, deaths, lives);
+    }
+
+    private void send(Fleet f, int from, int to, List<Move<Fleet>> moves) {
+        if (f.mail().size() < bounds.messages()) {
+            List<Mail> mail = new ArrayList<>(f.mail());
+            mail.add(new Mail(to, List.copyOf(f.of(from).all())));
+            moves.add(new Move<>(from + " tells " + to + " " + f.of(from).all(),
+                    new Fleet(f.alive(), f.remembered(), mail, f.suspicions(), f.deaths(), f.lives()), null));
+        }
+    }
+
+    private void doubt(Fleet f, int i, int j, List<Move<Fleet>> moves) {
+        Entry e = f.of(i).get(j);
+        if (e != null && e.state() == State.ALIVE && f.suspicions() < bounds.suspicions()) {
+            Knowledge k = copy.apply(f.of(i));
+            k.suspect(j);
+            moves.add(new Move<>(i + " suspects " + j,
+                    with(f, i, k, f.mail(), f.suspicions() + 1, f.deaths(), f.lives(), f.remembered()), null));
+        }
+        if (e != null && e.state() == State.SUSPECT) {
+            Knowledge k = copy.apply(f.of(i));
+            k.giveUp(j);
+            moves.add(new Move<>(i + " gives " + j + " up",
+                    with(f, i, k, f.mail(), f.suspicions(), f.deaths(), f.lives(), f.remembered()), null));
+        }
+    }
+
+    private static Move<Fleet> die(Fleet f, int id) {
+        long[] remembered = f.remembered().clone();
+        remembered[id] = f.of(id).self().incarnation();
+        return new Move<>(id + " dies", with(f, id, null, f.mail(), f.suspicions(), f.deaths() + 1, f.lives(), remembered),
+                null);
+    }
+
+    private Move<Fleet> start(Fleet f, int id, boolean remembers) {
+        int life = f.lives() + 1;
+        Knowledge k = life(id, remembers ? f.remembered()[id] : 0, life);
+        return new Move<>(id + " starts again " + (remembers ? "with" : "without") + " its incarnation",
+                with(f, id, k, f.mail(), f.suspicions(), f.deaths(), life, f.remembered()), null);
+    }
+
+    private void mail(Fleet f, int m, List<Move<Fleet>> moves) {
+        Mail mail = f.mail().get(m);
+        List<Mail> rest = new ArrayList<>(f.mail());
+        rest.remove(m);
+        moves.add(new Move<>("a message to " + mail.to() + " is lost",
+                new Fleet(f.alive(), f.remembered(), rest, f.suspicions(), f.deaths(), f.lives()), null));
+        if (f.of(mail.to()) == null) {
+            return;
+        }
+        Knowledge k = copy.apply(f.of(mail.to()));
+        String broken = tell(k, mail.entries());
+        moves.add(new Move<>(mail.to() + " hears " + mail.entries(),
+                with(f, mail.to(), k, rest, f.suspicions(), f.deaths(), f.lives(), f.remembered()), broken));
+        moves.add(new Move<>(mail.to() + " hears " + mail.entries() + ", which comes once more",
+                with(f, mail.to(), copy.apply(k), f.mail(), f.suspicions(), f.deaths(), f.lives(), f.remembered()), broken));
+    }
+
+    /** What is broken by it: an entry that goes back. */
+    private static String tell(Knowledge k, List<Entry> entries) {
+        for (Entry said : entries) {
+            Entry before = k.get(said.id());
+            k.take(0, said);
+            Entry after = k.get(said.id());
+            if (before != null && after.compareLife(before) < 0) {
+                return "what " + k.self().id() + " holds of " + said.id() + " goes back from " + before + " to " + after;
+            }
+            if (before != null && after.compareLife(before) == 0 && after.state().compareTo(before.state()) < 0) {
+                return k.self().id() + " takes back " + before + " for " + after + ", which nobody refuted";
+            }
+        }
+        return null;
+    }
+
+    // ---- what must hold
+
+    @Override
+    public String broken(Fleet f) {
+        List<Knowledge> all = new ArrayList<>();
+        f.alive().stream().filter(k -> k != null).forEach(k -> all.add(copy.apply(k)));
+        boolean changed = true;
+        for (int round = 0; round < ROUNDS && changed; round++) {
+            changed = false;
+            for (Knowledge from : all) {
+                for (Knowledge to : all) {
+                    List<Entry> before = List.copyOf(to.all());
+                    if (from != to) {
+                        tell(to, List.copyOf(from.all()));
+                    }
+                    changed |= !before.equals(List.copyOf(to.all()));
+                }
+            }
+        }
+        if (changed) {
+            return "after " + ROUNDS + " rounds without loss it is not settled";
+        }
+        for (Knowledge a : all) {
+            for (Knowledge b : all) {
+                Entry held = a.get(b.self().id());
+                if (a.digest() != b.digest()) {
+                    return a.self().id() + " and " + b.self().id() + " exchange without loss and hold " + a.all() + " and "
+                            + b.all();
+                }
+                if (held == null || !held.equals(b.self()) || held.state() != State.ALIVE) {
+                    return a.self().id() + " holds " + held + ", and it is " + b.self();
+                }
+            }
+        }
+        return null;
+    }
+
+    // ---- states that differ in names alone
+
+    @Override
+    public String key(Fleet f) {
+        String least = null;
+        for (int[] order : ORDERS) {
+            String key = key(f, order);
+            if (least == null || key.compareTo(least) < 0) {
+                least = key;
+            }
+        }
+        return least;
+    }
+
+    private static String key(Fleet f, int[] names) {
+        String[] parts = new String[INSTANCES];
+        for (int i = 0; i < INSTANCES; i++) {
+            StringBuilder s = new StringBuilder();
+            if (f.of(i) == null) {
+                s.append('-').append(f.remembered()[i]);
+            } else {
+                append(s, f.of(i).all(), names);
+            }
+            parts[names[i]] = s.toString();
+        }
+        List<String> mail = new ArrayList<>();
+        for (Mail m : f.mail()) {
+            StringBuilder s = new StringBuilder().append(names[m.to()]).append('<');
+            append(s, m.entries(), names);
+            mail.add(s.toString());
+        }
+        mail.sort(null);
+        return Arrays.toString(parts) + mail + f.suspicions() + '.' + f.deaths();
+    }
+
+    private static void append(StringBuilder s, Iterable<Entry> entries, int[] names) {
+        String[] each = new String[INSTANCES];
+        for (Entry e : entries) {
+            TreeSet<Integer> by = new TreeSet<>();
+            e.confirmers().forEach(c -> by.add(names[c]));
+            each[names[e.id()]] = e.incarnation() + "/" + e.life() + e.state().ordinal() + by;
+        }
+        s.append(Arrays.toString(each));
+    }
+}
--- a/src/test/java/damsonworks/ArchitectureTest.java
+++ b/src/test/java/damsonworks/ArchitectureTest.java
@@ -20,7 +20,7 @@
     void decisionsDoNoInputOrOutputAndReadNoClock() {
         noClasses().that().haveFullyQualifiedName("damsonworks.Policy").or().haveFullyQualifiedName("damsonworks.Carp")
                 .or().haveFullyQualifiedName("damsonworks.RoutingApi")
-                .or().haveFullyQualifiedName("damsonworks.peer.ListNews").or().resideInAnyPackage("damsonworks.drain..",
+                .or().resideInAnyPackage("damsonworks.drain..",
                         "damsonworks.route..", "damsonworks.takeover..", "damsonworks.flow..", "damsonworks.ledger..", "damsonworks.figures..", "damsonworks.quota..",
                         "damsonworks.hotkey..", "damsonworks.evidence..")
                 .should().dependOnClassesThat().resideInAnyPackage(IO)
@@ -29,6 +29,18 @@
                 .orShould().callMethod(System.class, "currentTimeMillis").check(ALL);
     }
 
+    /** Bytes in memory are not input or output. */
+    @Test
+    void whatInstancesTellEachOtherIsDecidedWithoutSocketsOrClocks() {
+        noClasses().that().resideInAnyPackage("damsonworks.member..", "damsonworks.peer..")
+                .should().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.net..", "java.nio.channels..",
+                        "java.nio.file..", "java.io..", "java.util.concurrent..", "damsonworks.proxy..", "damsonworks.fleet..",
+                        "damsonworks.model..", "damsonworks.cli..")
+                .orShould().dependOnClassesThat().haveFullyQualifiedName("java.lang.Thread")
+                .orShould().callMethod(System.class, "nanoTime")
+                .orShould().callMethod(System.class, "currentTimeMillis").check(ALL);
+    }
+
     @Test
     void theLanguageKnowsNoSubsystemAndOnlyItsLoaderReadsFiles() {
         noClasses().that().resideInAPackage("damsonworks.config")
@@ -56,7 +68,7 @@
     /** The same seed gives the same run on any machine. */
     @Test
     void theModelOfTheFleetDoesNoInputOrOutputAndReadsNoClock() {
-        noClasses().that().resideInAPackage("damsonworks.model")
+        noClasses().that().resideInAPackage("damsonworks.model..")
                 .should().dependOnClassesThat().resideInAnyPackage(IO)
                 .orShould().dependOnClassesThat().resideInAnyPackage("damsonworks.proxy..", "damsonworks.cli..",
                         "damsonworks.demo..")
--- /dev/null
+++ b/src/test/java/damsonworks/member/MembershipTest.java
@@ -0,0 +1,238 @@
+package damsonworks.member;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.member.Send.Urgency;
+import damsonworks.model.ViewPlay;
+import damsonworks.model.ViewStudy;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Instances that keep a view of each other, in virtual time. */
+class MembershipTest {
+    private static ViewPlay settled(int many, double loss, long seed) {
+        ViewPlay p = new ViewPlay(many, loss, 0.05, seed);
+        assertThat(p.until(p::settled, 20_000)).isLessThan(20_000);
+        p.pass(3000);
+        p.countFalseDeaths();
+        return p;
+    }
+
+    @Test
+    void crashesReturnsAndCutsSettleInTime() {
+        ViewStudy s = ViewStudy.of(12, 0, 1, 20, 5000);
+        double[] most = {4000, 3000, 1500, 5000, 3000};
+        for (int e = 0; e < most.length; e++) {
+            assertThat(s.sorted(e)[19]).as(ViewStudy.EVENTS.get(e)).isLessThan(most[e]);
+        }
+        assertThat(s.falseDeaths()).isZero();
+        assertThat(s.mostBytes()).isLessThan(2000);
+    }
+
+    @Test
+    void aHundredHearOfACrashWithinThreeSeconds() {
+        ViewPlay p = settled(100, 0, 5);
+        p.kill(17);
+        assertThat(p.until(() -> p.allHold(17, false), 10_000)).isLessThan(3000);
+        assertThat(p.falseDeaths()).isZero();
+    }
+
+    @Test
+    void aFifthOfTheMessagesLostKillsNobody() {
+        ViewPlay p = settled(12, 0.2, 3);
+        p.pass(600_000);
+        assertThat(p.falseDeaths()).isZero();
+    }
+
+    @Test
+    void whoStoodStillHoldsThatAgainstNobodyElse() {
+        ViewPlay p = settled(12, 0, 7);
+        p.stop(4, 8000);
+        p.pass(7900);
+        assertThat(p.allHold(4, false)).as("the others gave it up").isFalse(); // it holds itself for alive
+        assertThat(p.of(0).entry(4).state()).isEqualTo(State.DEAD);
+        p.pass(200);
+        for (int i = 0; i < 40; i++) {
+            p.pass(50);
+            for (int other = 0; other < 12; other++) {
+                assertThat(p.of(4).entry(other).state()).isNotEqualTo(State.DEAD);
+            }
+        }
+        assertThat(p.until(p::settled, 5000)).isLessThan(3000);
+        assertThat(p.falseDeaths()).isZero();
+    }
+
+    @Test
+    void aOneWayCutSettlesOnceItIsOver() {
+        ViewPlay p = settled(12, 0, 9);
+        p.cutOneWay(i -> i % 4 == 2);
+        p.pass(8000);
+        p.heal();
+        assertThat(p.until(p::settled, 10_000)).isLessThan(5000);
+    }
+
+    @Test
+    void sevenInTenBackWithinASecondAreTheSameFleet() {
+        ViewPlay p = settled(20, 0, 11);
+        for (int i = 0; i < 14; i++) {
+            p.kill(i);
+        }
+        p.pass(1000);
+        for (int i = 0; i < 14; i++) {
+            p.start(i, i % 2 == 0 ? 0 : 1);
+        }
+        assertThat(p.until(p::settled, 10_000)).isLessThan(5000);
+    }
+
+    @Test
+    void allRestartedAndNobodyRemembers() {
+        ViewPlay p = settled(12, 0, 13);
+        for (int i = 0; i < 12; i++) {
+            p.kill(i);
+        }
+        p.pass(1000);
+        for (int i = 0; i < 12; i++) {
+            p.start(i, 0);
+        }
+        assertThat(p.until(p::settled, 10_000)).isLessThan(3000);
+    }
+
+    @Test
+    void oneThatFlapsEachSecondTakesNobodyWithIt() {
+        ViewPlay p = settled(12, 0, 15);
+        for (int i = 0; i < 20; i++) {
+            p.kill(3);
+            p.pass(500);
+            p.start(3, 0);
+            p.pass(500);
+        }
+        assertThat(p.until(p::settled, 10_000)).isLessThan(5000);
+        assertThat(p.falseDeaths()).isZero();
+    }
+
+    @Test
+    void whoLeavesIsGoneAtOnceAndNobodySuspectsIt() {
+        ViewPlay p = settled(12, 0, 17);
+        p.leave(5);
+        assertThat(p.until(() -> p.allHold(5, false), 3000)).isLessThan(1000);
+        assertThat(p.of(0).entry(5).state()).isEqualTo(State.LEFT);
+    }
+
+    // ---- one instance alone
+
+    private static final Membership.Allowance ALL = new Membership.Allowance() {
+        @Override
+        public boolean take(double nowMs, int bytes, Urgency urgency) {
+            return true;
+        }
+
+        @Override
+        public int spare(double nowMs) {
+            return Membership.ROOM;
+        }
+    };
+
+    private static Membership alone(int me, long remembered, long seed) {
+        return new Membership(MemberSettings.of(3), me, 0, new byte[0], remembered, seed, ALL);
+    }
+
+    /** Passes what goes from one to the other. */
+    private static void pass(Membership from, int me, Membership to, double now) {
+        from.tick(now);
+        from.outgoing().forEach(s -> to.heard(now, me, s.body()));
+    }
+
+    @Test
+    void twoProcessesUnderOneNameAreReported() {
+        Membership one = alone(0, 0, 1);
+        Membership twin = alone(0, 0, 2);
+        Membership other = alone(1, 0, 3);
+        for (double now = 0; now < 20_000; now += 50) {
+            pass(one, 0, other, now);
+            pass(twin, 0, other, now);
+            List<Send> back = new ArrayList<>();
+            other.tick(now);
+            back.addAll(other.outgoing());
+            for (Send s : back) {
+                one.heard(now, 1, s.body());
+                twin.heard(now, 1, s.body());
+            }
+        }
+        assertThat(one.view(20_000).disputed()).isTrue();
+        assertThat(one.incarnation()).as("the dispute is no race").isLessThan(60);
+    }
+
+    @Test
+    void whatIsWrongOrUnderAnothersNameChangesNothing() {
+        Membership one = alone(0, 0, 1);
+        Membership other = alone(1, 0, 3);
+        pass(other, 1, one, 0);
+        int digest = one.digest();
+        SplittableRandom random = new SplittableRandom(4);
+        for (int i = 0; i < 20_000; i++) {
+            byte[] noise = new byte[random.nextInt(250)];
+            random.nextBytes(noise);
+            one.heard(i, 1, noise);
+        }
+        other.tick(30_000);
+        other.outgoing().forEach(s -> one.heard(30_000, 2, s.body()));
+        assertThat(one.digest()).isEqualTo(digest);
+        assertThat(one.unreadable()).isGreaterThan(20_000);
+    }
+
+    @Test
+    void whatWasTrueAMinuteAgoIsNoNews() {
+        Membership one = alone(0, 0, 1);
+        Membership other = alone(1, 0, 3);
+        other.tick(0);
+        List<Send> old = other.outgoing();
+        old.forEach(s -> one.heard(0, 1, s.body()));
+        other.note(2, new byte[] {9});
+        other.tick(100);
+        other.outgoing().forEach(s -> one.heard(100, 1, s.body()));
+        for (int i = 0; i < 3; i++) {
+            old.forEach(s -> one.heard(200, 1, s.body()));
+        }
+        pass(other, 1, one, 60_000);
+        assertThat(one.entry(1).note(2)).containsExactly(9);
+    }
+
+    @Test
+    void aViewSaysWhatItHearsAndWhatTheSettingsName() {
+        Membership one = alone(0, 0, 1);
+        View v = one.view(0);
+        assertThat(v.hearing()).isEqualTo(Hearing.ALONE);
+        assertThat(v.living().count()).isEqualTo(1);
+        assertThat(v.configured().count()).isEqualTo(3);
+        pass(alone(1, 0, 3), 1, one, 1);
+        assertThat(one.view(1).hearing()).isEqualTo(Hearing.MAJORITY);
+        assertThat(one.view(1).hearingByZone()).containsEntry(0, Hearing.ALL);
+    }
+
+    /** A probe that found no room to be sent says nothing of whom it was meant for. */
+    @Test
+    void withoutABudgetNobodyIsSuspected() {
+        boolean[] room = {true};
+        Membership one = new Membership(MemberSettings.of(3), 0, 0, new byte[0], 0, 1, new Membership.Allowance() {
+            @Override
+            public boolean take(double nowMs, int bytes, Urgency urgency) {
+                return room[0];
+            }
+
+            @Override
+            public int spare(double nowMs) {
+                return 0;
+            }
+        });
+        pass(alone(1, 0, 3), 1, one, 0);
+        one.outgoing();
+        room[0] = false;
+        for (double now = 0; now < 10_000; now += 20) {
+            one.tick(now);
+        }
+        assertThat(one.entry(1).state()).isEqualTo(State.ALIVE);
+        assertThat(one.outgoing()).isEmpty();
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/model/check/ExplorerTest.java
@@ -0,0 +1,98 @@
+package damsonworks.model.check;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.member.Entry;
+import damsonworks.member.Knowledge;
+import damsonworks.member.State;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+class ExplorerTest {
+    private static final MemberProtocol.Bounds BOUNDS = new MemberProtocol.Bounds(1, 2, 1);
+
+    /** Knowledge with one line of it wrong. */
+    private enum Mutant {
+        /** Whoever lives is believed in its own incarnation, so a death is forgotten and comes back. */
+        BELIEVES_THE_LIVING {
+            @Override
+            Entry join(Entry held, Entry said) {
+                return held.compareLife(said) == 0 && said.state() == State.ALIVE ? said : held.join(said);
+            }
+        },
+        /** What was said last holds. */
+        BELIEVES_THE_LAST {
+            @Override
+            Entry join(Entry held, Entry said) {
+                return said;
+            }
+        },
+        /** What refutes says the same once more. */
+        REFUTES_NOTHING {
+            @Override
+            Entry beyond(Entry self, Entry said) {
+                return new Entry(self.id(), Math.max(self.incarnation(), said.incarnation()) + 1, self.life(), said.state(),
+                        said.confirmers(), self.zone(), self.version(), self.phase(), self.notes(), self.address());
+            }
+        },
+        /** It goes as far as what was said, and no further. */
+        GOES_NOT_BEYOND {
+            @Override
+            Entry beyond(Entry self, Entry said) {
+                return next(self, said.incarnation());
+            }
+        };
+
+        Entry join(Entry held, Entry said) {
+            return held.join(said);
+        }
+
+        Entry beyond(Entry self, Entry said) {
+            return next(self, Math.max(self.incarnation(), said.incarnation()) + 1);
+        }
+
+        private static Entry next(Entry self, long incarnation) {
+            return Entry.begin(self.id(), incarnation, self.life(), self.zone(), self.address());
+        }
+    }
+
+    private static final class Wrong extends Knowledge {
+        private static final ThreadLocal<Mutant> MUTANT = new ThreadLocal<>();
+
+        Wrong(Entry self) {
+            super(self, MemberProtocol.INSTANCES);
+        }
+
+        Wrong(Knowledge of) {
+            super(of);
+        }
+
+        @Override
+        protected Entry join(Entry held, Entry said) {
+            return MUTANT.get().join(held, said);
+        }
+
+        @Override
+        protected Entry beyond(Entry self, Entry said) {
+            return MUTANT.get().beyond(self, said);
+        }
+    }
+
+    @Test
+    void whatTheProgramKnowsBreaksNothing() {
+        Explorer.Result r = new Explorer<>(MemberProtocol.real(new MemberProtocol.Bounds(1, 1, 1))).run(1_000_000);
+        assertThat(r.broken()).isNull();
+        assertThat(r.complete()).isTrue();
+        assertThat(r.states()).isGreaterThan(3000);
+    }
+
+    @ParameterizedTest
+    @EnumSource(Mutant.class)
+    void oneWrongLineIsFoundWithATrace(Mutant mutant) {
+        Wrong.MUTANT.set(mutant);
+        Explorer.Result r = new Explorer<>(new MemberProtocol(BOUNDS, e -> new Wrong(e), k -> new Wrong(k))).run(1_000_000);
+        assertThat(r.broken()).as(r.text()).isNotNull();
+        assertThat(r.trace()).hasSize(r.depth()).isNotEmpty();
+    }
+}
