Proxies keep the view on datagrams; list news takes turns among those that live

Need: the view has to be kept by the real processes, and messages of several kinds need one owner and one budget.

MemberLink carries out what Membership decides, on the event loop's timers. SIGTERM and drains are told. A new process that takes over binds the peers' address once its predecessor lets go; until now it never heard a peer again. ListNews takes turns among the living. status has a section view, the command view a row for each.

Off by default, so run is as before but for 5 bytes a datagram.

--- a/src/main/java/damsonworks/Main.java
+++ b/src/main/java/damsonworks/Main.java
@@ -44,6 +44,7 @@
         String control = null;
         String edge = null;
         long figuresMs = 0;
+        boolean view = false;
         for (int i = 1; i < args.length; i += 2) {
             String value = i + 1 < args.length ? args[i + 1] : "";
             if (args[i].equals("--control") && control == null && !value.isEmpty()) {
@@ -52,12 +53,17 @@
                 edge = value;
             } else if (args[i].equals("--figures") && figuresMs == 0 && value.matches("[1-9][0-9]{0,4}s")) {
                 figuresMs = 1000 * Long.parseLong(value.substring(0, value.length() - 1));
+            } else if (args[i].equals("--view") && value.matches("on|off")) {
+                view = value.equals("on");
             } else {
-                System.err.println("usage: serve [--edge FILE] [--control PATH] [--figures SECONDSs]");
+                System.err.println("usage: serve [--edge FILE] [--control PATH] [--figures SECONDSs] [--view on|off]");
                 System.exit(2);
             }
         }
         Proxy proxy = edge == null ? Proxy.main() : Proxy.main(new EdgeFile(Path.of(edge)));
+        if (view) {
+            proxy.keepView();
+        }
         if (figuresMs > 0) {
             proxy.logFigures(figuresMs);
         }
--- a/src/main/java/damsonworks/cli/Cli.java
+++ b/src/main/java/damsonworks/cli/Cli.java
@@ -16,7 +16,7 @@
         footerHeading = "%nWithout options, and set by the environment (see README):%n",
         footer = {
             "  serve   one proxy, configured by the file that BALANCER_CONFIG names",
-            "          [--edge FILE] [--control PATH] [--figures 5s]",
+            "          [--edge FILE] [--control PATH] [--figures 5s] [--view on]",
             "  drill   the decision module on the simulator's wire, on standard input and output",
             "  train   starts a proxy and ends it, so that a build can archive its classes", "",
             "Examples:",
--- a/src/main/java/damsonworks/control/ProxyControl.java
+++ b/src/main/java/damsonworks/control/ProxyControl.java
@@ -4,6 +4,7 @@
 import com.google.gson.JsonObject;
 import damsonworks.control.Figure.Kind;
 import damsonworks.drain.Drain;
+import damsonworks.member.View;
 import damsonworks.proxy.Proxy;
 import damsonworks.route.Router;
 import java.util.ArrayList;
@@ -62,6 +63,8 @@
             return progress(proxy.drainProgress());
         });
         registry.figures(() -> figures(proxy.status()));
+        registry.section("view", () -> view(proxy.fleetView()));
+        registry.command("view", arguments -> members(proxy.fleetView()));
         return registry;
     }
 
@@ -112,6 +115,49 @@
         return o;
     }
 
+    private static JsonObject view(Proxy.FleetView f) {
+        JsonObject o = new JsonObject();
+        o.addProperty("kept", f != null);
+        if (f == null) {
+            return o;
+        }
+        View v = f.view();
+        o.addProperty("hearing", v.hearing().name().toLowerCase(Locale.ROOT));
+        o.addProperty("living", v.living().count());
+        o.addProperty("known", v.entries().size());
+        if (v.configured() != null) {
+            o.addProperty("configured", v.configured().count());
+        }
+        o.addProperty("digest", String.format("%08x", v.digest()));
+        o.addProperty("disputed", v.disputed());
+        o.addProperty("refuted_deaths", f.refuted());
+        o.addProperty("unreadable", f.unreadable());
+        o.addProperty("over_budget", f.dropped());
+        return o;
+    }
+
+    /** A row for each that is known, the first {@link #MAX_SHOWN}. */
+    private static JsonObject members(Proxy.FleetView f) {
+        if (f == null) {
+            throw new IllegalArgumentException("this proxy keeps no view of the fleet; it was started without --view on");
+        }
+        JsonObject o = view(f);
+        JsonArray rows = new JsonArray();
+        f.view().entries().stream().limit(MAX_SHOWN).forEach(e -> {
+            JsonObject row = new JsonObject();
+            row.addProperty("instance", e.id());
+            row.addProperty("zone", e.zone());
+            row.addProperty("state", e.state().name().toLowerCase(Locale.ROOT));
+            row.addProperty("phase", e.phase().name().toLowerCase(Locale.ROOT));
+            row.addProperty("incarnation", e.incarnation());
+            row.addProperty("life", String.format("%04x", e.life()));
+            row.addProperty("version", e.version());
+            rows.add(row);
+        });
+        o.add("members", rows);
+        return o;
+    }
+
     private static JsonObject progress(Drain.Progress p) {
         JsonObject o = new JsonObject();
         o.addProperty("phase", p.phase().name().toLowerCase(Locale.ROOT));
--- a/src/main/java/damsonworks/demo/ProxiedFleet.java
+++ b/src/main/java/damsonworks/demo/ProxiedFleet.java
@@ -67,7 +67,7 @@
         fleet = new StandInFleet(spec);
         try {
             for (int i = 0; i < spec.proxies(); i++) {
-                proxies.add(new ProxyProcess("proxy-" + i, fleet.host(i), folder, edge));
+                proxies.add(new ProxyProcess("proxy-" + i, fleet.host(i), folder, edge, spec.layout().view()));
                 write(i);
                 proxies.get(i).start();
             }
--- a/src/main/java/damsonworks/demo/ProxyWatch.java
+++ b/src/main/java/damsonworks/demo/ProxyWatch.java
@@ -6,13 +6,31 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
  * Looks at the proxies through their control sockets: who answers how much, how a drain goes, and whether its
  * progress ever fell. Used by one thread; what it has seen may be read by any.
  */
 public final class ProxyWatch {
+    /** What a proxy said of the fleet when it was asked last; {@code digest} null while it is away or keeps no view. */
+    public record Sight(String digest, int living, long refutedDeaths) { }
+
+    /** All proxies' sights at one time, by their numbers; a {@link System#nanoTime()}. */
+    public record Look(long nanos, List<Sight> sights) {
+        /** Whether all that answer hold the same, and count just those that answer. */
+        public boolean settled() {
+            List<Sight> there = sights.stream().filter(s -> s.digest() != null).toList();
+            return !there.isEmpty() && there.stream().allMatch(s -> s.digest().equals(there.get(0).digest())
+                    && s.living() == there.size());
+        }
+    }
+
+    private static final Sight AWAY = new Sight(null, 0, 0);
+    private static final int MOST_LOOKS = 40_000;
+
     private static final class Seen {
+        Sight sight = AWAY;
         ControlClient client;
         long pid;
         long answered;
@@ -28,6 +46,7 @@
     private final List<Seen> seen = new ArrayList<>();
     private long lastNanos = System.nanoTime();
     private volatile String text = "";
+    private final List<Look> views = new CopyOnWriteArrayList<>();
     private volatile int backward;
     private volatile int looks;
     private volatile long taken;
@@ -63,6 +82,11 @@
         return turnedDown;
     }
 
+    /** What the proxies said of the fleet at each look. */
+    public List<Look> views() {
+        return List.copyOf(views);
+    }
+
     void look() {
         long now = System.nanoTime();
         double seconds = (now - lastNanos) / 1e9;
@@ -77,6 +101,7 @@
                 take(s, s.client.ask(ControlClient.request("status")), seconds);
             } catch (IOException e) {
                 s.client = null;
+                s.sight = AWAY;
                 s.perSecond = 0;
                 s.phase = "away";
             }
@@ -91,6 +116,9 @@
             }
         }
         text = line.toString();
+        if (views.size() < MOST_LOOKS) {
+            views.add(new Look(now, seen.stream().map(s -> s.sight).toList()));
+        }
     }
 
     private void take(Seen s, JsonObject status, double seconds) {
@@ -117,5 +145,8 @@
         s.taken = applied;
         s.turnedDown = rejected;
         s.pid = pid;
+        JsonObject view = status.getAsJsonObject("view");
+        s.sight = view == null || !view.get("kept").getAsBoolean() ? AWAY : new Sight(view.get("digest").getAsString(),
+                view.get("living").getAsInt(), view.get("refuted_deaths").getAsLong());
     }
 }
--- a/src/main/java/damsonworks/fleet/Layout.java
+++ b/src/main/java/damsonworks/fleet/Layout.java
@@ -9,10 +9,11 @@
  * @param zones     their names, 1 to 16, all different
  * @param betweenMs what the way from one zone to another takes, one way, 0 to 1,000 ms
  * @param peers     whether proxies are told of one another and may send datagrams
+ * @param view      whether they keep a view of the fleet by these
  */
-public record Layout(List<String> zones, double betweenMs, boolean peers) {
+public record Layout(List<String> zones, double betweenMs, boolean peers, boolean view) {
     /** One zone, and proxies that know nothing of each other. */
-    public static final Layout PLAIN = new Layout(List.of("loopback"), 0, false);
+    public static final Layout PLAIN = new Layout(List.of("loopback"), 0, false, false);
 
     /** Checks the ranges. */
     public Layout {
--- a/src/main/java/damsonworks/fleet/Listener.java
+++ b/src/main/java/damsonworks/fleet/Listener.java
@@ -1,11 +1,8 @@
 package damsonworks.fleet;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -35,7 +32,6 @@
     private static final int BACKLOG = 512;
     /** A queue of length 0 takes one; the second is for a race with a connection that was just coming up. */
     private static final int FILLERS = 2;
-    private static final int FILLER_MS = 3_600_000;
     private static final int FILLERS_GO_MS = 200;
 
     private final EventLoop loop;
@@ -45,7 +41,7 @@
     private final Map<Channel, Link> connections = new LinkedHashMap<>();
     private final Map<Integer, Ways> ways = new HashMap<>();
     /** What keeps the queue of a socket that is cut off full, so that no further connection comes up. */
-    private final Map<Integer, List<Channel>> fillers = new HashMap<>();
+    private final Map<Integer, List<Filler>> fillers = new HashMap<>();
     private final SplittableRandom random;
     private final ObjIntConsumer<Channel> accepted;
     private boolean open = true;
@@ -88,7 +84,7 @@
                 .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        if (isFiller(channel)) {
+                        if (isFiller(channel, number)) {
                             channel.close();
                             return;
                         }
@@ -208,15 +204,15 @@
             return;
         }
         ways.put(socket, now);
+        if (now.cut() != before.cut()) {
+            hang(socket, now.cut()); // before anybody can hear that the way is whole
+        }
         connections.forEach((c, link) -> {
             if (link.socket() == socket) {
                 link.handler().settle(in, out);
                 readOrNot(c, socket);
             }
         });
-        if (now.cut() != before.cut()) {
-            hang(socket, now.cut());
-        }
         if (!now.cut() && !open) {
             channels.get(socket).close();
         }
@@ -242,36 +238,25 @@
             throw new UncheckedIOException(e);
         }
         if (on) {
-            List<Channel> mine = new ArrayList<>();
+            List<Filler> mine = new ArrayList<>();
             for (int i = 0; i < FILLERS; i++) {
-                mine.add(new Bootstrap().group(loop).channel(Sockets.BEST.client())
-                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, FILLER_MS)
-                        .handler(new Filler()).connect(addresses.get(socket)).channel());
+                mine.add(new Filler(addresses.get(socket)));
             }
-            List<Channel> old = fillers.put(socket, mine);
+            List<Filler> old = fillers.put(socket, mine);
             if (old != null) {
-                old.forEach(Channel::close);
+                old.forEach(Filler::close);
             }
         } else {
-            List<Channel> done = fillers.get(socket);
+            List<Filler> done = fillers.get(socket);
             loop.schedule(() -> {
-                done.forEach(Channel::close);
+                done.forEach(Filler::close);
                 fillers.remove(socket, done);
             }, FILLERS_GO_MS, TimeUnit.MILLISECONDS); // known until they have been accepted
         }
     }
 
-    /** Says nothing, whatever becomes of it. */
-    private static final class Filler extends ChannelInboundHandlerAdapter {
-        @Override
-        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            ctx.close();
-        }
-    }
-
-    /** Whether the other end of a connection is one of the fillers, which no stand-in is to see. */
-    private boolean isFiller(Channel channel) {
-        return fillers.values().stream().flatMap(List::stream)
-                .anyMatch(f -> channel.remoteAddress().equals(f.localAddress()));
+    /** Whether the other end of a connection is one of the socket's fillers, which no stand-in is to see. */
+    private boolean isFiller(Channel channel, int socket) {
+        return fillers.getOrDefault(socket, List.of()).stream().anyMatch(f -> f.local().equals(channel.remoteAddress()));
     }
 }
--- a/src/main/java/damsonworks/lab/Expectation.java
+++ b/src/main/java/damsonworks/lab/Expectation.java
@@ -46,4 +46,44 @@
             return String.format(Locale.ROOT, "%.1f%%", 100 * share);
         }
     }
+
+    /** After each fault's end the view that the proxies keep has to settle within this time. */
+    record SettledWithin(double ms) implements Expectation {
+        /** Proxies are looked at this often, and one that is starting is not there yet. */
+        private static final double LOOK_MS = 300;
+
+        @Override
+        public Result check(Outcome o) {
+            double worst = o.scenario().bands().stream().filter(b -> last(o, b)).mapToDouble(b -> o.settledAfter(b.toMs())).max()
+                    .orElse(0);
+            return new Result("settled", worst <= ms + LOOK_MS, worst == Double.POSITIVE_INFINITY ? "never"
+                    : String.format(Locale.ROOT, "after %.1f s", worst / 1000), String.format(Locale.ROOT, "within %.1f s",
+                            ms / 1000));
+        }
+
+        /** Whether nothing else begins before it is over, or soon after. */
+        private boolean last(Outcome o, Scenario.Band band) {
+            return o.scenario().bands().stream().noneMatch(b -> b != band && b.toMs() >= band.toMs()
+                    && b.fromMs() < band.toMs() + ms) && band.toMs() + ms <= o.scenario().forMs();
+        }
+
+        @Override
+        public boolean mayBeTheLabs(Outcome o) {
+            return o.busy() != null;
+        }
+    }
+
+    /** Proxies that live and can be reached may be given up so often at most, over all of them. */
+    record FalseDeaths(long most) implements Expectation {
+        @Override
+        public Result check(Outcome o) {
+            long n = o.looks().stream().mapToLong(Outcome.Look::refutedDeaths).max().orElse(0);
+            return new Result("deaths", n <= most, n + " refuted", "at most " + most);
+        }
+
+        @Override
+        public boolean mayBeTheLabs(Outcome o) {
+            return o.busy() != null;
+        }
+    }
 }
--- a/src/main/java/damsonworks/lab/LabRun.java
+++ b/src/main/java/damsonworks/lab/LabRun.java
@@ -2,6 +2,7 @@
 
 import damsonworks.demo.OracleObserver;
 import damsonworks.demo.ProxiedFleet;
+import damsonworks.demo.ProxyWatch;
 import damsonworks.fleet.Oracle;
 import damsonworks.fleet.Series;
 import damsonworks.fleet.TrafficClass;
@@ -56,11 +57,14 @@
             int zero = (int) (zeroMs / 1000);
             List<Series.Row> rows = fleet.fleet().rows().stream().filter(r -> r.second() >= zero)
                     .map(r -> new Series.Row(r.second() - zero, r.proxy(), r.counts(), r.attempts())).toList();
+            List<Outcome.Look> looks = fleet.watch().views().stream().map(l -> new Outcome.Look(
+                    fleet.fleet().at(l.nanos()) - zeroMs, l.settled(), l.sights().stream().mapToLong(
+                            ProxyWatch.Sight::refutedDeaths).sum())).filter(l -> l.atMs() >= 0).toList();
             String died = fleet.died();
             if (logs != null) {
                 fleet.keepLogs(logs);
             }
-            return new Outcome(scenario, seed, report, verdict, rows, died);
+            return new Outcome(scenario, seed, report, verdict, rows, looks, died);
         }
     }
 
--- a/src/main/java/damsonworks/lab/Outcome.java
+++ b/src/main/java/damsonworks/lab/Outcome.java
@@ -14,10 +14,14 @@
  * @param report  of the clients
  * @param verdict on the rules
  * @param rows    what each proxy did, second by second from the lead-in's end
+ * @param looks   what the proxies said of the fleet, their times in ms from the lead-in's end
  * @param died    the proxy that ended by itself, with the end of its log; null if none did
  */
 public record Outcome(Scenario scenario, long seed, Report report, Oracle.Verdict verdict, List<Series.Row> rows,
-        String died) {
+        List<Look> looks, String died) {
+    /** What all proxies said of the fleet at one time. */
+    public record Look(double atMs, boolean settled, long refutedDeaths) { }
+
     /** Longer pauses of the lab's own process make an answer late by themselves: half of what the rules give one. */
     static final double PAUSE_PART = 0.5;
 
@@ -43,6 +47,19 @@
         return rows.stream().mapToLong(r -> r.counts().getOrDefault(what, 0L)).sum();
     }
 
+    /** Milliseconds from a time until a view was seen settled and stayed so until the next fault; infinite for never. */
+    public double settledAfter(double fromMs) {
+        double next = scenario.bands().stream().mapToDouble(Scenario.Band::fromMs).filter(t -> t > fromMs).min()
+                .orElse(Double.POSITIVE_INFINITY);
+        double since = Double.POSITIVE_INFINITY;
+        for (Look l : looks) {
+            if (l.atMs() >= fromMs && l.atMs() < next) {
+                since = !l.settled() ? Double.POSITIVE_INFINITY : Math.min(since, l.atMs());
+            }
+        }
+        return since - fromMs;
+    }
+
     /** Each expectation held against it. */
     public List<Expectation.Result> results() {
         Stream<Expectation.Result> more = died == null ? Stream.empty()
--- a/src/main/java/damsonworks/lab/ScenarioFile.java
+++ b/src/main/java/damsonworks/lab/ScenarioFile.java
@@ -65,6 +65,7 @@
                 .optional("notice", Type.duration("0ms", "1m"), "1500ms", "how late list and front see a change")
                 .optional("warm-up", Type.duration("0ms", "10m"), "9s", "how long a node that was started is cold")
                 .optional("peers", Type.flag(), "on", "whether proxies are told of one another")
+                .optional("view", Type.flag(), "off", "whether they keep a view of the fleet")
                 .optional("rate", Type.rate("1/s", "100000/s"), "200/s", "requests by clients")
                 .optional("keys", Type.count(1, 10_000_000), "20000", "in the key space")
                 .optional("connections", Type.count(1, 10_000), "100", "of clients, at most")
@@ -92,7 +93,11 @@
                         .toArray(String[]::new)), "kept", "what becomes of a killed proxy's stored state");
         Section expect = new Section("expect", Naming.ONCE, "what has to come of it")
                 .optional("rules", Type.choice("held", "any"), "held", "whether the rules have to hold")
-                .optional("served", Type.share("0%", "100%"), null, "of all requests in time, at least");
+                .optional("served", Type.share("0%", "100%"), null, "of all requests in time, at least")
+                .optional("settled-within", Type.duration("100ms", "10m"), null,
+                        "from each fault's end until the proxies' views are one, and true")
+                .optional("false-deaths", Type.count(0, 1_000_000), null,
+                        "how often one that lives may be given up, at most");
         return new Schema().register(fleet).register(fault).register(expect).check(ScenarioFile::check);
     }
 
@@ -225,7 +230,7 @@
                 .withTimes(number(e, "notice", 1500), number(e, "warm-up", 9000), standard.drainGraceMs(),
                         standard.answerGraceMs() * patience)
                 .withLayout(new Layout(zones.isEmpty() ? List.of("a") : zones, number(e, "between", 0),
-                        e == null || e.on("peers")));
+                        e == null || e.on("peers"), e != null && e.on("view")));
     }
 
     private List<Expectation> expectations() {
@@ -237,6 +242,12 @@
         if (e != null && e.has("served")) {
             all.add(new Expectation.Served(e.share("served", 0)));
         }
+        if (e != null && e.has("settled-within")) {
+            all.add(new Expectation.SettledWithin(e.number("settled-within", 0)));
+        }
+        if (e != null && e.has("false-deaths")) {
+            all.add(new Expectation.FalseDeaths(e.count("false-deaths", 0)));
+        }
         return all;
     }
 
--- a/src/main/java/damsonworks/member/Membership.java
+++ b/src/main/java/damsonworks/member/Membership.java
@@ -104,6 +104,7 @@
     private int turn;
     private int number;
     private long unreadable;
+    private long deathsRefuted;
 
     /**
      * Begins a life. Nothing is sent before the first {@link #tick}.
@@ -197,6 +198,7 @@
             if (knowledge.take(nowMs, said) == Knowledge.Heard.REFUTED) {
                 if (thisLife) {
                     health.suspected();
+                    deathsRefuted += said.state() == State.DEAD ? 1 : 0;
                 }
                 news.changed(me);
             }
@@ -688,6 +690,16 @@
                 : new Configured(settings.configured()), own.disputed());
     }
 
+    /** How many live, as {@link View#living} has it. */
+    public Living living() {
+        return new Living(others().size() + 1);
+    }
+
+    /** How often this instance has refuted that it was dead, in this life. */
+    public long deathsRefuted() {
+        return deathsRefuted;
+    }
+
     /** Alike for instances that hold the same. */
     public int digest() {
         return table.digest();
--- a/src/main/java/damsonworks/member/View.java
+++ b/src/main/java/damsonworks/member/View.java
@@ -27,7 +27,7 @@
 
     /** Those that live, itself among them. */
     public Living living() {
-        return new Living(Math.max(1, (int) entries.stream().filter(e -> e.state().lives()).count()));
+        return new Living(1 + (int) entries.stream().filter(e -> e.id() != me && e.state().lives()).count());
     }
 
     /** How many live and say that they are in that phase. */
--- a/src/main/java/damsonworks/peer/ListNews.java
+++ b/src/main/java/damsonworks/peer/ListNews.java
@@ -1,5 +1,6 @@
 package damsonworks.peer;
 
+import damsonworks.member.Living;
 import java.util.Arrays;
 import java.util.SplittableRandom;
 
@@ -25,7 +26,7 @@
     static final double LONGEST_MS = 60_000;
 
     private final SplittableRandom random;
-    private final int instances;
+    private int instances;
     /** The versions that peers have told last; who holds one of them has nothing to tell. */
     private final long[] told = new long[16];
     private int tells;
@@ -60,6 +61,11 @@
         random = new SplittableRandom(seed);
     }
 
+    /** So many live now: turns are taken among them, and nobody waits for those who are away. */
+    public void among(Living living) {
+        instances = living.count();
+    }
+
     /** Discovery has told this proxy that version. */
     public Order held(double nowMs, long version) {
         if (version <= held) {
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -15,6 +15,7 @@
 import damsonworks.drain.Drain;
 import damsonworks.flow.ByteBudget;
 import damsonworks.figures.Work;
+import damsonworks.member.Living;
 import damsonworks.proxy.Counters.Ending;
 import damsonworks.proxy.Exchange.Attempt;
 import damsonworks.proxy.Exchange.Command;
@@ -79,6 +80,7 @@
     private ListSource discovery;
     private PeerSocket peers;
     private PeerNews news;
+    private MemberLink members;
     private ClientListener listener;
     private Future<?> sweeper;
     private boolean busy;
@@ -366,11 +368,32 @@
         news = by;
     }
 
-    void heard(int peer, byte[] message) {
-        if (news != null && news.heard(message)) {
-            return;
+    /** So many of the fleet live. */
+    void among(Living living) {
+        if (news != null) {
+            news.among(living);
+        }
+    }
+
+    /** Who takes part in the fleet's view by this proxy; null: nobody. */
+    void members(MemberLink by) {
+        members = by;
+    }
+
+    void heard(int peer, PeerSocket.Kind kind, byte[] message) {
+        switch (kind) {
+            case LIST -> {
+                if (news != null) {
+                    news.heard(message);
+                }
+            }
+            case MODULE -> tell(() -> module.onPeer(now(), peer, message, this));
+            case MEMBERS -> {
+                if (members != null) {
+                    members.heard(peer, message);
+                }
+            }
         }
-        tell(() -> module.onPeer(now(), peer, message, this));
     }
 
     /** Takes a request whose last byte has come; it will be answered once. */
@@ -654,7 +677,7 @@
 
     @Override
     public void tell(int peer, byte[] message) {
-        peers.send(peer, message);
+        peers.send(peer, PeerSocket.Kind.MODULE, message);
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/MemberLink.java
@@ -0,0 +1,97 @@
+package damsonworks.proxy;
+
+import damsonworks.RoutingApi.Settings;
+import damsonworks.member.Living;
+import damsonworks.member.MemberSettings;
+import damsonworks.member.Membership;
+import damsonworks.member.Phase;
+import damsonworks.member.Send;
+import damsonworks.member.View;
+import damsonworks.peer.Envelope;
+import damsonworks.peer.Outbox;
+import java.util.function.Consumer;
+
+/** Carries out what {@link Membership} decides: its messages and its times. On the event loop only. */
+final class MemberLink implements Membership.Allowance {
+    private final Dispatcher dispatcher;
+    private final PeerSocket peers;
+    private final Membership members;
+    private final Consumer<Living> advised;
+    /** A timer that was set before the last one is void. */
+    private long waits;
+    private Living living = new Living(1);
+
+    /** {@code advised}: told the number that lives each time that it changes. */
+    MemberLink(Dispatcher dispatcher, PeerSocket peers, Settings settings, long seed, Consumer<Living> advised) {
+        this.dispatcher = dispatcher;
+        this.peers = peers;
+        this.advised = advised;
+        members = new Membership(MemberSettings.of(settings.instances()), settings.me(), settings.zone(), new byte[0], 0,
+                settings.ownSeed(seed), this);
+        members.phase(Phase.SERVING);
+        run();
+    }
+
+    @Override
+    public boolean take(double nowMs, int bytes, Send.Urgency urgency) {
+        return peers.outbox().admits(nowMs, Envelope.bytes(bytes), Outbox.Level.values()[urgency.ordinal()]);
+    }
+
+    @Override
+    public int spare(double nowMs) {
+        return peers.outbox().spare(nowMs);
+    }
+
+    void heard(int peer, byte[] body) {
+        members.heard(now(), peer, body);
+        run();
+    }
+
+    void phase(Phase phase) {
+        members.phase(phase);
+        run();
+    }
+
+    /** This instance goes for good; its peers are told. */
+    void leave() {
+        members.leave(now());
+        run();
+    }
+
+    View view() {
+        return members.view(now());
+    }
+
+    /** How often this proxy refuted that it was dead. */
+    long deathsRefuted() {
+        return members.deathsRefuted();
+    }
+
+    /** Messages that could not be read. */
+    long unreadable() {
+        return members.unreadable();
+    }
+
+    private static double now() {
+        return System.nanoTime() / 1e6; // the outbox's time, which all parts share
+    }
+
+    private void run() {
+        long mine = ++waits;
+        members.tick(now());
+        members.outgoing().forEach(s -> peers.sendAdmitted(s.to(), PeerSocket.Kind.MEMBERS, s.body()));
+        Living lives = members.living();
+        if (!lives.equals(living)) {
+            living = lives;
+            advised.accept(lives);
+        }
+        double due = members.dueMs();
+        if (due != Double.POSITIVE_INFINITY) {
+            dispatcher.after(Math.max(0, due - now()), () -> {
+                if (waits == mine) {
+                    run();
+                }
+            });
+        }
+    }
+}
--- a/src/main/java/damsonworks/proxy/PeerNews.java
+++ b/src/main/java/damsonworks/proxy/PeerNews.java
@@ -1,5 +1,6 @@
 package damsonworks.proxy;
 
+import damsonworks.member.Living;
 import damsonworks.peer.ListNews;
 import damsonworks.peer.ListNews.Order;
 import damsonworks.peer.PeerMessage;
@@ -26,19 +27,22 @@
         carryOut(news.held(dispatcher.now(), version));
     }
 
-    /** Whether that message was one of these. */
-    boolean heard(byte[] message) {
+    /** A peer says which version it holds. */
+    void heard(byte[] message) {
         long version = PeerMessage.listVersion(message);
-        if (version < 0) {
-            return false;
+        if (version >= 0) {
+            carryOut(news.heard(dispatcher.now(), version));
         }
-        carryOut(news.heard(dispatcher.now(), version));
-        return true;
+    }
+
+    /** So many live. */
+    void among(Living living) {
+        news.among(living);
     }
 
     private void carryOut(Order order) {
         switch (order) {
-            case TELL -> peers.send(ALL, PeerMessage.list(discovery.version()));
+            case TELL -> peers.send(ALL, PeerSocket.Kind.LIST, PeerMessage.list(discovery.version()));
             case ASK -> discovery.renew();
             case NONE, WAIT -> { }
         }
--- a/src/main/java/damsonworks/proxy/PeerSocket.java
+++ b/src/main/java/damsonworks/proxy/PeerSocket.java
@@ -1,63 +1,131 @@
 package damsonworks.proxy;
 
 import damsonworks.figures.Work;
+import damsonworks.peer.Envelope;
+import damsonworks.peer.Envelope.Item;
+import damsonworks.peer.Outbox;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
 
-/** Messages between the proxies of a tier: datagrams that come late or not at all. */
+/**
+ * Messages between the proxies of a tier: datagrams that come late or not at all. The one owner of what may be sent to
+ * peers: all parts of the program share its budget.
+ */
 final class PeerSocket {
-    private static final int MAX_MESSAGE = 256;
+    /** What an instance may send, whatever the size of the fleet. */
+    private static final double BYTES_PER_SECOND = 2000;
+    private static final double BURST = 6000;
+    /** A predecessor that has passed its clients on still holds the address for a while. */
+    private static final long AGAIN_MS = 500;
 
+    /** The kinds of item. */
+    enum Kind {
+        /** The version of the list, as {@code ListNews} has it. */
+        LIST,
+        /** What the decision module tells. */
+        MODULE,
+        /** Who lives. */
+        MEMBERS;
+
+        /** The version of all forms so far. */
+        static final int VERSION = 0;
+
+        int number() {
+            return ordinal() + 1;
+        }
+    }
+
+    private final EventLoop loop;
     private final Config config;
     private final Receiver receiver;
     private final Counters counters;
+    private final Outbox outbox = new Outbox(BYTES_PER_SECOND, BURST);
     private Channel channel;
 
     /** What takes the messages of peers. */
     interface Receiver {
-        void heard(int peer, byte[] message);
+        void heard(int peer, Kind kind, byte[] body);
     }
 
     PeerSocket(EventLoop loop, Config config, Receiver receiver, Counters counters) {
+        this.loop = loop;
         this.config = config;
         this.receiver = receiver;
         this.counters = counters;
         if (config.settings().peers() && config.peerListen() != null) {
-            channel = new Bootstrap().group(loop).channel(Transport.BEST.datagram()).handler(new Handler())
-                    .bind(config.peerListen()).awaitUninterruptibly().channel(); // what is sent before is lost
+            ChannelFuture bound = bind().awaitUninterruptibly();
+            channel = bound.channel(); // what is sent before is lost
+            if (!bound.isSuccess()) {
+                again();
+            }
         }
     }
 
+    private ChannelFuture bind() {
+        return new Bootstrap().group(loop).channel(Transport.BEST.datagram()).handler(new Handler()).bind(config.peerListen());
+    }
+
+    private void again() {
+        loop.schedule(() -> bind().addListener(f -> {
+            if (f.isSuccess()) {
+                channel = ((ChannelFuture) f).channel();
+            } else {
+                again();
+            }
+        }), AGAIN_MS, TimeUnit.MILLISECONDS);
+    }
+
     InetSocketAddress address() {
         return channel == null ? null : (InetSocketAddress) channel.localAddress();
     }
 
-    /** Sends to the proxy of this number, or to all of the tier if it is negative. */
-    void send(int peer, byte[] message) {
+    Outbox outbox() {
+        return outbox;
+    }
+
+    /** Sends to the proxy of this number, or to all of the tier if it is negative, if the budget has room for it. */
+    void send(int peer, Kind kind, byte[] body) {
+        if (body.length <= Envelope.MOST_BODY && outbox.admits(System.nanoTime() / 1e6, Envelope.bytes(body.length),
+                Outbox.Level.SECOND)) {
+            sendAdmitted(peer, kind, body);
+        }
+    }
+
+    /** The same for what has been taken out of the budget already. */
+    void sendAdmitted(int peer, Kind kind, byte[] body) {
         InetSocketAddress to = peer < 0 ? config.peersAll()
                 : peer < config.peers().size() ? config.peers().get(peer) : null;
-        if (channel == null || to == null || message.length > MAX_MESSAGE) {
+        if (channel == null || to == null) {
             return;
         }
         counters.did(Work.MESSAGES_SENT);
-        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(message), to));
+        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(Envelope.seal(List.of(
+                new Item(kind.number(), Kind.VERSION, body)))), to));
     }
 
-    /** What does not come from a peer, or is longer than the protocol has it, is dropped. */
+    /** What does not come from a peer, is longer than the protocol has it or was changed on its way, is dropped. */
     private final class Handler extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
             int peer = config.peers().indexOf(packet.sender());
-            if (peer >= 0 && packet.content().readableBytes() <= MAX_MESSAGE) {
-                counters.did(Work.MESSAGES_HEARD);
-                receiver.heard(peer, ByteBufUtil.getBytes(packet.content()));
+            if (peer < 0 || packet.content().readableBytes() > Envelope.MOST_BYTES) {
+                return;
+            }
+            counters.did(Work.MESSAGES_HEARD);
+            for (Item item : Envelope.open(ByteBufUtil.getBytes(packet.content()))) {
+                if (item.version() == Kind.VERSION && item.kind() <= Kind.values().length) {
+                    receiver.heard(peer, Kind.values()[item.kind() - 1], item.body());
+                }
             }
         }
 
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -6,6 +6,8 @@
 import damsonworks.drain.Drain;
 import damsonworks.drain.DrainPlan;
 import damsonworks.flow.ByteBudget;
+import damsonworks.member.Phase;
+import damsonworks.member.View;
 import damsonworks.peer.ListNews;
 import damsonworks.proxy.discovery.Addresses;
 import damsonworks.proxy.discovery.DiscoveryClient;
@@ -51,6 +53,8 @@
     private final HandoverLink link;
     private final CountDownLatch ended = new CountDownLatch(1);
     private volatile Runnable whenEnded = () -> { };
+    /** Null where this proxy takes no part in the fleet's view. On the event loop only. */
+    private MemberLink members;
 
     private Proxy(Config config, Edge edge, boolean warm, Path shared) throws InterruptedException, IOException {
         this.config = config;
@@ -126,6 +130,9 @@
             dispatcher.log("passed " + link.passed() + " clients on");
         }
         link.close();
+        if (members != null && !handover.passes()) {
+            members.leave(); // a successor goes on under this name
+        }
         ended.countDown();
         whenEnded.run();
     }
@@ -211,6 +218,33 @@
         return dispatcher.values();
     }
 
+    // ---- the view of the fleet
+
+    /** Takes part in the view that the fleet keeps of itself, where the settings allow peers to talk. */
+    public void keepView() {
+        loop.execute(() -> {
+            if (config.settings().peers()) {
+                members = new MemberLink(dispatcher, peers, config.settings(), config.seed(), dispatcher::among);
+                dispatcher.members(members);
+            }
+        });
+    }
+
+    /** What is seen of the fleet; null if this proxy takes no part in that. On the event loop only. */
+    public FleetView fleetView() {
+        return members == null ? null : new FleetView(members.view(), members.unreadable(), members.deathsRefuted(),
+                peers.outbox().dropped());
+    }
+
+    /**
+     * The view with what was counted.
+     *
+     * @param unreadable messages that could not be read
+     * @param refuted    how often this proxy refuted that it was dead
+     * @param dropped    datagrams that found no room in the budget
+     */
+    public record FleetView(View view, long unreadable, long refuted, long dropped) { }
+
     // ---- a new configuration
 
     /**
@@ -252,6 +286,7 @@
     void drain() {
         loop.execute(() -> {
             handover.terminated();
+            draining();
             double longest = dispatcher.longestDeadlineMs() + ANSWER_ROOM_MS;
             drainer.begin(handover.passes() ? DrainPlan.succeeded(longest)
                     : DrainPlan.terminated(LISTEN_ON_MS, longest));
@@ -265,12 +300,23 @@
 
     /** Begins a drain that can be watched and taken back, or joins one. On the event loop only. */
     public Drain.Begun drain(double deadlineMs) {
+        draining();
         return drainer.begin(DrainPlan.asked(deadlineMs));
     }
 
     /** Takes a drain back; null if that was done, else why it can't be. On the event loop only. */
     public String cancelDrain() {
-        return drainer.cancel();
+        String why = drainer.cancel();
+        if (why == null && members != null) {
+            members.phase(Phase.SERVING);
+        }
+        return why;
+    }
+
+    private void draining() {
+        if (members != null && !handover.passes()) {
+            members.phase(Phase.DRAINING);
+        }
     }
 
     /** Writes a line of figures to the log each time so much has passed, at least a second. */
--- a/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
+++ b/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
@@ -5,10 +5,12 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import damsonworks.Await;
+import damsonworks.peer.Envelope;
 import damsonworks.peer.PeerMessage;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 
@@ -76,7 +78,8 @@
             try (fleet) {
                 fleet.start();
                 silent.await();
-                peer.send(new DatagramPacket(PeerMessage.list(43), 9, fleet.proxy.peerAddress()));
+                byte[] news = Envelope.seal(List.of(new Envelope.Item(PeerSocket.Kind.LIST.number(), 0, PeerMessage.list(43))));
+                peer.send(new DatagramPacket(news, news.length, fleet.proxy.peerAddress()));
                 Await.until("the list is news", () -> served(fleet).equals("VA 5 O1"));
                 assertThat(discovery.accepted).hasSize(2);
             }
--- a/src/test/java/damsonworks/proxy/PeerSocketTest.java
+++ b/src/test/java/damsonworks/proxy/PeerSocketTest.java
@@ -4,11 +4,14 @@
 
 import com.google.gson.JsonArray;
 import damsonworks.figures.Work;
+import damsonworks.peer.Envelope;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
+import java.util.Arrays;
+import java.util.List;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -23,7 +26,16 @@
         socket.setSoTimeout(20_000);
         DatagramPacket packet = new DatagramPacket(new byte[1000], 1000);
         socket.receive(packet);
-        return new String(packet.getData(), 0, packet.getLength());
+        Envelope.Item item = Envelope.open(Arrays.copyOf(packet.getData(), packet.getLength())).get(0);
+        return item.kind() + new String(item.body());
+    }
+
+    private static byte[] sealed(int kind, int version, String text) {
+        return Envelope.seal(List.of(new Envelope.Item(kind, version, text.getBytes())));
+    }
+
+    private static void send(DatagramSocket from, byte[] bytes, PeerSocket to) throws Exception {
+        from.send(new DatagramPacket(bytes, bytes.length, to.address()));
     }
 
     @Test
@@ -43,21 +55,28 @@
             EventLoop loop = group.next();
             Counters counters = new Counters();
             LinkedBlockingQueue<String> heard = new LinkedBlockingQueue<>();
-            PeerSocket socket = new PeerSocket(loop, config, (from, message) -> heard.add(from + new String(message)),
+            PeerSocket socket = new PeerSocket(loop, config, (from, kind, body) -> heard.add(from + kind.name() + new String(body)),
                     counters);
-            socket.send(1, "to one".getBytes());
-            assertThat(receive(peer)).isEqualTo("to one");
-            socket.send(-1, "to all".getBytes());
-            assertThat(receive(all)).isEqualTo("to all");
-            socket.send(1, new byte[257]);
-            socket.send(1, "after".getBytes());
-            assertThat(receive(peer)).isEqualTo("after");
-            stranger.send(new DatagramPacket("lie".getBytes(), 3, socket.address()));
-            peer.send(new DatagramPacket(new byte[300], 300, socket.address()));
-            peer.send(new DatagramPacket("hi".getBytes(), 2, socket.address()));
-            assertThat(heard.poll(20, TimeUnit.SECONDS)).isEqualTo("1hi");
+            socket.send(1, PeerSocket.Kind.LIST, "to one".getBytes());
+            assertThat(receive(peer)).isEqualTo("1to one");
+            socket.send(-1, PeerSocket.Kind.MODULE, "to all".getBytes());
+            assertThat(receive(all)).isEqualTo("2to all");
+            socket.send(1, PeerSocket.Kind.LIST, new byte[Envelope.MOST_BODY + 1]);
+            socket.send(1, PeerSocket.Kind.MEMBERS, "after".getBytes());
+            assertThat(receive(peer)).isEqualTo("3after");
+            send(stranger, sealed(1, 0, "lie"), socket);
+            send(peer, new byte[300], socket);
+            send(peer, "of an older program".getBytes(), socket);
+            send(peer, sealed(30, 0, "of a kind to come"), socket);
+            send(peer, sealed(1, 5, "of a version to come"), socket);
+            send(peer, sealed(2, 0, "hi"), socket);
+            assertThat(heard.poll(20, TimeUnit.SECONDS)).isEqualTo("1MODULEhi");
             assertThat(counters.done(Work.MESSAGES_SENT)).isEqualTo(3);
-            assertThat(counters.done(Work.MESSAGES_HEARD)).isEqualTo(1);
+            assertThat(counters.done(Work.MESSAGES_HEARD)).isEqualTo(4);
+            for (int i = 0; i < 200; i++) {
+                socket.send(1, PeerSocket.Kind.LIST, new byte[200]);
+            }
+            assertThat(counters.done(Work.MESSAGES_SENT)).as("the budget").isBetween(20L, 40L);
         } finally {
             group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
         }
