Who is gone counts in no digest; the view as a table; a fleet that only seeds name

Cause: in a fleet that no settings name, one that is gone is forgotten after ten minutes at one instance and learnt anew from another that has yet to forget it, so that it was never forgotten (found by the new test with six instances by one seed).

--- /dev/null
+++ b/src/jmh/java/damsonworks/MembershipBenchmark.java
@@ -0,0 +1,82 @@
+package damsonworks;
+
+import damsonworks.member.MemberSettings;
+import damsonworks.member.Membership;
+import damsonworks.member.Send;
+import damsonworks.member.Send.Urgency;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.openjdk.jmh.annotations.Benchmark;
+import org.openjdk.jmh.annotations.BenchmarkMode;
+import org.openjdk.jmh.annotations.Fork;
+import org.openjdk.jmh.annotations.Measurement;
+import org.openjdk.jmh.annotations.Mode;
+import org.openjdk.jmh.annotations.OutputTimeUnit;
+import org.openjdk.jmh.annotations.Param;
+import org.openjdk.jmh.annotations.Scope;
+import org.openjdk.jmh.annotations.Setup;
+import org.openjdk.jmh.annotations.State;
+import org.openjdk.jmh.annotations.Warmup;
+
+/** What one probe round of the view costs: a tick that asks, and the answer that comes. */
+@State(Scope.Thread)
+@BenchmarkMode(Mode.AverageTime)
+@OutputTimeUnit(TimeUnit.MICROSECONDS)
+@Warmup(iterations = 3, time = 1)
+@Measurement(iterations = 5, time = 1)
+@Fork(1)
+public class MembershipBenchmark {
+    private static final Membership.Allowance ALL = new Membership.Allowance() {
+        @Override
+        public boolean take(double nowMs, int bytes, Urgency urgency) {
+            return true;
+        }
+
+        @Override
+        public int spare(double nowMs) {
+            return Membership.ROOM;
+        }
+    };
+
+    /** In the fleet. */
+    @Param({"10", "100", "1000"})
+    public int members;
+
+    private Membership[] all;
+    private double now;
+
+    /** The first has heard of all, and has nothing more to tell. */
+    @Setup
+    public void setUp() {
+        all = new Membership[members];
+        for (int i = 0; i < members; i++) {
+            all[i] = new Membership(MemberSettings.of(members), i, 0, new byte[0], 0, i, ALL);
+            if (i > 0) {
+                all[i].tick(now);
+                int from = i;
+                all[i].outgoing().forEach(s -> all[0].heard(now, from, s.body()));
+            }
+        }
+        for (int i = 0; i < 2000; i++) {
+            round();
+        }
+    }
+
+    /** One round of the first instance, with the answers of whom it asks. */
+    @Benchmark
+    public int round() {
+        now += 250;
+        all[0].tick(now);
+        List<Send> asked = all[0].outgoing();
+        for (Send s : asked) {
+            all[s.to()].heard(now, 0, s.body());
+            for (Send back : all[s.to()].outgoing()) {
+                if (back.to() == 0) {
+                    all[0].heard(now, s.to(), back.body());
+                }
+            }
+        }
+        all[0].outgoing();
+        return asked.size();
+    }
+}
--- a/src/main/java/damsonworks/cli/StatusCommand.java
+++ b/src/main/java/damsonworks/cli/StatusCommand.java
@@ -18,7 +18,7 @@
         description = "Shows what a running proxy has open and how a drain goes.",
         footerHeading = "%nExamples:%n",
         footer = {"  status --control /run/proxy.sock", "  status --control /run/proxy.sock --watch",
-            "  status --control /run/proxy.sock --json"})
+            "  status --control /run/proxy.sock --json", "  status --control /run/proxy.sock --members"})
 final class StatusCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
@@ -32,13 +32,16 @@
     @Option(names = "--json", description = "As JSON, one line each time.")
     private boolean json;
 
+    @Option(names = "--members", description = "Each instance of the fleet as this proxy sees it; needs serve --view on.")
+    private boolean members;
+
     @Override
     public Integer call() throws Exception {
         PrintWriter out = spec.commandLine().getOut();
         try (ControlClient client = control.connect()) {
             do {
-                JsonObject status = client.ask(ControlClient.request("status"));
-                out.println(json ? status.toString() : text(status));
+                JsonObject status = client.ask(ControlClient.request(members ? "view" : "status"));
+                out.println(json ? status.toString() : members ? table(status) : text(status));
                 out.flush();
                 if (watch) {
                     TimeUnit.SECONDS.sleep(1);
@@ -59,6 +62,26 @@
                 }));
     }
 
+    /** A line for the view, then a row for each instance. */
+    private static String table(JsonObject view) {
+        StringBuilder s = new StringBuilder();
+        figures(s, summary(view));
+        s.append(String.format("%-10s%6s  %-8s %-11s%12s  %s%n", "instance", "zone", "state", "phase", "incarnation", "life"));
+        for (JsonElement e : view.getAsJsonArray("members")) {
+            JsonObject m = e.getAsJsonObject();
+            s.append(String.format("%-10d%6d  %-8s %-11s%12d  %s%n", m.get("instance").getAsInt(), m.get("zone").getAsInt(),
+                    m.get("state").getAsString(), m.get("phase").getAsString(), m.get("incarnation").getAsLong(),
+                    m.get("life").getAsString()));
+        }
+        return s.toString().stripTrailing();
+    }
+
+    private static JsonObject summary(JsonObject view) {
+        JsonObject o = view.deepCopy();
+        o.remove("members");
+        return o;
+    }
+
     /** A line a section: its name, then its figures. */
     static String text(JsonObject status) {
         StringBuilder s = new StringBuilder();
--- a/src/main/java/damsonworks/member/Entry.java
+++ b/src/main/java/damsonworks/member/Entry.java
@@ -140,12 +140,11 @@
     }
 
     /**
-     * What counts in a digest. Suspicions do not: they pass, and while answers get lost there is always one somewhere.
+     * What counts in a digest: nothing for who is gone, as it may be forgotten at one and not yet at another. Suspicions do not
+     * count: they pass, and while answers get lost there is always one somewhere.
      */
     long hash() {
-        State settled = state == State.SUSPECT ? State.ALIVE : state;
-        long h = mix(id * 0x9e3779b97f4a7c15L + incarnation);
-        return mix(h ^ ((long) life << 34 | (long) version << 3 | settled.ordinal()));
+        return state.lives() ? mix(mix(id * 0x9e3779b97f4a7c15L + incarnation) ^ ((long) life << 34 | version)) : 0;
     }
 
     /** A thorough mix of 64 bits (Stafford's variant 13). */
--- a/src/main/java/damsonworks/member/Membership.java
+++ b/src/main/java/damsonworks/member/Membership.java
@@ -203,7 +203,8 @@
                 news.changed(me);
             }
         } else if (settings.names(said.id()) || said.address().length > 0 || settings.seeds().contains(said.id())) {
-            if (!heldBack(nowMs, said)) {
+            boolean forgotten = table.get(said.id()) == null && !said.state().lives() && !settings.names(said.id());
+            if (!forgotten && !heldBack(nowMs, said)) {
                 apply(nowMs, said);
             }
         }
--- a/src/main/java/damsonworks/member/View.java
+++ b/src/main/java/damsonworks/member/View.java
@@ -30,11 +30,6 @@
         return new Living(1 + (int) entries.stream().filter(e -> e.id() != me && e.state().lives()).count());
     }
 
-    /** How many live and say that they are in that phase. */
-    public int in(Phase phase) {
-        return (int) entries.stream().filter(e -> e.state().lives() && e.phase() == phase).count();
-    }
-
     /** Which part of the configured fleet it hears; of all that are known where only seeds are configured. */
     public Hearing hearing() {
         int all = configured == null ? entries.size() : configured.count();
@@ -55,12 +50,4 @@
                 c[1])));
         return by;
     }
-
-    /**
-     * The place of this instance among those that live, by number from 0: who acts first where one is enough. Two instances
-     * whose views differ may have the same.
-     */
-    public int rank() {
-        return (int) entries.stream().filter(e -> e.state().lives() && e.id() < me).count();
-    }
 }
--- a/src/test/java/damsonworks/member/MembershipTest.java
+++ b/src/test/java/damsonworks/member/MembershipTest.java
@@ -211,6 +211,39 @@
         assertThat(one.view(1).hearingByZone()).containsEntry(0, Hearing.ALL);
     }
 
+    /** Instances that no settings name, which know one seed each and are told of one another with their addresses. */
+    @Test
+    void aFleetThatOnlySeedsNameComesTogetherAndForgetsWhoIsGone() {
+        int many = 6;
+        MemberSettings settings = MemberSettings.bySeeds(List.of(0), 100);
+        List<Membership> all = new ArrayList<>();
+        for (int i = 0; i < many; i++) {
+            all.add(new Membership(settings, i, 0, new byte[] {127, 0, 0, 1, 0, (byte) i}, 0, i, ALL));
+        }
+        boolean[] gone = new boolean[many];
+        int digest = 0;
+        for (double now = 0; now < 700_000; now += 50) {
+            gone[5] = now > 5000;
+            for (int i = 0; i < many; i++) {
+                if (!gone[i]) {
+                    all.get(i).tick(now);
+                    for (Send s : all.get(i).outgoing()) {
+                        if (!gone[s.to()]) {
+                            all.get(s.to()).heard(now, -1, s.body());
+                        }
+                    }
+                }
+            }
+            digest = now == 4000 ? all.get(0).digest() : digest;
+        }
+        assertThat(all.get(5).digest()).as("before it went").isEqualTo(digest);
+        assertThat(all.get(5).entry(3).address()).containsExactly(127, 0, 0, 1, 0, 3);
+        assertThat(all.subList(0, 5)).allSatisfy(m -> {
+            assertThat(m.entry(5)).isNull();
+            assertThat(m.living().count()).isEqualTo(5);
+        });
+    }
+
     /** A probe that found no room to be sent says nothing of whom it was meant for. */
     @Test
     void withoutABudgetNobodyIsSuspected() {
