--- a/src/main/java/damsonworks/lab/Expectation.java
+++ b/src/main/java/damsonworks/lab/Expectation.java
@@ -1,6 +1,7 @@
 package damsonworks.lab;
 
 import damsonworks.fleet.Oracle;
+import java.util.List;
 import java.util.Locale;
 
 /** Something that a scenario expects of its outcome. */
@@ -54,8 +55,11 @@
 
         @Override
         public Result check(Outcome o) {
-            double worst = o.scenario().bands().stream().filter(b -> last(o, b)).mapToDouble(b -> o.settledAfter(b.toMs())).max()
-                    .orElse(0);
+            List<Scenario.Band> seen = o.scenario().bands().stream().filter(b -> last(o, b)).toList();
+            if (seen.isEmpty()) {
+                return new Result("settled", false, "no fault leaves time to see it", "within the time after one");
+            }
+            double worst = seen.stream().mapToDouble(b -> o.settledAfter(b.toMs())).max().orElseThrow();
             return new Result("settled", worst <= ms + LOOK_MS, worst == Double.POSITIVE_INFINITY ? "never"
                     : String.format(Locale.ROOT, "after %.1f s", worst / 1000), String.format(Locale.ROOT, "within %.1f s",
                             ms / 1000));
