One budget for the view's messages in proxy and model; a field that nothing read goes

MemberLink and model.Budget said the same of the outbox, two places of Entry kept the lowest confirmers, and ViewPlay counted messages that nobody read. Change: peer.MemberBudget serves both, Entry.lowest serves both, the count is gone; behaviour is as it was.

--- a/src/main/java/damsonworks/member/Entry.java
+++ b/src/main/java/damsonworks/member/Entry.java
@@ -91,9 +91,13 @@
         if (both == State.SUSPECT) {
             all.addAll(confirmers);
             all.addAll(other.confirmers);
-            while (all.size() > MOST_CONFIRMERS) {
-                all.pollLast();
-            }
+        }
+        return lowest(all);
+    }
+
+    private static TreeSet<Integer> lowest(TreeSet<Integer> all) {
+        while (all.size() > MOST_CONFIRMERS) {
+            all.pollLast();
         }
         return all;
     }
@@ -107,10 +111,7 @@
     Entry suspectedBy(int instance) {
         TreeSet<Integer> all = new TreeSet<>(confirmers);
         all.add(instance);
-        while (all.size() > MOST_CONFIRMERS) {
-            all.pollLast();
-        }
-        return new Entry(id, incarnation, life, State.SUSPECT, all, zone, version, phase, notes, address);
+        return new Entry(id, incarnation, life, State.SUSPECT, lowest(all), zone, version, phase, notes, address);
     }
 
     /** The same alive in another incarnation. */
--- a/src/main/java/damsonworks/model/ViewPlay.java
+++ b/src/main/java/damsonworks/model/ViewPlay.java
@@ -6,6 +6,8 @@
 import damsonworks.member.Phase;
 import damsonworks.member.Send;
 import damsonworks.member.State;
+import damsonworks.peer.Envelope;
+import damsonworks.peer.MemberBudget;
 import damsonworks.peer.Outbox;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -34,7 +36,6 @@
         long life;
         double stoppedUntilMs;
         long bytes;
-        long messages;
         /** Events of an earlier wait are void. */
         long waits;
         private final List<Runnable> missed = new ArrayList<>();
@@ -46,7 +47,7 @@
         void start(long remembered) {
             life++;
             outbox = new Outbox(BYTES_PER_SECOND, BURST);
-            members = new Membership(settings, id, id % ZONES, new byte[0], remembered, random.nextLong(), new Budget(outbox));
+            members = new Membership(settings, id, id % ZONES, new byte[0], remembered, random.nextLong(), new MemberBudget(outbox));
             members.phase(Phase.SERVING);
             go();
         }
@@ -55,8 +56,7 @@
             long mine = ++waits;
             members.tick(time.now());
             for (Send s : members.outgoing()) {
-                bytes += Budget.bytes(s.body().length);
-                messages++;
+                bytes += Envelope.bytes(s.body().length);
                 post(id, s.to(), s.body());
             }
             watch(this);
--- a/src/main/java/damsonworks/proxy/MemberLink.java
+++ b/src/main/java/damsonworks/proxy/MemberLink.java
@@ -7,12 +7,11 @@
 import damsonworks.member.Phase;
 import damsonworks.member.Send;
 import damsonworks.member.View;
-import damsonworks.peer.Envelope;
-import damsonworks.peer.Outbox;
+import damsonworks.peer.MemberBudget;
 import java.util.function.Consumer;
 
 /** Carries out what {@link Membership} decides: its messages and its times. On the event loop only. */
-final class MemberLink implements Membership.Allowance {
+final class MemberLink {
     private final Dispatcher dispatcher;
     private final PeerSocket peers;
     private final Membership members;
@@ -27,21 +26,11 @@
         this.peers = peers;
         this.advised = advised;
         members = new Membership(MemberSettings.of(settings.instances()), settings.me(), settings.zone(), new byte[0], 0,
-                settings.ownSeed(seed), this);
+                settings.ownSeed(seed), new MemberBudget(peers.outbox()));
         members.phase(Phase.SERVING);
         run();
     }
 
-    @Override
-    public boolean take(double nowMs, int bytes, Send.Urgency urgency) {
-        return peers.outbox().admits(nowMs, Envelope.bytes(bytes), Outbox.Level.values()[urgency.ordinal()]);
-    }
-
-    @Override
-    public int spare(double nowMs) {
-        return peers.outbox().spare(nowMs);
-    }
-
     void heard(int peer, byte[] body) {
         members.heard(now(), peer, body);
         run();
