A connection to a node is let go of after a long answer's end, not before it

Reply.end wrote the answer's last two bytes while it was still that answer's source; where the client had no room, regulate() held the node's connection again, just after UpstreamConnection.ended had let go of it, and set the source to null.

Change: ended() lets go after the end has been passed on, when the connection belongs to nobody; Reply.end gives its source up first. Lines at fault: UpstreamConnection.ended (hold(false) before dispatcher.end), Reply.end.

--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -330,10 +330,9 @@
 
         @Override
         public void end() {
-            part(MetaCodec.text(ctx.alloc(), "\r\n"));
+            source = null; // first, or what is written now holds the connection that the next answer is to come on
             whole = true;
-            source = null;
-            flushAnswers();
+            part(MetaCodec.text(ctx.alloc(), "\r\n"));
         }
 
         /** Only the connection's end tells the client that the value is not whole. */
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -214,6 +214,11 @@
         return peers.address();
     }
 
+    /** For tests, on the event loop only. */
+    Dispatcher core() {
+        return dispatcher;
+    }
+
     ByteBudget values() {
         return dispatcher.values();
     }
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -201,7 +201,6 @@
         if (attempts.isEmpty()) {
             idleSinceMs = upstream.dispatcher().now();
         }
-        hold(false);
         boolean first = !answered;
         answered = true;
         if (first && outcome == Outcome.FULL && !upstream.origin) {
@@ -210,6 +209,8 @@
         } else {
             upstream.dispatcher().end(attempt, outcome, note, report, answer);
         }
+        // After the end, which may find no room at its client: between two answers nobody is there to let go of it.
+        hold(false);
         if (attempts.isEmpty() && retired) {
             close();
         }
--- a/src/test/java/damsonworks/proxy/StreamTest.java
+++ b/src/test/java/damsonworks/proxy/StreamTest.java
@@ -2,11 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import damsonworks.route.Routing;
+import io.netty.buffer.ByteBuf;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Random;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.stream.Stream;
@@ -64,6 +68,84 @@
         }
     }
 
+    /** Takes a long answer, and has no room left as its end comes. */
+    private static final class Full implements Sink {
+        private final CompletableFuture<String> ended = new CompletableFuture<>();
+        private Flow flow;
+
+        @Override
+        public void begin(int length, Flow from) {
+            flow = from;
+        }
+
+        @Override
+        public void part(ByteBuf part) {
+            part.release();
+        }
+
+        @Override
+        public void end() {
+            flow.hold(true);
+            ended.complete("whole");
+        }
+
+        @Override
+        public void answer(Answer answer) {
+            answer.release();
+            ended.complete("short");
+        }
+
+        @Override
+        public void refused(double retryAfterMs) {
+            ended.complete("refused");
+        }
+
+        @Override
+        public void failed() {
+            ended.complete("failed");
+        }
+
+        @Override
+        public void rejected(String why) {
+            ended.complete(why);
+        }
+
+        @Override
+        public void breakOff() {
+            ended.complete("broken off");
+        }
+    }
+
+    /**
+     * Seen: a connection to a node was held as the client had no room for an answer's end, and nobody let go of it again. What
+     * stood behind that answer never came, and ten seconds later its client's connection was ended.
+     */
+    @Test
+    void whatStandsBehindALongAnswerComesThoughItsClientHadNoRoomForItsEnd() throws Exception {
+        Semaphore next = new Semaphore(0);
+        FakeServer node = new FakeServer(c -> {
+            for (String line; (line = c.command()) != null;) {
+                next.acquire(); // nothing of an answer comes with the end of the one before
+                head(c, line);
+                c.out.write(VALUE);
+                c.say("\r\n");
+            }
+        });
+        try (Fleet fleet = new Fleet().node(node).set("balancers", "60").start()) { // one connection to a node
+            for (int i = 0; i < 3; i++) {
+                Full client = new Full();
+                Exchange.Command read = new Exchange.Command(Routing.META, "7f3a", "" + i, false, new Exchange.Terms("text",
+                        null, 20_000, Double.NaN, 0, false), "c=text,d=20000", "mg 7f3a v O" + i + " Pc=text,d=", "");
+                fleet.on(() -> {
+                    fleet.proxy.core().take(new Exchange(client, read));
+                    return null;
+                });
+                next.release();
+                assertThat(client.ended.get(15, TimeUnit.SECONDS)).as("answer %d", i).isEqualTo("whole");
+            }
+        }
+    }
+
     @Test
     void aLongValueOfTheOriginPassesWhole() throws Exception {
         FakeServer origin = new FakeServer(c -> {
