--- a/src/main/java/damsonworks/Main.java
+++ b/src/main/java/damsonworks/Main.java
@@ -45,6 +45,7 @@
         String edge = null;
         long figuresMs = 0;
         boolean view = false;
+        boolean zones = false;
         for (int i = 1; i < args.length; i += 2) {
             String value = i + 1 < args.length ? args[i + 1] : "";
             if (args[i].equals("--control") && control == null && !value.isEmpty()) {
@@ -55,14 +56,17 @@
                 figuresMs = 1000 * Long.parseLong(value.substring(0, value.length() - 1));
             } else if (args[i].equals("--view") && value.matches("on|off")) {
                 view = value.equals("on");
+            } else if (args[i].equals("--zones") && value.matches("on|off")) {
+                zones = value.equals("on");
             } else {
-                System.err.println("usage: serve [--edge FILE] [--control PATH] [--figures SECONDSs] [--view on|off]");
+                System.err.println("usage: serve [--edge FILE] [--control PATH] [--figures SECONDSs] [--view on|off] "
+                        + "[--zones on|off]");
                 System.exit(2);
             }
         }
         Proxy proxy = edge == null ? Proxy.main() : Proxy.main(new EdgeFile(Path.of(edge)));
-        if (view) {
-            proxy.keepView();
+        if (view || zones) {
+            proxy.keepView(zones);
         }
         if (figuresMs > 0) {
             proxy.logFigures(figuresMs);
--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -58,8 +58,10 @@
     private boolean asking;
     private int watchFailures;
 
-    /** What this instance has seen of the way to the servers of one zone. */
+    /** What this instance has seen of the way to one zone's servers, and how far the fleet has it open. */
     private static final class Way {
+        double open = 1;
+        boolean tries;
         /** Servers in a row that became suspect, with no answer from any other in between. */
         int silent;
         double closedUntil;
@@ -353,6 +355,24 @@
         }
     }
 
+    /** What the fleet finds of a zone goes before what this instance has seen there. */
+    @Override
+    public void onZones(double now, List<ZoneOrder> orders, Actions out) {
+        for (ZoneOrder o : orders) {
+            Way w = ways.computeIfAbsent(o.zone(), z -> new Way());
+            w.open = o.open();
+            w.tries = o.open() < 1 && (w.tries || o.tries());
+            if (o.afresh()) {
+                w.answered();
+                servers.values().stream().filter(s -> s.member.zone() == o.zone()).forEach(s -> {
+                    s.failures = s.doubts = 0;
+                    s.shunnedUntil = 0;
+                    s.trial = false;
+                });
+            }
+        }
+    }
+
     // ---- the list
 
     @Override
@@ -570,6 +590,7 @@
         if (f.done || f.streaming || f.ended[a] || s == origin) {
             return;
         }
+        out.saw(s.id, Evidence.SILENT);
         if (cfg.secondCopies() || ++s.doubts > 1) {
             silent(now, s);
         }
@@ -627,9 +648,15 @@
     /**
      * A peer has found no place at a server. Who has a place of its own there keeps to it, so a peer that is
      * wrong costs no more than that: until the time is over, the runner-up has what had no place here anyway.
+     * Where several have found one silent, it is left alone here too, unless it has answered just now.
      */
     @Override
     public void onPeer(double now, int peer, byte[] message, Actions out) {
+        Server b = servers.get(PeerMessage.badServer(message));
+        if (b != null && b != origin && b.failures == 0
+                && now - b.answeredAt > SHUN_CONNECTS * cfg.connectTimeoutMs()) {
+            suspect(now, b);
+        }
         Server s = servers.get(PeerMessage.fullServer(message));
         if (s != null && s != origin && now - s.answeredAt > HELD_CONNECTS * cfg.connectTimeoutMs()) {
             leave(now, s, 1);
@@ -703,10 +730,11 @@
             if (tried(f, s) && s != f.missedAt) {
                 continue;
             }
-            if (untried == null && !cold(now, s)) {
+            boolean left = left(f, s);
+            if (untried == null && !left && !cold(now, s)) {
                 untried = s;
             }
-            if (open(now, f, s, out)) {
+            if (left ? tries(now, f, s) : open(now, f, s, out)) {
                 return s;
             }
         }
@@ -722,6 +750,25 @@
         return false;
     }
 
+    /**
+     * The draft's member that can't be contacted: where the fleet has left a zone for a part of its keys, the
+     * same at all instances, these go to their runner-up. No other key moves.
+     */
+    private boolean left(Flight f, Server s) {
+        double open = way(s).open;
+        return open < 1 && Carp.lot(f.keyHash, Carp.memberHash(s.member.zone())) >= open;
+    }
+
+    /** Few instances try a zone that is left, on the fleet's order; each of all would else, and at once. */
+    private boolean tries(double now, Flight f, Server s) {
+        Way w = way(s);
+        if (!w.tries || !f.safe || f.attempts > 0 || now < s.noPlaceUntil || !warmEnough(now, f, s)) {
+            return false;
+        }
+        w.tries = false;
+        return true;
+    }
+
     private boolean open(double now, Flight f, Server s, Actions out) {
         if (now < s.noPlaceUntil) {
             return false;
@@ -885,6 +932,10 @@
                 s.noPlaceUntil = 0;
                 if (s != origin) {
                     way(s).answered();
+                    out.saw(s.id, end.outcome() == Outcome.MISS ? Evidence.MISSED : Evidence.ANSWERED);
+                } else {
+                    boolean inTime = end.outcome() == Outcome.OK && now <= f.arrivedMs + f.kind.aimMs();
+                    out.saw(s.id, inTime ? Evidence.ANSWERED : Evidence.SILENT);
                 }
                 if (s != origin && end.outcome() == Outcome.FULL && end.attempt() > 0) {
                     crowd.asked(now);
@@ -921,6 +972,9 @@
                     if (end.outcome() == Outcome.TIMEOUT && s.failures <= (shared ? 1 : 0)) {
                         crowd.asked(now);
                     }
+                    if (end.outcome() != Outcome.TIMEOUT) { // that was seen when it was overdue
+                        out.saw(s.id, Evidence.SILENT);
+                    }
                     if (end.outcome() != Outcome.RESET) {
                         silent(now, s);
                     } else if (s.failures > 0 || ++s.doubts > 1) {
--- a/src/main/java/damsonworks/RoutingApi.java
+++ b/src/main/java/damsonworks/RoutingApi.java
@@ -87,6 +87,16 @@
     record Experience(double fetchMs, double paceMs, double paceDeviationMs, double usualCost, Load origin,
             Load crowd, double asked, List<Hot> hot, List<Seen> servers) { }
 
+    /** What the module has met at a server: an answer in time, one that says that it lacks the key, or none in time. */
+    enum Evidence { ANSWERED, MISSED, SILENT }
+
+    /**
+     * How far the fleet has a zone open: a server of it can be contacted for keys whose lot, the same at all instances, lies
+     * under {@code open}, 0 to 1. {@code tries}: one request may try it all the same. {@code afresh}: what has been seen of its
+     * servers is of the past.
+     */
+    record ZoneOrder(int zone, double open, boolean tries, boolean afresh) { }
+
     /** Where the module's orders go. They are carried out in order, at the time of the event. */
     interface Actions {
         void place(int request, int server, double timeoutMs);
@@ -119,6 +129,9 @@
 
         /** A line for the operators. */
         void log(String line);
+
+        /** Told of what the module has met, for those who judge zones and nodes by it. Of the origin: in time or not. */
+        default void saw(int server, Evidence what) { }
     }
 
     /**
@@ -159,4 +172,7 @@
 
     /** A message of another instance. */
     void onPeer(double now, int peer, byte[] message, Actions out);
+
+    /** The fleet has zones open so far from now on; of others nothing changes. */
+    void onZones(double now, List<ZoneOrder> orders, Actions out);
 }
--- a/src/main/java/damsonworks/cli/Cli.java
+++ b/src/main/java/damsonworks/cli/Cli.java
@@ -12,11 +12,11 @@
         description = "A proxy in front of caching nodes and one slow origin, and the tools to see it work.",
         subcommands = {DemoCommand.class, FleetCommand.class, LoadCommand.class, StatusCommand.class,
             DrainCommand.class, ConfigCommand.class, FiguresCommand.class, QuotaCommand.class,
-            ModelCommand.class, LabCommand.class},
+            ModelCommand.class, LabCommand.class, ZoneCommand.class},
         footerHeading = "%nWithout options, and set by the environment (see README):%n",
         footer = {
             "  serve   one proxy, configured by the file that BALANCER_CONFIG names",
-            "          [--edge FILE] [--control PATH] [--figures 5s] [--view on]",
+            "          [--edge FILE] [--control PATH] [--figures 5s] [--view on] [--zones on]",
             "  drill   the decision module on the simulator's wire, on standard input and output",
             "  train   starts a proxy and ends it, so that a build can archive its classes", "",
             "Examples:",
--- a/src/main/java/damsonworks/cli/ModelCommand.java
+++ b/src/main/java/damsonworks/cli/ModelCommand.java
@@ -22,7 +22,7 @@
 
 /** {@code model}: days of a whole fleet in virtual time. */
 @Command(name = "model", mixinStandardHelpOptions = true, sortOptions = false,
-        subcommands = {ModelViewCommand.class, ModelCheckCommand.class},
+        subcommands = {ModelViewCommand.class, ModelZonesCommand.class, ModelCheckCommand.class},
         description = {"Plays a day of a whole fleet in virtual time, with the real decision modules, and holds what they do "
                 + "against the four rules. The same seed gives the same run.",
             "Exit codes: 0 all rules kept, 1 a rule broken, 2 wrong use."},
@@ -57,6 +57,9 @@
             description = "How long a day lasts, such as 45m (default: the day's own).")
     private Duration length;
 
+    @Option(names = "--leave-zones", description = "The proxies keep a view of each other, and leave zones by it as a fleet.")
+    private boolean leaves;
+
     @Option(names = "--json", paramLabel = "FILE", description = "All figures, second by second.")
     private Path json;
 
@@ -79,7 +82,7 @@
                     final Day what = d;
                     final long drawn = s;
                 })).parallel().map(w -> PlayReport.of(w.what, FleetDraw.of(instances, nodes, w.drawn),
-                        length == null ? w.what.seconds() : length.seconds())).toList();
+                        length == null ? w.what.seconds() : length.seconds(), leaves)).toList();
         PrintWriter out = spec.commandLine().getOut();
         if (reports.size() == 1) {
             out.print(reports.get(0).text());
--- a/src/main/java/damsonworks/control/ProxyControl.java
+++ b/src/main/java/damsonworks/control/ProxyControl.java
@@ -65,6 +65,7 @@
         registry.figures(() -> figures(proxy.status()));
         registry.section("view", () -> view(proxy.fleetView()));
         registry.command("view", arguments -> members(proxy.fleetView()));
+        ZoneCall.register(registry, proxy::zones);
         return registry;
     }
 
--- a/src/main/java/damsonworks/demo/ProxiedFleet.java
+++ b/src/main/java/damsonworks/demo/ProxiedFleet.java
@@ -6,6 +6,7 @@
 import damsonworks.fleet.Fault;
 import damsonworks.fleet.FleetSpec;
 import damsonworks.fleet.FrontLayer;
+import damsonworks.fleet.Layout;
 import damsonworks.fleet.LinkFault;
 import damsonworks.fleet.Sockets;
 import damsonworks.fleet.StandInFleet;
@@ -67,7 +68,7 @@
         fleet = new StandInFleet(spec);
         try {
             for (int i = 0; i < spec.proxies(); i++) {
-                proxies.add(new ProxyProcess("proxy-" + i, fleet.host(i), folder, edge, spec.layout().view()));
+                proxies.add(new ProxyProcess("proxy-" + i, fleet.host(i), folder, edge, options(spec.layout())));
                 write(i);
                 proxies.get(i).start();
             }
@@ -83,6 +84,10 @@
         front = new FrontLayer(frontGroup.next(), proxies.stream().map(ProxyProcess::listen).toList(), spec.noticeMs());
     }
 
+    private static List<String> options(Layout layout) {
+        return layout.leaves() ? List.of("--zones", "on") : layout.view() ? List.of("--view", "on") : List.of();
+    }
+
     private static ScheduledThreadPoolExecutor executor(String name) {
         return new ScheduledThreadPoolExecutor(1, r -> {
             Thread thread = new Thread(r, name);
--- a/src/main/java/damsonworks/demo/ProxyProcess.java
+++ b/src/main/java/damsonworks/demo/ProxyProcess.java
@@ -26,7 +26,7 @@
     private final Path config;
     private final InetSocketAddress listen;
     private final Path edge;
-    private final boolean view;
+    private final List<String> options;
     private volatile Process process;
     private volatile boolean ended;
     /** Whether the process that runs has been told to end, or has been killed. */
@@ -36,12 +36,12 @@
     /** Where the process that was started last is asked for its health, or null where nobody asks. */
     private InetSocketAddress door;
 
-    /** Nothing is started yet; the address is free at the moment. {@code edge}: its file of routes, or null; {@code view}: keeps one. */
-    ProxyProcess(String name, InetAddress host, Path parent, Path edge, boolean view) throws IOException {
+    /** Nothing is started yet; the address is free at the moment. {@code edge}: its file of routes, or null; {@code options}: of {@code serve}. */
+    ProxyProcess(String name, InetAddress host, Path parent, Path edge, List<String> options) throws IOException {
         this.name = name;
         this.host = host;
         this.edge = edge;
-        this.view = view;
+        this.options = List.copyOf(options);
         folder = Files.createDirectories(parent.resolve(name));
         config = folder.resolve("config.json");
         listen = free();
@@ -115,9 +115,7 @@
             words.add("-Xshare:auto");
         }
         words.addAll(List.of("-cp", path, "damsonworks.Main", "serve", "--control", control().toString()));
-        if (view) {
-            words.addAll(List.of("--view", "on"));
-        }
+        words.addAll(options);
         if (edge != null) {
             words.addAll(List.of("--edge", edge.toAbsolutePath().toString()));
         }
--- a/src/main/java/damsonworks/demo/ProxyWatch.java
+++ b/src/main/java/damsonworks/demo/ProxyWatch.java
@@ -13,8 +13,11 @@
  * progress ever fell. Used by one thread; what it has seen may be read by any.
  */
 public final class ProxyWatch {
-    /** What a proxy said of the fleet when it was asked last; {@code digest} null while it is away or keeps no view. */
-    public record Sight(String digest, int living, long refutedDeaths) { }
+    /**
+     * What a proxy said of the fleet when it was asked last; {@code digest} null while it is away or keeps no view.
+     * {@code open}: how far each zone is open to it, empty where it decides nothing of zones or hears too little to.
+     */
+    public record Sight(String digest, int living, long refutedDeaths, List<Double> open) { }
 
     /** All proxies' sights at one time, by their numbers; a {@link System#nanoTime()}. */
     public record Look(long nanos, List<Sight> sights) {
@@ -26,7 +29,7 @@
         }
     }
 
-    private static final Sight AWAY = new Sight(null, 0, 0);
+    private static final Sight AWAY = new Sight(null, 0, 0, List.of());
     private static final int MOST_LOOKS = 40_000;
 
     private static final class Seen {
@@ -147,6 +150,14 @@
         s.pid = pid;
         JsonObject view = status.getAsJsonObject("view");
         s.sight = view == null || !view.get("kept").getAsBoolean() ? AWAY : new Sight(view.get("digest").getAsString(),
-                view.get("living").getAsInt(), view.get("refuted_deaths").getAsLong());
+                view.get("living").getAsInt(), view.get("refuted_deaths").getAsLong(), open(status.getAsJsonObject("zones")));
+    }
+
+    private static List<Double> open(JsonObject zones) {
+        List<Double> open = new ArrayList<>();
+        if (zones != null && zones.get("kept").getAsBoolean() && zones.get("quorum").getAsBoolean()) {
+            zones.getAsJsonArray("zones").forEach(z -> open.add(z.getAsJsonObject().get("open").getAsDouble()));
+        }
+        return open;
     }
 }
--- a/src/main/java/damsonworks/fleet/Layout.java
+++ b/src/main/java/damsonworks/fleet/Layout.java
@@ -10,10 +10,11 @@
  * @param betweenMs what the way from one zone to another takes, one way, 0 to 1,000 ms
  * @param peers     whether proxies are told of one another and may send datagrams
  * @param view      whether they keep a view of the fleet by these
+ * @param leaves    whether they leave zones as a fleet, which takes a view
  */
-public record Layout(List<String> zones, double betweenMs, boolean peers, boolean view) {
+public record Layout(List<String> zones, double betweenMs, boolean peers, boolean view, boolean leaves) {
     /** One zone, and proxies that know nothing of each other. */
-    public static final Layout PLAIN = new Layout(List.of("loopback"), 0, false, false);
+    public static final Layout PLAIN = new Layout(List.of("loopback"), 0, false, false, false);
 
     /** Checks the ranges. */
     public Layout {
--- a/src/main/java/damsonworks/lab/LabRun.java
+++ b/src/main/java/damsonworks/lab/LabRun.java
@@ -59,7 +59,7 @@
                     .map(r -> new Series.Row(r.second() - zero, r.proxy(), r.counts(), r.attempts())).toList();
             List<Outcome.Look> looks = fleet.watch().views().stream().map(l -> new Outcome.Look(
                     fleet.fleet().at(l.nanos()) - zeroMs, l.settled(), l.sights().stream().mapToLong(
-                            ProxyWatch.Sight::refutedDeaths).sum())).filter(l -> l.atMs() >= 0).toList();
+                            ProxyWatch.Sight::refutedDeaths).sum(), l.sights().stream().map(ProxyWatch.Sight::open).toList())).filter(l -> l.atMs() >= 0).toList();
             String died = fleet.died();
             if (logs != null) {
                 fleet.keepLogs(logs);
--- a/src/main/java/damsonworks/lab/Outcome.java
+++ b/src/main/java/damsonworks/lab/Outcome.java
@@ -19,8 +19,11 @@
  */
 public record Outcome(Scenario scenario, long seed, Report report, Oracle.Verdict verdict, List<Series.Row> rows,
         List<Look> looks, String died) {
-    /** What all proxies said of the fleet at one time. */
-    public record Look(double atMs, boolean settled, long refutedDeaths) { }
+    /**
+     * What all proxies said of the fleet at one time. {@code open}: for each proxy how far each zone is open to it, empty for
+     * one that is away, decides nothing of zones or hears too little of the fleet.
+     */
+    public record Look(double atMs, boolean settled, long refutedDeaths, List<List<Double>> open) { }
 
     /** Longer pauses of the lab's own process make an answer late by themselves: half of what the rules give one. */
     static final double PAUSE_PART = 0.5;
--- a/src/main/java/damsonworks/lab/ScenarioFile.java
+++ b/src/main/java/damsonworks/lab/ScenarioFile.java
@@ -66,6 +66,7 @@
                 .optional("warm-up", Type.duration("0ms", "10m"), "9s", "how long a node that was started is cold")
                 .optional("peers", Type.flag(), "on", "whether proxies are told of one another")
                 .optional("view", Type.flag(), "off", "whether they keep a view of the fleet")
+                .optional("leave-zones", Type.flag(), "off", "whether they leave zones as a fleet, which takes a view")
                 .optional("rate", Type.rate("1/s", "100000/s"), "200/s", "requests by clients")
                 .optional("keys", Type.count(1, 10_000_000), "20000", "in the key space")
                 .optional("connections", Type.count(1, 10_000), "100", "of clients, at most")
@@ -97,7 +98,18 @@
                 .optional("settled-within", Type.duration("100ms", "10m"), null,
                         "from each fault's end until the proxies' views are one, and true")
                 .optional("false-deaths", Type.count(0, 1_000_000), null,
-                        "how often one that lives may be given up, at most");
+                        "how often one that lives may be given up, at most")
+                .optional("left-within", Type.duration("100ms", "10m"), null,
+                        "from the first fault's begin until all that hear most of the fleet have left a zone")
+                .optional("together-within", Type.duration("100ms", "10m"), null,
+                        "how long those may differ by more than a step")
+                .optional("whole-within", Type.duration("100ms", "10m"), null,
+                        "from the last fault's end until all zones are open at all proxies")
+                .optional("leaves-at-most", Type.count(0, 1000), null, "how often zones are left")
+                .optional("left-attempts-at-most", Type.rate("1/h", "100000/s"), null,
+                        "of all proxies beyond it, at a zone that is left, on average")
+                .optional("fetches-at-most", Type.factor("1", "100"), null,
+                        "in every 2 s after the last fault, by what they were before the first");
         return new Schema().register(fleet).register(fault).register(expect).check(ScenarioFile::check);
     }
 
@@ -230,7 +242,7 @@
                 .withTimes(number(e, "notice", 1500), number(e, "warm-up", 9000), standard.drainGraceMs(),
                         standard.answerGraceMs() * patience)
                 .withLayout(new Layout(zones.isEmpty() ? List.of("a") : zones, number(e, "between", 0),
-                        e == null || e.on("peers"), e != null && e.on("view")));
+                        e == null || e.on("peers"), e != null && e.on("view"), e != null && e.on("leave-zones")));
     }
 
     private List<Expectation> expectations() {
@@ -248,6 +260,24 @@
         if (e != null && e.has("false-deaths")) {
             all.add(new Expectation.FalseDeaths(e.count("false-deaths", 0)));
         }
+        if (e != null && e.has("left-within")) {
+            all.add(new ZoneExpectation.LeftWithin(e.number("left-within", 0)));
+        }
+        if (e != null && e.has("together-within")) {
+            all.add(new ZoneExpectation.TogetherWithin(e.number("together-within", 0)));
+        }
+        if (e != null && e.has("whole-within")) {
+            all.add(new ZoneExpectation.WholeWithin(e.number("whole-within", 0)));
+        }
+        if (e != null && e.has("leaves-at-most")) {
+            all.add(new ZoneExpectation.LeavesAtMost(e.count("leaves-at-most", 0)));
+        }
+        if (e != null && e.has("left-attempts-at-most")) {
+            all.add(new ZoneExpectation.LeftAttemptsAtMost(e.number("left-attempts-at-most", 0) / 3600));
+        }
+        if (e != null && e.has("fetches-at-most")) {
+            all.add(new ZoneExpectation.FetchesAtMost(e.number("fetches-at-most", 1)));
+        }
         return all;
     }
 
--- a/src/main/java/damsonworks/member/Entry.java
+++ b/src/main/java/damsonworks/member/Entry.java
@@ -148,8 +148,8 @@
         return state.lives() ? mix(mix(id * 0x9e3779b97f4a7c15L + incarnation) ^ ((long) life << 34 | version)) : 0;
     }
 
-    /** A thorough mix of 64 bits (Stafford's variant 13). */
-    static long mix(long x) {
+    /** A thorough mix of 64 bits (Stafford's variant 13), by which ranks are drawn that are the same at all. */
+    public static long mix(long x) {
         long z = (x ^ x >>> 30) * 0xbf58476d1ce4e5b9L;
         z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
         return z ^ z >>> 31;
--- /dev/null
+++ b/src/main/java/damsonworks/model/FleetPart.java
@@ -0,0 +1,93 @@
+package damsonworks.model;
+
+import damsonworks.RoutingApi.Evidence;
+import damsonworks.RoutingApi.Member;
+import damsonworks.RoutingApi.Settings;
+import damsonworks.RoutingApi.State;
+import damsonworks.RoutingApi.ZoneOrder;
+import damsonworks.member.MemberSettings;
+import damsonworks.member.Membership;
+import damsonworks.member.Phase;
+import damsonworks.peer.MemberBudget;
+import damsonworks.peer.Outbox;
+import damsonworks.zone.ZoneSettings;
+import damsonworks.zone.Zones;
+import java.util.Arrays;
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Consumer;
+
+/** One life of an instance's part in the view and in leaving zones, as the proxy carries it out: the real decisions. */
+final class FleetPart {
+    private final VirtualTime time;
+    private final Settings settings;
+    private final Membership members;
+    private final Zones zones;
+    private final BiConsumer<Integer, byte[]> post;
+    private final Consumer<List<ZoneOrder>> order;
+    private byte[] plan = {};
+    private byte[] sight = {};
+
+    /** {@code post}: sends a message to an instance; {@code order}: hands orders to the decision module. */
+    FleetPart(Settings settings, long seed, VirtualTime time, BiConsumer<Integer, byte[]> post, Consumer<List<ZoneOrder>> order) {
+        this.settings = settings;
+        this.time = time;
+        this.post = post;
+        this.order = order;
+        members = new Membership(MemberSettings.of(settings.instances()), settings.me(), settings.zone(), new byte[0], 0, seed,
+                new MemberBudget(new Outbox(ViewPlay.BYTES_PER_SECOND, ViewPlay.BURST)));
+        members.phase(Phase.SERVING);
+        zones = new Zones(new ZoneSettings(settings.me(), settings.zone(), settings.zones(), settings.warmUpMs()));
+    }
+
+    /** Does what is due of the view; when to call again. */
+    double view() {
+        members.tick(time.now());
+        members.outgoing().forEach(s -> post.accept(s.to(), s.body()));
+        return members.dueMs();
+    }
+
+    void heard(int from, byte[] body) {
+        members.heard(time.now(), from, body);
+    }
+
+    /** What the list holds now. */
+    void listed(List<Member> listed) {
+        for (int z = 0; z < settings.zones(); z++) {
+            int zone = z;
+            double[] warmAt = listed.stream().filter(m -> m.zone() == zone && m.state() == State.READY
+                    && m.kind() != settings.originKind()).mapToDouble(m -> m.bornMs() == 0 ? 0
+                    : m.bornMs() + settings.warmUpMs()).sorted().toArray();
+            zones.listed(z, warmAt.length, warmAt.length == 0 ? 0 : warmAt[warmAt.length / 2]);
+        }
+    }
+
+    /** Decides what is due of zones; to be called each {@link Zones#TICK_MS}. Whether the view has something new to tell. */
+    boolean decide() {
+        List<ZoneOrder> orders = zones.tick(time.now(), members.view(time.now()));
+        if (!orders.isEmpty()) {
+            order.accept(orders);
+        }
+        byte[] nextPlan = zones.planNote();
+        byte[] nextSight = zones.sightNote();
+        boolean changed = !Arrays.equals(nextPlan, plan) || !Arrays.equals(nextSight, sight);
+        if (changed) {
+            plan = nextPlan;
+            sight = nextSight;
+            members.note(Zones.PLAN_NOTE, plan);
+            members.note(Zones.SIGHT_NOTE, sight);
+        }
+        return changed;
+    }
+
+    /** The decision module has met this at a node of a zone, or at the origin. */
+    void saw(int zone, int server, boolean origin, Evidence what) {
+        if (origin) {
+            zones.origin(time.now(), what == Evidence.ANSWERED);
+        } else if (what == Evidence.SILENT) {
+            zones.silent(time.now(), zone, server);
+        } else {
+            zones.answered(time.now(), zone, what == Evidence.ANSWERED);
+        }
+    }
+}
--- a/src/main/java/damsonworks/model/FleetPlay.java
+++ b/src/main/java/damsonworks/model/FleetPlay.java
@@ -52,6 +52,7 @@
     private final BiFunction<Settings, Long, RoutingApi> modules;
     private final int entries;
     private int nextNode = 1;
+    private boolean leaves;
 
     /** A run with the program's own decision module. */
     public FleetPlay(FleetDraw draw, double seconds) {
@@ -241,19 +242,40 @@
         }
     }
 
+    /** Has the instances keep a view of each other and leave zones by it; before the run. */
+    public FleetPlay leaveZones() {
+        leaves = true;
+        return this;
+    }
+
+    boolean leaves() {
+        return leaves;
+    }
+
+    /** The zone of a node; negative if there is none of this number. */
+    int zoneOf(int node) {
+        NodeModel n = nodes.get(node);
+        return n == null ? -1 : n.zone;
+    }
+
+    /** A datagram from one instance to another; late, or lost. */
+    void post(InstanceModel from, int to, Consumer<InstanceModel> what) {
+        InstanceModel other = instances[to];
+        tally.add(time.now(), Figure.MESSAGES);
+        if (random.nextDouble() >= PEER_LOST) {
+            time.after(PEER_LEAST_MS + (PEER_MOST_MS - PEER_LEAST_MS) * random.nextDouble(), () -> {
+                if (other.hears(from)) {
+                    what.accept(other);
+                }
+            });
+        }
+    }
+
     /** A datagram from one instance to each of the others; late, or lost. */
     void tell(InstanceModel from, Consumer<InstanceModel> what) {
         for (InstanceModel to : instances) {
-            if (to == from) {
-                continue;
-            }
-            tally.add(time.now(), Figure.MESSAGES);
-            if (random.nextDouble() >= PEER_LOST) {
-                time.after(PEER_LEAST_MS + (PEER_MOST_MS - PEER_LEAST_MS) * random.nextDouble(), () -> {
-                    if (to.hears(from)) {
-                        what.accept(to);
-                    }
-                });
+            if (to != from) {
+                post(from, to.number(), what);
             }
         }
     }
--- a/src/main/java/damsonworks/model/InstanceModel.java
+++ b/src/main/java/damsonworks/model/InstanceModel.java
@@ -3,6 +3,7 @@
 import damsonworks.RoutingApi;
 import damsonworks.RoutingApi.AttemptEnd;
 import damsonworks.RoutingApi.Effect;
+import damsonworks.RoutingApi.Evidence;
 import damsonworks.RoutingApi.ListKind;
 import damsonworks.RoutingApi.Member;
 import damsonworks.RoutingApi.Outcome;
@@ -12,6 +13,7 @@
 import damsonworks.model.Rules.Rule;
 import damsonworks.peer.ListNews;
 import damsonworks.peer.ListNews.Order;
+import damsonworks.zone.Zones;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -49,6 +51,10 @@
     private final Map<Integer, Double> wantedNothingMs = new HashMap<>();
     private RoutingApi policy;
     private ListNews news;
+    /** Null where the fleet leaves no zones. */
+    private FleetPart part;
+    /** A wait for the view that was begun before the last is void. */
+    private long viewWaits;
     private List<Member> kept = List.of();
     private long version;
     private int life;
@@ -72,6 +78,10 @@
         return settings.zone();
     }
 
+    int number() {
+        return me;
+    }
+
     /** Whether it takes requests. */
     boolean takes() {
         return up && !draining;
@@ -109,6 +119,51 @@
         }
         wantedNothingMs.clear();
         policy.onList(time.now(), ListKind.CACHED, kept, this);
+        part = !play.leaves() ? null : new FleetPart(settings, random.nextLong(), time,
+                (to, body) -> play.post(this, to, other -> other.heard(me, body)),
+                orders -> policy.onZones(time.now(), orders, this));
+        if (part != null) {
+            part.listed(kept);
+            view();
+            decide();
+        }
+    }
+
+    private void view() {
+        long mine = ++viewWaits;
+        double due = part.view();
+        if (due != Double.POSITIVE_INFINITY) {
+            later(Math.max(1, due - time.now()), () -> {
+                if (viewWaits == mine) {
+                    view();
+                }
+            });
+        }
+    }
+
+    private void decide() {
+        if (part.decide()) {
+            view();
+        }
+        later(Zones.TICK_MS, this::decide);
+    }
+
+    private void heard(int from, byte[] body) {
+        if (part != null) {
+            part.heard(from, body);
+            view();
+        }
+    }
+
+    @Override
+    public void saw(int server, Evidence what) {
+        if (part != null) {
+            boolean origin = server == FleetDraw.ORIGIN;
+            int zone = origin ? 0 : play.zoneOf(server);
+            if (zone >= 0) {
+                part.saw(zone, server, origin, what);
+            }
+        }
     }
 
     /** Ends at once. What it held is for the clients to ask again; its connections are reset. */
@@ -430,6 +485,9 @@
         }
         wantedNothingMs.values().removeIf(at -> time.now() - at > 10 * settings.drainGraceMs());
         policy.onList(time.now(), whole ? ListKind.FULL : ListKind.CHANGES, members, this);
+        if (part != null) {
+            part.listed(play.discovery().known());
+        }
         carryOut(news.held(time.now(), version));
     }
 
--- a/src/main/java/damsonworks/model/PlayReport.java
+++ b/src/main/java/damsonworks/model/PlayReport.java
@@ -23,7 +23,16 @@
 
     /** Plays that day for so many seconds. */
     public static PlayReport of(Day day, FleetDraw draw, double seconds) {
-        FleetPlay p = day.play(draw, seconds).run();
+        return of(day, draw, seconds, false);
+    }
+
+    /** The same by instances that leave zones as a fleet, or don't. */
+    public static PlayReport of(Day day, FleetDraw draw, double seconds, boolean leaves) {
+        FleetPlay p = day.play(draw, seconds);
+        if (leaves) {
+            p.leaveZones();
+        }
+        p.run();
         return new PlayReport(day, draw, p.tally(), p.rules());
     }
 
--- a/src/main/java/damsonworks/model/ViewPlay.java
+++ b/src/main/java/damsonworks/model/ViewPlay.java
@@ -196,6 +196,11 @@
         kill(id);
     }
 
+    /** An instance has something new to say. */
+    public void poke(int id) {
+        instances.get(id).go();
+    }
+
     /** Lets so much time pass. */
     public void pass(double ms) {
         time.passTo(time.now() + ms);
--- /dev/null
+++ b/src/main/java/damsonworks/model/ZonePlay.java
@@ -0,0 +1,286 @@
+package damsonworks.model;
+
+import damsonworks.RoutingApi.ZoneOrder;
+import damsonworks.member.Membership;
+import damsonworks.zone.ZoneSettings;
+import damsonworks.zone.Zones;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.function.IntPredicate;
+
+/**
+ * Instances that leave zones and return to them in virtual time: the real {@code Membership} and {@code Zones}, with traffic
+ * that is drawn. An attempt at a node that is out of reach is found silent; nothing else of a request is played here.
+ */
+public final class ZonePlay {
+    /** Zones of instances and nodes, to which both are dealt in turn. */
+    public static final int ZONES = 4;
+    private static final double STEP_MS = 50;
+    /** What an attempt that is not answered takes to be found silent, at least. */
+    private static final double PATIENCE_MS = 80;
+    private static final double WARM_UP_MS = 9000;
+    private static final double USUAL_HITS = 0.9;
+
+    /** What the instances of the fleet did in a step, for whoever looks on. */
+    public interface Watcher {
+        /** {@code open}: by instance how far each zone is open to it; null for those that are dead. */
+        void looked(double nowMs, double[][] open);
+    }
+
+    private static final class Instance {
+        final int id;
+        Zones zones;
+        Membership members;
+        double[] open;
+        boolean[] tries;
+        double owes;
+        double tickMs;
+        byte[] plan = {};
+        byte[] sight = {};
+        Set<Integer> lies = Set.of();
+
+        Instance(int id) {
+            this.id = id;
+        }
+    }
+
+    private final ViewPlay view;
+    private final SplittableRandom random;
+    private final List<Instance> instances = new ArrayList<>();
+    private final int nodes;
+    private final double rate;
+    private final boolean[] nodeDead;
+    private final double[] nodeColdUntilMs;
+    private final double[] lost = new double[ZONES];
+    private final Set<Integer> cutWays = new HashSet<>();
+    private final Map<Integer, double[]> sent = new HashMap<>();
+    private IntPredicate cutOff = z -> false;
+    private double stallShare;
+    private Watcher watcher = (now, open) -> { };
+
+    /**
+     * A fleet.
+     *
+     * @param many  instances
+     * @param nodes cache nodes
+     * @param rate  requests a second at each instance, on average
+     */
+    public ZonePlay(int many, int nodes, double rate, long seed) {
+        view = new ViewPlay(many, 0, 0, seed);
+        random = new SplittableRandom(seed * 31 + 5);
+        this.nodes = nodes;
+        this.rate = rate;
+        nodeDead = new boolean[nodes];
+        nodeColdUntilMs = new double[nodes];
+        for (int i = 0; i < many; i++) {
+            instances.add(new Instance(i));
+        }
+        pass(5000);
+    }
+
+    /** Who is told of each step. */
+    public void watch(Watcher by) {
+        watcher = by;
+    }
+
+    // ---- what goes wrong
+
+    /** The nodes of a zone die. */
+    public void nodesDie(int zone) {
+        for (int n = zone; n < nodes; n += ZONES) {
+            nodeDead[n] = true;
+        }
+    }
+
+    /** They are back, cold or as they were. */
+    public void nodesReturn(int zone, boolean cold) {
+        for (int n = zone; n < nodes; n += ZONES) {
+            nodeDead[n] = false;
+            nodeColdUntilMs[n] = cold ? now() + WARM_UP_MS : 0;
+        }
+    }
+
+    /** One node dies, or is back. */
+    public void node(int node, boolean dead) {
+        nodeDead[node] = dead;
+    }
+
+    /** Zones are cut off from all others: their instances and nodes hear each other alone. */
+    public void cutOff(IntPredicate zones) {
+        cutOff = zones;
+        view.cut(i -> zones.test(i % ZONES));
+    }
+
+    /** The cut heals. */
+    public void heal() {
+        cutOff = z -> false;
+        view.heal();
+    }
+
+    /** Instances of one zone don't reach the nodes of another, or do again. */
+    public void cutWay(int from, int to, boolean cut) {
+        if (cut) {
+            cutWays.add(from * ZONES + to);
+        } else {
+            cutWays.remove(from * ZONES + to);
+        }
+    }
+
+    /** So much of what a zone is sent is not answered. */
+    public void lose(int zone, double share) {
+        lost[zone] = share;
+    }
+
+    /** So much of what any zone is sent is found overdue. */
+    public void stall(double share) {
+        stallShare = share;
+    }
+
+    /** An instance finds these zones silent, whatever they are. */
+    public void lies(int instance, Set<Integer> zones) {
+        instances.get(instance).lies = zones;
+    }
+
+    /** Its process dies. */
+    public void kill(int instance) {
+        view.kill(instance);
+        instances.get(instance).zones = null;
+    }
+
+    /** It starts and remembers nothing. */
+    public void start(int instance) {
+        view.start(instance, 0);
+    }
+
+    // ---- time
+
+    /** The time, in milliseconds. */
+    public double now() {
+        return view.now();
+    }
+
+    /** Lets so much time pass. */
+    public void pass(double ms) {
+        for (double end = now() + ms; now() < end - 1e-6;) {
+            view.pass(STEP_MS);
+            instances.forEach(this::step);
+            watcher.looked(now(), instances.stream().map(i -> i.zones == null ? null : i.open).toArray(double[][]::new));
+        }
+    }
+
+    private void step(Instance i) {
+        Membership members = view.of(i.id);
+        if (members == null) {
+            return;
+        }
+        if (i.zones == null || i.members != members) {
+            i.members = members;
+            i.zones = new Zones(new ZoneSettings(i.id, i.id % ZONES, ZONES, WARM_UP_MS));
+            i.open = new double[ZONES];
+            Arrays.fill(i.open, 1);
+            i.tries = new boolean[ZONES];
+            i.plan = new byte[0];
+            i.sight = new byte[0];
+            i.tickMs = now() + random.nextDouble() * Zones.TICK_MS;
+        }
+        i.owes += rate * STEP_MS / 1000 * 2 * random.nextDouble();
+        while (i.owes >= 1) {
+            i.owes--;
+            request(i);
+        }
+        if (now() >= i.tickMs) {
+            i.tickMs = now() + Zones.TICK_MS;
+            tick(i);
+        }
+    }
+
+    private void request(Instance i) {
+        int zone = random.nextInt(ZONES);
+        if (random.nextDouble() >= i.open[zone]) {
+            if (i.tries[zone]) {
+                i.tries[zone] = false;
+            } else {
+                int from = random.nextInt(ZONES);
+                for (int k = 0; k < ZONES && i.open[zone] < 1; k++) {
+                    zone = (from + k) % ZONES;
+                }
+            }
+        }
+        int inZone = (nodes - zone + ZONES - 1) / ZONES;
+        int node = zone + ZONES * random.nextInt(inZone);
+        sent.computeIfAbsent(zone, z -> new double[1])[0]++;
+        boolean here = i.id % ZONES == zone;
+        boolean reached = !nodeDead[node] && cutOff.test(i.id % ZONES) == cutOff.test(zone)
+                && !cutWays.contains(i.id % ZONES * ZONES + zone) && (here || random.nextDouble() >= lost[zone]);
+        if (!reached || i.lies.contains(zone) || random.nextDouble() < stallShare) {
+            i.zones.silent(now() + PATIENCE_MS, zone, node);
+        } else {
+            boolean hit = now() >= nodeColdUntilMs[node] && random.nextDouble() < USUAL_HITS;
+            i.zones.answered(now(), zone, hit);
+        }
+    }
+
+    private void tick(Instance i) {
+        for (int z = 0; z < ZONES; z++) {
+            double coldUntil = 0;
+            int ready = 0;
+            for (int n = z; n < nodes; n += ZONES) {
+                ready++;
+                coldUntil = Math.max(coldUntil, nodeColdUntilMs[n]);
+            }
+            i.zones.listed(z, ready, coldUntil);
+        }
+        for (ZoneOrder o : i.zones.tick(now(), i.members.view(now()))) {
+            i.open[o.zone()] = o.open();
+            i.tries[o.zone()] |= o.tries();
+        }
+        byte[] plan = i.zones.planNote();
+        byte[] sight = i.zones.sightNote();
+        if (!Arrays.equals(plan, i.plan) || !Arrays.equals(sight, i.sight)) {
+            i.plan = plan;
+            i.sight = sight;
+            i.members.note(Zones.PLAN_NOTE, plan);
+            i.members.note(Zones.SIGHT_NOTE, sight);
+            view.poke(i.id);
+        }
+    }
+
+    // ---- what is seen
+
+    /** An instance's part in it; null while it is dead. */
+    public Zones of(int instance) {
+        return instances.get(instance).zones;
+    }
+
+    /** How far a zone is open to an instance, 0 to 1. */
+    public double open(int instance, int zone) {
+        return instances.get(instance).open[zone];
+    }
+
+    /** Whether a zone is open that far to all that live and for whose zone this holds. */
+    public boolean all(IntPredicate homes, int zone, double open) {
+        return instances.stream().filter(i -> i.zones != null && homes.test(i.id % ZONES)).allMatch(
+                i -> Math.abs(i.open[zone] - open) < 1e-9);
+    }
+
+    /** Whether a zone is open that far to any that lives. */
+    public boolean any(int zone, double open) {
+        return instances.stream().anyMatch(i -> i.zones != null && Math.abs(i.open[zone] - open) < 1e-9);
+    }
+
+    /** Attempts at a zone's nodes so far, of all instances. */
+    public double sent(int zone) {
+        return sent.getOrDefault(zone, new double[1])[0];
+    }
+
+    /** Bytes sent to peers so far by the instance that sent most. */
+    public double mostBytes() {
+        return view.bytes()[0];
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/model/check/ZoneProtocol.java
@@ -0,0 +1,199 @@
+package damsonworks.model.check;
+
+import damsonworks.zone.Plan;
+import damsonworks.zone.ZoneState;
+import damsonworks.zone.ZoneState.Cause;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.function.BinaryOperator;
+
+/**
+ * Three observers that decide of two zones, over the real {@link Plan}. Any of them may find any zone lost or sound at any time,
+ * or take an operator's order; a message is lost, doubled, or overtakes others; an observer dies and starts again with nothing.
+ * Holds that nobody ever has all zones closed, or less open than the floor; that no epoch goes back at anybody who lives; and
+ * that, once all exchange without loss, they hold one plan.
+ */
+public final class ZoneProtocol implements Protocol<ZoneProtocol.Fleet> {
+    /** How many observe. */
+    public static final int OBSERVERS = 3;
+    /** How many zones there are. */
+    public static final int ZONES = 2;
+    private static final int ROUNDS = OBSERVERS;
+    /** Parts that come back at a step. */
+    private static final int STEP = ZoneState.WHOLE / 3;
+
+    /**
+     * How far it goes.
+     *
+     * @param messages  under way at once
+     * @param decisions in all
+     * @param deaths    in all
+     */
+    public record Bounds(int messages, int decisions, int deaths) { }
+
+    private record Mail(int to, Plan plan) { }
+
+    /** One state of all. */
+    public record Fleet(List<Plan> plans, List<Mail> mail, int decisions, int deaths) { }
+
+    private final Bounds bounds;
+    private final BinaryOperator<Plan> join;
+
+    /** {@code join}: how two plans become one. */
+    public ZoneProtocol(Bounds bounds, BinaryOperator<Plan> join) {
+        this.bounds = bounds;
+        this.join = join;
+    }
+
+    /** As the program has it. */
+    public static ZoneProtocol real(Bounds bounds) {
+        return new ZoneProtocol(bounds, Plan::join);
+    }
+
+    @Override
+    public Fleet initial() {
+        return new Fleet(Collections.nCopies(OBSERVERS, Plan.untouched(ZONES)), List.of(), 0, 0);
+    }
+
+    // ---- moves
+
+    @Override
+    public List<Move<Fleet>> moves(Fleet f) {
+        List<Move<Fleet>> moves = new ArrayList<>();
+        for (int i = 0; i < OBSERVERS; i++) {
+            for (int z = 0; z < ZONES && f.decisions() < bounds.decisions(); z++) {
+                decide(f, i, z, moves);
+            }
+            for (int to = 0; to < OBSERVERS && f.mail().size() < bounds.messages(); to++) {
+                if (to != i) {
+                    List<Mail> mail = new ArrayList<>(f.mail());
+                    mail.add(new Mail(to, f.plans().get(i)));
+                    moves.add(new Move<>(i + " tells " + to + " " + f.plans().get(i), new Fleet(f.plans(), mail, f.decisions(),
+                            f.deaths()), null));
+                }
+            }
+            if (f.deaths() < bounds.deaths()) {
+                moves.add(new Move<>(i + " starts again with nothing", new Fleet(with(f.plans(), i, Plan.untouched(ZONES)),
+                        f.mail(), f.decisions(), f.deaths() + 1), null));
+            }
+        }
+        for (int m = 0; m < f.mail().size(); m++) {
+            deliver(f, m, moves);
+        }
+        return moves;
+    }
+
+    private static List<Plan> with(List<Plan> plans, int at, Plan plan) {
+        List<Plan> all = new ArrayList<>(plans);
+        all.set(at, plan);
+        return all;
+    }
+
+    private static void decide(Fleet f, int i, int z, List<Move<Fleet>> moves) {
+        Plan p = f.plans().get(i);
+        ZoneState s = p.of(z);
+        if (s.cause() == Cause.EVIDENCE) {
+            decided(f, i, z, p.lowered(z, 0, s.leaves() + 1), "finds " + z + " lost", moves);
+            if (s.open() < ZoneState.WHOLE) {
+                decided(f, i, z, s.next(Math.min(ZoneState.WHOLE, s.open() + STEP), Cause.EVIDENCE, s.leaves()),
+                        "finds " + z + " sound", moves);
+            }
+        }
+        if (p.bears(z, 0)) {
+            decided(f, i, z, s.next(0, Cause.LEAVE, s.leaves()), "is told to leave " + z, moves);
+        }
+        decided(f, i, z, s.next(s.open(), Cause.HOLD, s.leaves()), "is told to hold " + z, moves);
+    }
+
+    private static void decided(Fleet f, int i, int z, ZoneState next, String words, List<Move<Fleet>> moves) {
+        if (next != null) {
+            moves.add(new Move<>(i + " " + words, new Fleet(with(f.plans(), i, f.plans().get(i).with(z, next)), f.mail(),
+                    f.decisions() + 1, f.deaths()), null));
+        }
+    }
+
+    private void deliver(Fleet f, int m, List<Move<Fleet>> moves) {
+        Mail mail = f.mail().get(m);
+        List<Mail> rest = new ArrayList<>(f.mail());
+        rest.remove(m);
+        Plan before = f.plans().get(mail.to());
+        Plan after = join.apply(before, mail.plan());
+        String broken = back(before, after) ? "an epoch goes back at " + mail.to() + " from " + before + " to " + after : null;
+        List<Plan> plans = with(f.plans(), mail.to(), after);
+        moves.add(new Move<>("a message to " + mail.to() + " is lost", new Fleet(f.plans(), rest, f.decisions(), f.deaths()), null));
+        moves.add(new Move<>(mail.to() + " hears " + mail.plan(), new Fleet(plans, rest, f.decisions(), f.deaths()), broken));
+        moves.add(new Move<>(mail.to() + " hears " + mail.plan() + ", which comes once more",
+                new Fleet(plans, f.mail(), f.decisions(), f.deaths()), broken));
+    }
+
+    private static boolean back(Plan before, Plan after) {
+        for (int z = 0; z < ZONES; z++) {
+            if (after.of(z).epoch() < before.of(z).epoch()) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    // ---- what must hold
+
+    @Override
+    public String broken(Fleet f) {
+        for (int i = 0; i < OBSERVERS; i++) {
+            String closed = closed(f.plans().get(i), i);
+            if (closed != null) {
+                return closed;
+            }
+        }
+        List<Plan> all = new ArrayList<>(f.plans());
+        for (int round = 0; round < ROUNDS; round++) {
+            for (int i = 0; i < OBSERVERS; i++) {
+                for (int to = 0; to < OBSERVERS; to++) {
+                    all.set(to, join.apply(all.get(to), all.get(i)));
+                }
+            }
+        }
+        for (int i = 1; i < OBSERVERS; i++) {
+            if (!all.get(i).equals(all.get(0))) {
+                return "0 and " + i + " exchange without loss and hold " + all.get(0) + " and " + all.get(i);
+            }
+        }
+        return closed(all.get(0), 0);
+    }
+
+    private static String closed(Plan p, int who) {
+        int sum = 0;
+        for (int z = 0; z < ZONES; z++) {
+            sum += p.open(z);
+        }
+        return 3 * sum >= ZONES * ZoneState.WHOLE ? null : who + " has less than a third open by " + p;
+    }
+
+    /** Observers are alike but for their names. */
+    @Override
+    public String key(Fleet f) {
+        int[][] orders = {{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}};
+        String least = null;
+        for (int[] names : orders) {
+            String[] plans = new String[OBSERVERS];
+            for (int i = 0; i < OBSERVERS; i++) {
+                plans[names[i]] = text(f.plans().get(i));
+            }
+            List<String> mail = new ArrayList<>();
+            f.mail().forEach(m -> mail.add(names[m.to()] + "<" + text(m.plan())));
+            mail.sort(null);
+            String key = Arrays.toString(plans) + mail + f.decisions() + '.' + f.deaths();
+            least = least == null || key.compareTo(least) < 0 ? key : least;
+        }
+        return least;
+    }
+
+    private static String text(Plan p) {
+        StringBuilder s = new StringBuilder();
+        p.zones().forEach(z -> s.append(z.epoch()).append('/').append(z.open()).append(z.cause().ordinal()).append(z.leaves())
+                .append(' '));
+        return s.toString();
+    }
+}
--- a/src/main/java/damsonworks/peer/PeerMessage.java
+++ b/src/main/java/damsonworks/peer/PeerMessage.java
@@ -7,7 +7,9 @@
     private static final byte LIST = 'L';
     private static final int LIST_BYTES = 1 + Long.BYTES;
     private static final byte FULL = 'F';
-    private static final int FULL_BYTES = 1 + Integer.BYTES;
+    private static final int SERVER_BYTES = 1 + Integer.BYTES;
+
+    private static final byte BAD = 'B';
 
     private PeerMessage() { }
 
@@ -18,12 +20,30 @@
 
     /** The sender found no place for a connection at this server. */
     public static byte[] full(int server) {
-        return ByteBuffer.allocate(FULL_BYTES).put(FULL).putInt(server).array();
+        return ofServer(FULL, server);
+    }
+
+    /** The sender got no answer from this server. */
+    public static byte[] bad(int server) {
+        return ofServer(BAD, server);
+    }
+
+    private static byte[] ofServer(byte kind, int server) {
+        return ByteBuffer.allocate(SERVER_BYTES).put(kind).putInt(server).array();
     }
 
     /** The server of a message about places; null if it is none, or none that can be read. */
     public static Integer fullServer(byte[] message) {
-        return message.length == FULL_BYTES && message[0] == FULL ? ByteBuffer.wrap(message).getInt(1) : null;
+        return server(FULL, message);
+    }
+
+    /** The server of a message about silence; null if it is none, or none that can be read. */
+    public static Integer badServer(byte[] message) {
+        return server(BAD, message);
+    }
+
+    private static Integer server(byte kind, byte[] message) {
+        return message.length == SERVER_BYTES && message[0] == kind ? ByteBuffer.wrap(message).getInt(1) : null;
     }
 
     /** The version of a message about the list; negative if it is none, or none that can be read. */
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -5,6 +5,7 @@
 import damsonworks.RoutingApi.Actions;
 import damsonworks.RoutingApi.AttemptEnd;
 import damsonworks.RoutingApi.Effect;
+import damsonworks.RoutingApi.Evidence;
 import damsonworks.RoutingApi.Experience;
 import damsonworks.RoutingApi.ListKind;
 import damsonworks.RoutingApi.Outcome;
@@ -12,6 +13,7 @@
 import damsonworks.RoutingApi.Request;
 import damsonworks.RoutingApi.ServiceClass;
 import damsonworks.RoutingApi.Settings;
+import damsonworks.RoutingApi.ZoneOrder;
 import damsonworks.drain.Drain;
 import damsonworks.flow.ByteBudget;
 import damsonworks.figures.Work;
@@ -81,6 +83,8 @@
     private PeerSocket peers;
     private PeerNews news;
     private MemberLink members;
+    private NodeTalk nodes;
+    private ZoneLink zones;
     private ClientListener listener;
     private Future<?> sweeper;
     private boolean busy;
@@ -240,7 +244,6 @@
         drainTold = told;
     }
 
-    /** Requests that have had no final answer. */
     /** When it was made, on the clock of {@link #now}. */
     double startedMs() {
         return startedMs;
@@ -251,6 +254,7 @@
         return firstServedMs;
     }
 
+    /** Requests that have had no final answer. */
     int owed() {
         return open.size();
     }
@@ -354,6 +358,9 @@
             }
             module.onList(now(), kind, hosts.stream().map(Host::member).toList(), this);
         });
+        if (zones != null) {
+            zones.listed();
+        }
     }
 
     @Override
@@ -375,9 +382,20 @@
         }
     }
 
-    /** Who takes part in the fleet's view by this proxy; null: nobody. */
-    void members(MemberLink by) {
+    /** Who takes part in the fleet's view by this proxy, and what it tells of nodes. */
+    void members(MemberLink by, NodeTalk talk) {
         members = by;
+        nodes = talk;
+    }
+
+    /** Who leaves zones with the fleet. */
+    void zones(ZoneLink by) {
+        zones = by;
+    }
+
+    /** What the fleet has decided of zones. */
+    void order(List<ZoneOrder> orders) {
+        tell(() -> module.onZones(now(), orders, this));
     }
 
     void heard(int peer, PeerSocket.Kind kind, byte[] message) {
@@ -393,6 +411,11 @@
                     members.heard(peer, message);
                 }
             }
+            case NODES -> {
+                if (nodes != null) {
+                    nodes.heard(peer, message);
+                }
+            }
         }
     }
 
@@ -690,6 +713,16 @@
         discovery.fetch();
     }
 
+    @Override
+    public void saw(int server, Evidence what) {
+        if (nodes != null) {
+            nodes.saw(server, what);
+        }
+        if (zones != null) {
+            zones.saw(server, what);
+        }
+    }
+
     /** A connection ends by this. That its other side has ended it is ordinary; anything else is told. */
     void ended(Throwable cause) {
         if (!(cause instanceof IOException)) {
--- a/src/main/java/damsonworks/proxy/MemberLink.java
+++ b/src/main/java/damsonworks/proxy/MemberLink.java
@@ -36,6 +36,12 @@
         run();
     }
 
+    /** What one part of the program publishes by this proxy. */
+    void note(int part, byte[] bytes) {
+        members.note(part, bytes);
+        run();
+    }
+
     void phase(Phase phase) {
         members.phase(phase);
         run();
--- a/src/main/java/damsonworks/proxy/PeerSocket.java
+++ b/src/main/java/damsonworks/proxy/PeerSocket.java
@@ -35,7 +35,9 @@
         /** What the decision module tells. */
         MODULE,
         /** Who lives. */
-        MEMBERS;
+        MEMBERS,
+        /** Which nodes were found silent. */
+        NODES;
 
         /** The version of all forms so far. */
         static final int VERSION = 0;
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -55,6 +55,8 @@
     private volatile Runnable whenEnded = () -> { };
     /** Null where this proxy takes no part in the fleet's view. On the event loop only. */
     private MemberLink members;
+    /** Null where it decides nothing of zones. On the event loop only. */
+    private ZoneLink zones;
 
     private Proxy(Config config, Edge edge, boolean warm, Path shared) throws InterruptedException, IOException {
         this.config = config;
@@ -225,16 +227,28 @@
 
     // ---- the view of the fleet
 
-    /** Takes part in the view that the fleet keeps of itself, where the settings allow peers to talk. */
-    public void keepView() {
+    /**
+     * Takes part in the view that the fleet keeps of itself, where the settings allow peers to talk. {@code leaves}: and in
+     * what it decides of zones.
+     */
+    public void keepView(boolean leaves) {
         loop.execute(() -> {
             if (config.settings().peers()) {
                 members = new MemberLink(dispatcher, peers, config.settings(), config.seed(), dispatcher::among);
-                dispatcher.members(members);
+                dispatcher.members(members, new NodeTalk(dispatcher, peers, members));
+                if (leaves) {
+                    zones = new ZoneLink(dispatcher, members, config.settings(), config.zones());
+                    dispatcher.zones(zones);
+                }
             }
         });
     }
 
+    /** What the fleet has decided of zones; null if this proxy takes no part in that. On the event loop only. */
+    public FleetZones zones() {
+        return zones == null ? null : new FleetZones(zones);
+    }
+
     /** What is seen of the fleet; null if this proxy takes no part in that. On the event loop only. */
     public FleetView fleetView() {
         return members == null ? null : new FleetView(members.view(), members.unreadable(), members.deathsRefuted(),
--- a/src/main/java/damsonworks/proxy/Servers.java
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -66,6 +66,8 @@
             }
             u.dial = h.dial();
             u.bornMs = h.member().bornMs();
+            u.zone = h.member().zone();
+            u.ready = h.member().state() == State.READY;
         }
         if (kind == ListKind.FULL || kind == ListKind.CACHED) {
             Set<Integer> named = new HashSet<>();
@@ -187,6 +189,17 @@
                         dispatcher.avoids(u.id))).toList();
     }
 
+    /** The cache nodes of a zone. */
+    int inZone(int zone) {
+        return (int) cacheNodes().filter(u -> u.zone == zone).count();
+    }
+
+    /** When each of a zone's cache nodes that may be sent requests is warm, in order, in milliseconds. */
+    List<Double> warmAt(int zone, double warmUpMs) {
+        return cacheNodes().filter(u -> u.zone == zone && u.ready).map(u -> u.bornMs == 0 ? 0 : u.bornMs + warmUpMs).sorted()
+                .toList();
+    }
+
     private Stream<Upstream> cacheNodes() {
         return servers.values().stream().filter(u -> !u.origin);
     }
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -21,6 +21,8 @@
     final boolean origin;
     SocketAddress dial;
     double bornMs;
+    int zone;
+    boolean ready;
     /** When something was last put on a connection to it. */
     private double sentMs = Double.NEGATIVE_INFINITY;
     private double noMoreUntilMs;
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/ZoneLink.java
@@ -0,0 +1,118 @@
+package damsonworks.proxy;
+
+import damsonworks.RoutingApi.Evidence;
+import damsonworks.RoutingApi.Settings;
+import damsonworks.RoutingApi.ZoneOrder;
+import damsonworks.zone.ZoneSettings;
+import damsonworks.zone.ZoneState;
+import damsonworks.zone.Zones;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Carries out what {@link Zones} decides: tells it what the decision module saw and what the list holds, passes its orders on,
+ * and has the fleet's view carry its notes. On the event loop only.
+ */
+final class ZoneLink {
+    private final Dispatcher dispatcher;
+    private final MemberLink members;
+    private final ZoneSettings settings;
+    private final Zones zones;
+    private final List<String> names;
+    private byte[] plan = {};
+    private byte[] sight = {};
+
+    /** {@code names}: of the zones, by number. */
+    ZoneLink(Dispatcher dispatcher, MemberLink members, Settings settings, List<String> names) {
+        this.dispatcher = dispatcher;
+        this.members = members;
+        this.names = List.copyOf(names);
+        this.settings = new ZoneSettings(settings.me(), settings.zone(), settings.zones(), settings.warmUpMs());
+        zones = new Zones(this.settings);
+        listed();
+        run();
+    }
+
+    /** The decision module has met this at a server. */
+    void saw(int server, Evidence what) {
+        Upstream u = dispatcher.servers().get(server);
+        if (u == null) {
+            return;
+        }
+        double now = dispatcher.now();
+        if (u.origin) {
+            zones.origin(now, what == Evidence.ANSWERED);
+            return;
+        }
+        switch (what) {
+            case ANSWERED, MISSED -> zones.answered(now, u.zone, what == Evidence.ANSWERED);
+            case SILENT -> zones.silent(now, u.zone, server);
+        }
+    }
+
+    /** There is news of the list. */
+    void listed() {
+        double now = dispatcher.now();
+        for (int z = 0; z < settings.zones(); z++) {
+            List<Double> warm = dispatcher.servers().warmAt(z, settings.warmUpMs());
+            // When half of them are warm; each moved key of the others misses.
+            zones.listed(z, warm.size(), warm.isEmpty() ? now : warm.get(warm.size() / 2));
+        }
+    }
+
+    private void run() {
+        tick();
+        dispatcher.after(Zones.TICK_MS, this::run);
+    }
+
+    /** The view has changed, or an operator has spoken: what follows from it need not wait. */
+    void tick() {
+        List<ZoneOrder> orders = zones.tick(dispatcher.now(), members.view());
+        if (!orders.isEmpty()) {
+            dispatcher.order(orders);
+        }
+        zones.events().forEach(this::tell);
+        byte[] nextPlan = zones.planNote();
+        byte[] nextSight = zones.sightNote();
+        if (!Arrays.equals(nextPlan, plan) || !Arrays.equals(nextSight, sight)) {
+            plan = nextPlan;
+            sight = nextSight;
+            members.note(Zones.PLAN_NOTE, plan);
+            members.note(Zones.SIGHT_NOTE, sight);
+        }
+    }
+
+    /** A line where a zone begins to be left, is closed, begins to be returned to, is whole, or an operator has spoken. */
+    private void tell(Zones.Event e) {
+        boolean step = e.before().cause() == e.now().cause() && e.now().open() > 0 && e.now().open() < ZoneState.WHOLE
+                && e.before().open() > 0 && e.before().open() < ZoneState.WHOLE;
+        if (!step) {
+            dispatcher.log(String.format(Locale.ROOT, "zone %s: %d/%d open, %s, epoch %d (%d/%d before); %s", name(e.zone()),
+                    e.now().open(), ZoneState.WHOLE, e.now().cause().name().toLowerCase(Locale.ROOT), e.now().epoch(),
+                    e.before().open(), ZoneState.WHOLE, e.why()));
+        }
+    }
+
+    Zones zones() {
+        return zones;
+    }
+
+    double now() {
+        return dispatcher.now();
+    }
+
+    /** A zone's name. */
+    String name(int zone) {
+        return zone < names.size() ? names.get(zone) : String.valueOf(zone);
+    }
+
+    /** The number of the zone of this name; an IllegalArgumentException names those that there are. */
+    int number(String name) {
+        int zone = names.indexOf(name);
+        if (zone < 0) {
+            throw new IllegalArgumentException("no zone '" + name + "'; there are: " + String.join(", ", names));
+        }
+        return zone;
+    }
+}
--- a/src/main/java/damsonworks/route/Router.java
+++ b/src/main/java/damsonworks/route/Router.java
@@ -47,6 +47,7 @@
             this.pool = pool;
             name = pool.name();
             module = new Policy(settings, seed);
+            module.onZones(0, List.copyOf(zones.values()), null);
         }
 
         boolean serves() {
@@ -134,6 +135,8 @@
     private final Map<Integer, Journey> journeys = new HashMap<>();
     private final Map<Integer, Due> timers = new HashMap<>();
     private final Map<Integer, Set<Lane>> probing = new HashMap<>();
+    /** How far the fleet has zones open; what is made anew is told of it. */
+    private final Map<Integer, ZoneOrder> zones = new HashMap<>();
     private final ArrayDeque<Consumer<Actions>> later = new ArrayDeque<>();
     /** Those in use and those that still have open requests. */
     private final List<Lane> lanes = new ArrayList<>();
@@ -504,6 +507,13 @@
         drain(out);
     }
 
+    @Override
+    public void onZones(double now, List<ZoneOrder> orders, Actions out) {
+        orders.forEach(o -> zones.put(o.zone(), new ZoneOrder(o.zone(), o.open(), false, false)));
+        lanes.forEach(lane -> lane.module.onZones(now, orders, lane.orders(now, out)));
+        drain(out);
+    }
+
     // ---- orders of the modules
 
     /** Carries out what could not be done within a module's own order, as that is not to be called from there. */
@@ -634,6 +644,11 @@
             }
         }
 
+        @Override
+        public void saw(int server, Evidence what) {
+            out.saw(server, what);
+        }
+
         @Override
         public void log(String line) {
             out.log(lane == all ? line : "pool " + lane.name + ": " + line);
--- /dev/null
+++ b/src/main/java/damsonworks/zone/Judge.java
@@ -0,0 +1,136 @@
+package damsonworks.zone;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Tells by what all that live say of a zone which case it is. A verdict against a zone takes observers that stand in more than
+ * half of the zones in which the fleet has instances, each zone speaking by most of those in it that have seen anything, and
+ * three of them at least. So
+ *
+ * <ul>
+ * <li>the way from one zone to another is cut: only its own observers speak against it, one zone of several: nothing follows,
+ * and each of them keeps to its own evidence;
+ * <li>an observer's own zone is cut off: it hears no others, so it has not enough zones; when it is heard again, a report in
+ * which nothing but home is good does not count;
+ * <li>one bad node, or two, speak against no zone ({@link Observer});
+ * <li>all nodes are slow now and then, or the origin is: a zone is only {@link Verdict#POOR} beside others that are good;
+ * <li>one that lies, or two in concert, are not most of any zone of three, and not three.
+ * </ul>
+ */
+final class Judge {
+    /** A verdict takes so many observers, or all that there are. */
+    static final int LEAST = 3;
+    /** A zone is good again when so many of those that try it say so. */
+    static final int LEAST_SOUND = 2;
+
+    /** What is said of a zone. */
+    enum Verdict {
+        /** Too few say anything, or they don't agree. */
+        UNSURE,
+        /** Those who see it find it answers. */
+        SOUND,
+        /** Those in most zones see a good part of it fail, while other zones are good. */
+        POOR,
+        /** Those in most zones get nothing from it. */
+        LOST
+    }
+
+    private final List<Report> reports;
+    private final Set<Integer> homes;
+
+    /**
+     * By the reports of those that live.
+     *
+     * @param homes the zones in which the fleet has instances, whether they live or not
+     */
+    Judge(List<Report> reports, Set<Integer> homes) {
+        this.reports = reports;
+        this.homes = homes;
+    }
+
+    /** Whether enough of the fleet is heard to decide for it: instances in more than half of its zones. */
+    boolean quorum() {
+        Set<Integer> heard = new HashSet<>();
+        reports.forEach(r -> heard.add(r.home()));
+        heard.retainAll(homes);
+        return 2 * heard.size() > homes.size();
+    }
+
+    Verdict of(int zone) {
+        if (against(zone, Sight.LOST)) {
+            return Verdict.LOST;
+        }
+        if (against(zone, Sight.POOR) && othersGood(zone)) {
+            return Verdict.POOR;
+        }
+        return sound(zone) ? Verdict.SOUND : Verdict.UNSURE;
+    }
+
+    /** Whether observers in most zones see it at least that bad. */
+    private boolean against(int zone, Sight least) {
+        Map<Integer, Integer> votes = new HashMap<>();
+        Map<Integer, Integer> against = new HashMap<>();
+        int speakers = 0;
+        for (Report r : reports) {
+            Sight s = r.sight(zone);
+            if (s == Sight.NONE || r.cutOff()) {
+                continue;
+            }
+            boolean bad = s.compareTo(least) >= 0;
+            votes.merge(r.home(), bad ? 1 : -1, Integer::sum);
+            against.merge(r.home(), bad ? 1 : 0, Integer::sum);
+        }
+        int places = 0;
+        for (Map.Entry<Integer, Integer> v : votes.entrySet()) {
+            if (v.getValue() > 0) {
+                places++;
+                speakers += against.get(v.getKey());
+            }
+        }
+        return 2 * places > homes.size() && speakers >= Math.min(LEAST, reports.size());
+    }
+
+    /** Whether of the other zones of which anybody speaks more are good than not, by those who speak. */
+    private boolean othersGood(int zone) {
+        int good = 0;
+        int bad = 0;
+        for (Report r : reports) {
+            for (int z = 0; z < r.sights().size(); z++) {
+                if (z != zone && !r.cutOff()) {
+                    good += r.sight(z) == Sight.GOOD ? 1 : 0;
+                    bad += r.sight(z).bad() ? 1 : 0;
+                }
+            }
+        }
+        return good > 2 * bad;
+    }
+
+    /** By those who stand elsewhere, where there are any: in the zone itself its nodes may be reached all the while. */
+    private boolean sound(int zone) {
+        int good = 0;
+        int bad = 0;
+        int others = 0;
+        for (Report r : reports) {
+            if (r.home() != zone || homes.size() == 1) {
+                others++;
+                good += r.sight(zone) == Sight.GOOD ? 1 : 0;
+                bad += r.sight(zone).bad() && !r.cutOff() ? 1 : 0;
+            }
+        }
+        return good >= Math.max(1, Math.min(LEAST_SOUND, others)) && good > 2 * bad;
+    }
+
+    /** Whether those who get answers from it find that its nodes have lost what they held. */
+    boolean cold(int zone) {
+        return reports.stream().anyMatch(r -> r.cold().contains(zone) && r.sight(zone) == Sight.GOOD);
+    }
+
+    /** Whether a quarter of those who live say that the origin has no room for more. */
+    boolean originTight() {
+        return 4 * reports.stream().filter(Report::originTight).count() >= Math.max(1, reports.size());
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/zone/Pace.java
@@ -0,0 +1,43 @@
+package damsonworks.zone;
+
+/**
+ * How soon a zone's next step may come. Nodes that stayed warm get their keys back in three steps; the keys of cold ones miss
+ * once each, so these come back part by part over the time in which the nodes warm up. Times in milliseconds.
+ */
+final class Pace {
+    /** Between two steps of warm nodes: news takes some 0.3 s to all, and what a step did has to be seen. */
+    static final double STEP_MS = 600;
+    /** Parts of the keys that come back at a step where the nodes are warm. */
+    private static final int WARM_PARTS = ZoneState.WHOLE / 3;
+    /** Parts by which a zone that is poor but answers is left at a step. */
+    static final int LEAVE_PARTS = ZoneState.WHOLE / 3;
+    /** How long a zone has to be poor before it is left by a step. */
+    static final double POOR_MS = 1500;
+    /** How long it has to be sound before the first return; each leave lately multiplies it. */
+    private static final double PATIENCE_MS = 400;
+    private static final double PATIENCE_FACTOR = 50;
+    /** A zone that was poor answers now and then anyway. */
+    private static final double AFTER_POOR_MS = 6000;
+    /** The longest that it has to be sound. */
+    static final double LONGEST_MS = 60_000;
+    /** A zone that was open so long has one leave fewer against it. */
+    static final double FORGET_MS = 120_000;
+
+    private Pace() { }
+
+    /** How long a zone must have been sound before it is opened again, by how often it was left lately and for what. */
+    static double patience(int leaves, boolean wasPoor) {
+        return Math.max(wasPoor ? AFTER_POOR_MS : 0,
+                Math.min(LONGEST_MS, PATIENCE_MS * Math.pow(PATIENCE_FACTOR, Math.max(0, leaves - 1))));
+    }
+
+    /** Between two steps of a return. */
+    static double stepMs(boolean cold, double warmUpMs) {
+        return cold ? Math.max(STEP_MS, warmUpMs / ZoneState.WHOLE) : STEP_MS;
+    }
+
+    /** How many parts come back at a step. */
+    static int parts(boolean cold) {
+        return cold ? 1 : WARM_PARTS;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/zone/ZoneState.java
@@ -0,0 +1,76 @@
+package damsonworks.zone;
+
+/**
+ * What is decided of one zone.
+ *
+ * @param epoch  0 for what nobody has ever decided, up to {@link #MOST_EPOCH}; whoever decides anew goes one beyond, so it
+ *               never goes back
+ * @param open   for so many of {@link #WHOLE} parts of its keys, 0 to {@link #WHOLE}
+ * @param cause  on whose account
+ * @param leaves how often it was left lately, 0 to {@link #MOST_LEAVES}; costs patience before a return
+ */
+public record ZoneState(int epoch, int open, Cause cause, int leaves) implements Comparable<ZoneState> {
+    /** All keys. Fine enough that the misses of one part of a zone in four are some 2% of all requests. */
+    public static final int WHOLE = 15;
+    /** The highest epoch; a step every half second would take it 97 days without a pause to get there. */
+    public static final int MOST_EPOCH = 0xff_ffff;
+    /** As many leaves are remembered. */
+    public static final int MOST_LEAVES = 3;
+    /** What nobody has ever decided. */
+    static final ZoneState UNTOUCHED = new ZoneState(0, WHOLE, Cause.EVIDENCE, 0);
+
+    /** On whose account a state holds; the later of them is the stronger among decisions of one epoch. */
+    public enum Cause {
+        /** What the fleet sees. */
+        EVIDENCE,
+        /** An operator has it opened step by step; what is seen holds again when it is open. */
+        RETURN,
+        /** An operator has it kept as it is. */
+        HOLD,
+        /** An operator has it left and kept so. */
+        LEAVE;
+
+        private static final Cause[] ALL = values();
+
+        static Cause of(int number) {
+            return ALL[number & 3];
+        }
+    }
+
+    /** Checks the ranges. */
+    public ZoneState {
+        if (epoch < 0 || epoch > MOST_EPOCH || open < 0 || open > WHOLE || leaves < 0 || leaves > MOST_LEAVES) {
+            throw new IllegalArgumentException("epoch " + epoch + ", " + open + " parts open, left " + leaves + " times");
+        }
+    }
+
+    /** The open part, 0 to 1. */
+    public double share() {
+        return (double) open / WHOLE;
+    }
+
+    /** The next decision. At the highest epoch nothing more is decided, rather than beginning anew. */
+    public ZoneState next(int parts, Cause by, int lately) {
+        return epoch == MOST_EPOCH ? this : new ZoneState(epoch + 1, parts, by, Math.min(MOST_LEAVES, lately));
+    }
+
+    /**
+     * Which of two holds: the higher epoch; in one epoch an operator's word over what is seen, then the wider open, so that
+     * two who decide at once leave no more than either would; then the longer memory.
+     */
+    @Override
+    public int compareTo(ZoneState other) {
+        int by = Integer.compare(epoch, other.epoch);
+        by = by != 0 ? by : cause.compareTo(other.cause);
+        by = by != 0 ? by : Integer.compare(open, other.open);
+        return by != 0 ? by : Integer.compare(leaves, other.leaves);
+    }
+
+    int bits() {
+        return epoch << 8 | open << 4 | leaves << 2 | cause.ordinal();
+    }
+
+    static ZoneState of(int bits) {
+        return new ZoneState(bits >>> 8, bits >>> 4 & 15, Cause.of(bits), bits >>> 2 & 3);
+    }
+}
--- a/src/test/java/damsonworks/ArchitectureTest.java
+++ b/src/test/java/damsonworks/ArchitectureTest.java
@@ -32,7 +32,7 @@
     /** Bytes in memory are not input or output. */
     @Test
     void whatInstancesTellEachOtherIsDecidedWithoutSocketsOrClocks() {
-        noClasses().that().resideInAnyPackage("damsonworks.member..", "damsonworks.peer..")
+        noClasses().that().resideInAnyPackage("damsonworks.member..", "damsonworks.peer..", "damsonworks.zone..")
                 .should().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.net..", "java.nio.channels..",
                         "java.nio.file..", "java.io..", "java.util.concurrent..", "damsonworks.proxy..", "damsonworks.fleet..",
                         "damsonworks.model..", "damsonworks.cli..")
--- a/src/test/java/damsonworks/LabIT.java
+++ b/src/test/java/damsonworks/LabIT.java
@@ -56,6 +56,14 @@
         assertThat(folder.resolve("logs")).isDirectoryRecursivelyContaining("glob:**/proxy-3.log");
     }
 
+    /** Real processes leave a zone whose nodes say nothing, within a moment of each other, and return to it. */
+    @Test
+    void aZoneThatFailsIsLeftByAllAndReturnedTo() throws Exception {
+        Path logs = folder.resolve("logs");
+        assertThat(lab("run", "lab/ci-zone.conf", "--logs", logs.toString())).as("%s", printed).isZero();
+        assertThat(printed).contains("held   left").contains("held   whole").contains("held   leaves     1 ");
+    }
+
     /** What can't hold is told as broken, so a verdict of "held" says something. */
     @Test
     void whatIsExpectedAndDoesNotHoldIsBroken() throws Exception {
--- /dev/null
+++ b/src/test/java/damsonworks/PolicyZonesTest.java
@@ -0,0 +1,121 @@
+package damsonworks;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.RoutingApi.Outcome;
+import damsonworks.RoutingApi.ZoneOrder;
+import damsonworks.peer.PeerMessage;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/** What the decision module makes of the fleet's orders for zones. Servers stand in zone 0 or 1 by their numbers. */
+class PolicyZonesTest {
+    private static final int KEYS = 400;
+    private int id;
+
+    private static void order(Rig rig, int zone, double open, boolean tries, boolean afresh) {
+        rig.policy.onZones(rig.now, List.of(new ZoneOrder(zone, open, tries, afresh)), rig);
+    }
+
+    private Map<Integer, Integer> placement(Rig rig) {
+        Map<Integer, Integer> at = new HashMap<>();
+        for (int key = 1; key <= KEYS; key++) {
+            rig.now += 10;
+            rig.read(++id, key * 7919L);
+            at.put(key, rig.last().server());
+            rig.end(rig.last(), Outcome.OK);
+        }
+        return at;
+    }
+
+    @Test
+    void aShareOfAZonesKeysGoesToTheRunnerUpAndNoOtherKeyMoves() {
+        Rig rig = Rig.aside().fleet(12);
+        Map<Integer, Integer> whole = placement(rig);
+        order(rig, 1, 0.4, false, false);
+        Map<Integer, Integer> part = placement(rig);
+        order(rig, 1, 0.2, false, false);
+        Map<Integer, Integer> less = placement(rig);
+        order(rig, 1, 0, false, false);
+        Map<Integer, Integer> none = placement(rig);
+        order(rig, 1, 1, false, true);
+        assertThat(placement(rig)).isEqualTo(whole);
+        int its = 0;
+        int stayed = 0;
+        for (int key = 1; key <= KEYS; key++) {
+            if (whole.get(key) % 2 == 0) {
+                assertThat(part.get(key)).isEqualTo(whole.get(key));
+                assertThat(none.get(key)).isEqualTo(whole.get(key));
+                continue;
+            }
+            its++;
+            stayed += part.get(key).equals(whole.get(key)) ? 1 : 0;
+            assertThat(none.get(key) % 2).isZero();
+            if (!part.get(key).equals(whole.get(key))) {
+                assertThat(part.get(key)).as("moves once").isEqualTo(none.get(key)).isEqualTo(less.get(key));
+            }
+        }
+        assertThat((double) stayed / its).isBetween(0.32, 0.48);
+    }
+
+    @Test
+    void allInstancesLeaveTheSameKeys() {
+        Rig one = Rig.peers(0, 100).fleet(12);
+        Rig other = Rig.peers(1, 100).fleet(12);
+        order(one, 0, 0.5, false, false);
+        order(other, 0, 0.5, false, false);
+        assertThat(placement(one)).isEqualTo(placement(other));
+    }
+
+    @Test
+    void aZoneThatIsLeftIsTriedByOneRequestForEachOrder() {
+        Rig rig = Rig.aside().fleet(12);
+        order(rig, 1, 0, true, false);
+        assertThat(placement(rig).values().stream().filter(s -> s % 2 == 1).count()).isEqualTo(1);
+        order(rig, 1, 0, true, false);
+        order(rig, 1, 1, false, false);
+        order(rig, 1, 0, false, false);
+        assertThat(placement(rig).values()).as("what was not used is void").noneMatch(s -> s % 2 == 1);
+    }
+
+    /** Its servers were silent when it was left; that is past when the fleet returns. */
+    @Test
+    void whatWasSeenOfItsServersIsPastWhenTheFleetReturns() {
+        Rig rig = Rig.aside().fleet(12);
+        Map<Integer, Integer> whole = placement(rig);
+        for (int key = 1; key <= KEYS; key++) {
+            if (whole.get(key) % 2 == 1) {
+                rig.read(++id, key * 7919L);
+                Rig.Placed p = rig.last();
+                if (p.server() % 2 == 1) {
+                    rig.end(p, Outcome.CONNECT_FAILED, false, 0);
+                }
+                rig.end(rig.last(), Outcome.OK);
+            }
+        }
+        order(rig, 1, 0, false, false);
+        order(rig, 1, 1, false, true);
+        assertThat(placement(rig)).isEqualTo(whole);
+    }
+
+    @Test
+    void whatPeersFoundSilentIsLeftAloneUnlessItHasAnsweredHere() {
+        Rig rig = Rig.peers(1, 12).fleet(6);
+        rig.read(++id, 77);
+        Rig.Placed first = rig.last();
+        rig.end(first, Outcome.OK);
+        rig.policy.onPeer(rig.now, 0, PeerMessage.bad(first.server()), rig);
+        rig.read(++id, 77);
+        assertThat(rig.last().server()).as("it has just answered").isEqualTo(first.server());
+        rig.end(rig.last(), Outcome.OK);
+        rig.pass(2000);
+        rig.policy.onPeer(rig.now, 0, PeerMessage.bad(first.server()), rig);
+        rig.policy.onPeer(rig.now, 0, PeerMessage.bad(Rig.ORIGIN), rig);
+        rig.policy.onPeer(rig.now, 0, PeerMessage.bad(4711), rig);
+        rig.read(++id, 77);
+        assertThat(rig.last().server()).isNotEqualTo(first.server());
+        rig.end(rig.last(), Outcome.OK);
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/peer/BadNodesTest.java
@@ -0,0 +1,44 @@
+package damsonworks.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.peer.BadNodes.Node;
+import org.junit.jupiter.api.Test;
+
+class BadNodesTest {
+    private final BadNodes bad = new BadNodes();
+
+    private static Node node(int id) {
+        return new Node(id, 0, 8);
+    }
+
+    @Test
+    void threePeersInTwoZonesTakeANodeOut() {
+        assertThat(bad.claimed(0, 1, 1, node(7), 11, 4)).isFalse();
+        assertThat(bad.claimed(10, 1, 1, node(7), 11, 4)).as("the same once more").isFalse();
+        assertThat(bad.claimed(20, 5, 1, node(7), 11, 4)).isFalse();
+        assertThat(bad.claimed(30, 9, 1, node(7), 11, 4)).as("all of one zone").isFalse();
+        assertThat(bad.claimed(40, 2, 2, node(7), 11, 4)).isTrue();
+        assertThat(bad.claimed(50, 3, 3, node(7), 11, 4)).as("once is enough").isFalse();
+    }
+
+    @Test
+    void whatIsOldSaysNothing() {
+        bad.claimed(0, 1, 1, node(7), 11, 4);
+        bad.claimed(0, 2, 2, node(7), 11, 4);
+        assertThat(bad.claimed(BadNodes.KEPT_MS + 1, 3, 3, node(7), 11, 4)).isFalse();
+    }
+
+    /** Two liars are not three, and three take out a quarter of a zone at most. */
+    @Test
+    void noSetOfClaimsTakesOutMoreThanAPart() {
+        int out = 0;
+        for (int id = 0; id < 8; id++) {
+            for (int liar = 1; liar <= 3; liar++) {
+                out += bad.claimed(id, liar, liar, node(id), 11, 4) ? 1 : 0;
+            }
+        }
+        assertThat(out).isEqualTo(8 / BadNodes.PART);
+        assertThat(bad.claimed(9, 1, 1, new Node(99, 1, 8), 11, 4) | bad.claimed(9, 2, 2, new Node(99, 1, 8), 11, 4)).isFalse();
+    }
+}
