A zone that is only slow is not left while another is; a tight origin only slows a return

Checked by the events of one instance: zone 1 left at 11.6 s, then zones 0 and 2 found poor and left by steps from 23.6 s on and zone 3 at 35.9 s, and zone 1 at one part of 15 from 22.9 to 32.5 s. Cause: the others had the keys of the closed zone too and were slow for that (Zones.byEvidence, POOR), and the return waited for an origin that the closed zone kept busy (Zones.up).

Change: a zone is left for being poor only while all others are whole; a tight origin delays a step to three times its length at most.

A new test leaves a second zone without the rule and not with it.

--- a/src/main/java/damsonworks/zone/Pace.java
+++ b/src/main/java/damsonworks/zone/Pace.java
@@ -23,6 +23,9 @@
     /** A zone that was open so long has one leave fewer against it. */
     static final double FORGET_MS = 120_000;
 
+    /** A step waits for room at the origin, and for so many steps' time at most. */
+    static final int TIGHT_STEPS = 3;
+
     private Pace() { }
 
     /** How long a zone must have been sound before it is opened again, by how often it was left lately and for what. */
--- a/src/main/java/damsonworks/zone/Zones.java
+++ b/src/main/java/damsonworks/zone/Zones.java
@@ -356,16 +356,29 @@
         boolean whole = s.open() == ZoneState.WHOLE;
         return switch (p.verdict) {
             case LOST -> plan.lowered(zone, 0, s.leaves() + 1);
-            case POOR -> nowMs - p.poorMs < Pace.POOR_MS || since < Pace.POOR_MS ? null
+            case POOR -> nowMs - p.poorMs < Pace.POOR_MS || since < Pace.POOR_MS || !othersWhole(zone) ? null
                     : plan.lowered(zone, Math.max(0, s.open() - Pace.LEAVE_PARTS), whole || p.rising ? s.leaves() + 1 : s.leaves());
             case SOUND -> whole ? forget(since, s)
                     : !p.rising && nowMs - p.soundMs < Pace.patience(s.leaves(), p.wasPoor) ? null : up(nowMs, zone, judge);
             // The fewer of its keys are left the less is seen of it: what began as poor goes on unless it is found sound.
-            case UNSURE -> whole ? forget(since, s) : s.open() > 0 && p.wasPoor && since >= 2 * Pace.POOR_MS
+            case UNSURE -> whole ? forget(since, s) : s.open() > 0 && p.wasPoor && othersWhole(zone) && since >= 2 * Pace.POOR_MS
                     && nowMs - p.lastSoundMs > GAP_MS ? plan.lowered(zone, Math.max(0, s.open() - Pace.LEAVE_PARTS), s.leaves()) : null;
         };
     }
 
+    /**
+     * Whether no other zone is left. While one is, the rest have its keys beside their own, and what is slow there is slow for
+     * that: to leave it as well would be to leave one after another.
+     */
+    private boolean othersWhole(int zone) {
+        for (int z = 0; z < parts.size(); z++) {
+            if (z != zone && plan.of(z).open() < ZoneState.WHOLE) {
+                return false;
+            }
+        }
+        return true;
+    }
+
     private static ZoneState forget(double since, ZoneState s) {
         return s.leaves() > 0 && since >= Pace.FORGET_MS ? s.next(s.open(), Cause.EVIDENCE, s.leaves() - 1) : null;
     }
@@ -374,7 +387,10 @@
         Part p = parts.get(zone);
         ZoneState s = plan.of(zone);
         boolean cold = nowMs < p.coldUntilMs || judge.cold(zone);
-        return nowMs - p.changedMs < Pace.stepMs(cold, settings.warmUpMs()) || judge.originTight() ? null
+        double step = Pace.stepMs(cold, settings.warmUpMs());
+        double since = nowMs - Math.max(p.changedMs, p.soundMs);
+        // A tight origin makes the return slower and does not end it: what is left out has others' nodes miss as well.
+        return nowMs - p.changedMs < step || judge.originTight() && since < Pace.TIGHT_STEPS * step ? null
                 : s.next(Math.min(ZoneState.WHOLE, s.open() + Pace.parts(cold)), s.cause(), s.leaves());
     }
 
--- a/src/test/java/damsonworks/zone/ZonesTest.java
+++ b/src/test/java/damsonworks/zone/ZonesTest.java
@@ -136,6 +136,19 @@
         assertThat(until(p, () -> whole(p), 60_000)).isLessThan(30_000);
     }
 
+    /** Seen in the model: the others had its keys too, were slow for that, and were left one after another. */
+    @Test
+    void whatIsSlowWhileAnotherZoneIsLeftIsNotLeftAsWell() {
+        ZonePlay p = fleet(18);
+        p.nodesDie(0);
+        p.pass(4000);
+        p.lose(1, 0.4);
+        p.pass(15_000);
+        assertThat(p.all(h -> true, 0, 0)).isTrue();
+        assertThat(p.all(h -> true, 1, 1)).isTrue();
+        assertThat(p.of(0).plan().of(1).epoch()).isZero();
+    }
+
     @Test
     void aZoneThatFailsEveryTwentySecondsIsLeftThreeTimesInThreeMinutesAtMost() {
         ZonePlay p = fleet(12);
