A zone that was lost and answers again is returned to by its answers since

Seen, by a probe that printed each decision with its time: nodes back at 15.0 s, first return at 19.0 s. The silence before counted against the answers after it for a whole window (2.5 s), two answers are wanted, and each of the three that try asks once in 0.8 s. Twenty proxies decided the same leave between 11.3 and 12.0 s: whoever ranks beyond the eighth decided after 0.64 s, and each decision is news to all, so much that the first word took longer than the turns. Change: Observer forgets the silence at the first answer of a zone that it held for lost; an answer has the next try at once (Zones.answered); those beyond the eighth rank wait 2.5 s (Zones.judge); a tight origin holds a step for 1.5 steps instead of 3 (Pace), as with 1.5 a return takes at most the 1.5 times of the ramps that may be asked of it. WholeWithin counts a proxy that a busy machine kept from answering at one look as it was before.

--- a/src/main/java/damsonworks/lab/ZoneExpectation.java
+++ b/src/main/java/damsonworks/lab/ZoneExpectation.java
@@ -3,6 +3,7 @@
 import damsonworks.fleet.Layout;
 import damsonworks.fleet.Series;
 import damsonworks.fleet.Series.What;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 
@@ -96,15 +97,28 @@
         }
     }
 
-    /** All zones have to be open at all proxies within this time of the last fault's end, and stay so. */
+    /**
+     * All zones have to be open at all proxies within this time of the last fault's end, and stay so. One that did not answer at a
+     * look, as a busy one may not, counts as it was at the one before; one that says nothing for longer does not.
+     */
     record WholeWithin(double ms) implements ZoneExpectation {
+        private static final double SILENT_MS = 1500;
+
         @Override
         public Result check(Outcome o) {
             double end = first(o, false);
             double since = Double.POSITIVE_INFINITY;
+            double[] wholeMs = new double[o.scenario().fleet().proxies()];
+            Arrays.fill(wholeMs, Double.NEGATIVE_INFINITY);
             for (Outcome.Look l : o.looks()) {
+                for (int p = 0; p < l.open().size(); p++) {
+                    List<Double> open = l.open().get(p);
+                    boolean there = !open.isEmpty();
+                    wholeMs[p] = there && open.stream().allMatch(x -> x == 1) ? l.atMs()
+                            : there ? Double.NEGATIVE_INFINITY : wholeMs[p];
+                }
                 if (l.atMs() >= end) {
-                    boolean whole = l.open().stream().allMatch(s -> !s.isEmpty() && s.stream().allMatch(x -> x == 1));
+                    boolean whole = Arrays.stream(wholeMs).allMatch(at -> l.atMs() - at <= SILENT_MS);
                     since = !whole ? Double.POSITIVE_INFINITY : Math.min(since, l.atMs() - end);
                 }
             }
--- a/src/main/java/damsonworks/zone/Observer.java
+++ b/src/main/java/damsonworks/zone/Observer.java
@@ -101,6 +101,12 @@
     /** A server of a zone has answered; {@code hit}: it had what it was asked for. */
     void answered(double nowMs, int zone, boolean hit) {
         Part p = zones.get(zone);
+        if (lost(p, nowMs)) {
+            // It was lost and is not any more: what it does from here on counts, or its silence would speak for a whole window.
+            for (Slot old : p.slots) {
+                old.number = -1;
+            }
+        }
         Slot s = p.slot(nowMs);
         s.answered++;
         s.missed += hit ? 0 : 1;
@@ -141,13 +147,21 @@
         return sum[1] >= TIGHT_LEAST && sum[1] > TIGHT_PART * (sum[0] + sum[1]);
     }
 
+    private static int several(Part p) {
+        return Math.min(LOST_SERVERS, p.servers);
+    }
+
+    private static boolean lost(Part p, double nowMs) {
+        return p.row.size() >= several(p) && nowMs - p.rowMs >= ROW_MS && nowMs - p.silentMs <= WINDOW_MS;
+    }
+
     /** What is seen of a zone now. */
     Sight sight(double nowMs, int zone) {
         Part p = zones.get(zone);
-        int several = Math.min(LOST_SERVERS, p.servers);
-        if (p.row.size() >= several && nowMs - p.rowMs >= ROW_MS && nowMs - p.silentMs <= WINDOW_MS) {
+        if (lost(p, nowMs)) {
             return Sight.LOST;
         }
+        int several = several(p);
         Set<Integer> silent = new HashSet<>();
         int[] sum = p.sum(nowMs, silent);
         int all = sum[0] + sum[1];
--- a/src/main/java/damsonworks/zone/Pace.java
+++ b/src/main/java/damsonworks/zone/Pace.java
@@ -23,8 +23,11 @@
     /** A zone that was open so long has one leave fewer against it. */
     static final double FORGET_MS = 120_000;
 
-    /** A step waits for room at the origin, and for so many steps' time at most. */
-    static final int TIGHT_STEPS = 3;
+    /**
+     * A step waits for room at the origin, and for so many steps' time at most: with it a return takes at most so many times what
+     * the ramps of its nodes take, which is what may be asked of it. A closed zone keeps the origin busy itself.
+     */
+    static final double TIGHT_STEPS = 1.5;
 
     private Pace() { }
 
--- a/src/main/java/damsonworks/zone/Zones.java
+++ b/src/main/java/damsonworks/zone/Zones.java
@@ -34,6 +34,11 @@
     /** Who is next in rank decides so much later: what the one before says should have come by then. */
     private static final double TURN_MS = 80;
     private static final int LAST_TURN = 8;
+    /**
+     * All others decide only so late: each that decides has news for all, and if the first word takes longer than the turns, as it
+     * does when there is much news, a hundred that speak at once make it take longer still.
+     */
+    private static final double OTHERS_TURN_MS = 2500;
     /** Instances that try a zone that is not whole, and how often each does. */
     private static final int TRIERS = 3;
     private static final double TRY_MS = 800;
@@ -140,6 +145,7 @@
     public void answered(double nowMs, int zone, boolean hit) {
         if (zone < parts.size()) {
             observer.answered(nowMs, zone, hit);
+            parts.get(zone).triedMs = Double.NEGATIVE_INFINITY; // one that answers is asked again at once: two answers are wanted
         }
     }
 
@@ -326,8 +332,8 @@
             p.wish = wish;
             p.wishedMs = nowMs;
         }
-        int rank = Math.min(LAST_TURN, rank(zone, reports));
-        if (nowMs - p.wishedMs >= rank * TURN_MS) {
+        int rank = rank(zone, reports);
+        if (nowMs - p.wishedMs >= (rank < LAST_TURN ? rank * TURN_MS : OTHERS_TURN_MS)) {
             decide(nowMs, zone, wish, switch (s.cause()) {
                 case EVIDENCE -> "found " + v.name().toLowerCase(Locale.ROOT) + " by " + reports.size() + " instances";
                 default -> "going on with an operator's order";
