--- a/src/main/java/damsonworks/Main.java
+++ b/src/main/java/damsonworks/Main.java
@@ -46,6 +46,9 @@
         long figuresMs = 0;
         boolean view = false;
         boolean zones = false;
+        boolean recovers = false;
+        String state = null;
+        String fleet = "fleet";
         for (int i = 1; i < args.length; i += 2) {
             String value = i + 1 < args.length ? args[i + 1] : "";
             if (args[i].equals("--control") && control == null && !value.isEmpty()) {
@@ -58,15 +61,22 @@
                 view = value.equals("on");
             } else if (args[i].equals("--zones") && value.matches("on|off")) {
                 zones = value.equals("on");
+            } else if (args[i].equals("--recovery") && value.matches("on|off")) {
+                recovers = value.equals("on");
+            } else if (args[i].equals("--state") && state == null && !value.isEmpty()) {
+                state = value;
+            } else if (args[i].equals("--fleet") && value.matches("[A-Za-z0-9][A-Za-z0-9._-]{0,59}")) {
+                fleet = value;
             } else {
                 System.err.println("usage: serve [--edge FILE] [--control PATH] [--figures SECONDSs] [--view on|off] "
-                        + "[--zones on|off]");
+                        + "[--zones on|off] [--recovery on|off] [--state FOLDER] [--fleet NAME]");
                 System.exit(2);
             }
         }
-        Proxy proxy = edge == null ? Proxy.main() : Proxy.main(new EdgeFile(Path.of(edge)));
-        if (view || zones) {
-            proxy.keepView(zones);
+        Proxy proxy = Proxy.main(edge == null ? null : new EdgeFile(Path.of(edge)),
+                state == null ? null : new Proxy.Kept(Path.of(state), fleet));
+        if (view || zones || recovers) {
+            proxy.join(new Proxy.Together(view, zones, recovers));
         }
         if (figuresMs > 0) {
             proxy.logFigures(figuresMs);
--- a/src/main/java/damsonworks/cli/Cli.java
+++ b/src/main/java/damsonworks/cli/Cli.java
@@ -12,7 +12,7 @@
         description = "A proxy in front of caching nodes and one slow origin, and the tools to see it work.",
         subcommands = {DemoCommand.class, FleetCommand.class, LoadCommand.class, StatusCommand.class,
             DrainCommand.class, ConfigCommand.class, FiguresCommand.class, QuotaCommand.class,
-            ModelCommand.class, LabCommand.class, ZoneCommand.class},
+            ModelCommand.class, LabCommand.class, ZoneCommand.class, StateCommand.class},
         footerHeading = "%nWithout options, and set by the environment (see README):%n",
         footer = {
             "  serve   one proxy, configured by the file that BALANCER_CONFIG names",
--- a/src/main/java/damsonworks/cli/LabCommand.java
+++ b/src/main/java/damsonworks/cli/LabCommand.java
@@ -1,6 +1,7 @@
 package damsonworks.cli;
 
 import damsonworks.config.Problems;
+import damsonworks.fleet.Layout;
 import damsonworks.lab.LabRun;
 import damsonworks.lab.Outcome;
 import damsonworks.lab.OutcomeText;
@@ -12,6 +13,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 import picocli.CommandLine.Command;
@@ -57,6 +59,8 @@
                     description = "Draws requests, speeds and faults (default: ${DEFAULT-VALUE}).") long seed,
             @Option(names = "--repeat", paramLabel = "N", defaultValue = "1",
                     description = "So many seeds from that one on (default: ${DEFAULT-VALUE}).") int repeat,
+            @Option(names = "--without", paramLabel = "PART", split = ",", description = "Plays proxies without what the file has "
+                    + "them run with, to be held against it: ${COMPLETION-CANDIDATES}.") Set<Layout.Part> without,
             @Option(names = "--json", paramLabel = "OUT", description = "Writes verdicts, figures and series.") Path json,
             @Option(names = "--html", paramLabel = "OUT", description = "Writes a page with time lines.") Path html,
             @Option(names = "--logs", paramLabel = "DIR", description = "Keeps the proxies' logs.") Path logs)
@@ -81,8 +85,8 @@
         List<Outcome> outcomes = new ArrayList<>();
         for (ScenarioFile file : scenarios) {
             for (long s = seed; s < seed + repeat; s++) {
-                Scenario scenario = file.scenario(s);
-                Path own = logs == null ? null : logs.resolve(scenario.name() + "-" + s);
+                Scenario scenario = file.scenario(s, without == null ? Set.of() : without);
+                Path own = logs == null ? null : logs.resolve(scenario.name().replace(' ', '-') + "-" + s);
                 Outcome outcome = new LabRun(scenario, s, own, progress).play();
                 outcomes.add(outcome);
                 out().print(OutcomeText.text(outcome));
--- a/src/main/java/damsonworks/cli/LoadCommand.java
+++ b/src/main/java/damsonworks/cli/LoadCommand.java
@@ -108,7 +108,7 @@
         List<TrafficClass> classes = TrafficClass.mix(mix, deadline.ms());
         Generator.Settings settings = new Generator.Settings(targets.stream().map(Target::address).toList(), classes,
                 connections, depth, maxOutstanding, traffic.connectionStay.seconds(), warmUp.seconds(), maxLag.ms(),
-                traffic.seed, readRate);
+                traffic.seed, false, readRate);
         Workload workload = trace == null ? traffic.workload(classes)
                 : new TraceWorkload(Files.newInputStream(trace), format, classes, speed);
         try (Generator generator = new Generator(settings, workload, Observer.NONE)) {
--- /dev/null
+++ b/src/main/java/damsonworks/cli/StateCommand.java
@@ -0,0 +1,92 @@
+package damsonworks.cli;
+
+import damsonworks.state.Header;
+import damsonworks.state.Inspection;
+import damsonworks.state.Keeper;
+import damsonworks.state.Opened;
+import damsonworks.state.StateFolder;
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.ParameterException;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** {@code state}: what a proxy has kept in its folder, and whether it is sound. */
+@Command(name = "state", mixinStandardHelpOptions = true, sortOptions = false,
+        description = {"Shows, checks and repairs the folder that serve --state names.",
+            "Exit codes: 0 sound, or repaired; 1 damaged, of no use, or in use; 2 wrong use."},
+        footerHeading = "%nExamples:%n", footer = {"  state show /var/lib/proxy", "  state check /var/lib/proxy --json",
+            "  state repair /var/lib/proxy"})
+final class StateCommand implements Runnable {
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public void run() {
+        throw new ParameterException(spec.commandLine(), "one of show, check and repair is missing");
+    }
+
+    @Command(name = "show", mixinStandardHelpOptions = true,
+            description = "What it holds, how old it is, and how far a process that starts now would use it. May be run beside one.")
+    private int show(@Parameters(paramLabel = "FOLDER") Path path, @Option(names = "--json", description = "As JSON, with the "
+            + "records' bodies.") boolean json) {
+        return say(inspect(path), json);
+    }
+
+    @Command(name = "check", mixinStandardHelpOptions = true, description = "Only what is wrong, if anything is.")
+    private int check(@Parameters(paramLabel = "FOLDER") Path path, @Option(names = "--json", description = "As JSON.") boolean json) {
+        Inspection all = inspect(path);
+        return json ? say(all, true) : say(new Inspection(new Opened(all.opened().header(), Map.of(),
+                all.opened().findings()), all.nowMs()), false);
+    }
+
+    @Command(name = "repair", mixinStandardHelpOptions = true, description = {"Writes what is sound as a whole snapshot; files of "
+            + "no use are laid aside as NAME.aside.", "Not while a process uses the folder."})
+    private int repair(@Parameters(paramLabel = "FOLDER") Path path) throws IOException {
+        try (StateFolder folder = folder(path)) {
+            PrintWriter out = spec.commandLine().getOut();
+            if (!folder.lock()) {
+                out.println("a process uses " + path + "; it repairs its folder itself");
+                out.flush();
+                return Cli.FAILED;
+            }
+            Opened found = folder.open(null, null);
+            Header h = found.header();
+            if (h == null) {
+                folder.setAside();
+                out.println("nothing could be used; what was there is laid aside, and a proxy starts from nothing here");
+            } else {
+                Keeper keeper = new Keeper(found, h.instance(), h.fleet());
+                folder.write(keeper.next(0));
+                out.println(found.records().size() + " records are whole");
+            }
+            found.findings().forEach(f -> out.println("was: " + f));
+            out.flush();
+            return Cli.OK;
+        }
+    }
+
+    private StateFolder folder(Path path) {
+        if (!Files.isDirectory(path)) {
+            throw new ParameterException(spec.commandLine(), path + " is no folder");
+        }
+        return new StateFolder(path);
+    }
+
+    private Inspection inspect(Path path) {
+        return new Inspection(folder(path).open(null, null), System.currentTimeMillis());
+    }
+
+    private int say(Inspection found, boolean json) {
+        PrintWriter out = spec.commandLine().getOut();
+        out.print(json ? found.json() + "\n" : found.text());
+        out.flush();
+        return found.sound() ? Cli.OK : Cli.FAILED;
+    }
+}
--- a/src/main/java/damsonworks/control/ProxyControl.java
+++ b/src/main/java/damsonworks/control/ProxyControl.java
@@ -66,6 +66,7 @@
         registry.section("view", () -> view(proxy.fleetView()));
         registry.command("view", arguments -> members(proxy.fleetView()));
         ZoneCall.register(registry, proxy::zones);
+        RecoveryCall.register(registry, proxy::recovering);
         return registry;
     }
 
--- /dev/null
+++ b/src/main/java/damsonworks/control/RecoveryCall.java
@@ -0,0 +1,76 @@
+package damsonworks.control;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import damsonworks.proxy.Recovering;
+import damsonworks.recovery.Progress;
+import damsonworks.recovery.Trust;
+import damsonworks.state.Keeper;
+import java.util.Locale;
+import java.util.function.Supplier;
+
+/** How a proxy comes back and what it keeps, as the section {@code recovery} of its status. */
+final class RecoveryCall {
+    static final String SECTION = "recovery";
+
+    private RecoveryCall() { }
+
+    static void register(ControlRegistry registry, Supplier<Recovering> recovering) {
+        registry.section(SECTION, () -> json(recovering.get(), System.currentTimeMillis()));
+    }
+
+    private static JsonObject json(Recovering r, double nowMs) {
+        JsonObject o = new JsonObject();
+        Progress p = r.progress();
+        o.addProperty("stage", p == null ? "not looked at" : p.stage().name().toLowerCase(Locale.ROOT));
+        if (p != null) {
+            seconds(o, "list_after_s", p.listAfterMs());
+            seconds(o, "told_after_s", p.toldAfterMs());
+            seconds(o, "serving_after_s", p.servingAfterMs());
+            o.addProperty("by_clock", p.endedByBound());
+            o.addProperty("per_second", Math.round(r.perSecond()));
+            seconds(o, "times_the_mean", 1000 * r.spread().times());
+            o.addProperty("clients_ended", r.spread().ended());
+        }
+        JsonArray trusted = new JsonArray();
+        for (Trust.Thing thing : Trust.Thing.values()) {
+            Trust.Standing s = r.trust().of(thing);
+            JsonObject t = new JsonObject();
+            t.addProperty("thing", thing.name().toLowerCase(Locale.ROOT));
+            t.addProperty("from", s.source().name().toLowerCase(Locale.ROOT).replace('_', ' '));
+            seconds(t, "age_s", s.ageMs());
+            if (s.hint()) {
+                t.addProperty("hint", true);
+            }
+            seconds(t, "left_s", s.untilMs() - nowMs);
+            trusted.add(t);
+        }
+        o.add("trusted", trusted);
+        o.addProperty("not_used", r.trust().refused());
+        o.addProperty("stale_decisions", r.trust().staleDecisions());
+        Keeper k = r.keeper();
+        if (k != null) {
+            o.addProperty("folder", r.folder());
+            o.addProperty("writes", r.writes());
+            o.addProperty("starts", k.header().starts());
+            o.addProperty("written_bytes", k.written());
+            o.addProperty("failed_writes", k.failures());
+            o.addProperty("too_long", k.dropped());
+            JsonArray found = new JsonArray();
+            r.opened().findings().forEach(f -> {
+                JsonObject one = new JsonObject();
+                one.addProperty("finding", f.toString());
+                found.add(one);
+            });
+            o.add("findings", found);
+        }
+        return o;
+    }
+
+    /** To a tenth; nothing where there is none. */
+    private static void seconds(JsonObject o, String name, double ms) {
+        if (!Double.isNaN(ms) && !Double.isInfinite(ms)) {
+            o.addProperty(name, Math.round(ms / 100) / 10.0);
+        }
+    }
+}
--- a/src/main/java/damsonworks/demo/ProxiedFleet.java
+++ b/src/main/java/damsonworks/demo/ProxiedFleet.java
@@ -6,7 +6,6 @@
 import damsonworks.fleet.Fault;
 import damsonworks.fleet.FleetSpec;
 import damsonworks.fleet.FrontLayer;
-import damsonworks.fleet.Layout;
 import damsonworks.fleet.LinkFault;
 import damsonworks.fleet.Sockets;
 import damsonworks.fleet.StandInFleet;
@@ -68,7 +67,7 @@
         fleet = new StandInFleet(spec);
         try {
             for (int i = 0; i < spec.proxies(); i++) {
-                proxies.add(new ProxyProcess("proxy-" + i, fleet.host(i), folder, edge, options(spec.layout())));
+                proxies.add(new ProxyProcess("proxy-" + i, fleet.host(i), folder, edge, spec.layout().parts()));
                 write(i);
                 proxies.get(i).start();
             }
@@ -84,10 +83,6 @@
         front = new FrontLayer(frontGroup.next(), proxies.stream().map(ProxyProcess::listen).toList(), spec.noticeMs());
     }
 
-    private static List<String> options(Layout layout) {
-        return layout.leaves() ? List.of("--zones", "on") : layout.view() ? List.of("--view", "on") : List.of();
-    }
-
     private static ScheduledThreadPoolExecutor executor(String name) {
         return new ScheduledThreadPoolExecutor(1, r -> {
             Thread thread = new Thread(r, name);
--- a/src/main/java/damsonworks/demo/ProxyProcess.java
+++ b/src/main/java/damsonworks/demo/ProxyProcess.java
@@ -1,6 +1,7 @@
 package damsonworks.demo;
 
 import com.google.gson.JsonObject;
+import damsonworks.fleet.Layout.Part;
 import java.io.File;
 import java.io.IOException;
 import java.net.InetAddress;
@@ -13,6 +14,8 @@
 import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /** One real proxy: a process that runs {@code serve} on a configuration of its own. */
@@ -26,7 +29,7 @@
     private final Path config;
     private final InetSocketAddress listen;
     private final Path edge;
-    private final List<String> options;
+    private final Set<Part> parts;
     private volatile Process process;
     private volatile boolean ended;
     /** Whether the process that runs has been told to end, or has been killed. */
@@ -36,12 +39,12 @@
     /** Where the process that was started last is asked for its health, or null where nobody asks. */
     private InetSocketAddress door;
 
-    /** Nothing is started yet; the address is free at the moment. {@code edge}: its file of routes, or null; {@code options}: of {@code serve}. */
-    ProxyProcess(String name, InetAddress host, Path parent, Path edge, List<String> options) throws IOException {
+    /** Nothing is started yet; the address is free at the moment. {@code edge}: its file of routes, or null; {@code parts}: what it runs with. */
+    ProxyProcess(String name, InetAddress host, Path parent, Path edge, Set<Part> parts) throws IOException {
         this.name = name;
         this.host = host;
         this.edge = edge;
-        this.options = List.copyOf(options);
+        this.parts = parts;
         folder = Files.createDirectories(parent.resolve(name));
         config = folder.resolve("config.json");
         listen = free();
@@ -115,7 +118,7 @@
             words.add("-Xshare:auto");
         }
         words.addAll(List.of("-cp", path, "damsonworks.Main", "serve", "--control", control().toString()));
-        words.addAll(options);
+        words.addAll(options());
         if (edge != null) {
             words.addAll(List.of("--edge", edge.toAbsolutePath().toString()));
         }
@@ -127,12 +130,23 @@
         process = builder.start();
     }
 
+    private List<String> options() throws IOException {
+        List<String> words = new ArrayList<>();
+        for (Part p : Part.values()) {
+            if (parts.contains(p)) {
+                words.add("--" + p.name().toLowerCase(Locale.ROOT));
+                words.add(p == Part.STATE ? state().toString() : "on");
+            }
+        }
+        return words;
+    }
+
     /** Whether its process has ended though nothing asked it to. */
     boolean died() {
         return !ended && !toEnd && process != null && !process.isAlive();
     }
 
-    /** Where what is to outlast a process would be kept; the program keeps nothing there yet. */
+    /** Where what is to outlast a process is kept, if it keeps anything. */
     Path state() throws IOException {
         return Files.createDirectories(folder.resolve("state"));
     }
--- a/src/main/java/damsonworks/demo/ProxyWatch.java
+++ b/src/main/java/damsonworks/demo/ProxyWatch.java
@@ -19,8 +19,11 @@
      */
     public record Sight(String digest, int living, long refutedDeaths, List<Double> open) { }
 
-    /** All proxies' sights at one time, by their numbers; a {@link System#nanoTime()}. */
-    public record Look(long nanos, List<Sight> sights) {
+    /**
+     * All proxies' sights at one time, by their numbers; a {@link System#nanoTime()}. {@code staleDecisions}: of all
+     * processes so far, as far as they were asked.
+     */
+    public record Look(long nanos, List<Sight> sights, long staleDecisions) {
         /** Whether all that answer hold the same, and count just those that answer. */
         public boolean settled() {
             List<Sight> there = sights.stream().filter(s -> s.digest() != null).toList();
@@ -43,6 +46,7 @@
         int drains;
         long taken;
         long turnedDown;
+        long stale;
     }
 
     private final List<ProxyProcess> proxies;
@@ -54,6 +58,7 @@
     private volatile int looks;
     private volatile long taken;
     private volatile long turnedDown;
+    private long staleDecisions;
 
     ProxyWatch(List<ProxyProcess> proxies) {
         this.proxies = proxies;
@@ -120,7 +125,7 @@
         }
         text = line.toString();
         if (views.size() < MOST_LOOKS) {
-            views.add(new Look(now, seen.stream().map(s -> s.sight).toList()));
+            views.add(new Look(now, seen.stream().map(s -> s.sight).toList(), staleDecisions));
         }
     }
 
@@ -147,6 +152,10 @@
         turnedDown += rejected - (pid == s.pid ? s.turnedDown : 0);
         s.taken = applied;
         s.turnedDown = rejected;
+        JsonObject recovery = status.getAsJsonObject("recovery");
+        long stale = recovery == null ? 0 : recovery.get("stale_decisions").getAsLong();
+        staleDecisions += stale - (pid == s.pid ? s.stale : 0);
+        s.stale = stale;
         s.pid = pid;
         JsonObject view = status.getAsJsonObject("view");
         s.sight = view == null || !view.get("kept").getAsBoolean() ? AWAY : new Sight(view.get("digest").getAsString(),
--- a/src/main/java/damsonworks/fleet/DiscoveryServer.java
+++ b/src/main/java/damsonworks/fleet/DiscoveryServer.java
@@ -29,7 +29,6 @@
 final class DiscoveryServer {
     /** Addresses for each proxy, so that a new configuration can name another. */
     static final int ADDRESSES = 2;
-    private static final double LINES_PER_SECOND = 200;
     /** A call that would wait longer is turned away. */
     private static final double PATIENCE_MS = 2000;
     private static final double MAX_WAIT_MS = 60_000;
@@ -152,7 +151,7 @@
             send(ctx, 503, "{}");
             return;
         }
-        freeMs = Math.max(now, freeMs) + hosts.size() / LINES_PER_SECOND * 1000;
+        freeMs = Math.max(now, freeMs) + hosts.size() * 1000.0 / fleet.spec().listLines();
         String body = json(proxy, roster.seq(), hosts, whole).toString();
         fleet.loop().schedule(() -> {
             if (!down) {
--- a/src/main/java/damsonworks/fleet/Series.java
+++ b/src/main/java/damsonworks/fleet/Series.java
@@ -13,6 +13,8 @@
 public final class Series {
     /** Later seconds are counted in the last. */
     static final int MOST_SECONDS = 7200;
+    /** A tenth of a second, in milliseconds. */
+    public static final double TENTH_MS = 100;
 
     /** What is counted. */
     public enum What {
@@ -66,6 +68,8 @@
     private final int proxies;
     private final int zones;
     private final DoubleSupplier nowMs;
+    /** Of all proxies together, by tenths of a second. */
+    private final List<long[]> tenths = new ArrayList<>();
     /** By second; in each the proxies in their order, and behind them nobody. */
     private final List<Cell[]> seconds = new ArrayList<>();
 
@@ -96,6 +100,16 @@
     /** So much has happened at that time, in milliseconds since the start. */
     public void add(int proxy, What what, long much, double atMs) {
         cell(proxy, atMs).counts.merge(what, much, Long::sum);
+        int tenth = (int) Math.max(0, Math.min(10 * MOST_SECONDS - 1, atMs / TENTH_MS));
+        while (tenths.size() <= tenth) {
+            tenths.add(new long[What.values().length]);
+        }
+        tenths.get(tenth)[what.ordinal()] += much;
+    }
+
+    /** What all proxies did together in each tenth of a second since the start; in each by {@link What#ordinal}. */
+    List<long[]> tenths() {
+        return tenths.stream().map(long[]::clone).toList();
     }
 
     /** A read has come to a cache node of that zone. */
--- a/src/main/java/damsonworks/fleet/StandInFleet.java
+++ b/src/main/java/damsonworks/fleet/StandInFleet.java
@@ -126,6 +126,11 @@
         return on(series::rows);
     }
 
+    /** What all proxies did together in each tenth of a second so far, by {@link Series.What#ordinal}. */
+    public List<long[]> tenths() {
+        return on(series::tenths);
+    }
+
     /** Has something counted, in turn with what the stand-ins count; waits for nothing. */
     public void count(Consumer<Series> what) {
         loop.execute(() -> what.accept(series));
--- a/src/main/java/damsonworks/lab/Expectation.java
+++ b/src/main/java/damsonworks/lab/Expectation.java
@@ -6,7 +6,7 @@
 
 /** Something that a scenario expects of its outcome. */
 public sealed interface Expectation permits Expectation.RulesHeld, Expectation.Served, Expectation.SettledWithin,
-        Expectation.FalseDeaths, ZoneExpectation {
+        Expectation.FalseDeaths, ZoneExpectation, RecoveryExpectation {
     /** What came of it. {@code measured} and {@code bound} are for people. */
     record Result(String name, boolean held, String measured, String bound) { }
 
--- a/src/main/java/damsonworks/lab/LabRun.java
+++ b/src/main/java/damsonworks/lab/LabRun.java
@@ -57,14 +57,16 @@
             int zero = (int) (zeroMs / 1000);
             List<Series.Row> rows = fleet.fleet().rows().stream().filter(r -> r.second() >= zero)
                     .map(r -> new Series.Row(r.second() - zero, r.proxy(), r.counts(), r.attempts())).toList();
+            List<long[]> fine = fleet.fleet().tenths().stream().skip(Math.round(zeroMs / Series.TENTH_MS)).toList();
             List<Outcome.Look> looks = fleet.watch().views().stream().map(l -> new Outcome.Look(
                     fleet.fleet().at(l.nanos()) - zeroMs, l.settled(), l.sights().stream().mapToLong(
-                            ProxyWatch.Sight::refutedDeaths).sum(), l.sights().stream().map(ProxyWatch.Sight::open).toList())).filter(l -> l.atMs() >= 0).toList();
+                            ProxyWatch.Sight::refutedDeaths).sum(), l.sights().stream().map(ProxyWatch.Sight::open).toList(),
+                    l.staleDecisions())).filter(l -> l.atMs() >= 0).toList();
             String died = fleet.died();
             if (logs != null) {
                 fleet.keepLogs(logs);
             }
-            return new Outcome(scenario, seed, report, verdict, rows, looks, died);
+            return new Outcome(scenario, seed, report, verdict, rows, fine, looks, died);
         }
     }
 
@@ -76,7 +78,7 @@
     private Report run(ProxiedFleet fleet, SyntheticWorkload workload, long clients)
             throws IOException, InterruptedException {
         Generator.Settings settings = new Generator.Settings(List.of(fleet.front()), scenario.fleet().classes(),
-                scenario.connections(), 1, 200_000, 0, 0, 10, clients);
+                scenario.connections(), 1, 200_000, 0, 0, 10, clients, scenario.inTurn(), 0);
         try (Generator generator = new Generator(settings, workload, new OracleObserver(fleet.fleet(), fleet::takenBy))) {
             CompletableFuture<Report> done = generator.start();
             while (true) {
--- a/src/main/java/damsonworks/lab/Outcome.java
+++ b/src/main/java/damsonworks/lab/Outcome.java
@@ -14,16 +14,17 @@
  * @param report  of the clients
  * @param verdict on the rules
  * @param rows    what each proxy did, second by second from the lead-in's end
+ * @param fine    what all of them did together, by tenths of a second from the lead-in's end
  * @param looks   what the proxies said of the fleet, their times in ms from the lead-in's end
  * @param died    the proxy that ended by itself, with the end of its log; null if none did
  */
 public record Outcome(Scenario scenario, long seed, Report report, Oracle.Verdict verdict, List<Series.Row> rows,
-        List<Look> looks, String died) {
+        List<long[]> fine, List<Look> looks, String died) {
     /**
      * What all proxies said of the fleet at one time. {@code open}: for each proxy how far each zone is open to it, empty for
-     * one that is away, decides nothing of zones or hears too little of the fleet.
+     * one that is away, decides nothing of zones or hears too little of the fleet. {@code staleDecisions}: so far.
      */
-    public record Look(double atMs, boolean settled, long refutedDeaths, List<List<Double>> open) { }
+    public record Look(double atMs, boolean settled, long refutedDeaths, List<List<Double>> open, long staleDecisions) { }
 
     /** Longer pauses of the lab's own process make an answer late by themselves: half of what the rules give one. */
     static final double PAUSE_PART = 0.5;
@@ -50,6 +51,17 @@
         return rows.stream().mapToLong(r -> r.counts().getOrDefault(what, 0L)).sum();
     }
 
+    /** How often something was seen from one time until another, over all proxies; to a tenth of a second. */
+    public double sum(What what, double fromMs, double toMs) {
+        int from = (int) Math.max(0, Math.round(fromMs / Series.TENTH_MS));
+        int to = (int) Math.min(fine.size(), Math.round(toMs / Series.TENTH_MS));
+        long n = 0;
+        for (int t = from; t < to; t++) {
+            n += fine.get(t)[what.ordinal()];
+        }
+        return n;
+    }
+
     /** Milliseconds from a time until a view was seen settled and stayed so until the next fault; infinite for never. */
     public double settledAfter(double fromMs) {
         double next = scenario.bands().stream().mapToDouble(Scenario.Band::fromMs).filter(t -> t > fromMs).min()
--- a/src/main/java/damsonworks/lab/ScenarioFile.java
+++ b/src/main/java/damsonworks/lab/ScenarioFile.java
@@ -11,8 +11,10 @@
 import damsonworks.fleet.Fault;
 import damsonworks.fleet.FleetSpec;
 import damsonworks.fleet.Layout;
+import damsonworks.fleet.Layout.Part;
 import damsonworks.fleet.LinkFault;
 import damsonworks.fleet.Parties;
+import damsonworks.fleet.Series.What;
 import damsonworks.fleet.TrafficClass;
 import damsonworks.fleet.Way;
 import damsonworks.lab.Scenario.Band;
@@ -21,11 +23,15 @@
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.Comparator;
+import java.util.EnumSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Collectors;
 
 /** A scenario as a file of the configuration language: {@code fleet}, {@code fault}s and what to {@code expect}. */
 public final class ScenarioFile {
@@ -39,6 +45,12 @@
     private static final List<Fault.Action> ACTIONS = Arrays.stream(Fault.Action.values())
             .filter(a -> a != Fault.Action.DOWN).toList();
 
+    private static final Map<String, Part> PARTS = Map.of("view", Part.VIEW, "leave-zones", Part.ZONES, "keep-state", Part.STATE,
+            "recover", Part.RECOVERY);
+
+    private static final Map<String, What> SECONDS = new TreeMap<>(Map.of("origin-at-most", What.FETCHES, "calls-at-most",
+            What.CALLS, "opened-at-most", What.OPENED));
+
     private final Path file;
     private final Configuration configuration;
 
@@ -67,9 +79,13 @@
                 .optional("peers", Type.flag(), "on", "whether proxies are told of one another")
                 .optional("view", Type.flag(), "off", "whether they keep a view of the fleet")
                 .optional("leave-zones", Type.flag(), "off", "whether they leave zones as a fleet, which takes a view")
+                .optional("keep-state", Type.flag(), "off", "whether they store what outlasts them")
+                .optional("recover", Type.flag(), "off", "whether they come back with the others in mind, which takes a view")
+                .optional("list-lines", Type.count(1, 100_000), "200", "that discovery can send a second, to all")
                 .optional("rate", Type.rate("1/s", "100000/s"), "200/s", "requests by clients")
                 .optional("keys", Type.count(1, 10_000_000), "20000", "in the key space")
                 .optional("connections", Type.count(1, 10_000), "100", "of clients, at most")
+                .optional("clients-in-turn", Type.flag(), "off", "all of them are opened, and each is used as often as the others")
                 .optional("patience", Type.factor("1", "100"), "1", "multiplies aims, deadlines and graces, for slow machines")
                 .optional("lead-in", Type.duration("0s", "10m"), "5s", "a quarter of the rate first, not counted")
                 .optional("for", Type.duration("1s", "2h"), "20s", "how long it lasts from the lead-in's end");
@@ -109,7 +125,15 @@
                 .optional("left-attempts-at-most", Type.rate("1/h", "100000/s"), null,
                         "of all proxies beyond it, at a zone that is left, on average")
                 .optional("fetches-at-most", Type.factor("1", "100"), null,
-                        "in every 2 s after the last fault, by what they were before the first");
+                        "in every 2 s after the last fault, by what they were before the first")
+                .optional("full-service-within", Type.duration("100ms", "10m"), null,
+                        "from the first fault's begin until the fleet serves as before, at no more cost")
+                .optional("busiest-at-most", Type.factor("1", "100"), null,
+                        "what the busiest proxy takes from 10 s after the last fault on, by the mean")
+                .optional("stale-decisions", Type.count(0, 1_000_000), null,
+                        "by what was stored and is older than it may be, at most");
+        SECONDS.forEach((word, what) -> expect.optional(word, Type.count(0, 1_000_000), null,
+                what.name().toLowerCase(Locale.ROOT) + " in any second from the first fault on, at most"));
         return new Schema().register(fleet).register(fault).register(expect).check(ScenarioFile::check);
     }
 
@@ -197,7 +221,15 @@
 
     /** The scenario with everything drawn that the file leaves to the seed. */
     public Scenario scenario(long seed) {
-        FleetSpec spec = fleet(configuration, seed);
+        return scenario(seed, Set.of());
+    }
+
+    /** The same by proxies that run without these parts, to be held against it. */
+    public Scenario scenario(long seed, Set<Part> without) {
+        FleetSpec whole = fleet(configuration, seed);
+        Layout layout = whole.layout();
+        FleetSpec spec = whole.withLayout(new Layout(layout.zones(), layout.betweenMs(), layout.peers(),
+                layout.parts().stream().filter(p -> !without.contains(p)).collect(Collectors.toSet())));
         Entry fleet = section("fleet");
         List<Fault> faults = new ArrayList<>();
         List<LinkFault> links = new ArrayList<>();
@@ -211,10 +243,11 @@
             }
         }
         faults.sort(Comparator.comparingDouble(Fault::atMs));
-        String name = file.getFileName().toString().replaceFirst("\\.conf$", "");
+        String name = file.getFileName().toString().replaceFirst("\\.conf$", "") + (without.isEmpty() ? "" : " without "
+                + without.stream().sorted().map(ScenarioFile::word).toList());
         return new Scenario(name, spec, number(fleet, "rate", 720_000) / 3600, number(fleet, "lead-in", 5000),
                 number(fleet, "for", 20_000), (int) number(fleet, "keys", 20_000),
-                (int) number(fleet, "connections", 100), List.copyOf(faults), List.copyOf(links), expectations(),
+                (int) number(fleet, "connections", 100), fleet != null && fleet.on("clients-in-turn"), List.copyOf(faults), List.copyOf(links), expectations(),
                 List.copyOf(bands));
     }
 
@@ -236,13 +269,24 @@
         return standard.withClasses(TrafficClass.SUBTITLES.stream().map(c -> c.patient(patience)).toList())
                 .withWork(number(e, "work", 1), number(e, "origin-time", 25))
                 .withOriginSlots((int) number(e, "origin-slots", 8))
+                .withListLines((int) number(e, "list-lines", 200))
                 .withBounds(standard.cacheEntries(), standard.queue(), (int) number(e, "node-connections", 42),
                         standard.values().usual())
                 .withHeld(number(e, "held", 92) / 100)
                 .withTimes(number(e, "notice", 1500), number(e, "warm-up", 9000), standard.drainGraceMs(),
                         standard.answerGraceMs() * patience)
                 .withLayout(new Layout(zones.isEmpty() ? List.of("a") : zones, number(e, "between", 0),
-                        e == null || e.on("peers"), e != null && e.on("view"), e != null && e.on("leave-zones")));
+                        e == null || e.on("peers"), parts(e)));
+    }
+
+    private static Set<Part> parts(Entry fleet) {
+        Set<Part> parts = EnumSet.noneOf(Part.class);
+        PARTS.forEach((word, part) -> {
+            if (fleet != null && fleet.on(word)) {
+                parts.add(part);
+            }
+        });
+        return parts;
     }
 
     private List<Expectation> expectations() {
@@ -278,6 +322,20 @@
         if (e != null && e.has("fetches-at-most")) {
             all.add(new ZoneExpectation.FetchesAtMost(e.number("fetches-at-most", 1)));
         }
+        if (e != null && e.has("full-service-within")) {
+            all.add(new RecoveryExpectation.FullServiceWithin(e.number("full-service-within", 0)));
+        }
+        if (e != null && e.has("busiest-at-most")) {
+            all.add(new RecoveryExpectation.BusiestAtMost(e.number("busiest-at-most", 1)));
+        }
+        if (e != null && e.has("stale-decisions")) {
+            all.add(new RecoveryExpectation.StaleDecisions(e.count("stale-decisions", 0)));
+        }
+        SECONDS.forEach((word, what) -> {
+            if (e != null && e.has(word)) {
+                all.add(new RecoveryExpectation.AtMost(what, e.count(word, 0)));
+            }
+        });
         return all;
     }
 
--- a/src/main/java/damsonworks/load/Generator.java
+++ b/src/main/java/damsonworks/load/Generator.java
@@ -45,15 +45,16 @@
      * @param warmUpSeconds  at the start, sent and not counted
      * @param maxLagMs       up to which lag at p99.9 the schedule counts as kept
      * @param seed           of request ids; generators that run side by side want different ones
+     * @param inTurn         as many clients with a connection each: all are opened, and the one that stood idle longest is used
      * @param readBytes      how fast each connection takes answers, in bytes a second; 0: as fast as they come
      */
     public record Settings(List<InetSocketAddress> targets, List<TrafficClass> classes, int connections,
             int depth, int maxOutstanding, double staySeconds, double warmUpSeconds, double maxLagMs, long seed,
-            int readBytes) {
+            boolean inTurn, int readBytes) {
         /** Takes answers as fast as they come. */
         public Settings(List<InetSocketAddress> targets, List<TrafficClass> classes, int connections, int depth,
                 int maxOutstanding, double staySeconds, double warmUpSeconds, double maxLagMs, long seed) {
-            this(targets, classes, connections, depth, maxOutstanding, staySeconds, warmUpSeconds, maxLagMs, seed, 0);
+            this(targets, classes, connections, depth, maxOutstanding, staySeconds, warmUpSeconds, maxLagMs, seed, false, 0);
         }
 
         /** Checks the ranges. */
@@ -256,7 +257,10 @@
     }
 
     private Connection pick() {
-        for (Connection c; (c = idle.pollLast()) != null;) {
+        if (settings.inTurn() && connections.size() < most && System.nanoTime() >= retryNanos) {
+            connect(); // each client has one of its own
+        }
+        for (Connection c; (c = settings.inTurn() ? idle.pollFirst() : idle.pollLast()) != null;) {
             if (c.usable()) {
                 return c;
             }
--- a/src/main/java/damsonworks/proxy/Acceptor.java
+++ b/src/main/java/damsonworks/proxy/Acceptor.java
@@ -154,6 +154,11 @@
         idleClients().sorted(LONGEST_IDLE).limit(many).toList().forEach(this::retire);
     }
 
+    /** Ends so many connections between requests, those first that were used last: these carry what is asked. */
+    void endBusiest(int many) {
+        idleClients().sorted(LONGEST_IDLE.reversed()).limit(many).toList().forEach(ClientConnection::finish);
+    }
+
     /** Ends all connections, whatever is on them. */
     void endAll() {
         List.copyOf(clients).forEach(ClientConnection::finish);
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -25,6 +25,7 @@
 import damsonworks.proxy.discovery.DiscoveryClient;
 import damsonworks.proxy.discovery.Host;
 import damsonworks.proxy.discovery.ListSource;
+import damsonworks.recovery.Trust;
 import damsonworks.route.Router;
 import damsonworks.route.Routing;
 import io.netty.bootstrap.Bootstrap;
@@ -37,6 +38,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -85,6 +87,10 @@
     private MemberLink members;
     private NodeTalk nodes;
     private ZoneLink zones;
+    /** What is worked with that was not seen here, and until when it may be. */
+    private final Trust trust = new Trust();
+    /** Who wants to know of news of the list once it is in use. */
+    private final List<Consumer<ListKind>> followers = new ArrayList<>();
     private ClientListener listener;
     private Future<?> sweeper;
     private boolean busy;
@@ -200,6 +206,11 @@
         tell(() -> router.replace(now(), routing, this));
     }
 
+    /** What everything runs on. */
+    EventLoop loop() {
+        return loop;
+    }
+
     /** Ends all that it has open; the module is not called any more. */
     void stop() {
         stopped = true;
@@ -254,6 +265,11 @@
         return firstServedMs;
     }
 
+    /** Requests that were taken since the start. */
+    long taken() {
+        return nextId;
+    }
+
     /** Requests that have had no final answer. */
     int owed() {
         return open.size();
@@ -358,13 +374,22 @@
             }
             module.onList(now(), kind, hosts.stream().map(Host::member).toList(), this);
         });
-        if (zones != null) {
-            zones.listed();
-        }
+        followers.forEach(f -> f.accept(kind));
+    }
+
+    /** This is told of news of the list once it is in use. */
+    void follow(Consumer<ListKind> follower) {
+        followers.add(follower);
+    }
+
+    /** What is worked with that was not seen here. */
+    Trust trust() {
+        return trust;
     }
 
     @Override
     public void version(long seq) {
+        trust.confirmed(Trust.Thing.LIST);
         if (news != null) {
             news.held(seq);
         }
@@ -444,6 +469,7 @@
         exchanges.put(x.id, x);
         Request request = new Request(x.id, kind, tenant, Installation.key(c.key), x.dueMs, terms.work() / 1000,
                 terms.bytes(), c.write, terms.repeat());
+        trust.decided(now, Trust.Thing.LIST);
         // Before the module's own timer for the same time: a silent server's attempt ends as a time-out then.
         x.timer = after(wait, () -> due(x));
         tell(() -> guard(x, () -> {
--- a/src/main/java/damsonworks/proxy/MemberLink.java
+++ b/src/main/java/damsonworks/proxy/MemberLink.java
@@ -19,15 +19,20 @@
     /** A timer that was set before the last one is void. */
     private long waits;
     private Living living = new Living(1);
+    private Runnable changed = () -> { };
 
-    /** {@code advised}: told the number that lives each time that it changes. */
-    MemberLink(Dispatcher dispatcher, PeerSocket peers, Settings settings, long seed, Consumer<Living> advised) {
+    /**
+     * {@code remembered}: the incarnation of this instance's last life, 0 for none; {@code advised}: told the number that lives
+     * each time that it changes.
+     */
+    MemberLink(Dispatcher dispatcher, PeerSocket peers, Settings settings, long remembered, long seed, Phase phase,
+            Consumer<Living> advised) {
         this.dispatcher = dispatcher;
         this.peers = peers;
         this.advised = advised;
-        members = new Membership(MemberSettings.of(settings.instances()), settings.me(), settings.zone(), new byte[0], 0,
+        members = new Membership(MemberSettings.of(settings.instances()), settings.me(), settings.zone(), new byte[0], remembered,
                 settings.ownSeed(seed), new MemberBudget(peers.outbox()));
-        members.phase(Phase.SERVING);
+        members.phase(phase);
         run();
     }
 
@@ -36,6 +41,11 @@
         run();
     }
 
+    /** What is to be done each time that something may have changed. */
+    void onChange(Runnable then) {
+        changed = then;
+    }
+
     /** What one part of the program publishes by this proxy. */
     void note(int part, byte[] bytes) {
         members.note(part, bytes);
@@ -57,6 +67,11 @@
         return members.view(now());
     }
 
+    /** The number of this instance's life. */
+    long incarnation() {
+        return members.incarnation();
+    }
+
     /** How often this proxy refuted that it was dead. */
     long deathsRefuted() {
         return members.deathsRefuted();
@@ -80,6 +95,7 @@
             living = lives;
             advised.accept(lives);
         }
+        changed.run();
         double due = members.dueMs();
         if (due != Double.POSITIVE_INFINITY) {
             dispatcher.after(Math.max(0, due - now()), () -> {
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -1,6 +1,6 @@
 package damsonworks.proxy;
 
-import com.google.gson.JsonObject;
+import com.google.gson.JsonPrimitive;
 import damsonworks.RoutingApi.Experience;
 import damsonworks.RoutingApi.Settings;
 import damsonworks.drain.Drain;
@@ -14,7 +14,11 @@
 import damsonworks.route.Known;
 import damsonworks.route.Router;
 import damsonworks.route.Routing;
+import damsonworks.state.Kind;
+import damsonworks.state.Opened;
+import damsonworks.state.Record;
 import damsonworks.takeover.Handover;
+import damsonworks.zone.Zones.Held;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -23,12 +27,16 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.net.InetSocketAddress;
+import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 /** One real proxy: its sockets, their bounds and its end. */
 public final class Proxy {
@@ -38,6 +46,8 @@
     private static final double ANSWER_ROOM_MS = 150;
     /** Descriptors that the JVM, the listening socket, discovery and peers need. */
     private static final int OWN_DESCRIPTORS = 64;
+    /** Some rounds of the view, ticks of zones and recovery, and writes. */
+    private static final long TRAIN_MS = 700;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
     private final EventLoop loop = group.next();
@@ -57,10 +67,18 @@
     private MemberLink members;
     /** Null where it decides nothing of zones. On the event loop only. */
     private ZoneLink zones;
-
-    private Proxy(Config config, Edge edge, boolean warm, Path shared) throws InterruptedException, IOException {
+    /** Null where it does not look at how it comes back. On the event loop only. */
+    private RecoveryLink recovery;
+    /** Null where nothing is kept. */
+    private final StateLink kept;
+    /** What is known from before the start. */
+    private final Remembered remembered;
+    private final boolean succeeds;
+
+    private Proxy(Config config, Edge edge, boolean warm, Path shared, Kept folder) throws InterruptedException, IOException {
         this.config = config;
         this.edge = edge;
+        kept = folder == null ? null : new StateLink(folder.folder(), config.name(), folder.fleet());
         Routing routing = edge == null ? null : edge.read(config.names());
         if (warm) {
             WarmUp.run(config);
@@ -82,17 +100,20 @@
         drainer = new Drainer(loop, dispatcher, acceptor, this::ended);
         TakeoverLink old = TakeoverLink.ask(loop, shared); // as late as can be: what it tells is of now
         TakeoverState state = old == null ? null : old.state();
+        succeeds = state != null;
+        remembered = new Remembered(state, kept == null ? Opened.EMPTY : kept.opened(), dispatcher.trust(), dispatcher.now());
         loop.submit(() -> {
             dispatcher.start(discovery, peers, acceptor, routing);
-            discovery.start(newer(state, config.known()));
+            discovery.start(remembered.list(config.known()));
             if (config.settings().peers()) {
                 Settings settings = config.settings();
                 ListNews news = new ListNews(settings.instances(), settings.ownSeed(config.seed()));
                 news.begin(discovery.version());
                 dispatcher.news(new PeerNews(dispatcher, peers, discovery, news));
             }
-            if (state != null) {
-                dispatcher.resume(state.learnt());
+            dispatcher.resume(remembered.learnt());
+            if (kept != null) {
+                kept.start(dispatcher, discovery);
             }
             loop.scheduleWithFixedDelay(acceptor::sweep, 1, 1, TimeUnit.SECONDS);
         }).syncUninterruptibly();
@@ -111,7 +132,16 @@
 
     /** What a successor must know: what this process was told of the servers binds both. */
     private TakeoverState state() {
-        return new TakeoverState(discovery.list(), dispatcher.experience());
+        Map<Kind, Record> records = new EnumMap<>(Kind.class);
+        if (members != null) {
+            records.put(Kind.INCARNATION, new Record(Kind.INCARNATION, dispatcher.now(), new JsonPrimitive(members.incarnation())));
+        }
+        if (zones != null) {
+            Map<Integer, Held> held = zones.zones().held();
+            records.put(Kind.ZONES, new Record(Kind.ZONES, dispatcher.now(), ZoneForm.json(held, false, zones.names())));
+            records.put(Kind.ORDERS, new Record(Kind.ORDERS, dispatcher.now(), ZoneForm.json(held, true, zones.names())));
+        }
+        return new TakeoverState(discovery.list(), dispatcher.experience(), records);
     }
 
     /** What is passed over of what has been learnt; for tests, on the event loop only. */
@@ -119,14 +149,6 @@
         return dispatcher.experience();
     }
 
-    private static JsonObject newer(TakeoverState state, JsonObject known) {
-        if (state == null) {
-            return known;
-        }
-        JsonObject list = state.list();
-        return known != null && known.get("seq").getAsLong() > list.get("seq").getAsLong() ? known : list;
-    }
-
     private void ended() {
         if (handover.passes()) {
             dispatcher.log("passed " + link.passed() + " clients on");
@@ -135,6 +157,9 @@
         if (members != null && !handover.passes()) {
             members.leave(); // a successor goes on under this name
         }
+        if (kept != null) {
+            kept.close();
+        }
         ended.countDown();
         whenEnded.run();
     }
@@ -145,16 +170,24 @@
         Routing read(Known known);
     }
 
-    /** Runs a proxy by the configuration that the environment names, until SIGTERM or the end of a drain. */
-    public static Proxy main() {
-        return main(null);
-    }
+    /**
+     * Where an instance keeps what outlasts its process.
+     *
+     * @param folder of its own; no other instance's
+     * @param fleet  the name of its fleet: another's folder is of no use to it
+     */
+    public record Kept(Path folder, String fleet) { }
 
-    /** The same with routes; {@code edge} null: without. */
-    public static Proxy main(Edge edge) {
+    /**
+     * Runs a proxy by the configuration that the environment names, until SIGTERM or the end of a drain.
+     *
+     * @param edge   its routes; null: none
+     * @param folder where it keeps what outlasts it; null: nowhere
+     */
+    public static Proxy main(Edge edge, Kept folder) {
         Config config = configuration();
         try {
-            Proxy proxy = new Proxy(config, edge, true, HandoverLink.folder());
+            Proxy proxy = new Proxy(config, edge, true, HandoverLink.folder(), folder);
             Runtime.getRuntime().addShutdownHook(new Thread(proxy::drain));
             Hangup.on(() -> proxy.reload(System.getenv("BALANCER_CONFIG")));
             // Not on the event loop, which the process's end waits for.
@@ -181,12 +214,23 @@
         }
     }
 
-    /** Starts a proxy, has it used and ends it; the process's exit code. */
+    /**
+     * Starts a proxy with all that it may run with, has it used and ends it; the process's exit code. What a proxy loads that
+     * comes back with many others is in the archive then, as they share the machine.
+     */
     public static int train(Consumer<Proxy> use) {
         try {
-            Proxy proxy = new Proxy(configuration(), null, true, null);
+            Path folder = Files.createTempDirectory("train");
+            Proxy proxy = new Proxy(configuration(), null, true, null, new Kept(folder, "train"));
+            proxy.join(new Together(true, true, true));
             use.accept(proxy);
+            TimeUnit.MILLISECONDS.sleep(TRAIN_MS);
             proxy.close();
+            try (Stream<Path> files = Files.walk(folder)) {
+                for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
+                    Files.delete(file);
+                }
+            }
             return 0;
         } catch (InterruptedException | IOException e) {
             return 1;
@@ -195,17 +239,22 @@
 
     /** Starts without a warm-up. */
     static Proxy start(Config config) throws InterruptedException, IOException {
-        return new Proxy(config, null, false, null);
+        return new Proxy(config, null, false, null, null);
     }
 
     /** Starts without a warm-up, with routes. */
     static Proxy start(Config config, Edge edge) throws InterruptedException, IOException {
-        return new Proxy(config, edge, false, null);
+        return new Proxy(config, edge, false, null, null);
     }
 
     /** Starts without a warm-up, as the successor of whoever serves by this folder. */
     static Proxy start(Config config, Path shared) throws InterruptedException, IOException {
-        return new Proxy(config, null, false, shared);
+        return new Proxy(config, null, false, shared, null);
+    }
+
+    /** Starts without a warm-up, with what its folder holds, as the successor of whoever serves by {@code shared}, if anybody. */
+    static Proxy start(Config config, Path shared, Kept folder) throws InterruptedException, IOException {
+        return new Proxy(config, null, false, shared, folder);
     }
 
     InetSocketAddress address() {
@@ -228,22 +277,45 @@
     // ---- the view of the fleet
 
     /**
-     * Takes part in the view that the fleet keeps of itself, where the settings allow peers to talk. {@code leaves}: and in
-     * what it decides of zones.
+     * What a proxy does with the others of its fleet, where the settings allow peers to talk.
+     *
+     * @param view     takes part in the view that the fleet keeps of itself; implied by the others
+     * @param zones    takes part in what the fleet decides of zones
+     * @param recovers comes back with the others in mind
      */
-    public void keepView(boolean leaves) {
+    public record Together(boolean view, boolean zones, boolean recovers) { }
+
+    /** Begins to do so. */
+    public void join(Together parts) {
         loop.execute(() -> {
-            if (config.settings().peers()) {
-                members = new MemberLink(dispatcher, peers, config.settings(), config.seed(), dispatcher::among);
+            boolean peersTalk = config.settings().peers();
+            if (peersTalk && (parts.view() || parts.zones() || parts.recovers())) {
+                members = new MemberLink(dispatcher, peers, config.settings(), remembered.incarnation(), config.seed(),
+                        parts.recovers() ? Phase.STARTING : Phase.SERVING, dispatcher::among);
                 dispatcher.members(members, new NodeTalk(dispatcher, peers, members));
-                if (leaves) {
-                    zones = new ZoneLink(dispatcher, members, config.settings(), config.zones());
+                if (parts.zones()) {
+                    zones = new ZoneLink(dispatcher, members, config.settings(), config.zones(), remembered);
                     dispatcher.zones(zones);
                 }
+                if (kept != null) {
+                    kept.keep(members::incarnation, zones);
+                    members.onChange(kept::fleetChanged);
+                }
+            }
+            if (parts.recovers()) {
+                recovery = new RecoveryLink(dispatcher, members, acceptor, succeeds, () -> discovery.start(config.known()));
             }
         });
     }
 
+    /** How this process comes back, and what it keeps. On the event loop only. */
+    public Recovering recovering() {
+        return new Recovering(dispatcher.trust(), recovery == null ? null : recovery.progress(),
+                recovery == null ? null : recovery.spread(), recovery == null ? 0 : recovery.rate(),
+                kept == null ? null : kept.opened(), kept == null ? null : kept.keeper(),
+                kept == null ? null : kept.path().toString(), kept != null && kept.locked());
+    }
+
     /** What the fleet has decided of zones; null if this proxy takes no part in that. On the event loop only. */
     public FleetZones zones() {
         return zones == null ? null : new FleetZones(zones);
@@ -312,6 +384,9 @@
         });
         try {
             ended.await();
+            if (kept != null) {
+                kept.awaitClosed();
+            }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
@@ -326,8 +401,8 @@
     /** Takes a drain back; null if that was done, else why it can't be. On the event loop only. */
     public String cancelDrain() {
         String why = drainer.cancel();
-        if (why == null && members != null) {
-            members.phase(Phase.SERVING);
+        if (why == null && members != null && recovery == null) {
+            members.phase(Phase.SERVING); // else its own stage is told anyway
         }
         return why;
     }
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/RecoveryLink.java
@@ -0,0 +1,158 @@
+package damsonworks.proxy;
+
+import damsonworks.RoutingApi.ListKind;
+import damsonworks.figures.Work;
+import damsonworks.member.Entry;
+import damsonworks.member.Phase;
+import damsonworks.member.View;
+import damsonworks.recovery.Load;
+import damsonworks.recovery.Progress;
+import damsonworks.recovery.Progress.Stage;
+import damsonworks.recovery.Sample;
+import damsonworks.recovery.Spread;
+import damsonworks.recovery.Trust;
+import damsonworks.recovery.Trust.Thing;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+
+/**
+ * Carries out what is decided of coming back: tells the fleet how far this instance is and what it is asked, and ends clients'
+ * connections where it carries more than its part. On the event loop only.
+ */
+final class RecoveryLink {
+    /** The note of the view that holds what an instance is asked. */
+    static final int LOAD_NOTE = 2;
+    private static final double TICK_MS = 250;
+    /** What is asked is told so often at most. */
+    private static final double TELL_MS = 1500;
+    /** A rate is taken over so long. */
+    private static final double RATE_MS = 1500;
+
+    private final Dispatcher dispatcher;
+    private final MemberLink members;
+    private final Acceptor acceptor;
+    private final Runnable listExpired;
+    private final Progress progress;
+    private final Spread spread = new Spread();
+    private double rateMs;
+    private long rateTaken;
+    private double rate;
+    private byte toldLoad;
+    private double toldMs = Double.NEGATIVE_INFINITY;
+    private boolean paused;
+
+    /**
+     * {@code members}: null where no view is kept, and nobody is told; {@code firstHand}: whether the list came from the process
+     * before, which served until now; {@code listExpired}: lets go of a list that is past its bound.
+     */
+    RecoveryLink(Dispatcher dispatcher, MemberLink members, Acceptor acceptor, boolean firstHand, Runnable listExpired) {
+        this.dispatcher = dispatcher;
+        this.members = members;
+        this.acceptor = acceptor;
+        this.listExpired = listExpired;
+        progress = new Progress(dispatcher.startedMs());
+        if (dispatcher.servers().discovered() > 0) {
+            progress.listed(dispatcher.now(), firstHand);
+        }
+        dispatcher.follow(this::listed);
+        rateMs = dispatcher.now();
+        run();
+    }
+
+    private void listed(ListKind kind) {
+        if (kind == ListKind.FULL || kind == ListKind.CHANGES) {
+            progress.listed(dispatcher.now(), true);
+        } else if (kind == ListKind.CACHED && dispatcher.servers().discovered() == 0) {
+            progress.unlisted();
+        }
+    }
+
+    private void run() {
+        tick();
+        dispatcher.after(TICK_MS, this::run);
+    }
+
+    private void tick() {
+        double now = dispatcher.now();
+        if (dispatcher.trust().expired(now, Thing.LIST)) {
+            dispatcher.trust().dropped(Thing.LIST);
+            dispatcher.log("recovery: the stored list is too old to go on with, and discovery has not answered");
+            listExpired.run();
+        }
+        Counters c = dispatcher.counters();
+        Stage before = progress.stage();
+        Stage stage = progress.tick(now, new Sample(dispatcher.taken(), c.done(Work.SERVED), c.done(Work.REFUSED)));
+        if (stage != before) {
+            tell(stage);
+        }
+        if (now - rateMs >= RATE_MS) {
+            rate = (dispatcher.taken() - rateTaken) * 1000.0 / (now - rateMs);
+            rateTaken = dispatcher.taken();
+            rateMs = now;
+        }
+        if (members != null && !dispatcher.draining()) {
+            phase(stage);
+            share(now);
+        }
+    }
+
+    private void tell(Stage stage) {
+        dispatcher.log(String.format(Locale.ROOT, "recovery: %s %.1f s after the start%s", stage.name().toLowerCase(Locale.ROOT),
+                (dispatcher.now() - dispatcher.startedMs()) / 1000,
+                stage == Stage.SERVING && progress.endedByBound() ? ", by the clock alone" : ""));
+    }
+
+    /** A drain says so itself, and says so when it is taken back. */
+    private void phase(Stage stage) {
+        members.phase(switch (stage) {
+            case STARTING -> Phase.STARTING;
+            case RECOVERING -> Phase.RECOVERING;
+            case SERVING -> Phase.SERVING;
+        });
+    }
+
+    private void share(double now) {
+        if (Load.changed(toldLoad, rate) && now - toldMs >= TELL_MS) {
+            toldLoad = Load.code(rate);
+            toldMs = now;
+            members.note(LOAD_NOTE, toldLoad == 0 ? new byte[0] : new byte[] {toldLoad});
+        }
+        View view = members.view();
+        List<Double> others = new ArrayList<>();
+        for (Entry e : view.entries()) {
+            if (e.id() != view.me() && e.state().lives() && e.phase() == Phase.SERVING) {
+                byte[] told = e.note(LOAD_NOTE);
+                others.add(told.length == 1 ? Load.perSecond(told[0]) : 0);
+            }
+        }
+        int many = spread.tick(now, rate, others, acceptor.open(), acceptor.idle());
+        if (many > 0) {
+            acceptor.endBusiest(many);
+        }
+        if (paused != spread.paused(now)) {
+            paused = !paused;
+            if (paused) {
+                dispatcher.log("recovery: ending connections does not move clients elsewhere; they are left alone for a while");
+            }
+        }
+    }
+
+    /** How far it is. */
+    Progress progress() {
+        return progress;
+    }
+
+    /** What it carries by what the others do. */
+    Spread spread() {
+        return spread;
+    }
+
+    Trust trust() {
+        return dispatcher.trust();
+    }
+
+    double rate() {
+        return rate;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/Remembered.java
@@ -0,0 +1,160 @@
+package damsonworks.proxy;
+
+import com.google.gson.JsonObject;
+import damsonworks.RoutingApi.Experience;
+import damsonworks.RoutingApi.Load;
+import damsonworks.RoutingApi.Seen;
+import damsonworks.member.Entry;
+import damsonworks.recovery.Source;
+import damsonworks.recovery.Trust;
+import damsonworks.recovery.Trust.Thing;
+import damsonworks.state.Kind;
+import damsonworks.state.Opened;
+import damsonworks.state.Record;
+import damsonworks.state.Use;
+import damsonworks.zone.Zones.Held;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What this process knows from before its start: from the process that it takes over from, which served until now, and of what that
+ * one did not tell from the folder, as far as its age allows. Each thing that is used is entered in {@link Trust}.
+ */
+final class Remembered {
+    private static final Map<Kind, Thing> THINGS = Map.of(Kind.LIST, Thing.LIST, Kind.LEARNT, Thing.LEARNT, Kind.ZONES, Thing.ZONES,
+            Kind.ORDERS, Thing.ZONES, Kind.INCARNATION, Thing.INCARNATION);
+
+    private final Map<Kind, Record> records = new EnumMap<>(Kind.class);
+    private final Map<Kind, Source> sources = new EnumMap<>(Kind.class);
+    private final Trust trust;
+    private final double nowMs;
+
+    /** {@code predecessor}: null where nobody is taken over from; {@code nowMs}: of the wall clock. */
+    Remembered(TakeoverState predecessor, Opened stored, Trust trust, double nowMs) {
+        this.trust = trust;
+        this.nowMs = nowMs;
+        put(stored.records(), Source.STORED);
+        if (predecessor != null) {
+            put(predecessor.kept(), Source.PREDECESSOR);
+            put(Map.of(Kind.LIST, new Record(Kind.LIST, nowMs, predecessor.list()),
+                    Kind.LEARNT, new Record(Kind.LEARNT, nowMs, LearntForm.json(predecessor.learnt()))), Source.PREDECESSOR);
+        }
+    }
+
+    private void put(Map<Kind, Record> more, Source source) {
+        more.forEach((kind, r) -> {
+            records.put(kind, r);
+            sources.put(kind, source);
+        });
+    }
+
+    private Use use(Kind kind) {
+        Record r = records.get(kind);
+        return r == null ? Use.NOTHING : r.use(nowMs);
+    }
+
+    /** Whether what is known of a kind may be decided by. */
+    boolean holds(Kind kind) {
+        return use(kind) == Use.HOLDS;
+    }
+
+    private void taken(Kind kind) {
+        Record r = records.get(kind);
+        boolean hint = use(kind) == Use.HINT;
+        trust.taken(nowMs, THINGS.get(kind), sources.get(kind), nowMs - r.toldMs(),
+                hint || kind == Kind.LIST ? kind.hintMs() : kind.holdsMs(), hint);
+    }
+
+    /**
+     * The list to begin with: of what is known and what the configuration says the one of the higher version, and of two of one
+     * version the configuration's. Null if there is none.
+     */
+    JsonObject list(JsonObject configured) {
+        Record r = records.get(Kind.LIST);
+        if (configured != null) {
+            trust.taken(nowMs, Thing.LIST, Source.CONFIGURED, Double.NaN, Double.POSITIVE_INFINITY, false);
+        }
+        if (r == null) {
+            return configured;
+        }
+        try {
+            JsonObject list = r.body().getAsJsonObject();
+            if (use(Kind.LIST) == Use.NOTHING) {
+                trust.refused(Thing.LIST);
+                return configured;
+            }
+            if (configured == null || list.get("seq").getAsLong() > configured.get("seq").getAsLong()) {
+                taken(Kind.LIST);
+                return list;
+            }
+        } catch (RuntimeException e) {
+            trust.refused(Thing.LIST);
+        }
+        return configured;
+    }
+
+    /** What was learnt, or of what is too old to hold the doubts alone; empty for nothing. */
+    Map<String, Experience> learnt() {
+        Use use = use(Kind.LEARNT);
+        if (use == Use.NOTHING) {
+            if (records.containsKey(Kind.LEARNT)) {
+                trust.refused(Thing.LEARNT);
+            }
+            return Map.of();
+        }
+        try {
+            Map<String, Experience> all = new HashMap<>(LearntForm.read(records.get(Kind.LEARNT).body().getAsJsonObject()));
+            if (use == Use.HINT) {
+                all.replaceAll((pool, e) -> doubts(e));
+            }
+            taken(Kind.LEARNT);
+            return all;
+        } catch (RuntimeException e) {
+            trust.refused(Thing.LEARNT);
+            return Map.of();
+        }
+    }
+
+    /** Servers that failed last are tried by one request before the others; of the origin's jam and hot keys nothing is left. */
+    private static Experience doubts(Experience e) {
+        List<Seen> seen = e.servers().stream().filter(s -> s.failures() > 0).map(s -> new Seen(s.id(), s.bornMs(), 1, 0, 0))
+                .toList();
+        return new Experience(e.fetchMs(), e.paceMs(), e.paceDeviationMs(), e.usualCost(), new Load(0, 0), new Load(0, 0), 0,
+                List.of(), seen);
+    }
+
+    /** The incarnation of the last life; 0 if nothing is remembered. */
+    long incarnation() {
+        Record r = records.get(Kind.INCARNATION);
+        try {
+            long incarnation = r == null ? 0 : r.body().getAsLong();
+            if (incarnation > 0) {
+                taken(Kind.INCARNATION);
+            }
+            return Math.max(0, Math.min(Entry.MAX_INCARNATION - 1, incarnation));
+        } catch (RuntimeException e) {
+            trust.refused(Thing.INCARNATION);
+            return 0;
+        }
+    }
+
+    /** What was held of zones, of one kind; by the zones' numbers now. */
+    Map<Integer, Held> zones(Kind kind, List<String> names) {
+        Record r = records.get(kind);
+        if (r == null) {
+            return Map.of();
+        }
+        try {
+            Map<Integer, Held> held = ZoneForm.read(r.body(), names);
+            if (!held.isEmpty()) {
+                taken(kind);
+            }
+            return held;
+        } catch (RuntimeException e) {
+            trust.refused(Thing.ZONES);
+            return Map.of();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/StateLink.java
@@ -0,0 +1,298 @@
+package damsonworks.proxy;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonPrimitive;
+import damsonworks.RoutingApi.ListKind;
+import damsonworks.proxy.discovery.DiscoveryClient;
+import damsonworks.state.Finding;
+import damsonworks.state.Finding.Harm;
+import damsonworks.state.Header;
+import damsonworks.state.Keeper;
+import damsonworks.state.Kind;
+import damsonworks.state.Opened;
+import damsonworks.state.Record;
+import damsonworks.state.StateFolder;
+import damsonworks.zone.Zones.Held;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+
+/**
+ * Keeps what outlasts this process in a folder: carries out what {@link Keeper} orders, on a thread that may wait for the disk. A
+ * folder that can't be written, now or later, is told once and costs no request; another process that writes there, as the one
+ * that this one takes over from, is waited for. On the event loop but for the writing itself.
+ */
+final class StateLink {
+    private static final double REFRESH_MS = 5000;
+    /** A list that was told again is written again only when what is stored has come to be this old. */
+    private static final double LIST_REFRESH_MS = 20_000;
+    private static final double LOCK_AGAIN_MS = 300;
+    /** What the last write may take at the end of the process. */
+    private static final long LAST_MS = 300;
+
+    private final StateFolder folder;
+    private final String instance;
+    private final String fleet;
+    private final Opened opened;
+    private final Keeper keeper;
+    private final ExecutorService writer = Executors.newSingleThreadExecutor(r -> {
+        Thread thread = new Thread(r, "state");
+        thread.setDaemon(true);
+        return thread;
+    });
+    private Dispatcher dispatcher;
+    private DiscoveryClient discovery;
+    private LongSupplier incarnation = () -> 0;
+    private ZoneLink zones;
+    private boolean locked;
+    private boolean locking;
+    private boolean told;
+    private boolean closed;
+    /** A timer that was set before the last one is void. */
+    private long waits;
+
+    /** Reads the folder; waits for the disk, so not to be called on the event loop. Never fails. */
+    StateLink(Path path, String instance, String fleet) {
+        folder = new StateFolder(path);
+        this.instance = instance;
+        this.fleet = fleet;
+        opened = folder.open(instance, fleet);
+        keeper = new Keeper(opened, instance, fleet);
+    }
+
+    /** What was there. */
+    Opened opened() {
+        return opened;
+    }
+
+    /** Keeps from now on what this proxy comes to know. */
+    void start(Dispatcher by, DiscoveryClient list) {
+        dispatcher = by;
+        discovery = list;
+        for (Finding f : opened.findings()) {
+            if (f.harm() != Harm.NONE) {
+                dispatcher.log("state: " + folder.path() + ": " + f);
+            }
+        }
+        if (!opened.records().isEmpty()) {
+            double now = dispatcher.now();
+            dispatcher.log("state: found " + String.join(", ", opened.records().values().stream().sorted(Comparator.comparing(
+                    Record::kind)).map(r -> String.format(Locale.ROOT, "%s %.1f s old (%s)", r.kind().word(),
+                    (now - r.toldMs()) / 1000, r.use(now).name().toLowerCase(Locale.ROOT))).toList()));
+        }
+        dispatcher.follow(this::listed);
+        refresh();
+    }
+
+    /** What else is kept: the number of this instance's life, and what is decided of zones; null for none. */
+    void keep(LongSupplier life, ZoneLink decided) {
+        incarnation = life;
+        zones = decided;
+        fleetChanged();
+    }
+
+    private void listed(ListKind kind) {
+        if (kind == ListKind.FULL || kind == ListKind.CHANGES) {
+            JsonElement list = discovery.list();
+            Record before = keeper.get(Kind.LIST);
+            if (before == null || !before.body().equals(list) || dispatcher.now() - before.toldMs() > LIST_REFRESH_MS) {
+                put(Kind.LIST, list);
+            }
+        }
+    }
+
+    /** The view of the fleet or what is decided of zones may have changed. */
+    void fleetChanged() {
+        if (dispatcher == null || closed) {
+            return;
+        }
+        long life = incarnation.getAsLong();
+        if (life > 0) {
+            put(Kind.INCARNATION, new JsonPrimitive(life));
+        }
+        if (zones != null) {
+            Map<Integer, Held> held = zones.zones().held();
+            putIfNew(Kind.ZONES, ZoneForm.json(held, false, zones.names()));
+            putIfNew(Kind.ORDERS, ZoneForm.json(held, true, zones.names()));
+        }
+    }
+
+    private void putIfNew(Kind kind, JsonElement body) {
+        Record before = keeper.get(kind);
+        if (before == null ? body.getAsJsonObject().size() > 0 : !before.body().equals(body)) {
+            put(kind, body);
+        }
+    }
+
+    private void refresh() {
+        if (closed) {
+            return;
+        }
+        put(Kind.LEARNT, LearntForm.json(dispatcher.experience()));
+        if (zones != null && zones.zones().quorum()) {
+            JsonElement held = ZoneForm.json(zones.zones().held(), false, zones.names());
+            if (held.getAsJsonObject().size() > 0) {
+                put(Kind.ZONES, held); // it holds still
+            }
+        }
+        dispatcher.after(REFRESH_MS, this::refresh);
+    }
+
+    private void put(Kind kind, JsonElement body) {
+        if (!closed) {
+            keeper.put(now(), new Record(kind, dispatcher.now(), body));
+            run();
+        }
+    }
+
+    private static double now() {
+        return System.nanoTime() / 1e6;
+    }
+
+    // ---- writing
+
+    private void run() {
+        if (!locked) {
+            lock();
+            return;
+        }
+        long mine = ++waits;
+        Keeper.Write write = keeper.next(now());
+        if (write != null) {
+            writer.execute(() -> {
+                IOException failed = null;
+                try {
+                    folder.write(write);
+                } catch (IOException e) {
+                    failed = e;
+                } catch (RuntimeException e) {
+                    failed = new IOException(e);
+                }
+                IOException how = failed;
+                dispatcher.loop().execute(() -> written(how));
+            });
+            return;
+        }
+        double due = keeper.dueMs();
+        if (due != Double.POSITIVE_INFINITY) {
+            dispatcher.after(Math.max(1, due - now()), () -> {
+                if (waits == mine && !closed) {
+                    run();
+                }
+            });
+        }
+    }
+
+    private void written(IOException failed) {
+        if (failed == null) {
+            keeper.done(now());
+            if (told) {
+                told = false;
+                dispatcher.log("state: " + folder.path() + " is written again");
+            }
+        } else {
+            keeper.failed(now());
+            tell("can't be written: " + failed);
+        }
+        run();
+    }
+
+    private void tell(String what) {
+        if (!told) {
+            told = true;
+            dispatcher.log("state: " + folder.path() + " " + what + "; it is tried again");
+        }
+    }
+
+    /** Waits until no other process writes here; what that one wrote last comes before whatever this one writes. */
+    private void lock() {
+        if (locking || closed) {
+            return;
+        }
+        locking = true;
+        writer.execute(() -> {
+            boolean got = false;
+            Header since = null;
+            String wrong = null;
+            try {
+                got = folder.lock();
+                if (got) {
+                    Opened now = folder.open(instance, fleet);
+                    since = now.header();
+                    if (now.findings().stream().anyMatch(f -> f.harm() == Harm.ALL)) {
+                        folder.setAside();
+                    }
+                }
+            } catch (IOException | RuntimeException e) {
+                wrong = "can't be used: " + e;
+            }
+            boolean mine = got && wrong == null;
+            Header found = since;
+            String why = wrong;
+            dispatcher.loop().execute(() -> {
+                locking = false;
+                if (mine) {
+                    locked = true;
+                    keeper.after(found);
+                    run();
+                } else {
+                    if (why != null) {
+                        tell(why);
+                    }
+                    dispatcher.after(why != null ? REFRESH_MS : LOCK_AGAIN_MS, this::lock);
+                }
+            });
+        });
+    }
+
+    /** Writes what is not written yet, for as long as that takes within bounds, and lets go of the folder. */
+    void close() {
+        if (closed) {
+            return;
+        }
+        fleetChanged();
+        put(Kind.LEARNT, LearntForm.json(dispatcher.experience()));
+        closed = true;
+        Keeper.Write last = locked ? keeper.last() : null;
+        writer.execute(() -> {
+            try {
+                if (last != null) {
+                    folder.write(last);
+                }
+                folder.close();
+            } catch (IOException | RuntimeException e) {
+                System.err.println("state: the last of it is not written: " + e);
+            }
+        });
+        writer.shutdown();
+    }
+
+    /** Waits for the last write; not to be called on the event loop. */
+    void awaitClosed() {
+        try {
+            writer.awaitTermination(LAST_MS, TimeUnit.MILLISECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** What is kept and how it is written; for status. */
+    Keeper keeper() {
+        return keeper;
+    }
+
+    /** Whether this process alone writes there. */
+    boolean locked() {
+        return locked;
+    }
+
+    Path path() {
+        return folder.path();
+    }
+}
--- a/src/main/java/damsonworks/proxy/TakeoverState.java
+++ b/src/main/java/damsonworks/proxy/TakeoverState.java
@@ -1,16 +1,12 @@
 package damsonworks.proxy;
 
 import com.google.gson.JsonArray;
-import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import damsonworks.RoutingApi.Experience;
-import damsonworks.RoutingApi.Hot;
-import damsonworks.RoutingApi.Load;
-import damsonworks.RoutingApi.Seen;
-import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.List;
+import damsonworks.state.Kind;
+import damsonworks.state.Record;
+import java.util.EnumMap;
 import java.util.Map;
 
 /**
@@ -19,89 +15,34 @@
  *
  * @param list   in discovery's form
  * @param learnt by the pools' names; may be empty, as a process of an earlier version tells nothing of it
+ * @param kept   what else outlasts a process, as it would be stored; empty from an earlier version
  */
-record TakeoverState(JsonObject list, Map<String, Experience> learnt) {
+record TakeoverState(JsonObject list, Map<String, Experience> learnt, Map<Kind, Record> kept) {
     /** The version of what is passed over; a process that speaks another starts beside this one, without it. */
     static final int VERSION = 1;
-    private static final int MAX_ENTRIES = 10_000;
-    private static final double MAX_FIGURE = 1e15;
 
     String json() {
         JsonObject state = new JsonObject();
         state.addProperty("v", VERSION);
         state.add("list", list);
-        JsonObject pools = new JsonObject();
-        learnt.forEach((name, e) -> pools.add(name, json(e)));
-        state.add("learnt", pools);
+        state.add("learnt", LearntForm.json(learnt));
+        JsonArray records = new JsonArray();
+        kept.values().forEach(r -> records.add(r.json()));
+        state.add("kept", records);
         return state.toString();
     }
 
-    private static JsonObject json(Experience e) {
-        JsonObject o = new JsonObject();
-        o.add("figures", array(e.fetchMs(), e.paceMs(), e.paceDeviationMs(), e.usualCost(), e.origin().asked(),
-                e.origin().answered(), e.crowd().asked(), e.crowd().answered(), e.asked()));
-        JsonArray hot = new JsonArray();
-        e.hot().forEach(h -> hot.add(array(h.key(), h.count())));
-        o.add("hot", hot);
-        JsonArray servers = new JsonArray();
-        e.servers().forEach(s -> servers.add(
-                array(s.id(), s.bornMs(), s.failures(), s.shunnedUntilMs(), s.doubts())));
-        o.add("servers", servers);
-        return o;
-    }
-
-    private static JsonArray array(Number... numbers) {
-        JsonArray array = new JsonArray();
-        for (Number n : numbers) {
-            array.add(n);
-        }
-        return array;
-    }
-
     /** Reads such a line; an exception says that it is of no use. */
     static TakeoverState read(String line) {
         JsonObject state = JsonParser.parseString(line).getAsJsonObject();
         if (state.get("v").getAsInt() != VERSION) {
             throw new IllegalArgumentException("version " + state.get("v"));
         }
-        Map<String, Experience> learnt = new HashMap<>();
-        if (state.has("learnt")) {
-            state.getAsJsonObject("learnt").entrySet().forEach(
-                    e -> learnt.put(e.getKey(), experience(e.getValue().getAsJsonObject())));
-        }
-        return new TakeoverState(state.getAsJsonObject("list"), learnt);
-    }
-
-    private static Experience experience(JsonObject o) {
-        List<Double> f = new ArrayList<>();
-        o.getAsJsonArray("figures").forEach(n -> f.add(figure(n)));
-        List<Hot> hot = new ArrayList<>();
-        entries(o, "hot").forEach(h -> hot.add(new Hot(h.getAsJsonArray().get(0).getAsLong(),
-                (int) figure(h.getAsJsonArray().get(1)))));
-        List<Seen> servers = new ArrayList<>();
-        entries(o, "servers").forEach(e -> {
-            JsonArray s = e.getAsJsonArray();
-            servers.add(new Seen(s.get(0).getAsInt(), figure(s.get(1)), (int) figure(s.get(2)), figure(s.get(3)),
-                    (int) figure(s.get(4))));
-        });
-        return new Experience(f.get(0), f.get(1), f.get(2), f.get(3), new Load(f.get(4), f.get(5)),
-                new Load(f.get(6), f.get(7)), f.get(8), hot, servers);
-    }
-
-    private static JsonArray entries(JsonObject o, String name) {
-        JsonArray entries = o.getAsJsonArray(name);
-        if (entries.size() > MAX_ENTRIES) {
-            throw new IllegalArgumentException(entries.size() + " entries of " + name);
-        }
-        return entries;
-    }
-
-    /** All that is told is a time or a count: nothing under 0, and nothing that is no number. */
-    private static double figure(JsonElement e) {
-        double figure = e.getAsDouble();
-        if (!(figure >= 0 && figure <= MAX_FIGURE)) {
-            throw new IllegalArgumentException("figure " + e);
+        Map<String, Experience> learnt = state.has("learnt") ? LearntForm.read(state.getAsJsonObject("learnt")) : Map.of();
+        Map<Kind, Record> kept = new EnumMap<>(Kind.class);
+        if (state.has("kept")) {
+            state.getAsJsonArray("kept").forEach(e -> Record.read(e).ifPresent(r -> kept.put(r.kind(), r)));
         }
-        return figure;
+        return new TakeoverState(state.getAsJsonObject("list"), learnt, kept);
     }
 }
--- a/src/main/java/damsonworks/proxy/ZoneLink.java
+++ b/src/main/java/damsonworks/proxy/ZoneLink.java
@@ -3,6 +3,7 @@
 import damsonworks.RoutingApi.Evidence;
 import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.ZoneOrder;
+import damsonworks.state.Kind;
 import damsonworks.zone.ZoneSettings;
 import damsonworks.zone.ZoneState;
 import damsonworks.zone.Zones;
@@ -23,13 +24,16 @@
     private byte[] plan = {};
     private byte[] sight = {};
 
-    /** {@code names}: of the zones, by number. */
-    ZoneLink(Dispatcher dispatcher, MemberLink members, Settings settings, List<String> names) {
+    /** {@code names}: of the zones, by number; {@code last}: what the process before held of them. */
+    ZoneLink(Dispatcher dispatcher, MemberLink members, Settings settings, List<String> names, Remembered last) {
         this.dispatcher = dispatcher;
         this.members = members;
         this.names = List.copyOf(names);
         this.settings = new ZoneSettings(settings.me(), settings.zone(), settings.zones(), settings.warmUpMs());
         zones = new Zones(this.settings);
+        zones.remember(dispatcher.now(), last.zones(Kind.ZONES, names), last.holds(Kind.ZONES));
+        zones.remember(dispatcher.now(), last.zones(Kind.ORDERS, names), last.holds(Kind.ORDERS));
+        dispatcher.follow(k -> listed());
         listed();
         run();
     }
@@ -51,8 +55,7 @@
         }
     }
 
-    /** There is news of the list. */
-    void listed() {
+    private void listed() {
         double now = dispatcher.now();
         for (int z = 0; z < settings.zones(); z++) {
             List<Double> warm = dispatcher.servers().warmAt(z, settings.warmUpMs());
@@ -98,6 +101,10 @@
         return zones;
     }
 
+    List<String> names() {
+        return names;
+    }
+
     double now() {
         return dispatcher.now();
     }
--- a/src/main/java/damsonworks/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/discovery/DiscoveryClient.java
@@ -117,12 +117,14 @@
     }
 
     /**
-     * Hands over the list as it was last had and, where lists are pushed, begins to follow it.
+     * Hands over the list as it was last had, in place of whatever is held, and where lists are pushed begins to follow it.
      *
      * @param list in discovery's form; null if there is none
      */
     public void start(JsonObject list) {
         List<Host> known = List.of();
+        entries.clear();
+        version = 0;
         if (list != null) {
             try {
                 known = settings.form().hosts(list);
--- /dev/null
+++ b/src/main/java/damsonworks/state/Finding.java
@@ -0,0 +1,26 @@
+package damsonworks.state;
+
+/**
+ * Something about a folder that its owner should know.
+ *
+ * @param file  its name in the folder
+ * @param line  counted from 1; 0 for the whole file
+ * @param what  is the matter
+ * @param harm  what follows from it
+ */
+public record Finding(String file, int line, String what, Harm harm) {
+    /** What follows from something that was found. */
+    public enum Harm {
+        /** Nothing: it is ordinary after a crash. */
+        NONE,
+        /** Some records are lost, the others are sound. */
+        SOME,
+        /** Nothing of the folder can be used. */
+        ALL
+    }
+
+    @Override
+    public String toString() {
+        return (line == 0 ? file : file + ":" + line) + ": " + what;
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/state/Kind.java
@@ -0,0 +1,82 @@
+package damsonworks.state;
+
+import java.util.Arrays;
+import java.util.Locale;
+import java.util.Optional;
+
+/**
+ * What is kept, and how long it may be used as what. Ages are by the wall clock, which may have been set meanwhile: a record from
+ * the future has no age that can be told, and only what needs none is used then. A clock that was set back by less than the time
+ * away makes a record seem younger; so nothing that a rule rests on hangs on an age.
+ */
+public enum Kind {
+    /** The number of this instance's life, which only goes up. Without it the first peer that contradicts tells it. */
+    INCARNATION(Authority.SELF, Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY, 0),
+    /**
+     * The list of servers with its version, as discovery told it: drains among it bind the next process as well. It beats nothing
+     * that the configuration or discovery says with a higher version; a day later the nodes may be other ones.
+     */
+    LIST(Authority.DISCOVERY, 60_000, 86_400_000, 100),
+    /**
+     * What the decision module has learnt of servers and the origin. A node that was bad a minute ago is doubted, not avoided; what
+     * was good is never taken from here, nor whether a node is warm.
+     */
+    LEARNT(Authority.SEEN, 30_000, 600_000, 5000),
+    /** Zones as decided on evidence: whether one is open is of the moment, its epoch never goes back. */
+    ZONES(Authority.FLEET, 60_000, Double.POSITIVE_INFINITY, 100),
+    /** Zones as ordered by operators, until they take it back. */
+    ORDERS(Authority.OPERATOR, Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY, 100);
+
+    private final Authority authority;
+    private final double holdsMs;
+    private final double hintMs;
+    private final double gatherMs;
+
+    Kind(Authority authority, double holdsMs, double hintMs, double gatherMs) {
+        this.authority = authority;
+        this.holdsMs = holdsMs;
+        this.hintMs = hintMs;
+        this.gatherMs = gatherMs;
+    }
+
+    /** Whose word it is. */
+    public Authority authority() {
+        return authority;
+    }
+
+    /** Up to this age, in milliseconds, it holds. */
+    public double holdsMs() {
+        return holdsMs;
+    }
+
+    /** Up to this age, in milliseconds, it is a hint. */
+    public double hintMs() {
+        return hintMs;
+    }
+
+    /** It need not be written sooner than so many milliseconds after it has changed. */
+    public double gatherMs() {
+        return gatherMs;
+    }
+
+    /** How far something of this kind may be used at this age in milliseconds; negative: it is from the future. */
+    public Use use(double ageMs) {
+        if (holdsMs == Double.POSITIVE_INFINITY) {
+            return Use.HOLDS;
+        }
+        if (hintMs == Double.POSITIVE_INFINITY) {
+            return ageMs >= 0 && ageMs <= holdsMs ? Use.HOLDS : Use.HINT;
+        }
+        return !(ageMs >= 0) || ageMs > hintMs ? Use.NOTHING : ageMs <= holdsMs ? Use.HOLDS : Use.HINT;
+    }
+
+    /** How it is called in files. */
+    public String word() {
+        return name().toLowerCase(Locale.ROOT);
+    }
+
+    /** What is called so in files; empty for what a later version may know. */
+    public static Optional<Kind> of(String word) {
+        return Arrays.stream(values()).filter(k -> k.word().equals(word)).findFirst();
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/state/Record.java
@@ -0,0 +1,29 @@
+package damsonworks.state;
+
+import com.google.gson.JsonElement;
+import com.google.gson.JsonObject;
+import java.util.Optional;
+
+/**
+ * One thing that is kept. There is one record of each kind at most; a later one takes its place.
+ *
+ * @param kind   what it is
+ * @param toldMs when it came to be known, Unix time in milliseconds
+ * @param body   what it says, in the form of its kind
+ */
+public record Record(Kind kind, double toldMs, JsonElement body) {
+    /** As it stands in files, and in what a process tells its successor. */
+    public JsonObject json() {
+        return StateText.json(this);
+    }
+
+    /** Reads it; empty for a kind that this version does not know, an exception for what is none. */
+    public static Optional<Record> read(JsonElement json) {
+        return StateText.record(json);
+    }
+
+    /** How far it may be used now, by this clock. */
+    public Use use(double nowMs) {
+        return kind.use(nowMs - toldMs);
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/state/StateFolder.java
@@ -0,0 +1,160 @@
+package damsonworks.state;
+
+import damsonworks.state.Finding.Harm;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The folder in which one instance's state lies: {@code snapshot}, {@code journal}, and a lock that tells two processes apart. What
+ * it has written outlasts the machine's end when the call returns. Used by one thread at a time; each call may wait for the disk.
+ */
+public final class StateFolder implements AutoCloseable {
+    private static final String LOCK = "lock";
+    private static final String NEW = ".new";
+    /** Files that were of no use are kept under their names with this behind, the last of each. */
+    private static final String ASIDE = ".aside";
+    private static final long MOST_FILE = 16 << 20;
+
+    private final Path folder;
+    private FileChannel lockFile;
+    private FileLock lock;
+    private FileChannel journal;
+
+    /** Touches nothing yet. */
+    public StateFolder(Path folder) {
+        this.folder = folder;
+    }
+
+    /** Where it is. */
+    public Path path() {
+        return folder;
+    }
+
+    /** What the folder holds, for this instance; empty where there is none. Never fails: what is wrong is a finding. */
+    public Opened open(String instance, String fleet) {
+        List<Finding> findings = new ArrayList<>();
+        byte[] snapshot = bytes(Opened.SNAPSHOT, findings);
+        byte[] since = bytes(Opened.JOURNAL, findings);
+        Opened read = Opened.read(snapshot, since, instance, fleet);
+        findings.addAll(read.findings());
+        return new Opened(read.header(), read.records(), List.copyOf(findings));
+    }
+
+    private byte[] bytes(String name, List<Finding> findings) {
+        Path file = folder.resolve(name);
+        try {
+            if (Files.size(file) > MOST_FILE) {
+                findings.add(new Finding(name, 0, "is longer than " + MOST_FILE + " bytes", Harm.SOME));
+                return null;
+            }
+            return Files.readAllBytes(file);
+        } catch (NoSuchFileException e) {
+            return null;
+        } catch (IOException | RuntimeException e) {
+            findings.add(new Finding(name, 0, "can't be read: " + e, Harm.SOME));
+            return null;
+        }
+    }
+
+    /** Whether this process alone may write here from now on; until it has closed or ended. */
+    public boolean lock() throws IOException {
+        if (lock != null) {
+            return true;
+        }
+        Files.createDirectories(folder);
+        if (lockFile == null) {
+            lockFile = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE);
+        }
+        try {
+            lock = lockFile.tryLock();
+        } catch (OverlappingFileLockException e) {
+            return false; // by another part of this process
+        }
+        return lock != null;
+    }
+
+    /** Lays files of no use aside, so that the next snapshot destroys nothing that somebody may want. */
+    public void setAside() throws IOException {
+        for (String name : List.of(Opened.SNAPSHOT, Opened.JOURNAL)) {
+            Path file = folder.resolve(name);
+            if (Files.exists(file)) {
+                Files.move(file, folder.resolve(name + ASIDE), StandardCopyOption.ATOMIC_MOVE);
+            }
+        }
+    }
+
+    /** Carries an order out. An exception says that nobody knows what the files hold. */
+    public void write(Keeper.Write what) throws IOException {
+        try {
+            if (what instanceof Keeper.Write.Append a) {
+                if (journal == null) {
+                    throw new IOException("no journal is open");
+                }
+                put(journal, a.bytes());
+                journal.force(false);
+            } else if (what instanceof Keeper.Write.Replace r) {
+                replace(r);
+            }
+        } catch (IOException e) {
+            closeJournal();
+            throw e;
+        }
+    }
+
+    private void replace(Keeper.Write.Replace r) throws IOException {
+        closeJournal();
+        Files.createDirectories(folder); // it may have gone meanwhile
+        place(Opened.SNAPSHOT, r.snapshot());
+        place(Opened.JOURNAL, r.journal());
+        journal = FileChannel.open(folder.resolve(Opened.JOURNAL), StandardOpenOption.WRITE, StandardOpenOption.APPEND);
+    }
+
+    /** Under its name there is, at any time and after any crash, the old file or the new one, whole. */
+    private void place(String name, byte[] bytes) throws IOException {
+        Path next = folder.resolve(name + NEW);
+        try (FileChannel file = FileChannel.open(next, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+                StandardOpenOption.TRUNCATE_EXISTING)) {
+            put(file, bytes);
+            file.force(true);
+        }
+        Files.move(next, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE);
+        try (FileChannel directory = FileChannel.open(folder, StandardOpenOption.READ)) {
+            directory.force(true); // or the name may be lost with the machine
+        }
+    }
+
+    private static void put(FileChannel file, byte[] bytes) throws IOException {
+        ByteBuffer all = ByteBuffer.wrap(bytes);
+        while (all.hasRemaining()) {
+            file.write(all);
+        }
+    }
+
+    private void closeJournal() throws IOException {
+        if (journal != null) {
+            FileChannel open = journal;
+            journal = null;
+            open.close();
+        }
+    }
+
+    @Override
+    public void close() throws IOException {
+        closeJournal();
+        if (lockFile != null) {
+            lockFile.close(); // which lets the lock go
+            lockFile = null;
+            lock = null;
+        }
+    }
+}
--- a/src/main/java/damsonworks/zone/ZoneState.java
+++ b/src/main/java/damsonworks/zone/ZoneState.java
@@ -54,6 +54,11 @@
         return epoch == MOST_EPOCH ? this : new ZoneState(epoch + 1, parts, by, Math.min(MOST_LEAVES, lately));
     }
 
+    /** The same beyond an epoch that is known to have been there. */
+    ZoneState beyond(int floor) {
+        return epoch > floor ? this : new ZoneState(Math.min(MOST_EPOCH, floor + 1), open, cause, leaves);
+    }
+
     /**
      * Which of two holds: the higher epoch; in one epoch an operator's word over what is seen, then the wider open, so that
      * two who decide at once leave no more than either would; then the longer memory.
--- a/src/main/java/damsonworks/zone/Zones.java
+++ b/src/main/java/damsonworks/zone/Zones.java
@@ -14,6 +14,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 
 /**
  * One instance's part in leaving zones and returning to them. Takes what its attempts met, the list and the fleet's view;
@@ -87,8 +88,17 @@
      */
     public record Cost(double movedPerSecond, double othersTimes, boolean allowed) { }
 
+    /**
+     * What an instance held of a zone, for its next life.
+     *
+     * @param state as decided
+     * @param floor an epoch that there has been, at least the state's; the next decision goes beyond it
+     */
+    public record Held(ZoneState state, int floor) { }
+
     /** One zone. */
     private static final class Part {
+        int floor;
         int ready = 1;
         double coldUntilMs = Double.NEGATIVE_INFINITY;
         /** The last step opened it further. */
@@ -175,6 +185,40 @@
         }
     }
 
+    /**
+     * Goes on where this instance's last life ended. What held then is heard like any other's word, so whoever knows better
+     * goes before it; where it is too old to hold, only its epoch counts, as the least that a decision goes beyond.
+     *
+     * @param last  what was held, by zone; others are left alone
+     * @param holds whether it still may, by its age
+     */
+    public void remember(double nowMs, Map<Integer, Held> last, boolean holds) {
+        for (Map.Entry<Integer, Held> e : last.entrySet()) {
+            int z = e.getKey();
+            if (z >= 0 && z < parts.size()) {
+                parts.get(z).floor = Math.max(parts.get(z).floor, e.getValue().floor());
+                ZoneState s = e.getValue().state();
+                if (holds && s.compareTo(plan.of(z)) > 0) {
+                    changed(nowMs, z, plan.of(z), s, "held in this instance's last life");
+                    plan = plan.with(z, s);
+                    carried = carried.with(z, s);
+                }
+            }
+        }
+    }
+
+    /** What is held of each zone of which anything was ever decided, for the next life. */
+    public Map<Integer, Held> held() {
+        Map<Integer, Held> all = new TreeMap<>();
+        for (int z = 0; z < parts.size(); z++) {
+            int floor = Math.max(parts.get(z).floor, plan.of(z).epoch());
+            if (floor > 0) {
+                all.put(z, new Held(plan.of(z), floor));
+            }
+        }
+        return all;
+    }
+
     // ---- operators
 
     /** Has a zone left, at once or over a time, until it is returned to or released. An IllegalArgumentException says why not. */
@@ -400,11 +444,12 @@
                 : s.next(Math.min(ZoneState.WHOLE, s.open() + Pace.parts(cold)), s.cause(), s.leaves());
     }
 
-    private void decide(double nowMs, int zone, ZoneState next, String why) {
+    private void decide(double nowMs, int zone, ZoneState decision, String why) {
         ZoneState before = plan.of(zone);
-        if (next.equals(before)) {
+        if (decision.equals(before)) {
             return;
         }
+        ZoneState next = decision.beyond(parts.get(zone).floor);
         decided++;
         plan = plan.with(zone, next);
         carried = plan;
--- a/src/test/java/damsonworks/ArchitectureTest.java
+++ b/src/test/java/damsonworks/ArchitectureTest.java
@@ -6,6 +6,7 @@
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
+import java.nio.channels.FileChannel;
 import org.junit.jupiter.api.Test;
 
 /** Who may know whom, and where no I/O may be. */
@@ -32,7 +33,8 @@
     /** Bytes in memory are not input or output. */
     @Test
     void whatInstancesTellEachOtherIsDecidedWithoutSocketsOrClocks() {
-        noClasses().that().resideInAnyPackage("damsonworks.member..", "damsonworks.peer..", "damsonworks.zone..")
+        noClasses().that().resideInAnyPackage("damsonworks.member..", "damsonworks.peer..", "damsonworks.zone..",
+                        "damsonworks.recovery..")
                 .should().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.net..", "java.nio.channels..",
                         "java.nio.file..", "java.io..", "java.util.concurrent..", "damsonworks.proxy..", "damsonworks.fleet..",
                         "damsonworks.model..", "damsonworks.cli..")
@@ -41,6 +43,19 @@
                 .orShould().callMethod(System.class, "currentTimeMillis").check(ALL);
     }
 
+    /** Only what owns the folder touches it, and what decides of it reads no clock. */
+    @Test
+    void whatIsKeptIsDecidedApartFromFiles() {
+        noClasses().that().resideInAPackage("damsonworks.state..").and()
+                .doNotHaveFullyQualifiedName("damsonworks.state.StateFolder")
+                .should().dependOnClassesThat().resideInAnyPackage("io.netty..", "java.net..", "java.nio.channels..",
+                        "java.nio.file..", "java.io..", "java.util.concurrent..", "damsonworks.proxy..", "damsonworks.cli..")
+                .orShould().callMethod(System.class, "nanoTime")
+                .orShould().callMethod(System.class, "currentTimeMillis").check(ALL);
+        noClasses().that().resideInAPackage("damsonworks.proxy..")
+                .should().callMethod(FileChannel.class, "force", boolean.class).check(ALL);
+    }
+
     @Test
     void theLanguageKnowsNoSubsystemAndOnlyItsLoaderReadsFiles() {
         noClasses().that().resideInAPackage("damsonworks.config")
--- a/src/test/java/damsonworks/LabIT.java
+++ b/src/test/java/damsonworks/LabIT.java
@@ -64,6 +64,19 @@
         assertThat(printed).contains("held   left").contains("held   whole").contains("held   leaves     1 ");
     }
 
+    /** All proxies die at once; each comes back with what it had stored, and its life goes on beyond the last. */
+    @Test
+    void proxiesThatHaveAllDiedComeBackWithWhatTheyKept() throws Exception {
+        Path logs = folder.resolve("logs");
+        assertThat(lab("run", "lab/ci-back.conf", "--logs", logs.toString())).as("%s", printed).isZero();
+        for (int p = 0; p < 4; p++) {
+            String log = Files.readString(logs.resolve("ci-back-1").resolve("proxy-" + p + ".log"));
+            assertThat(log).containsOnlyOnce("state: found").containsPattern("found incarnation .*holds.*, list .*holds")
+                    .doesNotContain("damaged").doesNotContain("by the clock");
+            assertThat(log.split("recovery: serving", -1)).as(log).hasSize(3);
+        }
+    }
+
     /** What can't hold is told as broken, so a verdict of "held" says something. */
     @Test
     void whatIsExpectedAndDoesNotHoldIsBroken() throws Exception {
--- a/src/test/java/damsonworks/fleet/LinksTest.java
+++ b/src/test/java/damsonworks/fleet/LinksTest.java
@@ -33,7 +33,7 @@
     @BeforeEach
     void start() {
         fleet = new StandInFleet(FleetSpec.standard(1, 2, 1).withWork(0, 0).withHeld(1).withTimes(0, 60_000, 100, 50)
-                .withLayout(new Layout(List.of("a", "b"), 0, true, false, false)));
+                .withLayout(new Layout(List.of("a", "b"), 0, true, Set.of())));
     }
 
     @AfterEach
--- a/src/test/java/damsonworks/proxy/TakeoverStateTest.java
+++ b/src/test/java/damsonworks/proxy/TakeoverStateTest.java
@@ -5,10 +5,13 @@
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
+import com.google.gson.JsonPrimitive;
 import damsonworks.RoutingApi.Experience;
 import damsonworks.RoutingApi.Hot;
 import damsonworks.RoutingApi.Load;
 import damsonworks.RoutingApi.Seen;
+import damsonworks.state.Kind;
+import damsonworks.state.Record;
 import java.util.List;
 import java.util.Map;
 import net.jqwik.api.Example;
@@ -28,7 +31,8 @@
 
     private static TakeoverState state() {
         return new TakeoverState(list(), Map.of("", new Experience(1, 2, 3, 0, new Load(4, 5), new Load(6, 7), 8,
-                List.of(new Hot(-1, 9)), List.of(new Seen(-5, 0, 1, 1.7e12, 0)))));
+                List.of(new Hot(-1, 9)), List.of(new Seen(-5, 0, 1, 1.7e12, 0)))),
+                Map.of(Kind.INCARNATION, new Record(Kind.INCARNATION, 1.7e12, new JsonPrimitive(4))));
     }
 
     @Property(seed = "1", tries = 300)
@@ -38,7 +42,7 @@
         Experience e = new Experience(f.get(0), f.get(1), f.get(2), f.get(3), new Load(f.get(4), f.get(5)),
                 new Load(f.get(6), f.get(7)), f.get(8), keys.stream().map(k -> new Hot(k, count)).toList(),
                 ids.stream().map(i -> new Seen(i, f.get(1), count, f.get(0), count)).toList());
-        TakeoverState told = new TakeoverState(list(), Map.of("", e, "pool", e));
+        TakeoverState told = new TakeoverState(list(), Map.of("", e, "pool", e), state().kept());
         assertThat(TakeoverState.read(told.json())).isEqualTo(told);
     }
 
@@ -69,6 +73,6 @@
         JsonObject state = new JsonObject();
         state.addProperty("v", 1);
         state.add("list", list());
-        assertThat(TakeoverState.read(state.toString())).isEqualTo(new TakeoverState(list(), Map.of()));
+        assertThat(TakeoverState.read(state.toString())).isEqualTo(new TakeoverState(list(), Map.of(), Map.of()));
     }
 }
--- /dev/null
+++ b/src/test/java/damsonworks/recovery/ProgressTest.java
@@ -0,0 +1,100 @@
+package damsonworks.recovery;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.recovery.Progress.Stage;
+import org.junit.jupiter.api.Test;
+
+/** The way back goes by evidence, and by the clock only at its end. */
+class ProgressTest {
+    private final Progress p = new Progress(0);
+
+    private static Sample sample(long asked, long served, long refused) {
+        return new Sample(asked, served, refused);
+    }
+
+    @Test
+    void withoutAListItIsStartingHoweverLongThatTakes() {
+        for (int t = 0; t <= 100_000; t += 250) {
+            assertThat(p.tick(t, sample(t, 0, t))).isEqualTo(Stage.STARTING);
+        }
+    }
+
+    /** Who is asked a little at a time and refuses some of it has only the clock. */
+    @Test
+    void onlyTheBoundEndsWhatEvidenceDoesNot() {
+        p.listed(100, false);
+        for (int t = 250; t < Progress.LONGEST_MS; t += 250) {
+            assertThat(p.tick(t, sample(t / 250, t / 500, t / 500))).isEqualTo(Stage.RECOVERING);
+        }
+        assertThat(p.tick(Progress.LONGEST_MS, sample(130, 65, 65))).isEqualTo(Stage.SERVING);
+        assertThat(p.endedByBound()).isTrue();
+    }
+
+    /** A watch that has no news says nothing: a list of any age that serves is good. */
+    @Test
+    void aListThatNobodyHasToldIsGoodIfItServesOrNobodyAsks() {
+        p.listed(0, false);
+        assertThat(p.tick(2900, sample(0, 0, 0))).isEqualTo(Stage.RECOVERING);
+        assertThat(p.tick(3000, sample(0, 0, 0))).isEqualTo(Stage.SERVING);
+        Progress asked = new Progress(0);
+        asked.listed(0, false);
+        asked.tick(250, sample(0, 0, 0));
+        assertThat(asked.tick(500, sample(40, 39, 0))).isEqualTo(Stage.SERVING);
+    }
+
+    @Test
+    void whoServesWhatIsAskedServes() {
+        p.listed(0, true);
+        assertThat(p.tick(250, sample(4, 4, 0))).isEqualTo(Stage.RECOVERING);
+        assertThat(p.tick(500, sample(8, 8, 0))).isEqualTo(Stage.RECOVERING);
+        assertThat(p.tick(750, sample(20, 18, 0))).isEqualTo(Stage.SERVING);
+        assertThat(p.servingAfterMs()).isEqualTo(750);
+        assertThat(p.endedByBound()).isFalse();
+    }
+
+    @Test
+    void whoRefusesDoesNot() {
+        p.listed(0, true);
+        for (int t = 250; t < 20_000; t += 250) {
+            assertThat(p.tick(t, sample(t, t - t / 10, t / 10))).isEqualTo(Stage.RECOVERING);
+        }
+        // It is looked at over the last two seconds alone.
+        for (int t = 20_000; t <= 22_250; t += 250) {
+            p.tick(t, sample(t, t - 2000, 2000));
+        }
+        assertThat(p.stage()).isEqualTo(Stage.SERVING);
+    }
+
+    @Test
+    void whoIsAskedNothingServesAfterASecond() {
+        p.listed(2000, true);
+        assertThat(p.tick(2900, sample(0, 0, 0))).isEqualTo(Stage.RECOVERING);
+        assertThat(p.tick(3000, sample(0, 0, 0))).isEqualTo(Stage.SERVING);
+    }
+
+    @Test
+    void aListThatHadToBeLetGoOfIsNone() {
+        p.listed(0, false);
+        p.tick(250, sample(0, 0, 0));
+        p.unlisted();
+        assertThat(p.tick(500, sample(0, 0, 0))).isEqualTo(Stage.STARTING);
+    }
+
+    /** What may be used until when, and that a decision beyond that is counted. */
+    @Test
+    void whatIsPastItsBoundIsSeen() {
+        Trust trust = new Trust();
+        trust.taken(1000, Trust.Thing.LIST, Source.STORED, 400, 1000, false);
+        trust.decided(1600, Trust.Thing.LIST);
+        assertThat(trust.staleDecisions()).isZero();
+        assertThat(trust.expired(1601, Trust.Thing.LIST)).isTrue();
+        trust.decided(1601, Trust.Thing.LIST);
+        assertThat(trust.staleDecisions()).isEqualTo(1);
+        trust.confirmed(Trust.Thing.LIST);
+        trust.decided(1e12, Trust.Thing.LIST);
+        trust.taken(0, Trust.Thing.LIST, Source.CONFIGURED, Double.NaN, Double.POSITIVE_INFINITY, false);
+        trust.decided(1e12, Trust.Thing.LIST);
+        assertThat(trust.staleDecisions()).isEqualTo(1);
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/recovery/SpreadTest.java
@@ -0,0 +1,126 @@
+package damsonworks.recovery;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+
+/** Who carries more than its part lets clients go, at a pace, and only while that does any good. */
+class SpreadTest {
+    private static final double TICK_MS = 250;
+    private static final double CLIENTS_RATE = 4;
+
+    /** A fleet that serves a number of connections, each with the same load; what ends is dealt to the one with the fewest. */
+    private static final class Fleet {
+        final int[] open;
+        final List<Spread> spreads = new ArrayList<>();
+        final int[] ended;
+        double now;
+
+        Fleet(int... open) {
+            this.open = open;
+            ended = new int[open.length];
+            Arrays.stream(open).forEach(n -> spreads.add(new Spread()));
+        }
+
+        /** {@code stays}: what is ended comes back to where it was. */
+        void tick(boolean stays) {
+            now += TICK_MS;
+            int[] before = open.clone();
+            for (int i = 0; i < open.length; i++) {
+                List<Double> others = new ArrayList<>();
+                for (int j = 0; j < open.length; j++) {
+                    if (j != i) {
+                        others.add(Load.perSecond(Load.code(before[j] * CLIENTS_RATE)));
+                    }
+                }
+                int many = spreads.get(i).tick(now, before[i] * CLIENTS_RATE, others, open[i], open[i]);
+                assertThat(many).isBetween(0, open[i]);
+                ended[i] += many;
+                for (int c = 0; c < many && !stays; c++) {
+                    open[i]--;
+                    int least = 0;
+                    for (int j = 0; j < open.length; j++) {
+                        least = open[j] < open[least] ? j : least;
+                    }
+                    open[least]++;
+                }
+            }
+        }
+
+        double busiest() {
+            return Arrays.stream(open).max().orElse(0) * (double) open.length / Arrays.stream(open).sum();
+        }
+    }
+
+    /** The first one back has all clients. Within ten seconds nobody has more than one and a half times the mean. */
+    @Property(seed = "7", tries = 200)
+    void allClientsAtOneComeToBeSpread(@ForAll @IntRange(min = 2, max = 60) int proxies,
+            @ForAll @IntRange(min = 4, max = 40) int each) {
+        int[] open = new int[proxies];
+        open[proxies / 2] = proxies * each;
+        Fleet fleet = new Fleet(open);
+        while (fleet.now < 10_000) {
+            fleet.tick(false);
+        }
+        assertThat(fleet.busiest()).isLessThanOrEqualTo(1.5);
+    }
+
+    /** Whatever the spread, it comes to rest: no connection is ended for ever. */
+    @Property(seed = "8", tries = 200)
+    void itComesToRest(@ForAll @IntRange(min = 2, max = 20) int proxies, @ForAll long seed) {
+        int[] open = new Random(seed).ints(proxies, 5, 100).toArray();
+        Fleet fleet = new Fleet(open);
+        while (fleet.now < 30_000) {
+            fleet.tick(false);
+        }
+        int[] then = fleet.ended.clone();
+        while (fleet.now < 60_000) {
+            fleet.tick(false);
+        }
+        assertThat(fleet.ended).isEqualTo(then);
+    }
+
+    /** Clients that sit beside their proxy come back to it: they are troubled less and less. */
+    @Example
+    void whereItDoesNoGoodItStops() {
+        Fleet fleet = new Fleet(120, 20, 20, 20);
+        while (fleet.now < 600_000) {
+            fleet.tick(true);
+        }
+        assertThat(fleet.spreads.get(0).paused(fleet.now)).isTrue();
+        assertThat(fleet.ended[0]).isLessThan(6 * 4 * 120);
+        assertThat(fleet.ended[1]).isZero();
+    }
+
+    @Example
+    void withNobodyElseThereNobodyIsSentAway() {
+        Spread spread = new Spread();
+        for (int t = 0; t < 20_000; t += 250) {
+            assertThat(spread.tick(t, 1000, Collections.emptyList(), 100, 100)).isZero();
+        }
+    }
+
+    @Example
+    void aLittleMoreThanOthersIsLeftAlone() {
+        Spread spread = new Spread();
+        for (int t = 0; t < 20_000; t += 250) {
+            assertThat(spread.tick(t, 120, List.of(100.0, 95.0, 105.0), 30, 30)).isZero();
+        }
+    }
+
+    @Property(seed = "9")
+    void whatIsToldOfALoadIsAQuarterOffAtMost(@ForAll @IntRange(min = 1, max = 1_000_000) int perSecond) {
+        double told = Load.perSecond(Load.code(perSecond));
+        assertThat(told).isBetween(perSecond / 1.13, perSecond * 1.13);
+        assertThat(Load.changed(Load.code(perSecond), perSecond)).isFalse();
+        assertThat(Load.changed(Load.code(perSecond), perSecond * 1.6 + 2)).isTrue();
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/state/CrashTest.java
@@ -0,0 +1,201 @@
+package damsonworks.state;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonObject;
+import damsonworks.state.Finding.Harm;
+import damsonworks.state.Keeper.Write;
+import java.io.ByteArrayOutputStream;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Kills at every step of a write, and damage to every byte: what is opened afterwards was written once, and nothing is lost that was done. */
+class CrashTest {
+    private static final String ME = "proxy-3";
+    private static final String FLEET = "edge";
+
+    /** The two files, each as it stands on a disk; a file is replaced whole, and an append may end anywhere. */
+    private static final class Disk {
+        byte[] snapshot;
+        byte[] journal;
+
+        Disk copy() {
+            Disk d = new Disk();
+            d.snapshot = snapshot;
+            d.journal = journal;
+            return d;
+        }
+
+        void whole(Write w) {
+            if (w instanceof Write.Append a) {
+                append(a.bytes(), a.bytes().length);
+            } else if (w instanceof Write.Replace r) {
+                snapshot = r.snapshot();
+                journal = r.journal();
+            }
+        }
+
+        void append(byte[] bytes, int many) {
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            all.writeBytes(journal);
+            all.write(bytes, 0, many);
+            journal = all.toByteArray();
+        }
+
+        /** As it is after the process has died in this write, at its every step. */
+        List<Disk> deaths(Write w) {
+            List<Disk> all = new ArrayList<>(List.of(copy()));
+            if (w instanceof Write.Append a) {
+                for (int n = 1; n <= a.bytes().length; n++) {
+                    Disk d = copy();
+                    d.append(a.bytes(), n);
+                    all.add(d);
+                }
+            } else if (w instanceof Write.Replace r) {
+                Disk first = copy();
+                first.snapshot = r.snapshot();
+                all.add(first);
+                Disk both = copy();
+                both.whole(w);
+                all.add(both);
+            }
+            return all;
+        }
+
+        Opened open() {
+            return Opened.read(snapshot, journal, ME, FLEET);
+        }
+    }
+
+    private static Record record(Kind kind, int number) {
+        JsonObject body = new JsonObject();
+        body.addProperty("number", number);
+        body.addProperty("text", "line\nfeeds and \u00fc ".repeat(number % 3));
+        return new Record(kind, 1_000_000 + number, body);
+    }
+
+    private static int number(Record r) {
+        return r == null ? 0 : r.body().getAsJsonObject().get("number").getAsInt();
+    }
+
+    /** 200 lives, each ended in the middle of a write at its every step: some 20,000 deaths. */
+    @Test
+    void whateverStepItDiesInWhatWasDoneIsThereAndNothingElse() {
+        long deaths = 0;
+        for (long seed = 1; seed <= 200; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            Disk disk = new Disk();
+            Map<Kind, Integer> done = new EnumMap<>(Kind.class);
+            Map<Kind, Integer> put = new EnumMap<>(Kind.class);
+            int next = 0;
+            for (int life = 0; life < 3; life++) {
+                Keeper keeper = new Keeper(disk.open(), ME, FLEET);
+                double now = life * 1e6;
+                int writes = random.nextInt(1, 5);
+                for (int w = 0; w < writes; w++) {
+                    for (int i = random.nextInt(3); i >= 0; i--) {
+                        Kind kind = Kind.values()[random.nextInt(Kind.values().length)];
+                        put.put(kind, ++next);
+                        keeper.put(now, record(kind, next));
+                    }
+                    now += 10_000;
+                    Write write = keeper.next(now);
+                    assertThat(write).isNotNull();
+                    for (Disk dead : disk.deaths(write)) {
+                        deaths++;
+                        Opened opened = dead.open();
+                        assertThat(opened.findings()).allMatch(f -> f.harm() == Harm.NONE);
+                        for (Kind kind : Kind.values()) {
+                            assertThat(number(opened.records().get(kind))).isBetween(done.getOrDefault(kind, 0),
+                                    put.getOrDefault(kind, 0));
+                        }
+                    }
+                    disk.whole(write);
+                    keeper.done(now);
+                    done.putAll(put);
+                }
+                // The life ends in one more write, somewhere.
+                keeper.put(now, record(Kind.LIST, ++next));
+                put.put(Kind.LIST, next);
+                List<Disk> ends = disk.deaths(keeper.next(now + 10_000));
+                disk = ends.get(random.nextInt(ends.size()));
+                disk.open().records().forEach((kind, r) -> done.put(kind, number(r)));
+                put.clear(); // what went down with it is known to nobody
+                put.putAll(done);
+            }
+        }
+        assertThat(deaths).isGreaterThan(10_000);
+    }
+
+    private static Disk filled() {
+        Disk disk = new Disk();
+        Keeper keeper = new Keeper(Opened.EMPTY, ME, FLEET);
+        for (int i = 0; i < 4; i++) {
+            keeper.put(i, record(Kind.values()[i], 10 + i));
+            Write w = keeper.next(i + 10_000);
+            disk.whole(w);
+            keeper.done(i + 10_000);
+        }
+        return disk;
+    }
+
+    /** Each byte of both files changed in three ways, and each file cut at each byte. */
+    @Test
+    void noByteThatIsChangedOrMissingMakesAWrongRecord() {
+        Disk disk = filled();
+        Opened sound = disk.open();
+        assertThat(sound.records()).hasSize(4);
+        assertThat(sound.findings()).isEmpty();
+        int seen = 0;
+        for (boolean snapshot : new boolean[] {true, false}) {
+            byte[] file = snapshot ? disk.snapshot : disk.journal;
+            for (int at = 0; at < file.length; at++) {
+                for (int mask : new int[] {1, 0x20, 0xff, -1}) {
+                    byte[] other = mask < 0 ? Arrays.copyOf(file, at) : file.clone();
+                    if (mask >= 0) {
+                        other[at] ^= (byte) mask;
+                    }
+                    Opened opened = snapshot ? Opened.read(other, disk.journal, ME, FLEET)
+                            : Opened.read(disk.snapshot, other, ME, FLEET);
+                    opened.records().forEach((kind, r) -> assertThat(r).isEqualTo(sound.records().get(kind)));
+                    // A file that was cut between two lines looks like one that was never longer.
+                    boolean between = mask < 0 && (at == 0 || file[at - 1] == '\n');
+                    if (!between) {
+                        assertThat(opened.findings()).as("byte %d, mask %d", at, mask).isNotEmpty();
+                        seen++;
+                    }
+                }
+            }
+        }
+        assertThat(seen).isGreaterThan(1000);
+    }
+
+    /** Random bytes, and pieces of sound files in any order: never an exception, never a record that was not written. */
+    @Test
+    void noBytesWhateverThrow() {
+        Disk disk = filled();
+        Opened sound = disk.open();
+        for (long seed = 1; seed <= 3000; seed++) {
+            SplittableRandom random = new SplittableRandom(seed);
+            byte[] file = new byte[random.nextInt(600)];
+            for (int i = 0; i < file.length;) {
+                byte[] from = random.nextBoolean() ? disk.journal : disk.snapshot;
+                if (random.nextInt(3) == 0) {
+                    file[i++] = (byte) random.nextInt(256);
+                } else {
+                    int start = random.nextInt(from.length);
+                    int many = Math.min(Math.min(random.nextInt(1, 200), from.length - start), file.length - i);
+                    System.arraycopy(from, start, file, i, many);
+                    i += many;
+                }
+            }
+            Opened opened = Opened.read(random.nextBoolean() ? file : disk.snapshot, file, ME, FLEET);
+            opened.records().forEach((kind, r) -> assertThat(r).isEqualTo(sound.records().get(kind)));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/state/StateFolderTest.java
@@ -0,0 +1,173 @@
+package damsonworks.state;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.google.gson.JsonPrimitive;
+import damsonworks.state.Finding.Harm;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The folder on a real disk, and processes that are killed while they write. */
+@Timeout(60)
+class StateFolderTest {
+    private static final int KILLS = Integer.getInteger("state.kills", 8);
+
+    @TempDir
+    private Path path;
+
+    private static Record record(int number) {
+        return new Record(Kind.INCARNATION, number, new JsonPrimitive(number));
+    }
+
+    private static int number(Opened opened) {
+        Record r = opened.records().get(Kind.INCARNATION);
+        return r == null ? 0 : r.body().getAsInt();
+    }
+
+    private static Keeper write(StateFolder folder, int... numbers) throws IOException {
+        Keeper keeper = new Keeper(folder.open("p", "f"), "p", "f");
+        for (int n : numbers) {
+            keeper.put(n, record(n));
+            folder.write(keeper.next(n + 1e6));
+            keeper.done(n);
+        }
+        return keeper;
+    }
+
+    @Test
+    void whatIsWrittenIsThereForTheNext() throws IOException {
+        Path there = path.resolve("not/yet");
+        try (StateFolder folder = new StateFolder(there)) {
+            assertThat(folder.open("p", "f").findings()).isEmpty();
+            assertThat(folder.lock()).isTrue();
+            write(folder, 1, 2, 3);
+        }
+        Opened opened = new StateFolder(there).open("p", "f");
+        assertThat(number(opened)).isEqualTo(3);
+        assertThat(opened.header().starts()).isEqualTo(1);
+        assertThat(opened.findings()).isEmpty();
+    }
+
+    @Test
+    void onlyOneWritesAtATime() throws IOException {
+        try (StateFolder one = new StateFolder(path); StateFolder two = new StateFolder(path)) {
+            assertThat(one.lock()).isTrue();
+            assertThat(two.lock()).isFalse();
+            one.close();
+            assertThat(two.lock()).isTrue();
+        }
+    }
+
+    /** What can't be written fails for itself: what was there stays, and the next whole write mends it. */
+    @Test
+    void aWriteThatFailsLeavesWhatWasThere() throws IOException {
+        try (StateFolder folder = new StateFolder(path)) {
+            Keeper keeper = write(folder, 1);
+            Path inTheWay = Files.createDirectory(path.resolve("snapshot.new"));
+            keeper.put(2, record(2));
+            folder.write(keeper.next(1e7)); // an append needs no new file
+            keeper.failed(1e7);
+            keeper.put(3, record(3));
+            Keeper.Write third = keeper.next(2e7);
+            assertThatThrownBy(() -> folder.write(third)).isInstanceOf(IOException.class);
+            keeper.failed(2e7);
+            assertThat(number(folder.open("p", "f"))).isEqualTo(2);
+            Files.delete(inTheWay);
+            folder.write(keeper.next(3e7));
+            keeper.done(3e7);
+            assertThat(number(folder.open("p", "f"))).isEqualTo(3);
+        }
+    }
+
+    @Test
+    void aFolderThatWentIsMadeAnew() throws IOException {
+        Path there = path.resolve("gone");
+        try (StateFolder folder = new StateFolder(there)) {
+            Keeper keeper = write(folder, 1);
+            for (Path file : List.of(there.resolve("snapshot"), there.resolve("journal"), there)) {
+                Files.delete(file);
+            }
+            keeper.put(2, record(2));
+            folder.write(keeper.next(1e7)); // into a file that has no name any more
+            keeper.failed(1e7);
+            folder.write(keeper.next(2e7));
+            assertThat(number(folder.open("p", "f"))).isEqualTo(2);
+        }
+    }
+
+    @Test
+    void aFileInPlaceOfTheFolderIsToldAndNothingElse() throws IOException {
+        Path file = Files.writeString(path.resolve("file"), "x");
+        try (StateFolder folder = new StateFolder(file)) {
+            assertThat(folder.open("p", "f").records()).isEmpty();
+            assertThatThrownBy(folder::lock).isInstanceOf(IOException.class);
+        }
+    }
+
+    @Test
+    void anothersFilesAreLaidAside() throws IOException {
+        try (StateFolder folder = new StateFolder(path)) {
+            write(folder, 1);
+            Opened others = folder.open("q", "f");
+            assertThat(others.records()).isEmpty();
+            assertThat(others.findings()).allMatch(f -> f.harm() == Harm.ALL);
+            folder.setAside();
+        }
+        assertThat(path.resolve("snapshot.aside")).exists();
+        assertThat(path.resolve("snapshot")).doesNotExist();
+    }
+
+    /** A process of its own that writes one number after another, and says each that is done. */
+    static final class Writer {
+        public static void main(String[] words) throws IOException {
+            try (StateFolder folder = new StateFolder(Path.of(words[0]))) {
+                folder.lock();
+                Keeper keeper = new Keeper(folder.open("p", "f"), "p", "f");
+                for (int n = Integer.parseInt(words[1]);; n++) {
+                    keeper.put(n, record(n));
+                    folder.write(keeper.next(n + 1e6));
+                    keeper.done(n);
+                    System.out.println(n);
+                }
+            }
+        }
+    }
+
+    /** Killed at some moment of a write; what it had said is there, and what comes after goes on from it. */
+    @Test
+    void whatWasDoneOutlastsAKill() throws Exception {
+        int done = 0;
+        for (int kill = 1; kill <= KILLS; kill++) {
+            Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), Writer.class.getName(),
+                    path.toString(), String.valueOf(done + 1)).redirectErrorStream(true).start();
+            List<String> said = new ArrayList<>();
+            try (BufferedReader lines = process.inputReader()) {
+                int wanted = 1 + kill * 7 % 23;
+                for (String line; said.size() < wanted && (line = lines.readLine()) != null;) {
+                    said.add(line);
+                }
+                // Not by the process's handle, which would close what it has said and is not read yet.
+                new ProcessBuilder("kill", "-9", String.valueOf(process.pid())).start().waitFor();
+                lines.lines().forEach(said::add);
+            }
+            assertThat(process.waitFor(10, TimeUnit.SECONDS)).isTrue();
+            int last = Integer.parseInt(said.get(said.size() - 1).matches("\\d+") ? said.get(said.size() - 1)
+                    : said.get(said.size() - 2));
+            Opened opened = new StateFolder(path).open("p", "f");
+            assertThat(number(opened)).as("%s", said).isBetween(last, last + 1);
+            assertThat(opened.findings()).allMatch(f -> f.harm() == Harm.NONE);
+            assertThat(opened.header().starts()).isEqualTo(kill);
+            done = number(opened);
+        }
+    }
+}
