Who comes back with nothing asks three that serve what they remember

Change: Recall asks three that serve, from as many zones as there are, by a rank of its own, the next where no answer comes, and knows after 3 s that nobody remembers; a node is doubted when two of them avoid it, never more than a quarter of a zone's. Memory is one datagram (kind 5), answered by what the decision module has learnt itself.

--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -87,6 +87,7 @@
     private MemberLink members;
     private NodeTalk nodes;
     private ZoneLink zones;
+    private RecallLink recall;
     /** What is worked with that was not seen here, and until when it may be. */
     private final Trust trust = new Trust();
     /** Who wants to know of news of the list once it is in use. */
@@ -413,6 +414,11 @@
         nodes = talk;
     }
 
+    /** Who asks peers what they remember, and answers them. */
+    void recall(RecallLink by) {
+        recall = by;
+    }
+
     /** Who leaves zones with the fleet. */
     void zones(ZoneLink by) {
         zones = by;
@@ -441,6 +447,11 @@
                     nodes.heard(peer, message);
                 }
             }
+            case RECALL -> {
+                if (recall != null) {
+                    recall.heard(peer, message);
+                }
+            }
         }
     }
 
--- a/src/main/java/damsonworks/proxy/PeerSocket.java
+++ b/src/main/java/damsonworks/proxy/PeerSocket.java
@@ -37,7 +37,9 @@
         /** Who lives. */
         MEMBERS,
         /** Which nodes were found silent. */
-        NODES;
+        NODES,
+        /** What somebody who comes back asks for, and is told. */
+        RECALL;
 
         /** The version of all forms so far. */
         static final int VERSION = 0;
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -11,6 +11,8 @@
 import damsonworks.peer.ListNews;
 import damsonworks.proxy.discovery.Addresses;
 import damsonworks.proxy.discovery.DiscoveryClient;
+import damsonworks.recovery.Source;
+import damsonworks.recovery.Trust;
 import damsonworks.route.Known;
 import damsonworks.route.Router;
 import damsonworks.route.Routing;
@@ -302,6 +304,10 @@
                     members.onChange(kept::fleetChanged);
                 }
             }
+            if (parts.recovers() && members != null) {
+                dispatcher.recall(new RecallLink(dispatcher, peers, members, discovery,
+                        dispatcher.trust().of(Trust.Thing.LEARNT).source() == Source.NONE));
+            }
             if (parts.recovers()) {
                 recovery = new RecoveryLink(dispatcher, members, acceptor, succeeds, () -> discovery.start(config.known()));
             }
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/RecallLink.java
@@ -0,0 +1,103 @@
+package damsonworks.proxy;
+
+import damsonworks.RoutingApi.Experience;
+import damsonworks.RoutingApi.Load;
+import damsonworks.RoutingApi.Seen;
+import damsonworks.proxy.discovery.DiscoveryClient;
+import damsonworks.recovery.Memory;
+import damsonworks.recovery.Recall;
+import damsonworks.recovery.Recall.Recalled;
+import damsonworks.recovery.Recall.State;
+import damsonworks.recovery.Source;
+import damsonworks.recovery.Trust;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+
+/** Asks peers where nothing is remembered, and answers those who ask. On the event loop only. */
+final class RecallLink {
+    private static final double TICK_MS = 100;
+    /** What is asked for is not known better than to that many requests at the origin. */
+    private static final double ORIGIN_WEIGHT = 10;
+    /** What peers said is a doubt for no longer than this. */
+    private static final double BOUND_MS = 60_000;
+
+    private final Dispatcher dispatcher;
+    private final PeerSocket peers;
+    private final MemberLink members;
+    private final DiscoveryClient discovery;
+    private final Recall recall;
+
+    /** {@code asks}: whether there is anything to ask for. */
+    RecallLink(Dispatcher dispatcher, PeerSocket peers, MemberLink members, DiscoveryClient discovery, boolean asks) {
+        this.dispatcher = dispatcher;
+        this.peers = peers;
+        this.members = members;
+        this.discovery = discovery;
+        recall = asks ? new Recall(dispatcher.settings().me(), dispatcher.now()) : null;
+        if (asks) {
+            run();
+        }
+    }
+
+    void heard(int peer, byte[] message) {
+        if (Memory.isQuestion(message)) {
+            answer(peer);
+            return;
+        }
+        Memory memory = recall == null ? null : Memory.decode(message);
+        if (memory != null) {
+            recall.heard(peer, memory);
+        }
+    }
+
+    /** What this proxy has learnt itself, as far as it goes into a datagram. */
+    private void answer(int peer) {
+        Experience e = dispatcher.experience().get("");
+        if (e == null) {
+            return; // it has pools, and none of all servers
+        }
+        List<Integer> bad = e.servers().stream().filter(s -> s.failures() > 0 && dispatcher.avoids(s.id()))
+                .sorted(Comparator.comparingInt(Seen::failures).reversed()).limit(Memory.MOST_BAD).map(Seen::id).toList();
+        double asked = e.origin().asked();
+        peers.send(peer, PeerSocket.Kind.RECALL, new Memory(Math.max(0, discovery.version()), (float) e.fetchMs(), (float) e.paceMs(),
+                asked < 1 ? 1 : (float) Math.max(0, Math.min(1, e.origin().answered() / asked)), bad).encode());
+    }
+
+    private void run() {
+        recall.tick(dispatcher.now(), members.view()).forEach(p -> peers.send(p, PeerSocket.Kind.RECALL, Memory.question()));
+        switch (recall.state()) {
+            case ASKING -> dispatcher.after(TICK_MS, this::run);
+            case DONE -> take();
+            case NOBODY -> dispatcher.log("recovery: nobody serves who remembers; the settings' figures hold");
+            case UNANSWERED -> dispatcher.log("recovery: those that serve did not answer; the settings' figures hold");
+        }
+    }
+
+    private void take() {
+        Map<Integer, Integer> zoneOf = new HashMap<>();
+        Map<Integer, Integer> inZone = new HashMap<>();
+        dispatcher.servers().nodes().forEach(u -> {
+            zoneOf.put(u.id, u.zone);
+            inZone.merge(u.zone, 1, Integer::sum);
+        });
+        Recalled r = recall.recalled(zoneOf, inZone);
+        List<Seen> doubts = r.bad().stream().map(id -> new Seen(id, dispatcher.servers().get(id).bornMs, 1, 0, 0)).toList();
+        double now = dispatcher.now();
+        dispatcher.resume(Map.of("", new Experience(r.fetchMs(), r.paceMs(), r.paceMs() / 2, 0,
+                new Load(ORIGIN_WEIGHT, ORIGIN_WEIGHT * r.originShare()), new Load(0, 0), 0, List.of(), doubts)));
+        dispatcher.trust().taken(now, Trust.Thing.LEARNT, Source.PEERS, 0, BOUND_MS, true);
+        if (r.listVersion() > discovery.version()) {
+            discovery.renew(); // a claim is no list, but worth a call
+        }
+        dispatcher.log(String.format(Locale.ROOT, "recovery: %d peers told of %d bad nodes, list version %d, fetches of %.0f ms",
+                r.from(), r.bad().size(), r.listVersion(), r.fetchMs()));
+    }
+
+    /** How it stands; null where there was nothing to ask for. */
+    State state() {
+        return recall == null ? null : recall.state();
+    }
+}
--- a/src/main/java/damsonworks/proxy/Servers.java
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -189,6 +189,11 @@
                         dispatcher.avoids(u.id))).toList();
     }
 
+    /** The cache nodes of the list with our connections to them. */
+    List<Upstream> nodes() {
+        return cacheNodes().toList();
+    }
+
     /** The cache nodes of a zone. */
     int inZone(int zone) {
         return (int) cacheNodes().filter(u -> u.zone == zone).count();
--- /dev/null
+++ b/src/test/java/damsonworks/recovery/RecallTest.java
@@ -0,0 +1,146 @@
+package damsonworks.recovery;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.member.Configured;
+import damsonworks.member.Entry;
+import damsonworks.member.MemberSettings;
+import damsonworks.member.Membership;
+import damsonworks.member.Phase;
+import damsonworks.member.Send;
+import damsonworks.member.View;
+import damsonworks.recovery.Recall.Recalled;
+import damsonworks.recovery.Recall.State;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+/** Who has forgotten asks some of those who serve, not all the same, and their word makes it careful and nothing else. */
+class RecallTest {
+    private static final int ZONES = 4;
+
+    /** What one instance of so many holds, of which the first so many serve. */
+    private static View view(int me, int all, int serving) {
+        List<Entry> entries = new ArrayList<>();
+        for (int i = 0; i < all; i++) {
+            Membership m = new Membership(MemberSettings.of(all), i, i % ZONES, new byte[0], 0, i, new Membership.Allowance() {
+                @Override
+                public boolean take(double nowMs, int bytes, Send.Urgency urgency) {
+                    return true;
+                }
+
+                @Override
+                public int spare(double nowMs) {
+                    return 0;
+                }
+            });
+            m.phase(i < serving ? Phase.SERVING : Phase.RECOVERING);
+            entries.add(m.entry(i));
+        }
+        return new View(me, 0, entries, 0, new Configured(all), false);
+    }
+
+    private static Memory memory(long version, Integer... bad) {
+        return new Memory(version, 20, 3, 1, Arrays.asList(bad));
+    }
+
+    @Example
+    void threeOfThreeZonesAreAskedAndEachAnotherThree() {
+        Set<Integer> asked = new HashSet<>();
+        for (int me = 20; me < 60; me++) {
+            List<Integer> mine = new Recall(me, 0).tick(0, view(me, 60, 20));
+            assertThat(mine).hasSize(3).doesNotHaveDuplicates();
+            assertThat(mine.stream().map(i -> i % ZONES).distinct()).hasSize(3);
+            asked.addAll(mine);
+        }
+        assertThat(asked.size()).as("of twenty that serve").isGreaterThan(15);
+    }
+
+    @Example
+    void anAnswerThatDoesNotComeIsAskedOfTheNext() {
+        Recall recall = new Recall(9, 0);
+        View view = view(9, 10, 6);
+        List<Integer> first = recall.tick(0, view);
+        assertThat(recall.tick(400, view)).isEmpty();
+        recall.heard(first.get(0), memory(4));
+        List<Integer> second = recall.tick(600, view);
+        assertThat(second).hasSize(2).doesNotContainAnyElementsOf(first);
+        recall.heard(second.get(0), memory(5));
+        recall.heard(second.get(0), memory(7));
+        assertThat(recall.tick(700, view)).isEmpty();
+        assertThat(recall.state()).isEqualTo(State.ASKING);
+        recall.heard(first.get(1), memory(6));
+        recall.tick(800, view);
+        assertThat(recall.state()).isEqualTo(State.DONE);
+        assertThat(recall.recalled(Map.of(), Map.of()).listVersion()).isEqualTo(6);
+    }
+
+    @Example
+    void whereNobodyServesItIsKnownSoon() {
+        Recall recall = new Recall(0, 0);
+        for (int t = 0; t < 3000; t += 100) {
+            assertThat(recall.tick(t, view(0, 12, 0))).isEmpty();
+            assertThat(recall.state()).isEqualTo(State.ASKING);
+        }
+        recall.tick(3000, view(0, 12, 0));
+        assertThat(recall.state()).isEqualTo(State.NOBODY);
+    }
+
+    @Example
+    void whereNobodyAnswersItEnds() {
+        Recall recall = new Recall(9, 0);
+        View view = view(9, 10, 6);
+        Set<Integer> asked = new HashSet<>();
+        for (int t = 0; t <= Recall.LONGEST_MS; t += 100) {
+            recall.tick(t, view).forEach(p -> assertThat(asked.add(p)).isTrue());
+        }
+        assertThat(asked).hasSize(6);
+        assertThat(recall.state()).isEqualTo(State.UNANSWERED);
+    }
+
+    /** Whatever three say, and be it that all nodes are bad: never more than a quarter of a zone, and none that one alone names. */
+    @Property(seed = "3", tries = 500)
+    void noWordOfPeersTakesOutMoreThanAPartOfAZone(@ForAll @Size(3) List<@Size(max = 40) List<@IntRange(max = 60) Integer>> said) {
+        Recall recall = new Recall(9, 0);
+        View view = view(9, 10, 3);
+        List<Integer> asked = recall.tick(0, view);
+        Map<Integer, Integer> zoneOf = new HashMap<>();
+        Map<Integer, Integer> inZone = new HashMap<>();
+        for (int n = 0; n < 48; n++) {
+            zoneOf.put(n, n % ZONES);
+            inZone.merge(n % ZONES, 1, Integer::sum);
+        }
+        for (int i = 0; i < 3; i++) {
+            recall.heard(asked.get(i), memory(1, said.get(i).toArray(new Integer[0])));
+        }
+        Recalled r = recall.recalled(zoneOf, inZone);
+        for (int z = 0; z < ZONES; z++) {
+            int zone = z;
+            assertThat(r.bad().stream().filter(n -> zoneOf.get(n) == zone)).hasSizeLessThanOrEqualTo(3);
+        }
+        assertThat(r.bad()).doesNotHaveDuplicates().allMatch(n -> zoneOf.containsKey(n)
+                && said.stream().filter(s -> s.contains(n)).count() >= 2);
+    }
+
+    @Property(seed = "4", tries = 500)
+    void whatIsToldIsReadAndNothingElse(@ForAll @Size(max = 48) List<Integer> bad, @ForAll byte[] bytes) {
+        Memory told = new Memory(7, 1.5f, 0, 0.25f, bad);
+        assertThat(Memory.decode(told.encode())).isEqualTo(told);
+        assertThat(told.encode()).hasSizeLessThanOrEqualTo(250);
+        Memory read = Memory.decode(bytes);
+        if (read != null) {
+            assertThat(read.encode()).isEqualTo(bytes);
+        }
+        byte[] cut = Arrays.copyOf(told.encode(), told.encode().length - 1);
+        assertThat(Memory.decode(cut)).isNull();
+    }
+}
