Some tell of a bad node, not all; a new connection is not ended to share clients out

Checked: which messages grow with the square: the view's probes do not, NodeTalk's word on bad nodes goes from all to all, some 25 nodes each 2.5 s; and NodeTalk.heard built a view of all members for each of them. Acceptor.endBusiest took those used last first, and a connection that has just come counts as that. Ruled out: the decision module (untouched), the stages (they order nothing). Change: BadNodes.knownToAll, by which a proxy keeps quiet while six peers in two zones have said so within 2.5 s; where peers stand is looked up twice a second; only connections that have been answered are ended. What is left is the view's own processor time at a hundred members.

--- a/src/main/java/damsonworks/peer/BadNodes.java
+++ b/src/main/java/damsonworks/peer/BadNodes.java
@@ -21,6 +21,8 @@
     static final int LEAST = 3;
     /** Of a zone's nodes, one in so many may be doubted by peers' word at once, one at least. */
     static final int PART = 4;
+    /** More than are needed, as some stand in one zone and some messages get lost. */
+    static final int ENOUGH = 2 * LEAST;
     private static final int MOST_NODES = 512;
     private static final int MOST_CLAIMS = 8;
 
@@ -72,6 +74,17 @@
         return true;
     }
 
+    /**
+     * Whether so many peers have said so lately that one more adds nothing. All tell all; where many nodes are bad, a fleet in which
+     * each said what it found would send its square of messages for each of them.
+     */
+    public boolean knownToAll(double nowMs, int node) {
+        List<Claim> fresh = claims.getOrDefault(node, new ArrayDeque<>()).stream().filter(c -> nowMs - c.atMs() < KEPT_MS / 2)
+                .toList();
+        return fresh.size() >= MOST_CLAIMS
+                || fresh.size() >= ENOUGH && fresh.stream().mapToInt(Claim::zone).distinct().count() > 1;
+    }
+
     private void forget(double nowMs) {
         doubted.removeIf(d -> d.untilMs() <= nowMs);
         for (Iterator<ArrayDeque<Claim>> i = claims.values().iterator(); i.hasNext();) {
--- a/src/main/java/damsonworks/proxy/Acceptor.java
+++ b/src/main/java/damsonworks/proxy/Acceptor.java
@@ -154,9 +154,12 @@
         idleClients().sorted(LONGEST_IDLE).limit(many).toList().forEach(this::retire);
     }
 
-    /** Ends so many connections between requests, those first that were used last: these carry what is asked. */
+    /**
+     * Ends so many connections between requests, those first that were used last: these carry what is asked. Never one that has had
+     * no answer yet: its first request is on its way, and a client whose new connection ends unheard has been turned away.
+     */
     void endBusiest(int many) {
-        idleClients().sorted(LONGEST_IDLE.reversed()).limit(many).toList().forEach(ClientConnection::finish);
+        idleClients().filter(ClientConnection::used).sorted(LONGEST_IDLE.reversed()).limit(many).toList().forEach(ClientConnection::finish);
     }
 
     /** Ends all connections, whatever is on them. */
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -58,6 +58,11 @@
         return lastWrite == null || lastWrite.isDone();
     }
 
+    /** It has had an answer: one that is new has a request on its way. */
+    boolean used() {
+        return lastWrite != null;
+    }
+
     /** It has been ended from our side, or is on its way to another process. */
     boolean ending() {
         return finished || passing;
--- a/src/main/java/damsonworks/proxy/NodeTalk.java
+++ b/src/main/java/damsonworks/proxy/NodeTalk.java
@@ -1,19 +1,18 @@
 package damsonworks.proxy;
 
 import damsonworks.RoutingApi.Evidence;
-import damsonworks.member.Entry;
 import damsonworks.member.View;
 import damsonworks.peer.BadNodes;
 import damsonworks.peer.PeerMessage;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
-import java.util.Set;
 
 /** Tells peers of nodes that were found silent, and passes on to the decision module what several say. On the event loop only. */
 final class NodeTalk {
     private static final int ALL = -1;
     private static final int MOST_TOLD = 512;
+    private static final double ZONES_MS = 500;
 
     private final Dispatcher dispatcher;
     private final PeerSocket peers;
@@ -21,6 +20,9 @@
     private final BadNodes bad = new BadNodes();
     /** When peers were told of a node last. */
     private final Map<Integer, Double> toldMs = new HashMap<>();
+    /** Where peers stand that live; as of some time ago, as many messages come at once where much is wrong. */
+    private final Map<Integer, Integer> zones = new HashMap<>();
+    private double zonesMs = Double.NEGATIVE_INFINITY;
 
     NodeTalk(Dispatcher dispatcher, PeerSocket peers, MemberLink members) {
         this.dispatcher = dispatcher;
@@ -36,7 +38,7 @@
         }
         double now = dispatcher.now();
         toldMs.values().removeIf(at -> now - at >= BadNodes.KEPT_MS / 2); // told anew while it lasts, before the word is void
-        if (toldMs.size() < MOST_TOLD && toldMs.putIfAbsent(server, now) == null) {
+        if (toldMs.size() < MOST_TOLD && !bad.knownToAll(now, server) && toldMs.putIfAbsent(server, now) == null) {
             peers.send(ALL, PeerSocket.Kind.NODES, PeerMessage.bad(server));
         }
     }
@@ -48,19 +50,16 @@
         if (u == null || u.origin) {
             return;
         }
-        View view = members.view();
-        Set<Integer> homes = new HashSet<>();
-        int others = 0;
-        int zone = -1;
-        for (Entry e : view.entries()) {
-            if (e.id() != view.me() && e.state().lives()) {
-                others++;
-                homes.add(e.zone());
-                zone = e.id() == peer ? e.zone() : zone;
-            }
+        double now = dispatcher.now();
+        if (now - zonesMs >= ZONES_MS) {
+            View view = members.view();
+            zonesMs = now;
+            zones.clear();
+            view.entries().stream().filter(e -> e.id() != view.me() && e.state().lives()).forEach(e -> zones.put(e.id(), e.zone()));
         }
+        Integer zone = zones.get(peer);
         BadNodes.Node node = new BadNodes.Node(server, u.zone, dispatcher.servers().inZone(u.zone));
-        if (zone >= 0 && bad.claimed(dispatcher.now(), peer, zone, node, others, homes.size())) {
+        if (zone != null && bad.claimed(now, peer, zone, node, zones.size(), new HashSet<>(zones.values()).size())) {
             dispatcher.heard(peer, PeerSocket.Kind.MODULE, message);
         }
     }
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -272,6 +272,11 @@
         return dispatcher;
     }
 
+    /** For tests, on the event loop only. */
+    Acceptor clients() {
+        return acceptor;
+    }
+
     ByteBudget values() {
         return dispatcher.values();
     }
--- a/src/test/java/damsonworks/peer/BadNodesTest.java
+++ b/src/test/java/damsonworks/peer/BadNodesTest.java
@@ -29,6 +29,22 @@
         assertThat(bad.claimed(BadNodes.KEPT_MS + 1, 3, 3, node(7), 11, 4)).isFalse();
     }
 
+    /** Of a hundred that find a node bad some tell it, and the others have nothing to add while that is fresh. */
+    @Test
+    void whatEnoughHaveSaidNobodyElseNeedsTo() {
+        for (int peer = 0; peer < BadNodes.ENOUGH; peer++) {
+            assertThat(bad.knownToAll(10 * peer, 7)).isFalse();
+            bad.claimed(10 * peer, peer, 1 + peer % 2, node(7), 99, 4);
+        }
+        assertThat(bad.knownToAll(100, 7)).isTrue();
+        assertThat(bad.knownToAll(100, 8)).isFalse();
+        assertThat(bad.knownToAll(BadNodes.KEPT_MS / 2 + 100, 7)).as("it has to be said anew while it lasts").isFalse();
+        for (int peer = 0; peer < BadNodes.ENOUGH; peer++) {
+            bad.claimed(0, peer, 1, node(9), 99, 4);
+        }
+        assertThat(bad.knownToAll(1, 9)).as("by one zone alone").isFalse();
+    }
+
     /** Two liars are not three, and three take out a quarter of a zone at most. */
     @Test
     void noSetOfClaimsTakesOutMoreThanAPart() {
