The drain's test keeps its half command alive however slowly processes start

Need: JarIT's drain test failed on a slow machine: its client's connection was closed before its command was whole. Seen: it took 13.6 s; a command that stays half for 10 s is given up (ClientConnection.STALLED_MS, which is right), and seven processes were started meanwhile, 1.5 s each today. So the test rested on speed. Change: the half command comes byte by byte between the processes, so no pause is that long; all assertions stay.

--- a/src/test/java/damsonworks/JarIT.java
+++ b/src/test/java/damsonworks/JarIT.java
@@ -142,12 +142,15 @@
             assertThat(output(0, "status", at)).contains("clients=1", "phase=serving");
             assertThat(output(0, "drain", at[0], at[1], "--deadline", "60s")).startsWith("draining; ").contains(" s to the deadline");
             assertThat(output(0, "drain", at[0], at[1], "--deadline", "90s")).contains("under way already");
+            // Byte by byte: a command that stays half for ten seconds is given up, and seven processes may take that long to start.
+            client.getOutputStream().write('n');
             new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
             assertThat(output(0, "status", at)).contains("phase=draining");
             assertThat(output(0, "drain", at[0], at[1], "--cancel")).contains("in full service");
+            client.getOutputStream().write('\r');
             assertThat(output(1, "drain", at[0], at[1], "--cancel")).contains("no drain is under way");
             assertThat(output(1, "drain", at[0], at[1], "--deadline", "0s")).contains("deadline");
-            client.getOutputStream().write("n\r\nm".getBytes());
+            client.getOutputStream().write("\nm".getBytes());
             assertThat(in.readLine()).isEqualTo("MN");
             Process wait = start("drain", null, at[0], at[1], "--deadline", "60s", "--wait");
             BufferedReader bar = wait.inputReader();
