Two accessors of recovery that nothing called go

Change: RecallLink.state and RecoveryLink.trust, with their imports; status reads what it shows from the proxy. Nothing behaves differently.

--- a/src/main/java/damsonworks/proxy/RecallLink.java
+++ b/src/main/java/damsonworks/proxy/RecallLink.java
@@ -7,7 +7,6 @@
 import damsonworks.recovery.Memory;
 import damsonworks.recovery.Recall;
 import damsonworks.recovery.Recall.Recalled;
-import damsonworks.recovery.Recall.State;
 import damsonworks.recovery.Source;
 import damsonworks.recovery.Trust;
 import java.util.Comparator;
@@ -95,9 +94,4 @@
         dispatcher.log(String.format(Locale.ROOT, "recovery: %d peers told of %d bad nodes, list version %d, fetches of %.0f ms",
                 r.from(), r.bad().size(), r.listVersion(), r.fetchMs()));
     }
-
-    /** How it stands; null where there was nothing to ask for. */
-    State state() {
-        return recall == null ? null : recall.state();
-    }
 }
--- a/src/main/java/damsonworks/proxy/RecoveryLink.java
+++ b/src/main/java/damsonworks/proxy/RecoveryLink.java
@@ -10,7 +10,6 @@
 import damsonworks.recovery.Progress.Stage;
 import damsonworks.recovery.Sample;
 import damsonworks.recovery.Spread;
-import damsonworks.recovery.Trust;
 import damsonworks.recovery.Trust.Thing;
 import java.util.ArrayList;
 import java.util.List;
@@ -148,10 +147,6 @@
         return spread;
     }
 
-    Trust trust() {
-        return dispatcher.trust();
-    }
-
     double rate() {
         return rate;
     }
