What waits for a connection is taken back when its server leaves or its request is over

Cause: an attempt on a connection that is still coming up stays queued there (UpstreamConnection.opening writes all of it when the connection is up), whatever happens meanwhile: Servers.listed only marked the node as not ready and Upstream.retire left the queue, so it reached a draining, removed or moved node as late as the connection came up; Dispatcher.gone and a final answer rested on Policy cancelling, which it does not where others wait for the fetch or the settings forbid it. A write's value had been freed by then. Change: the owner of the connection takes back what has not begun: Servers.withdraw, behind the module's news of the list, for nodes that want nothing new and connections that lead nowhere any more; Dispatcher.free for a request that is over. Both end the attempt as NOT_SENT, so the module sends it elsewhere, or a waiter leads the fetch. Dispatcher.place and sendElsewhere ask whether the node still takes requests. Result: LateConnectionsTest, six crossings forced by a listener whose connections come up late: all six fail without the mend, pass with it.

--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -375,6 +375,7 @@
             }
             module.onList(now(), kind, hosts.stream().map(Host::member).toList(), this);
         });
+        tell(servers::withdraw);
         followers.forEach(f -> f.accept(kind));
     }
 
@@ -627,10 +628,19 @@
         free(x);
     }
 
+    /**
+     * Nothing is sent for a request that is over, whatever the settings say of cancelling: its client has its answer or
+     * has gone, and its value goes here. What still waits for a connection is taken back, as never sent.
+     */
     private void free(Exchange x) {
         if (!x.over) {
             return;
         }
+        for (Attempt a : x.attempts) {
+            if (!a.ended && a.connection != null && a.connection.takeBack(a)) {
+                end(a, Outcome.NOT_SENT, 0, null, null);
+            }
+        }
         open.remove(x.command.id, x);
         x.command.release();
         if (x.out == 0) {
@@ -655,7 +665,7 @@
         count(x, u);
         x.attempts.add(a);
         x.out++;
-        if (u == null || wait <= 0 || a.index >= Math.min(x.maxAttempts, settings.maxAttempts())) {
+        if (u == null || !u.ready || wait <= 0 || a.index >= Math.min(x.maxAttempts, settings.maxAttempts())) {
             tell(() -> end(a, Outcome.NOT_SENT, 0, null, null));
             return;
         }
@@ -720,7 +730,7 @@
         counters.did(Work.TRIALS);
         double now = now();
         Attempt a = new Attempt(null, 0, server, now, now + PROBE_TIMEOUT_MS);
-        if (u == null || !u.send(a)) {
+        if (u == null || !u.ready || !u.send(a)) {
             tell(() -> end(a, Outcome.CONNECT_FAILED, 0, null, null));
         } else {
             a.timer = after(PROBE_TIMEOUT_MS, () -> expire(a));
--- a/src/main/java/damsonworks/proxy/Servers.java
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -8,6 +8,7 @@
 import damsonworks.proxy.discovery.Host;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.util.collection.IntObjectHashMap;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -32,6 +33,8 @@
     private final Bootstrap bootstrap;
     private final int maxConnections;
     private final IntObjectHashMap<Upstream> servers = new IntObjectHashMap<>();
+    /** What the list has no more, until what waits there is taken back. */
+    private final List<Upstream> forgotten = new ArrayList<>();
     private double closes = CLOSES_SAVED;
     private double closesAtMs;
     private int connections;
@@ -94,10 +97,18 @@
     private void forget(int id) {
         Upstream u = servers.remove(id);
         if (u != null) {
+            u.ready = false;
             u.retire();
+            forgotten.add(u);
         }
     }
 
+    /** Takes back what has not begun to go out to servers that want nothing new; once the module knows of that. */
+    void withdraw() {
+        Stream.concat(servers.values().stream(), forgotten.stream()).toList().forEach(Upstream::withdraw);
+        forgotten.clear();
+    }
+
     /** Servers accept some forty connections each, for all proxies together. */
     private int cacheConnections(int most) {
         return Math.max(1, Math.min(most, 28 / Math.max(1, dispatcher.settings().instances())));
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -22,6 +22,7 @@
     SocketAddress dial;
     double bornMs;
     int zone;
+    /** Whether the list has it take new requests. */
     boolean ready;
     /** When something was last put on a connection to it. */
     private double sentMs = Double.NEGATIVE_INFINITY;
@@ -114,7 +115,7 @@
     boolean sendElsewhere(Attempt attempt) {
         UpstreamConnection best = null;
         for (UpstreamConnection c : connections) {
-            if (c.connected() && c.usable(maxDepth) && (best == null || c.better(best))) {
+            if (ready && c.connected() && c.usable(maxDepth) && (best == null || c.better(best))) {
                 best = c;
             }
         }
@@ -170,6 +171,18 @@
         List.copyOf(connections).forEach(UpstreamConnection::retire);
     }
 
+    /**
+     * Takes back what waits for a connection to a server that wants nothing new, or no longer is where that connection
+     * leads. Guards against requests that reach a server long after the list had it leave, as its connection comes up late.
+     */
+    void withdraw() {
+        for (UpstreamConnection c : List.copyOf(connections)) {
+            if (!ready || c.retired()) {
+                c.withdraw();
+            }
+        }
+    }
+
     void close() {
         List.copyOf(connections).forEach(UpstreamConnection::close);
     }
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -130,9 +130,26 @@
         });
     }
 
+    /** Takes back an attempt that waits for the connection to come up; false if it may have begun to go out. */
+    boolean takeBack(Attempt attempt) {
+        return !connected && attempts.remove(attempt);
+    }
+
+    /** Takes back all that waits for it to come up, and so ends it. */
+    void withdraw() {
+        if (!connected) {
+            retired = true;
+            for (Attempt a; (a = attempts.poll()) != null;) {
+                upstream.dispatcher().end(a, Outcome.NOT_SENT, 0, null, null);
+            }
+            close();
+        }
+    }
+
+    /** Nobody waits for it any more; whether nothing of it has gone out or will. */
     boolean giveUp(Attempt attempt) {
         if (!connected) {
-            return attempts.remove(attempt);
+            return takeBack(attempt);
         }
         if (attempts.contains(attempt) && ++givenUp == attempts.size()
                 && (retired || upstream.dispatcher().servers().mayClose())) {
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/LateConnectionsTest.java
@@ -0,0 +1,170 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import damsonworks.Await;
+import damsonworks.Carp;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What crosses a connection that has not come up yet: news of its server, its client's end, the final answer. */
+@Timeout(60)
+class LateConnectionsTest {
+    private static FakeServer origin() throws Exception {
+        return new FakeServer(c -> {
+            while (c.request() != null) {
+                c.sayHttp(200, "", "fetch");
+            }
+        });
+    }
+
+    /** Discovery that tells of this change to the first node once it may, and of nothing else. */
+    private static FakeServer discovery(CountDownLatch told, JsonObject change) throws Exception {
+        return new FakeServer(c -> {
+            c.request();
+            told.await();
+            JsonArray hosts = new JsonArray();
+            hosts.add(change);
+            c.sayHttp(200, "", Fleet.list(43, false, hosts).toString());
+            c.request();
+            c.awaitEnd();
+        });
+    }
+
+    private static void awaitWaiting(Fleet fleet, int requests) {
+        Await.until("requests wait for a connection", () -> fleet.on(
+                () -> fleet.proxy.status().owed() == requests && fleet.proxy.status().upstream() > 0));
+    }
+
+    private static void leaves(Consumer<JsonObject> change) throws Exception {
+        CountDownLatch told = new CountDownLatch(1);
+        try (LateServer node = LateServer.node()) {
+            JsonObject host = Fleet.host("s-00000001", "node-fast", node.dial(), "up");
+            change.accept(host);
+            FakeServer discovery = discovery(told, host);
+            Fleet setup = new Fleet().node(node.dial()).origin(origin()).discovery(discovery)
+                    .set("caps.connect-timeout", "10000.0").set("guarantees.ask-within", "200.0");
+            try (Fleet fleet = setup.start(); Fleet.Client client = fleet.client()) {
+                assertThat(discovery.next()).contains("since=41&");
+                client.read("1");
+                awaitWaiting(fleet, 1);
+                told.countDown();
+                assertThat(discovery.next()).contains("since=43&"); // the news is in use
+                node.open();
+                assertThat(client.line()).isEqualTo("VA 5 O1");
+                assertThat(client.line()).isEqualTo("fetch");
+                assertThat(node.commands).isEmpty();
+            }
+        }
+    }
+
+    /** Guards against a request that reaches a node as late as a connection may come up after the node was to leave. */
+    @Test
+    void aRequestThatWaitsLeavesANodeThatBeginsToDrain() throws Exception {
+        leaves(h -> h.addProperty("health", "draining"));
+    }
+
+    @Test
+    void aRequestThatWaitsLeavesANodeThatIsGone() throws Exception {
+        leaves(h -> h.addProperty("health", "removed"));
+    }
+
+    @Test
+    void aRequestThatWaitsLeavesANodeThatHasMoved() throws Exception {
+        leaves(h -> h.addProperty("dial", "127.0.0.1:9"));
+    }
+
+    /** Whatever the settings say of cancelling: what nobody has heard of yet needs no cancelling. */
+    @Test
+    void nothingIsSentForAClientThatHasLeftMeanwhile() throws Exception {
+        try (LateServer node = LateServer.node(); Fleet fleet = new Fleet().node(node.dial()).set("caps.may-cancel", "false")
+                .set("caps.connect-timeout", "10000.0").start(); Fleet.Client next = fleet.client()) {
+            Fleet.Client leaving = fleet.client();
+            leaving.read("1");
+            awaitWaiting(fleet, 1);
+            leaving.close();
+            awaitWaiting(fleet, 0);
+            next.read("2");
+            awaitWaiting(fleet, 1);
+            node.open();
+            assertThat(next.line()).isEqualTo("VA 5 O2");
+            assertThat(node.commands).hasSize(1);
+        }
+    }
+
+    /** Two clients read one key, and the first one's fetch is to serve both. */
+    @Test
+    void whereTheOneThatFetchesLeavesItsWaiterLeads() throws Exception {
+        FakeServer node = FakeServer.node(line -> "EN O" + FakeServer.id(line) + " h0\r\n");
+        LateServer origin = new LateServer(p -> {
+            for (String line; (line = p.command()) != null;) {
+                if (line.isEmpty()) {
+                    p.say("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfetch");
+                }
+            }
+        });
+        try (origin; Fleet fleet = new Fleet().node(node).origin(origin.dial()).set("caps.connect-timeout", "10000.0").start();
+                Fleet.Client waiter = fleet.client()) {
+            Fleet.Client leader = fleet.client();
+            leader.read("1");
+            node.next();
+            Await.until("its fetch waits", () -> fleet.on(() -> fleet.proxy.status().upstream()) == 2);
+            waiter.read("2");
+            node.next();
+            fleet.client().say("mn\r\n").line(); // the event loop has been round: the miss has come
+            awaitWaiting(fleet, 2);
+            leader.close();
+            awaitWaiting(fleet, 1);
+            origin.open();
+            assertThat(waiter.line()).isEqualTo("VA 5 O2");
+            assertThat(waiter.line()).isEqualTo("fetch");
+            assertThat(origin.commands).filteredOn(l -> l.startsWith("Req-Id")).containsExactly("Req-Id: 2");
+        }
+    }
+
+    /** The second copy's connection comes up after the first has been answered, and must not go out then. */
+    @Test
+    void nothingIsSentForARequestThatHasItsAnswer() throws Exception {
+        CountDownLatch copied = new CountDownLatch(1);
+        FakeServer slow = new FakeServer(c -> {
+            for (String line; (line = c.command()) != null;) {
+                if (FakeServer.id(line).equals("1")) { // the other it never answers
+                    copied.await();
+                    c.say("VA 5 O1 h1\r\nhello\r\n");
+                }
+            }
+        });
+        // Of sixty proxies each has one connection to a node, so what waits there goes out in order.
+        try (LateServer late = LateServer.node(); Fleet fleet = new Fleet().node(slow).node(late.dial())
+                .set("caps.may-cancel", "false").set("classes.0.promise", "400.0").set("caps.connect-timeout", "10000.0")
+                .set("balancers", "60").start(); Fleet.Client client = fleet.client()) {
+            String first = key(1, 2);
+            String second = key(2, 1);
+            client.say("mg " + first + " v O1 Pc=text,d=20000\r\n");
+            Await.until("the second copy waits", () -> fleet.on(() -> fleet.proxy.status().upstream()) == 2);
+            copied.countDown();
+            assertThat(client.line()).isEqualTo("VA 5 O1");
+            client.line();
+            client.say("mg " + second + " v O2 Pc=text,d=20000\r\n"); // where the other copy was to go
+            awaitWaiting(fleet, 1);
+            late.open();
+            assertThat(client.line()).isEqualTo("VA 5 O2");
+            assertThat(late.commands).isNotEmpty().allMatch(l -> FakeServer.id(l).equals("2"));
+        }
+    }
+
+    /** A key that the first of these servers takes before the second. */
+    private static String key(int first, int second) {
+        for (int i = 1;; i++) {
+            String key = Integer.toHexString(i);
+            int hash = Carp.keyHash(Installation.key(key));
+            if (Carp.score(hash, Carp.memberHash(first), 1) > Carp.score(hash, Carp.memberHash(second), 1)) {
+                return key;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/LateServer.java
@@ -0,0 +1,125 @@
+package damsonworks.proxy;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+
+/**
+ * A server to which no connection comes up until it is opened: the system's queue of those that it has not accepted is
+ * full, so what else wants in is left without a word, and asks again by itself.
+ */
+final class LateServer implements AutoCloseable {
+    private static final int FULL_MS = 100;
+    private static final int MAX_FILLERS = 16;
+
+    /** What to do with a connection that came through. */
+    interface Script {
+        void run(Peer peer) throws IOException;
+    }
+
+    /** A connection that came through. */
+    final class Peer {
+        private final Socket socket;
+
+        Peer(Socket socket) {
+            this.socket = socket;
+        }
+
+        /** The next line, kept for the test to see; null at the end. */
+        String command() throws IOException {
+            String line = FakeServer.line(socket.getInputStream());
+            if (line != null) {
+                commands.add(line);
+            }
+            return line;
+        }
+
+        void say(String text) throws IOException {
+            socket.getOutputStream().write(text.getBytes(java.nio.charset.StandardCharsets.ISO_8859_1));
+        }
+    }
+
+    final BlockingQueue<String> commands = new LinkedBlockingQueue<>();
+    private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
+    private final List<Socket> fillers = new ArrayList<>();
+    private final List<Socket> taken = new ArrayList<>();
+    private final Script script;
+    private Thread accepting;
+
+    LateServer(Script script) throws IOException {
+        this.script = script;
+        for (int i = 0; i < MAX_FILLERS; i++) {
+            Socket filler = new Socket();
+            try {
+                filler.connect(server.getLocalSocketAddress(), FULL_MS);
+                fillers.add(filler);
+            } catch (SocketTimeoutException e) {
+                filler.close();
+                return;
+            }
+        }
+        throw new IOException("the queue never fills");
+    }
+
+    /** A cache node that answers reads with what it has, once it is open. */
+    static LateServer node() throws IOException {
+        return new LateServer(p -> {
+            for (String line; (line = p.command()) != null;) {
+                p.say("VA 5 O" + FakeServer.id(line) + " h1\r\nhello\r\n");
+            }
+        });
+    }
+
+    String dial() {
+        return "127.0.0.1:" + server.getLocalPort();
+    }
+
+    /** Takes what waits and what comes from now on. */
+    void open() throws IOException {
+        for (Socket filler : fillers) {
+            filler.close();
+        }
+        accepting = new Thread(() -> {
+            try {
+                while (true) {
+                    Socket socket = server.accept();
+                    synchronized (taken) {
+                        taken.add(socket);
+                    }
+                    Thread serving = new Thread(() -> {
+                        try (socket) {
+                            script.run(new Peer(socket));
+                        } catch (IOException e) {
+                            // its other side has ended it
+                        }
+                    });
+                    serving.setDaemon(true);
+                    serving.start();
+                }
+            } catch (IOException e) {
+                // closed
+            }
+        });
+        accepting.setDaemon(true);
+        accepting.start();
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.close();
+        for (Socket filler : fillers) {
+            filler.close();
+        }
+        synchronized (taken) {
+            for (Socket socket : taken) {
+                socket.close();
+            }
+        }
+    }
+}
