News that discovery has is known within 6 s, whatever call failed or fell silent

A watch begun while discovery was silent hid its return for 15 s. Also by reading: what a closed connection brings out as it ends was taken for the answer to the next call, and left that call's connection open for good (DiscoveryClient.Line, channel == null); a fetch that failed ended a sound watch; one that numbers anew was never followed. Change: watches wait 1.6 to 2.4 s and are given up 1.6 s later (0.5 s where lists are pushed); after a failure the next call comes within 1 s, a new process's first within 3 s; a given-up connection's answer is nobody's; numbers that fall are followed by asking for all.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -23,6 +23,8 @@
     /** So many servers of a zone in a row, and no other that answers, are a way that is cut off. */
     private static final int CUT_SERVERS = 3;
     private static final int ALL_PEERS = -1;
+    /** What discovery has and could be asked for counts as told so long after, whatever call failed. */
+    private static final double TOLD_MS = 6000;
     /** Who was answered within so many connect time-outs, 20 s here, still has the connection. */
     private static final int HELD_CONNECTS = 200;
 
@@ -385,7 +387,7 @@
         }
         if (kind == ListKind.CACHED && cfg.askForList()) {
             // The list service is small: all instances starting together must not call at once.
-            double span = Math.min(cfg.askWithinMs() / 2, cfg.instances() * cfg.connectTimeoutMs() / 2);
+            double span = Math.min(Math.min(cfg.askWithinMs(), TOLD_MS), cfg.instances() * cfg.connectTimeoutMs()) / 2;
             timer(random.nextDouble() * span, WATCH, null, out);
         } else if (asking) {
             asking = false;
@@ -464,8 +466,8 @@
     }
 
     private void askAgain(double now, Actions out) {
-        watchFailures++;
-        double wait = cfg.askWithinMs() / 16 * (1 << Math.min(watchFailures, 3));
+        // A call that is silent itself takes most of the time after which its news counts as told: a wait has a sixth.
+        double wait = Math.min(cfg.askWithinMs(), TOLD_MS) / 24 * (1 << Math.min(watchFailures++, 2));
         timer(wait * (0.5 + random.nextDouble() / 2), WATCH, null, out);
     }
 
--- a/src/main/java/damsonworks/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/discovery/DiscoveryClient.java
@@ -64,12 +64,18 @@
     public record Settings(InetSocketAddress address, ListForm form, long seed, boolean ask) { }
 
     /**
-     * How long a watch may wait. It may have fallen silent, which nobody sees before its wait is over; but discovery is
-     * one service for all, and each end is a call.
+     * How long a watch may wait, give or take a fifth. Whatever call failed or fell silent, what discovery has counts as
+     * told 6 s after it could be asked, and a silent watch hides that until it is given up. A watch that goes on after
+     * an end with nothing to tell is no new one to discovery, and carries no entries.
      */
-    private static final int WAIT_MS = 10_000;
-    /** How much longer than its wait a call may take before it counts as failed: its news counts as told by then. */
-    private static final int PATIENCE_MS = 2000;
+    private static final int WAIT_MS = 2000;
+    /**
+     * How much longer than its wait a call may take before it counts as failed. With the shortest wait that is over the
+     * 3 s after which discovery turns away calls that stand in its line; less would lose the place in it each time.
+     */
+    private static final int PATIENCE_MS = 1600;
+    /** The same where lists are pushed: the agent has no line. */
+    private static final int AGENT_PATIENCE_MS = 500;
     private static final int CONNECT_MS = 1000;
     /** Where lists are pushed, a watch that has ended is begun again after this time. */
     private static final int AGAIN_MS = 250;
@@ -144,7 +150,7 @@
     public void watch(boolean on) {
         watching = on;
         if (on) {
-            int wait = (int) (WAIT_MS * (0.7 + 0.6 * random.nextDouble())); // or those of all proxies end together
+            int wait = (int) (WAIT_MS * (0.8 + 0.4 * random.nextDouble())); // or those of all proxies end together
             watchLine.call("/discovery/hosts?since=" + version + "&timeout_ms=" + wait, wait, this::watched);
         } else {
             watchLine.close();
@@ -163,6 +169,7 @@
         }
     }
 
+    /** Where it fails beside a watch, the watch goes on: the decision module would give it up for a call that it is not. */
     @Override
     public void fetch() {
         listLine.call("/discovery/hosts", 0, json -> {
@@ -172,7 +179,11 @@
                 }
                 apply(json);
             } catch (RuntimeException e) {
-                failed(e);
+                if (watching) {
+                    listener.log("discovery: " + e.getMessage());
+                } else {
+                    failed(e);
+                }
             }
         });
     }
@@ -191,7 +202,11 @@
             if (settings.ask()) {
                 failed(e);
             } else {
-                loop.schedule(() -> watch(true), AGAIN_MS, TimeUnit.MILLISECONDS);
+                loop.schedule(() -> {
+                    if (!watching) { // else it was moved meanwhile, and has begun there
+                        watch(true);
+                    }
+                }, AGAIN_MS, TimeUnit.MILLISECONDS);
             }
             return;
         }
@@ -205,7 +220,10 @@
         boolean whole = json.get("whole").getAsBoolean();
         long seq = seq(json);
         if (!whole && seq < version) {
-            throw new IllegalArgumentException("changes up to " + seq + " after " + version);
+            // It numbers anew, as one that has moved or lost its memory may: what it has is asked for from the beginning.
+            long held = version;
+            version = 0;
+            throw new IllegalArgumentException("changes up to " + seq + " after " + held);
         }
         version = seq;
         keep(json);
@@ -260,7 +278,8 @@
             }
             waiting = then;
             listener.called();
-            timer = loop.schedule(() -> done(null), waitMs + PATIENCE_MS, TimeUnit.MILLISECONDS);
+            timer = loop.schedule(() -> done(null), waitMs + (settings.ask() ? PATIENCE_MS : AGENT_PATIENCE_MS),
+                    TimeUnit.MILLISECONDS);
             if (channel != null && channel.isActive()) {
                 write(channel, path);
                 return;
@@ -321,6 +340,9 @@
         private final class Answer extends SimpleChannelInboundHandler<FullHttpResponse> {
             @Override
             protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+                if (ctx.channel() != channel) {
+                    return; // given up: its end brings out what had come of an answer, which is none to what waits now
+                }
                 JsonObject json = null;
                 if (response.status().code() == 200 && response.decoderResult().isSuccess()) {
                     try {
@@ -334,9 +356,7 @@
                     ctx.close();
                     channel = null;
                 }
-                if (ctx.channel() == channel || channel == null) {
-                    done(json);
-                }
+                done(json);
             }
 
             @Override
--- a/src/test/java/damsonworks/PolicyTest.java
+++ b/src/test/java/damsonworks/PolicyTest.java
@@ -635,6 +635,19 @@
         assertThat(rig.watches).isEqualTo(2);
     }
 
+    /** What discovery has counts as told 6 s after it could be asked, and a silent call takes 4 s of that. */
+    @Test
+    void howeverOftenCallsFailTheNextIsMadeWithinASecond() {
+        Rig rig = new Rig(Rig.settings(true, true, false, Group.ALL)).fleet(5);
+        rig.pass(3000);
+        assertThat(rig.watches).isEqualTo(1);
+        for (int failures = 1; failures < 50; failures++) {
+            rig.policy.onList(rig.now, ListKind.FAILED, List.of(), rig);
+            rig.pass(1000);
+            assertThat(rig.watches).isEqualTo(1 + failures);
+        }
+    }
+
     /** In a crowd the tenant far over its quota is refused, the one inside its quota hardly. */
     @Test
     void refusalsComeOffTheTenantOverItsQuota() {
--- a/src/test/java/damsonworks/proxy/FakeServer.java
+++ b/src/test/java/damsonworks/proxy/FakeServer.java
@@ -6,6 +6,7 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
@@ -127,11 +128,24 @@
     private static final int ACCEPT_MS = 20;
     private final ServerSocket server;
     private final Thread accepting;
+    private volatile long listeningNanos;
 
     FakeServer(Script script) throws IOException {
-        server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-        server.setSoTimeout(ACCEPT_MS);
+        this(script, new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 0);
+    }
+
+    /** One that refuses all for so long, and listens at this address then. */
+    FakeServer(Script script, InetSocketAddress address, long afterMs) throws IOException {
+        server = new ServerSocket();
+        server.setReuseAddress(true);
+        if (afterMs == 0) {
+            listen(address);
+        }
         accepting = daemon(() -> {
+            if (afterMs > 0) {
+                TimeUnit.MILLISECONDS.sleep(afterMs);
+                listen(address);
+            }
             while (!server.isClosed()) {
                 Socket socket;
                 try {
@@ -160,6 +174,17 @@
         });
     }
 
+    private void listen(InetSocketAddress address) throws IOException {
+        server.bind(address, 50);
+        server.setSoTimeout(ACCEPT_MS);
+        listeningNanos = System.nanoTime();
+    }
+
+    /** When it began to listen. */
+    long listeningNanos() {
+        return listeningNanos;
+    }
+
     private interface Task {
         void run() throws Exception;
     }
