Where second copies are forbidden none follows an attempt that is still out

A trial with log lines: its first attempt was given up on a connection with two on it (GIVEUP ... givenUp 0 of 2), which stays open, and the next went out at once. UpstreamConnection.giveUp ends a connection only when nobody waits for anything on it any more, but Dispatcher.cancel told the module that the attempt was over. 394 of some 730 such attempts were alone on theirs, and ended. Ruled out: ending the shared connection: it takes what others wait for with it. Result: two tests in UpstreamTest, both fail without the mend (the second waits in vain).

--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -713,6 +713,10 @@
         if (a == null || a.ended || a.firstByteMs != 0) {
             return;
         }
+        // Another attempt may follow. Where second copies are forbidden this one must be over then, or it stays waited for.
+        if (!x.over && !settings.secondCopies() && a.connection != null && !a.connection.endsAlone()) {
+            return;
+        }
         if (a.connection != null) {
             a.connection.giveUp(a);
         }
--- a/src/main/java/damsonworks/proxy/Servers.java
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -109,9 +109,14 @@
         forgotten.clear();
     }
 
-    /** Servers accept some forty connections each, for all proxies together. */
+    /**
+     * Servers accept some forty connections each, for all proxies together. Where second copies are forbidden only what has
+     * a connection of its own can be given up for another server, so there it is as many as a server has places for.
+     */
     private int cacheConnections(int most) {
-        return Math.max(1, Math.min(most, 28 / Math.max(1, dispatcher.settings().instances())));
+        Settings settings = dispatcher.settings();
+        return settings.secondCopies() ? Math.max(1, Math.min(most, 28 / Math.max(1, settings.instances())))
+                : CONNECTIONS_IN_ALL;
     }
 
     private int originConnections() {
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -146,6 +146,14 @@
         }
     }
 
+    /**
+     * Whether giving the attempt up ends it: what has gone out is out until its connection ends, and that would take what
+     * else is waited for there with it.
+     */
+    boolean endsAlone() {
+        return !connected || attempts.size() - givenUp == 1;
+    }
+
     /** Nobody waits for it any more; whether nothing of it has gone out or will. */
     boolean giveUp(Attempt attempt) {
         if (!connected) {
--- a/src/test/java/damsonworks/proxy/LateConnectionsTest.java
+++ b/src/test/java/damsonworks/proxy/LateConnectionsTest.java
@@ -5,7 +5,6 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import damsonworks.Await;
-import damsonworks.Carp;
 import java.util.concurrent.CountDownLatch;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
@@ -142,8 +141,8 @@
         try (LateServer late = LateServer.node(); Fleet fleet = new Fleet().node(slow).node(late.dial())
                 .set("caps.may-cancel", "false").set("classes.0.promise", "400.0").set("caps.connect-timeout", "10000.0")
                 .set("balancers", "60").start(); Fleet.Client client = fleet.client()) {
-            String first = key(1, 2);
-            String second = key(2, 1);
+            String first = Keys.ranked(1, 2);
+            String second = Keys.ranked(2, 1);
             client.say("mg " + first + " v O1 Pc=text,d=20000\r\n");
             Await.until("the second copy waits", () -> fleet.on(() -> fleet.proxy.status().upstream()) == 2);
             copied.countDown();
@@ -156,15 +155,4 @@
             assertThat(late.commands).isNotEmpty().allMatch(l -> FakeServer.id(l).equals("2"));
         }
     }
-
-    /** A key that the first of these servers takes before the second. */
-    private static String key(int first, int second) {
-        for (int i = 1;; i++) {
-            String key = Integer.toHexString(i);
-            int hash = Carp.keyHash(Installation.key(key));
-            if (Carp.score(hash, Carp.memberHash(first), 1) > Carp.score(hash, Carp.memberHash(second), 1)) {
-                return key;
-            }
-        }
-    }
 }
--- a/src/test/java/damsonworks/proxy/UpstreamTest.java
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -5,10 +5,13 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 
 /** What cache nodes and the origin do to the proxy, on loopback sockets. */
+@Timeout(120)
 class UpstreamTest {
     private static String hit(String command) {
         return "VA 5 O" + FakeServer.id(command) + " h1\r\nhello\r\n";
@@ -359,4 +362,64 @@
             assertThat(client.line()).isEqualTo("SERVER_ERROR busy 500"); // half of 2.5 s, but no more than is honoured
         }
     }
+
+    /**
+     * Where second copies are forbidden, an attempt that shares its connection can't be given up for another: it is out
+     * until the connection ends, and others wait there. The node has one place, so that they share it.
+     */
+    @Test
+    void whereSecondCopiesAreForbiddenNoneFollowsAnAttemptThatIsStillOut() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        FakeServer[] shared = new FakeServer[1];
+        shared[0] = new FakeServer(c -> {
+            String first = c.command();
+            shared[0].stopListening();
+            String second = c.command();
+            go.await();
+            c.say(hit(first) + hit(second));
+            c.awaitEnd();
+        });
+        FakeServer quick = FakeServer.node(UpstreamTest::hit);
+        FakeServer mute = new FakeServer(FakeServer.Connection::awaitEnd);
+        // The third stands in for a clock: its request is given up after the others would have been.
+        Fleet setup = new Fleet().node(shared[0]).node(quick).node(mute).set("caps.second-copies", "false")
+                .set("classes.0.promise", "400.0");
+        try (Fleet fleet = setup.start(); Fleet.Client one = fleet.client(); Fleet.Client two = fleet.client();
+                Fleet.Client clock = fleet.client()) {
+            one.say("mg " + Keys.ranked(1, 2, 3) + " v O1 Pc=text,d=20000\r\n");
+            shared[0].next();
+            two.say("mg " + Keys.ranked(1, 2, 3) + " v O2 Pc=text,d=20000\r\n");
+            shared[0].next();
+            clock.say("mg " + Keys.ranked(3, 2, 1) + " v O3 Pc=text,d=20000\r\n");
+            assertThat(clock.line()).isEqualTo("VA 5 O3");
+            assertThat(quick.commands).hasSize(1);
+            go.countDown();
+            assertThat(one.line()).isEqualTo("VA 5 O1");
+            assertThat(two.line()).isEqualTo("VA 5 O2");
+            assertThat(quick.commands).hasSize(1);
+        }
+    }
+
+    /** As above, each on a connection of its own: what is given up there is over, and goes elsewhere. */
+    @Test
+    void whereSecondCopiesAreForbiddenRequestsHaveConnectionsOfTheirOwn() throws Exception {
+        CountDownLatch ended = new CountDownLatch(6);
+        FakeServer mute = new FakeServer(c -> {
+            c.command();
+            c.awaitEnd();
+            ended.countDown();
+        });
+        Fleet setup = new Fleet().node(mute).node(FakeServer.node(UpstreamTest::hit)).set("caps.second-copies", "false")
+                .set("classes.0.promise", "400.0").set("balancers", "60");
+        try (Fleet fleet = setup.start()) {
+            Fleet.Client[] clients = new Fleet.Client[6];
+            for (int i = 0; i < clients.length; i++) {
+                clients[i] = fleet.client().say("mg " + Keys.ranked(1, 2) + " v O" + i + " Pc=text,d=20000\r\n");
+            }
+            assertThat(ended.await(20, TimeUnit.SECONDS)).isTrue();
+            for (int i = 0; i < clients.length; i++) {
+                assertThat(clients[i].line()).isEqualTo("VA 5 O" + i);
+            }
+        }
+    }
 }
