An answer without length that this side ends is not taken for whole

Cause: an answer over HTTP that ends with its connection is whole by the origin's orderly end. One that paused for 0.3 s was ended from this side (UpstreamConnection.watch, CUT_MS), and Netty's decoder brings out the end of such a body whenever the connection ends, so OriginCodec.end served what had come of it: 'HD O1 crec' for a receipt that was cut off after three letters. Change: UpstreamConnection.close marks the connection as cut off, whoever calls it; OriginCodec takes nothing from it any more, so the attempt ends as a reset. Ruled out: a reset by the origin, which the decoder tells apart by the error before the end (in the test, too). Result: UpstreamTest, one crossing each for the three ends; fails without the mend as quoted.

--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -87,7 +87,7 @@
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, HttpObject message) {
         connection.reading(true);
-        if (broken) {
+        if (broken || connection.cutOff()) { // the decoder makes a body without length whole when the connection ends
             return;
         }
         if (message.decoderResult().isFailure()) {
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -36,6 +36,8 @@
     private boolean connected;
     private boolean closed;
     private boolean retired;
+    /** It was ended from this side, whatever was still to come. */
+    private boolean cutOff;
     private boolean reading;
     private boolean held;
     private int givenUp;
@@ -196,8 +198,14 @@
         }
     }
 
+    /** Whether it was ended from this side: what it brings out as it ends is no whole answer. */
+    boolean cutOff() {
+        return cutOff;
+    }
+
     void close() {
         retired = true;
+        cutOff = true;
         if (channel != null) {
             channel.close();
         }
--- a/src/test/java/damsonworks/proxy/UpstreamTest.java
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -422,4 +422,42 @@
             }
         }
     }
+
+    /** An answer without a length ends with its connection: with the origin's end of it, not with ours or with a reset. */
+    @Test
+    void anAnswerWithoutLengthIsWholeOnlyByItsServersOrderlyEnd() throws Exception {
+        String head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+        FakeServer whole = new FakeServer(c -> {
+            c.request();
+            c.say(head + "receipt");
+        });
+        CountDownLatch ended = new CountDownLatch(1);
+        FakeServer stalled = new FakeServer(c -> {
+            c.request();
+            c.say(head + "rec");
+            c.awaitEnd();
+            ended.countDown();
+        });
+        FakeServer reset = new FakeServer(c -> {
+            c.request();
+            c.say(head + "rec");
+            c.pause.acquire();
+            c.reset();
+        });
+        String write = "ms 7f3a 5 O1 Pc=fix,d=20000\r\nhello\r\n";
+        try (Fleet fleet = new Fleet().origin(whole).start(); Fleet.Client client = fleet.client()) {
+            assertThat(client.say(write).line()).isEqualTo("HD O1 creceipt");
+        }
+        try (Fleet fleet = new Fleet().origin(stalled).start(); Fleet.Client client = fleet.client()) {
+            assertThat(client.say(write).line()).isEqualTo("SERVER_ERROR failed");
+            assertThat(ended.await(20, TimeUnit.SECONDS)).isTrue();
+        }
+        try (Fleet fleet = new Fleet().origin(reset).start(); Fleet.Client client = fleet.client()) {
+            client.say(write);
+            reset.next();
+            fleet.client().say("mn\r\n").line(); // the event loop has been round
+            reset.accepted.take().pause.release();
+            assertThat(client.line()).isEqualTo("SERVER_ERROR failed");
+        }
+    }
 }
