A client that waits for a slow class is not taken for one that has stalled

Cause: ClientConnection.stalled ended any connection between whose events 10 s passed and that was not idle. A customer's class may wait longer than that for its servers: its client was cut off with the request open, which loses it. And one that takes a long answer slowly, without crossing the buffer's marks, counted as stalled too. Change: stalled is who lets the proxy wait: for its end, for the rest of what it has begun to send while nothing is owed to it, or until it takes what is ready; taking any of it counts.

--- a/src/main/java/damsonworks/proxy/Acceptor.java
+++ b/src/main/java/damsonworks/proxy/Acceptor.java
@@ -126,7 +126,11 @@
     }
 
     void sweep() {
-        double now = dispatcher.now();
+        sweep(dispatcher.now());
+    }
+
+    /** Ends what has let the proxy wait for too long by then. */
+    void sweep(double now) {
         for (ClientConnection c : List.copyOf(clients)) {
             if (c.stalled(now)) {
                 c.close();
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -37,6 +37,8 @@
     private boolean passing;
     private ChannelFuture lastWrite;
     private double activeMs;
+    /** Bytes that were still to be handed to the system when it was last looked at. */
+    private long unwrittenBefore;
 
     ClientConnection(Dispatcher dispatcher) {
         this.dispatcher = dispatcher;
@@ -72,8 +74,19 @@
         return activeMs;
     }
 
+    /**
+     * The client has let us wait for too long: for its end, for the rest of what it has begun to send, or until it takes
+     * what is ready for it. What it waits for itself takes as long as its class allows.
+     */
     boolean stalled(double now) {
-        return now - activeMs > STALLED_MS && (!idle() || finished);
+        long unwritten = ctx.channel().unsafe().outboundBuffer() == null ? 0
+                : ctx.channel().unsafe().outboundBuffer().totalPendingWriteBytes();
+        if (unwritten != unwrittenBefore) {
+            unwrittenBefore = unwritten;
+            activeMs = now; // it takes it, however slowly
+        }
+        boolean waitedFor = finished || !written() || replies.isEmpty() && !idle();
+        return waitedFor && now - activeMs > STALLED_MS;
     }
 
     void close() {
--- a/src/test/java/damsonworks/proxy/ClientConnectionTest.java
+++ b/src/test/java/damsonworks/proxy/ClientConnectionTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.gson.JsonObject;
+import damsonworks.Await;
 import java.nio.charset.StandardCharsets;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
@@ -190,4 +191,31 @@
             }
         }
     }
+
+    /** A class may wait longer than a client that lets the proxy wait; it is not given up for that. */
+    @Test
+    void aClientThatWaitsForItsAnswerIsNotTakenForAStalledOne() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        FakeServer node = new FakeServer(c -> {
+            String line = c.command();
+            go.await();
+            c.say("VA 5 O" + FakeServer.id(line) + " h1\r\nhello\r\n");
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet().node(node).set("caps.second-copies", "false").set("caps.may-cancel", "false").start();
+                Fleet.Client patient = fleet.client(); Fleet.Client half = fleet.client()) {
+            patient.say("mg 7f3a v O1 Pc=text,d=20000\r\nmg 7f3a v O2 Pc=te"); // and the next is on its way
+            half.say("mg 7f3a v");
+            node.next();
+            double late = fleet.on(() -> fleet.proxy.core().now()) + 15_000;
+            Await.until("both have been read", () -> fleet.on(() -> fleet.proxy.clients().idle()) == 0);
+            fleet.on(() -> {
+                fleet.proxy.clients().sweep(late);
+                return null;
+            });
+            assertThat(half.ended()).isTrue();
+            go.countDown();
+            assertThat(patient.line()).isEqualTo("VA 5 O1");
+        }
+    }
 }
