A keyed repeat goes out only where its connection can still come up inside the window

Cause, by reading: Policy.maySend compared the window with the time of the order. The repeat's connection may take up to the connect time-out to come up, and servers go by when the repeat reaches them: with a short window and a new connection it began after the window's end, and could take effect twice. Change: the connect time-out must fit in what is left of the window.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -676,7 +676,8 @@
         if (Double.isNaN(f.maybeRanSince) || f.safe) {
             return true;
         }
-        return f.kind.effect() == Effect.KEYED && now < f.maybeRanSince + f.kind.windowMs()
+        // A connection for it may take its time to come up, and servers go by when the repeat reaches them.
+        return f.kind.effect() == Effect.KEYED && now + cfg.connectTimeoutMs() < f.maybeRanSince + f.kind.windowMs()
                 && sameGroup(f.kind.group(), f.maybeRanAt.member, s.member);
     }
 
