Ends of sockets no longer cross what the system has already accepted

Cause: (1) Acceptor.stopListening closed the listening socket, which resets connections that the system has accepted and nobody has read, with the requests on them: taken, and lost. (2) A drain's endIdle ended new connections whose first request was still on its way: turned back unheard. (3) Making room closed the connection that had stood idle longest outright: over a request that had just come that is a reset, which takes with it what the client had still to read. Change: the listener ends behind a round of the event loop that accepted nothing; connections younger than 0.3 s that had no answer are left to the drain's next steps; who makes room is ended in order, with room for 16 such beyond the bound, the oldest of which is closed then.

--- a/src/main/java/damsonworks/proxy/Acceptor.java
+++ b/src/main/java/damsonworks/proxy/Acceptor.java
@@ -16,12 +16,19 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.stream.Stream;
 
 /** The listening socket and the clients' connections that came through it, with their bound. */
 final class Acceptor implements Dispatcher.ClientListener {
     private static final int BACKLOG = 512;
+    /** Rounds of the event loop in which all of a full backlog is accepted, some at a time. */
+    private static final int MAX_ROUNDS = 64;
+    /** A client that has connected sends its first request within this time, on a busy machine, too. */
+    private static final double UNHEARD_MS = 300;
+    /** So many connections beyond the bound may wait for their clients to end them as well. */
+    private static final int LINGERING = 16;
     private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 << 10, 64 << 10);
     private static final Comparator<ClientConnection> LONGEST_IDLE =
             Comparator.comparingDouble(ClientConnection::activeMs);
@@ -30,6 +37,8 @@
     private final int maxClients;
     private final Set<ClientConnection> clients = new HashSet<>();
     private Channel server;
+    /** Connections that were taken from the system so far. */
+    private long accepted;
     /** New connections are another process's. */
     private boolean left;
     private Consumer<ClientConnection> retire = ClientConnection::finish;
@@ -98,7 +107,11 @@
     }
 
     private void regulate() {
-        server.config().setAutoRead(!left && clients.size() <= maxClients);
+        server.config().setAutoRead(!left && (clients.size() <= maxClients || clients.size() - lingering() <= maxClients));
+    }
+
+    private int lingering() {
+        return (int) clients.stream().filter(ClientConnection::ending).count();
     }
 
     InetSocketAddress address() {
@@ -107,16 +120,21 @@
 
     /**
      * A connection that the kernel has accepted counts as taken, so where there are too many the one that has
-     * stood idle longest makes room.
+     * stood idle longest makes room. It ends in order, as a request on it may be on its way, and a close over one would
+     * reset what else the client is to read; but clients that do not end theirs have room of their own alone.
      */
     private void accepted(Channel channel) {
         ClientConnection client = new ClientConnection(dispatcher);
         channel.pipeline().addLast(client);
         clients.add(client);
-        if (clients.size() > maxClients) {
-            idleClients().filter(c -> c != client).min(LONGEST_IDLE).ifPresentOrElse(ClientConnection::close,
+        accepted++;
+        if (clients.size() - lingering() > maxClients) {
+            idleClients().filter(c -> c != client).min(LONGEST_IDLE).ifPresentOrElse(ClientConnection::finish,
                     this::regulate);
         }
+        if (clients.size() > maxClients + LINGERING) {
+            clients.stream().filter(ClientConnection::ending).min(LONGEST_IDLE).ifPresent(ClientConnection::close);
+        }
     }
 
     @Override
@@ -140,9 +158,22 @@
 
     // ---- its end
 
-    /** Refuses new connections; those it has go on. */
+    /**
+     * Refuses new connections; those it has go on. What the system has accepted counts as taken, and closing the socket
+     * would reset it, so all of that is accepted first: until a round of the event loop brings none.
+     */
     void stopListening() {
-        server.close();
+        closeOnceEmpty(accepted, MAX_ROUNDS);
+    }
+
+    private void closeOnceEmpty(long before, int rounds) {
+        server.eventLoop().schedule(() -> { // behind the next round's input
+            if (accepted == before || rounds == 0) {
+                server.close();
+            } else {
+                closeOnceEmpty(accepted, rounds - 1);
+            }
+        }, 0, TimeUnit.MILLISECONDS);
     }
 
     int open() {
@@ -153,9 +184,13 @@
         return (int) idleClients().count();
     }
 
-    /** Ends so many connections between requests, those first that have stood idle longest. */
+    /**
+     * Ends so many connections between requests, those first that have stood idle longest; not one that has just come, as
+     * a client whose new connection ends unheard has been turned away.
+     */
     void endIdle(int many) {
-        idleClients().sorted(LONGEST_IDLE).limit(many).toList().forEach(this::retire);
+        double now = dispatcher.now();
+        idleClients().filter(c -> c.used() || now - c.activeMs() >= UNHEARD_MS).sorted(LONGEST_IDLE).limit(many).toList().forEach(this::retire);
     }
 
     /**
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/ClosingTest.java
@@ -0,0 +1,92 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonObject;
+import damsonworks.Await;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Requests that cross the end of a connection or of the listening socket. */
+@Timeout(60)
+class ClosingTest {
+    private static Fleet fleet() throws Exception {
+        return new Fleet().node(FakeServer.node(line -> "VA 5 O" + FakeServer.id(line) + " h1\r\nhello\r\n"));
+    }
+
+    /** The event loop stands still until the latch is open; what comes meanwhile waits in the system. */
+    private static CountDownLatch still(Fleet fleet) throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        CountDownLatch stands = new CountDownLatch(1);
+        fleet.proxy.loop().execute(() -> {
+            stands.countDown();
+            try {
+                go.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        stands.await();
+        return go;
+    }
+
+    @Test
+    void whatTheSystemHasAcceptedIsServedThoughTheListenerEnds() throws Exception {
+        try (Fleet fleet = fleet().start()) {
+            CountDownLatch go = still(fleet);
+            List<Fleet.Client> waiting = new ArrayList<>();
+            for (int i = 0; i < 40; i++) { // more than one round takes
+                waiting.add(fleet.client().read("w" + i));
+            }
+            fleet.proxy.loop().execute(fleet.proxy.clients()::stopListening);
+            go.countDown();
+            for (int i = 0; i < waiting.size(); i++) {
+                assertThat(waiting.get(i).line()).isEqualTo("VA 5 Ow" + i);
+            }
+            Await.until("the listener ends then", () -> !fleet.on(() -> fleet.proxy.clients().channel().isOpen()));
+        }
+    }
+
+    @Test
+    void aConnectionThatHasJustComeIsNotEndedBeforeItsRequest() throws Exception {
+        try (Fleet fleet = fleet().start(); Fleet.Client used = fleet.client()) {
+            assertThat(used.say("mn\r\n").line()).isEqualTo("MN");
+            CountDownLatch go = still(fleet);
+            Fleet.Client fresh = fleet.client();
+            go.countDown();
+            fleet.on(() -> {
+                assertThat(fleet.proxy.clients().idle()).isEqualTo(2);
+                fleet.proxy.clients().endIdle(2);
+                return null;
+            });
+            assertThat(used.ended()).isTrue();
+            assertThat(fresh.read("1").line()).isEqualTo("VA 5 O1");
+        }
+    }
+
+    /** The one that makes room for another may have sent a request just then; it must be able to read on to its end. */
+    @Test
+    void whoMakesRoomForAnotherIsEndedInOrder() throws Exception {
+        JsonObject limits = new JsonObject();
+        limits.addProperty("sockets", 96);
+        Fleet setup = fleet();
+        setup.config.add("limits", limits);
+        try (Fleet fleet = setup.start()) {
+            List<Fleet.Client> all = new ArrayList<>();
+            for (int i = 0; i < 16; i++) { // as many as there are places for
+                all.add(fleet.client());
+                assertThat(all.get(i).say("mn\r\n").line()).isEqualTo("MN");
+            }
+            CountDownLatch go = still(fleet);
+            Fleet.Client another = fleet.client();
+            all.get(0).read("crossing");
+            go.countDown();
+            assertThat(all.get(0).line()).isNull(); // its end, and no reset
+            assertThat(another.read("1").line()).isEqualTo("VA 5 O1");
+            assertThat(all.get(1).read("2").line()).isEqualTo("VA 5 O2");
+        }
+    }
+}
