--- a/src/main/java/damsonworks/proxy/Acceptor.java
+++ b/src/main/java/damsonworks/proxy/Acceptor.java
@@ -189,7 +189,11 @@
      * a client whose new connection ends unheard has been turned away.
      */
     void endIdle(int many) {
-        double now = dispatcher.now();
+        endIdle(many, dispatcher.now());
+    }
+
+    /** The same at that time. */
+    void endIdle(int many, double now) {
         idleClients().filter(c -> c.used() || now - c.activeMs() >= UNHEARD_MS).sorted(LONGEST_IDLE).limit(many).toList().forEach(this::retire);
     }
 
--- a/src/test/java/damsonworks/proxy/ClosingTest.java
+++ b/src/test/java/damsonworks/proxy/ClosingTest.java
@@ -50,20 +50,26 @@
         }
     }
 
+    private static void endIdle(Fleet fleet, double now) {
+        fleet.on(() -> {
+            fleet.proxy.clients().endIdle(3, now);
+            return null;
+        });
+    }
+
     @Test
     void aConnectionThatHasJustComeIsNotEndedBeforeItsRequest() throws Exception {
         try (Fleet fleet = fleet().start(); Fleet.Client used = fleet.client()) {
             assertThat(used.say("mn\r\n").line()).isEqualTo("MN");
-            CountDownLatch go = still(fleet);
+            double now = fleet.on(() -> fleet.proxy.core().now());
             Fleet.Client fresh = fleet.client();
-            go.countDown();
-            fleet.on(() -> {
-                assertThat(fleet.proxy.clients().idle()).isEqualTo(2);
-                fleet.proxy.clients().endIdle(2);
-                return null;
-            });
+            Fleet.Client mute = fleet.client();
+            Await.until("all have come", () -> fleet.on(() -> fleet.proxy.clients().idle()) == 3);
+            endIdle(fleet, now);
             assertThat(used.ended()).isTrue();
             assertThat(fresh.read("1").line()).isEqualTo("VA 5 O1");
+            endIdle(fleet, now + 30_000); // it has had its time
+            assertThat(mute.ended()).isTrue();
         }
     }
 
