Calls that fail many times come back within 3 s, as a fleet's calls must not bunch

Change: waits after failures begin at 0.2 s and double up to 3 s (half at random); lines wrapped. Result: HerdTest, PolicyTest, FleetPlayTest green. Open: a silent call after many failures can take over 6 s.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -387,7 +387,8 @@
         }
         if (kind == ListKind.CACHED && cfg.askForList()) {
             // The list service is small: all instances starting together must not call at once.
-            double span = Math.min(Math.min(cfg.askWithinMs(), TOLD_MS), cfg.instances() * cfg.connectTimeoutMs()) / 2;
+            double within = Math.min(cfg.askWithinMs(), TOLD_MS);
+            double span = Math.min(within, cfg.instances() * cfg.connectTimeoutMs()) / 2;
             timer(random.nextDouble() * span, WATCH, null, out);
         } else if (asking) {
             asking = false;
@@ -466,8 +467,8 @@
     }
 
     private void askAgain(double now, Actions out) {
-        // A call that is silent itself takes most of the time after which its news counts as told: a wait has a quarter.
-        double wait = Math.min(cfg.askWithinMs(), TOLD_MS) / 16 * (1 << Math.min(watchFailures++, 2));
+        // What is turned away many times comes back within half of that time, or all together jam discovery.
+        double wait = Math.min(cfg.askWithinMs(), TOLD_MS) / 32 * (1 << Math.min(watchFailures++, 4));
         timer(wait * (0.5 + random.nextDouble() / 2), WATCH, null, out);
     }
 
@@ -677,7 +678,8 @@
             return true;
         }
         // A connection for it may take its time to come up, and servers go by when the repeat reaches them.
-        return f.kind.effect() == Effect.KEYED && now + cfg.connectTimeoutMs() < f.maybeRanSince + f.kind.windowMs()
+        double begins = now + cfg.connectTimeoutMs();
+        return f.kind.effect() == Effect.KEYED && begins < f.maybeRanSince + f.kind.windowMs()
                 && sameGroup(f.kind.group(), f.maybeRanAt.member, s.member);
     }
 
