The origin is told the time that is left when the attempt's bytes go out

Cause: OriginCodec.write passed the client's list on as it came, `d` included, so a further attempt told the origin the whole of what the client had asked for at first; CacheCodec alone reckoned what was left. Two owners of one figure. Change: a request's texts are kept apart at their deadline (DeadlineText), UpstreamConnection.write reckons the time that is left once, as the bytes go out, and gives it to either codec. Rounded down (it was rounded, so up to 0.5 ms more than is left). All other ways that wait (a connection coming up, others ahead, hedges, keyed repeats, routes' attempts) write through that one place. What comes up after its time has run out is taken back as never sent; it went out with `d=1` if the event loop was late.

--- a/src/main/java/damsonworks/proxy/CacheCodec.java
+++ b/src/main/java/damsonworks/proxy/CacheCodec.java
@@ -31,15 +31,13 @@
     }
 
     @Override
-    public ChannelFuture write(Channel channel, Attempt attempt, SocketAddress dial) {
+    public ChannelFuture write(Channel channel, Attempt attempt, long remainingMs, SocketAddress dial) {
         if (attempt.exchange == null) {
             String probe = dispatcher.probesLoad() ? "stats load\r\n" : "mn\r\n";
             return channel.writeAndFlush(MetaCodec.text(channel.alloc(), probe));
         }
         Command command = attempt.exchange.command;
-        String line = command.head + Math.max(1, Math.round(attempt.untilMs - dispatcher.now())) + command.tail
-                + "\r\n";
-        ByteBuf head = MetaCodec.text(channel.alloc(), line);
+        ByteBuf head = MetaCodec.text(channel.alloc(), command.line.with(remainingMs) + "\r\n");
         if (command.value == null) {
             return channel.writeAndFlush(head);
         }
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -151,7 +151,8 @@
         }
         Command command = bad ? null : command(line, key, id, extras, flags, write);
         if (write) {
-            incoming = command != null ? command : new Command(Routing.META, key, null, true, null, "", "", "");
+            incoming = command != null ? command : new Command(Routing.META, key, null, true, null,
+                    DeadlineText.EMPTY, DeadlineText.EMPTY);
             missing = length + 2;
             if (command != null) {
                 claimRoom(command);
@@ -168,16 +169,13 @@
 
     private static Command command(String line, String key, String id, String extras, int flags, boolean write) {
         int list = line.indexOf(" P", flags - 1) + 2;
-        int d = MetaCodec.valueAt(extras, "d");
-        int at = d < 0 ? line.length() : list + d;
-        int end = at;
-        while (end < line.length() && line.charAt(end) != ',' && line.charAt(end) != ' ') {
-            end++;
-        }
+        int deadline = MetaCodec.valueAt(extras, "d");
+        int deadlineInLine = deadline < 0 ? -1 : list + deadline;
         Terms terms = new Terms(MetaCodec.named(extras, "c"), MetaCodec.named(extras, "t"),
                 figure(extras, "d", Double.NaN), figure(extras, "h", Double.NaN), (float) figure(extras, "size", 0),
                 "1".equals(MetaCodec.named(extras, "r")));
-        return new Command(Routing.META, key, id, write, terms, extras, line.substring(0, at), line.substring(end));
+        return new Command(Routing.META, key, id, write, terms, DeadlineText.of(extras, deadline),
+                DeadlineText.of(line, deadlineInLine));
     }
 
     private static double figure(String extras, String name, double absent) {
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -516,7 +516,7 @@
      * The proxy stops waiting. What went out may have run or may yet: told as a connection that failed, a write
      * would be refused or sent again, and have its effect twice.
      */
-    private void expire(Attempt a) {
+    void expire(Attempt a) {
         if (!a.ended) {
             if (a.connection != null) {
                 boolean unsent = a.connection.giveUp(a);
--- a/src/main/java/damsonworks/proxy/Exchange.java
+++ b/src/main/java/damsonworks/proxy/Exchange.java
@@ -39,26 +39,24 @@
         final String id;
         final boolean write;
         final Terms terms;
-        /** The list of named figures that servers are passed, as clients of the meta protocol word it. */
-        final String extras;
-        /** The line for a cache node up to the deadline, and behind it. */
-        final String head;
-        final String tail;
+        /** The list of named figures that the origin is passed, as clients of the meta protocol word it. */
+        final DeadlineText extras;
+        /** The command line for a cache node, without its end. */
+        final DeadlineText line;
         /** The value with its line's end; null for reads. Kept for attempts to come, until it is over. */
         ByteBuf value;
         /** The room that its value has; null for reads. */
         ByteBudget.Ticket room;
 
-        Command(int front, String key, String id, boolean write, Terms terms, String extras, String head,
-                String tail) {
+        Command(int front, String key, String id, boolean write, Terms terms, DeadlineText extras,
+                DeadlineText line) {
             this.front = front;
             this.key = key;
             this.id = id;
             this.write = write;
             this.terms = terms;
             this.extras = extras;
-            this.head = head;
-            this.tail = tail;
+            this.line = line;
         }
 
         /** Frees the value and its room, which would else be taken for good. */
@@ -111,5 +109,13 @@
             this.sentMs = sentMs;
             this.untilMs = untilMs;
         }
+
+        /**
+         * How long the proxy still waits for it, in whole milliseconds: rounded down, as a server must not be told of
+         * time that its client does not have, and at least 1, as servers take 0 for no deadline.
+         */
+        long remainingMs(double nowMs) {
+            return Math.max(1, (long) Math.floor(untilMs - nowMs));
+        }
     }
 }
--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -57,7 +57,7 @@
     }
 
     @Override
-    public ChannelFuture write(Channel channel, Attempt attempt, SocketAddress dial) {
+    public ChannelFuture write(Channel channel, Attempt attempt, long remainingMs, SocketAddress dial) {
         FullHttpRequest request;
         if (attempt.exchange == null) {
             String path = dispatcher.probesLoad() ? "/metrics/load" : "/alive";
@@ -69,7 +69,7 @@
                     : command.value.retainedSlice(0, command.value.readableBytes() - 2);
             request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
                     command.write ? HttpMethod.PUT : HttpMethod.GET, path, value);
-            request.headers().set("Req-Id", command.id).set("Req-Extra", command.extras);
+            request.headers().set("Req-Id", command.id).set("Req-Extra", command.extras.with(remainingMs));
             if (command.write) {
                 request.headers().set(HttpHeaderNames.CONTENT_LENGTH, value.readableBytes());
             }
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFuture;
 import java.net.SocketAddress;
 import java.util.ArrayDeque;
+import java.util.List;
 
 /**
  * One connection to a server with the attempts on it, in the order in which their answers come. How an attempt
@@ -16,7 +17,8 @@
 final class UpstreamConnection implements Sink.Flow {
     /** Turns an attempt into the server's protocol and its answers into calls of the methods below. */
     interface Codec {
-        ChannelFuture write(Channel channel, Attempt attempt, SocketAddress dial);
+        /** {@code remainingMs}: how long the server is told that its answer is waited for. */
+        ChannelFuture write(Channel channel, Attempt attempt, long remainingMs, SocketAddress dial);
     }
 
     /** A server pauses for 0.1 s at most within an answer; one that stops for this long will not go on. */
@@ -72,6 +74,7 @@
                 closed();
                 return;
             }
+            expireWaiting();
             connected = true;
             if (attempts.isEmpty()) {
                 idleSinceMs = upstream.dispatcher().now();
@@ -121,8 +124,15 @@
         }
     }
 
+    /** What came up as late as this has no time left: nothing may go out for it any more. */
+    private void expireWaiting() {
+        double now = upstream.dispatcher().now();
+        List.copyOf(attempts).stream().filter(a -> a.untilMs <= now).forEach(upstream.dispatcher()::expire);
+    }
+
     private void write(Attempt attempt) {
-        codec.write(channel, attempt, dial).addListener(f -> {
+        long remainingMs = attempt.remainingMs(upstream.dispatcher().now());
+        codec.write(channel, attempt, remainingMs, dial).addListener(f -> {
             if (f.isSuccess()) {
                 attempt.written = true;
                 if (attempt.exchange != null) {
