A call that stands in discovery's line is not given up on a peer's word

Discovery takes one new call in 0.34 s whatever it holds, keeps 3 s of them in line, and turns the rest away at once; a watch that goes on costs nothing (109 of them answered 2 to 32 ms after their wait). From 4.4 s on instances with a sound watch closed it with no failure logged and called anew, half a second after a peer told a version: nine of twenty at 4.4 to 4.8 s, eleven at 17.3 to 17.6 s. Ruled out: calls that fall silent (none timed out), the back-off of refused calls (it fills the line, which is all that it can do). Cause: PeerNews ASK -> DiscoveryClient.renew -> watch(true), which closes the call that waits. Change: renew begins a watch anew only where lists are pushed, where a call costs nothing. A silent watch ends by itself. Test: DiscoveryClientTest.aCallThatStandsInDiscoverysLineIsKeptOnAPeersWord fails with the old condition. The test of a silent watch now runs where lists are pushed, which is where a peer's word acts.

--- a/src/main/java/damsonworks/peer/ListNews.java
+++ b/src/main/java/damsonworks/peer/ListNews.java
@@ -11,8 +11,9 @@
  * same soon afterwards asks anew. Discovery tells all in one moment, so each waits for a random part of a time that grows
  * with their number, and has nothing to tell once another has: some two of them tell a version, however many there are.
  *
- * <p>A claim is no news by itself: what the list holds comes from discovery alone. A wrong one costs a call, and the
- * next call on account of peers waits twice as long, until discovery has confirmed one.
+ * <p>A claim is no news by itself: what the list holds comes from discovery alone. A wrong one costs a call at most, and the
+ * next call on account of peers waits twice as long, until discovery has confirmed one. Whether a call is made is for
+ * whoever carries the order out: it must not give up one that stands in the line of a discovery that all instances ask.
  */
 public final class ListNews {
     /** So long may a watch take to tell what another has told already: a few times what it takes one by one. */
--- a/src/main/java/damsonworks/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/discovery/DiscoveryClient.java
@@ -162,9 +162,14 @@
         return version;
     }
 
-    /** Begins the watch anew where there is one: it may have fallen silent. */
+    /**
+     * Begins the watch anew where there is one: it may have fallen silent. Only where lists are pushed, as the agent takes
+     * any number of calls. Where discovery is one service, a call that is given up has lost its place in the line, and a
+     * watch that goes on costs nothing where a new one costs as much as the whole list: a fleet whose instances all give
+     * theirs up on a peer's word jams discovery for seconds. One that is silent ends by itself soon.
+     */
     public void renew() {
-        if (watching) {
+        if (watching && !settings.ask()) {
             watch(true);
         }
     }
--- a/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
+++ b/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
@@ -10,6 +10,7 @@
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
+import java.net.SocketTimeoutException;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
@@ -51,6 +52,22 @@
         node.close();
     }
 
+    /** A fleet with one peer, whose datagrams come from this socket. */
+    private static Fleet withPeer(FakeServer discovery, DatagramSocket peer, String mode) {
+        Fleet fleet = new Fleet().discovery(discovery).set("caps.connect-timeout", "200.0").set("discovery", mode);
+        JsonArray peers = new JsonArray();
+        peers.add("127.0.0.1:" + peer.getLocalPort());
+        fleet.config.add("peers", peers);
+        fleet.config.addProperty("peers_all", "127.0.0.1:" + peer.getLocalPort());
+        fleet.config.addProperty("peer_listen", "127.0.0.1:0");
+        return fleet;
+    }
+
+    private static void claimVersion(DatagramSocket peer, long version, Fleet fleet) throws Exception {
+        byte[] news = Envelope.seal(List.of(new Envelope.Item(PeerSocket.Kind.LIST.number(), 0, PeerMessage.list(version))));
+        peer.send(new DatagramPacket(news, news.length, fleet.proxy.peerAddress()));
+    }
+
     /** Guards against a list that stays old for as long as a watch may wait, where another proxy has the news. */
     @Test
     void aWatchThatFellSilentIsBegunAnewOnAPeersWord() throws Exception {
@@ -67,22 +84,45 @@
             c.request();
             c.awaitEnd();
         });
-        InetAddress local = InetAddress.getByName("127.0.0.1");
-        try (DatagramSocket peer = new DatagramSocket(0, local)) {
-            Fleet fleet = new Fleet().discovery(discovery).set("caps.connect-timeout", "200.0");
-            JsonArray peers = new JsonArray();
-            peers.add("127.0.0.1:" + peer.getLocalPort());
-            fleet.config.add("peers", peers);
-            fleet.config.addProperty("peers_all", "127.0.0.1:" + peer.getLocalPort());
-            fleet.config.addProperty("peer_listen", "127.0.0.1:0");
-            try (fleet) {
-                fleet.start();
-                silent.await();
-                byte[] news = Envelope.seal(List.of(new Envelope.Item(PeerSocket.Kind.LIST.number(), 0, PeerMessage.list(43))));
-                peer.send(new DatagramPacket(news, news.length, fleet.proxy.peerAddress()));
-                Await.until("the list is news", () -> served(fleet).equals("VA 5 O1"));
-                assertThat(discovery.accepted).hasSize(2);
+        try (DatagramSocket peer = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
+                Fleet fleet = withPeer(discovery, peer, "push")) {
+            fleet.start();
+            silent.await();
+            claimVersion(peer, 43, fleet);
+            Await.until("the list is news", () -> served(fleet).equals("VA 5 O1"));
+            assertThat(discovery.accepted).hasSize(2);
+        }
+        node.close();
+    }
+
+    /**
+     * Where all instances ask one discovery, a call that stands in its line is not given up because a peer was answered
+     * first: it would lose its place, and a fleet that does so jams discovery.
+     */
+    @Test
+    void aCallThatStandsInDiscoverysLineIsKeptOnAPeersWord() throws Exception {
+        FakeServer node = hits();
+        CountDownLatch asked = new CountDownLatch(1);
+        FakeServer discovery = new FakeServer(c -> {
+            String call = c.request();
+            asked.countDown();
+            c.socket.setSoTimeout(Integer.parseInt(call.replaceAll("(?s).*timeout_ms=(\\d+).*", "$1")));
+            try {
+                c.in.read(); // nothing may come, nor the connection end, for as long as the call may wait
+            } catch (SocketTimeoutException e) {
+                c.socket.setSoTimeout(0);
+                c.sayHttp(200, "", list(node, false));
+                c.request();
+                c.awaitEnd();
             }
+        });
+        try (DatagramSocket peer = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
+                Fleet fleet = withPeer(discovery, peer, "ask")) {
+            fleet.start();
+            asked.await();
+            claimVersion(peer, 43, fleet);
+            Await.until("the list is news", () -> served(fleet).equals("VA 5 O1"));
+            assertThat(discovery.accepted).hasSize(1);
         }
         node.close();
     }
