--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -469,8 +469,8 @@
     }
 
     private void askAgain(double now, Actions out) {
-        // What is turned away many times comes back within half of that time, or all together jam discovery. The
-        // time that the failed call itself took counts: one that fell silent has been waited for long enough.
+        // What is turned away many times comes back within half of that time, or all together jam discovery.
+        // The time that the failed call took counts: one that fell silent has been waited for long enough.
         double jitter = 0.5 + random.nextDouble() / 2;
         double least = Math.min(cfg.askWithinMs(), TOLD_MS) / 32 * jitter;
         double interval = least * (1 << Math.min(watchFailures++, 4));
--- a/src/test/java/damsonworks/model/FleetPlayTest.java
+++ b/src/test/java/damsonworks/model/FleetPlayTest.java
@@ -52,7 +52,7 @@
             default -> Day.SPLIT;
         };
         FleetDraw draw = FleetDraw.of(10, 24, 2);
-        FleetPlay p = new FleetPlay(mutant == Mutant.PREFERS_THE_NEWEST ? draw.withLoad(1) : draw, day.seconds(), modules);
+        FleetPlay p = new FleetPlay(mutant == Mutant.PREFERS_THE_NEWEST ? draw.withLoad(1.5) : draw, day.seconds(), modules);
         day.arrange(p);
         return p.run();
     }
