Proxies pass on what discovery told them of servers, as one answer serves many

Peers told each other the version alone. Change: who was told a version tells what has changed (ListUpdate: 13 bytes a server, one message); who hears it uses that until discovery's list of that version or a later one settles it, or 15 s (ProvisionalMembership, pure; ProvisionalList keeps the addresses). Peers have known servers left alone or taken for just started; they add none, change no origin, and have no more than half left alone at a time. Who misses something (a call failed, or a version is claimed that was not told here) asks one peer. The module gets PROVISIONAL changes, which answer no call of its own. Turns for telling take 1.5 s at most. The model's instances do the same. Tests: ProvisionalMembershipTest (15, with 300 random histories in which discovery's word holds in the end), DiscoveryClientTest on sockets: a drain known by a peer's datagram while discovery answers 503, undone by discovery's list; it waits in vain without the mend.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -392,13 +392,13 @@
             double within = Math.min(cfg.askWithinMs(), TOLD_MS);
             double span = Math.min(within, cfg.instances() * cfg.connectTimeoutMs()) / 2;
             timer(random.nextDouble() * span, WATCH, null, out);
-        } else if (asking) {
+        } else if (asking && kind != ListKind.PROVISIONAL) {
             asking = false;
             watching = true;
             watchFailures = 0;
         }
         check(members);
-        if (kind != ListKind.CHANGES) {
+        if (kind.whole()) {
             Set<Integer> named = new HashSet<>();
             members.forEach(m -> named.add(m.id()));
             servers.values().removeIf(s -> !named.contains(s.id));
--- a/src/main/java/damsonworks/RoutingApi.java
+++ b/src/main/java/damsonworks/RoutingApi.java
@@ -18,8 +18,18 @@
     /** State of a server on the list. */
     enum State { GONE, DRAINING, READY }
 
-    /** What a list event carries. {@code FAILED}: a call for the list failed, no entries. */
-    enum ListKind { FULL, CHANGES, CACHED, FAILED }
+    /**
+     * What a list event carries. {@code FAILED}: a call for the list failed, no entries. {@code PROVISIONAL}: changes that
+     * peers were told or that are undone again, no answer to a call.
+     */
+    enum ListKind {
+        FULL, CHANGES, CACHED, FAILED, PROVISIONAL;
+
+        /** Whether it names all servers, so that others are gone. */
+        public boolean whole() {
+            return this == FULL || this == CACHED;
+        }
+    }
 
     /**
      * How an attempt ended. {@code NO_PLACE}: the server holds as many connections as it takes, none of them ours; it
--- a/src/main/java/damsonworks/model/InstanceModel.java
+++ b/src/main/java/damsonworks/model/InstanceModel.java
@@ -13,6 +13,8 @@
 import damsonworks.model.Rules.Rule;
 import damsonworks.peer.ListNews;
 import damsonworks.peer.ListNews.Order;
+import damsonworks.peer.ListUpdate;
+import damsonworks.peer.ProvisionalMembership;
 import damsonworks.zone.Zones;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -29,6 +31,8 @@
 final class InstanceModel implements RoutingApi.Actions {
     /** Part of a watch's time, at random, after which it is begun anew; as the discovery client has it. */
     private static final double WATCH_MS = 10_000;
+    /** Peers are asked for what discovery has not told at most so often, as the core has it. */
+    private static final double QUERY_INTERVAL_MS = 500;
     /** A final answer counts as held back if for so long, and to the end of its time, nothing was out for it. */
     private static final double HELD_MS = 50;
     /** So much later than told is still in time, as on the operators' sockets. */
@@ -51,6 +55,8 @@
     private final Map<Integer, Double> wantedNothingMs = new HashMap<>();
     private RoutingApi policy;
     private ListNews news;
+    private ProvisionalMembership membership;
+    private double queriedMs;
     /** Null where the fleet leaves no zones. */
     private FleetPart part;
     /** A wait for the view that was begun before the last is void. */
@@ -117,6 +123,9 @@
         if (kept.isEmpty()) {
             kept = play.discovery().known();
         }
+        membership = new ProvisionalMembership(FleetDraw.ORIGIN_KIND);
+        membership.begin(version, kept);
+        queriedMs = Double.NEGATIVE_INFINITY;
         wantedNothingMs.clear();
         policy.onList(time.now(), ListKind.CACHED, kept, this);
         part = !play.leaves() ? null : new FleetPart(settings, random.nextLong(), time,
@@ -462,6 +471,7 @@
             public void failed() {
                 if (mine == life) {
                     policy.onList(time.now(), ListKind.FAILED, List.of(), InstanceModel.this);
+                    query();
                 }
             }
         });
@@ -484,7 +494,7 @@
             }
         }
         wantedNothingMs.values().removeIf(at -> time.now() - at > 10 * settings.drainGraceMs());
-        policy.onList(time.now(), whole ? ListKind.FULL : ListKind.CHANGES, members, this);
+        policy.onList(time.now(), whole ? ListKind.FULL : ListKind.CHANGES, membership.told(told, whole, members), this);
         if (part != null) {
             part.listed(play.discovery().known());
         }
@@ -494,10 +504,10 @@
     private void carryOut(Order order) {
         switch (order) {
             case TELL -> {
-                long told = version;
-                play.tell(this, peer -> peer.carryOut(peer.news.heard(time.now(), told)));
+                ListUpdate update = membership.news();
+                play.tell(this, peer -> peer.heard(update));
             }
-            case ASK -> call();
+            case ASK -> query();
             case NONE, WAIT -> { }
         }
         if (order != Order.NONE && news.dueMs() != Double.POSITIVE_INFINITY) {
@@ -505,6 +515,33 @@
         }
     }
 
+    /** A peer tells what discovery has told it. */
+    private void heard(ListUpdate update) {
+        use(membership.heard(time.now(), update));
+        if (membership.dueMs() != Double.POSITIVE_INFINITY) {
+            later(Math.max(0.01, membership.dueMs() - time.now()), () -> use(membership.due(time.now())));
+        }
+        carryOut(news.heard(time.now(), update.version()));
+    }
+
+    private void use(List<Member> changed) {
+        if (!changed.isEmpty()) {
+            policy.onList(time.now(), ListKind.PROVISIONAL, changed, this);
+        }
+    }
+
+    /** Asks some peer what it was told that is not known here. */
+    private void query() {
+        if (settings.instances() < 2 || time.now() - queriedMs < QUERY_INTERVAL_MS) {
+            return;
+        }
+        queriedMs = time.now();
+        long known = membership.known();
+        int other = random.nextInt(settings.instances() - 1);
+        play.post(this, other < me ? other : other + 1,
+                peer -> peer.membership.since(known).forEach(u -> play.post(peer, me, asker -> asker.heard(u))));
+    }
+
     @Override
     public void tell(int peer, byte[] message) {
         play.tell(this, other -> {
--- /dev/null
+++ b/src/main/java/damsonworks/peer/ChangeLog.java
@@ -0,0 +1,52 @@
+package damsonworks.peer;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The last change of each server that discovery has told, in the order of the versions, for peers that were not told yet.
+ * Bounded: what it has had no room for is told by {@link #completeAfter}.
+ */
+final class ChangeLog {
+    /** Servers whose last change is kept: four times the largest fleet that is planned for. */
+    static final int CAPACITY = 4096;
+
+    private final Map<Integer, ListChange> byServer = new LinkedHashMap<>();
+    private long completeAfter;
+
+    /** Begins anew: whatever comes after this version will be in it. */
+    void clear(long version) {
+        byServer.clear();
+        completeAfter = version;
+    }
+
+    /** Adds a change of no older version than those that it holds. */
+    void add(ListChange change) {
+        byServer.remove(change.server()); // so that it goes to the end
+        byServer.put(change.server(), change);
+        if (byServer.size() > CAPACITY) {
+            Iterator<ListChange> eldest = byServer.values().iterator();
+            completeAfter = eldest.next().version();
+            eldest.remove();
+        }
+    }
+
+    /** What is missing from it are changes of this version and older ones. */
+    long completeAfter() {
+        return completeAfter;
+    }
+
+    /** The changes of versions after this one, the newest last. */
+    List<ListChange> after(long version) {
+        List<ListChange> changes = new ArrayList<>();
+        for (ListChange change : byServer.values()) {
+            if (change.version() > version) {
+                changes.add(change);
+            }
+        }
+        return changes;
+    }
+}
--- a/src/main/java/damsonworks/peer/ListNews.java
+++ b/src/main/java/damsonworks/peer/ListNews.java
@@ -23,6 +23,8 @@
      * takes less than this, so that most learn that a version has been told before their own turn comes.
      */
     static final double TURN_MS = 50;
+    /** The longest that these turns take, so that what few were told is passed on soon in a large fleet. */
+    static final double MOST_TURNS_MS = 1500;
     /** The longest time between calls on account of peers. */
     static final double LONGEST_MS = 60_000;
 
@@ -87,7 +89,7 @@
     }
 
     private double turn() {
-        return random.nextDouble() * TURN_MS * instances;
+        return random.nextDouble() * Math.min(MOST_TURNS_MS, TURN_MS * instances);
     }
 
     private boolean toldAlready() {
--- /dev/null
+++ b/src/main/java/damsonworks/peer/ListUpdate.java
@@ -0,0 +1,64 @@
+package damsonworks.peer;
+
+import damsonworks.RoutingApi.State;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What a proxy was told by discovery, for peers: all servers that changed after one version of the list up to another, as
+ * they are in the latter. Its form, big-endian: a byte for the kind, both versions, and for each server its number, a byte
+ * for its state and the time of its start.
+ *
+ * @param after   changes of this version and older ones are not in it
+ * @param version the version in which the servers stand so
+ * @param servers the servers that changed; their own versions are not sent, so those read are {@code version}
+ */
+public record ListUpdate(long after, long version, List<ListChange> servers) {
+    private static final byte MARK = 'C';
+    private static final int HEAD_BYTES = 1 + 2 * Long.BYTES;
+    private static final int SERVER_BYTES = Integer.BYTES + 1 + Double.BYTES;
+    /** The most servers that one message holds. */
+    public static final int MOST_SERVERS = (Envelope.MOST_BODY - HEAD_BYTES) / SERVER_BYTES;
+    private static final State[] STATES = State.values();
+
+    /** Copies the servers. */
+    public ListUpdate {
+        servers = List.copyOf(servers);
+        if (servers.size() > MOST_SERVERS) {
+            throw new IllegalArgumentException(servers.size() + " servers; a message holds " + MOST_SERVERS);
+        }
+    }
+
+    /** The bytes of the message. */
+    public byte[] encode() {
+        ByteBuffer out = ByteBuffer.allocate(HEAD_BYTES + SERVER_BYTES * servers.size());
+        out.put(MARK).putLong(after).putLong(version);
+        for (ListChange c : servers) {
+            out.putInt(c.server()).put((byte) c.state().ordinal()).putDouble(c.bornMs());
+        }
+        return out.array();
+    }
+
+    /** Reads a message; null if it is none of this kind, or none that can be read. */
+    public static ListUpdate decode(byte[] message) {
+        int body = message.length - HEAD_BYTES;
+        if (body < 0 || body % SERVER_BYTES != 0 || message[0] != MARK || body / SERVER_BYTES > MOST_SERVERS) {
+            return null;
+        }
+        ByteBuffer in = ByteBuffer.wrap(message, 1, message.length - 1);
+        long after = in.getLong();
+        long version = in.getLong();
+        List<ListChange> servers = new ArrayList<>();
+        while (in.hasRemaining()) {
+            int server = in.getInt();
+            int state = in.get();
+            double bornMs = in.getDouble();
+            if (state < 0 || state >= STATES.length || !(bornMs >= 0) || Double.isInfinite(bornMs)) {
+                return null;
+            }
+            servers.add(new ListChange(version, server, STATES[state], bornMs));
+        }
+        return after < 0 || after > version ? null : new ListUpdate(after, version, servers);
+    }
+}
--- a/src/main/java/damsonworks/peer/PeerMessage.java
+++ b/src/main/java/damsonworks/peer/PeerMessage.java
@@ -10,6 +10,7 @@
     private static final int SERVER_BYTES = 1 + Integer.BYTES;
 
     private static final byte BAD = 'B';
+    private static final byte QUERY = 'Q';
 
     private PeerMessage() { }
 
@@ -18,6 +19,16 @@
         return ByteBuffer.allocate(LIST_BYTES).put(LIST).putLong(version).array();
     }
 
+    /** The sender wants to be told what has changed after this version of the list. */
+    public static byte[] listQuery(long version) {
+        return ByteBuffer.allocate(LIST_BYTES).put(QUERY).putLong(version).array();
+    }
+
+    /** The version that a question for changes of the list names; negative if it is none, or none that can be read. */
+    public static long queriedVersion(byte[] message) {
+        return version(QUERY, message);
+    }
+
     /** The sender found no place for a connection at this server. */
     public static byte[] full(int server) {
         return ofServer(FULL, server);
@@ -48,6 +59,10 @@
 
     /** The version of a message about the list; negative if it is none, or none that can be read. */
     public static long listVersion(byte[] message) {
-        return message.length == LIST_BYTES && message[0] == LIST ? ByteBuffer.wrap(message).getLong(1) : -1;
+        return version(LIST, message);
+    }
+
+    private static long version(byte kind, byte[] message) {
+        return message.length == LIST_BYTES && message[0] == kind ? ByteBuffer.wrap(message).getLong(1) : -1;
     }
 }
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -367,6 +367,9 @@
     public void listed(ListKind kind, List<Host> hosts) {
         if (kind == ListKind.FAILED) {
             counters.did(Work.LIST_FAILURES);
+            if (news != null) {
+                news.callFailed();
+            }
         }
         servers.listed(kind, hosts, config.streamsPerConnection());
         tell(() -> {
@@ -434,7 +437,7 @@
         switch (kind) {
             case LIST -> {
                 if (news != null) {
-                    news.heard(message);
+                    news.heard(peer, message);
                 }
             }
             case MODULE -> tell(() -> module.onPeer(now(), peer, message, this));
--- a/src/main/java/damsonworks/proxy/PeerNews.java
+++ b/src/main/java/damsonworks/proxy/PeerNews.java
@@ -3,23 +3,50 @@
 import damsonworks.member.Living;
 import damsonworks.peer.ListNews;
 import damsonworks.peer.ListNews.Order;
+import damsonworks.peer.ListUpdate;
 import damsonworks.peer.PeerMessage;
+import damsonworks.peer.ProvisionalMembership;
 import damsonworks.proxy.discovery.DiscoveryClient;
+import damsonworks.proxy.discovery.ProvisionalList;
+import java.util.SplittableRandom;
 
-/** Carries out what {@link ListNews} orders: tells peers, and has discovery asked. On the event loop only. */
+/**
+ * Carries out what {@link ListNews} orders: tells peers, and has discovery or a peer asked. Where one discovery serves all
+ * instances, peers tell each other what has changed; where lists are pushed, each has an agent of its own to ask, and the
+ * version is enough. On the event loop only.
+ */
 final class PeerNews {
     private static final int ALL = -1;
+    /** A question to a peer costs little, but a hundred instances whose calls fail ask at one time. */
+    private static final double QUERY_INTERVAL_MS = 500;
+    /** Of what somebody has missed, so many messages are sent at most; who needs more has discovery tell it. */
+    private static final int MOST_ANSWERS = 4;
 
     private final Dispatcher dispatcher;
     private final PeerSocket peers;
     private final DiscoveryClient discovery;
+    private final ProvisionalList list;
     private final ListNews news;
+    private final SplittableRandom random;
+    private double queriedMs = Double.NEGATIVE_INFINITY;
+    private boolean expiring;
 
-    PeerNews(Dispatcher dispatcher, PeerSocket peers, DiscoveryClient discovery, ListNews news) {
+    /** {@code seed}: apart from that of other instances, so that they do not all ask one peer. */
+    PeerNews(Dispatcher dispatcher, PeerSocket peers, DiscoveryClient discovery, ProvisionalList list, ListNews news, long seed) {
         this.dispatcher = dispatcher;
         this.peers = peers;
         this.discovery = discovery;
+        this.list = list;
         this.news = news;
+        random = new SplittableRandom(seed);
+    }
+
+    private ProvisionalMembership membership() {
+        return list.membership();
+    }
+
+    private boolean sharesChanges() {
+        return dispatcher.settings().askForList();
     }
 
     /** Discovery has told that version. */
@@ -27,11 +54,44 @@
         carryOut(news.held(dispatcher.now(), version));
     }
 
-    /** A peer says which version it holds. */
-    void heard(byte[] message) {
+    /** A call for the list failed: a peer may know what it would have told. */
+    void callFailed() {
+        query();
+    }
+
+    /** A peer says which version it holds, what has changed, or wants to know that. */
+    void heard(int peer, byte[] message) {
         long version = PeerMessage.listVersion(message);
         if (version >= 0) {
             carryOut(news.heard(dispatcher.now(), version));
+            return;
+        }
+        if (!sharesChanges()) {
+            return;
+        }
+        ListUpdate update = ListUpdate.decode(message);
+        if (update != null) {
+            list.heard(dispatcher.now(), update);
+            expireLater();
+            carryOut(news.heard(dispatcher.now(), update.version()));
+            return;
+        }
+        long queried = PeerMessage.queriedVersion(message);
+        if (queried >= 0) {
+            membership().since(queried).stream().limit(MOST_ANSWERS)
+                    .forEach(u -> peers.send(peer, PeerSocket.Kind.LIST, u.encode()));
+        }
+    }
+
+    private void expireLater() {
+        double due = membership().dueMs();
+        if (!expiring && due != Double.POSITIVE_INFINITY) {
+            expiring = true;
+            dispatcher.after(Math.max(0, due - dispatcher.now()), () -> {
+                expiring = false;
+                list.expire(dispatcher.now());
+                expireLater();
+            });
         }
     }
 
@@ -42,8 +102,8 @@
 
     private void carryOut(Order order) {
         switch (order) {
-            case TELL -> peers.send(ALL, PeerSocket.Kind.LIST, PeerMessage.list(discovery.version()));
-            case ASK -> discovery.renew();
+            case TELL -> tell();
+            case ASK -> ask();
             case NONE, WAIT -> { }
         }
         double due = news.dueMs();
@@ -51,4 +111,25 @@
             dispatcher.after(Math.max(0, due - dispatcher.now()), () -> carryOut(news.due(dispatcher.now())));
         }
     }
+
+    private void tell() {
+        byte[] message = sharesChanges() ? membership().news().encode() : PeerMessage.list(discovery.version());
+        peers.send(ALL, PeerSocket.Kind.LIST, message);
+    }
+
+    /** Peers hold a version that discovery has not told here. */
+    private void ask() {
+        discovery.renew();
+        query();
+    }
+
+    /** Asks some peer for what is not known here. */
+    private void query() {
+        int peer = peers.another(random);
+        if (!sharesChanges() || peer < 0 || dispatcher.now() - queriedMs < QUERY_INTERVAL_MS) {
+            return;
+        }
+        queriedMs = dispatcher.now();
+        peers.send(peer, PeerSocket.Kind.LIST, PeerMessage.listQuery(membership().known()));
+    }
 }
--- a/src/main/java/damsonworks/proxy/PeerSocket.java
+++ b/src/main/java/damsonworks/proxy/PeerSocket.java
@@ -15,6 +15,7 @@
 import io.netty.channel.socket.DatagramPacket;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.SplittableRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -97,6 +98,16 @@
         return outbox;
     }
 
+    /** The number of some other proxy of the tier; negative if there is none. */
+    int another(SplittableRandom random) {
+        int all = config.peers().size();
+        if (all < 2) {
+            return -1;
+        }
+        int other = random.nextInt(all - 1);
+        return other < config.settings().me() ? other : other + 1;
+    }
+
     /** Sends to the proxy of this number, or to all of the tier if it is negative, if the budget has room for it. */
     void send(int peer, Kind kind, byte[] body) {
         if (body.length <= Envelope.MOST_BODY && outbox.admits(System.nanoTime() / 1e6, Envelope.bytes(body.length),
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -9,8 +9,10 @@
 import damsonworks.member.Phase;
 import damsonworks.member.View;
 import damsonworks.peer.ListNews;
+import damsonworks.peer.ProvisionalMembership;
 import damsonworks.proxy.discovery.Addresses;
 import damsonworks.proxy.discovery.DiscoveryClient;
+import damsonworks.proxy.discovery.ProvisionalList;
 import damsonworks.recovery.Source;
 import damsonworks.recovery.Trust;
 import damsonworks.route.Known;
@@ -46,6 +48,7 @@
     private static final double LISTEN_ON_MS = 500;
     /** What an answer may take beyond the longest deadline. */
     private static final double ANSWER_ROOM_MS = 150;
+    private static final int NO_KIND = -1;
     /** Descriptors that the JVM, the listening socket, discovery and peers need. */
     private static final int OWN_DESCRIPTORS = 64;
     /** Some rounds of the view, ticks of zones and recovery, and writes. */
@@ -89,8 +92,11 @@
         peers = new PeerSocket(loop, config, dispatcher::heard, dispatcher.counters());
         acceptor = new Acceptor(dispatcher,
                 Math.max(16, config.sockets() - config.sockets() / 3 - OWN_DESCRIPTORS));
+        Settings atStart = config.settings();
+        ProvisionalList list = new ProvisionalList(dispatcher,
+                new ProvisionalMembership(atStart.aside() ? atStart.originKind() : NO_KIND));
         discovery = new DiscoveryClient(loop, new Bootstrap().group(loop).channel(Transport.BEST.socket())
-                .option(ChannelOption.TCP_NODELAY, true), config.discoverySettings(), dispatcher);
+                .option(ChannelOption.TCP_NODELAY, true), config.discoverySettings(), list);
         link = new HandoverLink(loop, shared, handover, acceptor, this::state);
         acceptor.retireBy(c -> {
             if (handover.passes()) {
@@ -111,7 +117,8 @@
                 Settings settings = config.settings();
                 ListNews news = new ListNews(settings.instances(), settings.ownSeed(config.seed()));
                 news.begin(discovery.version());
-                dispatcher.news(new PeerNews(dispatcher, peers, discovery, news));
+                dispatcher.news(new PeerNews(dispatcher, peers, discovery, list, news,
+                        settings.ownSeed(config.seed() + 1)));
             }
             dispatcher.resume(remembered.learnt());
             if (kept != null) {
--- a/src/main/java/damsonworks/proxy/Servers.java
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -72,7 +72,7 @@
             u.zone = h.member().zone();
             u.ready = h.member().state() == State.READY;
         }
-        if (kind == ListKind.FULL || kind == ListKind.CACHED) {
+        if (kind.whole()) {
             Set<Integer> named = new HashSet<>();
             hosts.forEach(h -> named.add(h.member().id()));
             for (Integer id : List.copyOf(servers.keySet())) {
--- a/src/main/java/damsonworks/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/discovery/DiscoveryClient.java
@@ -45,9 +45,12 @@
         /** Discovery is being asked. */
         void called();
 
-        /** Discovery has told this version of the list. */
+        /** Discovery has told this version of the list, which follows. */
         void version(long seq);
 
+        /** The list that is handed over next has this version, which discovery has not told this proxy by itself. */
+        default void begin(long seq) { }
+
         /** A line for the operators. */
         void log(String line);
     }
@@ -145,6 +148,7 @@
                 listener.log("the list in the configuration is of no use: " + e.getMessage());
             }
         }
+        listener.begin(version);
         listener.listed(ListKind.CACHED, known);
         if (!settings.ask()) {
             watch(true);
@@ -246,8 +250,8 @@
         }
         version = seq;
         keep(json);
-        listener.listed(whole ? ListKind.FULL : ListKind.CHANGES, hosts);
         listener.version(seq);
+        listener.listed(whole ? ListKind.FULL : ListKind.CHANGES, hosts);
     }
 
     private void keep(JsonObject json) {
--- a/src/main/java/damsonworks/route/Router.java
+++ b/src/main/java/damsonworks/route/Router.java
@@ -300,7 +300,7 @@
     @Override
     public void onList(double now, ListKind kind, List<Member> changes, Actions out) {
         if (kind != ListKind.FAILED) {
-            if (kind != ListKind.CHANGES) {
+            if (kind.whole()) {
                 members.clear();
             }
             for (Member m : changes) {
@@ -331,7 +331,7 @@
                 own.add(with(m, State.GONE, m.weight()));
             }
         }
-        if (kind != ListKind.CHANGES && kind != ListKind.FAILED) {
+        if (kind.whole()) {
             lane.ready.clear();
         }
         for (Member m : own) {
--- /dev/null
+++ b/src/test/java/damsonworks/peer/ProvisionalMembershipTest.java
@@ -0,0 +1,189 @@
+package damsonworks.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.RoutingApi.Member;
+import damsonworks.RoutingApi.State;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** What peers tell of the list: used until discovery's word comes, and for no longer than that may take. */
+class ProvisionalMembershipTest {
+    private static final int ORIGIN_KIND = 1;
+    private static final double NOW = 1e12;
+
+    private final ProvisionalMembership membership = new ProvisionalMembership(ORIGIN_KIND);
+
+    private static Member member(int id, State state, double bornMs) {
+        return new Member(id, 0, 0, 0, state, 1, bornMs);
+    }
+
+    private static ListChange change(long version, int server, State state, double bornMs) {
+        return new ListChange(version, server, state, bornMs);
+    }
+
+    private static ListUpdate update(long after, long version, ListChange... changes) {
+        return new ListUpdate(after, version, List.of(changes));
+    }
+
+    /** Servers 1 to {@code n} and the origin, in version 41. */
+    private void begin(int n) {
+        List<Member> members = new ArrayList<>(IntStream.rangeClosed(1, n).mapToObj(i -> member(i, State.READY, 0)).toList());
+        members.add(new Member(100, 0, ORIGIN_KIND, 0, State.READY, 1, 0));
+        membership.begin(41, members);
+    }
+
+    @Test
+    void aServerThatAPeerKnowsToDrainOrToBeGoneIsLeftAlone() {
+        begin(5);
+        assertThat(membership.heard(NOW, update(41, 43, change(43, 1, State.DRAINING, 0), change(43, 2, State.GONE, 0))))
+                .containsExactly(member(1, State.DRAINING, 0), member(2, State.DRAINING, 0));
+        assertThat(membership.known()).isEqualTo(43);
+    }
+
+    @Test
+    void aServerThatAPeerKnowsToHaveStartedAgainIsCold() {
+        begin(2);
+        assertThat(membership.heard(NOW, update(41, 43, change(43, 1, State.READY, NOW - 10))))
+                .containsExactly(member(1, State.READY, NOW - 10));
+    }
+
+    @Test
+    void peersAddNoServerAndChangeNoOriginNorStartAnythingInTheFuture() {
+        begin(5);
+        assertThat(membership.heard(NOW, update(41, 43, change(43, 6, State.READY, 0), change(43, 100, State.GONE, 0),
+                change(43, 1, State.READY, NOW + 2 * ProvisionalMembership.MOST_AHEAD_MS)))).isEmpty();
+    }
+
+    @Test
+    void peersHaveNoMoreThanHalfOfTheServersLeftAlone() {
+        begin(5);
+        ListChange[] all = IntStream.rangeClosed(1, 5).mapToObj(i -> change(43, i, State.GONE, 0)).toArray(ListChange[]::new);
+        assertThat(membership.heard(NOW, update(41, 43, all))).hasSize(2);
+        ProvisionalMembership one = new ProvisionalMembership(ORIGIN_KIND);
+        one.begin(41, List.of(member(1, State.READY, 0)));
+        assertThat(one.heard(NOW, update(41, 43, change(43, 1, State.GONE, 0)))).isEmpty();
+    }
+
+    @Test
+    void whatDiscoveryHasToldOfThatVersionGoesBeforePeers() {
+        begin(5);
+        membership.told(43, false, List.of());
+        assertThat(membership.heard(NOW, update(41, 43, change(43, 1, State.GONE, 0)))).isEmpty();
+    }
+
+    @Test
+    void discoverysOlderListLeavesWhatPeersToldOfALaterOne() {
+        begin(3);
+        membership.heard(NOW, update(41, 43, change(43, 1, State.DRAINING, 0)));
+        assertThat(membership.told(42, true, List.of(member(1, State.READY, 0), member(2, State.READY, 0))))
+                .containsExactly(member(1, State.DRAINING, 0), member(2, State.READY, 0));
+    }
+
+    @Test
+    void discoverysListOfThatVersionSettlesIt() {
+        begin(3);
+        membership.heard(NOW, update(41, 43, change(43, 1, State.DRAINING, 0)));
+        assertThat(membership.told(43, false, List.of(member(2, State.DRAINING, 0))))
+                .as("a wrong word is undone by changes that do not name the server")
+                .containsExactlyInAnyOrder(member(2, State.DRAINING, 0), member(1, State.READY, 0));
+        assertThat(membership.dueMs()).isEqualTo(Double.POSITIVE_INFINITY);
+    }
+
+    @Test
+    void whatDiscoveryDoesNotConfirmIsUndone() {
+        begin(3);
+        membership.heard(NOW, update(41, 43, change(43, 1, State.GONE, 0)));
+        assertThat(membership.due(NOW + ProvisionalMembership.HOLD_MS - 1)).isEmpty();
+        assertThat(membership.dueMs()).isEqualTo(NOW + ProvisionalMembership.HOLD_MS);
+        assertThat(membership.due(NOW + ProvisionalMembership.HOLD_MS)).containsExactly(member(1, State.READY, 0));
+    }
+
+    @Test
+    void aDiscoveryThatNumbersAnewEndsAllThatPeersTold() {
+        begin(3);
+        membership.heard(NOW, update(41, 43, change(43, 1, State.DRAINING, 0)));
+        assertThat(membership.told(2, false, List.of())).containsExactly(member(1, State.READY, 0));
+        assertThat(membership.known()).isEqualTo(2);
+    }
+
+    @Test
+    void whoMissedSeveralVersionsIsToldAllOfThem() {
+        begin(3);
+        membership.told(42, false, List.of(member(1, State.DRAINING, 0)));
+        membership.told(43, false, List.of(member(1, State.GONE, 0), member(2, State.DRAINING, 0)));
+        assertThat(membership.since(41)).containsExactly(update(41, 43, change(43, 1, State.GONE, 0),
+                change(43, 2, State.DRAINING, 0)));
+        assertThat(membership.since(43)).isEmpty();
+        assertThat(membership.news().after()).isEqualTo(41);
+    }
+
+    /** Whole lists name no change by itself. */
+    @Test
+    void whatAWholeListNamesNoMoreIsToldAsGone() {
+        begin(2);
+        membership.told(42, true, List.of(member(1, State.READY, 0)));
+        assertThat(membership.since(41)).containsExactly(update(41, 42, change(42, 2, State.GONE, 0), change(42, 100, State.GONE, 0)));
+    }
+
+    @Test
+    void moreThanAMessageHoldsGoesIntoSeveralAndTheNewestIntoOne() {
+        int servers = 3 * ListUpdate.MOST_SERVERS;
+        begin(servers);
+        for (int i = 1; i <= servers; i++) {
+            membership.told(41 + i, false, List.of(member(i, State.DRAINING, 0)));
+        }
+        assertThat(membership.since(41)).hasSize(3);
+        assertThat(membership.since(41).stream().flatMap(u -> u.servers().stream()).map(ListChange::server).distinct().count())
+                .isEqualTo(servers);
+        membership.told(1000, true, List.of(member(1, State.READY, 0)));
+        assertThat(membership.news().servers()).hasSize(ListUpdate.MOST_SERVERS);
+        assertThat(membership.news().after()).as("what was dropped is not claimed").isEqualTo(1000);
+    }
+
+    /** Whatever peers tell and lose, all that discovery has told of a version in the end is what it says. */
+    @Property(seed = "1", tries = 300)
+    void inTheEndDiscoverysWordHolds(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        begin(8);
+        Map<Integer, Member> used = new HashMap<>();
+        Map<Integer, Member> truth = new HashMap<>();
+        IntStream.rangeClosed(1, 8).forEach(i -> truth.put(i, member(i, State.READY, 0)));
+        used.putAll(truth);
+        for (long version = 42; version < 60; version++) {
+            Member next = member(1 + random.nextInt(8), State.values()[random.nextInt(3)], random.nextInt(3) * 1000);
+            if (random.nextBoolean()) {
+                membership.heard(NOW, update(41, version + random.nextInt(5), change(version, next.id(), next.state(), next.bornMs())))
+                        .forEach(m -> used.put(m.id(), m));
+            } else {
+                truth.put(next.id(), next);
+                membership.told(version, false, List.of(next)).forEach(m -> used.put(m.id(), m));
+            }
+        }
+        membership.told(100, false, List.of()).forEach(m -> used.put(m.id(), m));
+        assertThat(used).isEqualTo(truth);
+    }
+
+    @Property(seed = "1", tries = 2000)
+    void whatCannotBeReadIsNoUpdate(@ForAll byte[] bytes) {
+        ListUpdate update = ListUpdate.decode(bytes);
+        assertThat(update == null || update.encode().length == bytes.length).isTrue();
+    }
+
+    @Test
+    void anUpdateIsReadAsItWasWritten() {
+        ListUpdate update = update(41, 43, change(43, -5, State.GONE, 0), change(43, 7, State.READY, NOW));
+        assertThat(ListUpdate.decode(update.encode())).isEqualTo(update);
+        byte[] bytes = update.encode();
+        bytes[1 + 2 * Long.BYTES + Integer.BYTES] = 9;
+        assertThat(ListUpdate.decode(bytes)).as("no such state").isNull();
+        assertThat(ListUpdate.decode(update(43, 41).encode())).as("backwards").isNull();
+    }
+}
--- a/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
+++ b/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
@@ -5,14 +5,20 @@
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import damsonworks.Await;
+import damsonworks.RoutingApi.State;
 import damsonworks.peer.Envelope;
+import damsonworks.peer.ListChange;
+import damsonworks.peer.ListUpdate;
 import damsonworks.peer.PeerMessage;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.SocketTimeoutException;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.Test;
 
 /** What discovery does to the proxy, on loopback sockets. */
@@ -56,6 +62,7 @@
     private static Fleet withPeer(FakeServer discovery, DatagramSocket peer, String mode) {
         Fleet fleet = new Fleet().discovery(discovery).set("caps.connect-timeout", "200.0").set("discovery", mode);
         JsonArray peers = new JsonArray();
+        peers.add("127.0.0.1:1"); // its own
         peers.add("127.0.0.1:" + peer.getLocalPort());
         fleet.config.add("peers", peers);
         fleet.config.addProperty("peers_all", "127.0.0.1:" + peer.getLocalPort());
@@ -64,8 +71,7 @@
     }
 
     private static void claimVersion(DatagramSocket peer, long version, Fleet fleet) throws Exception {
-        byte[] news = Envelope.seal(List.of(new Envelope.Item(PeerSocket.Kind.LIST.number(), 0, PeerMessage.list(version))));
-        peer.send(new DatagramPacket(news, news.length, fleet.proxy.peerAddress()));
+        send(peer, PeerMessage.list(version), fleet);
     }
 
     /** Guards against a list that stays old for as long as a watch may wait, where another proxy has the news. */
@@ -127,6 +133,79 @@
         node.close();
     }
 
+    private static void send(DatagramSocket peer, byte[] body, Fleet fleet) throws Exception {
+        byte[] sealed = Envelope.seal(List.of(new Envelope.Item(PeerSocket.Kind.LIST.number(), 0, body)));
+        peer.send(new DatagramPacket(sealed, sealed.length, fleet.proxy.peerAddress()));
+    }
+
+    /** The next message about the list that the proxy sends to its peer. */
+    private static byte[] receive(DatagramSocket peer) throws Exception {
+        peer.setSoTimeout(20_000);
+        DatagramPacket packet = new DatagramPacket(new byte[1000], 1000);
+        peer.receive(packet);
+        return Envelope.open(Arrays.copyOf(packet.getData(), packet.getLength())).get(0).body();
+    }
+
+    /** Guards against instances of a large fleet that hear of a drain only when discovery's line has room for them. */
+    @Test
+    void whatAPeerWasToldIsInUseWhileDiscoveryTurnsCallsAway() throws Exception {
+        FakeServer drained = hits();
+        FakeServer other = hits();
+        AtomicBoolean well = new AtomicBoolean();
+        FakeServer discovery = new FakeServer(c -> {
+            while (c.request() != null) {
+                if (well.get()) {
+                    c.sayHttp(200, "", Fleet.list(43, false, new JsonArray()).toString());
+                } else {
+                    c.sayHttp(503, "", "");
+                }
+            }
+        });
+        String read = "mg " + Keys.ranked(1, 2) + " v O%d Pc=text,d=20000\r\n";
+        try (DatagramSocket peer = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
+                Fleet fleet = withPeer(discovery, peer, "ask").node(drained).node(other)) {
+            fleet.start();
+            try (Fleet.Client client = fleet.client()) {
+                client.say(read.formatted(1)).line();
+                client.line();
+                assertThat(drained.next()).contains("O1 ");
+                assertThat(PeerMessage.queriedVersion(receive(peer))).as("a call has failed").isEqualTo(41);
+                send(peer, new ListUpdate(41, 43, List.of(new ListChange(43, 1, State.DRAINING, 0))).encode(), fleet);
+                Await.until("the peer's word is in use", () -> !fleet.on(() -> fleet.proxy.core().servers().get(1).ready));
+                client.say(read.formatted(2)).line();
+                client.line();
+                assertThat(other.next()).contains("O2 ");
+                well.set(true);
+                Await.until("discovery's list of that version knows nothing of it",
+                        () -> fleet.on(() -> fleet.proxy.core().servers().get(1).ready));
+                client.say(read.formatted(3)).line();
+                client.line();
+                assertThat(drained.next()).contains("O3 ");
+            }
+        }
+    }
+
+    @Test
+    void whoAsksIsToldWhatDiscoveryHasTold() throws Exception {
+        FakeServer node = hits();
+        FakeServer discovery = new FakeServer(c -> {
+            c.request();
+            c.sayHttp(200, "", list(node, false));
+            c.request();
+            c.awaitEnd();
+        });
+        try (DatagramSocket peer = new DatagramSocket(0, InetAddress.getByName("127.0.0.1"));
+                Fleet fleet = withPeer(discovery, peer, "ask")) {
+            fleet.start();
+            discovery.next();
+            assertThat(discovery.next()).contains("since=43&");
+            send(peer, PeerMessage.listQuery(41), fleet);
+            assertThat(ListUpdate.decode(receive(peer))).isEqualTo(new ListUpdate(41, 43,
+                    List.of(new ListChange(43, 0xbeef, State.READY, 0))));
+        }
+        node.close();
+    }
+
     @Test
     void aServerAtANewAddressGetsNothingMoreAtItsOldOne() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
