Who is not answered by discovery asks peers until it is, and model news measures it

Need: the worst time until the last instance knows of a change, for each failure and several in a row, at 1 to 100 instances, under 6 s. Seen in virtual time with the real modules (model news): passing changes on alone left 5.1 to 10.8 s at 30 and 100, where a datagram of the one teller was lost (one in fifty) and the query went only to peers that discovery itself had told, one in ten at first. Change: AntiEntropy asks some peer each 0.5 s while discovery has not answered for 2 s; a sound watch asks nobody. A peer passes on what it was told by a peer as well, with what is left of its 15 s (two more bytes a message), so that no mistake outlasts that.

--- a/src/main/java/damsonworks/model/InstanceModel.java
+++ b/src/main/java/damsonworks/model/InstanceModel.java
@@ -11,6 +11,7 @@
 import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.State;
 import damsonworks.model.Rules.Rule;
+import damsonworks.peer.AntiEntropy;
 import damsonworks.peer.ListNews;
 import damsonworks.peer.ListNews.Order;
 import damsonworks.peer.ListUpdate;
@@ -31,8 +32,6 @@
 final class InstanceModel implements RoutingApi.Actions {
     /** Part of a watch's time, at random, after which it is begun anew; as the discovery client has it. */
     private static final double WATCH_MS = 10_000;
-    /** Peers are asked for what discovery has not told at most so often, as the core has it. */
-    private static final double QUERY_INTERVAL_MS = 500;
     /** A final answer counts as held back if for so long, and to the end of its time, nothing was out for it. */
     private static final double HELD_MS = 50;
     /** So much later than told is still in time, as on the operators' sockets. */
@@ -56,7 +55,7 @@
     private RoutingApi policy;
     private ListNews news;
     private ProvisionalMembership membership;
-    private double queriedMs;
+    private AntiEntropy antiEntropy;
     /** Null where the fleet leaves no zones. */
     private FleetPart part;
     /** A wait for the view that was begun before the last is void. */
@@ -125,7 +124,7 @@
         }
         membership = new ProvisionalMembership(FleetDraw.ORIGIN_KIND);
         membership.begin(version, kept);
-        queriedMs = Double.NEGATIVE_INFINITY;
+        antiEntropy = new AntiEntropy(time.now());
         wantedNothingMs.clear();
         policy.onList(time.now(), ListKind.CACHED, kept, this);
         part = !play.leaves() ? null : new FleetPart(settings, random.nextLong(), time,
@@ -471,7 +470,7 @@
             public void failed() {
                 if (mine == life) {
                     policy.onList(time.now(), ListKind.FAILED, List.of(), InstanceModel.this);
-                    query();
+                    alert();
                 }
             }
         });
@@ -507,7 +506,7 @@
                 ListUpdate update = membership.news();
                 play.tell(this, peer -> peer.heard(update));
             }
-            case ASK -> query();
+            case ASK -> alert();
             case NONE, WAIT -> { }
         }
         if (order != Order.NONE && news.dueMs() != Double.POSITIVE_INFINITY) {
@@ -531,15 +530,14 @@
     }
 
     /** Asks some peer what it was told that is not known here. */
-    private void query() {
-        if (settings.instances() < 2 || time.now() - queriedMs < QUERY_INTERVAL_MS) {
+    private void alert() {
+        if (settings.instances() < 2 || !antiEntropy.alerted(time.now())) {
             return;
         }
-        queriedMs = time.now();
         long known = membership.known();
         int other = random.nextInt(settings.instances() - 1);
         play.post(this, other < me ? other : other + 1,
-                peer -> peer.membership.since(known).forEach(u -> play.post(peer, me, asker -> asker.heard(u))));
+                peer -> peer.membership.since(time.now(), known).forEach(u -> play.post(peer, me, asker -> asker.heard(u))));
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/damsonworks/model/NewsPlay.java
@@ -0,0 +1,343 @@
+package damsonworks.model;
+
+import damsonworks.Policy;
+import damsonworks.RoutingApi;
+import damsonworks.RoutingApi.ListKind;
+import damsonworks.RoutingApi.Member;
+import damsonworks.RoutingApi.Settings;
+import damsonworks.RoutingApi.State;
+import damsonworks.peer.AntiEntropy;
+import damsonworks.peer.ListNews;
+import damsonworks.peer.ListNews.Order;
+import damsonworks.peer.ListUpdate;
+import damsonworks.peer.ProvisionalMembership;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+
+/**
+ * How soon all instances know of a change after calls for the list have failed: the real decision module, news and
+ * provisional membership of each, before one discovery that takes few calls, in virtual time.
+ */
+public final class NewsPlay {
+    /** What happens to discovery right before the change. */
+    public enum Failure {
+        /** Nothing: all watches stand. */
+        NONE,
+        /** All watches end at one time. */
+        WATCHES_END,
+        /** All watches fall silent at one time. */
+        WATCHES_SILENT,
+        /** It turns all calls away for 8 s; the change is made as it takes them again. */
+        DOWN,
+        /** It answers no call for 8 s, after watches have fallen silent; the change is made as it answers again. */
+        SILENT_CALLS,
+        /** Watches end, new calls fall silent for 4 s, and it turns calls away for 4 s more. */
+        THREE_IN_A_ROW
+    }
+
+    /** What instances tell each other. */
+    public enum Sharing {
+        /** Nothing. */
+        NONE,
+        /** The version, on which who was not told it gives up its call and calls anew. */
+        VERSIONS,
+        /** What has changed. */
+        CHANGES
+    }
+
+    /**
+     * What to play.
+     *
+     * @param instances         how many, at least 1
+     * @param newCallsPerSecond what discovery takes, of all instances together
+     * @param seed              the same gives the same play
+     */
+    public record Spec(int instances, Failure failure, Sharing sharing, double newCallsPerSecond, long seed) { }
+
+    /**
+     * What came of it. Times count from when the change was made and discovery could be asked.
+     *
+     * @param medianMs        until half of the instances knew
+     * @param worstMs         until the last one knew; infinite if it did not within a minute
+     * @param newCallsASecond new calls of all instances in the 10 s after the change, a second
+     * @param turnedAway      the share of these that were turned away
+     * @param messages        datagrams that were sent in that time, to one receiver each
+     */
+    public record Result(double medianMs, double worstMs, double newCallsASecond, double turnedAway, long messages) { }
+
+    private static final double START_MS = 1e12;
+    private static final double OUTAGE_MS = 8000;
+    private static final double WATCHED_MS = 60_000;
+    private static final double COUNTED_MS = 10_000;
+    private static final double PEER_LEAST_MS = 4;
+    private static final double PEER_SPREAD_MS = 26;
+    private static final double PEER_LOSS = 0.02;
+    private static final int SERVER = 1;
+
+    private final Spec spec;
+    private final VirtualTime time = new VirtualTime(START_MS);
+    private final SplittableRandom random;
+    private final LineDiscovery discovery;
+    private final Instance[] instances;
+    private long messages;
+
+    private NewsPlay(Spec spec) {
+        this.spec = spec;
+        random = new SplittableRandom(spec.seed());
+        discovery = new LineDiscovery(time, spec.newCallsPerSecond());
+        FleetDraw draw = FleetDraw.of(spec.instances(), Math.max(2, 2 * spec.instances()), spec.seed());
+        instances = new Instance[spec.instances()];
+        for (int i = 0; i < instances.length; i++) {
+            instances[i] = new Instance(i, draw.settings(i));
+        }
+    }
+
+    /** Plays it. */
+    public static Result of(Spec spec) {
+        return new NewsPlay(spec).run();
+    }
+
+    private Result run() {
+        Arrays.stream(instances).forEach(Instance::start);
+        // Until each has been answered once, however few calls discovery takes, with as much again.
+        time.passTo(START_MS + 20_000 + 2000 * spec.instances() / spec.newCallsPerSecond());
+        fail();
+        int callsBefore = discovery.newCalls();
+        int turnedAwayBefore = discovery.turnedAway();
+        long messagesBefore = messages;
+        double changedMs = time.now();
+        discovery.change();
+        time.passTo(changedMs + COUNTED_MS);
+        int calls = discovery.newCalls() - callsBefore;
+        double turnedAway = calls == 0 ? 0 : (discovery.turnedAway() - turnedAwayBefore) / (double) calls;
+        long sent = messages - messagesBefore;
+        time.passTo(changedMs + WATCHED_MS);
+        double[] known = Arrays.stream(instances).mapToDouble(i -> i.knownMs - changedMs).sorted().toArray();
+        return new Result(known[known.length / 2], known[known.length - 1], calls * 1000 / COUNTED_MS, turnedAway, sent);
+    }
+
+    private void fail() {
+        switch (spec.failure()) {
+            case NONE -> { }
+            case WATCHES_END -> discovery.endWatches();
+            case WATCHES_SILENT -> discovery.forgetWatches();
+            case DOWN -> {
+                discovery.down(true);
+                discovery.endWatches();
+                time.passTo(time.now() + OUTAGE_MS);
+                discovery.down(false);
+            }
+            case SILENT_CALLS -> {
+                discovery.silent(true);
+                discovery.forgetWatches();
+                time.passTo(time.now() + OUTAGE_MS);
+                discovery.silent(false);
+            }
+            case THREE_IN_A_ROW -> {
+                discovery.silent(true);
+                discovery.endWatches();
+                time.passTo(time.now() + OUTAGE_MS / 2);
+                discovery.silent(false);
+                discovery.down(true);
+                time.passTo(time.now() + OUTAGE_MS / 2);
+                discovery.down(false);
+            }
+        }
+    }
+
+    private void post(int to, Runnable heard) {
+        messages++;
+        if (random.nextDouble() >= PEER_LOSS) {
+            time.after(PEER_LEAST_MS + PEER_SPREAD_MS * random.nextDouble(), heard);
+        }
+    }
+
+    /** One proxy, as far as it asks for the list and talks of it. */
+    private final class Instance implements RoutingApi.Actions, LineDiscovery.Caller {
+        private static final double WAIT_MS = 1600;
+        private static final double PATIENCE_MS = 1600;
+        private static final double CONTINUED_PATIENCE_MS = 1000;
+
+        private final int me;
+        private final Policy policy;
+        private final ListNews news;
+        private final ProvisionalMembership membership = new ProvisionalMembership(FleetDraw.ORIGIN_KIND);
+        private final List<Member> list = new ArrayList<>();
+        private long version = 1;
+        private int call;
+        private boolean watching;
+        private final AntiEntropy antiEntropy = new AntiEntropy(START_MS);
+        private double knownMs = Double.POSITIVE_INFINITY;
+
+        Instance(int me, Settings settings) {
+            this.me = me;
+            policy = new Policy(settings, random.nextLong());
+            news = new ListNews(settings.instances(), settings.ownSeed(random.nextLong()));
+            list.add(server(State.READY));
+            list.add(new Member(SERVER + 1, 0, 0, 0, State.READY, 1, 0));
+        }
+
+        private Member server(State state) {
+            return new Member(SERVER, 0, 0, 0, state, 1, 0);
+        }
+
+        void start() {
+            news.begin(version);
+            membership.begin(version, list);
+            policy.onList(time.now(), ListKind.CACHED, list, this);
+            queryWhenDue();
+        }
+
+        private void queryWhenDue() {
+            time.after(Math.max(1, antiEntropy.dueMs() - time.now()), () -> {
+                if (antiEntropy.due(time.now())) {
+                    query();
+                }
+                queryWhenDue();
+            });
+        }
+
+        // ---- calls, as the discovery client makes them
+
+        @Override
+        public void watch(boolean on) {
+            watching = on;
+            if (on) {
+                call(false);
+            }
+        }
+
+        private void call(boolean goesOn) {
+            int mine = ++call;
+            double wait = WAIT_MS * (0.9 + 0.2 * random.nextDouble());
+            discovery.call(this, mine, version, wait, goesOn);
+            time.after(wait + (goesOn ? CONTINUED_PATIENCE_MS : PATIENCE_MS), () -> failed(mine));
+        }
+
+        @Override
+        public void failed(int which) {
+            if (which == call) {
+                call++;
+                watching = false;
+                policy.onList(time.now(), ListKind.FAILED, List.of(), this);
+                alert();
+            }
+        }
+
+        @Override
+        public void answered(int which, long told) {
+            if (which != call) {
+                return;
+            }
+            call++;
+            antiEntropy.answered(time.now());
+            List<Member> changed = told > version ? List.of(server(State.DRAINING)) : List.of();
+            version = told;
+            carryOut(news.held(time.now(), told));
+            policy.onList(time.now(), ListKind.CHANGES, membership.told(told, false, changed), this);
+            know();
+            if (watching) {
+                call(true);
+            }
+        }
+
+        private void know() {
+            if (knownMs == Double.POSITIVE_INFINITY && Math.max(version, membership.known()) > 1) {
+                knownMs = time.now();
+            }
+        }
+
+        // ---- peers
+
+        private void carryOut(Order order) {
+            switch (order) {
+                case TELL -> tellAll();
+                case ASK -> ask();
+                case NONE, WAIT -> { }
+            }
+            if (order != Order.NONE && news.dueMs() != Double.POSITIVE_INFINITY) {
+                time.after(Math.max(0.01, news.dueMs() - time.now()), () -> carryOut(news.due(time.now())));
+            }
+        }
+
+        private void tellAll() {
+            ListUpdate update = membership.news();
+            for (Instance peer : instances) {
+                if (peer != this && spec.sharing() != Sharing.NONE) {
+                    post(peer.me, () -> peer.heard(update));
+                }
+            }
+        }
+
+        private void heard(ListUpdate update) {
+            if (spec.sharing() == Sharing.CHANGES) {
+                List<Member> changed = membership.heard(time.now(), update);
+                if (!changed.isEmpty()) {
+                    policy.onList(time.now(), ListKind.PROVISIONAL, changed, this);
+                }
+                know();
+            }
+            carryOut(news.heard(time.now(), update.version()));
+        }
+
+        private void ask() {
+            if (spec.sharing() == Sharing.CHANGES) {
+                alert();
+            } else if (watching) {
+                call(false);
+            }
+        }
+
+        private void alert() {
+            if (antiEntropy.alerted(time.now())) {
+                query();
+            }
+        }
+
+        private void query() {
+            if (spec.sharing() != Sharing.CHANGES || instances.length < 2) {
+                return;
+            }
+            int other = random.nextInt(instances.length - 1);
+            Instance peer = instances[other < me ? other : other + 1];
+            long held = membership.known();
+            post(peer.me, () -> peer.membership.since(time.now(), held).forEach(u -> post(me, () -> heard(u))));
+        }
+
+        // ---- the rest
+
+        @Override
+        public void setTimer(double afterMs, int token) {
+            time.after(afterMs, () -> policy.onTimer(time.now(), token, this));
+        }
+
+        @Override
+        public void place(int request, int server, double timeoutMs) { }
+
+        @Override
+        public void deny(int request, double retryAfterMs) { }
+
+        @Override
+        public void fail(int request) { }
+
+        @Override
+        public void cancel(int request, int attempt) { }
+
+        @Override
+        public void probe(int server) { }
+
+        @Override
+        public void closeIdle(int server) { }
+
+        @Override
+        public void tell(int peer, byte[] message) { }
+
+        @Override
+        public void fetchList() { }
+
+        @Override
+        public void log(String line) { }
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/peer/AntiEntropy.java
@@ -0,0 +1,44 @@
+package damsonworks.peer;
+
+/**
+ * When to ask some peer for what has changed in the list: while discovery does not answer, as what a peer told meanwhile may
+ * have been lost on its way. A proxy with a sound watch asks nobody, so the messages do not grow with time.
+ */
+public final class AntiEntropy {
+    /** A sound watch is answered sooner than this: its wait is 1.8 s at most. */
+    static final double STALE_MS = 2000;
+    /** The least time between two questions, which some other peer is asked each time. */
+    static final double INTERVAL_MS = 500;
+
+    private double answeredMs;
+    private double queriedMs = Double.NEGATIVE_INFINITY;
+
+    /** Discovery counts as answered at this time, in milliseconds. */
+    public AntiEntropy(double nowMs) {
+        answeredMs = nowMs;
+    }
+
+    /** Discovery has answered, with or without news. */
+    public void answered(double nowMs) {
+        answeredMs = nowMs;
+    }
+
+    /** Something is amiss: a call has failed, or a peer has claimed what is not known here. Whether to ask one now. */
+    public boolean alerted(double nowMs) {
+        if (nowMs - queriedMs < INTERVAL_MS) {
+            return false;
+        }
+        queriedMs = nowMs;
+        return true;
+    }
+
+    /** When to call {@link #due} next, in milliseconds. */
+    public double dueMs() {
+        return Math.max(answeredMs + STALE_MS, queriedMs + INTERVAL_MS);
+    }
+
+    /** That time may have come. Whether to ask a peer now. */
+    public boolean due(double nowMs) {
+        return nowMs >= dueMs() && alerted(nowMs);
+    }
+}
--- a/src/main/java/damsonworks/peer/ListUpdate.java
+++ b/src/main/java/damsonworks/peer/ListUpdate.java
@@ -7,16 +7,19 @@
 
 /**
  * What a proxy was told by discovery, for peers: all servers that changed after one version of the list up to another, as
- * they are in the latter. Its form, big-endian: a byte for the kind, both versions, and for each server its number, a byte
- * for its state and the time of its start.
+ * they are in the latter. Its form, big-endian: a byte for the kind, both versions, how long it holds, and for each server
+ * its number, a byte for its state and the time of its start.
  *
  * @param after   changes of this version and older ones are not in it
  * @param version the version in which the servers stand so
+ * @param holdMs  how long it may be used without discovery's word, in milliseconds, 0 to 65,535; a peer that passes on what
+ *                it was told itself by a peer passes on what is left of that time, so that a mistake ends by itself
  * @param servers the servers that changed; their own versions are not sent, so those read are {@code version}
  */
-public record ListUpdate(long after, long version, List<ListChange> servers) {
+public record ListUpdate(long after, long version, int holdMs, List<ListChange> servers) {
     private static final byte MARK = 'C';
-    private static final int HEAD_BYTES = 1 + 2 * Long.BYTES;
+    private static final int MOST_HOLD_MS = 0xffff;
+    private static final int HEAD_BYTES = 1 + 2 * Long.BYTES + Short.BYTES;
     private static final int SERVER_BYTES = Integer.BYTES + 1 + Double.BYTES;
     /** The most servers that one message holds. */
     public static final int MOST_SERVERS = (Envelope.MOST_BODY - HEAD_BYTES) / SERVER_BYTES;
@@ -25,15 +28,15 @@
     /** Copies the servers. */
     public ListUpdate {
         servers = List.copyOf(servers);
-        if (servers.size() > MOST_SERVERS) {
-            throw new IllegalArgumentException(servers.size() + " servers; a message holds " + MOST_SERVERS);
+        if (servers.size() > MOST_SERVERS || holdMs < 0 || holdMs > MOST_HOLD_MS) {
+            throw new IllegalArgumentException(servers.size() + " servers for " + holdMs + " ms; a message holds " + MOST_SERVERS);
         }
     }
 
     /** The bytes of the message. */
     public byte[] encode() {
         ByteBuffer out = ByteBuffer.allocate(HEAD_BYTES + SERVER_BYTES * servers.size());
-        out.put(MARK).putLong(after).putLong(version);
+        out.put(MARK).putLong(after).putLong(version).putShort((short) holdMs);
         for (ListChange c : servers) {
             out.putInt(c.server()).put((byte) c.state().ordinal()).putDouble(c.bornMs());
         }
@@ -49,6 +52,7 @@
         ByteBuffer in = ByteBuffer.wrap(message, 1, message.length - 1);
         long after = in.getLong();
         long version = in.getLong();
+        int holdMs = Short.toUnsignedInt(in.getShort());
         List<ListChange> servers = new ArrayList<>();
         while (in.hasRemaining()) {
             int server = in.getInt();
@@ -59,6 +63,6 @@
             }
             servers.add(new ListChange(version, server, STATES[state], bornMs));
         }
-        return after < 0 || after > version ? null : new ListUpdate(after, version, servers);
+        return after < 0 || after > version ? null : new ListUpdate(after, version, holdMs, servers);
     }
 }
--- a/src/main/java/damsonworks/peer/ProvisionalMembership.java
+++ b/src/main/java/damsonworks/peer/ProvisionalMembership.java
@@ -2,7 +2,9 @@
 
 import damsonworks.RoutingApi.Member;
 import damsonworks.RoutingApi.State;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -21,18 +23,24 @@
  */
 public final class ProvisionalMembership {
     /** What peers tell is used for so long without discovery's word: some turns of its line, however full it is. */
-    static final double HOLD_MS = 15_000;
+    static final int HOLD_MS = 15_000;
     /** A start further ahead than this, in milliseconds, is no clock that differs, but a mistake. */
     static final double MOST_AHEAD_MS = 10_000;
     /** Of the versions that were told here, a message goes back so many: some of its receivers missed the one before. */
     private static final int VERSIONS_BACK = 4;
 
+    /** What peers told is kept for others who missed it: so many messages. */
+    private static final int MOST_RELAYED = 8;
+
     private record Provisional(Member member, long version, double untilMs) { }
 
+    private record Relayed(ListUpdate update, double untilMs) { }
+
     private final int originKind;
     private final Map<Integer, Member> told = new LinkedHashMap<>();
     private final Map<Integer, Provisional> provisional = new HashMap<>();
     private final ChangeLog log = new ChangeLog();
+    private final Deque<Relayed> relayed = new ArrayDeque<>();
     private final long[] lastVersions = new long[VERSIONS_BACK];
     private int versions;
     private long version;
@@ -55,6 +63,7 @@
         version = listVersion;
         known = listVersion;
         log.clear(listVersion);
+        relayed.clear();
         versions = 0;
     }
 
@@ -83,6 +92,7 @@
         }
         version = listVersion;
         known = Math.max(known, listVersion);
+        relayed.removeIf(r -> r.update().version() <= listVersion);
         for (int id : List.copyOf(provisional.keySet())) {
             Provisional p = provisional.get(id);
             Member now = told.get(id);
@@ -119,9 +129,11 @@
 
     /** A peer tells what discovery told it. What comes back are changes to use at once. */
     public List<Member> heard(double nowMs, ListUpdate update) {
-        if (update.version() <= version) {
+        double untilMs = nowMs + Math.min(HOLD_MS, update.holdMs());
+        if (update.version() <= version || untilMs <= nowMs) {
             return List.of();
         }
+        keep(update, untilMs);
         if (update.after() <= known) {
             known = Math.max(known, update.version());
         }
@@ -129,13 +141,25 @@
         for (ListChange change : update.servers()) {
             Member next = next(nowMs, change);
             if (next != null) {
-                provisional.put(next.id(), new Provisional(next, update.version(), nowMs + HOLD_MS));
+                provisional.put(next.id(), new Provisional(next, update.version(), untilMs));
                 changed.add(next);
             }
         }
         return changed;
     }
 
+    /** One message of a version, as different ones of it differ little. */
+    private void keep(ListUpdate update, double untilMs) {
+        boolean held = relayed.stream().anyMatch(r -> r.update().version() == update.version()
+                && r.update().after() <= update.after() && r.untilMs() >= untilMs);
+        if (!held) {
+            relayed.addLast(new Relayed(update, untilMs));
+            if (relayed.size() > MOST_RELAYED) {
+                relayed.removeFirst();
+            }
+        }
+    }
+
     /** The server as the change has it; null if the change is to be left alone. */
     private Member next(double nowMs, ListChange change) {
         Member base = told.get(change.server());
@@ -186,18 +210,25 @@
         List<ListChange> changes = log.after(back);
         int dropped = Math.max(0, changes.size() - ListUpdate.MOST_SERVERS);
         long after = dropped == 0 ? completeAfter(back) : changes.get(dropped - 1).version();
-        return new ListUpdate(after, version, changes.subList(dropped, changes.size()));
+        return new ListUpdate(after, version, HOLD_MS, changes.subList(dropped, changes.size()));
     }
 
-    /** What a peer that holds this version has missed, as messages to send; none if it is none. */
-    public List<ListUpdate> since(long held) {
+    /** What a peer that knows this version has missed, as messages to send; none if it is none. */
+    public List<ListUpdate> since(double nowMs, long held) {
         List<ListUpdate> updates = new ArrayList<>();
         List<ListChange> changes = log.after(held);
         for (int from = 0; from < changes.size(); from += ListUpdate.MOST_SERVERS) {
             int to = Math.min(changes.size(), from + ListUpdate.MOST_SERVERS);
             // Only the last one claims that nothing is missing before it.
             long after = to == changes.size() ? completeAfter(held) : version;
-            updates.add(new ListUpdate(after, version, changes.subList(from, to)));
+            updates.add(new ListUpdate(after, version, HOLD_MS, changes.subList(from, to)));
+        }
+        for (Relayed r : relayed) {
+            ListUpdate update = r.update();
+            int left = (int) (r.untilMs() - nowMs);
+            if (update.version() > held && left > 0) {
+                updates.add(new ListUpdate(update.after(), update.version(), left, update.servers()));
+            }
         }
         return updates;
     }
--- a/src/main/java/damsonworks/proxy/PeerNews.java
+++ b/src/main/java/damsonworks/proxy/PeerNews.java
@@ -1,6 +1,7 @@
 package damsonworks.proxy;
 
 import damsonworks.member.Living;
+import damsonworks.peer.AntiEntropy;
 import damsonworks.peer.ListNews;
 import damsonworks.peer.ListNews.Order;
 import damsonworks.peer.ListUpdate;
@@ -17,8 +18,6 @@
  */
 final class PeerNews {
     private static final int ALL = -1;
-    /** A question to a peer costs little, but a hundred instances whose calls fail ask at one time. */
-    private static final double QUERY_INTERVAL_MS = 500;
     /** Of what somebody has missed, so many messages are sent at most; who needs more has discovery tell it. */
     private static final int MOST_ANSWERS = 4;
 
@@ -28,7 +27,7 @@
     private final ProvisionalList list;
     private final ListNews news;
     private final SplittableRandom random;
-    private double queriedMs = Double.NEGATIVE_INFINITY;
+    private final AntiEntropy antiEntropy;
     private boolean expiring;
 
     /** {@code seed}: apart from that of other instances, so that they do not all ask one peer. */
@@ -39,6 +38,17 @@
         this.list = list;
         this.news = news;
         random = new SplittableRandom(seed);
+        antiEntropy = new AntiEntropy(dispatcher.now());
+        queryWhenDue();
+    }
+
+    private void queryWhenDue() {
+        dispatcher.after(Math.max(1, antiEntropy.dueMs() - dispatcher.now()), () -> {
+            if (antiEntropy.due(dispatcher.now())) {
+                query();
+            }
+            queryWhenDue();
+        });
     }
 
     private ProvisionalMembership membership() {
@@ -51,12 +61,15 @@
 
     /** Discovery has told that version. */
     void held(long version) {
+        antiEntropy.answered(dispatcher.now());
         carryOut(news.held(dispatcher.now(), version));
     }
 
     /** A call for the list failed: a peer may know what it would have told. */
     void callFailed() {
-        query();
+        if (antiEntropy.alerted(dispatcher.now())) {
+            query();
+        }
     }
 
     /** A peer says which version it holds, what has changed, or wants to know that. */
@@ -78,7 +91,7 @@
         }
         long queried = PeerMessage.queriedVersion(message);
         if (queried >= 0) {
-            membership().since(queried).stream().limit(MOST_ANSWERS)
+            membership().since(dispatcher.now(), queried).stream().limit(MOST_ANSWERS)
                     .forEach(u -> peers.send(peer, PeerSocket.Kind.LIST, u.encode()));
         }
     }
@@ -120,16 +133,16 @@
     /** Peers hold a version that discovery has not told here. */
     private void ask() {
         discovery.renew();
-        query();
+        if (antiEntropy.alerted(dispatcher.now())) {
+            query();
+        }
     }
 
     /** Asks some peer for what is not known here. */
     private void query() {
         int peer = peers.another(random);
-        if (!sharesChanges() || peer < 0 || dispatcher.now() - queriedMs < QUERY_INTERVAL_MS) {
-            return;
+        if (sharesChanges() && peer >= 0) {
+            peers.send(peer, PeerSocket.Kind.LIST, PeerMessage.listQuery(membership().known()));
         }
-        queriedMs = dispatcher.now();
-        peers.send(peer, PeerSocket.Kind.LIST, PeerMessage.listQuery(membership().known()));
     }
 }
--- /dev/null
+++ b/src/test/java/damsonworks/model/NewsPlayTest.java
@@ -0,0 +1,53 @@
+package damsonworks.model;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.model.NewsPlay.Failure;
+import damsonworks.model.NewsPlay.Result;
+import damsonworks.model.NewsPlay.Sharing;
+import damsonworks.model.NewsPlay.Spec;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** News of the list reaches all instances in time, whatever failed, before a discovery that takes three calls a second. */
+class NewsPlayTest {
+    private static final double CALLS_A_SECOND = 3;
+    /** What discovery has counts as told 6 s after it could be asked. */
+    private static final double TOLD_MS = 6000;
+
+    private static Result play(int instances, Failure failure, Sharing sharing, long seed) {
+        return NewsPlay.of(new Spec(instances, failure, sharing, CALLS_A_SECOND, seed));
+    }
+
+    @ParameterizedTest
+    @EnumSource(Failure.class)
+    void allKnowInTimeHoweverManyTheyAre(Failure failure) {
+        for (int instances : new int[] {1, 7, 30, 100}) {
+            for (long seed = 1; seed <= 3; seed++) {
+                assertThat(play(instances, failure, Sharing.CHANGES, seed).worstMs()).as("%d instances, seed %d", instances, seed)
+                        .isLessThan(TOLD_MS);
+            }
+        }
+    }
+
+    /** What this guards against: thirty calls take such a discovery ten seconds, and calls that are given up more. */
+    @Test
+    void withoutPeersOrByVersionsAloneThirtyDoNot() {
+        double alone = play(30, Failure.WATCHES_END, Sharing.NONE, 1).worstMs();
+        assertThat(alone).isGreaterThan(TOLD_MS);
+        assertThat(play(30, Failure.WATCHES_END, Sharing.VERSIONS, 1).worstMs()).isGreaterThan(alone);
+    }
+
+    @Test
+    void aSoundWatchCostsNoCallAndFewMessages() {
+        Result result = play(100, Failure.NONE, Sharing.CHANGES, 1);
+        assertThat(result.newCallsASecond()).isZero();
+        assertThat(result.messages()).as("some two or three tell the 99 others").isLessThan(500);
+    }
+
+    @Test
+    void theSameSeedGivesTheSamePlay() {
+        assertThat(play(20, Failure.DOWN, Sharing.CHANGES, 7)).isEqualTo(play(20, Failure.DOWN, Sharing.CHANGES, 7));
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/peer/AntiEntropyTest.java
@@ -0,0 +1,35 @@
+package damsonworks.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import org.junit.jupiter.api.Test;
+
+/** Peers are asked while discovery does not answer, and then not too often. */
+class AntiEntropyTest {
+    private final AntiEntropy antiEntropy = new AntiEntropy(0);
+
+    @Test
+    void whoIsAnsweredAsksNobody() {
+        for (double now = 0; now < 60_000; now += 1800) {
+            antiEntropy.answered(now);
+            assertThat(antiEntropy.due(now + 1799)).isFalse();
+        }
+    }
+
+    @Test
+    void whoIsNotAnsweredAsksAgainAndAgain() {
+        int asked = 0;
+        for (double now = 0; now <= 4000; now += 10) {
+            asked += antiEntropy.due(now) ? 1 : 0;
+        }
+        assertThat(asked).as("at 2, 2.5, 3, 3.5 and 4 s").isEqualTo(5);
+    }
+
+    @Test
+    void failuresOneAfterAnotherLeadToOneQuestion() {
+        assertThat(antiEntropy.alerted(100)).isTrue();
+        assertThat(antiEntropy.alerted(200)).isFalse();
+        assertThat(antiEntropy.alerted(600)).isTrue();
+        assertThat(antiEntropy.dueMs()).isEqualTo(AntiEntropy.STALE_MS);
+    }
+}
--- a/src/test/java/damsonworks/peer/ProvisionalMembershipTest.java
+++ b/src/test/java/damsonworks/peer/ProvisionalMembershipTest.java
@@ -30,7 +30,7 @@
     }
 
     private static ListUpdate update(long after, long version, ListChange... changes) {
-        return new ListUpdate(after, version, List.of(changes));
+        return new ListUpdate(after, version, ProvisionalMembership.HOLD_MS, List.of(changes));
     }
 
     /** Servers 1 to {@code n} and the origin, in version 41. */
@@ -119,18 +119,35 @@
         begin(3);
         membership.told(42, false, List.of(member(1, State.DRAINING, 0)));
         membership.told(43, false, List.of(member(1, State.GONE, 0), member(2, State.DRAINING, 0)));
-        assertThat(membership.since(41)).containsExactly(update(41, 43, change(43, 1, State.GONE, 0),
+        assertThat(membership.since(NOW, 41)).containsExactly(update(41, 43, change(43, 1, State.GONE, 0),
                 change(43, 2, State.DRAINING, 0)));
-        assertThat(membership.since(43)).isEmpty();
+        assertThat(membership.since(NOW, 43)).isEmpty();
         assertThat(membership.news().after()).isEqualTo(41);
     }
 
+    /** Of a message that was lost any peer that heard it can tell, but nobody can make it last longer than it does. */
+    @Test
+    void whatAPeerToldIsPassedOnForTheTimeThatIsLeft() {
+        begin(5);
+        membership.heard(NOW, update(41, 43, change(43, 1, State.GONE, 0)));
+        List<ListUpdate> passedOn = membership.since(NOW + 5000, 41);
+        assertThat(passedOn).containsExactly(new ListUpdate(41, 43, ProvisionalMembership.HOLD_MS - 5000,
+                List.of(change(43, 1, State.GONE, 0))));
+        assertThat(membership.since(NOW + ProvisionalMembership.HOLD_MS, 41)).isEmpty();
+        ProvisionalMembership other = new ProvisionalMembership(ORIGIN_KIND);
+        other.begin(41, List.of(member(1, State.READY, 0), member(2, State.READY, 0)));
+        other.heard(NOW + 5000, passedOn.get(0));
+        assertThat(other.dueMs()).isEqualTo(NOW + ProvisionalMembership.HOLD_MS);
+        other.told(43, false, List.of());
+        assertThat(other.since(NOW + 5000, 41)).as("discovery's word goes before").isEmpty();
+    }
+
     /** Whole lists name no change by itself. */
     @Test
     void whatAWholeListNamesNoMoreIsToldAsGone() {
         begin(2);
         membership.told(42, true, List.of(member(1, State.READY, 0)));
-        assertThat(membership.since(41)).containsExactly(update(41, 42, change(42, 2, State.GONE, 0), change(42, 100, State.GONE, 0)));
+        assertThat(membership.since(NOW, 41)).containsExactly(update(41, 42, change(42, 2, State.GONE, 0), change(42, 100, State.GONE, 0)));
     }
 
     @Test
@@ -140,8 +157,8 @@
         for (int i = 1; i <= servers; i++) {
             membership.told(41 + i, false, List.of(member(i, State.DRAINING, 0)));
         }
-        assertThat(membership.since(41)).hasSize(3);
-        assertThat(membership.since(41).stream().flatMap(u -> u.servers().stream()).map(ListChange::server).distinct().count())
+        assertThat(membership.since(NOW, 41)).hasSize(3);
+        assertThat(membership.since(NOW, 41).stream().flatMap(u -> u.servers().stream()).map(ListChange::server).distinct().count())
                 .isEqualTo(servers);
         membership.told(1000, true, List.of(member(1, State.READY, 0)));
         assertThat(membership.news().servers()).hasSize(ListUpdate.MOST_SERVERS);
@@ -182,7 +199,7 @@
         ListUpdate update = update(41, 43, change(43, -5, State.GONE, 0), change(43, 7, State.READY, NOW));
         assertThat(ListUpdate.decode(update.encode())).isEqualTo(update);
         byte[] bytes = update.encode();
-        bytes[1 + 2 * Long.BYTES + Integer.BYTES] = 9;
+        bytes[1 + 2 * Long.BYTES + Short.BYTES + Integer.BYTES] = 9;
         assertThat(ListUpdate.decode(bytes)).as("no such state").isNull();
         assertThat(ListUpdate.decode(update(43, 41).encode())).as("backwards").isNull();
     }
--- a/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
+++ b/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
@@ -23,6 +23,8 @@
 
 /** What discovery does to the proxy, on loopback sockets. */
 class DiscoveryClientTest {
+    private static final int HOLD_MS = 15_000;
+
     private static FakeServer hits() throws Exception {
         return FakeServer.node(line -> "VA 5 O" + FakeServer.id(line) + " h1\r\nhello\r\n");
     }
@@ -170,7 +172,7 @@
                 client.line();
                 assertThat(drained.next()).contains("O1 ");
                 assertThat(PeerMessage.queriedVersion(receive(peer))).as("a call has failed").isEqualTo(41);
-                send(peer, new ListUpdate(41, 43, List.of(new ListChange(43, 1, State.DRAINING, 0))).encode(), fleet);
+                send(peer, new ListUpdate(41, 43, HOLD_MS, List.of(new ListChange(43, 1, State.DRAINING, 0))).encode(), fleet);
                 Await.until("the peer's word is in use", () -> !fleet.on(() -> fleet.proxy.core().servers().get(1).ready));
                 client.say(read.formatted(2)).line();
                 client.line();
@@ -200,7 +202,7 @@
             discovery.next();
             assertThat(discovery.next()).contains("since=43&");
             send(peer, PeerMessage.listQuery(41), fleet);
-            assertThat(ListUpdate.decode(receive(peer))).isEqualTo(new ListUpdate(41, 43,
+            assertThat(ListUpdate.decode(receive(peer))).isEqualTo(new ListUpdate(41, 43, HOLD_MS,
                     List.of(new ListChange(43, 0xbeef, State.READY, 0))));
         }
         node.close();
