A server without a connection takes the place of the one idle longest

A proxy may hold a third of its descriptors as connections to servers: 341 of 1,024. With more servers than that the first ones kept their connections while these stood idle, and a request for any other was ended as a connection that failed, which the decision module books against the server. Servers.room answered by the count alone.

Where a server has no connection that can be used, the connection that has stood idle longest is ended in its favour; a further connection to a server that has one still asks for room. A search over the servers, made only when all places are taken.

--- a/src/main/java/damsonworks/proxy/Servers.java
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -152,9 +152,28 @@
         return true;
     }
 
-    /** Whether one more connection may be opened. */
-    boolean room() {
-        return connections < maxConnections;
+    /**
+     * Whether one more connection may be opened. Where a server has none, the connection that has stood idle longest is ended
+     * for it: guards against servers that can't be reached because others, more than may be connected to, have been.
+     */
+    boolean room(boolean first) {
+        return connections < maxConnections || first && endLongestIdle();
+    }
+
+    /** Its descriptor is free from here on; it counts until the event loop has come round. */
+    private boolean endLongestIdle() {
+        UpstreamConnection longest = null;
+        for (Upstream u : servers.values()) {
+            UpstreamConnection c = u.longestIdle();
+            if (c != null && (longest == null || c.idleSinceMs() < longest.idleSinceMs())) {
+                longest = c;
+            }
+        }
+        if (longest == null) {
+            return false;
+        }
+        longest.close();
+        return true;
     }
 
     /** Connections that are open or being opened. */
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -77,7 +77,7 @@
         }
         int wanted = best != null && !origin && dispatcher.servers().scarce() ? 1 : maxConnections;
         if ((best == null || best.depth() > 0 && dispatcher.now() >= noMoreUntilMs) && standing < wanted
-                && all < mostConnections && dispatcher.servers().room()) {
+                && all < mostConnections && dispatcher.servers().room(best == null && busy == null)) {
             best = open();
         }
         best = best == null ? busy : best;
@@ -163,6 +163,17 @@
         }
     }
 
+    /** The connection to it that has stood idle longest; null if none does. */
+    UpstreamConnection longestIdle() {
+        UpstreamConnection longest = null;
+        for (UpstreamConnection c : connections) {
+            if (c.idle() && (longest == null || c.idleSinceMs() < longest.idleSinceMs())) {
+                longest = c;
+            }
+        }
+        return longest;
+    }
+
     /**
      * Ends the connections made so far: idle ones at once, the others with their last answer. Guards against
      * what is still sent where the server no longer is, and against connections that outlive their server.
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -100,6 +100,11 @@
         return idleSinceMs;
     }
 
+    /** Whether nothing is out on it, and nothing is being read from it. */
+    boolean idle() {
+        return connected && !closed && !retired && !reading && turnedAway == null && attempts.isEmpty();
+    }
+
     /**
      * Whether one more attempt may go onto it. Not while what has come is still being read: bytes right behind
      * an answer would be taken for the answer to an attempt that was put on the connection in between.
--- a/src/test/java/damsonworks/proxy/Fleet.java
+++ b/src/test/java/damsonworks/proxy/Fleet.java
@@ -1,6 +1,7 @@
 package damsonworks.proxy;
 
 import com.google.gson.JsonArray;
+import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
 import damsonworks.route.Routing;
 import java.io.BufferedInputStream;
@@ -106,6 +107,12 @@
         return this;
     }
 
+    /** An entry of the list that the proxy starts with. */
+    Fleet host(JsonElement entry) {
+        hosts.add(entry);
+        return this;
+    }
+
     Fleet origin(FakeServer server) {
         parts.add(server);
         return origin(server.dial());
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/LargeFleetTest.java
@@ -0,0 +1,161 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonPrimitive;
+import damsonworks.Await;
+import damsonworks.figures.Work;
+import damsonworks.peer.Envelope;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** One proxy on real sockets with 1,024 servers and 1,024 peers. */
+@Timeout(120)
+class LargeFleetTest {
+    private static final int SERVERS = 1024;
+    private static final int PEERS = 1024;
+    private static final int SOCKETS = 300;
+    /** Enough that each server is, by far, the first of some key. */
+    private static final int READS = 12 * SERVERS;
+
+    private final SplittableRandom random = new SplittableRandom(11);
+
+    private static FakeServer node() throws Exception {
+        return FakeServer.node(line -> "VA 5 O" + FakeServer.id(line) + "\r\nhello\r\n");
+    }
+
+    private static Fleet fleet(FakeServer node) {
+        Fleet fleet = new Fleet();
+        JsonObject limits = new JsonObject();
+        limits.addProperty("sockets", SOCKETS);
+        fleet.config.add("limits", limits);
+        fleet.parts.add(node);
+        return fleet;
+    }
+
+    /** Reads so many keys, one after another; how many were served. */
+    private int served(Fleet fleet, int reads) throws Exception {
+        int served = 0;
+        try (Fleet.Client client = fleet.client()) {
+            for (int i = 0; i < reads; i++) {
+                client.say("mg %016x v O%d Pc=text,d=20000\r\n".formatted(random.nextLong(), i));
+                String line = client.line();
+                if (line.startsWith("VA 5 ")) {
+                    client.line();
+                    served++;
+                }
+            }
+        }
+        return served;
+    }
+
+    /**
+     * With fewer descriptors than servers, a server that has no connection takes the place of the one that has stood idle longest.
+     * The first servers kept theirs, and the others could not be reached.
+     */
+    @Test
+    void eachOf1024ServersIsReachedWithFewerDescriptors() throws Exception {
+        FakeServer node = node();
+        try (Fleet fleet = fleet(node)) {
+            LargeList.hosts(SERVERS, i -> node.dial(), node.dial()).forEach(fleet::host);
+            fleet.start();
+            assertThat(served(fleet, READS)).isEqualTo(READS);
+            List<Upstream> nodes = fleet.on(() -> fleet.proxy.core().servers().nodes());
+            assertThat(nodes).hasSize(SERVERS).allMatch(u -> u.openedTimes() > 0);
+            Await.until("no more connections than there are descriptors for",
+                    () -> fleet.on(() -> fleet.proxy.status().upstream()) <= SOCKETS / 3);
+            assertThat(fleet.on(() -> fleet.proxy.status().ejected())).as("no server is held to be at fault").isZero();
+        }
+    }
+
+    /** A whole list of 1,024 others takes the place of the first, changes of most of it are applied, and requests follow. */
+    @Test
+    void aWholeListOf1024AndChangesAreApplied() throws Exception {
+        FakeServer before = node();
+        FakeServer after = node();
+        CountDownLatch change = new CountDownLatch(1);
+        FakeServer discovery = new FakeServer(c -> {
+            for (String request; (request = c.request()) != null;) {
+                if (request.contains("since=41&")) {
+                    c.sayHttp(200, "", Fleet.list(42, true, LargeList.hosts(SERVERS, i -> after.dial(), after.dial())).toString());
+                } else if (request.contains("since=42&")) {
+                    change.await();
+                    c.sayHttp(200, "", Fleet.list(43, false, changes(after)).toString());
+                } else {
+                    c.awaitEnd();
+                }
+            }
+        });
+        try (Fleet fleet = fleet(before).discovery(discovery).set("guarantees.ask-within", "200.0")) {
+            fleet.parts.add(after);
+            for (int i = 0; i < SERVERS; i++) {
+                fleet.host(Fleet.host("s-%08x".formatted(5000 + i), "node-fast", before.dial(), "up"));
+            }
+            fleet.start();
+            Await.until("the whole list", () -> after.commands.isEmpty() && known(fleet).contains(1) && !known(fleet).contains(5000));
+            assertThat(known(fleet)).hasSize(SERVERS);
+            before.commands.clear();
+            assertThat(served(fleet, SERVERS)).isEqualTo(SERVERS);
+            assertThat(after.commands).hasSize(SERVERS);
+            assertThat(before.commands).isEmpty();
+            change.countDown();
+            Await.until("the changes", () -> known(fleet).size() == SERVERS / 4 + SERVERS / 8);
+            assertThat(served(fleet, SERVERS)).isEqualTo(SERVERS);
+        }
+    }
+
+    /** Three in four go, and half as many as are left join. */
+    private static JsonArray changes(FakeServer node) {
+        JsonArray changes = new JsonArray();
+        for (int i = 0; i < SERVERS; i++) {
+            if (i % 4 != 0) {
+                changes.add(Fleet.host(LargeList.name(i), "node-fast", node.dial(), "removed"));
+            }
+        }
+        for (int i = 0; i < SERVERS / 8; i++) {
+            changes.add(Fleet.host(LargeList.name(SERVERS + i), "node-fast", node.dial(), "up"));
+        }
+        return changes;
+    }
+
+    private static Set<Integer> known(Fleet fleet) {
+        Set<Integer> ids = new HashSet<>();
+        fleet.on(() -> fleet.proxy.core().servers().nodes()).forEach(u -> ids.add(u.id));
+        return ids;
+    }
+
+    /** The last of 1,024 peers is heard under its number and sent to by it. */
+    @Test
+    void theLastOf1024PeersIsHeardAndSentTo() throws Exception {
+        FakeServer node = node();
+        InetAddress local = InetAddress.getByName("127.0.0.1");
+        try (DatagramSocket last = new DatagramSocket(0, local); Fleet fleet = fleet(node)) {
+            LargeList.peers(fleet.config, PEERS);
+            fleet.config.addProperty("peer_listen", "127.0.0.1:0");
+            fleet.config.getAsJsonArray("peers").set(PEERS - 1,
+                    new JsonPrimitive("127.0.0.1:" + last.getLocalPort()));
+            fleet.node(node).start();
+            assertThat(served(fleet, 1)).isEqualTo(1);
+            byte[] bytes = Envelope.seal(List.of(new Envelope.Item(PeerSocket.Kind.MODULE.number(), PeerSocket.Kind.VERSION,
+                    new byte[] {0})));
+            last.send(new DatagramPacket(bytes, bytes.length, fleet.proxy.peerAddress()));
+            Await.until("the message", () -> fleet.on(() -> fleet.proxy.core().counters().done(Work.MESSAGES_HEARD)) == 1);
+            fleet.on(() -> {
+                fleet.proxy.core().tell(PEERS - 1, new byte[] {0});
+                return null;
+            });
+            last.setSoTimeout(20_000);
+            last.receive(new DatagramPacket(new byte[Envelope.MOST_BYTES], Envelope.MOST_BYTES));
+        }
+    }
+}
