A message of the view holds zones up to 16,383, in one byte below 128 as before

An entry's zone was one byte: an instance of a configuration with more than 256 zones that stood in a later one threw as it joined the view. The number goes out in base 128 like the others of an entry, so that the bytes for zones under 128 are the same as before. For 128 to 255 they differ: two versions of the program don't read each other's entries there. EntryTest fails at zone 256 with the bound as it was.

--- a/src/main/java/damsonworks/member/Entry.java
+++ b/src/main/java/damsonworks/member/Entry.java
@@ -21,7 +21,7 @@
  * @param life        drawn by the process at its start, 0 to 65,535: tells two processes of one name apart
  * @param state       what is believed
  * @param confirmers  of a suspicion, those who did not reach it either, {@link #MOST_CONFIRMERS} at most
- * @param zone        where it stands, 0 to 255
+ * @param zone        where it stands, 0 to {@link #MAX_ZONE}
  * @param version     of what it says of itself: phase and notes
  * @param phase       of its service
  * @param notes       what other parts of the program publish by it, by a number 0 to 7, {@link #MOST_NOTE} bytes each at most
@@ -32,6 +32,8 @@
         Phase phase, Map<Integer, byte[]> notes, byte[] address) {
     /** The highest number of an instance. */
     public static final int MAX_ID = 65_534;
+    /** The highest number of a zone: what two bytes of a message hold. */
+    public static final int MAX_ZONE = 0x3fff;
     /** The highest incarnation; at one a second it lasts 136 years. */
     public static final long MAX_INCARNATION = 0xffff_ffffL;
     /** How many confirmers a suspicion names at most; beyond it the lowest numbers. */
@@ -47,7 +49,7 @@
     /** Checks the ranges. */
     public Entry {
         if (id < 0 || id > MAX_ID || incarnation < 1 || incarnation > MAX_INCARNATION || life < 0 || life > 0xffff
-                || zone < 0 || zone > 255 || version < 0) {
+                || zone < 0 || zone > MAX_ZONE || version < 0) {
             throw new IllegalArgumentException("instance " + id + " in incarnation " + incarnation + ", life " + life
                     + ", zone " + zone + ", version " + version + " is out of range");
         }
--- a/src/main/java/damsonworks/member/Membership.java
+++ b/src/main/java/damsonworks/member/Membership.java
@@ -110,7 +110,7 @@
      * Begins a life. Nothing is sent before the first {@link #tick}.
      *
      * @param me         this instance's number
-     * @param zone       where it stands, 0 to 255
+     * @param zone       where it stands, 0 to {@link Entry#MAX_ZONE}
      * @param address    where it is reached, 6 bytes; empty where the settings name it
      * @param remembered the incarnation of its last life; 0 if nothing is remembered
      * @param seed       new at each start
--- a/src/main/java/damsonworks/member/Message.java
+++ b/src/main/java/damsonworks/member/Message.java
@@ -53,7 +53,7 @@
 
     /** The bytes that an entry takes. */
     static int bytes(Entry e) {
-        int n = 1 + 2 + 1 + varint(e.incarnation()) + 2 + varint(e.version());
+        int n = 1 + 2 + varint(e.zone()) + varint(e.incarnation()) + 2 + varint(e.version());
         n += e.address().length;
         if (!e.confirmers().isEmpty()) {
             n += 1 + 2 * e.confirmers().size();
@@ -85,7 +85,8 @@
     private static void encode(Entry e, ByteBuffer out) {
         out.put((byte) (e.state().ordinal() | e.phase().ordinal() << 2 | (e.address().length > 0 ? ADDRESS : 0)
                 | (e.notes().isEmpty() ? 0 : NOTES) | (e.confirmers().isEmpty() ? 0 : CONFIRMERS)));
-        out.putShort((short) e.id()).put((byte) e.zone());
+        out.putShort((short) e.id());
+        putVarint(out, e.zone());
         putVarint(out, e.incarnation());
         out.putShort((short) e.life());
         putVarint(out, e.version());
@@ -152,7 +153,7 @@
     private static Entry entry(ByteBuffer in) {
         int flags = in.get();
         int id = in.getShort() & 0xffff;
-        int zone = in.get() & 0xff;
+        long zone = getVarint(in);
         long incarnation = getVarint(in);
         int life = in.getShort() & 0xffff;
         long version = getVarint(in);
@@ -169,10 +170,10 @@
             in.get(note);
             notes.put(head >> 5, note);
         }
-        if (flags < 0 || version > Integer.MAX_VALUE) {
+        if (flags < 0 || zone > Entry.MAX_ZONE || version > Integer.MAX_VALUE) {
             throw new IllegalArgumentException("an entry of another form");
         }
-        return new Entry(id, incarnation, life, State.values()[flags & 3], confirmers, zone, (int) version,
+        return new Entry(id, incarnation, life, State.values()[flags & 3], confirmers, (int) zone, (int) version,
                 Phase.values()[flags >> 2 & 3], Map.copyOf(notes), address);
     }
 
--- a/src/test/java/damsonworks/member/EntryTest.java
+++ b/src/test/java/damsonworks/member/EntryTest.java
@@ -12,6 +12,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import org.junit.jupiter.api.Test;
 
 class EntryTest {
     /** What an instance says of itself hangs on its life, incarnation and version alone, as nobody else writes it. */
@@ -62,4 +63,30 @@
     void noiseIsDropped(@ForAll byte[] noise) {
         Message.decode(noise);
     }
+
+    /** Zones under 128 take the one byte that they always took. */
+    @Test
+    void aZoneOf1024IsReadAsItWasWritten() {
+        for (int zone : new int[] {0, 127, 128, 255, 256, 1023, Entry.MAX_ZONE}) {
+            Entry e = Entry.begin(1023, 1, 7, zone, new byte[0]);
+            byte[] bytes = new Message(Message.Kind.NEWS, 0, Message.NOBODY, 0, new int[0], List.of(e)).encode();
+            assertThat(Message.decode(bytes).entries()).containsExactly(e);
+            assertThat(bytes).hasSize(Message.headBytes(Message.Kind.NEWS) + Message.bytes(e));
+            assertThat(bytes.length).isEqualTo(zone < 128 ? 18 : 19);
+        }
+    }
+
+    @Test
+    void aZoneThatIsNoneIsNotRead() {
+        Entry e = Entry.begin(5, 1, 7, Entry.MAX_ZONE, new byte[0]);
+        byte[] bytes = new Message(Message.Kind.NEWS, 0, Message.NOBODY, 0, new int[0], List.of(e)).encode();
+        int zone = Message.headBytes(Message.Kind.NEWS) + 3;
+        assertThat(bytes[zone + 1]).isEqualTo((byte) 0x7f);
+        byte[] beyond = new byte[bytes.length + 1];
+        System.arraycopy(bytes, 0, beyond, 0, zone + 1);
+        beyond[zone + 1] = (byte) 0x80;
+        beyond[zone + 2] = 1;
+        System.arraycopy(bytes, zone + 2, beyond, zone + 3, bytes.length - zone - 2);
+        assertThat(Message.decode(beyond)).isNull();
+    }
 }
