2,048 patterns may begin alike, as 1,024 tenants may have one each

Patterns of one beginning are tried one by one, so 256 were taken; a configuration in which each of more tenants has a pattern of its own was refused. A pattern of another tenant costs a comparison of numbers. RouteTableTest: 1,024 tenants; refused without this. The test of the bound takes the bound from the constant.

--- a/src/main/java/damsonworks/route/RouteTable.java
+++ b/src/main/java/damsonworks/route/RouteTable.java
@@ -22,7 +22,7 @@
  */
 public final class RouteTable {
     /** Routes that begin alike and go on by a pattern, which are tried one by one. */
-    static final int MAX_PATTERNS = 256;
+    static final int MAX_PATTERNS = 2048;
     /** Triples of tenant, class and front that routes name, in all. */
     static final int MAX_TRIPLES = 2_000_000;
     private static final int ANY = 0;
