More than 512 silent nodes are told to peers and heard from them, and 4,096 stand in a line

NodeTalk and BadNodes remembered 512 nodes, a line of figures 256: where more were silent at once, the rest was neither told nor doubted by peers' word. Both take nodes of the list alone, which bounds them; the bound of a line is 4,096.

--- a/src/main/java/damsonworks/figures/WorkLine.java
+++ b/src/main/java/damsonworks/figures/WorkLine.java
@@ -27,8 +27,8 @@
         Map<Work, Long> counts, List<Node> nodes) {
     /** What a line begins with; what else stands in a log does not. */
     public static final String MARK = "figures ";
-    /** Bounds a line. */
-    public static final int MAX_NODES = 256;
+    /** Bounds a line, at some 250 KB; the largest fleets have fewer. */
+    public static final int MAX_NODES = 4096;
 
     /** One cache node: its id in the list, connections begun and turned away, whether it gets no ordinary request now. */
     public record Node(String id, long opened, long noPlace, boolean avoided) { }
--- a/src/main/java/damsonworks/peer/BadNodes.java
+++ b/src/main/java/damsonworks/peer/BadNodes.java
@@ -23,7 +23,6 @@
     static final int PART = 4;
     /** More than are needed, as some stand in one zone and some messages get lost. */
     static final int ENOUGH = 2 * LEAST;
-    private static final int MOST_NODES = 512;
     private static final int MOST_CLAIMS = 8;
 
     /**
@@ -43,7 +42,7 @@
     private final List<Doubted> doubted = new ArrayList<>();
 
     /**
-     * A peer says that a node is silent.
+     * A peer says that a node is silent. Nodes are those of the list, which bounds what is held of them.
      *
      * @param zone   where the peer stands
      * @param others peers that live, 1 or more
@@ -52,9 +51,6 @@
      */
     public boolean claimed(double nowMs, int peer, int zone, Node node, int others, int homes) {
         forget(nowMs);
-        if (claims.size() >= MOST_NODES && !claims.containsKey(node.id())) {
-            return false;
-        }
         ArrayDeque<Claim> all = claims.computeIfAbsent(node.id(), n -> new ArrayDeque<>());
         all.removeIf(c -> c.peer() == peer);
         all.add(new Claim(peer, zone, nowMs));
--- a/src/main/java/damsonworks/proxy/NodeTalk.java
+++ b/src/main/java/damsonworks/proxy/NodeTalk.java
@@ -11,14 +11,13 @@
 /** Tells peers of nodes that were found silent, and passes on to the decision module what several say. On the event loop only. */
 final class NodeTalk {
     private static final int ALL = -1;
-    private static final int MOST_TOLD = 512;
     private static final double ZONES_MS = 500;
 
     private final Dispatcher dispatcher;
     private final PeerSocket peers;
     private final MemberLink members;
     private final BadNodes bad = new BadNodes();
-    /** When peers were told of a node last. */
+    /** When peers were told of a node last; of those in the list alone. */
     private final Map<Integer, Double> toldMs = new HashMap<>();
     /** Where peers stand that live; as of some time ago, as many messages come at once where much is wrong. */
     private final Map<Integer, Integer> zones = new HashMap<>();
@@ -38,7 +37,7 @@
         }
         double now = dispatcher.now();
         toldMs.values().removeIf(at -> now - at >= BadNodes.KEPT_MS / 2); // told anew while it lasts, before the word is void
-        if (toldMs.size() < MOST_TOLD && !bad.knownToAll(now, server) && toldMs.putIfAbsent(server, now) == null) {
+        if (!bad.knownToAll(now, server) && toldMs.putIfAbsent(server, now) == null) {
             peers.send(ALL, PeerSocket.Kind.NODES, PeerMessage.bad(server));
         }
     }
--- a/src/test/java/damsonworks/figures/FleetWorkTest.java
+++ b/src/test/java/damsonworks/figures/FleetWorkTest.java
@@ -93,5 +93,7 @@
     void aLineIsBounded() {
         List<Node> many = Collections.nCopies(10 * WorkLine.MAX_NODES, avoided("ffffffff"));
         assertThat(new WorkLine("p", 1, 1, 1, 1, 1, Map.of(), many).nodes()).hasSize(WorkLine.MAX_NODES);
+        List<Node> all = Collections.nCopies(1100, avoided("ffffffff"));
+        assertThat(WorkLine.parse(new WorkLine("p", 1, 1, 1, 1, 1, Map.of(), all).text()).orElseThrow().nodes()).hasSize(1100);
     }
 }
--- a/src/test/java/damsonworks/peer/BadNodesTest.java
+++ b/src/test/java/damsonworks/peer/BadNodesTest.java
@@ -57,4 +57,15 @@
         assertThat(out).isEqualTo(8 / BadNodes.PART);
         assertThat(bad.claimed(9, 1, 1, new Node(99, 1, 8), 11, 4) | bad.claimed(9, 2, 2, new Node(99, 1, 8), 11, 4)).isFalse();
     }
+
+    @Test
+    void eachOf1100BadNodesIsDoubted() {
+        int doubted = 0;
+        for (int id = 0; id < 1100; id++) {
+            for (int peer = 0; peer < BadNodes.LEAST; peer++) {
+                doubted += bad.claimed(0, peer, peer, new Node(id, 0, 1100 * BadNodes.PART), 1024, 4) ? 1 : 0;
+            }
+        }
+        assertThat(doubted).isEqualTo(1100);
+    }
 }
