The requests of each class in the settings are counted, however many there are

Counters kept 256 classes, those of the settings among them: of 1,024 the first 768 were not counted and not shown. The bound of 256 now holds for classes that have vanished from the settings.

--- a/src/main/java/damsonworks/proxy/Counters.java
+++ b/src/main/java/damsonworks/proxy/Counters.java
@@ -3,14 +3,15 @@
 import damsonworks.figures.Work;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * What has come of requests and attempts since the process began. Each is counted once, where its one end is decided.
  * A class that the settings name no more keeps its counts: what only grows must not vanish.
  */
 final class Counters {
-    /** Of classes that are remembered; beyond, the counts of those that vanished first are given up. */
-    static final int MAX_CLASSES = 256;
+    /** Of classes that the settings name no more; beyond, the counts of those that vanished first are given up. */
+    static final int MAX_VANISHED = 256;
 
     /** What comes of a request. */
     enum Ending {
@@ -50,12 +51,12 @@
     private long rejected;
 
     /** These classes are in the settings now; they are told of from here on, at 0 if nothing has come. */
-    void know(Iterable<String> names) {
+    void know(Set<String> names) {
         for (String name : names) {
             Tally tally = classes.remove(name);
             classes.put(name, tally == null ? new Tally() : tally); // behind those that have vanished
         }
-        while (classes.size() > MAX_CLASSES) {
+        while (classes.size() - names.size() > MAX_VANISHED) {
             classes.remove(classes.keySet().iterator().next());
         }
     }
