1,024 clients may come while the event loop is busy

The system kept 512 connections for the listener, and each further client tried again after a second. 1,024 now, and the rounds in which they are accepted before the listener ends are doubled with them. LargeFleetTest.atOnce1024ClientsMayCome times out in connect without this.

--- a/src/main/java/damsonworks/proxy/Acceptor.java
+++ b/src/main/java/damsonworks/proxy/Acceptor.java
@@ -22,9 +22,10 @@
 
 /** The listening socket and the clients' connections that came through it, with their bound. */
 final class Acceptor implements Dispatcher.ClientListener {
-    private static final int BACKLOG = 512;
+    /** As many clients as may come at once while the event loop is busy; each further one would come a second late. */
+    private static final int BACKLOG = 1024;
     /** Rounds of the event loop in which all of a full backlog is accepted, some at a time. */
-    private static final int MAX_ROUNDS = 64;
+    private static final int MAX_ROUNDS = 128;
     /** A client that has connected sends its first request within this time, on a busy machine, too. */
     private static final double UNHEARD_MS = 300;
     /** So many connections beyond the bound may wait for their clients to end them as well. */
--- a/src/test/java/damsonworks/proxy/LargeFleetTest.java
+++ b/src/test/java/damsonworks/proxy/LargeFleetTest.java
@@ -6,13 +6,17 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonPrimitive;
 import damsonworks.Await;
+import damsonworks.RoutingApi.Evidence;
 import damsonworks.figures.Work;
 import damsonworks.peer.Envelope;
 import java.net.DatagramPacket;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
@@ -24,7 +28,11 @@
 class LargeFleetTest {
     private static final int SERVERS = 1024;
     private static final int PEERS = 1024;
+    private static final int CLASSES = 1024;
+    private static final int CLIENTS = 1024;
     private static final int SOCKETS = 300;
+    /** Less than the system waits until it tries a first time again: a second. */
+    private static final int CONNECT_MS = 900;
     /** Enough that each server is, by far, the first of some key. */
     private static final int READS = 12 * SERVERS;
 
@@ -134,6 +142,81 @@
         return ids;
     }
 
+    /** So many clients come while the event loop is busy; none has to wait until the system tries again. */
+    @Test
+    void atOnce1024ClientsMayCome() throws Exception {
+        FakeServer node = node();
+        CountDownLatch come = new CountDownLatch(1);
+        try (Fleet fleet = fleet(node)) {
+            fleet.config.getAsJsonObject("limits").addProperty("sockets", 4 * CLIENTS);
+            fleet.node(node).start();
+            CountDownLatch busy = new CountDownLatch(1);
+            fleet.proxy.loop().submit(() -> {
+                busy.countDown();
+                come.await();
+                return null;
+            });
+            busy.await();
+            try {
+                for (int i = 0; i < CLIENTS; i++) {
+                    Socket client = new Socket();
+                    fleet.parts.add(client);
+                    client.connect(new InetSocketAddress("127.0.0.1", fleet.proxy.address().getPort()), CONNECT_MS);
+                }
+            } finally {
+                come.countDown();
+            }
+            Await.until("all of them", () -> fleet.on(() -> fleet.proxy.status().clients()) == CLIENTS);
+        }
+    }
+
+    /** Of 1,024 classes and tenants each may be asked for, and each class is counted. */
+    @Test
+    void eachOf1024ClassesAndTenantsIsServed() throws Exception {
+        FakeServer node = node();
+        try (Fleet fleet = fleet(node)) {
+            fleet.set("classes.count", Integer.toString(CLASSES)).set("tenants.count", Integer.toString(CLASSES));
+            for (int i = 0; i < CLASSES; i++) {
+                String at = "classes." + i + ".";
+                fleet.set(at + "name", "c" + i).set(at + "idempotency", "retryable").set(at + "promise", "20000.0")
+                        .set(at + "deadline", "30000.0").set(at + "gain", "1.0").set(at + "late-share", "0.2")
+                        .set(at + "stream", "false");
+                fleet.set("tenants." + i + ".name", "t" + i).set("tenants." + i + ".quota-per-s", "10.0");
+            }
+            fleet.node(node).start();
+            try (Fleet.Client client = fleet.client()) {
+                for (int i = 0; i < CLASSES; i++) {
+                    client.say("mg %x v O%d Pc=c%d,t=t%d,d=20000\r\n".formatted(i, i, i, i));
+                    assertThat(client.line()).startsWith("VA 5 ");
+                    client.line();
+                }
+            }
+            Map<String, Proxy.Endings> classes = fleet.on(() -> fleet.proxy.status().classes());
+            assertThat(classes).hasSize(CLASSES).allSatisfy((name, e) -> assertThat(e.succeeded()).as(name).isEqualTo(1));
+        }
+    }
+
+    /** Each of more silent nodes than were remembered before is told, as far as the budget goes. */
+    @Test
+    void eachOf1024SilentNodesIsTold() throws Exception {
+        FakeServer node = node();
+        try (Fleet fleet = fleet(node)) {
+            LargeList.peers(fleet.config, PEERS);
+            fleet.config.addProperty("peer_listen", "127.0.0.1:0");
+            LargeList.hosts(SERVERS, i -> node.dial(), node.dial()).forEach(fleet::host);
+            fleet.start();
+            fleet.proxy.join(new Proxy.Together(true, false, false));
+            fleet.on(() -> {
+                Dispatcher core = fleet.proxy.core();
+                long before = core.counters().done(Work.MESSAGES_SENT) + fleet.proxy.fleetView().dropped();
+                core.servers().nodes().forEach(u -> core.saw(u.id, Evidence.SILENT));
+                assertThat(core.counters().done(Work.MESSAGES_SENT) + fleet.proxy.fleetView().dropped() - before)
+                        .isEqualTo(SERVERS);
+                return null;
+            });
+        }
+    }
+
     /** The last of 1,024 peers is heard under its number and sent to by it. */
     @Test
     void theLastOf1024PeersIsHeardAndSentTo() throws Exception {
