A peer's number is looked up by its address and not searched for

Each datagram was compared with the addresses of all peers in turn, work that grows with the square of a fleet in which all talk. LargeFleetTest.theLastOf1024PeersIsHeardAndSentTo holds what is heard from the last of 1,024; it passes without this as well, which changes time alone.

--- a/src/main/java/damsonworks/proxy/PeerSocket.java
+++ b/src/main/java/damsonworks/proxy/PeerSocket.java
@@ -14,7 +14,9 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -54,6 +56,8 @@
     private final Receiver receiver;
     private final Counters counters;
     private final Outbox outbox = new Outbox(BYTES_PER_SECOND, BURST);
+    /** The peers' numbers by their addresses: where all talk, a search for each datagram would grow with the fleet's square. */
+    private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
     private Channel channel;
 
     /** What takes the messages of peers. */
@@ -66,6 +70,9 @@
         this.config = config;
         this.receiver = receiver;
         this.counters = counters;
+        for (int i = 0; i < config.peers().size(); i++) {
+            numbers.putIfAbsent(config.peers().get(i), i);
+        }
         if (config.settings().peers() && config.peerListen() != null) {
             ChannelFuture bound = bind().awaitUninterruptibly();
             channel = bound.channel(); // what is sent before is lost
@@ -121,8 +128,8 @@
     private final class Handler extends SimpleChannelInboundHandler<DatagramPacket> {
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, DatagramPacket packet) {
-            int peer = config.peers().indexOf(packet.sender());
-            if (peer < 0 || packet.content().readableBytes() > Envelope.MOST_BYTES) {
+            Integer peer = numbers.get(packet.sender());
+            if (peer == null || packet.content().readableBytes() > Envelope.MOST_BYTES) {
                 return;
             }
             counters.did(Work.MESSAGES_HEARD);
