The view shows 2,048 instances, and the model plays 4,096 with as many nodes

`view` showed the first 50; a row is some 120 bytes, and the control socket keeps 256 kB for one that does not read. model view and model zones took 1,000 instances, FleetDraw 2,000 nodes. Not played at these sizes; no test of the ranges.

--- a/src/main/java/damsonworks/cli/ModelViewCommand.java
+++ b/src/main/java/damsonworks/cli/ModelViewCommand.java
@@ -37,9 +37,9 @@
 
     @Override
     public Integer call() {
-        if (instances < 4 || instances > 1000 || !(loss >= 0 && loss <= 0.9) || seeds < 1 || seeds > 100_000
+        if (instances < 4 || instances > 4096 || !(loss >= 0 && loss <= 0.9) || seeds < 1 || seeds > 100_000
                 || quiet.ms() < 1000) {
-            throw new ParameterException(spec.commandLine(), "it takes 4 to 1000 instances, a loss of 0 to 0.9, 1 to 100000 "
+            throw new ParameterException(spec.commandLine(), "it takes 4 to 4096 instances, a loss of 0 to 0.9, 1 to 100000 "
                     + "seeds and a second or more of quiet");
         }
         spec.commandLine().getOut().print(ViewStudy.of(instances, loss, seed, seeds, quiet.ms()).text());
--- a/src/main/java/damsonworks/cli/ModelZonesCommand.java
+++ b/src/main/java/damsonworks/cli/ModelZonesCommand.java
@@ -29,8 +29,8 @@
 
     @Override
     public Integer call() {
-        if (instances < 4 || instances > 1000 || seeds < 1 || seeds > 100_000) {
-            throw new ParameterException(spec.commandLine(), "it takes 4 to 1000 instances and 1 to 100000 seeds");
+        if (instances < 4 || instances > 4096 || seeds < 1 || seeds > 100_000) {
+            throw new ParameterException(spec.commandLine(), "it takes 4 to 4096 instances and 1 to 100000 seeds");
         }
         spec.commandLine().getOut().print(ZoneStudy.of(instances, seed, seeds).text());
         spec.commandLine().getOut().flush();
--- a/src/main/java/damsonworks/control/ProxyControl.java
+++ b/src/main/java/damsonworks/control/ProxyControl.java
@@ -16,6 +16,8 @@
 public final class ProxyControl {
     /** Of pools, and of the routes with most requests. */
     private static final int MAX_SHOWN = 50;
+    /** Of instances in the view: some 120 bytes each, under what the control socket keeps for one that does not read. */
+    private static final int MAX_MEMBERS = 2048;
 
     private ProxyControl() { }
 
@@ -138,14 +140,14 @@
         return o;
     }
 
-    /** A row for each that is known, the first {@link #MAX_SHOWN}. */
+    /** A row for each that is known, the first {@link #MAX_MEMBERS}. */
     private static JsonObject members(Proxy.FleetView f) {
         if (f == null) {
             throw new IllegalArgumentException("this proxy keeps no view of the fleet; it was started without --view on");
         }
         JsonObject o = view(f);
         JsonArray rows = new JsonArray();
-        f.view().entries().stream().limit(MAX_SHOWN).forEach(e -> {
+        f.view().entries().stream().limit(MAX_MEMBERS).forEach(e -> {
             JsonObject row = new JsonObject();
             row.addProperty("instance", e.id());
             row.addProperty("zone", e.zone());
--- a/src/main/java/damsonworks/model/FleetDraw.java
+++ b/src/main/java/damsonworks/model/FleetDraw.java
@@ -12,8 +12,8 @@
 /**
  * A deployment, drawn from a seed within the ranges that the operators state for theirs. Times in milliseconds.
  *
- * @param instances        proxies, 1 to 1,000
- * @param nodes            cache nodes, 2 to 2,000
+ * @param instances        proxies, 1 to 4,096
+ * @param nodes            cache nodes, 2 to 4,096
  * @param zones            data centres; instances and nodes are dealt out to them in turn
  * @param load             the requests asked for over what the nodes can do
  * @param fastShare        the part of the nodes that are fast
@@ -64,9 +64,9 @@
 
     /** @throws IllegalArgumentException where a size is out of range; the message names it */
     public FleetDraw {
-        if (instances < 1 || instances > 1000 || nodes < 2 || nodes > 2000 || zones < 1 || zones > 16) {
+        if (instances < 1 || instances > 4096 || nodes < 2 || nodes > 4096 || zones < 1 || zones > 16) {
             throw new IllegalArgumentException(instances + " instances before " + nodes + " nodes in " + zones
-                    + " zones; it takes 1 to 1000, 2 to 2000 and 1 to 16");
+                    + " zones; it takes 1 to 4096, 2 to 4096 and 1 to 16");
         }
         if (!(load > 0 && load <= 10) || places < 1 || queue < 0 || !(coldFrom > 0 && coldFrom <= 1)) {
             throw new IllegalArgumentException("a load of " + load + ", " + places + " places, a queue of " + queue
