The last of 1,024 zones on real sockets: an instance there serves and joins the view

LargeFleetTest.anInstanceInTheLastOf1024ZonesServesAndJoins: 1,024 servers in as many zones. With an entry's zone bounded at 255 the instance does not join, and the test fails.

--- a/src/test/java/damsonworks/proxy/LargeFleetTest.java
+++ b/src/test/java/damsonworks/proxy/LargeFleetTest.java
@@ -20,6 +20,8 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -29,6 +31,7 @@
     private static final int SERVERS = 1024;
     private static final int PEERS = 1024;
     private static final int CLASSES = 1024;
+    private static final int ZONES = 1024;
     private static final int CLIENTS = 1024;
     private static final int SOCKETS = 300;
     /** Less than the system waits until it tries a first time again: a second. */
@@ -196,6 +199,29 @@
         }
     }
 
+    /** An instance in the last of 1,024 zones serves from all of them, and takes part in the view and in what is decided of zones. */
+    @Test
+    void anInstanceInTheLastOf1024ZonesServesAndJoins() throws Exception {
+        FakeServer node = node();
+        try (Fleet fleet = fleet(node)) {
+            LargeList.peers(fleet.config, PEERS);
+            fleet.config.addProperty("peer_listen", "127.0.0.1:0");
+            String zones = IntStream.range(0, ZONES).mapToObj(z -> "z" + z).collect(Collectors.joining(","));
+            fleet.set("zones", zones).set("locality", Integer.toString(ZONES - 1));
+            for (int i = 0; i < ZONES; i++) {
+                JsonObject host = Fleet.host(LargeList.name(i), "node-fast", node.dial(), "up");
+                host.addProperty("site", "z" + i);
+                fleet.host(host);
+            }
+            fleet.start();
+            fleet.proxy.join(new Proxy.Together(true, true, false));
+            assertThat(served(fleet, SERVERS)).isEqualTo(SERVERS);
+            assertThat(fleet.on(() -> fleet.proxy.core().servers().inZone(ZONES - 1))).isEqualTo(1);
+            assertThat(fleet.on(() -> fleet.proxy.fleetView())).isNotNull();
+            assertThat(fleet.on(() -> fleet.proxy.zones())).isNotNull();
+        }
+    }
+
     /** Each of more silent nodes than were remembered before is told, as far as the budget goes. */
     @Test
     void eachOf1024SilentNodesIsTold() throws Exception {
