A takeover passes 1,024 servers on, on real sockets

LargeFleetTest.aSuccessorIsToldAll1024Servers: a successor that is configured with no list has all of them.

--- a/src/test/java/damsonworks/proxy/LargeFleetTest.java
+++ b/src/test/java/damsonworks/proxy/LargeFleetTest.java
@@ -14,6 +14,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.nio.file.Path;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +25,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 
 /** One proxy on real sockets with 1,024 servers and 1,024 peers. */
 @Timeout(120)
@@ -39,6 +41,8 @@
     /** Enough that each server is, by far, the first of some key. */
     private static final int READS = 12 * SERVERS;
 
+    @TempDir
+    private Path folder;
     private final SplittableRandom random = new SplittableRandom(11);
 
     private static FakeServer node() throws Exception {
@@ -222,6 +226,22 @@
         }
     }
 
+    /** A successor that knows of no list of its own is told all of 1,024 servers. */
+    @Test
+    void aSuccessorIsToldAll1024Servers() throws Exception {
+        FakeServer node = node();
+        try (Fleet fleet = fleet(node).shared(folder)) {
+            LargeList.hosts(SERVERS, i -> node.dial(), node.dial()).forEach(fleet::host);
+            fleet.start();
+            fleet.config.addProperty("listen", "127.0.0.1:" + fleet.proxy.address().getPort());
+            fleet.config.add("known", Fleet.list(0, true, new JsonArray()));
+            Proxy next = Proxy.start(Config.parse(fleet.config), folder);
+            fleet.parts.add(next::close);
+            assertThat(next.loop().submit(() -> next.status().discovered()).syncUninterruptibly().getNow()).isEqualTo(SERVERS);
+            Await.until("the successor is believed", () -> fleet.on(() -> fleet.proxy.status().handovers()) == 1);
+        }
+    }
+
     /** Each of more silent nodes than were remembered before is told, as far as the budget goes. */
     @Test
     void eachOf1024SilentNodesIsTold() throws Exception {
