--- a/src/main/java/damsonworks/proxy/PeerSocket.java
+++ b/src/main/java/damsonworks/proxy/PeerSocket.java
@@ -56,7 +56,7 @@
     private final Receiver receiver;
     private final Counters counters;
     private final Outbox outbox = new Outbox(BYTES_PER_SECOND, BURST);
-    /** The peers' numbers by their addresses: where all talk, a search for each datagram would grow with the fleet's square. */
+    /** The peers' numbers by address: where all talk, a search for each datagram would grow with the fleet's square. */
     private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
     private Channel channel;
 
--- a/src/main/java/damsonworks/proxy/Servers.java
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -153,8 +153,8 @@
     }
 
     /**
-     * Whether one more connection may be opened. Where a server has none, the connection that has stood idle longest is ended
-     * for it: guards against servers that can't be reached because others, more than may be connected to, have been.
+     * Whether one more connection may be opened. Where a server has none, the connection that has stood idle longest is
+     * ended for it: guards against servers that can't be reached as others, as many as may be connected to, have been.
      */
     boolean room(boolean first) {
         return connections < maxConnections || first && endLongestIdle();
