--- a/src/test/java/damsonworks/proxy/ProcessFigures.java
+++ b/src/test/java/damsonworks/proxy/ProcessFigures.java
@@ -88,7 +88,8 @@
             Files.writeString(folder.resolve("histogram"), jcmd(process, "GC.class_histogram"));
             String live = heap(process, "GC.heap_info");
             System.out.printf(Locale.ROOT,
-                    "| %,d | %.1f s | %.0f MB | %.0f MB | %.0f MB | %s | %s | %.1f s | %d | %d |%n", size, readyS, rssThen / 1024.0, rss / 1024.0, highest / 1024.0, heap, live, cpuS,
+                    "| %,d | %.1f s | %.0f MB | %.0f MB | %.0f MB | %s | %s | %.1f s | %d | %d |%n",
+                    size, readyS, rssThen / 1024.0, rss / 1024.0, highest / 1024.0, heap, live, cpuS,
                     node.accepted.size(), served);
             System.err.println("log and histogram in " + folder);
         } finally {
