--- /dev/null
+++ b/src/test/java/damsonworks/proxy/LargeFleetTest.java
@@ -0,0 +1,294 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import com.google.gson.JsonPrimitive;
+import damsonworks.Await;
+import damsonworks.RoutingApi.Evidence;
+import damsonworks.figures.Work;
+import damsonworks.peer.Envelope;
+import java.net.DatagramPacket;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** One proxy on real sockets with 1,024 servers and 1,024 peers. */
+@Timeout(120)
+class LargeFleetTest {
+    private static final int SERVERS = 1024;
+    private static final int PEERS = 1024;
+    private static final int CLASSES = 1024;
+    private static final int ZONES = 1024;
+    private static final int CLIENTS = 1024;
+    private static final int SOCKETS = 300;
+    /** Less than the system waits until it tries a first time again: a second. */
+    private static final int CONNECT_MS = 900;
+    /** Enough that each server is, by far, the first of some key. */
+    private static final int READS = 12 * SERVERS;
+
+    @TempDir
+    private Path folder;
+    private final SplittableRandom random = new SplittableRandom(11);
+
+    private static FakeServer node() throws Exception {
+        return FakeServer.node(line -> "VA 5 O" + FakeServer.id(line) + "\r\nhello\r\n");
+    }
+
+    private static Fleet fleet(FakeServer node) {
+        Fleet fleet = new Fleet();
+        JsonObject limits = new JsonObject();
+        limits.addProperty("sockets", SOCKETS);
+        fleet.config.add("limits", limits);
+        fleet.parts.add(node);
+        return fleet;
+    }
+
+    /** Reads so many keys, one after another; how many were served. */
+    private int served(Fleet fleet, int reads) throws Exception {
+        int served = 0;
+        try (Fleet.Client client = fleet.client()) {
+            for (int i = 0; i < reads; i++) {
+                client.say("mg %016x v O%d Pc=text,d=20000\r\n".formatted(random.nextLong(), i));
+                String line = client.line();
+                if (line.startsWith("VA 5 ")) {
+                    client.line();
+                    served++;
+                }
+            }
+        }
+        return served;
+    }
+
+    /**
+     * With fewer descriptors than servers, a server that has no connection takes the place of the one that has stood
+     * idle longest. The first servers kept theirs, and the others could not be reached.
+     */
+    @Test
+    void eachOf1024ServersIsReachedWithFewerDescriptors() throws Exception {
+        FakeServer node = node();
+        try (Fleet fleet = fleet(node)) {
+            LargeList.hosts(SERVERS, i -> node.dial(), node.dial()).forEach(fleet::host);
+            fleet.start();
+            assertThat(served(fleet, READS)).isEqualTo(READS);
+            List<Upstream> nodes = fleet.on(() -> fleet.proxy.core().servers().nodes());
+            assertThat(nodes).hasSize(SERVERS).allMatch(u -> u.openedTimes() > 0);
+            Await.until("no more connections than there are descriptors for",
+                    () -> fleet.on(() -> fleet.proxy.status().upstream()) <= SOCKETS / 3);
+            assertThat(fleet.on(() -> fleet.proxy.status().ejected())).as("no server is held to be at fault").isZero();
+        }
+    }
+
+    /** A list of 1,024 others takes the place of the first, changes of most of it are applied, and requests follow. */
+    @Test
+    void aWholeListOf1024AndChangesAreApplied() throws Exception {
+        FakeServer before = node();
+        FakeServer after = node();
+        CountDownLatch change = new CountDownLatch(1);
+        FakeServer discovery = new FakeServer(c -> {
+            for (String request; (request = c.request()) != null;) {
+                if (request.contains("since=41&")) {
+                    JsonArray others = LargeList.hosts(SERVERS, i -> after.dial(), after.dial());
+                    c.sayHttp(200, "", Fleet.list(42, true, others).toString());
+                } else if (request.contains("since=42&")) {
+                    change.await();
+                    c.sayHttp(200, "", Fleet.list(43, false, changes(after)).toString());
+                } else {
+                    c.awaitEnd();
+                }
+            }
+        });
+        try (Fleet fleet = fleet(before).discovery(discovery).set("guarantees.ask-within", "200.0")) {
+            fleet.parts.add(after);
+            for (int i = 0; i < SERVERS; i++) {
+                fleet.host(Fleet.host("s-%08x".formatted(5000 + i), "node-fast", before.dial(), "up"));
+            }
+            fleet.start();
+            Await.until("the whole list", () -> known(fleet).contains(1) && !known(fleet).contains(5000));
+            assertThat(known(fleet)).hasSize(SERVERS);
+            before.commands.clear();
+            assertThat(served(fleet, SERVERS)).isEqualTo(SERVERS);
+            assertThat(after.commands).hasSize(SERVERS);
+            assertThat(before.commands).isEmpty();
+            change.countDown();
+            Await.until("the changes", () -> known(fleet).size() == SERVERS / 4 + SERVERS / 8);
+            assertThat(served(fleet, SERVERS)).isEqualTo(SERVERS);
+        }
+    }
+
+    /** Three in four go, and half as many as are left join. */
+    private static JsonArray changes(FakeServer node) {
+        JsonArray changes = new JsonArray();
+        for (int i = 0; i < SERVERS; i++) {
+            if (i % 4 != 0) {
+                changes.add(Fleet.host(LargeList.name(i), "node-fast", node.dial(), "removed"));
+            }
+        }
+        for (int i = 0; i < SERVERS / 8; i++) {
+            changes.add(Fleet.host(LargeList.name(SERVERS + i), "node-fast", node.dial(), "up"));
+        }
+        return changes;
+    }
+
+    private static Set<Integer> known(Fleet fleet) {
+        Set<Integer> ids = new HashSet<>();
+        fleet.on(() -> fleet.proxy.core().servers().nodes()).forEach(u -> ids.add(u.id));
+        return ids;
+    }
+
+    /** So many clients come while the event loop is busy; none has to wait until the system tries again. */
+    @Test
+    void atOnce1024ClientsMayCome() throws Exception {
+        FakeServer node = node();
+        CountDownLatch come = new CountDownLatch(1);
+        try (Fleet fleet = fleet(node)) {
+            fleet.config.getAsJsonObject("limits").addProperty("sockets", 4 * CLIENTS);
+            fleet.node(node).start();
+            CountDownLatch busy = new CountDownLatch(1);
+            fleet.proxy.loop().submit(() -> {
+                busy.countDown();
+                come.await();
+                return null;
+            });
+            busy.await();
+            try {
+                for (int i = 0; i < CLIENTS; i++) {
+                    Socket client = new Socket();
+                    fleet.parts.add(client);
+                    client.connect(new InetSocketAddress("127.0.0.1", fleet.proxy.address().getPort()), CONNECT_MS);
+                }
+            } finally {
+                come.countDown();
+            }
+            Await.until("all of them", () -> fleet.on(() -> fleet.proxy.status().clients()) == CLIENTS);
+        }
+    }
+
+    /** Of 1,024 classes and tenants each may be asked for, and each class is counted. */
+    @Test
+    void eachOf1024ClassesAndTenantsIsServed() throws Exception {
+        FakeServer node = node();
+        try (Fleet fleet = fleet(node)) {
+            fleet.set("classes.count", Integer.toString(CLASSES)).set("tenants.count", Integer.toString(CLASSES));
+            for (int i = 0; i < CLASSES; i++) {
+                String at = "classes." + i + ".";
+                fleet.set(at + "name", "c" + i).set(at + "idempotency", "retryable").set(at + "promise", "20000.0")
+                        .set(at + "deadline", "30000.0").set(at + "gain", "1.0").set(at + "late-share", "0.2")
+                        .set(at + "stream", "false");
+                fleet.set("tenants." + i + ".name", "t" + i).set("tenants." + i + ".quota-per-s", "10.0");
+            }
+            fleet.node(node).start();
+            try (Fleet.Client client = fleet.client()) {
+                for (int i = 0; i < CLASSES; i++) {
+                    client.say("mg %x v O%d Pc=c%d,t=t%d,d=20000\r\n".formatted(i, i, i, i));
+                    assertThat(client.line()).startsWith("VA 5 ");
+                    client.line();
+                }
+            }
+            Map<String, Proxy.Endings> classes = fleet.on(() -> fleet.proxy.status().classes());
+            assertThat(classes).hasSize(CLASSES);
+            assertThat(classes.values()).allMatch(e -> e.succeeded() == 1);
+        }
+    }
+
+    /** An instance in the last of 1,024 zones serves from all of them, and takes part in the view and in zones. */
+    @Test
+    void anInstanceInTheLastOf1024ZonesServesAndJoins() throws Exception {
+        FakeServer node = node();
+        try (Fleet fleet = fleet(node)) {
+            LargeList.peers(fleet.config, PEERS);
+            fleet.config.addProperty("peer_listen", "127.0.0.1:0");
+            String zones = IntStream.range(0, ZONES).mapToObj(z -> "z" + z).collect(Collectors.joining(","));
+            fleet.set("zones", zones).set("locality", Integer.toString(ZONES - 1));
+            for (int i = 0; i < ZONES; i++) {
+                JsonObject host = Fleet.host(LargeList.name(i), "node-fast", node.dial(), "up");
+                host.addProperty("site", "z" + i);
+                fleet.host(host);
+            }
+            fleet.start();
+            fleet.proxy.join(new Proxy.Together(true, true, false));
+            assertThat(served(fleet, SERVERS)).isEqualTo(SERVERS);
+            assertThat(fleet.on(() -> fleet.proxy.core().servers().inZone(ZONES - 1))).isEqualTo(1);
+            assertThat(fleet.on(() -> fleet.proxy.fleetView())).isNotNull();
+            assertThat(fleet.on(() -> fleet.proxy.zones())).isNotNull();
+        }
+    }
+
+    /** A successor that knows of no list of its own is told all of 1,024 servers. */
+    @Test
+    void aSuccessorIsToldAll1024Servers() throws Exception {
+        FakeServer node = node();
+        try (Fleet fleet = fleet(node).shared(folder)) {
+            LargeList.hosts(SERVERS, i -> node.dial(), node.dial()).forEach(fleet::host);
+            fleet.start();
+            fleet.config.addProperty("listen", "127.0.0.1:" + fleet.proxy.address().getPort());
+            fleet.config.add("known", Fleet.list(0, true, new JsonArray()));
+            Proxy next = Proxy.start(Config.parse(fleet.config), folder);
+            fleet.parts.add(next::close);
+            int discovered = next.loop().submit(() -> next.status().discovered()).syncUninterruptibly().getNow();
+            assertThat(discovered).isEqualTo(SERVERS);
+            Await.until("the successor is believed", () -> fleet.on(() -> fleet.proxy.status().handovers()) == 1);
+        }
+    }
+
+    /** Each of more silent nodes than were remembered before is told, as far as the budget goes. */
+    @Test
+    void eachOf1024SilentNodesIsTold() throws Exception {
+        FakeServer node = node();
+        try (Fleet fleet = fleet(node)) {
+            LargeList.peers(fleet.config, PEERS);
+            fleet.config.addProperty("peer_listen", "127.0.0.1:0");
+            LargeList.hosts(SERVERS, i -> node.dial(), node.dial()).forEach(fleet::host);
+            fleet.start();
+            fleet.proxy.join(new Proxy.Together(true, false, false));
+            fleet.on(() -> {
+                Dispatcher core = fleet.proxy.core();
+                long before = core.counters().done(Work.MESSAGES_SENT) + fleet.proxy.fleetView().dropped();
+                core.servers().nodes().forEach(u -> core.saw(u.id, Evidence.SILENT));
+                assertThat(core.counters().done(Work.MESSAGES_SENT) + fleet.proxy.fleetView().dropped() - before)
+                        .isEqualTo(SERVERS);
+                return null;
+            });
+        }
+    }
+
+    /** The last of 1,024 peers is heard under its number and sent to by it. */
+    @Test
+    void theLastOf1024PeersIsHeardAndSentTo() throws Exception {
+        FakeServer node = node();
+        InetAddress local = InetAddress.getByName("127.0.0.1");
+        try (DatagramSocket last = new DatagramSocket(0, local); Fleet fleet = fleet(node)) {
+            LargeList.peers(fleet.config, PEERS);
+            fleet.config.addProperty("peer_listen", "127.0.0.1:0");
+            fleet.config.getAsJsonArray("peers").set(PEERS - 1,
+                    new JsonPrimitive("127.0.0.1:" + last.getLocalPort()));
+            fleet.node(node).start();
+            assertThat(served(fleet, 1)).isEqualTo(1);
+            byte[] bytes = Envelope.seal(List.of(new Envelope.Item(PeerSocket.Kind.MODULE.number(),
+                    PeerSocket.Kind.VERSION, new byte[] {0})));
+            last.send(new DatagramPacket(bytes, bytes.length, fleet.proxy.peerAddress()));
+            Counters counters = fleet.proxy.core().counters();
+            Await.until("the message", () -> fleet.on(() -> counters.done(Work.MESSAGES_HEARD)) == 1);
+            fleet.on(() -> {
+                fleet.proxy.core().tell(PEERS - 1, new byte[] {0});
+                return null;
+            });
+            last.setSoTimeout(20_000);
+            last.receive(new DatagramPacket(new byte[Envelope.MOST_BYTES], Envelope.MOST_BYTES));
+        }
+    }
+}
