The id of a request that has just ended is turned away, as that of an open one is

Clients that name the ids of others' open requests cross the ends of these: the id was free as soon as the request was over, so that the command was taken for a new request, sent on under the same id and answered as such, on another connection. Read and ruled out: a second answer on one connection (each command has one reply, which is written in order and leaves the queue once it is whole).

By the protocol an id is new with every request, also with a client's retry.

A test wanted an id free at once after its answer. That was wrong by the same sentence; what it guarded against, ids that are never free again, is tested by one that waits until the id is served again. Three tests fail without the change: the id came again after the answer, after the client had gone, and before its time was over.

--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -16,6 +16,7 @@
 import damsonworks.RoutingApi.ZoneOrder;
 import damsonworks.drain.Drain;
 import damsonworks.flow.ByteBudget;
+import damsonworks.flow.RecentIds;
 import damsonworks.figures.Work;
 import damsonworks.member.Living;
 import damsonworks.proxy.Counters.Ending;
@@ -71,6 +72,7 @@
     private final IntObjectHashMap<Exchange> exchanges = new IntObjectHashMap<>();
     /** The open requests by their clients' ids. */
     private final Map<String, Exchange> open = new HashMap<>();
+    private final RecentIds ended = new RecentIds();
     private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
     private final double epochMs = System.currentTimeMillis();
     private final long startNanos = System.nanoTime();
@@ -101,6 +103,8 @@
     /** Clients that ask are told so. */
     private boolean drainTold;
     private long answered;
+    /** For so long after a request's end a server may still be at it, and a command with its id on its way. */
+    private double idHoldMs;
     private final double startedMs;
     private long firstServedMs = -1;
     private int nextId;
@@ -151,6 +155,7 @@
         tenants.clear();
         settings.tenants().forEach(t -> tenants.put(t.name(), tenants.size()));
         counters.know(classes.keySet());
+        idHoldMs = settings.classes().stream().mapToDouble(ServiceClass::deadlineMs).max().orElse(0);
     }
 
     /** Takes other settings for requests to come; those under way keep what held when they came. */
@@ -469,11 +474,13 @@
             turnAway(x, "unknown class, tenant or deadline");
             return;
         }
-        // Guards the one whose id it is: a server would take this for the same request, and answer it as such.
-        if (open.putIfAbsent(c.id, x) != null) {
-            turnAway(x, "id of an open request");
+        // Guards the one whose id it is: a server would take this for the same request, and answer it as such. One that
+        // ended while this was on its way would have a second answer.
+        if (open.containsKey(c.id) || ended.holds(now, c.id)) {
+            turnAway(x, "id of another request");
             return;
         }
+        open.put(c.id, x);
         x.id = ++nextId;
         x.kind = settings.classes().get(kind);
         x.maxAttempts = settings.maxAttempts();
@@ -641,7 +648,9 @@
                 end(a, Outcome.NOT_SENT, 0, null, null);
             }
         }
-        open.remove(x.command.id, x);
+        if (open.remove(x.command.id, x)) {
+            ended.ended(now(), x.command.id, idHoldMs);
+        }
         x.command.release();
         if (x.out == 0) {
             exchanges.remove(x.id);
--- /dev/null
+++ b/src/test/java/damsonworks/flow/RecentIdsTest.java
@@ -0,0 +1,56 @@
+package damsonworks.flow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+
+class RecentIdsTest {
+    private static final double HOLD_MS = 100;
+
+    @Example
+    void anIdIsHeldForItsTimeAndFreeThen() {
+        RecentIds ids = new RecentIds();
+        ids.ended(0, "a", HOLD_MS);
+        assertThat(ids.holds(HOLD_MS - 1, "a")).isTrue();
+        assertThat(ids.holds(HOLD_MS - 1, "b")).isFalse();
+        assertThat(ids.holds(HOLD_MS, "a")).isFalse();
+        assertThat(ids.size()).isZero();
+    }
+
+    @Example
+    void ofTooManyTheOldestIsForgotten() {
+        RecentIds ids = new RecentIds();
+        for (int i = 0; i <= RecentIds.MAX_IDS; i++) {
+            ids.ended(0, "i" + i, HOLD_MS);
+        }
+        assertThat(ids.size()).isEqualTo(RecentIds.MAX_IDS);
+        assertThat(ids.holds(0, "i0")).isFalse();
+        assertThat(ids.holds(0, "i1")).isTrue();
+        assertThat(ids.holds(0, "i" + RecentIds.MAX_IDS)).isTrue();
+    }
+
+    /** Against a plain map of ends, with ids that come again once they are free. */
+    @Property
+    void holdsWhatEndedWithinItsTime(@ForAll @Size(max = 200) List<@IntRange(min = 0, max = 19) Integer> requests) {
+        RecentIds ids = new RecentIds();
+        Map<String, Double> endedMs = new HashMap<>();
+        double now = 0;
+        for (int request : requests) {
+            now += 7;
+            String id = "i" + request;
+            boolean held = endedMs.containsKey(id) && now < endedMs.get(id) + HOLD_MS;
+            assertThat(ids.holds(now, id)).isEqualTo(held);
+            if (!held) {
+                ids.ended(now, id, HOLD_MS);
+                endedMs.put(id, now);
+            }
+        }
+    }
+}
--- a/src/test/java/damsonworks/proxy/ClientConnectionTest.java
+++ b/src/test/java/damsonworks/proxy/ClientConnectionTest.java
@@ -118,15 +118,21 @@
         }
     }
 
-    @Test
-    void theIdOfAnOpenRequestIsTurnedAwayAndFreeAgainOnceItIsAnswered() throws Exception {
-        CountDownLatch go = new CountDownLatch(1);
-        FakeServer node = new FakeServer(c -> {
+    /** A node that answers reads once it may. */
+    private static FakeServer waiting(CountDownLatch go) throws Exception {
+        return new FakeServer(c -> {
             for (String line; (line = c.command()) != null;) {
                 go.await();
                 c.say(hit(line));
             }
         });
+    }
+
+    /** An id is new with every request, so the second of one id names another's, be that open or answered. */
+    @Test
+    void theIdOfAnotherRequestIsTurnedAwayWhileThatIsOpenAndRightAfterItsAnswer() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        FakeServer node = waiting(go);
         try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client one = fleet.client();
                 Fleet.Client two = fleet.client()) {
             one.read("1");
@@ -136,7 +142,46 @@
             go.countDown();
             assertThat(one.line()).isEqualTo("VA 5 O1");
             two.read("1");
-            assertThat(two.line()).isEqualTo("VA 5 O1");
+            assertThat(two.line()).startsWith("CLIENT_ERROR");
+            one.line();
+            one.read("1");
+            assertThat(one.line()).startsWith("CLIENT_ERROR");
+            one.read("2");
+            assertThat(one.line()).isEqualTo("VA 5 O2");
+            assertThat(node.commands).extracting(FakeServer::id).containsExactly("2");
+        }
+    }
+
+    /** A server may still be at what a client that has gone had asked for. */
+    @Test
+    void theIdOfARequestWhoseClientHasGoneIsTurnedAway() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        FakeServer node = waiting(go);
+        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client two = fleet.client()) {
+            Fleet.Client one = fleet.client().read("1");
+            node.next();
+            one.close();
+            Await.until("the proxy has seen its end", () -> fleet.on(() -> fleet.proxy.core().owed()) == 0);
+            two.read("1");
+            assertThat(two.line()).startsWith("CLIENT_ERROR");
+            go.countDown();
+            assertThat(node.commands).isEmpty();
+        }
+    }
+
+    /** Ids are not kept for good: a deadline after its request's end this one serves again. */
+    @Test
+    void anIdIsFreeAgainADeadlineAfterItsRequest() throws Exception {
+        Fleet setup = new Fleet().node(FakeServer.node(ClientConnectionTest::hit));
+        for (int i = 0; i < 3; i++) {
+            setup.set("classes." + i + ".promise", "100.0").set("classes." + i + ".deadline", "200.0");
+        }
+        String read = "mg 7f3a v O1 Pc=text,d=200\r\n";
+        try (Fleet fleet = setup.start(); Fleet.Client client = fleet.client()) {
+            assertThat(client.say(read).line()).isEqualTo("VA 5 O1");
+            client.line();
+            assertThat(client.say(read).line()).startsWith("CLIENT_ERROR");
+            Await.until("it is free", () -> client.say(read).line().equals("VA 5 O1"));
         }
     }
 
