Bytes on a connection on which nothing is asked end it, be they no whole line

Noise right behind an answer that is no line yet (cache nodes) or no head yet (the origin) stayed in the decoder, and the next answer on that connection began with it: an attempt that was sound ended as a reset, and a write that must not be sent again as failed. At a cache node it took 0.3 s until such a connection ended; at the origin nothing ended it.

Both codecs now end the connection at such bytes. Netty's HttpClientCodec hides what its decoder holds, so it is taken apart into the encoder and a decoder of our own, which lets the ends of lines pass.

--- a/src/main/java/damsonworks/proxy/CacheCodec.java
+++ b/src/main/java/damsonworks/proxy/CacheCodec.java
@@ -62,6 +62,9 @@
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
         try {
+            if (connection.head() == null) { // whole or not: the next answer would begin with it
+                throw new MetaCodec.SyntaxException("answer to nothing");
+            }
             if (missing >= 0) {
                 value(in);
             } else {
@@ -81,9 +84,6 @@
 
     private void answer(String line) throws MetaCodec.SyntaxException {
         Attempt attempt = connection.head();
-        if (attempt == null) {
-            throw new MetaCodec.SyntaxException("answer to nothing");
-        }
         if (attempt.exchange == null) {
             probed(line);
         } else if (line.startsWith(MetaCodec.BUSY)) {
--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -14,13 +14,14 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -28,6 +29,7 @@
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
+import java.util.List;
 import java.util.Map;
 
 /** HTTP/1.1 towards the origin. */
@@ -52,8 +54,33 @@
     }
 
     static ChannelHandler[] handlers(UpstreamConnection connection) {
-        return new ChannelHandler[] {new HttpClientCodec(MetaCodec.MAX_LINE, 8192, 64 << 10),
-            new OriginCodec(connection)};
+        return new ChannelHandler[] {new HttpRequestEncoder(), new Responses(connection), new OriginCodec(connection)};
+    }
+
+    /** Guards against bytes that come while nothing is asked: kept back, they would begin the next answer. */
+    private static final class Responses extends HttpResponseDecoder {
+        private static final int MAX_HEADERS = 8192;
+        private static final int MAX_PART = 64 << 10;
+
+        private final UpstreamConnection connection;
+
+        Responses(UpstreamConnection connection) {
+            super(MetaCodec.MAX_LINE, MAX_HEADERS, MAX_PART);
+            this.connection = connection;
+        }
+
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) throws Exception {
+            if (connection.head() != null) {
+                super.decode(ctx, in, out);
+                return;
+            }
+            boolean lineEnds = in.forEachByte(b -> b == '\r' || b == '\n') < 0; // which are no answer's beginning
+            in.skipBytes(in.readableBytes());
+            if (!lineEnds) {
+                connection.garbage("answer to nothing");
+            }
+        }
     }
 
     @Override
@@ -111,10 +138,6 @@
             response = null;
             return;
         }
-        if (attempt == null) {
-            fail("answer to nothing");
-            return;
-        }
         response = r;
         missing = HttpUtil.getContentLength(r, -1L);
         if (unreadable(r.headers())) {
