A connection to the origin rests for 25 ms before its next request

HTTP names no request. A second copy of an answer that came some milliseconds behind the first, on a connection that had been used again, was served as the next request's answer: in the test a write's receipt was another write's.

The origin's connections are used again 25 ms after their answer at the earliest. While there is room another is opened in their place, as for those that are busy; else the one that has rested longest is used, so that no attempt finds less room.

The test stops the event loop until the answer and the next write are both there; without the change the second client gets the first one's receipt.

--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -16,6 +16,12 @@
  */
 final class Upstream {
     private static final double NO_MORE_MS = 5000;
+    /**
+     * A connection to the origin rests for so long after an answer. HTTP names no request, so a second copy of the
+     * answer, which comes some milliseconds behind it, would be taken for the answer to what was put there in between;
+     * on one that rests it is seen to belong to nothing. Cache nodes' answers name their requests.
+     */
+    private static final double REST_MS = 25;
 
     final int id;
     final boolean origin;
@@ -55,11 +61,13 @@
 
     /**
      * Sends the attempt; false if no connection has room for it. What is put behind a long answer waits as long as its
-     * client takes to read it, so such a connection is the last resort, and one more is opened in its place.
+     * client takes to read it, so such a connection is the last resort, and one more is opened in its place. One more
+     * is opened, too, where the others should rest; where there can be no more, the one that has rested longest is used.
      */
     boolean send(Attempt attempt) {
         UpstreamConnection best = null;
         UpstreamConnection busy = null;
+        double now = dispatcher.now();
         int standing = 0;
         int all = 0;
         for (int i = connections.size() - 1; i >= 0; i--) {
@@ -72,23 +80,34 @@
             if (c.streaming()) {
                 busy = busy == null || c.better(busy) ? c : busy;
             } else {
-                best = best == null || c.better(best) ? c : best;
+                best = best == null || better(c, best, now) ? c : best;
             }
         }
         int wanted = best != null && !origin && dispatcher.servers().scarce() ? 1 : maxConnections;
-        if ((best == null || best.depth() > 0 && dispatcher.now() >= noMoreUntilMs) && standing < wanted
-                && all < mostConnections && dispatcher.servers().room()) {
+        boolean more = best == null || (best.depth() > 0 || rests(best, now)) && now >= noMoreUntilMs;
+        if (more && standing < wanted && all < mostConnections && dispatcher.servers().room()) {
             best = open();
         }
         best = best == null ? busy : best;
         if (best == null) {
             return false;
         }
-        sentMs = dispatcher.now();
+        sentMs = now;
         best.send(attempt);
         return true;
     }
 
+    private boolean rests(UpstreamConnection connection, double now) {
+        return origin && !connection.rested(now, REST_MS);
+    }
+
+    private boolean better(UpstreamConnection one, UpstreamConnection other, double now) {
+        if (rests(one, now) && rests(other, now)) {
+            return one.idleSinceMs() < other.idleSinceMs();
+        }
+        return rests(one, now) == rests(other, now) ? one.better(other) : rests(other, now);
+    }
+
     /** When it last had no place for a new connection. */
     double turnedAwayMs() {
         return turnedAwayMs;
@@ -114,15 +133,16 @@
      */
     boolean sendElsewhere(Attempt attempt) {
         UpstreamConnection best = null;
+        double now = dispatcher.now();
         for (UpstreamConnection c : connections) {
-            if (ready && c.connected() && c.usable(maxDepth) && (best == null || c.better(best))) {
+            if (ready && c.connected() && c.usable(maxDepth) && (best == null || better(c, best, now))) {
                 best = c;
             }
         }
         if (best == null) {
             return false;
         }
-        noMoreUntilMs = dispatcher.now() + NO_MORE_MS;
+        noMoreUntilMs = now + NO_MORE_MS;
         best.send(attempt);
         return true;
     }
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -109,6 +109,11 @@
                 && (!connected || channel.isActive() && channel.isWritable());
     }
 
+    /** Whether its last answer, if it has had any, is so long ago; for one that stands idle. */
+    boolean rested(double now, double restMs) {
+        return !answered || now - idleSinceMs >= restMs;
+    }
+
     boolean better(UpstreamConnection other) {
         return depth() != other.depth() ? depth() < other.depth() : idleSinceMs > other.idleSinceMs;
     }
--- a/src/test/java/damsonworks/proxy/ClosingTest.java
+++ b/src/test/java/damsonworks/proxy/ClosingTest.java
@@ -17,26 +17,10 @@
         return new Fleet().node(FakeServer.node(line -> "VA 5 O" + FakeServer.id(line) + " h1\r\nhello\r\n"));
     }
 
-    /** The event loop stands still until the latch is open; what comes meanwhile waits in the system. */
-    private static CountDownLatch still(Fleet fleet) throws Exception {
-        CountDownLatch go = new CountDownLatch(1);
-        CountDownLatch stands = new CountDownLatch(1);
-        fleet.proxy.loop().execute(() -> {
-            stands.countDown();
-            try {
-                go.await();
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        });
-        stands.await();
-        return go;
-    }
-
     @Test
     void whatTheSystemHasAcceptedIsServedThoughTheListenerEnds() throws Exception {
         try (Fleet fleet = fleet().start()) {
-            CountDownLatch go = still(fleet);
+            CountDownLatch go = fleet.still();
             List<Fleet.Client> waiting = new ArrayList<>();
             for (int i = 0; i < 40; i++) { // more than one round takes
                 waiting.add(fleet.client().read("w" + i));
@@ -86,7 +70,7 @@
                 all.add(fleet.client());
                 assertThat(all.get(i).say("mn\r\n").line()).isEqualTo("MN");
             }
-            CountDownLatch go = still(fleet);
+            CountDownLatch go = fleet.still();
             Fleet.Client another = fleet.client();
             all.get(0).read("crossing");
             go.countDown();
--- a/src/test/java/damsonworks/proxy/Fleet.java
+++ b/src/test/java/damsonworks/proxy/Fleet.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
 
 /** A proxy on loopback with the servers that a test gives it, and clients of it. */
 final class Fleet implements AutoCloseable {
@@ -159,6 +160,22 @@
         return proxy.loop().submit(what).syncUninterruptibly().getNow();
     }
 
+    /** The event loop stands still until the latch is open; what comes meanwhile waits in the system. */
+    CountDownLatch still() throws InterruptedException {
+        CountDownLatch go = new CountDownLatch(1);
+        CountDownLatch stands = new CountDownLatch(1);
+        proxy.loop().execute(() -> {
+            stands.countDown();
+            try {
+                go.await();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        stands.await();
+        return go;
+    }
+
     Client client() throws IOException {
         return client(0);
     }
--- a/src/test/java/damsonworks/proxy/LateCopiesTest.java
+++ b/src/test/java/damsonworks/proxy/LateCopiesTest.java
@@ -2,10 +2,12 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** Answers that bring more than belongs to them. */
+/** Answers that bring more than belongs to them: second copies some time behind them, and noise. */
 @Timeout(60)
 class LateCopiesTest {
     private static String write(int id) {
@@ -16,6 +18,45 @@
         return "HTTP/1.1 200 OK\r\nContent-Length: " + (1 + id.length()) + "\r\n\r\nr" + id;
     }
 
+    /** The next write is read in the event loop's round right behind the answer, and the copy comes then. */
+    @Test
+    void aLateCopyOfTheOriginsAnswerIsNotTakenForTheNextOne() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        CountDownLatch answered = new CountDownLatch(1);
+        CountDownLatch ended = new CountDownLatch(1);
+        FakeServer origin = new FakeServer(c -> {
+            String id = FakeServer.id(c.request());
+            if (!id.equals("1")) {
+                c.say(receipt(id));
+                c.awaitEnd();
+                return;
+            }
+            answer.await();
+            c.say(receipt(id));
+            answered.countDown();
+            c.pause.acquire(); // until the next write has gone out, here or elsewhere
+            c.say(receipt(id));
+            c.awaitEnd();
+            ended.countDown();
+        });
+        try (Fleet fleet = new Fleet().origin(origin).start(); Fleet.Client one = fleet.client();
+                Fleet.Client two = fleet.client()) {
+            two.say("mn\r\n").line();
+            one.say(write(1));
+            origin.next();
+            CountDownLatch go = fleet.still();
+            answer.countDown();
+            answered.await();
+            two.say(write(2));
+            go.countDown();
+            assertThat(one.line()).isEqualTo("HD O1 cr1");
+            origin.accepted.take().pause.release();
+            assertThat(two.line()).isEqualTo("HD O2 cr2");
+            assertThat(ended.await(20, TimeUnit.SECONDS)).as("the copy ends its connection").isTrue();
+            assertThat(two.say(write(3)).line()).isEqualTo("HD O3 cr3");
+        }
+    }
+
     /** Noise that is no line yet would begin the next answer. */
     @Test
     void noiseBehindTheOriginsAnswerEndsTheConnection() throws Exception {
@@ -59,4 +100,23 @@
             assertThat(origin.accepted).hasSizeLessThanOrEqualTo(4);
         }
     }
+
+    /** Of sixty proxies each has four connections to the origin; where all of them rest, requests go out nevertheless. */
+    @Test
+    void whereAllConnectionsRestTheOneThatHasRestedLongestIsUsed() throws Exception {
+        FakeServer origin = new FakeServer(c -> {
+            for (String request; (request = c.request()) != null;) {
+                c.say(receipt(FakeServer.id(request)));
+            }
+        });
+        int writes = 40;
+        try (Fleet fleet = new Fleet().origin(origin).set("balancers", "60").start();
+                Fleet.Client client = fleet.client()) {
+            for (int i = 0; i < writes; i++) {
+                assertThat(client.say(write(i)).line()).isEqualTo("HD O" + i + " cr" + i);
+            }
+            assertThat(origin.accepted).hasSizeLessThanOrEqualTo(4);
+            assertThat(origin.commands).hasSize(writes);
+        }
+    }
 }
