--- /dev/null
+++ b/src/test/java/damsonworks/proxy/LateCopiesTest.java
@@ -0,0 +1,122 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Answers that bring more than belongs to them: second copies some time behind them, and noise. */
+@Timeout(60)
+class LateCopiesTest {
+    private static String write(int id) {
+        return "ms 7f3a 5 O" + id + " Pc=fix,d=20000\r\nhello\r\n";
+    }
+
+    private static String receipt(String id) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + (1 + id.length()) + "\r\n\r\nr" + id;
+    }
+
+    /** The next write is read in the event loop's round right behind the answer, and the copy comes then. */
+    @Test
+    void aLateCopyOfTheOriginsAnswerIsNotTakenForTheNextOne() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        CountDownLatch answered = new CountDownLatch(1);
+        CountDownLatch ended = new CountDownLatch(1);
+        FakeServer origin = new FakeServer(c -> {
+            String id = FakeServer.id(c.request());
+            if (!id.equals("1")) {
+                c.say(receipt(id));
+                c.awaitEnd();
+                return;
+            }
+            answer.await();
+            c.say(receipt(id));
+            answered.countDown();
+            c.pause.acquire(); // until the next write has gone out, here or elsewhere
+            c.say(receipt(id));
+            c.awaitEnd();
+            ended.countDown();
+        });
+        try (Fleet fleet = new Fleet().origin(origin).start(); Fleet.Client one = fleet.client();
+                Fleet.Client two = fleet.client()) {
+            two.say("mn\r\n").line();
+            one.say(write(1));
+            origin.next();
+            CountDownLatch go = fleet.still();
+            answer.countDown();
+            answered.await();
+            two.say(write(2));
+            go.countDown();
+            assertThat(one.line()).isEqualTo("HD O1 cr1");
+            origin.accepted.take().pause.release();
+            assertThat(two.line()).isEqualTo("HD O2 cr2");
+            assertThat(ended.await(20, TimeUnit.SECONDS)).as("the copy ends its connection").isTrue();
+            assertThat(two.say(write(3)).line()).isEqualTo("HD O3 cr3");
+        }
+    }
+
+    /** Noise that is no line yet would begin the next answer. */
+    @Test
+    void noiseBehindTheOriginsAnswerEndsTheConnection() throws Exception {
+        FakeServer origin = new FakeServer(c -> {
+            for (String request; (request = c.request()) != null;) {
+                c.say(receipt(FakeServer.id(request)) + "noise");
+            }
+        });
+        try (Fleet fleet = new Fleet().origin(origin).start(); Fleet.Client client = fleet.client()) {
+            for (int i = 0; i < 3; i++) {
+                assertThat(client.say(write(i)).line()).isEqualTo("HD O" + i + " cr" + i);
+            }
+        }
+    }
+
+    @Test
+    void noiseBehindANodesAnswerEndsTheConnection() throws Exception {
+        FakeServer node = FakeServer.node(l -> "VA 5 O" + FakeServer.id(l) + " h1\r\nhello\r\nnoise");
+        try (Fleet fleet = new Fleet().node(node).set("caps.max-attempts", "1").start();
+                Fleet.Client client = fleet.client()) {
+            for (int i = 0; i < 3; i++) {
+                assertThat(client.read("r" + i).line()).isEqualTo("VA 5 Or" + i);
+                client.line();
+            }
+        }
+    }
+
+    /** A line's end more than an answer needs is none's beginning. */
+    @Test
+    void aLineEndBehindTheOriginsAnswerIsPassedOver() throws Exception {
+        FakeServer origin = new FakeServer(c -> {
+            for (String request; (request = c.request()) != null;) {
+                c.say(receipt(FakeServer.id(request)) + "\r\n");
+            }
+        });
+        try (Fleet fleet = new Fleet().origin(origin).set("balancers", "60").start();
+                Fleet.Client client = fleet.client()) {
+            for (int i = 0; i < 12; i++) {
+                assertThat(client.say(write(i)).line()).isEqualTo("HD O" + i + " cr" + i);
+            }
+            assertThat(origin.accepted).hasSizeLessThanOrEqualTo(4);
+        }
+    }
+
+    /** Of sixty proxies each has four connections to the origin; where all of them rest, requests go out nevertheless. */
+    @Test
+    void whereAllConnectionsRestTheOneThatHasRestedLongestIsUsed() throws Exception {
+        FakeServer origin = new FakeServer(c -> {
+            for (String request; (request = c.request()) != null;) {
+                c.say(receipt(FakeServer.id(request)));
+            }
+        });
+        int writes = 40;
+        try (Fleet fleet = new Fleet().origin(origin).set("balancers", "60").start();
+                Fleet.Client client = fleet.client()) {
+            for (int i = 0; i < writes; i++) {
+                assertThat(client.say(write(i)).line()).isEqualTo("HD O" + i + " cr" + i);
+            }
+            assertThat(origin.accepted).hasSizeLessThanOrEqualTo(4);
+            assertThat(origin.commands).hasSize(writes);
+        }
+    }
+}
