A socket's path is measured in UTF-8, not in the platform's charset

The limit of a socket's path is one of bytes. SocketFile counted them by getBytes() without a charset: under the C locale on Java 17 a letter outside ASCII counts as one byte, and a path that is too long passes the check and fails later at bind. Found by Error Prone (DefaultCharset). The count is in UTF-8 now. No test of its own: the default charset of a running process cannot be changed.

--- a/src/main/java/damsonworks/control/SocketFile.java
+++ b/src/main/java/damsonworks/control/SocketFile.java
@@ -4,6 +4,7 @@
 import java.net.StandardProtocolFamily;
 import java.net.UnixDomainSocketAddress;
 import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.LinkOption;
 import java.nio.file.Path;
@@ -47,7 +48,7 @@
         Path folder = Files.createTempDirectory(path.getParent(), ".c",
                 PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rwx------")));
         SocketFile file = new SocketFile(path, folder);
-        if (file.temporary().toString().getBytes().length > MAX_PATH || path.toString().getBytes().length > MAX_PATH) {
+        if (tooLong(file.temporary()) || tooLong(path)) {
             Files.delete(folder);
             throw new IOException("the path " + path + " is too long for a socket; " + MAX_PATH
                     + " bytes at most, some 25 of them for a temporary folder beside it");
@@ -55,6 +56,10 @@
         return file;
     }
 
+    private static boolean tooLong(Path path) {
+        return path.toString().getBytes(StandardCharsets.UTF_8).length > MAX_PATH;
+    }
+
     private static boolean listens(Path path) {
         try (SocketChannel channel = SocketChannel.open(StandardProtocolFamily.UNIX)) {
             return channel.connect(UnixDomainSocketAddress.of(path));
