The test of a zone that is cut off looks at which servers were asked, too

The set of servers was gathered and never looked at (Error Prone: ModifiedButNotUsed). It holds three, as the test's comment says: each read goes to another server. PolicyTest passes.

--- a/src/test/java/damsonworks/PolicyTest.java
+++ b/src/test/java/damsonworks/PolicyTest.java
@@ -487,6 +487,7 @@
             rig.end(rig.last(), Outcome.OK);
         }
         assertThat(atCut).as("reads that went to the zone within 0.3 s").isEqualTo(3);
+        assertThat(asked).as("servers of the zone that a read was spent on").hasSize(3);
         rig.pass(1100);
         int again = 0;
         for (int id = 100; id <= 160; id++) {
