--- a/src/main/java/damsonworks/RoutingApi.java
+++ b/src/main/java/damsonworks/RoutingApi.java
@@ -51,6 +51,7 @@
     /** One server of the list. {@code bornMs}: when it last started, 0 if long ago. */
     record Member(int id, int zone, int kind, int cell, State state, float weight, double bornMs) { }
 
+    /** The settings that decisions rest on. Times in milliseconds; shares, and capacity at the start, from 0 to 1. */
     record Settings(int me, int instances, int zone, int zones, int kinds, boolean askForList, boolean aside,
             int originKind, Reports reports, List<String> reportNames, boolean worthByWork,
             double overShareWorth, boolean mayCancel, boolean mayProbe, boolean peers, boolean secondCopies,
@@ -65,6 +66,10 @@
         }
     }
 
+    /**
+     * A request. {@code serviceClass} and {@code tenant}: by their index in the settings; {@code dueMs}: its deadline;
+     * {@code costMs}: its work, 0 where nothing tells it.
+     */
     record Request(int id, int serviceClass, int tenant, long key, double dueMs, double costMs, float bytes,
             boolean write, boolean repeat) { }
 
@@ -99,6 +104,7 @@
 
     /** Where the module's orders go. They are carried out in order, at the time of the event. */
     interface Actions {
+        /** Sends a request to a server; ended with {@link Outcome#TIMEOUT} if there is no answer within the time. */
         void place(int request, int server, double timeoutMs);
 
         /** Final answer: turned away, a retry is harmless. Advice 0: none. */
@@ -116,6 +122,7 @@
         /** Tests a server. */
         void probe(int server);
 
+        /** Ends those connections to a server on which nothing is under way. */
         void closeIdle(int server);
 
         /** Sends bytes to another instance; -1: to all. */
--- a/src/main/java/damsonworks/config/Schema.java
+++ b/src/main/java/damsonworks/config/Schema.java
@@ -12,6 +12,7 @@
 public final class Schema {
     /** A check over all entries, run when each by itself is right. */
     public interface Check {
+        /** Looks at a whole configuration; what is wrong with it goes to {@code problems}, with its place. */
         void run(Configuration configuration, Problems problems);
     }
 
--- a/src/main/java/damsonworks/fleet/ColdStart.java
+++ b/src/main/java/damsonworks/fleet/ColdStart.java
@@ -10,6 +10,8 @@
     private record Sent(double atMs, double workMs) { }
 
     /**
+     * The course from a start to full capacity, and what pushes a server over on the way.
+     *
      * @param from     capacity at the start, as a share of the whole: above 0, at most 1
      * @param warmMs   after which time all of it is there
      * @param multiple how many times its capacity a cold server stands
@@ -17,6 +19,7 @@
      * @param slackMs  work that may come beyond it, for chance
      */
     public record Settings(double from, double warmMs, double multiple, double windowMs, double slackMs) {
+        /** @throws IllegalArgumentException if a value is out of its range */
         public Settings {
             if (!(from > 0 && from <= 1) || !(warmMs >= 0) || !(multiple >= 1) || !(windowMs > 0) || !(slackMs >= 0)) {
                 throw new IllegalArgumentException("cold start of no sense: " + from + " of the capacity, warm after "
@@ -45,6 +48,7 @@
                 : settings.from() + (1 - settings.from()) * Math.max(0, age) / settings.warmMs();
     }
 
+    /** Whether it still has less than its full capacity. */
     public boolean cold(double now) {
         return now - bornMs < settings.warmMs();
     }
--- a/src/main/java/damsonworks/fleet/LruStore.java
+++ b/src/main/java/damsonworks/fleet/LruStore.java
@@ -31,18 +31,22 @@
         return versions.get(key);
     }
 
+    /** Holds this version of a key from now on; drops the key used longest ago if there is no room. */
     public void put(K key, long version) {
         versions.put(key, version);
     }
 
+    /** Holds a key no longer; nothing happens if it did not. */
     public void drop(K key) {
         versions.remove(key);
     }
 
+    /** Holds nothing from now on. */
     public void clear() {
         versions.clear();
     }
 
+    /** How many keys are held. */
     public int size() {
         return versions.size();
     }
--- a/src/main/java/damsonworks/fleet/ServiceModel.java
+++ b/src/main/java/damsonworks/fleet/ServiceModel.java
@@ -82,6 +82,7 @@
         return done;
     }
 
+    /** Drops what runs and what waits, undone. */
     public void clear() {
         queue.clear();
         running.clear();
--- a/src/main/java/damsonworks/load/Zipf.java
+++ b/src/main/java/damsonworks/load/Zipf.java
@@ -9,6 +9,7 @@
 
     private final double[] upTo;
 
+    /** {@code ranks}: 1 to {@link #MAX_RANKS}; {@code exponent}: 0 (all alike) to 5. */
     public Zipf(int ranks, double exponent) {
         this(ranks, exponent, 0);
     }
--- a/src/main/java/damsonworks/model/InstanceModel.java
+++ b/src/main/java/damsonworks/model/InstanceModel.java
@@ -7,7 +7,6 @@
 import damsonworks.RoutingApi.ListKind;
 import damsonworks.RoutingApi.Member;
 import damsonworks.RoutingApi.Outcome;
-import damsonworks.RoutingApi.Request;
 import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.State;
 import damsonworks.model.Rules.Rule;
--- a/src/main/java/damsonworks/proxy/MemberLink.java
+++ b/src/main/java/damsonworks/proxy/MemberLink.java
@@ -5,7 +5,6 @@
 import damsonworks.member.MemberSettings;
 import damsonworks.member.Membership;
 import damsonworks.member.Phase;
-import damsonworks.member.Send;
 import damsonworks.member.View;
 import damsonworks.peer.MemberBudget;
 import java.util.function.Consumer;
