--- a/src/main/java/damsonworks/config/Checker.java
+++ b/src/main/java/damsonworks/config/Checker.java
@@ -228,8 +228,8 @@
         known.addAll(section.blocks().keySet());
         String fix = Names.fix(name, known);
         String elsewhere = block ? null : owner(name);
-        problems.add(place, "a " + section.name() + " knows no '" + name + "'", fix != null
-                && fix.startsWith("did you mean") || elsewhere == null ? fix : elsewhere);
+        problems.add(place, "a " + section.name() + " knows no '" + name + "'", (fix != null
+                && fix.startsWith("did you mean")) || elsewhere == null ? fix : elsewhere);
     }
 
     // ---- values
--- a/src/main/java/damsonworks/config/Formatter.java
+++ b/src/main/java/damsonworks/config/Formatter.java
@@ -36,7 +36,7 @@
         for (Item item : items) {
             List<String> before = item.notes().before();
             boolean blank = !before.isEmpty() && before.get(0).isEmpty();
-            boolean apart = last instanceof Block || item instanceof Block && last != null;
+            boolean apart = last instanceof Block || (item instanceof Block && last != null);
             if (!first && (blank || apart)) {
                 out.append('\n');
             }
--- a/src/main/java/damsonworks/config/Lexer.java
+++ b/src/main/java/damsonworks/config/Lexer.java
@@ -53,7 +53,7 @@
             line++;
             lineEnds++;
             lineStart = at;
-        } else if (c == ' ' || c == '\t' || c == '\r' || c == '\ufeff' && at == 0) {
+        } else if (c == ' ' || c == '\t' || c == '\r' || (c == '\ufeff' && at == 0)) {
             at++;
         } else if (c == '#') {
             int end = text.indexOf('\n', at);
@@ -64,7 +64,7 @@
             add(KINDS[PUNCTUATION.indexOf(c)], text.substring(from, at), from);
         } else if (c == '"') {
             string();
-        } else if (digit(c) || c == '-' && at + 1 < text.length() && digit(text.charAt(at + 1))) {
+        } else if (digit(c) || (c == '-' && at + 1 < text.length() && digit(text.charAt(at + 1)))) {
             at++;
             while (at < text.length() && (word(text.charAt(at)) || "%/".indexOf(text.charAt(at)) >= 0)) {
                 at++;
@@ -151,7 +151,7 @@
     }
 
     private static boolean start(char c) {
-        return c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c == '_';
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || c == '_';
     }
 
     private static boolean word(char c) {
--- a/src/main/java/damsonworks/config/Parser.java
+++ b/src/main/java/damsonworks/config/Parser.java
@@ -142,7 +142,7 @@
     private void skip() {
         int depth = 0;
         for (Token t = peek(); !t.is(Kind.END); t = peek()) {
-            if (depth == 0 && (t.is(Kind.CLOSE) || t.is(Kind.NAME) && t.lineEndsBefore() > 0)) {
+            if (depth == 0 && (t.is(Kind.CLOSE) || (t.is(Kind.NAME) && t.lineEndsBefore() > 0))) {
                 return;
             }
             depth += t.is(Kind.OPEN) ? 1 : t.is(Kind.CLOSE) ? -1 : 0;
@@ -266,7 +266,7 @@
         }
         Token next = peek();
         if (next.lineEndsBefore() == 0 && (next.is(Kind.STRING) || next.is(Kind.QUANTITY) || next.is(Kind.COMMA)
-                || next.is(Kind.EQUALS) || next.is(Kind.NAME) && !begins(at))) {
+                || next.is(Kind.EQUALS) || (next.is(Kind.NAME) && !begins(at)))) {
             problems.add(next.place(), next.shown() + " after the value", unit(value, next)
                     ? "write the unit without a space: " + ((Quantity) value).text() + next.text()
                     : "one value stands behind '='; several make a list: [a, b]");
--- a/src/main/java/damsonworks/quota/LeaseHolder.java
+++ b/src/main/java/damsonworks/quota/LeaseHolder.java
@@ -90,7 +90,7 @@
         double best = Double.NEGATIVE_INFINITY;
         double most = 0;
         for (Part c : ceded.values()) {
-            double worth = Math.min(wanted, standing(c.untilMs) - taken) * usableMs(now, c.untilMs);
+            double worth = Math.min(wanted, (double) (standing(c.untilMs) - taken)) * usableMs(now, c.untilMs);
             if (worth > most) {
                 most = worth;
                 best = c.untilMs;
@@ -109,7 +109,7 @@
             want[i] = wants.get(asking.get(i));
             weight[i] = 1;
         }
-        Lending.share(free - taken, want, weight, given, want.length);
+        Lending.share((double) (free - taken), want, weight, given, want.length);
         long sum = taken;
         for (int i = 0; i < want.length; i++) {
             sum += Math.max(most(asking.get(i)), (long) given[i]);
--- a/src/main/java/damsonworks/quota/LeaseParty.java
+++ b/src/main/java/damsonworks/quota/LeaseParty.java
@@ -89,7 +89,7 @@
      * @param used   what it has used in the window that ends now
      */
     Report collect(double now, int from, long its, long demand, long used) {
-        if (from > holder && now - holderHeardMs < TERM_MS || from == holder && its <= round) {
+        if ((from > holder && now - holderHeardMs < TERM_MS) || (from == holder && its <= round)) {
             return null;
         }
         holder = from;
--- a/src/main/java/damsonworks/quota/QuotaReplay.java
+++ b/src/main/java/damsonworks/quota/QuotaReplay.java
@@ -53,7 +53,7 @@
      */
     public String line(String line) {
         number++;
-        if (line.isBlank() || number == 1 && line.startsWith("time_ms")) {
+        if (line.isBlank() || (number == 1 && line.startsWith("time_ms"))) {
             return null;
         }
         String[] words = line.strip().split(",", -1);
--- a/src/main/java/damsonworks/route/Glob.java
+++ b/src/main/java/damsonworks/route/Glob.java
@@ -93,8 +93,8 @@
                     reach[i][j] = true;
                 } else if (starA || starB) {
                     // Each star ends here, or takes a character of the other.
-                    reach[i][j] = starA && (reach[i + 1][j] || j < b.length() && reach[i][j + 1])
-                            || starB && (reach[i][j + 1] || i < a.length() && reach[i + 1][j]);
+                    reach[i][j] = (starA && (reach[i + 1][j] || (j < b.length() && reach[i][j + 1])))
+                            || (starB && (reach[i][j + 1] || (i < a.length() && reach[i + 1][j])));
                 } else if (i < a.length() && j < b.length()) {
                     boolean same = a.charAt(i) == '?' || b.charAt(j) == '?' || a.charAt(i) == b.charAt(j);
                     reach[i][j] = same && reach[i + 1][j + 1];
--- a/src/main/java/damsonworks/route/RouteTable.java
+++ b/src/main/java/damsonworks/route/RouteTable.java
@@ -172,7 +172,7 @@
         }
 
         private int slot(long key) {
-            int i = (int) (key * 0x9e3779b97f4a7c15L >>> 32) & keys.length - 1;
+            int i = (int) ((key * 0x9e3779b97f4a7c15L) >>> 32) & keys.length - 1;
             while (routes[i] != null && keys[i] != key) {
                 i = i + 1 & keys.length - 1;
             }
@@ -318,7 +318,7 @@
     }
 
     private static boolean meet(Set<String> a, Set<String> b) {
-        return a.isEmpty() && b.isEmpty() || a.stream().anyMatch(b::contains);
+        return (a.isEmpty() && b.isEmpty()) || a.stream().anyMatch(b::contains);
     }
 
     private Node node(String beginning) {
@@ -348,11 +348,11 @@
     }
 
     private int start(long hash) {
-        return (int) (hash * 0x9e3779b97f4a7c15L >>> 40) & table.length - 1;
+        return (int) ((hash * 0x9e3779b97f4a7c15L) >>> 40) & table.length - 1;
     }
 
     private int bit(long hash) {
-        return (int) (hash * 0xbf58476d1ce4e5b9L >>> 32) & table.length / 4 * FILTER_BITS - 1;
+        return (int) ((hash * 0xbf58476d1ce4e5b9L) >>> 32) & table.length / 4 * FILTER_BITS - 1;
     }
 
     private boolean begins(Node node, CharSequence key, int length) {
--- a/src/main/java/damsonworks/route/Router.java
+++ b/src/main/java/damsonworks/route/Router.java
@@ -148,7 +148,7 @@
     /** How many routings there have been. */
     private int version;
     /** By the route itself: its table gives the same ones, and hashing all that it says is more than a match. */
-    private Map<Route, Way> ways = new IdentityHashMap<>();
+    private IdentityHashMap<Route, Way> ways = new IdentityHashMap<>();
     private int nextToken;
 
     /** Begins with these routes; requests that none matches go to all servers by the settings. */
--- a/src/main/java/damsonworks/route/Routing.java
+++ b/src/main/java/damsonworks/route/Routing.java
@@ -28,8 +28,8 @@
             if (!names.add(r.name())) {
                 throw new IllegalArgumentException("two routes are called " + r.name());
             }
-            if (!pools.containsKey(r.pool()) || r.fallback() != null && !pools.containsKey(r.fallback())
-                    || r.policy() != null && !policies.containsKey(r.policy())) {
+            if (!pools.containsKey(r.pool()) || (r.fallback() != null && !pools.containsKey(r.fallback()))
+                    || (r.policy() != null && !policies.containsKey(r.policy()))) {
                 throw new IllegalArgumentException("route " + r.name() + " names what there is not");
             }
         }
