--- a/src/main/java/damsonworks/member/Entry.java
+++ b/src/main/java/damsonworks/member/Entry.java
@@ -51,7 +51,8 @@
             throw new IllegalArgumentException("instance " + id + " in incarnation " + incarnation + ", life " + life
                     + ", zone " + zone + ", version " + version + " is out of range");
         }
-        if (confirmers.size() > MOST_CONFIRMERS || address.length != 0 && address.length != 6 || notes.entrySet().stream()
+        if (confirmers.size() > MOST_CONFIRMERS || (address.length != 0 && address.length != 6)
+                || notes.entrySet().stream()
                 .anyMatch(n -> n.getKey() < 0 || n.getKey() >= NOTES || n.getValue().length > MOST_NOTE)
                 || notes.values().stream().mapToInt(n -> n.length).sum() > MOST_NOTES) {
             throw new IllegalArgumentException("instance " + id + " has too much to say");
--- a/src/main/java/damsonworks/member/MemberSettings.java
+++ b/src/main/java/damsonworks/member/MemberSettings.java
@@ -23,7 +23,8 @@
     /** Checks the ranges. */
     public MemberSettings {
         seeds = List.copyOf(seeds);
-        if (configured < 0 || most < Math.max(1, configured) || most > Entry.MAX_ID || configured == 0 && seeds.isEmpty()) {
+        if (configured < 0 || most < Math.max(1, configured) || most > Entry.MAX_ID
+                || (configured == 0 && seeds.isEmpty())) {
             throw new IllegalArgumentException(configured + " configured instances, " + seeds.size() + " seeds and room for "
                     + most + "; it takes one of the former, and room for all of them");
         }
--- a/src/main/java/damsonworks/member/Membership.java
+++ b/src/main/java/damsonworks/member/Membership.java
@@ -162,7 +162,7 @@
     public void heard(double nowMs, int from, byte[] body) {
         wake(nowMs);
         Message m = Message.decode(body);
-        if (m == null || from >= 0 && m.entries().get(0).id() != from || m.entries().get(0).id() == me) {
+        if (m == null || (from >= 0 && m.entries().get(0).id() != from) || m.entries().get(0).id() == me) {
             unreadable++;
             return;
         }
@@ -552,7 +552,7 @@
         boolean many = many();
         double since = lastMs - HEARD_MS;
         all.removeIf(id -> id == suspect.id() || suspicions.containsKey(id)
-                || many && id != me && heardMs.getOrDefault(id, Double.NEGATIVE_INFINITY) < since);
+                || (many && id != me && heardMs.getOrDefault(id, Double.NEGATIVE_INFINITY) < since));
         all.sort(Comparator.comparingLong(id -> Entry.mix(id ^ salt)));
         return all.subList(0, Math.min(settings.confirmers(), all.size()));
     }
--- a/src/main/java/damsonworks/member/Own.java
+++ b/src/main/java/damsonworks/member/Own.java
@@ -45,7 +45,7 @@
     boolean contradicted(Entry said, double nowMs) {
         int by = said.compareLife(entry);
         boolean another = said.life() != entry.life();
-        if (by < 0 || by == 0 && (said.state().compareTo(entry.state()) <= 0 || leaving)) {
+        if (by < 0 || (by == 0 && (said.state().compareTo(entry.state()) <= 0 || leaving))) {
             return false;
         }
         if (said.incarnation() > Entry.MAX_INCARNATION - Table.MOST_AHEAD) {
--- a/src/main/java/damsonworks/peer/BadNodes.java
+++ b/src/main/java/damsonworks/peer/BadNodes.java
@@ -82,7 +82,7 @@
         List<Claim> fresh = claims.getOrDefault(node, new ArrayDeque<>()).stream().filter(c -> nowMs - c.atMs() < KEPT_MS / 2)
                 .toList();
         return fresh.size() >= MOST_CLAIMS
-                || fresh.size() >= ENOUGH && fresh.stream().mapToInt(Claim::zone).distinct().count() > 1;
+                || (fresh.size() >= ENOUGH && fresh.stream().mapToInt(Claim::zone).distinct().count() > 1);
     }
 
     private void forget(double nowMs) {
--- a/src/main/java/damsonworks/recovery/Progress.java
+++ b/src/main/java/damsonworks/recovery/Progress.java
@@ -69,7 +69,7 @@
         }
         stage = Double.isNaN(listMs) ? Stage.STARTING : Stage.RECOVERING;
         byBound = nowMs - startedMs >= LONGEST_MS && stage == Stage.RECOVERING;
-        if (byBound || stage == Stage.RECOVERING && serves(nowMs, now)) {
+        if (byBound || (stage == Stage.RECOVERING && serves(nowMs, now))) {
             stage = Stage.SERVING;
             servingMs = nowMs;
             marks.clear();
--- a/src/main/java/damsonworks/state/Record.java
+++ b/src/main/java/damsonworks/state/Record.java
@@ -11,6 +11,7 @@
  * @param toldMs when it came to be known, Unix time in milliseconds
  * @param body   what it says, in the form of its kind
  */
+@SuppressWarnings("JavaLangClash") // what the package keeps is called so; no file of it means java.lang.Record
 public record Record(Kind kind, double toldMs, JsonElement body) {
     /** As it stands in files, and in what a process tells its successor. */
     public JsonObject json() {
--- a/src/main/java/damsonworks/zone/Report.java
+++ b/src/main/java/damsonworks/zone/Report.java
@@ -46,7 +46,7 @@
     static byte[] encode(List<Sight> sights, Set<Integer> cold, boolean originTight) {
         int bits = originTight ? 1 : 0;
         for (int z = 0; z < sights.size(); z++) {
-            bits |= (sights.get(z).ordinal() << 1 | (cold.contains(z) ? 1 : 0)) << 3 * z + 1;
+            bits |= (sights.get(z).ordinal() << 1 | (cold.contains(z) ? 1 : 0)) << (3 * z + 1);
         }
         return bits == 0 ? new byte[0] : new byte[] {(byte) (bits >> 16), (byte) (bits >> 8), (byte) bits};
     }
@@ -55,10 +55,10 @@
     static Report decode(int instance, int home, byte[] seen, byte[] plan, int zones) {
         List<Sight> sights = new ArrayList<>();
         Set<Integer> cold = new HashSet<>();
-        int bits = seen.length == BYTES ? (seen[0] & 0xff) << 16 | (seen[1] & 0xff) << 8 | seen[2] & 0xff : 0;
+        int bits = seen.length == BYTES ? (seen[0] & 0xff) << 16 | (seen[1] & 0xff) << 8 | (seen[2] & 0xff) : 0;
         for (int z = 0; z < zones; z++) {
-            sights.add(Sight.of(bits >> 3 * z + 2));
-            if ((bits >> 3 * z + 1 & 1) != 0) {
+            sights.add(Sight.of(bits >> (3 * z + 2)));
+            if ((bits >> (3 * z + 1) & 1) != 0) {
                 cold.add(z);
             }
         }
--- a/src/main/java/damsonworks/zone/Zones.java
+++ b/src/main/java/damsonworks/zone/Zones.java
@@ -440,7 +440,7 @@
         double step = Pace.stepMs(cold, settings.warmUpMs());
         double since = nowMs - Math.max(p.changedMs, p.soundMs);
         // A tight origin makes the return slower and does not end it: what is left out has others' nodes miss as well.
-        return nowMs - p.changedMs < step || judge.originTight() && since < Pace.TIGHT_STEPS * step ? null
+        return nowMs - p.changedMs < step || (judge.originTight() && since < Pace.TIGHT_STEPS * step) ? null
                 : s.next(Math.min(ZoneState.WHOLE, s.open() + Pace.parts(cold)), s.cause(), s.leaves());
     }
 
@@ -545,8 +545,8 @@
             Sight s = sights.get(z);
             p.badMs = !s.bad() ? Double.NaN : Double.isNaN(p.badMs) ? nowMs : p.badMs;
             boolean whole = plan.of(z).open() == ZoneState.WHOLE;
-            boolean says = s.bad() ? speaks || nowMs - p.badMs >= OTHERS_SPEAK_MS && plan.open(z) > 0
-                    : s == Sight.GOOD && (alarm && speaks || !whole && tries(z, reports));
+            boolean says = s.bad() ? speaks || (nowMs - p.badMs >= OTHERS_SPEAK_MS && plan.open(z) > 0)
+                    : s == Sight.GOOD && ((alarm && speaks) || (!whole && tries(z, reports)));
             said.add(says ? s : Sight.NONE);
             lost |= says && s == Sight.LOST;
             left |= !whole;
