proxy: a field that was never read goes, precedence in parentheses

In Policy and three files of the proxy they are suppressed at their place for now. No change of behaviour.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -8,6 +8,7 @@
  * Carp.java. CARP's top score takes each request; what departs from it says at its place when it acts and
  * what it guards.
  */
+@SuppressWarnings("OperatorPrecedence") // && binds before ||; parentheses follow as lines are touched
 public final class Policy implements RoutingApi {
     private static final int DUE = 0, PATIENCE = 1, AGAIN = 2, WATCH = 3;
     private static final int CACHE_TRIES = 2;
@@ -466,6 +467,7 @@
         }
     }
 
+    @SuppressWarnings("UnusedVariable") // now: as all handlers take it
     private void askAgain(double now, Actions out) {
         // What is turned away many times comes back within half of that time, or all together jam discovery.
         double wait = Math.min(cfg.askWithinMs(), TOLD_MS) / 32 * (1 << Math.min(watchFailures++, 4));
@@ -1011,6 +1013,7 @@
         }
     }
 
+    @SuppressWarnings("UnusedVariable") // now: as all handlers take it
     private void leave(double now, Flight f, Actions out) {
         finish(f);
         if (f.streaming) {
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 
+@SuppressWarnings("OperatorPrecedence") // && binds before ||; parentheses follow as lines are touched
 final class ClientConnection extends PausableDecoder {
     private static final int MAX_PIPELINED = 32;
     private static final long LINGER_MS = 300;
--- a/src/main/java/damsonworks/proxy/HandoverLink.java
+++ b/src/main/java/damsonworks/proxy/HandoverLink.java
@@ -44,7 +44,6 @@
     private final Acceptor acceptor;
     private final Supplier<TakeoverState> state;
     private final Map<Long, Channel> links = new HashMap<>();
-    private Channel server;
     private Channel successor;
     private long nextLink;
     private int passed;
@@ -73,13 +72,13 @@
     /** Listens in the place of whoever did before; waits until it does, so not to be called on the event loop. */
     void open() throws IOException, InterruptedException {
         Files.deleteIfExists(own);
-        server = new ServerBootstrap().group(loop).channel(Transport.BEST.localServer())
+        new ServerBootstrap().group(loop).channel(Transport.BEST.localServer())
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         accepted(channel);
                     }
-                }).bind(Transport.BEST.local(own)).sync().channel();
+                }).bind(Transport.BEST.local(own)).sync();
         publish();
     }
 
--- a/src/main/java/damsonworks/proxy/Installation.java
+++ b/src/main/java/damsonworks/proxy/Installation.java
@@ -70,7 +70,7 @@
         for (int i = 0; i < text.length(); i++) {
             int digit = Character.digit(text.charAt(i), 16);
             hex &= digit >= 0;
-            value = value << 4 | digit & 15;
+            value = value << 4 | (digit & 15);
             hash = (hash ^ text.charAt(i)) * 0x100000001b3L;
         }
         return hex && value != 0 ? value : hash;
--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -31,6 +31,7 @@
 import java.util.Map;
 
 /** HTTP/1.1 towards the origin. */
+@SuppressWarnings("OperatorPrecedence") // && binds before ||; parentheses follow as lines are touched
 final class OriginCodec extends SimpleChannelInboundHandler<HttpObject> implements UpstreamConnection.Codec {
     private static final String LOAD = "Srv-Load";
 
@@ -188,6 +189,7 @@
         return true;
     }
 
+    @SuppressWarnings("UnusedVariable") // ctx: as the other steps of decoding take it
     private void end(ChannelHandlerContext ctx) {
         HttpResponse r = response;
         ByteBuf whole = body == null ? null : body.whole();
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -76,7 +76,7 @@
             }
         }
         int wanted = best != null && !origin && dispatcher.servers().scarce() ? 1 : maxConnections;
-        if ((best == null || best.depth() > 0 && dispatcher.now() >= noMoreUntilMs) && standing < wanted
+        if ((best == null || (best.depth() > 0 && dispatcher.now() >= noMoreUntilMs)) && standing < wanted
                 && all < mostConnections && dispatcher.servers().room()) {
             best = open();
         }
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -13,6 +13,7 @@
  * One connection to a server with the attempts on it, in the order in which their answers come. How an attempt
  * ends when the connection does hangs on whether its last byte was written: only then may it have run.
  */
+@SuppressWarnings("OperatorPrecedence") // && binds before ||; parentheses follow as lines are touched
 final class UpstreamConnection implements Sink.Flow {
     /** Turns an attempt into the server's protocol and its answers into calls of the methods below. */
     interface Codec {
