--- a/src/main/java/damsonworks/cli/LabCommand.java
+++ b/src/main/java/damsonworks/cli/LabCommand.java
@@ -75,6 +75,7 @@
         if (repeat < 1 || repeat > 1000) {
             throw new ParameterException(spec.commandLine(), "--repeat takes 1 to 1000, not " + repeat);
         }
+        @SuppressWarnings("SystemConsoleNull") // holds on Java 17; from 22 on, Console.isTerminal() is to be asked
         boolean terminal = System.console() != null;
         Consumer<String> progress = line -> {
             if (terminal) {
--- a/src/main/java/damsonworks/control/RecoveryCall.java
+++ b/src/main/java/damsonworks/control/RecoveryCall.java
@@ -16,7 +16,7 @@
     private RecoveryCall() { }
 
     static void register(ControlRegistry registry, Supplier<Recovering> recovering) {
-        registry.section(SECTION, () -> json(recovering.get(), System.currentTimeMillis()));
+        registry.section(SECTION, () -> json(recovering.get(), (double) System.currentTimeMillis()));
     }
 
     private static JsonObject json(Recovering r, double nowMs) {
--- a/src/main/java/damsonworks/demo/ProxyWatch.java
+++ b/src/main/java/damsonworks/demo/ProxyWatch.java
@@ -129,6 +129,7 @@
         }
     }
 
+    @SuppressWarnings("NonAtomicVolatileUpdate") // one thread writes; the others only read
     private void take(Seen s, JsonObject status, double seconds) {
         JsonObject proxy = status.getAsJsonObject("proxy");
         long pid = proxy.get("pid").getAsLong();
--- a/src/main/java/damsonworks/fleet/LinkFault.java
+++ b/src/main/java/damsonworks/fleet/LinkFault.java
@@ -26,7 +26,7 @@
 
     /** Whether it concerns what is sent from one part to another. */
     boolean concerns(String sender, String receiver) {
-        return at.contains(sender) && from.contains(receiver)
-                || !oneWay && from.contains(sender) && at.contains(receiver);
+        return (at.contains(sender) && from.contains(receiver))
+                || (!oneWay && from.contains(sender) && at.contains(receiver));
     }
 }
--- a/src/main/java/damsonworks/fleet/OriginServer.java
+++ b/src/main/java/damsonworks/fleet/OriginServer.java
@@ -91,7 +91,7 @@
         String id = request.headers().get("Req-Id", "");
         String extras = request.headers().get("Req-Extra", "");
         boolean write = request.method().equals(HttpMethod.PUT);
-        if (request.uri().equals("/alive") || !write && !request.method().equals(HttpMethod.GET) || id.isEmpty()) {
+        if (request.uri().equals("/alive") || (!write && !request.method().equals(HttpMethod.GET)) || id.isEmpty()) {
             line.answer(slot, response(id.isEmpty() ? 400 : 200, NOTHING, false));
             return;
         }
--- a/src/main/java/damsonworks/fleet/Parties.java
+++ b/src/main/java/damsonworks/fleet/Parties.java
@@ -73,7 +73,7 @@
     private void add(List<String> parts, String kind, int many, String word) {
         int zone = word.startsWith(ZONE) ? spec.layout().zones().indexOf(word.substring(ZONE.length())) : -1;
         for (int i = 0; i < many; i++) {
-            if (word.equals(kind + "*") || word.equals(kind + i) || zone >= 0 && spec.layout().zoneOf(i) == zone) {
+            if (word.equals(kind + "*") || word.equals(kind + i) || (zone >= 0 && spec.layout().zoneOf(i) == zone)) {
                 parts.add(kind + i);
             }
         }
--- a/src/main/java/damsonworks/fleet/Payload.java
+++ b/src/main/java/damsonworks/fleet/Payload.java
@@ -39,7 +39,7 @@
             if ((i - from) % 12 == 11) {
                 state = Keys.mix(state);
             }
-            value[i] = (byte) ('a' + (state >>> 5 * ((i - from) % 12) & 15));
+            value[i] = (byte) ('a' + (state >>> (5 * ((i - from) % 12)) & 15));
         }
     }
 
--- a/src/main/java/damsonworks/fleet/PeerRelay.java
+++ b/src/main/java/damsonworks/fleet/PeerRelay.java
@@ -92,7 +92,7 @@
             fleet.series().count(proxy, Series.What.MESSAGES);
             fleet.series().add(proxy, Series.What.BYTES, packet.content().readableBytes(), fleet.now());
             for (int to = 0; to < proxies.size(); to++) {
-                if (peer == to || peer == proxies.size() && to != proxy) {
+                if (peer == to || (peer == proxies.size() && to != proxy)) {
                     relay(proxy, to, packet.content());
                 }
             }
--- a/src/main/java/damsonworks/fleet/meta/MetaAnswerDecoder.java
+++ b/src/main/java/damsonworks/fleet/meta/MetaAnswerDecoder.java
@@ -32,7 +32,7 @@
             byte[] value = new byte[length];
             in.readBytes(value);
             length = -1;
-            if (in.readByte() != '\r' | in.readByte() != '\n') {
+            if (!MetaLines.ends(in)) {
                 throw new CorruptedFrameException("value without end");
             }
             out.add(new MetaAnswer.Value(valueId, value, begunNanos));
--- a/src/main/java/damsonworks/fleet/meta/MetaCommandDecoder.java
+++ b/src/main/java/damsonworks/fleet/meta/MetaCommandDecoder.java
@@ -60,7 +60,7 @@
         }
         byte[] value = new byte[length];
         in.readBytes(value);
-        boolean ended = in.readByte() == '\r' & in.readByte() == '\n';
+        boolean ended = MetaLines.ends(in);
         String[] words = write;
         write = null;
         String id = MetaLines.flag(words, 3, 'O');
--- a/src/main/java/damsonworks/fleet/meta/MetaLines.java
+++ b/src/main/java/damsonworks/fleet/meta/MetaLines.java
@@ -27,6 +27,11 @@
         return line.endsWith("\r") ? line.substring(0, line.length() - 1) : line;
     }
 
+    /** Takes the two bytes behind a value; false if they are not CR LF. */
+    static boolean ends(ByteBuf in) {
+        return in.readShort() == ('\r' << 8 | '\n');
+    }
+
     /** A value's length in bytes, or -1 if the word is none. */
     static int length(String word) {
         if (word.isEmpty() || word.length() > 7 || !word.chars().allMatch(c -> c >= '0' && c <= '9')) {
--- a/src/main/java/damsonworks/lab/ZoneExpectation.java
+++ b/src/main/java/damsonworks/lab/ZoneExpectation.java
@@ -138,7 +138,7 @@
                     int zone = z;
                     boolean now = !there.isEmpty() && there.stream().allMatch(s -> s.get(zone) == 0);
                     n += now && !left ? 1 : 0;
-                    left = now || left && there.isEmpty();
+                    left = now || (left && there.isEmpty());
                 }
             }
             return new Result("leaves", n <= most, String.valueOf(n), "at most " + most);
--- a/src/main/java/damsonworks/load/Connection.java
+++ b/src/main/java/damsonworks/load/Connection.java
@@ -162,7 +162,7 @@
             if (broken) {
                 return;
             }
-            if (head == null || answer.id() != null && !answer.id().equals(head.id)) {
+            if (head == null || (answer.id() != null && !answer.id().equals(head.id))) {
                 broken = true; // what follows can't be told whose it is
                 generator.unsolicited(answer);
                 ctx.close();
--- a/src/main/java/damsonworks/load/Generator.java
+++ b/src/main/java/damsonworks/load/Generator.java
@@ -35,6 +35,8 @@
     private static final int MAX_RESENT_UNUSED = 3;
 
     /**
+     * Where the load goes, and the bounds that it keeps.
+     *
      * @param targets        in turn, one for each connection that is opened
      * @param classes        as the workload's requests name them by index; each with its deadline
      * @param connections    open at most
@@ -331,7 +333,7 @@
 
     private void bound(int connections) {
         most = Math.max(1, Math.min(most, connections));
-        recorder.connectionsShort = settings.connections() - most;
+        recorder.connectionsShort = (long) settings.connections() - most;
     }
 
     EventLoop loop() {
@@ -438,7 +440,7 @@
             secondNanos += 1_000_000_000L;
             recorder.second((now - warmNanos) / 1e9);
         }
-        connections.stream().filter(c -> c.spent() || c.depth() == 0 && c.old()).toList().forEach(Connection::close);
+        connections.stream().filter(c -> c.spent() || (c.depth() == 0 && c.old())).toList().forEach(Connection::close);
         if (next == null && begun == 0 && open.stream().allMatch(Set::isEmpty)) {
             finish(now);
             return;
--- a/src/main/java/damsonworks/load/HtmlReport.java
+++ b/src/main/java/damsonworks/load/HtmlReport.java
@@ -45,7 +45,7 @@
 
     /** The axis is the number of nines: 90%, 99%, 99.9% lie evenly. */
     private static String percentiles(Report r) {
-        double nines = Math.max(1, Math.ceil(Math.log10(Math.max(10, r.requests()))));
+        double nines = Math.max(1, Math.ceil(Math.log10((double) Math.max(10, r.requests()))));
         List<LineChart.Line> lines = new ArrayList<>();
         lines.add(new LineChart.Line("latency", "#2b6cb0", curve(r.latency(), nines)));
         lines.add(new LineChart.Line("schedule lag", "#b7791f", curve(r.lag(), nines)));
--- a/src/main/java/damsonworks/load/Shape.java
+++ b/src/main/java/damsonworks/load/Shape.java
@@ -28,19 +28,20 @@
     };
 
     private static final int STEPS = 2000;
-    private double mean;
+    private final double mean = meanOfSteps();
 
     abstract double raw(double x);
 
     /** The factor at this part of the run, 0 to 1. */
     public double at(double part) {
-        if (mean == 0) {
-            double sum = 0;
-            for (int i = 0; i < STEPS; i++) {
-                sum += raw((i + 0.5) / STEPS);
-            }
-            mean = sum / STEPS;
-        }
         return raw(Math.min(1, Math.max(0, part))) / mean;
     }
+
+    private double meanOfSteps() {
+        double sum = 0;
+        for (int i = 0; i < STEPS; i++) {
+            sum += raw((i + 0.5) / STEPS);
+        }
+        return sum / STEPS;
+    }
 }
--- a/src/main/java/damsonworks/load/SyntheticWorkload.java
+++ b/src/main/java/damsonworks/load/SyntheticWorkload.java
@@ -16,6 +16,8 @@
     public enum Arrivals { POISSON, CONSTANT }
 
     /**
+     * What arrives when, and for which keys.
+     *
      * @param rate           mean requests a second, above 0
      * @param seconds        how long, above 0
      * @param keys           in the key space
@@ -93,7 +95,7 @@
     private String key() {
         long rank = zipf.rank(random.nextDouble());
         long moved = settings.keyStaySeconds() == 0 ? 0
-                : (long) (atS / settings.keyStaySeconds()) * Math.max(1, settings.keys() / 100);
+                : ((long) (atS / settings.keyStaySeconds())) * Math.max(1, settings.keys() / 100);
         return Keys.key((rank + moved) % settings.keys());
     }
 }
--- a/src/main/java/damsonworks/load/TraceFormat.java
+++ b/src/main/java/damsonworks/load/TraceFormat.java
@@ -21,7 +21,7 @@
                 kind = classes.get(i).name().equals(words[1]) ? i : kind;
             }
             boolean write = words[3].equals("write");
-            if (kind < 0 || !write && !words[3].equals("read") || classes.get(kind).write() != write) {
+            if (kind < 0 || (!write && !words[3].equals("read")) || classes.get(kind).write() != write) {
                 throw new IllegalArgumentException();
             }
             return planned(words[0], kind, words[2], write, words[4]);
--- a/src/main/java/damsonworks/load/TraceWorkload.java
+++ b/src/main/java/damsonworks/load/TraceWorkload.java
@@ -79,7 +79,7 @@
         try {
             for (String text; (text = in.readLine()) != null;) {
                 line++;
-                if (text.isBlank() || line == 1 && text.startsWith("time_ms")) {
+                if (text.isBlank() || (line == 1 && text.startsWith("time_ms"))) {
                     continue;
                 }
                 try {
--- a/src/main/java/damsonworks/model/ClientsModel.java
+++ b/src/main/java/damsonworks/model/ClientsModel.java
@@ -89,7 +89,7 @@
     /** One key has this part of all reads. */
     void hot(double part) {
         hotPart = part;
-        hotKey = 1 + random.nextInt(manyKeys);
+        hotKey = 1L + random.nextInt(manyKeys);
     }
 
     /** One instance takes this part of all requests. */
@@ -220,7 +220,8 @@
         }
 
         private void again(double advisedMs) {
-            double wait = Math.max(advisedMs, BACKOFF_MS * (1 << tries - 1) * (0.5 + random.nextDouble())) / retryTimes;
+            double backoffMs = BACKOFF_MS * (1 << (tries - 1)) * (0.5 + random.nextDouble());
+            double wait = Math.max(advisedMs, backoffMs) / retryTimes;
             if (tries <= draw.retries() && play.time().now() + wait < cameMs + kind.deadlineMs()) {
                 play.time().after(wait, this::go);
             }
--- a/src/main/java/damsonworks/model/Day.java
+++ b/src/main/java/damsonworks/model/Day.java
@@ -27,7 +27,8 @@
             int many = p.draw().instances();
             for (int i = 0; i < many; i++) {
                 int instance = i;
-                p.at(8 + 2.5 * (i * 10 / many), () -> p.restart(instance));
+                int wave = i * 10 / many;
+                p.at(8 + 2.5 * wave, () -> p.restart(instance));
             }
             p.at(20, () -> p.discovery().down(true));
             p.at(22, () -> p.discovery().down(false));
--- a/src/main/java/damsonworks/model/Network.java
+++ b/src/main/java/damsonworks/model/Network.java
@@ -28,7 +28,7 @@
     }
 
     boolean passes(int from, int to) {
-        return from == to || from != cutZone && to != cutZone;
+        return from == to || (from != cutZone && to != cutZone);
     }
 
     /** This part of the answers on their way back from nodes is lost. */
--- a/src/main/java/damsonworks/model/ViewPlay.java
+++ b/src/main/java/damsonworks/model/ViewPlay.java
@@ -33,7 +33,6 @@
         final int id;
         Membership members;
         Outbox outbox;
-        long life;
         double stoppedUntilMs;
         long bytes;
         /** Events of an earlier wait are void. */
@@ -45,7 +44,6 @@
         }
 
         void start(long remembered) {
-            life++;
             outbox = new Outbox(BYTES_PER_SECOND, BURST);
             members = new Membership(settings, id, id % ZONES, new byte[0], remembered, random.nextLong(), new MemberBudget(outbox));
             members.phase(Phase.SERVING);
@@ -129,7 +127,7 @@
     }
 
     private boolean reaches(int from, int to) {
-        return !cut || side.test(from) == side.test(to) || oneWay && !side.test(from);
+        return !cut || side.test(from) == side.test(to) || (oneWay && !side.test(from));
     }
 
     private void post(int from, int to, byte[] body) {
@@ -176,7 +174,7 @@
         instances.get(id).missed.clear();
     }
 
-    /** It starts; {@code remembers}: with its last life's incarnation. */
+    /** It starts; {@code remembered}: its last life's incarnation. */
     public void start(int id, long remembered) {
         instances.get(id).start(remembered);
     }
--- a/src/main/java/damsonworks/wire/ReplyFrame.java
+++ b/src/main/java/damsonworks/wire/ReplyFrame.java
@@ -9,6 +9,7 @@
 import java.util.Arrays;
 
 /** The reply to one batch: an instance's actions become the wire's records. */
+@SuppressWarnings("ByteBufferBackingArray") // all buffers come from allocate: offset 0
 final class ReplyFrame implements Actions {
     private static final int HEADER = 12;
     private static final int RECORD = 24;
