verify runs Error Prone and Checkstyle, and any finding fails it

Error Prone 2.42.0 compiles main and test sources side by side in two processes of javac that write nothing, with all of javac's lint but "try" and every warning an error; six of its checks are off, each with its reason in the pom, and places that are right as they stand are suppressed one by one. Checkstyle 12.3.1 asks for doc comments, whole names of fields and plain imports; its limit of 120 columns waits for the formatter. Both are bound to verify: `package` runs neither.

--- a/src/main/java/damsonworks/config/Type.java
+++ b/src/main/java/damsonworks/config/Type.java
@@ -192,6 +192,7 @@
         return new Unit(base, all, example, otherExample);
     }
 
+    @SuppressWarnings("ReferenceEquality") // each unit is one constant
     private static Type quantity(String kind, Unit unit, String least, String most) {
         BigDecimal low = parse(unit, least);
         BigDecimal high = parse(unit, most);
--- a/src/main/java/damsonworks/fleet/LinkHandler.java
+++ b/src/main/java/damsonworks/fleet/LinkHandler.java
@@ -123,6 +123,7 @@
             }
         }
 
+        @SuppressWarnings("ReferenceEquality") // links hand out the constant itself
         boolean passesAtOnce() {
             return way == Way.OPEN && held.isEmpty() && !still;
         }
--- a/src/main/java/damsonworks/fleet/PeerRelay.java
+++ b/src/main/java/damsonworks/fleet/PeerRelay.java
@@ -104,6 +104,7 @@
         }
     }
 
+    @SuppressWarnings("ReferenceEquality") // links hand out the constant itself
     private void relay(int from, int to, ByteBuf message) {
         Way way = links.way(Parties.proxy(from), Parties.proxy(to));
         if (way == Way.OPEN) {
--- a/src/main/java/damsonworks/lab/Expectation.java
+++ b/src/main/java/damsonworks/lab/Expectation.java
@@ -67,6 +67,7 @@
         }
 
         /** Whether nothing else begins before it is over, or soon after. */
+        @SuppressWarnings("ReferenceEquality") // all but this band, also one like it
         private boolean last(Outcome o, Scenario.Band band) {
             return o.scenario().bands().stream().noneMatch(b -> b != band && b.toMs() >= band.toMs()
                     && b.fromMs() < band.toMs() + ms) && band.toMs() + ms <= o.scenario().forMs();
--- a/src/main/java/damsonworks/member/Entry.java
+++ b/src/main/java/damsonworks/member/Entry.java
@@ -71,6 +71,7 @@
     }
 
     /** Both as one; this itself if the other adds nothing. */
+    @SuppressWarnings("ReferenceEquality") // this itself is what is given back
     public Entry join(Entry other) {
         int by = compareLife(other);
         if (by != 0) {
--- a/src/main/java/damsonworks/member/Table.java
+++ b/src/main/java/damsonworks/member/Table.java
@@ -55,6 +55,7 @@
      *
      * @return the new entry, or null if that changes nothing or is beyond belief
      */
+    @SuppressWarnings("ReferenceEquality") // cheap first: a join gives back what was held where nothing is new
     public Entry join(Entry said) {
         Entry held = entries.get(said.id());
         if (held == null) {
--- a/src/main/java/damsonworks/zone/Zones.java
+++ b/src/main/java/damsonworks/zone/Zones.java
@@ -318,6 +318,7 @@
     }
 
     /** What an entry says; read anew only where it has changed. */
+    @SuppressWarnings("ReferenceEquality") // immutable: the same entry says the same
     private Report read(Entry e) {
         Read before = read.get(e.id());
         if (before == null || before.entry() != e) {
@@ -340,6 +341,7 @@
         return all;
     }
 
+    @SuppressWarnings("ReferenceEquality") // a join gives back the same plan where nothing is new
     private void adopt(double nowMs, Report r) {
         Plan joined = plan.join(r.plan());
         if (joined == plan) {
--- a/src/test/java/damsonworks/route/RouteTableTest.java
+++ b/src/test/java/damsonworks/route/RouteTableTest.java
@@ -109,6 +109,7 @@
 
     /** No conflict that a request could show is missed: two routes of one rank that match the same. */
     @Property(tries = 400, seed = "62")
+    @SuppressWarnings("ReferenceEquality") // two routes, also where they say the same
     void findsEveryConflictThatARequestCanShow(@ForAll long seed) {
         Random random = new Random(seed);
         List<Route> routes = routes(random, 2 + random.nextInt(12));
