--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -8,6 +8,7 @@
  * Carp.java. CARP's top score takes each request; what departs from it says at its place when it acts and
  * what it guards.
  */
+@SuppressWarnings("OperatorPrecedence") // && binds before ||; parentheses follow as lines are touched
 public final class Policy implements RoutingApi {
     private static final int DUE = 0, PATIENCE = 1, AGAIN = 2, WATCH = 3;
     private static final int CACHE_TRIES = 2;
@@ -468,6 +469,7 @@
         }
     }
 
+    @SuppressWarnings("UnusedVariable") // now: as all handlers take it
     private void askAgain(double now, Actions out) {
         // What is turned away many times comes back within half of that time, or all together jam discovery.
         // The time that the failed call took counts: one that fell silent has been waited for long enough.
@@ -1030,6 +1032,7 @@
         }
     }
 
+    @SuppressWarnings("UnusedVariable") // now: as all handlers take it
     private void leave(double now, Flight f, Actions out) {
         finish(f);
         if (f.streaming) {
--- a/src/main/java/damsonworks/member/Entry.java
+++ b/src/main/java/damsonworks/member/Entry.java
@@ -53,7 +53,8 @@
             throw new IllegalArgumentException("instance " + id + " in incarnation " + incarnation + ", life " + life
                     + ", zone " + zone + ", version " + version + " is out of range");
         }
-        if (confirmers.size() > MOST_CONFIRMERS || address.length != 0 && address.length != 6 || notes.entrySet().stream()
+        if (confirmers.size() > MOST_CONFIRMERS || (address.length != 0 && address.length != 6)
+                || notes.entrySet().stream()
                 .anyMatch(n -> n.getKey() < 0 || n.getKey() >= NOTES || n.getValue().length > MOST_NOTE)
                 || notes.values().stream().mapToInt(n -> n.length).sum() > MOST_NOTES) {
             throw new IllegalArgumentException("instance " + id + " has too much to say");
@@ -72,6 +73,7 @@
     }
 
     /** Both as one; this itself if the other adds nothing. */
+    @SuppressWarnings("ReferenceEquality") // this itself is what is given back
     public Entry join(Entry other) {
         int by = compareLife(other);
         if (by != 0) {
--- a/src/main/java/damsonworks/model/NewsPlay.java
+++ b/src/main/java/damsonworks/model/NewsPlay.java
@@ -147,7 +147,7 @@
         }
     }
 
-    private void post(int to, Runnable heard) {
+    private void post(Runnable heard) {
         messages++;
         if (random.nextDouble() >= PEER_LOSS) {
             time.after(PEER_LEAST_MS + PEER_SPREAD_MS * random.nextDouble(), heard);
@@ -266,7 +266,7 @@
             ListUpdate update = membership.news();
             for (Instance peer : instances) {
                 if (peer != this && spec.sharing() != Sharing.NONE) {
-                    post(peer.me, () -> peer.heard(update));
+                    post(() -> peer.heard(update));
                 }
             }
         }
@@ -303,7 +303,7 @@
             int other = random.nextInt(instances.length - 1);
             Instance peer = instances[other < me ? other : other + 1];
             long held = membership.known();
-            post(peer.me, () -> peer.membership.since(time.now(), held).forEach(u -> post(me, () -> heard(u))));
+            post(() -> peer.membership.since(time.now(), held).forEach(u -> post(() -> heard(u))));
         }
 
         // ---- the rest
--- a/src/main/java/damsonworks/peer/ProvisionalMembership.java
+++ b/src/main/java/damsonworks/peer/ProvisionalMembership.java
@@ -165,7 +165,7 @@
         Member base = told.get(change.server());
         Provisional before = provisional.get(change.server());
         if (base == null || base.kind() == originKind || change.bornMs() > nowMs + MOST_AHEAD_MS
-                || before != null && before.version() >= change.version()) {
+                || (before != null && before.version() >= change.version())) {
             return null;
         }
         Member present = before != null ? before.member() : base;
--- a/src/main/java/damsonworks/proxy/Servers.java
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -157,7 +157,7 @@
      * ended for it: guards against servers that can't be reached as others, as many as may be connected to, have been.
      */
     boolean room(boolean first) {
-        return connections < maxConnections || first && endLongestIdle();
+        return connections < maxConnections || (first && endLongestIdle());
     }
 
     /** Its descriptor is free from here on; it counts until the event loop has come round. */
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -84,7 +84,7 @@
             }
         }
         int wanted = best != null && !origin && dispatcher.servers().scarce() ? 1 : maxConnections;
-        boolean more = best == null || (best.depth() > 0 || rests(best, now)) && now >= noMoreUntilMs;
+        boolean more = best == null || ((best.depth() > 0 || rests(best, now)) && now >= noMoreUntilMs);
         if (more && standing < wanted && all < mostConnections && dispatcher.servers().room(best == null && busy == null)) {
             best = open();
         }
--- a/src/main/java/damsonworks/zone/Zones.java
+++ b/src/main/java/damsonworks/zone/Zones.java
@@ -318,6 +318,7 @@
     }
 
     /** What an entry says; read anew only where it has changed. */
+    @SuppressWarnings("ReferenceEquality") // immutable: the same entry says the same
     private Report read(Entry e) {
         Read before = read.get(e.id());
         if (before == null || before.entry() != e) {
@@ -340,6 +341,7 @@
         return all;
     }
 
+    @SuppressWarnings("ReferenceEquality") // a join gives back the same plan where nothing is new
     private void adopt(double nowMs, Report r) {
         Plan joined = plan.join(r.plan());
         if (joined == plan) {
@@ -440,7 +442,7 @@
         double step = Pace.stepMs(cold, settings.warmUpMs());
         double since = nowMs - Math.max(p.changedMs, p.soundMs);
         // A tight origin makes the return slower and does not end it: what is left out has others' nodes miss as well.
-        return nowMs - p.changedMs < step || judge.originTight() && since < Pace.TIGHT_STEPS * step ? null
+        return nowMs - p.changedMs < step || (judge.originTight() && since < Pace.TIGHT_STEPS * step) ? null
                 : s.next(Math.min(ZoneState.WHOLE, s.open() + Pace.parts(cold)), s.cause(), s.leaves());
     }
 
@@ -545,8 +547,8 @@
             Sight s = sights.get(z);
             p.badMs = !s.bad() ? Double.NaN : Double.isNaN(p.badMs) ? nowMs : p.badMs;
             boolean whole = plan.of(z).open() == ZoneState.WHOLE;
-            boolean says = s.bad() ? speaks || nowMs - p.badMs >= OTHERS_SPEAK_MS && plan.open(z) > 0
-                    : s == Sight.GOOD && (alarm && speaks || !whole && tries(z, reports));
+            boolean says = s.bad() ? speaks || (nowMs - p.badMs >= OTHERS_SPEAK_MS && plan.open(z) > 0)
+                    : s == Sight.GOOD && ((alarm && speaks) || (!whole && tries(z, reports)));
             said.add(says ? s : Sight.NONE);
             lost |= says && s == Sight.LOST;
             left |= !whole;
