The model tells what all proxies together send to nodes that start cold

Needed: the operators saw cold nodes fall under what all proxies send together, and the model's own rule never broke: it counts a miss as a tenth of a hit's work, and a node that has just started has nothing but misses.

`model cold` counts each request that reaches a cold node as one of mean work, holds the fullest window against N + 2 sqrt(N) + 2 by what the settings allow (with a ramp that rises steadily, and one that stays at its start for four fifths of the warm-up), and tells how many nodes are over, how many by instances that had been told of the start, and who filled the fullest window. Eight circumstances apart and one of them together; nodes are replaced, fall silent and come back, or crash, by the seed.

--- a/src/main/java/damsonworks/cli/ModelCommand.java
+++ b/src/main/java/damsonworks/cli/ModelCommand.java
@@ -22,7 +22,8 @@
 
 /** {@code model}: days of a whole fleet in virtual time. */
 @Command(name = "model", mixinStandardHelpOptions = true, sortOptions = false,
-        subcommands = {ModelViewCommand.class, ModelZonesCommand.class, ModelCheckCommand.class},
+        subcommands = {ModelViewCommand.class, ModelZonesCommand.class, ModelCheckCommand.class,
+            ModelColdCommand.class},
         description = {"Plays a day of a whole fleet in virtual time, with the real decision modules, and holds what they do "
                 + "against the four rules. The same seed gives the same run.",
             "Exit codes: 0 all rules kept, 1 a rule broken, 2 wrong use."},
--- a/src/main/java/damsonworks/model/Ask.java
+++ b/src/main/java/damsonworks/model/Ask.java
@@ -20,6 +20,8 @@
     final ServiceClass kind;
     final double workMs;
     final Client client;
+    /** Whether its client has asked before, marked or not. */
+    final boolean again;
     final List<Attempt> attempts = new ArrayList<>(3);
     int out;
     /** When something was last out for it. */
@@ -31,10 +33,11 @@
     int ran;
     double ranMs;
 
-    Ask(Request request, ServiceClass kind, double workMs, Client client) {
+    Ask(Request request, ServiceClass kind, double workMs, boolean again, Client client) {
         this.request = request;
         this.kind = kind;
         this.workMs = workMs;
         this.client = client;
+        this.again = again;
     }
 }
--- a/src/main/java/damsonworks/model/ClientsModel.java
+++ b/src/main/java/damsonworks/model/ClientsModel.java
@@ -21,11 +21,6 @@
     private static final double HONOUR = 0.85;
     /** A client that gets no answer closes its connection so much later, when the rule has been looked at. */
     private static final double LEAVE_MS = 60;
-    /** One instance in so many has several times the traffic of the others. */
-    private static final int BUSY_ONE_IN = 20;
-    private static final double BUSY_TIMES = 4;
-    private static final double ZIPF = 0.9;
-    private static final double OFFSET = 16;
     private static final int KEYS_PER_NODE = 100;
 
     private final FleetPlay play;
@@ -50,10 +45,11 @@
         this.random = random;
         draw = play.draw();
         manyKeys = KEYS_PER_NODE * draw.nodes();
-        keys = new Zipf(manyKeys, ZIPF, OFFSET);
+        keys = new Zipf(manyKeys, draw.traffic().zipf(), draw.traffic().offset());
         weights = new double[draw.instances()];
         for (int i = 0; i < weights.length; i++) {
-            weights[i] = (0.5 + random.nextDouble()) * (random.nextInt(BUSY_ONE_IN) == 0 ? BUSY_TIMES : 1);
+            boolean busy = random.nextInt(draw.traffic().busyOneIn()) == 0;
+            weights[i] = (0.5 + random.nextDouble()) * (busy ? draw.traffic().busyTimes() : 1);
         }
         zoneWeights = new double[draw.zones()];
         for (int z = 0; z < zoneWeights.length; z++) {
@@ -186,7 +182,7 @@
                     return;
                 }
                 Ask ask = new Ask(new Request(id, classIndex, 0, key, play.time().now() + wait, Double.NaN, 0, write,
-                        tries > 1), kind, workMs, this);
+                        tries > 1 && draw.traffic().marked()), kind, workMs, tries > 1, this);
                 open = ask;
                 at.take(ask);
                 boolean early = random.nextDouble() < impatient;
--- a/src/main/java/damsonworks/model/FleetDraw.java
+++ b/src/main/java/damsonworks/model/FleetDraw.java
@@ -34,12 +34,27 @@
  * @param noticeMs         how late discovery knows of a change
  * @param retries          how often a client comes again
  * @param tryShare         the part of a class's deadline that a client waits
+ * @param traffic          which keys are asked for, and at which instances
  * @param seed             of all that happens
  */
 public record FleetDraw(int instances, int nodes, int zones, double load, double fastShare, double workMs, int places,
         int queue, double handshakeMs, double sameMs, double crossMs, double coldFrom, double warmMs, double hits,
         double originMs, double headroom, double lines, int callLines, double noticeMs, int retries, double tryShare,
-        long seed) {
+        Traffic traffic, long seed) {
+    /**
+     * Which keys are asked for, and at which instances.
+     *
+     * @param zipf      the exponent of Zipf's law by which keys are popular
+     * @param offset    what is added to a key's rank there: it flattens the head
+     * @param busyOneIn one instance in so many is busy
+     * @param busyTimes and has so many times the traffic of others
+     * @param marked    whether clients mark their repeats
+     */
+    public record Traffic(double zipf, double offset, int busyOneIn, double busyTimes, boolean marked) {
+        /** Flat keys, and few instances with several times the others' traffic. */
+        public static final Traffic USUAL = new Traffic(0.9, 16, 20, 4, true);
+    }
+
     /** The kind of the origin in lists. */
     static final int ORIGIN_KIND = 2;
     /** The origin's id; nodes are numbered from 1. */
@@ -51,6 +66,11 @@
     static final int STREAMS = 128;
     static final double COLD_MULTIPLE = 3;
     static final double COLD_WINDOW_MS = 1500;
+    static final double START_CAPACITY = 0.3;
+    static final double WARM_UP_MS = 9000;
+    /** What the instances are told of cold nodes. */
+    static final ColdLoad.Limits COLD_LIMITS =
+            new ColdLoad.Limits(START_CAPACITY, WARM_UP_MS, COLD_MULTIPLE, COLD_WINDOW_MS);
     static final double FAST = 1.8;
     static final double SLOW = 0.9;
 
@@ -84,7 +104,7 @@
                 (int) in(r, 37, 48), (int) Math.round(in(r, 1.2, 3.8)), in(r, 1.9, 4), in(r, 0.1, 0.32), in(r, 1.4, 2.6),
                 in(r, 0.3, 0.6), in(r, 3000, 9000), in(r, 0.87, 0.96), in(r, 20, 60), in(r, 1.6, 2.6),
                 Math.max(1, instances / in(r, 2, 8)) * (77 + nodes), (int) in(r, 31, 77), in(r, 420, 2000), (int) in(r, 1, 3),
-                in(r, 0.5, 0.8), seed);
+                in(r, 0.5, 0.8), Traffic.USUAL, seed);
     }
 
     private static double in(SplittableRandom r, double low, double high) {
@@ -94,13 +114,22 @@
     /** The same with another load. */
     public FleetDraw withLoad(double other) {
         return new FleetDraw(instances, nodes, zones, other, fastShare, workMs, places, queue, handshakeMs, sameMs, crossMs,
-                coldFrom, warmMs, hits, originMs, headroom, lines, callLines, noticeMs, retries, tryShare, seed);
+                coldFrom, warmMs, hits, originMs, headroom, lines, callLines, noticeMs, retries, tryShare,
+                traffic, seed);
+    }
+
+    /** The same with other traffic. */
+    public FleetDraw withTraffic(Traffic other) {
+        return new FleetDraw(instances, nodes, zones, load, fastShare, workMs, places, queue, handshakeMs, sameMs,
+                crossMs, coldFrom, warmMs, hits, originMs, headroom, lines, callLines, noticeMs, retries, tryShare,
+                other, seed);
     }
 
     /** The same with other places at a node. */
     public FleetDraw withPlaces(int other) {
         return new FleetDraw(instances, nodes, zones, load, fastShare, workMs, other, queue, handshakeMs, sameMs, crossMs,
-                coldFrom, warmMs, hits, originMs, headroom, lines, callLines, noticeMs, retries, tryShare, seed);
+                coldFrom, warmMs, hits, originMs, headroom, lines, callLines, noticeMs, retries, tryShare,
+                traffic, seed);
     }
 
     /** The class for a draw from 0 to 1. */
@@ -120,7 +149,8 @@
     /** What one of the instances is told. */
     Settings settings(int me) {
         return new Settings(me, instances, me % zones, zones, 3, true, true, ORIGIN_KIND, Reports.NONE, List.of(), false, 1,
-                true, false, true, true, true, 3, 500, CONNECT_TIMEOUT_MS, DRAIN_GRACE_MS, 20, 0.3, 9000, COLD_MULTIPLE,
-                COLD_WINDOW_MS, ASK_WITHIN_MS, 0, 0, CLASSES, List.of(new Tenant("all", 1, perSecond())));
+                true, false, true, true, true, 3, 500, CONNECT_TIMEOUT_MS, DRAIN_GRACE_MS, 20, START_CAPACITY,
+                WARM_UP_MS, COLD_MULTIPLE, COLD_WINDOW_MS, ASK_WITHIN_MS, 0, 0, CLASSES,
+                List.of(new Tenant("all", 1, perSecond())));
     }
 }
--- a/src/main/java/damsonworks/model/FleetPlay.java
+++ b/src/main/java/damsonworks/model/FleetPlay.java
@@ -48,6 +48,7 @@
     private final OriginModel origin;
     private final ClientsModel clients;
     private final TreeMap<Integer, NodeModel> nodes = new TreeMap<>();
+    private final List<ColdLoad> coldLoads = new ArrayList<>();
     private final InstanceModel[] instances;
     private final BiFunction<Settings, Long, RoutingApi> modules;
     private final int entries;
@@ -120,6 +121,9 @@
         int room = (int) Math.ceil(entries * 2 * (fast ? FleetDraw.FAST : FleetDraw.SLOW) / (FleetDraw.FAST + FleetDraw.SLOW));
         NodeModel n = new NodeModel(id, zone, bornMs, fast, draw, room, time, rules, random.split());
         nodes.put(id, n);
+        if (n.load() != null) {
+            coldLoads.add(n.load());
+        }
         return n;
     }
 
@@ -176,6 +180,11 @@
         return rules;
     }
 
+    /** What each node that started during the run was sent while it was cold. */
+    public List<ColdLoad> coldLoads() {
+        return List.copyOf(coldLoads);
+    }
+
     /** The versions of the list that the instances hold; 0: none but the kept one. */
     public List<Long> versions() {
         List<Long> all = new ArrayList<>();
@@ -336,6 +345,16 @@
         });
     }
 
+    /** A node's process dies; another starts so much later under its id, cold. */
+    void crash(NodeModel n, double ms) {
+        n.go();
+        time.after(ms, () -> {
+            if (nodes.get(n.id) == n) {
+                discovery.changed(member(node(n.id, n.zone, time.now()), State.READY));
+            }
+        });
+    }
+
     /** Draws so many of a list. */
     <T> List<T> some(List<T> all, int many) {
         List<T> rest = new ArrayList<>(all);
--- a/src/main/java/damsonworks/model/InstanceModel.java
+++ b/src/main/java/damsonworks/model/InstanceModel.java
@@ -49,6 +49,8 @@
     private final Map<Integer, Link> links = new TreeMap<>();
     /** When this instance was told that a node drains or is gone. */
     private final Map<Integer, Double> wantedNothingMs = new HashMap<>();
+    /** When the nodes of its list started, as this instance was told. */
+    private final Map<Integer, Double> toldBornMs = new HashMap<>();
     private RoutingApi policy;
     private ListNews news;
     /** Null where the fleet leaves no zones. */
@@ -100,6 +102,11 @@
         return asks.size() + links.size() + wantedNothingMs.size();
     }
 
+    /** Whether its list says when this node started. */
+    boolean toldOfStart(NodeModel node) {
+        return toldBornMs.getOrDefault(node.id, Double.NaN) == node.bornMs;
+    }
+
     RoutingApi policy() {
         return policy;
     }
@@ -118,6 +125,8 @@
             kept = play.discovery().known();
         }
         wantedNothingMs.clear();
+        toldBornMs.clear();
+        kept.forEach(m -> toldBornMs.put(m.id(), m.bornMs()));
         policy.onList(time.now(), ListKind.CACHED, kept, this);
         part = !play.leaves() ? null : new FleetPart(settings, random.nextLong(), time,
                 (to, body) -> play.post(this, to, other -> other.heard(me, body)),
@@ -472,6 +481,7 @@
         Set<Integer> named = new HashSet<>();
         for (Member m : members) {
             named.add(m.id());
+            toldBornMs.put(m.id(), m.bornMs());
             if (m.state() == State.READY) {
                 wantedNothingMs.remove(m.id());
             } else {
--- a/src/main/java/damsonworks/model/Link.java
+++ b/src/main/java/damsonworks/model/Link.java
@@ -36,6 +36,10 @@
         return node;
     }
 
+    InstanceModel owner() {
+        return owner;
+    }
+
     boolean usable() {
         return !closed && !retired && out.size() < FleetDraw.STREAMS;
     }
--- a/src/main/java/damsonworks/model/NodeModel.java
+++ b/src/main/java/damsonworks/model/NodeModel.java
@@ -32,6 +32,7 @@
     private final ServiceModel<Job> core;
     private final LruStore<Long> store;
     private final ColdStart start;
+    private final ColdLoad load;
     private final List<Link> links = new ArrayList<>();
     private double armedMs = Double.POSITIVE_INFINITY;
     private boolean draining;
@@ -58,6 +59,12 @@
         store = new LruStore<>(entries);
         start = new ColdStart(new ColdStart.Settings(draw.coldFrom(), draw.warmMs(), FleetDraw.COLD_MULTIPLE,
                 FleetDraw.COLD_WINDOW_MS, 3 * draw.workMs()), speed, bornMs == 0 ? Double.NEGATIVE_INFINITY : bornMs);
+        load = bornMs == 0 ? null : new ColdLoad(FleetDraw.COLD_LIMITS, speed / draw.workMs(), bornMs);
+    }
+
+    /** What it was sent while it was cold; null if it has been warm from the beginning. */
+    ColdLoad load() {
+        return load;
     }
 
     private double speedNow() {
@@ -158,6 +165,9 @@
         if (!answers()) {
             return;
         }
+        if (load != null) {
+            load.arrived(time.now(), attempt, link.owner().number(), link.owner().toldOfStart(this));
+        }
         boolean held = store.get(attempt.ask.request.key()) != null;
         double work = attempt.ask.workMs * (held ? 1 : MISS_PART);
         if (start.pushedOver(time.now(), work)) {
--- a/src/test/java/damsonworks/cli/ModelCommandTest.java
+++ b/src/test/java/damsonworks/cli/ModelCommandTest.java
@@ -42,4 +42,15 @@
         assertThat(run("model", "--for", "5")).isEqualTo(2);
         assertThat(err).contains("name the unit");
     }
+
+    @Test
+    void whatColdNodesAreSentIsToldByCaseAndRamp() {
+        assertThat(run("model", "cold", "--instances", "2", "--nodes", "4", "--case", "late", "--seeds", "2")).isZero();
+        assertThat(out).containsPattern("late +2 +[1-9]\\d* steady").containsPattern("late +2 +[1-9]\\d* late");
+        assertThat(run("model", "cold", "--case", "friday")).isEqualTo(2);
+        assertThat(err).contains("there is no case 'friday'; it takes plain, keys, hot_key, burst, repeats, unmarked, "
+                + "uneven, late, all or every");
+        assertThat(run("model", "cold", "--seeds", "0")).isEqualTo(2);
+        assertThat(err).contains("1 to 100000 seeds");
+    }
 }
