What a client says it asks again keeps off cold servers

Cause: `Policy.warmEnough` kept a request's further attempts off cold servers, not the requests that clients send again, which are new ones with a first attempt. Where servers are missing the others jam and turn clients away; these come again at other instances, and what comes swells for each key under the ramp.

Repeats that are marked as such now go to a warm server.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -799,13 +799,13 @@
      * under its ramp; the others stay with their runner-up. The ramp is what it can do, less where servers
      * are missing and each has the keys of others, and where a jam brings clients' repeats. Any less would
      * leave the keys of a replaced server to warm ones that have their own: all instances alike would jam
-     * these. Repeats and hot keys keep off it: they are what pushes it over.
+     * these. Hot keys and repeats, a client's as well, keep off it: they are what pushes it over.
      */
     private boolean warmEnough(double now, Flight f, Server s) {
         if (!cold(now, s)) {
             return true;
         }
-        if (f.attempts > 0 || f.spread > 1) {
+        if (f.attempts > 0 || f.request.repeat() || f.spread > 1) {
             return false;
         }
         double age = now - s.member.bornMs();
--- a/src/test/java/damsonworks/PolicyTest.java
+++ b/src/test/java/damsonworks/PolicyTest.java
@@ -323,6 +323,25 @@
         }
     }
 
+    /** In a jam clients ask for the same again at other instances: taken as new, that filled a cold server's window. */
+    @Test
+    void whatAClientAsksAgainKeepsOffAColdServer() {
+        Rig rig = Rig.aside().fleet(3);
+        rig.change(Rig.member(2, State.READY, rig.now), Rig.member(3, State.READY, rig.now));
+        int cold = 0;
+        for (int id = 1; id <= 400; id++) {
+            if (id % 2 == 0) {
+                rig.read(id, id);
+                cold += rig.last().server() == 1 ? 0 : 1;
+            } else {
+                rig.readAgain(id, id);
+                assertThat(rig.last().server()).as("request %d, which a client asks again", id).isEqualTo(1);
+            }
+            rig.end(rig.last(), Outcome.OK);
+        }
+        assertThat(cold).as("first tries at the cold ones").isBetween(50, 110);
+    }
+
     /** Fewer places than proxies: who has none keeps to the runner-up, and tries again by and by. */
     @Test
     void aServerWithNoPlaceLeftIsNoFailureAndIsTriedAgainLater() {
--- a/src/test/java/damsonworks/Rig.java
+++ b/src/test/java/damsonworks/Rig.java
@@ -123,6 +123,11 @@
         policy.onRequest(now, new Request(id, SAFE, 0, key, now + 1000, Double.NaN, 0, false, false), this);
     }
 
+    /** A client asks again, and says so. */
+    void readAgain(int id, long key) {
+        policy.onRequest(now, new Request(id, SAFE, 0, key, now + 1000, Double.NaN, 0, false, true), this);
+    }
+
     void write(int id, int serviceClass) {
         policy.onRequest(now, new Request(id, serviceClass, 0, 7, now + 1000, Double.NaN, 0, true, false), this);
     }
