`model cold` tells apart which first falls break the rule

Need: a node that has fallen stays down, so what comes after its first fall counts no more; a window of which over two thirds came from instances that had been told, later than that, breaks nothing. The column `broken` and the exit code now go by the first window over the limit; the fullest windows stay as they were, as an upper bound.

--- a/src/main/java/damsonworks/cli/ModelColdCommand.java
+++ b/src/main/java/damsonworks/cli/ModelColdCommand.java
@@ -19,8 +19,9 @@
 @Command(name = "cold", mixinStandardHelpOptions = true, sortOptions = false,
         description = {"Plays nodes that start cold in virtual time, and tells the fullest window of each as a part of "
                 + "what makes it fall: median, 99th percentile and most, and how many are over it; the most and how "
-                + "many over by instances that had been told of the start, and who filled the fullest window of these.",
-            "Exit codes: 0 none over by instances that had been told, 1 some are, 2 wrong use."},
+                + "many over by instances that had been told of the start, how many first falls break the rule by "
+                + "that, and who filled the fullest window of these.",
+            "Exit codes: 0 no fall breaks the rule, 1 some do, 2 wrong use."},
         footerHeading = "%nExamples:%n", footer = "  model cold --instances 30 --nodes 40 --case keys --seeds 1000")
 final class ModelColdCommand implements Callable<Integer> {
     private static final String EVERY = "every";
@@ -63,7 +64,7 @@
             ColdStudy study = ColdStudy.of(c, instances, nodes, seed, seeds);
             out.print(study.text());
             out.flush();
-            kept &= Stream.of(ColdRamp.values()).allMatch(ramp -> study.overByTold(ramp) == 0);
+            kept &= Stream.of(ColdRamp.values()).allMatch(ramp -> study.broken(ramp) == 0);
         }
         return kept ? Cli.OK : Cli.FAILED;
     }
--- a/src/main/java/damsonworks/model/ColdLoad.java
+++ b/src/main/java/damsonworks/model/ColdLoad.java
@@ -52,6 +52,7 @@
     private final ArrayDeque<Arrival> window = new ArrayDeque<>();
     private final Map<ColdRamp, Window> fullest = new EnumMap<>(ColdRamp.class);
     private final Map<ColdRamp, Window> fullestTold = new EnumMap<>(ColdRamp.class);
+    private final Map<ColdRamp, Window> falls = new EnumMap<>(ColdRamp.class);
     private int told;
 
     /** {@code warmPerMs}: requests of mean work that the node can do in a millisecond once it is warm. */
@@ -79,6 +80,9 @@
 
     private void look(double now, ColdRamp ramp) {
         double part = window.size() / limit(now, ramp);
+        if (part > 1 && !falls.containsKey(ramp)) {
+            falls.put(ramp, window(now, part));
+        }
         if (part > fullest(ramp).part()) {
             fullest.put(ramp, window(now, part));
         }
@@ -117,6 +121,12 @@
         return fullest.getOrDefault(ramp, Window.EMPTY);
     }
 
+    /** Whether it falls, and by that breaks the rule: what comes after its first fall no longer counts. */
+    public boolean breaksRule(ColdRamp ramp) {
+        Window first = falls.getOrDefault(ramp, Window.EMPTY);
+        return first.part() > 1 && first.told() > TOLD_PART;
+    }
+
     /** The fullest of those that would break the rule: over two thirds came from instances that had been told. */
     public Window fullestTold(ColdRamp ramp) {
         return fullestTold.getOrDefault(ramp, Window.EMPTY);
--- a/src/test/java/damsonworks/model/ColdLoadTest.java
+++ b/src/test/java/damsonworks/model/ColdLoadTest.java
@@ -57,6 +57,17 @@
         send(1, BORN_MS + 2, 3, true);
         assertThat(load.fullestTold(ColdRamp.STEADY).requests()).isEqualTo(31);
         assertThat(load.fullestTold(ColdRamp.STEADY).topSender()).isCloseTo(20 / 31.0, within(1e-9));
+        assertThat(load.breaksRule(ColdRamp.STEADY)).as("it fell at 21, half by those who knew").isFalse();
+    }
+
+    @Test
+    void whatComesAfterTheFirstFallBreaksNothing() {
+        send(21, BORN_MS, 1, false);
+        send(60, BORN_MS + 1, 2, true);
+        assertThat(load.fullestTold(ColdRamp.STEADY).part()).isGreaterThan(1);
+        assertThat(load.breaksRule(ColdRamp.STEADY)).isFalse();
+        ColdLoad other = new ColdLoad(LIMITS, WARM_PER_MS, BORN_MS);
+        assertThat(other.breaksRule(ColdRamp.STEADY)).as("nothing sent").isFalse();
     }
 
     @Test
