--- a/src/main/java/damsonworks/model/ClientsModel.java
+++ b/src/main/java/damsonworks/model/ClientsModel.java
@@ -48,8 +48,9 @@
         keys = new Zipf(manyKeys, draw.traffic().zipf(), draw.traffic().offset());
         weights = new double[draw.instances()];
         for (int i = 0; i < weights.length; i++) {
+            double usual = 0.5 + random.nextDouble();
             boolean busy = random.nextInt(draw.traffic().busyOneIn()) == 0;
-            weights[i] = (0.5 + random.nextDouble()) * (busy ? draw.traffic().busyTimes() : 1);
+            weights[i] = usual * (busy ? draw.traffic().busyTimes() : 1);
         }
         zoneWeights = new double[draw.zones()];
         for (int z = 0; z < zoneWeights.length; z++) {
