--- a/src/jmh/java/damsonworks/DecisionBenchmark.java
+++ b/src/jmh/java/damsonworks/DecisionBenchmark.java
@@ -34,7 +34,9 @@
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
 @Warmup(iterations = 3, time = 1)
 @Measurement(iterations = 5, time = 1)
-@Fork(value = 1, jvmArgs = {"-XX:+UseSerialGC", "-Xmx512m"})
+@Fork(
+        value = 1,
+        jvmArgs = {"-XX:+UseSerialGC", "-Xmx512m"})
 @State(Scope.Thread)
 public class DecisionBenchmark {
     private static final int KEYS = 20_000;
@@ -49,7 +51,7 @@
     private double now = 1e12;
     private int id;
 
-    private record Timer(double atMs, int token) { }
+    private record Timer(double atMs, int token) {}
 
     /** Remembers where the module sends a request and which timers it wants, and drops all else. */
     private static final class Orders implements Actions {
@@ -73,7 +75,7 @@
         }
 
         @Override
-        public void cancel(int request, int attempt) { }
+        public void cancel(int request, int attempt) {}
 
         @Override
         public void setTimer(double afterMs, int token) {
@@ -81,30 +83,59 @@
         }
 
         @Override
-        public void probe(int to) { }
+        public void probe(int to) {}
 
         @Override
-        public void closeIdle(int to) { }
+        public void closeIdle(int to) {}
 
         @Override
-        public void tell(int peer, byte[] message) { }
+        public void tell(int peer, byte[] message) {}
 
         @Override
-        public void watch(boolean on) { }
+        public void watch(boolean on) {}
 
         @Override
-        public void fetchList() { }
+        public void fetchList() {}
 
         @Override
-        public void log(String line) { }
+        public void log(String line) {}
     }
 
     /** A fleet that is warm. */
     @Setup
     public void start() {
         ServiceClass read = new ServiceClass("read", Effect.SAFE, Group.ALL, 0, 250, 1000, 1, 0.3, false);
-        Settings settings = new Settings(0, 5, 0, 4, 3, true, true, 2, Reports.NONE, List.of(), false, 0.1, true,
-                false, false, true, true, 3, 500, 500, 2000, 20, 0.3, 9000, 3, 1500, 10_000, 0, 3000, List.of(read),
+        Settings settings = new Settings(
+                0,
+                5,
+                0,
+                4,
+                3,
+                true,
+                true,
+                2,
+                Reports.NONE,
+                List.of(),
+                false,
+                0.1,
+                true,
+                false,
+                false,
+                true,
+                true,
+                3,
+                500,
+                500,
+                2000,
+                20,
+                0.3,
+                9000,
+                3,
+                1500,
+                10_000,
+                0,
+                3000,
+                List.of(read),
                 List.of());
         module = new Policy(settings, 1);
         List<Member> members = new ArrayList<>();
@@ -120,7 +151,7 @@
     public int served() {
         now += 100.0 / servers;
         orders.now = now;
-        for (Timer t; (t = orders.timers.peek()) != null && t.atMs() <= now;) {
+        for (Timer t; (t = orders.timers.peek()) != null && t.atMs() <= now; ) {
             orders.timers.poll();
             module.onTimer(now, t.token(), orders);
         }
--- a/src/jmh/java/damsonworks/RouteMatchBenchmark.java
+++ b/src/jmh/java/damsonworks/RouteMatchBenchmark.java
@@ -26,7 +26,9 @@
 @OutputTimeUnit(TimeUnit.NANOSECONDS)
 @Warmup(iterations = 3, time = 1)
 @Measurement(iterations = 5, time = 1)
-@Fork(value = 1, jvmArgs = {"-XX:+UseSerialGC", "-Xmx512m"})
+@Fork(
+        value = 1,
+        jvmArgs = {"-XX:+UseSerialGC", "-Xmx512m"})
 @State(Scope.Thread)
 public class RouteMatchBenchmark {
     private static final int KEYS = 1 << 12;
@@ -46,8 +48,15 @@
         List<Route> all = new ArrayList<>();
         for (int i = 0; i < routes; i++) {
             String key = "team" + i % 97 + "/" + i + (i % 4 == 0 ? "" : i % 4 == 3 ? "/*/v?" : "/*");
-            all.add(new Route("r" + i, new Glob(key), Set.of(), i % 4 == 2 ? Set.of("seg-text", "seg-image") : Set.of(),
-                    Set.of(), "p", null, null));
+            all.add(new Route(
+                    "r" + i,
+                    new Glob(key),
+                    Set.of(),
+                    i % 4 == 2 ? Set.of("seg-text", "seg-image") : Set.of(),
+                    Set.of(),
+                    "p",
+                    null,
+                    null));
         }
         matcher = new RouteTable(all).matcher(List.of(), CLASSES, Routing.FRONTS);
         SplittableRandom random = new SplittableRandom(1);
--- a/src/jmh/java/damsonworks/quota/QuotaBenchmark.java
+++ b/src/jmh/java/damsonworks/quota/QuotaBenchmark.java
@@ -21,7 +21,9 @@
 @OutputTimeUnit(TimeUnit.NANOSECONDS)
 @Warmup(iterations = 3, time = 1)
 @Measurement(iterations = 5, time = 1)
-@Fork(value = 1, jvmArgs = {"-XX:+UseSerialGC", "-Xmx2g"})
+@Fork(
+        value = 1,
+        jvmArgs = {"-XX:+UseSerialGC", "-Xmx2g"})
 @State(Scope.Thread)
 public class QuotaBenchmark {
     /** Device classes, in all. */
@@ -53,8 +55,9 @@
         }
         tree = new QuotaTree(new QuotaSpec("all", 1, List.of(limit(0, 1000)), orgs), 1, 1);
         for (int i = 0; i < paths.length; i++) {
-            paths[i] = new String[] {"org-" + random.nextInt(3), "app-" + random.nextInt(2),
-                "device-" + random.nextInt(each)};
+            paths[i] = new String[] {
+                "org-" + random.nextInt(3), "app-" + random.nextInt(2), "device-" + random.nextInt(each)
+            };
         }
     }
 
--- a/src/main/java/damsonworks/Main.java
+++ b/src/main/java/damsonworks/Main.java
@@ -13,12 +13,12 @@
 import java.nio.file.Path;
 
 /**
- * Command line: {@code serve} is one real proxy on sockets, {@code drill} speaks the simulator's wire on
- * standard input and output, {@code train} starts and ends a proxy so that the build can archive its classes. These
- * three load nothing of the tools; whatever else is asked goes to {@link Cli}.
+ * Command line: {@code serve} is one real proxy on sockets, {@code drill} speaks the simulator's wire on standard input
+ * and output, {@code train} starts and ends a proxy so that the build can archive its classes. These three load nothing
+ * of the tools; whatever else is asked goes to {@link Cli}.
  */
 public final class Main {
-    private Main() { }
+    private Main() {}
 
     /** Runs until the input ends ({@code drill}), the process is told to end ({@code serve}) or a tool is done. */
     public static void main(String[] args) {
@@ -73,7 +73,8 @@
                 System.exit(2);
             }
         }
-        Proxy proxy = Proxy.main(edge == null ? null : new EdgeFile(Path.of(edge)),
+        Proxy proxy = Proxy.main(
+                edge == null ? null : new EdgeFile(Path.of(edge)),
                 state == null ? null : new Proxy.Kept(Path.of(state), fleet));
         if (view || zones || recovers) {
             proxy.join(new Proxy.Together(view, zones, recovers));
--- a/src/main/java/damsonworks/RoutingApi.java
+++ b/src/main/java/damsonworks/RoutingApi.java
@@ -7,23 +7,43 @@
 public interface RoutingApi {
 
     /** How often a request may take effect. */
-    enum Effect { SAFE, KEYED, UNSAFE }
+    enum Effect {
+        SAFE,
+        KEYED,
+        UNSAFE
+    }
 
     /** The servers that drop a repeat of a keyed request: all, those of one zone, or those of one cell. */
-    enum Group { ALL, ZONE, CELL }
+    enum Group {
+        ALL,
+        ZONE,
+        CELL
+    }
 
     /** Where load reports come from. */
-    enum Reports { NONE, WITH_ANSWERS, BY_PROBE }
+    enum Reports {
+        NONE,
+        WITH_ANSWERS,
+        BY_PROBE
+    }
 
     /** State of a server on the list. */
-    enum State { GONE, DRAINING, READY }
+    enum State {
+        GONE,
+        DRAINING,
+        READY
+    }
 
     /**
-     * What a list event carries. {@code FAILED}: a call for the list failed, no entries. {@code PROVISIONAL}: changes that
-     * peers were told or that are undone again, no answer to a call.
+     * What a list event carries. {@code FAILED}: a call for the list failed, no entries. {@code PROVISIONAL}: changes
+     * that peers were told or that are undone again, no answer to a call.
      */
     enum ListKind {
-        FULL, CHANGES, CACHED, FAILED, PROVISIONAL;
+        FULL,
+        CHANGES,
+        CACHED,
+        FAILED,
+        PROVISIONAL;
 
         /** Whether it names all servers, so that others are gone. */
         public boolean whole() {
@@ -36,8 +56,16 @@
      * turned a new one away, unheard.
      */
     enum Outcome {
-        OK(true), MISS(false), ERROR(true), FULL(false), TIMEOUT(true), CONNECT_FAILED(false), RESET(true),
-        CANCELLED(true), NOT_SENT(false), NO_PLACE(false);
+        OK(true),
+        MISS(false),
+        ERROR(true),
+        FULL(false),
+        TIMEOUT(true),
+        CONNECT_FAILED(false),
+        RESET(true),
+        CANCELLED(true),
+        NOT_SENT(false),
+        NO_PLACE(false);
 
         private final boolean mayHaveRun;
 
@@ -52,23 +80,55 @@
     }
 
     /** A class of requests; times in milliseconds. */
-    record ServiceClass(String name, Effect effect, Group group, double windowMs, double aimMs,
-            double deadlineMs, double worth, double lateShare, boolean stream) { }
+    record ServiceClass(
+            String name,
+            Effect effect,
+            Group group,
+            double windowMs,
+            double aimMs,
+            double deadlineMs,
+            double worth,
+            double lateShare,
+            boolean stream) {}
 
     /** A tenant and the rate, over all instances, that is within its share. */
-    record Tenant(String name, double share, double quotaPerSecond) { }
+    record Tenant(String name, double share, double quotaPerSecond) {}
 
     /** One server of the list. {@code bornMs}: when it last started, 0 if long ago. */
-    record Member(int id, int zone, int kind, int cell, State state, float weight, double bornMs) { }
+    record Member(int id, int zone, int kind, int cell, State state, float weight, double bornMs) {}
 
     /** The settings that decisions rest on. Times in milliseconds; shares, and capacity at the start, from 0 to 1. */
-    record Settings(int me, int instances, int zone, int zones, int kinds, boolean askForList, boolean aside,
-            int originKind, Reports reports, List<String> reportNames, boolean worthByWork,
-            double overShareWorth, boolean mayCancel, boolean mayProbe, boolean peers, boolean secondCopies,
-            boolean retryAdvice, int maxAttempts, double maxRetryAfterMs, double connectTimeoutMs,
+    record Settings(
+            int me,
+            int instances,
+            int zone,
+            int zones,
+            int kinds,
+            boolean askForList,
+            boolean aside,
+            int originKind,
+            Reports reports,
+            List<String> reportNames,
+            boolean worthByWork,
+            double overShareWorth,
+            boolean mayCancel,
+            boolean mayProbe,
+            boolean peers,
+            boolean secondCopies,
+            boolean retryAdvice,
+            int maxAttempts,
+            double maxRetryAfterMs,
+            double connectTimeoutMs,
             double drainGraceMs,
-            double answerGraceMs, double startCapacity, double warmUpMs, double tipMultiple, double fallMs,
-            double askWithinMs, double originFallMultiple, double originFallMs, List<ServiceClass> classes,
+            double answerGraceMs,
+            double startCapacity,
+            double warmUpMs,
+            double tipMultiple,
+            double fallMs,
+            double askWithinMs,
+            double originFallMultiple,
+            double originFallMs,
+            List<ServiceClass> classes,
             List<Tenant> tenants) {
         /** A seed of this instance's own: a release may start all of them with one. */
         public long ownSeed(long seed) {
@@ -80,37 +140,64 @@
      * A request. {@code serviceClass} and {@code tenant}: by their index in the settings; {@code dueMs}: its deadline;
      * {@code costMs}: its work, 0 where nothing tells it.
      */
-    record Request(int id, int serviceClass, int tenant, long key, double dueMs, double costMs, float bytes,
-            boolean write, boolean repeat) { }
+    record Request(
+            int id,
+            int serviceClass,
+            int tenant,
+            long key,
+            double dueMs,
+            double costMs,
+            float bytes,
+            boolean write,
+            boolean repeat) {}
 
     /** The end of an attempt. {@code over}: the request has had its final answer; report: null if none. */
-    record AttemptEnd(int request, int attempt, int server, Outcome outcome, double elapsedMs, boolean over,
-            int note, float[] report) { }
+    record AttemptEnd(
+            int request,
+            int attempt,
+            int server,
+            Outcome outcome,
+            double elapsedMs,
+            boolean over,
+            int note,
+            float[] report) {}
 
     int NOTE_FETCH_OUT = 3;
 
     /** What has been seen of a server; the times are those of events. {@code failures}: since it last answered. */
-    record Seen(int id, double bornMs, int failures, double shunnedUntilMs, int doubts) { }
+    record Seen(int id, double bornMs, int failures, double shunnedUntilMs, int doubts) {}
 
     /** A key that is asked for often, with its count, which fades. */
-    record Hot(long key, int count) { }
+    record Hot(long key, int count) {}
 
     /** What was asked for and what came in time of that; both fade. */
-    record Load(double asked, double answered) { }
+    record Load(double asked, double answered) {}
 
     /** What a module has learnt in service, for another that goes on in its place. Times in milliseconds. */
-    record Experience(double fetchMs, double paceMs, double paceDeviationMs, double usualCost, Load origin,
-            Load crowd, double asked, List<Hot> hot, List<Seen> servers) { }
+    record Experience(
+            double fetchMs,
+            double paceMs,
+            double paceDeviationMs,
+            double usualCost,
+            Load origin,
+            Load crowd,
+            double asked,
+            List<Hot> hot,
+            List<Seen> servers) {}
 
     /** What the module has met at a server: an answer in time, one that says that it lacks the key, or none in time. */
-    enum Evidence { ANSWERED, MISSED, SILENT }
+    enum Evidence {
+        ANSWERED,
+        MISSED,
+        SILENT
+    }
 
     /**
-     * How far the fleet has a zone open: a server of it can be contacted for keys whose lot, the same at all instances, lies
-     * under {@code open}, 0 to 1. {@code tries}: one request may try it all the same. {@code afresh}: what has been seen of its
-     * servers is of the past.
+     * How far the fleet has a zone open: a server of it can be contacted for keys whose lot, the same at all instances,
+     * lies under {@code open}, 0 to 1. {@code tries}: one request may try it all the same. {@code afresh}: what has
+     * been seen of its servers is of the past.
      */
-    record ZoneOrder(int zone, double open, boolean tries, boolean afresh) { }
+    record ZoneOrder(int zone, double open, boolean tries, boolean afresh) {}
 
     /** Where the module's orders go. They are carried out in order, at the time of the event. */
     interface Actions {
@@ -147,8 +234,10 @@
         /** A line for the operators. */
         void log(String line);
 
-        /** Told of what the module has met, for those who judge zones and nodes by it. Of the origin: in time or not. */
-        default void saw(int server, Evidence what) { }
+        /**
+         * Told of what the module has met, for those who judge zones and nodes by it. Of the origin: in time or not.
+         */
+        default void saw(int server, Evidence what) {}
     }
 
     /**
--- a/src/main/java/damsonworks/cli/Cli.java
+++ b/src/main/java/damsonworks/cli/Cli.java
@@ -3,28 +3,45 @@
 import java.io.PrintWriter;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
-import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.ParameterException;
 import picocli.CommandLine.Spec;
 
 /** The root of the command line. */
-@Command(name = "damsonworks", mixinStandardHelpOptions = true, version = "damsonworks 0.1.0",
+@Command(
+        name = "damsonworks",
+        mixinStandardHelpOptions = true,
+        version = "damsonworks 0.1.0",
         description = "A proxy in front of caching nodes and one slow origin, and the tools to see it work.",
-        subcommands = {DemoCommand.class, FleetCommand.class, LoadCommand.class, StatusCommand.class,
-            DrainCommand.class, ConfigCommand.class, FiguresCommand.class, QuotaCommand.class,
-            ModelCommand.class, LabCommand.class, ZoneCommand.class, StateCommand.class},
+        subcommands = {
+            DemoCommand.class,
+            FleetCommand.class,
+            LoadCommand.class,
+            StatusCommand.class,
+            DrainCommand.class,
+            ConfigCommand.class,
+            FiguresCommand.class,
+            QuotaCommand.class,
+            ModelCommand.class,
+            LabCommand.class,
+            ZoneCommand.class,
+            StateCommand.class
+        },
         footerHeading = "%nWithout options, and set by the environment (see README):%n",
         footer = {
             "  serve   one proxy, configured by the file that BALANCER_CONFIG names",
             "          [--edge FILE] [--control PATH] [--figures 5s] [--view on] [--zones on]",
             "  drill   the decision module on the simulator's wire, on standard input and output",
-            "  train   starts a proxy and ends it, so that a build can archive its classes", "",
+            "  train   starts a proxy and ends it, so that a build can archive its classes",
+            "",
             "Examples:",
             "  java -jar target/damsonworks.jar demo",
-            "  java -jar target/damsonworks.jar load --target 127.0.0.1:11211 --rate 1000 --for 30s --html out.html"})
+            "  java -jar target/damsonworks.jar load --target 127.0.0.1:11211 --rate 1000 --for 30s --html out.html"
+        })
 public final class Cli implements Runnable {
     /** Exit codes: all well, a rule broken or a run that failed, wrong use, a schedule that was not kept. */
     static final int OK = 0;
+
     static final int FAILED = 1;
     static final int USAGE = 2;
     static final int NOT_KEPT = 3;
@@ -32,7 +49,7 @@
     @Spec
     private CommandSpec spec;
 
-    private Cli() { }
+    private Cli() {}
 
     @Override
     public void run() {
@@ -56,8 +73,8 @@
                 .setCaseInsensitiveEnumValuesAllowed(true)
                 .setExecutionExceptionHandler((e, command, result) -> {
                     boolean usage = e instanceof IllegalArgumentException;
-                    command.getErr().println(command.getCommandName() + ": " + (e.getMessage() == null ? e
-                            : e.getMessage()));
+                    command.getErr()
+                            .println(command.getCommandName() + ": " + (e.getMessage() == null ? e : e.getMessage()));
                     command.getErr().flush();
                     return usage ? USAGE : FAILED;
                 });
--- a/src/main/java/damsonworks/cli/ConfigCommand.java
+++ b/src/main/java/damsonworks/cli/ConfigCommand.java
@@ -26,13 +26,20 @@
 import picocli.CommandLine.Spec;
 
 /** {@code config}: looks at files of routes, pools and policies. */
-@Command(name = "config", mixinStandardHelpOptions = true, sortOptions = false,
+@Command(
+        name = "config",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
         description = "Checks, lays out, compares and explains a file for serve --edge.",
         footerHeading = "%nExamples:%n",
-        footer = {"  config check deploy/edge.conf", "  config check deploy/edge.conf --with proxy.json",
-            "  config format --check deploy/edge.conf", "  config diff old.conf new.conf",
+        footer = {
+            "  config check deploy/edge.conf",
+            "  config check deploy/edge.conf --with proxy.json",
+            "  config format --check deploy/edge.conf",
+            "  config diff old.conf new.conf",
             "  config show --effective deploy/edge.conf",
-            "  config explain deploy/edge.conf --key sub/7f3a --class seg-text --with proxy.json"})
+            "  config explain deploy/edge.conf --key sub/7f3a --class seg-text --with proxy.json"
+        })
 final class ConfigCommand implements Runnable {
     @Spec
     private CommandSpec spec;
@@ -53,8 +60,8 @@
     /** The configuration, or null if it has mistakes, which are then told. */
     private Configuration read(Path file, Installation installation) {
         Problems problems = new Problems();
-        Configuration configuration = ConfigFile.read(file, EdgeFile.schema(installation == null ? null
-                : installation.known()), problems);
+        Configuration configuration =
+                ConfigFile.read(file, EdgeFile.schema(installation == null ? null : installation.known()), problems);
         return told(problems) ? null : configuration;
     }
 
@@ -72,12 +79,19 @@
         return with == null ? null : Installation.read(with.toString());
     }
 
-    @Command(name = "check", mixinStandardHelpOptions = true,
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
             description = "Tells all mistakes of a file and what it includes. Exit codes: 0 none, 1 some.")
-    private int check(@Parameters(paramLabel = "FILE") Path file,
-            @Option(names = "--with", paramLabel = "CONFIG", description = "Checks names of classes, tenants, sites "
-                    + "and kinds against a proxy's configuration, and that each pool has a server of its list.")
-            Path with) {
+    private int check(
+            @Parameters(paramLabel = "FILE") Path file,
+            @Option(
+                            names = "--with",
+                            paramLabel = "CONFIG",
+                            description =
+                                    "Checks names of classes, tenants, sites "
+                                            + "and kinds against a proxy's configuration, and that each pool has a server of its list.")
+                    Path with) {
         Installation installation = installation(with);
         Configuration c = read(file, installation);
         if (c == null) {
@@ -91,20 +105,30 @@
         }
         QuotaSpec quotas = QuotaSections.quotas(c);
         if (quotas != null) {
-            out().printf("%s: quotas of %d organisations%n", file, quotas.children().size());
+            out().printf(
+                            "%s: quotas of %d organisations%n",
+                            file, quotas.children().size());
         }
-        out().printf("%s: %d pools, %d policies, %d routes, hash %s%n", file, c.of("pool").size(),
-                c.of("policy").size(), c.of("route").size(), c.hash());
+        out().printf(
+                        "%s: %d pools, %d policies, %d routes, hash %s%n",
+                        file,
+                        c.of("pool").size(),
+                        c.of("policy").size(),
+                        c.of("route").size(),
+                        c.hash());
         out().flush();
         return Cli.OK;
     }
 
-    @Command(name = "format", mixinStandardHelpOptions = true,
+    @Command(
+            name = "format",
+            mixinStandardHelpOptions = true,
             description = "Lays files out in place; comments stay and the meaning does. Exit codes: 0 done, 1 a file "
                     + "has mistakes, or with --check is laid out otherwise.")
-    private int format(@Parameters(arity = "1..*", paramLabel = "FILE") List<Path> files,
+    private int format(
+            @Parameters(arity = "1..*", paramLabel = "FILE") List<Path> files,
             @Option(names = "--check", description = "Changes nothing, and names the files it would change.")
-            boolean check,
+                    boolean check,
             @Option(names = "--stdout", description = "Prints the result, and changes nothing.") boolean stdout)
             throws IOException {
         boolean well = true;
@@ -145,7 +169,9 @@
         }
     }
 
-    @Command(name = "diff", mixinStandardHelpOptions = true,
+    @Command(
+            name = "diff",
+            mixinStandardHelpOptions = true,
             description = "Tells what two files have not alike in meaning, and for which traffic. Exit codes: 0 they "
                     + "mean the same, 1 they differ, 2 one has mistakes.")
     private int diff(@Parameters(paramLabel = "BEFORE") Path before, @Parameters(paramLabel = "AFTER") Path after) {
@@ -160,11 +186,14 @@
         return lines.isEmpty() ? Cli.OK : Cli.FAILED;
     }
 
-    @Command(name = "show", mixinStandardHelpOptions = true,
+    @Command(
+            name = "show",
+            mixinStandardHelpOptions = true,
             description = "Prints a file and its includes as one, with every value that holds and where it is set.")
-    private int show(@Parameters(paramLabel = "FILE") Path file,
+    private int show(
+            @Parameters(paramLabel = "FILE") Path file,
             @Option(names = "--effective", required = true, description = "With defaults and what is built in.")
-            boolean effective) {
+                    boolean effective) {
         Configuration c = read(file, null);
         if (c == null || !effective) {
             return Cli.FAILED;
@@ -174,18 +203,28 @@
         return Cli.OK;
     }
 
-    @Command(name = "explain", mixinStandardHelpOptions = true,
+    @Command(
+            name = "explain",
+            mixinStandardHelpOptions = true,
             description = "Tells which route, pool, servers and policy a request would have, and why.")
-    private int explain(@Parameters(paramLabel = "FILE") Path file,
+    private int explain(
+            @Parameters(paramLabel = "FILE") Path file,
             @Option(names = "--key", required = true, paramLabel = "KEY", description = "The request's key.")
-            String key,
+                    String key,
             @Option(names = "--class", paramLabel = "CLASS", description = "Its class.") String kind,
             @Option(names = "--tenant", paramLabel = "TENANT", description = "Whose it is.") String tenant,
-            @Option(names = "--front", paramLabel = "FRONT", defaultValue = "meta",
-                    description = "Through which front it came: meta, http or mqtt (default: ${DEFAULT-VALUE}).")
-            String front,
-            @Option(names = "--with", paramLabel = "CONFIG",
-                    description = "A proxy's configuration, whose list of servers is used.") Path with) {
+            @Option(
+                            names = "--front",
+                            paramLabel = "FRONT",
+                            defaultValue = "meta",
+                            description =
+                                    "Through which front it came: meta, http or mqtt (default: ${DEFAULT-VALUE}).")
+                    String front,
+            @Option(
+                            names = "--with",
+                            paramLabel = "CONFIG",
+                            description = "A proxy's configuration, whose list of servers is used.")
+                    Path with) {
         Installation installation = installation(with);
         Configuration c = read(file, installation);
         if (c == null) {
--- a/src/main/java/damsonworks/cli/ControlOption.java
+++ b/src/main/java/damsonworks/cli/ControlOption.java
@@ -7,7 +7,10 @@
 
 /** Which proxy a command is for. */
 final class ControlOption {
-    @Option(names = "--control", paramLabel = "PATH", required = true,
+    @Option(
+            names = "--control",
+            paramLabel = "PATH",
+            required = true,
             description = "The control socket that the proxy was started with.")
     private Path path;
 
--- a/src/main/java/damsonworks/cli/DrainCommand.java
+++ b/src/main/java/damsonworks/cli/DrainCommand.java
@@ -14,11 +14,19 @@
 import picocli.CommandLine.Spec;
 
 /** {@code drain}: begins a drain, watches it, or takes it back. */
-@Command(name = "drain", mixinStandardHelpOptions = true, sortOptions = false,
-        description = {"Lets a running proxy answer what it owes, end its connections and exit. Exit codes: 0 done or "
-                + "begun, 1 it could not be, or --wait saw a cancel, 2 wrong use."},
+@Command(
+        name = "drain",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
+        description = {
+            "Lets a running proxy answer what it owes, end its connections and exit. Exit codes: 0 done or "
+                    + "begun, 1 it could not be, or --wait saw a cancel, 2 wrong use."
+        },
         footerHeading = "%nExamples:%n",
-        footer = {"  drain --control /run/proxy.sock --deadline 30s --wait", "  drain --control /run/proxy.sock --cancel"})
+        footer = {
+            "  drain --control /run/proxy.sock --deadline 30s --wait",
+            "  drain --control /run/proxy.sock --cancel"
+        })
 final class DrainCommand implements Callable<Integer> {
     private static final int BAR = 40;
     private static final long LOOK_MS = 200;
@@ -29,7 +37,9 @@
     @Mixin
     private ControlOption control;
 
-    @Option(names = "--deadline", paramLabel = "TIME",
+    @Option(
+            names = "--deadline",
+            paramLabel = "TIME",
             description = "When all that is left is answered at once and the proxy exits.")
     private Duration deadline;
 
@@ -51,8 +61,11 @@
                 request.addProperty("deadline_ms", deadline.ms());
             }
             JsonObject begun = client.ask(request);
-            out.println(cancel ? "cancelled; in full service" : begun.get("words").getAsString() + "; "
-                    + begun.get("deadline_left_ms").getAsLong() / 1000.0 + " s to the deadline");
+            out.println(
+                    cancel
+                            ? "cancelled; in full service"
+                            : begun.get("words").getAsString() + "; "
+                                    + begun.get("deadline_left_ms").getAsLong() / 1000.0 + " s to the deadline");
             out.flush();
             return wait && !cancel ? watch(client, out) : Cli.OK;
         }
@@ -82,9 +95,14 @@
     private static String bar(JsonObject drain) {
         double share = drain.get("share").getAsDouble();
         int done = (int) (share * BAR);
-        return String.format("[%s%s] %5.1f%%  %d owed, %d connections, some %.1f s left, %.1f s at most",
-                "#".repeat(done), ".".repeat(BAR - done), 100 * share, drain.get("owed").getAsInt(),
-                drain.get("connections").getAsInt(), drain.get("left_ms").getAsDouble() / 1000,
+        return String.format(
+                "[%s%s] %5.1f%%  %d owed, %d connections, some %.1f s left, %.1f s at most",
+                "#".repeat(done),
+                ".".repeat(BAR - done),
+                100 * share,
+                drain.get("owed").getAsInt(),
+                drain.get("connections").getAsInt(),
+                drain.get("left_ms").getAsDouble() / 1000,
                 drain.get("deadline_left_ms").getAsDouble() / 1000);
     }
 }
--- a/src/main/java/damsonworks/cli/FiguresCommand.java
+++ b/src/main/java/damsonworks/cli/FiguresCommand.java
@@ -23,11 +23,17 @@
 import picocli.CommandLine.Spec;
 
 /** {@code figures}: what all proxies of a tier have done together, from their logs. */
-@Command(name = "figures", mixinStandardHelpOptions = true, sortOptions = false,
-        description = {"Reads the logs of proxies that were started with serve --figures, and adds up over all of them. A "
-                + "folder stands for all files in it. Exit codes: 0 done, 1 no figures in them or a file can't be read, "
-                + "2 wrong use."},
-        footerHeading = "%nExamples:%n", footer = {"  figures logs", "  figures --each p0.log p1.log"})
+@Command(
+        name = "figures",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
+        description = {
+            "Reads the logs of proxies that were started with serve --figures, and adds up over all of them. A "
+                    + "folder stands for all files in it. Exit codes: 0 done, 1 no figures in them or a file can't be read, "
+                    + "2 wrong use."
+        },
+        footerHeading = "%nExamples:%n",
+        footer = {"  figures logs", "  figures --each p0.log p1.log"})
 final class FiguresCommand implements Callable<Integer> {
     /** Nodes named of those that turned connections away. */
     private static final int SHOWN = 10;
@@ -74,20 +80,27 @@
 
     private static void readFile(Path file, FleetWork work) throws IOException {
         // Whatever else stands in a log need not be text; a reader made this way takes any bytes.
-        try (BufferedReader in = new BufferedReader(new InputStreamReader(Files.newInputStream(file),
-                StandardCharsets.UTF_8))) {
+        try (BufferedReader in =
+                new BufferedReader(new InputStreamReader(Files.newInputStream(file), StandardCharsets.UTF_8))) {
             in.lines().forEach(work::add);
         }
     }
 
     private void print(PrintWriter out, FleetWork work) {
         double seconds = work.spanMs() / 1000.0;
-        out.printf("%d processes of %d proxies, %.0f s%n%n", work.processes().size(),
-                work.processes().stream().map(WorkLine::proxy).distinct().count(), seconds);
+        out.printf(
+                "%d processes of %d proxies, %.0f s%n%n",
+                work.processes().size(),
+                work.processes().stream().map(WorkLine::proxy).distinct().count(),
+                seconds);
         out.printf("%-28s %12s %12s %12s%n", "", "in all", "a second", "a request");
         long requests = work.total(Work.SERVED) + work.total(Work.REFUSED) + work.total(Work.FAILED);
         for (Work w : Work.values()) {
-            out.printf("%-28s %,12d %12.2f %12.4f%n", w.words(), work.total(w), work.total(w) / Math.max(1, seconds),
+            out.printf(
+                    "%-28s %,12d %12.2f %12.4f%n",
+                    w.words(),
+                    work.total(w),
+                    work.total(w) / Math.max(1, seconds),
                     work.total(w) / (double) Math.max(1, requests));
         }
         out.println();
@@ -102,17 +115,29 @@
         List<FleetWork.Left> left = work.left();
         if (!left.isEmpty()) {
             out.printf("%n%-10s %10s %14s %16s%n", "avoided", "proxies", "from, s", "all within, s");
-            long start = work.processes().stream().mapToLong(l -> l.atMs() - l.upMs()).min().orElse(0);
-            left.forEach(l -> out.printf("%-10s %10d %14.1f %16.1f%n", l.node(), l.proxies(),
-                    (l.fromMs() - start) / 1000.0, l.tookMs() / 1000.0));
+            long start = work.processes().stream()
+                    .mapToLong(l -> l.atMs() - l.upMs())
+                    .min()
+                    .orElse(0);
+            left.forEach(l -> out.printf(
+                    "%-10s %10d %14.1f %16.1f%n",
+                    l.node(), l.proxies(), (l.fromMs() - start) / 1000.0, l.tookMs() / 1000.0));
         }
         if (each) {
-            out.printf("%n%-16s %8s %8s %10s %10s %10s %10s %10s%n", "process", "up, s", "cpu, s", "served",
-                    "list calls", "opened", "no place", "copies");
-            work.processes().stream().sorted(Comparator.comparing(WorkLine::proxy).thenComparing(WorkLine::atMs))
-                    .forEach(l -> out.printf("%-16s %8.1f %8.1f %10d %10d %10d %10d %10d%n",
-                            l.proxy() + "/" + l.pid(), l.upMs() / 1000.0, l.cpuMs() / 1000.0, l.count(Work.SERVED),
-                            l.count(Work.LIST_CALLS), l.count(Work.CONNECTIONS), l.count(Work.NO_PLACE),
+            out.printf(
+                    "%n%-16s %8s %8s %10s %10s %10s %10s %10s%n",
+                    "process", "up, s", "cpu, s", "served", "list calls", "opened", "no place", "copies");
+            work.processes().stream()
+                    .sorted(Comparator.comparing(WorkLine::proxy).thenComparing(WorkLine::atMs))
+                    .forEach(l -> out.printf(
+                            "%-16s %8.1f %8.1f %10d %10d %10d %10d %10d%n",
+                            l.proxy() + "/" + l.pid(),
+                            l.upMs() / 1000.0,
+                            l.cpuMs() / 1000.0,
+                            l.count(Work.SERVED),
+                            l.count(Work.LIST_CALLS),
+                            l.count(Work.CONNECTIONS),
+                            l.count(Work.NO_PLACE),
                             l.count(Work.SECOND_COPIES)));
         }
         if (work.unread() > 0) {
@@ -122,7 +147,11 @@
 
     /** Least, middle and most over all processes that tell it. */
     private static void line(PrintWriter out, String words, FleetWork work, ToLongFunction<WorkLine> of) {
-        long[] all = work.processes().stream().mapToLong(of).filter(v -> v >= 0).sorted().toArray();
+        long[] all = work.processes().stream()
+                .mapToLong(of)
+                .filter(v -> v >= 0)
+                .sorted()
+                .toArray();
         if (all.length > 0) {
             out.printf("%-28s least %d, middle %d, most %d%n", words, all[0], all[all.length / 2], all[all.length - 1]);
         }
--- a/src/main/java/damsonworks/cli/FleetCommand.java
+++ b/src/main/java/damsonworks/cli/FleetCommand.java
@@ -21,12 +21,20 @@
 import picocli.CommandLine.Spec;
 
 /** {@code fleet}: stand-ins and proxies that stay up, to try things by hand. */
-@Command(name = "fleet", mixinStandardHelpOptions = true, sortOptions = false,
-        description = {"Starts a fleet of stand-ins with real proxies, prints where everything listens, and keeps it "
-                + "up until it is interrupted (or for --for). Nothing is left behind."},
+@Command(
+        name = "fleet",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
+        description = {
+            "Starts a fleet of stand-ins with real proxies, prints where everything listens, and keeps it "
+                    + "up until it is interrupted (or for --for). Nothing is left behind."
+        },
         footerHeading = "%nExamples:%n",
-        footer = {"  fleet", "  fleet --nodes 3 --proxies 1 --held 1 --json fleet.json",
-            "  printf 'mg 7f3a v O1 Pc=seg-text,d=1000\\r\\n' | nc 127.0.0.1 PORT"})
+        footer = {
+            "  fleet",
+            "  fleet --nodes 3 --proxies 1 --held 1 --json fleet.json",
+            "  printf 'mg 7f3a v O1 Pc=seg-text,d=1000\\r\\n' | nc 127.0.0.1 PORT"
+        })
 final class FleetCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
@@ -54,8 +62,7 @@
             if (json != null) {
                 Path next = json.resolveSibling(json.getFileName() + ".next");
                 Files.writeString(next, text + "\n");
-                Files.move(next, json, StandardCopyOption.REPLACE_EXISTING,
-                        StandardCopyOption.ATOMIC_MOVE);
+                Files.move(next, json, StandardCopyOption.REPLACE_EXISTING, StandardCopyOption.ATOMIC_MOVE);
             }
             out.println(text);
             out.println("up; interrupt it to end");
--- a/src/main/java/damsonworks/cli/LabCommand.java
+++ b/src/main/java/damsonworks/cli/LabCommand.java
@@ -24,10 +24,18 @@
 import picocli.CommandLine.Spec;
 
 /** {@code lab}: scenarios in which several processes meet faults between them. */
-@Command(name = "lab", mixinStandardHelpOptions = true, sortOptions = false,
-        description = "Starts several processes of the program before stand-ins, cuts them apart, and judges what comes of it.",
-        footerHeading = "%nExamples:%n", footer = {"  lab list", "  lab check lab/zone-cut.conf",
-            "  lab run lab/zone-cut.conf --seed 3 --repeat 3 --html zone.html"})
+@Command(
+        name = "lab",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
+        description =
+                "Starts several processes of the program before stand-ins, cuts them apart, and judges what comes of it.",
+        footerHeading = "%nExamples:%n",
+        footer = {
+            "  lab list",
+            "  lab check lab/zone-cut.conf",
+            "  lab run lab/zone-cut.conf --seed 3 --repeat 3 --html zone.html"
+        })
 final class LabCommand implements Runnable {
     @Spec
     private CommandSpec spec;
@@ -52,16 +60,36 @@
         return null;
     }
 
-    @Command(name = "run", mixinStandardHelpOptions = true, description = {"Plays scenarios one after another.",
-        "Exit codes: 0 all that was expected held, 1 something was broken, 2 wrong use, 3 the machine was too busy to judge."})
-    private int play(@Parameters(arity = "1..*", paramLabel = "FILE") List<Path> files,
-            @Option(names = "--seed", paramLabel = "N", defaultValue = "1",
-                    description = "Draws requests, speeds and faults (default: ${DEFAULT-VALUE}).") long seed,
-            @Option(names = "--repeat", paramLabel = "N", defaultValue = "1",
-                    description = "So many seeds from that one on (default: ${DEFAULT-VALUE}).") int repeat,
-            @Option(names = "--without", paramLabel = "PART", split = ",", description = "Plays proxies without what the file has "
-                    + "them run with, to be held against it: ${COMPLETION-CANDIDATES}.") Set<Layout.Part> without,
-            @Option(names = "--json", paramLabel = "OUT", description = "Writes verdicts, figures and series.") Path json,
+    @Command(
+            name = "run",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Plays scenarios one after another.",
+                "Exit codes: 0 all that was expected held, 1 something was broken, 2 wrong use, 3 the machine was too busy to judge."
+            })
+    private int play(
+            @Parameters(arity = "1..*", paramLabel = "FILE") List<Path> files,
+            @Option(
+                            names = "--seed",
+                            paramLabel = "N",
+                            defaultValue = "1",
+                            description = "Draws requests, speeds and faults (default: ${DEFAULT-VALUE}).")
+                    long seed,
+            @Option(
+                            names = "--repeat",
+                            paramLabel = "N",
+                            defaultValue = "1",
+                            description = "So many seeds from that one on (default: ${DEFAULT-VALUE}).")
+                    int repeat,
+            @Option(
+                            names = "--without",
+                            paramLabel = "PART",
+                            split = ",",
+                            description = "Plays proxies without what the file has "
+                                    + "them run with, to be held against it: ${COMPLETION-CANDIDATES}.")
+                    Set<Layout.Part> without,
+            @Option(names = "--json", paramLabel = "OUT", description = "Writes verdicts, figures and series.")
+                    Path json,
             @Option(names = "--html", paramLabel = "OUT", description = "Writes a page with time lines.") Path html,
             @Option(names = "--logs", paramLabel = "DIR", description = "Keeps the proxies' logs.") Path logs)
             throws IOException, InterruptedException {
@@ -105,11 +133,14 @@
 
     private static int code(List<Outcome> outcomes) {
         List<Outcome.Judgement> all = outcomes.stream().map(Outcome::judgement).toList();
-        return all.contains(Outcome.Judgement.BROKEN) ? Cli.FAILED
+        return all.contains(Outcome.Judgement.BROKEN)
+                ? Cli.FAILED
                 : all.contains(Outcome.Judgement.TOO_BUSY) ? Cli.NOT_KEPT : Cli.OK;
     }
 
-    @Command(name = "check", mixinStandardHelpOptions = true,
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
             description = "Tells all mistakes of scenarios without playing them. Exit codes: 0 none, 1 some.")
     private int check(@Parameters(arity = "1..*", paramLabel = "FILE") List<Path> files) {
         boolean well = true;
@@ -125,17 +156,31 @@
     }
 
     @Command(name = "list", mixinStandardHelpOptions = true, description = "Tells what stands in a folder.")
-    private int list(@Parameters(arity = "0..1", paramLabel = "DIR", defaultValue = "lab",
-            description = "The folder (default: ${DEFAULT-VALUE}).") Path folder) throws IOException {
+    private int list(
+            @Parameters(
+                            arity = "0..1",
+                            paramLabel = "DIR",
+                            defaultValue = "lab",
+                            description = "The folder (default: ${DEFAULT-VALUE}).")
+                    Path folder)
+            throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
-            return check(files.filter(f -> f.toString().endsWith(".conf")).sorted().toList());
+            return check(
+                    files.filter(f -> f.toString().endsWith(".conf")).sorted().toList());
         }
     }
 
     private static String summary(Path file, ScenarioFile scenario) {
         Scenario s = scenario.scenario(1);
-        return String.format("%-28s %d proxies, %d nodes, %d zones, %.0f requests/s for %.0f s, %d faults: %s", file,
-                s.fleet().proxies(), s.fleet().nodes(), s.fleet().layout().zones().size(), s.rate(), s.forMs() / 1000,
-                s.bands().size(), s.bands().stream().map(Scenario.Band::name).distinct().toList());
+        return String.format(
+                "%-28s %d proxies, %d nodes, %d zones, %.0f requests/s for %.0f s, %d faults: %s",
+                file,
+                s.fleet().proxies(),
+                s.fleet().nodes(),
+                s.fleet().layout().zones().size(),
+                s.rate(),
+                s.forMs() / 1000,
+                s.bands().size(),
+                s.bands().stream().map(Scenario.Band::name).distinct().toList());
     }
 }
--- a/src/main/java/damsonworks/cli/LoadCommand.java
+++ b/src/main/java/damsonworks/cli/LoadCommand.java
@@ -23,70 +23,108 @@
 import picocli.CommandLine.Spec;
 
 /** {@code load}: the open-loop generator. */
-@Command(name = "load", mixinStandardHelpOptions = true, sortOptions = false,
-        description = {"Sends requests when they are meant to go, whatever becomes of those before, and counts each "
-                + "one's latency from that time. Exit codes: 0 done, 2 wrong use, 3 the schedule was not kept."},
+@Command(
+        name = "load",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
+        description = {
+            "Sends requests when they are meant to go, whatever becomes of those before, and counts each "
+                    + "one's latency from that time. Exit codes: 0 done, 2 wrong use, 3 the schedule was not kept."
+        },
         footerHeading = "%nExamples:%n",
-        footer = {"  load --target 127.0.0.1:11211 --rate 1000 --for 30s --html out.html",
+        footer = {
+            "  load --target 127.0.0.1:11211 --rate 1000 --for 30s --html out.html",
             "  load --target 127.0.0.1:11211 --rate 800 --for 2m --shape surge --key-stay 20s",
             "  load --target 127.0.0.1:11211 --trace day.csv --speed 4 --json out.json",
-            "  load merge a.json b.json --html both.html"})
+            "  load merge a.json b.json --html both.html"
+        })
 final class LoadCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
 
-    @Option(names = "--target", paramLabel = "HOST:PORT", split = ",",
+    @Option(
+            names = "--target",
+            paramLabel = "HOST:PORT",
+            split = ",",
             description = "Where to; several, separated by commas, take connections in turn.")
     private List<Target> targets;
 
     @Mixin
     private TrafficOptions traffic;
 
-    @Option(names = "--mix", paramLabel = "MIX",
+    @Option(
+            names = "--mix",
+            paramLabel = "MIX",
             defaultValue = "seg-text=57,seg-image=38,fix-submit=2.7:unsafe,track-publish=1.8:keyed",
             description = "Classes as NAME=SHARE[:read|unsafe|keyed[:DEADLINE_MS]], separated by commas "
                     + "(default: ${DEFAULT-VALUE}).")
     private String mix;
 
-    @Option(names = "--deadline", paramLabel = "TIME", defaultValue = "5s",
+    @Option(
+            names = "--deadline",
+            paramLabel = "TIME",
+            defaultValue = "5s",
             description = "When a request without answer ends, where its class names no other "
                     + "(default: ${DEFAULT-VALUE}).")
     private Duration deadline;
 
-    @Option(names = "--connections", paramLabel = "N", defaultValue = "64",
+    @Option(
+            names = "--connections",
+            paramLabel = "N",
+            defaultValue = "64",
             description = "Connections at most; further requests queue behind others (default: ${DEFAULT-VALUE}).")
     private int connections;
 
-    @Option(names = "--depth", paramLabel = "N", defaultValue = "1000000",
+    @Option(
+            names = "--depth",
+            paramLabel = "N",
+            defaultValue = "1000000",
             description = "Requests on one connection at most; more wait, and are charged it (default: no bound).")
     private int depth;
 
-    @Option(names = "--read-rate", paramLabel = "BYTES", defaultValue = "0",
+    @Option(
+            names = "--read-rate",
+            paramLabel = "BYTES",
+            defaultValue = "0",
             description = "How fast each connection takes answers, in bytes a second; 0: as they come (default: 0).")
     private int readRate;
 
-    @Option(names = "--max-outstanding", paramLabel = "N", defaultValue = "200000",
+    @Option(
+            names = "--max-outstanding",
+            paramLabel = "N",
+            defaultValue = "200000",
             description = "Requests out at most, the bound on memory (default: ${DEFAULT-VALUE}).")
     private int maxOutstanding;
 
-    @Option(names = "--warm-up", paramLabel = "TIME", defaultValue = "0s",
+    @Option(
+            names = "--warm-up",
+            paramLabel = "TIME",
+            defaultValue = "0s",
             description = "At the start, sent and not counted (default: ${DEFAULT-VALUE}).")
     private Duration warmUp;
 
-    @Option(names = "--max-lag", paramLabel = "TIME", defaultValue = "10ms",
-            description = "Schedule lag at p99.9 up to which the schedule counts as kept "
-                    + "(default: ${DEFAULT-VALUE}).")
+    @Option(
+            names = "--max-lag",
+            paramLabel = "TIME",
+            defaultValue = "10ms",
+            description =
+                    "Schedule lag at p99.9 up to which the schedule counts as kept " + "(default: ${DEFAULT-VALUE}).")
     private Duration maxLag;
 
     @Option(names = "--trace", paramLabel = "FILE", description = "Replays a recorded trace instead.")
     private Path trace;
 
-    @Option(names = "--trace-format", defaultValue = "CSV",
+    @Option(
+            names = "--trace-format",
+            defaultValue = "CSV",
             description = "csv (time_ms,class,key,op,value_bytes) or twitter (timestamp,key,key size,value size,"
                     + "client id,operation,TTL) (default: csv).")
     private TraceFormat format;
 
-    @Option(names = "--speed", paramLabel = "F", defaultValue = "1",
+    @Option(
+            names = "--speed",
+            paramLabel = "F",
+            defaultValue = "1",
             description = "Replays a trace F times as fast (default: ${DEFAULT-VALUE}).")
     private double speed;
 
@@ -106,10 +144,20 @@
         }
         PrintWriter out = spec.commandLine().getOut();
         List<TrafficClass> classes = TrafficClass.mix(mix, deadline.ms());
-        Generator.Settings settings = new Generator.Settings(targets.stream().map(Target::address).toList(), classes,
-                connections, depth, maxOutstanding, traffic.connectionStay.seconds(), warmUp.seconds(), maxLag.ms(),
-                traffic.seed, false, readRate);
-        Workload workload = trace == null ? traffic.workload(classes)
+        Generator.Settings settings = new Generator.Settings(
+                targets.stream().map(Target::address).toList(),
+                classes,
+                connections,
+                depth,
+                maxOutstanding,
+                traffic.connectionStay.seconds(),
+                warmUp.seconds(),
+                maxLag.ms(),
+                traffic.seed,
+                false,
+                readRate);
+        Workload workload = trace == null
+                ? traffic.workload(classes)
                 : new TraceWorkload(Files.newInputStream(trace), format, classes, speed);
         try (Generator generator = new Generator(settings, workload, Observer.NONE)) {
             Report report = Runs.run(generator, out, () -> "");
@@ -121,11 +169,14 @@
         }
     }
 
-    @Command(name = "merge", mixinStandardHelpOptions = true,
+    @Command(
+            name = "merge",
+            mixinStandardHelpOptions = true,
             description = "Joins reports of generators that ran side by side: histograms are merged, percentiles "
                     + "never averaged.")
-    private int merge(@Parameters(arity = "1..*", paramLabel = "FILE", description = "Reports written by --json.")
-            List<Path> files,
+    private int merge(
+            @Parameters(arity = "1..*", paramLabel = "FILE", description = "Reports written by --json.")
+                    List<Path> files,
             @Option(names = "--json", paramLabel = "FILE", description = "Writes the joint report.") Path to,
             @Option(names = "--hlog", paramLabel = "FILE", description = "Writes an HdrHistogram log.") Path log,
             @Option(names = "--html", paramLabel = "FILE", description = "Writes a page with plots.") Path page)
--- a/src/main/java/damsonworks/cli/ModelColdCommand.java
+++ b/src/main/java/damsonworks/cli/ModelColdCommand.java
@@ -16,37 +16,58 @@
 import picocli.CommandLine.Spec;
 
 /** {@code model cold}: what a whole fleet sends to nodes that have just started. */
-@Command(name = "cold", mixinStandardHelpOptions = true, sortOptions = false,
-        description = {"Plays nodes that start cold in virtual time, and tells the fullest window of each as a part of "
-                + "what makes it fall: median, 99th percentile and most, and how many are over it; the most and how "
-                + "many over by instances that had been told of the start, how many first falls break the rule by "
-                + "that, and who filled the fullest window of these.",
-            "Exit codes: 0 no fall breaks the rule, 1 some do, 2 wrong use."},
-        footerHeading = "%nExamples:%n", footer = "  model cold --instances 30 --nodes 40 --case keys --seeds 1000")
+@Command(
+        name = "cold",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
+        description = {
+            "Plays nodes that start cold in virtual time, and tells the fullest window of each as a part of "
+                    + "what makes it fall: median, 99th percentile and most, and how many are over it; the most and how "
+                    + "many over by instances that had been told of the start, how many first falls break the rule by "
+                    + "that, and who filled the fullest window of these.",
+            "Exit codes: 0 no fall breaks the rule, 1 some do, 2 wrong use."
+        },
+        footerHeading = "%nExamples:%n",
+        footer = "  model cold --instances 30 --nodes 40 --case keys --seeds 1000")
 final class ModelColdCommand implements Callable<Integer> {
     private static final String EVERY = "every";
 
     @Spec
     private CommandSpec spec;
 
-    @Option(names = "--instances", paramLabel = "N", defaultValue = "30",
+    @Option(
+            names = "--instances",
+            paramLabel = "N",
+            defaultValue = "30",
             description = "Proxies, 1 to 1000 (default: ${DEFAULT-VALUE}).")
     private int instances;
 
-    @Option(names = "--nodes", paramLabel = "N", defaultValue = "40",
+    @Option(
+            names = "--nodes",
+            paramLabel = "N",
+            defaultValue = "40",
             description = "Cache nodes, 2 to 2000 (default: ${DEFAULT-VALUE}).")
     private int nodes;
 
-    @Option(names = "--case", paramLabel = "CASE", defaultValue = EVERY,
+    @Option(
+            names = "--case",
+            paramLabel = "CASE",
+            defaultValue = EVERY,
             description = "plain, keys, hot_key, burst, repeats, unmarked, uneven, late, all together, or every one "
                     + "(default: ${DEFAULT-VALUE}).")
     private String what;
 
-    @Option(names = "--seed", paramLabel = "N", defaultValue = "1",
+    @Option(
+            names = "--seed",
+            paramLabel = "N",
+            defaultValue = "1",
             description = "The first seed (default: ${DEFAULT-VALUE}).")
     private long seed;
 
-    @Option(names = "--seeds", paramLabel = "N", defaultValue = "10",
+    @Option(
+            names = "--seeds",
+            paramLabel = "N",
+            defaultValue = "10",
             description = "So many from that one on, side by side (default: ${DEFAULT-VALUE}).")
     private int seeds;
 
@@ -54,8 +75,9 @@
     public Integer call() {
         List<ColdCase> cases = cases();
         if (instances < 1 || instances > 1000 || nodes < 2 || nodes > 2000 || seeds < 1 || seeds > 100_000) {
-            throw new ParameterException(spec.commandLine(), "it takes 1 to 1000 instances before 2 to 2000 nodes, "
-                    + "and 1 to 100000 seeds");
+            throw new ParameterException(
+                    spec.commandLine(),
+                    "it takes 1 to 1000 instances before 2 to 2000 nodes, " + "and 1 to 100000 seeds");
         }
         PrintWriter out = spec.commandLine().getOut();
         out.print(ColdStudy.head());
@@ -73,9 +95,12 @@
         if (what.equals(EVERY)) {
             return List.of(ColdCase.values());
         }
-        return Stream.of(ColdCase.values()).filter(c -> name(c).equals(what)).findFirst().map(List::of)
-                .orElseThrow(() -> new ParameterException(spec.commandLine(), "there is no case '" + what
-                        + "'; it takes " + names() + " or " + EVERY));
+        return Stream.of(ColdCase.values())
+                .filter(c -> name(c).equals(what))
+                .findFirst()
+                .map(List::of)
+                .orElseThrow(() -> new ParameterException(
+                        spec.commandLine(), "there is no case '" + what + "'; it takes " + names() + " or " + EVERY));
     }
 
     private static String names() {
--- a/src/main/java/damsonworks/cli/ModelNewsCommand.java
+++ b/src/main/java/damsonworks/cli/ModelNewsCommand.java
@@ -18,34 +18,58 @@
 import picocli.CommandLine.Spec.Target;
 
 /** {@code model news}: how soon all instances know of a change after calls for the list have failed. */
-@Command(name = "news", mixinStandardHelpOptions = true, sortOptions = false,
-        description = "Plays instances that ask one discovery for the list, by the failure before a change, in virtual time.",
-        footerHeading = "%nExamples:%n", footer = "  model news --instances 30 --seeds 100")
+@Command(
+        name = "news",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
+        description =
+                "Plays instances that ask one discovery for the list, by the failure before a change, in virtual time.",
+        footerHeading = "%nExamples:%n",
+        footer = "  model news --instances 30 --seeds 100")
 final class ModelNewsCommand implements Callable<Integer> {
     @picocli.CommandLine.Spec(Target.SELF)
     private CommandSpec spec;
 
-    @Option(names = "--instances", paramLabel = "N", defaultValue = "1,7,20,30,100", split = ",",
+    @Option(
+            names = "--instances",
+            paramLabel = "N",
+            defaultValue = "1,7,20,30,100",
+            split = ",",
             description = "1 to 2000 each (default: ${DEFAULT-VALUE}).")
     private List<Integer> instances;
 
-    @Option(names = "--calls", paramLabel = "N", defaultValue = "3",
+    @Option(
+            names = "--calls",
+            paramLabel = "N",
+            defaultValue = "3",
             description = "New calls that discovery takes a second, of all together (default: ${DEFAULT-VALUE}).")
     private double calls;
 
-    @Option(names = "--seeds", paramLabel = "N", defaultValue = "20",
+    @Option(
+            names = "--seeds",
+            paramLabel = "N",
+            defaultValue = "20",
             description = "So many seeds from 1 on, side by side (default: ${DEFAULT-VALUE}).")
     private int seeds;
 
     @Override
     public Integer call() {
         if (instances.stream().anyMatch(n -> n < 1 || n > 2000) || seeds < 1 || seeds > 100_000 || !(calls > 0)) {
-            throw new ParameterException(spec.commandLine(),
-                    "it takes 1 to 2000 instances, 1 to 100000 seeds and calls over 0");
+            throw new ParameterException(
+                    spec.commandLine(), "it takes 1 to 2000 instances, 1 to 100000 seeds and calls over 0");
         }
         PrintWriter out = spec.commandLine().getOut();
-        out.printf(Locale.ROOT, "%-15s %-9s %9s  %8s %8s  %9s %8s %8s%n", "failure", "sharing", "instances", "median s",
-                "worst s", "calls/s", "refused", "messages");
+        out.printf(
+                Locale.ROOT,
+                "%-15s %-9s %9s  %8s %8s  %9s %8s %8s%n",
+                "failure",
+                "sharing",
+                "instances",
+                "median s",
+                "worst s",
+                "calls/s",
+                "refused",
+                "messages");
         for (Failure failure : Failure.values()) {
             for (int n : instances) {
                 Arrays.stream(Sharing.values()).forEach(sharing -> row(out, failure, sharing, n));
@@ -56,12 +80,20 @@
     }
 
     private void row(PrintWriter out, Failure failure, Sharing sharing, int n) {
-        List<Result> results = LongStream.rangeClosed(1, seeds).parallel()
-                .mapToObj(seed -> NewsPlay.of(new Spec(n, failure, sharing, calls, seed))).toList();
-        double[] medians = results.stream().mapToDouble(Result::medianMs).sorted().toArray();
-        out.printf(Locale.ROOT, "%-15s %-9s %9d  %8.2f %8.2f  %9.1f %8.2f %8.0f%n",
-                failure.name().toLowerCase(Locale.ROOT), sharing.name().toLowerCase(Locale.ROOT), n,
-                medians[medians.length / 2] / 1000, results.stream().mapToDouble(Result::worstMs).max().orElse(0) / 1000,
+        List<Result> results = LongStream.rangeClosed(1, seeds)
+                .parallel()
+                .mapToObj(seed -> NewsPlay.of(new Spec(n, failure, sharing, calls, seed)))
+                .toList();
+        double[] medians =
+                results.stream().mapToDouble(Result::medianMs).sorted().toArray();
+        out.printf(
+                Locale.ROOT,
+                "%-15s %-9s %9d  %8.2f %8.2f  %9.1f %8.2f %8.0f%n",
+                failure.name().toLowerCase(Locale.ROOT),
+                sharing.name().toLowerCase(Locale.ROOT),
+                n,
+                medians[medians.length / 2] / 1000,
+                results.stream().mapToDouble(Result::worstMs).max().orElse(0) / 1000,
                 results.stream().mapToDouble(Result::newCallsASecond).average().orElse(0),
                 results.stream().mapToDouble(Result::turnedAway).average().orElse(0),
                 results.stream().mapToLong(Result::messages).average().orElse(0));
--- a/src/main/java/damsonworks/cli/ModelZonesCommand.java
+++ b/src/main/java/damsonworks/cli/ModelZonesCommand.java
@@ -9,21 +9,35 @@
 import picocli.CommandLine.Spec;
 
 /** {@code model zones}: how soon a fleet leaves a zone and is back. */
-@Command(name = "zones", mixinStandardHelpOptions = true, sortOptions = false,
+@Command(
+        name = "zones",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
         description = "Plays instances that leave a zone whose nodes die and return to it, in virtual time.",
-        footerHeading = "%nExamples:%n", footer = "  model zones --instances 100 --seeds 200")
+        footerHeading = "%nExamples:%n",
+        footer = "  model zones --instances 100 --seeds 200")
 final class ModelZonesCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
 
-    @Option(names = "--instances", paramLabel = "N", defaultValue = "100",
+    @Option(
+            names = "--instances",
+            paramLabel = "N",
+            defaultValue = "100",
             description = "4 to 1000, before twice as many nodes (default: ${DEFAULT-VALUE}).")
     private int instances;
 
-    @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "The first seed (default: ${DEFAULT-VALUE}).")
+    @Option(
+            names = "--seed",
+            paramLabel = "N",
+            defaultValue = "1",
+            description = "The first seed (default: ${DEFAULT-VALUE}).")
     private long seed;
 
-    @Option(names = "--seeds", paramLabel = "N", defaultValue = "10",
+    @Option(
+            names = "--seeds",
+            paramLabel = "N",
+            defaultValue = "10",
             description = "So many from that one on, side by side (default: ${DEFAULT-VALUE}).")
     private int seeds;
 
--- a/src/main/java/damsonworks/cli/QuotaCommand.java
+++ b/src/main/java/damsonworks/cli/QuotaCommand.java
@@ -21,8 +21,12 @@
 import picocli.CommandLine.Spec;
 
 /** {@code quota}: tries quotas without a proxy. */
-@Command(name = "quota", mixinStandardHelpOptions = true, sortOptions = false,
-        description = "Tries the quotas of a file for serve --edge.", footerHeading = "%nExamples:%n",
+@Command(
+        name = "quota",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
+        description = "Tries the quotas of a file for serve --edge.",
+        footerHeading = "%nExamples:%n",
         footer = "  quota replay --edge deploy/quotas.conf trace.csv --decisions out.csv")
 final class QuotaCommand implements Runnable {
     @Spec
@@ -33,17 +37,30 @@
         throw new ParameterException(spec.commandLine(), "replay is missing");
     }
 
-    @Command(name = "replay", mixinStandardHelpOptions = true,
-            description = {"Runs the decisions over a trace in virtual time. Its columns are time_ms,org,app,device,bytes,write "
-                    + "(write is 0 or 1), sorted by time; a first line that begins with time_ms is a header. The same with "
-                    + "admitted (0 or 1) and retry_after_ms behind it is what comes out.",
-                "Exit codes: 0 done, 1 a file has mistakes, 2 wrong use."})
-    private int replay(@Parameters(paramLabel = "TRACE") Path trace,
-            @Option(names = "--edge", required = true, paramLabel = "FILE", description = "The file with quotas.") Path edge,
-            @Option(names = "--decisions", paramLabel = "OUT", description = "Where what was decided goes, line by line.")
-            Path decisions,
-            @Option(names = "--seed", paramLabel = "N", defaultValue = "1",
-                    description = "Of how times to come back are spread (default: ${DEFAULT-VALUE}).") long seed)
+    @Command(
+            name = "replay",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Runs the decisions over a trace in virtual time. Its columns are time_ms,org,app,device,bytes,write "
+                        + "(write is 0 or 1), sorted by time; a first line that begins with time_ms is a header. The same with "
+                        + "admitted (0 or 1) and retry_after_ms behind it is what comes out.",
+                "Exit codes: 0 done, 1 a file has mistakes, 2 wrong use."
+            })
+    private int replay(
+            @Parameters(paramLabel = "TRACE") Path trace,
+            @Option(names = "--edge", required = true, paramLabel = "FILE", description = "The file with quotas.")
+                    Path edge,
+            @Option(
+                            names = "--decisions",
+                            paramLabel = "OUT",
+                            description = "Where what was decided goes, line by line.")
+                    Path decisions,
+            @Option(
+                            names = "--seed",
+                            paramLabel = "N",
+                            defaultValue = "1",
+                            description = "Of how times to come back are spread (default: ${DEFAULT-VALUE}).")
+                    long seed)
             throws IOException {
         Problems problems = new Problems();
         Configuration c = ConfigFile.read(edge, EdgeFile.schema(null), problems);
@@ -64,7 +81,7 @@
             if (out != null) {
                 out.write(QuotaReplay.HEADER + ",admitted,retry_after_ms\n");
             }
-            for (String line; (line = in.readLine()) != null;) {
+            for (String line; (line = in.readLine()) != null; ) {
                 String decided = replay.line(line);
                 if (decided != null && out != null) {
                     out.write(decided);
--- a/src/main/java/damsonworks/cli/Runs.java
+++ b/src/main/java/damsonworks/cli/Runs.java
@@ -14,7 +14,7 @@
 
 /** What the commands that drive load share: progress while it runs, and where its report goes. */
 final class Runs {
-    private Runs() { }
+    private Runs() {}
 
     /** Runs to the end with a line of progress a second. */
     static Report run(Generator generator, PrintWriter out, Supplier<String> more) throws Exception {
--- a/src/main/java/damsonworks/cli/StateCommand.java
+++ b/src/main/java/damsonworks/cli/StateCommand.java
@@ -18,11 +18,17 @@
 import picocli.CommandLine.Spec;
 
 /** {@code state}: what a proxy has kept in its folder, and whether it is sound. */
-@Command(name = "state", mixinStandardHelpOptions = true, sortOptions = false,
-        description = {"Shows, checks and repairs the folder that serve --state names.",
-            "Exit codes: 0 sound, or repaired; 1 damaged, of no use, or in use; 2 wrong use."},
-        footerHeading = "%nExamples:%n", footer = {"  state show /var/lib/proxy", "  state check /var/lib/proxy --json",
-            "  state repair /var/lib/proxy"})
+@Command(
+        name = "state",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
+        description = {
+            "Shows, checks and repairs the folder that serve --state names.",
+            "Exit codes: 0 sound, or repaired; 1 damaged, of no use, or in use; 2 wrong use."
+        },
+        footerHeading = "%nExamples:%n",
+        footer = {"  state show /var/lib/proxy", "  state check /var/lib/proxy --json", "  state repair /var/lib/proxy"
+        })
 final class StateCommand implements Runnable {
     @Spec
     private CommandSpec spec;
@@ -32,22 +38,41 @@
         throw new ParameterException(spec.commandLine(), "one of show, check and repair is missing");
     }
 
-    @Command(name = "show", mixinStandardHelpOptions = true,
-            description = "What it holds, how old it is, and how far a process that starts now would use it. May be run beside one.")
-    private int show(@Parameters(paramLabel = "FOLDER") Path path, @Option(names = "--json", description = "As JSON, with the "
-            + "records' bodies.") boolean json) {
+    @Command(
+            name = "show",
+            mixinStandardHelpOptions = true,
+            description =
+                    "What it holds, how old it is, and how far a process that starts now would use it. May be run beside one.")
+    private int show(
+            @Parameters(paramLabel = "FOLDER") Path path,
+            @Option(names = "--json", description = "As JSON, with the " + "records' bodies.") boolean json) {
         return say(inspect(path), json);
     }
 
     @Command(name = "check", mixinStandardHelpOptions = true, description = "Only what is wrong, if anything is.")
-    private int check(@Parameters(paramLabel = "FOLDER") Path path, @Option(names = "--json", description = "As JSON.") boolean json) {
+    private int check(
+            @Parameters(paramLabel = "FOLDER") Path path,
+            @Option(names = "--json", description = "As JSON.") boolean json) {
         Inspection all = inspect(path);
-        return json ? say(all, true) : say(new Inspection(new Opened(all.opened().header(), Map.of(),
-                all.opened().findings()), all.nowMs()), false);
+        return json
+                ? say(all, true)
+                : say(
+                        new Inspection(
+                                new Opened(
+                                        all.opened().header(),
+                                        Map.of(),
+                                        all.opened().findings()),
+                                all.nowMs()),
+                        false);
     }
 
-    @Command(name = "repair", mixinStandardHelpOptions = true, description = {"Writes what is sound as a whole snapshot; files of "
-            + "no use are laid aside as NAME.aside.", "Not while a process uses the folder."})
+    @Command(
+            name = "repair",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Writes what is sound as a whole snapshot; files of " + "no use are laid aside as NAME.aside.",
+                "Not while a process uses the folder."
+            })
     private int repair(@Parameters(paramLabel = "FOLDER") Path path) throws IOException {
         try (StateFolder folder = folder(path)) {
             PrintWriter out = spec.commandLine().getOut();
@@ -60,7 +85,8 @@
             Header h = found.header();
             if (h == null) {
                 folder.setAside();
-                out.println("nothing could be used; what was there is laid aside, and a proxy starts from nothing here");
+                out.println(
+                        "nothing could be used; what was there is laid aside, and a proxy starts from nothing here");
             } else {
                 Keeper keeper = new Keeper(found, h.instance(), h.fleet());
                 folder.write(keeper.next(0));
--- a/src/main/java/damsonworks/cli/StatusCommand.java
+++ b/src/main/java/damsonworks/cli/StatusCommand.java
@@ -14,11 +14,18 @@
 import picocli.CommandLine.Spec;
 
 /** {@code status}: what a running proxy says of itself. */
-@Command(name = "status", mixinStandardHelpOptions = true, sortOptions = false,
+@Command(
+        name = "status",
+        mixinStandardHelpOptions = true,
+        sortOptions = false,
         description = "Shows what a running proxy has open and how a drain goes.",
         footerHeading = "%nExamples:%n",
-        footer = {"  status --control /run/proxy.sock", "  status --control /run/proxy.sock --watch",
-            "  status --control /run/proxy.sock --json", "  status --control /run/proxy.sock --members"})
+        footer = {
+            "  status --control /run/proxy.sock",
+            "  status --control /run/proxy.sock --watch",
+            "  status --control /run/proxy.sock --json",
+            "  status --control /run/proxy.sock --members"
+        })
 final class StatusCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
@@ -32,7 +39,9 @@
     @Option(names = "--json", description = "As JSON, one line each time.")
     private boolean json;
 
-    @Option(names = "--members", description = "Each instance of the fleet as this proxy sees it; needs serve --view on.")
+    @Option(
+            names = "--members",
+            description = "Each instance of the fleet as this proxy sees it; needs serve --view on.")
     private boolean members;
 
     @Override
@@ -52,11 +61,16 @@
     }
 
     private static void figures(StringBuilder s, JsonObject figures) {
-        figures.entrySet().stream().filter(e -> e.getValue().isJsonPrimitive())
-                .forEach(e -> s.append(' ').append(e.getKey()).append('=').append(e.getValue().getAsString()));
+        figures.entrySet().stream()
+                .filter(e -> e.getValue().isJsonPrimitive())
+                .forEach(e -> s.append(' ')
+                        .append(e.getKey())
+                        .append('=')
+                        .append(e.getValue().getAsString()));
         s.append(System.lineSeparator());
-        figures.entrySet().stream().filter(e -> e.getValue().isJsonArray()).forEach(e -> e.getValue().getAsJsonArray()
-                .forEach(part -> {
+        figures.entrySet().stream()
+                .filter(e -> e.getValue().isJsonArray())
+                .forEach(e -> e.getValue().getAsJsonArray().forEach(part -> {
                     s.append("        ");
                     figures(s, part.getAsJsonObject());
                 }));
@@ -66,11 +80,17 @@
     private static String table(JsonObject view) {
         StringBuilder s = new StringBuilder();
         figures(s, summary(view));
-        s.append(String.format("%-10s%6s  %-8s %-11s%12s  %s%n", "instance", "zone", "state", "phase", "incarnation", "life"));
+        s.append(String.format(
+                "%-10s%6s  %-8s %-11s%12s  %s%n", "instance", "zone", "state", "phase", "incarnation", "life"));
         for (JsonElement e : view.getAsJsonArray("members")) {
             JsonObject m = e.getAsJsonObject();
-            s.append(String.format("%-10d%6d  %-8s %-11s%12d  %s%n", m.get("instance").getAsInt(), m.get("zone").getAsInt(),
-                    m.get("state").getAsString(), m.get("phase").getAsString(), m.get("incarnation").getAsLong(),
+            s.append(String.format(
+                    "%-10d%6d  %-8s %-11s%12d  %s%n",
+                    m.get("instance").getAsInt(),
+                    m.get("zone").getAsInt(),
+                    m.get("state").getAsString(),
+                    m.get("phase").getAsString(),
+                    m.get("incarnation").getAsLong(),
                     m.get("life").getAsString()));
         }
         return s.toString().stripTrailing();
--- a/src/main/java/damsonworks/config/Checker.java
+++ b/src/main/java/damsonworks/config/Checker.java
@@ -24,12 +24,13 @@
 final class Checker {
     private static final int MAX_NAME = 100;
 
-    private record Key(String section, String name) { }
+    private record Key(String section, String name) {}
 
     private final Schema schema;
     private final Problems problems;
     /** By section, what its {@code defaults} blocks set. */
     private final Map<String, Map<String, Setting>> defaults = new HashMap<>();
+
     private final Map<Key, List<Place>> named = new HashMap<>();
     private final List<Entry> entries = new ArrayList<>();
 
@@ -56,11 +57,20 @@
         for (Document d : documents) {
             for (Item item : d.items()) {
                 if (item instanceof Attribute a && !ofDefaults) {
-                    problems.add(a.place(), "'" + a.name() + "' stands outside of any block",
+                    problems.add(
+                            a.place(),
+                            "'" + a.name() + "' stands outside of any block",
                             schema.sections().containsKey(a.name())
-                            ? "write " + a.name() + " { ... }" : a.name().equals("include") ? "write include \"FILE\""
-                            : owner(a.name()) != null ? owner(a.name()) : "it belongs into a block of one of "
-                            + String.join(", ", schema.sections().keySet()));
+                                    ? "write " + a.name() + " { ... }"
+                                    : a.name().equals("include")
+                                            ? "write include \"FILE\""
+                                            : owner(a.name()) != null
+                                                    ? owner(a.name())
+                                                    : "it belongs into a block of one of "
+                                                            + String.join(
+                                                                    ", ",
+                                                                    schema.sections()
+                                                                            .keySet()));
                 } else if (item instanceof Block b && b.name().equals("defaults") == ofDefaults) {
                     if (ofDefaults) {
                         defaults(b);
@@ -74,8 +84,11 @@
 
     /** The section that knows an attribute of this name. */
     private String owner(String attribute) {
-        return schema.sections().values().stream().filter(s -> s.attributes().containsKey(attribute)).findFirst()
-                .map(s -> "move it into a " + s.name()).orElse(null);
+        return schema.sections().values().stream()
+                .filter(s -> s.attributes().containsKey(attribute))
+                .findFirst()
+                .map(s -> "move it into a " + s.name())
+                .orElse(null);
     }
 
     // ---- defaults
@@ -85,10 +98,12 @@
         Section section = label == null ? null : schema.sections().get(label.text());
         if (section == null) {
             List<String> known = schema.sections().keySet().stream().toList();
-            problems.add(label == null ? block.place() : label.place(), label == null ? "defaults of what?"
-                    : "defaults of a section that there is not: " + label.raw(), label == null
-                    ? "write defaults SECTION { ... }, with one of " + String.join(", ", known)
-                    : Names.fix(label.text(), known));
+            problems.add(
+                    label == null ? block.place() : label.place(),
+                    label == null ? "defaults of what?" : "defaults of a section that there is not: " + label.raw(),
+                    label == null
+                            ? "write defaults SECTION { ... }, with one of " + String.join(", ", known)
+                            : Names.fix(label.text(), known));
             return;
         }
         Map<String, Setting> set = defaults.computeIfAbsent(section.name(), k -> new LinkedHashMap<>());
@@ -98,8 +113,11 @@
                 Setting setting = known == null ? null : read(known, a, Origin.DEFAULTS, builtIn(known));
                 Setting before = setting == null ? null : set.putIfAbsent(a.name(), setting);
                 if (before != null) {
-                    problems.add(a.place(), "a default of " + section.name() + " that is set already at "
-                            + before.place().shortly(), "leave one of them out; which holds may not hang on order");
+                    problems.add(
+                            a.place(),
+                            "a default of " + section.name() + " that is set already at "
+                                    + before.place().shortly(),
+                            "leave one of them out; which holds may not hang on order");
                 }
             } else {
                 problems.add(item.place(), "a block within defaults", "defaults set attributes only");
@@ -115,8 +133,7 @@
             List<String> known = new ArrayList<>(schema.sections().keySet());
             known.add("defaults");
             known.add("include");
-            problems.add(block.place(), "no section is called '" + block.name() + "'",
-                    Names.fix(block.name(), known));
+            problems.add(block.place(), "no section is called '" + block.name() + "'", Names.fix(block.name(), known));
             return;
         }
         Entry entry = block(section, block, defaults.getOrDefault(section.name(), Map.of()));
@@ -127,8 +144,11 @@
         List<Place> places = named.computeIfAbsent(key, k -> new ArrayList<>(1));
         places.add(entry.place());
         if (section.naming() != Naming.MANY && places.size() > 1) {
-            problems.add(entry.place(), entry.title() + " stands already at " + places.get(0).shortly(),
-                    section.naming() == Naming.NAMED ? "give one of them another name, or take one out"
+            problems.add(
+                    entry.place(),
+                    entry.title() + " stands already at " + places.get(0).shortly(),
+                    section.naming() == Naming.NAMED
+                            ? "give one of them another name, or take one out"
                             : "join the two");
         }
         entries.add(entry);
@@ -145,7 +165,10 @@
                 Setting setting = known == null ? null : read(known, a, Origin.OWN, instead);
                 Setting before = setting == null ? null : own.putIfAbsent(a.name(), setting);
                 if (before != null) {
-                    problems.add(a.place(), "'" + a.name() + "' is set already at " + before.place().shortly(),
+                    problems.add(
+                            a.place(),
+                            "'" + a.name() + "' is set already at "
+                                    + before.place().shortly(),
                             known.listed() ? "write one list" : "leave one of them out");
                 }
             } else if (item instanceof Block b) {
@@ -165,14 +188,17 @@
         }
         Map<String, Setting> all = new LinkedHashMap<>();
         for (Section.Attribute a : section.attributes().values()) {
-            Setting setting = own.containsKey(a.name()) ? own.get(a.name())
-                    : inherited.getOrDefault(a.name(), builtIn(a));
+            Setting setting =
+                    own.containsKey(a.name()) ? own.get(a.name()) : inherited.getOrDefault(a.name(), builtIn(a));
             if (setting != null) {
                 all.put(a.name(), setting);
-            } else if (a.required() && block.items().stream().noneMatch(i -> i instanceof Attribute x
-                    && x.name().equals(a.name()))) {
-                problems.add(block.place(), "'" + a.name() + "' is missing", "set it: " + a.help() + " ("
-                        + a.type().words() + ")");
+            } else if (a.required()
+                    && block.items().stream()
+                            .noneMatch(i -> i instanceof Attribute x && x.name().equals(a.name()))) {
+                problems.add(
+                        block.place(),
+                        "'" + a.name() + "' is missing",
+                        "set it: " + a.help() + " (" + a.type().words() + ")");
             }
         }
         return name == null ? null : new Entry(section, name, block.place(), all, blocks);
@@ -183,23 +209,32 @@
         int labels = block.labels().size();
         if (section.naming() != Naming.NAMED) {
             if (labels > 0) {
-                problems.add(block.labels().get(0).place(), "'" + section.name() + "' takes no name",
+                problems.add(
+                        block.labels().get(0).place(),
+                        "'" + section.name() + "' takes no name",
                         "write " + section.name() + " { ... }");
             }
             return "";
         }
         if (labels != 1) {
-            problems.add(labels == 0 ? block.place() : block.labels().get(1).place(), labels == 0
-                    ? "a " + section.name() + " without a name" : "a second name", labels == 0
-                    ? "write " + section.name() + " \"NAME\" { ... }" : "a " + section.name() + " has one name");
+            problems.add(
+                    labels == 0 ? block.place() : block.labels().get(1).place(),
+                    labels == 0 ? "a " + section.name() + " without a name" : "a second name",
+                    labels == 0
+                            ? "write " + section.name() + " \"NAME\" { ... }"
+                            : "a " + section.name() + " has one name");
             return null;
         }
         String name = block.labels().get(0).text();
         if (name.isBlank() || name.length() > MAX_NAME || !name.equals(name.strip())) {
-            problems.add(block.labels().get(0).place(), name.length() > MAX_NAME ? "a name of " + name.length()
-                    + " characters" : name.isBlank() ? "an empty name" : "a name with blanks around it",
-                    name.length() > MAX_NAME ? "at most " + MAX_NAME + " are taken" : name.isBlank()
-                    ? "give it a name" : "write " + Type.quoted(name.strip()));
+            problems.add(
+                    block.labels().get(0).place(),
+                    name.length() > MAX_NAME
+                            ? "a name of " + name.length() + " characters"
+                            : name.isBlank() ? "an empty name" : "a name with blanks around it",
+                    name.length() > MAX_NAME
+                            ? "at most " + MAX_NAME + " are taken"
+                            : name.isBlank() ? "give it a name" : "write " + Type.quoted(name.strip()));
             return null;
         }
         return name;
@@ -215,21 +250,27 @@
 
     private void unknown(Section section, String name, Place place, boolean block) {
         if (block ? section.attributes().containsKey(name) : section.blocks().containsKey(name)) {
-            problems.add(place, "'" + name + "' is " + (block ? "an attribute, not a block" : "a block, not an "
-                    + "attribute"), block ? "write " + name + " = ..." : "write " + name + " { ... }");
+            problems.add(
+                    place,
+                    "'" + name + "' is " + (block ? "an attribute, not a block" : "a block, not an " + "attribute"),
+                    block ? "write " + name + " = ..." : "write " + name + " { ... }");
             return;
         }
         if (block && schema.sections().containsKey(name)) {
-            problems.add(place, "a " + name + " within a " + section.name(), "close the " + section.name()
-                    + " with } before it");
+            problems.add(
+                    place,
+                    "a " + name + " within a " + section.name(),
+                    "close the " + section.name() + " with } before it");
             return;
         }
         List<String> known = new ArrayList<>(section.attributes().keySet());
         known.addAll(section.blocks().keySet());
         String fix = Names.fix(name, known);
         String elsewhere = block ? null : owner(name);
-        problems.add(place, "a " + section.name() + " knows no '" + name + "'", (fix != null
-                && fix.startsWith("did you mean")) || elsewhere == null ? fix : elsewhere);
+        problems.add(
+                place,
+                "a " + section.name() + " knows no '" + name + "'",
+                (fix != null && fix.startsWith("did you mean")) || elsewhere == null ? fix : elsewhere);
     }
 
     // ---- values
@@ -251,11 +292,19 @@
     private Setting read(Section.Attribute known, Attribute a, Origin origin, Setting instead) {
         if (!(a.value() instanceof Listing list)) {
             Type.Read read = known.type().read(a.value(), problems);
-            return read == null ? null : new Setting(List.of(read.value()), known.listed() ? "[" + read.canonical()
-                    + "]" : read.canonical(), a.value().place(), origin, instead);
+            return read == null
+                    ? null
+                    : new Setting(
+                            List.of(read.value()),
+                            known.listed() ? "[" + read.canonical() + "]" : read.canonical(),
+                            a.value().place(),
+                            origin,
+                            instead);
         }
         if (!known.listed()) {
-            problems.add(list.place(), "a list where " + known.type().words() + " belongs",
+            problems.add(
+                    list.place(),
+                    "a list where " + known.type().words() + " belongs",
                     list.elements().size() == 1 ? "leave the brackets out" : "one value is taken here");
             return null;
         }
@@ -273,8 +322,9 @@
                 right = false;
             }
         }
-        return right ? new Setting(List.copyOf(values.values()), values.keySet().toString(), list.place(), origin,
-                instead) : null;
+        return right
+                ? new Setting(List.copyOf(values.values()), values.keySet().toString(), list.place(), origin, instead)
+                : null;
     }
 
     // ---- references
@@ -294,14 +344,24 @@
     private void reference(String section, String name, Place place) {
         List<Place> places = named.get(new Key(section, name));
         if (places == null) {
-            List<String> known = named.keySet().stream().filter(k -> k.section().equals(section)).map(Key::name)
+            List<String> known = named.keySet().stream()
+                    .filter(k -> k.section().equals(section))
+                    .map(Key::name)
                     .toList();
-            problems.add(place, "no " + section + " is called " + Type.quoted(name), known.isEmpty()
-                    ? "there is no " + section + " at all; write " + section + " " + Type.quoted(name) + " { ... }"
-                    : Names.fix(name, known));
+            problems.add(
+                    place,
+                    "no " + section + " is called " + Type.quoted(name),
+                    known.isEmpty()
+                            ? "there is no " + section + " at all; write " + section + " " + Type.quoted(name)
+                                    + " { ... }"
+                            : Names.fix(name, known));
         } else if (places.size() > 1) {
-            problems.add(place, section + " " + Type.quoted(name) + " could be that of " + places.get(0).shortly()
-                    + " or that of " + places.get(1).shortly(), "give one of them another name");
+            problems.add(
+                    place,
+                    section + " " + Type.quoted(name) + " could be that of "
+                            + places.get(0).shortly() + " or that of "
+                            + places.get(1).shortly(),
+                    "give one of them another name");
         }
     }
 }
--- a/src/main/java/damsonworks/config/ConfigFile.java
+++ b/src/main/java/damsonworks/config/ConfigFile.java
@@ -10,11 +10,11 @@
 
 /** What can be done with files of the language: check them, lay them out, and show what they come to. */
 public final class ConfigFile {
-    private ConfigFile() { }
+    private ConfigFile() {}
 
     /**
-     * Reads a file with all that it includes. What is wrong goes to {@code problems}, all of it in one run; the
-     * result is of use only if there is none.
+     * Reads a file with all that it includes. What is wrong goes to {@code problems}, all of it in one run; the result
+     * is of use only if there is none.
      */
     public static Configuration read(Path file, Schema schema, Problems problems) {
         List<Document> documents = Loader.load(file, problems);
@@ -38,7 +38,10 @@
     public static String effective(Configuration configuration) {
         StringBuilder s = new StringBuilder();
         for (Entry e : configuration.entries()) {
-            s.append(s.isEmpty() ? "" : "\n").append("# ").append(e.place().shortly()).append('\n');
+            s.append(s.isEmpty() ? "" : "\n")
+                    .append("# ")
+                    .append(e.place().shortly())
+                    .append('\n');
             append(s, e, "");
         }
         return s.toString();
@@ -47,8 +50,14 @@
     private static void append(StringBuilder s, Entry e, String indent) {
         String name = e.section().naming() == Naming.NAMED ? " " + Type.quoted(e.name()) : "";
         s.append(indent).append(e.section().name()).append(name).append(" {\n");
-        e.settings().forEach((attribute, setting) -> s.append(indent).append("  ").append(attribute).append(" = ")
-                .append(setting.canonical()).append(origin(setting)).append('\n'));
+        e.settings()
+                .forEach((attribute, setting) -> s.append(indent)
+                        .append("  ")
+                        .append(attribute)
+                        .append(" = ")
+                        .append(setting.canonical())
+                        .append(origin(setting))
+                        .append('\n'));
         e.blocks().forEach(b -> append(s, b, indent + "  "));
         s.append(indent).append("}\n");
     }
@@ -57,11 +66,17 @@
         if (setting.origin() == Origin.BUILT_IN) {
             return "  # built in";
         }
-        String where = setting.origin() == Origin.DEFAULTS ? "  # default, " + setting.place().shortly() : "";
+        String where = setting.origin() == Origin.DEFAULTS
+                ? "  # default, " + setting.place().shortly()
+                : "";
         Setting instead = setting.instead();
-        if (setting.origin() == Origin.OWN && instead != null && !instead.canonical().equals(setting.canonical())) {
-            where = "  # instead of " + instead.canonical() + (instead.place() == null ? ", built in"
-                    : ", " + instead.place().shortly());
+        if (setting.origin() == Origin.OWN
+                && instead != null
+                && !instead.canonical().equals(setting.canonical())) {
+            where = "  # instead of " + instead.canonical()
+                    + (instead.place() == null
+                            ? ", built in"
+                            : ", " + instead.place().shortly());
         }
         return where;
     }
--- a/src/main/java/damsonworks/config/Configuration.java
+++ b/src/main/java/damsonworks/config/Configuration.java
@@ -13,24 +13,28 @@
 /** What a file and all that it includes come to: entries with their values, whatever order they were written in. */
 public final class Configuration {
     /** Where a value comes from. */
-    public enum Origin { OWN, DEFAULTS, BUILT_IN }
+    public enum Origin {
+        OWN,
+        DEFAULTS,
+        BUILT_IN
+    }
 
     /**
      * One attribute's value.
      *
-     * @param values    one, or as many as the list has, in canonical order
+     * @param values one, or as many as the list has, in canonical order
      * @param canonical as text, alike for all ways to write it
-     * @param place     where it is set; null for what is built in
-     * @param instead   what would hold if it were not set here; null where nothing would
+     * @param place where it is set; null for what is built in
+     * @param instead what would hold if it were not set here; null where nothing would
      */
-    public record Setting(List<Object> values, String canonical, Place place, Origin origin, Setting instead) { }
+    public record Setting(List<Object> values, String canonical, Place place, Origin origin, Setting instead) {}
 
     /**
      * One block.
      *
-     * @param name     its name; empty for a section that has none
+     * @param name its name; empty for a section that has none
      * @param settings by attribute, in the schema's order; those without a value are not in it
-     * @param blocks   those within it
+     * @param blocks those within it
      */
     public record Entry(Section section, String name, Place place, Map<String, Setting> settings, List<Entry> blocks) {
         /** Its name with its section's, as {@code pool "tiles"}. */
@@ -50,13 +54,18 @@
 
         /** All strings of a list, none if it is not set. */
         public List<String> texts(String attribute) {
-            return has(attribute) ? settings.get(attribute).values().stream().map(String.class::cast).toList()
+            return has(attribute)
+                    ? settings.get(attribute).values().stream()
+                            .map(String.class::cast)
+                            .toList()
                     : List.of();
         }
 
         /** A number in the base unit of its type: milliseconds, bytes, events an hour, percent. */
         public double number(String attribute, double absent) {
-            return has(attribute) ? ((BigDecimal) settings.get(attribute).values().get(0)).doubleValue() : absent;
+            return has(attribute)
+                    ? ((BigDecimal) settings.get(attribute).values().get(0)).doubleValue()
+                    : absent;
         }
 
         /** A whole number. */
@@ -76,14 +85,20 @@
 
         /** Where an attribute is set, or else where the block begins. */
         public Place placeOf(String attribute) {
-            return has(attribute) && settings.get(attribute).place() != null ? settings.get(attribute).place() : place;
+            return has(attribute) && settings.get(attribute).place() != null
+                    ? settings.get(attribute).place()
+                    : place;
         }
 
         /** As text, alike for all ways to write it: attributes by name, then blocks in canonical order. */
         public String canonical() {
             StringBuilder s = new StringBuilder(title()).append(" {");
-            new TreeMap<>(settings).forEach((k, v) -> s.append(' ').append(k).append('=').append(v.canonical()));
-            blocks.stream().map(Entry::canonical).sorted().forEach(b -> s.append(' ').append(b));
+            new TreeMap<>(settings)
+                    .forEach((k, v) -> s.append(' ').append(k).append('=').append(v.canonical()));
+            blocks.stream()
+                    .map(Entry::canonical)
+                    .sorted()
+                    .forEach(b -> s.append(' ').append(b));
             return s.append(" }").toString();
         }
     }
@@ -114,7 +129,8 @@
     /** Twelve hexadecimal digits that are alike for configurations that mean the same. */
     public String hash() {
         try {
-            byte[] digest = MessageDigest.getInstance("SHA-256").digest(canonical().getBytes(StandardCharsets.UTF_8));
+            byte[] digest =
+                    MessageDigest.getInstance("SHA-256").digest(canonical().getBytes(StandardCharsets.UTF_8));
             return HexFormat.of().formatHex(digest, 0, 6);
         } catch (NoSuchAlgorithmException e) {
             throw new IllegalStateException(e); // every Java platform has it
--- a/src/main/java/damsonworks/config/Difference.java
+++ b/src/main/java/damsonworks/config/Difference.java
@@ -12,14 +12,19 @@
  * One thing that two configurations do not have alike. Order, layout, includes, units and whether a value is set in
  * place or by default make none.
  *
- * @param kind   what has become of it
+ * @param kind what has become of it
  * @param before the entry in the first, null if it is new
- * @param after  the entry in the second, null if it is gone
+ * @param after the entry in the second, null if it is gone
  * @param detail what of it changed, a line each; empty for what is new or gone
  */
 public record Difference(Kind kind, Entry before, Entry after, List<String> detail) {
     /** What has become of an entry. */
-    public enum Kind { ADDED, REMOVED, CHANGED, RENAMED }
+    public enum Kind {
+        ADDED,
+        REMOVED,
+        CHANGED,
+        RENAMED
+    }
 
     /** All differences, by section and name. */
     public static List<Difference> between(Configuration a, Configuration b) {
@@ -45,11 +50,16 @@
     /** What differs in its name only is the same entry under another. */
     private static List<Difference> renamed(List<Difference> all) {
         List<Difference> joined = new ArrayList<>();
-        List<Difference> gone = new ArrayList<>(all.stream().filter(d -> d.kind == Kind.REMOVED).toList());
+        List<Difference> gone =
+                new ArrayList<>(all.stream().filter(d -> d.kind == Kind.REMOVED).toList());
         List<Difference> met = new ArrayList<>();
         for (Difference d : all) {
-            Difference twin = d.kind != Kind.ADDED ? null : gone.stream().filter(g -> body(g.before)
-                    .equals(body(d.after))).findFirst().orElse(null);
+            Difference twin = d.kind != Kind.ADDED
+                    ? null
+                    : gone.stream()
+                            .filter(g -> body(g.before).equals(body(d.after)))
+                            .findFirst()
+                            .orElse(null);
             if (twin == null) {
                 joined.add(d);
             } else {
--- a/src/main/java/damsonworks/config/Formatter.java
+++ b/src/main/java/damsonworks/config/Formatter.java
@@ -21,7 +21,7 @@
 
     private final StringBuilder out = new StringBuilder();
 
-    private Formatter() { }
+    private Formatter() {}
 
     /** The file's text; of one that has mistakes nothing is known, so it must have none. */
     static String format(Document document) {
@@ -79,7 +79,8 @@
                 out.append(indent).append('}');
             }
         }
-        out.append(item.notes().after() == null ? "" : STEP + item.notes().after()).append('\n');
+        out.append(item.notes().after() == null ? "" : STEP + item.notes().after())
+                .append('\n');
     }
 
     private void value(Value value, String indent, int column) {
@@ -87,9 +88,14 @@
             out.append(plain(value));
             return;
         }
-        boolean noted = !list.closing().isEmpty() || list.elements().stream()
-                .anyMatch(e -> !e.notes().before().isEmpty() || e.notes().after() != null);
-        String line = "[" + String.join(", ", list.elements().stream().map(e -> plain(e.value())).toList()) + "]";
+        boolean noted = !list.closing().isEmpty()
+                || list.elements().stream()
+                        .anyMatch(
+                                e -> !e.notes().before().isEmpty() || e.notes().after() != null);
+        String line = "["
+                + String.join(
+                        ", ",
+                        list.elements().stream().map(e -> plain(e.value())).toList()) + "]";
         if (!noted && column + line.length() <= WIDTH) {
             out.append(line);
             return;
@@ -97,8 +103,12 @@
         out.append("[\n");
         for (Element e : list.elements()) {
             comments(e.notes().before(), indent + STEP);
-            out.append(indent).append(STEP).append(plain(e.value())).append(',')
-                    .append(e.notes().after() == null ? "" : STEP + e.notes().after()).append('\n');
+            out.append(indent)
+                    .append(STEP)
+                    .append(plain(e.value()))
+                    .append(',')
+                    .append(e.notes().after() == null ? "" : STEP + e.notes().after())
+                    .append('\n');
         }
         comments(list.closing(), indent + STEP);
         out.append(indent).append(']');
--- a/src/main/java/damsonworks/config/Lexer.java
+++ b/src/main/java/damsonworks/config/Lexer.java
@@ -8,8 +8,8 @@
 /** Cuts a file's text into words. What is none is told and left out, so that the rest can still be looked at. */
 final class Lexer {
     private static final String PUNCTUATION = "={}[],";
-    private static final Kind[] KINDS = {Kind.EQUALS, Kind.OPEN, Kind.CLOSE, Kind.OPEN_LIST, Kind.CLOSE_LIST,
-        Kind.COMMA};
+    private static final Kind[] KINDS = {Kind.EQUALS, Kind.OPEN, Kind.CLOSE, Kind.OPEN_LIST, Kind.CLOSE_LIST, Kind.COMMA
+    };
 
     private final Source source;
     private final String text;
@@ -94,7 +94,9 @@
             at = end < 0 ? text.length() : end;
             return;
         }
-        while (at < text.length() && !Character.isWhitespace(text.charAt(at)) && !word(text.charAt(at))
+        while (at < text.length()
+                && !Character.isWhitespace(text.charAt(at))
+                && !word(text.charAt(at))
                 && "\"#={}[],".indexOf(text.charAt(at)) < 0) {
             at++;
         }
@@ -107,11 +109,18 @@
             case '%' -> "write it right behind the number, as 20%";
             case '/', '*', '?', '.', '@' -> "put patterns and paths in double quotes: \"...\"";
             case '$' -> "there are no variables; name a pool, policy or route by its name";
-            default -> Character.isISOControl(c) || Character.isSurrogate(c) || c > 0x7f
-                    ? "leave it out, or put it into a string" : "leave it out";
+            default ->
+                Character.isISOControl(c) || Character.isSurrogate(c) || c > 0x7f
+                        ? "leave it out, or put it into a string"
+                        : "leave it out";
         };
-        problems.add(place(from), "a character that means nothing here: " + (Character.isISOControl(c)
-                ? String.format("U+%04X", (int) c) : "'" + text.substring(from, Math.min(at, from + 10)) + "'"), fix);
+        problems.add(
+                place(from),
+                "a character that means nothing here: "
+                        + (Character.isISOControl(c)
+                                ? String.format("U+%04X", (int) c)
+                                : "'" + text.substring(from, Math.min(at, from + 10)) + "'"),
+                fix);
     }
 
     private void string() {
@@ -121,7 +130,9 @@
             char c = text.charAt(at++);
             if (c != '\\') {
                 if (Character.isISOControl(c) && c != '\t' && c != '\r') {
-                    problems.add(place(at - 1), String.format("a control character in a string: U+%04X", (int) c),
+                    problems.add(
+                            place(at - 1),
+                            String.format("a control character in a string: U+%04X", (int) c),
                             "leave it out");
                 }
                 value.append(c);
@@ -133,7 +144,9 @@
                 value.append("\"\\\n\t".charAt(known));
                 at++;
             } else {
-                problems.add(place(at - 1), "an escape that is not known: \\" + (e == '\n' ? "" : e),
+                problems.add(
+                        place(at - 1),
+                        "an escape that is not known: \\" + (e == '\n' ? "" : e),
                         "\\\" \\\\ \\n and \\t are known; a single backslash is written \\\\");
                 at += e == '\n' ? 0 : 1;
             }
--- a/src/main/java/damsonworks/config/Loader.java
+++ b/src/main/java/damsonworks/config/Loader.java
@@ -30,13 +30,14 @@
     static final int MAX_FILE = 4 << 20;
     /** Of all files together, in bytes. */
     static final long MAX_ALL = 64L << 20;
+
     static final int MAX_FILES = 2000;
     static final int MAX_CHAIN = 32;
     private static final int TRIES = 3;
     private static final int SUGGESTED_FROM = 1000;
 
     /** A file's content, and what would be another if it were replaced. */
-    record Snapshot(Object identity, Object stamp, byte[] content) { }
+    record Snapshot(Object identity, Object stamp, byte[] content) {}
 
     /** Where files come from; a test can change them in the middle. */
     interface Access {
@@ -92,7 +93,7 @@
     }
 
     static List<Document> load(Path root, Problems problems, Access access) {
-        for (int i = 1;; i++) {
+        for (int i = 1; ; i++) {
             Loader loader = new Loader(access);
             Problems found = new Problems();
             loader.problems = found;
@@ -102,8 +103,10 @@
             if (changed == null || i == TRIES) {
                 problems.addAll(found);
                 if (changed != null) {
-                    problems.add(Parser.start(new Source(changed.toString(), "")), "the file changed while the "
-                            + "configuration was read, " + TRIES + " times in a row", "try again when it is at rest");
+                    problems.add(
+                            Parser.start(new Source(changed.toString(), "")),
+                            "the file changed while the " + "configuration was read, " + TRIES + " times in a row",
+                            "try again when it is at rest");
                 }
                 return loader.documents;
             }
@@ -128,14 +131,17 @@
         try {
             snapshot = access.read(path);
         } catch (IOException e) {
-            String why = e.getClass() == IOException.class ? e.getMessage() : Files.exists(path,
-                    LinkOption.NOFOLLOW_LINKS) ? "it can't be read" : "there is no such file";
+            String why = e.getClass() == IOException.class
+                    ? e.getMessage()
+                    : Files.exists(path, LinkOption.NOFOLLOW_LINKS) ? "it can't be read" : "there is no such file";
             problems.add(from, name + ": " + why, sibling(path));
             return;
         }
         stamps.put(path, snapshot.stamp());
         if (chain.containsKey(snapshot.identity())) {
-            problems.add(from, "a circle of includes: " + circle(snapshot.identity(), name),
+            problems.add(
+                    from,
+                    "a circle of includes: " + circle(snapshot.identity(), name),
                     "take this include out, and move what both need into a file of its own");
             return;
         }
@@ -143,9 +149,15 @@
             return; // two ways to one file: it is there already
         }
         if (done.size() >= MAX_FILES || chain.size() >= MAX_CHAIN || (bytes += snapshot.content().length) > MAX_ALL) {
-            problems.add(from, "too much to read: " + (done.size() >= MAX_FILES ? MAX_FILES + " files"
-                    : chain.size() >= MAX_CHAIN ? MAX_CHAIN + " includes within one another"
-                    : (MAX_ALL >> 20) + " MiB"), "join files, or include them side by side");
+            problems.add(
+                    from,
+                    "too much to read: "
+                            + (done.size() >= MAX_FILES
+                                    ? MAX_FILES + " files"
+                                    : chain.size() >= MAX_CHAIN
+                                            ? MAX_CHAIN + " includes within one another"
+                                            : (MAX_ALL >> 20) + " MiB"),
+                    "join files, or include them side by side");
             return;
         }
         done.put(snapshot.identity(), name);
@@ -167,13 +179,19 @@
         try {
             Path relative = Path.of(include.path());
             if (include.path().isEmpty() || relative.isAbsolute()) {
-                problems.add(include.pathPlace(), include.path().isEmpty() ? "include names no file"
-                        : "an absolute path in an include", "write the path from the folder of this file");
+                problems.add(
+                        include.pathPlace(),
+                        include.path().isEmpty() ? "include names no file" : "an absolute path in an include",
+                        "write the path from the folder of this file");
                 return;
             }
             Path folder = Path.of(fromName).getParent();
-            file(from.resolveSibling(relative), (folder == null ? relative : folder.resolve(relative)).normalize()
-                    .toString(), include.pathPlace());
+            file(
+                    from.resolveSibling(relative),
+                    (folder == null ? relative : folder.resolve(relative))
+                            .normalize()
+                            .toString(),
+                    include.pathPlace());
         } catch (InvalidPathException e) {
             problems.add(include.pathPlace(), "no path of a file: " + e.getReason(), null);
         }
@@ -197,9 +215,14 @@
             return "the folder is not there either";
         }
         try (Stream<Path> files = Files.list(folder)) {
-            String fix = Names.fix(path.getFileName().toString(), files.limit(SUGGESTED_FROM)
-                    .filter(Files::isRegularFile).map(f -> f.getFileName().toString()).toList());
-            return fix != null && fix.startsWith("did you mean") ? fix
+            String fix = Names.fix(
+                    path.getFileName().toString(),
+                    files.limit(SUGGESTED_FROM)
+                            .filter(Files::isRegularFile)
+                            .map(f -> f.getFileName().toString())
+                            .toList());
+            return fix != null && fix.startsWith("did you mean")
+                    ? fix
                     : "paths count from the folder of the file that includes";
         } catch (IOException e) {
             return null;
@@ -209,15 +232,23 @@
     private Source source(String name, byte[] content) {
         ByteBuffer in = ByteBuffer.wrap(content);
         try {
-            return new Source(name, StandardCharsets.UTF_8.newDecoder().onMalformedInput(CodingErrorAction.REPORT)
-                    .onUnmappableCharacter(CodingErrorAction.REPORT).decode(in).toString());
+            return new Source(
+                    name,
+                    StandardCharsets.UTF_8
+                            .newDecoder()
+                            .onMalformedInput(CodingErrorAction.REPORT)
+                            .onUnmappableCharacter(CodingErrorAction.REPORT)
+                            .decode(in)
+                            .toString());
         } catch (CharacterCodingException e) {
             String before = new String(content, 0, in.position(), StandardCharsets.UTF_8);
             int line = (int) before.chars().filter(c -> c == '\n').count() + 1;
             int column = before.length() - before.lastIndexOf('\n');
             Source lossy = new Source(name, new String(content, StandardCharsets.UTF_8));
-            problems.add(new Place(lossy, line, column), String.format("a byte that is no UTF-8: 0x%02X",
-                    content[in.position()]), "save the file as UTF-8");
+            problems.add(
+                    new Place(lossy, line, column),
+                    String.format("a byte that is no UTF-8: 0x%02X", content[in.position()]),
+                    "save the file as UTF-8");
             return null;
         }
     }
--- a/src/main/java/damsonworks/config/Names.java
+++ b/src/main/java/damsonworks/config/Names.java
@@ -8,17 +8,21 @@
 public final class Names {
     private static final int LONGEST = 64;
 
-    private Names() { }
+    private Names() {}
 
     /** "did you mean X?", or what there is to choose from, or null where there is nothing. */
     public static String fix(String given, Collection<String> known) {
-        Optional<String> near = known.stream().filter(k -> distance(given, k) <= Math.max(1, Math.min(2, k.length() / 3)))
+        Optional<String> near = known.stream()
+                .filter(k -> distance(given, k) <= Math.max(1, Math.min(2, k.length() / 3)))
                 .min(Comparator.<String>comparingInt(k -> distance(given, k)).thenComparing(Comparator.naturalOrder()));
         if (near.isPresent()) {
             return "did you mean " + near.get() + "?";
         }
-        return known.isEmpty() ? null : known.size() > 12 ? null
-                : "one of " + String.join(", ", known.stream().sorted().toList());
+        return known.isEmpty()
+                ? null
+                : known.size() > 12
+                        ? null
+                        : "one of " + String.join(", ", known.stream().sorted().toList());
     }
 
     /** Edits from one to the other: a letter more, fewer, another, or two swapped (Damerau, 1964). */
--- a/src/main/java/damsonworks/config/Parser.java
+++ b/src/main/java/damsonworks/config/Parser.java
@@ -25,6 +25,7 @@
 final class Parser {
     /** Far beyond what any section has. */
     static final int MAX_DEPTH = 16;
+
     private static final int MAX_LABELS = 4;
 
     private final Problems problems;
@@ -68,7 +69,8 @@
     }
 
     private void blank(Token t) {
-        if (t.lineEndsBefore() > 1 && (loose.isEmpty() || !loose.get(loose.size() - 1).isEmpty())) {
+        if (t.lineEndsBefore() > 1
+                && (loose.isEmpty() || !loose.get(loose.size() - 1).isEmpty())) {
             loose.add("");
         }
     }
@@ -108,7 +110,9 @@
                 if (open != null) {
                     return items;
                 }
-                problems.add(t.place(), "a closing brace that closes nothing",
+                problems.add(
+                        t.place(),
+                        "a closing brace that closes nothing",
                         "leave it out, or look above for a block that was closed too early");
                 take();
                 continue;
@@ -175,7 +179,9 @@
     private Item include(Token name, List<String> before, int depth) {
         Token path = ahead();
         if (!path.is(Kind.STRING) || path.lineEndsBefore() > 0) {
-            problems.add(path.lineEndsBefore() > 0 ? name.place() : path.place(), "include names no file",
+            problems.add(
+                    path.lineEndsBefore() > 0 ? name.place() : path.place(),
+                    "include names no file",
                     "write include \"FILE\", the path in double quotes");
             skip();
             return null;
@@ -198,13 +204,21 @@
         }
         if (!t.is(Kind.OPEN)) {
             if (labels.isEmpty() && (t.is(Kind.QUANTITY) || t.is(Kind.OPEN_LIST)) && t.lineEndsBefore() == 0) {
-                problems.add(t.place(), name.shown() + " has a value and no '='", "write " + name.text() + " = "
-                        + (t.is(Kind.QUANTITY) ? t.raw() + ", or " + name.text() + " \"" + t.raw() + "\" { ... }" : "[...]"));
+                problems.add(
+                        t.place(),
+                        name.shown() + " has a value and no '='",
+                        "write " + name.text() + " = "
+                                + (t.is(Kind.QUANTITY)
+                                        ? t.raw() + ", or " + name.text() + " \"" + t.raw() + "\" { ... }"
+                                        : "[...]"));
             } else if (labels.size() == 1 && t.lineEndsBefore() > 0) {
-                problems.add(labels.get(0).place(), name.shown() + " is neither a block nor an attribute",
+                problems.add(
+                        labels.get(0).place(),
+                        name.shown() + " is neither a block nor an attribute",
                         "write " + name.text() + " = " + labels.get(0).raw() + ", or open a block with {");
             } else {
-                problems.add(t.lineEndsBefore() > 0 || t.is(Kind.END) ? name.place() : t.place(),
+                problems.add(
+                        t.lineEndsBefore() > 0 || t.is(Kind.END) ? name.place() : t.place(),
                         "neither '=' nor '{' after " + name.shown(),
                         "write " + name.text() + " = VALUE, or " + name.text() + " { ... }");
             }
@@ -213,7 +227,9 @@
         }
         Token open = take();
         if (depth + 1 > MAX_DEPTH) {
-            problems.add(open.place(), "blocks nest more than " + MAX_DEPTH + " deep",
+            problems.add(
+                    open.place(),
+                    "blocks nest more than " + MAX_DEPTH + " deep",
                     "no section has so many levels; look for a brace too many");
             tooDeep = true;
             skipBlock();
@@ -231,7 +247,7 @@
     }
 
     private void skipBlock() {
-        for (int depth = 1; depth > 0 && !peek().is(Kind.END);) {
+        for (int depth = 1; depth > 0 && !peek().is(Kind.END); ) {
             Token t = take();
             depth += t.is(Kind.OPEN) ? 1 : t.is(Kind.CLOSE) ? -1 : 0;
         }
@@ -243,7 +259,9 @@
     private Value value() {
         Token equals = tokens.get(at - 1);
         Token t = ahead();
-        boolean nextItem = t.is(Kind.NAME) && t.lineEndsBefore() > 0 && at + 1 < tokens.size()
+        boolean nextItem = t.is(Kind.NAME)
+                && t.lineEndsBefore() > 0
+                && at + 1 < tokens.size()
                 && (tokens.get(at + 1).is(Kind.EQUALS) || tokens.get(at + 1).is(Kind.OPEN));
         if (nextItem || t.is(Kind.CLOSE) || t.is(Kind.END)) {
             problems.add(equals.place(), "no value after '='", "write the value behind it, or leave the line out");
@@ -258,18 +276,30 @@
             return null;
         }
         if (value == null) {
-            problems.add(t.place(), t.shown() + " where a value should stand", t.is(Kind.OPEN)
-                    ? "a block has no '=': write NAME { ... }" : t.is(Kind.EQUALS) ? "write one '=' only"
-                    : "a value is a number with its unit, a name, \"a string\" or [a list]");
+            problems.add(
+                    t.place(),
+                    t.shown() + " where a value should stand",
+                    t.is(Kind.OPEN)
+                            ? "a block has no '=': write NAME { ... }"
+                            : t.is(Kind.EQUALS)
+                                    ? "write one '=' only"
+                                    : "a value is a number with its unit, a name, \"a string\" or [a list]");
             skip();
             return null;
         }
         Token next = peek();
-        if (next.lineEndsBefore() == 0 && (next.is(Kind.STRING) || next.is(Kind.QUANTITY) || next.is(Kind.COMMA)
-                || next.is(Kind.EQUALS) || (next.is(Kind.NAME) && !begins(at)))) {
-            problems.add(next.place(), next.shown() + " after the value", unit(value, next)
-                    ? "write the unit without a space: " + ((Quantity) value).text() + next.text()
-                    : "one value stands behind '='; several make a list: [a, b]");
+        if (next.lineEndsBefore() == 0
+                && (next.is(Kind.STRING)
+                        || next.is(Kind.QUANTITY)
+                        || next.is(Kind.COMMA)
+                        || next.is(Kind.EQUALS)
+                        || (next.is(Kind.NAME) && !begins(at)))) {
+            problems.add(
+                    next.place(),
+                    next.shown() + " after the value",
+                    unit(value, next)
+                            ? "write the unit without a space: " + ((Quantity) value).text() + next.text()
+                            : "one value stands behind '='; several make a list: [a, b]");
             skip();
             return null;
         }
@@ -310,8 +340,8 @@
             }
             if (t.is(Kind.STRING) || t.is(Kind.NAME) || t.is(Kind.QUANTITY)) {
                 if (!comma) {
-                    problems.add(t.place(), "no comma between two values of a list", "write a comma before "
-                            + t.shown());
+                    problems.add(
+                            t.place(), "no comma between two values of a list", "write a comma before " + t.shown());
                 }
                 take();
                 List<String> before = takeLoose(false);
@@ -326,10 +356,14 @@
                 comma = true;
                 continue;
             }
-            problems.add(t.is(Kind.OPEN_LIST) || t.is(Kind.OPEN) ? t.place() : open.place(), t.is(Kind.OPEN_LIST)
-                    ? "a list within a list" : t.is(Kind.OPEN) ? "a block within a list" : "a list that is not closed",
-                    t.is(Kind.OPEN_LIST) ? "write all values in one list" : t.is(Kind.OPEN)
-                    ? "a list holds plain values only" : "write ] behind its last value");
+            problems.add(
+                    t.is(Kind.OPEN_LIST) || t.is(Kind.OPEN) ? t.place() : open.place(),
+                    t.is(Kind.OPEN_LIST)
+                            ? "a list within a list"
+                            : t.is(Kind.OPEN) ? "a block within a list" : "a list that is not closed",
+                    t.is(Kind.OPEN_LIST)
+                            ? "write all values in one list"
+                            : t.is(Kind.OPEN) ? "a list holds plain values only" : "write ] behind its last value");
             skip();
             loose.addAll(outer);
             return null;
--- a/src/main/java/damsonworks/config/Problem.java
+++ b/src/main/java/damsonworks/config/Problem.java
@@ -5,9 +5,9 @@
 /**
  * Something wrong in a file.
  *
- * @param place   where it begins
+ * @param place where it begins
  * @param message what is wrong, in one line
- * @param fix     what would most likely mend it, in one line; null where nothing can be said
+ * @param fix what would most likely mend it, in one line; null where nothing can be said
  */
 public record Problem(Place place, String message, String fix) {
     /** Of a line longer than this only the part around the place is shown. */
@@ -26,7 +26,9 @@
 
     /** Control characters shown as a mark each, so that a file can't play with the terminal. */
     private static String printable(String line) {
-        return line.chars().map(c -> Character.isISOControl(c) ? '\ufffd' : c)
-                .collect(StringBuilder::new, StringBuilder::appendCodePoint, StringBuilder::append).toString();
+        return line.chars()
+                .map(c -> Character.isISOControl(c) ? '\ufffd' : c)
+                .collect(StringBuilder::new, StringBuilder::appendCodePoint, StringBuilder::append)
+                .toString();
     }
 }
--- a/src/main/java/damsonworks/config/Problems.java
+++ b/src/main/java/damsonworks/config/Problems.java
@@ -36,10 +36,13 @@
 
     /** By file in the order in which they were met, then by line. */
     public List<Problem> all() {
-        List<String> files = all.stream().map(p -> p.place().source().name()).distinct().toList();
+        List<String> files =
+                all.stream().map(p -> p.place().source().name()).distinct().toList();
         List<Problem> sorted = new ArrayList<>(all);
-        sorted.sort(Comparator.<Problem>comparingInt(p -> files.indexOf(p.place().source().name()))
-                .thenComparingInt(p -> p.place().line()).thenComparingInt(p -> p.place().column()));
+        sorted.sort(Comparator.<Problem>comparingInt(
+                        p -> files.indexOf(p.place().source().name()))
+                .thenComparingInt(p -> p.place().line())
+                .thenComparingInt(p -> p.place().column()));
         return sorted;
     }
 
--- a/src/main/java/damsonworks/config/Schema.java
+++ b/src/main/java/damsonworks/config/Schema.java
@@ -6,8 +6,8 @@
 import java.util.Map;
 
 /**
- * The sections that files may have. A subsystem registers its own, with the checks that need more than one attribute
- * or entry at a time.
+ * The sections that files may have. A subsystem registers its own, with the checks that need more than one attribute or
+ * entry at a time.
  */
 public final class Schema {
     /** A check over all entries, run when each by itself is right. */
--- a/src/main/java/damsonworks/config/Section.java
+++ b/src/main/java/damsonworks/config/Section.java
@@ -20,13 +20,13 @@
     /**
      * One attribute.
      *
-     * @param type     of the value, or of each of a list's
-     * @param listed   whether a list may stand there; a single value is a list of one, and its order means nothing
+     * @param type of the value, or of each of a list's
+     * @param listed whether a list may stand there; a single value is a list of one, and its order means nothing
      * @param required whether it must be set
-     * @param builtIn  its value where nothing is set, as it would be written; null for none
-     * @param help     in half a line
+     * @param builtIn its value where nothing is set, as it would be written; null for none
+     * @param help in half a line
      */
-    public record Attribute(String name, Type type, boolean listed, boolean required, String builtIn, String help) { }
+    public record Attribute(String name, Type type, boolean listed, boolean required, String builtIn, String help) {}
 
     private final String name;
     private final Naming naming;
--- a/src/main/java/damsonworks/config/Type.java
+++ b/src/main/java/damsonworks/config/Type.java
@@ -23,22 +23,22 @@
     /**
      * A value that has been read.
      *
-     * @param value     a {@link BigDecimal} in the base unit, a String or a Boolean
+     * @param value a {@link BigDecimal} in the base unit, a String or a Boolean
      * @param canonical as text, alike for all ways to write it
      */
-    public record Read(Object value, String canonical) { }
+    public record Read(Object value, String canonical) {}
 
-    private record Unit(String base, Map<String, BigDecimal> factors, String example, String otherExample) { }
+    private record Unit(String base, Map<String, BigDecimal> factors, String example, String otherExample) {}
 
     private static final Pattern NUMBER = Pattern.compile("(-?\\d+(?:\\.\\d+)?)([a-zA-Z/%]*)");
     private static final int MAX_DIGITS = 15;
     private static final Unit DURATION = unit("ms", "us=0.001 ms=1 s=1000 m=60000 h=3600000 d=86400000", "ms", "s");
-    private static final Unit SIZE = unit("B", "B=1 KB=1000 MB=1000000 GB=1000000000 KiB=1024 MiB=1048576 "
-            + "GiB=1073741824", "KiB", "MiB");
+    private static final Unit SIZE =
+            unit("B", "B=1 KB=1000 MB=1000000 GB=1000000000 KiB=1024 MiB=1048576 " + "GiB=1073741824", "KiB", "MiB");
     private static final Unit RATE = unit("/s", "/s=3600 /m=60 /h=1", "/s", "/m");
     private static final Unit SHARE = unit("%", "%=1", "%", null);
-    private static final Map<String, Unit> UNITS = Map.of("duration", DURATION, "size", SIZE, "rate", RATE,
-            "share", SHARE);
+    private static final Map<String, Unit> UNITS =
+            Map.of("duration", DURATION, "size", SIZE, "rate", RATE, "share", SHARE);
 
     private final String words;
     private final String reference;
@@ -51,9 +51,11 @@
         }
 
         String shown() {
-            return value instanceof Quantity q ? "'" + shortened(q.text()) + "'" : value instanceof Word w
-                    ? "'" + shortened(w.text()) + "'" : value instanceof Text t ? "\"" + shortened(t.text()) + "\""
-                    : "a list";
+            return value instanceof Quantity q
+                    ? "'" + shortened(q.text()) + "'"
+                    : value instanceof Word w
+                            ? "'" + shortened(w.text()) + "'"
+                            : value instanceof Text t ? "\"" + shortened(t.text()) + "\"" : "a list";
         }
 
         private static String shortened(String text) {
@@ -105,22 +107,32 @@
 
     /** A whole number without a unit. */
     public static Type count(long least, long most) {
-        return new Type("a whole number", null, r -> number(r, "a whole number", BigDecimal.valueOf(least),
-                BigDecimal.valueOf(most), true));
+        return new Type(
+                "a whole number",
+                null,
+                r -> number(r, "a whole number", BigDecimal.valueOf(least), BigDecimal.valueOf(most), true));
     }
 
     /** A number without a unit, perhaps with a fraction. */
     public static Type factor(String least, String most) {
-        return new Type("a number", null, r -> number(r, "a number", new BigDecimal(least), new BigDecimal(most),
-                false));
+        return new Type(
+                "a number", null, r -> number(r, "a number", new BigDecimal(least), new BigDecimal(most), false));
     }
 
     /** A string in quotes, not empty, of so many characters at most. */
     public static Type text(int most) {
-        return new Type("a string", null, r -> r.value() instanceof Text t ? bounded(r, t.text(), most)
-                : r.wrong(r.shown() + " where a string belongs", r.value() instanceof Word w
-                        ? "put it in quotes: \"" + w.text() + "\"" : r.value() instanceof Quantity q
-                        ? "put it in quotes: \"" + q.text() + "\"" : "write one string in quotes"));
+        return new Type(
+                "a string",
+                null,
+                r -> r.value() instanceof Text t
+                        ? bounded(r, t.text(), most)
+                        : r.wrong(
+                                r.shown() + " where a string belongs",
+                                r.value() instanceof Word w
+                                        ? "put it in quotes: \"" + w.text() + "\""
+                                        : r.value() instanceof Quantity q
+                                                ? "put it in quotes: \"" + q.text() + "\""
+                                                : "write one string in quotes"));
     }
 
     private static Read bounded(Reading r, String text, int most) {
@@ -135,10 +147,18 @@
 
     /** A name or a string that names something outside of the file. */
     public static Type name(int most) {
-        return new Type("a name", null, r -> r.value() instanceof Word w ? bounded(r, w.text(), most)
-                : r.value() instanceof Text t ? bounded(r, t.text(), most) : r.wrong(r.shown()
-                        + " where a name belongs", r.value() instanceof Quantity q
-                        ? "put it in quotes: \"" + q.text() + "\"" : "write one name"));
+        return new Type(
+                "a name",
+                null,
+                r -> r.value() instanceof Word w
+                        ? bounded(r, w.text(), most)
+                        : r.value() instanceof Text t
+                                ? bounded(r, t.text(), most)
+                                : r.wrong(
+                                        r.shown() + " where a name belongs",
+                                        r.value() instanceof Quantity q
+                                                ? "put it in quotes: \"" + q.text() + "\""
+                                                : "write one name"));
     }
 
     /** One of these words. */
@@ -150,10 +170,12 @@
                 return new Read(given, given);
             }
             if (r.value() instanceof Text t && all.contains(t.text())) {
-                return r.wrong("a string where one of " + String.join(", ", all) + " belongs",
+                return r.wrong(
+                        "a string where one of " + String.join(", ", all) + " belongs",
                         "write it without quotes: " + t.text());
             }
-            return r.wrong(r.shown() + " where one of " + String.join(", ", all) + " belongs",
+            return r.wrong(
+                    r.shown() + " where one of " + String.join(", ", all) + " belongs",
                     given == null ? "write one of them, without quotes" : Names.fix(given, all));
         });
     }
@@ -176,9 +198,11 @@
     public static Type reference(String section) {
         return new Type("the name of a " + section, section, r -> {
             String given = r.value() instanceof Word w ? w.text() : r.value() instanceof Text t ? t.text() : null;
-            return given != null ? new Read(given, quoted(given))
-                    : r.wrong(r.shown() + " where the name of a " + section + " belongs", "write the " + section
-                            + "'s name");
+            return given != null
+                    ? new Read(given, quoted(given))
+                    : r.wrong(
+                            r.shown() + " where the name of a " + section + " belongs",
+                            "write the " + section + "'s name");
         });
     }
 
@@ -199,9 +223,11 @@
         String words = "a " + kind;
         return new Type(words, null, r -> {
             if (!(r.value() instanceof Quantity q)) {
-                return r.wrong(r.shown() + " where " + words + " belongs", r.value() instanceof Text t
-                        && NUMBER.matcher(t.text()).matches() ? "write it without quotes: " + t.text()
-                        : "write a number with its unit, as 250" + unit.example());
+                return r.wrong(
+                        r.shown() + " where " + words + " belongs",
+                        r.value() instanceof Text t && NUMBER.matcher(t.text()).matches()
+                                ? "write it without quotes: " + t.text()
+                                : "write a number with its unit, as 250" + unit.example());
             }
             Matcher m = NUMBER.matcher(q.text());
             if (!m.matches() || m.group(1).length() > MAX_DIGITS) {
@@ -209,8 +235,10 @@
             }
             String suffix = m.group(2);
             if (suffix.isEmpty()) {
-                return r.wrong("a bare number where " + words + " belongs", "write " + q.text() + unit.example()
-                        + (unit.otherExample() == null ? "" : ", or " + q.text() + unit.otherExample()));
+                return r.wrong(
+                        "a bare number where " + words + " belongs",
+                        "write " + q.text() + unit.example()
+                                + (unit.otherExample() == null ? "" : ", or " + q.text() + unit.otherExample()));
             }
             BigDecimal factor = unit.factors().get(suffix);
             if (factor == null) {
@@ -250,8 +278,12 @@
         }
         // "mins", "sec", "hours", "msec": a longer word for one that is known, if it is not one of another kind.
         boolean foreign = UNITS.values().stream().anyMatch(u -> u.factors().containsKey(suffix));
-        String start = foreign ? null : unit.factors().keySet().stream().filter(suffix.toLowerCase(Locale.ROOT)::startsWith)
-                .max(Comparator.comparingInt(String::length)).orElse(null);
+        String start = foreign
+                ? null
+                : unit.factors().keySet().stream()
+                        .filter(suffix.toLowerCase(Locale.ROOT)::startsWith)
+                        .max(Comparator.comparingInt(String::length))
+                        .orElse(null);
         if (start != null) {
             return "did you mean " + number + start + "?";
         }
@@ -259,17 +291,22 @@
     }
 
     private static Read unreadable(Reading r, String text) {
-        return r.wrong(r.shown() + " is no number that can be read", text.length() > MAX_DIGITS
-                ? "at most " + MAX_DIGITS + " characters are taken" : text.contains("_")
-                ? "write the digits without a gap: " + text.replace("_", "")
-                : "write decimal digits and one unit behind them");
+        return r.wrong(
+                r.shown() + " is no number that can be read",
+                text.length() > MAX_DIGITS
+                        ? "at most " + MAX_DIGITS + " characters are taken"
+                        : text.contains("_")
+                                ? "write the digits without a gap: " + text.replace("_", "")
+                                : "write decimal digits and one unit behind them");
     }
 
     private static Read number(Reading r, String words, BigDecimal low, BigDecimal high, boolean whole) {
         if (!(r.value() instanceof Quantity q)) {
-            return r.wrong(r.shown() + " where " + words + " belongs", r.value() instanceof Text t
-                    && NUMBER.matcher(t.text()).matches() ? "write it without quotes: " + t.text()
-                    : "write digits, from " + low.toPlainString() + " to " + high.toPlainString());
+            return r.wrong(
+                    r.shown() + " where " + words + " belongs",
+                    r.value() instanceof Text t && NUMBER.matcher(t.text()).matches()
+                            ? "write it without quotes: " + t.text()
+                            : "write digits, from " + low.toPlainString() + " to " + high.toPlainString());
         }
         Matcher m = NUMBER.matcher(q.text());
         if (!m.matches() || m.group(1).length() > MAX_DIGITS) {
@@ -283,8 +320,8 @@
             return r.wrong(r.shown() + " where " + words + " belongs", "leave the fraction out");
         }
         if (value.compareTo(low) < 0 || value.compareTo(high) > 0) {
-            return r.wrong(r.shown() + " is out of range", "from " + low.toPlainString() + " to "
-                    + high.toPlainString());
+            return r.wrong(
+                    r.shown() + " is out of range", "from " + low.toPlainString() + " to " + high.toPlainString());
         }
         return new Read(value, value.toPlainString());
     }
@@ -296,6 +333,10 @@
 
     /** As a string of the language. */
     static String quoted(String text) {
-        return "\"" + text.replace("\\", "\\\\").replace("\"", "\\\"").replace("\n", "\\n").replace("\t", "\\t") + "\"";
+        return "\""
+                + text.replace("\\", "\\\\")
+                        .replace("\"", "\\\"")
+                        .replace("\n", "\\n")
+                        .replace("\t", "\\t") + "\"";
     }
 }
--- a/src/main/java/damsonworks/config/edge/Changes.java
+++ b/src/main/java/damsonworks/config/edge/Changes.java
@@ -13,7 +13,7 @@
 public final class Changes {
     private static final int SHOWN = 5;
 
-    private Changes() { }
+    private Changes() {}
 
     /** A few lines for each difference; none if the two mean the same. */
     public static List<String> text(Configuration before, Configuration after) {
@@ -34,10 +34,13 @@
     private static String head(Difference d) {
         return switch (d.kind()) {
             case ADDED -> "+ " + d.after().title() + " (" + d.after().place().shortly() + ")";
-            case REMOVED -> "- " + d.before().title() + " (" + d.before().place().shortly() + ")";
-            case CHANGED -> "~ " + d.after().title() + " (" + d.before().place().shortly() + ", "
-                    + d.after().place().shortly() + ")";
-            case RENAMED -> "= " + d.before().title() + " is now called " + d.after().title() + "; otherwise alike";
+            case REMOVED ->
+                "- " + d.before().title() + " (" + d.before().place().shortly() + ")";
+            case CHANGED ->
+                "~ " + d.after().title() + " (" + d.before().place().shortly() + ", "
+                        + d.after().place().shortly() + ")";
+            case RENAMED ->
+                "= " + d.before().title() + " is now called " + d.after().title() + "; otherwise alike";
         };
     }
 
@@ -51,8 +54,10 @@
             String as = switch (entry.section().name()) {
                 case "route" -> r.name().equals(entry.name()) ? "" : null;
                 case "policy" -> entry.name().equals(r.policy()) ? " (route " + r.name() + ")" : null;
-                default -> entry.name().equals(r.pool()) ? " (route " + r.name() + ")"
-                        : entry.name().equals(r.fallback()) ? " (fallback of route " + r.name() + ")" : null;
+                default ->
+                    entry.name().equals(r.pool())
+                            ? " (route " + r.name() + ")"
+                            : entry.name().equals(r.fallback()) ? " (fallback of route " + r.name() + ")" : null;
             };
             if (as != null) {
                 all.add(r.traffic() + as);
--- a/src/main/java/damsonworks/config/edge/Explanation.java
+++ b/src/main/java/damsonworks/config/edge/Explanation.java
@@ -15,16 +15,16 @@
 public final class Explanation {
     private static final int SHOWN = 5;
 
-    private Explanation() { }
+    private Explanation() {}
 
     /**
      * For people, a line each.
      *
      * @param installation null where none is known: servers are then not named
-     * @param kind         the class, null for one that no route names; likewise the tenant
+     * @param kind the class, null for one that no route names; likewise the tenant
      */
-    public static List<String> text(Routing routing, Installation installation, String key, String kind,
-            String tenant, String front) {
+    public static List<String> text(
+            Routing routing, Installation installation, String key, String kind, String tenant, String front) {
         Known known = installation == null ? null : installation.known();
         List<String> lines = new ArrayList<>();
         if (known != null && kind != null && !known.classes().contains(kind)) {
@@ -53,26 +53,33 @@
             lines.add("fallback  " + fallback.name() + selection(fallback));
             servers(lines, installation, fallback, key, "servers   ");
         }
-        lines.add("policy    " + (found.policy() == null ? "the settings' own"
-                : policy(routing.policies().get(found.policy()))));
+        lines.add("policy    "
+                + (found.policy() == null
+                        ? "the settings' own"
+                        : policy(routing.policies().get(found.policy()))));
         return lines;
     }
 
     private static Route match(List<Route> routes, String key, String kind, String tenant, String front) {
         // A name that the request lacks is one that no route knows.
-        return new RouteTable(routes).matcher(tenant == null ? List.of() : List.of(tenant),
-                kind == null ? List.of() : List.of(kind), Routing.FRONTS)
+        return new RouteTable(routes)
+                .matcher(
+                        tenant == null ? List.of() : List.of(tenant),
+                        kind == null ? List.of() : List.of(kind),
+                        Routing.FRONTS)
                 .match(key, 0, 0, Routing.FRONTS.indexOf(front));
     }
 
     private static String why(Route first, Route second) {
         String a = Objects.toString(first.key(), "");
         String b = Objects.toString(second.key(), "");
-        return !a.equals(b) && !a.isEmpty() ? b.isEmpty() ? "it names keys"
-                : "\"" + a + "\" says more of the key than \"" + b + "\""
-                : !first.tenants().isEmpty() && second.tenants().isEmpty() ? "it names the tenant"
-                : !first.classes().isEmpty() && second.classes().isEmpty() ? "it names the class"
-                : "it names the front";
+        return !a.equals(b) && !a.isEmpty()
+                ? b.isEmpty() ? "it names keys" : "\"" + a + "\" says more of the key than \"" + b + "\""
+                : !first.tenants().isEmpty() && second.tenants().isEmpty()
+                        ? "it names the tenant"
+                        : !first.classes().isEmpty() && second.classes().isEmpty()
+                                ? "it names the class"
+                                : "it names the front";
     }
 
     private static String selection(Pool p) {
@@ -98,17 +105,21 @@
             return;
         }
         List<String> ranks = installation.ranks(pool, key);
-        lines.add(words + (ranks.isEmpty() ? "none" + (pool.origin() ? "; reads go to the origin" : "")
-                : String.join(", ", ranks.subList(0, Math.min(SHOWN, ranks.size())))
-                + (ranks.size() > SHOWN ? " and " + (ranks.size() - SHOWN) + " more" : "")));
+        lines.add(words
+                + (ranks.isEmpty()
+                        ? "none" + (pool.origin() ? "; reads go to the origin" : "")
+                        : String.join(", ", ranks.subList(0, Math.min(SHOWN, ranks.size())))
+                                + (ranks.size() > SHOWN ? " and " + (ranks.size() - SHOWN) + " more" : "")));
     }
 
     private static String policy(RoutePolicy p) {
         StringBuilder s = new StringBuilder(p.name());
         s.append(p.deadlineMs() == Double.POSITIVE_INFINITY ? "" : ", deadline " + p.deadlineMs() + " ms");
         s.append(p.attempts() == Integer.MAX_VALUE ? "" : ", " + p.attempts() + " attempts");
-        s.append(p.retryShare() == Double.POSITIVE_INFINITY ? "" : ", retries " + p.retryShare() * 100 + "% and "
-                + p.retryFloor() + "/s");
+        s.append(
+                p.retryShare() == Double.POSITIVE_INFINITY
+                        ? ""
+                        : ", retries " + p.retryShare() * 100 + "% and " + p.retryFloor() + "/s");
         s.append(p.copies() ? "" : ", no copies");
         s.append(p.turnAway() == RoutePolicy.TurnAway.NOTHING ? "" : ", turns away " + p.turnAway());
         s.append(p.maxOpen() == Integer.MAX_VALUE ? "" : ", " + p.maxOpen() + " open at most");
--- a/src/main/java/damsonworks/config/edge/QuotaSections.java
+++ b/src/main/java/damsonworks/config/edge/QuotaSections.java
@@ -21,21 +21,32 @@
     private static final String SECTION = "quotas";
     /** From the top: what may stand within which. */
     private static final String[] LEVELS = {"organisation", "app", "device"};
+
     private static final long MOST = 1_000_000_000_000L;
 
-    private QuotaSections() { }
+    private QuotaSections() {}
 
     /** Registers the section. */
     public static Schema register(Schema schema) {
         Section inner = null;
         for (int level = LEVELS.length - 1; level >= 0; level--) {
-            Section section = limits(new Section(LEVELS[level], Naming.NAMED, "one " + LEVELS[level]
-                    + "; \"*\" stands for all that are not named together, \"each\" for each of them"), true)
-                    .optional("weight", Type.factor("0.001", "1000"), "1", "its part of what is lent, against the others'");
+            Section section = limits(
+                            new Section(
+                                    LEVELS[level],
+                                    Naming.NAMED,
+                                    "one " + LEVELS[level]
+                                            + "; \"*\" stands for all that are not named together, \"each\" for each of them"),
+                            true)
+                    .optional(
+                            "weight",
+                            Type.factor("0.001", "1000"),
+                            "1",
+                            "its part of what is lent, against the others'");
             inner = inner == null ? section : section.block(inner);
         }
         return schema.register(limits(new Section(SECTION, Naming.ONCE, "what may be asked, over all instances"), false)
-                .block(inner)).check(QuotaSections::check);
+                        .block(inner))
+                .check(QuotaSections::check);
     }
 
     private static Section limits(Section section, boolean guaranteed) {
@@ -45,8 +56,10 @@
             Section limit = new Section(word(m), Naming.MANY, "how many " + word(m) + " in one window")
                     .required("per", Type.duration("1s", "1h"), "the window, which slides")
                     .required("cap", amount, "how many at most in any window");
-            section.block(guaranteed ? limit.optional("guarantee", own, null, "how many are its own; what it leaves is lent")
-                    : limit);
+            section.block(
+                    guaranteed
+                            ? limit.optional("guarantee", own, null, "how many are its own; what it leaves is lent")
+                            : limit);
         }
         return section;
     }
@@ -73,15 +86,22 @@
             }
             Entry other = limits.putIfAbsent(same(limit), limit);
             if (other != null) {
-                problems.add(limit.place(), "a second quota for " + limit.section().name() + " over the same window as at "
-                        + other.place().shortly(), "take one out, or give it another window");
+                problems.add(
+                        limit.place(),
+                        "a second quota for " + limit.section().name() + " over the same window as at "
+                                + other.place().shortly(),
+                        "take one out, or give it another window");
             }
             if (limit.number("guarantee", 0) > limit.number("cap", 0)) {
-                problems.add(limit.placeOf("guarantee"), "a guarantee above the cap",
+                problems.add(
+                        limit.placeOf("guarantee"),
+                        "a guarantee above the cap",
                         "raise the cap, or guarantee no more than it");
             }
             if (node.name().equals(QuotaSpec.EACH) && limit.number("guarantee", 0) > 0) {
-                problems.add(limit.placeOf("guarantee"), "a guarantee for each that is not named has no bound",
+                problems.add(
+                        limit.placeOf("guarantee"),
+                        "a guarantee for each that is not named has no bound",
                         "name them, or give it to \"*\", which all of them share");
             }
         }
@@ -90,7 +110,10 @@
             if (!isLimit(child)) {
                 Entry other = names.putIfAbsent(child.name(), child);
                 if (other != null) {
-                    problems.add(child.place(), child.title() + " stands there already, at " + other.place().shortly(),
+                    problems.add(
+                            child.place(),
+                            child.title() + " stands there already, at "
+                                    + other.place().shortly(),
                             "join the two");
                 }
                 check(child, problems);
@@ -117,15 +140,22 @@
                 }
                 double own = l.number("guarantee", 0);
                 if (own > has) {
-                    problems.add(l.placeOf("guarantee"), "a guarantee above the " + what + " of " + node.title() + ", at "
-                            + limit.placeOf(what).shortly(), "guarantee " + plain(has) + " at most, or raise that");
+                    problems.add(
+                            l.placeOf("guarantee"),
+                            "a guarantee above the " + what + " of " + node.title() + ", at "
+                                    + limit.placeOf(what).shortly(),
+                            "guarantee " + plain(has) + " at most, or raise that");
                     return;
                 }
                 sum += own;
                 if (sum > has) {
-                    problems.add(l.placeOf("guarantee"), "with this one " + plain(sum) + " " + l.section().name()
-                            + " are guaranteed beneath " + node.title() + ", more than its " + what + " of " + plain(has)
-                            + " at " + limit.placeOf(what).shortly(), "guarantee " + plain(sum - has) + " less, or raise that");
+                    problems.add(
+                            l.placeOf("guarantee"),
+                            "with this one " + plain(sum) + " " + l.section().name()
+                                    + " are guaranteed beneath " + node.title() + ", more than its " + what + " of "
+                                    + plain(has)
+                                    + " at " + limit.placeOf(what).shortly(),
+                            "guarantee " + plain(sum - has) + " less, or raise that");
                     return;
                 }
             }
@@ -149,8 +179,10 @@
         List<QuotaSpec> children = new ArrayList<>();
         for (Entry e : node.blocks()) {
             if (isLimit(e)) {
-                limits.add(new Limit(Measure.valueOf(e.section().name().toUpperCase(Locale.ROOT)),
-                        Math.round(e.number("per", 0)), Math.round(e.number("guarantee", 0)),
+                limits.add(new Limit(
+                        Measure.valueOf(e.section().name().toUpperCase(Locale.ROOT)),
+                        Math.round(e.number("per", 0)),
+                        Math.round(e.number("guarantee", 0)),
                         Math.round(e.number("cap", 0))));
             } else {
                 children.add(spec(e.name(), e));
--- a/src/main/java/damsonworks/config/edge/RoutingSections.java
+++ b/src/main/java/damsonworks/config/edge/RoutingSections.java
@@ -32,13 +32,13 @@
     private static final double PERCENT = 100;
     private static final double SECONDS_PER_HOUR = 3600;
 
-    private RoutingSections() { }
+    private RoutingSections() {}
 
     /**
      * Registers the sections.
      *
-     * @param known what an instance knows, to check names against; null: names of classes, tenants, sites and kinds
-     *              are taken as they are
+     * @param known what an instance knows, to check names against; null: names of classes, tenants, sites and kinds are
+     *     taken as they are
      */
     public static Schema register(Schema schema, Known known) {
         Type name = Type.name(LONGEST_NAME);
@@ -54,15 +54,23 @@
         schema.register(new Section("policy", Naming.NAMED, "limits for the requests of a route")
                 .optional("deadline", Type.duration("1ms", "24h"), null, "the longest that a request may wait")
                 .optional("attempts", Type.count(1, 16), null, "servers at which it may be tried, over both pools")
-                .optional("retry-budget", Type.share("0%", "1000%"), null,
-                        "further attempts as a part of all requests")
-                .optional("retry-floor", Type.rate("0/s", "1000000/s"), "1/s",
+                .optional("retry-budget", Type.share("0%", "1000%"), null, "further attempts as a part of all requests")
+                .optional(
+                        "retry-floor",
+                        Type.rate("0/s", "1000000/s"),
+                        "1/s",
                         "further attempts that are allowed however few requests there are")
                 .optional("copies", Type.flag(), "on", "whether a second attempt may go out beside the first")
-                .optional("turn-away", Type.choice("nothing", "reads", "writes", "all"), "nothing",
+                .optional(
+                        "turn-away",
+                        Type.choice("nothing", "reads", "writes", "all"),
+                        "nothing",
                         "what is refused at once")
                 .optional("max-open", Type.count(0, 10_000_000), null, "more requests at a time are refused at once")
-                .optional("retry-after", Type.duration("0ms", "1h"), "200ms",
+                .optional(
+                        "retry-after",
+                        Type.duration("0ms", "1h"),
+                        "200ms",
                         "when those refused by this policy are told to come back"));
         schema.register(new Section("route", Naming.NAMED, "which requests go where")
                 .optional("key", Type.text(Glob.LONGEST), null, "pattern of the key: * any characters, ? one")
@@ -94,7 +102,9 @@
                 names(route, "tenant", known.tenants(), problems);
             }
             if (route.has("fallback") && route.text("fallback").equals(route.text("pool"))) {
-                problems.add(route.placeOf("fallback"), "a fallback that is the pool itself",
+                problems.add(
+                        route.placeOf("fallback"),
+                        "a fallback that is the pool itself",
                         "name another pool, or leave it out");
             }
         }
@@ -117,8 +127,11 @@
     private static void names(Entry entry, String attribute, List<String> known, Problems problems) {
         for (String name : entry.texts(attribute)) {
             if (!known.contains(name)) {
-                problems.add(entry.placeOf(attribute), "no " + attribute + " is called \"" + name + "\" here",
-                        known.isEmpty() ? "this instance knows no " + attribute + "; leave the line out"
+                problems.add(
+                        entry.placeOf(attribute),
+                        "no " + attribute + " is called \"" + name + "\" here",
+                        known.isEmpty()
+                                ? "this instance knows no " + attribute + "; leave the line out"
                                 : Names.fix(name, known));
             }
         }
@@ -132,9 +145,13 @@
         List<Entry> weights = pool.blocks();
         for (int i = 0; i < weights.size(); i++) {
             for (int j = 0; j < i; j++) {
-                if (new Glob(weights.get(i).text("host")).meets(new Glob(weights.get(j).text("host")))) {
-                    problems.add(weights.get(i).placeOf("host"), "a server could match this weight and that at "
-                            + weights.get(j).placeOf("host").shortly(), "make the patterns apart");
+                if (new Glob(weights.get(i).text("host"))
+                        .meets(new Glob(weights.get(j).text("host")))) {
+                    problems.add(
+                            weights.get(i).placeOf("host"),
+                            "a server could match this weight and that at "
+                                    + weights.get(j).placeOf("host").shortly(),
+                            "make the patterns apart");
                 }
             }
         }
@@ -161,13 +178,16 @@
         configuration.of("route").forEach(r -> places.put(r.name(), r.place()));
         try {
             for (RouteTable.Conflict c : RouteTable.conflicts(routes(configuration))) {
-                problems.add(places.get(c.second().name()), "equally specific as route \"" + c.first().name() + "\" at "
-                        + places.get(c.first().name()).shortly() + ", and a request could match both ("
-                        + c.second().traffic() + ")", "add a condition to one of them, or join them");
+                problems.add(
+                        places.get(c.second().name()),
+                        "equally specific as route \"" + c.first().name() + "\" at "
+                                + places.get(c.first().name()).shortly() + ", and a request could match both ("
+                                + c.second().traffic() + ")",
+                        "add a condition to one of them, or join them");
             }
         } catch (IllegalArgumentException e) {
-            problems.add(configuration.of("route").get(0).place(), e.getMessage(),
-                    "name fewer, or leave a condition out");
+            problems.add(
+                    configuration.of("route").get(0).place(), e.getMessage(), "name fewer, or leave a condition out");
         }
     }
 
@@ -184,7 +204,8 @@
 
     /** A line for each pool that selects none of these servers. */
     public static List<String> empty(Configuration configuration, List<Pool.Server> servers) {
-        return configuration.of("pool").stream().filter(e -> servers.stream().noneMatch(pool(e)::selects))
+        return configuration.of("pool").stream()
+                .filter(e -> servers.stream().noneMatch(pool(e)::selects))
                 .map(e -> e.place() + ": " + e.title() + " selects none of the " + servers.size() + " servers")
                 .toList();
     }
@@ -192,26 +213,42 @@
     private static List<Route> routes(Configuration configuration) {
         List<Route> routes = new ArrayList<>();
         for (Entry e : configuration.of("route")) {
-            routes.add(new Route(e.name(), e.has("key") ? new Glob(e.text("key")) : null, Set.copyOf(e.texts("tenant")),
-                    Set.copyOf(e.texts("class")), Set.copyOf(e.texts("front")), e.text("pool"), e.text("fallback"),
+            routes.add(new Route(
+                    e.name(),
+                    e.has("key") ? new Glob(e.text("key")) : null,
+                    Set.copyOf(e.texts("tenant")),
+                    Set.copyOf(e.texts("class")),
+                    Set.copyOf(e.texts("front")),
+                    e.text("pool"),
+                    e.text("fallback"),
                     e.text("policy")));
         }
         return routes;
     }
 
     private static Pool pool(Entry e) {
-        return new Pool(e.name(), Set.copyOf(e.texts("site")), Set.copyOf(e.texts("kind")),
-                Set.copyOf(e.texts("label")), e.texts("host").stream().map(Glob::new).toList(),
-                e.blocks().stream().map(w -> new Pool.Weight(new Glob(w.text("host")),
-                        (float) w.number("value", 1))).toList(), e.on("origin"));
+        return new Pool(
+                e.name(),
+                Set.copyOf(e.texts("site")),
+                Set.copyOf(e.texts("kind")),
+                Set.copyOf(e.texts("label")),
+                e.texts("host").stream().map(Glob::new).toList(),
+                e.blocks().stream()
+                        .map(w -> new Pool.Weight(new Glob(w.text("host")), (float) w.number("value", 1)))
+                        .toList(),
+                e.on("origin"));
     }
 
     private static RoutePolicy policy(Entry e) {
-        return new RoutePolicy(e.name(), e.number("deadline", Double.POSITIVE_INFINITY),
+        return new RoutePolicy(
+                e.name(),
+                e.number("deadline", Double.POSITIVE_INFINITY),
                 (int) e.number("attempts", Integer.MAX_VALUE),
                 e.number("retry-budget", Double.POSITIVE_INFINITY) / PERCENT,
-                e.number("retry-floor", 0) / SECONDS_PER_HOUR, e.on("copies"),
+                e.number("retry-floor", 0) / SECONDS_PER_HOUR,
+                e.on("copies"),
                 TurnAway.valueOf(e.text("turn-away").toUpperCase(Locale.ROOT)),
-                (int) e.number("max-open", Integer.MAX_VALUE), e.number("retry-after", 0));
+                (int) e.number("max-open", Integer.MAX_VALUE),
+                e.number("retry-after", 0));
     }
 }
--- a/src/main/java/damsonworks/control/ControlClient.java
+++ b/src/main/java/damsonworks/control/ControlClient.java
@@ -35,8 +35,8 @@
             channel.connect(UnixDomainSocketAddress.of(path));
         } catch (IOException e) {
             channel.close();
-            throw new IOException("no proxy listens at " + path + " (" + e.getMessage()
-                    + "); was it started with --control?", e);
+            throw new IOException(
+                    "no proxy listens at " + path + " (" + e.getMessage() + "); was it started with --control?", e);
         }
         in = new BufferedReader(Channels.newReader(channel, StandardCharsets.UTF_8));
     }
@@ -53,7 +53,7 @@
      * The result of a request.
      *
      * @throws RefusedException with the proxy's words if it refuses
-     * @throws IOException      if the connection has ended
+     * @throws IOException if the connection has ended
      */
     public JsonObject ask(JsonObject request) throws IOException {
         ByteBuffer out = ByteBuffer.wrap((request + "\n").getBytes(StandardCharsets.UTF_8));
--- a/src/main/java/damsonworks/control/ControlServer.java
+++ b/src/main/java/damsonworks/control/ControlServer.java
@@ -46,14 +46,19 @@
     public ControlServer(EventLoop loop, Path path, ControlRegistry registry) throws IOException {
         this.registry = registry;
         file = SocketFile.prepare(path);
-        server = new ServerBootstrap().group(loop, loop).channel(Transport.BEST.localServer())
+        server = new ServerBootstrap()
+                .group(loop, loop)
+                .channel(Transport.BEST.localServer())
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, new WriteBufferWaterMark(32 << 10, MAX_UNREAD))
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         accepted(channel);
                     }
-                }).bind(Transport.BEST.local(file.temporary())).syncUninterruptibly().channel();
+                })
+                .bind(Transport.BEST.local(file.temporary()))
+                .syncUninterruptibly()
+                .channel();
         file.publish();
     }
 
@@ -63,8 +68,11 @@
         }
         connections.add(channel);
         channel.closeFuture().addListener(f -> connections.remove(channel));
-        channel.pipeline().addLast(new ReadTimeoutHandler(SILENT_S, TimeUnit.SECONDS),
-                new LineBasedFrameDecoder(MAX_LINE, true, true), new Lines());
+        channel.pipeline()
+                .addLast(
+                        new ReadTimeoutHandler(SILENT_S, TimeUnit.SECONDS),
+                        new LineBasedFrameDecoder(MAX_LINE, true, true),
+                        new Lines());
     }
 
     @Override
@@ -92,8 +100,10 @@
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             if (cause instanceof TooLongFrameException) {
-                ctx.writeAndFlush(ByteBufUtil.writeUtf8(ctx.alloc(), "{\"v\":" + ControlRegistry.VERSION
-                        + ",\"ok\":false,\"error\":\"a line of more than " + MAX_LINE + " bytes\"}\n"))
+                ctx.writeAndFlush(ByteBufUtil.writeUtf8(
+                                ctx.alloc(),
+                                "{\"v\":" + ControlRegistry.VERSION + ",\"ok\":false,\"error\":\"a line of more than "
+                                        + MAX_LINE + " bytes\"}\n"))
                         .addListener(ChannelFutureListener.CLOSE);
             } else {
                 ctx.close();
--- a/src/main/java/damsonworks/control/Door.java
+++ b/src/main/java/damsonworks/control/Door.java
@@ -33,11 +33,12 @@
     static final int MAX_CALLERS = 32;
     /** The longest call, in bytes. */
     static final int MAX_LINE = 256;
+
     private static final int STAY_S = 5;
 
-    private static final Map<String, DoorCall> CALLS = List
-            .<DoorCall>of(new HealthCall(), new DumpCall(), new HandoverCall()).stream()
-            .collect(Collectors.toUnmodifiableMap(DoorCall::word, Function.identity()));
+    private static final Map<String, DoorCall> CALLS =
+            List.<DoorCall>of(new HealthCall(), new DumpCall(), new HandoverCall()).stream()
+                    .collect(Collectors.toUnmodifiableMap(DoorCall::word, Function.identity()));
 
     private final ControlRegistry registry;
     private final Channel server;
@@ -50,13 +51,19 @@
      */
     public Door(EventLoop loop, InetSocketAddress address, ControlRegistry registry) throws Exception {
         this.registry = registry;
-        server = new ServerBootstrap().group(loop, loop).channel(Transport.BEST.server())
-                .option(ChannelOption.SO_REUSEADDR, true).childHandler(new ChannelInitializer<>() {
+        server = new ServerBootstrap()
+                .group(loop, loop)
+                .channel(Transport.BEST.server())
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         accepted(channel);
                     }
-                }).bind(address).sync().channel();
+                })
+                .bind(address)
+                .sync()
+                .channel();
     }
 
     /** Opens a door, asks all that can be asked there, and closes it. */
@@ -103,8 +110,12 @@
         protected void channelRead0(ChannelHandlerContext ctx, ByteBuf line) {
             String word = line.toString(StandardCharsets.UTF_8).trim();
             DoorCall call = CALLS.get(word);
-            say(ctx, call != null ? call.answer(registry) : "ERR unknown call; there are: "
-                    + CALLS.keySet().stream().sorted().collect(Collectors.joining(", ")) + "\n");
+            say(
+                    ctx,
+                    call != null
+                            ? call.answer(registry)
+                            : "ERR unknown call; there are: "
+                                    + CALLS.keySet().stream().sorted().collect(Collectors.joining(", ")) + "\n");
         }
 
         private void say(ChannelHandlerContext ctx, String text) {
--- a/src/main/java/damsonworks/control/DumpCall.java
+++ b/src/main/java/damsonworks/control/DumpCall.java
@@ -13,8 +13,13 @@
     public String answer(ControlRegistry registry) {
         StringBuilder text = new StringBuilder(1024);
         for (Figure f : registry.figures()) {
-            text.append(PREFIX).append(f.name()).append(':').append(f.value()).append('|')
-                    .append(f.kind() == Figure.Kind.COUNT ? 'c' : 'g').append('\n');
+            text.append(PREFIX)
+                    .append(f.name())
+                    .append(':')
+                    .append(f.value())
+                    .append('|')
+                    .append(f.kind() == Figure.Kind.COUNT ? 'c' : 'g')
+                    .append('\n');
         }
         return text.append("END\n").toString();
     }
--- a/src/main/java/damsonworks/control/Figure.java
+++ b/src/main/java/damsonworks/control/Figure.java
@@ -3,8 +3,8 @@
 /**
  * One figure that a proxy reports.
  *
- * @param name  its parts joined by points
- * @param kind  whether it only grows
+ * @param name its parts joined by points
+ * @param kind whether it only grows
  * @param value a whole number, 0 or more
  */
 public record Figure(String name, Kind kind, long value) {
--- a/src/main/java/damsonworks/control/HandoverCall.java
+++ b/src/main/java/damsonworks/control/HandoverCall.java
@@ -15,7 +15,8 @@
     @Override
     public String answer(ControlRegistry registry) {
         JsonObject handover = registry.section(SECTION);
-        return handover == null ? "ERR nothing is handed over here\n"
+        return handover == null
+                ? "ERR nothing is handed over here\n"
                 : "OK " + handover.get("phase").getAsString() + "\n";
     }
 }
--- a/src/main/java/damsonworks/control/ProxyControl.java
+++ b/src/main/java/damsonworks/control/ProxyControl.java
@@ -16,10 +16,12 @@
 public final class ProxyControl {
     /** Of pools, and of the routes with most requests. */
     private static final int MAX_SHOWN = 50;
-    /** Of instances in the view: some 120 bytes each, under what the control socket keeps for one that does not read. */
+    /**
+     * Of instances in the view: some 120 bytes each, under what the control socket keeps for one that does not read.
+     */
     private static final int MAX_MEMBERS = 2048;
 
-    private ProxyControl() { }
+    private ProxyControl() {}
 
     /** What can be asked of this proxy, by whatever way. */
     public static ControlRegistry registry(Proxy proxy) {
@@ -105,8 +107,10 @@
         });
         o.add("pools", pools);
         JsonArray routes = new JsonArray();
-        router.routes().stream().sorted(Comparator.comparingLong(Router.RouteStatus::requests).reversed())
-                .limit(MAX_SHOWN).forEach(r -> {
+        router.routes().stream()
+                .sorted(Comparator.comparingLong(Router.RouteStatus::requests).reversed())
+                .limit(MAX_SHOWN)
+                .forEach(r -> {
                     JsonObject route = new JsonObject();
                     route.addProperty("route", r.name().isEmpty() ? "no route" : r.name());
                     route.addProperty("requests", r.requests());
@@ -143,7 +147,8 @@
     /** A row for each that is known, the first {@link #MAX_MEMBERS}. */
     private static JsonObject members(Proxy.FleetView f) {
         if (f == null) {
-            throw new IllegalArgumentException("this proxy keeps no view of the fleet; it was started without --view on");
+            throw new IllegalArgumentException(
+                    "this proxy keeps no view of the fleet; it was started without --view on");
         }
         JsonObject o = view(f);
         JsonArray rows = new JsonArray();
--- a/src/main/java/damsonworks/control/RecoveryCall.java
+++ b/src/main/java/damsonworks/control/RecoveryCall.java
@@ -13,7 +13,7 @@
 final class RecoveryCall {
     static final String SECTION = "recovery";
 
-    private RecoveryCall() { }
+    private RecoveryCall() {}
 
     static void register(ControlRegistry registry, Supplier<Recovering> recovering) {
         registry.section(SECTION, () -> json(recovering.get(), (double) System.currentTimeMillis()));
--- a/src/main/java/damsonworks/control/SocketFile.java
+++ b/src/main/java/damsonworks/control/SocketFile.java
@@ -34,8 +34,8 @@
     static SocketFile prepare(Path wanted) throws IOException {
         Path path = wanted.toAbsolutePath();
         if (Files.exists(path, LinkOption.NOFOLLOW_LINKS)) {
-            if (!Files.readAttributes(path, BasicFileAttributes.class,
-                    LinkOption.NOFOLLOW_LINKS).isOther()) {
+            if (!Files.readAttributes(path, BasicFileAttributes.class, LinkOption.NOFOLLOW_LINKS)
+                    .isOther()) {
                 throw new IOException(path + " is there and no socket; name another path");
             }
             if (listens(path)) {
@@ -45,7 +45,9 @@
         if (path.getParent() == null || !Files.isDirectory(path.getParent())) {
             throw new IOException("no folder " + path.getParent() + " for the control socket");
         }
-        Path folder = Files.createTempDirectory(path.getParent(), ".c",
+        Path folder = Files.createTempDirectory(
+                path.getParent(),
+                ".c",
                 PosixFilePermissions.asFileAttribute(PosixFilePermissions.fromString("rwx------")));
         SocketFile file = new SocketFile(path, folder);
         if (tooLong(file.temporary()) || tooLong(path)) {
--- a/src/main/java/damsonworks/control/ZoneCall.java
+++ b/src/main/java/damsonworks/control/ZoneCall.java
@@ -57,7 +57,8 @@
     private JsonObject run(JsonObject arguments) {
         FleetZones z = zones.get();
         if (z == null) {
-            throw new IllegalArgumentException("this proxy decides nothing of zones; it was started without --zones on");
+            throw new IllegalArgumentException(
+                    "this proxy decides nothing of zones; it was started without --zones on");
         }
         String zone = text(arguments, "zone");
         switch (text(arguments, "order")) {
--- a/src/main/java/damsonworks/demo/OracleObserver.java
+++ b/src/main/java/damsonworks/demo/OracleObserver.java
@@ -22,7 +22,10 @@
     /** When open requests were asked, and until when an answer is in time; on the fleet's event loop only. */
     private final Map<String, double[]> open = new HashMap<>();
 
-    /** For this fleet's oracle; {@code takenBy}: which proxy took the connection from a client's port, negative for none. */
+    /**
+     * For this fleet's oracle; {@code takenBy}: which proxy took the connection from a client's port, negative for
+     * none.
+     */
     public OracleObserver(StandInFleet fleet, IntUnaryOperator takenBy) {
         this.fleet = fleet;
         this.takenBy = takenBy;
@@ -41,17 +44,33 @@
         int proxy = takenBy.applyAsInt(port);
         fleet.tell(o -> {
             double at = fleet.at(atNanos);
-            count(id, proxy, answer instanceof MetaAnswer.Busy ? What.REFUSED
-                    : answer instanceof MetaAnswer.Value || answer instanceof MetaAnswer.Receipt ? What.SERVED
-                    : What.FAILED, at);
+            count(
+                    id,
+                    proxy,
+                    answer instanceof MetaAnswer.Busy
+                            ? What.REFUSED
+                            : answer instanceof MetaAnswer.Value || answer instanceof MetaAnswer.Receipt
+                                    ? What.SERVED
+                                    : What.FAILED,
+                    at);
             if (answer instanceof MetaAnswer.Value v) {
-                o.answered(id, proxy, Oracle.Ending.SERVED, v.value(), -1,
+                o.answered(
+                        id,
+                        proxy,
+                        Oracle.Ending.SERVED,
+                        v.value(),
+                        -1,
                         v.value().length > MetaAnswerDecoder.LONG ? fleet.at(v.begunNanos()) : at);
             } else if (answer instanceof MetaAnswer.Receipt r) {
                 o.answered(id, proxy, Oracle.Ending.SERVED, null, version(r.receipt()), at);
             } else {
-                o.answered(id, proxy, answer instanceof MetaAnswer.Busy ? Oracle.Ending.REFUSED : Oracle.Ending.FAILED, null,
-                        -1, at);
+                o.answered(
+                        id,
+                        proxy,
+                        answer instanceof MetaAnswer.Busy ? Oracle.Ending.REFUSED : Oracle.Ending.FAILED,
+                        null,
+                        -1,
+                        at);
             }
         });
     }
@@ -76,11 +95,14 @@
     public void unanswered(String id, int port, long endedNanos, long atNanos) {
         int proxy = takenBy.applyAsInt(port);
         double ended = endedNanos == 0 ? Double.NaN : fleet.at(endedNanos);
-        fleet.loop().schedule(() -> fleet.tell(o -> {
-            o.unanswered(id, proxy, ended, fleet.at(atNanos));
-            count(id, proxy, What.UNANSWERED, fleet.at(atNanos));
-        }),
-                (long) fleet.spec().answerGraceMs() + LOOP_MS, TimeUnit.MILLISECONDS);
+        fleet.loop()
+                .schedule(
+                        () -> fleet.tell(o -> {
+                            o.unanswered(id, proxy, ended, fleet.at(atNanos));
+                            count(id, proxy, What.UNANSWERED, fleet.at(atNanos));
+                        }),
+                        (long) fleet.spec().answerGraceMs() + LOOP_MS,
+                        TimeUnit.MILLISECONDS);
     }
 
     @Override
--- a/src/main/java/damsonworks/demo/ProxiedFleet.java
+++ b/src/main/java/damsonworks/demo/ProxiedFleet.java
@@ -40,15 +40,18 @@
     private final List<ProxyProcess> proxies = new ArrayList<>();
     /** The front is a machine of its own, and must not wait for the nodes. */
     private final MultiThreadIoEventLoopGroup frontGroup = new MultiThreadIoEventLoopGroup(1, Sockets.BEST.io());
+
     private final ProxyWatch watch;
     private final int[] turns;
     /** Which proxies have been given other settings. */
     private final boolean[] retuned;
+
     private final int memoryMb;
     private final Path folder;
     private final ScheduledThreadPoolExecutor helper = executor("proxies");
     /** Apart from the helper: a process that stands still does not answer. */
     private final ScheduledThreadPoolExecutor watcher = executor("watch");
+
     private final Thread hook = new Thread(this::end);
     private boolean closed;
 
@@ -56,7 +59,7 @@
      * Starts everything and waits until the proxies are ready.
      *
      * @param memoryMb what each proxy is told it has
-     * @param edge     a file of routes that all proxies read, and read again at {@code hup}; null: none
+     * @param edge a file of routes that all proxies read, and read again at {@code hup}; null: none
      */
     public ProxiedFleet(FleetSpec spec, int memoryMb, Path edge) throws IOException {
         this.memoryMb = memoryMb;
@@ -67,7 +70,8 @@
         fleet = new StandInFleet(spec);
         try {
             for (int i = 0; i < spec.proxies(); i++) {
-                proxies.add(new ProxyProcess("proxy-" + i, fleet.host(i), folder, edge, spec.layout().parts()));
+                proxies.add(new ProxyProcess(
+                        "proxy-" + i, fleet.host(i), folder, edge, spec.layout().parts()));
                 write(i);
                 proxies.get(i).start();
             }
@@ -80,7 +84,8 @@
         }
         watch = new ProxyWatch(proxies);
         watcher.scheduleWithFixedDelay(watch::look, 0, LOOK_MS, TimeUnit.MILLISECONDS);
-        front = new FrontLayer(frontGroup.next(), proxies.stream().map(ProxyProcess::listen).toList(), spec.noticeMs());
+        front = new FrontLayer(
+                frontGroup.next(), proxies.stream().map(ProxyProcess::listen).toList(), spec.noticeMs());
     }
 
     private static ScheduledThreadPoolExecutor executor(String name) {
@@ -146,7 +151,9 @@
         play(faults);
     }
 
-    /** The first proxy whose process ended though nothing asked it to, with the end of its log; null if there is none. */
+    /**
+     * The first proxy whose process ended though nothing asked it to, with the end of its log; null if there is none.
+     */
     public String died() throws IOException {
         for (ProxyProcess p : proxies) {
             if (p.died()) {
@@ -250,8 +257,12 @@
     private void treat(int proxy, Fault.State state) {
         try {
             Path other = proxies.get((proxy + 1) % proxies.size()).state();
-            new StateFolder(proxies.get(proxy).state(), folder.resolve("older-" + proxy), other,
-                    fleet.spec().seed() * 31 + proxy).treat(state);
+            new StateFolder(
+                            proxies.get(proxy).state(),
+                            folder.resolve("older-" + proxy),
+                            other,
+                            fleet.spec().seed() * 31 + proxy)
+                    .treat(state);
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
--- a/src/main/java/damsonworks/demo/ProxyConfig.java
+++ b/src/main/java/damsonworks/demo/ProxyConfig.java
@@ -13,14 +13,14 @@
     private static final double CONNECT_TIMEOUT_MS = 500;
     private static final double IDLE_CLOSE_MS = 30_000;
 
-    private ProxyConfig() { }
+    private ProxyConfig() {}
 
     /**
      * {@code turn}: how often the proxy has been started or told anew; seeds and discovery's address hang on it.
      * {@code retuned}: with a class that nobody uses and one attempt less.
      */
-    static JsonObject of(StandInFleet fleet, int proxy, InetSocketAddress listen, int turn, int memoryMb,
-            boolean retuned) {
+    static JsonObject of(
+            StandInFleet fleet, int proxy, InetSocketAddress listen, int turn, int memoryMb, boolean retuned) {
         FleetSpec spec = fleet.spec();
         JsonObject o = new JsonObject();
         o.addProperty("name", "proxy-" + proxy);
@@ -32,33 +32,107 @@
         boolean peers = fleet.peers() != null;
         if (peers) {
             o.addProperty("peer_listen", text(fleet.peers().listen(proxy)));
-            o.add("peers", array(fleet.peers().peers(proxy).stream().map(ProxyConfig::text).toList()));
+            o.add(
+                    "peers",
+                    array(fleet.peers().peers(proxy).stream()
+                            .map(ProxyConfig::text)
+                            .toList()));
             o.addProperty("peers_all", text(fleet.peers().all(proxy)));
         }
-        JsonObject settings = object("me", proxy, "balancers", spec.proxies(), "locality",
-                spec.layout().zoneOf(proxy), "discovery", "ask",
-                "value-by", "request", "over-share-worth", 0.1);
+        JsonObject settings = object(
+                "me",
+                proxy,
+                "balancers",
+                spec.proxies(),
+                "locality",
+                spec.layout().zoneOf(proxy),
+                "discovery",
+                "ask",
+                "value-by",
+                "request",
+                "over-share-worth",
+                0.1);
         settings.add("zones", array(fleet.sites()));
         settings.add("kinds", array(fleet.kinds()));
         JsonObject report = object("how", "silent");
         report.add("names", new JsonArray());
         settings.add("report", report);
-        settings.add("caps", object("may-cancel", true, "may-probe", false, "peers", peers, "second-copies", true,
-                "retry-after", true, "max-attempts", retuned ? 2 : 3, "max-retry-after", 500.0, "connect-timeout",
-                CONNECT_TIMEOUT_MS, "idle-close", IDLE_CLOSE_MS, "streams-per-conn", 16));
-        settings.add("extra", object("mode", "aside", "origin-kind", fleet.kinds().indexOf("origin"),
-                "origin-fall-multiple", 0.0, "origin-fall", 3000.0));
-        settings.add("guarantees", object("drain-grace", spec.drainGraceMs(), "grace-to-answer", 20.0,
-                "start-capacity", 0.3, "warm-up", spec.warmUpMs(), "tip-multiple", 3.0, "fall", 1500.0,
-                "ask-within", 10_000.0));
+        settings.add(
+                "caps",
+                object(
+                        "may-cancel",
+                        true,
+                        "may-probe",
+                        false,
+                        "peers",
+                        peers,
+                        "second-copies",
+                        true,
+                        "retry-after",
+                        true,
+                        "max-attempts",
+                        retuned ? 2 : 3,
+                        "max-retry-after",
+                        500.0,
+                        "connect-timeout",
+                        CONNECT_TIMEOUT_MS,
+                        "idle-close",
+                        IDLE_CLOSE_MS,
+                        "streams-per-conn",
+                        16));
+        settings.add(
+                "extra",
+                object(
+                        "mode",
+                        "aside",
+                        "origin-kind",
+                        fleet.kinds().indexOf("origin"),
+                        "origin-fall-multiple",
+                        0.0,
+                        "origin-fall",
+                        3000.0));
+        settings.add(
+                "guarantees",
+                object(
+                        "drain-grace",
+                        spec.drainGraceMs(),
+                        "grace-to-answer",
+                        20.0,
+                        "start-capacity",
+                        0.3,
+                        "warm-up",
+                        spec.warmUpMs(),
+                        "tip-multiple",
+                        3.0,
+                        "fall",
+                        1500.0,
+                        "ask-within",
+                        10_000.0));
         JsonArray classes = new JsonArray();
         for (TrafficClass c : spec.classes()) {
-            classes.add(object("name", c.name(), "idempotency", switch (c.kind()) {
-                case READ -> "retryable";
-                case UNSAFE -> "fragile";
-                case KEYED -> "dedup";
-            }, "promise", c.aimMs(), "deadline", c.deadlineMs(), "gain", c.worth(), "late-share", 0.3, "stream",
-                    false, "group", "all", "window", 1500.0));
+            classes.add(object(
+                    "name",
+                    c.name(),
+                    "idempotency",
+                    switch (c.kind()) {
+                        case READ -> "retryable";
+                        case UNSAFE -> "fragile";
+                        case KEYED -> "dedup";
+                    },
+                    "promise",
+                    c.aimMs(),
+                    "deadline",
+                    c.deadlineMs(),
+                    "gain",
+                    c.worth(),
+                    "late-share",
+                    0.3,
+                    "stream",
+                    false,
+                    "group",
+                    "all",
+                    "window",
+                    1500.0));
         }
         if (retuned) {
             JsonObject extra = classes.get(0).getAsJsonObject().deepCopy();
