--- a/src/main/java/damsonworks/demo/ProxyProcess.java
+++ b/src/main/java/damsonworks/demo/ProxyProcess.java
@@ -39,7 +39,10 @@
     /** Where the process that was started last is asked for its health, or null where nobody asks. */
     private InetSocketAddress door;
 
-    /** Nothing is started yet; the address is free at the moment. {@code edge}: its file of routes, or null; {@code parts}: what it runs with. */
+    /**
+     * Nothing is started yet; the address is free at the moment. {@code edge}: its file of routes, or null;
+     * {@code parts}: what it runs with.
+     */
     ProxyProcess(String name, InetAddress host, Path parent, Path edge, Set<Part> parts) throws IOException {
         this.name = name;
         this.host = host;
@@ -106,23 +109,35 @@
         if (ended) {
             return;
         }
-        List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xms24m", "-Xmx40m", "-XX:MaxDirectMemorySize=56m",
-                "-Xss512k", "-Dio.netty.allocator.type=pooled", "-Dio.netty.allocator.numHeapArenas=1",
-                "-Dio.netty.allocator.numDirectArenas=1", "-Dio.netty.allocator.maxOrder=6")); // as in deploy
+        List<String> words = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Xms24m",
+                "-Xmx40m",
+                "-XX:MaxDirectMemorySize=56m",
+                "-Xss512k",
+                "-Dio.netty.allocator.type=pooled",
+                "-Dio.netty.allocator.numHeapArenas=1",
+                "-Dio.netty.allocator.numDirectArenas=1",
+                "-Dio.netty.allocator.maxOrder=6")); // as in deploy
         String path = System.getProperty("java.class.path");
-        Path archive = Path.of(path.endsWith(".jar") && !path.contains(File.pathSeparator)
-                ? path.substring(0, path.length() - 4) + ".jsa" : "none");
+        Path archive = Path.of(
+                path.endsWith(".jar") && !path.contains(File.pathSeparator)
+                        ? path.substring(0, path.length() - 4) + ".jsa"
+                        : "none");
         if (Files.exists(archive)) {
             words.add("-XX:SharedArchiveFile=" + archive);
             words.add("-Xshare:auto");
         }
-        words.addAll(List.of("-cp", path, "damsonworks.Main", "serve", "--control", control().toString()));
+        words.addAll(List.of(
+                "-cp", path, "damsonworks.Main", "serve", "--control", control().toString()));
         words.addAll(options());
         if (edge != null) {
             words.addAll(List.of("--edge", edge.toAbsolutePath().toString()));
         }
-        ProcessBuilder builder = new ProcessBuilder(words).redirectErrorStream(true)
+        ProcessBuilder builder = new ProcessBuilder(words)
+                .redirectErrorStream(true)
                 .redirectOutput(ProcessBuilder.Redirect.appendTo(logFile().toFile()));
         builder.environment().put("BALANCER_CONFIG", config.toString());
         builder.environment().put("TMPDIR", folder.toString());
@@ -162,8 +177,8 @@
     }
 
     /**
-     * Starts a new process beside the one that serves and ends that one once the new one says at its door that it
-     * takes clients; waits for all of it.
+     * Starts a new process beside the one that serves and ends that one once the new one says at its door that it takes
+     * clients; waits for all of it.
      *
      * @param json the new process's configuration, but for the door
      */
@@ -207,8 +222,9 @@
                 pause();
             }
         }
-        throw new IOException(name + (process.isAlive() ? " is not ready after " + READY_MS + " ms"
-                : " ended with " + process.exitValue()) + "; its log ends:\n" + log());
+        throw new IOException(name
+                + (process.isAlive() ? " is not ready after " + READY_MS + " ms" : " ended with " + process.exitValue())
+                + "; its log ends:\n" + log());
     }
 
     private static void pause() throws IOException {
--- a/src/main/java/damsonworks/demo/ProxyWatch.java
+++ b/src/main/java/damsonworks/demo/ProxyWatch.java
@@ -9,15 +9,15 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /**
- * Looks at the proxies through their control sockets: who answers how much, how a drain goes, and whether its
- * progress ever fell. Used by one thread; what it has seen may be read by any.
+ * Looks at the proxies through their control sockets: who answers how much, how a drain goes, and whether its progress
+ * ever fell. Used by one thread; what it has seen may be read by any.
  */
 public final class ProxyWatch {
     /**
      * What a proxy said of the fleet when it was asked last; {@code digest} null while it is away or keeps no view.
      * {@code open}: how far each zone is open to it, empty where it decides nothing of zones or hears too little to.
      */
-    public record Sight(String digest, int living, long refutedDeaths, List<Double> open) { }
+    public record Sight(String digest, int living, long refutedDeaths, List<Double> open) {}
 
     /**
      * All proxies' sights at one time, by their numbers; a {@link System#nanoTime()}. {@code staleDecisions}: of all
@@ -27,8 +27,9 @@
         /** Whether all that answer hold the same, and count just those that answer. */
         public boolean settled() {
             List<Sight> there = sights.stream().filter(s -> s.digest() != null).toList();
-            return !there.isEmpty() && there.stream().allMatch(s -> s.digest().equals(there.get(0).digest())
-                    && s.living() == there.size());
+            return !there.isEmpty()
+                    && there.stream()
+                            .allMatch(s -> s.digest().equals(there.get(0).digest()) && s.living() == there.size());
         }
     }
 
@@ -119,8 +120,10 @@
         for (Seen s : seen) {
             line.append(String.format(Locale.ROOT, " %3.0f%%", all == 0 ? 0 : 100 * s.perSecond / all));
             if (!s.phase.equals("serving")) {
-                line.append(s.phase.equals("away") ? " (away)" : String.format(Locale.ROOT, " (%s %.0f%%)", s.phase,
-                        100 * s.share));
+                line.append(
+                        s.phase.equals("away")
+                                ? " (away)"
+                                : String.format(Locale.ROOT, " (%s %.0f%%)", s.phase, 100 * s.share));
             }
         }
         text = line.toString();
@@ -159,14 +162,22 @@
         s.stale = stale;
         s.pid = pid;
         JsonObject view = status.getAsJsonObject("view");
-        s.sight = view == null || !view.get("kept").getAsBoolean() ? AWAY : new Sight(view.get("digest").getAsString(),
-                view.get("living").getAsInt(), view.get("refuted_deaths").getAsLong(), open(status.getAsJsonObject("zones")));
+        s.sight = view == null || !view.get("kept").getAsBoolean()
+                ? AWAY
+                : new Sight(
+                        view.get("digest").getAsString(),
+                        view.get("living").getAsInt(),
+                        view.get("refuted_deaths").getAsLong(),
+                        open(status.getAsJsonObject("zones")));
     }
 
     private static List<Double> open(JsonObject zones) {
         List<Double> open = new ArrayList<>();
-        if (zones != null && zones.get("kept").getAsBoolean() && zones.get("quorum").getAsBoolean()) {
-            zones.getAsJsonArray("zones").forEach(z -> open.add(z.getAsJsonObject().get("open").getAsDouble()));
+        if (zones != null
+                && zones.get("kept").getAsBoolean()
+                && zones.get("quorum").getAsBoolean()) {
+            zones.getAsJsonArray("zones")
+                    .forEach(z -> open.add(z.getAsJsonObject().get("open").getAsDouble()));
         }
         return open;
     }
--- a/src/main/java/damsonworks/demo/StateFolder.java
+++ b/src/main/java/damsonworks/demo/StateFolder.java
@@ -28,7 +28,7 @@
     /** Does it. */
     void treat(Fault.State state) throws IOException {
         switch (state) {
-            case KEPT -> { }
+            case KEPT -> {}
             case LOST -> empty();
             case CUT_SHORT -> {
                 for (Path file : files(folder)) {
--- a/src/main/java/damsonworks/drain/Drain.java
+++ b/src/main/java/damsonworks/drain/Drain.java
@@ -20,20 +20,20 @@
     /**
      * What is open.
      *
-     * @param owed        requests that have had no final answer
+     * @param owed requests that have had no final answer
      * @param connections of clients, all
-     * @param idle        those between requests, that could be ended now
-     * @param answered    requests answered since the process began
+     * @param idle those between requests, that could be ended now
+     * @param answered requests answered since the process began
      */
-    public record Counts(int owed, int connections, int idle, long answered) { }
+    public record Counts(int owed, int connections, int idle, long answered) {}
 
     /**
      * What is to be done now.
      *
-     * @param endIdle   how many idle connections to end
-     * @param listen    whether new connections are taken
+     * @param endIdle how many idle connections to end
+     * @param listen whether new connections are taken
      * @param answerAll whether all that is owed is to be answered now
-     * @param exit      whether the process ends when that is done
+     * @param exit whether the process ends when that is done
      */
     public record Orders(int endIdle, boolean listen, boolean answerAll, boolean exit) {
         static final Orders NONE = new Orders(0, true, false, false);
@@ -41,13 +41,21 @@
 
     /**
      * How it goes. {@code share} is what is done of what was to do, connections and requests, 0 to 1; it never falls
-     * within one drain, and is 1 only when nothing is left. {@code leftMs} is an estimate, {@code deadlineLeftMs} the bound on it.
+     * within one drain, and is 1 only when nothing is left. {@code leftMs} is an estimate, {@code deadlineLeftMs} the
+     * bound on it.
      */
-    public record Progress(Phase phase, double share, int owed, int connections, double leftMs,
-            double deadlineLeftMs, int drains, int cancels) { }
+    public record Progress(
+            Phase phase,
+            double share,
+            int owed,
+            int connections,
+            double leftMs,
+            double deadlineLeftMs,
+            int drains,
+            int cancels) {}
 
     /** What has become of a wish for a drain. {@code already}: one was under way; the shorter deadline holds. */
-    public record Begun(boolean already, double deadlineLeftMs, String words) { }
+    public record Begun(boolean already, double deadlineLeftMs, String words) {}
 
     private static final double NEARLY = 0.999;
 
@@ -102,8 +110,13 @@
         } else if (shorter) {
             deadlineMs = now + wish.deadlineMs();
         }
-        return new Begun(true, deadlineMs - now, "a drain was under way already; "
-                + (shorter ? "its deadline is shortened to this one" : "its own deadline is the shorter and holds"));
+        return new Begun(
+                true,
+                deadlineMs - now,
+                "a drain was under way already; "
+                        + (shorter
+                                ? "its deadline is shortened to this one"
+                                : "its own deadline is the shorter and holds"));
     }
 
     private void start(double now, DrainPlan by) {
@@ -198,13 +211,20 @@
         double since = Math.max(1, now - beganMs);
         double pace = share <= 0 ? bound : since * (1 - share) / share;
         double left = phase == Phase.DRAINING ? Math.min(bound, pace + plan.quietMs()) : 0;
-        return new Progress(phase, phase == Phase.DRAINED ? 1 : share, counts.owed(), counts.connections(), left,
-                phase == Phase.DRAINING ? bound : 0, drains, cancels);
+        return new Progress(
+                phase,
+                phase == Phase.DRAINED ? 1 : share,
+                counts.owed(),
+                counts.connections(),
+                left,
+                phase == Phase.DRAINING ? bound : 0,
+                drains,
+                cancels);
     }
 
     /**
-     * How a request is answered that is still owed at the deadline: a refusal says that repeating it is harmless, so
-     * it is given only to what is safe to repeat or has certainly not run; all else has failed.
+     * How a request is answered that is still owed at the deadline: a refusal says that repeating it is harmless, so it
+     * is given only to what is safe to repeat or has certainly not run; all else has failed.
      */
     public static boolean mayRefuse(boolean safeToRepeat, boolean mayHaveRun) {
         return safeToRepeat || !mayHaveRun;
--- a/src/main/java/damsonworks/drain/DrainPlan.java
+++ b/src/main/java/damsonworks/drain/DrainPlan.java
@@ -3,16 +3,22 @@
 /**
  * How a drain goes. Times in milliseconds.
  *
- * @param listenMs   new connections are taken for so long; infinite: until nothing is left
+ * @param listenMs new connections are taken for so long; infinite: until nothing is left
  * @param holdIdleMs idle connections are left alone for so long
- * @param paceMs     over which time after that they are ended, so that their clients do not all go elsewhere at once
- * @param quietMs    for how long no request may have been open before an instance without connections is drained
+ * @param paceMs over which time after that they are ended, so that their clients do not all go elsewhere at once
+ * @param quietMs for how long no request may have been open before an instance without connections is drained
  * @param deadlineMs when all that is left is answered at once and the process ends
- * @param hidden     whether clients that ask are still told that it serves
- * @param last       whether it can't be taken back
+ * @param hidden whether clients that ask are still told that it serves
+ * @param last whether it can't be taken back
  */
-public record DrainPlan(double listenMs, double holdIdleMs, double paceMs, double quietMs, double deadlineMs,
-        boolean hidden, boolean last) {
+public record DrainPlan(
+        double listenMs,
+        double holdIdleMs,
+        double paceMs,
+        double quietMs,
+        double deadlineMs,
+        boolean hidden,
+        boolean last) {
     private static final double LONGEST_MS = 3_600_000;
 
     /** Checks the ranges. */
@@ -30,13 +36,19 @@
      * connections over the first fifth of the time, five seconds at most, and can be taken back.
      */
     public static DrainPlan asked(double deadlineMs) {
-        return new DrainPlan(Double.POSITIVE_INFINITY, 0, Math.min(5000, deadlineMs / 5),
-                Math.min(1000, deadlineMs / 10), deadlineMs, false, false);
+        return new DrainPlan(
+                Double.POSITIVE_INFINITY,
+                0,
+                Math.min(5000, deadlineMs / 5),
+                Math.min(1000, deadlineMs / 10),
+                deadlineMs,
+                false,
+                false);
     }
 
     /**
-     * What SIGTERM begins on the platform: no connection comes later than this, and answers that could not be in
-     * time any more are not waited for.
+     * What SIGTERM begins on the platform: no connection comes later than this, and answers that could not be in time
+     * any more are not waited for.
      */
     public static DrainPlan terminated(double listenMs, double longestDeadlineMs) {
         return new DrainPlan(listenMs, listenMs, 0, 0, listenMs + longestDeadlineMs, true, true);
@@ -52,7 +64,7 @@
 
     /** This plan with a deadline of this long at most. */
     DrainPlan within(double ms) {
-        return new DrainPlan(listenMs, holdIdleMs, paceMs, quietMs, Math.min(deadlineMs, Math.max(1, ms)), hidden,
-                last);
+        return new DrainPlan(
+                listenMs, holdIdleMs, paceMs, quietMs, Math.min(deadlineMs, Math.max(1, ms)), hidden, last);
     }
 }
--- a/src/main/java/damsonworks/figures/FleetWork.java
+++ b/src/main/java/damsonworks/figures/FleetWork.java
@@ -12,27 +12,27 @@
 import java.util.TreeMap;
 
 /**
- * Adds up the lines of all processes of a tier. A proxy that was started again is two processes, and both count. Lines may
- * come in any order; of those of one process the latest holds.
+ * Adds up the lines of all processes of a tier. A proxy that was started again is two processes, and both count. Lines
+ * may come in any order; of those of one process the latest holds.
  */
 public final class FleetWork {
     /** Who wrote a line. */
-    private record Life(String proxy, long pid) { }
+    private record Life(String proxy, long pid) {}
 
     private final Map<Life, WorkLine> latest = new LinkedHashMap<>();
     private final List<WorkLine> lines = new ArrayList<>();
     private int unread;
 
     /**
-     * How a node came to be avoided: from the time at which the first process was seen to, to the last that joined while
-     * others still did. As coarse as the lines are apart.
+     * How a node came to be avoided: from the time at which the first process was seen to, to the last that joined
+     * while others still did. As coarse as the lines are apart.
      *
-     * @param node    its id
-     * @param fromMs  when the first was seen to avoid it, by the Unix clock
-     * @param tookMs  until the last was
+     * @param node its id
+     * @param fromMs when the first was seen to avoid it, by the Unix clock
+     * @param tookMs until the last was
      * @param proxies how many did, at some time of the spell
      */
-    public record Left(String node, long fromMs, long tookMs, int proxies) { }
+    public record Left(String node, long fromMs, long tookMs, int proxies) {}
 
     /** One time for which some process avoids a node. */
     private static final class Spell {
@@ -96,16 +96,23 @@
 
     /** For how long all of them are told of, in milliseconds: from the start of the first to the last line. */
     public long spanMs() {
-        long from = latest.values().stream().mapToLong(l -> l.atMs() - l.upMs()).min().orElse(0);
+        long from = latest.values().stream()
+                .mapToLong(l -> l.atMs() - l.upMs())
+                .min()
+                .orElse(0);
         return latest.values().stream().mapToLong(WorkLine::atMs).max().orElse(0) - from;
     }
 
     /** Connections turned away for want of a place, by node, the most first. */
     public List<Map.Entry<String, Long>> turnedAway() {
         Map<String, Long> sums = new TreeMap<>();
-        latest.values().forEach(l -> l.nodes().stream().filter(n -> n.noPlace() > 0)
-                .forEach(n -> sums.merge(n.id(), n.noPlace(), Long::sum)));
-        return sums.entrySet().stream().sorted(Map.Entry.<String, Long>comparingByValue(Comparator.reverseOrder())).toList();
+        latest.values()
+                .forEach(l -> l.nodes().stream()
+                        .filter(n -> n.noPlace() > 0)
+                        .forEach(n -> sums.merge(n.id(), n.noPlace(), Long::sum)));
+        return sums.entrySet().stream()
+                .sorted(Map.Entry.<String, Long>comparingByValue(Comparator.reverseOrder()))
+                .toList();
     }
 
     /** How each node that any process has avoided came to be, in the order of time. */
@@ -116,7 +123,8 @@
             Life life = new Life(l.proxy(), l.pid());
             Set<String> now = new HashSet<>();
             l.nodes().stream().filter(WorkLine.Node::avoided).forEach(n -> now.add(n.id()));
-            now.forEach(node -> spells.computeIfAbsent(node, n -> new Spell(n, l.atMs())).avoidedBy(life, l.atMs()));
+            now.forEach(node ->
+                    spells.computeIfAbsent(node, n -> new Spell(n, l.atMs())).avoidedBy(life, l.atMs()));
             spells.values().removeIf(spell -> {
                 boolean over = !now.contains(spell.node) && spell.endedBy(life);
                 if (over) {
--- a/src/main/java/damsonworks/figures/WorkLine.java
+++ b/src/main/java/damsonworks/figures/WorkLine.java
@@ -11,27 +11,36 @@
 import java.util.Optional;
 
 /**
- * What one process has done since it began, as it stands in a line of its log. Each line tells all of it, so the last one
- * of a process is enough, and one that is lost costs only its own time.
+ * What one process has done since it began, as it stands in a line of its log. Each line tells all of it, so the last
+ * one of a process is enough, and one that is lost costs only its own time.
  *
- * @param proxy         its name
- * @param pid           apart from that of others with the name, before and after it
- * @param atMs          when, in milliseconds of the Unix clock
- * @param upMs          how long it has run
+ * @param proxy its name
+ * @param pid apart from that of others with the name, before and after it
+ * @param atMs when, in milliseconds of the Unix clock
+ * @param upMs how long it has run
  * @param firstAnswerMs how long it had run when it first served a request; negative: it has not yet
- * @param cpuMs         processor time; negative where the system does not tell
- * @param counts        how much of what
- * @param nodes         those that are avoided now or have turned connections away, {@value #MAX_NODES} at most
+ * @param cpuMs processor time; negative where the system does not tell
+ * @param counts how much of what
+ * @param nodes those that are avoided now or have turned connections away, {@value #MAX_NODES} at most
  */
-public record WorkLine(String proxy, long pid, long atMs, long upMs, long firstAnswerMs, long cpuMs,
-        Map<Work, Long> counts, List<Node> nodes) {
+public record WorkLine(
+        String proxy,
+        long pid,
+        long atMs,
+        long upMs,
+        long firstAnswerMs,
+        long cpuMs,
+        Map<Work, Long> counts,
+        List<Node> nodes) {
     /** What a line begins with; what else stands in a log does not. */
     public static final String MARK = "figures ";
     /** Bounds a line, at some 250 KB; the largest fleets have fewer. */
     public static final int MAX_NODES = 4096;
 
-    /** One cache node: its id in the list, connections begun and turned away, whether it gets no ordinary request now. */
-    public record Node(String id, long opened, long noPlace, boolean avoided) { }
+    /**
+     * One cache node: its id in the list, connections begun and turned away, whether it gets no ordinary request now.
+     */
+    public record Node(String id, long opened, long noPlace, boolean avoided) {}
 
     /** Copies what it is given. */
     public WorkLine {
@@ -74,7 +83,8 @@
             return Optional.empty();
         }
         try {
-            JsonObject o = JsonParser.parseString(line.substring(at + MARK.length())).getAsJsonObject();
+            JsonObject o =
+                    JsonParser.parseString(line.substring(at + MARK.length())).getAsJsonObject();
             Map<Work, Long> counts = new EnumMap<>(Work.class);
             for (Work work : Work.values()) {
                 if (o.has(work.key())) {
@@ -84,12 +94,21 @@
             List<Node> nodes = new ArrayList<>();
             for (JsonElement e : o.getAsJsonArray("nodes")) {
                 JsonObject n = e.getAsJsonObject();
-                nodes.add(new Node(n.get("id").getAsString(), n.get("opened").getAsLong(),
-                        n.get("no_place").getAsLong(), n.get("avoided").getAsBoolean()));
+                nodes.add(new Node(
+                        n.get("id").getAsString(),
+                        n.get("opened").getAsLong(),
+                        n.get("no_place").getAsLong(),
+                        n.get("avoided").getAsBoolean()));
             }
-            return Optional.of(new WorkLine(o.get("proxy").getAsString(), o.get("pid").getAsLong(),
-                    o.get("at_ms").getAsLong(), o.get("up_ms").getAsLong(), o.get("first_answer_ms").getAsLong(),
-                    o.get("cpu_ms").getAsLong(), counts, nodes));
+            return Optional.of(new WorkLine(
+                    o.get("proxy").getAsString(),
+                    o.get("pid").getAsLong(),
+                    o.get("at_ms").getAsLong(),
+                    o.get("up_ms").getAsLong(),
+                    o.get("first_answer_ms").getAsLong(),
+                    o.get("cpu_ms").getAsLong(),
+                    counts,
+                    nodes));
         } catch (RuntimeException e) {
             return Optional.empty(); // a process that is killed leaves half a line
         }
--- a/src/main/java/damsonworks/fleet/AnswerLine.java
+++ b/src/main/java/damsonworks/fleet/AnswerLine.java
@@ -4,8 +4,8 @@
 import java.util.ArrayDeque;
 
 /**
- * The answers of one connection, given in the order of their commands whenever each is ready. What is ready waits
- * while the process is frozen.
+ * The answers of one connection, given in the order of their commands whenever each is ready. What is ready waits while
+ * the process is frozen.
  */
 final class AnswerLine {
     /** Where one command's answer goes. */
--- a/src/main/java/damsonworks/fleet/CacheNode.java
+++ b/src/main/java/damsonworks/fleet/CacheNode.java
@@ -14,12 +14,13 @@
 import java.util.Set;
 
 /**
- * A cache node: the meta commands on its sockets (one for each proxy, so that it can tell who sends), one core's
- * worth of service behind a bounded queue, a memory, and a cold start. Belongs to the fleet's event loop.
+ * A cache node: the meta commands on its sockets (one for each proxy, so that it can tell who sends), one core's worth
+ * of service behind a bounded queue, a memory, and a cold start. Belongs to the fleet's event loop.
  */
 final class CacheNode {
     /** What a new connection costs, and a look-up that finds nothing, as a share of a read's mean work. */
     private static final double HANDSHAKE_WORK = 0.06;
+
     private static final double MISS_WORK = 0.05;
 
     private final StandInFleet fleet;
@@ -87,7 +88,8 @@
 
     /** Whether a node that was warm at the start had this key then, if a write has not voided it since. */
     private boolean heldThen(String key) {
-        return heldAtStart > 0 && fleet.origin().version(key) == 0
+        return heldAtStart > 0
+                && fleet.origin().version(key) == 0
                 && (Keys.mix(key.hashCode() * 31L + name.hashCode()) >>> 11) * 0x1.0p-53 < heldAtStart;
     }
 
@@ -98,7 +100,7 @@
             channel.close();
             return;
         }
-        core.offer(() -> { }, fleet.spec().workMs() * HANDSHAKE_WORK);
+        core.offer(() -> {}, fleet.spec().workMs() * HANDSHAKE_WORK);
         fleet.series().count(proxy, Series.What.OPENED);
         AnswerLine line = new AnswerLine(channel, listener);
         lines.add(line);
@@ -160,7 +162,8 @@
             boolean fetched = fleet.missed(read, this);
             return text("EN O" + read.id() + (fetched ? " h0 Z\r\n" : " h0\r\n"));
         }
-        byte[] value = new Payload(read.key(), version).bytes(fleet.spec().values().bytesOf(read.key()));
+        byte[] value =
+                new Payload(read.key(), version).bytes(fleet.spec().values().bytesOf(read.key()));
         if (spoiltShare > 0 && random.nextDouble() < spoiltShare) {
             return spoilt(read, value);
         }
--- a/src/main/java/damsonworks/fleet/ColdStart.java
+++ b/src/main/java/damsonworks/fleet/ColdStart.java
@@ -3,20 +3,20 @@
 import java.util.ArrayDeque;
 
 /**
- * What a server that has just started can do, and whether it is pushed over: sent more than {@code multiple} times
- * its present capacity over a window, it falls and stays down.
+ * What a server that has just started can do, and whether it is pushed over: sent more than {@code multiple} times its
+ * present capacity over a window, it falls and stays down.
  */
 public final class ColdStart {
-    private record Sent(double atMs, double workMs) { }
+    private record Sent(double atMs, double workMs) {}
 
     /**
      * The course from a start to full capacity, and what pushes a server over on the way.
      *
-     * @param from     capacity at the start, as a share of the whole: above 0, at most 1
-     * @param warmMs   after which time all of it is there
+     * @param from capacity at the start, as a share of the whole: above 0, at most 1
+     * @param warmMs after which time all of it is there
      * @param multiple how many times its capacity a cold server stands
      * @param windowMs over which time that is counted
-     * @param slackMs  work that may come beyond it, for chance
+     * @param slackMs work that may come beyond it, for chance
      */
     public record Settings(double from, double warmMs, double multiple, double windowMs, double slackMs) {
         /** @throws IllegalArgumentException if a value is out of its range */
@@ -44,7 +44,8 @@
     /** The share of its capacity that a server has now. */
     public double share(double now) {
         double age = now - bornMs;
-        return age >= settings.warmMs() ? 1
+        return age >= settings.warmMs()
+                ? 1
                 : settings.from() + (1 - settings.from()) * Math.max(0, age) / settings.warmMs();
     }
 
--- a/src/main/java/damsonworks/fleet/DiscoveryServer.java
+++ b/src/main/java/damsonworks/fleet/DiscoveryServer.java
@@ -31,6 +31,7 @@
     static final int ADDRESSES = 2;
     /** A call that would wait longer is turned away. */
     private static final double PATIENCE_MS = 2000;
+
     private static final double MAX_WAIT_MS = 60_000;
     private static final int MAX_WATCHES = 256;
 
@@ -76,23 +77,26 @@
 
     private void accepted(Channel channel, int socket) {
         int proxy = socket % fleet.spec().proxies();
-        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(64 << 10),
-                new SimpleChannelInboundHandler<FullHttpRequest>() {
-                    @Override
-                    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-                        take(proxy, ctx, new QueryStringDecoder(request.uri()));
-                    }
-
-                    @Override
-                    public void channelInactive(ChannelHandlerContext ctx) {
-                        watches.removeIf(w -> w.ctx == ctx && w.timeout.cancel(false));
-                    }
-
-                    @Override
-                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                        ctx.close();
-                    }
-                });
+        channel.pipeline()
+                .addLast(
+                        new HttpServerCodec(),
+                        new HttpObjectAggregator(64 << 10),
+                        new SimpleChannelInboundHandler<FullHttpRequest>() {
+                            @Override
+                            protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+                                take(proxy, ctx, new QueryStringDecoder(request.uri()));
+                            }
+
+                            @Override
+                            public void channelInactive(ChannelHandlerContext ctx) {
+                                watches.removeIf(w -> w.ctx == ctx && w.timeout.cancel(false));
+                            }
+
+                            @Override
+                            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                                ctx.close();
+                            }
+                        });
     }
 
     private void take(int proxy, ChannelHandlerContext ctx, QueryStringDecoder uri) {
@@ -113,8 +117,11 @@
         double wait;
         try {
             since = Long.parseLong(uri.parameters().get("since").get(0));
-            wait = Math.min(MAX_WAIT_MS, Double.parseDouble(
-                    uri.parameters().getOrDefault("timeout_ms", List.of("0")).get(0)));
+            wait = Math.min(
+                    MAX_WAIT_MS,
+                    Double.parseDouble(uri.parameters()
+                            .getOrDefault("timeout_ms", List.of("0"))
+                            .get(0)));
         } catch (NumberFormatException e) {
             send(ctx, 400, "{}");
             return;
@@ -153,18 +160,26 @@
         }
         freeMs = Math.max(now, freeMs) + hosts.size() * 1000.0 / fleet.spec().listLines();
         String body = json(proxy, roster.seq(), hosts, whole).toString();
-        fleet.loop().schedule(() -> {
-            if (!down) {
-                hosts.forEach(h -> fleet.oracle().told(proxy, h.name(), h.health() == Roster.Health.UP, fleet.now()));
-                send(ctx, 200, body);
-            }
-        }, (long) (Math.max(0, freeMs - now) * 1e6), TimeUnit.NANOSECONDS);
+        fleet.loop()
+                .schedule(
+                        () -> {
+                            if (!down) {
+                                hosts.forEach(h -> fleet.oracle()
+                                        .told(proxy, h.name(), h.health() == Roster.Health.UP, fleet.now()));
+                                send(ctx, 200, body);
+                            }
+                        },
+                        (long) (Math.max(0, freeMs - now) * 1e6),
+                        TimeUnit.NANOSECONDS);
     }
 
     private static void send(ChannelHandlerContext ctx, int status, String body) {
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(status), Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
-        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                Unpooled.copiedBuffer(body, StandardCharsets.UTF_8));
+        response.headers()
+                .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
                 .set(HttpHeaderNames.CONTENT_TYPE, "application/json");
         ctx.writeAndFlush(response);
     }
@@ -178,7 +193,8 @@
         for (Roster.Host h : hosts) {
             JsonObject entry = new JsonObject();
             entry.addProperty("host", h.name());
-            entry.addProperty("dial", h.addresses().get(Math.min(proxy, h.addresses().size() - 1)));
+            entry.addProperty(
+                    "dial", h.addresses().get(Math.min(proxy, h.addresses().size() - 1)));
             entry.addProperty("site", h.site());
             entry.addProperty("class", h.kind());
             entry.addProperty("block", h.block());
--- a/src/main/java/damsonworks/fleet/Fault.java
+++ b/src/main/java/damsonworks/fleet/Fault.java
@@ -1,13 +1,14 @@
 package damsonworks.fleet;
 
 /**
- * One thing that goes wrong in one part of a fleet, when, and where. What goes wrong between two is a {@link LinkFault}.
+ * One thing that goes wrong in one part of a fleet, when, and where. What goes wrong between two is a
+ * {@link LinkFault}.
  *
- * @param atMs   after the start
+ * @param atMs after the start
  * @param target {@code node-3}, {@code node-*}, {@code origin}, {@code discovery}, {@code proxy-1}
- * @param forMs  how long it lasts; 0 where the action has no length
- * @param share  of answers that come spoilt, 0 to 1; 0 for other actions
- * @param state  what becomes of a killed proxy's folder of state until it is started again
+ * @param forMs how long it lasts; 0 where the action has no length
+ * @param share of answers that come spoilt, 0 to 1; 0 for other actions
+ * @param state what becomes of a killed proxy's folder of state until it is started again
  */
 public record Fault(double atMs, String target, Action action, double forMs, double share, State state) {
     /** What becomes of what an instance keeps beyond its life. */
--- a/src/main/java/damsonworks/fleet/FaultScript.java
+++ b/src/main/java/damsonworks/fleet/FaultScript.java
@@ -83,9 +83,12 @@
         }
         int wants = 3 + (action.lasts() ? 1 : 0) + (action.shared() ? 1 : 0);
         if (words.length != wants) {
-            error(number, words[2] + " takes " + (action.shared() ? "a length and a share"
-                    : action.lasts() ? "a length" : "nothing more"), words[0] + " " + words[1] + " " + words[2]
-                    + (action.lasts() ? " 2s" : "") + (action.shared() ? " 10%" : ""));
+            error(
+                    number,
+                    words[2] + " takes "
+                            + (action.shared() ? "a length and a share" : action.lasts() ? "a length" : "nothing more"),
+                    words[0] + " " + words[1] + " " + words[2] + (action.lasts() ? " 2s" : "")
+                            + (action.shared() ? " 10%" : ""));
             return;
         }
         double length = action.lasts() ? duration(words[3]) : 0;
@@ -141,8 +144,8 @@
             row[0] = i;
             for (int j = 1; j <= b.length(); j++) {
                 int above = row[j];
-                row[j] = Math.min(Math.min(row[j], row[j - 1]) + 1,
-                        corner + (a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1));
+                row[j] = Math.min(
+                        Math.min(row[j], row[j - 1]) + 1, corner + (a.charAt(i - 1) == b.charAt(j - 1) ? 0 : 1));
                 corner = above;
             }
         }
--- a/src/main/java/damsonworks/fleet/FrontLayer.java
+++ b/src/main/java/damsonworks/fleet/FrontLayer.java
@@ -25,18 +25,19 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.Future;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /**
- * The plain front layer: deals clients' connections out to the proxy that has fewest, and passes bytes both ways. It asks each
- * proxy whether it serves, and notices late that one has died or drains, and that it serves again; until then it goes
- * on dealing. Belongs to one event loop.
+ * The plain front layer: deals clients' connections out to the proxy that has fewest, and passes bytes both ways. It
+ * asks each proxy whether it serves, and notices late that one has died or drains, and that it serves again; until then
+ * it goes on dealing. Belongs to one event loop.
  */
 public final class FrontLayer implements AutoCloseable {
     /** In place of a proxy's number: a connection that none took, as the one that it was dealt to was away. */
     public static final int NOBODY = -1;
+
     private static final int CONNECT_MS = 500;
     private static final long LOOK_MS = 250;
     /** A proxy that is asked whether it serves and says nothing for so long does not. */
@@ -56,7 +57,7 @@
     }
 
     /** What one proxy has been dealt: connections in all, those open now, and whether it is in use. */
-    public record Share(InetSocketAddress proxy, long dealt, int open, boolean used) { }
+    public record Share(InetSocketAddress proxy, long dealt, int open, boolean used) {}
 
     private final EventLoop loop;
     private final double noticeMs;
@@ -65,7 +66,9 @@
     private final InetSocketAddress address;
     private final Future<?> looking;
     private int turn;
-    /** Which proxy has taken the connection from a client's port, as far as is known; bounded by the ports there are. */
+    /**
+     * Which proxy has taken the connection from a client's port, as far as is known; bounded by the ports there are.
+     */
     private final Map<Integer, Integer> taken = new ConcurrentHashMap<>();
 
     /** Opens the front at a free port; not to be called on the event loop. {@code noticeMs}: how late it sees. */
@@ -85,12 +88,14 @@
 
     /** How connections are spread now; on the event loop only. */
     public List<Share> shares() {
-        return targets.stream().map(t -> new Share(t.address, t.dealt, t.clients.size(), t.used)).toList();
+        return targets.stream()
+                .map(t -> new Share(t.address, t.dealt, t.clients.size(), t.used))
+                .toList();
     }
 
     /**
-     * The process of a proxy is about to be killed: its connections end with a reset, as those of a process that
-     * dies do. On the event loop only.
+     * The process of a proxy is about to be killed: its connections end with a reset, as those of a process that dies
+     * do. On the event loop only.
      */
     public void killed(int proxy) {
         for (Channel c : List.copyOf(targets.get(proxy).clients)) {
@@ -178,9 +183,14 @@
     }
 
     private ChannelFuture connect(Target target, ChannelInitializer<Channel> handler) {
-        return new Bootstrap().group(loop).channel(Sockets.BEST.client())
-                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.ALLOW_HALF_CLOSURE, true)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS).handler(handler).connect(target.address);
+        return new Bootstrap()
+                .group(loop)
+                .channel(Sockets.BEST.client())
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .handler(handler)
+                .connect(target.address);
     }
 
     private void seen(Target target, boolean refusing) {
@@ -203,15 +213,16 @@
 
     private void ask(Target target) {
         connect(target, new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel channel) {
-                channel.pipeline().addLast(new MetaAnswerDecoder(), new Answer(target));
-            }
-        }).addListener(f -> {
-            if (!f.isSuccess()) {
-                seen(target, true);
-            }
-        });
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new MetaAnswerDecoder(), new Answer(target));
+                    }
+                })
+                .addListener(f -> {
+                    if (!f.isSuccess()) {
+                        seen(target, true);
+                    }
+                });
     }
 
     /** A look at a proxy: it is asked {@code mn}, and whatever else comes of that than {@code MN} is no. */
--- a/src/main/java/damsonworks/fleet/Hosts.java
+++ b/src/main/java/damsonworks/fleet/Hosts.java
@@ -5,13 +5,13 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Loopback addresses for the machines that proxies stand for. On an address that all share, the system gives the port of a
- * proxy that was killed to whoever connects next, and the proxy can't listen there when it starts again.
+ * Loopback addresses for the machines that proxies stand for. On an address that all share, the system gives the port
+ * of a proxy that was killed to whoever connects next, and the proxy can't listen there when it starts again.
  */
 final class Hosts {
     private static final AtomicInteger NEXT = new AtomicInteger();
 
-    private Hosts() { }
+    private Hosts() {}
 
     /** A number for one more fleet of this process. */
     static int next() {
@@ -22,7 +22,8 @@
     static InetAddress of(int fleet, int proxy) {
         int own = (int) ProcessHandle.current().pid() * 31 + fleet;
         try {
-            return InetAddress.getByAddress(new byte[] {127, (byte) (1 + (own >> 8 & 0x7f)), (byte) own, (byte) (proxy + 1)});
+            return InetAddress.getByAddress(
+                    new byte[] {127, (byte) (1 + (own >> 8 & 0x7f)), (byte) own, (byte) (proxy + 1)});
         } catch (UnknownHostException e) {
             throw new IllegalStateException(e); // four bytes are an address
         }
--- a/src/main/java/damsonworks/fleet/Keys.java
+++ b/src/main/java/damsonworks/fleet/Keys.java
@@ -2,7 +2,7 @@
 
 /** The key space of a run: key number {@code i} as sixteen hexadecimal digits, spread evenly over all hashes. */
 public final class Keys {
-    private Keys() { }
+    private Keys() {}
 
     /** The text of key number {@code i}, the same in every process. */
     public static String key(long i) {
--- a/src/main/java/damsonworks/fleet/Layout.java
+++ b/src/main/java/damsonworks/fleet/Layout.java
@@ -8,10 +8,10 @@
  * Where a fleet's proxies and nodes stand: they are dealt to the zones in turn, so that {@code proxy-0} and
  * {@code node-0} stand in the first. The origin and discovery stand in none of them.
  *
- * @param zones     their names, 1 to 16, all different
+ * @param zones their names, 1 to 16, all different
  * @param betweenMs what the way from one zone to another takes, one way, 0 to 1,000 ms
- * @param peers     whether proxies are told of one another and may send datagrams
- * @param parts     what they run with of what concerns the fleet
+ * @param peers whether proxies are told of one another and may send datagrams
+ * @param parts what they run with of what concerns the fleet
  */
 public record Layout(List<String> zones, double betweenMs, boolean peers, Set<Part> parts) {
     /** What a proxy may run with or without. */
--- a/src/main/java/damsonworks/fleet/LinkFault.java
+++ b/src/main/java/damsonworks/fleet/LinkFault.java
@@ -5,16 +5,16 @@
 /**
  * Something that goes wrong between parts of a fleet and not in one of them.
  *
- * @param name   for people
- * @param atMs   when it begins
- * @param forMs  how long it lasts, over 0
- * @param at     one end, by the names of parts
- * @param from   the other; may overlap the first, as all proxies do with all proxies
+ * @param name for people
+ * @param atMs when it begins
+ * @param forMs how long it lasts, over 0
+ * @param at one end, by the names of parts
+ * @param from the other; may overlap the first, as all proxies do with all proxies
  * @param oneWay only what goes from {@code at} to {@code from} is concerned
- * @param way    what happens to it
+ * @param way what happens to it
  */
-public record LinkFault(String name, double atMs, double forMs, Set<String> at, Set<String> from, boolean oneWay,
-        Way way) {
+public record LinkFault(
+        String name, double atMs, double forMs, Set<String> at, Set<String> from, boolean oneWay, Way way) {
     /** Checks the ranges. */
     public LinkFault {
         at = Set.copyOf(at);
--- a/src/main/java/damsonworks/fleet/LinkHandler.java
+++ b/src/main/java/damsonworks/fleet/LinkHandler.java
@@ -13,13 +13,14 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * A connection's link: what it does to the bytes that come and go, before any other handler of the stand-in's sees them.
- * A stream loses nothing and keeps its order; it is late, stands still, or is reset. What is cut is kept back and goes
- * on when the way is whole again, as the system's resends would have it. Belongs to the channel's event loop.
+ * A connection's link: what it does to the bytes that come and go, before any other handler of the stand-in's sees
+ * them. A stream loses nothing and keeps its order; it is late, stands still, or is reset. What is cut is kept back and
+ * goes on when the way is whole again, as the system's resends would have it. Belongs to the channel's event loop.
  */
 final class LinkHandler extends ChannelDuplexHandler {
     /** What a system waits before it sends a lost piece once more, at first; doubled each time. */
     private static final double RESEND_MS = 200;
+
     private static final int MAX_RESENDS = 5;
 
     /** One direction. */
@@ -30,6 +31,7 @@
         private double lastDueMs;
         /** A piece stands still half way, until the way changes. */
         private boolean still;
+
         private boolean scheduled;
 
         Side(boolean inward) {
@@ -52,7 +54,10 @@
             Object rest = message;
             ChannelPromise last = promise;
             boolean halts = false;
-            if (!inward && way.hold() > 0 && message instanceof ByteBuf b && b.readableBytes() > 1
+            if (!inward
+                    && way.hold() > 0
+                    && message instanceof ByteBuf b
+                    && b.readableBytes() > 1
                     && random.nextDouble() < way.hold()) {
                 ByteBuf half = b.readRetainedSlice(b.readableBytes() / 2);
                 add(half, ctx.newPromise(), false);
@@ -116,10 +121,14 @@
         private void wake(double inMs) {
             if (!scheduled) {
                 scheduled = true;
-                ctx.executor().schedule(() -> {
-                    scheduled = false;
-                    release();
-                }, (long) Math.ceil(inMs * 1e6), TimeUnit.NANOSECONDS);
+                ctx.executor()
+                        .schedule(
+                                () -> {
+                                    scheduled = false;
+                                    release();
+                                },
+                                (long) Math.ceil(inMs * 1e6),
+                                TimeUnit.NANOSECONDS);
             }
         }
 
@@ -129,7 +138,7 @@
         }
 
         void drop() {
-            for (Held h; (h = held.poll()) != null;) {
+            for (Held h; (h = held.poll()) != null; ) {
                 if (h.message() != CLOSE) {
                     ReferenceCountUtil.release(h.message());
                 }
@@ -140,7 +149,7 @@
         }
     }
 
-    private record Held(Object message, ChannelPromise promise, double dueMs, boolean halts) { }
+    private record Held(Object message, ChannelPromise promise, double dueMs, boolean halts) {}
 
     private static final Object CLOSE = new Object();
 
--- a/src/main/java/damsonworks/fleet/Listener.java
+++ b/src/main/java/damsonworks/fleet/Listener.java
@@ -23,15 +23,16 @@
 import java.util.function.ObjIntConsumer;
 
 /**
- * The listening sockets of one stand-in and the connections that came through them. Sockets keep their addresses
- * while they are closed and opened again. Each socket is the end of a link of its own, whose ways can be changed.
- * Used on the event loop only, but for {@link #bind}.
+ * The listening sockets of one stand-in and the connections that came through them. Sockets keep their addresses while
+ * they are closed and opened again. Each socket is the end of a link of its own, whose ways can be changed. Used on the
+ * event loop only, but for {@link #bind}.
  */
 final class Listener {
     private static final long AGAIN_MS = 20;
     private static final int BACKLOG = 512;
     /** A queue of length 0 takes one; the second is for a race with a connection that was just coming up. */
     private static final int FILLERS = 2;
+
     private static final int FILLERS_GO_MS = 200;
 
     private final EventLoop loop;
@@ -39,9 +40,11 @@
     private final List<InetSocketAddress> addresses = new ArrayList<>();
     /** Each with its link. */
     private final Map<Channel, Link> connections = new LinkedHashMap<>();
+
     private final Map<Integer, Ways> ways = new HashMap<>();
     /** What keeps the queue of a socket that is cut off full, so that no further connection comes up. */
     private final Map<Integer, List<Filler>> fillers = new HashMap<>();
+
     private final SplittableRandom random;
     private final ObjIntConsumer<Channel> accepted;
     private boolean open = true;
@@ -55,7 +58,7 @@
         }
     }
 
-    private record Link(int socket, LinkHandler handler) { }
+    private record Link(int socket, LinkHandler handler) {}
 
     /** {@code accepted}: puts handlers in place on a new connection, told which socket it came through. */
     Listener(EventLoop loop, ObjIntConsumer<Channel> accepted) {
@@ -72,16 +75,21 @@
     /** Opens one more socket at a free port, waiting for it; not on the event loop. */
     InetSocketAddress bind() {
         int number = addresses.size();
-        Channel channel = bootstrap(number).bind("127.0.0.1", 0).syncUninterruptibly().channel();
+        Channel channel =
+                bootstrap(number).bind("127.0.0.1", 0).syncUninterruptibly().channel();
         channels.add(channel);
         addresses.add((InetSocketAddress) channel.localAddress());
         return addresses.get(number);
     }
 
     private ServerBootstrap bootstrap(int number) {
-        return new ServerBootstrap().group(loop, loop).channel(Sockets.BEST.server())
-                .option(ChannelOption.SO_REUSEADDR, true).option(ChannelOption.SO_BACKLOG, BACKLOG)
-                .childOption(ChannelOption.TCP_NODELAY, true).childHandler(new ChannelInitializer<>() {
+        return new ServerBootstrap()
+                .group(loop, loop)
+                .channel(Sockets.BEST.server())
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         if (isFiller(channel, number)) {
@@ -223,7 +231,10 @@
     }
 
     private void readOrNot(Channel connection, int socket) {
-        connection.config().setAutoRead(!frozen && !ways.getOrDefault(socket, Ways.OPEN).in().cut());
+        connection
+                .config()
+                .setAutoRead(
+                        !frozen && !ways.getOrDefault(socket, Ways.OPEN).in().cut());
     }
 
     private void hang(int socket, boolean on) {
@@ -248,15 +259,19 @@
             }
         } else {
             List<Filler> done = fillers.get(socket);
-            loop.schedule(() -> {
-                done.forEach(Filler::close);
-                fillers.remove(socket, done);
-            }, FILLERS_GO_MS, TimeUnit.MILLISECONDS); // known until they have been accepted
+            loop.schedule(
+                    () -> {
+                        done.forEach(Filler::close);
+                        fillers.remove(socket, done);
+                    },
+                    FILLERS_GO_MS,
+                    TimeUnit.MILLISECONDS); // known until they have been accepted
         }
     }
 
     /** Whether the other end of a connection is one of the socket's fillers, which no stand-in is to see. */
     private boolean isFiller(Channel channel, int socket) {
-        return fillers.getOrDefault(socket, List.of()).stream().anyMatch(f -> f.local().equals(channel.remoteAddress()));
+        return fillers.getOrDefault(socket, List.of()).stream()
+                .anyMatch(f -> f.local().equals(channel.remoteAddress()));
     }
 }
--- a/src/main/java/damsonworks/fleet/Oracle.java
+++ b/src/main/java/damsonworks/fleet/Oracle.java
@@ -12,12 +12,13 @@
 
 /**
  * Knows what a run owes its clients and what was done, and tells each breach of the rules. It is told of events with
- * their times, does no I/O, and forgets what is older than {@link #MEMORY_MS}, so its memory hangs on the rate and
- * not on the run's length. Times in milliseconds of one clock.
+ * their times, does no I/O, and forgets what is older than {@link #MEMORY_MS}, so its memory hangs on the rate and not
+ * on the run's length. Times in milliseconds of one clock.
  */
 public final class Oracle {
     /** For how long a finished request and its effects are remembered. */
     static final double MEMORY_MS = 30_000;
+
     private static final int EXAMPLES = 5;
     private static final int MAX_EXCUSES = 10_000;
 
@@ -45,11 +46,20 @@
     }
 
     /** How a request ended for its client. */
-    public enum Ending { SERVED, REFUSED, FAILED }
+    public enum Ending {
+        SERVED,
+        REFUSED,
+        FAILED
+    }
 
     /** Counts of breaches and the first examples of each. */
-    public record Verdict(Map<Rule, Long> breaches, Map<Rule, List<String>> examples, long asked, long effects,
-            long excused, long untaken) {
+    public record Verdict(
+            Map<Rule, Long> breaches,
+            Map<Rule, List<String>> examples,
+            long asked,
+            long effects,
+            long excused,
+            long untaken) {
         /** Whether all rules held. */
         public boolean held() {
             return breaches.isEmpty();
@@ -74,15 +84,17 @@
         }
     }
 
-    private record Confirmed(double atMs, long version) { }
+    private record Confirmed(double atMs, long version) {}
 
-    private record Told(double atMs, boolean wanted) { }
+    private record Told(double atMs, boolean wanted) {}
 
     /** When a proxy need not answer: it is dead, or stands still. */
     private record Excuse(int proxy, double fromMs, double untilMs, boolean standsStill) {
         boolean covers(int by, Asked a, double endedMs) {
-            return by == proxy && (standsStill ? a.atMs <= untilMs && a.deadlineMs >= fromMs
-                    : endedMs >= fromMs && endedMs <= untilMs);
+            return by == proxy
+                    && (standsStill
+                            ? a.atMs <= untilMs && a.deadlineMs >= fromMs
+                            : endedMs >= fromMs && endedMs <= untilMs);
         }
     }
 
@@ -167,8 +179,10 @@
             }
         }
         if (payload.version() < least) {
-            breach(Rule.STALE, id + ": version " + payload.version() + " of " + a.key + ", " + least
-                    + " had been confirmed before it was asked");
+            breach(
+                    Rule.STALE,
+                    id + ": version " + payload.version() + " of " + a.key + ", " + least
+                            + " had been confirmed before it was asked");
         }
     }
 
@@ -176,7 +190,7 @@
      * A client's time is up, and it has no answer. Not a breach if the proxy was excused: what it held when it was
      * killed or stopped is for the client to repeat. Nor if no proxy had taken it.
      *
-     * @param proxy   that the request's connection was dealt to, negative if no proxy took that
+     * @param proxy that the request's connection was dealt to, negative if no proxy took that
      * @param endedMs when its connection ended, NaN if it stands
      */
     public void unanswered(String id, int proxy, double endedMs, double atMs) {
@@ -192,8 +206,9 @@
         } else if (excuses.stream().anyMatch(e -> e.covers(proxy, a, endedMs))) {
             excused++;
         } else {
-            breach(Rule.LOST, id + " by proxy " + proxy + (Double.isNaN(endedMs) ? ": nothing came"
-                    : ": its connection ended"));
+            breach(
+                    Rule.LOST,
+                    id + " by proxy " + proxy + (Double.isNaN(endedMs) ? ": nothing came" : ": its connection ended"));
         }
     }
 
@@ -256,15 +271,17 @@
     public void restarted(int proxy, double atMs) {
         told.keySet().removeIf(k -> k.startsWith(proxy + " "));
         excuses.replaceAll(e -> e.proxy() == proxy && e.untilMs() > atMs && !e.standsStill()
-                ? new Excuse(proxy, e.fromMs(), atMs, false) : e);
+                ? new Excuse(proxy, e.fromMs(), atMs, false)
+                : e);
     }
 
     /** A proxy's command has come to a node; {@code atMs}: its first byte's time. */
     public void sent(int proxy, String node, String id, double atMs) {
         Told t = told.get(proxy + " " + node);
         if (t != null && !t.wanted() && atMs > t.atMs() + drainGraceMs) {
-            breach(Rule.SENT_AFTER_DRAIN, id + " to " + node + " by proxy " + proxy + ", " + ms(atMs - t.atMs())
-                    + " after it was told");
+            breach(
+                    Rule.SENT_AFTER_DRAIN,
+                    id + " to " + node + " by proxy " + proxy + ", " + ms(atMs - t.atMs()) + " after it was told");
         }
     }
 
@@ -294,7 +311,7 @@
     }
 
     private void forget(double now) {
-        for (Iterator<Asked> i = asked.values().iterator(); i.hasNext();) {
+        for (Iterator<Asked> i = asked.values().iterator(); i.hasNext(); ) {
             Asked a = i.next();
             double ended = Double.isNaN(a.endedMs) ? a.deadlineMs : a.endedMs;
             if (now - ended <= MEMORY_MS) {
--- a/src/main/java/damsonworks/fleet/OriginServer.java
+++ b/src/main/java/damsonworks/fleet/OriginServer.java
@@ -31,7 +31,7 @@
     /** The queue, in slots' worth: some seconds of work. */
     private static final int QUEUE_PER_SLOT = 16;
 
-    private record Receipt(long version, double atMs) { }
+    private record Receipt(long version, double atMs) {}
 
     private final StandInFleet fleet;
     private final Listener listener;
@@ -39,6 +39,7 @@
     private final Map<String, Long> versions = new HashMap<>();
     /** The receipts of keyed writes for as long as repeats are dropped, oldest first. */
     private final Map<String, Receipt> receipts = new LinkedHashMap<>();
+
     private final Set<AnswerLine> lines = new HashSet<>();
     private long fetches;
 
@@ -71,18 +72,21 @@
         AnswerLine line = new AnswerLine(channel, listener);
         lines.add(line);
         channel.closeFuture().addListener(f -> lines.remove(line));
-        channel.pipeline().addLast(new HttpServerCodec(), new HttpObjectAggregator(ValueSizes.MAX),
-                new SimpleChannelInboundHandler<FullHttpRequest>() {
-                    @Override
-                    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-                        take(line, socket, request);
-                    }
-
-                    @Override
-                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                        ctx.close();
-                    }
-                });
+        channel.pipeline()
+                .addLast(
+                        new HttpServerCodec(),
+                        new HttpObjectAggregator(ValueSizes.MAX),
+                        new SimpleChannelInboundHandler<FullHttpRequest>() {
+                            @Override
+                            protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+                                take(line, socket, request);
+                            }
+
+                            @Override
+                            public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                                ctx.close();
+                            }
+                        });
     }
 
     private void take(AnswerLine line, int proxy, FullHttpRequest request) {
@@ -133,9 +137,10 @@
     }
 
     private static FullHttpResponse response(int status, byte[] body, boolean declined) {
-        FullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
-                HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
-        response.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
+        FullHttpResponse response = new DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(body));
+        response.headers()
+                .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes());
         if (declined) {
             response.headers().set("Srv-Declined", "1");
         }
--- a/src/main/java/damsonworks/fleet/Parties.java
+++ b/src/main/java/damsonworks/fleet/Parties.java
@@ -14,6 +14,7 @@
     public static final String ORIGIN = "origin";
     /** The part's name. */
     public static final String DISCOVERY = "discovery";
+
     private static final String PROXY = "proxy-";
     private static final String NODE = "node-";
     private static final String ZONE = "zone-";
@@ -47,7 +48,9 @@
 
     /** The number of the zone in which a part stands, negative for the origin and discovery. */
     public int zone(String part) {
-        return part.equals(ORIGIN) || part.equals(DISCOVERY) ? -1 : spec.layout().zoneOf(number(part));
+        return part.equals(ORIGIN) || part.equals(DISCOVERY)
+                ? -1
+                : spec.layout().zoneOf(number(part));
     }
 
     /** All parts. */
@@ -73,7 +76,9 @@
     private void add(List<String> parts, String kind, int many, String word) {
         int zone = word.startsWith(ZONE) ? spec.layout().zones().indexOf(word.substring(ZONE.length())) : -1;
         for (int i = 0; i < many; i++) {
-            if (word.equals(kind + "*") || word.equals(kind + i) || (zone >= 0 && spec.layout().zoneOf(i) == zone)) {
+            if (word.equals(kind + "*")
+                    || word.equals(kind + i)
+                    || (zone >= 0 && spec.layout().zoneOf(i) == zone)) {
                 parts.add(kind + i);
             }
         }
@@ -89,7 +94,9 @@
     /** What may stand in place of a word that selects nothing. */
     public String hint() {
         return "proxy-0 to proxy-" + (spec.proxies() - 1) + ", proxy-*, node-0 to node-" + (spec.nodes() - 1)
-                + ", node-*, " + String.join(", ", spec.layout().zones().stream().map(z -> ZONE + z).toList())
+                + ", node-*, "
+                + String.join(
+                        ", ", spec.layout().zones().stream().map(z -> ZONE + z).toList())
                 + ", origin, discovery";
     }
 }
--- a/src/main/java/damsonworks/fleet/Payload.java
+++ b/src/main/java/damsonworks/fleet/Payload.java
@@ -58,7 +58,8 @@
             return null;
         }
         try {
-            Payload payload = new Payload(new String(value, 0, at, StandardCharsets.ISO_8859_1),
+            Payload payload = new Payload(
+                    new String(value, 0, at, StandardCharsets.ISO_8859_1),
                     Long.parseLong(new String(value, at + 1, colon - at - 1, StandardCharsets.ISO_8859_1)));
             return Arrays.equals(value, payload.bytes(value.length)) ? payload : null;
         } catch (NumberFormatException e) {
--- a/src/main/java/damsonworks/fleet/PeerRelay.java
+++ b/src/main/java/damsonworks/fleet/PeerRelay.java
@@ -42,8 +42,13 @@
         for (int i = 0; i < n; i++) {
             proxies.add(free(fleet.host(i)));
             for (int k = 0; k <= n; k++) {
-                ends[i][k] = new Bootstrap().group(fleet.loop()).channel(Sockets.BEST.datagram()).handler(new End(i, k))
-                        .bind("127.0.0.1", 0).syncUninterruptibly().channel();
+                ends[i][k] = new Bootstrap()
+                        .group(fleet.loop())
+                        .channel(Sockets.BEST.datagram())
+                        .handler(new End(i, k))
+                        .bind("127.0.0.1", 0)
+                        .syncUninterruptibly()
+                        .channel();
             }
         }
     }
@@ -115,7 +120,8 @@
             return;
         }
         for (int copies = random.nextDouble() < way.twice() ? 2 : 1; copies > 0; copies--) {
-            double late = way.delayMs() + random.nextDouble() * way.jitterMs()
+            double late = way.delayMs()
+                    + random.nextDouble() * way.jitterMs()
                     + (random.nextDouble() < way.reorder() ? OVERTAKEN_MS : 0);
             ByteBuf copy = message.retainedDuplicate();
             fleet.loop().schedule(() -> deliver(from, to, copy), (long) (late * 1e6), TimeUnit.NANOSECONDS);
--- a/src/main/java/damsonworks/fleet/Roster.java
+++ b/src/main/java/damsonworks/fleet/Roster.java
@@ -8,8 +8,7 @@
 /** Discovery's list: what each host is said to be, and since which version. */
 final class Roster {
     /** {@code addresses}: where each proxy dials it, in their order. */
-    record Host(String name, List<String> addresses, String site, String kind, int block, Health health,
-            long bornMs) {
+    record Host(String name, List<String> addresses, String site, String kind, int block, Health health, long bornMs) {
         Host with(Health other) {
             return new Host(name, addresses, site, kind, block, other, bornMs);
         }
@@ -20,9 +19,13 @@
     }
 
     /** What the list says of a host. */
-    enum Health { UP, DRAINING, REMOVED }
+    enum Health {
+        UP,
+        DRAINING,
+        REMOVED
+    }
 
-    private record Entry(Host host, long seq) { }
+    private record Entry(Host host, long seq) {}
 
     private final Map<String, Entry> entries = new LinkedHashMap<>();
     private long seq = 1;
--- a/src/main/java/damsonworks/fleet/Series.java
+++ b/src/main/java/damsonworks/fleet/Series.java
@@ -49,12 +49,12 @@
     /**
      * A second of one proxy.
      *
-     * @param second   since the stand-ins' start
-     * @param proxy    its number, negative for what no proxy took
-     * @param counts   what was seen, without what never was
+     * @param second since the stand-ins' start
+     * @param proxy its number, negative for what no proxy took
+     * @param counts what was seen, without what never was
      * @param attempts reads at cache nodes by the zone of these
      */
-    public record Row(int second, int proxy, Map<What, Long> counts, long[] attempts) { }
+    public record Row(int second, int proxy, Map<What, Long> counts, long[] attempts) {}
 
     private static final class Cell {
         final Map<What, Long> counts = new EnumMap<>(What.class);
--- a/src/main/java/damsonworks/fleet/Service.java
+++ b/src/main/java/damsonworks/fleet/Service.java
@@ -45,8 +45,11 @@
             timer.cancel(false);
         }
         timerMs = finish;
-        timer = finish == Double.POSITIVE_INFINITY ? null : fleet.loop().schedule(this::advance,
-                (long) (Math.max(0, finish - fleet.now()) * 1e6), TimeUnit.NANOSECONDS);
+        timer = finish == Double.POSITIVE_INFINITY
+                ? null
+                : fleet.loop()
+                        .schedule(
+                                this::advance, (long) (Math.max(0, finish - fleet.now()) * 1e6), TimeUnit.NANOSECONDS);
     }
 
     private void advance() {
--- a/src/main/java/damsonworks/fleet/ServiceModel.java
+++ b/src/main/java/damsonworks/fleet/ServiceModel.java
@@ -13,9 +13,9 @@
  * @param <J> what is worked on
  */
 public final class ServiceModel<J> {
-    private record Job<J>(J what, double workMs) { }
+    private record Job<J>(J what, double workMs) {}
 
-    private record Running<J>(J what, double finishMs, long number) { }
+    private record Running<J>(J what, double finishMs, long number) {}
 
     private final int places;
     private final int maxQueue;
@@ -34,8 +34,8 @@
     }
 
     private static <J> PriorityQueue<Running<J>> heap() {
-        return new PriorityQueue<>(Comparator.<Running<J>>comparingDouble(Running::finishMs)
-                .thenComparingLong(Running::number));
+        return new PriorityQueue<>(
+                Comparator.<Running<J>>comparingDouble(Running::finishMs).thenComparingLong(Running::number));
     }
 
     /** Takes work, in milliseconds at speed 1; false if the queue is full. {@code speed} is above 0. */
--- a/src/main/java/damsonworks/fleet/Sockets.java
+++ b/src/main/java/damsonworks/fleet/Sockets.java
@@ -17,12 +17,21 @@
  * The kinds of channel that stand-ins and generators use. Epoll where it can be loaded: its timers are exact to some
  * microseconds, where the JDK's selector wakes to the millisecond.
  */
-public record Sockets(IoHandlerFactory io, Class<? extends ServerChannel> server, Class<? extends Channel> client,
+public record Sockets(
+        IoHandlerFactory io,
+        Class<? extends ServerChannel> server,
+        Class<? extends Channel> client,
         Class<? extends Channel> datagram) {
     /** The best kind that this machine has. */
     public static final Sockets BEST = Epoll.isAvailable()
-            ? new Sockets(EpollIoHandler.newFactory(), EpollServerSocketChannel.class, EpollSocketChannel.class,
+            ? new Sockets(
+                    EpollIoHandler.newFactory(),
+                    EpollServerSocketChannel.class,
+                    EpollSocketChannel.class,
                     EpollDatagramChannel.class)
-            : new Sockets(NioIoHandler.newFactory(), NioServerSocketChannel.class, NioSocketChannel.class,
+            : new Sockets(
+                    NioIoHandler.newFactory(),
+                    NioServerSocketChannel.class,
+                    NioSocketChannel.class,
                     NioDatagramChannel.class);
 }
--- a/src/main/java/damsonworks/fleet/StandInFleet.java
+++ b/src/main/java/damsonworks/fleet/StandInFleet.java
@@ -32,7 +32,7 @@
         void apply(int proxy, Fault fault);
     }
 
-    private record Missed(String key, Set<CacheNode> nodes, double atMs) { }
+    private record Missed(String key, Set<CacheNode> nodes, double atMs) {}
 
     private final int number = Hosts.next();
     private final FleetSpec spec;
@@ -51,8 +51,9 @@
     private final Map<String, Double> classWork = new HashMap<>();
     /** Where each request has missed, oldest first, and how many fetches of a key are out. */
     private final Map<String, Missed> misses = new LinkedHashMap<>();
+
     private final Map<String, Integer> fetching = new HashMap<>();
-    private ProxyFaults proxyFaults = (proxy, fault) -> { };
+    private ProxyFaults proxyFaults = (proxy, fault) -> {};
 
     /** Opens all sockets; returns when they listen. */
     public StandInFleet(FleetSpec spec) {
@@ -63,8 +64,8 @@
         spec.classes().forEach(c -> classWork.put(c.name(), c.work()));
         SplittableRandom random = new SplittableRandom(spec.seed());
         origin = new OriginServer(this);
-        roster.put(new Roster.Host(Parties.ORIGIN, texts(origin.listener()), sites().get(0), "origin", 0,
-                Roster.Health.UP, 0));
+        roster.put(new Roster.Host(
+                Parties.ORIGIN, texts(origin.listener()), sites().get(0), "origin", 0, Roster.Health.UP, 0));
         for (int i = 0; i < spec.nodes(); i++) {
             String name = Parties.node(i);
             // Fast and slow machines, as merged fleets have them.
@@ -72,7 +73,14 @@
             double speed = fast ? random.nextDouble(1.5, 2.1) : random.nextDouble(0.77, 1);
             CacheNode node = new CacheNode(this, name, speed, random.nextLong());
             nodes.put(name, node);
-            roster.put(new Roster.Host(name, texts(node.listener()), sites().get(spec.layout().zoneOf(i)), fast ? "node-fast" : "node-slow", i, Roster.Health.UP, 0));
+            roster.put(new Roster.Host(
+                    name,
+                    texts(node.listener()),
+                    sites().get(spec.layout().zoneOf(i)),
+                    fast ? "node-fast" : "node-slow",
+                    i,
+                    Roster.Health.UP,
+                    0));
         }
         discovery = new DiscoveryServer(this, roster);
         peers = spec.layout().peers() ? new PeerRelay(this, links) : null;
@@ -107,7 +115,8 @@
     /** Where each node listens for this proxy, by name. */
     public Map<String, InetSocketAddress> nodes(int proxy) {
         Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
-        nodes.forEach((name, node) -> addresses.put(name, node.listener().addresses().get(proxy)));
+        nodes.forEach(
+                (name, node) -> addresses.put(name, node.listener().addresses().get(proxy)));
         return addresses;
     }
 
@@ -137,8 +146,8 @@
     }
 
     /**
-     * The address of the machine that this proxy stands for: one of its own on loopback, so that no other socket can take its
-     * port while it is away.
+     * The address of the machine that this proxy stands for: one of its own on loopback, so that no other socket can
+     * take its port while it is away.
      */
     public InetAddress host(int proxy) {
         return Hosts.of(number, proxy);
@@ -161,7 +170,8 @@
 
     /** Waits until the last requests' grace is over, so that a verdict holds all that the oracle is to be told. */
     public void awaitGrace() {
-        loop.schedule(() -> { }, (long) spec.answerGraceMs() + 200, TimeUnit.MILLISECONDS).syncUninterruptibly();
+        loop.schedule(() -> {}, (long) spec.answerGraceMs() + 200, TimeUnit.MILLISECONDS)
+                .syncUninterruptibly();
     }
 
     /** Fetches that the origin has served so far. */
@@ -195,8 +205,8 @@
     }
 
     /**
-     * Lets these faults happen, their times counted from now; done when those that are due now have happened. They
-     * are not left to a timer: an event loop may run what is handed in later before a timer that is due.
+     * Lets these faults happen, their times counted from now; done when those that are due now have happened. They are
+     * not left to a timer: an event loop may run what is handed in later before a timer that is due.
      */
     public Future<?> play(List<Fault> faults, ProxyFaults proxies) {
         return loop.submit(() -> {
@@ -240,8 +250,12 @@
             }
             origin.listener().ways(p, links.way(proxy, Parties.ORIGIN), links.way(Parties.ORIGIN, proxy));
             for (int i = 0; i < DiscoveryServer.ADDRESSES; i++) {
-                discovery.listener().ways(i * spec.proxies() + p, links.way(proxy, Parties.DISCOVERY),
-                        links.way(Parties.DISCOVERY, proxy));
+                discovery
+                        .listener()
+                        .ways(
+                                i * spec.proxies() + p,
+                                links.way(proxy, Parties.DISCOVERY),
+                                links.way(Parties.DISCOVERY, proxy));
             }
         }
     }
@@ -283,7 +297,7 @@
     /** A read has missed at a node; whether a fetch of its key is out already. */
     boolean missed(MetaCommand.Read read, CacheNode node) {
         double now = now();
-        for (var i = misses.values().iterator(); i.hasNext();) {
+        for (var i = misses.values().iterator(); i.hasNext(); ) {
             Missed m = i.next();
             if (now - m.atMs() <= MISS_MEMORY_MS) {
                 break;
@@ -385,13 +399,15 @@
             case DRAIN -> notice(node.name(), Roster.Health.DRAINING);
             case RESTART -> {
                 node.die();
-                after(f.forMs(), () -> node.live(() -> {
-                    Roster.Host host = roster.get(node.name()).born(startUnixMs + (long) now());
-                    after(spec.noticeMs(), () -> {
-                        roster.put(host);
-                        discovery.changed();
-                    });
-                }));
+                after(
+                        f.forMs(),
+                        () -> node.live(() -> {
+                            Roster.Host host = roster.get(node.name()).born(startUnixMs + (long) now());
+                            after(spec.noticeMs(), () -> {
+                                roster.put(host);
+                                discovery.changed();
+                            });
+                        }));
             }
             case SPOIL -> {
                 node.spoil(f.share());
--- a/src/main/java/damsonworks/fleet/TrafficClass.java
+++ b/src/main/java/damsonworks/fleet/TrafficClass.java
@@ -7,19 +7,23 @@
 /**
  * A class of requests as clients, stand-ins and the proxies' settings know it.
  *
- * @param name       as it stands on the wire: letters, digits, dots, dashes
- * @param share      its part of the traffic, above 0; shares need not sum to anything
- * @param kind       how often it may take effect, and so whether it is a write
- * @param work       its work, as a multiple of the stand-ins' mean
- * @param aimMs      within which time an answer is wanted
+ * @param name as it stands on the wire: letters, digits, dots, dashes
+ * @param share its part of the traffic, above 0; shares need not sum to anything
+ * @param kind how often it may take effect, and so whether it is a write
+ * @param work its work, as a multiple of the stand-ins' mean
+ * @param aimMs within which time an answer is wanted
  * @param deadlineMs after which time the client has given up
- * @param worth      of an answer within the aim
+ * @param worth of an answer within the aim
  */
-public record TrafficClass(String name, double share, Kind kind, double work, double aimMs, double deadlineMs,
-        double worth) {
+public record TrafficClass(
+        String name, double share, Kind kind, double work, double aimMs, double deadlineMs, double worth) {
 
     /** How often a request may take effect. */
-    public enum Kind { READ, UNSAFE, KEYED }
+    public enum Kind {
+        READ,
+        UNSAFE,
+        KEYED
+    }
 
     /** Checks the ranges. */
     public TrafficClass {
@@ -50,8 +54,8 @@
     }
 
     /**
-     * Reads a mix such as {@code seg-text=57,fix-submit=2.7:unsafe:600}: name, share, then {@code read} (where
-     * nothing is said), {@code unsafe} or {@code keyed}, then the deadline in milliseconds.
+     * Reads a mix such as {@code seg-text=57,fix-submit=2.7:unsafe:600}: name, share, then {@code read} (where nothing
+     * is said), {@code unsafe} or {@code keyed}, then the deadline in milliseconds.
      *
      * @param deadlineMs where an entry names none
      * @throws IllegalArgumentException saying which entry is wrong and what would do
@@ -67,8 +71,14 @@
                 }
                 Kind kind = parts.length < 2 ? Kind.READ : Kind.valueOf(parts[1].toUpperCase(Locale.ROOT));
                 double deadline = parts.length < 3 ? deadlineMs : Double.parseDouble(parts[2]);
-                classes.add(new TrafficClass(entry.substring(0, equals).trim(), Double.parseDouble(parts[0]), kind, 1,
-                        deadline / 4, deadline, 1));
+                classes.add(new TrafficClass(
+                        entry.substring(0, equals).trim(),
+                        Double.parseDouble(parts[0]),
+                        kind,
+                        1,
+                        deadline / 4,
+                        deadline,
+                        1));
             } catch (IllegalArgumentException e) {
                 throw new IllegalArgumentException("'" + entry + "' is no class of a mix (" + e.getMessage()
                         + "); it reads NAME=SHARE[:read|unsafe|keyed[:DEADLINE_MS]]");
--- a/src/main/java/damsonworks/fleet/Unrest.java
+++ b/src/main/java/damsonworks/fleet/Unrest.java
@@ -3,7 +3,10 @@
 import java.util.ArrayList;
 import java.util.List;
 
-/** Faults that come in numbers, as a large fleet has them: written out as a script's lines would be. Times in milliseconds. */
+/**
+ * Faults that come in numbers, as a large fleet has them: written out as a script's lines would be. Times in
+ * milliseconds.
+ */
 public final class Unrest {
     /** What a process needs to start at all; nothing is repeated faster. */
     public static final double LEAST_MS = 100;
@@ -12,9 +15,11 @@
     /** Of all proxies, as on the operators' days. */
     private static final double RELEASE_PART = 0.8;
 
-    private Unrest() { }
+    private Unrest() {}
 
-    /** A release goes wrong: eight in ten proxies, one at least, are killed in one moment and start together 1 s later. */
+    /**
+     * A release goes wrong: eight in ten proxies, one at least, are killed in one moment and start together 1 s later.
+     */
     public static List<Fault> release(double atMs, int proxies) {
         List<Fault> faults = new ArrayList<>();
         for (int p = 0; p < Math.max(1, Math.round(proxies * RELEASE_PART)); p++) {
@@ -33,8 +38,8 @@
         return inTurn(everyMs, untilMs, proxies, "proxy-", Fault.Action.UPGRADE, 0);
     }
 
-    private static List<Fault> inTurn(double everyMs, double untilMs, int many, String name, Fault.Action action,
-            double forMs) {
+    private static List<Fault> inTurn(
+            double everyMs, double untilMs, int many, String name, Fault.Action action, double forMs) {
         double step = Math.max(LEAST_MS, everyMs);
         List<Fault> faults = new ArrayList<>();
         for (int turn = 0; (turn + 1) * step < untilMs && turn < FaultScript.MAX_FAULTS; turn++) {
--- a/src/main/java/damsonworks/fleet/ValueSizes.java
+++ b/src/main/java/damsonworks/fleet/ValueSizes.java
@@ -16,7 +16,7 @@
     public static final int MAX = 4 << 20;
 
     /** A share of all keys, above 0 to 1, and how long their values are, in bytes. */
-    public record Part(int bytes, double share) { }
+    public record Part(int bytes, double share) {}
 
     /** Checks the ranges. */
     public ValueSizes {
--- a/src/main/java/damsonworks/fleet/Way.java
+++ b/src/main/java/damsonworks/fleet/Way.java
@@ -3,16 +3,23 @@
 /**
  * What the way from one part of a fleet to another does to what is sent. Shares from 0 to 1, times in milliseconds.
  *
- * @param cut      nothing arrives
- * @param delayMs  what everything takes, 0 to 60,000
+ * @param cut nothing arrives
+ * @param delayMs what everything takes, 0 to 60,000
  * @param jitterMs what it takes at most beyond that, drawn evenly; a stream keeps its order all the same
- * @param lose     of datagrams that do not arrive; a piece of a stream comes later instead, by what a resend takes
- * @param twice    of datagrams that arrive twice
- * @param reorder  of datagrams that are overtaken by those behind them
- * @param hold     of pieces of a stream that stand still half way, with all that follows
- * @param reset    of pieces of a stream in whose place the connection is reset
+ * @param lose of datagrams that do not arrive; a piece of a stream comes later instead, by what a resend takes
+ * @param twice of datagrams that arrive twice
+ * @param reorder of datagrams that are overtaken by those behind them
+ * @param hold of pieces of a stream that stand still half way, with all that follows
+ * @param reset of pieces of a stream in whose place the connection is reset
  */
-public record Way(boolean cut, double delayMs, double jitterMs, double lose, double twice, double reorder, double hold,
+public record Way(
+        boolean cut,
+        double delayMs,
+        double jitterMs,
+        double lose,
+        double twice,
+        double reorder,
+        double hold,
         double reset) {
     /** All arrives at once. */
     public static final Way OPEN = new Way(false, 0, 0, 0, 0, 0, 0, 0);
@@ -27,7 +34,8 @@
             }
         }
         if (!(delayMs >= 0 && delayMs <= 60_000 && jitterMs >= 0 && jitterMs <= 60_000)) {
-            throw new IllegalArgumentException("a delay of " + delayMs + " and " + jitterMs + " ms; it takes 0 to 60,000");
+            throw new IllegalArgumentException(
+                    "a delay of " + delayMs + " and " + jitterMs + " ms; it takes 0 to 60,000");
         }
     }
 
@@ -38,8 +46,14 @@
 
     /** This way with another's troubles on top. */
     public Way and(Way b) {
-        return new Way(cut || b.cut, Math.min(60_000, delayMs + b.delayMs), Math.min(60_000, jitterMs + b.jitterMs),
-                either(lose, b.lose), either(twice, b.twice), either(reorder, b.reorder), either(hold, b.hold),
+        return new Way(
+                cut || b.cut,
+                Math.min(60_000, delayMs + b.delayMs),
+                Math.min(60_000, jitterMs + b.jitterMs),
+                either(lose, b.lose),
+                either(twice, b.twice),
+                either(reorder, b.reorder),
+                either(hold, b.hold),
                 either(reset, b.reset));
     }
 
--- a/src/main/java/damsonworks/fleet/meta/MetaAnswer.java
+++ b/src/main/java/damsonworks/fleet/meta/MetaAnswer.java
@@ -7,13 +7,13 @@
     String id();
 
     /** A served read; {@code begunNanos}: when its first line came, by {@link System#nanoTime()}. */
-    record Value(String id, byte[] value, long begunNanos) implements MetaAnswer { }
+    record Value(String id, byte[] value, long begunNanos) implements MetaAnswer {}
 
     /** A served write. */
-    record Receipt(String id, String receipt) implements MetaAnswer { }
+    record Receipt(String id, String receipt) implements MetaAnswer {}
 
     /** A cache node that lacks the key. */
-    record Miss(String id) implements MetaAnswer { }
+    record Miss(String id) implements MetaAnswer {}
 
     /** {@code MN}. */
     record Noop() implements MetaAnswer {
--- a/src/main/java/damsonworks/fleet/meta/MetaAnswerDecoder.java
+++ b/src/main/java/damsonworks/fleet/meta/MetaAnswerDecoder.java
@@ -10,6 +10,7 @@
 public final class MetaAnswerDecoder extends ByteToMessageDecoder {
     /** Values over this length are timed by their first bytes. */
     public static final int LONG = 64 << 10;
+
     private static final String BUSY = "SERVER_ERROR busy";
 
     private String valueId;
@@ -50,8 +51,9 @@
                 valueId = MetaLines.flag(words, 2, 'O');
                 begunNanos = System.nanoTime();
             }
-            case "HD" -> out.add(new MetaAnswer.Receipt(MetaLines.flag(words, 1, 'O'),
-                    String.valueOf(MetaLines.flag(words, 1, 'c'))));
+            case "HD" ->
+                out.add(new MetaAnswer.Receipt(
+                        MetaLines.flag(words, 1, 'O'), String.valueOf(MetaLines.flag(words, 1, 'c'))));
             case "EN" -> out.add(new MetaAnswer.Miss(MetaLines.flag(words, 1, 'O')));
             case "MN" -> out.add(new MetaAnswer.Noop());
             default -> out.add(line.startsWith(BUSY) ? new MetaAnswer.Busy(after(line)) : new MetaAnswer.Failed(line));
--- a/src/main/java/damsonworks/fleet/meta/MetaCommand.java
+++ b/src/main/java/damsonworks/fleet/meta/MetaCommand.java
@@ -9,19 +9,19 @@
     }
 
     /** A read of a key. {@code extras} is the list behind the flag {@code P}, as it came. */
-    record Read(String key, String id, String extras) implements MetaCommand { }
+    record Read(String key, String id, String extras) implements MetaCommand {}
 
     /** A write. {@code value} is without its line's end. */
-    record Write(String key, String id, String extras, byte[] value) implements MetaCommand { }
+    record Write(String key, String id, String extras, byte[] value) implements MetaCommand {}
 
     /** {@code mn}, to be answered {@code MN}. */
-    record Noop() implements MetaCommand { }
+    record Noop() implements MetaCommand {}
 
     /** {@code stats load}. */
-    record Stats() implements MetaCommand { }
+    record Stats() implements MetaCommand {}
 
     /** What is no command; {@code fatal} if what follows can't be told apart any more. */
-    record Unusable(String why, boolean fatal) implements MetaCommand { }
+    record Unusable(String why, boolean fatal) implements MetaCommand {}
 
     /** The value under this name in a list such as {@code c=read,d=480}; null if it is not there. */
     static String named(String extras, String name) {
--- a/src/main/java/damsonworks/fleet/meta/MetaCommandDecoder.java
+++ b/src/main/java/damsonworks/fleet/meta/MetaCommandDecoder.java
@@ -38,9 +38,10 @@
             case "mg" -> {
                 String id = MetaLines.flag(words, 2, 'O');
                 String extras = MetaLines.flag(words, 2, 'P');
-                out.add(words.length < 2 || id == null || extras == null
-                        ? new MetaCommand.Unusable("bad command line format", false)
-                        : new MetaCommand.Read(words[1], id, extras));
+                out.add(
+                        words.length < 2 || id == null || extras == null
+                                ? new MetaCommand.Unusable("bad command line format", false)
+                                : new MetaCommand.Read(words[1], id, extras));
             }
             case "ms" -> {
                 length = words.length < 3 ? -1 : MetaLines.length(words[2]);
--- a/src/main/java/damsonworks/fleet/meta/MetaLines.java
+++ b/src/main/java/damsonworks/fleet/meta/MetaLines.java
@@ -11,7 +11,7 @@
     /** The longest value that is read, in bytes. */
     static final int MAX_VALUE = 4 << 20;
 
-    private MetaLines() { }
+    private MetaLines() {}
 
     /** Takes a line off the input, without its end; null while it is not all there. */
     static String take(ByteBuf in) {
--- a/src/main/java/damsonworks/flow/ByteBudget.java
+++ b/src/main/java/damsonworks/flow/ByteBudget.java
@@ -110,7 +110,7 @@
     private void serve() {
         ArrayDeque<Ticket> now = new ArrayDeque<>();
         boolean largeWaits = false;
-        for (Iterator<Ticket> i = waiting.iterator(); i.hasNext();) {
+        for (Iterator<Ticket> i = waiting.iterator(); i.hasNext(); ) {
             Ticket t = i.next();
             if (fits(t) && (t.bytes <= SMALL || !largeWaits)) {
                 i.remove();
--- a/src/main/java/damsonworks/flow/RecentIds.java
+++ b/src/main/java/damsonworks/flow/RecentIds.java
@@ -16,7 +16,7 @@
     private final ArrayDeque<Ended> order = new ArrayDeque<>();
     private final Set<String> ids = new HashSet<>();
 
-    private record Ended(String id, double untilMs) { }
+    private record Ended(String id, double untilMs) {}
 
     /** The request of this id, which is not held, has ended; it is held for so long. */
     public void ended(double now, String id, double holdMs) {
--- a/src/main/java/damsonworks/lab/Expectation.java
+++ b/src/main/java/damsonworks/lab/Expectation.java
@@ -5,10 +5,15 @@
 import java.util.Locale;
 
 /** Something that a scenario expects of its outcome. */
-public sealed interface Expectation permits Expectation.RulesHeld, Expectation.Served, Expectation.SettledWithin,
-        Expectation.FalseDeaths, ZoneExpectation, RecoveryExpectation {
+public sealed interface Expectation
+        permits Expectation.RulesHeld,
+                Expectation.Served,
+                Expectation.SettledWithin,
+                Expectation.FalseDeaths,
+                ZoneExpectation,
+                RecoveryExpectation {
     /** What came of it. {@code measured} and {@code bound} are for people. */
-    record Result(String name, boolean held, String measured, String bound) { }
+    record Result(String name, boolean held, String measured, String bound) {}
 
     /** Holds it against an outcome. */
     Result check(Outcome outcome);
@@ -20,7 +25,10 @@
     record RulesHeld() implements Expectation {
         @Override
         public Result check(Outcome o) {
-            return new Result("rules", o.verdict().held(), o.verdict().held() ? "held" : "broken: " + o.verdict().breaches(),
+            return new Result(
+                    "rules",
+                    o.verdict().held(),
+                    o.verdict().held() ? "held" : "broken: " + o.verdict().breaches(),
                     "held");
         }
 
@@ -56,21 +64,30 @@
 
         @Override
         public Result check(Outcome o) {
-            List<Scenario.Band> seen = o.scenario().bands().stream().filter(b -> last(o, b)).toList();
+            List<Scenario.Band> seen =
+                    o.scenario().bands().stream().filter(b -> last(o, b)).toList();
             if (seen.isEmpty()) {
                 return new Result("settled", false, "no fault leaves time to see it", "within the time after one");
             }
-            double worst = seen.stream().mapToDouble(b -> o.settledAfter(b.toMs())).max().orElseThrow();
-            return new Result("settled", worst <= ms + LOOK_MS, worst == Double.POSITIVE_INFINITY ? "never"
-                    : String.format(Locale.ROOT, "after %.1f s", worst / 1000), String.format(Locale.ROOT, "within %.1f s",
-                            ms / 1000));
+            double worst = seen.stream()
+                    .mapToDouble(b -> o.settledAfter(b.toMs()))
+                    .max()
+                    .orElseThrow();
+            return new Result(
+                    "settled",
+                    worst <= ms + LOOK_MS,
+                    worst == Double.POSITIVE_INFINITY
+                            ? "never"
+                            : String.format(Locale.ROOT, "after %.1f s", worst / 1000),
+                    String.format(Locale.ROOT, "within %.1f s", ms / 1000));
         }
 
         /** Whether nothing else begins before it is over, or soon after. */
         @SuppressWarnings("ReferenceEquality") // all but this band, also one like it
         private boolean last(Outcome o, Scenario.Band band) {
-            return o.scenario().bands().stream().noneMatch(b -> b != band && b.toMs() >= band.toMs()
-                    && b.fromMs() < band.toMs() + ms) && band.toMs() + ms <= o.scenario().forMs();
+            return o.scenario().bands().stream()
+                            .noneMatch(b -> b != band && b.toMs() >= band.toMs() && b.fromMs() < band.toMs() + ms)
+                    && band.toMs() + ms <= o.scenario().forMs();
         }
 
         @Override
@@ -83,7 +100,10 @@
     record FalseDeaths(long most) implements Expectation {
         @Override
         public Result check(Outcome o) {
-            long n = o.looks().stream().mapToLong(Outcome.Look::refutedDeaths).max().orElse(0);
+            long n = o.looks().stream()
+                    .mapToLong(Outcome.Look::refutedDeaths)
+                    .max()
+                    .orElse(0);
             return new Result("deaths", n <= most, n + " refuted", "at most " + most);
         }
 
--- a/src/main/java/damsonworks/lab/LabRun.java
+++ b/src/main/java/damsonworks/lab/LabRun.java
@@ -55,13 +55,24 @@
             fleet.fleet().awaitGrace();
             Oracle.Verdict verdict = fleet.fleet().verdict();
             int zero = (int) (zeroMs / 1000);
-            List<Series.Row> rows = fleet.fleet().rows().stream().filter(r -> r.second() >= zero)
-                    .map(r -> new Series.Row(r.second() - zero, r.proxy(), r.counts(), r.attempts())).toList();
-            List<long[]> fine = fleet.fleet().tenths().stream().skip(Math.round(zeroMs / Series.TENTH_MS)).toList();
-            List<Outcome.Look> looks = fleet.watch().views().stream().map(l -> new Outcome.Look(
-                    fleet.fleet().at(l.nanos()) - zeroMs, l.settled(), l.sights().stream().mapToLong(
-                            ProxyWatch.Sight::refutedDeaths).sum(), l.sights().stream().map(ProxyWatch.Sight::open).toList(),
-                    l.staleDecisions())).filter(l -> l.atMs() >= 0).toList();
+            List<Series.Row> rows = fleet.fleet().rows().stream()
+                    .filter(r -> r.second() >= zero)
+                    .map(r -> new Series.Row(r.second() - zero, r.proxy(), r.counts(), r.attempts()))
+                    .toList();
+            List<long[]> fine = fleet.fleet().tenths().stream()
+                    .skip(Math.round(zeroMs / Series.TENTH_MS))
+                    .toList();
+            List<Outcome.Look> looks = fleet.watch().views().stream()
+                    .map(l -> new Outcome.Look(
+                            fleet.fleet().at(l.nanos()) - zeroMs,
+                            l.settled(),
+                            l.sights().stream()
+                                    .mapToLong(ProxyWatch.Sight::refutedDeaths)
+                                    .sum(),
+                            l.sights().stream().map(ProxyWatch.Sight::open).toList(),
+                            l.staleDecisions()))
+                    .filter(l -> l.atMs() >= 0)
+                    .toList();
             String died = fleet.died();
             if (logs != null) {
                 fleet.keepLogs(logs);
@@ -71,22 +82,43 @@
     }
 
     private SyntheticWorkload workload(double rate, double ms, List<TrafficClass> classes) {
-        return new SyntheticWorkload(new SyntheticWorkload.Settings(rate, ms / 1000, Shape.STEADY, Arrivals.POISSON,
-                scenario.keys(), ZIPF, 0, ValueSizes.of(VALUE_BYTES), classes, seed));
+        return new SyntheticWorkload(new SyntheticWorkload.Settings(
+                rate,
+                ms / 1000,
+                Shape.STEADY,
+                Arrivals.POISSON,
+                scenario.keys(),
+                ZIPF,
+                0,
+                ValueSizes.of(VALUE_BYTES),
+                classes,
+                seed));
     }
 
     private Report run(ProxiedFleet fleet, SyntheticWorkload workload, long clients)
             throws IOException, InterruptedException {
-        Generator.Settings settings = new Generator.Settings(List.of(fleet.front()), scenario.fleet().classes(),
-                scenario.connections(), 1, 200_000, 0, 0, 10, clients, scenario.inTurn(), 0);
-        try (Generator generator = new Generator(settings, workload, new OracleObserver(fleet.fleet(), fleet::takenBy))) {
+        Generator.Settings settings = new Generator.Settings(
+                List.of(fleet.front()),
+                scenario.fleet().classes(),
+                scenario.connections(),
+                1,
+                200_000,
+                0,
+                0,
+                10,
+                clients,
+                scenario.inTurn(),
+                0);
+        try (Generator generator =
+                new Generator(settings, workload, new OracleObserver(fleet.fleet(), fleet::takenBy))) {
             CompletableFuture<Report> done = generator.start();
             while (true) {
                 try {
                     return done.get(1, TimeUnit.SECONDS);
                 } catch (TimeoutException e) {
                     Oracle.Verdict verdict = fleet.fleet().verdict();
-                    progress.accept(generator.progress().text() + fleet.watch().text()
+                    progress.accept(generator.progress().text()
+                            + fleet.watch().text()
                             + (verdict.held() ? "" : "  BROKEN " + verdict.breaches()));
                 } catch (ExecutionException e) {
                     throw new IOException("the run broke off: " + e.getCause(), e);
--- a/src/main/java/damsonworks/lab/Outcome.java
+++ b/src/main/java/damsonworks/lab/Outcome.java
@@ -11,26 +11,39 @@
 /**
  * What came of one run of a scenario.
  *
- * @param report  of the clients
+ * @param report of the clients
  * @param verdict on the rules
- * @param rows    what each proxy did, second by second from the lead-in's end
- * @param fine    what all of them did together, by tenths of a second from the lead-in's end
- * @param looks   what the proxies said of the fleet, their times in ms from the lead-in's end
- * @param died    the proxy that ended by itself, with the end of its log; null if none did
+ * @param rows what each proxy did, second by second from the lead-in's end
+ * @param fine what all of them did together, by tenths of a second from the lead-in's end
+ * @param looks what the proxies said of the fleet, their times in ms from the lead-in's end
+ * @param died the proxy that ended by itself, with the end of its log; null if none did
  */
-public record Outcome(Scenario scenario, long seed, Report report, Oracle.Verdict verdict, List<Series.Row> rows,
-        List<long[]> fine, List<Look> looks, String died) {
+public record Outcome(
+        Scenario scenario,
+        long seed,
+        Report report,
+        Oracle.Verdict verdict,
+        List<Series.Row> rows,
+        List<long[]> fine,
+        List<Look> looks,
+        String died) {
     /**
-     * What all proxies said of the fleet at one time. {@code open}: for each proxy how far each zone is open to it, empty for
-     * one that is away, decides nothing of zones or hears too little of the fleet. {@code staleDecisions}: so far.
+     * What all proxies said of the fleet at one time. {@code open}: for each proxy how far each zone is open to it,
+     * empty for one that is away, decides nothing of zones or hears too little of the fleet. {@code staleDecisions}: so
+     * far.
      */
-    public record Look(double atMs, boolean settled, long refutedDeaths, List<List<Double>> open, long staleDecisions) { }
+    public record Look(
+            double atMs, boolean settled, long refutedDeaths, List<List<Double>> open, long staleDecisions) {}
 
     /** Longer pauses of the lab's own process make an answer late by themselves: half of what the rules give one. */
     static final double PAUSE_PART = 0.5;
 
     /** Whether all held, something was broken, or the machine was too busy to tell. */
-    public enum Judgement { HELD, BROKEN, TOO_BUSY }
+    public enum Judgement {
+        HELD,
+        BROKEN,
+        TOO_BUSY
+    }
 
     /** The part of the counted requests that was served in time. */
     public double served() {
@@ -62,9 +75,14 @@
         return n;
     }
 
-    /** Milliseconds from a time until a view was seen settled and stayed so until the next fault; infinite for never. */
+    /**
+     * Milliseconds from a time until a view was seen settled and stayed so until the next fault; infinite for never.
+     */
     public double settledAfter(double fromMs) {
-        double next = scenario.bands().stream().mapToDouble(Scenario.Band::fromMs).filter(t -> t > fromMs).min()
+        double next = scenario.bands().stream()
+                .mapToDouble(Scenario.Band::fromMs)
+                .filter(t -> t > fromMs)
+                .min()
                 .orElse(Double.POSITIVE_INFINITY);
         double since = Double.POSITIVE_INFINITY;
         for (Look l : looks) {
@@ -77,9 +95,12 @@
 
     /** Each expectation held against it. */
     public List<Expectation.Result> results() {
-        Stream<Expectation.Result> more = died == null ? Stream.empty()
-                : Stream.of(new Expectation.Result("processes", false, died.lines().findFirst().orElse(""), "none dies by itself"));
-        return Stream.concat(scenario.expectations().stream().map(e -> e.check(this)), more).toList();
+        Stream<Expectation.Result> more = died == null
+                ? Stream.empty()
+                : Stream.of(new Expectation.Result(
+                        "processes", false, died.lines().findFirst().orElse(""), "none dies by itself"));
+        return Stream.concat(scenario.expectations().stream().map(e -> e.check(this)), more)
+                .toList();
     }
 
     /** By which measure the lab's machine was too busy to judge by; null if it was not. */
@@ -87,7 +108,8 @@
         double pause = report.pauses().getMaxValue() / 1e3;
         double most = bearablePauseMs();
         if (pause > most) {
-            return String.format(Locale.ROOT, "the lab's process stood still for %.0f ms, and %.0f are bearable", pause, most);
+            return String.format(
+                    Locale.ROOT, "the lab's process stood still for %.0f ms, and %.0f are bearable", pause, most);
         }
         return report.keptSchedule() ? null : "requests left later than they were meant to";
     }
@@ -97,11 +119,14 @@
         if (died != null) {
             return Judgement.BROKEN;
         }
-        List<Expectation> broken = scenario.expectations().stream().filter(e -> !e.check(this).held()).toList();
+        List<Expectation> broken = scenario.expectations().stream()
+                .filter(e -> !e.check(this).held())
+                .toList();
         if (broken.isEmpty()) {
             return Judgement.HELD;
         }
-        return busy() != null && broken.stream().allMatch(e -> e.mayBeTheLabs(this)) ? Judgement.TOO_BUSY
+        return busy() != null && broken.stream().allMatch(e -> e.mayBeTheLabs(this))
+                ? Judgement.TOO_BUSY
                 : Judgement.BROKEN;
     }
 }
--- a/src/main/java/damsonworks/lab/OutcomeText.java
+++ b/src/main/java/damsonworks/lab/OutcomeText.java
@@ -16,23 +16,45 @@
 
 /** Outcomes for people and for scripts: a few lines, JSON, and a page with one time line. */
 public final class OutcomeText {
-    private static final String[] COLOURS = {"#2b6cb0", "#c05621", "#2f855a", "#6b46c1", "#b7791f", "#9b2c2c", "#319795",
-        "#d53f8c", "#555555", "#38a169", "#3182ce", "#dd6b20", "#805ad5", "#e53e3e", "#718096", "#000000"};
+    private static final String[] COLOURS = {
+        "#2b6cb0", "#c05621", "#2f855a", "#6b46c1", "#b7791f", "#9b2c2c", "#319795", "#d53f8c", "#555555", "#38a169",
+        "#3182ce", "#dd6b20", "#805ad5", "#e53e3e", "#718096", "#000000"
+    };
 
-    private OutcomeText() { }
+    private OutcomeText() {}
 
     /** In some lines. */
     public static String text(Outcome o) {
         StringBuilder s = new StringBuilder();
-        s.append(String.format(Locale.ROOT, "%s, seed %d: %,d requests, %.1f%% served, %,d refused, %,d failed, %,d unanswered "
-                + "(%,d went down with a killed proxy, %,d were taken by none)%n", o.scenario().name(), o.seed(),
-                o.report().requests(), 100 * o.served(), o.report().refused(), o.report().failed(), o.report().unanswered(),
-                o.verdict().excused(), o.verdict().untaken()));
-        s.append(String.format(Locale.ROOT, "  %,d attempts, %,d fetches, %,d calls of discovery, %,d connections opened, "
-                + "%,d messages%n", o.total(What.ATTEMPTS), o.total(What.FETCHES), o.total(What.CALLS),
-                o.total(What.OPENED), o.total(What.MESSAGES)));
-        o.results().forEach(r -> s.append(String.format(Locale.ROOT, "  %-6s %-10s %s (%s)%n", r.held() ? "held" : "BROKEN",
-                r.name(), r.measured(), r.bound())));
+        s.append(String.format(
+                Locale.ROOT,
+                "%s, seed %d: %,d requests, %.1f%% served, %,d refused, %,d failed, %,d unanswered "
+                        + "(%,d went down with a killed proxy, %,d were taken by none)%n",
+                o.scenario().name(),
+                o.seed(),
+                o.report().requests(),
+                100 * o.served(),
+                o.report().refused(),
+                o.report().failed(),
+                o.report().unanswered(),
+                o.verdict().excused(),
+                o.verdict().untaken()));
+        s.append(String.format(
+                Locale.ROOT,
+                "  %,d attempts, %,d fetches, %,d calls of discovery, %,d connections opened, " + "%,d messages%n",
+                o.total(What.ATTEMPTS),
+                o.total(What.FETCHES),
+                o.total(What.CALLS),
+                o.total(What.OPENED),
+                o.total(What.MESSAGES)));
+        o.results()
+                .forEach(r -> s.append(String.format(
+                        Locale.ROOT,
+                        "  %-6s %-10s %s (%s)%n",
+                        r.held() ? "held" : "BROKEN",
+                        r.name(),
+                        r.measured(),
+                        r.bound())));
         o.verdict().examples().forEach((rule, some) -> s.append(String.format("  %s: %s%n", rule, some)));
         if (o.died() != null) {
             s.append(o.died()).append('\n');
@@ -86,7 +108,8 @@
             r.addProperty("second", row.second());
             r.addProperty("proxy", row.proxy() < 0 ? "none" : "proxy-" + row.proxy());
             r.addProperty("zone", row.proxy() < 0 ? "none" : layout.zones().get(layout.zoneOf(row.proxy())));
-            new TreeMap<>(row.counts()).forEach((what, n) -> r.addProperty(what.name().toLowerCase(Locale.ROOT), n));
+            new TreeMap<>(row.counts())
+                    .forEach((what, n) -> r.addProperty(what.name().toLowerCase(Locale.ROOT), n));
             JsonObject attempts = new JsonObject();
             for (int z = 0; z < row.attempts().length; z++) {
                 attempts.addProperty(layout.zones().get(z), row.attempts()[z]);
@@ -103,10 +126,11 @@
 
     /** One page for several outcomes: their series on one time line, the faults as bands. */
     public static String html(List<Outcome> outcomes) {
-        StringBuilder s = new StringBuilder("<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>Lab</title>"
-                + "<style>body{font:15px/1.5 system-ui,sans-serif;max-width:900px;margin:2em auto;padding:0 1em;color:#222}"
-                + "pre{background:#f5f5f2;padding:1em;overflow:auto}svg{width:100%;height:auto;font:12px system-ui,sans-serif}"
-                + "</style></head><body>");
+        StringBuilder s =
+                new StringBuilder("<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>Lab</title>"
+                        + "<style>body{font:15px/1.5 system-ui,sans-serif;max-width:900px;margin:2em auto;padding:0 1em;color:#222}"
+                        + "pre{background:#f5f5f2;padding:1em;overflow:auto}svg{width:100%;height:auto;font:12px system-ui,sans-serif}"
+                        + "</style></head><body>");
         outcomes.forEach(o -> page(s, o));
         return s.append("</body></html>\n").toString();
     }
@@ -114,11 +138,23 @@
     private static void page(StringBuilder s, Outcome o) {
         Scenario scenario = o.scenario();
         Layout layout = scenario.fleet().layout();
-        s.append("<h1>").append(LineChart.escape(scenario.name())).append(", seed ").append(o.seed()).append("</h1><pre>")
-                .append(LineChart.escape(text(o))).append("</pre>");
-        chart(s, o, "Requests by how they ended", List.of(line(o, "served", 2, r -> n(r, What.SERVED)),
-                line(o, "late", 4, r -> n(r, What.LATE)), line(o, "refused", 1, r -> n(r, What.REFUSED)),
-                line(o, "failed", 5, r -> n(r, What.FAILED)), line(o, "unanswered", 3, r -> n(r, What.UNANSWERED))));
+        s.append("<h1>")
+                .append(LineChart.escape(scenario.name()))
+                .append(", seed ")
+                .append(o.seed())
+                .append("</h1><pre>")
+                .append(LineChart.escape(text(o)))
+                .append("</pre>");
+        chart(
+                s,
+                o,
+                "Requests by how they ended",
+                List.of(
+                        line(o, "served", 2, r -> n(r, What.SERVED)),
+                        line(o, "late", 4, r -> n(r, What.LATE)),
+                        line(o, "refused", 1, r -> n(r, What.REFUSED)),
+                        line(o, "failed", 5, r -> n(r, What.FAILED)),
+                        line(o, "unanswered", 3, r -> n(r, What.UNANSWERED))));
         List<LineChart.Line> zones = new ArrayList<>();
         List<LineChart.Line> proxies = new ArrayList<>();
         for (int z = 0; z < layout.zones().size(); z++) {
@@ -131,10 +167,18 @@
         }
         chart(s, o, "Attempts at cache nodes by their zone", zones);
         chart(s, o, "Requests by the proxy that took them", proxies);
-        chart(s, o, "At the origin and discovery", List.of(line(o, "fetches", 0, r -> n(r, What.FETCHES)),
-                line(o, "calls", 1, r -> n(r, What.CALLS))));
-        chart(s, o, "Connections opened, messages sent", List.of(line(o, "opened", 0, r -> n(r, What.OPENED)),
-                line(o, "messages", 1, r -> n(r, What.MESSAGES))));
+        chart(
+                s,
+                o,
+                "At the origin and discovery",
+                List.of(line(o, "fetches", 0, r -> n(r, What.FETCHES)), line(o, "calls", 1, r -> n(r, What.CALLS))));
+        chart(
+                s,
+                o,
+                "Connections opened, messages sent",
+                List.of(
+                        line(o, "opened", 0, r -> n(r, What.OPENED)),
+                        line(o, "messages", 1, r -> n(r, What.MESSAGES))));
     }
 
     private static double n(Series.Row row, What what) {
@@ -142,8 +186,16 @@
     }
 
     private static void chart(StringBuilder s, Outcome o, String title, List<LineChart.Line> lines) {
-        s.append("<h2>").append(title).append("</h2>").append(LineChart.svg("s", "a second", lines, o.scenario().bands().stream()
-                .map(b -> new LineChart.Band(b.name(), b.fromMs() / 1000, b.toMs() / 1000)).toList()));
+        s.append("<h2>")
+                .append(title)
+                .append("</h2>")
+                .append(LineChart.svg(
+                        "s",
+                        "a second",
+                        lines,
+                        o.scenario().bands().stream()
+                                .map(b -> new LineChart.Band(b.name(), b.fromMs() / 1000, b.toMs() / 1000))
+                                .toList()));
     }
 
     private static LineChart.Line line(Outcome o, String name, int colour, ToDoubleFunction<Series.Row> what) {
--- a/src/main/java/damsonworks/lab/RecoveryExpectation.java
+++ b/src/main/java/damsonworks/lab/RecoveryExpectation.java
@@ -16,17 +16,24 @@
 
     /** When the first fault begins, and when the last has ended, in ms. */
     private static double begin(Outcome o) {
-        return o.scenario().bands().stream().mapToDouble(Scenario.Band::fromMs).min().orElse(0);
+        return o.scenario().bands().stream()
+                .mapToDouble(Scenario.Band::fromMs)
+                .min()
+                .orElse(0);
     }
 
     private static double end(Outcome o) {
-        return o.scenario().bands().stream().mapToDouble(Scenario.Band::toMs).max().orElse(0);
+        return o.scenario().bands().stream()
+                .mapToDouble(Scenario.Band::toMs)
+                .max()
+                .orElse(0);
     }
 
     /**
-     * The fleet has to be back within this time. Back is the start of the first 3 s in which it serves at least 98% of what it
-     * served of what was asked in the 10 s before the first fault, with attempts and fetches a request at most 1.2 times what
-     * they were then. A fetch is rare, so it gets twice the root of its expected number more, for chance.
+     * The fleet has to be back within this time. Back is the start of the first 3 s in which it serves at least 98% of
+     * what it served of what was asked in the 10 s before the first fault, with attempts and fetches a request at most
+     * 1.2 times what they were then. A fetch is rare, so it gets twice the root of its expected number more, for
+     * chance.
      */
     record FullServiceWithin(double ms) implements RecoveryExpectation {
         private static final double BEFORE_MS = 10_000;
@@ -58,9 +65,13 @@
         @Override
         public Result check(Outcome o) {
             double after = measure(o);
-            return new Result("back", after <= ms, after == Double.POSITIVE_INFINITY ? "never"
-                    : String.format(Locale.ROOT, "after %.1f s", after / 1000), String.format(Locale.ROOT, "within %.1f s",
-                            ms / 1000));
+            return new Result(
+                    "back",
+                    after <= ms,
+                    after == Double.POSITIVE_INFINITY
+                            ? "never"
+                            : String.format(Locale.ROOT, "after %.1f s", after / 1000),
+                    String.format(Locale.ROOT, "within %.1f s", ms / 1000));
         }
     }
 
@@ -75,8 +86,11 @@
             for (double t = begin(o); t + SPAN_MS <= o.scenario().forMs(); t += STEP_MS) {
                 worst = Math.max(worst, o.sum(what, t, t + SPAN_MS));
             }
-            return new Result(what.name().toLowerCase(Locale.ROOT), worst <= most, String.format(Locale.ROOT,
-                    "%.0f in the worst second", worst), "at most " + most);
+            return new Result(
+                    what.name().toLowerCase(Locale.ROOT),
+                    worst <= most,
+                    String.format(Locale.ROOT, "%.0f in the worst second", worst),
+                    "at most " + most);
         }
     }
 
@@ -95,9 +109,12 @@
             }
             long all = asked.values().stream().mapToLong(Long::longValue).sum();
             long most = asked.values().stream().mapToLong(Long::longValue).max().orElse(0);
-            double times = all == 0 ? Double.NaN : (double) most * o.scenario().fleet().proxies() / all;
-            return new Result("busiest", times <= factor, all == 0 ? "nothing was asked so late"
-                    : String.format(Locale.ROOT, "%.2f times the mean", times),
+            double times =
+                    all == 0 ? Double.NaN : (double) most * o.scenario().fleet().proxies() / all;
+            return new Result(
+                    "busiest",
+                    times <= factor,
+                    all == 0 ? "nothing was asked so late" : String.format(Locale.ROOT, "%.2f times the mean", times),
                     String.format(Locale.ROOT, "at most %.2f times", factor));
         }
     }
@@ -106,7 +123,10 @@
     record StaleDecisions(long most) implements RecoveryExpectation {
         @Override
         public Result check(Outcome o) {
-            long n = o.looks().stream().mapToLong(Outcome.Look::staleDecisions).max().orElse(0);
+            long n = o.looks().stream()
+                    .mapToLong(Outcome.Look::staleDecisions)
+                    .max()
+                    .orElse(0);
             return new Result("stale", n <= most, n + " decisions", "at most " + most);
         }
 
--- a/src/main/java/damsonworks/lab/ScenarioFile.java
+++ b/src/main/java/damsonworks/lab/ScenarioFile.java
@@ -43,13 +43,14 @@
     private static final List<String> SHARES = List.of("lose", "double", "reorder", "hold", "reset-answers");
     /** What is listed as an attribute of its own, with the targets as its value. */
     private static final List<Fault.Action> ACTIONS = Arrays.stream(Fault.Action.values())
-            .filter(a -> a != Fault.Action.DOWN).toList();
+            .filter(a -> a != Fault.Action.DOWN)
+            .toList();
 
-    private static final Map<String, Part> PARTS = Map.of("view", Part.VIEW, "leave-zones", Part.ZONES, "keep-state", Part.STATE,
-            "recover", Part.RECOVERY);
+    private static final Map<String, Part> PARTS =
+            Map.of("view", Part.VIEW, "leave-zones", Part.ZONES, "keep-state", Part.STATE, "recover", Part.RECOVERY);
 
-    private static final Map<String, What> SECONDS = new TreeMap<>(Map.of("origin-at-most", What.FETCHES, "calls-at-most",
-            What.CALLS, "opened-at-most", What.OPENED));
+    private static final Map<String, What> SECONDS = new TreeMap<>(
+            Map.of("origin-at-most", What.FETCHES, "calls-at-most", What.CALLS, "opened-at-most", What.OPENED));
 
     private final Path file;
     private final Configuration configuration;
@@ -65,7 +66,10 @@
     public static Schema schema() {
         Type part = Type.name(60);
         Section fleet = new Section("fleet", Naming.ONCE, "the stand-ins, the proxies before them, and the load")
-                .list("zones", Type.name(20), "their names; proxies and nodes are dealt to them in turn, by the names' order")
+                .list(
+                        "zones",
+                        Type.name(20),
+                        "their names; proxies and nodes are dealt to them in turn, by the names' order")
                 .optional("between", Type.duration("0ms", "1s"), "0ms", "what the way from zone to zone takes, one way")
                 .optional("proxies", Type.count(1, 64), "4", "real processes of the program")
                 .optional("nodes", Type.count(1, 1000), "8", "cache nodes")
@@ -80,13 +84,25 @@
                 .optional("view", Type.flag(), "off", "whether they keep a view of the fleet")
                 .optional("leave-zones", Type.flag(), "off", "whether they leave zones as a fleet, which takes a view")
                 .optional("keep-state", Type.flag(), "off", "whether they store what outlasts them")
-                .optional("recover", Type.flag(), "off", "whether they come back with the others in mind, which takes a view")
+                .optional(
+                        "recover",
+                        Type.flag(),
+                        "off",
+                        "whether they come back with the others in mind, which takes a view")
                 .optional("list-lines", Type.count(1, 100_000), "200", "that discovery can send a second, to all")
                 .optional("rate", Type.rate("1/s", "100000/s"), "200/s", "requests by clients")
                 .optional("keys", Type.count(1, 10_000_000), "20000", "in the key space")
                 .optional("connections", Type.count(1, 10_000), "100", "of clients, at most")
-                .optional("clients-in-turn", Type.flag(), "off", "all of them are opened, and each is used as often as the others")
-                .optional("patience", Type.factor("1", "100"), "1", "multiplies aims, deadlines and graces, for slow machines")
+                .optional(
+                        "clients-in-turn",
+                        Type.flag(),
+                        "off",
+                        "all of them are opened, and each is used as often as the others")
+                .optional(
+                        "patience",
+                        Type.factor("1", "100"),
+                        "1",
+                        "multiplies aims, deadlines and graces, for slow machines")
                 .optional("lead-in", Type.duration("0s", "10m"), "5s", "a quarter of the rate first, not counted")
                 .optional("for", Type.duration("1s", "2h"), "20s", "how long it lasts from the lead-in's end");
         Section fault = new Section("fault", Naming.NAMED, "something that goes wrong")
@@ -105,34 +121,76 @@
         fault.optional("discovery-down", Type.flag(), "off", "discovery answers nothing")
                 .optional("spoilt", Type.share("0%", "100%"), "10%", "of the answers of nodes that spoil them")
                 .optional("share", Type.share("0%", "100%"), "100%", "of those named, drawn by the seed")
-                .optional("again-after", Type.duration("0ms", "1h"), "1s", "when what was killed or restarted starts again")
-                .optional("state", Type.choice(Arrays.stream(Fault.State.values()).map(ScenarioFile::word)
-                        .toArray(String[]::new)), "kept", "what becomes of a killed proxy's stored state");
+                .optional(
+                        "again-after",
+                        Type.duration("0ms", "1h"),
+                        "1s",
+                        "when what was killed or restarted starts again")
+                .optional(
+                        "state",
+                        Type.choice(Arrays.stream(Fault.State.values())
+                                .map(ScenarioFile::word)
+                                .toArray(String[]::new)),
+                        "kept",
+                        "what becomes of a killed proxy's stored state");
         Section expect = new Section("expect", Naming.ONCE, "what has to come of it")
                 .optional("rules", Type.choice("held", "any"), "held", "whether the rules have to hold")
                 .optional("served", Type.share("0%", "100%"), null, "of all requests in time, at least")
-                .optional("settled-within", Type.duration("100ms", "10m"), null,
+                .optional(
+                        "settled-within",
+                        Type.duration("100ms", "10m"),
+                        null,
                         "from each fault's end until the proxies' views are one, and true")
-                .optional("false-deaths", Type.count(0, 1_000_000), null,
+                .optional(
+                        "false-deaths",
+                        Type.count(0, 1_000_000),
+                        null,
                         "how often one that lives may be given up, at most")
-                .optional("left-within", Type.duration("100ms", "10m"), null,
+                .optional(
+                        "left-within",
+                        Type.duration("100ms", "10m"),
+                        null,
                         "from the first fault's begin until all that hear most of the fleet have left a zone")
-                .optional("together-within", Type.duration("100ms", "10m"), null,
+                .optional(
+                        "together-within",
+                        Type.duration("100ms", "10m"),
+                        null,
                         "how long those may differ by more than a step")
-                .optional("whole-within", Type.duration("100ms", "10m"), null,
+                .optional(
+                        "whole-within",
+                        Type.duration("100ms", "10m"),
+                        null,
                         "from the last fault's end until all zones are open at all proxies")
                 .optional("leaves-at-most", Type.count(0, 1000), null, "how often zones are left")
-                .optional("left-attempts-at-most", Type.rate("1/h", "100000/s"), null,
+                .optional(
+                        "left-attempts-at-most",
+                        Type.rate("1/h", "100000/s"),
+                        null,
                         "of all proxies beyond it, at a zone that is left, on average")
-                .optional("fetches-at-most", Type.factor("1", "100"), null,
+                .optional(
+                        "fetches-at-most",
+                        Type.factor("1", "100"),
+                        null,
                         "in every 2 s after the last fault, by what they were before the first")
-                .optional("full-service-within", Type.duration("100ms", "10m"), null,
+                .optional(
+                        "full-service-within",
+                        Type.duration("100ms", "10m"),
+                        null,
                         "from the first fault's begin until the fleet serves as before, at no more cost")
-                .optional("busiest-at-most", Type.factor("1", "100"), null,
+                .optional(
+                        "busiest-at-most",
+                        Type.factor("1", "100"),
+                        null,
                         "what the busiest proxy takes from 10 s after the last fault on, by the mean")
-                .optional("stale-decisions", Type.count(0, 1_000_000), null,
+                .optional(
+                        "stale-decisions",
+                        Type.count(0, 1_000_000),
+                        null,
                         "by what was stored and is older than it may be, at most");
-        SECONDS.forEach((word, what) -> expect.optional(word, Type.count(0, 1_000_000), null,
+        SECONDS.forEach((word, what) -> expect.optional(
+                word,
+                Type.count(0, 1_000_000),
+                null,
                 what.name().toLowerCase(Locale.ROOT) + " in any second from the first fault on, at most"));
         return new Schema().register(fleet).register(fault).register(expect).check(ScenarioFile::check);
     }
@@ -168,21 +226,29 @@
     private static void check(Entry fault, FleetSpec spec, Problems problems) {
         Parties parties = new Parties(spec);
         boolean links = fault.has(CUT) || fault.has(LINK);
-        List<Fault.Action> actions = ACTIONS.stream().filter(a -> fault.has(word(a))).toList();
+        List<Fault.Action> actions =
+                ACTIONS.stream().filter(a -> fault.has(word(a))).toList();
         if (!links && actions.isEmpty() && !fault.on("discovery-down")) {
-            problems.add(fault.place(), "a fault that does nothing", "name what it does, as cut = [zone-a] or kill = [proxy-*]");
+            problems.add(
+                    fault.place(),
+                    "a fault that does nothing",
+                    "name what it does, as cut = [zone-a] or kill = [proxy-*]");
         }
         for (String list : List.of(CUT, LINK, FROM)) {
-            fault.texts(list).stream().filter(w -> parties.match(w).isEmpty()).forEach(w -> problems.add(
-                    fault.placeOf(list), "'" + w + "' is no part of this fleet", parties.hint()));
+            fault.texts(list).stream()
+                    .filter(w -> parties.match(w).isEmpty())
+                    .forEach(w ->
+                            problems.add(fault.placeOf(list), "'" + w + "' is no part of this fleet", parties.hint()));
         }
         for (Fault.Action a : actions) {
             for (String w : fault.texts(word(a))) {
                 if (parties.match(w).isEmpty()) {
                     problems.add(fault.placeOf(word(a)), "'" + w + "' is no part of this fleet", parties.hint());
                 } else if (parties.match(w).stream().noneMatch(a::fits)) {
-                    problems.add(fault.placeOf(word(a)), word(a) + " does not go with " + w, word(a) + " is for: "
-                            + a.targets());
+                    problems.add(
+                            fault.placeOf(word(a)),
+                            word(a) + " does not go with " + w,
+                            word(a) + " is for: " + a.targets());
                 }
             }
         }
@@ -194,9 +260,12 @@
             problems.add(fault.placeOf(FROM), "from belongs to cut or link", "leave it out");
         }
         if (fault.has(LINK) && !fault.has(CUT) && way(fault).equals(Way.OPEN)) {
-            problems.add(fault.placeOf(LINK), "nothing happens on this link", "say what, as lose = 50% or delay = 30ms");
+            problems.add(
+                    fault.placeOf(LINK), "nothing happens on this link", "say what, as lose = 50% or delay = 30ms");
         }
-        if (fault.has(LINK) && !fault.has(FROM) && parties.match(fault.texts(LINK)).size() < 2) {
+        if (fault.has(LINK)
+                && !fault.has(FROM)
+                && parties.match(fault.texts(LINK)).size() < 2) {
             problems.add(fault.placeOf(LINK), "one part alone has no link", "name the other end, as from = [proxy-*]");
         }
         if (fault.count("times", 1) > 1 && !fault.has("every")) {
@@ -228,7 +297,10 @@
     public Scenario scenario(long seed, Set<Part> without) {
         FleetSpec whole = fleet(configuration, seed);
         Layout layout = whole.layout();
-        FleetSpec spec = whole.withLayout(new Layout(layout.zones(), layout.betweenMs(), layout.peers(),
+        FleetSpec spec = whole.withLayout(new Layout(
+                layout.zones(),
+                layout.betweenMs(),
+                layout.peers(),
                 layout.parts().stream().filter(p -> !without.contains(p)).collect(Collectors.toSet())));
         Entry fleet = section("fleet");
         List<Fault> faults = new ArrayList<>();
@@ -243,11 +315,26 @@
             }
         }
         faults.sort(Comparator.comparingDouble(Fault::atMs));
-        String name = file.getFileName().toString().replaceFirst("\\.conf$", "") + (without.isEmpty() ? "" : " without "
-                + without.stream().sorted().map(ScenarioFile::word).toList());
-        return new Scenario(name, spec, number(fleet, "rate", 720_000) / 3600, number(fleet, "lead-in", 5000),
-                number(fleet, "for", 20_000), (int) number(fleet, "keys", 20_000),
-                (int) number(fleet, "connections", 100), fleet != null && fleet.on("clients-in-turn"), List.copyOf(faults), List.copyOf(links), expectations(),
+        String name = file.getFileName().toString().replaceFirst("\\.conf$", "")
+                + (without.isEmpty()
+                        ? ""
+                        : " without "
+                                + without.stream()
+                                        .sorted()
+                                        .map(ScenarioFile::word)
+                                        .toList());
+        return new Scenario(
+                name,
+                spec,
+                number(fleet, "rate", 720_000) / 3600,
+                number(fleet, "lead-in", 5000),
+                number(fleet, "for", 20_000),
+                (int) number(fleet, "keys", 20_000),
+                (int) number(fleet, "connections", 100),
+                fleet != null && fleet.on("clients-in-turn"),
+                List.copyOf(faults),
+                List.copyOf(links),
+                expectations(),
                 List.copyOf(bands));
     }
 
@@ -266,17 +353,28 @@
         List<String> zones = e == null ? List.of() : e.texts("zones");
         double patience = number(e, "patience", 1);
         FleetSpec standard = FleetSpec.standard((int) number(e, "nodes", 8), (int) number(e, "proxies", 4), seed);
-        return standard.withClasses(TrafficClass.SUBTITLES.stream().map(c -> c.patient(patience)).toList())
+        return standard.withClasses(TrafficClass.SUBTITLES.stream()
+                        .map(c -> c.patient(patience))
+                        .toList())
                 .withWork(number(e, "work", 1), number(e, "origin-time", 25))
                 .withOriginSlots((int) number(e, "origin-slots", 8))
                 .withListLines((int) number(e, "list-lines", 200))
-                .withBounds(standard.cacheEntries(), standard.queue(), (int) number(e, "node-connections", 42),
+                .withBounds(
+                        standard.cacheEntries(),
+                        standard.queue(),
+                        (int) number(e, "node-connections", 42),
                         standard.values().usual())
                 .withHeld(number(e, "held", 92) / 100)
-                .withTimes(number(e, "notice", 1500), number(e, "warm-up", 9000), standard.drainGraceMs(),
+                .withTimes(
+                        number(e, "notice", 1500),
+                        number(e, "warm-up", 9000),
+                        standard.drainGraceMs(),
                         standard.answerGraceMs() * patience)
-                .withLayout(new Layout(zones.isEmpty() ? List.of("a") : zones, number(e, "between", 0),
-                        e == null || e.on("peers"), parts(e)));
+                .withLayout(new Layout(
+                        zones.isEmpty() ? List.of("a") : zones,
+                        number(e, "between", 0),
+                        e == null || e.on("peers"),
+                        parts(e)));
     }
 
     private static Set<Part> parts(Entry fleet) {
@@ -339,7 +437,8 @@
         return all;
     }
 
-    private static void add(Entry f, double at, FleetSpec spec, Random random, List<Fault> faults, List<LinkFault> links) {
+    private static void add(
+            Entry f, double at, FleetSpec spec, Random random, List<Fault> faults, List<LinkFault> links) {
         Parties parties = new Parties(spec);
         double length = f.number("for", 0);
         if (f.has(CUT)) {
@@ -350,29 +449,46 @@
         }
         if (f.has(LINK)) {
             Set<String> these = parties.match(f.texts(LINK));
-            links.add(new LinkFault(f.name(), at, length, these, f.has(FROM) ? parties.match(f.texts(FROM)) : these,
-                    f.on("one-way"), way(f)));
+            links.add(new LinkFault(
+                    f.name(),
+                    at,
+                    length,
+                    these,
+                    f.has(FROM) ? parties.match(f.texts(FROM)) : these,
+                    f.on("one-way"),
+                    way(f)));
         }
         if (f.on("discovery-down")) {
             faults.add(new Fault(at, Parties.DISCOVERY, Fault.Action.DOWN, length, 0));
         }
         for (Fault.Action a : ACTIONS) {
-            List<String> targets = new ArrayList<>(parties.match(f.texts(word(a))).stream().filter(a::fits).toList());
+            List<String> targets = new ArrayList<>(
+                    parties.match(f.texts(word(a))).stream().filter(a::fits).toList());
             Collections.shuffle(targets, random);
             int many = (int) Math.round(targets.size() * f.share("share", 1));
             double forMs = lasts(a) ? length : f.number("again-after", 1000);
-            targets.subList(0, many).forEach(t -> faults.add(new Fault(at, t, a, forMs,
-                    a == Fault.Action.SPOIL ? f.share("spoilt", 0.1) : 0, state(f))));
+            targets.subList(0, many)
+                    .forEach(t -> faults.add(new Fault(
+                            at, t, a, forMs, a == Fault.Action.SPOIL ? f.share("spoilt", 0.1) : 0, state(f))));
         }
     }
 
     private static Fault.State state(Entry f) {
-        return Arrays.stream(Fault.State.values()).filter(s -> word(s).equals(f.text("state"))).findFirst()
+        return Arrays.stream(Fault.State.values())
+                .filter(s -> word(s).equals(f.text("state")))
+                .findFirst()
                 .orElse(Fault.State.KEPT);
     }
 
     private static Way way(Entry f) {
-        return new Way(false, f.number("delay", 0), f.number("jitter", 0), f.share("lose", 0), f.share("double", 0),
-                f.share("reorder", 0), f.share("hold", 0), f.share("reset-answers", 0));
+        return new Way(
+                false,
+                f.number("delay", 0),
+                f.number("jitter", 0),
+                f.share("lose", 0),
+                f.share("double", 0),
+                f.share("reorder", 0),
+                f.share("hold", 0),
+                f.share("reset-answers", 0));
     }
 }
--- a/src/main/java/damsonworks/lab/ZoneExpectation.java
+++ b/src/main/java/damsonworks/lab/ZoneExpectation.java
@@ -8,8 +8,8 @@
 import java.util.Locale;
 
 /**
- * Something that is expected of how the proxies leave zones and return to them. What they hold is looked at four times a second,
- * and only those count that hear most of the fleet.
+ * Something that is expected of how the proxies leave zones and return to them. What they hold is looked at four times
+ * a second, and only those count that hear most of the fleet.
  */
 public sealed interface ZoneExpectation extends Expectation {
     /** Proxies are looked at this often, one after another. */
@@ -28,8 +28,15 @@
     }
 
     private static double first(Outcome o, boolean begin) {
-        return begin ? o.scenario().bands().stream().mapToDouble(Scenario.Band::fromMs).min().orElse(0)
-                : o.scenario().bands().stream().mapToDouble(Scenario.Band::toMs).max().orElse(0);
+        return begin
+                ? o.scenario().bands().stream()
+                        .mapToDouble(Scenario.Band::fromMs)
+                        .min()
+                        .orElse(0)
+                : o.scenario().bands().stream()
+                        .mapToDouble(Scenario.Band::toMs)
+                        .max()
+                        .orElse(0);
     }
 
     /** When a zone was first left by one, and by all, in ms from the first fault's begin; infinite for never. */
@@ -37,7 +44,8 @@
         double[] left = {Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY};
         double begin = first(o, true);
         for (Outcome.Look l : o.looks()) {
-            List<List<Double>> there = l.open().stream().filter(s -> !s.isEmpty()).toList();
+            List<List<Double>> there =
+                    l.open().stream().filter(s -> !s.isEmpty()).toList();
             if (l.atMs() < begin || there.isEmpty()) {
                 continue;
             }
@@ -64,7 +72,10 @@
                 double[] left = left(o, z);
                 best = left[1] < best[1] ? left : best;
             }
-            return new Result("left", best[1] <= ms + LOOK_MS, "first after " + seconds(best[0]) + ", all after " + seconds(best[1]),
+            return new Result(
+                    "left",
+                    best[1] <= ms + LOOK_MS,
+                    "first after " + seconds(best[0]) + ", all after " + seconds(best[1]),
                     "within " + seconds(ms));
         }
     }
@@ -80,14 +91,17 @@
                 since = !apart ? Double.NaN : Double.isNaN(since) ? l.atMs() : since;
                 worst = apart ? Math.max(worst, l.atMs() - since) : worst;
             }
-            return new Result("together", worst <= ms, "apart for " + seconds(worst) + " at most", "at most " + seconds(ms));
+            return new Result(
+                    "together", worst <= ms, "apart for " + seconds(worst) + " at most", "at most " + seconds(ms));
         }
 
         private static boolean apart(Outcome.Look l) {
-            List<List<Double>> there = l.open().stream().filter(s -> !s.isEmpty()).toList();
+            List<List<Double>> there =
+                    l.open().stream().filter(s -> !s.isEmpty()).toList();
             for (int z = 0; !there.isEmpty() && z < there.get(0).size(); z++) {
                 int zone = z;
-                double least = there.stream().mapToDouble(s -> s.get(zone)).min().orElse(0);
+                double least =
+                        there.stream().mapToDouble(s -> s.get(zone)).min().orElse(0);
                 double most = there.stream().mapToDouble(s -> s.get(zone)).max().orElse(0);
                 if (most - least > STEP) {
                     return true;
@@ -98,8 +112,9 @@
     }
 
     /**
-     * All zones have to be open at all proxies within this time of the last fault's end, and stay so. One that did not answer at a
-     * look, as a busy one may not, counts as it was at the one before; one that says nothing for longer does not.
+     * All zones have to be open at all proxies within this time of the last fault's end, and stay so. One that did not
+     * answer at a look, as a busy one may not, counts as it was at the one before; one that says nothing for longer
+     * does not.
      */
     record WholeWithin(double ms) implements ZoneExpectation {
         private static final double SILENT_MS = 1500;
@@ -114,7 +129,8 @@
                 for (int p = 0; p < l.open().size(); p++) {
                     List<Double> open = l.open().get(p);
                     boolean there = !open.isEmpty();
-                    wholeMs[p] = there && open.stream().allMatch(x -> x == 1) ? l.atMs()
+                    wholeMs[p] = there && open.stream().allMatch(x -> x == 1)
+                            ? l.atMs()
                             : there ? Double.NEGATIVE_INFINITY : wholeMs[p];
                 }
                 if (l.atMs() >= end) {
@@ -134,7 +150,8 @@
             for (int z = 0; z < zones(o); z++) {
                 boolean left = false;
                 for (Outcome.Look l : o.looks()) {
-                    List<List<Double>> there = l.open().stream().filter(s -> !s.isEmpty()).toList();
+                    List<List<Double>> there =
+                            l.open().stream().filter(s -> !s.isEmpty()).toList();
                     int zone = z;
                     boolean now = !there.isEmpty() && there.stream().allMatch(s -> s.get(zone) == 0);
                     n += now && !left ? 1 : 0;
@@ -155,20 +172,31 @@
             for (int z = 0; z < zones(o); z++) {
                 double[] left = left(o, z);
                 double begin = first(o, true);
-                double end = o.scenario().bands().stream().filter(b -> b.fromMs() == begin).mapToDouble(
-                        Scenario.Band::toMs).max().orElse(begin);
+                double end = o.scenario().bands().stream()
+                        .filter(b -> b.fromMs() == begin)
+                        .mapToDouble(Scenario.Band::toMs)
+                        .max()
+                        .orElse(begin);
                 int zone = z;
                 int from = (int) Math.ceil((begin + left[1]) / 1000);
                 int to = (int) (end / 1000);
                 if (left[1] < Double.POSITIVE_INFINITY && from < to) {
                     seconds += to - from;
-                    attempts += o.rows().stream().filter(r -> r.second() >= from && r.second() < to && r.proxy() >= 0
-                            && layout.zoneOf(r.proxy()) != zone).mapToLong(r -> r.attempts()[zone]).sum();
+                    attempts += o.rows().stream()
+                            .filter(r -> r.second() >= from
+                                    && r.second() < to
+                                    && r.proxy() >= 0
+                                    && layout.zoneOf(r.proxy()) != zone)
+                            .mapToLong(r -> r.attempts()[zone])
+                            .sum();
                 }
             }
             double rate = seconds == 0 ? Double.NaN : attempts / seconds;
-            return new Result("trials", rate <= most, seconds == 0 ? "no zone was left for a second"
-                    : String.format(Locale.ROOT, "%.1f/s", rate), String.format(Locale.ROOT, "at most %.1f/s", most));
+            return new Result(
+                    "trials",
+                    rate <= most,
+                    seconds == 0 ? "no zone was left for a second" : String.format(Locale.ROOT, "%.1f/s", rate),
+                    String.format(Locale.ROOT, "at most %.1f/s", most));
         }
     }
 
@@ -186,13 +214,18 @@
             for (int s = end; s + SPAN <= last; s += SPAN) {
                 worst = Math.max(worst, fetches(o, s, s + SPAN) / Math.max(1, usual));
             }
-            return new Result("fetches", worst <= factor, String.format(Locale.ROOT, "%.2f times in the worst 2 s", worst),
+            return new Result(
+                    "fetches",
+                    worst <= factor,
+                    String.format(Locale.ROOT, "%.2f times in the worst 2 s", worst),
                     String.format(Locale.ROOT, "at most %.2f times", factor));
         }
 
         private static double fetches(Outcome o, int from, int to) {
-            return o.rows().stream().filter(r -> r.second() >= from && r.second() < to)
-                    .mapToLong((Series.Row r) -> r.counts().getOrDefault(What.FETCHES, 0L)).sum();
+            return o.rows().stream()
+                    .filter(r -> r.second() >= from && r.second() < to)
+                    .mapToLong((Series.Row r) -> r.counts().getOrDefault(What.FETCHES, 0L))
+                    .sum();
         }
     }
 }
--- a/src/main/java/damsonworks/load/Connection.java
+++ b/src/main/java/damsonworks/load/Connection.java
@@ -21,6 +21,7 @@
 final class Connection {
     /** For how long a late answer is listened for. */
     private static final long OVERDUE_NANOS = 300_000_000;
+
     private static final long CHECK_MS = 100;
 
     private final Generator generator;
@@ -46,15 +47,18 @@
     }
 
     void open(Bootstrap bootstrap, InetSocketAddress to) {
-        ChannelFuture future = bootstrap.clone().handler(new ChannelInitializer<>() {
-            @Override
-            protected void initChannel(Channel c) {
-                if (generator.readBytes() > 0) {
-                    c.pipeline().addLast(new ChannelTrafficShapingHandler(0, generator.readBytes(), CHECK_MS));
-                }
-                c.pipeline().addLast(decoder, new Answers());
-            }
-        }).connect(to);
+        ChannelFuture future = bootstrap
+                .clone()
+                .handler(new ChannelInitializer<>() {
+                    @Override
+                    protected void initChannel(Channel c) {
+                        if (generator.readBytes() > 0) {
+                            c.pipeline().addLast(new ChannelTrafficShapingHandler(0, generator.readBytes(), CHECK_MS));
+                        }
+                        c.pipeline().addLast(decoder, new Answers());
+                    }
+                })
+                .connect(to);
         channel = future.channel();
         future.addListener(f -> {
             if (f.isSuccess()) {
@@ -104,7 +108,8 @@
 
     /** Nobody waits for what is on it any more, and an answer is long overdue. */
     boolean spent() {
-        return !pending.isEmpty() && System.nanoTime() - pending.peek().deadlineNanos > OVERDUE_NANOS
+        return !pending.isEmpty()
+                && System.nanoTime() - pending.peek().deadlineNanos > OVERDUE_NANOS
                 && pending.stream().allMatch(p -> p.ended);
     }
 
@@ -136,7 +141,12 @@
         } else {
             line.append('v');
         }
-        line.append(" O").append(p.id).append(" Pc=").append(kind.name()).append(",d=").append(left);
+        line.append(" O")
+                .append(p.id)
+                .append(" Pc=")
+                .append(kind.name())
+                .append(",d=")
+                .append(left);
         if (kind.kind() == TrafficClass.Kind.KEYED) {
             line.append(",k=").append(p.id);
         }
--- a/src/main/java/damsonworks/load/Generator.java
+++ b/src/main/java/damsonworks/load/Generator.java
@@ -37,26 +37,54 @@
     /**
      * Where the load goes, and the bounds that it keeps.
      *
-     * @param targets        in turn, one for each connection that is opened
-     * @param classes        as the workload's requests name them by index; each with its deadline
-     * @param connections    open at most
-     * @param depth          requests on one connection at most; more wait until one is free
+     * @param targets in turn, one for each connection that is opened
+     * @param classes as the workload's requests name them by index; each with its deadline
+     * @param connections open at most
+     * @param depth requests on one connection at most; more wait until one is free
      * @param maxOutstanding requests out or waiting at most, over all connections: memory's bound. Beyond it the
-     *                       schedule is late, and the report says so
-     * @param staySeconds    how long a connection is kept, on average, and then ended between requests; 0 for good
-     * @param warmUpSeconds  at the start, sent and not counted
-     * @param maxLagMs       up to which lag at p99.9 the schedule counts as kept
-     * @param seed           of request ids; generators that run side by side want different ones
-     * @param inTurn         as many clients with a connection each: all are opened, and the one that stood idle longest is used
-     * @param readBytes      how fast each connection takes answers, in bytes a second; 0: as fast as they come
+     *     schedule is late, and the report says so
+     * @param staySeconds how long a connection is kept, on average, and then ended between requests; 0 for good
+     * @param warmUpSeconds at the start, sent and not counted
+     * @param maxLagMs up to which lag at p99.9 the schedule counts as kept
+     * @param seed of request ids; generators that run side by side want different ones
+     * @param inTurn as many clients with a connection each: all are opened, and the one that stood idle longest is used
+     * @param readBytes how fast each connection takes answers, in bytes a second; 0: as fast as they come
      */
-    public record Settings(List<InetSocketAddress> targets, List<TrafficClass> classes, int connections,
-            int depth, int maxOutstanding, double staySeconds, double warmUpSeconds, double maxLagMs, long seed,
-            boolean inTurn, int readBytes) {
+    public record Settings(
+            List<InetSocketAddress> targets,
+            List<TrafficClass> classes,
+            int connections,
+            int depth,
+            int maxOutstanding,
+            double staySeconds,
+            double warmUpSeconds,
+            double maxLagMs,
+            long seed,
+            boolean inTurn,
+            int readBytes) {
         /** Takes answers as fast as they come. */
-        public Settings(List<InetSocketAddress> targets, List<TrafficClass> classes, int connections, int depth,
-                int maxOutstanding, double staySeconds, double warmUpSeconds, double maxLagMs, long seed) {
-            this(targets, classes, connections, depth, maxOutstanding, staySeconds, warmUpSeconds, maxLagMs, seed, false, 0);
+        public Settings(
+                List<InetSocketAddress> targets,
+                List<TrafficClass> classes,
+                int connections,
+                int depth,
+                int maxOutstanding,
+                double staySeconds,
+                double warmUpSeconds,
+                double maxLagMs,
+                long seed) {
+            this(
+                    targets,
+                    classes,
+                    connections,
+                    depth,
+                    maxOutstanding,
+                    staySeconds,
+                    warmUpSeconds,
+                    maxLagMs,
+                    seed,
+                    false,
+                    0);
         }
 
         /** Checks the ranges. */
@@ -64,7 +92,11 @@
             if (targets.isEmpty() || classes.isEmpty()) {
                 throw new IllegalArgumentException("a generator needs a target and a class of requests");
             }
-            if (connections < 1 || connections > 60_000 || depth < 1 || maxOutstanding < 1 || maxOutstanding > 5_000_000) {
+            if (connections < 1
+                    || connections > 60_000
+                    || depth < 1
+                    || maxOutstanding < 1
+                    || maxOutstanding > 5_000_000) {
                 throw new IllegalArgumentException(connections + " connections and " + maxOutstanding
                         + " outstanding; it takes 1 to 60,000 and 1 to 5,000,000");
             }
@@ -72,7 +104,8 @@
                 throw new IllegalArgumentException("connections read " + readBytes + " bytes a second; 0 or more");
             }
             if (!(staySeconds >= 0) || !(warmUpSeconds >= 0) || !(maxLagMs > 0)) {
-                throw new IllegalArgumentException("connections stay and a warm-up lasts 0 s or longer, and a lag to keep is above 0 ms");
+                throw new IllegalArgumentException(
+                        "connections stay and a warm-up lasts 0 s or longer, and a lag to keep is above 0 ms");
             }
         }
     }
@@ -90,6 +123,7 @@
         boolean begun;
         /** The connection that it went onto last. */
         Connection on;
+
         long connectionEndedNanos;
 
         Pending(String id, Planned planned, long meantNanos, long deadlineNanos, boolean counted) {
@@ -116,6 +150,7 @@
     private final ArrayDeque<Pending> waiting = new ArrayDeque<>();
     /** The open requests of each class in the order of their deadlines. */
     private final List<Set<Pending>> open = new ArrayList<>();
+
     private final Pauses pauses = new Pauses();
     private Planned next;
     private long startNanos;
@@ -127,9 +162,11 @@
     private int held;
     /** Requests whose time is up and whose long answers are still coming. */
     private int begun;
+
     private int targetTurn;
     /** Connections open at most: what was asked, or what the process's descriptors allow. */
     private int most;
+
     private long retryNanos;
     private long secondNanos;
     private boolean over;
@@ -142,7 +179,10 @@
         random = new SplittableRandom(settings.seed());
         most = settings.connections();
         settings.classes().forEach(c -> open.add(new LinkedHashSet<>()));
-        bootstrap = new Bootstrap().group(loop).channel(Sockets.BEST.client()).option(ChannelOption.TCP_NODELAY, true)
+        bootstrap = new Bootstrap()
+                .group(loop)
+                .channel(Sockets.BEST.client())
+                .option(ChannelOption.TCP_NODELAY, true)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS);
         if (settings.readBytes() > 0) {
             bootstrap.option(ChannelOption.SO_RCVBUF, SLOW_BUFFER); // or the system would read for the client
@@ -178,25 +218,41 @@
 
     /** How the run stands, for a line of progress; may be called from any thread. */
     public Progress progress() {
-        return loop.submit(() -> new Progress((System.nanoTime() - startNanos) / 1e9, held, connections.size(),
-                recorder.lastRow(), recorder.lag.getValueAtPercentile(99.9) / 1e3)).syncUninterruptibly().getNow();
+        return loop.submit(() -> new Progress(
+                        (System.nanoTime() - startNanos) / 1e9,
+                        held,
+                        connections.size(),
+                        recorder.lastRow(),
+                        recorder.lag.getValueAtPercentile(99.9) / 1e3))
+                .syncUninterruptibly()
+                .getNow();
     }
 
     /**
      * A run on its way.
      *
-     * @param seconds     since the start
+     * @param seconds since the start
      * @param outstanding requests out or waiting
-     * @param row         what the last whole second saw; null before the first
-     * @param lagMs       schedule lag at p99.9 so far
+     * @param row what the last whole second saw; null before the first
+     * @param lagMs schedule lag at p99.9 so far
      */
     public record Progress(double seconds, int outstanding, int connections, Recorder.Row row, double lagMs) {
         /** In one line for people. */
         public String text() {
-            return row == null ? String.format("%6.1f s  starting, %d connections", seconds, connections)
-                    : String.format("%6.1f s  sent %6d/s  served %6d  refused %5d  failed %5d  unanswered %5d  "
-                            + "p50 %8.2f ms  p99 %8.2f ms  max %8.2f ms  out %5d", seconds, row.sent(), row.served(),
-                            row.refused(), row.failed(), row.unanswered(), row.p50(), row.p99(), row.max(),
+            return row == null
+                    ? String.format("%6.1f s  starting, %d connections", seconds, connections)
+                    : String.format(
+                            "%6.1f s  sent %6d/s  served %6d  refused %5d  failed %5d  unanswered %5d  "
+                                    + "p50 %8.2f ms  p99 %8.2f ms  max %8.2f ms  out %5d",
+                            seconds,
+                            row.sent(),
+                            row.served(),
+                            row.refused(),
+                            row.failed(),
+                            row.unanswered(),
+                            row.p50(),
+                            row.p99(),
+                            row.max(),
                             outstanding);
         }
     }
@@ -262,7 +318,7 @@
         if (settings.inTurn() && connections.size() < most && System.nanoTime() >= retryNanos) {
             connect(); // each client has one of its own
         }
-        for (Connection c; (c = settings.inTurn() ? idle.pollFirst() : idle.pollLast()) != null;) {
+        for (Connection c; (c = settings.inTurn() ? idle.pollFirst() : idle.pollLast()) != null; ) {
             if (c.usable()) {
                 return c;
             }
@@ -281,7 +337,7 @@
                 best = c;
             }
         }
-        for (Iterator<Connection> i = connections.iterator(); best == null && i.hasNext();) {
+        for (Iterator<Connection> i = connections.iterator(); best == null && i.hasNext(); ) {
             Connection c = i.next();
             best = c.usable() ? c : null;
         }
@@ -289,9 +345,11 @@
     }
 
     private void connect() {
-        InetSocketAddress to = settings.targets().get(targetTurn++ % settings.targets().size());
+        InetSocketAddress to =
+                settings.targets().get(targetTurn++ % settings.targets().size());
         // From half of the stay to one and a half of it, so that connections do not all end together.
-        long until = settings.staySeconds() == 0 ? Long.MAX_VALUE
+        long until = settings.staySeconds() == 0
+                ? Long.MAX_VALUE
                 : System.nanoTime() + (long) (settings.staySeconds() * (0.5 + random.nextDouble()) * 1e9);
         Connection c = new Connection(this, until);
         connections.add(c);
@@ -346,7 +404,7 @@
         idle.remove(c);
         long now = System.nanoTime();
         boolean lost = false;
-        for (Pending p; (p = c.poll()) != null;) {
+        for (Pending p; (p = c.poll()) != null; ) {
             if (p.ended) {
                 held--;
             } else if (p.begun) {
@@ -369,7 +427,7 @@
     }
 
     private void redispatch() {
-        for (Pending p; (p = waiting.peek()) != null;) {
+        for (Pending p; (p = waiting.peek()) != null; ) {
             Connection c = p.ended ? null : pick();
             if (p.ended) {
                 held--;
@@ -440,7 +498,10 @@
             secondNanos += 1_000_000_000L;
             recorder.second((now - warmNanos) / 1e9);
         }
-        connections.stream().filter(c -> c.spent() || (c.depth() == 0 && c.old())).toList().forEach(Connection::close);
+        connections.stream()
+                .filter(c -> c.spent() || (c.depth() == 0 && c.old()))
+                .toList()
+                .forEach(Connection::close);
         if (next == null && begun == 0 && open.stream().allMatch(Set::isEmpty)) {
             finish(now);
             return;
@@ -473,7 +534,13 @@
         boolean kept = recorder.lag.getValueAtPercentile(99.9) / 1e3 <= settings.maxLagMs()
                 && took <= asked * 1.01 + settings.maxLagMs() / 1e3;
         List.copyOf(connections).forEach(Connection::close);
-        done.complete(Report.of(recorder, planned / asked, recorder.sent / took, kept, took, pauses.histogram(),
+        done.complete(Report.of(
+                recorder,
+                planned / asked,
+                recorder.sent / took,
+                kept,
+                took,
+                pauses.histogram(),
                 workload.unreadable()));
     }
 }
--- a/src/main/java/damsonworks/load/HtmlReport.java
+++ b/src/main/java/damsonworks/load/HtmlReport.java
@@ -10,7 +10,7 @@
 
 /** A report as one page that needs nothing else: figures, percentiles and times as inline SVG. */
 public final class HtmlReport {
-    private HtmlReport() { }
+    private HtmlReport() {}
 
     /** Writes the page. */
     public static void write(Report report, String title, Path file) throws IOException {
@@ -19,28 +19,47 @@
 
     static String page(Report r, String title) {
         StringBuilder s = new StringBuilder("<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\"><title>")
-                .append(LineChart.escape(title)).append("</title><style>body{font:15px/1.5 system-ui,sans-serif;max-width:900px;"
-                + "margin:2em auto;padding:0 1em;color:#222}pre{background:#f5f5f2;padding:1em;overflow:auto}"
-                + "svg{width:100%;height:auto;font:12px system-ui,sans-serif}.bad{color:#b00020;font-weight:600}"
-                + "</style></head><body><h1>").append(LineChart.escape(title)).append("</h1>");
-        s.append(r.keptSchedule() ? "<p>The schedule was kept.</p>"
-                : "<p class=\"bad\">The schedule was not kept: requests left later than they were meant to.</p>");
+                .append(LineChart.escape(title))
+                .append("</title><style>body{font:15px/1.5 system-ui,sans-serif;max-width:900px;"
+                        + "margin:2em auto;padding:0 1em;color:#222}pre{background:#f5f5f2;padding:1em;overflow:auto}"
+                        + "svg{width:100%;height:auto;font:12px system-ui,sans-serif}.bad{color:#b00020;font-weight:600}"
+                        + "</style></head><body><h1>")
+                .append(LineChart.escape(title))
+                .append("</h1>");
+        s.append(
+                r.keptSchedule()
+                        ? "<p>The schedule was kept.</p>"
+                        : "<p class=\"bad\">The schedule was not kept: requests left later than they were meant to.</p>");
         s.append("<pre>").append(LineChart.escape(r.text())).append("</pre>");
         s.append("<h2>Latency by percentile</h2>").append(percentiles(r));
-        s.append("<h2>Latency over time</h2>").append(LineChart.svg("s", "ms", List.of(
-                series(r, "p50", "#2b6cb0", Recorder.Row::p50), series(r, "p99", "#c05621", Recorder.Row::p99),
-                series(r, "max", "#9b2c2c", Recorder.Row::max))));
-        s.append("<h2>Requests over time</h2>").append(LineChart.svg("s", "per row", List.of(
-                series(r, "sent", "#555555", Recorder.Row::sent), series(r, "served", "#2f855a", Recorder.Row::served),
-                series(r, "refused", "#b7791f", Recorder.Row::refused),
-                series(r, "failed", "#9b2c2c", Recorder.Row::failed),
-                series(r, "unanswered", "#6b46c1", Recorder.Row::unanswered))));
+        s.append("<h2>Latency over time</h2>")
+                .append(LineChart.svg(
+                        "s",
+                        "ms",
+                        List.of(
+                                series(r, "p50", "#2b6cb0", Recorder.Row::p50),
+                                series(r, "p99", "#c05621", Recorder.Row::p99),
+                                series(r, "max", "#9b2c2c", Recorder.Row::max))));
+        s.append("<h2>Requests over time</h2>")
+                .append(LineChart.svg(
+                        "s",
+                        "per row",
+                        List.of(
+                                series(r, "sent", "#555555", Recorder.Row::sent),
+                                series(r, "served", "#2f855a", Recorder.Row::served),
+                                series(r, "refused", "#b7791f", Recorder.Row::refused),
+                                series(r, "failed", "#9b2c2c", Recorder.Row::failed),
+                                series(r, "unanswered", "#6b46c1", Recorder.Row::unanswered))));
         return s.append("</body></html>\n").toString();
     }
 
     private static LineChart.Line series(Report r, String name, String colour, ToDoubleFunction<Recorder.Row> what) {
-        return new LineChart.Line(name, colour, r.rows().stream()
-                .map(row -> new double[] {row.second(), what.applyAsDouble(row)}).toList());
+        return new LineChart.Line(
+                name,
+                colour,
+                r.rows().stream()
+                        .map(row -> new double[] {row.second(), what.applyAsDouble(row)})
+                        .toList());
     }
 
     /** The axis is the number of nines: 90%, 99%, 99.9% lie evenly. */
--- a/src/main/java/damsonworks/load/LineChart.java
+++ b/src/main/java/damsonworks/load/LineChart.java
@@ -14,16 +14,16 @@
     /**
      * One line of a chart.
      *
-     * @param name   as its legend names it
+     * @param name as its legend names it
      * @param colour as CSS has it
      * @param points pairs of what lies across and what lies up, neither below 0
      */
-    public record Line(String name, String colour, List<double[]> points) { }
+    public record Line(String name, String colour, List<double[]> points) {}
 
     /** A span across, from and to, shaded behind the lines and named. */
-    public record Band(String name, double from, double to) { }
+    public record Band(String name, double from, double to) {}
 
-    private LineChart() { }
+    private LineChart() {}
 
     /** The text as it may stand in a page. */
     public static String escape(String text) {
@@ -52,31 +52,62 @@
         for (Band b : bands) {
             double from = x(Math.max(0, Math.min(b.from(), maxX)), maxX);
             double to = x(Math.max(0, Math.min(b.to(), maxX)), maxX);
-            s.append(String.format(Locale.ROOT, "<rect x=\"%.1f\" y=\"%d\" width=\"%.1f\" height=\"%d\" fill=\"#b00020\" "
-                    + "fill-opacity=\"0.1\"><title>%s</title></rect>", from, TOP, Math.max(1, to - from),
-                    HEIGHT - BOTTOM - TOP, escape(b.name())));
+            s.append(String.format(
+                    Locale.ROOT,
+                    "<rect x=\"%.1f\" y=\"%d\" width=\"%.1f\" height=\"%d\" fill=\"#b00020\" "
+                            + "fill-opacity=\"0.1\"><title>%s</title></rect>",
+                    from,
+                    TOP,
+                    Math.max(1, to - from),
+                    HEIGHT - BOTTOM - TOP,
+                    escape(b.name())));
         }
         for (double y = 0; y <= top + step / 2; y += step) {
             double at = y(y, top);
-            s.append(String.format(Locale.ROOT, "<line x1=\"%d\" x2=\"%d\" y1=\"%.1f\" y2=\"%.1f\" stroke=\"#ddd\"/>"
-                    + "<text x=\"%d\" y=\"%.1f\" text-anchor=\"end\">%s</text>", LEFT, WIDTH - 10, at, at, LEFT - 6,
-                    at + 4, figure(y)));
+            s.append(String.format(
+                    Locale.ROOT,
+                    "<line x1=\"%d\" x2=\"%d\" y1=\"%.1f\" y2=\"%.1f\" stroke=\"#ddd\"/>"
+                            + "<text x=\"%d\" y=\"%.1f\" text-anchor=\"end\">%s</text>",
+                    LEFT,
+                    WIDTH - 10,
+                    at,
+                    at,
+                    LEFT - 6,
+                    at + 4,
+                    figure(y)));
         }
         double stepX = nice(maxX / 8);
         for (double x = 0; x <= maxX + 1e-9; x += stepX) {
-            s.append(String.format(Locale.ROOT, "<text x=\"%.1f\" y=\"%d\" text-anchor=\"middle\">%s</text>",
-                    x(x, maxX), HEIGHT - BOTTOM + 16, figure(x)));
+            s.append(String.format(
+                    Locale.ROOT,
+                    "<text x=\"%.1f\" y=\"%d\" text-anchor=\"middle\">%s</text>",
+                    x(x, maxX),
+                    HEIGHT - BOTTOM + 16,
+                    figure(x)));
         }
-        s.append(String.format(Locale.ROOT, "<text x=\"%d\" y=\"%d\" text-anchor=\"middle\">%s</text>"
-                + "<text x=\"4\" y=\"14\">%s</text>", WIDTH / 2, HEIGHT - 6, escape(across), escape(up)));
+        s.append(String.format(
+                Locale.ROOT,
+                "<text x=\"%d\" y=\"%d\" text-anchor=\"middle\">%s</text>" + "<text x=\"4\" y=\"14\">%s</text>",
+                WIDTH / 2,
+                HEIGHT - 6,
+                escape(across),
+                escape(up)));
         int legend = LEFT + 40;
         for (Line l : lines) {
-            s.append("<polyline fill=\"none\" stroke-width=\"1.6\" stroke=\"").append(l.colour()).append("\" points=\"");
+            s.append("<polyline fill=\"none\" stroke-width=\"1.6\" stroke=\"")
+                    .append(l.colour())
+                    .append("\" points=\"");
             for (double[] p : l.points()) {
                 s.append(String.format(Locale.ROOT, "%.1f,%.1f ", x(p[0], maxX), y(p[1], top)));
             }
-            s.append(String.format(Locale.ROOT, "\"/><rect x=\"%d\" y=\"6\" width=\"10\" height=\"10\" fill=\"%s\"/>"
-                    + "<text x=\"%d\" y=\"15\">%s</text>", legend, l.colour(), legend + 14, escape(l.name())));
+            s.append(String.format(
+                    Locale.ROOT,
+                    "\"/><rect x=\"%d\" y=\"6\" width=\"10\" height=\"10\" fill=\"%s\"/>"
+                            + "<text x=\"%d\" y=\"15\">%s</text>",
+                    legend,
+                    l.colour(),
+                    legend + 14,
+                    escape(l.name())));
             legend += 30 + 8 * l.name().length();
         }
         return s.append("</svg>").toString();
@@ -98,7 +129,8 @@
     }
 
     private static String figure(double v) {
-        return v == Math.rint(v) ? String.format(Locale.ROOT, "%.0f", v)
+        return v == Math.rint(v)
+                ? String.format(Locale.ROOT, "%.0f", v)
                 : String.format(Locale.ROOT, v < 0.1 ? "%.3f" : "%.1f", v);
     }
 }
--- a/src/main/java/damsonworks/load/Pauses.java
+++ b/src/main/java/damsonworks/load/Pauses.java
@@ -4,8 +4,8 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * The generator's own pauses (garbage collection, a machine that is busy): a thread that means to wake each
- * millisecond records how late it was, as jHiccup does. What stands here is not the target's.
+ * The generator's own pauses (garbage collection, a machine that is busy): a thread that means to wake each millisecond
+ * records how late it was, as jHiccup does. What stands here is not the target's.
  */
 final class Pauses implements AutoCloseable {
     private static final long STEP_NANOS = 1_000_000;
--- a/src/main/java/damsonworks/load/Recorder.java
+++ b/src/main/java/damsonworks/load/Recorder.java
@@ -5,9 +5,9 @@
 import org.HdrHistogram.Histogram;
 
 /**
- * What a run counts. Histograms hold microseconds to three digits; latency counts from the time at which a request
- * was meant to be sent, so no wait is left out because the wait itself held up the next request (coordinated
- * omission, after Gil Tene). Belongs to the generator's event loop; reads from outside see whole numbers.
+ * What a run counts. Histograms hold microseconds to three digits; latency counts from the time at which a request was
+ * meant to be sent, so no wait is left out because the wait itself held up the next request (coordinated omission,
+ * after Gil Tene). Belongs to the generator's event loop; reads from outside see whole numbers.
  */
 final class Recorder {
     /** The most seconds that stand in the time plot; longer runs join several seconds in one row. */
@@ -16,12 +16,27 @@
     private static final long MAX_MICROS = 86_400_000_000L;
 
     /** One row of the time plot. Latencies in milliseconds. */
-    record Row(double second, long sent, long served, long refused, long failed, long unanswered, double p50,
-            double p99, double max) {
+    record Row(
+            double second,
+            long sent,
+            long served,
+            long refused,
+            long failed,
+            long unanswered,
+            double p50,
+            double p99,
+            double max) {
         /** This row and another of the same time as one: counts added, of latencies the worse. */
         Row with(Row b) {
-            return new Row(Math.max(second, b.second), sent + b.sent, served + b.served, refused + b.refused,
-                    failed + b.failed, unanswered + b.unanswered, Math.max(p50, b.p50), Math.max(p99, b.p99),
+            return new Row(
+                    Math.max(second, b.second),
+                    sent + b.sent,
+                    served + b.served,
+                    refused + b.refused,
+                    failed + b.failed,
+                    unanswered + b.unanswered,
+                    Math.max(p50, b.p50),
+                    Math.max(p99, b.p99),
                     Math.max(max, b.max));
         }
     }
@@ -80,8 +95,15 @@
             return;
         }
         long[] now = {sent, served, refused, failed, unanswered};
-        rows.add(new Row(atSecond, now[0] - before[0], now[1] - before[1], now[2] - before[2], now[3] - before[3],
-                now[4] - before[4], span.getValueAtPercentile(50) / 1e3, span.getValueAtPercentile(99) / 1e3,
+        rows.add(new Row(
+                atSecond,
+                now[0] - before[0],
+                now[1] - before[1],
+                now[2] - before[2],
+                now[3] - before[3],
+                now[4] - before[4],
+                span.getValueAtPercentile(50) / 1e3,
+                span.getValueAtPercentile(99) / 1e3,
                 span.getMaxValue() / 1e3));
         before = now;
         span.reset();
--- a/src/main/java/damsonworks/load/Report.java
+++ b/src/main/java/damsonworks/load/Report.java
@@ -24,30 +24,73 @@
  * What a run came to. {@code requests} is the sum of the four endings, and {@code latency} holds each of them: an
  * unanswered one with its whole deadline. Histograms are in microseconds.
  *
- * @param rateAsked    requests a second as they were meant to go
- * @param rateSent     requests a second as they went
+ * @param rateAsked requests a second as they were meant to go
+ * @param rateSent requests a second as they went
  * @param keptSchedule whether they went when they were meant to
- * @param seconds      from the first counted request to the last
- * @param lag          how late each request left
+ * @param seconds from the first counted request to the last
+ * @param lag how late each request left
  * @param connectionsShort how many connections fewer than asked for the process's descriptors allowed
- * @param pauses       how late a thread of the generator's own woke: its pauses, which are not the target's
+ * @param pauses how late a thread of the generator's own woke: its pauses, which are not the target's
  */
-public record Report(long requests, long served, long refused, long failed, long unanswered, double rateAsked,
-        double rateSent, boolean keptSchedule, double seconds, long connectErrors, long resets, long outOfTurn,
-        long resent, long connectionsOpened, long outOfRoom, long connectionsShort, Histogram latency, Histogram lag, Histogram pauses,
-        List<Recorder.Row> rows, Workload.Unreadable unreadable) {
+public record Report(
+        long requests,
+        long served,
+        long refused,
+        long failed,
+        long unanswered,
+        double rateAsked,
+        double rateSent,
+        boolean keptSchedule,
+        double seconds,
+        long connectErrors,
+        long resets,
+        long outOfTurn,
+        long resent,
+        long connectionsOpened,
+        long outOfRoom,
+        long connectionsShort,
+        Histogram latency,
+        Histogram lag,
+        Histogram pauses,
+        List<Recorder.Row> rows,
+        Workload.Unreadable unreadable) {
 
     private static final Gson GSON = new GsonBuilder().setPrettyPrinting().create();
     private static final double[] PERCENTILES = {50, 90, 99, 99.9};
     private static final String[] NAMES = {"p50", "p90", "p99", "p999"};
 
-    static Report of(Recorder r, double rateAsked, double rateSent, boolean kept, double seconds, Histogram pauses,
+    static Report of(
+            Recorder r,
+            double rateAsked,
+            double rateSent,
+            boolean kept,
+            double seconds,
+            Histogram pauses,
             Workload.Unreadable unreadable) {
         r.latency.setEndTimeStamp(System.currentTimeMillis());
         r.lag.setEndTimeStamp(System.currentTimeMillis());
-        return new Report(r.requests(), r.served, r.refused, r.failed, r.unanswered, rateAsked, rateSent, kept,
-                seconds, r.connectErrors, r.resets, r.outOfTurn, r.resent, r.opened, r.outOfRoom,
-                r.connectionsShort, r.latency, r.lag, pauses, r.rows(), unreadable);
+        return new Report(
+                r.requests(),
+                r.served,
+                r.refused,
+                r.failed,
+                r.unanswered,
+                rateAsked,
+                rateSent,
+                kept,
+                seconds,
+                r.connectErrors,
+                r.resets,
+                r.outOfTurn,
+                r.resent,
+                r.opened,
+                r.outOfRoom,
+                r.connectionsShort,
+                r.latency,
+                r.lag,
+                pauses,
+                r.rows(),
+                unreadable);
     }
 
     // ---- as JSON
@@ -127,31 +170,45 @@
             for (JsonElement e : array) {
                 rows.add(GSON.fromJson(e, Recorder.Row.class));
             }
-            return new Report(o.get("requests").getAsLong(), o.get("served").getAsLong(),
-                    o.get("refused").getAsLong(), o.get("failed").getAsLong(), o.get("unanswered").getAsLong(),
-                    o.get("rate_asked").getAsDouble(), o.get("rate_sent").getAsDouble(),
-                    o.get("kept_schedule").getAsBoolean(), o.get("seconds").getAsDouble(),
-                    o.get("connect_errors").getAsLong(), o.get("resets").getAsLong(),
-                    o.get("out_of_turn").getAsLong(), o.get("resent").getAsLong(),
-                    o.get("connections_opened").getAsLong(), o.get("out_of_room").getAsLong(),
+            return new Report(
+                    o.get("requests").getAsLong(),
+                    o.get("served").getAsLong(),
+                    o.get("refused").getAsLong(),
+                    o.get("failed").getAsLong(),
+                    o.get("unanswered").getAsLong(),
+                    o.get("rate_asked").getAsDouble(),
+                    o.get("rate_sent").getAsDouble(),
+                    o.get("kept_schedule").getAsBoolean(),
+                    o.get("seconds").getAsDouble(),
+                    o.get("connect_errors").getAsLong(),
+                    o.get("resets").getAsLong(),
+                    o.get("out_of_turn").getAsLong(),
+                    o.get("resent").getAsLong(),
+                    o.get("connections_opened").getAsLong(),
+                    o.get("out_of_room").getAsLong(),
                     o.get("connections_short").getAsLong(),
-                    decode(h.get("latency").getAsString()), decode(h.get("schedule_lag").getAsString()),
-                    decode(h.get("own_pauses").getAsString()), rows, o.has("unreadable_lines")
-                            ? GSON.fromJson(o.get("unreadable_lines"), Workload.Unreadable.class) : null);
+                    decode(h.get("latency").getAsString()),
+                    decode(h.get("schedule_lag").getAsString()),
+                    decode(h.get("own_pauses").getAsString()),
+                    rows,
+                    o.has("unreadable_lines")
+                            ? GSON.fromJson(o.get("unreadable_lines"), Workload.Unreadable.class)
+                            : null);
         } catch (RuntimeException | DataFormatException e) {
             throw new IOException(file + " is no report of this generator: " + e.getMessage(), e);
         }
     }
 
     private static Histogram decode(String text) throws DataFormatException {
-        return Histogram.decodeFromCompressedByteBuffer(ByteBuffer.wrap(Base64.getDecoder().decode(text)), 0);
+        return Histogram.decodeFromCompressedByteBuffer(
+                ByteBuffer.wrap(Base64.getDecoder().decode(text)), 0);
     }
 
     // ---- several as one
 
     /**
-     * Reports of generators that ran side by side as one. Counts and rates are added, histograms merged; no
-     * percentile is made from percentiles, but in the time plot, where a row shows the worst of its parts.
+     * Reports of generators that ran side by side as one. Counts and rates are added, histograms merged; no percentile
+     * is made from percentiles, but in the time plot, where a row shows the worst of its parts.
      */
     public static Report merge(List<Report> reports) {
         Recorder all = new Recorder();
@@ -187,8 +244,8 @@
                 first.addAll(r.unreadable.first());
             }
         }
-        Report merged = of(all, asked, sent, kept, seconds, pauses, lines == 0 ? null
-                : new Workload.Unreadable(lines, first));
+        Report merged =
+                of(all, asked, sent, kept, seconds, pauses, lines == 0 ? null : new Workload.Unreadable(lines, first));
         return merged.withRows(rows(reports));
     }
 
@@ -207,9 +264,28 @@
     }
 
     private Report withRows(List<Recorder.Row> other) {
-        return new Report(requests, served, refused, failed, unanswered, rateAsked, rateSent, keptSchedule, seconds,
-                connectErrors, resets, outOfTurn, resent, connectionsOpened, outOfRoom, connectionsShort, latency, lag, pauses,
-                other, unreadable);
+        return new Report(
+                requests,
+                served,
+                refused,
+                failed,
+                unanswered,
+                rateAsked,
+                rateSent,
+                keptSchedule,
+                seconds,
+                connectErrors,
+                resets,
+                outOfTurn,
+                resent,
+                connectionsOpened,
+                outOfRoom,
+                connectionsShort,
+                latency,
+                lag,
+                pauses,
+                other,
+                unreadable);
     }
 
     // ---- for people
@@ -221,28 +297,31 @@
         String[] names = {"served", "refused", "failed", "unanswered"};
         long[] counts = {served, refused, failed, unanswered};
         for (int i = 0; i < names.length; i++) {
-            s.append(String.format("%,12d %-11s %6.2f%%%n", counts[i], names[i],
-                    100.0 * counts[i] / Math.max(1, requests)));
+            s.append(String.format(
+                    "%,12d %-11s %6.2f%%%n", counts[i], names[i], 100.0 * counts[i] / Math.max(1, requests)));
         }
         s.append(String.format("%n%-22s%10s%10s%10s%10s%10s%n", "milliseconds", "p50", "p90", "p99", "p99.9", "max"));
         line(s, "latency", latency);
         line(s, "schedule lag", lag);
         line(s, "generator's own pauses", pauses);
-        s.append(String.format("%n%,.1f a second asked, %,.1f sent over %.1f s: %s%n", rateAsked, rateSent, seconds,
-                keptSchedule ? "schedule kept" : "SCHEDULE NOT KEPT"));
-        s.append(String.format("%,d connections opened, %,d not come up, %,d broke with requests on them, "
-                + "%,d requests sent once more, %,d answers out of turn%n", connectionsOpened, connectErrors, resets,
-                resent, outOfTurn));
+        s.append(String.format(
+                "%n%,.1f a second asked, %,.1f sent over %.1f s: %s%n",
+                rateAsked, rateSent, seconds, keptSchedule ? "schedule kept" : "SCHEDULE NOT KEPT"));
+        s.append(String.format(
+                "%,d connections opened, %,d not come up, %,d broke with requests on them, "
+                        + "%,d requests sent once more, %,d answers out of turn%n",
+                connectionsOpened, connectErrors, resets, resent, outOfTurn));
         if (outOfRoom > 0) {
             s.append("The bound on outstanding requests was reached; raise --max-outstanding.\n");
         }
         if (connectionsShort > 0) {
-            s.append(String.format("The process's descriptors allow %,d connections fewer than asked for; raise "
-                    + "ulimit -n.%n", connectionsShort));
+            s.append(String.format(
+                    "The process's descriptors allow %,d connections fewer than asked for; raise " + "ulimit -n.%n",
+                    connectionsShort));
         }
         if (unreadable != null && unreadable.lines() > 0) {
-            s.append(String.format("%,d lines of the trace can't be read, the first: %s%n", unreadable.lines(),
-                    unreadable.first()));
+            s.append(String.format(
+                    "%,d lines of the trace can't be read, the first: %s%n", unreadable.lines(), unreadable.first()));
         }
         return s.toString();
     }
--- a/src/main/java/damsonworks/load/Shape.java
+++ b/src/main/java/damsonworks/load/Shape.java
@@ -1,8 +1,8 @@
 package damsonworks.load;
 
 /**
- * How a rate goes over a run: a factor on the rate asked for, by the time since the start and the run's length, both
- * in seconds. Each has a mean of 1 over the whole run, so that shapes of one rate send as much.
+ * How a rate goes over a run: a factor on the rate asked for, by the time since the start and the run's length, both in
+ * seconds. Each has a mean of 1 over the whole run, so that shapes of one rate send as much.
  */
 public enum Shape {
     /** The same all along. */
--- a/src/main/java/damsonworks/load/SyntheticWorkload.java
+++ b/src/main/java/damsonworks/load/SyntheticWorkload.java
@@ -7,26 +7,38 @@
 import java.util.SplittableRandom;
 
 /**
- * Traffic that is drawn: arrivals by a rate and a shape, classes by their shares, keys by Zipf's law. The popular
- * keys move on: every {@code keyStaySeconds} the ranks are dealt to other keys, one rank in a hundred of the space.
- * The same seed gives the same requests.
+ * Traffic that is drawn: arrivals by a rate and a shape, classes by their shares, keys by Zipf's law. The popular keys
+ * move on: every {@code keyStaySeconds} the ranks are dealt to other keys, one rank in a hundred of the space. The same
+ * seed gives the same requests.
  */
 public final class SyntheticWorkload implements Workload {
     /** How arrivals are spaced. */
-    public enum Arrivals { POISSON, CONSTANT }
+    public enum Arrivals {
+        POISSON,
+        CONSTANT
+    }
 
     /**
      * What arrives when, and for which keys.
      *
-     * @param rate           mean requests a second, above 0
-     * @param seconds        how long, above 0
-     * @param keys           in the key space
-     * @param zipf           exponent of the keys' popularity; 0 for all alike
+     * @param rate mean requests a second, above 0
+     * @param seconds how long, above 0
+     * @param keys in the key space
+     * @param zipf exponent of the keys' popularity; 0 for all alike
      * @param keyStaySeconds after which time the popular keys move on; 0 for never
-     * @param values         how long a write's value is
+     * @param values how long a write's value is
      */
-    public record Settings(double rate, double seconds, Shape shape, Arrivals arrivals, int keys, double zipf,
-            double keyStaySeconds, ValueSizes values, List<TrafficClass> classes, long seed) {
+    public record Settings(
+            double rate,
+            double seconds,
+            Shape shape,
+            Arrivals arrivals,
+            int keys,
+            double zipf,
+            double keyStaySeconds,
+            ValueSizes values,
+            List<TrafficClass> classes,
+            long seed) {
         /** Checks the ranges. */
         public Settings {
             if (!(rate > 0 && rate <= 10_000_000) || !(seconds > 0 && seconds <= 604_800)) {
@@ -73,7 +85,8 @@
         }
         boolean write = settings.classes().get(kind).write();
         String key = key();
-        return new Planned((long) (atS * 1e9), kind, key, write, write ? settings.values().bytesOf(key) : 0);
+        return new Planned(
+                (long) (atS * 1e9), kind, key, write, write ? settings.values().bytesOf(key) : 0);
     }
 
     /** Goes on by as much of the rate's integral as lies between two arrivals. */
@@ -94,7 +107,8 @@
 
     private String key() {
         long rank = zipf.rank(random.nextDouble());
-        long moved = settings.keyStaySeconds() == 0 ? 0
+        long moved = settings.keyStaySeconds() == 0
+                ? 0
                 : ((long) (atS / settings.keyStaySeconds())) * Math.max(1, settings.keys() / 100);
         return Keys.key((rank + moved) % settings.keys());
     }
--- a/src/main/java/damsonworks/load/TraceFormat.java
+++ b/src/main/java/damsonworks/load/TraceFormat.java
@@ -7,8 +7,8 @@
 /** How one line of a trace is read. */
 public enum TraceFormat {
     /**
-     * The project's own: {@code time_ms,class,key,op,value_bytes}, where {@code op} is {@code read} or {@code write}.
-     * A first line that begins with {@code time_ms} is a header.
+     * The project's own: {@code time_ms,class,key,op,value_bytes}, where {@code op} is {@code read} or {@code write}. A
+     * first line that begins with {@code time_ms} is a header.
      */
     CSV(1e6) {
         @Override
@@ -21,16 +21,18 @@
                 kind = classes.get(i).name().equals(words[1]) ? i : kind;
             }
             boolean write = words[3].equals("write");
-            if (kind < 0 || (!write && !words[3].equals("read")) || classes.get(kind).write() != write) {
+            if (kind < 0
+                    || (!write && !words[3].equals("read"))
+                    || classes.get(kind).write() != write) {
                 throw new IllegalArgumentException();
             }
             return planned(words[0], kind, words[2], write, words[4]);
         }
     },
     /**
-     * Twitter's published cache traces (Yang, Yue, Rashmi, OSDI 2020): {@code timestamp,key,key size,value size,
-     * client id,operation,TTL}, the time in whole seconds. {@code get} and {@code gets} are reads, all others writes;
-     * they take the first class of each kind.
+     * Twitter's published cache traces (Yang, Yue, Rashmi, OSDI 2020): {@code timestamp,key,key size,value size, client
+     * id,operation,TTL}, the time in whole seconds. {@code get} and {@code gets} are reads, all others writes; they
+     * take the first class of each kind.
      */
     TWITTER(1e9) {
         @Override
@@ -77,7 +79,11 @@
         for (int i = 0; i < key.length(); i++) {
             hash = (hash ^ key.charAt(i)) * 0x100000001b3L;
         }
-        return new Planned((long) (at * unitNanos), kind, key.matches("[0-9a-f]{1,16}") ? key
-                : Keys.hex(Keys.mix(hash)), write, write ? Math.min(size, MAX_VALUE) : 0);
+        return new Planned(
+                (long) (at * unitNanos),
+                kind,
+                key.matches("[0-9a-f]{1,16}") ? key : Keys.hex(Keys.mix(hash)),
+                write,
+                write ? Math.min(size, MAX_VALUE) : 0);
     }
 }
--- a/src/main/java/damsonworks/load/TraceWorkload.java
+++ b/src/main/java/damsonworks/load/TraceWorkload.java
@@ -11,9 +11,9 @@
 import java.util.List;
 
 /**
- * Traffic that was recorded, from a file that may be larger than memory: lines are read as they are needed. Times
- * count from the first line's; a line whose time lies before the last one's counts as of that time. Requests of one
- * whole second (or millisecond) are spread over it evenly.
+ * Traffic that was recorded, from a file that may be larger than memory: lines are read as they are needed. Times count
+ * from the first line's; a line whose time lies before the last one's counts as of that time. Requests of one whole
+ * second (or millisecond) are spread over it evenly.
  */
 public final class TraceWorkload implements Workload {
     private static final int FIRST_LINES = 10;
@@ -77,7 +77,7 @@
 
     private Planned read() {
         try {
-            for (String text; (text = in.readLine()) != null;) {
+            for (String text; (text = in.readLine()) != null; ) {
                 line++;
                 if (text.isBlank() || (line == 1 && text.startsWith("time_ms"))) {
                     continue;
--- a/src/main/java/damsonworks/load/Workload.java
+++ b/src/main/java/damsonworks/load/Workload.java
@@ -13,8 +13,8 @@
     }
 
     /** How many lines were of no use, and where the first ones stand. */
-    record Unreadable(long lines, List<Long> first) { }
+    record Unreadable(long lines, List<Long> first) {}
 
     @Override
-    default void close() { }
+    default void close() {}
 }
--- a/src/main/java/damsonworks/load/Zipf.java
+++ b/src/main/java/damsonworks/load/Zipf.java
@@ -18,7 +18,8 @@
     public Zipf(int ranks, double exponent, double offset) {
         if (ranks < 1 || ranks > MAX_RANKS || !(exponent >= 0 && exponent <= 5) || !(offset >= 0)) {
             throw new IllegalArgumentException(ranks + " keys with an exponent of " + exponent
-                    + ", offset " + offset + "; it takes 1 to " + MAX_RANKS + " keys, an exponent of 0 to 5 and an offset of 0 "
+                    + ", offset " + offset + "; it takes 1 to " + MAX_RANKS
+                    + " keys, an exponent of 0 to 5 and an offset of 0 "
                     + "or more");
         }
         upTo = new double[ranks];
