--- a/src/main/java/damsonworks/member/Configured.java
+++ b/src/main/java/damsonworks/member/Configured.java
@@ -1,8 +1,8 @@
 package damsonworks.member;
 
 /**
- * How many instances the settings name, at least 1. What a rule rests on counts all of them for as long as one that is not
- * seen may be alive behind a cut: the sums over cold nodes, places at nodes, caps of quotas.
+ * How many instances the settings name, at least 1. What a rule rests on counts all of them for as long as one that is
+ * not seen may be alive behind a cut: the sums over cold nodes, places at nodes, caps of quotas.
  */
 public record Configured(int count) {
     /** Checks the range. */
--- a/src/main/java/damsonworks/member/Entry.java
+++ b/src/main/java/damsonworks/member/Entry.java
@@ -7,29 +7,39 @@
 
 /**
  * What is known of one instance. Entries of the same instance form a join semilattice: {@link #join} is associative,
- * commutative and idempotent, so any two that have heard the same come to hold the same, in whatever order and however often
- * they heard it.
+ * commutative and idempotent, so any two that have heard the same come to hold the same, in whatever order and however
+ * often they heard it.
  *
  * <ol>
- * <li>The higher incarnation holds; an instance raises its own, nobody else's.
- * <li>In one incarnation the higher life holds: two processes under one name, of which one has to go beyond the other.
- * <li>In one life the later {@link State} holds, and what the instance says of itself by the higher version.
+ *   <li>The higher incarnation holds; an instance raises its own, nobody else's.
+ *   <li>In one incarnation the higher life holds: two processes under one name, of which one has to go beyond the
+ *       other.
+ *   <li>In one life the later {@link State} holds, and what the instance says of itself by the higher version.
  * </ol>
  *
- * @param id          its number, 0 to {@link #MAX_ID}
+ * @param id its number, 0 to {@link #MAX_ID}
  * @param incarnation 1 to {@link #MAX_INCARNATION}, raised at each start and each refutation
- * @param life        drawn by the process at its start, 0 to 65,535: tells two processes of one name apart
- * @param state       what is believed
- * @param confirmers  of a suspicion, those who did not reach it either, {@link #MOST_CONFIRMERS} at most
- * @param zone        where it stands, 0 to {@link #MAX_ZONE}
- * @param version     of what it says of itself: phase and notes
- * @param phase       of its service
- * @param notes       what other parts of the program publish by it, by a number 0 to 7, {@link #MOST_NOTE} bytes each at most
- *                    and {@link #MOST_NOTES} together, so that three entries fit in any message
- * @param address     where it is reached, 6 bytes; empty where the settings name it
+ * @param life drawn by the process at its start, 0 to 65,535: tells two processes of one name apart
+ * @param state what is believed
+ * @param confirmers of a suspicion, those who did not reach it either, {@link #MOST_CONFIRMERS} at most
+ * @param zone where it stands, 0 to {@link #MAX_ZONE}
+ * @param version of what it says of itself: phase and notes
+ * @param phase of its service
+ * @param notes what other parts of the program publish by it, by a number 0 to 7, {@link #MOST_NOTE} bytes each at most
+ *     and {@link #MOST_NOTES} together, so that three entries fit in any message
+ * @param address where it is reached, 6 bytes; empty where the settings name it
  */
-public record Entry(int id, long incarnation, int life, State state, TreeSet<Integer> confirmers, int zone, int version,
-        Phase phase, Map<Integer, byte[]> notes, byte[] address) {
+public record Entry(
+        int id,
+        long incarnation,
+        int life,
+        State state,
+        TreeSet<Integer> confirmers,
+        int zone,
+        int version,
+        Phase phase,
+        Map<Integer, byte[]> notes,
+        byte[] address) {
     /** The highest number of an instance. */
     public static final int MAX_ID = 65_534;
     /** The highest number of a zone: what two bytes of a message hold. */
@@ -44,18 +54,27 @@
     public static final int MOST_NOTES = 32;
     /** How many parts may publish. */
     public static final int NOTES = 8;
+
     private static final byte[] NONE = {};
 
     /** Checks the ranges. */
     public Entry {
-        if (id < 0 || id > MAX_ID || incarnation < 1 || incarnation > MAX_INCARNATION || life < 0 || life > 0xffff
-                || zone < 0 || zone > MAX_ZONE || version < 0) {
+        if (id < 0
+                || id > MAX_ID
+                || incarnation < 1
+                || incarnation > MAX_INCARNATION
+                || life < 0
+                || life > 0xffff
+                || zone < 0
+                || zone > MAX_ZONE
+                || version < 0) {
             throw new IllegalArgumentException("instance " + id + " in incarnation " + incarnation + ", life " + life
                     + ", zone " + zone + ", version " + version + " is out of range");
         }
-        if (confirmers.size() > MOST_CONFIRMERS || (address.length != 0 && address.length != 6)
+        if (confirmers.size() > MOST_CONFIRMERS
+                || (address.length != 0 && address.length != 6)
                 || notes.entrySet().stream()
-                .anyMatch(n -> n.getKey() < 0 || n.getKey() >= NOTES || n.getValue().length > MOST_NOTE)
+                        .anyMatch(n -> n.getKey() < 0 || n.getKey() >= NOTES || n.getValue().length > MOST_NOTE)
                 || notes.values().stream().mapToInt(n -> n.length).sum() > MOST_NOTES) {
             throw new IllegalArgumentException("instance " + id + " has too much to say");
         }
@@ -63,7 +82,8 @@
 
     /** An instance that begins a life. */
     public static Entry begin(int id, long incarnation, int life, int zone, byte[] address) {
-        return new Entry(id, incarnation, life, State.ALIVE, new TreeSet<>(), zone, 0, Phase.STARTING, Map.of(), address);
+        return new Entry(
+                id, incarnation, life, State.ALIVE, new TreeSet<>(), zone, 0, Phase.STARTING, Map.of(), address);
     }
 
     /** Whether what is said of a life here holds against what is said there: 0 for the same life in one incarnation. */
@@ -85,8 +105,8 @@
         if (both == state && said == this && confirming.equals(confirmers)) {
             return this;
         }
-        return new Entry(id, incarnation, life, both, confirming, said.zone, said.version, said.phase, said.notes,
-                said.address);
+        return new Entry(
+                id, incarnation, life, both, confirming, said.zone, said.version, said.phase, said.notes, said.address);
     }
 
     /** The lowest of all who confirm; once it is dead nobody asks who did. */
@@ -145,8 +165,8 @@
     }
 
     /**
-     * What counts in a digest: nothing for who is gone, as it may be forgotten at one and not yet at another. Suspicions do not
-     * count: they pass, and while answers get lost there is always one somewhere.
+     * What counts in a digest: nothing for who is gone, as it may be forgotten at one and not yet at another.
+     * Suspicions do not count: they pass, and while answers get lost there is always one somewhere.
      */
     long hash() {
         return state.lives() ? mix(mix(id * 0x9e3779b97f4a7c15L + incarnation) ^ ((long) life << 34 | version)) : 0;
@@ -161,9 +181,17 @@
 
     @Override
     public boolean equals(Object other) {
-        return other instanceof Entry e && id == e.id && incarnation == e.incarnation && life == e.life && state == e.state
-                && confirmers.equals(e.confirmers) && zone == e.zone && version == e.version && phase == e.phase
-                && Arrays.equals(address, e.address) && notes.keySet().equals(e.notes.keySet())
+        return other instanceof Entry e
+                && id == e.id
+                && incarnation == e.incarnation
+                && life == e.life
+                && state == e.state
+                && confirmers.equals(e.confirmers)
+                && zone == e.zone
+                && version == e.version
+                && phase == e.phase
+                && Arrays.equals(address, e.address)
+                && notes.keySet().equals(e.notes.keySet())
                 && notes.keySet().stream().allMatch(k -> Arrays.equals(notes.get(k), e.notes.get(k)));
     }
 
@@ -174,8 +202,13 @@
 
     @Override
     public String toString() {
-        return id + (state == State.ALIVE ? " alive" : state == State.SUSPECT ? " suspected by " + confirmers
-                : state == State.DEAD ? " dead" : " left") + " in " + incarnation + "/" + Integer.toHexString(life)
+        return id
+                + (state == State.ALIVE
+                        ? " alive"
+                        : state == State.SUSPECT
+                                ? " suspected by " + confirmers
+                                : state == State.DEAD ? " dead" : " left")
+                + " in " + incarnation + "/" + Integer.toHexString(life)
                 + " v" + version;
     }
 }
--- a/src/main/java/damsonworks/member/Health.java
+++ b/src/main/java/damsonworks/member/Health.java
@@ -1,10 +1,10 @@
 package damsonworks.member;
 
 /**
- * How well this instance itself is doing: Lifeguard's local health multiplier (section IV.A there), by other signs. An answer
- * that comes when its probe has failed already, a suspicion of itself, and a stand-still speak against it; one that comes in
- * time speaks for it. An unwell instance asks less often and waits longer before it speaks ill of others. That helpers say
- * nothing is no sign here: at a cut most of them stand on its other side.
+ * How well this instance itself is doing: Lifeguard's local health multiplier (section IV.A there), by other signs. An
+ * answer that comes when its probe has failed already, a suspicion of itself, and a stand-still speak against it; one
+ * that comes in time speaks for it. An unwell instance asks less often and waits longer before it speaks ill of others.
+ * That helpers say nothing is no sign here: at a cut most of them stand on its other side.
  */
 final class Health {
     private static final int MOST = 7;
@@ -13,6 +13,7 @@
 
     /** What one probe may miss of those that live. */
     private static final double MISSED = 0.03;
+
     private static final double PINGS = 3;
     private static final double MOST_LONGER = 5;
     private static final double NEW = 0.05;
@@ -27,11 +28,13 @@
     }
 
     /**
-     * By how much probes and suspicions last longer as messages get lost: so that as few pings as are sent then all get lost in
-     * one probe of {@link #MISSED}. 1 to {@link #MOST_LONGER}.
+     * By how much probes and suspicions last longer as messages get lost: so that as few pings as are sent then all get
+     * lost in one probe of {@link #MISSED}. 1 to {@link #MOST_LONGER}.
      */
     double longer() {
-        return lost <= 0 ? 1 : Math.max(1, Math.min(MOST_LONGER, Math.log(MISSED) / Math.log(Math.min(0.95, lost)) / PINGS));
+        return lost <= 0
+                ? 1
+                : Math.max(1, Math.min(MOST_LONGER, Math.log(MISSED) / Math.log(Math.min(0.95, lost)) / PINGS));
     }
 
     /** A probe was answered at its so-manieth ping. */
--- a/src/main/java/damsonworks/member/Knowledge.java
+++ b/src/main/java/damsonworks/member/Knowledge.java
@@ -3,9 +3,9 @@
 import java.util.Collection;
 
 /**
- * What one instance knows, and how that changes by what it is told and finds: all that matters for two to come to hold the
- * same, without times, probes and messages. {@link Membership} decides with it when something is suspected or given up; the
- * explorer ({@code model check}) lets both happen at any time.
+ * What one instance knows, and how that changes by what it is told and finds: all that matters for two to come to hold
+ * the same, without times, probes and messages. {@link Membership} decides with it when something is suspected or given
+ * up; the explorer ({@code model check}) lets both happen at any time.
  */
 public class Knowledge {
     /** What came of something that was said. */
--- a/src/main/java/damsonworks/member/Living.java
+++ b/src/main/java/damsonworks/member/Living.java
@@ -1,8 +1,8 @@
 package damsonworks.member;
 
 /**
- * How many instances live as far as this one knows, itself among them; at least 1. Advice: it may save work, as turns, probes
- * and who asks. What a rule rests on takes a {@link Configured}.
+ * How many instances live as far as this one knows, itself among them; at least 1. Advice: it may save work, as turns,
+ * probes and who asks. What a rule rests on takes a {@link Configured}.
  */
 public record Living(int count) {
     /** Checks the range. */
--- a/src/main/java/damsonworks/member/Membership.java
+++ b/src/main/java/damsonworks/member/Membership.java
@@ -14,14 +14,15 @@
 import java.util.SplittableRandom;
 
 /**
- * One instance's part in the view that the fleet keeps. Takes times and messages, gives messages: whoever owns the sockets
- * calls {@link #tick} when {@link #dueMs} has come, {@link #heard} for each message, and sends what {@link #outgoing} hands
- * out. Messages may be lost, late, doubled, out of order, or wrong.
+ * One instance's part in the view that the fleet keeps. Takes times and messages, gives messages: whoever owns the
+ * sockets calls {@link #tick} when {@link #dueMs} has come, {@link #heard} for each message, and sends what
+ * {@link #outgoing} hands out. Messages may be lost, late, doubled, out of order, or wrong.
  *
- * <p>Every second round asks the one that follows on a ring of all that live, so that each is watched by somebody; the others
- * go through all in a drawn order, as in SWIM. Every fourth looks for one that is gone, so that a healed cut is found from
- * both sides. One that does not answer, not by helpers either, is suspected; a few that all can name look at once, and when
- * they confirm it, it is soon given up. An instance gives another up only if it has failed to reach it itself.
+ * <p>Every second round asks the one that follows on a ring of all that live, so that each is watched by somebody; the
+ * others go through all in a drawn order, as in SWIM. Every fourth looks for one that is gone, so that a healed cut is
+ * found from both sides. One that does not answer, not by helpers either, is suspected; a few that all can name look at
+ * once, and when they confirm it, it is soon given up. An instance gives another up only if it has failed to reach it
+ * itself.
  */
 public final class Membership {
     /** The most bytes of a message. */
@@ -45,6 +46,7 @@
     private static final double GATHER_MS = 40;
     /** Slices are compared with others only so often. */
     private static final double DIFFER_MS = 150;
+
     private static final double BUSY_DIFFER_MS = 600;
     private static final int SLICE_MESSAGES = 3;
     private static final int RETURN_ROUNDS = 4;
@@ -64,7 +66,7 @@
     /** A death that comes without a suspicion is believed only so much later. */
     private static final double CLAIM_MS = 800;
 
-    private record Claim(Entry said, double dueMs) { }
+    private record Claim(Entry said, double dueMs) {}
 
     private final MemberSettings settings;
     private final int me;
@@ -79,6 +81,7 @@
     private final Map<Integer, Suspicion> suspicions = new HashMap<>();
     /** Deaths that are not believed yet, by who is said to be dead. */
     private final Map<Integer, Claim> claims = new LinkedHashMap<>();
+
     private final Map<Integer, Double> heardMs = new HashMap<>();
     private final Map<Integer, Double> goneMs = new HashMap<>();
     /** Probes that have failed last, with their targets: an answer to one of them came late. */
@@ -92,10 +95,12 @@
     };
     /** Those who do not know what is held of them. */
     private final Set<Integer> owed = new HashSet<>();
+
     private final List<Send> out = new ArrayList<>();
     private final List<Integer> order = new ArrayList<>();
     /** The numbers of those that live but for this one, by their place on the ring; null when that has changed. */
     private List<Integer> others;
+
     private double lastMs = Double.NaN;
     private double roundMs;
     private double flushMs = Double.POSITIVE_INFINITY;
@@ -109,20 +114,27 @@
     /**
      * Begins a life. Nothing is sent before the first {@link #tick}.
      *
-     * @param me         this instance's number
-     * @param zone       where it stands, 0 to {@link Entry#MAX_ZONE}
-     * @param address    where it is reached, 6 bytes; empty where the settings name it
+     * @param me this instance's number
+     * @param zone where it stands, 0 to {@link Entry#MAX_ZONE}
+     * @param address where it is reached, 6 bytes; empty where the settings name it
      * @param remembered the incarnation of its last life; 0 if nothing is remembered
-     * @param seed       new at each start
-     * @param allowance  what may be sent
+     * @param seed new at each start
+     * @param allowance what may be sent
      */
-    public Membership(MemberSettings settings, int me, int zone, byte[] address, long remembered, long seed,
+    public Membership(
+            MemberSettings settings,
+            int me,
+            int zone,
+            byte[] address,
+            long remembered,
+            long seed,
             Allowance allowance) {
         this.settings = settings;
         this.allowance = allowance;
         this.me = me;
         random = new SplittableRandom(seed);
-        knowledge = new Knowledge(Entry.begin(me, remembered + 1, random.nextInt(0x10000), zone, address), settings.most());
+        knowledge =
+                new Knowledge(Entry.begin(me, remembered + 1, random.nextInt(0x10000), zone, address), settings.most());
         table = knowledge.table();
         own = knowledge.own();
         news.changed(me);
@@ -162,7 +174,9 @@
     public void heard(double nowMs, int from, byte[] body) {
         wake(nowMs);
         Message m = Message.decode(body);
-        if (m == null || (from >= 0 && m.entries().get(0).id() != from) || m.entries().get(0).id() == me) {
+        if (m == null
+                || (from >= 0 && m.entries().get(0).id() != from)
+                || m.entries().get(0).id() == me) {
             unreadable++;
             return;
         }
@@ -182,7 +196,7 @@
             case ACK -> answered(nowMs, m, sender);
             case HELP -> help(nowMs, m, sender);
             case DIFFER -> differ(nowMs, m, sender);
-            case NEWS, SLICES -> { }
+            case NEWS, SLICES -> {}
         }
         if (m.kind() == Kind.ACK && m.digest() != table.digest() && nowMs >= differMs) {
             // While there is news under way digests differ for that alone.
@@ -202,7 +216,9 @@
                 }
                 news.changed(me);
             }
-        } else if (settings.names(said.id()) || said.address().length > 0 || settings.seeds().contains(said.id())) {
+        } else if (settings.names(said.id())
+                || said.address().length > 0
+                || settings.seeds().contains(said.id())) {
             boolean forgotten = table.get(said.id()) == null && !said.state().lives() && !settings.names(said.id());
             if (!forgotten && !heldBack(nowMs, said)) {
                 apply(nowMs, said);
@@ -211,9 +227,9 @@
     }
 
     /**
-     * A death of which no suspicion was heard before comes from beyond a cut, or late. The one concerned is asked first, and
-     * told so that it may refute; it is believed when that has not come in time. Otherwise a cut that heals would have each
-     * side give up its own neighbours for a moment.
+     * A death of which no suspicion was heard before comes from beyond a cut, or late. The one concerned is asked
+     * first, and told so that it may refute; it is believed when that has not come in time. Otherwise a cut that heals
+     * would have each side give up its own neighbours for a moment.
      */
     private boolean heldBack(double nowMs, Entry said) {
         Entry held = table.get(said.id());
@@ -221,8 +237,11 @@
             return false;
         }
         if (claims.putIfAbsent(said.id(), new Claim(said, nowMs + CLAIM_MS)) == null) {
-            post(nowMs, said.id(), new Message(Kind.NEWS, 0, Message.NOBODY, table.digest(), new int[0],
-                    List.of(own.entry(), said)), Urgency.CHANGE);
+            post(
+                    nowMs,
+                    said.id(),
+                    new Message(Kind.NEWS, 0, Message.NOBODY, table.digest(), new int[0], List.of(own.entry(), said)),
+                    Urgency.CHANGE);
         }
         return true;
     }
@@ -375,8 +394,11 @@
 
     private List<Integer> others() {
         if (others == null) {
-            others = table.all().stream().filter(e -> e.id() != me && e.state().lives()).map(Entry::id)
-                    .sorted(Comparator.comparingLong(id -> Entry.mix(id))).toList();
+            others = table.all().stream()
+                    .filter(e -> e.id() != me && e.state().lives())
+                    .map(Entry::id)
+                    .sorted(Comparator.comparingLong(id -> Entry.mix(id)))
+                    .toList();
         }
         return others;
     }
@@ -391,8 +413,8 @@
         for (int i = 0; i < ring.size(); i++) {
             int id = ring.get((at + i) % ring.size());
             Suspicion s = suspicions.get(id);
-            if ((s == null || s.failedMs == Double.NEGATIVE_INFINITY) && probes.values().stream().noneMatch(
-                    p -> p.target == id && p.why == Probe.Why.ROUND)) {
+            if ((s == null || s.failedMs == Double.NEGATIVE_INFINITY)
+                    && probes.values().stream().noneMatch(p -> p.target == id && p.why == Probe.Why.ROUND)) {
                 return id;
             }
         }
@@ -444,7 +466,12 @@
     /** Whether there was room to ask; who was not asked has not failed to answer. */
     private boolean ask(double nowMs, Probe p) {
         p.nextMs = nowMs + settings.directMs() * health.slower();
-        boolean sent = send(nowMs, Kind.PING, p.target, p.number, Message.NOBODY,
+        boolean sent = send(
+                nowMs,
+                Kind.PING,
+                p.target,
+                p.number,
+                Message.NOBODY,
                 p.why == Probe.Why.RETURN ? Urgency.OTHER : Urgency.CHANGE);
         p.asked += sent ? 1 : 0;
         return sent;
@@ -509,7 +536,10 @@
 
     private void failed(double nowMs, Probe p) {
         Entry e = table.get(p.target);
-        if (p.why == Probe.Why.RETURN || p.why == Probe.Why.HELP || e == null || !e.state().lives()) {
+        if (p.why == Probe.Why.RETURN
+                || p.why == Probe.Why.HELP
+                || e == null
+                || !e.state().lives()) {
             return;
         }
         late.put(p.number, p.target);
@@ -535,15 +565,16 @@
             }
         }
         Collection<Integer> told = first ? lookers(e) : table.get(p.target).confirmers();
-        told.stream().filter(t -> t != me && t != p.target).forEach(
-                t -> send(nowMs, Kind.NEWS, t, 0, Message.NOBODY, Urgency.CHANGE));
+        told.stream()
+                .filter(t -> t != me && t != p.target)
+                .forEach(t -> send(nowMs, Kind.NEWS, t, 0, Message.NOBODY, Urgency.CHANGE));
     }
 
     // ---- suspicions
 
     /**
-     * Those who look at once after one that is suspected; alike at all whose views are. Who is suspected looks after nobody:
-     * at a cut those on this side soon take the place of those on the other.
+     * Those who look at once after one that is suspected; alike at all whose views are. Who is suspected looks after
+     * nobody: at a cut those on this side soon take the place of those on the other.
      */
     private List<Integer> lookers(Entry suspect) {
         long salt = Entry.mix(suspect.id() * 31L + suspect.incarnation());
@@ -551,15 +582,17 @@
         all.add(me);
         boolean many = many();
         double since = lastMs - HEARD_MS;
-        all.removeIf(id -> id == suspect.id() || suspicions.containsKey(id)
+        all.removeIf(id -> id == suspect.id()
+                || suspicions.containsKey(id)
                 || (many && id != me && heardMs.getOrDefault(id, Double.NEGATIVE_INFINITY) < since));
         all.sort(Comparator.comparingLong(id -> Entry.mix(id ^ salt)));
         return all.subList(0, Math.min(settings.confirmers(), all.size()));
     }
 
     /**
-     * So many are suspected at once that a way is cut rather than that they died one by one. Those who would be named to look
-     * then stand beyond the cut for the most part, so only such are named as were just heard, and one of them is enough.
+     * So many are suspected at once that a way is cut rather than that they died one by one. Those who would be named
+     * to look then stand beyond the cut for the most part, so only such are named as were just heard, and one of them
+     * is enough.
      */
     private boolean many() {
         return suspicions.size() > Math.max(LEAST_MANY, others().size() / PART_MANY);
@@ -576,8 +609,11 @@
         double end = s.endMs(settings, e.confirmers().size(), wanted);
         boolean mine = e.confirmers().contains(me) || s.failedMs != Double.NEGATIVE_INFINITY;
         double slow = s.beganMs + (end - s.beganMs) * health.slower() * health.longer();
-        double looking = probes.values().stream().filter(p -> p.target == id && p.why == Probe.Why.LAST)
-                .mapToDouble(p -> p.nextMs).findFirst().orElse(Double.NEGATIVE_INFINITY);
+        double looking = probes.values().stream()
+                .filter(p -> p.target == id && p.why == Probe.Why.LAST)
+                .mapToDouble(p -> p.nextMs)
+                .findFirst()
+                .orElse(Double.NEGATIVE_INFINITY);
         return Math.max(looking, slow + (mine ? 0 : OTHERS_MS));
     }
 
@@ -616,7 +652,8 @@
         if (target != Message.NOBODY && target != to && table.get(target) != null) {
             entries.add(table.get(target));
         }
-        int bytes = Message.headBytes(kind) + entries.stream().mapToInt(Message::bytes).sum();
+        int bytes = Message.headBytes(kind)
+                + entries.stream().mapToInt(Message::bytes).sum();
         int room = Math.min(ROOM - bytes, kind == Kind.NEWS ? ROOM : allowance.spare(nowMs));
         List<Entry> more = news.take(table, room, me);
         more.removeIf(e -> entries.stream().anyMatch(x -> x.id() == e.id()));
@@ -670,7 +707,11 @@
             room -= bytes;
             entries.add(left.remove(at));
         }
-        post(nowMs, to, new Message(Kind.SLICES, 0, Message.NOBODY, table.digest(), new int[0], entries), Urgency.OTHER);
+        post(
+                nowMs,
+                to,
+                new Message(Kind.SLICES, 0, Message.NOBODY, table.digest(), new int[0], entries),
+                Urgency.OTHER);
     }
 
     /** {@code reply}: 1 if this answers the other's own. */
@@ -679,7 +720,10 @@
         for (int i = 0; i < digests.length; i++) {
             digests[i] = table.digest(i);
         }
-        post(nowMs, to, new Message(Kind.DIFFER, reply, Message.NOBODY, table.digest(), digests, List.of(own.entry())),
+        post(
+                nowMs,
+                to,
+                new Message(Kind.DIFFER, reply, Message.NOBODY, table.digest(), digests, List.of(own.entry())),
                 Urgency.CHANGE);
     }
 
@@ -687,8 +731,13 @@
 
     /** The fleet as this instance sees it now. */
     public View view(double nowMs) {
-        return new View(me, nowMs, List.copyOf(table.all()), table.digest(), settings.configured() == 0 ? null
-                : new Configured(settings.configured()), own.disputed());
+        return new View(
+                me,
+                nowMs,
+                List.copyOf(table.all()),
+                table.digest(),
+                settings.configured() == 0 ? null : new Configured(settings.configured()),
+                own.disputed());
     }
 
     /** How many live, as {@link View#living} has it. */
--- a/src/main/java/damsonworks/member/Message.java
+++ b/src/main/java/damsonworks/member/Message.java
@@ -9,19 +9,20 @@
 import java.util.TreeSet;
 
 /**
- * What instances say to one another of who lives, as {@code docs/design/members-wire.md} lays it out. Whatever the kind, the
- * sender's own entry and as many others as there is room for come with it.
+ * What instances say to one another of who lives, as {@code docs/design/members-wire.md} lays it out. Whatever the
+ * kind, the sender's own entry and as many others as there is room for come with it.
  *
- * @param kind    what it is
- * @param number  of the probe that it belongs to, 0 to 65,535
- * @param target  whom a helper is to reach, or has reached; {@link #NOBODY} otherwise
- * @param digest  of all that the sender knows
- * @param slices  digests of the sender's slices in a {@link Kind#DIFFER}; empty otherwise
+ * @param kind what it is
+ * @param number of the probe that it belongs to, 0 to 65,535
+ * @param target whom a helper is to reach, or has reached; {@link #NOBODY} otherwise
+ * @param digest of all that the sender knows
+ * @param slices digests of the sender's slices in a {@link Kind#DIFFER}; empty otherwise
  * @param entries the sender's own first
  */
 public record Message(Kind kind, int number, int target, int digest, int[] slices, List<Entry> entries) {
     /** No instance's number. */
     public static final int NOBODY = 0xffff;
+
     private static final int HEAD_BYTES = 1 + 1 + 2 + 2 + 4;
     private static final int SLICE_BYTES = 2 * Table.SLICES;
     private static final int ADDRESS = 0x10;
@@ -71,7 +72,10 @@
     public byte[] encode() {
         int size = headBytes(kind) + entries.stream().mapToInt(Message::bytes).sum();
         ByteBuffer out = ByteBuffer.allocate(size);
-        out.put((byte) kind.ordinal()).put((byte) entries.size()).putShort((short) number).putShort((short) target)
+        out.put((byte) kind.ordinal())
+                .put((byte) entries.size())
+                .putShort((short) number)
+                .putShort((short) target)
                 .putInt(digest);
         if (kind == Kind.DIFFER) {
             for (int s : slices) {
@@ -83,8 +87,11 @@
     }
 
     private static void encode(Entry e, ByteBuffer out) {
-        out.put((byte) (e.state().ordinal() | e.phase().ordinal() << 2 | (e.address().length > 0 ? ADDRESS : 0)
-                | (e.notes().isEmpty() ? 0 : NOTES) | (e.confirmers().isEmpty() ? 0 : CONFIRMERS)));
+        out.put((byte) (e.state().ordinal()
+                | e.phase().ordinal() << 2
+                | (e.address().length > 0 ? ADDRESS : 0)
+                | (e.notes().isEmpty() ? 0 : NOTES)
+                | (e.confirmers().isEmpty() ? 0 : CONFIRMERS)));
         out.putShort((short) e.id());
         putVarint(out, e.zone());
         putVarint(out, e.incarnation());
@@ -97,7 +104,9 @@
         }
         if (!e.notes().isEmpty()) {
             out.put((byte) e.notes().size());
-            e.notes().forEach((part, bytes) -> out.put((byte) (part << 5 | bytes.length)).put(bytes));
+            e.notes()
+                    .forEach((part, bytes) ->
+                            out.put((byte) (part << 5 | bytes.length)).put(bytes));
         }
     }
 
@@ -146,7 +155,8 @@
         } catch (BufferUnderflowException | IllegalArgumentException e) {
             return null;
         }
-        return in.hasRemaining() || many == 0 ? null
+        return in.hasRemaining() || many == 0
+                ? null
                 : new Message(Kind.values()[kind], number, target, digest, slices, entries);
     }
 
@@ -173,8 +183,17 @@
         if (flags < 0 || zone > Entry.MAX_ZONE || version > Integer.MAX_VALUE) {
             throw new IllegalArgumentException("an entry of another form");
         }
-        return new Entry(id, incarnation, life, State.values()[flags & 3], confirmers, (int) zone, (int) version,
-                Phase.values()[flags >> 2 & 3], Map.copyOf(notes), address);
+        return new Entry(
+                id,
+                incarnation,
+                life,
+                State.values()[flags & 3],
+                confirmers,
+                (int) zone,
+                (int) version,
+                Phase.values()[flags >> 2 & 3],
+                Map.copyOf(notes),
+                address);
     }
 
     private static long getVarint(ByteBuffer in) {
--- a/src/main/java/damsonworks/member/News.java
+++ b/src/main/java/damsonworks/member/News.java
@@ -7,8 +7,8 @@
 import java.util.Map;
 
 /**
- * What has changed and is still to be passed on with whatever is sent: those first that have gone out least, each as often as the
- * logarithm of the fleet (SWIM, section 4.1).
+ * What has changed and is still to be passed on with whatever is sent: those first that have gone out least, each as
+ * often as the logarithm of the fleet (SWIM, section 4.1).
  */
 final class News {
     private static final int MOST = 4096;
--- a/src/main/java/damsonworks/member/Own.java
+++ b/src/main/java/damsonworks/member/Own.java
@@ -4,9 +4,9 @@
 import java.util.function.BinaryOperator;
 
 /**
- * An instance's own entry. It goes beyond whatever contradicts it: a death or suspicion told of this life, or a former life
- * under its name that others remember and it does not. A former life is told once by each who remembers it; when a name is
- * outbid again and again, another process lives under it, and that mistake is reported.
+ * An instance's own entry. It goes beyond whatever contradicts it: a death or suspicion told of this life, or a former
+ * life under its name that others remember and it does not. A former life is told once by each who remembers it; when a
+ * name is outbid again and again, another process lives under it, and that mistake is reported.
  */
 final class Own {
     /** A name outbid so often in this life is another's, too. */
@@ -39,9 +39,7 @@
         return entry;
     }
 
-    /**
-     * Somebody says this of the instance's own name. Whether the entry had to go beyond it.
-     */
+    /** Somebody says this of the instance's own name. Whether the entry had to go beyond it. */
     boolean contradicted(Entry said, double nowMs) {
         int by = said.compareLife(entry);
         boolean another = said.life() != entry.life();
--- a/src/main/java/damsonworks/member/Probe.java
+++ b/src/main/java/damsonworks/member/Probe.java
@@ -21,6 +21,7 @@
     final Why why;
     /** For whom and by which number of theirs, where another asked. */
     final int asker;
+
     final int askerNumber;
     final double beganMs;
     double nextMs;
--- a/src/main/java/damsonworks/member/Send.java
+++ b/src/main/java/damsonworks/member/Send.java
@@ -3,8 +3,8 @@
 /**
  * A message that is to go out.
  *
- * @param to      the instance's number
- * @param body    as {@link Message#decode} reads it
+ * @param to the instance's number
+ * @param body as {@link Message#decode} reads it
  * @param urgency what goes first where there is not room for all
  */
 public record Send(int to, byte[] body, Urgency urgency) {
--- a/src/main/java/damsonworks/member/Suspicion.java
+++ b/src/main/java/damsonworks/member/Suspicion.java
@@ -1,8 +1,8 @@
 package damsonworks.member;
 
 /**
- * A suspicion under way. It lasts the longer the fewer confirm it: from the longest time with one who suspects down to the
- * least with all who were to look (Lifeguard, section IV.B).
+ * A suspicion under way. It lasts the longer the fewer confirm it: from the longest time with one who suspects down to
+ * the least with all who were to look (Lifeguard, section IV.B).
  */
 final class Suspicion {
     final long incarnation;
--- a/src/main/java/damsonworks/member/Table.java
+++ b/src/main/java/damsonworks/member/Table.java
@@ -7,8 +7,8 @@
 import java.util.function.BinaryOperator;
 
 /**
- * What one instance knows of all, by their numbers. Entries only go up in their order. Digests are kept as entries change:
- * one of all, and one for each of {@link #SLICES} slices, by which two that differ find where.
+ * What one instance knows of all, by their numbers. Entries only go up in their order. Digests are kept as entries
+ * change: one of all, and one for each of {@link #SLICES} slices, by which two that differ find where.
  */
 public final class Table {
     /** Into how many slices the entries fall, by their numbers. */
@@ -30,7 +30,8 @@
     Table(int most, BinaryOperator<Entry> joining) {
         this.joining = joining;
         if (most < 1 || most > Entry.MAX_ID + 1) {
-            throw new IllegalArgumentException("a table for " + most + " instances; it takes 1 to " + (Entry.MAX_ID + 1));
+            throw new IllegalArgumentException(
+                    "a table for " + most + " instances; it takes 1 to " + (Entry.MAX_ID + 1));
         }
         this.most = most;
     }
--- a/src/main/java/damsonworks/member/View.java
+++ b/src/main/java/damsonworks/member/View.java
@@ -5,16 +5,17 @@
 import java.util.TreeMap;
 
 /**
- * What one instance holds of the fleet at a moment; immutable. It is advice: instances that can hear each other come to hold
- * the same soon, and until then, and across a cut, they do not. So it hands out two kinds of number that do not fit in each
- * other's place: {@link #living()} for what costs only work, {@link #configured()} for what a rule rests on.
+ * What one instance holds of the fleet at a moment; immutable. It is advice: instances that can hear each other come to
+ * hold the same soon, and until then, and across a cut, they do not. So it hands out two kinds of number that do not
+ * fit in each other's place: {@link #living()} for what costs only work, {@link #configured()} for what a rule rests
+ * on.
  *
- * @param me         the instance whose view it is
- * @param atMs       when it was taken, by the instance's own clock
- * @param entries    of all that are known, by number
- * @param digest     alike for views that hold the same
+ * @param me the instance whose view it is
+ * @param atMs when it was taken, by the instance's own clock
+ * @param entries of all that are known, by number
+ * @param digest alike for views that hold the same
  * @param configured instances that the settings name; null where only seeds do
- * @param disputed   whether another process seems to live under the instance's name
+ * @param disputed whether another process seems to live under the instance's name
  */
 public record View(int me, double atMs, List<Entry> entries, int digest, Configured configured, boolean disputed) {
     /** Checks that the instance itself is in it. */
@@ -27,14 +28,20 @@
 
     /** Those that live, itself among them. */
     public Living living() {
-        return new Living(1 + (int) entries.stream().filter(e -> e.id() != me && e.state().lives()).count());
+        return new Living(1
+                + (int) entries.stream()
+                        .filter(e -> e.id() != me && e.state().lives())
+                        .count());
     }
 
     /** Which part of the configured fleet it hears; of all that are known where only seeds are configured. */
     public Hearing hearing() {
         int all = configured == null ? entries.size() : configured.count();
-        return Hearing.of((int) entries.stream().filter(e -> e.state() == State.ALIVE && (configured == null
-                || e.id() < configured.count())).count(), all);
+        return Hearing.of(
+                (int) entries.stream()
+                        .filter(e -> e.state() == State.ALIVE && (configured == null || e.id() < configured.count()))
+                        .count(),
+                all);
     }
 
     /** The same by the zones in which instances said they stand. */
@@ -46,8 +53,8 @@
             c[1]++;
         }
         Map<Integer, Hearing> by = new TreeMap<>();
-        counts.forEach((zone, c) -> by.put(zone, c[0] == 0 ? Hearing.ALONE : Hearing.of(c[0] == 1 && c[1] > 1 ? 2 : c[0],
-                c[1])));
+        counts.forEach((zone, c) ->
+                by.put(zone, c[0] == 0 ? Hearing.ALONE : Hearing.of(c[0] == 1 && c[1] > 1 ? 2 : c[0], c[1])));
         return by;
     }
 }
--- a/src/main/java/damsonworks/model/ClientsModel.java
+++ b/src/main/java/damsonworks/model/ClientsModel.java
@@ -16,11 +16,13 @@
 final class ClientsModel {
     /** One way between a client and an instance, in milliseconds. */
     private static final double CLIENT_MS = 0.6;
+
     private static final double BACKOFF_MS = 30;
     /** Clients that keep to the time they were told. */
     private static final double HONOUR = 0.85;
     /** A client that gets no answer closes its connection so much later, when the rule has been looked at. */
     private static final double LEAVE_MS = 60;
+
     private static final int KEYS_PER_NODE = 100;
 
     private final FleetPlay play;
@@ -105,7 +107,8 @@
     void run(double untilMs) {
         if (play.time().now() < untilMs) {
             new Client().come();
-            play.time().after(-Math.log(1 - random.nextDouble()) * 1000 / (draw.perSecond() * rate), () -> run(untilMs));
+            play.time()
+                    .after(-Math.log(1 - random.nextDouble()) * 1000 / (draw.perSecond() * rate), () -> run(untilMs));
         }
     }
 
@@ -153,10 +156,12 @@
         private final int classIndex = FleetDraw.classOf(random.nextDouble());
         private final ServiceClass kind = FleetDraw.CLASSES.get(classIndex);
         private final boolean write = kind.effect() != Effect.SAFE;
-        private final long key = hotPart > 0 && random.nextDouble() < hotPart ? hotKey
-                : 1 + keys.rank(random.nextDouble());
-        private final double workMs = draw.workMs() * (write ? 1.5 : 1)
-                * -(Math.log(1 - random.nextDouble()) + Math.log(1 - random.nextDouble())) / 2;
+        private final long key =
+                hotPart > 0 && random.nextDouble() < hotPart ? hotKey : 1 + keys.rank(random.nextDouble());
+        private final double workMs = draw.workMs()
+                * (write ? 1.5 : 1)
+                * -(Math.log(1 - random.nextDouble()) + Math.log(1 - random.nextDouble()))
+                / 2;
         private int tries;
         private Ask open;
 
@@ -182,13 +187,27 @@
                     again(0);
                     return;
                 }
-                Ask ask = new Ask(new Request(id, classIndex, 0, key, play.time().now() + wait, Double.NaN, 0, write,
-                        tries > 1 && draw.traffic().marked()), kind, workMs, tries > 1, this);
+                Ask ask = new Ask(
+                        new Request(
+                                id,
+                                classIndex,
+                                0,
+                                key,
+                                play.time().now() + wait,
+                                Double.NaN,
+                                0,
+                                write,
+                                tries > 1 && draw.traffic().marked()),
+                        kind,
+                        workMs,
+                        tries > 1,
+                        this);
                 open = ask;
                 at.take(ask);
                 boolean early = random.nextDouble() < impatient;
                 play.time().after(early ? wait * random.nextDouble() : wait + LEAVE_MS, () -> {
-                    if (open == ask) { // nothing came: what may have run is asked for again only where that does no harm
+                    if (open
+                            == ask) { // nothing came: what may have run is asked for again only where that does no harm
                         open = null;
                         at.leave(ask);
                         if (!early && kind.effect() != Effect.UNSAFE) {
@@ -208,8 +227,13 @@
                 open = null;
                 double took = play.time().now() - cameMs;
                 if (answer == Ask.Answer.SERVED) {
-                    play.tally().add(cameMs, Figure.WORTH_EARNED, took <= kind.aimMs() ? kind.worth()
-                            : took <= kind.deadlineMs() ? kind.worth() * kind.lateShare() : 0);
+                    play.tally()
+                            .add(
+                                    cameMs,
+                                    Figure.WORTH_EARNED,
+                                    took <= kind.aimMs()
+                                            ? kind.worth()
+                                            : took <= kind.deadlineMs() ? kind.worth() * kind.lateShare() : 0);
                 } else if (answer == Ask.Answer.REFUSED || kind.effect() != Effect.UNSAFE) {
                     again(random.nextDouble() < HONOUR ? retryAfterMs : 0);
                 }
--- a/src/main/java/damsonworks/model/ColdCase.java
+++ b/src/main/java/damsonworks/model/ColdCase.java
@@ -6,9 +6,9 @@
 import java.util.stream.IntStream;
 
 /**
- * What comes together with nodes that start cold. In each, a part of the nodes is replaced, falls silent and is
- * back, or crashes and is back at once, as the seed draws it; figures are drawn from what the operators state for
- * their sites.
+ * What comes together with nodes that start cold. In each, a part of the nodes is replaced, falls silent and is back,
+ * or crashes and is back at once, as the seed draws it; figures are drawn from what the operators state for their
+ * sites.
  */
 public enum ColdCase {
     /** Nothing else. */
@@ -17,8 +17,12 @@
     KEYS("keys by Zipf's law with an exponent of 1.1 to 1.2") {
         @Override
         Traffic traffic(SplittableRandom r) {
-            return new Traffic(1.1 + 0.1 * r.nextDouble(), 0.5 + 2 * r.nextDouble(), Traffic.USUAL.busyOneIn(),
-                    Traffic.USUAL.busyTimes(), true);
+            return new Traffic(
+                    1.1 + 0.1 * r.nextDouble(),
+                    0.5 + 2 * r.nextDouble(),
+                    Traffic.USUAL.busyOneIn(),
+                    Traffic.USUAL.busyTimes(),
+                    true);
         }
     },
     /** One key draws many of the reads. */
@@ -57,8 +61,12 @@
 
         @Override
         Traffic traffic(SplittableRandom r) {
-            return new Traffic(Traffic.USUAL.zipf(), Traffic.USUAL.offset(), Traffic.USUAL.busyOneIn(),
-                    Traffic.USUAL.busyTimes(), false);
+            return new Traffic(
+                    Traffic.USUAL.zipf(),
+                    Traffic.USUAL.offset(),
+                    Traffic.USUAL.busyOneIn(),
+                    Traffic.USUAL.busyTimes(),
+                    false);
         }
 
         @Override
@@ -77,9 +85,11 @@
     LATE("a tenth to half of the instances are told 1 to 4 s late, and peers tell them nothing") {
         @Override
         void plan(FleetPlay p) {
-            int late = (int) Math.ceil(p.draw().instances() * (0.1 + 0.4 * p.random().nextDouble()));
+            int late = (int)
+                    Math.ceil(p.draw().instances() * (0.1 + 0.4 * p.random().nextDouble()));
             double ms = 1000 + 3000 * p.random().nextDouble();
-            List<Integer> some = p.some(IntStream.range(0, p.draw().instances()).boxed().toList(), late);
+            List<Integer> some =
+                    p.some(IntStream.range(0, p.draw().instances()).boxed().toList(), late);
             p.at(COLD_FROM, () -> {
                 p.discovery().late(some, ms);
                 some.forEach(i -> p.instance(i).deaf(true));
@@ -108,6 +118,7 @@
 
     /** How long a run takes: a warm-up after the starts. */
     static final double SECONDS = 18;
+
     private static final double HOT_FROM = 3;
     private static final double COLD_FROM = 7;
     private static final double REPLACED_WITHIN = 3;
@@ -133,7 +144,7 @@
         return Traffic.USUAL;
     }
 
-    void plan(FleetPlay p) { }
+    void plan(FleetPlay p) {}
 
     /** A run of it that is still to be played. */
     FleetPlay play(int instances, int nodes, long seed) {
--- a/src/main/java/damsonworks/model/ColdLoad.java
+++ b/src/main/java/damsonworks/model/ColdLoad.java
@@ -8,38 +8,45 @@
 import java.util.function.Function;
 
 /**
- * What all instances together send one node while it is cold, held against what makes it fall: more than
- * {@code N + 2 sqrt(N) + 2} requests in a window, {@code N} being what the settings allow it then. Each request counts
- * as one of mean work, a miss and one that is turned away as well.
+ * What all instances together send one node while it is cold, held against what makes it fall: more than {@code N + 2
+ * sqrt(N) + 2} requests in a window, {@code N} being what the settings allow it then. Each request counts as one of
+ * mean work, a miss and one that is turned away as well.
  */
 public final class ColdLoad {
     /**
      * What the settings say of cold nodes.
      *
-     * @param start    the part of its capacity that a node has at its start at least
+     * @param start the part of its capacity that a node has at its start at least
      * @param warmUpMs after which time it has all of it at the latest
      * @param multiple how many times its present capacity it stands
      * @param windowMs over which time that is counted
      */
-    record Limits(double start, double warmUpMs, double multiple, double windowMs) { }
+    record Limits(double start, double warmUpMs, double multiple, double windowMs) {}
 
     /** One request that has come; {@code told}: its instance had been told of the node's start. */
-    private record Arrival(double atMs, Attempt attempt, int instance, boolean told) { }
+    private record Arrival(double atMs, Attempt attempt, int instance, boolean told) {}
 
     /**
      * The fullest window, as a part of what makes the node fall, and who filled it.
      *
-     * @param part      requests over the limit; above 1 the node falls
-     * @param requests  in the window
-     * @param ageMs     of the node at the window's end
-     * @param told      the part that came from instances that had been told of the start
-     * @param further   the part that were not the first attempts of their requests
-     * @param repeats   the part that were clients' repeats
-     * @param topKey    the part that one key has
+     * @param part requests over the limit; above 1 the node falls
+     * @param requests in the window
+     * @param ageMs of the node at the window's end
+     * @param told the part that came from instances that had been told of the start
+     * @param further the part that were not the first attempts of their requests
+     * @param repeats the part that were clients' repeats
+     * @param topKey the part that one key has
      * @param topSender the part that one instance has
      */
-    public record Window(double part, int requests, double ageMs, double told, double further, double repeats,
-            double topKey, double topSender) {
+    public record Window(
+            double part,
+            int requests,
+            double ageMs,
+            double told,
+            double further,
+            double repeats,
+            double topKey,
+            double topSender) {
         static final Window EMPTY = new Window(0, 0, 0, 1, 0, 0, 0, 0);
     }
 
@@ -101,10 +108,15 @@
 
     private Window window(double now, double part) {
         double all = window.size();
-        return new Window(part, window.size(), now - bornMs, told / all,
+        return new Window(
+                part,
+                window.size(),
+                now - bornMs,
+                told / all,
                 window.stream().filter(a -> a.attempt().index > 0).count() / all,
                 window.stream().filter(a -> a.attempt().ask.again).count() / all,
-                most(window, a -> a.attempt().ask.request.key()) / all, most(window, Arrival::instance) / all);
+                most(window, a -> a.attempt().ask.request.key()) / all,
+                most(window, Arrival::instance) / all);
     }
 
     private static <K> int most(Collection<Arrival> of, Function<Arrival, K> by) {
--- a/src/main/java/damsonworks/model/ColdStudy.java
+++ b/src/main/java/damsonworks/model/ColdStudy.java
@@ -11,15 +11,18 @@
  * What all instances send to nodes that start cold, over many seeds: the fullest window of each node as a part of what
  * makes it fall.
  *
- * @param what      what came together with the starts
+ * @param what what came together with the starts
  * @param instances that sent
- * @param loads     of each node that started, in all plays
+ * @param loads of each node that started, in all plays
  */
 public record ColdStudy(ColdCase what, int instances, List<ColdLoad> loads) {
     /** Plays that many seeds from one on, side by side. */
     public static ColdStudy of(ColdCase what, int instances, int nodes, long seed, int seeds) {
-        List<ColdLoad> loads = LongStream.range(seed, seed + seeds).parallel()
-                .mapToObj(s -> what.play(instances, nodes, s).run().coldLoads()).flatMap(List::stream).toList();
+        List<ColdLoad> loads = LongStream.range(seed, seed + seeds)
+                .parallel()
+                .mapToObj(s -> what.play(instances, nodes, s).run().coldLoads())
+                .flatMap(List::stream)
+                .toList();
         return new ColdStudy(what, instances, loads);
     }
 
@@ -44,8 +47,10 @@
 
     /** What the columns of {@link #text} are. */
     public static String head() {
-        return String.format("%-9s%6s%7s %-7s%7s%7s%7s%9s%7s%9s%9s%9s%9s%7s%8s%8s%n", "case", "inst.", "nodes", "ramp", "median", "p99", "max", "over", "told", "over",
-                "broken", "further", "repeats", "key", "sender", "age ms");
+        return String.format(
+                "%-9s%6s%7s %-7s%7s%7s%7s%9s%7s%9s%9s%9s%9s%7s%8s%8s%n",
+                "case", "inst.", "nodes", "ramp", "median", "p99", "max", "over", "told", "over", "broken", "further",
+                "repeats", "key", "sender", "age ms");
     }
 
     /**
@@ -56,14 +61,33 @@
     public String text() {
         StringBuilder s = new StringBuilder();
         for (ColdRamp ramp : ColdRamp.values()) {
-            double[] parts = loads.stream().mapToDouble(l -> l.fullest(ramp).part()).sorted().toArray();
-            Window w = loads.stream().map(l -> l.fullestTold(ramp)).max(Comparator.comparingDouble(Window::part))
+            double[] parts = loads.stream()
+                    .mapToDouble(l -> l.fullest(ramp).part())
+                    .sorted()
+                    .toArray();
+            Window w = loads.stream()
+                    .map(l -> l.fullestTold(ramp))
+                    .max(Comparator.comparingDouble(Window::part))
                     .orElse(Window.EMPTY);
-            s.append(String.format(Locale.ROOT,
-                    "%-9s%6d%7d %-7s%7.2f%7.2f%7.2f%8.2f%%%7.2f%8.2f%%%8.2f%%%9.2f%9.2f%7.2f%8.2f%8.0f%n", what.name().toLowerCase(Locale.ROOT), instances, loads.size(),
-                    ramp.name().toLowerCase(Locale.ROOT), at(parts, 0.5), at(parts, 0.99), at(parts, 1),
-                    100 * over(ramp), w.part(), 100 * overByTold(ramp), 100 * broken(ramp), w.further(), w.repeats(),
-                    w.topKey(), w.topSender(), w.ageMs()));
+            s.append(String.format(
+                    Locale.ROOT,
+                    "%-9s%6d%7d %-7s%7.2f%7.2f%7.2f%8.2f%%%7.2f%8.2f%%%8.2f%%%9.2f%9.2f%7.2f%8.2f%8.0f%n",
+                    what.name().toLowerCase(Locale.ROOT),
+                    instances,
+                    loads.size(),
+                    ramp.name().toLowerCase(Locale.ROOT),
+                    at(parts, 0.5),
+                    at(parts, 0.99),
+                    at(parts, 1),
+                    100 * over(ramp),
+                    w.part(),
+                    100 * overByTold(ramp),
+                    100 * broken(ramp),
+                    w.further(),
+                    w.repeats(),
+                    w.topKey(),
+                    w.topSender(),
+                    w.ageMs()));
         }
         return s.toString();
     }
--- a/src/main/java/damsonworks/model/Day.java
+++ b/src/main/java/damsonworks/model/Day.java
@@ -34,7 +34,9 @@
             p.at(22, () -> p.discovery().down(false));
         }
     },
-    /** A release: seven in ten instances are killed at once, discovery has too many callers, one node in eight is bad. */
+    /**
+     * A release: seven in ten instances are killed at once, discovery has too many callers, one node in eight is bad.
+     */
     HERD(40, "seven in ten instances killed at once, discovery overbooked, one node in eight bad") {
         @Override
         void plan(FleetPlay p) {
@@ -42,8 +44,9 @@
             double lines = p.draw().lines();
             p.at(10, () -> {
                 p.discovery().capacity(lines / 4);
-                p.some(IntStream.range(0, p.draw().instances()).boxed().toList(),
-                        (int) Math.round(0.7 * p.draw().instances())).forEach(p::kill);
+                p.some(IntStream.range(0, p.draw().instances()).boxed().toList(), (int)
+                                Math.round(0.7 * p.draw().instances()))
+                        .forEach(p::kill);
             });
             p.at(28, () -> p.discovery().capacity(lines));
         }
@@ -60,7 +63,10 @@
             p.at(32, () -> p.network().cut(-1));
         }
     },
-    /** A zone is cut off or a fifth of the nodes fall silent, lists come late, peers are deaf, answers lost, links reset. */
+    /**
+     * A zone is cut off or a fifth of the nodes fall silent, lists come late, peers are deaf, answers lost, links
+     * reset.
+     */
     SPLIT(40, "for 6 s a zone cut off or a fifth of the nodes silent, late lists, deaf peers, lost answers, resets") {
         @Override
         void plan(FleetPlay p) {
@@ -68,7 +74,9 @@
             boolean zone = r.nextBoolean();
             int cut = r.nextInt(p.draw().zones());
             List<NodeModel> silent = p.some(p.nodes(), p.draw().nodes() / 5);
-            List<Integer> half = p.some(IntStream.range(0, p.draw().instances()).boxed().toList(), p.draw().instances() / 2);
+            List<Integer> half = p.some(
+                    IntStream.range(0, p.draw().instances()).boxed().toList(),
+                    p.draw().instances() / 2);
             p.at(12, () -> {
                 if (zone) {
                     p.network().cut(cut);
@@ -107,7 +115,9 @@
             p.at(5, () -> p.clients().restless(0.03, 3));
         }
     },
-    /** The long day: a node is replaced every few seconds and an instance killed now and then, for as long as wanted. */
+    /**
+     * The long day: a node is replaced every few seconds and an instance killed now and then, for as long as wanted.
+     */
     SOAK(240, "a node replaced every 3 s and an instance killed every minute, for as long as --for says") {
         @Override
         void plan(FleetPlay p) {
--- a/src/main/java/damsonworks/model/DiscoveryModel.java
+++ b/src/main/java/damsonworks/model/DiscoveryModel.java
@@ -9,8 +9,8 @@
 import java.util.stream.Stream;
 
 /**
- * The list of nodes: one service for all instances that sends so many lines a second, takes calls in turn, turns away those
- * that would wait too long, and knows of changes late.
+ * The list of nodes: one service for all instances that sends so many lines a second, takes calls in turn, turns away
+ * those that would wait too long, and knows of changes late.
  */
 final class DiscoveryModel {
     /** A call that would wait longer than this is turned away, in milliseconds. */
@@ -89,7 +89,8 @@
     void down(boolean on) {
         down = on;
         if (on) {
-            List<Watcher> all = Stream.concat(calling.values().stream(), watchers.values().stream()).toList();
+            List<Watcher> all = Stream.concat(calling.values().stream(), watchers.values().stream())
+                    .toList();
             calling.clear();
             watchers.clear();
             all.forEach(Watcher::failed);
--- a/src/main/java/damsonworks/model/FleetDraw.java
+++ b/src/main/java/damsonworks/model/FleetDraw.java
@@ -12,43 +12,63 @@
 /**
  * A deployment, drawn from a seed within the ranges that the operators state for theirs. Times in milliseconds.
  *
- * @param instances        proxies, 1 to 4,096
- * @param nodes            cache nodes, 2 to 4,096
- * @param zones            data centres; instances and nodes are dealt out to them in turn
- * @param load             the requests asked for over what the nodes can do
- * @param fastShare        the part of the nodes that are fast
- * @param workMs           what a read costs a node of speed 1 on average
- * @param places           the connections that a node holds
- * @param queue            the requests that wait at a node beside the one that is worked on
- * @param handshakeMs      what a new connection costs a node
- * @param sameMs           one way within a zone
- * @param crossMs          one way between zones
- * @param coldFrom         the part of its capacity that a node has at its start
- * @param warmMs           after which time it has all of it
- * @param hits             the part of the reads that one pooled cache of the fleet's size would serve
- * @param originMs         what a fetch takes at the origin on average
- * @param headroom         the origin's capacity over the fetches that are left then
- * @param lines            the lines that discovery can send a second, to all together; of one call each it
- *                         takes all within 2 to 8 s
- * @param callLines        what a call costs beside the entries it is answered with, in lines
- * @param noticeMs         how late discovery knows of a change
- * @param retries          how often a client comes again
- * @param tryShare         the part of a class's deadline that a client waits
- * @param traffic          which keys are asked for, and at which instances
- * @param seed             of all that happens
+ * @param instances proxies, 1 to 4,096
+ * @param nodes cache nodes, 2 to 4,096
+ * @param zones data centres; instances and nodes are dealt out to them in turn
+ * @param load the requests asked for over what the nodes can do
+ * @param fastShare the part of the nodes that are fast
+ * @param workMs what a read costs a node of speed 1 on average
+ * @param places the connections that a node holds
+ * @param queue the requests that wait at a node beside the one that is worked on
+ * @param handshakeMs what a new connection costs a node
+ * @param sameMs one way within a zone
+ * @param crossMs one way between zones
+ * @param coldFrom the part of its capacity that a node has at its start
+ * @param warmMs after which time it has all of it
+ * @param hits the part of the reads that one pooled cache of the fleet's size would serve
+ * @param originMs what a fetch takes at the origin on average
+ * @param headroom the origin's capacity over the fetches that are left then
+ * @param lines the lines that discovery can send a second, to all together; of one call each it takes all within 2 to 8
+ *     s
+ * @param callLines what a call costs beside the entries it is answered with, in lines
+ * @param noticeMs how late discovery knows of a change
+ * @param retries how often a client comes again
+ * @param tryShare the part of a class's deadline that a client waits
+ * @param traffic which keys are asked for, and at which instances
+ * @param seed of all that happens
  */
-public record FleetDraw(int instances, int nodes, int zones, double load, double fastShare, double workMs, int places,
-        int queue, double handshakeMs, double sameMs, double crossMs, double coldFrom, double warmMs, double hits,
-        double originMs, double headroom, double lines, int callLines, double noticeMs, int retries, double tryShare,
-        Traffic traffic, long seed) {
+public record FleetDraw(
+        int instances,
+        int nodes,
+        int zones,
+        double load,
+        double fastShare,
+        double workMs,
+        int places,
+        int queue,
+        double handshakeMs,
+        double sameMs,
+        double crossMs,
+        double coldFrom,
+        double warmMs,
+        double hits,
+        double originMs,
+        double headroom,
+        double lines,
+        int callLines,
+        double noticeMs,
+        int retries,
+        double tryShare,
+        Traffic traffic,
+        long seed) {
     /**
      * Which keys are asked for, and at which instances.
      *
-     * @param zipf      the exponent of Zipf's law by which keys are popular
-     * @param offset    what is added to a key's rank there: it flattens the head
+     * @param zipf the exponent of Zipf's law by which keys are popular
+     * @param offset what is added to a key's rank there: it flattens the head
      * @param busyOneIn one instance in so many is busy
      * @param busyTimes and has so many times the traffic of others
-     * @param marked    whether clients mark their repeats
+     * @param marked whether clients mark their repeats
      */
     public record Traffic(double zipf, double offset, int busyOneIn, double busyTimes, boolean marked) {
         /** Flat keys, and few instances with several times the others' traffic. */
@@ -59,6 +79,7 @@
     static final int ORIGIN_KIND = 2;
     /** The origin's id; nodes are numbered from 1. */
     static final int ORIGIN = 1_000_000;
+
     static final double CONNECT_TIMEOUT_MS = 100;
     static final double DRAIN_GRACE_MS = 2000;
     static final double ASK_WITHIN_MS = 10_000;
@@ -71,6 +92,7 @@
     /** What the instances are told of cold nodes. */
     static final ColdLoad.Limits COLD_LIMITS =
             new ColdLoad.Limits(START_CAPACITY, WARM_UP_MS, COLD_MULTIPLE, COLD_WINDOW_MS);
+
     static final double FAST = 1.8;
     static final double SLOW = 0.9;
 
@@ -80,6 +102,7 @@
             new ServiceClass("seg-image", Effect.SAFE, Group.ALL, 0, 300, 1000, 1, 0.35, false),
             new ServiceClass("fix-submit", Effect.UNSAFE, Group.ALL, 0, 250, 600, 5, 0.35, false),
             new ServiceClass("track-publish", Effect.KEYED, Group.ALL, 1500, 500, 1000, 10, 0.35, false));
+
     private static final double[] UP_TO = {0.57, 0.955, 0.982, 1};
 
     /** @throws IllegalArgumentException where a size is out of range; the message names it */
@@ -95,16 +118,35 @@
     }
 
     /**
-     * A deployment of that size, the rest within the site's ranges; the load is what their standing
-     * test has for a fleet of that size: some ten requests a second at an instance where there are more of these than nodes.
+     * A deployment of that size, the rest within the site's ranges; the load is what their standing test has for a
+     * fleet of that size: some ten requests a second at an instance where there are more of these than nodes.
      */
     public static FleetDraw of(int instances, int nodes, long seed) {
         SplittableRandom r = new SplittableRandom(seed);
-        return new FleetDraw(instances, nodes, 4, in(r, 0.4, 0.55), in(r, 0.5, 0.68), in(r, 37, 67),
-                (int) in(r, 37, 48), (int) Math.round(in(r, 1.2, 3.8)), in(r, 1.9, 4), in(r, 0.1, 0.32), in(r, 1.4, 2.6),
-                in(r, 0.3, 0.6), in(r, 3000, 9000), in(r, 0.87, 0.96), in(r, 20, 60), in(r, 1.6, 2.6),
-                Math.max(1, instances / in(r, 2, 8)) * (77 + nodes), (int) in(r, 31, 77), in(r, 420, 2000), (int) in(r, 1, 3),
-                in(r, 0.5, 0.8), Traffic.USUAL, seed);
+        return new FleetDraw(
+                instances,
+                nodes,
+                4,
+                in(r, 0.4, 0.55),
+                in(r, 0.5, 0.68),
+                in(r, 37, 67),
+                (int) in(r, 37, 48),
+                (int) Math.round(in(r, 1.2, 3.8)),
+                in(r, 1.9, 4),
+                in(r, 0.1, 0.32),
+                in(r, 1.4, 2.6),
+                in(r, 0.3, 0.6),
+                in(r, 3000, 9000),
+                in(r, 0.87, 0.96),
+                in(r, 20, 60),
+                in(r, 1.6, 2.6),
+                Math.max(1, instances / in(r, 2, 8)) * (77 + nodes),
+                (int) in(r, 31, 77),
+                in(r, 420, 2000),
+                (int) in(r, 1, 3),
+                in(r, 0.5, 0.8),
+                Traffic.USUAL,
+                seed);
     }
 
     private static double in(SplittableRandom r, double low, double high) {
@@ -113,23 +155,86 @@
 
     /** The same with another load. */
     public FleetDraw withLoad(double other) {
-        return new FleetDraw(instances, nodes, zones, other, fastShare, workMs, places, queue, handshakeMs, sameMs, crossMs,
-                coldFrom, warmMs, hits, originMs, headroom, lines, callLines, noticeMs, retries, tryShare,
-                traffic, seed);
+        return new FleetDraw(
+                instances,
+                nodes,
+                zones,
+                other,
+                fastShare,
+                workMs,
+                places,
+                queue,
+                handshakeMs,
+                sameMs,
+                crossMs,
+                coldFrom,
+                warmMs,
+                hits,
+                originMs,
+                headroom,
+                lines,
+                callLines,
+                noticeMs,
+                retries,
+                tryShare,
+                traffic,
+                seed);
     }
 
     /** The same with other traffic. */
     public FleetDraw withTraffic(Traffic other) {
-        return new FleetDraw(instances, nodes, zones, load, fastShare, workMs, places, queue, handshakeMs, sameMs,
-                crossMs, coldFrom, warmMs, hits, originMs, headroom, lines, callLines, noticeMs, retries, tryShare,
-                other, seed);
+        return new FleetDraw(
+                instances,
+                nodes,
+                zones,
+                load,
+                fastShare,
+                workMs,
+                places,
+                queue,
+                handshakeMs,
+                sameMs,
+                crossMs,
+                coldFrom,
+                warmMs,
+                hits,
+                originMs,
+                headroom,
+                lines,
+                callLines,
+                noticeMs,
+                retries,
+                tryShare,
+                other,
+                seed);
     }
 
     /** The same with other places at a node. */
     public FleetDraw withPlaces(int other) {
-        return new FleetDraw(instances, nodes, zones, load, fastShare, workMs, other, queue, handshakeMs, sameMs, crossMs,
-                coldFrom, warmMs, hits, originMs, headroom, lines, callLines, noticeMs, retries, tryShare,
-                traffic, seed);
+        return new FleetDraw(
+                instances,
+                nodes,
+                zones,
+                load,
+                fastShare,
+                workMs,
+                other,
+                queue,
+                handshakeMs,
+                sameMs,
+                crossMs,
+                coldFrom,
+                warmMs,
+                hits,
+                originMs,
+                headroom,
+                lines,
+                callLines,
+                noticeMs,
+                retries,
+                tryShare,
+                traffic,
+                seed);
     }
 
     /** The class for a draw from 0 to 1. */
@@ -148,9 +253,37 @@
 
     /** What one of the instances is told. */
     Settings settings(int me) {
-        return new Settings(me, instances, me % zones, zones, 3, true, true, ORIGIN_KIND, Reports.NONE, List.of(), false, 1,
-                true, false, true, true, true, 3, 500, CONNECT_TIMEOUT_MS, DRAIN_GRACE_MS, 20, START_CAPACITY,
-                WARM_UP_MS, COLD_MULTIPLE, COLD_WINDOW_MS, ASK_WITHIN_MS, 0, 0, CLASSES,
+        return new Settings(
+                me,
+                instances,
+                me % zones,
+                zones,
+                3,
+                true,
+                true,
+                ORIGIN_KIND,
+                Reports.NONE,
+                List.of(),
+                false,
+                1,
+                true,
+                false,
+                true,
+                true,
+                true,
+                3,
+                500,
+                CONNECT_TIMEOUT_MS,
+                DRAIN_GRACE_MS,
+                20,
+                START_CAPACITY,
+                WARM_UP_MS,
+                COLD_MULTIPLE,
+                COLD_WINDOW_MS,
+                ASK_WITHIN_MS,
+                0,
+                0,
+                CLASSES,
                 List.of(new Tenant("all", 1, perSecond())));
     }
 }
--- a/src/main/java/damsonworks/model/FleetPart.java
+++ b/src/main/java/damsonworks/model/FleetPart.java
@@ -29,12 +29,23 @@
     private byte[] sight = {};
 
     /** {@code post}: sends a message to an instance; {@code order}: hands orders to the decision module. */
-    FleetPart(Settings settings, long seed, VirtualTime time, BiConsumer<Integer, byte[]> post, Consumer<List<ZoneOrder>> order) {
+    FleetPart(
+            Settings settings,
+            long seed,
+            VirtualTime time,
+            BiConsumer<Integer, byte[]> post,
+            Consumer<List<ZoneOrder>> order) {
         this.settings = settings;
         this.time = time;
         this.post = post;
         this.order = order;
-        members = new Membership(MemberSettings.of(settings.instances()), settings.me(), settings.zone(), new byte[0], 0, seed,
+        members = new Membership(
+                MemberSettings.of(settings.instances()),
+                settings.me(),
+                settings.zone(),
+                new byte[0],
+                0,
+                seed,
                 new MemberBudget(new Outbox(ViewPlay.BYTES_PER_SECOND, ViewPlay.BURST)));
         members.phase(Phase.SERVING);
         zones = new Zones(new ZoneSettings(settings.me(), settings.zone(), settings.zones(), settings.warmUpMs()));
@@ -55,14 +66,19 @@
     void listed(List<Member> listed) {
         for (int z = 0; z < settings.zones(); z++) {
             int zone = z;
-            double[] warmAt = listed.stream().filter(m -> m.zone() == zone && m.state() == State.READY
-                    && m.kind() != settings.originKind()).mapToDouble(m -> m.bornMs() == 0 ? 0
-                    : m.bornMs() + settings.warmUpMs()).sorted().toArray();
+            double[] warmAt = listed.stream()
+                    .filter(m -> m.zone() == zone && m.state() == State.READY && m.kind() != settings.originKind())
+                    .mapToDouble(m -> m.bornMs() == 0 ? 0 : m.bornMs() + settings.warmUpMs())
+                    .sorted()
+                    .toArray();
             zones.listed(z, warmAt.length, warmAt.length == 0 ? 0 : warmAt[warmAt.length / 2]);
         }
     }
 
-    /** Decides what is due of zones; to be called each {@link Zones#TICK_MS}. Whether the view has something new to tell. */
+    /**
+     * Decides what is due of zones; to be called each {@link Zones#TICK_MS}. Whether the view has something new to
+     * tell.
+     */
     boolean decide() {
         List<ZoneOrder> orders = zones.tick(time.now(), members.view(time.now()));
         if (!orders.isEmpty()) {
--- a/src/main/java/damsonworks/model/FleetPlay.java
+++ b/src/main/java/damsonworks/model/FleetPlay.java
@@ -15,12 +15,13 @@
 import java.util.function.Consumer;
 
 /**
- * One run: a tier of instances before one fleet for so many seconds of virtual time. What happens to them is set before it
- * with {@link #at}; counts and broken rules are read after it.
+ * One run: a tier of instances before one fleet for so many seconds of virtual time. What happens to them is set before
+ * it with {@link #at}; counts and broken rules are read after it.
  */
 public final class FleetPlay {
     /** When a run begins; an age of 0 means long ago, so time begins later. */
     static final double START_MS = 100_000;
+
     private static final double SWEEP_MS = 1000;
     private static final double PEER_LOST = 0.02;
     private static final double PEER_LEAST_MS = 3.6;
@@ -35,6 +36,7 @@
     private static final double ROOM = 1.1;
     /** Writes void this part of the reads' hits, as they are one request in twenty: the memory makes up for it. */
     private static final double VOIDED = 0.045;
+
     private static final double MOST_HELD = 0.995;
 
     private final FleetDraw draw;
@@ -118,7 +120,8 @@
 
     private NodeModel node(int id, int zone, double bornMs) {
         boolean fast = new SplittableRandom(draw.seed() + id).nextDouble() < draw.fastShare();
-        int room = (int) Math.ceil(entries * 2 * (fast ? FleetDraw.FAST : FleetDraw.SLOW) / (FleetDraw.FAST + FleetDraw.SLOW));
+        int room = (int)
+                Math.ceil(entries * 2 * (fast ? FleetDraw.FAST : FleetDraw.SLOW) / (FleetDraw.FAST + FleetDraw.SLOW));
         NodeModel n = new NodeModel(id, zone, bornMs, fast, draw, room, time, rules, random.split());
         nodes.put(id, n);
         if (n.load() != null) {
@@ -231,7 +234,10 @@
     }
 
     double longestDeadlineMs() {
-        return FleetDraw.CLASSES.stream().mapToDouble(ServiceClass::deadlineMs).max().orElseThrow();
+        return FleetDraw.CLASSES.stream()
+                .mapToDouble(ServiceClass::deadlineMs)
+                .max()
+                .orElseThrow();
     }
 
     /** The origin has carried it out: what was read is kept where it was missed, what was written voids the copies. */
@@ -240,13 +246,18 @@
         if (ask.request.write()) {
             boolean again = ask.ran++ > 0 && (ask.kind.windowMs() == 0 || time.now() > ask.ranMs + ask.kind.windowMs());
             if (again || ask.answer == Ask.Answer.REFUSED) {
-                rules.broken(Rules.Rule.NO_EFFECT_TWICE, time.now(), "request " + ask.request.id() + " (" + ask.kind.name()
-                        + ") has run " + (again ? "twice" : "and was refused"));
+                rules.broken(
+                        Rules.Rule.NO_EFFECT_TWICE,
+                        time.now(),
+                        "request " + ask.request.id() + " (" + ask.kind.name() + ") has run "
+                                + (again ? "twice" : "and was refused"));
             }
             ask.ranMs = ask.ran == 1 ? time.now() : ask.ranMs;
             nodes.values().forEach(n -> n.drop(ask.request.key()));
         } else if (!ask.over) {
-            ask.attempts.stream().filter(t -> t.missed && nodes.containsKey(t.server)).limit(2)
+            ask.attempts.stream()
+                    .filter(t -> t.missed && nodes.containsKey(t.server))
+                    .limit(2)
                     .forEach(t -> nodes.get(t.server).put(ask.request.key()));
         }
     }
--- a/src/main/java/damsonworks/model/InstanceModel.java
+++ b/src/main/java/damsonworks/model/InstanceModel.java
@@ -25,8 +25,8 @@
 import java.util.TreeMap;
 
 /**
- * One proxy: the real decision module and the real news of the list, and what carries their orders out as the core does. It
- * can be killed, drained and started again. Holds each order against the rules.
+ * One proxy: the real decision module and the real news of the list, and what carries their orders out as the core
+ * does. It can be killed, drained and started again. Holds each order against the rules.
  */
 final class InstanceModel implements RoutingApi.Actions {
     /** Part of a watch's time, at random, after which it is begun anew; as the discovery client has it. */
@@ -53,6 +53,7 @@
     private final Map<Integer, Double> wantedNothingMs = new HashMap<>();
     /** When the nodes of its list started, as this instance was told. */
     private final Map<Integer, Double> toldBornMs = new HashMap<>();
+
     private RoutingApi policy;
     private ListNews news;
     private ProvisionalMembership membership;
@@ -61,6 +62,7 @@
     private FleetPart part;
     /** A wait for the view that was begun before the last is void. */
     private long viewWaits;
+
     private List<Member> kept = List.of();
     private long version;
     private int life;
@@ -135,9 +137,14 @@
         toldBornMs.clear();
         kept.forEach(m -> toldBornMs.put(m.id(), m.bornMs()));
         policy.onList(time.now(), ListKind.CACHED, kept, this);
-        part = !play.leaves() ? null : new FleetPart(settings, random.nextLong(), time,
-                (to, body) -> play.post(this, to, other -> other.heard(me, body)),
-                orders -> policy.onZones(time.now(), orders, this));
+        part = !play.leaves()
+                ? null
+                : new FleetPart(
+                        settings,
+                        random.nextLong(),
+                        time,
+                        (to, body) -> play.post(this, to, other -> other.heard(me, body)),
+                        orders -> policy.onZones(time.now(), orders, this));
         if (part != null) {
             part.listed(kept);
             view();
@@ -235,11 +242,13 @@
         ask.idleSinceMs = time.now();
         tally.add(time.now(), Figure.REQUESTS);
         double left = ask.request.dueMs() - time.now();
-        later(left, () -> { // before the module's own timer: a silent server's attempt ends as a time-out then
-            for (int i = 0; i < ask.attempts.size() && !ask.over; i++) {
-                expire(ask.attempts.get(i));
-            }
-        });
+        later(
+                left,
+                () -> { // before the module's own timer: a silent server's attempt ends as a time-out then
+                    for (int i = 0; i < ask.attempts.size() && !ask.over; i++) {
+                        expire(ask.attempts.get(i));
+                    }
+                });
         later(left + SLACK_MS, () -> {
             if (!ask.over) {
                 rules.broken(Rule.NO_REQUEST_LOST, time.now(), name(ask) + " had no answer in time");
@@ -265,27 +274,34 @@
 
     private void answer(Ask ask, Ask.Answer answer, double retryAfterMs) {
         if (ask == null || ask.over) {
-            rules.broken(Rule.NO_REQUEST_LOST, time.now(), "a second answer to " + (ask == null ? "a request" : name(ask)));
+            rules.broken(
+                    Rule.NO_REQUEST_LOST, time.now(), "a second answer to " + (ask == null ? "a request" : name(ask)));
             return;
         }
-        if (answer != Ask.Answer.SERVED && ask.out == 0 && time.now() - ask.idleSinceMs > HELD_MS
+        if (answer != Ask.Answer.SERVED
+                && ask.out == 0
+                && time.now() - ask.idleSinceMs > HELD_MS
                 && time.now() >= ask.request.dueMs() - 1) {
             tally.add(time.now(), Figure.HELD_BACK);
         }
         ask.answer = answer;
         over(ask);
-        tally.add(time.now(), switch (answer) {
-            case SERVED -> Figure.SERVED;
-            case REFUSED -> Figure.REFUSED;
-            case FAILED -> Figure.FAILED;
-        });
+        tally.add(
+                time.now(),
+                switch (answer) {
+                    case SERVED -> Figure.SERVED;
+                    case REFUSED -> Figure.REFUSED;
+                    case FAILED -> Figure.FAILED;
+                });
         ask.client.answered(ask, answer, retryAfterMs);
     }
 
     @Override
     public void deny(int request, double retryAfterMs) {
         Ask ask = asks.get(request);
-        if (ask != null && ask.kind.effect() != Effect.SAFE && ask.attempts.stream().anyMatch(a -> !a.neverRan)) {
+        if (ask != null
+                && ask.kind.effect() != Effect.SAFE
+                && ask.attempts.stream().anyMatch(a -> !a.neverRan)) {
             rules.broken(Rule.NO_EFFECT_TWICE, time.now(), name(ask) + " was refused and may have run");
         }
         answer(ask, Ask.Answer.REFUSED, retryAfterMs);
@@ -302,7 +318,10 @@
     public void place(int request, int server, double timeoutMs) {
         Ask ask = asks.get(request);
         if (ask == null || ask.over) {
-            rules.broken(Rule.NO_REQUEST_LOST, time.now(), "something is sent for a request that is over, at instance " + me);
+            rules.broken(
+                    Rule.NO_REQUEST_LOST,
+                    time.now(),
+                    "something is sent for a request that is over, at instance " + me);
             return;
         }
         holdAgainstRules(ask, server);
@@ -330,8 +349,10 @@
         }
         Double told = wantedNothingMs.get(server);
         if (told != null && time.now() > told + settings.drainGraceMs() + SLACK_MS) {
-            rules.broken(Rule.DRAINS_KEPT, time.now(), name(ask) + " goes to node " + server + ", told of "
-                    + Math.round(time.now() - told) + " ms ago");
+            rules.broken(
+                    Rule.DRAINS_KEPT,
+                    time.now(),
+                    name(ask) + " goes to node " + server + ", told of " + Math.round(time.now() - told) + " ms ago");
         }
         for (Attempt a : ask.attempts) {
             if (a.neverRan || ask.kind.effect() == Effect.SAFE) {
@@ -372,16 +393,18 @@
             return; // the time-out, or the module, ends it
         }
         double delay = play.network().delayMs(zone(), OriginModel.ZONE);
-        time.after(delay, () -> play.origin().take(a, done -> {
-            if (done) {
-                play.stored(a);
-            }
-            time.after(delay, () -> {
-                if (play.network().passes(zone(), OriginModel.ZONE)) {
-                    ended(a, done ? Outcome.OK : Outcome.FULL);
-                }
-            });
-        }));
+        time.after(
+                delay,
+                () -> play.origin().take(a, done -> {
+                    if (done) {
+                        play.stored(a);
+                    }
+                    time.after(delay, () -> {
+                        if (play.network().passes(zone(), OriginModel.ZONE)) {
+                            ended(a, done ? Outcome.OK : Outcome.FULL);
+                        }
+                    });
+                }));
     }
 
     private void expire(Attempt a) {
@@ -406,12 +429,14 @@
         Ask ask = asks.get(request);
         if (ask != null && attempt < ask.attempts.size()) {
             Attempt a = ask.attempts.get(attempt);
-            later(0, () -> { // not within the module's own call
-                if (!a.ended) {
-                    ended(a, Outcome.CANCELLED);
-                    gaveUp(a);
-                }
-            });
+            later(
+                    0,
+                    () -> { // not within the module's own call
+                        if (!a.ended) {
+                            ended(a, Outcome.CANCELLED);
+                            gaveUp(a);
+                        }
+                    });
         }
     }
 
@@ -435,8 +460,10 @@
         } else if (ask.over && ask.out == 0) {
             asks.remove(ask.request.id());
         }
-        policy.onAttemptEnd(time.now(), new AttemptEnd(ask.request.id(), a.index, a.server, outcome, time.now() - a.sentMs,
-                ask.over, 0, null), this);
+        policy.onAttemptEnd(
+                time.now(),
+                new AttemptEnd(ask.request.id(), a.index, a.server, outcome, time.now() - a.sentMs, ask.over, 0, null),
+                this);
     }
 
     void closed(Link link) {
@@ -445,8 +472,14 @@
 
     /** Ends what has stood idle for long, or still owes an answer that nobody waits for. */
     void sweep() {
-        links.values().stream().filter(l -> l.stalledSince(time.now() - STALLED_MS)).toList().forEach(Link::reset);
-        links.values().stream().filter(l -> l.idleSince(time.now() - FleetDraw.IDLE_CLOSE_MS)).toList().forEach(Link::close);
+        links.values().stream()
+                .filter(l -> l.stalledSince(time.now() - STALLED_MS))
+                .toList()
+                .forEach(Link::reset);
+        links.values().stream()
+                .filter(l -> l.idleSince(time.now() - FleetDraw.IDLE_CLOSE_MS))
+                .toList()
+                .forEach(Link::close);
     }
 
     // ---- the list, and what peers tell of it
@@ -502,7 +535,8 @@
             }
         }
         wantedNothingMs.values().removeIf(at -> time.now() - at > 10 * settings.drainGraceMs());
-        policy.onList(time.now(), whole ? ListKind.FULL : ListKind.CHANGES, membership.told(told, whole, members), this);
+        policy.onList(
+                time.now(), whole ? ListKind.FULL : ListKind.CHANGES, membership.told(told, whole, members), this);
         if (part != null) {
             part.listed(play.discovery().known());
         }
@@ -516,7 +550,7 @@
                 play.tell(this, peer -> peer.heard(update));
             }
             case ASK -> alert();
-            case NONE, WAIT -> { }
+            case NONE, WAIT -> {}
         }
         if (order != Order.NONE && news.dueMs() != Double.POSITIVE_INFINITY) {
             later(Math.max(0.01, news.dueMs() - time.now()), () -> carryOut(news.due(time.now())));
@@ -545,8 +579,12 @@
         }
         long known = membership.known();
         int other = random.nextInt(settings.instances() - 1);
-        play.post(this, other < me ? other : other + 1,
-                peer -> peer.membership.since(time.now(), known).forEach(u -> play.post(peer, me, asker -> asker.heard(u))));
+        play.post(
+                this,
+                other < me ? other : other + 1,
+                peer -> peer.membership
+                        .since(time.now(), known)
+                        .forEach(u -> play.post(peer, me, asker -> asker.heard(u))));
     }
 
     @Override
@@ -571,7 +609,7 @@
     }
 
     @Override
-    public void probe(int server) { }
+    public void probe(int server) {}
 
     @Override
     public void closeIdle(int server) {
@@ -582,5 +620,5 @@
     }
 
     @Override
-    public void log(String line) { }
+    public void log(String line) {}
 }
--- a/src/main/java/damsonworks/model/LineDiscovery.java
+++ b/src/main/java/damsonworks/model/LineDiscovery.java
@@ -6,12 +6,14 @@
 import java.util.Map;
 
 /**
- * A discovery that serves all instances, as the operators' bench was seen to have it: it takes new calls one after another,
- * each at the same cost, keeps so much of them in line and turns the others away at once. A watch that goes on costs nothing.
+ * A discovery that serves all instances, as the operators' bench was seen to have it: it takes new calls one after
+ * another, each at the same cost, keeps so much of them in line and turns the others away at once. A watch that goes on
+ * costs nothing.
  */
 final class LineDiscovery {
     /** A new call that would wait longer is turned away, in milliseconds. */
     static final double LONGEST_LINE_MS = 3000;
+
     private static final double ANSWER_MS = 10;
 
     /** Who called. */
@@ -24,7 +26,7 @@
     }
 
     /** A call that waits for something newer than the caller holds. */
-    private record Watch(Caller caller, int call, long since) { }
+    private record Watch(Caller caller, int call, long since) {}
 
     private final VirtualTime time;
     private final double costMs;
--- a/src/main/java/damsonworks/model/Link.java
+++ b/src/main/java/damsonworks/model/Link.java
@@ -5,11 +5,11 @@
 import java.util.List;
 
 /**
- * One connection of an instance to a node. Answers come in the order of its requests; one that is lost holds up all that
- * come after it, as on a link that swallows packets.
+ * One connection of an instance to a node. Answers come in the order of its requests; one that is lost holds up all
+ * that come after it, as on a link that swallows packets.
  */
 final class Link {
-    private record Answer(Attempt attempt, Outcome outcome) { }
+    private record Answer(Attempt attempt, Outcome outcome) {}
 
     private final InstanceModel owner;
     private final NodeModel node;
@@ -78,7 +78,7 @@
             return;
         }
         early.add(answer);
-        for (boolean more = true; more;) {
+        for (boolean more = true; more; ) {
             more = false;
             for (Answer a : early) {
                 if (a.attempt() == out.peek()) {
--- a/src/main/java/damsonworks/model/NewsPlay.java
+++ b/src/main/java/damsonworks/model/NewsPlay.java
@@ -50,22 +50,22 @@
     /**
      * What to play.
      *
-     * @param instances         how many, at least 1
+     * @param instances how many, at least 1
      * @param newCallsPerSecond what discovery takes, of all instances together
-     * @param seed              the same gives the same play
+     * @param seed the same gives the same play
      */
-    public record Spec(int instances, Failure failure, Sharing sharing, double newCallsPerSecond, long seed) { }
+    public record Spec(int instances, Failure failure, Sharing sharing, double newCallsPerSecond, long seed) {}
 
     /**
      * What came of it. Times count from when the change was made and discovery could be asked.
      *
-     * @param medianMs        until half of the instances knew
-     * @param worstMs         until the last one knew; infinite if it did not within a minute
+     * @param medianMs until half of the instances knew
+     * @param worstMs until the last one knew; infinite if it did not within a minute
      * @param newCallsASecond new calls of all instances in the 10 s after the change, a second
-     * @param turnedAway      the share of these that were turned away
-     * @param messages        datagrams that were sent in that time, to one receiver each
+     * @param turnedAway the share of these that were turned away
+     * @param messages datagrams that were sent in that time, to one receiver each
      */
-    public record Result(double medianMs, double worstMs, double newCallsASecond, double turnedAway, long messages) { }
+    public record Result(double medianMs, double worstMs, double newCallsASecond, double turnedAway, long messages) {}
 
     private static final double START_MS = 1e12;
     private static final double OUTAGE_MS = 8000;
@@ -114,13 +114,17 @@
         double turnedAway = calls == 0 ? 0 : (discovery.turnedAway() - turnedAwayBefore) / (double) calls;
         long sent = messages - messagesBefore;
         time.passTo(changedMs + WATCHED_MS);
-        double[] known = Arrays.stream(instances).mapToDouble(i -> i.knownMs - changedMs).sorted().toArray();
-        return new Result(known[known.length / 2], known[known.length - 1], calls * 1000 / COUNTED_MS, turnedAway, sent);
+        double[] known = Arrays.stream(instances)
+                .mapToDouble(i -> i.knownMs - changedMs)
+                .sorted()
+                .toArray();
+        return new Result(
+                known[known.length / 2], known[known.length - 1], calls * 1000 / COUNTED_MS, turnedAway, sent);
     }
 
     private void fail() {
         switch (spec.failure()) {
-            case NONE -> { }
+            case NONE -> {}
             case WATCHES_END -> discovery.endWatches();
             case WATCHES_SILENT -> discovery.forgetWatches();
             case DOWN -> {
@@ -255,7 +259,7 @@
             switch (order) {
                 case TELL -> tellAll();
                 case ASK -> ask();
-                case NONE, WAIT -> { }
+                case NONE, WAIT -> {}
             }
             if (order != Order.NONE && news.dueMs() != Double.POSITIVE_INFINITY) {
                 time.after(Math.max(0.01, news.dueMs() - time.now()), () -> carryOut(news.due(time.now())));
@@ -314,30 +318,30 @@
         }
 
         @Override
-        public void place(int request, int server, double timeoutMs) { }
+        public void place(int request, int server, double timeoutMs) {}
 
         @Override
-        public void deny(int request, double retryAfterMs) { }
+        public void deny(int request, double retryAfterMs) {}
 
         @Override
-        public void fail(int request) { }
+        public void fail(int request) {}
 
         @Override
-        public void cancel(int request, int attempt) { }
+        public void cancel(int request, int attempt) {}
 
         @Override
-        public void probe(int server) { }
+        public void probe(int server) {}
 
         @Override
-        public void closeIdle(int server) { }
+        public void closeIdle(int server) {}
 
         @Override
-        public void tell(int peer, byte[] message) { }
+        public void tell(int peer, byte[] message) {}
 
         @Override
-        public void fetchList() { }
+        public void fetchList() {}
 
         @Override
-        public void log(String line) { }
+        public void log(String line) {}
     }
 }
--- a/src/main/java/damsonworks/model/NodeModel.java
+++ b/src/main/java/damsonworks/model/NodeModel.java
@@ -1,9 +1,9 @@
 package damsonworks.model;
 
+import damsonworks.RoutingApi.Outcome;
 import damsonworks.fleet.ColdStart;
 import damsonworks.fleet.LruStore;
 import damsonworks.fleet.ServiceModel;
-import damsonworks.RoutingApi.Outcome;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -17,7 +17,7 @@
     private static final double MISS_PART = 0.1;
 
     /** One request that has arrived; {@code link}: null for the work of a new connection. */
-    private record Job(Link link, Attempt attempt) { }
+    private record Job(Link link, Attempt attempt) {}
 
     final int id;
     final int zone;
@@ -43,7 +43,15 @@
     private double slowness = 1;
 
     /** {@code bornMs}: 0 for long ago. */
-    NodeModel(int id, int zone, double bornMs, boolean fast, FleetDraw draw, int entries, VirtualTime time, Rules rules,
+    NodeModel(
+            int id,
+            int zone,
+            double bornMs,
+            boolean fast,
+            FleetDraw draw,
+            int entries,
+            VirtualTime time,
+            Rules rules,
             SplittableRandom random) {
         this.id = id;
         this.zone = zone;
@@ -57,8 +65,15 @@
         places = draw.places();
         core = new ServiceModel<>(1, draw.queue());
         store = new LruStore<>(entries);
-        start = new ColdStart(new ColdStart.Settings(draw.coldFrom(), draw.warmMs(), FleetDraw.COLD_MULTIPLE,
-                FleetDraw.COLD_WINDOW_MS, 3 * draw.workMs()), speed, bornMs == 0 ? Double.NEGATIVE_INFINITY : bornMs);
+        start = new ColdStart(
+                new ColdStart.Settings(
+                        draw.coldFrom(),
+                        draw.warmMs(),
+                        FleetDraw.COLD_MULTIPLE,
+                        FleetDraw.COLD_WINDOW_MS,
+                        3 * draw.workMs()),
+                speed,
+                bornMs == 0 ? Double.NEGATIVE_INFINITY : bornMs);
         load = bornMs == 0 ? null : new ColdLoad(FleetDraw.COLD_LIMITS, speed / draw.workMs(), bornMs);
     }
 
@@ -166,7 +181,8 @@
             return;
         }
         if (load != null) {
-            load.arrived(time.now(), attempt, link.owner().number(), link.owner().toldOfStart(this));
+            load.arrived(
+                    time.now(), attempt, link.owner().number(), link.owner().toldOfStart(this));
         }
         boolean held = store.get(attempt.ask.request.key()) != null;
         double work = attempt.ask.workMs * (held ? 1 : MISS_PART);
@@ -190,8 +206,10 @@
     /** What is sent counts, also what is turned away: so the operators' rule has it. */
     private void fall() {
         fallen = true;
-        rules.broken(Rules.Rule.NO_COLD_NODE_PUSHED_OVER, time.now(), "node " + id + " falls over, "
-                + Math.round(time.now() - bornMs) + " ms old");
+        rules.broken(
+                Rules.Rule.NO_COLD_NODE_PUSHED_OVER,
+                time.now(),
+                "node " + id + " falls over, " + Math.round(time.now() - bornMs) + " ms old");
         core.clear();
         resetAll();
     }
--- a/src/main/java/damsonworks/model/OriginModel.java
+++ b/src/main/java/damsonworks/model/OriginModel.java
@@ -16,7 +16,7 @@
      */
     private static final double SCATTERED = 0.25;
 
-    private record Job(Attempt attempt, Consumer<Boolean> done) { }
+    private record Job(Attempt attempt, Consumer<Boolean> done) {}
 
     static final int ZONE = 0;
     private final VirtualTime time;
--- a/src/main/java/damsonworks/model/PlayReport.java
+++ b/src/main/java/damsonworks/model/PlayReport.java
@@ -11,14 +11,15 @@
 /**
  * What one run came to, as a table for people, as JSON and as a page.
  *
- * @param day   what was played
- * @param draw  the deployment
+ * @param day what was played
+ * @param draw the deployment
  * @param tally what was counted
  * @param rules what was broken
  */
 public record PlayReport(Day day, FleetDraw draw, Tally tally, Rules rules) {
     /** Over so many seconds the worst stretch is looked for, as the operators do. */
     private static final int WORST_SPAN = 10;
+
     private static final String[] COLOURS = {"#2b6cb0", "#c05621", "#2f855a", "#9b2c2c", "#6b46c1", "#b7791f"};
 
     /** Plays that day for so many seconds. */
@@ -37,15 +38,27 @@
     }
 
     private String title() {
-        return String.format(Locale.ROOT, "%s, %d instances before %d nodes, seed %d", day.name().toLowerCase(Locale.ROOT),
-                draw.instances(), draw.nodes(), draw.seed());
+        return String.format(
+                Locale.ROOT,
+                "%s, %d instances before %d nodes, seed %d",
+                day.name().toLowerCase(Locale.ROOT),
+                draw.instances(),
+                draw.nodes(),
+                draw.seed());
     }
 
     /** The head line: worth, and whether the rules held. */
     public String line() {
-        return String.format(Locale.ROOT, "%-6s seed %-6d worth %.3f, worst %d s %.3f, %.2f attempts a request, %s",
-                day.name().toLowerCase(Locale.ROOT), draw.seed(), tally.worth(), WORST_SPAN, tally.worstWorth(WORST_SPAN),
-                perRequest(Figure.ATTEMPTS), rules.kept() ? "rules kept" : "BROKEN " + rules.counts());
+        return String.format(
+                Locale.ROOT,
+                "%-6s seed %-6d worth %.3f, worst %d s %.3f, %.2f attempts a request, %s",
+                day.name().toLowerCase(Locale.ROOT),
+                draw.seed(),
+                tally.worth(),
+                WORST_SPAN,
+                tally.worstWorth(WORST_SPAN),
+                perRequest(Figure.ATTEMPTS),
+                rules.kept() ? "rules kept" : "BROKEN " + rules.counts());
     }
 
     private double perRequest(Figure f) {
@@ -54,16 +67,22 @@
 
     /** All figures, and the first of what was broken. */
     public String text() {
-        StringBuilder s = new StringBuilder(title()).append('\n').append(day.words()).append("\n\n");
+        StringBuilder s =
+                new StringBuilder(title()).append('\n').append(day.words()).append("\n\n");
         s.append(line()).append("\n\n");
         s.append(String.format("%-34s %12s %12s %12s%n", "", "in all", "a second", "a request"));
         for (Figure f : Figure.values()) {
-            s.append(String.format(Locale.ROOT, "%-34s %,12.0f %,12.1f %12.4f%n", f.words(), tally.total(f),
-                    tally.total(f) / tally.seconds(), perRequest(f)));
+            s.append(String.format(
+                    Locale.ROOT,
+                    "%-34s %,12.0f %,12.1f %12.4f%n",
+                    f.words(),
+                    tally.total(f),
+                    tally.total(f) / tally.seconds(),
+                    perRequest(f)));
         }
         for (Rules.Broken b : rules.told()) {
-            s.append(String.format(Locale.ROOT, "%n%s at %.3f s: %s", b.rule(), (b.atMs() - FleetPlay.START_MS) / 1000,
-                    b.what()));
+            s.append(String.format(
+                    Locale.ROOT, "%n%s at %.3f s: %s", b.rule(), (b.atMs() - FleetPlay.START_MS) / 1000, b.what()));
         }
         return s.append('\n').toString();
     }
@@ -107,8 +126,11 @@
                 + "padding:0 1em;color:#222}pre{background:#f5f5f2;padding:1em;overflow:auto}svg{width:100%;height:auto;"
                 + "font:12px system-ui,sans-serif}</style></head><body><h1>The fleet in virtual time</h1>");
         for (PlayReport r : reports) {
-            s.append("<h2>").append(LineChart.escape(r.title())).append("</h2><pre>")
-                    .append(LineChart.escape(r.text())).append("</pre>");
+            s.append("<h2>")
+                    .append(LineChart.escape(r.title()))
+                    .append("</h2><pre>")
+                    .append(LineChart.escape(r.text()))
+                    .append("</pre>");
             s.append(r.worthChart());
             s.append(r.chart(Figure.FIRST_TRIES, Figure.REQUESTS, Figure.ATTEMPTS, Figure.REFUSED, Figure.FAILED));
             s.append(r.chart(Figure.NO_PLACE, Figure.CONNECTIONS, Figure.FETCHES, Figure.CALLS, Figure.MESSAGES));
@@ -122,8 +144,8 @@
             double asked = tally.at(i, Figure.WORTH_ASKED);
             points.add(new double[] {i, asked == 0 ? 1 : tally.at(i, Figure.WORTH_EARNED) / asked});
         }
-        return LineChart.svg("s", "worth earned of what was asked for", List.of(new LineChart.Line("worth", COLOURS[0],
-                points)));
+        return LineChart.svg(
+                "s", "worth earned of what was asked for", List.of(new LineChart.Line("worth", COLOURS[0], points)));
     }
 
     private String chart(Figure... figures) {
--- a/src/main/java/damsonworks/model/Rules.java
+++ b/src/main/java/damsonworks/model/Rules.java
@@ -26,7 +26,7 @@
      * @param atMs when, in milliseconds of virtual time
      * @param what what happened, with the ids of request and instance
      */
-    public record Broken(Rule rule, double atMs, String what) { }
+    public record Broken(Rule rule, double atMs, String what) {}
 
     /** So many are kept word for word; the rest is counted. */
     private static final int MOST_TOLD = 20;
--- a/src/main/java/damsonworks/model/Tally.java
+++ b/src/main/java/damsonworks/model/Tally.java
@@ -1,6 +1,8 @@
 package damsonworks.model;
 
-/** Counts by the second. Seconds are those of the run, from 0; what comes before or after it goes to the first or last. */
+/**
+ * Counts by the second. Seconds are those of the run, from 0; what comes before or after it goes to the first or last.
+ */
 public final class Tally {
     private final double startMs;
     private final double[][] counts;
--- a/src/main/java/damsonworks/model/Trouble.java
+++ b/src/main/java/damsonworks/model/Trouble.java
@@ -12,7 +12,9 @@
             double part = 0.1 + 0.31 * p.random().nextDouble();
             List<NodeModel> some = p.some(p.nodes(), (int) (part * p.draw().nodes()));
             for (double second = FROM; second < FROM + SPAN; second += 2.5) {
-                p.at(second, () -> some.forEach(n -> n.pause(62 + 98 * p.random().nextDouble())));
+                p.at(
+                        second,
+                        () -> some.forEach(n -> n.pause(62 + 98 * p.random().nextDouble())));
             }
         }
     },
--- a/src/main/java/damsonworks/model/ViewPlay.java
+++ b/src/main/java/damsonworks/model/ViewPlay.java
@@ -18,14 +18,15 @@
 import java.util.function.IntPredicate;
 
 /**
- * Instances that keep a view of each other in virtual time: the real {@code Membership}, its messages lost, late and cut.
- * Each instance's clock is the same; its process may die, start again, or stand still.
+ * Instances that keep a view of each other in virtual time: the real {@code Membership}, its messages lost, late and
+ * cut. Each instance's clock is the same; its process may die, start again, or stand still.
  */
 public final class ViewPlay {
     /** What an instance may send, as the proxy has it. */
     public static final double BYTES_PER_SECOND = 2000;
     /** What it may send at once. */
     public static final double BURST = 6000;
+
     private static final int ZONES = 4;
     private static final double START_MS = 1000;
 
@@ -37,6 +38,7 @@
         long bytes;
         /** Events of an earlier wait are void. */
         long waits;
+
         private final List<Runnable> missed = new ArrayList<>();
 
         Instance(int id) {
@@ -45,7 +47,8 @@
 
         void start(long remembered) {
             outbox = new Outbox(BYTES_PER_SECOND, BURST);
-            members = new Membership(settings, id, id % ZONES, new byte[0], remembered, random.nextLong(), new MemberBudget(outbox));
+            members = new Membership(
+                    settings, id, id % ZONES, new byte[0], remembered, random.nextLong(), new MemberBudget(outbox));
             members.phase(Phase.SERVING);
             go();
         }
@@ -95,17 +98,19 @@
     private boolean oneWay;
     /** Who was given up though it lived and was within reach, by number and incarnation. */
     private final Set<String> falseDeaths = new HashSet<>();
+
     private double quietFromMs = Double.POSITIVE_INFINITY;
 
     /**
      * So many instances, started within a second.
      *
-     * @param loss  of messages, 0 to 1
+     * @param loss of messages, 0 to 1
      * @param twice of messages that come twice, 0 to 1
      */
     public ViewPlay(int many, double loss, double twice, long seed) {
         if (many < 1 || many > 10_000 || !(loss >= 0 && loss < 1) || !(twice >= 0 && twice <= 1)) {
-            throw new IllegalArgumentException(many + " instances at a loss of " + loss + "; it takes 1 to 10000 and 0 to 1");
+            throw new IllegalArgumentException(
+                    many + " instances at a loss of " + loss + "; it takes 1 to 10000 and 0 to 1");
         }
         settings = MemberSettings.of(many);
         this.loss = loss;
@@ -222,8 +227,11 @@
         }
         for (Instance other : instances) {
             Entry e = other.members == null ? null : i.members.entry(other.id);
-            if (e != null && e.state() == State.DEAD && e.compareLife(other.members.entry(e.id())) == 0
-                    && reaches(i.id, other.id) && time.now() >= other.stoppedUntilMs) {
+            if (e != null
+                    && e.state() == State.DEAD
+                    && e.compareLife(other.members.entry(e.id())) == 0
+                    && reaches(i.id, other.id)
+                    && time.now() >= other.stoppedUntilMs) {
                 falseDeaths.add(e.id() + "/" + e.incarnation());
             }
         }
@@ -246,7 +254,8 @@
             for (Instance other : instances) {
                 Entry e = i.members.entry(other.id);
                 boolean lives = other.members != null && reaches(i.id, other.id) && reaches(other.id, i.id);
-                if (lives ? e == null || !e.state().lives() || i.members.digest() != other.members.digest()
+                if (lives
+                        ? e == null || !e.state().lives() || i.members.digest() != other.members.digest()
                         : e != null && e.state().lives()) {
                     return false;
                 }
@@ -259,7 +268,9 @@
     public boolean allHold(int id, boolean alive) {
         return instances.stream().filter(i -> i.members != null).allMatch(i -> {
             Entry e = i.members.entry(id);
-            return alive ? e != null && e.state().lives() : e == null || !e.state().lives();
+            return alive
+                    ? e != null && e.state().lives()
+                    : e == null || !e.state().lives();
         });
     }
 
@@ -274,8 +285,10 @@
 
     /** Bytes sent so far by the one that sent most, and on average. */
     public double[] bytes() {
-        return new double[] {instances.stream().mapToLong(i -> i.bytes).max().orElse(0),
-            instances.stream().mapToLong(i -> i.bytes).average().orElse(0)};
+        return new double[] {
+            instances.stream().mapToLong(i -> i.bytes).max().orElse(0),
+            instances.stream().mapToLong(i -> i.bytes).average().orElse(0)
+        };
     }
 
     /** The view's own membership of an instance, or null while it is dead. */
--- a/src/main/java/damsonworks/model/ViewStudy.java
+++ b/src/main/java/damsonworks/model/ViewStudy.java
@@ -5,34 +5,55 @@
 import java.util.stream.LongStream;
 
 /**
- * How soon a view settles, over many seeds: from all starting at once, after a crash, after a return, at a cut, after its end;
- * how often one is given up that lives; and what it takes on the wire.
+ * How soon a view settles, over many seeds: from all starting at once, after a crash, after a return, at a cut, after
+ * its end; how often one is given up that lives; and what it takes on the wire.
  *
- * @param instances  in the fleet
- * @param loss       of messages, 0 to 1
- * @param times      of each event, a row a seed: milliseconds until all had settled
+ * @param instances in the fleet
+ * @param loss of messages, 0 to 1
+ * @param times of each event, a row a seed: milliseconds until all had settled
  * @param falseDeaths in all seeds together
  * @param quietHours that were watched for them, all seeds together
  * @param quietBytes a second and instance while nothing happened, on average over the seeds
- * @param mostBytes  a second of the instance that sent most over its whole life, the worst seed
+ * @param mostBytes a second of the instance that sent most over its whole life, the worst seed
  */
-public record ViewStudy(int instances, double loss, List<double[]> times, int falseDeaths, double quietHours, double quietBytes,
+public record ViewStudy(
+        int instances,
+        double loss,
+        List<double[]> times,
+        int falseDeaths,
+        double quietHours,
+        double quietBytes,
         double mostBytes) {
     /** What is timed, in the order of the rows. */
-    public static final List<String> EVENTS = List.of("all start at once", "one crashes: known to all",
-            "it returns, remembering nothing", "a quarter is cut off", "the cut heals");
+    public static final List<String> EVENTS = List.of(
+            "all start at once",
+            "one crashes: known to all",
+            "it returns, remembering nothing",
+            "a quarter is cut off",
+            "the cut heals");
+
     private static final double LIMIT_MS = 120_000;
     private static final double CUT_MS = 6000;
     /** Of messages that come twice. */
     private static final double TWICE = 0.02;
 
-    private record Play(double[] times, int falseDeaths, double quietMs, double quietBytes, double mostBytes) { }
+    private record Play(double[] times, int falseDeaths, double quietMs, double quietBytes, double mostBytes) {}
 
-    /** Plays so many seeds from one on, side by side. {@code quietMs}: how long nothing happens, watched for false deaths. */
+    /**
+     * Plays so many seeds from one on, side by side. {@code quietMs}: how long nothing happens, watched for false
+     * deaths.
+     */
     public static ViewStudy of(int instances, double loss, long seed, int seeds, double quietMs) {
-        List<Play> plays = LongStream.range(seed, seed + seeds).parallel().mapToObj(s -> play(instances, loss, s, quietMs)).toList();
-        return new ViewStudy(instances, loss, plays.stream().map(Play::times).toList(),
-                plays.stream().mapToInt(Play::falseDeaths).sum(), plays.stream().mapToDouble(Play::quietMs).sum() / 3_600_000,
+        List<Play> plays = LongStream.range(seed, seed + seeds)
+                .parallel()
+                .mapToObj(s -> play(instances, loss, s, quietMs))
+                .toList();
+        return new ViewStudy(
+                instances,
+                loss,
+                plays.stream().map(Play::times).toList(),
+                plays.stream().mapToInt(Play::falseDeaths).sum(),
+                plays.stream().mapToDouble(Play::quietMs).sum() / 3_600_000,
                 plays.stream().mapToDouble(Play::quietBytes).average().orElse(0),
                 plays.stream().mapToDouble(Play::mostBytes).max().orElse(0));
     }
@@ -69,15 +90,34 @@
 
     /** As a table. */
     public String text() {
-        StringBuilder s = new StringBuilder(String.format(Locale.ROOT, "%d instances, %.0f%% of messages lost, %d seeds%n%-36s"
-                + "%10s%10s%10s%n", instances, 100 * loss, times.size(), "seconds until all hold the same", "median", "p99", "worst"));
+        StringBuilder s = new StringBuilder(String.format(
+                Locale.ROOT,
+                "%d instances, %.0f%% of messages lost, %d seeds%n%-36s" + "%10s%10s%10s%n",
+                instances,
+                100 * loss,
+                times.size(),
+                "seconds until all hold the same",
+                "median",
+                "p99",
+                "worst"));
         for (int e = 0; e < EVENTS.size(); e++) {
             double[] t = sorted(e);
-            s.append(String.format(Locale.ROOT, "%-36s%10.2f%10.2f%10.2f%n", EVENTS.get(e), t[t.length / 2] / 1000,
-                    t[(int) Math.min(t.length - 1, Math.floor(t.length * 0.99))] / 1000, t[t.length - 1] / 1000));
+            s.append(String.format(
+                    Locale.ROOT,
+                    "%-36s%10.2f%10.2f%10.2f%n",
+                    EVENTS.get(e),
+                    t[t.length / 2] / 1000,
+                    t[(int) Math.min(t.length - 1, Math.floor(t.length * 0.99))] / 1000,
+                    t[t.length - 1] / 1000));
         }
-        return s.append(String.format(Locale.ROOT, "%d false deaths in %.2f hours; %.0f bytes a second and instance while nothing "
-                + "happens, %.0f over its life at the one that sent most%n", falseDeaths, quietHours, quietBytes, mostBytes))
+        return s.append(String.format(
+                        Locale.ROOT,
+                        "%d false deaths in %.2f hours; %.0f bytes a second and instance while nothing "
+                                + "happens, %.0f over its life at the one that sent most%n",
+                        falseDeaths,
+                        quietHours,
+                        quietBytes,
+                        mostBytes))
                 .toString();
     }
 }
--- a/src/main/java/damsonworks/model/ZonePlay.java
+++ b/src/main/java/damsonworks/model/ZonePlay.java
@@ -15,15 +15,18 @@
 import java.util.function.IntPredicate;
 
 /**
- * Instances that leave zones and return to them in virtual time: the real {@code Membership} and {@code Zones}, with traffic
- * that is drawn. An attempt at a node that is out of reach is found silent; nothing else of a request is played here.
+ * Instances that leave zones and return to them in virtual time: the real {@code Membership} and {@code Zones}, with
+ * traffic that is drawn. An attempt at a node that is out of reach is found silent; nothing else of a request is played
+ * here.
  */
 public final class ZonePlay {
     /** Zones of instances and nodes, to which both are dealt in turn. */
     public static final int ZONES = 4;
+
     private static final double STEP_MS = 50;
     /** What an attempt that is not answered takes to be found silent, at least. */
     private static final double PATIENCE_MS = 80;
+
     private static final double WARM_UP_MS = 9000;
     private static final double USUAL_HITS = 0.9;
 
@@ -62,14 +65,14 @@
     private final Map<Integer, double[]> sent = new HashMap<>();
     private IntPredicate cutOff = z -> false;
     private double stallShare;
-    private Watcher watcher = (now, open) -> { };
+    private Watcher watcher = (now, open) -> {};
 
     /**
      * A fleet.
      *
-     * @param many  instances
+     * @param many instances
      * @param nodes cache nodes
-     * @param rate  requests a second at each instance, on average
+     * @param rate requests a second at each instance, on average
      */
     public ZonePlay(int many, int nodes, double rate, long seed) {
         view = new ViewPlay(many, 0, 0, seed);
@@ -167,10 +170,12 @@
 
     /** Lets so much time pass. */
     public void pass(double ms) {
-        for (double end = now() + ms; now() < end - 1e-6;) {
+        for (double end = now() + ms; now() < end - 1e-6; ) {
             view.pass(STEP_MS);
             instances.forEach(this::step);
-            watcher.looked(now(), instances.stream().map(i -> i.zones == null ? null : i.open).toArray(double[][]::new));
+            watcher.looked(
+                    now(),
+                    instances.stream().map(i -> i.zones == null ? null : i.open).toArray(double[][]::new));
         }
     }
 
@@ -216,8 +221,10 @@
         int node = zone + ZONES * random.nextInt(inZone);
         sent.computeIfAbsent(zone, z -> new double[1])[0]++;
         boolean here = i.id % ZONES == zone;
-        boolean reached = !nodeDead[node] && cutOff.test(i.id % ZONES) == cutOff.test(zone)
-                && !cutWays.contains(i.id % ZONES * ZONES + zone) && (here || random.nextDouble() >= lost[zone]);
+        boolean reached = !nodeDead[node]
+                && cutOff.test(i.id % ZONES) == cutOff.test(zone)
+                && !cutWays.contains(i.id % ZONES * ZONES + zone)
+                && (here || random.nextDouble() >= lost[zone]);
         if (!reached || i.lies.contains(zone) || random.nextDouble() < stallShare) {
             i.zones.silent(now() + PATIENCE_MS, zone, node);
         } else {
@@ -265,8 +272,9 @@
 
     /** Whether a zone is open that far to all that live and for whose zone this holds. */
     public boolean all(IntPredicate homes, int zone, double open) {
-        return instances.stream().filter(i -> i.zones != null && homes.test(i.id % ZONES)).allMatch(
-                i -> Math.abs(i.open[zone] - open) < 1e-9);
+        return instances.stream()
+                .filter(i -> i.zones != null && homes.test(i.id % ZONES))
+                .allMatch(i -> Math.abs(i.open[zone] - open) < 1e-9);
     }
 
     /** Whether a zone is open that far to any that lives. */
--- a/src/main/java/damsonworks/model/ZoneStudy.java
+++ b/src/main/java/damsonworks/model/ZoneStudy.java
@@ -8,15 +8,15 @@
 /**
  * How soon a fleet leaves a zone whose nodes die, and is back, over many seeds: real decisions in virtual time.
  *
- * @param firstMs  until the first instance has left it, sorted
- * @param allMs    from then until all have, sorted
- * @param trials   attempts a second of the whole fleet at the zone while it is left, sorted
- * @param wholeMs  from its cold return until it is whole at all, sorted
- * @param apartMs  the longest time that instances differed by more than a step, sorted
+ * @param firstMs until the first instance has left it, sorted
+ * @param allMs from then until all have, sorted
+ * @param trials attempts a second of the whole fleet at the zone while it is left, sorted
+ * @param wholeMs from its cold return until it is whole at all, sorted
+ * @param apartMs the longest time that instances differed by more than a step, sorted
  * @param mostBytes bytes a second of the instance that sent most over the whole of it, sorted
  */
-public record ZoneStudy(double[] firstMs, double[] allMs, double[] trials, double[] wholeMs, double[] apartMs,
-        double[] mostBytes) {
+public record ZoneStudy(
+        double[] firstMs, double[] allMs, double[] trials, double[] wholeMs, double[] apartMs, double[] mostBytes) {
     private static final double STEP = 1.0 / 15 + 1e-6;
     private static final double LEFT_MS = 10_000;
     private static final double LIMIT_MS = 60_000;
@@ -48,8 +48,12 @@
 
     /** So many instances before twice as many nodes, with so many seeds from one on. */
     public static ZoneStudy of(int many, long seed, int seeds) {
-        List<double[]> all = IntStream.range(0, seeds).parallel().mapToObj(i -> play(many, seed + i)).toList();
-        return new ZoneStudy(column(all, 0), column(all, 1), column(all, 2), column(all, 3), column(all, 4), column(all, 5));
+        List<double[]> all = IntStream.range(0, seeds)
+                .parallel()
+                .mapToObj(i -> play(many, seed + i))
+                .toList();
+        return new ZoneStudy(
+                column(all, 0), column(all, 1), column(all, 2), column(all, 3), column(all, 4), column(all, 5));
     }
 
     private static double[] play(int many, long seed) {
@@ -66,7 +70,9 @@
         double trials = (p.sent(0) - sent) * 1000 / LEFT_MS;
         p.nodesReturn(0, true);
         double whole = until(p, () -> p.all(h -> true, 0, 1));
-        return new double[] {first, rest, trials, whole, apart.worstMs, (p.mostBytes() - bytes) * 1000 / (p.now() - began)};
+        return new double[] {
+            first, rest, trials, whole, apart.worstMs, (p.mostBytes() - bytes) * 1000 / (p.now() - began)
+        };
     }
 
     private static double until(ZonePlay p, BooleanSupplier what) {
@@ -84,14 +90,18 @@
     /** A table for people: median, 99th percentile and worst. */
     public String text() {
         return String.format(Locale.ROOT, "%-44s%10s%10s%10s%n", "", "median", "p99", "worst")
-                + row("first instance has left it, s", firstMs, 1000) + row("all have, s later", allMs, 1000)
-                + row("trials of the whole fleet, a second", trials, 1) + row("whole again after a cold return, s", wholeMs, 1000)
-                + row("differed by more than a step, s", apartMs, 1000) + row("bytes a second of the one that sent most", mostBytes, 1);
+                + row("first instance has left it, s", firstMs, 1000)
+                + row("all have, s later", allMs, 1000)
+                + row("trials of the whole fleet, a second", trials, 1)
+                + row("whole again after a cold return, s", wholeMs, 1000)
+                + row("differed by more than a step, s", apartMs, 1000)
+                + row("bytes a second of the one that sent most", mostBytes, 1);
     }
 
     private static String row(String name, double[] sorted, double by) {
         int n = sorted.length;
         double[] shown = {sorted[n / 2], sorted[Math.min(n - 1, (int) (n * 0.99))], sorted[n - 1]};
-        return String.format(Locale.ROOT, "%-44s%10.2f%10.2f%10.2f%n", name, shown[0] / by, shown[1] / by, shown[2] / by);
+        return String.format(
+                Locale.ROOT, "%-44s%10.2f%10.2f%10.2f%n", name, shown[0] / by, shown[1] / by, shown[2] / by);
     }
 }
--- a/src/main/java/damsonworks/model/check/Explorer.java
+++ b/src/main/java/damsonworks/model/check/Explorer.java
@@ -7,24 +7,25 @@
 import java.util.Map;
 
 /**
- * Breadth first over all states: the first counterexample is a shortest one. States that were met are known by 64 bits of
- * their key's hash, so of a million states two are taken for one with a chance of about one in 40 million.
+ * Breadth first over all states: the first counterexample is a shortest one. States that were met are known by 64 bits
+ * of their key's hash, so of a million states two are taken for one with a chance of about one in 40 million.
  */
 public final class Explorer<S> {
     /**
      * What came of it.
      *
-     * @param states   that were met
-     * @param depth    moves to the farthest of them
+     * @param states that were met
+     * @param depth moves to the farthest of them
      * @param complete whether that were all within the protocol's own bounds
-     * @param broken   what was found, null for nothing
-     * @param trace    the moves that lead there
+     * @param broken what was found, null for nothing
+     * @param trace the moves that lead there
      */
     public record Result(long states, int depth, boolean complete, String broken, List<String> trace) {
         /** For people. */
         public String text() {
-            StringBuilder s = new StringBuilder(String.format("%,d states, %d moves deep%s%n", states, depth,
-                    complete ? ", all there are within the bounds" : ""));
+            StringBuilder s = new StringBuilder(String.format(
+                    "%,d states, %d moves deep%s%n",
+                    states, depth, complete ? ", all there are within the bounds" : ""));
             if (broken == null) {
                 return s.append("nothing broken\n").toString();
             }
@@ -36,9 +37,9 @@
         }
     }
 
-    private record From(long before, String move, int depth) { }
+    private record From(long before, String move, int depth) {}
 
-    private record Waiting<S>(long key, S state) { }
+    private record Waiting<S>(long key, S state) {}
 
     private final Protocol<S> protocol;
     private final Map<Long, From> met = new HashMap<>();
--- a/src/main/java/damsonworks/model/check/MemberProtocol.java
+++ b/src/main/java/damsonworks/model/check/MemberProtocol.java
@@ -12,31 +12,34 @@
 
 /**
  * Three instances that tell each other what they know, over the real {@link Knowledge}. A message is lost, doubled, or
- * overtakes others; each instance suspects and gives up others at any time; it dies, and starts again with or without its
- * incarnation. Holds that an entry's incarnation never goes back at anybody, that nothing is taken back but by the next one, and that those who live, once they exchange
- * without loss, all come to hold the same and hold each other for alive.
+ * overtakes others; each instance suspects and gives up others at any time; it dies, and starts again with or without
+ * its incarnation. Holds that an entry's incarnation never goes back at anybody, that nothing is taken back but by the
+ * next one, and that those who live, once they exchange without loss, all come to hold the same and hold each other for
+ * alive.
  */
 public final class MemberProtocol implements Protocol<MemberProtocol.Fleet> {
     /** How many take part. */
     public static final int INSTANCES = 3;
     /** Rounds of everybody telling everybody in which all has to be settled. */
     private static final int ROUNDS = 6;
+
     private static final int[][] ORDERS = {{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}};
 
     /**
      * How far it goes.
      *
-     * @param messages   under way at once
+     * @param messages under way at once
      * @param suspicions of anybody by anybody, in all
-     * @param deaths     of processes, in all
+     * @param deaths of processes, in all
      */
-    public record Bounds(int messages, int suspicions, int deaths) { }
+    public record Bounds(int messages, int suspicions, int deaths) {}
 
     /** A message: all that the sender knew. */
-    private record Mail(int to, List<Entry> entries) { }
+    private record Mail(int to, List<Entry> entries) {}
 
     /** One state of all. A process that is dead has no knowledge; what it remembers is its last incarnation. */
-    public record Fleet(List<Knowledge> alive, long[] remembered, List<Mail> mail, int suspicions, int deaths, int lives) {
+    public record Fleet(
+            List<Knowledge> alive, long[] remembered, List<Mail> mail, int suspicions, int deaths, int lives) {
         private Knowledge of(int id) {
             return alive.get(id);
         }
@@ -113,8 +116,8 @@
         return moves;
     }
 
-    private static Fleet with(Fleet f, int id, Knowledge k, List<Mail> mail, int suspicions, int deaths, int lives,
-            long[] remembered) {
+    private static Fleet with(
+            Fleet f, int id, Knowledge k, List<Mail> mail, int suspicions, int deaths, int lives, long[] remembered) {
         List<Knowledge> alive = new ArrayList<>(f.alive());
         alive.set(id, k);
         return new Fleet(alive, remembered, mail, suspicions, deaths, lives);
@@ -124,8 +127,10 @@
         if (f.mail().size() < bounds.messages()) {
             List<Mail> mail = new ArrayList<>(f.mail());
             mail.add(new Mail(to, List.copyOf(f.of(from).all())));
-            moves.add(new Move<>(from + " tells " + to + " " + f.of(from).all(),
-                    new Fleet(f.alive(), f.remembered(), mail, f.suspicions(), f.deaths(), f.lives()), null));
+            moves.add(new Move<>(
+                    from + " tells " + to + " " + f.of(from).all(),
+                    new Fleet(f.alive(), f.remembered(), mail, f.suspicions(), f.deaths(), f.lives()),
+                    null));
         }
     }
 
@@ -134,46 +139,58 @@
         if (e != null && e.state() == State.ALIVE && f.suspicions() < bounds.suspicions()) {
             Knowledge k = copy.apply(f.of(i));
             k.suspect(j);
-            moves.add(new Move<>(i + " suspects " + j,
-                    with(f, i, k, f.mail(), f.suspicions() + 1, f.deaths(), f.lives(), f.remembered()), null));
+            moves.add(new Move<>(
+                    i + " suspects " + j,
+                    with(f, i, k, f.mail(), f.suspicions() + 1, f.deaths(), f.lives(), f.remembered()),
+                    null));
         }
         if (e != null && e.state() == State.SUSPECT) {
             Knowledge k = copy.apply(f.of(i));
             k.giveUp(j);
-            moves.add(new Move<>(i + " gives " + j + " up",
-                    with(f, i, k, f.mail(), f.suspicions(), f.deaths(), f.lives(), f.remembered()), null));
+            moves.add(new Move<>(
+                    i + " gives " + j + " up",
+                    with(f, i, k, f.mail(), f.suspicions(), f.deaths(), f.lives(), f.remembered()),
+                    null));
         }
     }
 
     private static Move<Fleet> die(Fleet f, int id) {
         long[] remembered = f.remembered().clone();
         remembered[id] = f.of(id).self().incarnation();
-        return new Move<>(id + " dies", with(f, id, null, f.mail(), f.suspicions(), f.deaths() + 1, f.lives(), remembered),
-                null);
+        return new Move<>(
+                id + " dies", with(f, id, null, f.mail(), f.suspicions(), f.deaths() + 1, f.lives(), remembered), null);
     }
 
     private Move<Fleet> start(Fleet f, int id, boolean remembers) {
         int life = f.lives() + 1;
         Knowledge k = life(id, remembers ? f.remembered()[id] : 0, life);
-        return new Move<>(id + " starts again " + (remembers ? "with" : "without") + " its incarnation",
-                with(f, id, k, f.mail(), f.suspicions(), f.deaths(), life, f.remembered()), null);
+        return new Move<>(
+                id + " starts again " + (remembers ? "with" : "without") + " its incarnation",
+                with(f, id, k, f.mail(), f.suspicions(), f.deaths(), life, f.remembered()),
+                null);
     }
 
     private void mail(Fleet f, int m, List<Move<Fleet>> moves) {
         Mail mail = f.mail().get(m);
         List<Mail> rest = new ArrayList<>(f.mail());
         rest.remove(m);
-        moves.add(new Move<>("a message to " + mail.to() + " is lost",
-                new Fleet(f.alive(), f.remembered(), rest, f.suspicions(), f.deaths(), f.lives()), null));
+        moves.add(new Move<>(
+                "a message to " + mail.to() + " is lost",
+                new Fleet(f.alive(), f.remembered(), rest, f.suspicions(), f.deaths(), f.lives()),
+                null));
         if (f.of(mail.to()) == null) {
             return;
         }
         Knowledge k = copy.apply(f.of(mail.to()));
         String broken = tell(k, mail.entries());
-        moves.add(new Move<>(mail.to() + " hears " + mail.entries(),
-                with(f, mail.to(), k, rest, f.suspicions(), f.deaths(), f.lives(), f.remembered()), broken));
-        moves.add(new Move<>(mail.to() + " hears " + mail.entries() + ", which comes once more",
-                with(f, mail.to(), copy.apply(k), f.mail(), f.suspicions(), f.deaths(), f.lives(), f.remembered()), broken));
+        moves.add(new Move<>(
+                mail.to() + " hears " + mail.entries(),
+                with(f, mail.to(), k, rest, f.suspicions(), f.deaths(), f.lives(), f.remembered()),
+                broken));
+        moves.add(new Move<>(
+                mail.to() + " hears " + mail.entries() + ", which comes once more",
+                with(f, mail.to(), copy.apply(k), f.mail(), f.suspicions(), f.deaths(), f.lives(), f.remembered()),
+                broken));
     }
 
     /** What is broken by it: an entry that goes back. */
@@ -183,9 +200,12 @@
             k.take(0, said);
             Entry after = k.get(said.id());
             if (before != null && after.compareLife(before) < 0) {
-                return "what " + k.self().id() + " holds of " + said.id() + " goes back from " + before + " to " + after;
+                return "what " + k.self().id() + " holds of " + said.id() + " goes back from " + before + " to "
+                        + after;
             }
-            if (before != null && after.compareLife(before) == 0 && after.state().compareTo(before.state()) < 0) {
+            if (before != null
+                    && after.compareLife(before) == 0
+                    && after.state().compareTo(before.state()) < 0) {
                 return k.self().id() + " takes back " + before + " for " + after + ", which nobody refuted";
             }
         }
@@ -218,8 +238,8 @@
             for (Knowledge b : all) {
                 Entry held = a.get(b.self().id());
                 if (a.digest() != b.digest()) {
-                    return a.self().id() + " and " + b.self().id() + " exchange without loss and hold " + a.all() + " and "
-                            + b.all();
+                    return a.self().id() + " and " + b.self().id() + " exchange without loss and hold " + a.all()
+                            + " and " + b.all();
                 }
                 if (held == null || !held.equals(b.self()) || held.state() != State.ALIVE) {
                     return a.self().id() + " holds " + held + ", and it is " + b.self();
--- a/src/main/java/damsonworks/model/check/Protocol.java
+++ b/src/main/java/damsonworks/model/check/Protocol.java
@@ -7,11 +7,11 @@
     /**
      * A move.
      *
-     * @param words   for people
-     * @param to      the state after it
-     * @param broken  what it broke that may not happen between two states; null for nothing
+     * @param words for people
+     * @param to the state after it
+     * @param broken what it broke that may not happen between two states; null for nothing
      */
-    record Move<S>(String words, S to, String broken) { }
+    record Move<S>(String words, S to, String broken) {}
 
     /** Where it begins. */
     S initial();
--- a/src/main/java/damsonworks/model/check/ZoneProtocol.java
+++ b/src/main/java/damsonworks/model/check/ZoneProtocol.java
@@ -10,16 +10,17 @@
 import java.util.function.BinaryOperator;
 
 /**
- * Three observers that decide of two zones, over the real {@link Plan}. Any of them may find any zone lost or sound at any time,
- * or take an operator's order; a message is lost, doubled, or overtakes others; an observer dies and starts again with nothing.
- * Holds that nobody ever has all zones closed, or less open than the floor; that no epoch goes back at anybody who lives; and
- * that, once all exchange without loss, they hold one plan.
+ * Three observers that decide of two zones, over the real {@link Plan}. Any of them may find any zone lost or sound at
+ * any time, or take an operator's order; a message is lost, doubled, or overtakes others; an observer dies and starts
+ * again with nothing. Holds that nobody ever has all zones closed, or less open than the floor; that no epoch goes back
+ * at anybody who lives; and that, once all exchange without loss, they hold one plan.
  */
 public final class ZoneProtocol implements Protocol<ZoneProtocol.Fleet> {
     /** How many observe. */
     public static final int OBSERVERS = 3;
     /** How many zones there are. */
     public static final int ZONES = 2;
+
     private static final int ROUNDS = OBSERVERS;
     /** Parts that come back at a step. */
     private static final int STEP = ZoneState.WHOLE / 3;
@@ -27,16 +28,16 @@
     /**
      * How far it goes.
      *
-     * @param messages  under way at once
+     * @param messages under way at once
      * @param decisions in all
-     * @param deaths    in all
+     * @param deaths in all
      */
-    public record Bounds(int messages, int decisions, int deaths) { }
+    public record Bounds(int messages, int decisions, int deaths) {}
 
-    private record Mail(int to, Plan plan) { }
+    private record Mail(int to, Plan plan) {}
 
     /** One state of all. */
-    public record Fleet(List<Plan> plans, List<Mail> mail, int decisions, int deaths) { }
+    public record Fleet(List<Plan> plans, List<Mail> mail, int decisions, int deaths) {}
 
     private final Bounds bounds;
     private final BinaryOperator<Plan> join;
@@ -70,13 +71,17 @@
                 if (to != i) {
                     List<Mail> mail = new ArrayList<>(f.mail());
                     mail.add(new Mail(to, f.plans().get(i)));
-                    moves.add(new Move<>(i + " tells " + to + " " + f.plans().get(i), new Fleet(f.plans(), mail, f.decisions(),
-                            f.deaths()), null));
+                    moves.add(new Move<>(
+                            i + " tells " + to + " " + f.plans().get(i),
+                            new Fleet(f.plans(), mail, f.decisions(), f.deaths()),
+                            null));
                 }
             }
             if (f.deaths() < bounds.deaths()) {
-                moves.add(new Move<>(i + " starts again with nothing", new Fleet(with(f.plans(), i, Plan.untouched(ZONES)),
-                        f.mail(), f.decisions(), f.deaths() + 1), null));
+                moves.add(new Move<>(
+                        i + " starts again with nothing",
+                        new Fleet(with(f.plans(), i, Plan.untouched(ZONES)), f.mail(), f.decisions(), f.deaths() + 1),
+                        null));
             }
         }
         for (int m = 0; m < f.mail().size(); m++) {
@@ -97,8 +102,13 @@
         if (s.cause() == Cause.EVIDENCE) {
             decided(f, i, z, p.lowered(z, 0, s.leaves() + 1), "finds " + z + " lost", moves);
             if (s.open() < ZoneState.WHOLE) {
-                decided(f, i, z, s.next(Math.min(ZoneState.WHOLE, s.open() + STEP), Cause.EVIDENCE, s.leaves()),
-                        "finds " + z + " sound", moves);
+                decided(
+                        f,
+                        i,
+                        z,
+                        s.next(Math.min(ZoneState.WHOLE, s.open() + STEP), Cause.EVIDENCE, s.leaves()),
+                        "finds " + z + " sound",
+                        moves);
             }
         }
         if (p.bears(z, 0)) {
@@ -109,8 +119,14 @@
 
     private static void decided(Fleet f, int i, int z, ZoneState next, String words, List<Move<Fleet>> moves) {
         if (next != null) {
-            moves.add(new Move<>(i + " " + words, new Fleet(with(f.plans(), i, f.plans().get(i).with(z, next)), f.mail(),
-                    f.decisions() + 1, f.deaths()), null));
+            moves.add(new Move<>(
+                    i + " " + words,
+                    new Fleet(
+                            with(f.plans(), i, f.plans().get(i).with(z, next)),
+                            f.mail(),
+                            f.decisions() + 1,
+                            f.deaths()),
+                    null));
         }
     }
 
@@ -120,12 +136,17 @@
         rest.remove(m);
         Plan before = f.plans().get(mail.to());
         Plan after = join.apply(before, mail.plan());
-        String broken = back(before, after) ? "an epoch goes back at " + mail.to() + " from " + before + " to " + after : null;
+        String broken =
+                back(before, after) ? "an epoch goes back at " + mail.to() + " from " + before + " to " + after : null;
         List<Plan> plans = with(f.plans(), mail.to(), after);
-        moves.add(new Move<>("a message to " + mail.to() + " is lost", new Fleet(f.plans(), rest, f.decisions(), f.deaths()), null));
-        moves.add(new Move<>(mail.to() + " hears " + mail.plan(), new Fleet(plans, rest, f.decisions(), f.deaths()), broken));
-        moves.add(new Move<>(mail.to() + " hears " + mail.plan() + ", which comes once more",
-                new Fleet(plans, f.mail(), f.decisions(), f.deaths()), broken));
+        moves.add(new Move<>(
+                "a message to " + mail.to() + " is lost", new Fleet(f.plans(), rest, f.decisions(), f.deaths()), null));
+        moves.add(new Move<>(
+                mail.to() + " hears " + mail.plan(), new Fleet(plans, rest, f.decisions(), f.deaths()), broken));
+        moves.add(new Move<>(
+                mail.to() + " hears " + mail.plan() + ", which comes once more",
+                new Fleet(plans, f.mail(), f.decisions(), f.deaths()),
+                broken));
     }
 
     private static boolean back(Plan before, Plan after) {
@@ -192,8 +213,13 @@
 
     private static String text(Plan p) {
         StringBuilder s = new StringBuilder();
-        p.zones().forEach(z -> s.append(z.epoch()).append('/').append(z.open()).append(z.cause().ordinal()).append(z.leaves())
-                .append(' '));
+        p.zones()
+                .forEach(z -> s.append(z.epoch())
+                        .append('/')
+                        .append(z.open())
+                        .append(z.cause().ordinal())
+                        .append(z.leaves())
+                        .append(' '));
         return s.toString();
     }
 }
--- a/src/main/java/damsonworks/peer/AntiEntropy.java
+++ b/src/main/java/damsonworks/peer/AntiEntropy.java
@@ -1,8 +1,9 @@
 package damsonworks.peer;
 
 /**
- * When to ask some peer for what has changed in the list: while discovery does not answer, as what a peer told meanwhile may
- * have been lost on its way. A proxy with a sound watch asks nobody, so the messages do not grow with time.
+ * When to ask some peer for what has changed in the list: while discovery does not answer, as what a peer told
+ * meanwhile may have been lost on its way. A proxy with a sound watch asks nobody, so the messages do not grow with
+ * time.
  */
 public final class AntiEntropy {
     /** A sound watch is answered sooner than this: its wait is 1.8 s at most. */
--- a/src/main/java/damsonworks/peer/ChangeLog.java
+++ b/src/main/java/damsonworks/peer/ChangeLog.java
@@ -7,8 +7,8 @@
 import java.util.Map;
 
 /**
- * The last change of each server that discovery has told, in the order of the versions, for peers that were not told yet.
- * Bounded: what it has had no room for is told by {@link #completeAfter}.
+ * The last change of each server that discovery has told, in the order of the versions, for peers that were not told
+ * yet. Bounded: what it has had no room for is told by {@link #completeAfter}.
  */
 final class ChangeLog {
     /** Servers whose last change is kept: four times the largest fleet that is planned for. */
--- a/src/main/java/damsonworks/peer/ListNews.java
+++ b/src/main/java/damsonworks/peer/ListNews.java
@@ -8,12 +8,14 @@
  * Finds out from peers that discovery has news which this proxy has not been told. A watch that has fallen silent looks
  * like one with nothing to say; each proxy alone learns of it only when the watch's wait is over. Of many proxies some
  * are told in time, so each tells the others the version of the list that it has come to hold: whoever is not told the
- * same soon afterwards asks anew. Discovery tells all in one moment, so each waits for a random part of a time that grows
- * with their number, and has nothing to tell once another has: some two of them tell a version, however many there are.
+ * same soon afterwards asks anew. Discovery tells all in one moment, so each waits for a random part of a time that
+ * grows with their number, and has nothing to tell once another has: some two of them tell a version, however many
+ * there are.
  *
- * <p>A claim is no news by itself: what the list holds comes from discovery alone. A wrong one costs a call at most, and the
- * next call on account of peers waits twice as long, until discovery has confirmed one. Whether a call is made is for
- * whoever carries the order out: it must not give up one that stands in the line of a discovery that all instances ask.
+ * <p>A claim is no news by itself: what the list holds comes from discovery alone. A wrong one costs a call at most,
+ * and the next call on account of peers waits twice as long, until discovery has confirmed one. Whether a call is made
+ * is for whoever carries the order out: it must not give up one that stands in the line of a discovery that all
+ * instances ask.
  */
 public final class ListNews {
     /** So long may a watch take to tell what another has told already: a few times what it takes one by one. */
@@ -32,6 +34,7 @@
     private int instances;
     /** The versions that peers have told last; who holds one of them has nothing to tell. */
     private final long[] told = new long[16];
+
     private int tells;
     private long held;
     private long claimed;
@@ -120,7 +123,9 @@
         return Math.min(tellMs, askMs);
     }
 
-    /** The time has come, or a timer thinks so. What follows is one order; there may be more to come at {@link #dueMs}. */
+    /**
+     * The time has come, or a timer thinks so. What follows is one order; there may be more to come at {@link #dueMs}.
+     */
     public Order due(double nowMs) {
         if (nowMs >= tellMs) {
             tellMs = Double.POSITIVE_INFINITY;
--- a/src/main/java/damsonworks/peer/ListUpdate.java
+++ b/src/main/java/damsonworks/peer/ListUpdate.java
@@ -6,14 +6,14 @@
 import java.util.List;
 
 /**
- * What a proxy was told by discovery, for peers: all servers that changed after one version of the list up to another, as
- * they are in the latter. Its form, big-endian: a byte for the kind, both versions, how long it holds, and for each server
- * its number, a byte for its state and the time of its start.
+ * What a proxy was told by discovery, for peers: all servers that changed after one version of the list up to another,
+ * as they are in the latter. Its form, big-endian: a byte for the kind, both versions, how long it holds, and for each
+ * server its number, a byte for its state and the time of its start.
  *
- * @param after   changes of this version and older ones are not in it
+ * @param after changes of this version and older ones are not in it
  * @param version the version in which the servers stand so
- * @param holdMs  how long it may be used without discovery's word, in milliseconds, 0 to 65,535; a peer that passes on what
- *                it was told itself by a peer passes on what is left of that time, so that a mistake ends by itself
+ * @param holdMs how long it may be used without discovery's word, in milliseconds, 0 to 65,535; a peer that passes on
+ *     what it was told itself by a peer passes on what is left of that time, so that a mistake ends by itself
  * @param servers the servers that changed; their own versions are not sent, so those read are {@code version}
  */
 public record ListUpdate(long after, long version, int holdMs, List<ListChange> servers) {
@@ -23,13 +23,15 @@
     private static final int SERVER_BYTES = Integer.BYTES + 1 + Double.BYTES;
     /** The most servers that one message holds. */
     public static final int MOST_SERVERS = (Envelope.MOST_BODY - HEAD_BYTES) / SERVER_BYTES;
+
     private static final State[] STATES = State.values();
 
     /** Copies the servers. */
     public ListUpdate {
         servers = List.copyOf(servers);
         if (servers.size() > MOST_SERVERS || holdMs < 0 || holdMs > MOST_HOLD_MS) {
-            throw new IllegalArgumentException(servers.size() + " servers for " + holdMs + " ms; a message holds " + MOST_SERVERS);
+            throw new IllegalArgumentException(
+                    servers.size() + " servers for " + holdMs + " ms; a message holds " + MOST_SERVERS);
         }
     }
 
--- a/src/main/java/damsonworks/peer/Outbox.java
+++ b/src/main/java/damsonworks/peer/Outbox.java
@@ -1,9 +1,9 @@
 package damsonworks.peer;
 
 /**
- * What an instance may send to its peers: one budget for all parts of the program, in bytes a second, whatever the size of
- * the fleet. A bucket that fills evenly; the less urgent a datagram is, the more it leaves in it. What finds no room is not
- * sent: messages between peers may be lost anyway, and what they say is said again.
+ * What an instance may send to its peers: one budget for all parts of the program, in bytes a second, whatever the size
+ * of the fleet. A bucket that fills evenly; the less urgent a datagram is, the more it leaves in it. What finds no room
+ * is not sent: messages between peers may be lost anyway, and what they say is said again.
  */
 public final class Outbox {
     /** How urgent a datagram is; each leaves this part of the bucket to those before it. */
@@ -32,11 +32,12 @@
      * A full bucket.
      *
      * @param bytesPerSecond 100 to 1,000,000
-     * @param burst          what it holds, in bytes; a datagram at least
+     * @param burst what it holds, in bytes; a datagram at least
      */
     public Outbox(double bytesPerSecond, double burst) {
         if (!(bytesPerSecond >= 100 && bytesPerSecond <= 1_000_000 && burst >= Envelope.MOST_BYTES)) {
-            throw new IllegalArgumentException("a budget of " + bytesPerSecond + " bytes a second, " + burst + " at once");
+            throw new IllegalArgumentException(
+                    "a budget of " + bytesPerSecond + " bytes a second, " + burst + " at once");
         }
         bytesPerMs = bytesPerSecond / 1000;
         most = burst;
--- a/src/main/java/damsonworks/peer/PeerMessage.java
+++ b/src/main/java/damsonworks/peer/PeerMessage.java
@@ -12,7 +12,7 @@
     private static final byte BAD = 'B';
     private static final byte QUERY = 'Q';
 
-    private PeerMessage() { }
+    private PeerMessage() {}
 
     /** The sender has been told this version of the list by discovery. */
     public static byte[] list(long version) {
@@ -54,7 +54,9 @@
     }
 
     private static Integer server(byte kind, byte[] message) {
-        return message.length == SERVER_BYTES && message[0] == kind ? ByteBuffer.wrap(message).getInt(1) : null;
+        return message.length == SERVER_BYTES && message[0] == kind
+                ? ByteBuffer.wrap(message).getInt(1)
+                : null;
     }
 
     /** The version of a message about the list; negative if it is none, or none that can be read. */
@@ -63,6 +65,8 @@
     }
 
     private static long version(byte kind, byte[] message) {
-        return message.length == LIST_BYTES && message[0] == kind ? ByteBuffer.wrap(message).getLong(1) : -1;
+        return message.length == LIST_BYTES && message[0] == kind
+                ? ByteBuffer.wrap(message).getLong(1)
+                : -1;
     }
 }
--- a/src/main/java/damsonworks/peer/ProvisionalMembership.java
+++ b/src/main/java/damsonworks/peer/ProvisionalMembership.java
@@ -13,10 +13,10 @@
 import java.util.Set;
 
 /**
- * The list of servers as this proxy should use it: what discovery has told, and on top of it newer changes that peers were
- * told. Discovery takes few calls a second, and a fleet that has to call it anew needs many seconds until the last instance
- * is answered; one answer, passed on, serves all. What peers tell is provisional: discovery's list of that version or a
- * later one settles it, and without that it is undone after {@link #HOLD_MS}.
+ * The list of servers as this proxy should use it: what discovery has told, and on top of it newer changes that peers
+ * were told. Discovery takes few calls a second, and a fleet that has to call it anew needs many seconds until the last
+ * instance is answered; one answer, passed on, serves all. What peers tell is provisional: discovery's list of that
+ * version or a later one settles it, and without that it is undone after {@link #HOLD_MS}.
  *
  * <p>A peer can have a server left alone, or taken for one that has just started. It can add none, as peers may reach a
  * server at another address; nor, with others, have more than half of the servers left alone.
@@ -26,15 +26,17 @@
     static final int HOLD_MS = 15_000;
     /** A start further ahead than this, in milliseconds, is no clock that differs, but a mistake. */
     static final double MOST_AHEAD_MS = 10_000;
-    /** Of the versions that were told here, a message goes back so many: some of its receivers missed the one before. */
+    /**
+     * Of the versions that were told here, a message goes back so many: some of its receivers missed the one before.
+     */
     private static final int VERSIONS_BACK = 4;
 
     /** What peers told is kept for others who missed it: so many messages. */
     private static final int MOST_RELAYED = 8;
 
-    private record Provisional(Member member, long version, double untilMs) { }
+    private record Provisional(Member member, long version, double untilMs) {}
 
-    private record Relayed(ListUpdate update, double untilMs) { }
+    private record Relayed(ListUpdate update, double untilMs) {}
 
     private final int originKind;
     private final Map<Integer, Member> told = new LinkedHashMap<>();
@@ -75,8 +77,8 @@
     /**
      * Discovery has told the list, or changes of it.
      *
-     * @return what to use in its place: the same kind of list, with what peers have told of later versions, and with what
-     *         becomes of servers about which peers were wrong
+     * @return what to use in its place: the same kind of list, with what peers have told of later versions, and with
+     *     what becomes of servers about which peers were wrong
      */
     public List<Member> told(long listVersion, boolean whole, List<Member> members) {
         Map<Integer, Member> used = new LinkedHashMap<>();
@@ -150,8 +152,10 @@
 
     /** One message of a version, as different ones of it differ little. */
     private void keep(ListUpdate update, double untilMs) {
-        boolean held = relayed.stream().anyMatch(r -> r.update().version() == update.version()
-                && r.update().after() <= update.after() && r.untilMs() >= untilMs);
+        boolean held = relayed.stream()
+                .anyMatch(r -> r.update().version() == update.version()
+                        && r.update().after() <= update.after()
+                        && r.untilMs() >= untilMs);
         if (!held) {
             relayed.addLast(new Relayed(update, untilMs));
             if (relayed.size() > MOST_RELAYED) {
@@ -164,7 +168,9 @@
     private Member next(double nowMs, ListChange change) {
         Member base = told.get(change.server());
         Provisional before = provisional.get(change.server());
-        if (base == null || base.kind() == originKind || change.bornMs() > nowMs + MOST_AHEAD_MS
+        if (base == null
+                || base.kind() == originKind
+                || change.bornMs() > nowMs + MOST_AHEAD_MS
                 || (before != null && before.version() >= change.version())) {
             return null;
         }
@@ -175,20 +181,28 @@
             return null;
         }
         boolean left = state != State.READY && present.state() == State.READY;
-        return left && !mayLeaveOneMore() ? null : new Member(base.id(), base.zone(), base.kind(), base.cell(), state,
-                base.weight(), change.bornMs());
+        return left && !mayLeaveOneMore()
+                ? null
+                : new Member(base.id(), base.zone(), base.kind(), base.cell(), state, base.weight(), change.bornMs());
     }
 
     private boolean mayLeaveOneMore() {
-        long ready = told.values().stream().filter(m -> m.state() == State.READY && m.kind() != originKind).count();
-        long left = provisional.values().stream().filter(p -> p.member().state() != State.READY
-                && told.get(p.member().id()).state() == State.READY).count();
+        long ready = told.values().stream()
+                .filter(m -> m.state() == State.READY && m.kind() != originKind)
+                .count();
+        long left = provisional.values().stream()
+                .filter(p -> p.member().state() != State.READY
+                        && told.get(p.member().id()).state() == State.READY)
+                .count();
         return 2 * (left + 1) <= ready;
     }
 
     /** When the first change that peers told is to be undone, in milliseconds; infinite for never. */
     public double dueMs() {
-        return provisional.values().stream().mapToDouble(Provisional::untilMs).min().orElse(Double.POSITIVE_INFINITY);
+        return provisional.values().stream()
+                .mapToDouble(Provisional::untilMs)
+                .min()
+                .orElse(Double.POSITIVE_INFINITY);
     }
 
     /** What becomes of servers of which discovery has not confirmed what peers told, for too long. */
@@ -209,7 +223,8 @@
         long back = versions == 0 ? version : lastVersions[versions < VERSIONS_BACK ? 0 : versions % VERSIONS_BACK];
         List<ListChange> changes = log.after(back);
         int dropped = Math.max(0, changes.size() - ListUpdate.MOST_SERVERS);
-        long after = dropped == 0 ? completeAfter(back) : changes.get(dropped - 1).version();
+        long after =
+                dropped == 0 ? completeAfter(back) : changes.get(dropped - 1).version();
         return new ListUpdate(after, version, HOLD_MS, changes.subList(dropped, changes.size()));
     }
 
--- a/src/main/java/damsonworks/proxy/Acceptor.java
+++ b/src/main/java/damsonworks/proxy/Acceptor.java
@@ -30,6 +30,7 @@
     private static final double UNHEARD_MS = 300;
     /** So many connections beyond the bound may wait for their clients to end them as well. */
     private static final int LINGERING = 16;
+
     private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 << 10, 64 << 10);
     private static final Comparator<ClientConnection> LONGEST_IDLE =
             Comparator.comparingDouble(ClientConnection::activeMs);
@@ -42,6 +43,7 @@
     private long accepted;
     /** New connections are another process's. */
     private boolean left;
+
     private Consumer<ClientConnection> retire = ClientConnection::finish;
 
     Acceptor(Dispatcher dispatcher, int maxClients) {
@@ -71,14 +73,20 @@
 
     /** The same at a socket that listens already. */
     void listen(EventLoopGroup group, FileDescriptor socket) throws InterruptedException {
-        server = bootstrap(group).channelFactory(() -> new EpollServerSocketChannel(socket.intValue()))
-                .option(ChannelOption.AUTO_READ, false).register().sync().channel();
+        server = bootstrap(group)
+                .channelFactory(() -> new EpollServerSocketChannel(socket.intValue()))
+                .option(ChannelOption.AUTO_READ, false)
+                .register()
+                .sync()
+                .channel();
         server.config().setAutoRead(true); // only now is there a handler for what it accepts
     }
 
     private ServerBootstrap bootstrap(EventLoopGroup group) {
-        return new ServerBootstrap().group(group)
-                .option(ChannelOption.SO_BACKLOG, BACKLOG).option(ChannelOption.SO_REUSEADDR, true)
+        return new ServerBootstrap()
+                .group(group)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
                 .childHandler(new ChannelInitializer<>() {
@@ -108,7 +116,8 @@
     }
 
     private void regulate() {
-        server.config().setAutoRead(!left && (clients.size() <= maxClients || clients.size() - lingering() <= maxClients));
+        server.config()
+                .setAutoRead(!left && (clients.size() <= maxClients || clients.size() - lingering() <= maxClients));
     }
 
     private int lingering() {
@@ -120,9 +129,9 @@
     }
 
     /**
-     * A connection that the kernel has accepted counts as taken, so where there are too many the one that has
-     * stood idle longest makes room. It ends in order, as a request on it may be on its way, and a close over one would
-     * reset what else the client is to read; but clients that do not end theirs have room of their own alone.
+     * A connection that the kernel has accepted counts as taken, so where there are too many the one that has stood
+     * idle longest makes room. It ends in order, as a request on it may be on its way, and a close over one would reset
+     * what else the client is to read; but clients that do not end theirs have room of their own alone.
      */
     private void accepted(Channel channel) {
         ClientConnection client = new ClientConnection(dispatcher);
@@ -130,8 +139,10 @@
         clients.add(client);
         accepted++;
         if (clients.size() - lingering() > maxClients) {
-            idleClients().filter(c -> c != client).min(LONGEST_IDLE).ifPresentOrElse(ClientConnection::finish,
-                    this::regulate);
+            idleClients()
+                    .filter(c -> c != client)
+                    .min(LONGEST_IDLE)
+                    .ifPresentOrElse(ClientConnection::finish, this::regulate);
         }
         if (clients.size() > maxClients + LINGERING) {
             clients.stream().filter(ClientConnection::ending).min(LONGEST_IDLE).ifPresent(ClientConnection::close);
@@ -168,13 +179,17 @@
     }
 
     private void closeOnceEmpty(long before, int rounds) {
-        server.eventLoop().schedule(() -> { // behind the next round's input
-            if (accepted == before || rounds == 0) {
-                server.close();
-            } else {
-                closeOnceEmpty(accepted, rounds - 1);
-            }
-        }, 0, TimeUnit.MILLISECONDS);
+        server.eventLoop()
+                .schedule(
+                        () -> { // behind the next round's input
+                            if (accepted == before || rounds == 0) {
+                                server.close();
+                            } else {
+                                closeOnceEmpty(accepted, rounds - 1);
+                            }
+                        },
+                        0,
+                        TimeUnit.MILLISECONDS);
     }
 
     int open() {
@@ -186,8 +201,8 @@
     }
 
     /**
-     * Ends so many connections between requests, those first that have stood idle longest; not one that has just come, as
-     * a client whose new connection ends unheard has been turned away.
+     * Ends so many connections between requests, those first that have stood idle longest; not one that has just come,
+     * as a client whose new connection ends unheard has been turned away.
      */
     void endIdle(int many) {
         endIdle(many, dispatcher.now());
@@ -195,15 +210,26 @@
 
     /** The same at that time. */
     void endIdle(int many, double now) {
-        idleClients().filter(c -> c.used() || now - c.activeMs() >= UNHEARD_MS).sorted(LONGEST_IDLE).limit(many).toList().forEach(this::retire);
+        idleClients()
+                .filter(c -> c.used() || now - c.activeMs() >= UNHEARD_MS)
+                .sorted(LONGEST_IDLE)
+                .limit(many)
+                .toList()
+                .forEach(this::retire);
     }
 
     /**
-     * Ends so many connections between requests, those first that were used last: these carry what is asked. Never one that has had
-     * no answer yet: its first request is on its way, and a client whose new connection ends unheard has been turned away.
+     * Ends so many connections between requests, those first that were used last: these carry what is asked. Never one
+     * that has had no answer yet: its first request is on its way, and a client whose new connection ends unheard has
+     * been turned away.
      */
     void endBusiest(int many) {
-        idleClients().filter(ClientConnection::used).sorted(LONGEST_IDLE.reversed()).limit(many).toList().forEach(ClientConnection::finish);
+        idleClients()
+                .filter(ClientConnection::used)
+                .sorted(LONGEST_IDLE.reversed())
+                .limit(many)
+                .toList()
+                .forEach(ClientConnection::finish);
     }
 
     /** Ends all connections, whatever is on them. */
--- a/src/main/java/damsonworks/proxy/CacheCodec.java
+++ b/src/main/java/damsonworks/proxy/CacheCodec.java
@@ -16,6 +16,7 @@
     private final Dispatcher dispatcher;
     /** Bytes of the value and its line's end that are to come; negative: none, a line is next. */
     private int missing = -1;
+
     private int length;
     private boolean streamed;
     private boolean dropped;
@@ -122,7 +123,8 @@
             throw new MetaCodec.SyntaxException("answer to another request");
         }
         String hit = MetaCodec.flag(line, from, 'h');
-        note = "1".equals(hit) ? 1
+        note = "1".equals(hit)
+                ? 1
                 : !"0".equals(hit) ? 0 : MetaCodec.flag(line, from, 'Z') != null ? RoutingApi.NOTE_FETCH_OUT : 2;
         report = dispatcher.report(MetaCodec.flag(line, from, 'L'));
     }
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -25,13 +25,16 @@
     private final Dispatcher dispatcher;
     /** The answers that are owed, in the order of their requests. */
     private final ArrayDeque<Reply> replies = new ArrayDeque<>();
+
     private ChannelHandlerContext ctx;
     /** The write whose value is being read, with the bytes still to come; the value is null if there's no room. */
     private Command incoming;
+
     private ValueBuffer value;
     private int missing;
     /** The value's room is waited for, and the client's sending with it. */
     private boolean awaitsRoom;
+
     private boolean closing;
     private boolean finished;
     private boolean readPaused;
@@ -76,11 +79,12 @@
     }
 
     /**
-     * The client has let us wait for too long: for its end, for the rest of what it has begun to send, or until it takes
-     * what is ready for it. What it waits for itself takes as long as its class allows.
+     * The client has let us wait for too long: for its end, for the rest of what it has begun to send, or until it
+     * takes what is ready for it. What it waits for itself takes as long as its class allows.
      */
     boolean stalled(double now) {
-        long unwritten = ctx.channel().unsafe().outboundBuffer() == null ? 0
+        long unwritten = ctx.channel().unsafe().outboundBuffer() == null
+                ? 0
                 : ctx.channel().unsafe().outboundBuffer().totalPendingWriteBytes();
         if (unwritten != unwrittenBefore) {
             unwrittenBefore = unwritten;
@@ -144,16 +148,17 @@
         }
         String id = MetaCodec.flag(line, flags, 'O');
         String extras = MetaCodec.flag(line, flags, 'P');
-        boolean bad = key.isEmpty() || key.length() > 250 || id == null || id.isEmpty() || extras == null
-                || !printable(line);
+        boolean bad =
+                key.isEmpty() || key.length() > 250 || id == null || id.isEmpty() || extras == null || !printable(line);
         if (bad && !write) {
             say("CLIENT_ERROR bad command line format\r\n");
             return;
         }
         Command command = bad ? null : command(line, key, id, extras, flags, write);
         if (write) {
-            incoming = command != null ? command : new Command(Routing.META, key, null, true, null,
-                    DeadlineText.EMPTY, DeadlineText.EMPTY);
+            incoming = command != null
+                    ? command
+                    : new Command(Routing.META, key, null, true, null, DeadlineText.EMPTY, DeadlineText.EMPTY);
             missing = length + 2;
             if (command != null) {
                 claimRoom(command);
@@ -172,10 +177,20 @@
         int list = line.indexOf(" P", flags - 1) + 2;
         int deadline = MetaCodec.valueAt(extras, "d");
         int deadlineInLine = deadline < 0 ? -1 : list + deadline;
-        Terms terms = new Terms(MetaCodec.named(extras, "c"), MetaCodec.named(extras, "t"),
-                figure(extras, "d", Double.NaN), figure(extras, "h", Double.NaN), (float) figure(extras, "size", 0),
+        Terms terms = new Terms(
+                MetaCodec.named(extras, "c"),
+                MetaCodec.named(extras, "t"),
+                figure(extras, "d", Double.NaN),
+                figure(extras, "h", Double.NaN),
+                (float) figure(extras, "size", 0),
                 "1".equals(MetaCodec.named(extras, "r")));
-        return new Command(Routing.META, key, id, write, terms, DeadlineText.of(extras, deadline),
+        return new Command(
+                Routing.META,
+                key,
+                id,
+                write,
+                terms,
+                DeadlineText.of(extras, deadline),
                 DeadlineText.of(line, deadlineInLine));
     }
 
@@ -311,8 +326,11 @@
 
         @Override
         public void refused(double retryAfterMs) {
-            whole(MetaCodec.text(ctx.alloc(), retryAfterMs >= 1 ? MetaCodec.BUSY + " " + Math.round(retryAfterMs)
-                    + "\r\n" : MetaCodec.BUSY + "\r\n"));
+            whole(MetaCodec.text(
+                    ctx.alloc(),
+                    retryAfterMs >= 1
+                            ? MetaCodec.BUSY + " " + Math.round(retryAfterMs) + "\r\n"
+                            : MetaCodec.BUSY + "\r\n"));
         }
 
         @Override
@@ -338,7 +356,8 @@
             } else if (ready == null) {
                 ready = part;
             } else {
-                CompositeByteBuf parts = ready instanceof CompositeByteBuf c ? c
+                CompositeByteBuf parts = ready instanceof CompositeByteBuf c
+                        ? c
                         : ctx.alloc().compositeBuffer(64).addComponent(true, ready);
                 ready = parts.addComponent(true, part);
             }
@@ -409,8 +428,8 @@
     }
 
     /**
-     * Passes the connection to the process that takes over, and ends it here without a word to the client. In a task
-     * of its own: what is being read or written now is done then.
+     * Passes the connection to the process that takes over, and ends it here without a word to the client. In a task of
+     * its own: what is being read or written now is done then.
      */
     void pass(HandoverLink to) {
         if (passing || finished) {
@@ -464,8 +483,8 @@
     }
 
     /**
-     * Ends the connection from our side and waits for the client to do so: closing with unread input would
-     * send a reset, which could overtake the last answer.
+     * Ends the connection from our side and waits for the client to do so: closing with unread input would send a
+     * reset, which could overtake the last answer.
      */
     void finish() {
         if (finished) {
@@ -492,7 +511,7 @@
         if (incoming != null) {
             dropIncoming();
         }
-        for (Reply r; (r = replies.poll()) != null;) {
+        for (Reply r; (r = replies.poll()) != null; ) {
             r.drop();
         }
         dispatcher.left(this);
--- a/src/main/java/damsonworks/proxy/Config.java
+++ b/src/main/java/damsonworks/proxy/Config.java
@@ -25,18 +25,36 @@
 import java.util.Map;
 
 /**
- * What the proxy is told at its start. Settings are read by the adapter's own parser, from the same paths and
- * values; addresses are literal, as there is no DNS.
+ * What the proxy is told at its start. Settings are read by the adapter's own parser, from the same paths and values;
+ * addresses are literal, as there is no DNS.
  */
-record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, long seed, double cores,
-        int memoryMb, int sockets, InetSocketAddress peerListen, List<InetSocketAddress> peers,
-        InetSocketAddress peersAll, JsonObject known, Settings settings, List<String> zones, List<String> kinds,
-        double idleCloseMs, int streamsPerConnection, InetSocketAddress operator, JsonObject file) {
+record Config(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress discovery,
+        long seed,
+        double cores,
+        int memoryMb,
+        int sockets,
+        InetSocketAddress peerListen,
+        List<InetSocketAddress> peers,
+        InetSocketAddress peersAll,
+        JsonObject known,
+        Settings settings,
+        List<String> zones,
+        List<String> kinds,
+        double idleCloseMs,
+        int streamsPerConnection,
+        InetSocketAddress operator,
+        JsonObject file) {
 
     /** What routes may name here. */
     Known names() {
-        return new Known(settings.classes().stream().map(c -> c.name()).toList(),
-                settings.tenants().stream().map(t -> t.name()).toList(), zones, kinds);
+        return new Known(
+                settings.classes().stream().map(c -> c.name()).toList(),
+                settings.tenants().stream().map(t -> t.name()).toList(),
+                zones,
+                kinds);
     }
 
     /** What discovery's list may name. */
@@ -64,8 +82,8 @@
     }
 
     /**
-     * Reads the file again in service. One that lacks a key which it had before is of no use either: it has been cut
-     * or written by hand, and what was meant by the missing key nobody can say.
+     * Reads the file again in service. One that lacks a key which it had before is of no use either: it has been cut or
+     * written by hand, and what was meant by the missing key nobody can say.
      */
     Config again(String path) {
         Config next = read(path);
@@ -133,15 +151,25 @@
         if (json.has("peers")) {
             json.getAsJsonArray("peers").forEach(p -> peers.add(Addresses.parse(p.getAsString())));
         }
-        return new Config(json.has("name") ? json.get("name").getAsString() : "proxy",
+        return new Config(
+                json.has("name") ? json.get("name").getAsString() : "proxy",
                 Addresses.parse(need(json, "listen").getAsString()),
                 Addresses.parse(need(json, "discovery").getAsString()),
-                Long.parseUnsignedLong(need(json, "seed").getAsString(), 16), number(limits, "cores", 1),
-                (int) number(limits, "memory_mb", 192), (int) number(limits, "sockets", 1024),
-                optionalAddress(json, "peer_listen"), List.copyOf(peers), optionalAddress(json, "peers_all"),
-                json.has("known") ? json.getAsJsonObject("known") : null, parser.settings(), parser.list("zones"),
-                parser.list("kinds"), parser.number("caps.idle-close", 15_000),
-                Math.max(1, (int) parser.number("caps.streams-per-conn", 1)), optionalAddress(json, "operator"), json);
+                Long.parseUnsignedLong(need(json, "seed").getAsString(), 16),
+                number(limits, "cores", 1),
+                (int) number(limits, "memory_mb", 192),
+                (int) number(limits, "sockets", 1024),
+                optionalAddress(json, "peer_listen"),
+                List.copyOf(peers),
+                optionalAddress(json, "peers_all"),
+                json.has("known") ? json.getAsJsonObject("known") : null,
+                parser.settings(),
+                parser.list("zones"),
+                parser.list("kinds"),
+                parser.number("caps.idle-close", 15_000),
+                Math.max(1, (int) parser.number("caps.streams-per-conn", 1)),
+                optionalAddress(json, "operator"),
+                json);
     }
 
     private static JsonElement need(JsonObject json, String key) {
@@ -157,14 +185,16 @@
     }
 
     private static InetSocketAddress optionalAddress(JsonObject json, String key) {
-        String text = json.has(key) && json.get(key).isJsonPrimitive() ? json.get(key).getAsString() : "";
+        String text =
+                json.has(key) && json.get(key).isJsonPrimitive() ? json.get(key).getAsString() : "";
         return text.isEmpty() ? null : Addresses.parse(text);
     }
 
     private static void flatten(String path, JsonElement value, Map<String, String> out) {
         if (value.isJsonObject()) {
-            value.getAsJsonObject().entrySet().forEach(
-                    e -> flatten(path.isEmpty() ? e.getKey() : path + "." + e.getKey(), e.getValue(), out));
+            value.getAsJsonObject()
+                    .entrySet()
+                    .forEach(e -> flatten(path.isEmpty() ? e.getKey() : path + "." + e.getKey(), e.getValue(), out));
         } else if (value.isJsonArray()) {
             List<String> plain = new ArrayList<>();
             int i = 0;
--- a/src/main/java/damsonworks/proxy/Counters.java
+++ b/src/main/java/damsonworks/proxy/Counters.java
@@ -6,8 +6,8 @@
 import java.util.Set;
 
 /**
- * What has come of requests and attempts since the process began. Each is counted once, where its one end is decided.
- * A class that the settings name no more keeps its counts: what only grows must not vanish.
+ * What has come of requests and attempts since the process began. Each is counted once, where its one end is decided. A
+ * class that the settings name no more keeps its counts: what only grows must not vanish.
  */
 final class Counters {
     /** Of classes that the settings name no more; beyond, the counts of those that vanished first are given up. */
@@ -80,7 +80,7 @@
                 tally.aborted++;
                 did(Work.FAILED);
             }
-            case GONE -> { }
+            case GONE -> {}
         }
     }
 
--- a/src/main/java/damsonworks/proxy/DeadlineText.java
+++ b/src/main/java/damsonworks/proxy/DeadlineText.java
@@ -1,11 +1,11 @@
 package damsonworks.proxy;
 
 /**
- * A text of a request that names how long its client waits, kept apart at that figure. Each attempt is told the time that
- * is left when its bytes go out, which is less than what the client asked for at first.
+ * A text of a request that names how long its client waits, kept apart at that figure. Each attempt is told the time
+ * that is left when its bytes go out, which is less than what the client asked for at first.
  *
  * @param before what comes before the figure
- * @param after  what comes behind it
+ * @param after what comes behind it
  */
 record DeadlineText(String before, String after) {
     /** Names no deadline and nothing else. */
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -15,9 +15,9 @@
 import damsonworks.RoutingApi.Settings;
 import damsonworks.RoutingApi.ZoneOrder;
 import damsonworks.drain.Drain;
+import damsonworks.figures.Work;
 import damsonworks.flow.ByteBudget;
 import damsonworks.flow.RecentIds;
-import damsonworks.figures.Work;
 import damsonworks.member.Living;
 import damsonworks.proxy.Counters.Ending;
 import damsonworks.proxy.Exchange.Attempt;
@@ -49,9 +49,9 @@
 import java.util.stream.Stream;
 
 /**
- * The one caller of the decision module and the one that carries its orders out. Keeps what requests and
- * attempts are in: an attempt ends once, a request is answered once. All of it runs on the event loop; the
- * module is never called from within one of its own orders, what happens meanwhile waits in line.
+ * The one caller of the decision module and the one that carries its orders out. Keeps what requests and attempts are
+ * in: an attempt ends once, a request is answered once. All of it runs on the event loop; the module is never called
+ * from within one of its own orders, what happens meanwhile waits in line.
  */
 final class Dispatcher implements Actions, DiscoveryClient.Listener {
     private static final int MAX_LOG_LINES = 300;
@@ -59,9 +59,11 @@
     private static final double OVERDUE_MS = 10;
     /** A day; what is longer is no deadline. */
     private static final double MAX_WAIT_MS = 86_400_000;
+
     private static final double PROBE_TIMEOUT_MS = 250;
     /** Of the memory for buffers, values that are kept whole get one part of so many; the rest is for what passes. */
     private static final int VALUES_PART = 2;
+
     private static final long SWEEP_MS = 1000;
 
     private final EventLoop loop;
@@ -72,6 +74,7 @@
     private final IntObjectHashMap<Exchange> exchanges = new IntObjectHashMap<>();
     /** The open requests by their clients' ids. */
     private final Map<String, Exchange> open = new HashMap<>();
+
     private final RecentIds ended = new RecentIds();
     private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
     private final double epochMs = System.currentTimeMillis();
@@ -83,6 +86,7 @@
     private RoutingApi module;
     /** The module where routes are set, else null. */
     private Router router;
+
     private ListSource discovery;
     private PeerSocket peers;
     private PeerNews news;
@@ -94,6 +98,7 @@
     private final Trust trust = new Trust();
     /** Who wants to know of news of the list once it is in use. */
     private final List<Consumer<ListKind>> followers = new ArrayList<>();
+
     private ClientListener listener;
     private Future<?> sweeper;
     private boolean busy;
@@ -102,9 +107,11 @@
     private boolean draining;
     /** Clients that ask are told so. */
     private boolean drainTold;
+
     private long answered;
     /** For so long after a request's end a server may still be at it, and a command with its id on its way. */
     private double idHoldMs;
+
     private final double startedMs;
     private long firstServedMs = -1;
     private int nextId;
@@ -123,8 +130,8 @@
         timers = new Timers(loop);
         startedMs = now();
         use(config);
-        values = new ByteBudget(Math.min((long) config.memoryMb() << 20 >> 3,
-                PlatformDependent.maxDirectMemory() / VALUES_PART));
+        values = new ByteBudget(
+                Math.min((long) config.memoryMb() << 20 >> 3, PlatformDependent.maxDirectMemory() / VALUES_PART));
         Bootstrap bootstrap = new Bootstrap().group(loop).channel(upstream);
         if (upstream == Transport.BEST.socket()) {
             bootstrap.option(ChannelOption.TCP_NODELAY, true);
@@ -143,8 +150,8 @@
         listener = clients;
         router = routing == null ? null : new Router(settings, config.seed(), routing);
         module = router != null ? router : new Policy(settings, config.seed());
-        sweeper = loop.scheduleWithFixedDelay(() -> servers.sweep(config.idleCloseMs()), SWEEP_MS, SWEEP_MS,
-                TimeUnit.MILLISECONDS);
+        sweeper = loop.scheduleWithFixedDelay(
+                () -> servers.sweep(config.idleCloseMs()), SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
     private void use(Config next) {
@@ -155,7 +162,10 @@
         tenants.clear();
         settings.tenants().forEach(t -> tenants.put(t.name(), tenants.size()));
         counters.know(classes.keySet());
-        idHoldMs = settings.classes().stream().mapToDouble(ServiceClass::deadlineMs).max().orElse(0);
+        idHoldMs = settings.classes().stream()
+                .mapToDouble(ServiceClass::deadlineMs)
+                .max()
+                .orElse(0);
     }
 
     /** Takes other settings for requests to come; those under way keep what held when they came. */
@@ -177,7 +187,9 @@
     /** The longest that any request may be waited for, of those that are open and those to come. */
     double longestDeadlineMs() {
         return Stream.concat(settings.classes().stream(), open.values().stream().map(x -> x.kind))
-                .mapToDouble(ServiceClass::deadlineMs).max().orElse(0);
+                .mapToDouble(ServiceClass::deadlineMs)
+                .max()
+                .orElse(0);
     }
 
     double connectTimeoutMs() {
@@ -470,8 +482,7 @@
         double now = now();
         Exchange.Terms terms = c.terms;
         Integer kind = classes.get(String.valueOf(terms.kind()));
-        Integer tenant = tenants.isEmpty() || terms.tenant() == null ? Integer.valueOf(0)
-                : tenants.get(terms.tenant());
+        Integer tenant = tenants.isEmpty() || terms.tenant() == null ? Integer.valueOf(0) : tenants.get(terms.tenant());
         double wait = terms.waitMs(); // the servers are told it, so there is none to assume
         if (kind == null || tenant == null || !(wait > 0 && wait <= MAX_WAIT_MS)) {
             turnAway(x, "unknown class, tenant or deadline");
@@ -489,8 +500,16 @@
         x.maxAttempts = settings.maxAttempts();
         x.dueMs = now + wait;
         exchanges.put(x.id, x);
-        Request request = new Request(x.id, kind, tenant, Installation.key(c.key), x.dueMs, terms.work() / 1000,
-                terms.bytes(), c.write, terms.repeat());
+        Request request = new Request(
+                x.id,
+                kind,
+                tenant,
+                Installation.key(c.key),
+                x.dueMs,
+                terms.work() / 1000,
+                terms.bytes(),
+                c.write,
+                terms.repeat());
         trust.decided(now, Trust.Thing.LIST);
         // Before the module's own timer for the same time: a silent server's attempt ends as a time-out then.
         x.timer = after(wait, () -> due(x));
@@ -523,8 +542,8 @@
     }
 
     /**
-     * The proxy stops waiting. What went out may have run or may yet: told as a connection that failed, a write
-     * would be refused or sent again, and have its effect twice.
+     * The proxy stops waiting. What went out may have run or may yet: told as a connection that failed, a write would
+     * be refused or sent again, and have its effect twice.
      */
     void expire(Attempt a) {
         if (!a.ended) {
@@ -585,8 +604,10 @@
             x.sink.answer(answer);
         }
         boolean over = x.over;
-        tell(() -> guard(x, () -> module.onAttemptEnd(now(), new AttemptEnd(x.id, a.index, a.server, outcome,
-                elapsed, over, note, report), this)));
+        tell(() -> guard(
+                x,
+                () -> module.onAttemptEnd(
+                        now(), new AttemptEnd(x.id, a.index, a.server, outcome, elapsed, over, note, report), this)));
         free(x);
     }
 
@@ -725,7 +746,8 @@
         if (a == null || a.ended || a.firstByteMs != 0) {
             return;
         }
-        // Another attempt may follow. Where second copies are forbidden this one must be over then, or it stays waited for.
+        // Another attempt may follow. Where second copies are forbidden this one must be over then, or it stays waited
+        // for.
         if (!x.over && !settings.secondCopies() && a.connection != null && !a.connection.endsAlone()) {
             return;
         }
--- a/src/main/java/damsonworks/proxy/Exchange.java
+++ b/src/main/java/damsonworks/proxy/Exchange.java
@@ -17,9 +17,11 @@
     ServiceClass kind;
     /** How often it may be tried by the settings of that time. */
     int maxAttempts;
+
     double dueMs;
     /** It has had its final answer, or the client has gone: nothing more may be sent for it. */
     boolean over;
+
     boolean streaming;
     int out;
     Timer timer;
@@ -34,9 +36,11 @@
     static final class Command {
         /** The front's index in {@link damsonworks.route.Routing#FRONTS}. */
         final int front;
+
         final String key;
         /** The client's name for the request, which no other open one may have. */
         final String id;
+
         final boolean write;
         final Terms terms;
         /** The list of named figures that the origin is passed, as clients of the meta protocol word it. */
@@ -48,8 +52,7 @@
         /** The room that its value has; null for reads. */
         ByteBudget.Ticket room;
 
-        Command(int front, String key, String id, boolean write, Terms terms, DeadlineText extras,
-                DeadlineText line) {
+        Command(int front, String key, String id, boolean write, Terms terms, DeadlineText extras, DeadlineText line) {
             this.front = front;
             this.key = key;
             this.id = id;
@@ -75,14 +78,14 @@
     /**
      * What a client says of its request.
      *
-     * @param kind   the name of its class
+     * @param kind the name of its class
      * @param tenant whose it is; null if it does not say
      * @param waitMs how long it waits for the answer, in milliseconds; NaN if it does not say
-     * @param work   what it costs a server, in microseconds; NaN if it does not say
-     * @param bytes  how long its value is, 0 if it does not say
+     * @param work what it costs a server, in microseconds; NaN if it does not say
+     * @param bytes how long its value is, 0 if it does not say
      * @param repeat whether it was asked before
      */
-    record Terms(String kind, String tenant, double waitMs, double work, float bytes, boolean repeat) { }
+    record Terms(String kind, String tenant, double waitMs, double work, float bytes, boolean repeat) {}
 
     /** One try of a request at a server, or a probe of it (no exchange). */
     static final class Attempt {
@@ -92,6 +95,7 @@
         final double sentMs;
         /** When the proxy stops waiting. */
         final double untilMs;
+
         UpstreamConnection connection;
         boolean written;
         /** It has had its one outcome. */
@@ -100,6 +104,7 @@
         boolean mayHaveRun;
         /** When the first bytes of a long answer came, else 0. */
         double firstByteMs;
+
         Timer timer;
 
         Attempt(Exchange exchange, int index, int server, double sentMs, double untilMs) {
--- a/src/main/java/damsonworks/proxy/HandoverLink.java
+++ b/src/main/java/damsonworks/proxy/HandoverLink.java
@@ -40,6 +40,7 @@
     private final Path folder;
     /** This process's own socket; null where nobody shares a folder. */
     private final Path own;
+
     private final Handover handover;
     private final Acceptor acceptor;
     private final Supplier<TakeoverState> state;
@@ -52,7 +53,8 @@
     HandoverLink(EventLoop loop, Path folder, Handover handover, Acceptor acceptor, Supplier<TakeoverState> state) {
         this.loop = loop;
         this.folder = folder;
-        own = folder == null ? null
+        own = folder == null
+                ? null
                 : folder.resolve(NAME + "." + ProcessHandle.current().pid() + "." + LINKS.incrementAndGet());
         this.handover = handover;
         this.acceptor = acceptor;
@@ -72,13 +74,17 @@
     /** Listens in the place of whoever did before; waits until it does, so not to be called on the event loop. */
     void open() throws IOException, InterruptedException {
         Files.deleteIfExists(own);
-        new ServerBootstrap().group(loop).channel(Transport.BEST.localServer())
+        new ServerBootstrap()
+                .group(loop)
+                .channel(Transport.BEST.localServer())
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         accepted(channel);
                     }
-                }).bind(Transport.BEST.local(own)).sync();
+                })
+                .bind(Transport.BEST.local(own))
+                .sync();
         publish();
     }
 
--- a/src/main/java/damsonworks/proxy/Hangup.java
+++ b/src/main/java/damsonworks/proxy/Hangup.java
@@ -10,7 +10,7 @@
  * module jdk.unsupported is reached by its name: compiling against it warns.
  */
 final class Hangup {
-    private Hangup() { }
+    private Hangup() {}
 
     /** Runs the task on a thread of its own at each SIGHUP from now on. */
     static void on(Runnable task) {
@@ -18,10 +18,14 @@
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
             MethodHandle run = MethodHandles.lookup()
-                    .findVirtual(Runnable.class, "run", MethodType.methodType(void.class)).bindTo(task);
-            Object before = signal.getMethod("handle", signal, handler).invoke(null,
-                    signal.getConstructor(String.class).newInstance("HUP"), MethodHandleProxies
-                            .asInterfaceInstance(handler, MethodHandles.dropArguments(run, 0, signal)));
+                    .findVirtual(Runnable.class, "run", MethodType.methodType(void.class))
+                    .bindTo(task);
+            Object before = signal.getMethod("handle", signal, handler)
+                    .invoke(
+                            null,
+                            signal.getConstructor(String.class).newInstance("HUP"),
+                            MethodHandleProxies.asInterfaceInstance(
+                                    handler, MethodHandles.dropArguments(run, 0, signal)));
             // The JVM leaves a signal ignored that was so at its start, as under nohup, and says nothing of it.
             if (before == handler.getField("SIG_IGN").get(null)) {
                 System.err.println("SIGHUP is ignored where this was started (nohup?): no file is taken by it");
--- a/src/main/java/damsonworks/proxy/Installation.java
+++ b/src/main/java/damsonworks/proxy/Installation.java
@@ -40,7 +40,8 @@
         List<Host> own = new ArrayList<>();
         for (Host h : hosts) {
             Member m = h.member();
-            boolean origin = config.settings().aside() && m.kind() == config.settings().originKind();
+            boolean origin =
+                    config.settings().aside() && m.kind() == config.settings().originKind();
             if (m.state() == State.READY && !origin && pool.selects(h.server())) {
                 own.add(h);
             }
