--- a/src/main/java/damsonworks/proxy/LearntForm.java
+++ b/src/main/java/damsonworks/proxy/LearntForm.java
@@ -13,14 +13,14 @@
 import java.util.Map;
 
 /**
- * What the decision module has learnt, as JSON: what a process tells the one that takes over and what is stored are of this one
- * form.
+ * What the decision module has learnt, as JSON: what a process tells the one that takes over and what is stored are of
+ * this one form.
  */
 final class LearntForm {
     private static final int MAX_ENTRIES = 10_000;
     private static final double MAX_FIGURE = 1e15;
 
-    private LearntForm() { }
+    private LearntForm() {}
 
     /** By the pools' names. */
     static JsonObject json(Map<String, Experience> learnt) {
@@ -32,20 +32,30 @@
     /** Reads it; an exception says that it is of no use. */
     static Map<String, Experience> read(JsonObject pools) {
         Map<String, Experience> learnt = new HashMap<>();
-        pools.entrySet().forEach(e -> learnt.put(e.getKey(), experience(e.getValue().getAsJsonObject())));
+        pools.entrySet()
+                .forEach(e -> learnt.put(e.getKey(), experience(e.getValue().getAsJsonObject())));
         return learnt;
     }
 
     private static JsonObject json(Experience e) {
         JsonObject o = new JsonObject();
-        o.add("figures", array(e.fetchMs(), e.paceMs(), e.paceDeviationMs(), e.usualCost(), e.origin().asked(),
-                e.origin().answered(), e.crowd().asked(), e.crowd().answered(), e.asked()));
+        o.add(
+                "figures",
+                array(
+                        e.fetchMs(),
+                        e.paceMs(),
+                        e.paceDeviationMs(),
+                        e.usualCost(),
+                        e.origin().asked(),
+                        e.origin().answered(),
+                        e.crowd().asked(),
+                        e.crowd().answered(),
+                        e.asked()));
         JsonArray hot = new JsonArray();
         e.hot().forEach(h -> hot.add(array(h.key(), h.count())));
         o.add("hot", hot);
         JsonArray servers = new JsonArray();
-        e.servers().forEach(s -> servers.add(
-                array(s.id(), s.bornMs(), s.failures(), s.shunnedUntilMs(), s.doubts())));
+        e.servers().forEach(s -> servers.add(array(s.id(), s.bornMs(), s.failures(), s.shunnedUntilMs(), s.doubts())));
         o.add("servers", servers);
         return o;
     }
@@ -62,16 +72,25 @@
         List<Double> f = new ArrayList<>();
         o.getAsJsonArray("figures").forEach(n -> f.add(figure(n)));
         List<Hot> hot = new ArrayList<>();
-        entries(o, "hot").forEach(h -> hot.add(new Hot(h.getAsJsonArray().get(0).getAsLong(),
-                (int) figure(h.getAsJsonArray().get(1)))));
+        entries(o, "hot")
+                .forEach(h -> hot.add(new Hot(h.getAsJsonArray().get(0).getAsLong(), (int)
+                        figure(h.getAsJsonArray().get(1)))));
         List<Seen> servers = new ArrayList<>();
         entries(o, "servers").forEach(e -> {
             JsonArray s = e.getAsJsonArray();
-            servers.add(new Seen(s.get(0).getAsInt(), figure(s.get(1)), (int) figure(s.get(2)), figure(s.get(3)),
-                    (int) figure(s.get(4))));
+            servers.add(new Seen(s.get(0).getAsInt(), figure(s.get(1)), (int) figure(s.get(2)), figure(s.get(3)), (int)
+                    figure(s.get(4))));
         });
-        return new Experience(f.get(0), f.get(1), f.get(2), f.get(3), new Load(f.get(4), f.get(5)),
-                new Load(f.get(6), f.get(7)), f.get(8), hot, servers);
+        return new Experience(
+                f.get(0),
+                f.get(1),
+                f.get(2),
+                f.get(3),
+                new Load(f.get(4), f.get(5)),
+                new Load(f.get(6), f.get(7)),
+                f.get(8),
+                hot,
+                servers);
     }
 
     private static JsonArray entries(JsonObject o, String name) {
--- a/src/main/java/damsonworks/proxy/MemberLink.java
+++ b/src/main/java/damsonworks/proxy/MemberLink.java
@@ -17,20 +17,33 @@
     private final Consumer<Living> advised;
     /** A timer that was set before the last one is void. */
     private long waits;
+
     private Living living = new Living(1);
-    private Runnable changed = () -> { };
+    private Runnable changed = () -> {};
 
     /**
-     * {@code remembered}: the incarnation of this instance's last life, 0 for none; {@code advised}: told the number that lives
-     * each time that it changes.
+     * {@code remembered}: the incarnation of this instance's last life, 0 for none; {@code advised}: told the number
+     * that lives each time that it changes.
      */
-    MemberLink(Dispatcher dispatcher, PeerSocket peers, Settings settings, long remembered, long seed, Phase phase,
+    MemberLink(
+            Dispatcher dispatcher,
+            PeerSocket peers,
+            Settings settings,
+            long remembered,
+            long seed,
+            Phase phase,
             Consumer<Living> advised) {
         this.dispatcher = dispatcher;
         this.peers = peers;
         this.advised = advised;
-        members = new Membership(MemberSettings.of(settings.instances()), settings.me(), settings.zone(), new byte[0], remembered,
-                settings.ownSeed(seed), new MemberBudget(peers.outbox()));
+        members = new Membership(
+                MemberSettings.of(settings.instances()),
+                settings.me(),
+                settings.zone(),
+                new byte[0],
+                remembered,
+                settings.ownSeed(seed),
+                new MemberBudget(peers.outbox()));
         members.phase(phase);
         run();
     }
--- a/src/main/java/damsonworks/proxy/MetaCodec.java
+++ b/src/main/java/damsonworks/proxy/MetaCodec.java
@@ -12,11 +12,12 @@
     static final int MAX_VALUE = 4 << 20;
     /** Answers up to this size are passed on whole, longer ones as they come. */
     static final int WHOLE = 64 << 10;
+
     static final int MAX_LINE = 4096;
     static final String FAILED = "SERVER_ERROR failed\r\n";
     static final String BUSY = "SERVER_ERROR busy";
 
-    private MetaCodec() { }
+    private MetaCodec() {}
 
     /** Input that is not the protocol's. */
     static final class SyntaxException extends Exception {
--- a/src/main/java/damsonworks/proxy/NodeTalk.java
+++ b/src/main/java/damsonworks/proxy/NodeTalk.java
@@ -8,7 +8,10 @@
 import java.util.HashSet;
 import java.util.Map;
 
-/** Tells peers of nodes that were found silent, and passes on to the decision module what several say. On the event loop only. */
+/**
+ * Tells peers of nodes that were found silent, and passes on to the decision module what several say. On the event loop
+ * only.
+ */
 final class NodeTalk {
     private static final int ALL = -1;
     private static final double ZONES_MS = 500;
@@ -21,6 +24,7 @@
     private final Map<Integer, Double> toldMs = new HashMap<>();
     /** Where peers stand that live; as of some time ago, as many messages come at once where much is wrong. */
     private final Map<Integer, Integer> zones = new HashMap<>();
+
     private double zonesMs = Double.NEGATIVE_INFINITY;
 
     NodeTalk(Dispatcher dispatcher, PeerSocket peers, MemberLink members) {
@@ -36,7 +40,8 @@
             return;
         }
         double now = dispatcher.now();
-        toldMs.values().removeIf(at -> now - at >= BadNodes.KEPT_MS / 2); // told anew while it lasts, before the word is void
+        toldMs.values()
+                .removeIf(at -> now - at >= BadNodes.KEPT_MS / 2); // told anew while it lasts, before the word is void
         if (!bad.knownToAll(now, server) && toldMs.putIfAbsent(server, now) == null) {
             peers.send(ALL, PeerSocket.Kind.NODES, PeerMessage.bad(server));
         }
@@ -54,10 +59,13 @@
             View view = members.view();
             zonesMs = now;
             zones.clear();
-            view.entries().stream().filter(e -> e.id() != view.me() && e.state().lives()).forEach(e -> zones.put(e.id(), e.zone()));
+            view.entries().stream()
+                    .filter(e -> e.id() != view.me() && e.state().lives())
+                    .forEach(e -> zones.put(e.id(), e.zone()));
         }
         Integer zone = zones.get(peer);
-        BadNodes.Node node = new BadNodes.Node(server, u.zone, dispatcher.servers().inZone(u.zone));
+        BadNodes.Node node =
+                new BadNodes.Node(server, u.zone, dispatcher.servers().inZone(u.zone));
         if (zone != null && bad.claimed(now, peer, zone, node, zones.size(), new HashSet<>(zones.values()).size())) {
             dispatcher.heard(peer, PeerSocket.Kind.MODULE, message);
         }
--- a/src/main/java/damsonworks/proxy/OriginCodec.java
+++ b/src/main/java/damsonworks/proxy/OriginCodec.java
@@ -44,6 +44,7 @@
     private ValueBuffer body;
     /** Room for a body whose length was not told, claimed as it grows: whoever finds none does not wait for it. */
     private final ArrayDeque<ByteBudget.Ticket> room = new ArrayDeque<>();
+
     private long missing;
     private boolean streamed;
     private boolean broken;
@@ -93,10 +94,11 @@
         } else {
             Command command = attempt.exchange.command;
             String path = "/" + URLEncoder.encode(command.key, StandardCharsets.ISO_8859_1);
-            ByteBuf value = !command.write ? Unpooled.EMPTY_BUFFER
+            ByteBuf value = !command.write
+                    ? Unpooled.EMPTY_BUFFER
                     : command.value.retainedSlice(0, command.value.readableBytes() - 2);
-            request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
-                    command.write ? HttpMethod.PUT : HttpMethod.GET, path, value);
+            request = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1, command.write ? HttpMethod.PUT : HttpMethod.GET, path, value);
             request.headers().set("Req-Id", command.id).set("Req-Extra", command.extras.with(remainingMs));
             if (command.write) {
                 request.headers().set(HttpHeaderNames.CONTENT_LENGTH, value.readableBytes());
@@ -153,7 +155,9 @@
             fail("no length and no end"); // none can tell whether it is whole
             return;
         }
-        streamed = r.status().code() == 200 && attempt.exchange != null && !attempt.exchange.command.write
+        streamed = r.status().code() == 200
+                && attempt.exchange != null
+                && !attempt.exchange.command.write
                 && missing > MetaCodec.WHOLE;
         body = null;
         if (!streamed) {
@@ -167,8 +171,8 @@
     }
 
     /**
-     * Guards against an answer with a line that is no header: the decoder takes it for a name without value. Only
-     * the load report may be of no use in an answer that is good.
+     * Guards against an answer with a line that is no header: the decoder takes it for a name without value. Only the
+     * load report may be of no use in an answer that is good.
      */
     private static boolean unreadable(HttpHeaders headers) {
         for (Map.Entry<String, String> h : headers) {
@@ -200,7 +204,7 @@
 
     private boolean claim(int bytes) {
         while (room.size() * (long) MetaCodec.WHOLE < bytes) {
-            ByteBudget.Ticket ticket = dispatcher.values().claim(MetaCodec.WHOLE, () -> { });
+            ByteBudget.Ticket ticket = dispatcher.values().claim(MetaCodec.WHOLE, () -> {});
             if (ticket == null || !ticket.granted()) {
                 if (ticket != null) {
                     ticket.release();
@@ -231,7 +235,8 @@
             connection.ended(Outcome.OK, 0, report, answer(attempt.exchange.command, whole));
         } else {
             release(whole);
-            boolean declined = (code == 503 || code == 504) && "1".equals(r.headers().get("Srv-Declined"));
+            boolean declined =
+                    (code == 503 || code == 504) && "1".equals(r.headers().get("Srv-Declined"));
             connection.ended(declined ? Outcome.FULL : Outcome.ERROR, 0, report, null);
         }
     }
@@ -260,7 +265,7 @@
             body.release();
             body = null;
         }
-        for (ByteBudget.Ticket t; (t = room.poll()) != null;) {
+        for (ByteBudget.Ticket t; (t = room.poll()) != null; ) {
             t.release();
         }
     }
--- a/src/main/java/damsonworks/proxy/PeerNews.java
+++ b/src/main/java/damsonworks/proxy/PeerNews.java
@@ -12,9 +12,9 @@
 import java.util.SplittableRandom;
 
 /**
- * Carries out what {@link ListNews} orders: tells peers, and has discovery or a peer asked. Where one discovery serves all
- * instances, peers tell each other what has changed; where lists are pushed, each has an agent of its own to ask, and the
- * version is enough. On the event loop only.
+ * Carries out what {@link ListNews} orders: tells peers, and has discovery or a peer asked. Where one discovery serves
+ * all instances, peers tell each other what has changed; where lists are pushed, each has an agent of its own to ask,
+ * and the version is enough. On the event loop only.
  */
 final class PeerNews {
     private static final int ALL = -1;
@@ -31,7 +31,13 @@
     private boolean expiring;
 
     /** {@code seed}: apart from that of other instances, so that they do not all ask one peer. */
-    PeerNews(Dispatcher dispatcher, PeerSocket peers, DiscoveryClient discovery, ProvisionalList list, ListNews news, long seed) {
+    PeerNews(
+            Dispatcher dispatcher,
+            PeerSocket peers,
+            DiscoveryClient discovery,
+            ProvisionalList list,
+            ListNews news,
+            long seed) {
         this.dispatcher = dispatcher;
         this.peers = peers;
         this.discovery = discovery;
@@ -91,7 +97,8 @@
         }
         long queried = PeerMessage.queriedVersion(message);
         if (queried >= 0) {
-            membership().since(dispatcher.now(), queried).stream().limit(MOST_ANSWERS)
+            membership().since(dispatcher.now(), queried).stream()
+                    .limit(MOST_ANSWERS)
                     .forEach(u -> peers.send(peer, PeerSocket.Kind.LIST, u.encode()));
         }
     }
@@ -117,7 +124,7 @@
         switch (order) {
             case TELL -> tell();
             case ASK -> ask();
-            case NONE, WAIT -> { }
+            case NONE, WAIT -> {}
         }
         double due = news.dueMs();
         if (order != Order.NONE && due != Double.POSITIVE_INFINITY) {
@@ -142,7 +149,10 @@
     private void query() {
         int peer = peers.another(random);
         if (sharesChanges() && peer >= 0) {
-            peers.send(peer, PeerSocket.Kind.LIST, PeerMessage.listQuery(membership().known()));
+            peers.send(
+                    peer,
+                    PeerSocket.Kind.LIST,
+                    PeerMessage.listQuery(membership().known()));
         }
     }
 }
--- a/src/main/java/damsonworks/proxy/PeerSocket.java
+++ b/src/main/java/damsonworks/proxy/PeerSocket.java
@@ -27,6 +27,7 @@
 final class PeerSocket {
     /** What an instance may send, whatever the size of the fleet. */
     private static final double BYTES_PER_SECOND = 2000;
+
     private static final double BURST = 6000;
     /** A predecessor that has passed its clients on still holds the address for a while. */
     private static final long AGAIN_MS = 500;
@@ -59,6 +60,7 @@
     private final Outbox outbox = new Outbox(BYTES_PER_SECOND, BURST);
     /** The peers' numbers by address: where all talk, a search for each datagram would grow with the fleet's square. */
     private final Map<InetSocketAddress, Integer> numbers = new HashMap<>();
+
     private Channel channel;
 
     /** What takes the messages of peers. */
@@ -84,17 +86,24 @@
     }
 
     private ChannelFuture bind() {
-        return new Bootstrap().group(loop).channel(Transport.BEST.datagram()).handler(new Handler()).bind(config.peerListen());
+        return new Bootstrap()
+                .group(loop)
+                .channel(Transport.BEST.datagram())
+                .handler(new Handler())
+                .bind(config.peerListen());
     }
 
     private void again() {
-        loop.schedule(() -> bind().addListener(f -> {
-            if (f.isSuccess()) {
-                channel = ((ChannelFuture) f).channel();
-            } else {
-                again();
-            }
-        }), AGAIN_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(
+                () -> bind().addListener(f -> {
+                    if (f.isSuccess()) {
+                        channel = ((ChannelFuture) f).channel();
+                    } else {
+                        again();
+                    }
+                }),
+                AGAIN_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     InetSocketAddress address() {
@@ -117,22 +126,23 @@
 
     /** Sends to the proxy of this number, or to all of the tier if it is negative, if the budget has room for it. */
     void send(int peer, Kind kind, byte[] body) {
-        if (body.length <= Envelope.MOST_BODY && outbox.admits(System.nanoTime() / 1e6, Envelope.bytes(body.length),
-                Outbox.Level.SECOND)) {
+        if (body.length <= Envelope.MOST_BODY
+                && outbox.admits(System.nanoTime() / 1e6, Envelope.bytes(body.length), Outbox.Level.SECOND)) {
             sendAdmitted(peer, kind, body);
         }
     }
 
     /** The same for what has been taken out of the budget already. */
     void sendAdmitted(int peer, Kind kind, byte[] body) {
-        InetSocketAddress to = peer < 0 ? config.peersAll()
+        InetSocketAddress to = peer < 0
+                ? config.peersAll()
                 : peer < config.peers().size() ? config.peers().get(peer) : null;
         if (channel == null || to == null) {
             return;
         }
         counters.did(Work.MESSAGES_SENT);
-        channel.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(Envelope.seal(List.of(
-                new Item(kind.number(), Kind.VERSION, body)))), to));
+        channel.writeAndFlush(new DatagramPacket(
+                Unpooled.wrappedBuffer(Envelope.seal(List.of(new Item(kind.number(), Kind.VERSION, body)))), to));
     }
 
     /** What does not come from a peer, is longer than the protocol has it or was changed on its way, is dropped. */
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -48,6 +48,7 @@
     private static final double LISTEN_ON_MS = 500;
     /** What an answer may take beyond the longest deadline. */
     private static final double ANSWER_ROOM_MS = 150;
+
     private static final int NO_KIND = -1;
     /** Descriptors that the JVM, the listening socket, discovery and peers need. */
     private static final int OWN_DESCRIPTORS = 64;
@@ -58,6 +59,7 @@
     private final EventLoop loop = group.next();
     /** Written by the thread of a signal, and read by others too. */
     private volatile Config config;
+
     private final Dispatcher dispatcher;
     private final DiscoveryClient discovery;
     private final PeerSocket peers;
@@ -67,7 +69,7 @@
     private final Handover handover = new Handover();
     private final HandoverLink link;
     private final CountDownLatch ended = new CountDownLatch(1);
-    private volatile Runnable whenEnded = () -> { };
+    private volatile Runnable whenEnded = () -> {};
     /** Null where this proxy takes no part in the fleet's view. On the event loop only. */
     private MemberLink members;
     /** Null where it decides nothing of zones. On the event loop only. */
@@ -78,9 +80,11 @@
     private final StateLink kept;
     /** What is known from before the start. */
     private final Remembered remembered;
+
     private final boolean succeeds;
 
-    private Proxy(Config config, Edge edge, boolean warm, Path shared, Kept folder) throws InterruptedException, IOException {
+    private Proxy(Config config, Edge edge, boolean warm, Path shared, Kept folder)
+            throws InterruptedException, IOException {
         this.config = config;
         this.edge = edge;
         kept = folder == null ? null : new StateLink(folder.folder(), config.name(), folder.fleet());
@@ -90,13 +94,15 @@
         }
         dispatcher = new Dispatcher(loop, config, Transport.BEST.socket());
         peers = new PeerSocket(loop, config, dispatcher::heard, dispatcher.counters());
-        acceptor = new Acceptor(dispatcher,
-                Math.max(16, config.sockets() - config.sockets() / 3 - OWN_DESCRIPTORS));
+        acceptor = new Acceptor(dispatcher, Math.max(16, config.sockets() - config.sockets() / 3 - OWN_DESCRIPTORS));
         Settings atStart = config.settings();
-        ProvisionalList list = new ProvisionalList(dispatcher,
-                new ProvisionalMembership(atStart.aside() ? atStart.originKind() : NO_KIND));
-        discovery = new DiscoveryClient(loop, new Bootstrap().group(loop).channel(Transport.BEST.socket())
-                .option(ChannelOption.TCP_NODELAY, true), config.discoverySettings(), list);
+        ProvisionalList list = new ProvisionalList(
+                dispatcher, new ProvisionalMembership(atStart.aside() ? atStart.originKind() : NO_KIND));
+        discovery = new DiscoveryClient(
+                loop,
+                new Bootstrap().group(loop).channel(Transport.BEST.socket()).option(ChannelOption.TCP_NODELAY, true),
+                config.discoverySettings(),
+                list);
         link = new HandoverLink(loop, shared, handover, acceptor, this::state);
         acceptor.retireBy(c -> {
             if (handover.passes()) {
@@ -109,23 +115,25 @@
         TakeoverLink old = TakeoverLink.ask(loop, shared); // as late as can be: what it tells is of now
         TakeoverState state = old == null ? null : old.state();
         succeeds = state != null;
-        remembered = new Remembered(state, kept == null ? Opened.EMPTY : kept.opened(), dispatcher.trust(), dispatcher.now());
+        remembered = new Remembered(
+                state, kept == null ? Opened.EMPTY : kept.opened(), dispatcher.trust(), dispatcher.now());
         loop.submit(() -> {
-            dispatcher.start(discovery, peers, acceptor, routing);
-            discovery.start(remembered.list(config.known()));
-            if (config.settings().peers()) {
-                Settings settings = config.settings();
-                ListNews news = new ListNews(settings.instances(), settings.ownSeed(config.seed()));
-                news.begin(discovery.version());
-                dispatcher.news(new PeerNews(dispatcher, peers, discovery, list, news,
-                        settings.ownSeed(config.seed() + 1)));
-            }
-            dispatcher.resume(remembered.learnt());
-            if (kept != null) {
-                kept.start(dispatcher, discovery);
-            }
-            loop.scheduleWithFixedDelay(acceptor::sweep, 1, 1, TimeUnit.SECONDS);
-        }).syncUninterruptibly();
+                    dispatcher.start(discovery, peers, acceptor, routing);
+                    discovery.start(remembered.list(config.known()));
+                    if (config.settings().peers()) {
+                        Settings settings = config.settings();
+                        ListNews news = new ListNews(settings.instances(), settings.ownSeed(config.seed()));
+                        news.begin(discovery.version());
+                        dispatcher.news(new PeerNews(
+                                dispatcher, peers, discovery, list, news, settings.ownSeed(config.seed() + 1)));
+                    }
+                    dispatcher.resume(remembered.learnt());
+                    if (kept != null) {
+                        kept.start(dispatcher, discovery);
+                    }
+                    loop.scheduleWithFixedDelay(acceptor::sweep, 1, 1, TimeUnit.SECONDS);
+                })
+                .syncUninterruptibly();
         FileDescriptor socket = old == null ? null : old.socket();
         if (socket != null) {
             acceptor.listen(group, socket);
@@ -143,12 +151,16 @@
     private TakeoverState state() {
         Map<Kind, Record> records = new EnumMap<>(Kind.class);
         if (members != null) {
-            records.put(Kind.INCARNATION, new Record(Kind.INCARNATION, dispatcher.now(), new JsonPrimitive(members.incarnation())));
+            records.put(
+                    Kind.INCARNATION,
+                    new Record(Kind.INCARNATION, dispatcher.now(), new JsonPrimitive(members.incarnation())));
         }
         if (zones != null) {
             Map<Integer, Held> held = zones.zones().held();
-            records.put(Kind.ZONES, new Record(Kind.ZONES, dispatcher.now(), ZoneForm.json(held, false, zones.names())));
-            records.put(Kind.ORDERS, new Record(Kind.ORDERS, dispatcher.now(), ZoneForm.json(held, true, zones.names())));
+            records.put(
+                    Kind.ZONES, new Record(Kind.ZONES, dispatcher.now(), ZoneForm.json(held, false, zones.names())));
+            records.put(
+                    Kind.ORDERS, new Record(Kind.ORDERS, dispatcher.now(), ZoneForm.json(held, true, zones.names())));
         }
         return new TakeoverState(discovery.list(), dispatcher.experience(), records);
     }
@@ -183,14 +195,14 @@
      * Where an instance keeps what outlasts its process.
      *
      * @param folder of its own; no other instance's
-     * @param fleet  the name of its fleet: another's folder is of no use to it
+     * @param fleet the name of its fleet: another's folder is of no use to it
      */
-    public record Kept(Path folder, String fleet) { }
+    public record Kept(Path folder, String fleet) {}
 
     /**
      * Runs a proxy by the configuration that the environment names, until SIGTERM or the end of a drain.
      *
-     * @param edge   its routes; null: none
+     * @param edge its routes; null: none
      * @param folder where it keeps what outlasts it; null: nowhere
      */
     public static Proxy main(Edge edge, Kept folder) {
@@ -224,8 +236,8 @@
     }
 
     /**
-     * Starts a proxy with all that it may run with, has it used and ends it; the process's exit code. What a proxy loads that
-     * comes back with many others is in the archive then, as they share the machine.
+     * Starts a proxy with all that it may run with, has it used and ends it; the process's exit code. What a proxy
+     * loads that comes back with many others is in the archive then, as they share the machine.
      */
     public static int train(Consumer<Proxy> use) {
         try {
@@ -261,7 +273,10 @@
         return new Proxy(config, null, false, shared, null);
     }
 
-    /** Starts without a warm-up, with what its folder holds, as the successor of whoever serves by {@code shared}, if anybody. */
+    /**
+     * Starts without a warm-up, with what its folder holds, as the successor of whoever serves by {@code shared}, if
+     * anybody.
+     */
     static Proxy start(Config config, Path shared, Kept folder) throws InterruptedException, IOException {
         return new Proxy(config, null, false, shared, folder);
     }
@@ -293,19 +308,25 @@
     /**
      * What a proxy does with the others of its fleet, where the settings allow peers to talk.
      *
-     * @param view     takes part in the view that the fleet keeps of itself; implied by the others
-     * @param zones    takes part in what the fleet decides of zones
+     * @param view takes part in the view that the fleet keeps of itself; implied by the others
+     * @param zones takes part in what the fleet decides of zones
      * @param recovers comes back with the others in mind
      */
-    public record Together(boolean view, boolean zones, boolean recovers) { }
+    public record Together(boolean view, boolean zones, boolean recovers) {}
 
     /** Begins to do so. */
     public void join(Together parts) {
         loop.execute(() -> {
             boolean peersTalk = config.settings().peers();
             if (peersTalk && (parts.view() || parts.zones() || parts.recovers())) {
-                members = new MemberLink(dispatcher, peers, config.settings(), remembered.incarnation(), config.seed(),
-                        parts.recovers() ? Phase.STARTING : Phase.SERVING, dispatcher::among);
+                members = new MemberLink(
+                        dispatcher,
+                        peers,
+                        config.settings(),
+                        remembered.incarnation(),
+                        config.seed(),
+                        parts.recovers() ? Phase.STARTING : Phase.SERVING,
+                        dispatcher::among);
                 dispatcher.members(members, new NodeTalk(dispatcher, peers, members));
                 if (parts.zones()) {
                     zones = new ZoneLink(dispatcher, members, config.settings(), config.zones(), remembered);
@@ -317,21 +338,31 @@
                 }
             }
             if (parts.recovers() && members != null) {
-                dispatcher.recall(new RecallLink(dispatcher, peers, members, discovery,
+                dispatcher.recall(new RecallLink(
+                        dispatcher,
+                        peers,
+                        members,
+                        discovery,
                         dispatcher.trust().of(Trust.Thing.LEARNT).source() == Source.NONE));
             }
             if (parts.recovers()) {
-                recovery = new RecoveryLink(dispatcher, members, acceptor, succeeds, () -> discovery.start(config.known()));
+                recovery = new RecoveryLink(
+                        dispatcher, members, acceptor, succeeds, () -> discovery.start(config.known()));
             }
         });
     }
 
     /** How this process comes back, and what it keeps. On the event loop only. */
     public Recovering recovering() {
-        return new Recovering(dispatcher.trust(), recovery == null ? null : recovery.progress(),
-                recovery == null ? null : recovery.spread(), recovery == null ? 0 : recovery.rate(),
-                kept == null ? null : kept.opened(), kept == null ? null : kept.keeper(),
-                kept == null ? null : kept.path().toString(), kept != null && kept.locked());
+        return new Recovering(
+                dispatcher.trust(),
+                recovery == null ? null : recovery.progress(),
+                recovery == null ? null : recovery.spread(),
+                recovery == null ? 0 : recovery.rate(),
+                kept == null ? null : kept.opened(),
+                kept == null ? null : kept.keeper(),
+                kept == null ? null : kept.path().toString(),
+                kept != null && kept.locked());
     }
 
     /** What the fleet has decided of zones; null if this proxy takes no part in that. On the event loop only. */
@@ -341,18 +372,23 @@
 
     /** What is seen of the fleet; null if this proxy takes no part in that. On the event loop only. */
     public FleetView fleetView() {
-        return members == null ? null : new FleetView(members.view(), members.unreadable(), members.deathsRefuted(),
-                peers.outbox().dropped());
+        return members == null
+                ? null
+                : new FleetView(
+                        members.view(),
+                        members.unreadable(),
+                        members.deathsRefuted(),
+                        peers.outbox().dropped());
     }
 
     /**
      * The view with what was counted.
      *
      * @param unreadable messages that could not be read
-     * @param refuted    how often this proxy refuted that it was dead
-     * @param dropped    datagrams that found no room in the budget
+     * @param refuted how often this proxy refuted that it was dead
+     * @param dropped datagrams that found no room in the budget
      */
-    public record FleetView(View view, long unreadable, long refuted, long dropped) { }
+    public record FleetView(View view, long unreadable, long refuted, long dropped) {}
 
     // ---- a new configuration
 
@@ -397,8 +433,8 @@
             handover.terminated();
             draining();
             double longest = dispatcher.longestDeadlineMs() + ANSWER_ROOM_MS;
-            drainer.begin(handover.passes() ? DrainPlan.succeeded(longest)
-                    : DrainPlan.terminated(LISTEN_ON_MS, longest));
+            drainer.begin(
+                    handover.passes() ? DrainPlan.succeeded(longest) : DrainPlan.terminated(LISTEN_ON_MS, longest));
         });
         try {
             ended.await();
@@ -466,41 +502,65 @@
         Counters c = dispatcher.counters();
         Map<String, Endings> classes = new LinkedHashMap<>();
         c.classes().forEach((name, t) -> classes.put(name, new Endings(t.succeeded(), t.declined(), t.aborted())));
-        return new Status(acceptor.open(), dispatcher.owed(), dispatcher.answered(), dispatcher.servers().connections(),
-                classes, c.forwards(), dispatcher.servers().discovered(), dispatcher.servers().ejected(), c.applied(), c.rejected(),
-                handover.phase(), handover.taken(), dispatcher.values().used(), dispatcher.values().waiting());
+        return new Status(
+                acceptor.open(),
+                dispatcher.owed(),
+                dispatcher.answered(),
+                dispatcher.servers().connections(),
+                classes,
+                c.forwards(),
+                dispatcher.servers().discovered(),
+                dispatcher.servers().ejected(),
+                c.applied(),
+                c.rejected(),
+                handover.phase(),
+                handover.taken(),
+                dispatcher.values().used(),
+                dispatcher.values().waiting());
     }
 
     /**
      * How requests of one class have ended since the start.
      *
      * @param succeeded answered with what a server made for them
-     * @param declined  refused
-     * @param aborted   failed
+     * @param declined refused
+     * @param aborted failed
      */
-    public record Endings(long succeeded, long declined, long aborted) { }
+    public record Endings(long succeeded, long declined, long aborted) {}
 
     /**
      * What is open, and what has come of what was.
      *
-     * @param clients    their connections
-     * @param owed       requests without a final answer
-     * @param answered   requests answered since the start
-     * @param upstream   connections to nodes and origin
-     * @param classes    how requests have ended, by their classes' names
-     * @param forwards   attempts written whole to cache nodes or the origin
+     * @param clients their connections
+     * @param owed requests without a final answer
+     * @param answered requests answered since the start
+     * @param upstream connections to nodes and origin
+     * @param classes how requests have ended, by their classes' names
+     * @param forwards attempts written whole to cache nodes or the origin
      * @param discovered cache nodes in the list
-     * @param ejected    those of them that get no ordinary request now and got nothing for a second
-     * @param applied    files taken at SIGHUP
-     * @param rejected   files turned down at SIGHUP
-     * @param handover   how far a successor has come
-     * @param handovers  how often one has come to serve
-     * @param kept       bytes of values that are kept whole
-     * @param waiting    clients whose values wait for room
+     * @param ejected those of them that get no ordinary request now and got nothing for a second
+     * @param applied files taken at SIGHUP
+     * @param rejected files turned down at SIGHUP
+     * @param handover how far a successor has come
+     * @param handovers how often one has come to serve
+     * @param kept bytes of values that are kept whole
+     * @param waiting clients whose values wait for room
      */
-    public record Status(int clients, int owed, long answered, int upstream, Map<String, Endings> classes,
-            long forwards, int discovered, int ejected, long applied, long rejected, Handover.Phase handover,
-            int handovers, long kept, int waiting) { }
+    public record Status(
+            int clients,
+            int owed,
+            long answered,
+            int upstream,
+            Map<String, Endings> classes,
+            long forwards,
+            int discovered,
+            int ejected,
+            long applied,
+            long rejected,
+            Handover.Phase handover,
+            int handovers,
+            long kept,
+            int waiting) {}
 
     /** Ends at once; for tests. */
     void close() {
--- a/src/main/java/damsonworks/proxy/RecallLink.java
+++ b/src/main/java/damsonworks/proxy/RecallLink.java
@@ -58,15 +58,31 @@
         if (e == null) {
             return; // it has pools, and none of all servers
         }
-        List<Integer> bad = e.servers().stream().filter(s -> s.failures() > 0 && dispatcher.avoids(s.id()))
-                .sorted(Comparator.comparingInt(Seen::failures).reversed()).limit(Memory.MOST_BAD).map(Seen::id).toList();
+        List<Integer> bad = e.servers().stream()
+                .filter(s -> s.failures() > 0 && dispatcher.avoids(s.id()))
+                .sorted(Comparator.comparingInt(Seen::failures).reversed())
+                .limit(Memory.MOST_BAD)
+                .map(Seen::id)
+                .toList();
         double asked = e.origin().asked();
-        peers.send(peer, PeerSocket.Kind.RECALL, new Memory(Math.max(0, discovery.version()), (float) e.fetchMs(), (float) e.paceMs(),
-                asked < 1 ? 1 : (float) Math.max(0, Math.min(1, e.origin().answered() / asked)), bad).encode());
+        peers.send(
+                peer,
+                PeerSocket.Kind.RECALL,
+                new Memory(
+                                Math.max(0, discovery.version()),
+                                (float) e.fetchMs(),
+                                (float) e.paceMs(),
+                                asked < 1
+                                        ? 1
+                                        : (float) Math.max(
+                                                0, Math.min(1, e.origin().answered() / asked)),
+                                bad)
+                        .encode());
     }
 
     private void run() {
-        recall.tick(dispatcher.now(), members.view()).forEach(p -> peers.send(p, PeerSocket.Kind.RECALL, Memory.question()));
+        recall.tick(dispatcher.now(), members.view())
+                .forEach(p -> peers.send(p, PeerSocket.Kind.RECALL, Memory.question()));
         switch (recall.state()) {
             case ASKING -> dispatcher.after(TICK_MS, this::run);
             case DONE -> take();
@@ -83,15 +99,32 @@
             inZone.merge(u.zone, 1, Integer::sum);
         });
         Recalled r = recall.recalled(zoneOf, inZone);
-        List<Seen> doubts = r.bad().stream().map(id -> new Seen(id, dispatcher.servers().get(id).bornMs, 1, 0, 0)).toList();
+        List<Seen> doubts = r.bad().stream()
+                .map(id -> new Seen(id, dispatcher.servers().get(id).bornMs, 1, 0, 0))
+                .toList();
         double now = dispatcher.now();
-        dispatcher.resume(Map.of("", new Experience(r.fetchMs(), r.paceMs(), r.paceMs() / 2, 0,
-                new Load(ORIGIN_WEIGHT, ORIGIN_WEIGHT * r.originShare()), new Load(0, 0), 0, List.of(), doubts)));
+        dispatcher.resume(Map.of(
+                "",
+                new Experience(
+                        r.fetchMs(),
+                        r.paceMs(),
+                        r.paceMs() / 2,
+                        0,
+                        new Load(ORIGIN_WEIGHT, ORIGIN_WEIGHT * r.originShare()),
+                        new Load(0, 0),
+                        0,
+                        List.of(),
+                        doubts)));
         dispatcher.trust().taken(now, Trust.Thing.LEARNT, Source.PEERS, 0, BOUND_MS, true);
         if (r.listVersion() > discovery.version()) {
             discovery.renew(); // a claim is no list, but worth a call
         }
-        dispatcher.log(String.format(Locale.ROOT, "recovery: %d peers told of %d bad nodes, list version %d, fetches of %.0f ms",
-                r.from(), r.bad().size(), r.listVersion(), r.fetchMs()));
+        dispatcher.log(String.format(
+                Locale.ROOT,
+                "recovery: %d peers told of %d bad nodes, list version %d, fetches of %.0f ms",
+                r.from(),
+                r.bad().size(),
+                r.listVersion(),
+                r.fetchMs()));
     }
 }
--- a/src/main/java/damsonworks/proxy/RecoveryLink.java
+++ b/src/main/java/damsonworks/proxy/RecoveryLink.java
@@ -16,12 +16,13 @@
 import java.util.Locale;
 
 /**
- * Carries out what is decided of coming back: tells the fleet how far this instance is and what it is asked, and ends clients'
- * connections where it carries more than its part. On the event loop only.
+ * Carries out what is decided of coming back: tells the fleet how far this instance is and what it is asked, and ends
+ * clients' connections where it carries more than its part. On the event loop only.
  */
 final class RecoveryLink {
     /** The note of the view that holds what an instance is asked. */
     static final int LOAD_NOTE = 2;
+
     private static final double TICK_MS = 250;
     /** What is asked is told so often at most. */
     private static final double TELL_MS = 1500;
@@ -42,10 +43,11 @@
     private boolean paused;
 
     /**
-     * {@code members}: null where no view is kept, and nobody is told; {@code firstHand}: whether the list came from the process
-     * before, which served until now; {@code listExpired}: lets go of a list that is past its bound.
+     * {@code members}: null where no view is kept, and nobody is told; {@code firstHand}: whether the list came from
+     * the process before, which served until now; {@code listExpired}: lets go of a list that is past its bound.
      */
-    RecoveryLink(Dispatcher dispatcher, MemberLink members, Acceptor acceptor, boolean firstHand, Runnable listExpired) {
+    RecoveryLink(
+            Dispatcher dispatcher, MemberLink members, Acceptor acceptor, boolean firstHand, Runnable listExpired) {
         this.dispatcher = dispatcher;
         this.members = members;
         this.acceptor = acceptor;
@@ -97,18 +99,22 @@
     }
 
     private void tell(Stage stage) {
-        dispatcher.log(String.format(Locale.ROOT, "recovery: %s %.1f s after the start%s", stage.name().toLowerCase(Locale.ROOT),
+        dispatcher.log(String.format(
+                Locale.ROOT,
+                "recovery: %s %.1f s after the start%s",
+                stage.name().toLowerCase(Locale.ROOT),
                 (dispatcher.now() - dispatcher.startedMs()) / 1000,
                 stage == Stage.SERVING && progress.endedByBound() ? ", by the clock alone" : ""));
     }
 
     /** A drain says so itself, and says so when it is taken back. */
     private void phase(Stage stage) {
-        members.phase(switch (stage) {
-            case STARTING -> Phase.STARTING;
-            case RECOVERING -> Phase.RECOVERING;
-            case SERVING -> Phase.SERVING;
-        });
+        members.phase(
+                switch (stage) {
+                    case STARTING -> Phase.STARTING;
+                    case RECOVERING -> Phase.RECOVERING;
+                    case SERVING -> Phase.SERVING;
+                });
     }
 
     private void share(double now) {
@@ -132,7 +138,8 @@
         if (paused != spread.paused(now)) {
             paused = !paused;
             if (paused) {
-                dispatcher.log("recovery: ending connections does not move clients elsewhere; they are left alone for a while");
+                dispatcher.log(
+                        "recovery: ending connections does not move clients elsewhere; they are left alone for a while");
             }
         }
     }
--- a/src/main/java/damsonworks/proxy/Remembered.java
+++ b/src/main/java/damsonworks/proxy/Remembered.java
@@ -19,12 +19,22 @@
 import java.util.Map;
 
 /**
- * What this process knows from before its start: from the process that it takes over from, which served until now, and of what that
- * one did not tell from the folder, as far as its age allows. Each thing that is used is entered in {@link Trust}.
+ * What this process knows from before its start: from the process that it takes over from, which served until now, and
+ * of what that one did not tell from the folder, as far as its age allows. Each thing that is used is entered in
+ * {@link Trust}.
  */
 final class Remembered {
-    private static final Map<Kind, Thing> THINGS = Map.of(Kind.LIST, Thing.LIST, Kind.LEARNT, Thing.LEARNT, Kind.ZONES, Thing.ZONES,
-            Kind.ORDERS, Thing.ZONES, Kind.INCARNATION, Thing.INCARNATION);
+    private static final Map<Kind, Thing> THINGS = Map.of(
+            Kind.LIST,
+            Thing.LIST,
+            Kind.LEARNT,
+            Thing.LEARNT,
+            Kind.ZONES,
+            Thing.ZONES,
+            Kind.ORDERS,
+            Thing.ZONES,
+            Kind.INCARNATION,
+            Thing.INCARNATION);
 
     private final Map<Kind, Record> records = new EnumMap<>(Kind.class);
     private final Map<Kind, Source> sources = new EnumMap<>(Kind.class);
@@ -38,8 +48,13 @@
         put(stored.records(), Source.STORED);
         if (predecessor != null) {
             put(predecessor.kept(), Source.PREDECESSOR);
-            put(Map.of(Kind.LIST, new Record(Kind.LIST, nowMs, predecessor.list()),
-                    Kind.LEARNT, new Record(Kind.LEARNT, nowMs, LearntForm.json(predecessor.learnt()))), Source.PREDECESSOR);
+            put(
+                    Map.of(
+                            Kind.LIST,
+                            new Record(Kind.LIST, nowMs, predecessor.list()),
+                            Kind.LEARNT,
+                            new Record(Kind.LEARNT, nowMs, LearntForm.json(predecessor.learnt()))),
+                    Source.PREDECESSOR);
         }
     }
 
@@ -63,13 +78,18 @@
     private void taken(Kind kind) {
         Record r = records.get(kind);
         boolean hint = use(kind) == Use.HINT;
-        trust.taken(nowMs, THINGS.get(kind), sources.get(kind), nowMs - r.toldMs(),
-                hint || kind == Kind.LIST ? kind.hintMs() : kind.holdsMs(), hint);
+        trust.taken(
+                nowMs,
+                THINGS.get(kind),
+                sources.get(kind),
+                nowMs - r.toldMs(),
+                hint || kind == Kind.LIST ? kind.hintMs() : kind.holdsMs(),
+                hint);
     }
 
     /**
-     * The list to begin with: of what is known and what the configuration says the one of the higher version, and of two of one
-     * version the configuration's. Null if there is none.
+     * The list to begin with: of what is known and what the configuration says the one of the higher version, and of
+     * two of one version the configuration's. Null if there is none.
      */
     JsonObject list(JsonObject configured) {
         Record r = records.get(Kind.LIST);
@@ -85,7 +105,8 @@
                 trust.refused(Thing.LIST);
                 return configured;
             }
-            if (configured == null || list.get("seq").getAsLong() > configured.get("seq").getAsLong()) {
+            if (configured == null
+                    || list.get("seq").getAsLong() > configured.get("seq").getAsLong()) {
                 taken(Kind.LIST);
                 return list;
             }
@@ -105,7 +126,8 @@
             return Map.of();
         }
         try {
-            Map<String, Experience> all = new HashMap<>(LearntForm.read(records.get(Kind.LEARNT).body().getAsJsonObject()));
+            Map<String, Experience> all = new HashMap<>(
+                    LearntForm.read(records.get(Kind.LEARNT).body().getAsJsonObject()));
             if (use == Use.HINT) {
                 all.replaceAll((pool, e) -> doubts(e));
             }
@@ -117,12 +139,25 @@
         }
     }
 
-    /** Servers that failed last are tried by one request before the others; of the origin's jam and hot keys nothing is left. */
+    /**
+     * Servers that failed last are tried by one request before the others; of the origin's jam and hot keys nothing is
+     * left.
+     */
     private static Experience doubts(Experience e) {
-        List<Seen> seen = e.servers().stream().filter(s -> s.failures() > 0).map(s -> new Seen(s.id(), s.bornMs(), 1, 0, 0))
+        List<Seen> seen = e.servers().stream()
+                .filter(s -> s.failures() > 0)
+                .map(s -> new Seen(s.id(), s.bornMs(), 1, 0, 0))
                 .toList();
-        return new Experience(e.fetchMs(), e.paceMs(), e.paceDeviationMs(), e.usualCost(), new Load(0, 0), new Load(0, 0), 0,
-                List.of(), seen);
+        return new Experience(
+                e.fetchMs(),
+                e.paceMs(),
+                e.paceDeviationMs(),
+                e.usualCost(),
+                new Load(0, 0),
+                new Load(0, 0),
+                0,
+                List.of(),
+                seen);
     }
 
     /** The incarnation of the last life; 0 if nothing is remembered. */
--- a/src/main/java/damsonworks/proxy/Servers.java
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -19,6 +19,7 @@
     private static final double AVOIDED_MS = 1000;
     /** To one cache node, ordinarily and with those that pass long answers on. */
     private static final int CONNECTIONS = 4;
+
     private static final int CONNECTIONS_IN_ALL = 12;
     /** Our connections are ended at this part of the time after which a server ends them. */
     private static final double RETIRE_AT = 0.7;
@@ -26,6 +27,7 @@
     private static final double SCARCE_MS = 60_000;
     /** Of the servers, two at least, so many must have had no place. */
     private static final double SCARCE_PART = 0.1;
+
     private static final double CLOSES_PER_SECOND = 10;
     private static final double CLOSES_SAVED = 10;
 
@@ -35,6 +37,7 @@
     private final IntObjectHashMap<Upstream> servers = new IntObjectHashMap<>();
     /** What the list has no more, until what waits there is taken back. */
     private final List<Upstream> forgotten = new ArrayList<>();
+
     private double closes = CLOSES_SAVED;
     private double closesAtMs;
     private int connections;
@@ -87,9 +90,16 @@
         Settings settings = dispatcher.settings();
         boolean origin = settings.aside() && h.member().kind() == settings.originKind();
         int id = h.member().id();
-        Upstream u = origin ? new Upstream(id, true, dispatcher, bootstrap, originConnections(), originConnections(), 1)
-                : new Upstream(id, false, dispatcher, bootstrap, cacheConnections(CONNECTIONS),
-                        cacheConnections(CONNECTIONS_IN_ALL), streams);
+        Upstream u = origin
+                ? new Upstream(id, true, dispatcher, bootstrap, originConnections(), originConnections(), 1)
+                : new Upstream(
+                        id,
+                        false,
+                        dispatcher,
+                        bootstrap,
+                        cacheConnections(CONNECTIONS),
+                        cacheConnections(CONNECTIONS_IN_ALL),
+                        streams);
         servers.put(id, u);
         return u;
     }
@@ -110,12 +120,14 @@
     }
 
     /**
-     * Servers accept some forty connections each, for all proxies together. Where second copies are forbidden only what has
-     * a connection of its own can be given up for another server, so there it is as many as a server has places for.
+     * Servers accept some forty connections each, for all proxies together. Where second copies are forbidden only what
+     * has a connection of its own can be given up for another server, so there it is as many as a server has places
+     * for.
      */
     private int cacheConnections(int most) {
         Settings settings = dispatcher.settings();
-        return settings.secondCopies() ? Math.max(1, Math.min(most, 28 / Math.max(1, settings.instances())))
+        return settings.secondCopies()
+                ? Math.max(1, Math.min(most, 28 / Math.max(1, settings.instances())))
                 : CONNECTIONS_IN_ALL;
     }
 
@@ -214,14 +226,19 @@
     /** Those of them that get no ordinary request now, and have got nothing for a while: not even to be tried again. */
     int ejected() {
         double now = dispatcher.now();
-        return (int) cacheNodes().filter(u -> now - u.sentMs() > AVOIDED_MS && dispatcher.avoids(u.id)).count();
+        return (int) cacheNodes()
+                .filter(u -> now - u.sentMs() > AVOIDED_MS && dispatcher.avoids(u.id))
+                .count();
     }
 
     /** Those of them that are avoided, or had no place for a connection. */
     List<WorkLine.Node> troubled() {
-        return cacheNodes().filter(u -> u.turnedAwayTimes() > 0 || dispatcher.avoids(u.id)).limit(WorkLine.MAX_NODES)
-                .map(u -> new WorkLine.Node(Integer.toHexString(u.id), u.openedTimes(), u.turnedAwayTimes(),
-                        dispatcher.avoids(u.id))).toList();
+        return cacheNodes()
+                .filter(u -> u.turnedAwayTimes() > 0 || dispatcher.avoids(u.id))
+                .limit(WorkLine.MAX_NODES)
+                .map(u -> new WorkLine.Node(
+                        Integer.toHexString(u.id), u.openedTimes(), u.turnedAwayTimes(), dispatcher.avoids(u.id)))
+                .toList();
     }
 
     /** The cache nodes of the list with our connections to them. */
@@ -236,7 +253,10 @@
 
     /** When each of a zone's cache nodes that may be sent requests is warm, in order, in milliseconds. */
     List<Double> warmAt(int zone, double warmUpMs) {
-        return cacheNodes().filter(u -> u.zone == zone && u.ready).map(u -> u.bornMs == 0 ? 0 : u.bornMs + warmUpMs).sorted()
+        return cacheNodes()
+                .filter(u -> u.zone == zone && u.ready)
+                .map(u -> u.bornMs == 0 ? 0 : u.bornMs + warmUpMs)
+                .sorted()
                 .toList();
     }
 
--- a/src/main/java/damsonworks/proxy/StateLink.java
+++ b/src/main/java/damsonworks/proxy/StateLink.java
@@ -24,14 +24,15 @@
 import java.util.function.LongSupplier;
 
 /**
- * Keeps what outlasts this process in a folder: carries out what {@link Keeper} orders, on a thread that may wait for the disk. A
- * folder that can't be written, now or later, is told once and costs no request; another process that writes there, as the one
- * that this one takes over from, is waited for. On the event loop but for the writing itself.
+ * Keeps what outlasts this process in a folder: carries out what {@link Keeper} orders, on a thread that may wait for
+ * the disk. A folder that can't be written, now or later, is told once and costs no request; another process that
+ * writes there, as the one that this one takes over from, is waited for. On the event loop but for the writing itself.
  */
 final class StateLink {
     private static final double REFRESH_MS = 5000;
     /** A list that was told again is written again only when what is stored has come to be this old. */
     private static final double LIST_REFRESH_MS = 20_000;
+
     private static final double LOCK_AGAIN_MS = 300;
     /** What the last write may take at the end of the process. */
     private static final long LAST_MS = 300;
@@ -82,9 +83,18 @@
         }
         if (!opened.records().isEmpty()) {
             double now = dispatcher.now();
-            dispatcher.log("state: found " + String.join(", ", opened.records().values().stream().sorted(Comparator.comparing(
-                    Record::kind)).map(r -> String.format(Locale.ROOT, "%s %.1f s old (%s)", r.kind().word(),
-                    (now - r.toldMs()) / 1000, r.use(now).name().toLowerCase(Locale.ROOT))).toList()));
+            dispatcher.log("state: found "
+                    + String.join(
+                            ", ",
+                            opened.records().values().stream()
+                                    .sorted(Comparator.comparing(Record::kind))
+                                    .map(r -> String.format(
+                                            Locale.ROOT,
+                                            "%s %.1f s old (%s)",
+                                            r.kind().word(),
+                                            (now - r.toldMs()) / 1000,
+                                            r.use(now).name().toLowerCase(Locale.ROOT)))
+                                    .toList()));
         }
         dispatcher.follow(this::listed);
         refresh();
--- a/src/main/java/damsonworks/proxy/TakeoverLink.java
+++ b/src/main/java/damsonworks/proxy/TakeoverLink.java
@@ -55,15 +55,19 @@
     }
 
     private void connect(Path path) {
-        channel = new Bootstrap().group(loop).channel(Transport.BEST.localSocket())
+        channel = new Bootstrap()
+                .group(loop)
+                .channel(Transport.BEST.localSocket())
                 .handler(new Initializer(new LineBasedFrameDecoder(MAX_STATE), new Answers()))
-                .connect(Transport.BEST.local(path)).addListener(f -> {
+                .connect(Transport.BEST.local(path))
+                .addListener(f -> {
                     if (f.isSuccess()) {
                         say(HandoverLink.STATE);
                     } else {
                         lost();
                     }
-                }).channel();
+                })
+                .channel();
         tick();
     }
 
--- a/src/main/java/damsonworks/proxy/TakeoverState.java
+++ b/src/main/java/damsonworks/proxy/TakeoverState.java
@@ -13,9 +13,9 @@
  * What a process that serves tells the one that takes over, as one line of JSON: the list of servers as it is held,
  * which binds both, and what the decision module has learnt, which the new one would else learn again from failures.
  *
- * @param list   in discovery's form
+ * @param list in discovery's form
  * @param learnt by the pools' names; may be empty, as a process of an earlier version tells nothing of it
- * @param kept   what else outlasts a process, as it would be stored; empty from an earlier version
+ * @param kept what else outlasts a process, as it would be stored; empty from an earlier version
  */
 record TakeoverState(JsonObject list, Map<String, Experience> learnt, Map<Kind, Record> kept) {
     /** The version of what is passed over; a process that speaks another starts beside this one, without it. */
@@ -38,7 +38,8 @@
         if (state.get("v").getAsInt() != VERSION) {
             throw new IllegalArgumentException("version " + state.get("v"));
         }
-        Map<String, Experience> learnt = state.has("learnt") ? LearntForm.read(state.getAsJsonObject("learnt")) : Map.of();
+        Map<String, Experience> learnt =
+                state.has("learnt") ? LearntForm.read(state.getAsJsonObject("learnt")) : Map.of();
         Map<Kind, Record> kept = new EnumMap<>(Kind.class);
         if (state.has("kept")) {
             state.getAsJsonArray("kept").forEach(e -> Record.read(e).ifPresent(r -> kept.put(r.kind(), r)));
--- a/src/main/java/damsonworks/proxy/Timers.java
+++ b/src/main/java/damsonworks/proxy/Timers.java
@@ -7,8 +7,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * The requests' timers, in slots of two milliseconds. Each request sets three or more, few of which still matter
- * when they come due; the event loop's own queue orders them all and was the dearest code of a busy proxy.
+ * The requests' timers, in slots of two milliseconds. Each request sets three or more, few of which still matter when
+ * they come due; the event loop's own queue orders them all and was the dearest code of a busy proxy.
  */
 final class Timers {
     private static final long SLOT_NANOS = 2_000_000;
@@ -35,6 +35,7 @@
     private long done;
     /** The slot that the event loop will wake for; 0 for none. */
     private long armed;
+
     private List<Timer> spare = new ArrayList<>();
 
     Timers(EventLoop loop) {
@@ -73,7 +74,7 @@
         }
         armed = 0;
         long last = (System.nanoTime() - start) / SLOT_NANOS;
-        for (long next; (next = next()) != 0 && next <= last;) {
+        for (long next; (next = next()) != 0 && next <= last; ) {
             done = next;
             int at = (int) (next & SLOTS - 1);
             List<Timer> due = slots.set(at, spare);
--- a/src/main/java/damsonworks/proxy/Transport.java
+++ b/src/main/java/damsonworks/proxy/Transport.java
@@ -24,19 +24,33 @@
 import java.nio.file.Path;
 
 /**
- * The kinds of channel in use: Linux's epoll by Netty's native library, which costs less for each event, or the
- * JDK's own where that can't be loaded.
+ * The kinds of channel in use: Linux's epoll by Netty's native library, which costs less for each event, or the JDK's
+ * own where that can't be loaded.
  */
-public record Transport(IoHandlerFactory io, Class<? extends ServerChannel> server, Class<? extends Channel> socket,
-        Class<? extends Channel> datagram, Class<? extends ServerChannel> localServer,
+public record Transport(
+        IoHandlerFactory io,
+        Class<? extends ServerChannel> server,
+        Class<? extends Channel> socket,
+        Class<? extends Channel> datagram,
+        Class<? extends ServerChannel> localServer,
         Class<? extends Channel> localSocket) {
 
     /** The best kind that this machine has. */
     public static final Transport BEST = Epoll.isAvailable()
-            ? new Transport(EpollIoHandler.newFactory(), EpollServerSocketChannel.class, EpollSocketChannel.class,
-                    EpollDatagramChannel.class, EpollServerDomainSocketChannel.class, EpollDomainSocketChannel.class)
-            : new Transport(NioIoHandler.newFactory(), NioServerSocketChannel.class, NioSocketChannel.class,
-                    NioDatagramChannel.class, NioServerDomainSocketChannel.class, NioDomainSocketChannel.class);
+            ? new Transport(
+                    EpollIoHandler.newFactory(),
+                    EpollServerSocketChannel.class,
+                    EpollSocketChannel.class,
+                    EpollDatagramChannel.class,
+                    EpollServerDomainSocketChannel.class,
+                    EpollDomainSocketChannel.class)
+            : new Transport(
+                    NioIoHandler.newFactory(),
+                    NioServerSocketChannel.class,
+                    NioSocketChannel.class,
+                    NioDatagramChannel.class,
+                    NioServerDomainSocketChannel.class,
+                    NioDomainSocketChannel.class);
 
     /** Whether sockets can be passed to another process. */
     boolean passesDescriptors() {
@@ -50,7 +64,8 @@
 
     /** A local socket's address. */
     public SocketAddress local(Path path) {
-        return socket == EpollSocketChannel.class ? new DomainSocketAddress(path.toFile())
+        return socket == EpollSocketChannel.class
+                ? new DomainSocketAddress(path.toFile())
                 : UnixDomainSocketAddress.of(path);
     }
 }
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -10,9 +10,8 @@
 import java.util.List;
 
 /**
- * A server of the list with our connections to it. An attempt takes the connection that was used last of those
- * that stand idle, so that the rest can age and be retired; else it opens one, up to a limit, or queues behind
- * the fewest.
+ * A server of the list with our connections to it. An attempt takes the connection that was used last of those that
+ * stand idle, so that the rest can age and be retired; else it opens one, up to a limit, or queues behind the fewest.
  */
 final class Upstream {
     private static final double NO_MORE_MS = 5000;
@@ -32,6 +31,7 @@
     boolean ready;
     /** When something was last put on a connection to it. */
     private double sentMs = Double.NEGATIVE_INFINITY;
+
     private double noMoreUntilMs;
     private double turnedAwayMs = Double.NEGATIVE_INFINITY;
     private long turnedAway;
@@ -41,11 +41,18 @@
     private final int maxConnections;
     /** With those that pass long answers on. */
     private final int mostConnections;
+
     private final int maxDepth;
     private final List<UpstreamConnection> connections = new ArrayList<>(2);
 
-    Upstream(int id, boolean origin, Dispatcher dispatcher, Bootstrap bootstrap, int maxConnections,
-            int mostConnections, int maxDepth) {
+    Upstream(
+            int id,
+            boolean origin,
+            Dispatcher dispatcher,
+            Bootstrap bootstrap,
+            int maxConnections,
+            int mostConnections,
+            int maxDepth) {
         this.id = id;
         this.origin = origin;
         this.dispatcher = dispatcher;
@@ -62,7 +69,8 @@
     /**
      * Sends the attempt; false if no connection has room for it. What is put behind a long answer waits as long as its
      * client takes to read it, so such a connection is the last resort, and one more is opened in its place. One more
-     * is opened, too, where the others should rest; where there can be no more, the one that has rested longest is used.
+     * is opened, too, where the others should rest; where there can be no more, the one that has rested longest is
+     * used.
      */
     boolean send(Attempt attempt) {
         UpstreamConnection best = null;
@@ -85,7 +93,10 @@
         }
         int wanted = best != null && !origin && dispatcher.servers().scarce() ? 1 : maxConnections;
         boolean more = best == null || ((best.depth() > 0 || rests(best, now)) && now >= noMoreUntilMs);
-        if (more && standing < wanted && all < mostConnections && dispatcher.servers().room(best == null && busy == null)) {
+        if (more
+                && standing < wanted
+                && all < mostConnections
+                && dispatcher.servers().room(best == null && busy == null)) {
             best = open();
         }
         best = best == null ? busy : best;
@@ -128,8 +139,8 @@
     }
 
     /**
-     * A further connection did not come up while others stand: the server has as many as it takes, which says
-     * nothing against it. What was to go out on that one, and did not, goes behind the rest.
+     * A further connection did not come up while others stand: the server has as many as it takes, which says nothing
+     * against it. What was to go out on that one, and did not, goes behind the rest.
      */
     boolean sendElsewhere(Attempt attempt) {
         UpstreamConnection best = null;
@@ -161,10 +172,13 @@
         connections.add(connection);
         dispatcher.servers().opened();
         opened++;
-        ChannelHandler[] handlers = origin ? OriginCodec.handlers(connection)
-                : new ChannelHandler[] {new CacheCodec(connection)};
-        ChannelFuture future = bootstrap.clone().handler(new Initializer(handlers))
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) dispatcher.connectTimeoutMs()).connect(dial);
+        ChannelHandler[] handlers =
+                origin ? OriginCodec.handlers(connection) : new ChannelHandler[] {new CacheCodec(connection)};
+        ChannelFuture future = bootstrap
+                .clone()
+                .handler(new Initializer(handlers))
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) dispatcher.connectTimeoutMs())
+                .connect(dial);
         connection.opening(future, dial);
         return connection;
     }
@@ -195,8 +209,8 @@
     }
 
     /**
-     * Ends the connections made so far: idle ones at once, the others with their last answer. Guards against
-     * what is still sent where the server no longer is, and against connections that outlive their server.
+     * Ends the connections made so far: idle ones at once, the others with their last answer. Guards against what is
+     * still sent where the server no longer is, and against connections that outlive their server.
      */
     void retire() {
         List.copyOf(connections).forEach(UpstreamConnection::retire);
@@ -204,7 +218,8 @@
 
     /**
      * Takes back what waits for a connection to a server that wants nothing new, or no longer is where that connection
-     * leads. Guards against requests that reach a server long after the list had it leave, as its connection comes up late.
+     * leads. Guards against requests that reach a server long after the list had it leave, as its connection comes up
+     * late.
      */
     void withdraw() {
         for (UpstreamConnection c : List.copyOf(connections)) {
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -11,8 +11,8 @@
 import java.util.List;
 
 /**
- * One connection to a server with the attempts on it, in the order in which their answers come. How an attempt
- * ends when the connection does hangs on whether its last byte was written: only then may it have run.
+ * One connection to a server with the attempts on it, in the order in which their answers come. How an attempt ends
+ * when the connection does hangs on whether its last byte was written: only then may it have run.
  */
 @SuppressWarnings("OperatorPrecedence") // && binds before ||; parentheses follow as lines are touched
 final class UpstreamConnection implements Sink.Flow {
@@ -41,6 +41,7 @@
     private boolean retired;
     /** It was ended from this side, whatever was still to come. */
     private boolean cutOff;
+
     private boolean reading;
     private boolean held;
     private int givenUp;
@@ -110,11 +111,14 @@
     }
 
     /**
-     * Whether one more attempt may go onto it. Not while what has come is still being read: bytes right behind
-     * an answer would be taken for the answer to an attempt that was put on the connection in between.
+     * Whether one more attempt may go onto it. Not while what has come is still being read: bytes right behind an
+     * answer would be taken for the answer to an attempt that was put on the connection in between.
      */
     boolean usable(int maxDepth) {
-        return !closed && !retired && !reading && attempts.size() < maxDepth
+        return !closed
+                && !retired
+                && !reading
+                && attempts.size() < maxDepth
                 && (!connected || channel.isActive() && channel.isWritable());
     }
 
@@ -162,7 +166,7 @@
     void withdraw() {
         if (!connected) {
             retired = true;
-            for (Attempt a; (a = attempts.poll()) != null;) {
+            for (Attempt a; (a = attempts.poll()) != null; ) {
                 upstream.dispatcher().end(a, Outcome.NOT_SENT, 0, null, null);
             }
             close();
@@ -170,8 +174,8 @@
     }
 
     /**
-     * Whether giving the attempt up ends it: what has gone out is out until its connection ends, and that would take what
-     * else is waited for there with it.
+     * Whether giving the attempt up ends it: what has gone out is out until its connection ends, and that would take
+     * what else is waited for there with it.
      */
     boolean endsAlone() {
         return !connected || attempts.size() - givenUp == 1;
@@ -182,7 +186,8 @@
         if (!connected) {
             return takeBack(attempt);
         }
-        if (attempts.contains(attempt) && ++givenUp == attempts.size()
+        if (attempts.contains(attempt)
+                && ++givenUp == attempts.size()
                 && (retired || upstream.dispatcher().servers().mayClose())) {
             close();
         }
@@ -271,8 +276,8 @@
     }
 
     /**
-     * The end of a first attempt that was turned away. Guards against proxies that ask again and again for a place at
-     * a server which has given all of them to others: only one that ends the connection as well has none left.
+     * The end of a first attempt that was turned away. Guards against proxies that ask again and again for a place at a
+     * server which has given all of them to others: only one that ends the connection as well has none left.
      */
     private void turnedAway(Outcome outcome) {
         if (turnedAway != null) {
@@ -283,8 +288,8 @@
     }
 
     /**
-     * Part of a short answer has come. Guards against one that is cut off on a connection that stays open: its
-     * attempt would be waited for until the request's time is up. It may have run, so it ends as a reset.
+     * Part of a short answer has come. Guards against one that is cut off on a connection that stays open: its attempt
+     * would be waited for until the request's time is up. It may have run, so it ends as a reset.
      */
     void partial() {
         partial = true;
@@ -336,7 +341,7 @@
             // Where the end is ours (what came behind could not be read), it tells nothing of places.
             turnedAway(!retired && upstream.turnedAway() ? Outcome.NO_PLACE : Outcome.FULL);
         }
-        for (Attempt a; (a = attempts.poll()) != null;) {
+        for (Attempt a; (a = attempts.poll()) != null; ) {
             if (!connected && !a.ended && upstream.sendElsewhere(a)) {
                 continue;
             }
--- a/src/main/java/damsonworks/proxy/ValueBuffer.java
+++ b/src/main/java/damsonworks/proxy/ValueBuffer.java
@@ -25,7 +25,7 @@
 
     /** Takes so many bytes off the input, of those that are missing. */
     void add(ByteBuf in, int bytes) {
-        for (int left = bytes; left > 0;) {
+        for (int left = bytes; left > 0; ) {
             ByteBuf last = parts.peekLast();
             if (last == null || !last.isWritable()) {
                 int size = Math.min(missing, PART);
@@ -51,14 +51,14 @@
             return parts.poll();
         }
         CompositeByteBuf whole = alloc.compositeBuffer(Math.max(2, parts.size()));
-        for (ByteBuf part; (part = parts.poll()) != null;) {
+        for (ByteBuf part; (part = parts.poll()) != null; ) {
             whole.addComponent(true, part);
         }
         return whole;
     }
 
     void release() {
-        for (ByteBuf part; (part = parts.poll()) != null;) {
+        for (ByteBuf part; (part = parts.poll()) != null; ) {
             part.release();
         }
     }
--- a/src/main/java/damsonworks/proxy/WarmUp.java
+++ b/src/main/java/damsonworks/proxy/WarmUp.java
@@ -29,21 +29,22 @@
 import java.util.function.Supplier;
 
 /**
- * Takes requests of its own through the proxy's code before it says that it is ready, so that classes are
- * loaded and hot code is compiled. Guards against the jam of a cold start on part of a core: while the first
- * seconds' requests are interpreted they run out of time, their clients open new connections, and these cost
- * more than the requests did. Local sockets in the private temporary folder, on an event loop of their own, so that
- * nothing is left of them when it ends, also where it fails because the platform has none.
+ * Takes requests of its own through the proxy's code before it says that it is ready, so that classes are loaded and
+ * hot code is compiled. Guards against the jam of a cold start on part of a core: while the first seconds' requests are
+ * interpreted they run out of time, their clients open new connections, and these cost more than the requests did.
+ * Local sockets in the private temporary folder, on an event loop of their own, so that nothing is left of them when it
+ * ends, also where it fails because the platform has none.
  */
 final class WarmUp {
     /** A few times the calls after which the JVM compiles a method; more would hold up a restart. */
     static final int REQUESTS = 400;
+
     static final String THREAD = "warm-up";
     private static final int DEPTH = 8;
     private static final int LIMIT_MS = 6000;
 
-    private final EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory(THREAD, true),
-            Transport.BEST.io());
+    private final EventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory(THREAD, true), Transport.BEST.io());
     private final EventLoop loop = group.next();
     private final Config config;
     private final Path folder;
@@ -91,47 +92,59 @@
         SocketAddress origin = listen("o", Origin::new);
         SocketAddress proxy = listen("p", () -> new ClientConnection(dispatcher));
         int originKind = config.settings().originKind();
-        List<Host> hosts = List.of(host(1, originKind == 0 ? 1 : 0, node),
-                host(2, Math.max(0, originKind), origin));
+        List<Host> hosts = List.of(host(1, originKind == 0 ? 1 : 0, node), host(2, Math.max(0, originKind), origin));
         loop.submit(() -> {
-            dispatcher.start(new ListSource() {
-                @Override
-                public void watch(boolean on) { }
-
-                @Override
-                public void fetch() { }
-            }, null, new Dispatcher.ClientListener() {
-                @Override
-                public void left(ClientConnection client) { }
-
-                @Override
-                public void retire(ClientConnection client) { }
-            }, null);
-            dispatcher.listed(ListKind.CACHED, hosts);
-        }).sync();
-        new Bootstrap().group(loop).channel(Transport.BEST.localSocket()).handler(new Initializer(new Client()))
-                .connect(proxy).sync();
+                    dispatcher.start(
+                            new ListSource() {
+                                @Override
+                                public void watch(boolean on) {}
+
+                                @Override
+                                public void fetch() {}
+                            },
+                            null,
+                            new Dispatcher.ClientListener() {
+                                @Override
+                                public void left(ClientConnection client) {}
+
+                                @Override
+                                public void retire(ClientConnection client) {}
+                            },
+                            null);
+                    dispatcher.listed(ListKind.CACHED, hosts);
+                })
+                .sync();
+        new Bootstrap()
+                .group(loop)
+                .channel(Transport.BEST.localSocket())
+                .handler(new Initializer(new Client()))
+                .connect(proxy)
+                .sync();
         if (!done.await(LIMIT_MS, TimeUnit.MILLISECONDS)) {
-            System.err.println("a short warm-up: " + done.getCount() + " of " + REQUESTS + " requests without an answer");
+            System.err.println(
+                    "a short warm-up: " + done.getCount() + " of " + REQUESTS + " requests without an answer");
         }
         loop.submit(dispatcher::stop).sync();
     }
 
     private SocketAddress listen(String name, Supplier<ChannelHandler> handler) throws InterruptedException {
         SocketAddress address = Transport.BEST.local(folder.resolve(name));
-        new ServerBootstrap().group(loop).channel(Transport.BEST.localServer())
+        new ServerBootstrap()
+                .group(loop)
+                .channel(Transport.BEST.localServer())
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
                         channel.pipeline().addLast(handler.get());
                     }
-                }).bind(address).sync();
+                })
+                .bind(address)
+                .sync();
         return address;
     }
 
     private static Host host(int id, int kind, SocketAddress dial) {
-        return new Host(new Member(id, 0, kind, 0, State.READY, 1, 0), dial,
-                new Pool.Server("", "", "", Set.of()));
+        return new Host(new Member(id, 0, kind, 0, State.READY, 1, 0), dial, new Pool.Server("", "", "", Set.of()));
     }
 
     /** One whose connection ends with the warm-up, and be it by a reset. */
@@ -150,8 +163,8 @@
             if (line != null) {
                 String id = MetaCodec.flag(line, 3, 'O');
                 boolean miss = id.endsWith("0");
-                ctx.writeAndFlush(MetaCodec.text(ctx.alloc(),
-                        miss ? "EN O" + id + " h0\r\n" : "VA 5 O" + id + " h1\r\nhello\r\n"));
+                ctx.writeAndFlush(MetaCodec.text(
+                        ctx.alloc(), miss ? "EN O" + id + " h0\r\n" : "VA 5 O" + id + " h1\r\nhello\r\n"));
             }
         }
     }
@@ -177,8 +190,10 @@
 
         private void send(ChannelHandlerContext ctx) {
             String id = Integer.toString(++sent, 4);
-            ctx.writeAndFlush(MetaCodec.text(ctx.alloc(), "mg " + Integer.toHexString(0x70000000 + sent * 7919) + " v O"
-                    + id + " Pc=" + config.settings().classes().get(0).name() + ",d=60000\r\n"));
+            ctx.writeAndFlush(MetaCodec.text(
+                    ctx.alloc(),
+                    "mg " + Integer.toHexString(0x70000000 + sent * 7919) + " v O" + id + " Pc="
+                            + config.settings().classes().get(0).name() + ",d=60000\r\n"));
         }
 
         @Override
--- a/src/main/java/damsonworks/proxy/WorkLog.java
+++ b/src/main/java/damsonworks/proxy/WorkLog.java
@@ -10,8 +10,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Writes a line of figures at even times, for {@code figures} to add up over all proxies of a tier. On the event loop: what
- * is counted is counted there.
+ * Writes a line of figures at even times, for {@code figures} to add up over all proxies of a tier. On the event loop:
+ * what is counted is counted there.
  */
 final class WorkLog {
     private final String name;
@@ -36,8 +36,19 @@
             counts.put(work, c.done(work));
         }
         List<WorkLine.Node> nodes = dispatcher.servers().troubled();
-        long cpu = ProcessHandle.current().info().totalCpuDuration().map(d -> d.toMillis()).orElse(-1L);
-        return new WorkLine(name, ProcessHandle.current().pid(), System.currentTimeMillis(),
-                Math.round(dispatcher.now() - dispatcher.startedMs()), dispatcher.firstServedMs(), cpu, counts, nodes);
+        long cpu = ProcessHandle.current()
+                .info()
+                .totalCpuDuration()
+                .map(d -> d.toMillis())
+                .orElse(-1L);
+        return new WorkLine(
+                name,
+                ProcessHandle.current().pid(),
+                System.currentTimeMillis(),
+                Math.round(dispatcher.now() - dispatcher.startedMs()),
+                dispatcher.firstServedMs(),
+                cpu,
+                counts,
+                nodes);
     }
 }
--- a/src/main/java/damsonworks/proxy/ZoneForm.java
+++ b/src/main/java/damsonworks/proxy/ZoneForm.java
@@ -11,11 +11,11 @@
 import java.util.TreeMap;
 
 /**
- * What is held of zones, as JSON: by the zones' names, as their numbers hang on the settings, and apart by whose word it is, as an
- * order lasts longer than what was seen.
+ * What is held of zones, as JSON: by the zones' names, as their numbers hang on the settings, and apart by whose word
+ * it is, as an order lasts longer than what was seen.
  */
 final class ZoneForm {
-    private ZoneForm() { }
+    private ZoneForm() {}
 
     /** Of those zones that stand as ordered, or as found on evidence. */
     static JsonObject json(Map<Integer, Held> held, boolean ordered, List<String> names) {
@@ -41,9 +41,13 @@
             JsonObject o = e.getValue().getAsJsonObject();
             int zone = names.indexOf(e.getKey());
             if (zone >= 0) {
-                ZoneState state = new ZoneState(o.get("epoch").getAsInt(), o.get("open").getAsInt(),
-                        Cause.valueOf(o.get("cause").getAsString().toUpperCase(Locale.ROOT)), o.get("leaves").getAsInt());
-                int floor = Math.max(0, Math.min(ZoneState.MOST_EPOCH, o.get("floor").getAsInt()));
+                ZoneState state = new ZoneState(
+                        o.get("epoch").getAsInt(),
+                        o.get("open").getAsInt(),
+                        Cause.valueOf(o.get("cause").getAsString().toUpperCase(Locale.ROOT)),
+                        o.get("leaves").getAsInt());
+                int floor = Math.max(
+                        0, Math.min(ZoneState.MOST_EPOCH, o.get("floor").getAsInt()));
                 held.put(zone, new Held(state, Math.max(floor, state.epoch())));
             }
         });
--- a/src/main/java/damsonworks/proxy/ZoneLink.java
+++ b/src/main/java/damsonworks/proxy/ZoneLink.java
@@ -12,8 +12,8 @@
 import java.util.Locale;
 
 /**
- * Carries out what {@link Zones} decides: tells it what the decision module saw and what the list holds, passes its orders on,
- * and has the fleet's view carry its notes. On the event loop only.
+ * Carries out what {@link Zones} decides: tells it what the decision module saw and what the list holds, passes its
+ * orders on, and has the fleet's view carry its notes. On the event loop only.
  */
 final class ZoneLink {
     private final Dispatcher dispatcher;
@@ -86,14 +86,27 @@
         }
     }
 
-    /** A line where a zone begins to be left, is closed, begins to be returned to, is whole, or an operator has spoken. */
+    /**
+     * A line where a zone begins to be left, is closed, begins to be returned to, is whole, or an operator has spoken.
+     */
     private void tell(Zones.Event e) {
-        boolean step = e.before().cause() == e.now().cause() && e.now().open() > 0 && e.now().open() < ZoneState.WHOLE
-                && e.before().open() > 0 && e.before().open() < ZoneState.WHOLE;
+        boolean step = e.before().cause() == e.now().cause()
+                && e.now().open() > 0
+                && e.now().open() < ZoneState.WHOLE
+                && e.before().open() > 0
+                && e.before().open() < ZoneState.WHOLE;
         if (!step) {
-            dispatcher.log(String.format(Locale.ROOT, "zone %s: %d/%d open, %s, epoch %d (%d/%d before); %s", name(e.zone()),
-                    e.now().open(), ZoneState.WHOLE, e.now().cause().name().toLowerCase(Locale.ROOT), e.now().epoch(),
-                    e.before().open(), ZoneState.WHOLE, e.why()));
+            dispatcher.log(String.format(
+                    Locale.ROOT,
+                    "zone %s: %d/%d open, %s, epoch %d (%d/%d before); %s",
+                    name(e.zone()),
+                    e.now().open(),
+                    ZoneState.WHOLE,
+                    e.now().cause().name().toLowerCase(Locale.ROOT),
+                    e.now().epoch(),
+                    e.before().open(),
+                    ZoneState.WHOLE,
+                    e.why()));
         }
     }
 
--- a/src/main/java/damsonworks/proxy/discovery/Addresses.java
+++ b/src/main/java/damsonworks/proxy/discovery/Addresses.java
@@ -8,7 +8,7 @@
 
 /** Addresses as the configuration and discovery word them: literal, as there is no DNS. */
 public final class Addresses {
-    private Addresses() { }
+    private Addresses() {}
 
     /** A literal address with its port. */
     public static InetSocketAddress parse(String text) {
@@ -16,8 +16,7 @@
         byte[] ip = colon < 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
         try {
             if (ip != null) {
-                return new InetSocketAddress(InetAddress.getByAddress(ip),
-                        Integer.parseInt(text.substring(colon + 1)));
+                return new InetSocketAddress(InetAddress.getByAddress(ip), Integer.parseInt(text.substring(colon + 1)));
             }
         } catch (UnknownHostException | IllegalArgumentException e) {
             // told below
@@ -27,7 +26,8 @@
 
     /** An address in the form that it is told in. */
     public static String text(SocketAddress address) {
-        return address instanceof InetSocketAddress i ? i.getAddress().getHostAddress() + ":" + i.getPort()
+        return address instanceof InetSocketAddress i
+                ? i.getAddress().getHostAddress() + ":" + i.getPort()
                 : address.toString();
     }
 }
--- a/src/main/java/damsonworks/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/discovery/DiscoveryClient.java
@@ -49,7 +49,7 @@
         void version(long seq);
 
         /** The list that is handed over next has this version, which discovery has not told this proxy by itself. */
-        default void begin(long seq) { }
+        default void begin(long seq) {}
 
         /** A line for the operators. */
         void log(String line);
@@ -59,17 +59,17 @@
      * What the configuration says of discovery.
      *
      * @param address where it listens
-     * @param form    what entries of its list may name
-     * @param seed    apart from that of other instances, so that they do not call at once
-     * @param ask     whether it is one service for all instances, which is asked when the decision module wants to;
-     *                else lists are pushed, and a watch that has ended is begun again at once
+     * @param form what entries of its list may name
+     * @param seed apart from that of other instances, so that they do not call at once
+     * @param ask whether it is one service for all instances, which is asked when the decision module wants to; else
+     *     lists are pushed, and a watch that has ended is begun again at once
      */
-    public record Settings(InetSocketAddress address, ListForm form, long seed, boolean ask) { }
+    public record Settings(InetSocketAddress address, ListForm form, long seed, boolean ask) {}
 
     /**
-     * How long a watch may wait, give or take a tenth. Whatever call failed or fell silent, what discovery has counts as
-     * told 6 s after it could be asked, and a silent watch hides that until it is given up. A watch that goes on after
-     * an end with nothing to tell is no new one to discovery, and carries no entries.
+     * How long a watch may wait, give or take a tenth. Whatever call failed or fell silent, what discovery has counts
+     * as told 6 s after it could be asked, and a silent watch hides that until it is given up. A watch that goes on
+     * after an end with nothing to tell is no new one to discovery, and carries no entries.
      */
     private static final int WAIT_MS = 1600;
     /**
@@ -78,15 +78,17 @@
      */
     private static final int PATIENCE_MS = 1600;
     /**
-     * The same for a watch that goes on: it stands in no line, and discovery answers it within some hundredths of a second
-     * after its wait. One that has fallen silent is begun anew the sooner.
+     * The same for a watch that goes on: it stands in no line, and discovery answers it within some hundredths of a
+     * second after its wait. One that has fallen silent is begun anew the sooner.
      */
     private static final int CONTINUED_PATIENCE_MS = 1000;
     /** The same where lists are pushed: the agent has no line. */
     private static final int AGENT_PATIENCE_MS = 500;
+
     private static final int CONNECT_MS = 1000;
     /** Where lists are pushed, a watch that has ended is begun again after this time. */
     private static final int AGAIN_MS = 250;
+
     private static final int MAX_LIST = 4 << 20;
 
     private final EventLoop loop;
@@ -97,6 +99,7 @@
     private final Line listLine = new Line();
     /** The entries of the list as discovery words them, by their hosts' names. */
     private final Map<String, JsonObject> entries = new LinkedHashMap<>();
+
     private Settings settings;
     private long version;
     private boolean watching;
@@ -131,7 +134,8 @@
     }
 
     /**
-     * Hands over the list as it was last had, in place of whatever is held, and where lists are pushed begins to follow it.
+     * Hands over the list as it was last had, in place of whatever is held, and where lists are pushed begins to follow
+     * it.
      *
      * @param list in discovery's form; null if there is none
      */
@@ -167,7 +171,10 @@
 
     private void callWatch(int serviceMs) {
         int wait = (int) (WAIT_MS * (0.9 + 0.2 * random.nextDouble())); // or those of all proxies end together
-        watchLine.call("/discovery/hosts?since=" + version + "&timeout_ms=" + wait, wait + patienceMs(serviceMs), this::watched);
+        watchLine.call(
+                "/discovery/hosts?since=" + version + "&timeout_ms=" + wait,
+                wait + patienceMs(serviceMs),
+                this::watched);
     }
 
     /** How much longer than its wait a call may take; {@code serviceMs}: where one discovery serves all instances. */
@@ -181,10 +188,10 @@
     }
 
     /**
-     * Begins the watch anew where there is one: it may have fallen silent. Only where lists are pushed, as the agent takes
-     * any number of calls. Where discovery is one service, a call that is given up has lost its place in the line, and a
-     * watch that goes on costs nothing where a new one costs as much as the whole list: a fleet whose instances all give
-     * theirs up on a peer's word jams discovery for seconds. One that is silent ends by itself soon.
+     * Begins the watch anew where there is one: it may have fallen silent. Only where lists are pushed, as the agent
+     * takes any number of calls. Where discovery is one service, a call that is given up has lost its place in the
+     * line, and a watch that goes on costs nothing where a new one costs as much as the whole list: a fleet whose
+     * instances all give theirs up on a peer's word jams discovery for seconds. One that is silent ends by itself soon.
      */
     public void renew() {
         if (watching && !settings.ask()) {
@@ -192,7 +199,9 @@
         }
     }
 
-    /** Where it fails beside a watch, the watch goes on: the decision module would give it up for a call that it is not. */
+    /**
+     * Where it fails beside a watch, the watch goes on: the decision module would give it up for a call that it is not.
+     */
     @Override
     public void fetch() {
         listLine.call("/discovery/hosts", patienceMs(PATIENCE_MS), json -> {
@@ -225,11 +234,14 @@
             if (settings.ask()) {
                 failed(e);
             } else {
-                loop.schedule(() -> {
-                    if (!watching) { // else it was moved meanwhile, and has begun there
-                        watch(true);
-                    }
-                }, AGAIN_MS, TimeUnit.MILLISECONDS);
+                loop.schedule(
+                        () -> {
+                            if (!watching) { // else it was moved meanwhile, and has begun there
+                                watch(true);
+                            }
+                        },
+                        AGAIN_MS,
+                        TimeUnit.MILLISECONDS);
             }
             return;
         }
@@ -243,7 +255,8 @@
         boolean whole = json.get("whole").getAsBoolean();
         long seq = seq(json);
         if (!whole && seq < version) {
-            // It numbers anew, as one that has moved or lost its memory may: what it has is asked for from the beginning.
+            // It numbers anew, as one that has moved or lost its memory may: what it has is asked for from the
+            // beginning.
             long held = version;
             version = 0;
             throw new IllegalArgumentException("changes up to " + seq + " after " + held);
@@ -310,12 +323,16 @@
                 write(channel, path);
                 return;
             }
-            ChannelFuture connecting = bootstrap.clone().handler(new ChannelInitializer<>() {
-                @Override
-                protected void initChannel(Channel c) {
-                    c.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_LIST), new Answer());
-                }
-            }).connect(settings.address());
+            ChannelFuture connecting = bootstrap
+                    .clone()
+                    .handler(new ChannelInitializer<>() {
+                        @Override
+                        protected void initChannel(Channel c) {
+                            c.pipeline()
+                                    .addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_LIST), new Answer());
+                        }
+                    })
+                    .connect(settings.address());
             channel = connecting.channel();
             connecting.addListener(f -> {
                 if (connecting.channel() != channel) {
@@ -330,8 +347,8 @@
         }
 
         private void write(Channel to, String path) {
-            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path,
-                    Unpooled.EMPTY_BUFFER);
+            DefaultFullHttpRequest request =
+                    new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
             request.headers().set(HttpHeaderNames.HOST, Addresses.text(settings.address()));
             to.writeAndFlush(request);
         }
--- a/src/main/java/damsonworks/proxy/discovery/Host.java
+++ b/src/main/java/damsonworks/proxy/discovery/Host.java
@@ -8,7 +8,7 @@
  * An entry of the list.
  *
  * @param member for the decision module
- * @param dial   where it listens
+ * @param dial where it listens
  * @param server what pools select it by
  */
-public record Host(Member member, SocketAddress dial, Pool.Server server) { }
+public record Host(Member member, SocketAddress dial, Pool.Server server) {}
--- a/src/main/java/damsonworks/proxy/discovery/ListForm.java
+++ b/src/main/java/damsonworks/proxy/discovery/ListForm.java
@@ -69,7 +69,8 @@
         }
         double born = h.has("born_ms") ? h.get("born_ms").getAsDouble() : 0;
         int cell = h.has("block") ? h.get("block").getAsInt() : 0;
-        return new Host(new Member(id(name), zone, kind, cell, state, weight, born),
+        return new Host(
+                new Member(id(name), zone, kind, cell, state, weight, born),
                 Addresses.parse(h.get("dial").getAsString()),
                 new Pool.Server(name, zones.get(zone), kinds.get(kind), labels(name, h)));
     }
--- a/src/main/java/damsonworks/proxy/discovery/ProvisionalList.java
+++ b/src/main/java/damsonworks/proxy/discovery/ProvisionalList.java
@@ -11,9 +11,9 @@
 import java.util.Map;
 
 /**
- * Stands between discovery and whoever uses the list, and carries out what {@link ProvisionalMembership} makes of it: what
- * peers were told is in use until discovery's own word comes. Keeps the servers' addresses, which peers do not tell. On the
- * event loop only.
+ * Stands between discovery and whoever uses the list, and carries out what {@link ProvisionalMembership} makes of it:
+ * what peers were told is in use until discovery's own word comes. Keeps the servers' addresses, which peers do not
+ * tell. On the event loop only.
  */
 public final class ProvisionalList implements DiscoveryClient.Listener {
     private final DiscoveryClient.Listener next;
--- a/src/main/java/damsonworks/quota/LeaseHolder.java
+++ b/src/main/java/damsonworks/quota/LeaseHolder.java
@@ -7,22 +7,25 @@
 import java.util.TreeSet;
 
 /**
- * Grants what instances have ceded of one cap to those that want more. It never grants what has not been ceded to itself, so
- * several holders at once, as when a tier is split in halves, do no harm.
+ * Grants what instances have ceded of one cap to those that want more. It never grants what has not been ceded to
+ * itself, so several holders at once, as when a tier is split in halves, do no harm.
  */
 final class LeaseHolder {
     /** So much, and until when. */
-    private record Part(long amount, double untilMs) { }
+    private record Part(long amount, double untilMs) {}
 
     private final double windowMs;
     private final Map<Integer, Part> ceded = new HashMap<>();
     private final Map<Integer, Long> wants = new HashMap<>();
     /** Each may be using any of these, and what it used may be in the window until then. */
     private final Map<Integer, List<Part>> out = new HashMap<>();
+
     private long round;
     private double beganMs;
 
-    /** {@code life}: apart from, and above, that of any life of this instance before, as the second it was started in. */
+    /**
+     * {@code life}: apart from, and above, that of any life of this instance before, as the second it was started in.
+     */
     LeaseHolder(double windowMs, int life) {
         this.windowMs = windowMs;
         round = (long) life << LeaseParty.LIFE_BITS;
@@ -85,7 +88,9 @@
         return sum;
     }
 
-    /** A grant that ends sooner can also draw on what was ceded in rounds before, by whoever was not heard in this one. */
+    /**
+     * A grant that ends sooner can also draw on what was ceded in rounds before, by whoever was not heard in this one.
+     */
     private double end(double now, long taken, double wanted) {
         double best = Double.NEGATIVE_INFINITY;
         double most = 0;
@@ -99,8 +104,8 @@
         return best;
     }
 
-    private Map<Integer, LeaseParty.Grant> grants(List<Integer> asking, long free, long taken, double ends,
-            double usableMs) {
+    private Map<Integer, LeaseParty.Grant> grants(
+            List<Integer> asking, long free, long taken, double ends, double usableMs) {
         Map<Integer, LeaseParty.Grant> grants = new HashMap<>();
         double[] want = new double[asking.size()];
         double[] weight = new double[asking.size()];
--- a/src/main/java/damsonworks/quota/LeaseParty.java
+++ b/src/main/java/damsonworks/quota/LeaseParty.java
@@ -4,17 +4,19 @@
 import java.util.List;
 
 /**
- * One instance's part of one cap that holds over all of them. Its own share it has always; what it does not need it cedes to a
- * holder for a time, and the holder grants it to others. Nothing hangs on who is alive, on one holder alone, or on clocks that
- * agree: a cession binds from before it was sent, a grant counts from before it was asked for, and what was granted has left
- * the window before the cession it came from ends.
+ * One instance's part of one cap that holds over all of them. Its own share it has always; what it does not need it
+ * cedes to a holder for a time, and the holder grants it to others. Nothing hangs on who is alive, on one holder alone,
+ * or on clocks that agree: a cession binds from before it was sent, a grant counts from before it was asked for, and
+ * what was granted has left the window before the cession it came from ends.
  */
 final class LeaseParty {
     /** How long a cession binds beyond the window: some rounds, so that one lost message does not end a grant. */
     static final double TERM_MS = 2000;
     /** Taken off what is usable, for timers that fire late. */
     static final double MARGIN_MS = 50;
-    /** Of its own share one that starts anew, and may have ceded the rest, keeps this part until that must have ended. */
+    /**
+     * Of its own share one that starts anew, and may have ceded the rest, keeps this part until that must have ended.
+     */
     private static final double KEPT = 0.5;
     /** The upper half of a round's number tells one life of a holder from another. */
     static final int LIFE_BITS = 32;
@@ -25,13 +27,13 @@
      * An instance's answer to a holder's round.
      *
      * @param round of the holder
-     * @param want  how much more than its own share it could use in a window
+     * @param want how much more than its own share it could use in a window
      * @param ceded how much of that share it does without until the term is over
      */
-    record Report(long round, long want, long ceded) { }
+    record Report(long round, long want, long ceded) {}
 
     /** A holder's answer to a report: so much more, for so long from when the report was sent. */
-    record Grant(long round, long amount, double usableMs) { }
+    record Grant(long round, long amount, double usableMs) {}
 
     /** To one life of a holder: the next one does not know what this has granted. */
     private record Cession(int holder, long life, long amount, double untilMs) {
@@ -83,10 +85,11 @@
     }
 
     /**
-     * A holder has begun a round. Only the one of lowest rank that has been heard of lately is reported to; null: not this.
+     * A holder has begun a round. Only the one of lowest rank that has been heard of lately is reported to; null: not
+     * this.
      *
      * @param demand what is asked of it in a window
-     * @param used   what it has used in the window that ends now
+     * @param used what it has used in the window that ends now
      */
     Report collect(double now, int from, long its, long demand, long used) {
         if ((from > holder && now - holderHeardMs < TERM_MS) || (from == holder && its <= round)) {
--- a/src/main/java/damsonworks/quota/Limit.java
+++ b/src/main/java/damsonworks/quota/Limit.java
@@ -3,10 +3,10 @@
 /**
  * One quota of one node of the tree.
  *
- * @param measure   what is counted
- * @param windowMs  over which time, sliding: {@value #SHORTEST_MS} to {@value #LONGEST_MS} ms
+ * @param measure what is counted
+ * @param windowMs over which time, sliding: {@value #SHORTEST_MS} to {@value #LONGEST_MS} ms
  * @param guarantee how much of its parent's is this node's own in any window, 0 to {@code cap}; what it leaves is lent
- * @param cap       how much it gets at most in any window, its own and what is lent to it; at least 1
+ * @param cap how much it gets at most in any window, its own and what is lent to it; at least 1
  */
 public record Limit(Measure measure, long windowMs, long guarantee, long cap) {
     /** One second. */
--- a/src/main/java/damsonworks/quota/Meter.java
+++ b/src/main/java/damsonworks/quota/Meter.java
@@ -1,9 +1,9 @@
 package damsonworks.quota;
 
 /**
- * One quota of one node at work. What is its own it may use in any order within the window; what is lent to it comes at a
- * pace, and is counted apart: so an owner that comes back finds its rate free within moments, also where the window is an
- * hour long, and a borrower has not used up what is its own.
+ * One quota of one node at work. What is its own it may use in any order within the window; what is lent to it comes at
+ * a pace, and is counted apart: so an owner that comes back finds its rate free within moments, also where the window
+ * is an hour long, and a borrower has not used up what is its own.
  */
 final class Meter {
     /** Demand is what was asked for in about this time. */
@@ -14,6 +14,7 @@
     final Limit limit;
     /** Whether siblings share the parent's; else only the cap counts. */
     final boolean shares;
+
     private final SlidingCount all;
     private final SlidingCount own;
     private double asked;
@@ -73,7 +74,9 @@
         sparePerMs = perMs;
     }
 
-    /** It has begun to ask: what is spare is lent to it as if it had been for a while, or its first request would wait. */
+    /**
+     * It has begun to ask: what is spare is lent to it as if it had been for a while, or its first request would wait.
+     */
     void begin(double now, double perMs) {
         lend(now, perMs);
         credit = lentPerMs * SAVED_MS;
@@ -160,8 +163,9 @@
     }
 
     /**
-     * What is owed comes first, as the window makes room for it. While something is owed the window is full, so of several
-     * that have passed unasked each has paid for as much as it holds, the last of them as the room that is there now.
+     * What is owed comes first, as the window makes room for it. While something is owed the window is full, so of
+     * several that have passed unasked each has paid for as much as it holds, the last of them as the room that is
+     * there now.
      */
     private void pay(double now) {
         if (debt == 0) {
--- a/src/main/java/damsonworks/quota/QuotaNode.java
+++ b/src/main/java/damsonworks/quota/QuotaNode.java
@@ -8,8 +8,12 @@
 
 /** One organisation, app or device class, with its quotas at work and those beneath it. */
 final class QuotaNode {
-    /** Shares are dealt out anew so often, by whoever asks next, and less often where many ask: it looks at each of them. */
+    /**
+     * Shares are dealt out anew so often, by whoever asks next, and less often where many ask: it looks at each of
+     * them.
+     */
     static final double DEAL_MS = 100;
+
     static final double DEAL_MS_EACH = 2;
     static final double LONGEST_DEAL_MS = 1000;
     /** Who has not asked for so long has no part in that, and all that is its own is lent. */
@@ -28,6 +32,7 @@
     final boolean unnamed;
     /** Requests that are charged and not settled yet. */
     int open;
+
     private final List<QuotaNode> asking = new ArrayList<>();
     private boolean isAsking;
     private double askedAt;
--- a/src/main/java/damsonworks/quota/QuotaReplay.java
+++ b/src/main/java/damsonworks/quota/QuotaReplay.java
@@ -7,10 +7,14 @@
 import java.util.Map;
 import java.util.TreeMap;
 
-/** Decides over the lines of a trace, in the trace's own time. What an answer comes to is known there when it is asked for. */
+/**
+ * Decides over the lines of a trace, in the trace's own time. What an answer comes to is known there when it is asked
+ * for.
+ */
 public final class QuotaReplay {
     /** The columns of a trace. */
     public static final String HEADER = "time_ms,org,app,device,bytes,write";
+
     private static final int COLUMNS = 6;
     private static final int LONGEST_LINE = 4096;
     /** Organisations that are told of one by one; further ones are added up. */
@@ -114,10 +118,24 @@
     public List<String> table() {
         List<String> lines = new ArrayList<>();
         double seconds = Math.max(0.001, (latest - first) / 1000);
-        lines.add(String.format(Locale.ROOT, "%-24s %12s %12s %9s %12s %14s", "organisation", "asked", "admitted", "part",
-                "a second", "bytes a second"));
-        sums.forEach((org, s) -> lines.add(String.format(Locale.ROOT, "%-24s %12d %12d %8.2f%% %12.1f %14.0f", org, s.asked,
-                s.admitted, 100.0 * s.admitted / s.asked, s.admitted / seconds, s.bytes / seconds)));
+        lines.add(String.format(
+                Locale.ROOT,
+                "%-24s %12s %12s %9s %12s %14s",
+                "organisation",
+                "asked",
+                "admitted",
+                "part",
+                "a second",
+                "bytes a second"));
+        sums.forEach((org, s) -> lines.add(String.format(
+                Locale.ROOT,
+                "%-24s %12d %12d %8.2f%% %12.1f %14.0f",
+                org,
+                s.asked,
+                s.admitted,
+                100.0 * s.admitted / s.asked,
+                s.admitted / seconds,
+                s.bytes / seconds)));
         return lines;
     }
 }
--- a/src/main/java/damsonworks/quota/QuotaSpec.java
+++ b/src/main/java/damsonworks/quota/QuotaSpec.java
@@ -7,10 +7,10 @@
 /**
  * One node as it is configured, with what lies beneath it.
  *
- * @param name     what requests call it; {@value #ANY} stands for all who are not named beside it together,
- *                 {@value #EACH} for each of them
- * @param weight   its part of what is lent, against its siblings': above 0
- * @param limits   none: only what is above it bounds it
+ * @param name what requests call it; {@value #ANY} stands for all who are not named beside it together, {@value #EACH}
+ *     for each of them
+ * @param weight its part of what is lent, against its siblings': above 0
+ * @param limits none: only what is above it bounds it
  * @param children apart in name
  */
 public record QuotaSpec(String name, double weight, List<Limit> limits, List<QuotaSpec> children) {
@@ -36,8 +36,8 @@
         for (int i = 0; i < limits.size(); i++) {
             for (Limit other : limits.subList(0, i)) {
                 if (limits.get(i).comparesTo(other)) {
-                    throw new IllegalArgumentException(name + " has two quotas for " + other.measure() + " in "
-                            + other.windowMs() + " ms");
+                    throw new IllegalArgumentException(
+                            name + " has two quotas for " + other.measure() + " in " + other.windowMs() + " ms");
                 }
             }
         }
--- a/src/main/java/damsonworks/quota/QuotaTree.java
+++ b/src/main/java/damsonworks/quota/QuotaTree.java
@@ -7,15 +7,17 @@
 import java.util.SplittableRandom;
 
 /**
- * All quotas of one installation. A request is looked at along its whole path at once, and charged on all of it or on none.
- * No node exceeds its cap in any window, wherever that begins: see {@link SlidingCount}. Used from one thread.
+ * All quotas of one installation. A request is looked at along its whole path at once, and charged on all of it or on
+ * none. No node exceeds its cap in any window, wherever that begins: see {@link SlidingCount}. Used from one thread.
  *
  * <p>What becomes of a charge:
+ *
  * <ul>
- * <li>refused later, or known never to have run: {@link #payBack}, as if it had not come;
- * <li>answered, or it may have run: {@link #settle} with the bytes that it came to;
- * <li>a resend that is answered from what is kept, or attaches to one under way: not admitted anew, so not charged twice;
- * <li>a client's own retry after a refusal: a new request, charged if it is admitted.
+ *   <li>refused later, or known never to have run: {@link #payBack}, as if it had not come;
+ *   <li>answered, or it may have run: {@link #settle} with the bytes that it came to;
+ *   <li>a resend that is answered from what is kept, or attaches to one under way: not admitted anew, so not charged
+ *       twice;
+ *   <li>a client's own retry after a refusal: a new request, charged if it is admitted.
  * </ul>
  */
 public final class QuotaTree {
@@ -30,6 +32,7 @@
     private final int maxUnnamed;
     /** Those that have come by {@value QuotaSpec#EACH}, least recently asked for first. */
     private final Map<QuotaNode, QuotaNode> unnamed = new LinkedHashMap<>(16, 0.75f, true);
+
     private final SplittableRandom random;
     private double latest;
 
@@ -41,7 +44,8 @@
     public QuotaTree(QuotaSpec spec, int maxUnnamed, long seed) {
         check(spec);
         if (spec.depth() > QuotaSpec.MAX_DEPTH) {
-            throw new IllegalArgumentException("quotas nested " + spec.depth() + " deep; " + QuotaSpec.MAX_DEPTH + " at most");
+            throw new IllegalArgumentException(
+                    "quotas nested " + spec.depth() + " deep; " + QuotaSpec.MAX_DEPTH + " at most");
         }
         this.maxUnnamed = maxUnnamed;
         random = new SplittableRandom(seed);
@@ -51,8 +55,9 @@
     private static void check(QuotaSpec spec) {
         for (Limit limit : spec.limits()) {
             if (spec.name().equals(QuotaSpec.EACH) && limit.guarantee() > 0) {
-                throw new IllegalArgumentException("a guarantee for each that is not named has no bound; name them, or give it to "
-                        + QuotaSpec.ANY + ", which all of them share");
+                throw new IllegalArgumentException(
+                        "a guarantee for each that is not named has no bound; name them, or give it to " + QuotaSpec.ANY
+                                + ", which all of them share");
             }
             long sum = 0;
             for (QuotaSpec child : spec.children()) {
@@ -72,8 +77,19 @@
         QuotaNode node = new QuotaNode(name, spec, parent, unnamed);
         spec.children().forEach(c -> node.children.put(c.name(), node(c.name(), c, node, false)));
         if (!node.children.isEmpty() && !node.children.containsKey(QuotaSpec.EACH)) {
-            node.children.computeIfAbsent(QuotaSpec.ANY, n -> new QuotaNode(n, new QuotaSpec(n, 1, spec.limits().stream()
-                    .map(l -> new Limit(l.measure(), l.windowMs(), 0, l.cap())).toList(), List.of()), node, false));
+            node.children.computeIfAbsent(
+                    QuotaSpec.ANY,
+                    n -> new QuotaNode(
+                            n,
+                            new QuotaSpec(
+                                    n,
+                                    1,
+                                    spec.limits().stream()
+                                            .map(l -> new Limit(l.measure(), l.windowMs(), 0, l.cap()))
+                                            .toList(),
+                                    List.of()),
+                            node,
+                            false));
         }
         return node;
     }
@@ -81,9 +97,9 @@
     /**
      * Asks for one request; 0 if it may go on and has been charged, else in how many milliseconds to come back.
      *
-     * @param path   from the organisation down; names of at most {@value QuotaSpec#MAX_DEPTH} levels, further ones are not
-     *               looked at
-     * @param bytes  how many it is supposed to come to, at least 0
+     * @param path from the organisation down; names of at most {@value QuotaSpec#MAX_DEPTH} levels, further ones are
+     *     not looked at
+     * @param bytes how many it is supposed to come to, at least 0
      * @param ticket empty; filled if the request may go on
      */
     public double admit(double nowMs, String[] path, long bytes, boolean write, Ticket ticket) {
@@ -158,8 +174,8 @@
     }
 
     /**
-     * The node that a path leads to; one is made for a name that has not come before. Whoever is not named
-     * where others are, or names nobody, gets what these leave, and nothing of their own.
+     * The node that a path leads to; one is made for a name that has not come before. Whoever is not named where others
+     * are, or names nobody, gets what these leave, and nothing of their own.
      */
     private QuotaNode find(double now, String[] path) {
         QuotaNode node = root;
--- a/src/main/java/damsonworks/quota/SlidingCount.java
+++ b/src/main/java/damsonworks/quota/SlidingCount.java
@@ -3,9 +3,10 @@
 import java.util.Arrays;
 
 /**
- * How much was counted in the last window, never too little: it slides in {@value #PARTS} steps, and the step that lies in it
- * only in part counts whole. So who keeps this under a limit keeps every window of that length under it, wherever it begins;
- * the price is that a steady rate may come to 1 / {@value #PARTS} less than the limit. Time only goes forward.
+ * How much was counted in the last window, never too little: it slides in {@value #PARTS} steps, and the step that lies
+ * in it only in part counts whole. So who keeps this under a limit keeps every window of that length under it, wherever
+ * it begins; the price is that a steady rate may come to 1 / {@value #PARTS} less than the limit. Time only goes
+ * forward.
  */
 final class SlidingCount {
     static final int PARTS = 100;
--- a/src/main/java/damsonworks/quota/Ticket.java
+++ b/src/main/java/damsonworks/quota/Ticket.java
@@ -1,8 +1,8 @@
 package damsonworks.quota;
 
 /**
- * What one request has been charged, for its end: held by whoever holds the request, and used for one at a time. One that was
- * not admitted, or has ended, is empty.
+ * What one request has been charged, for its end: held by whoever holds the request, and used for one at a time. One
+ * that was not admitted, or has ended, is empty.
  */
 public final class Ticket {
     static final int MOST = (QuotaSpec.MAX_DEPTH + 1) * QuotaSpec.MAX_LIMITS;
--- a/src/main/java/damsonworks/recovery/Load.java
+++ b/src/main/java/damsonworks/recovery/Load.java
@@ -1,13 +1,13 @@
 package damsonworks.recovery;
 
 /**
- * What an instance is asked, as a byte that others can be told: its requests a second on a scale of steps of a quarter, from 0 to
- * some 10^27. Rough on purpose: it changes seldom, and each change is news to the whole fleet.
+ * What an instance is asked, as a byte that others can be told: its requests a second on a scale of steps of a quarter,
+ * from 0 to some 10^27. Rough on purpose: it changes seldom, and each change is news to the whole fleet.
  */
 public final class Load {
     private static final double STEP = 1.25;
 
-    private Load() { }
+    private Load() {}
 
     /** The byte for so many requests a second; 0 for less than one in two seconds. */
     public static byte code(double perSecond) {
--- a/src/main/java/damsonworks/recovery/Memory.java
+++ b/src/main/java/damsonworks/recovery/Memory.java
@@ -5,18 +5,19 @@
 import java.util.List;
 
 /**
- * What an instance that serves tells one that has come back with nothing: what takes a few bytes and is worth most first. It fits in
- * one datagram.
+ * What an instance that serves tells one that has come back with nothing: what takes a few bytes and is worth most
+ * first. It fits in one datagram.
  *
  * @param listVersion the version of the list that it holds, 0 or more; a claim, as only discovery's word makes a list
- * @param fetchMs     what a fetch at the origin takes
- * @param paceMs      what an answer of a cache node takes
+ * @param fetchMs what a fetch at the origin takes
+ * @param paceMs what an answer of a cache node takes
  * @param originShare of what it asked of the origin lately, so much came in time, 0 to 1
- * @param bad         nodes that it avoids, those that failed most first, {@link #MOST_BAD} at most
+ * @param bad nodes that it avoids, those that failed most first, {@link #MOST_BAD} at most
  */
 public record Memory(long listVersion, float fetchMs, float paceMs, float originShare, List<Integer> bad) {
     /** So many nodes are named at most. */
     public static final int MOST_BAD = 48;
+
     private static final byte QUESTION = 'Q';
     private static final byte ANSWER = 'M';
     private static final int HEAD = 1 + Long.BYTES + 3 * Float.BYTES + 1;
@@ -25,10 +26,13 @@
     /** Checks the ranges. */
     public Memory {
         bad = List.copyOf(bad);
-        if (listVersion < 0 || !(fetchMs >= 0 && fetchMs <= MOST_MS) || !(paceMs >= 0 && paceMs <= MOST_MS)
-                || !(originShare >= 0 && originShare <= 1) || bad.size() > MOST_BAD) {
-            throw new IllegalArgumentException("a memory of version " + listVersion + ", " + fetchMs + " and " + paceMs + " ms, "
-                    + originShare + ", " + bad.size() + " nodes");
+        if (listVersion < 0
+                || !(fetchMs >= 0 && fetchMs <= MOST_MS)
+                || !(paceMs >= 0 && paceMs <= MOST_MS)
+                || !(originShare >= 0 && originShare <= 1)
+                || bad.size() > MOST_BAD) {
+            throw new IllegalArgumentException("a memory of version " + listVersion + ", " + fetchMs + " and " + paceMs
+                    + " ms, " + originShare + ", " + bad.size() + " nodes");
         }
     }
 
@@ -44,8 +48,13 @@
 
     /** As a message. */
     public byte[] encode() {
-        ByteBuffer out = ByteBuffer.allocate(HEAD + Integer.BYTES * bad.size()).put(ANSWER).putLong(listVersion).putFloat(fetchMs)
-                .putFloat(paceMs).putFloat(originShare).put((byte) bad.size());
+        ByteBuffer out = ByteBuffer.allocate(HEAD + Integer.BYTES * bad.size())
+                .put(ANSWER)
+                .putLong(listVersion)
+                .putFloat(fetchMs)
+                .putFloat(paceMs)
+                .putFloat(originShare)
+                .put((byte) bad.size());
         bad.forEach(out::putInt);
         return out.array();
     }
--- a/src/main/java/damsonworks/recovery/Progress.java
+++ b/src/main/java/damsonworks/recovery/Progress.java
@@ -4,14 +4,19 @@
 import java.util.Deque;
 
 /**
- * The way of one instance from its start to full service, by evidence: it is starting until it has a list, recovering until it
- * serves what it is asked, and serving from then on. That a list of any age serves is all that can be known of it while discovery
- * has nothing newer to tell, as a watch that has no news says nothing; who is asked nothing waits a little for such news. A clock alone ends it only after
- * {@link #LONGEST_MS}: by then nothing is to be had by waiting, and what others do for one that recovers has to end.
+ * The way of one instance from its start to full service, by evidence: it is starting until it has a list, recovering
+ * until it serves what it is asked, and serving from then on. That a list of any age serves is all that can be known of
+ * it while discovery has nothing newer to tell, as a watch that has no news says nothing; who is asked nothing waits a
+ * little for such news. A clock alone ends it only after {@link #LONGEST_MS}: by then nothing is to be had by waiting,
+ * and what others do for one that recovers has to end.
  */
 public final class Progress {
     /** Where an instance stands. */
-    public enum Stage { STARTING, RECOVERING, SERVING }
+    public enum Stage {
+        STARTING,
+        RECOVERING,
+        SERVING
+    }
 
     /** The longest that an instance may call itself recovering. */
     public static final double LONGEST_MS = 30_000;
@@ -26,7 +31,7 @@
     /** And where nobody has told the list, for longer than this. */
     static final double UNTOLD_MS = 3000;
 
-    private record Mark(double atMs, Sample sample) { }
+    private record Mark(double atMs, Sample sample) {}
 
     private final double startedMs;
     private final Deque<Mark> marks = new ArrayDeque<>();
--- a/src/main/java/damsonworks/recovery/Recall.java
+++ b/src/main/java/damsonworks/recovery/Recall.java
@@ -13,12 +13,13 @@
 import java.util.Set;
 
 /**
- * How an instance that remembers nothing learns from those that serve: it asks three of them, from as many zones as there are, by a
- * rank of its own, so that not all who come back ask the same one. An answer that does not come is asked of the next. What never
- * comes is done without; where nobody serves, all have come back, nobody remembers, and that is known after a short time too.
+ * How an instance that remembers nothing learns from those that serve: it asks three of them, from as many zones as
+ * there are, by a rank of its own, so that not all who come back ask the same one. An answer that does not come is
+ * asked of the next. What never comes is done without; where nobody serves, all have come back, nobody remembers, and
+ * that is known after a short time too.
  *
- * <p>What they say makes decisions more careful and nothing else: a node is doubted when two of them avoid it, or the only one that
- * there is; of a zone's nodes never more than a quarter.
+ * <p>What they say makes decisions more careful and nothing else: a node is doubted when two of them avoid it, or the
+ * only one that there is; of a zone's nodes never more than a quarter.
  */
 public final class Recall {
     /** So many answers are enough. */
@@ -47,19 +48,21 @@
     /**
      * What has come of it.
      *
-     * @param from        how many answered
+     * @param from how many answered
      * @param listVersion the highest that any of them holds
-     * @param fetchMs     the middle of what they say
-     * @param paceMs      likewise
+     * @param fetchMs the middle of what they say
+     * @param paceMs likewise
      * @param originShare the least of what they say
-     * @param bad         nodes to doubt, those that most of them avoid first
+     * @param bad nodes to doubt, those that most of them avoid first
      */
-    public record Recalled(int from, long listVersion, double fetchMs, double paceMs, double originShare, List<Integer> bad) { }
+    public record Recalled(
+            int from, long listVersion, double fetchMs, double paceMs, double originShare, List<Integer> bad) {}
 
     private final int me;
     private final double startedMs;
     /** When those that were asked were asked. */
     private final Map<Integer, Double> askedMs = new LinkedHashMap<>();
+
     private final Map<Integer, Memory> answers = new LinkedHashMap<>();
     private double servesMs = Double.NaN;
     private State state = State.ASKING;
@@ -75,8 +78,9 @@
         if (state != State.ASKING) {
             return List.of();
         }
-        List<Entry> serving = view.entries().stream().filter(e -> e.id() != me && e.state().lives()
-                && e.phase() == Phase.SERVING).sorted(Comparator.comparingLong(e -> Entry.mix(e.id() ^ me * 0x9e37_79b9_7f4a_7c15L)))
+        List<Entry> serving = view.entries().stream()
+                .filter(e -> e.id() != me && e.state().lives() && e.phase() == Phase.SERVING)
+                .sorted(Comparator.comparingLong(e -> Entry.mix(e.id() ^ me * 0x9e37_79b9_7f4a_7c15L)))
                 .toList();
         if (!serving.isEmpty() && Double.isNaN(servesMs)) {
             servesMs = nowMs;
@@ -92,14 +96,17 @@
     }
 
     private List<Integer> ask(double nowMs, List<Entry> serving) {
-        long out = askedMs.entrySet().stream().filter(e -> !answers.containsKey(e.getKey()) && nowMs - e.getValue() < ANSWER_MS)
+        long out = askedMs.entrySet().stream()
+                .filter(e -> !answers.containsKey(e.getKey()) && nowMs - e.getValue() < ANSWER_MS)
                 .count();
         Set<Integer> zones = new HashSet<>();
         serving.stream().filter(e -> askedMs.containsKey(e.id())).forEach(e -> zones.add(e.zone()));
         List<Integer> ask = new ArrayList<>();
         for (int round = 0; round < 2; round++) {
             for (Entry e : serving) {
-                if (out + answers.size() < ENOUGH && !askedMs.containsKey(e.id()) && (zones.add(e.zone()) || round > 0)) {
+                if (out + answers.size() < ENOUGH
+                        && !askedMs.containsKey(e.id())
+                        && (zones.add(e.zone()) || round > 0)) {
                     askedMs.put(e.id(), nowMs);
                     ask.add(e.id());
                     out++;
@@ -124,8 +131,8 @@
     /**
      * What they said, once that is done.
      *
-     * @param zoneOf  where a node stands; nodes that are not in it are left out
-     * @param inZone  how many nodes a zone has
+     * @param zoneOf where a node stands; nodes that are not in it are left out
+     * @param inZone how many nodes a zone has
      */
     public Recalled recalled(Map<Integer, Integer> zoneOf, Map<Integer, Integer> inZone) {
         if (answers.isEmpty()) {
@@ -134,15 +141,22 @@
         Map<Integer, Integer> votes = new LinkedHashMap<>();
         answers.values().forEach(m -> new HashSet<>(m.bad()).forEach(n -> votes.merge(n, 1, Integer::sum)));
         Map<Integer, Integer> doubted = new HashMap<>();
-        List<Integer> bad = votes.entrySet().stream().filter(v -> v.getValue() >= Math.min(2, answers.size())
-                && zoneOf.containsKey(v.getKey())).sorted(Map.Entry.<Integer, Integer>comparingByValue().reversed()
-                        .thenComparing(Map.Entry.comparingByKey())).map(Map.Entry::getKey)
+        List<Integer> bad = votes.entrySet().stream()
+                .filter(v -> v.getValue() >= Math.min(2, answers.size()) && zoneOf.containsKey(v.getKey()))
+                .sorted(Map.Entry.<Integer, Integer>comparingByValue()
+                        .reversed()
+                        .thenComparing(Map.Entry.comparingByKey()))
+                .map(Map.Entry::getKey)
                 .filter(n -> doubted.merge(zoneOf.get(n), 1, Integer::sum)
-                        <= Math.max(1, inZone.getOrDefault(zoneOf.get(n), 0) / PART)).toList();
-        return new Recalled(answers.size(), answers.values().stream().mapToLong(Memory::listVersion).max().orElseThrow(),
+                        <= Math.max(1, inZone.getOrDefault(zoneOf.get(n), 0) / PART))
+                .toList();
+        return new Recalled(
+                answers.size(),
+                answers.values().stream().mapToLong(Memory::listVersion).max().orElseThrow(),
                 middle(answers.values().stream().map(Memory::fetchMs).sorted().toList()),
                 middle(answers.values().stream().map(Memory::paceMs).sorted().toList()),
-                answers.values().stream().mapToDouble(Memory::originShare).min().orElseThrow(), bad);
+                answers.values().stream().mapToDouble(Memory::originShare).min().orElseThrow(),
+                bad);
     }
 
     private static double middle(List<Float> sorted) {
--- a/src/main/java/damsonworks/recovery/Sample.java
+++ b/src/main/java/damsonworks/recovery/Sample.java
@@ -3,8 +3,8 @@
 /**
  * What an instance has done since its start, as far as recovery looks at it.
  *
- * @param asked   requests that were taken
- * @param served  of these, served
+ * @param asked requests that were taken
+ * @param served of these, served
  * @param refused of these, refused
  */
 public record Sample(long asked, long served, long refused) {
--- a/src/main/java/damsonworks/recovery/Spread.java
+++ b/src/main/java/damsonworks/recovery/Spread.java
@@ -3,12 +3,14 @@
 import java.util.Collection;
 
 /**
- * Whether this instance carries more than its part, and how many of its clients' connections it should end between requests so that
- * they are dealt anew. The first one back after a release gets all clients and keeps them, as these keep their connections; who
- * deals connections can't be told to take some back, but a connection that ends is dealt again, now that others are there.
+ * Whether this instance carries more than its part, and how many of its clients' connections it should end between
+ * requests so that they are dealt anew. The first one back after a release gets all clients and keeps them, as these
+ * keep their connections; who deals connections can't be told to take some back, but a connection that ends is dealt
+ * again, now that others are there.
  *
- * <p>It ends few at a time, and looks at what comes of it: where what it ends comes back to it (its clients sit beside it, or one
- * caller asks for a tenth of all), ending more does nobody any good, and it leaves them alone for a time that doubles.
+ * <p>It ends few at a time, and looks at what comes of it: where what it ends comes back to it (its clients sit beside
+ * it, or one caller asks for a tenth of all), ending more does nobody any good, and it leaves them alone for a time
+ * that doubles.
  */
 public final class Spread {
     /** From so many times the mean on it sheds. */
@@ -25,6 +27,7 @@
     static final double LOOK_MS = 4000;
     /** Of what was to go, so much at least has to have gone. */
     static final double GAIN = 0.2;
+
     static final double FIRST_PAUSE_MS = 30_000;
     static final double LONGEST_PAUSE_MS = 600_000;
 
@@ -42,10 +45,10 @@
     /**
      * How many connections to end now. Some times a second.
      *
-     * @param mine   requests a second that this instance is asked
+     * @param mine requests a second that this instance is asked
      * @param others those of the other instances that serve; empty for nobody to take any
-     * @param open   connections of its clients
-     * @param idle   of these, between requests
+     * @param open connections of its clients
+     * @param idle of these, between requests
      */
     public int tick(double nowMs, double mine, Collection<Double> others, int open, int idle) {
         double passedMs = Double.isNaN(lastMs) ? 0 : Math.max(0, Math.min(SEEN_MS, nowMs - lastMs));
--- a/src/main/java/damsonworks/recovery/Trust.java
+++ b/src/main/java/damsonworks/recovery/Trust.java
@@ -4,9 +4,9 @@
 import java.util.Map;
 
 /**
- * What this process works with that it has not seen itself, where it came from, and until when it may. Whatever is met at first hand
- * takes its place. A decision that rests on something past its bound is a stale one, and is counted; whoever holds the thing is to
- * drop it when {@link #expired} says so, so that there are none.
+ * What this process works with that it has not seen itself, where it came from, and until when it may. Whatever is met
+ * at first hand takes its place. A decision that rests on something past its bound is a stale one, and is counted;
+ * whoever holds the thing is to drop it when {@link #expired} says so, so that there are none.
  */
 public final class Trust {
     /** What may come from elsewhere. */
@@ -24,12 +24,12 @@
     /**
      * How one thing stands.
      *
-     * @param source  where it came from
-     * @param ageMs   how old it was when it was taken; NaN where that is not known
+     * @param source where it came from
+     * @param ageMs how old it was when it was taken; NaN where that is not known
      * @param untilMs it may be used until then, by the clock of whoever asks; infinite for no bound
-     * @param hint    it only makes decisions more careful
+     * @param hint it only makes decisions more careful
      */
-    public record Standing(Source source, double ageMs, double untilMs, boolean hint) { }
+    public record Standing(Source source, double ageMs, double untilMs, boolean hint) {}
 
     private static final Standing NOTHING = new Standing(Source.NONE, Double.NaN, Double.POSITIVE_INFINITY, false);
 
@@ -39,8 +39,13 @@
 
     /** Something has been taken from elsewhere. */
     public void taken(double nowMs, Thing thing, Source source, double ageMs, double boundMs, boolean hint) {
-        standing.put(thing, new Standing(source, ageMs, Double.isNaN(ageMs) ? Double.POSITIVE_INFINITY
-                : nowMs + Math.max(0, boundMs - ageMs), hint));
+        standing.put(
+                thing,
+                new Standing(
+                        source,
+                        ageMs,
+                        Double.isNaN(ageMs) ? Double.POSITIVE_INFINITY : nowMs + Math.max(0, boundMs - ageMs),
+                        hint));
     }
 
     /** Something was there and was not taken, as it is too old, or another's. */
--- a/src/main/java/damsonworks/route/Glob.java
+++ b/src/main/java/damsonworks/route/Glob.java
@@ -15,8 +15,8 @@
     /** An IllegalArgumentException says what is wrong with it. */
     public Glob(String pattern) {
         if (pattern.isEmpty() || pattern.length() > LONGEST) {
-            throw new IllegalArgumentException(pattern.isEmpty() ? "an empty pattern"
-                    : "a pattern of more than " + LONGEST + " characters");
+            throw new IllegalArgumentException(
+                    pattern.isEmpty() ? "an empty pattern" : "a pattern of more than " + LONGEST + " characters");
         }
         if (pattern.contains("**")) {
             throw new IllegalArgumentException("two asterisks side by side, which mean no more than one");
--- a/src/main/java/damsonworks/route/Known.java
+++ b/src/main/java/damsonworks/route/Known.java
@@ -7,7 +7,7 @@
  *
  * @param classes of requests
  * @param tenants whose requests are told apart; none where they are not
- * @param sites   where servers stand
- * @param kinds   of servers
+ * @param sites where servers stand
+ * @param kinds of servers
  */
-public record Known(List<String> classes, List<String> tenants, List<String> sites, List<String> kinds) { }
+public record Known(List<String> classes, List<String> tenants, List<String> sites, List<String> kinds) {}
--- a/src/main/java/damsonworks/route/Route.java
+++ b/src/main/java/damsonworks/route/Route.java
@@ -5,17 +5,24 @@
 /**
  * Which requests go where. A condition that is not set names all.
  *
- * @param name     its name
- * @param key      pattern of the key; null: any
- * @param tenants  whose they are
- * @param classes  of which class they are
- * @param fronts   through which front they came
- * @param pool     the pool's name
+ * @param name its name
+ * @param key pattern of the key; null: any
+ * @param tenants whose they are
+ * @param classes of which class they are
+ * @param fronts through which front they came
+ * @param pool the pool's name
  * @param fallback the pool that is asked next; null: none
- * @param policy   the policy's name; null: the settings' own
+ * @param policy the policy's name; null: the settings' own
  */
-public record Route(String name, Glob key, Set<String> tenants, Set<String> classes, Set<String> fronts, String pool,
-        String fallback, String policy) {
+public record Route(
+        String name,
+        Glob key,
+        Set<String> tenants,
+        Set<String> classes,
+        Set<String> fronts,
+        String pool,
+        String fallback,
+        String policy) {
 
     /** Which of the conditions beside the key are set, the weightier in the higher bit: tenant, class, front. */
     int mask() {
--- a/src/main/java/damsonworks/route/RouteTable.java
+++ b/src/main/java/damsonworks/route/RouteTable.java
@@ -15,8 +15,8 @@
  * named tenant, a named class, a named front. Order in a file decides nothing; two routes that no rule tells apart and
  * that one request could match are a conflict, which {@link #conflicts} finds and the constructor refuses.
  *
- * <p>The beginnings that routes name stand in one hash table, with a small one each for every set of conditions. A key's
- * beginnings of the lengths that there are are looked up while it is hashed from left to right; the longest found
+ * <p>The beginnings that routes name stand in one hash table, with a small one each for every set of conditions. A
+ * key's beginnings of the lengths that there are are looked up while it is hashed from left to right; the longest found
  * knows the next shorter one. The time taken hangs on the key's length, not on the number of routes, and nothing is
  * allocated. Weighed and measured: a trie, which reads memory in three times as many places.
  */
@@ -25,13 +25,14 @@
     static final int MAX_PATTERNS = 2048;
     /** Triples of tenant, class and front that routes name, in all. */
     static final int MAX_TRIPLES = 2_000_000;
+
     private static final int ANY = 0;
     private static final long SEED = 0xcbf29ce484222325L;
     private static final long PRIME = 0x100000001b3L;
     private static final int FILTER_BITS = 16;
 
     /** Two routes that no rule tells apart. */
-    public record Conflict(Route first, Route second) { }
+    public record Conflict(Route first, Route second) {}
 
     private final List<Route> routes;
     private final Names tenants;
@@ -42,11 +43,13 @@
     private final int[] lengths;
     /** The beginnings by their hashes, with open addressing. */
     private final long[] hashes;
+
     private final Node[] table;
     /** The beginnings' characters, each with a 0 behind it: one place in memory to compare with, not three. */
     private final char[] characters;
     /** A bit for each hash, sixteen times as many as there are: most beginnings that are none end here. */
     private final long[] filter;
+
     private int triples;
 
     /** Names of the table's own numbers; 0 stands for any and for names that no route knows. */
@@ -63,7 +66,9 @@
         }
 
         int[] of(Set<String> names) {
-            return names.isEmpty() ? new int[] {ANY} : names.stream().mapToInt(numbers::get).toArray();
+            return names.isEmpty()
+                    ? new int[] {ANY}
+                    : names.stream().mapToInt(numbers::get).toArray();
         }
     }
 
@@ -85,7 +90,7 @@
          * The route of a request, or null if none matches.
          *
          * @param tenant index in the list of tenants, likewise class and front; any other number is a name no route
-         *               knows
+         *     knows
          */
         public Route match(CharSequence key, int tenant, int kind, int front) {
             return table.match(key, at(tenants, tenant), at(classes, kind), at(fronts, front));
@@ -158,11 +163,11 @@
 
         /** The most specific of these. */
         Route get(int t, int c, int f) {
-            for (int left = masks; left != 0;) {
+            for (int left = masks; left != 0; ) {
                 int mask = 31 - Integer.numberOfLeadingZeros(left);
                 left ^= 1 << mask;
-                long key = key(mask, packed((mask & 4) == 0 ? ANY : t, (mask & 2) == 0 ? ANY : c,
-                        (mask & 1) == 0 ? ANY : f));
+                long key = key(
+                        mask, packed((mask & 4) == 0 ? ANY : t, (mask & 2) == 0 ? ANY : c, (mask & 1) == 0 ? ANY : f));
                 Route found = routes == null ? firstKey == key ? first : null : routes[slot(key)];
                 if (found != null) {
                     return found;
@@ -181,7 +186,7 @@
     }
 
     /** A route with a pattern, and its conditions in the table's numbers. */
-    private record Pattern(Route route, int[] tenants, int[] classes, int[] fronts) { }
+    private record Pattern(Route route, int[] tenants, int[] classes, int[] fronts) {}
 
     /** The routes of one beginning: as a bucket those for all keys that begin so. */
     private static final class Node extends Bucket {
@@ -191,6 +196,7 @@
         int offset;
         /** The routes for this whole key. */
         Bucket exact;
+
         Pattern[] patterns = new Pattern[0];
         /** The next shorter beginning of this one that has routes for longer keys. */
         Node above;
@@ -224,12 +230,17 @@
             }
         }
         patterns.forEach((beginning, list) -> node(beginning).patterns = ordered(list, conflicts));
-        lengths = nodes.keySet().stream().mapToInt(String::length).distinct().sorted().toArray();
+        lengths = nodes.keySet().stream()
+                .mapToInt(String::length)
+                .distinct()
+                .sorted()
+                .toArray();
         int capacity = Integer.highestOneBit(Math.max(8, nodes.size() * 4));
         hashes = new long[capacity];
         table = new Node[capacity];
         filter = new long[Math.max(1, capacity / 4 * FILTER_BITS / Long.SIZE)];
-        characters = new char[nodes.keySet().stream().mapToInt(b -> b.length() + 1).sum()];
+        characters =
+                new char[nodes.keySet().stream().mapToInt(b -> b.length() + 1).sum()];
         int offset = 0;
         for (Node n : nodes.values()) {
             n.offset = offset;
@@ -261,8 +272,7 @@
 
     /** For requests that name tenant, class and front by their index in these lists. */
     public Matcher matcher(List<String> tenantNames, List<String> classNames, List<String> frontNames) {
-        return new Matcher(this, tenants.byIndex(tenantNames), classes.byIndex(classNames),
-                fronts.byIndex(frontNames));
+        return new Matcher(this, tenants.byIndex(tenantNames), classes.byIndex(classNames), fronts.byIndex(frontNames));
     }
 
     // ---- the making
@@ -284,8 +294,8 @@
             for (int c : classes.of(r.classes())) {
                 for (int f : fronts.of(r.fronts())) {
                     if (++triples > MAX_TRIPLES) {
-                        throw new IllegalArgumentException("routes name more than " + MAX_TRIPLES
-                                + " triples of tenant, class and front");
+                        throw new IllegalArgumentException(
+                                "routes name more than " + MAX_TRIPLES + " triples of tenant, class and front");
                     }
                     Route other = bucket.put(r.mask(), packed(t, c, f), r);
                     if (other != null) {
@@ -298,23 +308,31 @@
 
     private Pattern[] ordered(List<Route> list, Set<Conflict> conflicts) {
         if (list.size() > MAX_PATTERNS) {
-            throw new IllegalArgumentException(list.size() + " patterns begin with \"" + list.get(0).beginning()
-                    + "\"; at most " + MAX_PATTERNS + " may, as they are tried one by one");
+            throw new IllegalArgumentException(list.size() + " patterns begin with \""
+                    + list.get(0).beginning() + "\"; at most " + MAX_PATTERNS + " may, as they are tried one by one");
         }
-        list.sort(Comparator.comparingInt(Route::furtherLiterals).thenComparingInt(Route::mask).reversed());
+        list.sort(Comparator.comparingInt(Route::furtherLiterals)
+                .thenComparingInt(Route::mask)
+                .reversed());
         for (int i = 0; i < list.size(); i++) {
             Route a = list.get(i);
-            for (int j = i + 1; j < list.size() && list.get(j).furtherLiterals() == a.furtherLiterals()
-                    && list.get(j).mask() == a.mask(); j++) {
+            for (int j = i + 1;
+                    j < list.size()
+                            && list.get(j).furtherLiterals() == a.furtherLiterals()
+                            && list.get(j).mask() == a.mask();
+                    j++) {
                 Route b = list.get(j);
-                if (meet(a.tenants(), b.tenants()) && meet(a.classes(), b.classes()) && meet(a.fronts(), b.fronts())
+                if (meet(a.tenants(), b.tenants())
+                        && meet(a.classes(), b.classes())
+                        && meet(a.fronts(), b.fronts())
                         && a.key().meets(b.key())) {
                     meet(a, b, conflicts);
                 }
             }
         }
-        return list.stream().map(r -> new Pattern(r, tenants.of(r.tenants()), classes.of(r.classes()),
-                fronts.of(r.fronts()))).toArray(Pattern[]::new);
+        return list.stream()
+                .map(r -> new Pattern(r, tenants.of(r.tenants()), classes.of(r.classes()), fronts.of(r.fronts())))
+                .toArray(Pattern[]::new);
     }
 
     private static boolean meet(Set<String> a, Set<String> b) {
@@ -415,7 +433,9 @@
         }
         for (Node m = n.forLonger() ? n : n.above; m != null; m = m.above) {
             for (Pattern p : m.patterns) {
-                if (holds(p.tenants(), t) && holds(p.classes(), c) && holds(p.fronts(), f)
+                if (holds(p.tenants(), t)
+                        && holds(p.classes(), c)
+                        && holds(p.fronts(), f)
                         && p.route().key().matches(key)) {
                     return p.route();
                 }
--- a/src/main/java/damsonworks/route/Router.java
+++ b/src/main/java/damsonworks/route/Router.java
@@ -19,16 +19,16 @@
  * forbids comes back to the module as an attempt that was not sent, so that the module goes on as it would anyway.
  *
  * <p>Attempts and rules count over both pools of a route. A request goes over to its fallback only when it is owed an
- * answer, nothing of it is out, and it has been tried in the first pool or that has no server; one that is not safe
- * to repeat only if no attempt of it may have run. A server that is in several pools is known to each of their modules,
+ * answer, nothing of it is out, and it has been tried in the first pool or that has no server; one that is not safe to
+ * repeat only if no attempt of it may have run. A server that is in several pools is known to each of their modules,
  * and what it is told, to drain or that it is cold, holds in each.
  */
 public final class Router implements RoutingApi {
     /** What a pool has done, for the operators. */
-    public record PoolStatus(String name, int servers, int open, boolean leaving) { }
+    public record PoolStatus(String name, int servers, int open, boolean leaving) {}
 
     /** What a route has done, for the operators. */
-    public record RouteStatus(String name, long requests, long fallbacks, long turnedAway, long heldBack) { }
+    public record RouteStatus(String name, long requests, long fallbacks, long turnedAway, long heldBack) {}
 
     /** A pool with its module. */
     private final class Lane {
@@ -39,6 +39,7 @@
         int open;
         /** Those that it has or may yet be given: while there are any it must go on hearing of the list. */
         int reachable;
+
         boolean leaving;
         /** The servers in it, with whether each may be sent anything. */
         final Map<Integer, Boolean> ready = new HashMap<>();
@@ -107,6 +108,7 @@
         int ordered;
         /** By the dispatcher's number: whose attempt it was, and its number there. */
         final List<Lane> lanes = new ArrayList<>(3);
+
         final List<Integer> numbers = new ArrayList<>(3);
         int out;
         /** Attempts that count against the policy. */
@@ -115,6 +117,7 @@
         boolean missed;
         /** One has ended without an answer of use. */
         boolean failed;
+
         boolean mayHaveRun;
         boolean fellBack;
         boolean over;
@@ -127,7 +130,7 @@
         }
     }
 
-    private record Due(Lane lane, int token) { }
+    private record Due(Lane lane, int token) {}
 
     private final long seed;
     private final Map<Integer, Pool.Server> described = new HashMap<>();
@@ -137,9 +140,11 @@
     private final Map<Integer, Set<Lane>> probing = new HashMap<>();
     /** How far the fleet has zones open; what is made anew is told of it. */
     private final Map<Integer, ZoneOrder> zones = new HashMap<>();
+
     private final ArrayDeque<Consumer<Actions>> later = new ArrayDeque<>();
     /** Those in use and those that still have open requests. */
     private final List<Lane> lanes = new ArrayList<>();
+
     private final Lane all;
     private final Way anyWay;
     private Settings settings;
@@ -149,6 +154,7 @@
     private int version;
     /** By the route itself: its table gives the same ones, and hashing all that it says is more than a match. */
     private IdentityHashMap<Route, Way> ways = new IdentityHashMap<>();
+
     private int nextToken;
 
     /** Begins with these routes; requests that none matches go to all servers by the settings. */
@@ -157,7 +163,10 @@
         this.seed = seed;
         all = new Lane(Pool.ALL, seed);
         lanes.add(all);
-        anyWay = new Way(new Route("", null, Set.of(), Set.of(), Set.of(), "", null, null), all, null,
+        anyWay = new Way(
+                new Route("", null, Set.of(), Set.of(), Set.of(), "", null, null),
+                all,
+                null,
                 new Limits(RoutePolicy.NONE));
         replace(routing);
     }
@@ -201,8 +210,13 @@
         next.policies().values().forEach(p -> limits.putIfAbsent(p.name(), new Limits(p)));
         ways = new IdentityHashMap<>();
         for (Route r : next.routes()) {
-            ways.put(r, new Way(r, used.get(r.pool()), r.fallback() == null ? null : used.get(r.fallback()),
-                    r.policy() == null ? anyWay.limits : limits.get(r.policy())));
+            ways.put(
+                    r,
+                    new Way(
+                            r,
+                            used.get(r.pool()),
+                            r.fallback() == null ? null : used.get(r.fallback()),
+                            r.policy() == null ? anyWay.limits : limits.get(r.policy())));
         }
         routing = next;
         bind();
@@ -212,8 +226,11 @@
 
     /** Gives the names in the routes their indices in the settings. */
     private void bind() {
-        matcher = routing.table().matcher(settings.tenants().stream().map(Tenant::name).toList(),
-                settings.classes().stream().map(ServiceClass::name).toList(), Routing.FRONTS);
+        matcher = routing.table()
+                .matcher(
+                        settings.tenants().stream().map(Tenant::name).toList(),
+                        settings.classes().stream().map(ServiceClass::name).toList(),
+                        Routing.FRONTS);
     }
 
     @Override
@@ -229,7 +246,9 @@
     @Override
     public Map<String, Experience> experience(double now) {
         Map<String, Experience> learnt = new HashMap<>();
-        lanes.stream().filter(l -> !l.leaving).forEach(l -> learnt.put(l.name, l.module.experience(now).get("")));
+        lanes.stream()
+                .filter(l -> !l.leaving)
+                .forEach(l -> learnt.put(l.name, l.module.experience(now).get("")));
         return learnt;
     }
 
@@ -269,8 +288,10 @@
 
     /** The pools, that of all servers first. */
     public List<PoolStatus> pools() {
-        return lanes.stream().map(l -> new PoolStatus(l.name, (int) l.ready.values().stream().filter(r -> r).count(),
-                l.open, l.leaving)).toList();
+        return lanes.stream()
+                .map(l -> new PoolStatus(
+                        l.name, (int) l.ready.values().stream().filter(r -> r).count(), l.open, l.leaving))
+                .toList();
     }
 
     /** The routes, that of requests which no route matches last. */
@@ -341,8 +362,8 @@
                 lane.ready.put(m.id(), m.state() == State.READY);
             }
         }
-        lane.module.onList(now, kind == ListKind.CACHED && lane != all ? ListKind.FULL : kind, own,
-                lane.orders(now, out));
+        lane.module.onList(
+                now, kind == ListKind.CACHED && lane != all ? ListKind.FULL : kind, own, lane.orders(now, out));
     }
 
     private boolean origin(Member m) {
@@ -350,7 +371,8 @@
     }
 
     private static Member with(Member m, State state, float weight) {
-        return state == m.state() && weight == m.weight() ? m
+        return state == m.state() && weight == m.weight()
+                ? m
                 : new Member(m.id(), m.zone(), m.kind(), m.cell(), state, weight, m.bornMs());
     }
 
@@ -364,8 +386,8 @@
 
     /** A client's request with its key's text and its front's index in {@link Routing#FRONTS}. */
     public void onRequest(double now, Request request, CharSequence key, int front, Actions out) {
-        Route route = matcher.match(key, settings.tenants().isEmpty() ? -1 : request.tenant(), request.serviceClass(),
-                front);
+        Route route =
+                matcher.match(key, settings.tenants().isEmpty() ? -1 : request.tenant(), request.serviceClass(), front);
         Way way = route == null ? anyWay : ways.get(route);
         way.requests++;
         Limits limits = way.limits;
@@ -377,10 +399,20 @@
         }
         limits.budget.request(now);
         double due = Math.min(request.dueMs(), now + policy.deadlineMs());
-        Request own = due == request.dueMs() ? request : new Request(request.id(), request.serviceClass(),
-                request.tenant(), request.key(), due, request.costMs(), request.bytes(), request.write(),
-                request.repeat());
-        Journey j = new Journey(own, way, settings.classes().get(request.serviceClass()).effect() == Effect.SAFE);
+        Request own = due == request.dueMs()
+                ? request
+                : new Request(
+                        request.id(),
+                        request.serviceClass(),
+                        request.tenant(),
+                        request.key(),
+                        due,
+                        request.costMs(),
+                        request.bytes(),
+                        request.write(),
+                        request.repeat());
+        Journey j = new Journey(
+                own, way, settings.classes().get(request.serviceClass()).effect() == Effect.SAFE);
         journeys.put(request.id(), j);
         limits.open++;
         j.lane.open++;
@@ -409,8 +441,13 @@
     }
 
     private boolean mayFallBack(double now, Journey j) {
-        return j.way.fallback != null && !j.fellBack && !j.over && j.out == 0 && now < j.request.dueMs()
-                && (j.safe || !j.mayHaveRun) && j.tries < j.way.limits.policy.attempts()
+        return j.way.fallback != null
+                && !j.fellBack
+                && !j.over
+                && j.out == 0
+                && now < j.request.dueMs()
+                && (j.safe || !j.mayHaveRun)
+                && j.tries < j.way.limits.policy.attempts()
                 && j.lanes.size() < settings.maxAttempts();
     }
 
@@ -457,8 +494,15 @@
         Lane lane = j.lanes.get(end.attempt());
         j.out--;
         j.mayHaveRun |= end.outcome().mayHaveRun();
-        AttemptEnd own = new AttemptEnd(end.request(), j.numbers.get(end.attempt()), end.server(), end.outcome(),
-                end.elapsedMs(), end.over(), end.note(), end.report());
+        AttemptEnd own = new AttemptEnd(
+                end.request(),
+                j.numbers.get(end.attempt()),
+                end.server(),
+                end.outcome(),
+                end.elapsedMs(),
+                end.over(),
+                end.note(),
+                end.report());
         j.missed = end.outcome() == Outcome.MISS;
         j.failed |= switch (end.outcome()) {
             case FULL, TIMEOUT, CONNECT_FAILED, RESET, NOT_SENT, NO_PLACE -> true;
@@ -495,8 +539,7 @@
     public void onProbed(double now, int server, Outcome outcome, double elapsedMs, float[] report, Actions out) {
         Set<Lane> asked = probing.remove(server);
         if (asked != null) {
-            asked.forEach(lane -> lane.module.onProbed(now, server, outcome, elapsedMs, report,
-                    lane.orders(now, out)));
+            asked.forEach(lane -> lane.module.onProbed(now, server, outcome, elapsedMs, report, lane.orders(now, out)));
         }
         drain(out);
     }
@@ -518,7 +561,7 @@
 
     /** Carries out what could not be done within a module's own order, as that is not to be called from there. */
     private void drain(Actions out) {
-        for (Consumer<Actions> next; (next = later.poll()) != null;) {
+        for (Consumer<Actions> next; (next = later.poll()) != null; ) {
             next.accept(out);
         }
     }
@@ -562,7 +605,8 @@
             if (j.missed || j.tries == 0) {
                 return true;
             }
-            return j.tries < limits.policy.attempts() && (limits.policy.copies() || j.out == 0)
+            return j.tries < limits.policy.attempts()
+                    && (limits.policy.copies() || j.out == 0)
                     && limits.budget.take(now);
         }
 
--- a/src/main/java/damsonworks/route/Routing.java
+++ b/src/main/java/damsonworks/route/Routing.java
@@ -10,7 +10,7 @@
  * All that is set about routing, checked: names are told once and known, and no two routes are equally specific. Large
  * ones take their time to make, so they are made before they are handed to an event loop.
  *
- * @param hash  alike for what means the same
+ * @param hash alike for what means the same
  * @param table the routes, ready to be matched
  */
 public record Routing(String hash, Map<String, Pool> pools, Map<String, RoutePolicy> policies, RouteTable table) {
@@ -28,7 +28,8 @@
             if (!names.add(r.name())) {
                 throw new IllegalArgumentException("two routes are called " + r.name());
             }
-            if (!pools.containsKey(r.pool()) || (r.fallback() != null && !pools.containsKey(r.fallback()))
+            if (!pools.containsKey(r.pool())
+                    || (r.fallback() != null && !pools.containsKey(r.fallback()))
                     || (r.policy() != null && !policies.containsKey(r.policy()))) {
                 throw new IllegalArgumentException("route " + r.name() + " names what there is not");
             }
--- a/src/main/java/damsonworks/state/Finding.java
+++ b/src/main/java/damsonworks/state/Finding.java
@@ -3,10 +3,10 @@
 /**
  * Something about a folder that its owner should know.
  *
- * @param file  its name in the folder
- * @param line  counted from 1; 0 for the whole file
- * @param what  is the matter
- * @param harm  what follows from it
+ * @param file its name in the folder
+ * @param line counted from 1; 0 for the whole file
+ * @param what is the matter
+ * @param harm what follows from it
  */
 public record Finding(String file, int line, String what, Harm harm) {
     /** What follows from something that was found. */
--- a/src/main/java/damsonworks/state/Header.java
+++ b/src/main/java/damsonworks/state/Header.java
@@ -3,10 +3,10 @@
 /**
  * Whose file it is, and which one.
  *
- * @param instance   the name in the instance's configuration
- * @param fleet      the name of the fleet that it belongs to
+ * @param instance the name in the instance's configuration
+ * @param fleet the name of the fleet that it belongs to
  * @param generation goes up with each snapshot; a journal belongs to the snapshot of its generation
- * @param starts     how often a process has opened the folder to write
+ * @param starts how often a process has opened the folder to write
  */
 public record Header(String instance, String fleet, long generation, long starts) {
     /** The form of the files; a higher one is another version's. */
@@ -15,8 +15,8 @@
     /** Checks the ranges. */
     public Header {
         if (instance.isEmpty() || generation < 0 || starts < 0) {
-            throw new IllegalArgumentException("a header of '" + instance + "', generation " + generation + ", " + starts
-                    + " starts");
+            throw new IllegalArgumentException(
+                    "a header of '" + instance + "', generation " + generation + ", " + starts + " starts");
         }
     }
 
--- a/src/main/java/damsonworks/state/Inspection.java
+++ b/src/main/java/damsonworks/state/Inspection.java
@@ -7,7 +7,10 @@
 import java.util.Locale;
 import java.util.function.Function;
 
-/** What a folder holds, for people and scripts: each record with its age and how far a process that starts now would use it. */
+/**
+ * What a folder holds, for people and scripts: each record with its age and how far a process that starts now would use
+ * it.
+ */
 public record Inspection(Opened opened, double nowMs) {
     /** Whether a process would start from it as it was left. */
     public boolean sound() {
@@ -54,33 +57,60 @@
     public String text() {
         StringBuilder s = new StringBuilder();
         Header h = opened.header();
-        s.append(h == null ? "nothing that could be used\n" : String.format(Locale.ROOT,
-                "%s of fleet '%s': generation %d, %d starts%n", h.instance(), h.fleet(), h.generation(), h.starts()));
+        s.append(
+                h == null
+                        ? "nothing that could be used\n"
+                        : String.format(
+                                Locale.ROOT,
+                                "%s of fleet '%s': generation %d, %d starts%n",
+                                h.instance(),
+                                h.fleet(),
+                                h.generation(),
+                                h.starts()));
         if (!opened.records().isEmpty()) {
             s.append(String.format("%-13s%-11s%10s  %-9s%s%n", "kind", "authority", "age", "use", "what"));
         }
         for (Kind kind : Kind.values()) {
             Record r = opened.records().get(kind);
             if (r != null) {
-                s.append(String.format(Locale.ROOT, "%-13s%-11s%9.0fs  %-9s%s%n", kind.word(), kind.authority().name().toLowerCase(
-                        Locale.ROOT), (nowMs - r.toldMs()) / 1000, r.use(nowMs).name().toLowerCase(Locale.ROOT), what(r)));
+                s.append(String.format(
+                        Locale.ROOT,
+                        "%-13s%-11s%9.0fs  %-9s%s%n",
+                        kind.word(),
+                        kind.authority().name().toLowerCase(Locale.ROOT),
+                        (nowMs - r.toldMs()) / 1000,
+                        r.use(nowMs).name().toLowerCase(Locale.ROOT),
+                        what(r)));
             }
         }
-        opened.findings().forEach(f -> s.append(f.harm() == Harm.NONE ? "note: " : f.harm() == Harm.SOME ? "damage: "
-                : "of no use: ").append(f).append('\n'));
+        opened.findings()
+                .forEach(f -> s.append(
+                                f.harm() == Harm.NONE ? "note: " : f.harm() == Harm.SOME ? "damage: " : "of no use: ")
+                        .append(f)
+                        .append('\n'));
         return s.toString();
     }
 
     private static String what(Record r) {
         Function<JsonElement, String> say = switch (r.kind()) {
             case INCARNATION -> JsonElement::toString;
-            case LIST -> b -> "version " + b.getAsJsonObject().get("seq") + ", " + b.getAsJsonObject().getAsJsonArray("hosts").size()
-                    + " servers, " + draining(b) + " of them draining";
+            case LIST ->
+                b -> "version " + b.getAsJsonObject().get("seq") + ", "
+                        + b.getAsJsonObject().getAsJsonArray("hosts").size() + " servers, " + draining(b)
+                        + " of them draining";
             case LEARNT -> b -> b.getAsJsonObject().size() + " pools";
-            case ZONES, ORDERS -> b -> String.join(", ", b.getAsJsonObject().entrySet().stream().map(e -> e.getKey() + " "
-                    + e.getValue().getAsJsonObject().get("cause").getAsString() + " "
-                    + e.getValue().getAsJsonObject().get("open") + "/15 in epoch "
-                    + e.getValue().getAsJsonObject().get("epoch")).toList());
+            case ZONES, ORDERS ->
+                b -> String.join(
+                        ", ",
+                        b.getAsJsonObject().entrySet().stream()
+                                .map(e -> e.getKey() + " "
+                                        + e.getValue()
+                                                .getAsJsonObject()
+                                                .get("cause")
+                                                .getAsString() + " "
+                                        + e.getValue().getAsJsonObject().get("open") + "/15 in epoch "
+                                        + e.getValue().getAsJsonObject().get("epoch"))
+                                .toList());
         };
         try {
             return say.apply(r.body());
--- a/src/main/java/damsonworks/state/Keeper.java
+++ b/src/main/java/damsonworks/state/Keeper.java
@@ -8,13 +8,13 @@
 import java.util.Set;
 
 /**
- * Decides what is written and when: what has changed goes to the journal, in one piece at a time and no more often than its kinds
- * ask for; when the journal has grown, all of it becomes a snapshot. Takes times, gives orders; whoever owns the folder carries
- * them out and says how that went. After a failure the next order is a snapshot, as nobody knows what the files hold, and each
- * further failure doubles the wait.
+ * Decides what is written and when: what has changed goes to the journal, in one piece at a time and no more often than
+ * its kinds ask for; when the journal has grown, all of it becomes a snapshot. Takes times, gives orders; whoever owns
+ * the folder carries them out and says how that went. After a failure the next order is a snapshot, as nobody knows
+ * what the files hold, and each further failure doubles the wait.
  *
- * <p>Bounded: one record a kind, none longer than {@value #MOST_RECORD} bytes, a journal of {@value #MOST_JOURNAL} bytes, and over
- * any minute no more than {@value #MOST_MINUTE} bytes but that what is urgent is written.
+ * <p>Bounded: one record a kind, none longer than {@value #MOST_RECORD} bytes, a journal of {@value #MOST_JOURNAL}
+ * bytes, and over any minute no more than {@value #MOST_MINUTE} bytes but that what is urgent is written.
  */
 public final class Keeper {
     /** The longest record that is kept, in bytes. */
@@ -23,6 +23,7 @@
     public static final int MOST_JOURNAL = 512 << 10;
     /** What may be written in a minute; beyond it only what is urgent is. */
     public static final int MOST_MINUTE = 4 << 20;
+
     private static final double MINUTE_MS = 60_000;
     private static final double FIRST_AGAIN_MS = 1000;
     private static final double LAST_AGAIN_MS = 60_000;
@@ -32,10 +33,10 @@
     /** Something to write. */
     public sealed interface Write {
         /** To be added to the journal. */
-        record Append(byte[] bytes) implements Write { }
+        record Append(byte[] bytes) implements Write {}
 
         /** To take the place of both files: first the snapshot, then the journal. */
-        record Replace(byte[] snapshot, byte[] journal) implements Write { }
+        record Replace(byte[] snapshot, byte[] journal) implements Write {}
     }
 
     private final Map<Kind, Record> records = new EnumMap<>(Kind.class);
@@ -57,7 +58,7 @@
      * Goes on from what was found. The first order is a snapshot: of a new start, of what was sound.
      *
      * @param instance whose it is
-     * @param fleet    which fleet's
+     * @param fleet which fleet's
      */
     public Keeper(Opened opened, String instance, String fleet) {
         Header found = opened.header();
@@ -65,7 +66,10 @@
         records.putAll(opened.records());
     }
 
-    /** Keeps a record in place of the last of its kind. {@code nowMs} is monotonic; the record's own time is the wall clock's. */
+    /**
+     * Keeps a record in place of the last of its kind. {@code nowMs} is monotonic; the record's own time is the wall
+     * clock's.
+     */
     public void put(double nowMs, Record r) {
         Record before = records.get(r.kind());
         JsonElement body = r.body();
@@ -85,8 +89,11 @@
     /** Another process wrote here until now: what is written next is after all of its. */
     public void after(Header other) {
         if (other != null && other.generation() >= header.generation()) {
-            header = new Header(header.instance(), header.fleet(), other.generation(), Math.max(header.starts(),
-                    other.starts() + 1));
+            header = new Header(
+                    header.instance(),
+                    header.fleet(),
+                    other.generation(),
+                    Math.max(header.starts(), other.starts() + 1));
             replace = true;
         }
     }
@@ -113,8 +120,8 @@
     }
 
     /**
-     * All of it as a snapshot, whatever is under way: the end of the process waits for nothing else. Carried out after what was
-     * ordered before.
+     * All of it as a snapshot, whatever is under way: the end of the process waits for nothing else. Carried out after
+     * what was ordered before.
      */
     public Write last() {
         header = header.next();
@@ -170,7 +177,8 @@
     }
 
     private static long bytes(Write w) {
-        return w instanceof Write.Append a ? a.bytes().length
+        return w instanceof Write.Append a
+                ? a.bytes().length
                 : w instanceof Write.Replace r ? r.snapshot().length + r.journal().length : 0;
     }
 
--- a/src/main/java/damsonworks/state/Kind.java
+++ b/src/main/java/damsonworks/state/Kind.java
@@ -5,21 +5,22 @@
 import java.util.Optional;
 
 /**
- * What is kept, and how long it may be used as what. Ages are by the wall clock, which may have been set meanwhile: a record from
- * the future has no age that can be told, and only what needs none is used then. A clock that was set back by less than the time
- * away makes a record seem younger; so nothing that a rule rests on hangs on an age.
+ * What is kept, and how long it may be used as what. Ages are by the wall clock, which may have been set meanwhile: a
+ * record from the future has no age that can be told, and only what needs none is used then. A clock that was set back
+ * by less than the time away makes a record seem younger; so nothing that a rule rests on hangs on an age.
  */
 public enum Kind {
     /** The number of this instance's life, which only goes up. Without it the first peer that contradicts tells it. */
     INCARNATION(Authority.SELF, Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY, 0),
     /**
-     * The list of servers with its version, as discovery told it: drains among it bind the next process as well. It beats nothing
-     * that the configuration or discovery says with a higher version; a day later the nodes may be other ones.
+     * The list of servers with its version, as discovery told it: drains among it bind the next process as well. It
+     * beats nothing that the configuration or discovery says with a higher version; a day later the nodes may be other
+     * ones.
      */
     LIST(Authority.DISCOVERY, 60_000, 86_400_000, 100),
     /**
-     * What the decision module has learnt of servers and the origin. A node that was bad a minute ago is doubted, not avoided; what
-     * was good is never taken from here, nor whether a node is warm.
+     * What the decision module has learnt of servers and the origin. A node that was bad a minute ago is doubted, not
+     * avoided; what was good is never taken from here, nor whether a node is warm.
      */
     LEARNT(Authority.SEEN, 30_000, 600_000, 5000),
     /** Zones as decided on evidence: whether one is open is of the moment, its epoch never goes back. */
--- a/src/main/java/damsonworks/state/Opened.java
+++ b/src/main/java/damsonworks/state/Opened.java
@@ -10,11 +10,11 @@
 import java.util.Optional;
 
 /**
- * What the files of a folder hold: whatever is sound of it, and why the rest is not. Does no I/O, and throws for no bytes
- * whatever.
+ * What the files of a folder hold: whatever is sound of it, and why the rest is not. Does no I/O, and throws for no
+ * bytes whatever.
  *
- * @param header   whose it is; null if that can't be told
- * @param records  what is sound and this instance's
+ * @param header whose it is; null if that can't be told
+ * @param records what is sound and this instance's
  * @param findings what is the matter, if anything
  */
 public record Opened(Header header, Map<Kind, Record> records, List<Finding> findings) {
@@ -27,22 +27,23 @@
     public static final Opened EMPTY = new Opened(null, Map.of(), List.of());
 
     /** One file's. */
-    private record Part(Header header, Map<Kind, Record> records) { }
+    private record Part(Header header, Map<Kind, Record> records) {}
 
     /**
      * Reads both files.
      *
      * @param snapshot null where there is none
-     * @param journal  null where there is none
+     * @param journal null where there is none
      * @param instance whose folder it should be; null to read anybody's
-     * @param fleet    which fleet's
+     * @param fleet which fleet's
      */
     public static Opened read(byte[] snapshot, byte[] journal, String instance, String fleet) {
         List<Finding> findings = new ArrayList<>();
         Part whole = part(SNAPSHOT, snapshot, instance, fleet, findings);
         Part since = part(JOURNAL, journal, instance, fleet, findings);
         if (findings.stream().anyMatch(f -> f.harm() == Harm.ALL)) {
-            return new Opened(null, Map.of(), List.copyOf(findings)); // another's, or a later version's: all of it or nothing
+            return new Opened(
+                    null, Map.of(), List.copyOf(findings)); // another's, or a later version's: all of it or nothing
         }
         Map<Kind, Record> records = new EnumMap<>(Kind.class);
         if (whole != null) {
@@ -50,14 +51,20 @@
         }
         Header header = whole == null ? null : whole.header();
         if (since != null) {
-            long behind = header == null ? 0 : header.generation() - since.header().generation();
+            long behind =
+                    header == null ? 0 : header.generation() - since.header().generation();
             if (behind > 0) {
                 // Between the two steps of a snapshot: all that it says is in the snapshot.
                 findings.add(new Finding(JOURNAL, 0, "is of the snapshot before", Harm.NONE));
             } else {
                 if (header == null || behind < 0) {
-                    findings.add(new Finding(SNAPSHOT, 0, header == null ? "is missing or unreadable, the journal is not"
-                            : "is older than the journal", Harm.SOME));
+                    findings.add(new Finding(
+                            SNAPSHOT,
+                            0,
+                            header == null
+                                    ? "is missing or unreadable, the journal is not"
+                                    : "is older than the journal",
+                            Harm.SOME));
                     header = since.header();
                 }
                 records.putAll(since.records());
@@ -73,7 +80,8 @@
         List<StateText.Line> lines = StateText.lines(bytes);
         Header header;
         try {
-            Optional<JsonElement> first = lines.isEmpty() ? Optional.empty() : lines.get(0).json();
+            Optional<JsonElement> first =
+                    lines.isEmpty() ? Optional.empty() : lines.get(0).json();
             if (first.isEmpty()) {
                 findings.add(new Finding(file, 1, "can't be read: it was cut short or damaged", Harm.SOME));
                 return null;
@@ -81,27 +89,38 @@
             JsonObject o = first.get().getAsJsonObject();
             int version = o.get("state").getAsInt();
             if (version != Header.VERSION) {
-                findings.add(new Finding(file, 1, "is of version " + version + ", and this program reads " + Header.VERSION,
-                        Harm.ALL));
+                findings.add(new Finding(
+                        file, 1, "is of version " + version + ", and this program reads " + Header.VERSION, Harm.ALL));
                 return null;
             }
-            header = new Header(o.get("instance").getAsString(), o.get("fleet").getAsString(),
-                    o.get("generation").getAsLong(), o.get("starts").getAsLong());
+            header = new Header(
+                    o.get("instance").getAsString(),
+                    o.get("fleet").getAsString(),
+                    o.get("generation").getAsLong(),
+                    o.get("starts").getAsLong());
         } catch (RuntimeException e) {
             findings.add(new Finding(file, 1, "is no file of this program's state", Harm.ALL));
             return null;
         }
-        if (instance != null && (!header.instance().equals(instance) || !header.fleet().equals(fleet))) {
-            findings.add(new Finding(file, 1, "belongs to " + header.instance() + " of fleet '" + header.fleet() + "', not to "
-                    + instance + " of fleet '" + fleet + "'", Harm.ALL));
+        if (instance != null
+                && (!header.instance().equals(instance) || !header.fleet().equals(fleet))) {
+            findings.add(new Finding(
+                    file,
+                    1,
+                    "belongs to " + header.instance() + " of fleet '" + header.fleet() + "', not to " + instance
+                            + " of fleet '" + fleet + "'",
+                    Harm.ALL));
             return null;
         }
         Map<Kind, Record> records = new EnumMap<>(Kind.class);
         for (StateText.Line l : lines.subList(1, lines.size())) {
             boolean torn = l.json().isEmpty() && l.number() == lines.size() && file.equals(JOURNAL);
             if (l.json().isEmpty()) {
-                findings.add(new Finding(file, l.number(), torn ? "ends within a record: the process died in a write"
-                        : "is damaged", torn ? Harm.NONE : Harm.SOME));
+                findings.add(new Finding(
+                        file,
+                        l.number(),
+                        torn ? "ends within a record: the process died in a write" : "is damaged",
+                        torn ? Harm.NONE : Harm.SOME));
                 continue;
             }
             try {
--- a/src/main/java/damsonworks/state/Record.java
+++ b/src/main/java/damsonworks/state/Record.java
@@ -7,9 +7,9 @@
 /**
  * One thing that is kept. There is one record of each kind at most; a later one takes its place.
  *
- * @param kind   what it is
+ * @param kind what it is
  * @param toldMs when it came to be known, Unix time in milliseconds
- * @param body   what it says, in the form of its kind
+ * @param body what it says, in the form of its kind
  */
 @SuppressWarnings("JavaLangClash") // what the package keeps is called so; no file of it means java.lang.Record
 public record Record(Kind kind, double toldMs, JsonElement body) {
--- a/src/main/java/damsonworks/state/StateFolder.java
+++ b/src/main/java/damsonworks/state/StateFolder.java
@@ -15,14 +15,16 @@
 import java.util.List;
 
 /**
- * The folder in which one instance's state lies: {@code snapshot}, {@code journal}, and a lock that tells two processes apart. What
- * it has written outlasts the machine's end when the call returns. Used by one thread at a time; each call may wait for the disk.
+ * The folder in which one instance's state lies: {@code snapshot}, {@code journal}, and a lock that tells two processes
+ * apart. What it has written outlasts the machine's end when the call returns. Used by one thread at a time; each call
+ * may wait for the disk.
  */
 public final class StateFolder implements AutoCloseable {
     private static final String LOCK = "lock";
     private static final String NEW = ".new";
     /** Files that were of no use are kept under their names with this behind, the last of each. */
     private static final String ASIDE = ".aside";
+
     private static final long MOST_FILE = 16 << 20;
 
     private final Path folder;
@@ -122,8 +124,8 @@
     /** Under its name there is, at any time and after any crash, the old file or the new one, whole. */
     private void place(String name, byte[] bytes) throws IOException {
         Path next = folder.resolve(name + NEW);
-        try (FileChannel file = FileChannel.open(next, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-                StandardOpenOption.TRUNCATE_EXISTING)) {
+        try (FileChannel file = FileChannel.open(
+                next, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
             put(file, bytes);
             file.force(true);
         }
--- a/src/main/java/damsonworks/state/StateText.java
+++ b/src/main/java/damsonworks/state/StateText.java
@@ -12,19 +12,21 @@
 import java.util.zip.CRC32C;
 
 /**
- * The form of the files: lines of {@code CHECKSUM JSON}, the first of them the header. The checksum is CRC-32C of the JSON's bytes
- * in eight hexadecimal digits; it tells any change within 32 bits, so a byte that was changed or a line that was cut short is seen
- * wherever it lies. JSON of one line holds no line feed, so a line that is damaged damages no other.
+ * The form of the files: lines of {@code CHECKSUM JSON}, the first of them the header. The checksum is CRC-32C of the
+ * JSON's bytes in eight hexadecimal digits; it tells any change within 32 bits, so a byte that was changed or a line
+ * that was cut short is seen wherever it lies. JSON of one line holds no line feed, so a line that is damaged damages
+ * no other.
  */
 final class StateText {
     /** The longest line that is read or written, in bytes. */
     static final int MOST_LINE = 1 << 20;
+
     private static final int SUM = 8;
 
-    private StateText() { }
+    private StateText() {}
 
     /** A line as it was read: its number from 1, and what it says; empty where the checksum does not fit. */
-    record Line(int number, Optional<JsonElement> json) { }
+    record Line(int number, Optional<JsonElement> json) {}
 
     static byte[] header(Header h) {
         JsonObject o = new JsonObject();
@@ -102,7 +104,9 @@
 
     private static Optional<JsonElement> json(byte[] file, int from, int to) {
         int start = from + SUM + 1;
-        if (to < start || to - from > MOST_LINE || file[from + SUM] != ' '
+        if (to < start
+                || to - from > MOST_LINE
+                || file[from + SUM] != ' '
                 || !new String(file, from, SUM, StandardCharsets.US_ASCII).equals(sum(file, start, to - start))) {
             return Optional.empty();
         }
--- a/src/main/java/damsonworks/wire/Drill.java
+++ b/src/main/java/damsonworks/wire/Drill.java
@@ -79,7 +79,8 @@
                 throw new WireException("after batch " + batch + ": frame of " + length + " bytes, under its header");
             }
             if (length > frame.capacity()) {
-                ByteBuffer larger = ByteBuffer.allocate(Math.max(length, length * 3 / 2)).order(ByteOrder.LITTLE_ENDIAN);
+                ByteBuffer larger =
+                        ByteBuffer.allocate(Math.max(length, length * 3 / 2)).order(ByteOrder.LITTLE_ENDIAN);
                 larger.putInt(0, length);
                 frame = larger;
             }
@@ -106,7 +107,9 @@
             if (code == 10) {
                 int text = tailSpan(at + 11, 1);
                 byte[] lines = bytes(text, frame.getInt(at + 15));
-                instances[i] = new Policy(SettingsParser.ofLines(new String(lines, StandardCharsets.UTF_8)).settings(),
+                instances[i] = new Policy(
+                        SettingsParser.ofLines(new String(lines, StandardCharsets.UTF_8))
+                                .settings(),
                         frame.getLong(at + 3));
                 return;
             }
@@ -137,24 +140,43 @@
                 target.onList(now, FORMS[form], members(at + 12), reply);
             }
             case 30 -> target.onRequest(now, request(at), reply);
-            case 40 -> target.onFirstByte(now, frame.getInt(at + 3), frame.get(at + 7) & 255, frame.getInt(at + 8), reply);
-            case 50 -> target.onAttemptEnd(now, new AttemptEnd(frame.getInt(at + 3), frame.get(at + 7) & 255,
-                    frame.getInt(at + 8), outcome(at + 12), frame.getDouble(at + 14), frame.get(at + 22) != 0,
-                    frame.getInt(at + 23), report(at + 27)), reply);
+            case 40 ->
+                target.onFirstByte(now, frame.getInt(at + 3), frame.get(at + 7) & 255, frame.getInt(at + 8), reply);
+            case 50 ->
+                target.onAttemptEnd(
+                        now,
+                        new AttemptEnd(
+                                frame.getInt(at + 3),
+                                frame.get(at + 7) & 255,
+                                frame.getInt(at + 8),
+                                outcome(at + 12),
+                                frame.getDouble(at + 14),
+                                frame.get(at + 22) != 0,
+                                frame.getInt(at + 23),
+                                report(at + 27)),
+                        reply);
             case 60 -> target.onGone(now, frame.getInt(at + 3), reply);
             case 70 -> target.onTimer(now, frame.getInt(at + 3), reply);
-            case 80 -> target.onProbed(now, frame.getInt(at + 3), outcome(at + 7), frame.getDouble(at + 9),
-                    report(at + 17), reply);
-            case 90 -> target.onPeer(now, frame.getInt(at + 3), bytes(tailSpan(at + 7, 1), frame.getInt(at + 11)), reply);
+            case 80 ->
+                target.onProbed(
+                        now, frame.getInt(at + 3), outcome(at + 7), frame.getDouble(at + 9), report(at + 17), reply);
+            case 90 ->
+                target.onPeer(now, frame.getInt(at + 3), bytes(tailSpan(at + 7, 1), frame.getInt(at + 11)), reply);
             default -> throw new WireException("unknown event code " + code);
         }
     }
 
     private Request request(int at) {
         int attrs = frame.getShort(at + 7);
-        return new Request(frame.getInt(at + 3), frame.getShort(at + 41) & 0xFFFF, frame.getInt(at + 25),
-                frame.getLong(at + 33), frame.getDouble(at + 9),
-                (attrs & 1) != 0 ? frame.getDouble(at + 17) : Double.NaN, frame.getFloat(at + 29), (attrs & 4) != 0,
+        return new Request(
+                frame.getInt(at + 3),
+                frame.getShort(at + 41) & 0xFFFF,
+                frame.getInt(at + 25),
+                frame.getLong(at + 33),
+                frame.getDouble(at + 9),
+                (attrs & 1) != 0 ? frame.getDouble(at + 17) : Double.NaN,
+                frame.getFloat(at + 29),
+                (attrs & 4) != 0,
                 (attrs & 2) != 0);
     }
 
@@ -167,8 +189,13 @@
             if (phase > 2) {
                 throw new WireException("unknown phase " + phase);
             }
-            list.add(new Member(frame.getInt(e), frame.getShort(e + 4) & 0xFFFF, frame.get(e + 6) & 255,
-                    frame.getShort(e + 7) & 0xFFFF, State.values()[phase], frame.getFloat(e + 10),
+            list.add(new Member(
+                    frame.getInt(e),
+                    frame.getShort(e + 4) & 0xFFFF,
+                    frame.get(e + 6) & 255,
+                    frame.getShort(e + 7) & 0xFFFF,
+                    State.values()[phase],
+                    frame.getFloat(e + 10),
                     frame.getDouble(e + 14)));
         }
         return list;
--- a/src/main/java/damsonworks/wire/SettingsParser.java
+++ b/src/main/java/damsonworks/wire/SettingsParser.java
@@ -38,18 +38,38 @@
     public Settings settings() {
         List<String> zones = list("zones");
         List<String> kinds = list("kinds");
-        return new Settings(integer("me"), integer("balancers"), integer("locality"), zones.size(), kinds.size(),
-                oneOf("discovery", "push", "ask") == 1, values.containsKey("extra.mode")
-                        && oneOf("extra.mode", "through", "aside") == 1, (int) number("extra.origin-kind", -1),
-                Reports.values()[oneOf("report.how", "silent", "piggyback", "pull")], list("report.names"),
-                oneOf("value-by", "request", "work") == 1, number("over-share-worth", 1),
-                flag("caps.may-cancel"), flag("caps.may-probe"), flag("caps.peers"), flag("caps.second-copies"),
-                flag("caps.retry-after"), (int) positive("caps.max-attempts", 1), number("caps.max-retry-after", 0),
-                number("caps.connect-timeout"), number("guarantees.drain-grace"),
-                number("guarantees.grace-to-answer"), number("guarantees.start-capacity"),
-                number("guarantees.warm-up"), number("guarantees.tip-multiple"), number("guarantees.fall"),
-                number("guarantees.ask-within", 0), number("extra.origin-fall-multiple", 0),
-                number("extra.origin-fall", 0), classes(), tenants());
+        return new Settings(
+                integer("me"),
+                integer("balancers"),
+                integer("locality"),
+                zones.size(),
+                kinds.size(),
+                oneOf("discovery", "push", "ask") == 1,
+                values.containsKey("extra.mode") && oneOf("extra.mode", "through", "aside") == 1,
+                (int) number("extra.origin-kind", -1),
+                Reports.values()[oneOf("report.how", "silent", "piggyback", "pull")],
+                list("report.names"),
+                oneOf("value-by", "request", "work") == 1,
+                number("over-share-worth", 1),
+                flag("caps.may-cancel"),
+                flag("caps.may-probe"),
+                flag("caps.peers"),
+                flag("caps.second-copies"),
+                flag("caps.retry-after"),
+                (int) positive("caps.max-attempts", 1),
+                number("caps.max-retry-after", 0),
+                number("caps.connect-timeout"),
+                number("guarantees.drain-grace"),
+                number("guarantees.grace-to-answer"),
+                number("guarantees.start-capacity"),
+                number("guarantees.warm-up"),
+                number("guarantees.tip-multiple"),
+                number("guarantees.fall"),
+                number("guarantees.ask-within", 0),
+                number("extra.origin-fall-multiple", 0),
+                number("extra.origin-fall", 0),
+                classes(),
+                tenants());
     }
 
     private List<ServiceClass> classes() {
@@ -65,10 +85,16 @@
             }
             Effect effect = Effect.values()[oneOf(p + "idempotency", "retryable", "dedup", "fragile")];
             boolean keyed = effect == Effect.KEYED;
-            result.add(new ServiceClass(text(p + "name"), effect,
+            result.add(new ServiceClass(
+                    text(p + "name"),
+                    effect,
                     keyed ? Group.values()[oneOf(p + "group", "all", "zone", "cell")] : Group.ALL,
-                    keyed ? number(p + "window") : 0, positive(p + "promise", 0), positive(p + "deadline", 0),
-                    number(p + "gain", 1), number(p + "late-share", 0), flag(p + "stream")));
+                    keyed ? number(p + "window") : 0,
+                    positive(p + "promise", 0),
+                    positive(p + "deadline", 0),
+                    number(p + "gain", 1),
+                    number(p + "late-share", 0),
+                    flag(p + "stream")));
         }
         return result;
     }
--- a/src/main/java/damsonworks/zone/Judge.java
+++ b/src/main/java/damsonworks/zone/Judge.java
@@ -7,18 +7,19 @@
 import java.util.Set;
 
 /**
- * Tells by what all that live say of a zone which case it is. A verdict against a zone takes observers that stand in more than
- * half of the zones in which the fleet has instances, each zone speaking by most of those in it that have seen anything, and
- * three of them at least. So
+ * Tells by what all that live say of a zone which case it is. A verdict against a zone takes observers that stand in
+ * more than half of the zones in which the fleet has instances, each zone speaking by most of those in it that have
+ * seen anything, and three of them at least. So
  *
  * <ul>
- * <li>the way from one zone to another is cut: only its own observers speak against it, one zone of several: nothing follows,
- * and each of them keeps to its own evidence;
- * <li>an observer's own zone is cut off: it hears no others, so it has not enough zones; when it is heard again, a report in
- * which nothing but home is good does not count;
- * <li>one bad node, or two, speak against no zone ({@link Observer});
- * <li>all nodes are slow now and then, or the origin is: a zone is only {@link Verdict#POOR} beside others that are good;
- * <li>one that lies, or two in concert, are not most of any zone of three, and not three.
+ *   <li>the way from one zone to another is cut: only its own observers speak against it, one zone of several: nothing
+ *       follows, and each of them keeps to its own evidence;
+ *   <li>an observer's own zone is cut off: it hears no others, so it has not enough zones; when it is heard again, a
+ *       report in which nothing but home is good does not count;
+ *   <li>one bad node, or two, speak against no zone ({@link Observer});
+ *   <li>all nodes are slow now and then, or the origin is: a zone is only {@link Verdict#POOR} beside others that are
+ *       good;
+ *   <li>one that lies, or two in concert, are not most of any zone of three, and not three.
  * </ul>
  */
 final class Judge {
