--- a/src/main/java/damsonworks/zone/Observer.java
+++ b/src/main/java/damsonworks/zone/Observer.java
@@ -6,25 +6,30 @@
 import java.util.Set;
 
 /**
- * What this instance's own attempts say of each zone, over the last {@link #WINDOW_MS}. One server that is silent is one,
- * however many attempts were at it; a zone is only spoken against by several.
+ * What this instance's own attempts say of each zone, over the last {@link #WINDOW_MS}. One server that is silent is
+ * one, however many attempts were at it; a zone is only spoken against by several.
  */
 final class Observer {
     /** How far back it looks. */
     static final double WINDOW_MS = 2500;
+
     private static final int SLOTS = 10;
     private static final double SLOT_MS = WINDOW_MS / SLOTS;
-    /** So many servers in a row that say nothing, and no other that answers, are a zone that is lost to this instance. */
+    /**
+     * So many servers in a row that say nothing, and no other that answers, are a zone that is lost to this instance.
+     */
     static final int LOST_SERVERS = 3;
     /** For so long at least: nodes that all stall for a moment are no zone that is lost. */
     private static final double ROW_MS = 300;
     /** So much of what was sent, at as many servers, makes it poor; one bad node of six alone would be more. */
     private static final double POOR_PART = 0.15;
+
     private static final int POOR_LEAST = 8;
     /** So many answers, and nothing against them, make it good. */
     private static final int GOOD_LEAST = 2;
     /** The origin is tight when so much of what it was asked came late or not at all. */
     private static final double TIGHT_PART = 0.2;
+
     private static final int TIGHT_LEAST = 5;
 
     /** What was seen in one part of the window. */
@@ -51,6 +56,7 @@
         final Slot[] slots = new Slot[SLOTS];
         /** Those that have said nothing since one of the zone last answered. */
         final Set<Integer> row = new HashSet<>();
+
         double rowMs;
         double silentMs = Double.NEGATIVE_INFINITY;
         int servers = LOST_SERVERS;
@@ -102,7 +108,8 @@
     void answered(double nowMs, int zone, boolean hit) {
         Part p = zones.get(zone);
         if (lost(p, nowMs)) {
-            // It was lost and is not any more: what it does from here on counts, or its silence would speak for a whole window.
+            // It was lost and is not any more: what it does from here on counts, or its silence would speak for a whole
+            // window.
             for (Slot old : p.slots) {
                 old.number = -1;
             }
--- a/src/main/java/damsonworks/zone/Pace.java
+++ b/src/main/java/damsonworks/zone/Pace.java
@@ -1,8 +1,8 @@
 package damsonworks.zone;
 
 /**
- * How soon a zone's next step may come. Nodes that stayed warm get their keys back in three steps; the keys of cold ones miss
- * once each, so these come back part by part over the time in which the nodes warm up. Times in milliseconds.
+ * How soon a zone's next step may come. Nodes that stayed warm get their keys back in three steps; the keys of cold
+ * ones miss once each, so these come back part by part over the time in which the nodes warm up. Times in milliseconds.
  */
 final class Pace {
     /** Between two steps of warm nodes: news takes some 0.3 s to all, and what a step did has to be seen. */
@@ -15,6 +15,7 @@
     static final double POOR_MS = 1500;
     /** How long it has to be sound before the first return; each leave lately multiplies it. */
     private static final double PATIENCE_MS = 400;
+
     private static final double PATIENCE_FACTOR = 50;
     /** A zone that was poor answers now and then anyway. */
     private static final double AFTER_POOR_MS = 6000;
@@ -24,16 +25,18 @@
     static final double FORGET_MS = 120_000;
 
     /**
-     * A step waits for room at the origin, and for so many steps' time at most: with it a return takes at most so many times what
-     * the ramps of its nodes take, which is what may be asked of it. A closed zone keeps the origin busy itself.
+     * A step waits for room at the origin, and for so many steps' time at most: with it a return takes at most so many
+     * times what the ramps of its nodes take, which is what may be asked of it. A closed zone keeps the origin busy
+     * itself.
      */
     static final double TIGHT_STEPS = 1.5;
 
-    private Pace() { }
+    private Pace() {}
 
     /** How long a zone must have been sound before it is opened again, by how often it was left lately and for what. */
     static double patience(int leaves, boolean wasPoor) {
-        return Math.max(wasPoor ? AFTER_POOR_MS : 0,
+        return Math.max(
+                wasPoor ? AFTER_POOR_MS : 0,
                 Math.min(LONGEST_MS, PATIENCE_MS * Math.pow(PATIENCE_FACTOR, Math.max(0, leaves - 1))));
     }
 
--- a/src/main/java/damsonworks/zone/Plan.java
+++ b/src/main/java/damsonworks/zone/Plan.java
@@ -6,9 +6,10 @@
 import java.util.List;
 
 /**
- * What is decided of all zones; immutable. Plans form a join semilattice, zone by zone: who have heard the same hold the same,
- * in whatever order they heard it, so a healed cut merges to one plan. What two sides of a cut decided may together be more
- * than either would have left; so what holds is not a zone's own state but {@link #open}, which keeps a floor open.
+ * What is decided of all zones; immutable. Plans form a join semilattice, zone by zone: who have heard the same hold
+ * the same, in whatever order they heard it, so a healed cut merges to one plan. What two sides of a cut decided may
+ * together be more than either would have left; so what holds is not a zone's own state but {@link #open}, which keeps
+ * a floor open.
  *
  * @param zones their states, by zone
  */
@@ -17,6 +18,7 @@
     public static final int MOST_ZONES = 6;
     /** Of all zones together, so much stays open whatever was decided, in parts of {@link ZoneState#WHOLE}: a third. */
     private static final int FLOOR_PART = 3;
+
     private static final int ZONE_BYTES = 4;
 
     /** Checks the number. */
@@ -62,7 +64,10 @@
         return zones.stream().mapToInt(ZoneState::open).sum() - zones.get(zone).open() + parts >= floor();
     }
 
-    /** The state that leaves a zone down to so many parts, or to as many more as the floor asks for; null if that is no less. */
+    /**
+     * The state that leaves a zone down to so many parts, or to as many more as the floor asks for; null if that is no
+     * less.
+     */
     public ZoneState lowered(int zone, int parts, int leaves) {
         ZoneState s = zones.get(zone);
         for (int open = parts; open < s.open(); open++) {
@@ -78,14 +83,15 @@
     }
 
     /**
-     * How far a zone is open, in parts of {@link ZoneState#WHOLE}: as decided, but that a third of all zones together stays
-     * open. Where less would be, the zones are opened in the order of their numbers, the same at all who hold the plan, until
-     * it is reached. So the last zone is never left.
+     * How far a zone is open, in parts of {@link ZoneState#WHOLE}: as decided, but that a third of all zones together
+     * stays open. Where less would be, the zones are opened in the order of their numbers, the same at all who hold the
+     * plan, until it is reached. So the last zone is never left.
      */
     public int open(int zone) {
         int missing = floor() - zones.stream().mapToInt(ZoneState::open).sum();
         for (int z = 0; z <= zone; z++) {
-            int more = Math.max(0, Math.min(missing, ZoneState.WHOLE - zones.get(z).open()));
+            int more =
+                    Math.max(0, Math.min(missing, ZoneState.WHOLE - zones.get(z).open()));
             if (z == zone) {
                 return zones.get(z).open() + more;
             }
--- a/src/main/java/damsonworks/zone/Report.java
+++ b/src/main/java/damsonworks/zone/Report.java
@@ -8,15 +8,14 @@
 /**
  * What one instance that lives says of the zones.
  *
- * @param instance    whose it is
- * @param home        the zone in which it stands
- * @param sights      by zone
- * @param cold        zones whose nodes answer it and lack most of what they are asked for
+ * @param instance whose it is
+ * @param home the zone in which it stands
+ * @param sights by zone
+ * @param cold zones whose nodes answer it and lack most of what they are asked for
  * @param originTight whether the origin answers it late or turns it away
- * @param plan        that it holds
+ * @param plan that it holds
  */
-public record Report(int instance, int home, List<Sight> sights, Set<Integer> cold,
-        boolean originTight, Plan plan) {
+public record Report(int instance, int home, List<Sight> sights, Set<Integer> cold, boolean originTight, Plan plan) {
     private static final int BYTES = 3;
 
     /** Copies what is passed. */
@@ -30,7 +29,10 @@
         return zone < sights.size() ? sights.get(zone) : Sight.NONE;
     }
 
-    /** Whether it sees nothing good but, perhaps, at home: then it is cut off itself, or lies, and says nothing of others. */
+    /**
+     * Whether it sees nothing good but, perhaps, at home: then it is cut off itself, or lies, and says nothing of
+     * others.
+     */
     boolean cutOff() {
         boolean bad = false;
         for (int z = 0; z < sights.size(); z++) {
@@ -42,7 +44,9 @@
         return bad && sights.size() > 2;
     }
 
-    /** The form of what was seen in a note: a bit for the origin and three a zone; none where there is nothing to say. */
+    /**
+     * The form of what was seen in a note: a bit for the origin and three a zone; none where there is nothing to say.
+     */
     static byte[] encode(List<Sight> sights, Set<Integer> cold, boolean originTight) {
         int bits = originTight ? 1 : 0;
         for (int z = 0; z < sights.size(); z++) {
--- a/src/main/java/damsonworks/zone/ZoneSettings.java
+++ b/src/main/java/damsonworks/zone/ZoneSettings.java
@@ -3,9 +3,10 @@
 /**
  * What holds for leaving zones and returning to them.
  *
- * @param me       this instance's number, 0 or more
- * @param home     the zone in which it stands, 0 to {@code zones} less one
- * @param zones    of cache nodes, 1 or more; those beyond the first {@link #MOST_ZONES} are left to each instance's own evidence
+ * @param me this instance's number, 0 or more
+ * @param home the zone in which it stands, 0 to {@code zones} less one
+ * @param zones of cache nodes, 1 or more; those beyond the first {@link #MOST_ZONES} are left to each instance's own
+ *     evidence
  * @param warmUpMs how long a node that has just started is cold, in milliseconds, 0 or more
  */
 public record ZoneSettings(int me, int home, int zones, double warmUpMs) {
@@ -15,8 +16,8 @@
     /** Checks the ranges. */
     public ZoneSettings {
         if (me < 0 || zones < 1 || home < 0 || home >= zones || !(warmUpMs >= 0 && warmUpMs < 1e9)) {
-            throw new IllegalArgumentException("instance " + me + " in zone " + home + " of " + zones + " with a warm-up of "
-                    + warmUpMs + " ms");
+            throw new IllegalArgumentException(
+                    "instance " + me + " in zone " + home + " of " + zones + " with a warm-up of " + warmUpMs + " ms");
         }
     }
 
--- a/src/main/java/damsonworks/zone/ZoneState.java
+++ b/src/main/java/damsonworks/zone/ZoneState.java
@@ -3,10 +3,10 @@
 /**
  * What is decided of one zone.
  *
- * @param epoch  0 for what nobody has ever decided, up to {@link #MOST_EPOCH}; whoever decides anew goes one beyond, so it
- *               never goes back
- * @param open   for so many of {@link #WHOLE} parts of its keys, 0 to {@link #WHOLE}
- * @param cause  on whose account
+ * @param epoch 0 for what nobody has ever decided, up to {@link #MOST_EPOCH}; whoever decides anew goes one beyond, so
+ *     it never goes back
+ * @param open for so many of {@link #WHOLE} parts of its keys, 0 to {@link #WHOLE}
+ * @param cause on whose account
  * @param leaves how often it was left lately, 0 to {@link #MOST_LEAVES}; costs patience before a return
  */
 public record ZoneState(int epoch, int open, Cause cause, int leaves) implements Comparable<ZoneState> {
@@ -40,7 +40,8 @@
     /** Checks the ranges. */
     public ZoneState {
         if (epoch < 0 || epoch > MOST_EPOCH || open < 0 || open > WHOLE || leaves < 0 || leaves > MOST_LEAVES) {
-            throw new IllegalArgumentException("epoch " + epoch + ", " + open + " parts open, left " + leaves + " times");
+            throw new IllegalArgumentException(
+                    "epoch " + epoch + ", " + open + " parts open, left " + leaves + " times");
         }
     }
 
@@ -60,8 +61,8 @@
     }
 
     /**
-     * Which of two holds: the higher epoch; in one epoch an operator's word over what is seen, then the wider open, so that
-     * two who decide at once leave no more than either would; then the longer memory.
+     * Which of two holds: the higher epoch; in one epoch an operator's word over what is seen, then the wider open, so
+     * that two who decide at once leave no more than either would; then the longer memory.
      */
     @Override
     public int compareTo(ZoneState other) {
--- a/src/main/java/damsonworks/zone/Zones.java
+++ b/src/main/java/damsonworks/zone/Zones.java
@@ -17,13 +17,14 @@
 import java.util.TreeMap;
 
 /**
- * One instance's part in leaving zones and returning to them. Takes what its attempts met, the list and the fleet's view;
- * gives orders for the decision module and notes for the view. Whoever owns the sockets calls {@link #tick} often, at least
- * each {@link #TICK_MS}.
+ * One instance's part in leaving zones and returning to them. Takes what its attempts met, the list and the fleet's
+ * view; gives orders for the decision module and notes for the view. Whoever owns the sockets calls {@link #tick}
+ * often, at least each {@link #TICK_MS}.
  *
- * <p>Everybody judges by the same reports and would decide the same; who does is a matter of turns, by a rank that differs
- * from zone to zone and from epoch to epoch, so that none can be missed. Whoever is first raises the epoch, the others take it
- * over. Where too little of the fleet is heard, what was decided on evidence does not hold, and each keeps to its own.
+ * <p>Everybody judges by the same reports and would decide the same; who does is a matter of turns, by a rank that
+ * differs from zone to zone and from epoch to epoch, so that none can be missed. Whoever is first raises the epoch, the
+ * others take it over. Where too little of the fleet is heard, what was decided on evidence does not hold, and each
+ * keeps to its own.
  */
 public final class Zones {
     /** The longest time between two ticks, in milliseconds. */
@@ -34,59 +35,66 @@
     public static final int SIGHT_NOTE = 1;
     /** Who is next in rank decides so much later: what the one before says should have come by then. */
     private static final double TURN_MS = 80;
+
     private static final int LAST_TURN = 8;
     /**
-     * All others decide only so late: each that decides has news for all, and if the first word takes longer than the turns, as it
-     * does when there is much news, a hundred that speak at once make it take longer still.
+     * All others decide only so late: each that decides has news for all, and if the first word takes longer than the
+     * turns, as it does when there is much news, a hundred that speak at once make it take longer still.
      */
     private static final double OTHERS_TURN_MS = 2500;
     /** Instances that try a zone that is not whole, and how often each does. */
     private static final int TRIERS = 3;
+
     private static final double TRY_MS = 800;
     /** A zone that is not found sound, or poor, for so long has to be found so anew. */
     private static final double GAP_MS = 2000;
     /** So many publish what they see at once; the others only if nothing has come of that. */
     private static final int SPEAKERS = 12;
+
     private static final double OTHERS_SPEAK_MS = 1200;
     /** What is seen is published so often at most, but that a zone is lost. */
     private static final double PUBLISH_MS = 400;
-    /** So many carry what others have decided in their own entries: that each does would be news of all at every step. */
+    /**
+     * So many carry what others have decided in their own entries: that each does would be news of all at every step.
+     */
     private static final int CARRIERS = 5;
     /** Who finds that nobody goes on with an operator's order does. */
     private static final double TAKE_OVER_MS = 6000;
     /** The longest that an operator may have a zone left over. */
     public static final double LONGEST_OVER_MS = 75_000;
+
     private static final int MOST_EVENTS = 64;
 
     /**
      * Something that has happened to a zone.
      *
      * @param before the state until then
-     * @param now    the state from now on
-     * @param why    for people
+     * @param now the state from now on
+     * @param why for people
      */
-    public record Event(int zone, ZoneState before, ZoneState now, String why) { }
+    public record Event(int zone, ZoneState before, ZoneState now, String why) {}
 
     /**
      * How a zone stands.
      *
-     * @param open    for so much of its keys, 0 to 1, as this instance's decision module is told
-     * @param state   as decided
-     * @param sight   this instance's own
+     * @param open for so much of its keys, 0 to 1, as this instance's decision module is told
+     * @param state as decided
+     * @param sight this instance's own
      * @param verdict of those who are heard
      * @param sinceMs how long it has been so
-     * @param why     it came to be so
+     * @param why it came to be so
      */
-    public record Status(int zone, double open, ZoneState state, Sight sight, String verdict, double sinceMs, String why) { }
+    public record Status(
+            int zone, double open, ZoneState state, Sight sight, String verdict, double sinceMs, String why) {}
 
     /**
      * What leaving a zone would cost, by what this instance sees now.
      *
      * @param movedPerSecond requests of this instance a second that would go elsewhere; each moved key misses once
-     * @param othersTimes    by how much the load of the other zones' nodes would grow, 1 for not at all
-     * @param allowed        whether the floor still holds then
+     * @param othersTimes by how much the load of the other zones' nodes would grow, 1 for not at all
+     * @param allowed whether the floor still holds then
      */
-    public record Cost(double movedPerSecond, double othersTimes, boolean allowed) { }
+    public record Cost(double movedPerSecond, double othersTimes, boolean allowed) {}
 
     /**
      * What an instance held of a zone, for its next life.
@@ -94,7 +102,7 @@
      * @param state as decided
      * @param floor an epoch that there has been, at least the state's; the next decision goes beyond it
      */
-    public record Held(ZoneState state, int floor) { }
+    public record Held(ZoneState state, int floor) {}
 
     /** One zone. */
     private static final class Part {
@@ -105,6 +113,7 @@
         boolean rising;
         /** It was left though it answered: what speaks for it has to do so for longer. */
         boolean wasPoor;
+
         double changedMs = Double.NEGATIVE_INFINITY;
         String why = "never left";
         Verdict verdict = Verdict.UNSURE;
@@ -116,13 +125,15 @@
         double triedMs = Double.NEGATIVE_INFINITY;
         /** What would be decided now, and since when; null for nothing. */
         ZoneState wish;
+
         double wishedMs;
         /** Between two steps of an order to leave that was given to this instance; 0 if none was. */
         double overStepMs;
+
         double badMs = Double.NaN;
     }
 
-    private record Read(Entry entry, Report report) { }
+    private record Read(Entry entry, Report report) {}
 
     private final ZoneSettings settings;
     private final Observer observer;
@@ -132,6 +143,7 @@
     private Plan plan;
     /** What this instance's entry says of it: at least what it has decided itself. */
     private Plan carried;
+
     private boolean quorum;
     private boolean everQuorum;
     private byte[] sightNote = {};
@@ -155,7 +167,8 @@
     public void answered(double nowMs, int zone, boolean hit) {
         if (zone < parts.size()) {
             observer.answered(nowMs, zone, hit);
-            parts.get(zone).triedMs = Double.NEGATIVE_INFINITY; // one that answers is asked again at once: two answers are wanted
+            parts.get(zone).triedMs =
+                    Double.NEGATIVE_INFINITY; // one that answers is asked again at once: two answers are wanted
         }
     }
 
@@ -174,7 +187,7 @@
     /**
      * What the list says of a zone.
      *
-     * @param ready       its cache nodes that may be sent requests
+     * @param ready its cache nodes that may be sent requests
      * @param coldUntilMs when half of them or more will have been warm; anything in the past if they are
      */
     public void listed(int zone, int ready, double coldUntilMs) {
@@ -186,10 +199,11 @@
     }
 
     /**
-     * Goes on where this instance's last life ended. What held then is heard like any other's word, so whoever knows better
-     * goes before it; where it is too old to hold, only its epoch counts, as the least that a decision goes beyond.
+     * Goes on where this instance's last life ended. What held then is heard like any other's word, so whoever knows
+     * better goes before it; where it is too old to hold, only its epoch counts, as the least that a decision goes
+     * beyond.
      *
-     * @param last  what was held, by zone; others are left alone
+     * @param last what was held, by zone; others are left alone
      * @param holds whether it still may, by its age
      */
     public void remember(double nowMs, Map<Integer, Held> last, boolean holds) {
@@ -221,14 +235,18 @@
 
     // ---- operators
 
-    /** Has a zone left, at once or over a time, until it is returned to or released. An IllegalArgumentException says why not. */
+    /**
+     * Has a zone left, at once or over a time, until it is returned to or released. An IllegalArgumentException says
+     * why not.
+     */
     public void leave(double nowMs, int zone, double overMs) {
         check(zone);
         if (!(overMs >= 0 && overMs <= LONGEST_OVER_MS)) {
             throw new IllegalArgumentException("a zone is left over 0 to " + Math.round(LONGEST_OVER_MS / 1000) + " s");
         }
         if (!plan.bears(zone, 0)) {
-            throw new IllegalArgumentException("without this zone less than a third of all would be open; return to another first");
+            throw new IllegalArgumentException(
+                    "without this zone less than a third of all would be open; return to another first");
         }
         ZoneState s = plan.of(zone);
         int open = overMs == 0 ? 0 : s.open();
@@ -245,14 +263,25 @@
     /** Has a zone stay as it is, whatever is seen of it, until it is released. */
     public void hold(double nowMs, int zone) {
         check(zone);
-        decide(nowMs, zone, plan.of(zone).next(plan.of(zone).open(), Cause.HOLD, plan.of(zone).leaves()),
+        decide(
+                nowMs,
+                zone,
+                plan.of(zone)
+                        .next(plan.of(zone).open(), Cause.HOLD, plan.of(zone).leaves()),
                 "an operator's order here");
     }
 
     /** Takes operators' orders back: what is seen of the zone decides again. */
     public void release(double nowMs, int zone) {
         check(zone);
-        decide(nowMs, zone, plan.of(zone).next(plan.of(zone).open(), Cause.EVIDENCE, plan.of(zone).leaves()),
+        decide(
+                nowMs,
+                zone,
+                plan.of(zone)
+                        .next(
+                                plan.of(zone).open(),
+                                Cause.EVIDENCE,
+                                plan.of(zone).leaves()),
                 "an operator's order here");
     }
 
@@ -270,13 +299,17 @@
             all += parts.get(z).ready * (double) plan.open(z);
         }
         double its = parts.get(zone).ready * (double) plan.open(zone);
-        return new Cost(observer.perSecond(nowMs, zone), all > its ? all / (all - its) : Double.POSITIVE_INFINITY,
+        return new Cost(
+                observer.perSecond(nowMs, zone),
+                all > its ? all / (all - its) : Double.POSITIVE_INFINITY,
                 plan.bears(zone, 0));
     }
 
     // ---- time
 
-    /** Takes the fleet's view, decides what is due, and says what holds for the decision module where that has changed. */
+    /**
+     * Takes the fleet's view, decides what is due, and says what holds for the decision module where that has changed.
+     */
     public List<ZoneOrder> tick(double nowMs, View view) {
         List<Report> reports = new ArrayList<>();
         Set<Integer> homes = new HashSet<>();
@@ -330,7 +363,8 @@
 
     /** Who has just started has met too few to know where the fleet stands. */
     private static boolean knows(View view) {
-        return view.configured() == null || 2 * view.entries().size() > view.configured().count();
+        return view.configured() == null
+                || 2 * view.entries().size() > view.configured().count();
     }
 
     private List<Sight> sights(double nowMs) {
@@ -380,10 +414,15 @@
         }
         int rank = rank(zone, reports);
         if (nowMs - p.wishedMs >= (rank < LAST_TURN ? rank * TURN_MS : OTHERS_TURN_MS)) {
-            decide(nowMs, zone, wish, switch (s.cause()) {
-                case EVIDENCE -> "found " + v.name().toLowerCase(Locale.ROOT) + " by " + reports.size() + " instances";
-                default -> "going on with an operator's order";
-            });
+            decide(
+                    nowMs,
+                    zone,
+                    wish,
+                    switch (s.cause()) {
+                        case EVIDENCE ->
+                            "found " + v.name().toLowerCase(Locale.ROOT) + " by " + reports.size() + " instances";
+                        default -> "going on with an operator's order";
+                    });
         }
     }
 
@@ -394,8 +433,10 @@
         double since = nowMs - p.changedMs;
         return switch (s.cause()) {
             case HOLD -> null;
-            case LEAVE -> s.open() > 0 && since >= (p.overStepMs > 0 ? p.overStepMs : TAKE_OVER_MS)
-                    ? s.next(s.open() - 1, Cause.LEAVE, s.leaves()) : null;
+            case LEAVE ->
+                s.open() > 0 && since >= (p.overStepMs > 0 ? p.overStepMs : TAKE_OVER_MS)
+                        ? s.next(s.open() - 1, Cause.LEAVE, s.leaves())
+                        : null;
             case RETURN -> s.open() == ZoneState.WHOLE ? s.next(s.open(), Cause.EVIDENCE, 0) : up(nowMs, zone, judge);
             case EVIDENCE -> quorum ? byEvidence(nowMs, zone, judge) : null;
         };
@@ -408,19 +449,37 @@
         boolean whole = s.open() == ZoneState.WHOLE;
         return switch (p.verdict) {
             case LOST -> plan.lowered(zone, 0, s.leaves() + 1);
-            case POOR -> nowMs - p.poorMs < Pace.POOR_MS || since < Pace.POOR_MS || !othersWhole(zone) ? null
-                    : plan.lowered(zone, Math.max(0, s.open() - Pace.LEAVE_PARTS), whole || p.rising ? s.leaves() + 1 : s.leaves());
-            case SOUND -> whole ? forget(since, s)
-                    : !p.rising && nowMs - p.soundMs < Pace.patience(s.leaves(), p.wasPoor) ? null : up(nowMs, zone, judge);
-            // The fewer of its keys are left the less is seen of it: what began as poor goes on unless it is found sound.
-            case UNSURE -> whole ? forget(since, s) : s.open() > 0 && p.wasPoor && othersWhole(zone) && since >= 2 * Pace.POOR_MS
-                    && nowMs - p.lastSoundMs > GAP_MS ? plan.lowered(zone, Math.max(0, s.open() - Pace.LEAVE_PARTS), s.leaves()) : null;
+            case POOR ->
+                nowMs - p.poorMs < Pace.POOR_MS || since < Pace.POOR_MS || !othersWhole(zone)
+                        ? null
+                        : plan.lowered(
+                                zone,
+                                Math.max(0, s.open() - Pace.LEAVE_PARTS),
+                                whole || p.rising ? s.leaves() + 1 : s.leaves());
+            case SOUND ->
+                whole
+                        ? forget(since, s)
+                        : !p.rising && nowMs - p.soundMs < Pace.patience(s.leaves(), p.wasPoor)
+                                ? null
+                                : up(nowMs, zone, judge);
+            // The fewer of its keys are left the less is seen of it: what began as poor goes on unless it is found
+            // sound.
+            case UNSURE ->
+                whole
+                        ? forget(since, s)
+                        : s.open() > 0
+                                        && p.wasPoor
+                                        && othersWhole(zone)
+                                        && since >= 2 * Pace.POOR_MS
+                                        && nowMs - p.lastSoundMs > GAP_MS
+                                ? plan.lowered(zone, Math.max(0, s.open() - Pace.LEAVE_PARTS), s.leaves())
+                                : null;
         };
     }
 
     /**
-     * Whether no other zone is left. While one is, the rest have its keys beside their own, and what is slow there is slow for
-     * that: to leave it as well would be to leave one after another.
+     * Whether no other zone is left. While one is, the rest have its keys beside their own, and what is slow there is
+     * slow for that: to leave it as well would be to leave one after another.
      */
     private boolean othersWhole(int zone) {
         for (int z = 0; z < parts.size(); z++) {
@@ -442,7 +501,8 @@
         double step = Pace.stepMs(cold, settings.warmUpMs());
         double since = nowMs - Math.max(p.changedMs, p.soundMs);
         // A tight origin makes the return slower and does not end it: what is left out has others' nodes miss as well.
-        return nowMs - p.changedMs < step || (judge.originTight() && since < Pace.TIGHT_STEPS * step) ? null
+        return nowMs - p.changedMs < step || (judge.originTight() && since < Pace.TIGHT_STEPS * step)
+                ? null
                 : s.next(Math.min(ZoneState.WHOLE, s.open() + Pace.parts(cold)), s.cause(), s.leaves());
     }
 
@@ -473,7 +533,9 @@
         }
     }
 
-    /** By which those who live take turns in deciding of a zone, in speaking of it and in trying it; the same at all. */
+    /**
+     * By which those who live take turns in deciding of a zone, in speaking of it and in trying it; the same at all.
+     */
     private static long turn(int zone, int instance) {
         return Entry.mix(instance ^ zone * 0x9e37_79b9_7f4a_7c15L);
     }
@@ -512,8 +574,11 @@
         for (int z = 0; z < parts.size(); z++) {
             Part p = parts.get(z);
             int open = effective(z);
-            boolean tries = open < ZoneState.WHOLE && quorum && plan.of(z).cause() == Cause.EVIDENCE
-                    && nowMs - p.triedMs >= TRY_MS && tries(z, reports);
+            boolean tries = open < ZoneState.WHOLE
+                    && quorum
+                    && plan.of(z).cause() == Cause.EVIDENCE
+                    && nowMs - p.triedMs >= TRY_MS
+                    && tries(z, reports);
             boolean afresh = open > 0 && (p.ordered == 0 || regained);
             if (tries) {
                 p.triedMs = nowMs;
@@ -532,8 +597,8 @@
     }
 
     /**
-     * What is published of what is seen: nothing while all is well everywhere. Where something is wrong, each says what speaks
-     * against a zone, some say also what speaks for it, and of a zone that is left those who try it.
+     * What is published of what is seen: nothing while all is well everywhere. Where something is wrong, each says what
+     * speaks against a zone, some say also what speaks for it, and of a zone that is left those who try it.
      */
     private void publish(double nowMs, List<Report> reports, List<Sight> sights, Set<Integer> cold, boolean tight) {
         boolean alarm = reports.stream().anyMatch(r -> r.sights().stream().anyMatch(Sight::bad));
@@ -547,7 +612,8 @@
             Sight s = sights.get(z);
             p.badMs = !s.bad() ? Double.NaN : Double.isNaN(p.badMs) ? nowMs : p.badMs;
             boolean whole = plan.of(z).open() == ZoneState.WHOLE;
-            boolean says = s.bad() ? speaks || (nowMs - p.badMs >= OTHERS_SPEAK_MS && plan.open(z) > 0)
+            boolean says = s.bad()
+                    ? speaks || (nowMs - p.badMs >= OTHERS_SPEAK_MS && plan.open(z) > 0)
                     : s == Sight.GOOD && ((alarm && speaks) || (!whole && tries(z, reports)));
             said.add(says ? s : Sight.NONE);
             lost |= says && s == Sight.LOST;
@@ -600,8 +666,14 @@
         List<Status> all = new ArrayList<>();
         for (int z = 0; z < parts.size(); z++) {
             Part p = parts.get(z);
-            all.add(new Status(z, (double) effective(z) / ZoneState.WHOLE, plan.of(z), observer.sight(nowMs, z),
-                    p.verdict.name().toLowerCase(Locale.ROOT), nowMs - p.changedMs, p.why));
+            all.add(new Status(
+                    z,
+                    (double) effective(z) / ZoneState.WHOLE,
+                    plan.of(z),
+                    observer.sight(nowMs, z),
+                    p.verdict.name().toLowerCase(Locale.ROOT),
+                    nowMs - p.changedMs,
+                    p.why));
         }
         return all;
     }
--- a/src/test/java/damsonworks/Await.java
+++ b/src/test/java/damsonworks/Await.java
@@ -13,7 +13,7 @@
         boolean met() throws Exception;
     }
 
-    private Await() { }
+    private Await() {}
 
     /** Returns when the condition is met. */
     public static void until(String what, Condition condition) {
--- a/src/test/java/damsonworks/CarpTest.java
+++ b/src/test/java/damsonworks/CarpTest.java
@@ -113,8 +113,9 @@
     }
 
     /**
-     * The shares that the multipliers give, worked out backwards in double: between two multipliers in a row, all members from
-     * the greater on win alike, and each has what was won up to its own. No product is formed that could leave a float's range.
+     * The shares that the multipliers give, worked out backwards in double: between two multipliers in a row, all
+     * members from the greater on win alike, and each has what was won up to its own. No product is formed that could
+     * leave a float's range.
      */
     private static double[] shares(float[] x) {
         int n = x.length;
--- a/src/test/java/damsonworks/HerdTest.java
+++ b/src/test/java/damsonworks/HerdTest.java
@@ -17,10 +17,11 @@
     private static final double STEP_MS = 10;
 
     private final List<Rig> rigs = new ArrayList<>();
-    private final List<Member> list = List.of(Rig.member(Rig.ORIGIN, State.READY, 0), Rig.member(1, State.READY, 0),
-            Rig.member(2, State.READY, 0));
+    private final List<Member> list = List.of(
+            Rig.member(Rig.ORIGIN, State.READY, 0), Rig.member(1, State.READY, 0), Rig.member(2, State.READY, 0));
     /** Calls of all instances, step by step. */
     private final List<Integer> calls = new ArrayList<>();
+
     private final int[] answered = new int[INSTANCES];
 
     HerdTest() {
@@ -47,7 +48,8 @@
                     boolean served = room >= 1;
                     room -= served ? 1 : 0;
                     answered[i] += served ? 1 : 0;
-                    rig.policy.onList(rig.now, served ? ListKind.FULL : ListKind.FAILED, served ? list : List.of(), rig);
+                    rig.policy.onList(
+                            rig.now, served ? ListKind.FULL : ListKind.FAILED, served ? list : List.of(), rig);
                 }
             }
             calls.add(now);
@@ -57,7 +59,8 @@
     private int most(int steps) {
         int most = 0;
         for (int i = 0; i + steps <= calls.size(); i++) {
-            most = Math.max(most, calls.subList(i, i + steps).stream().mapToInt(c -> c).sum());
+            most = Math.max(
+                    most, calls.subList(i, i + steps).stream().mapToInt(c -> c).sum());
         }
         return most;
     }
@@ -70,7 +73,10 @@
         assertThat(most(20)).as("in 200 ms").isLessThanOrEqualTo(INSTANCES / 4);
     }
 
-    /** Those turned away come back later and later (in step it would be all 48 at once), apart from one another, and serve by the list they know. */
+    /**
+     * Those turned away come back later and later (in step it would be all 48 at once), apart from one another, and
+     * serve by the list they know.
+     */
     @Test
     void whoIsTurnedAwayWaitsLongerAndNotInStep() {
         pass(3000, 0);
@@ -86,6 +92,8 @@
             assertThat(rig.last().server()).isIn(1, 2);
         }
         pass(30_000, 2);
-        assertThat(answered).as("all have the list once discovery takes two calls a second").doesNotContain(0);
+        assertThat(answered)
+                .as("all have the list once discovery takes two calls a second")
+                .doesNotContain(0);
     }
 }
--- a/src/test/java/damsonworks/JarIT.java
+++ b/src/test/java/damsonworks/JarIT.java
@@ -28,8 +28,12 @@
     private Path folder;
 
     private Process start(String command, String config, String... flags) throws IOException {
-        List<String> words = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-Djava.io.tmpdir=" + folder, "-jar", "target/damsonworks.jar", command));
+        List<String> words = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-Djava.io.tmpdir=" + folder,
+                "-jar",
+                "target/damsonworks.jar",
+                command));
         words.addAll(List.of(flags));
         ProcessBuilder builder = new ProcessBuilder(words);
         builder.environment().put("TMPDIR", folder.toString());
@@ -51,7 +55,8 @@
                 return new Socket(InetAddress.getByName("127.0.0.1"), port);
             } catch (IOException e) {
                 if (!process.isAlive()) {
-                    throw new AssertionError("ended: " + new String(process.getErrorStream().readAllBytes(), UTF_8));
+                    throw new AssertionError(
+                            "ended: " + new String(process.getErrorStream().readAllBytes(), UTF_8));
                 }
                 Thread.onSpinWait();
             }
@@ -75,9 +80,13 @@
             script.start();
             int port = freePort();
             Path config = folder.resolve("config.json");
-            Files.writeString(config, Files.readString(Path.of("src/test/resources/config.json"))
-                    .replace("127.0.0.1:0", "127.0.0.1:" + port)
-                    .replace("\"dial\": \"127.0.0.1:9\"", "\"dial\": \"127.0.0.1:" + node.getLocalPort() + "\""));
+            Files.writeString(
+                    config,
+                    Files.readString(Path.of("src/test/resources/config.json"))
+                            .replace("127.0.0.1:0", "127.0.0.1:" + port)
+                            .replace(
+                                    "\"dial\": \"127.0.0.1:9\"",
+                                    "\"dial\": \"127.0.0.1:" + node.getLocalPort() + "\""));
             Process process = start("serve", config.toString());
             try (Socket client = connect(port, process)) {
                 BufferedReader in = new BufferedReader(new InputStreamReader(client.getInputStream(), UTF_8));
@@ -98,21 +107,31 @@
     @Test
     void sighupMovesTheWatchToTheNewDiscovery() throws Exception {
         InetAddress loopback = InetAddress.getByName("127.0.0.1");
-        try (ServerSocket before = new ServerSocket(0, 5, loopback); ServerSocket after = new ServerSocket(0, 5, loopback)) {
+        try (ServerSocket before = new ServerSocket(0, 5, loopback);
+                ServerSocket after = new ServerSocket(0, 5, loopback)) {
             int port = freePort();
             String text = Files.readString(Path.of("src/test/resources/config.json"))
                     .replace("127.0.0.1:0", "127.0.0.1:" + port);
             Path config = folder.resolve("config.json");
-            Files.writeString(config, text.replace("\"discovery\": \"127.0.0.1:9\"",
-                    "\"discovery\": \"127.0.0.1:" + before.getLocalPort() + "\""));
+            Files.writeString(
+                    config,
+                    text.replace(
+                            "\"discovery\": \"127.0.0.1:9\"",
+                            "\"discovery\": \"127.0.0.1:" + before.getLocalPort() + "\""));
             Process process = start("serve", config.toString());
-            try (Socket client = connect(port, process); Socket watch = before.accept()) {
+            try (Socket client = connect(port, process);
+                    Socket watch = before.accept()) {
                 BufferedReader in = new BufferedReader(new InputStreamReader(client.getInputStream(), UTF_8));
                 client.getOutputStream().write("mn\r\n".getBytes(UTF_8));
                 assertThat(in.readLine()).isEqualTo("MN");
-                Files.writeString(config, text.replace("\"discovery\": \"127.0.0.1:9\"",
-                        "\"discovery\": \"127.0.0.1:" + after.getLocalPort() + "\""));
-                new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+                Files.writeString(
+                        config,
+                        text.replace(
+                                "\"discovery\": \"127.0.0.1:9\"",
+                                "\"discovery\": \"127.0.0.1:" + after.getLocalPort() + "\""));
+                new ProcessBuilder("kill", "-HUP", Long.toString(process.pid()))
+                        .start()
+                        .waitFor();
                 try (Socket moved = after.accept()) {
                     assertThat(new BufferedReader(new InputStreamReader(moved.getInputStream(), UTF_8)).readLine())
                             .startsWith("GET /discovery/hosts?since=41&timeout_ms=");
@@ -130,8 +149,10 @@
     void aDrainIsAskedForWatchedTakenBackAndEndsTheProcess() throws Exception {
         int port = freePort();
         Path config = folder.resolve("config.json");
-        Files.writeString(config, Files.readString(Path.of("src/test/resources/config.json"))
-                .replace("127.0.0.1:0", "127.0.0.1:" + port));
+        Files.writeString(
+                config,
+                Files.readString(Path.of("src/test/resources/config.json"))
+                        .replace("127.0.0.1:0", "127.0.0.1:" + port));
         Path control = folder.resolve("control");
         Process process = start("serve", config.toString(), "--control", control.toString());
         String[] at = {"--control", control.toString()};
@@ -141,11 +162,16 @@
             assertThat(in.readLine()).isEqualTo("MN");
             Await.until("the socket is there", () -> Files.exists(control));
             assertThat(output(0, "status", at)).contains("clients=1", "phase=serving");
-            assertThat(output(0, "drain", at[0], at[1], "--deadline", "60s")).startsWith("draining; ").contains(" s to the deadline");
+            assertThat(output(0, "drain", at[0], at[1], "--deadline", "60s"))
+                    .startsWith("draining; ")
+                    .contains(" s to the deadline");
             assertThat(output(0, "drain", at[0], at[1], "--deadline", "90s")).contains("under way already");
-            // Byte by byte: a command that stays half for ten seconds is given up, and seven processes may take that long to start.
+            // Byte by byte: a command that stays half for ten seconds is given up, and seven processes may take that
+            // long to start.
             client.getOutputStream().write('n');
-            new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().waitFor();
+            new ProcessBuilder("kill", "-HUP", Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
             assertThat(output(0, "status", at)).contains("phase=draining");
             assertThat(output(0, "drain", at[0], at[1], "--cancel")).contains("in full service");
             client.getOutputStream().write('\r');
@@ -181,8 +207,9 @@
     void theDemoHoldsItsRulesAndLeavesNothingBehind() throws Exception {
         Path script = folder.resolve("x.faults");
         Files.writeString(script, "500ms node-0 stall 200ms\n1s node-1 reset\n");
-        String[] flags = {"--nodes", "3", "--proxies", "2", "--rate", "40", "--patience", "15", "--fault",
-            script.toString(), "--for"};
+        String[] flags = {
+            "--nodes", "3", "--proxies", "2", "--rate", "40", "--patience", "15", "--fault", script.toString(), "--for"
+        };
         List<String> words = new ArrayList<>(List.of(flags));
         words.add("3s");
         Process process = start("demo", null, words.toArray(String[]::new));
@@ -210,20 +237,41 @@
     void routesAreReloadedUnderLoadAndTheRulesHold() throws Exception {
         Path edge = folder.resolve("edge.conf");
         String pools = "pool even { host = [\"*0\", \"*2\"] }\npool none { host = \"nobody\" }\npool all {}\n";
-        Files.writeString(edge, pools + "route x { class = seg-text pool = even fallback = all }\n"
-                + "route y { class = track-publish pool = none fallback = even }\nroute z { pool = all }\n");
+        Files.writeString(
+                edge,
+                pools + "route x { class = seg-text pool = even fallback = all }\n"
+                        + "route y { class = track-publish pool = none fallback = even }\nroute z { pool = all }\n");
         Path script = folder.resolve("x.faults");
-        Files.writeString(script, "1500ms proxy-0 hup\n1600ms proxy-1 hup\n2500ms proxy-0 hup\n2600ms proxy-1 hup\n"
-                + "2s node-0 reset\n");
-        Process process = start("demo", null, "--nodes", "4", "--proxies", "2", "--rate", "60", "--patience", "15",
-                "--edge", edge.toString(), "--fault", script.toString(), "--for", "5s");
+        Files.writeString(
+                script,
+                "1500ms proxy-0 hup\n1600ms proxy-1 hup\n2500ms proxy-0 hup\n2600ms proxy-1 hup\n"
+                        + "2s node-0 reset\n");
+        Process process = start(
+                "demo",
+                null,
+                "--nodes",
+                "4",
+                "--proxies",
+                "2",
+                "--rate",
+                "60",
+                "--patience",
+                "15",
+                "--edge",
+                edge.toString(),
+                "--fault",
+                script.toString(),
+                "--for",
+                "5s");
         BufferedReader lines = process.inputReader();
         StringBuilder told = new StringBuilder();
-        for (String line; (line = lines.readLine()) != null;) {
+        for (String line; (line = lines.readLine()) != null; ) {
             told.append(line).append('\n');
             if (line.contains("   1.0 s")) {
-                Files.writeString(edge, pools + "route all { pool = even fallback = all }\nroute y { class = seg-text "
-                        + "pool = none fallback = all }\n");
+                Files.writeString(
+                        edge,
+                        pools + "route all { pool = even fallback = all }\nroute y { class = seg-text "
+                                + "pool = none fallback = all }\n");
             } else if (line.contains("   2.0 s")) {
                 Files.writeString(edge, "of no use");
             }
@@ -237,8 +285,23 @@
     void upgradesUnderLoadLoseNothing() throws Exception {
         Path script = folder.resolve("x.faults");
         Files.writeString(script, "1s proxy-0 upgrade\n2s proxy-1 upgrade\n4s proxy-0 upgrade\n");
-        Process process = start("demo", null, "--nodes", "4", "--proxies", "2", "--rate", "60", "--patience", "15",
-                "--lead-in", "1s", "--fault", script.toString(), "--for", "8s");
+        Process process = start(
+                "demo",
+                null,
+                "--nodes",
+                "4",
+                "--proxies",
+                "2",
+                "--rate",
+                "60",
+                "--patience",
+                "15",
+                "--lead-in",
+                "1s",
+                "--fault",
+                script.toString(),
+                "--for",
+                "8s");
         String told = new String(process.getInputStream().readAllBytes(), UTF_8);
         assertThat(process.waitFor()).as(told).isZero();
         assertThat(told).contains("held   LOST", "held   RAN_TWICE").doesNotContain("BROKEN");
@@ -253,8 +316,10 @@
     void whicheverProcessIsKilledSomebodyServes() throws Exception {
         int port = freePort();
         Path config = folder.resolve("config.json");
-        Files.writeString(config, Files.readString(Path.of("src/test/resources/config.json"))
-                .replace("127.0.0.1:0", "127.0.0.1:" + port));
+        Files.writeString(
+                config,
+                Files.readString(Path.of("src/test/resources/config.json"))
+                        .replace("127.0.0.1:0", "127.0.0.1:" + port));
         Process serving = start("serve", config.toString());
         List<Process> all = new ArrayList<>(List.of(serving));
         try {
@@ -292,7 +357,8 @@
         try (Socket client = connect(port, process)) {
             client.setSoTimeout(30_000);
             client.getOutputStream().write("mn\r\n".getBytes(UTF_8));
-            assertThat(new BufferedReader(new InputStreamReader(client.getInputStream(), UTF_8)).readLine()).isEqualTo("MN");
+            assertThat(new BufferedReader(new InputStreamReader(client.getInputStream(), UTF_8)).readLine())
+                    .isEqualTo("MN");
         }
     }
 
@@ -301,13 +367,33 @@
     void theOperatorsDaysInTheDemo() throws Exception {
         Path script = folder.resolve("x.faults");
         Files.writeString(script, "1s proxy-0 retune\n1500ms proxy-1 misfile\n3s proxy-1 retune\n4s proxy-1 retune\n");
-        Process process = start("demo", null, "--nodes", "4", "--proxies", "2", "--rate", "40", "--patience", "15",
-                "--lead-in", "1s", "--values", "4mb:0.03,100kb:0.1", "--upgrade", "2500ms", "--fault",
-                script.toString(), "--for", "6s");
+        Process process = start(
+                "demo",
+                null,
+                "--nodes",
+                "4",
+                "--proxies",
+                "2",
+                "--rate",
+                "40",
+                "--patience",
+                "15",
+                "--lead-in",
+                "1s",
+                "--values",
+                "4mb:0.03,100kb:0.1",
+                "--upgrade",
+                "2500ms",
+                "--fault",
+                script.toString(),
+                "--for",
+                "6s");
         String told = new String(process.getInputStream().readAllBytes(), UTF_8);
         assertThat(process.waitFor()).as(told).isZero();
-        assertThat(told).contains("held   LOST", "held   WRONG_VALUE", "held   RAN_TWICE", " 0 unanswered")
-                .containsPattern("files were taken [1-9].* turned down 1 times").doesNotContain("BROKEN");
+        assertThat(told)
+                .contains("held   LOST", "held   WRONG_VALUE", "held   RAN_TWICE", " 0 unanswered")
+                .containsPattern("files were taken [1-9].* turned down 1 times")
+                .doesNotContain("BROKEN");
     }
 
     /** A target that never answers needs a connection for each request, and there are not as many descriptors. */
@@ -315,15 +401,26 @@
     void aGeneratorShortOfDescriptorsGoesOnWithWhatItHas() throws Exception {
         Path json = folder.resolve("short.json");
         try (ServerSocket target = new ServerSocket(0, 500, InetAddress.getByName("127.0.0.1"))) {
-            String load = String.join(" ", "load --target", "127.0.0.1:" + target.getLocalPort(), "--rate 300 --for 2s",
-                    "--connections 500 --depth 1 --deadline 500ms --json", json.toString());
-            Process process = new ProcessBuilder("sh", "-c", "ulimit -n 100; exec '" + System.getProperty("java.home")
-                    + "/bin/java' -jar target/damsonworks.jar " + load).start();
+            String load = String.join(
+                    " ",
+                    "load --target",
+                    "127.0.0.1:" + target.getLocalPort(),
+                    "--rate 300 --for 2s",
+                    "--connections 500 --depth 1 --deadline 500ms --json",
+                    json.toString());
+            Process process = new ProcessBuilder(
+                            "sh",
+                            "-c",
+                            "ulimit -n 100; exec '" + System.getProperty("java.home")
+                                    + "/bin/java' -jar target/damsonworks.jar " + load)
+                    .start();
             String told = new String(process.getInputStream().readAllBytes(), UTF_8);
             String errors = new String(process.getErrorStream().readAllBytes(), UTF_8);
             assertThat(process.waitFor()).as(told + errors).isIn(0, 3);
             JsonObject report = JsonParser.parseString(Files.readString(json)).getAsJsonObject();
-            assertThat(report.get("requests").getAsLong()).isEqualTo(report.get("unanswered").getAsLong()).isPositive();
+            assertThat(report.get("requests").getAsLong())
+                    .isEqualTo(report.get("unanswered").getAsLong())
+                    .isPositive();
             assertThat(report.get("connections_short").getAsInt()).isGreaterThan(400);
             assertThat(told).contains("ulimit -n");
         }
@@ -332,8 +429,8 @@
     @Test
     void fleetWritesItsAddressesForScripts() throws Exception {
         Path json = folder.resolve("fleet.json");
-        Process process = start("fleet", null, "--nodes", "2", "--proxies", "1", "--held", "1", "--json",
-                json.toString());
+        Process process =
+                start("fleet", null, "--nodes", "2", "--proxies", "1", "--held", "1", "--json", json.toString());
         BufferedReader lines = process.inputReader();
         while (!lines.readLine().contains("interrupt it to end")) {
             // it starts
@@ -367,7 +464,8 @@
     @Test
     void aConfigurationOfNoUseIsToldInOneLine() throws Exception {
         Path broken = folder.resolve("broken.json");
-        for (String text : new String[] {null, "", "{", "[]", "{\"settings\":{}}", "{\"settings\":{},\"listen\":\"x:y\"}"}) {
+        for (String text :
+                new String[] {null, "", "{", "[]", "{\"settings\":{}}", "{\"settings\":{},\"listen\":\"x:y\"}"}) {
             Files.deleteIfExists(broken);
             if (text != null) {
                 Files.writeString(broken, text);
--- a/src/test/java/damsonworks/LabIT.java
+++ b/src/test/java/damsonworks/LabIT.java
@@ -24,10 +24,17 @@
 
     private int lab(String... words) throws IOException, InterruptedException {
         Path out = folder.resolve("out");
-        List<String> all = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                "-jar", "target/damsonworks.jar", "lab"));
+        List<String> all = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-jar",
+                "target/damsonworks.jar",
+                "lab"));
         all.addAll(List.of(words));
-        int code = new ProcessBuilder(all).redirectErrorStream(true).redirectOutput(out.toFile()).start().waitFor();
+        int code = new ProcessBuilder(all)
+                .redirectErrorStream(true)
+                .redirectOutput(out.toFile())
+                .start()
+                .waitFor();
         printed = Files.readString(out);
         return code;
     }
@@ -37,7 +44,9 @@
         for (JsonElement e : outcome.getAsJsonArray("series")) {
             JsonObject row = e.getAsJsonObject();
             int second = row.get("second").getAsInt();
-            sum += second >= from && second < to && row.has(what) ? row.get(what).getAsLong() : 0;
+            sum += second >= from && second < to && row.has(what)
+                    ? row.get(what).getAsLong()
+                    : 0;
         }
         return sum;
     }
@@ -46,10 +55,20 @@
     void cutsAndKillsAreBorneAndSeen() throws Exception {
         Path json = folder.resolve("json");
         Path html = folder.resolve("html");
-        int code = lab("run", "lab/ci-cuts-and-kills.conf", "--json", json.toString(), "--html", html.toString(), "--logs",
+        int code = lab(
+                "run",
+                "lab/ci-cuts-and-kills.conf",
+                "--json",
+                json.toString(),
+                "--html",
+                html.toString(),
+                "--logs",
                 folder.resolve("logs").toString());
         assertThat(code).as(printed).isZero();
-        JsonObject outcome = JsonParser.parseString(Files.readString(json)).getAsJsonArray().get(0).getAsJsonObject();
+        JsonObject outcome = JsonParser.parseString(Files.readString(json))
+                .getAsJsonArray()
+                .get(0)
+                .getAsJsonObject();
         assertThat(outcome.get("judgement").getAsString()).isEqualTo("held");
         assertThat(sum(outcome, "served", 0, 60)).isGreaterThan(400);
         assertThat(Files.readString(html)).contains("zone a is cut off");
@@ -60,7 +79,9 @@
     @Test
     void aZoneThatFailsIsLeftByAllAndReturnedTo() throws Exception {
         Path logs = folder.resolve("logs");
-        assertThat(lab("run", "lab/ci-zone.conf", "--logs", logs.toString())).as("%s", printed).isZero();
+        assertThat(lab("run", "lab/ci-zone.conf", "--logs", logs.toString()))
+                .as("%s", printed)
+                .isZero();
         assertThat(printed).contains("held   left").contains("held   whole").contains("held   leaves     1 ");
     }
 
@@ -68,11 +89,16 @@
     @Test
     void proxiesThatHaveAllDiedComeBackWithWhatTheyKept() throws Exception {
         Path logs = folder.resolve("logs");
-        assertThat(lab("run", "lab/ci-back.conf", "--logs", logs.toString())).as("%s", printed).isZero();
+        assertThat(lab("run", "lab/ci-back.conf", "--logs", logs.toString()))
+                .as("%s", printed)
+                .isZero();
         for (int p = 0; p < 4; p++) {
             String log = Files.readString(logs.resolve("ci-back-1").resolve("proxy-" + p + ".log"));
-            assertThat(log).containsOnlyOnce("state: found").containsPattern("found incarnation .*holds.*, list .*holds")
-                    .doesNotContain("damaged").doesNotContain("by the clock");
+            assertThat(log)
+                    .containsOnlyOnce("state: found")
+                    .containsPattern("found incarnation .*holds.*, list .*holds")
+                    .doesNotContain("damaged")
+                    .doesNotContain("by the clock");
             assertThat(log.split("recovery: serving", -1)).as(log).hasSize(3);
         }
     }
--- a/src/test/java/damsonworks/PolicyTest.java
+++ b/src/test/java/damsonworks/PolicyTest.java
@@ -65,7 +65,9 @@
     }
 
     @ParameterizedTest
-    @EnumSource(value = Outcome.class, names = {"CONNECT_FAILED", "RESET"})
+    @EnumSource(
+            value = Outcome.class,
+            names = {"CONNECT_FAILED", "RESET"})
     void theRunnerUpTakesFailedAndResetConnections(Outcome outcome) {
         Rig rig = Rig.aside().fleet(12);
         rig.read(1, 77);
@@ -75,12 +77,16 @@
         assertThat(runnerUp).isNotIn(top, Rig.ORIGIN);
         rig.read(2, 77);
         if (outcome == Outcome.RESET) {
-            assertThat(rig.last().server()).as("one broken connection is no evidence").isEqualTo(top);
+            assertThat(rig.last().server())
+                    .as("one broken connection is no evidence")
+                    .isEqualTo(top);
             rig.end(rig.last(), outcome);
             assertThat(rig.last().server()).isEqualTo(runnerUp);
             rig.read(3, 77);
         }
-        assertThat(rig.last().server()).as("the key stays with the runner-up while its server is shunned").isEqualTo(runnerUp);
+        assertThat(rig.last().server())
+                .as("the key stays with the runner-up while its server is shunned")
+                .isEqualTo(runnerUp);
     }
 
     @Test
@@ -114,8 +120,10 @@
     @ValueSource(ints = {Rig.SAFE, Rig.KEYED, Rig.UNSAFE})
     void aSilentServerStillLeavesOneAnswerAtTheDeadline(int serviceClass) {
         Rig rig = Rig.aside().fleet(5);
-        rig.policy.onRequest(rig.now, new Request(1, serviceClass, 0, 7, rig.now + 1000, Double.NaN, 0,
-                serviceClass != Rig.SAFE, false), rig);
+        rig.policy.onRequest(
+                rig.now,
+                new Request(1, serviceClass, 0, 7, rig.now + 1000, Double.NaN, 0, serviceClass != Rig.SAFE, false),
+                rig);
         rig.pass(999);
         assertThat(rig.answers()).isZero();
         rig.pass(1);
@@ -153,8 +161,11 @@
     @Test
     void zeroWeightsShareEqually() {
         Rig rig = Rig.aside();
-        rig.policy.onList(rig.now, ListKind.FULL, List.of(new Member(1, 0, 0, 0, State.READY, 0, 0),
-                new Member(2, 0, 0, 0, State.READY, 0, 0)), rig);
+        rig.policy.onList(
+                rig.now,
+                ListKind.FULL,
+                List.of(new Member(1, 0, 0, 0, State.READY, 0, 0), new Member(2, 0, 0, 0, State.READY, 0, 0)),
+                rig);
         Set<Integer> used = new HashSet<>();
         for (int id = 1; id <= 40; id++) {
             rig.read(id, id);
@@ -166,7 +177,9 @@
     // ---- rule 2: no effect twice
 
     @ParameterizedTest
-    @EnumSource(value = Outcome.class, names = {"ERROR", "TIMEOUT", "RESET", "CANCELLED"})
+    @EnumSource(
+            value = Outcome.class,
+            names = {"ERROR", "TIMEOUT", "RESET", "CANCELLED"})
     void anUnsafeRequestThatMayHaveRunIsFailedNotRepeated(Outcome outcome) {
         Rig rig = Rig.aside().fleet(5);
         rig.write(1, Rig.UNSAFE);
@@ -178,7 +191,9 @@
     }
 
     @ParameterizedTest
-    @EnumSource(value = Outcome.class, names = {"FULL", "CONNECT_FAILED"})
+    @EnumSource(
+            value = Outcome.class,
+            names = {"FULL", "CONNECT_FAILED"})
     void anUnsafeRequestKnownNotToHaveRunMayGoAgain(Outcome outcome) {
         Rig rig = Rig.aside().fleet(5);
         rig.write(1, Rig.UNSAFE);
@@ -207,16 +222,20 @@
     }
 
     @ParameterizedTest
-    @EnumSource(value = Group.class, names = {"ZONE", "CELL"})
+    @EnumSource(
+            value = Group.class,
+            names = {"ZONE", "CELL"})
     void aKeyedRequestStaysInItsGroupAndIsNeverRefused(Group group) {
         for (int key = 1; key < 60; key++) {
             Rig rig = new Rig(Rig.settings(false, false, false, group)).fleet(12);
-            rig.policy.onRequest(rig.now, new Request(1, Rig.KEYED, 0, key, rig.now + 1000, Double.NaN, 0, true, false), rig);
+            rig.policy.onRequest(
+                    rig.now, new Request(1, Rig.KEYED, 0, key, rig.now + 1000, Double.NaN, 0, true, false), rig);
             int first = rig.last().server();
             rig.end(rig.last(), Outcome.RESET);
             if (rig.placed.size() > 1) {
                 int then = rig.last().server();
-                assertThat(group == Group.ZONE ? then % 2 : then / 4).isEqualTo(group == Group.ZONE ? first % 2 : first / 4);
+                assertThat(group == Group.ZONE ? then % 2 : then / 4)
+                        .isEqualTo(group == Group.ZONE ? first % 2 : first / 4);
             } else {
                 assertThat(rig.failed).containsExactly(1);
             }
@@ -281,7 +300,9 @@
         return (double) got / own;
     }
 
-    /** Guards warm servers of a fleet that has mostly been replaced: by half its ramp each new one left them too much. */
+    /**
+     * Guards warm servers of a fleet that has mostly been replaced: by half its ramp each new one left them too much.
+     */
     @Test
     void coldServersOfAWholeFleetTakeWhatTheyCanAndThoseOfOneWithServersMissingLess() {
         assertThat(partAtColdServers(20)).isBetween(0.24, 0.34);
@@ -335,7 +356,9 @@
                 cold += rig.last().server() == 1 ? 0 : 1;
             } else {
                 rig.readAgain(id, id);
-                assertThat(rig.last().server()).as("request %d, which a client asks again", id).isEqualTo(1);
+                assertThat(rig.last().server())
+                        .as("request %d, which a client asks again", id)
+                        .isEqualTo(1);
             }
             rig.end(rig.last(), Outcome.OK);
         }
@@ -347,7 +370,9 @@
     void aColdServerTakesLessOfAFleetThatIsAskedForMoreThanItCanDo() {
         assertThat(takenAt(0.3)).isBetween(0.57, 0.73);
         assertThat(takenAt(1.0)).isBetween(0.5, 0.73);
-        assertThat(takenAt(2.5)).as("three times 0.3 of what it can do warm, of 2.5 times that").isBetween(0.28, 0.44);
+        assertThat(takenAt(2.5))
+                .as("three times 0.3 of what it can do warm, of 2.5 times that")
+                .isBetween(0.28, 0.44);
     }
 
     /** Part of its own keys that server 5 gets at half its warm-up, at so much of what the fleet can do. */
@@ -520,8 +545,8 @@
     }
 
     /**
-     * A zone that is cut off is known by three of its servers that say nothing, not by each of them at the cost of a read; one
-     * that answers again opens it.
+     * A zone that is cut off is known by three of its servers that say nothing, not by each of them at the cost of a
+     * read; one that answers again opens it.
      */
     @Test
     void aZoneWhoseServersAllFallSilentIsLeftAlone() {
@@ -632,8 +657,8 @@
     }
 
     /**
-     * An origin that can't be reached for a while, or whose connections break, has not been too busy to answer: once the way
-     * is free, each miss is fetched.
+     * An origin that can't be reached for a while, or whose connections break, has not been too busy to answer: once
+     * the way is free, each miss is fetched.
      */
     @ParameterizedTest
     @EnumSource(names = {"CONNECT_FAILED", "RESET", "NOT_SENT"})
@@ -658,7 +683,10 @@
         }
     }
 
-    /** Where the way to the origin is known to be broken, a read that needs it is told so at once, and not after it tried. */
+    /**
+     * Where the way to the origin is known to be broken, a read that needs it is told so at once, and not after it
+     * tried.
+     */
     @Test
     void whatNeedsAnOriginThatCannotBeReachedIsToldAtOnce() {
         Rig rig = Rig.aside().fleet(5);
@@ -731,8 +759,8 @@
             rig.now += 10;
             int tenant = id % 10 == 0 ? 1 : 0;
             int before = rig.denied.size();
-            rig.policy.onRequest(rig.now, new Request(id, Rig.SAFE, tenant, id, rig.now + 1000, Double.NaN, 0,
-                    false, false), rig);
+            rig.policy.onRequest(
+                    rig.now, new Request(id, Rig.SAFE, tenant, id, rig.now + 1000, Double.NaN, 0, false, false), rig);
             if (rig.denied.size() > before) {
                 refused[tenant]++;
             } else {
@@ -783,7 +811,8 @@
             }
         }
         assertThat(hung).hasSizeBetween(2, 60);
-        assertThat(rig.denied.stream().filter(id -> hung.stream().noneMatch(p -> p.request() == id))).isEmpty();
+        assertThat(rig.denied.stream().filter(id -> hung.stream().noneMatch(p -> p.request() == id)))
+                .isEmpty();
     }
 
     /** A suspect comes back by a trial: the probe's answer, not a client's request, finds out. */
@@ -815,10 +844,13 @@
                 .hasMessageContaining("member 1 is listed twice");
         assertThatThrownBy(() -> rig.change(new Member(8, 0, 0, 0, State.READY, Float.NaN, 0)))
                 .hasMessageContaining("member 8 has weight NaN");
-        assertThatThrownBy(() -> rig.change(new Member(8, 5, 0, 0, State.READY, 1, 0))).hasMessageContaining("zone 5");
-        assertThatThrownBy(() -> rig.policy.onRequest(rig.now, new Request(1, 9, 0, 1, rig.now + 10, 1, 0, false, false), rig))
+        assertThatThrownBy(() -> rig.change(new Member(8, 5, 0, 0, State.READY, 1, 0)))
+                .hasMessageContaining("zone 5");
+        assertThatThrownBy(() ->
+                        rig.policy.onRequest(rig.now, new Request(1, 9, 0, 1, rig.now + 10, 1, 0, false, false), rig))
                 .hasMessageContaining("class 9");
-        assertThatThrownBy(() -> rig.policy.onRequest(rig.now, new Request(1, 0, 3, 1, rig.now + 10, 1, 0, false, false), rig))
+        assertThatThrownBy(() ->
+                        rig.policy.onRequest(rig.now, new Request(1, 0, 3, 1, rig.now + 10, 1, 0, false, false), rig))
                 .hasMessageContaining("tenant 3");
     }
 
@@ -839,7 +871,9 @@
         assertThat(next.policy.avoids(next.now, top)).isTrue();
         next.pass(20_000);
         next.read(2, 77);
-        assertThat(next.probed).as("its time has come as it would have at the other").contains(top);
+        assertThat(next.probed)
+                .as("its time has come as it would have at the other")
+                .contains(top);
     }
 
     @Test
--- a/src/test/java/damsonworks/PolicyZonesTest.java
+++ b/src/test/java/damsonworks/PolicyZonesTest.java
@@ -54,7 +54,10 @@
             stayed += part.get(key).equals(whole.get(key)) ? 1 : 0;
             assertThat(none.get(key) % 2).isZero();
             if (!part.get(key).equals(whole.get(key))) {
-                assertThat(part.get(key)).as("moves once").isEqualTo(none.get(key)).isEqualTo(less.get(key));
+                assertThat(part.get(key))
+                        .as("moves once")
+                        .isEqualTo(none.get(key))
+                        .isEqualTo(less.get(key));
             }
         }
         assertThat((double) stayed / its).isBetween(0.32, 0.48);
@@ -73,7 +76,8 @@
     void aZoneThatIsLeftIsTriedByOneRequestForEachOrder() {
         Rig rig = Rig.aside().fleet(12);
         order(rig, 1, 0, true, false);
-        assertThat(placement(rig).values().stream().filter(s -> s % 2 == 1).count()).isEqualTo(1);
+        assertThat(placement(rig).values().stream().filter(s -> s % 2 == 1).count())
+                .isEqualTo(1);
         order(rig, 1, 0, true, false);
         order(rig, 1, 1, false, false);
         order(rig, 1, 0, false, false);
--- a/src/test/java/damsonworks/RandomRulesTest.java
+++ b/src/test/java/damsonworks/RandomRulesTest.java
@@ -129,8 +129,14 @@
                             gone();
                         }
                     }
-                    case 5 -> policy.onProbed(now, 1 + random.nextInt(12),
-                            random.nextBoolean() ? Outcome.OK : Outcome.TIMEOUT, 3, null, this);
+                    case 5 ->
+                        policy.onProbed(
+                                now,
+                                1 + random.nextInt(12),
+                                random.nextBoolean() ? Outcome.OK : Outcome.TIMEOUT,
+                                3,
+                                null,
+                                this);
                     default -> endSome();
                 }
             }
@@ -138,7 +144,9 @@
                 now += 5;
                 fireTimers();
             }
-            live.forEach(h -> assertThat(h.over).as("request %d was answered", h.request.id()).isTrue());
+            live.forEach(h -> assertThat(h.over)
+                    .as("request %d was answered", h.request.id())
+                    .isTrue());
         }
 
         private void fireTimers() {
@@ -151,15 +159,24 @@
             live.removeIf(h -> h.over && h.out() == 0);
             for (Held h : live) {
                 assertThat(h.over || now <= h.request.dueMs() + cfg.answerGraceMs())
-                        .as("request %d answered by its due time", h.request.id()).isTrue();
+                        .as("request %d answered by its due time", h.request.id())
+                        .isTrue();
             }
         }
 
         private void arrive() {
             Held h = new Held();
             int c = random.nextInt(3);
-            h.request = new Request(nextId++, c, 0, random.nextInt(30), now + 300 + random.nextInt(700),
-                    random.nextBoolean() ? Double.NaN : 10 + random.nextInt(90), 0, c != Rig.SAFE, false);
+            h.request = new Request(
+                    nextId++,
+                    c,
+                    0,
+                    random.nextInt(30),
+                    now + 300 + random.nextInt(700),
+                    random.nextBoolean() ? Double.NaN : 10 + random.nextInt(90),
+                    0,
+                    c != Rig.SAFE,
+                    false);
             h.kind = cfg.classes().get(c);
             held.put(h.request.id(), h);
             live.add(h);
@@ -172,10 +189,18 @@
             if (roll == 0 && cfg.askForList()) {
                 policy.onList(now, ListKind.FAILED, List.of(), this);
             } else if (roll == 1) {
-                send(ListKind.FULL, List.copyOf(list.values().stream().filter(m -> m.state() != State.GONE).toList()));
+                send(
+                        ListKind.FULL,
+                        List.copyOf(list.values().stream()
+                                .filter(m -> m.state() != State.GONE)
+                                .toList()));
             } else {
-                send(ListKind.CHANGES, List.of(Rig.member(cfg.aside() && roll == 2 ? Rig.ORIGIN : id,
-                        State.values()[random.nextInt(3)], random.nextBoolean() ? 0 : now)));
+                send(
+                        ListKind.CHANGES,
+                        List.of(Rig.member(
+                                cfg.aside() && roll == 2 ? Rig.ORIGIN : id,
+                                State.values()[random.nextInt(3)],
+                                random.nextBoolean() ? 0 : now)));
             }
         }
 
@@ -202,8 +227,18 @@
             if (outcome == Outcome.OK) {
                 h.over = true;
             }
-            policy.onAttemptEnd(now, new AttemptEnd(h.request.id(), a, h.servers.get(a), outcome,
-                    now - h.sentAt.get(a), h.over, random.nextInt(4), null), this);
+            policy.onAttemptEnd(
+                    now,
+                    new AttemptEnd(
+                            h.request.id(),
+                            a,
+                            h.servers.get(a),
+                            outcome,
+                            now - h.sentAt.get(a),
+                            h.over,
+                            random.nextInt(4),
+                            null),
+                    this);
         }
 
         @Override
@@ -216,7 +251,9 @@
             assertThat(list.get(server).state()).as(what).isEqualTo(State.READY);
             assertThat(h.servers.size()).as(what + ": attempts").isLessThan(cfg.maxAttempts());
             assertThat(timeoutMs).as(what).isNotNegative();
-            assertThat(h.out() == 0 || cfg.secondCopies()).as(what + " together with another").isTrue();
+            assertThat(h.out() == 0 || cfg.secondCopies())
+                    .as(what + " together with another")
+                    .isTrue();
             int maybe = h.maybeRan();
             if (maybe >= 0) {
                 assertThat(h.kind.effect()).as(what + " again").isNotEqualTo(Effect.UNSAFE);
@@ -228,7 +265,9 @@
                         case ZONE -> first % 2 == server % 2;
                         case CELL -> first / 4 == server / 4;
                     };
-                    assertThat(same).as(what + " stays in the group of " + first).isTrue();
+                    assertThat(same)
+                            .as(what + " stays in the group of " + first)
+                            .isTrue();
                 }
             }
             h.servers.add(server);
@@ -240,7 +279,9 @@
 
         private void answer(int request) {
             assertThat(held).containsKey(request);
-            assertThat(held.get(request).over).as("request %d answered twice", request).isFalse();
+            assertThat(held.get(request).over)
+                    .as("request %d answered twice", request)
+                    .isFalse();
             held.get(request).over = true;
             answered++;
         }
--- a/src/test/java/damsonworks/Rig.java
+++ b/src/test/java/damsonworks/Rig.java
@@ -25,10 +25,10 @@
     static final int UNSAFE = 2;
 
     /** A place order. */
-    record Placed(int request, int attempt, int server, double timeoutMs) { }
+    record Placed(int request, int attempt, int server, double timeoutMs) {}
 
     /** A timer order. */
-    record Timer(double at, int token) { }
+    record Timer(double at, int token) {}
 
     final List<Placed> placed = new ArrayList<>();
     final List<Integer> denied = new ArrayList<>();
@@ -53,8 +53,8 @@
 
     /** Two tenants with these quotas; what they send over them is worth a tenth. */
     static Settings tenants(double first, double second) {
-        return settings(true, false, false, Group.ALL,
-                List.of(new Tenant("a", 0.5, first), new Tenant("b", 0.5, second)));
+        return settings(
+                true, false, false, Group.ALL, List.of(new Tenant("a", 0.5, first), new Tenant("b", 0.5, second)));
     }
 
     /** The same, where what a tenant sends over its quota is worth this part. */
@@ -77,11 +77,37 @@
     }
 
     private static Settings with(Settings s, int me, int instances, double overShareWorth, boolean peers) {
-        return new Settings(me, instances, s.zone(), s.zones(), s.kinds(), s.askForList(), s.aside(),
-                s.originKind(), s.reports(), s.reportNames(), s.worthByWork(), overShareWorth, s.mayCancel(),
-                s.mayProbe(), peers, s.secondCopies(), s.retryAdvice(), s.maxAttempts(), s.maxRetryAfterMs(),
-                s.connectTimeoutMs(), s.drainGraceMs(), s.answerGraceMs(), s.startCapacity(), s.warmUpMs(),
-                s.tipMultiple(), s.fallMs(), s.askWithinMs(), s.originFallMultiple(), s.originFallMs(), s.classes(),
+        return new Settings(
+                me,
+                instances,
+                s.zone(),
+                s.zones(),
+                s.kinds(),
+                s.askForList(),
+                s.aside(),
+                s.originKind(),
+                s.reports(),
+                s.reportNames(),
+                s.worthByWork(),
+                overShareWorth,
+                s.mayCancel(),
+                s.mayProbe(),
+                peers,
+                s.secondCopies(),
+                s.retryAdvice(),
+                s.maxAttempts(),
+                s.maxRetryAfterMs(),
+                s.connectTimeoutMs(),
+                s.drainGraceMs(),
+                s.answerGraceMs(),
+                s.startCapacity(),
+                s.warmUpMs(),
+                s.tipMultiple(),
+                s.fallMs(),
+                s.askWithinMs(),
+                s.originFallMultiple(),
+                s.originFallMs(),
+                s.classes(),
                 s.tenants());
     }
 
@@ -90,8 +116,37 @@
                 new ServiceClass("read", Effect.SAFE, Group.ALL, 0, 300, 1000, 1, 0.2, false),
                 new ServiceClass("save", Effect.KEYED, group, 400, 300, 1000, 1, 0.2, false),
                 new ServiceClass("pay", Effect.UNSAFE, Group.ALL, 0, 300, 1000, 1, 0.2, false));
-        return new Settings(0, 4, 0, 2, 2, ask, aside, aside ? 1 : -1, Reports.NONE, List.of(), false, 0.1, true, true,
-                false, copies, true, 3, 500, 100, 500, 20, 0.3, 8000, 3, 2000, ask ? 10000 : 0, 0, 0, classes,
+        return new Settings(
+                0,
+                4,
+                0,
+                2,
+                2,
+                ask,
+                aside,
+                aside ? 1 : -1,
+                Reports.NONE,
+                List.of(),
+                false,
+                0.1,
+                true,
+                true,
+                false,
+                copies,
+                true,
+                3,
+                500,
+                100,
+                500,
+                20,
+                0.3,
+                8000,
+                3,
+                2000,
+                ask ? 10000 : 0,
+                0,
+                0,
+                classes,
                 tenants);
     }
 
@@ -141,13 +196,14 @@
     }
 
     void end(Placed p, Outcome outcome, boolean over, int note) {
-        policy.onAttemptEnd(now, new AttemptEnd(p.request(), p.attempt(), p.server(), outcome, 10, over, note, null), this);
+        policy.onAttemptEnd(
+                now, new AttemptEnd(p.request(), p.attempt(), p.server(), outcome, 10, over, note, null), this);
     }
 
     /** Ends an attempt with its final answer after so long. */
     void endAfter(Placed p, Outcome outcome, double elapsedMs) {
-        policy.onAttemptEnd(now, new AttemptEnd(p.request(), p.attempt(), p.server(), outcome, elapsedMs, true, 0, null),
-                this);
+        policy.onAttemptEnd(
+                now, new AttemptEnd(p.request(), p.attempt(), p.server(), outcome, elapsedMs, true, 0, null), this);
     }
 
     /** Moves time on, firing the timers that come due, in order. */
--- a/src/test/java/damsonworks/cli/ConfigCommandTest.java
+++ b/src/test/java/damsonworks/cli/ConfigCommandTest.java
@@ -15,6 +15,7 @@
 
     @TempDir
     private Path folder;
+
     private final Terminal terminal = new Terminal();
     private String out;
     private String err;
@@ -39,10 +40,19 @@
     void checkTellsAllMistakesWithTheLineACaretAndAFix() throws IOException {
         Path file = write("a.conf", "pool \"fast\" {}\nroute \"r\" {\n  pool = fats\n  key = 7\n}\n");
         assertThat(run("check", file)).isEqualTo(1);
-        assertThat(err).isEqualTo(String.join("\n", "a.conf:3:10: no pool is called \"fats\"",
-                "     3 |   pool = fats", "       |          ^", "  fix: did you mean fast?",
-                "a.conf:4:9: '7' where a string belongs", "     4 |   key = 7", "       |         ^",
-                "  fix: put it in quotes: \"7\"", "2 mistakes", ""));
+        assertThat(err)
+                .isEqualTo(String.join(
+                        "\n",
+                        "a.conf:3:10: no pool is called \"fats\"",
+                        "     3 |   pool = fats",
+                        "       |          ^",
+                        "  fix: did you mean fast?",
+                        "a.conf:4:9: '7' where a string belongs",
+                        "     4 |   key = 7",
+                        "       |         ^",
+                        "  fix: put it in quotes: \"7\"",
+                        "2 mistakes",
+                        ""));
     }
 
     @Test
@@ -70,7 +80,8 @@
         assertThat(run("format", link)).isZero();
         assertThat(Files.isSymbolicLink(link)).isTrue();
         assertThat(Files.readString(file)).isEqualTo(wanted);
-        assertThat(PosixFilePermissions.toString(Files.getPosixFilePermissions(file))).isEqualTo("rw-r-----");
+        assertThat(PosixFilePermissions.toString(Files.getPosixFilePermissions(file)))
+                .isEqualTo("rw-r-----");
         assertThat(run("format", "--check", link)).isZero();
         assertThat(folder.toFile().list()).containsExactlyInAnyOrder("a.conf", "link");
         Path wrong = write("b.conf", "pool p {");
@@ -80,42 +91,69 @@
 
     @Test
     void diffNamesTheTrafficAndIsSilentWhereNothingChanges() throws IOException {
-        Path a = write("a.conf", "pool p {} policy y { deadline = 1s } route r { key = \"k*\" pool = p policy = y } "
-                + "route old { pool = p }");
-        Path same = write("b.conf", "route old { pool = p } route r { policy = \"y\" pool = p key = \"k*\" } "
-                + "defaults policy { deadline = 1000ms } policy y {} pool p {}");
+        Path a = write(
+                "a.conf",
+                "pool p {} policy y { deadline = 1s } route r { key = \"k*\" pool = p policy = y } "
+                        + "route old { pool = p }");
+        Path same = write(
+                "b.conf",
+                "route old { pool = p } route r { policy = \"y\" pool = p key = \"k*\" } "
+                        + "defaults policy { deadline = 1000ms } policy y {} pool p {}");
         assertThat(run("diff", a, same)).isZero();
         assertThat(out).isEmpty();
-        Path other = write("c.conf", "pool p {} policy y { deadline = 2s } route r { key = \"k*\" pool = p policy = y } "
-                + "route new { pool = p } route x { key = \"x\" class = c pool = p }");
+        Path other = write(
+                "c.conf",
+                "pool p {} policy y { deadline = 2s } route r { key = \"k*\" pool = p policy = y } "
+                        + "route new { pool = p } route x { key = \"x\" class = c pool = p }");
         assertThat(run("diff", a, other)).isEqualTo(1);
-        assertThat(out.replace(folder + "/", "")).isEqualTo(String.join("\n",
-                "~ policy \"y\" (a.conf:1, c.conf:1)", "    deadline: 1000ms -> 2000ms", "    for keys k* (route r)",
-                "= route \"old\" is now called route \"new\"; otherwise alike",
-                "+ route \"x\" (c.conf:1)", "    for key x, class c", ""));
+        assertThat(out.replace(folder + "/", ""))
+                .isEqualTo(String.join(
+                        "\n",
+                        "~ policy \"y\" (a.conf:1, c.conf:1)",
+                        "    deadline: 1000ms -> 2000ms",
+                        "    for keys k* (route r)",
+                        "= route \"old\" is now called route \"new\"; otherwise alike",
+                        "+ route \"x\" (c.conf:1)",
+                        "    for key x, class c",
+                        ""));
         assertThat(run("diff", a, write("d.conf", "x"))).isEqualTo(2);
     }
 
     @Test
     void showTellsWhereEachValueComesFrom() throws IOException {
-        Path file = write("a.conf", "defaults policy { deadline = 1s attempts = 2 }\npool p {}\n"
-                + "policy y { deadline = 3s }\nroute r { pool = p policy = y }\n");
+        Path file = write(
+                "a.conf",
+                "defaults policy { deadline = 1s attempts = 2 }\npool p {}\n"
+                        + "policy y { deadline = 3s }\nroute r { pool = p policy = y }\n");
         assertThat(run("show", "--effective", file)).isZero();
-        assertThat(out.replace(folder + "/", "")).contains("deadline = 3000ms  # instead of 1000ms, a.conf:1",
-                "attempts = 2  # default, a.conf:1", "copies = on  # built in");
+        assertThat(out.replace(folder + "/", ""))
+                .contains(
+                        "deadline = 3000ms  # instead of 1000ms, a.conf:1",
+                        "attempts = 2  # default, a.conf:1",
+                        "copies = on  # built in");
     }
 
     @Test
     void explainTellsRoutePoolServersPolicyAndWhy() throws IOException {
-        Path file = write("a.conf", "pool p { site = tan-thuan } pool q {} policy y { deadline = 3s }\n"
-                + "route k { key = \"k/*\" pool = p fallback = q policy = y } route c { class = seg-text pool = q }");
-        assertThat(run("explain", file, "--key", "k/1", "--class", "seg-text", "--with", PROXY)).isZero();
-        assertThat(out.lines()).containsExactly("route     k (keys k/*)",
-                "          before c (any key, class seg-text): it names keys", "pool      p (site tan-thuan)",
-                "servers   s-5be2a07c", "fallback  q (all servers)", "servers   s-5be2a07c",
-                "policy    y, deadline 3000.0 ms");
+        Path file = write(
+                "a.conf",
+                "pool p { site = tan-thuan } pool q {} policy y { deadline = 3s }\n"
+                        + "route k { key = \"k/*\" pool = p fallback = q policy = y } route c { class = seg-text pool = q }");
+        assertThat(run("explain", file, "--key", "k/1", "--class", "seg-text", "--with", PROXY))
+                .isZero();
+        assertThat(out.lines())
+                .containsExactly(
+                        "route     k (keys k/*)",
+                        "          before c (any key, class seg-text): it names keys",
+                        "pool      p (site tan-thuan)",
+                        "servers   s-5be2a07c",
+                        "fallback  q (all servers)",
+                        "servers   s-5be2a07c",
+                        "policy    y, deadline 3000.0 ms");
         assertThat(run("explain", file, "--key", "x")).isZero();
-        assertThat(out.lines()).containsExactly("route     none matches: all servers, by the settings' own policy",
-                "servers   not known without an instance's configuration (--with)");
+        assertThat(out.lines())
+                .containsExactly(
+                        "route     none matches: all servers, by the settings' own policy",
+                        "servers   not known without an instance's configuration (--with)");
     }
 }
--- a/src/test/java/damsonworks/cli/ModelCommandTest.java
+++ b/src/test/java/damsonworks/cli/ModelCommandTest.java
@@ -17,11 +17,32 @@
     void aDayIsToldAsTableAsJsonAndAsAPage() throws Exception {
         Path json = folder.resolve("m.json");
         Path html = folder.resolve("m.html");
-        assertThat(run("model", "--instances", "4", "--nodes", "8", "--day", "split", "--seed", "3", "--for", "16s", "--json",
-                json.toString(), "--html", html.toString())).as(err).isZero();
-        assertThat(out).contains("split, 4 instances before 8 nodes, seed 3").contains("rules kept")
+        assertThat(run(
+                        "model",
+                        "--instances",
+                        "4",
+                        "--nodes",
+                        "8",
+                        "--day",
+                        "split",
+                        "--seed",
+                        "3",
+                        "--for",
+                        "16s",
+                        "--json",
+                        json.toString(),
+                        "--html",
+                        html.toString()))
+                .as(err)
+                .isZero();
+        assertThat(out)
+                .contains("split, 4 instances before 8 nodes, seed 3")
+                .contains("rules kept")
                 .containsPattern("first tries +[1-9]");
-        JsonObject o = JsonParser.parseString(Files.readString(json)).getAsJsonArray().get(0).getAsJsonObject();
+        JsonObject o = JsonParser.parseString(Files.readString(json))
+                .getAsJsonArray()
+                .get(0)
+                .getAsJsonObject();
         assertThat(o.get("broken").getAsJsonObject().size()).isZero();
         assertThat(o.getAsJsonObject("by_second").getAsJsonArray("served")).hasSize(16);
         assertThat(Files.readString(html)).contains("<svg").contains("connections turned away");
@@ -29,7 +50,8 @@
 
     @Test
     void manySeedsAreSummedUp() {
-        assertThat(run("model", "--instances", "2", "--nodes", "4", "--day", "all", "--seeds", "2", "--for", "3s")).isZero();
+        assertThat(run("model", "--instances", "2", "--nodes", "4", "--day", "all", "--seeds", "2", "--for", "3s"))
+                .isZero();
         assertThat(out).contains("herd   2 seeds").contains("rules broken on 0").doesNotContain("soak");
     }
 
@@ -45,11 +67,13 @@
 
     @Test
     void whatColdNodesAreSentIsToldByCaseAndRamp() {
-        assertThat(run("model", "cold", "--instances", "2", "--nodes", "4", "--case", "late", "--seeds", "2")).isZero();
+        assertThat(run("model", "cold", "--instances", "2", "--nodes", "4", "--case", "late", "--seeds", "2"))
+                .isZero();
         assertThat(out).containsPattern("late +2 +[1-9]\\d* steady").containsPattern("late +2 +[1-9]\\d* late");
         assertThat(run("model", "cold", "--case", "friday")).isEqualTo(2);
-        assertThat(err).contains("there is no case 'friday'; it takes plain, keys, hot_key, burst, repeats, unmarked, "
-                + "uneven, late, all or every");
+        assertThat(err)
+                .contains("there is no case 'friday'; it takes plain, keys, hot_key, burst, repeats, unmarked, "
+                        + "uneven, late, all or every");
         assertThat(run("model", "cold", "--seeds", "0")).isEqualTo(2);
         assertThat(err).contains("1 to 100000 seeds");
     }
--- a/src/test/java/damsonworks/config/ConfigFuzzTest.java
+++ b/src/test/java/damsonworks/config/ConfigFuzzTest.java
@@ -24,8 +24,11 @@
         Configuration c = ConfigFile.read(source, SCHEMA, problems);
         assertThat(problems.all()).hasSizeLessThanOrEqualTo(Problems.MOST);
         long lines = text.chars().filter(x -> x == '\n').count() + 1;
-        assertThat(problems.all()).allMatch(p -> p.place().line() >= 1 && p.place().line() <= lines
-                && p.place().column() >= 1 && p.text().lines().count() >= 3);
+        assertThat(problems.all())
+                .allMatch(p -> p.place().line() >= 1
+                        && p.place().line() <= lines
+                        && p.place().column() >= 1
+                        && p.text().lines().count() >= 3);
         Problems syntax = new Problems();
         String formatted = ConfigFile.format(source, syntax);
         if (formatted == null) {
@@ -33,7 +36,9 @@
             return;
         }
         Problems again = new Problems();
-        assertThat(ConfigFile.format(new Source("y", formatted), again)).as(text).isEqualTo(formatted);
+        assertThat(ConfigFile.format(new Source("y", formatted), again))
+                .as(text)
+                .isEqualTo(formatted);
         Problems after = new Problems();
         Configuration d = ConfigFile.read(new Source("y", formatted), SCHEMA, after);
         assertThat(after.none()).as(formatted).isEqualTo(problems.none());
@@ -44,10 +49,50 @@
 
     @Provide
     Arbitrary<String> soup() {
-        Arbitrary<String> word = Arbitraries.of("pool", "route", "policy", "defaults", "include", "weight", "site",
-                "host", "key", "deadline", "attempts", "copies", "p", "q", "on", "off", "\"a*\"", "\"\"", "\"a", "\"\\n\"",
-                "1s", "300", "20%", "5/s", "-1ms", "=", "{", "}", "[", "]", ",", "# note\n", "#", "\n", "\n\n", " ", "\t",
-                "\r\n", ";", "'", "\u00e9", "\ud83d\ude80", "\0");
+        Arbitrary<String> word = Arbitraries.of(
+                "pool",
+                "route",
+                "policy",
+                "defaults",
+                "include",
+                "weight",
+                "site",
+                "host",
+                "key",
+                "deadline",
+                "attempts",
+                "copies",
+                "p",
+                "q",
+                "on",
+                "off",
+                "\"a*\"",
+                "\"\"",
+                "\"a",
+                "\"\\n\"",
+                "1s",
+                "300",
+                "20%",
+                "5/s",
+                "-1ms",
+                "=",
+                "{",
+                "}",
+                "[",
+                "]",
+                ",",
+                "# note\n",
+                "#",
+                "\n",
+                "\n\n",
+                " ",
+                "\t",
+                "\r\n",
+                ";",
+                "'",
+                "\u00e9",
+                "\ud83d\ude80",
+                "\0");
         return word.list().ofMaxSize(60).map(l -> String.join(" ", l));
     }
 
@@ -66,8 +111,8 @@
     void aSoundFileWithDamage(@ForAll long seed) throws IOException {
         Random random = new Random(seed);
         List<String> files = List.of("all-sections", "comments", "strings", "units", "long-lists");
-        StringBuilder s = new StringBuilder(Files.readString(Path.of("src/test/resources/config/good",
-                files.get(random.nextInt(files.size())) + ".conf")));
+        StringBuilder s = new StringBuilder(Files.readString(
+                Path.of("src/test/resources/config/good", files.get(random.nextInt(files.size())) + ".conf")));
         for (int i = random.nextInt(4); i >= 0; i--) {
             int from = random.nextInt(s.length());
             int to = Math.min(s.length(), from + random.nextInt(12));
--- a/src/test/java/damsonworks/config/CorpusTest.java
+++ b/src/test/java/damsonworks/config/CorpusTest.java
@@ -43,8 +43,14 @@
     private static String told(Problems problems) {
         StringBuilder s = new StringBuilder();
         for (Problem p : problems.all()) {
-            s.append(p.place().line()).append(':').append(p.place().column()).append(' ')
-                    .append(p.message().replace(BROKEN + "/", "")).append(" || ").append(p.fix()).append('\n');
+            s.append(p.place().line())
+                    .append(':')
+                    .append(p.place().column())
+                    .append(' ')
+                    .append(p.message().replace(BROKEN + "/", ""))
+                    .append(" || ")
+                    .append(p.fix())
+                    .append('\n');
         }
         return s.toString();
     }
@@ -53,18 +59,26 @@
     Stream<DynamicTest> eachMistakeIsToldWithItsPlaceAndItsFix() throws IOException {
         List<Path> files = files(BROKEN);
         assertThat(files).hasSizeGreaterThan(200);
-        return files.stream().map(file -> DynamicTest.dynamicTest(file.getFileName().toString(), () -> {
-            StringBuilder expected = new StringBuilder();
-            new String(Files.readAllBytes(file), StandardCharsets.UTF_8).lines().filter(l -> l.startsWith("#= "))
-                    .forEach(l -> expected.append(l.substring(3)).append('\n'));
-            Problems problems = new Problems();
-            ConfigFile.read(file, SCHEMA, problems);
-            assertThat(expected).isNotEmpty();
-            assertThat(told(problems)).isEqualTo(expected.toString());
-            assertThat(problems.all()).allMatch(p -> p.fix() != null && p.place().source().name().endsWith(
-                    file.getFileName().toString()));
-            assertThat(problems.text().lines().filter(l -> l.endsWith("^"))).hasSameSizeAs(problems.all());
-        }));
+        return files.stream()
+                .map(file -> DynamicTest.dynamicTest(file.getFileName().toString(), () -> {
+                    StringBuilder expected = new StringBuilder();
+                    new String(Files.readAllBytes(file), StandardCharsets.UTF_8)
+                            .lines()
+                            .filter(l -> l.startsWith("#= "))
+                            .forEach(l -> expected.append(l.substring(3)).append('\n'));
+                    Problems problems = new Problems();
+                    ConfigFile.read(file, SCHEMA, problems);
+                    assertThat(expected).isNotEmpty();
+                    assertThat(told(problems)).isEqualTo(expected.toString());
+                    assertThat(problems.all())
+                            .allMatch(p -> p.fix() != null
+                                    && p.place()
+                                            .source()
+                                            .name()
+                                            .endsWith(file.getFileName().toString()));
+                    assertThat(problems.text().lines().filter(l -> l.endsWith("^")))
+                            .hasSameSizeAs(problems.all());
+                }));
     }
 
     private static String onOneLine(String text) {
@@ -75,9 +89,14 @@
 
     @Test
     void tenThousandNestedBracesAreToldOnceAndNoOverflow() {
-        assertThat(onOneLine("pool p " + "{ a ".repeat(10_000)).lines()).hasSize(2).last().asString()
+        assertThat(onOneLine("pool p " + "{ a ".repeat(10_000)).lines())
+                .hasSize(2)
+                .last()
+                .asString()
                 .startsWith("1:72 blocks nest more than 16 deep");
-        assertThat(onOneLine("pool p " + "{ ".repeat(10_000) + "}".repeat(10_000)).lines()).hasSizeLessThan(20);
+        assertThat(onOneLine("pool p " + "{ ".repeat(10_000) + "}".repeat(10_000))
+                        .lines())
+                .hasSizeLessThan(20);
         assertThat(onOneLine("pool p { site = " + "[".repeat(10_000))).contains("a list within a list");
         assertThat(onOneLine("}".repeat(10_000)).lines()).hasSize(Problems.MOST);
     }
@@ -150,13 +169,19 @@
         List<Syntax.Item> shuffled = new ArrayList<>();
         for (Syntax.Item item : items) {
             if (item instanceof Syntax.Block b) {
-                shuffled.add(new Syntax.Block(b.place(), b.notes(), b.name(), b.labels(), shuffled(b.items(), random),
-                        b.opening(), b.closing()));
+                shuffled.add(new Syntax.Block(
+                        b.place(),
+                        b.notes(),
+                        b.name(),
+                        b.labels(),
+                        shuffled(b.items(), random),
+                        b.opening(),
+                        b.closing()));
             } else if (item instanceof Syntax.Attribute a && a.value() instanceof Syntax.Listing l) {
                 List<Syntax.Element> elements = new ArrayList<>(l.elements());
                 Collections.shuffle(elements, random);
-                shuffled.add(new Syntax.Attribute(a.place(), a.notes(), a.name(), new Syntax.Listing(l.place(),
-                        elements, l.closing())));
+                shuffled.add(new Syntax.Attribute(
+                        a.place(), a.notes(), a.name(), new Syntax.Listing(l.place(), elements, l.closing())));
             } else {
                 shuffled.add(item);
             }
@@ -188,14 +213,22 @@
     void unitsIncludesAndDefaultsAreNoDifference() throws IOException {
         Configuration units = meaning(GOOD.resolve("units.conf"));
         List<Configuration.Entry> policies = units.of("policy");
-        assertThat(policies).extracting(p -> p.canonical().substring(p.title().length())).hasSize(3)
-                .containsOnly(policies.get(0).canonical().substring(policies.get(0).title().length()));
-        assertThat(Difference.between(meaning(GOOD.resolve("including.conf")), meaning(GOOD.resolve(
-                "including-flat.conf")))).isEmpty();
-        String routes = "pool p {} route a { key = \"a\" pool = p policy = y } route b { key = \"b\" pool = p policy = z }";
+        assertThat(policies)
+                .extracting(p -> p.canonical().substring(p.title().length()))
+                .hasSize(3)
+                .containsOnly(policies.get(0)
+                        .canonical()
+                        .substring(policies.get(0).title().length()));
         assertThat(Difference.between(
-                meaning("defaults policy { attempts = 2 deadline = 1s } policy y { deadline = 60s } policy z {}" + routes),
-                meaning("policy y { attempts = 2 deadline = 1m } policy z { deadline = 1000ms attempts = 2 }" + routes)))
+                        meaning(GOOD.resolve("including.conf")), meaning(GOOD.resolve("including-flat.conf"))))
+                .isEmpty();
+        String routes =
+                "pool p {} route a { key = \"a\" pool = p policy = y } route b { key = \"b\" pool = p policy = z }";
+        assertThat(Difference.between(
+                        meaning("defaults policy { attempts = 2 deadline = 1s } policy y { deadline = 60s } policy z {}"
+                                + routes),
+                        meaning("policy y { attempts = 2 deadline = 1m } policy z { deadline = 1000ms attempts = 2 }"
+                                + routes)))
                 .isEmpty();
     }
 
--- a/src/test/java/damsonworks/config/LoaderTest.java
+++ b/src/test/java/damsonworks/config/LoaderTest.java
@@ -29,9 +29,13 @@
         Problems problems = new Problems();
         List<Syntax.Document> documents = Loader.load(root, problems);
         if (!problems.none()) {
-            return problems.all().stream().map(p -> (p.place() + ": " + p.message()).replace(folder + "/", "")).toList();
+            return problems.all().stream()
+                    .map(p -> (p.place() + ": " + p.message()).replace(folder + "/", ""))
+                    .toList();
         }
-        return documents.stream().map(d -> d.source().name().replace(folder + "/", "")).toList();
+        return documents.stream()
+                .map(d -> d.source().name().replace(folder + "/", ""))
+                .toList();
     }
 
     @Test
@@ -39,7 +43,8 @@
         Path root = write("a", "include \"b\"");
         write("b", "\n  include \"sub/c\"");
         write("sub/c", "include \"../a\"");
-        assertThat(load(root)).containsExactly("sub/c:1:9: a circle of includes: a includes b includes sub/c includes a");
+        assertThat(load(root))
+                .containsExactly("sub/c:1:9: a circle of includes: a includes b includes sub/c includes a");
     }
 
     @Test
@@ -48,8 +53,11 @@
         Files.createDirectories(folder.resolve("sub"));
         Files.createSymbolicLink(folder.resolve("link"), root);
         Files.createLink(folder.resolve("hard"), root);
-        assertThat(load(root)).containsExactly("a:1:9: a circle of includes: a includes link",
-                "a:2:9: a circle of includes: a includes hard", "a:3:9: a circle of includes: a includes a");
+        assertThat(load(root))
+                .containsExactly(
+                        "a:1:9: a circle of includes: a includes link",
+                        "a:2:9: a circle of includes: a includes hard",
+                        "a:3:9: a circle of includes: a includes a");
     }
 
     @Test
@@ -82,11 +90,16 @@
         Path big = folder.resolve("big");
         Files.write(big, new byte[Loader.MAX_FILE + 1]);
         Path root = write("a", "include \"folder\" include \"big\" include \"gone\" include \"nul\\t\"");
-        assertThat(load(root)).containsExactly("a:1:9: folder: it is a folder",
-                "a:1:26: big: it has " + (Loader.MAX_FILE + 1) + " bytes; at most " + Loader.MAX_FILE + " are read",
-                "a:1:40: gone: there is no such file", "a:1:55: nul\t: there is no such file");
-        assertThat(load(folder.resolve("nowhere"))).containsExactly("nowhere:1:1: " + folder.resolve("nowhere")
-                .toString().replace(folder + "/", "") + ": there is no such file");
+        assertThat(load(root))
+                .containsExactly(
+                        "a:1:9: folder: it is a folder",
+                        "a:1:26: big: it has " + (Loader.MAX_FILE + 1) + " bytes; at most " + Loader.MAX_FILE
+                                + " are read",
+                        "a:1:40: gone: there is no such file",
+                        "a:1:55: nul\t: there is no such file");
+        assertThat(load(folder.resolve("nowhere")))
+                .containsExactly("nowhere:1:1: "
+                        + folder.resolve("nowhere").toString().replace(folder + "/", "") + ": there is no such file");
     }
 
     @Test
@@ -94,15 +107,17 @@
         for (int i = 0; i < 40; i++) {
             write("chain" + i, "include \"chain" + (i + 1) + "\"");
         }
-        assertThat(load(folder.resolve("chain0"))).containsExactly("chain" + (Loader.MAX_CHAIN - 1)
-                + ":1:9: too much to read: " + Loader.MAX_CHAIN + " includes within one another");
+        assertThat(load(folder.resolve("chain0")))
+                .containsExactly("chain" + (Loader.MAX_CHAIN - 1) + ":1:9: too much to read: " + Loader.MAX_CHAIN
+                        + " includes within one another");
         StringBuilder many = new StringBuilder();
         for (int i = 0; i <= Loader.MAX_FILES; i++) {
             write("many/" + i, "");
             many.append("include \"many/").append(i).append("\"\n");
         }
-        assertThat(load(write("root", many.toString()))).hasSize(2).allMatch(p -> p.endsWith("too much to read: "
-                + Loader.MAX_FILES + " files"));
+        assertThat(load(write("root", many.toString())))
+                .hasSize(2)
+                .allMatch(p -> p.endsWith("too much to read: " + Loader.MAX_FILES + " files"));
     }
 
     @Test
@@ -112,8 +127,10 @@
         write("c", "\npool p { site = x }");
         Problems problems = new Problems();
         ConfigFile.read(root, EdgeFile.schema(null), problems);
-        assertThat(problems.text().replace(folder + "/", "")).contains(
-                "a:2:18: pool \"p\" could be that of b:1 or that of c:2", "c:2:1: pool \"p\" stands already at b:1");
+        assertThat(problems.text().replace(folder + "/", ""))
+                .contains(
+                        "a:2:18: pool \"p\" could be that of b:1 or that of c:2",
+                        "c:2:1: pool \"p\" stands already at b:1");
     }
 
     // ---- files that change
@@ -123,7 +140,7 @@
         final Map<String, String> files = new HashMap<>();
         final Map<String, Integer> versions = new HashMap<>();
         final List<String> reads = new ArrayList<>();
-        Runnable after = () -> { };
+        Runnable after = () -> {};
 
         void put(String name, String text) {
             files.put(name, text);
@@ -136,8 +153,8 @@
             if (!files.containsKey(name)) {
                 throw new IOException("gone");
             }
-            Loader.Snapshot s = new Loader.Snapshot(name, versions.get(name), files.get(name).getBytes(
-                    StandardCharsets.UTF_8));
+            Loader.Snapshot s = new Loader.Snapshot(
+                    name, versions.get(name), files.get(name).getBytes(StandardCharsets.UTF_8));
             reads.add(name);
             after.run();
             return s;
--- a/src/test/java/damsonworks/control/ControlServerTest.java
+++ b/src/test/java/damsonworks/control/ControlServerTest.java
@@ -33,6 +33,7 @@
 class ControlServerTest {
     @TempDir
     private Path folder;
+
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
     private final EventLoop loop = group.next();
     private final ControlRegistry registry = new ControlRegistry();
@@ -89,7 +90,8 @@
     @Test
     void commandsAndSectionsAnswerAndNobodyElseMayConnect() throws Exception {
         works();
-        assertThat(PosixFilePermissions.toString(Files.getPosixFilePermissions(path))).isEqualTo("rw-------");
+        assertThat(PosixFilePermissions.toString(Files.getPosixFilePermissions(path)))
+                .isEqualTo("rw-------");
         try (var files = Files.list(folder)) {
             assertThat(files).containsExactly(path);
         }
@@ -104,8 +106,17 @@
     void whatIsNoRequestIsToldAndTheConnectionGoesOn() throws Exception {
         try (SocketChannel channel = raw("nonsense\n[1]\n{\n{}\n{\"v\":2,\"command\":\"echo\"}\n{\"v\":\"1\"}\n"
                 + "{\"v\":1,\"command\":[]}\n{\"v\":1,\"command\":\"no\"}\n{\"v\":1,\"command\":\"echo\"}\n")) {
-            String[] words = {"not a JSON", "not a JSON", "not a JSON", "version 1", "version 1", "version 1",
-                "no command", "there are: echo", "\"ok\":true"};
+            String[] words = {
+                "not a JSON",
+                "not a JSON",
+                "not a JSON",
+                "version 1",
+                "version 1",
+                "version 1",
+                "no command",
+                "there are: echo",
+                "\"ok\":true"
+            };
             for (String word : words) {
                 assertThat(line(channel)).contains(word);
             }
@@ -134,13 +145,18 @@
         for (SocketChannel channel : silent) {
             channel.configureBlocking(false);
         }
-        Await.until("the oldest have made room", () -> silent.stream().filter(c -> {
-            try {
-                return c.read(ByteBuffer.allocate(1)) < 0;
-            } catch (IOException e) {
-                return true;
-            }
-        }).count() >= 101 - ControlServer.MAX_CONNECTIONS);
+        Await.until(
+                "the oldest have made room",
+                () -> silent.stream()
+                                .filter(c -> {
+                                    try {
+                                        return c.read(ByteBuffer.allocate(1)) < 0;
+                                    } catch (IOException e) {
+                                        return true;
+                                    }
+                                })
+                                .count()
+                        >= 101 - ControlServer.MAX_CONNECTIONS);
         works();
         for (SocketChannel channel : silent) {
             channel.close();
--- a/src/test/java/damsonworks/control/DoorTest.java
+++ b/src/test/java/damsonworks/control/DoorTest.java
@@ -30,8 +30,8 @@
 
     @BeforeEach
     void open() throws Exception {
-        registry.figures(() -> List.of(new Figure("succeeded.read", Kind.COUNT, 812),
-                new Figure("outstanding", Kind.GAUGE, 14)));
+        registry.figures(() ->
+                List.of(new Figure("succeeded.read", Kind.COUNT, 812), new Figure("outstanding", Kind.GAUGE, 14)));
         door = new Door(loop, new InetSocketAddress("127.0.0.1", 0), registry);
     }
 
@@ -59,8 +59,8 @@
     void aCallIsAnsweredAndItsConnectionEnds() throws Exception {
         assertThat(ask("HEALTH\r\n")).isEqualTo("OK\n");
         assertThat(ask("HEALTH\n")).isEqualTo("OK\n");
-        assertThat(ask("DUMP\r\n")).isEqualTo(
-                "edge_balancer.succeeded.read:812|c\nedge_balancer.outstanding:14|g\nEND\n");
+        assertThat(ask("DUMP\r\n"))
+                .isEqualTo("edge_balancer.succeeded.read:812|c\nedge_balancer.outstanding:14|g\nEND\n");
     }
 
     @Test
@@ -76,7 +76,10 @@
 
     @Test
     void whatIsNoCallIsToldSo() throws Exception {
-        assertThat(ask("HELP\r\n")).startsWith("ERR").contains("DUMP, HANDOVER, HEALTH").endsWith("\n");
+        assertThat(ask("HELP\r\n"))
+                .startsWith("ERR")
+                .contains("DUMP, HANDOVER, HEALTH")
+                .endsWith("\n");
         assertThat(ask("\r\n")).startsWith("ERR");
         assertThat(ask("x".repeat(Door.MAX_LINE + 10))).startsWith("ERR").contains("256 bytes");
     }
@@ -96,8 +99,9 @@
                     assertThat(ask("HEALTH\r\n")).isEqualTo("OK\n");
                 }
             }
-            Await.until("most have been ended", () -> silent.stream().filter(DoorTest::ended).count()
-                    >= 300 - Door.MAX_CALLERS);
+            Await.until(
+                    "most have been ended",
+                    () -> silent.stream().filter(DoorTest::ended).count() >= 300 - Door.MAX_CALLERS);
             assertThat(ask("HEALTH\r\n")).isEqualTo("OK\n");
         } finally {
             for (Socket s : silent) {
@@ -120,7 +124,8 @@
 
     @Test
     void statusShowsTheSameFigures() {
-        String status = loop.submit(() -> registry.answer("{\"v\":1,\"command\":\"status\"}")).syncUninterruptibly()
+        String status = loop.submit(() -> registry.answer("{\"v\":1,\"command\":\"status\"}"))
+                .syncUninterruptibly()
                 .getNow();
         assertThat(status).contains("\"figures\":{\"succeeded.read\":812,\"outstanding\":14}");
     }
--- a/src/test/java/damsonworks/demo/BrokenProxy.java
+++ b/src/test/java/damsonworks/demo/BrokenProxy.java
@@ -23,8 +23,16 @@
 final class BrokenProxy implements Closeable {
     /** What is wrong with it. */
     enum Breach {
-        NONE, LOSES_ANSWERS, ANSWERS_TWICE, REPEATS_WRITES, REFUSES_WHAT_RAN, KEEPS_VALUES, MIXES_KEYS, CUTS_VALUES,
-        IGNORES_DRAINS, FLOODS_COLD_NODES
+        NONE,
+        LOSES_ANSWERS,
+        ANSWERS_TWICE,
+        REPEATS_WRITES,
+        REFUSES_WHAT_RAN,
+        KEEPS_VALUES,
+        MIXES_KEYS,
+        CUTS_VALUES,
+        IGNORES_DRAINS,
+        FLOODS_COLD_NODES
     }
 
     private final StandInFleet fleet;
@@ -72,7 +80,7 @@
 
     private static String line(InputStream in) throws IOException {
         ByteArrayOutputStream line = new ByteArrayOutputStream();
-        for (int b; (b = in.read()) != '\n';) {
+        for (int b; (b = in.read()) != '\n'; ) {
             if (b < 0) {
                 throw new IOException("ended");
             }
@@ -93,7 +101,7 @@
     private void serve(Socket client) throws IOException {
         try (client) {
             InputStream in = new BufferedInputStream(client.getInputStream());
-            for (int n = 1;; n++) {
+            for (int n = 1; ; n++) {
                 String command = line(in);
                 String key = command.split(" ")[1];
                 String id = word(command, 'O');
@@ -107,8 +115,9 @@
                 if (breach == Breach.LOSES_ANSWERS && n % 5 == 0) {
                     continue;
                 }
-                client.getOutputStream().write((breach == Breach.ANSWERS_TWICE && n % 5 == 0 ? answer + answer
-                        : answer).getBytes(StandardCharsets.ISO_8859_1));
+                client.getOutputStream()
+                        .write((breach == Breach.ANSWERS_TWICE && n % 5 == 0 ? answer + answer : answer)
+                                .getBytes(StandardCharsets.ISO_8859_1));
             }
         }
     }
@@ -128,7 +137,8 @@
     }
 
     private String fetch(String command, String key, String id) throws IOException {
-        int at = breach == Breach.IGNORES_DRAINS || breach == Breach.FLOODS_COLD_NODES ? 0
+        int at = breach == Breach.IGNORES_DRAINS || breach == Breach.FLOODS_COLD_NODES
+                ? 0
                 : Math.floorMod(key.hashCode(), nodes.size());
         try (Socket node = new Socket(nodes.get(at).getAddress(), nodes.get(at).getPort())) {
             InputStream in = new BufferedInputStream(node.getInputStream());
@@ -153,8 +163,10 @@
     private String origin(String method, String key, String id, String extras) throws IOException {
         InetSocketAddress to = fleet.originAddress();
         try (Socket socket = new Socket(to.getAddress(), to.getPort())) {
-            socket.getOutputStream().write((method + " /" + key + " HTTP/1.1\r\nHost: o\r\nReq-Id: " + id
-                    + "\r\nReq-Extra: " + extras + "\r\nContent-Length: 0\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
+            socket.getOutputStream()
+                    .write((method + " /" + key + " HTTP/1.1\r\nHost: o\r\nReq-Id: " + id + "\r\nReq-Extra: " + extras
+                                    + "\r\nContent-Length: 0\r\n\r\n")
+                            .getBytes(StandardCharsets.ISO_8859_1));
             InputStream in = new BufferedInputStream(socket.getInputStream());
             int length = 0;
             for (String line = line(in); !line.isEmpty(); line = line(in)) {
--- a/src/test/java/damsonworks/demo/OracleCatchesTest.java
+++ b/src/test/java/damsonworks/demo/OracleCatchesTest.java
@@ -28,18 +28,33 @@
 @Timeout(60)
 class OracleCatchesTest {
     private static final List<TrafficClass> CLASSES = TrafficClass.mix("seg-text=3,fix-submit=1:unsafe", 4000);
-    private static final FleetSpec SPEC = FleetSpec.standard(2, 1, 1).withClasses(CLASSES).withWork(0, 0).withHeld(0)
-            .withBounds(1000, 10_000, 1000, 60).withTimes(0, 60_000, 50, 1000);
+    private static final FleetSpec SPEC = FleetSpec.standard(2, 1, 1)
+            .withClasses(CLASSES)
+            .withWork(0, 0)
+            .withHeld(0)
+            .withBounds(1000, 10_000, 1000, 60)
+            .withTimes(0, 60_000, 50, 1000);
 
     private static Oracle.Verdict drive(StandInFleet fleet, Breach breach, int connections) throws Exception {
         try (BrokenProxy proxy = new BrokenProxy(fleet, breach)) {
-            Generator.Settings settings = new Generator.Settings(List.of(proxy.address()), CLASSES, connections, 8, 10_000,
-                    0, 0, 10, 1);
-            try (Generator generator = new Generator(settings, new SyntheticWorkload(new SyntheticWorkload.Settings(
-                    100, 1, Shape.STEADY, SyntheticWorkload.Arrivals.CONSTANT, 8, 1, 0, ValueSizes.of(10), CLASSES,
-                    1)),
+            Generator.Settings settings =
+                    new Generator.Settings(List.of(proxy.address()), CLASSES, connections, 8, 10_000, 0, 0, 10, 1);
+            try (Generator generator = new Generator(
+                    settings,
+                    new SyntheticWorkload(new SyntheticWorkload.Settings(
+                            100,
+                            1,
+                            Shape.STEADY,
+                            SyntheticWorkload.Arrivals.CONSTANT,
+                            8,
+                            1,
+                            0,
+                            ValueSizes.of(10),
+                            CLASSES,
+                            1)),
                     new OracleObserver(fleet, port -> 0))) {
-                assertThat(generator.start().get(50, TimeUnit.SECONDS).requests()).isBetween(99L, 100L);
+                assertThat(generator.start().get(50, TimeUnit.SECONDS).requests())
+                        .isBetween(99L, 100L);
             }
             fleet.awaitGrace();
             return fleet.verdict();
@@ -47,8 +62,13 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"REPEATS_WRITES,RAN_TWICE", "REFUSES_WHAT_RAN,REFUSED_AND_RAN", "KEEPS_VALUES,STALE",
-        "MIXES_KEYS,WRONG_VALUE", "CUTS_VALUES,WRONG_VALUE"})
+    @CsvSource({
+        "REPEATS_WRITES,RAN_TWICE",
+        "REFUSES_WHAT_RAN,REFUSED_AND_RAN",
+        "KEEPS_VALUES,STALE",
+        "MIXES_KEYS,WRONG_VALUE",
+        "CUTS_VALUES,WRONG_VALUE"
+    })
     void aProxyThatBreaksOneRule(Breach breach, Rule rule) throws Exception {
         try (StandInFleet fleet = new StandInFleet(SPEC)) {
             assertThat(drive(fleet, breach, 8).breaches()).containsOnlyKeys(rule);
@@ -85,7 +105,7 @@
     @Test
     void aProxyThatSendsOnToADrainingNode() throws Exception {
         try (StandInFleet fleet = new StandInFleet(SPEC)) {
-            fleet.play(List.of(new Fault(0, "node-0", Fault.Action.DRAIN, 0, 0)), (p, f) -> { });
+            fleet.play(List.of(new Fault(0, "node-0", Fault.Action.DRAIN, 0, 0)), (p, f) -> {});
             awaitTold(fleet, "draining");
             assertThat(drive(fleet, Breach.IGNORES_DRAINS, 8).breaches()).containsOnlyKeys(Rule.SENT_AFTER_DRAIN);
         }
@@ -94,8 +114,10 @@
     @Test
     void aProxyThatFloodsAColdNode() throws Exception {
         try (StandInFleet fleet = new StandInFleet(SPEC.withWork(100, 0))) {
-            fleet.play(List.of(new Fault(0, "node-0", Fault.Action.RESTART, 0, 0)), (p, f) -> { });
-            awaitTold(fleet, "\"born_ms\":" + Long.toString(System.currentTimeMillis()).charAt(0));
+            fleet.play(List.of(new Fault(0, "node-0", Fault.Action.RESTART, 0, 0)), (p, f) -> {});
+            awaitTold(
+                    fleet,
+                    "\"born_ms\":" + Long.toString(System.currentTimeMillis()).charAt(0));
             assertThat(drive(fleet, Breach.FLOODS_COLD_NODES, 8).breaches()).containsKey(Rule.PUSHED_OVER);
         }
     }
@@ -103,8 +125,12 @@
     @Test
     void aNodeThatKeepsWhatAWriteHasVoided() throws Exception {
         try (StandInFleet fleet = new StandInFleet(SPEC)) {
-            fleet.play(List.of(new Fault(0, "node-0", Fault.Action.STALE, 60_000, 0),
-                    new Fault(0, "node-1", Fault.Action.STALE, 60_000, 0)), (p, f) -> { }).get();
+            fleet.play(
+                            List.of(
+                                    new Fault(0, "node-0", Fault.Action.STALE, 60_000, 0),
+                                    new Fault(0, "node-1", Fault.Action.STALE, 60_000, 0)),
+                            (p, f) -> {})
+                    .get();
             assertThat(drive(fleet, Breach.NONE, 8).breaches()).containsOnlyKeys(Rule.STALE);
         }
     }
--- a/src/test/java/damsonworks/drain/DrainTest.java
+++ b/src/test/java/damsonworks/drain/DrainTest.java
@@ -156,15 +156,33 @@
     // ---- any interleaving
 
     /** What can happen at one step of 20 ms. */
-    enum Step { NOTHING, CONNECT, REQUEST, ANSWER, CLIENT_LEAVES, DRAIN, DRAIN_SHORT, CANCEL, TERMINATE }
+    enum Step {
+        NOTHING,
+        CONNECT,
+        REQUEST,
+        ANSWER,
+        CLIENT_LEAVES,
+        DRAIN,
+        DRAIN_SHORT,
+        CANCEL,
+        TERMINATE
+    }
 
     @Provide
     Arbitrary<List<Step>> steps() {
-        return Arbitraries.frequency(Tuple.of(6, Step.NOTHING), Tuple.of(4, Step.CONNECT),
-                Tuple.of(4, Step.REQUEST), Tuple.of(4, Step.ANSWER),
-                Tuple.of(1, Step.CLIENT_LEAVES), Tuple.of(1, Step.DRAIN),
-                Tuple.of(1, Step.DRAIN_SHORT), Tuple.of(1, Step.CANCEL),
-                Tuple.of(1, Step.TERMINATE)).list().ofMinSize(50).ofMaxSize(200);
+        return Arbitraries.frequency(
+                        Tuple.of(6, Step.NOTHING),
+                        Tuple.of(4, Step.CONNECT),
+                        Tuple.of(4, Step.REQUEST),
+                        Tuple.of(4, Step.ANSWER),
+                        Tuple.of(1, Step.CLIENT_LEAVES),
+                        Tuple.of(1, Step.DRAIN),
+                        Tuple.of(1, Step.DRAIN_SHORT),
+                        Tuple.of(1, Step.CANCEL),
+                        Tuple.of(1, Step.TERMINATE))
+                .list()
+                .ofMinSize(50)
+                .ofMaxSize(200);
     }
 
     /**
@@ -173,8 +191,8 @@
      * every request is answered once, and after the end nothing is open.
      */
     @Property(tries = 500, seed = "21")
-    void everyInterleavingKeepsItsPromises(@ForAll("steps") List<Step> steps,
-            @ForAll @IntRange(min = 0, max = 30) int first) {
+    void everyInterleavingKeepsItsPromises(
+            @ForAll("steps") List<Step> steps, @ForAll @IntRange(min = 0, max = 30) int first) {
         Drain machine = new Drain();
         int idle = first;
         int busy = 0;
@@ -208,17 +226,26 @@
                 case CLIENT_LEAVES -> {
                     idle -= idle > 0 ? 1 : 0;
                 }
-                case DRAIN -> bound = Math.min(bound, now + machine.begin(now, DrainPlan.asked(4000)).deadlineLeftMs());
+                case DRAIN ->
+                    bound = Math.min(
+                            bound,
+                            now + machine.begin(now, DrainPlan.asked(4000)).deadlineLeftMs());
                 case DRAIN_SHORT ->
-                    bound = Math.min(bound, now + machine.begin(now, DrainPlan.asked(300)).deadlineLeftMs());
+                    bound = Math.min(
+                            bound,
+                            now + machine.begin(now, DrainPlan.asked(300)).deadlineLeftMs());
                 case TERMINATE ->
-                    bound = Math.min(bound, now + machine.begin(now, DrainPlan.terminated(500, 1000)).deadlineLeftMs());
+                    bound = Math.min(
+                            bound,
+                            now
+                                    + machine.begin(now, DrainPlan.terminated(500, 1000))
+                                            .deadlineLeftMs());
                 case CANCEL -> {
                     if (machine.cancel() == null) {
                         bound = Double.POSITIVE_INFINITY;
                     }
                 }
-                default -> { }
+                default -> {}
             }
             Orders orders = machine.tick(now, new Counts(busy, idle + busy, idle, answered));
             assertThat(orders.endIdle()).isBetween(0, idle);
--- a/src/test/java/damsonworks/figures/FleetWorkTest.java
+++ b/src/test/java/damsonworks/figures/FleetWorkTest.java
@@ -40,7 +40,9 @@
         String text = line("p0", 1, 5000, 7, avoided("1")).text();
         FleetWork work = new FleetWork();
         for (int end = WorkLine.MARK.length() + 1; end < text.length(); end++) {
-            assertThat(WorkLine.parse(text.substring(0, end))).as(text.substring(0, end)).isEmpty();
+            assertThat(WorkLine.parse(text.substring(0, end)))
+                    .as(text.substring(0, end))
+                    .isEmpty();
             work.add(text.substring(0, end));
         }
         work.add("no figures at all");
@@ -49,8 +51,10 @@
     }
 
     @Property(seed = "1", tries = 100)
-    void theLastLineOfEachProcessCountsInWhateverOrderTheyCome(@ForAll @IntRange(min = 1, max = 72) int proxies,
-            @ForAll @IntRange(min = 1, max = 8) int times, @ForAll long seed) {
+    void theLastLineOfEachProcessCountsInWhateverOrderTheyCome(
+            @ForAll @IntRange(min = 1, max = 72) int proxies,
+            @ForAll @IntRange(min = 1, max = 8) int times,
+            @ForAll long seed) {
         List<WorkLine> lines = new ArrayList<>();
         for (int p = 0; p < proxies; p++) {
             for (int t = 1; t <= times; t++) {
@@ -76,8 +80,8 @@
         work.add(line("p0", 1, 5000, 0));
         work.add(line("p1", 1, 6500, 0, avoided("b")));
         work.add(line("p0", 1, 9000, 0, avoided("a"))); // another time
-        assertThat(work.left()).containsExactly(new Left("a", 2000, 2500, 2), new Left("b", 4500, 0, 1),
-                new Left("a", 9000, 0, 1));
+        assertThat(work.left())
+                .containsExactly(new Left("a", 2000, 2500, 2), new Left("b", 4500, 0, 1), new Left("a", 9000, 0, 1));
         assertThat(work.left()).as("asked again").hasSize(3);
     }
 
@@ -94,6 +98,9 @@
         List<Node> many = Collections.nCopies(10 * WorkLine.MAX_NODES, avoided("ffffffff"));
         assertThat(new WorkLine("p", 1, 1, 1, 1, 1, Map.of(), many).nodes()).hasSize(WorkLine.MAX_NODES);
         List<Node> all = Collections.nCopies(1100, avoided("ffffffff"));
-        assertThat(WorkLine.parse(new WorkLine("p", 1, 1, 1, 1, 1, Map.of(), all).text()).orElseThrow().nodes()).hasSize(1100);
+        assertThat(WorkLine.parse(new WorkLine("p", 1, 1, 1, 1, 1, Map.of(), all).text())
+                        .orElseThrow()
+                        .nodes())
+                .hasSize(1100);
     }
 }
--- a/src/test/java/damsonworks/fleet/LinksTest.java
+++ b/src/test/java/damsonworks/fleet/LinksTest.java
@@ -32,7 +32,10 @@
 
     @BeforeEach
     void start() {
-        fleet = new StandInFleet(FleetSpec.standard(1, 2, 1).withWork(0, 0).withHeld(1).withTimes(0, 60_000, 100, 50)
+        fleet = new StandInFleet(FleetSpec.standard(1, 2, 1)
+                .withWork(0, 0)
+                .withHeld(1)
+                .withTimes(0, 60_000, 100, 50)
                 .withLayout(new Layout(List.of("a", "b"), 0, true, Set.of())));
     }
 
@@ -57,21 +60,25 @@
 
     private static void neverComesUp(InetSocketAddress to) {
         assertThatThrownBy(() -> {
-            try (Socket socket = new Socket()) {
-                socket.connect(to, 200);
-            }
-        }).isInstanceOf(SocketTimeoutException.class);
+                    try (Socket socket = new Socket()) {
+                        socket.connect(to, 200);
+                    }
+                })
+                .isInstanceOf(SocketTimeoutException.class);
     }
 
     private long attempts(int proxy) {
-        return fleet.rows().stream().filter(r -> r.proxy() == proxy)
-                .mapToLong(r -> r.counts().getOrDefault(Series.What.ATTEMPTS, 0L)).sum();
+        return fleet.rows().stream()
+                .filter(r -> r.proxy() == proxy)
+                .mapToLong(r -> r.counts().getOrDefault(Series.What.ATTEMPTS, 0L))
+                .sum();
     }
 
     @Test
     void whatIsCutSaysNothingAndNoNewConnectionComesUpUntilItIsWhole() throws Exception {
         InetSocketAddress to = fleet.nodes(0).get("node-0");
-        try (Peer cut = node(0); Peer other = node(1)) {
+        try (Peer cut = node(0);
+                Peer other = node(1)) {
             served(cut, "1");
             fault(NODE, PROXY, false, Way.CUT, 1500);
             cut.read(KEY, "2");
@@ -91,7 +98,8 @@
     void whatDiesBehindACutRefusesOnlyOnceTheWayIsWhole() throws Exception {
         InetSocketAddress to = fleet.nodes(0).get("node-0");
         fault(NODE, PROXY, false, Way.CUT, 1500);
-        fleet.play(List.of(new Fault(0, "node-0", Fault.Action.LEAVE, 0, 0)), (p, f) -> { }).get();
+        fleet.play(List.of(new Fault(0, "node-0", Fault.Action.LEAVE, 0, 0)), (p, f) -> {})
+                .get();
         neverComesUp(to);
         Await.until("it refuses", () -> {
             try (Socket socket = new Socket()) {
@@ -107,7 +115,8 @@
 
     @Test
     void onAOneWayCutRequestsArriveAndAnswersDoNot() throws Exception {
-        try (Peer cut = node(0); Peer other = node(1)) {
+        try (Peer cut = node(0);
+                Peer other = node(1)) {
             served(cut, "0"); // it is up by then
             fault(NODE, PROXY, true, Way.CUT, 1500);
             cut.read(KEY, "1");
@@ -120,7 +129,8 @@
 
     @Test
     void aSlowLinkTakesItsTimeAndKeepsTheOrder() throws Exception {
-        try (Peer slow = node(0); Peer other = node(1)) {
+        try (Peer slow = node(0);
+                Peer other = node(1)) {
             fault(NODE, PROXY, false, new Way(false, 60, 40, 0, 0, 0, 0, 0), LONG);
             long before = System.nanoTime();
             for (int i = 0; i < 5; i++) {
@@ -150,7 +160,8 @@
 
     @Test
     void anAnswerStandsStillHalfWayUntilTheLinkIsSound() throws Exception {
-        try (Peer held = node(0); Peer other = node(1)) {
+        try (Peer held = node(0);
+                Peer other = node(1)) {
             fault(NODE, PROXY, false, new Way(false, 0, 0, 0, 0, 0, 1, 0), 1500);
             held.read(KEY, "1");
             assertThat(held.line()).as("its first half comes").isEqualTo("VA 400 O1 h1");
@@ -162,7 +173,8 @@
     @Test
     void aConnectionIsResetInPlaceOfAnAnswer() throws Exception {
         fault(NODE, PROXY, false, new Way(false, 0, 0, 0, 0, 0, 0, 1), LONG);
-        try (Peer reset = node(0); Peer other = node(1)) {
+        try (Peer reset = node(0);
+                Peer other = node(1)) {
             assertThatThrownBy(() -> reset.read(KEY, "1").line()).isInstanceOf(SocketException.class);
             assertThat(attempts(0)).as("it has run").isEqualTo(1);
             served(other, "2");
@@ -189,8 +201,8 @@
     /** What comes to one proxy from another until a last word, which the faults leave alone. */
     private List<Integer> heard(Way way, int many) throws Exception {
         List<Integer> heard = new ArrayList<>();
-        try (DatagramSocket a = new DatagramSocket(fleet.peers().listen(0)); DatagramSocket b =
-                new DatagramSocket(fleet.peers().listen(1))) {
+        try (DatagramSocket a = new DatagramSocket(fleet.peers().listen(0));
+                DatagramSocket b = new DatagramSocket(fleet.peers().listen(1))) {
             LinkFault fault = new LinkFault("test", 0, LONG, PROXY, Set.of("proxy-1"), true, way);
             fleet.play(fault);
             fleet.on(() -> true);
@@ -198,8 +210,13 @@
                 say(a, fleet.peers().peers(0).get(1), i);
             }
             // The way back is not concerned; by then all that was sent has been dealt with.
-            Await.until("all has gone", () -> fleet.rows().stream().filter(r -> r.proxy() == 0)
-                    .mapToLong(r -> r.counts().getOrDefault(Series.What.MESSAGES, 0L)).sum() == many);
+            Await.until(
+                    "all has gone",
+                    () -> fleet.rows().stream()
+                                    .filter(r -> r.proxy() == 0)
+                                    .mapToLong(r -> r.counts().getOrDefault(Series.What.MESSAGES, 0L))
+                                    .sum()
+                            == many);
             say(b, fleet.peers().all(1), 99);
             a.setSoTimeout(20_000);
             DatagramPacket back = new DatagramPacket(new byte[10], 10);
@@ -213,7 +230,8 @@
                 } catch (SocketTimeoutException e) {
                     return heard;
                 }
-                assertThat(p.getSocketAddress()).isEqualTo(fleet.peers().peers(1).get(0));
+                assertThat(p.getSocketAddress())
+                        .isEqualTo(fleet.peers().peers(1).get(0));
                 heard.add((int) p.getData()[0]);
             }
         }
@@ -241,7 +259,8 @@
 
     @Test
     void datagramsAreOvertaken() throws Exception {
-        assertThat(heard(new Way(false, 0, 0, 0, 0, 0.5, 0, 0), 50)).hasSize(50).isNotEqualTo(
-                IntStream.range(0, 50).boxed().toList());
+        assertThat(heard(new Way(false, 0, 0, 0, 0, 0.5, 0, 0), 50))
+                .hasSize(50)
+                .isNotEqualTo(IntStream.range(0, 50).boxed().toList());
     }
 }
--- a/src/test/java/damsonworks/fleet/PayloadTest.java
+++ b/src/test/java/damsonworks/fleet/PayloadTest.java
@@ -11,8 +11,10 @@
 
 class PayloadTest {
     @Property(tries = 300, seed = "7")
-    void aValueSaysWhatItIs(@ForAll @LongRange(min = 0, max = 1000) long key,
-            @ForAll @LongRange(min = 0) long version, @ForAll @IntRange(min = 0, max = 2000) int size) {
+    void aValueSaysWhatItIs(
+            @ForAll @LongRange(min = 0, max = 1000) long key,
+            @ForAll @LongRange(min = 0) long version,
+            @ForAll @IntRange(min = 0, max = 2000) int size) {
         Payload payload = new Payload(Keys.key(key), version);
         assertThat(payload.bytes(size)).hasSizeGreaterThanOrEqualTo(size);
         assertThat(Payload.read(payload.bytes(size))).isEqualTo(payload);
@@ -35,8 +37,8 @@
 
     /** What a proxy that mixes up the parts of a long value makes of it. */
     @Property(tries = 50, seed = "7")
-    void partsInTheWrongOrderAreSeen(@ForAll @IntRange(min = 1, max = 62) int from,
-            @ForAll @IntRange(min = 0, max = 62) int to) {
+    void partsInTheWrongOrderAreSeen(
+            @ForAll @IntRange(min = 1, max = 62) int from, @ForAll @IntRange(min = 0, max = 62) int to) {
         byte[] value = new Payload(Keys.key(5), 12).bytes(4 << 20);
         assertThat(Payload.read(value)).isEqualTo(new Payload(Keys.key(5), 12));
         byte[] mixed = value.clone();
--- a/src/test/java/damsonworks/fleet/Peer.java
+++ b/src/test/java/damsonworks/fleet/Peer.java
@@ -31,7 +31,7 @@
 
     String line() throws IOException {
         ByteArrayOutputStream line = new ByteArrayOutputStream();
-        for (int b; (b = in.read()) != '\n';) {
+        for (int b; (b = in.read()) != '\n'; ) {
             if (b < 0) {
                 return null;
             }
--- a/src/test/java/damsonworks/fleet/ServiceModelTest.java
+++ b/src/test/java/damsonworks/fleet/ServiceModelTest.java
@@ -41,8 +41,10 @@
 
     /** Whatever comes when: never more at once than places, and all that was taken is done in its work's time. */
     @Property(tries = 200, seed = "11")
-    void allWorkTakenIsDoneOnce(@ForAll @Size(min = 1, max = 40) List<@IntRange(min = 1, max = 50) Integer> works,
-            @ForAll @IntRange(min = 1, max = 4) int places, @ForAll @IntRange(min = 0, max = 10) int queue) {
+    void allWorkTakenIsDoneOnce(
+            @ForAll @Size(min = 1, max = 40) List<@IntRange(min = 1, max = 50) Integer> works,
+            @ForAll @IntRange(min = 1, max = 4) int places,
+            @ForAll @IntRange(min = 0, max = 10) int queue) {
         ServiceModel<Integer> model = new ServiceModel<>(places, queue);
         List<Integer> taken = new ArrayList<>();
         List<Integer> done = new ArrayList<>();
--- a/src/test/java/damsonworks/fleet/StandInFleetTest.java
+++ b/src/test/java/damsonworks/fleet/StandInFleetTest.java
@@ -23,12 +23,13 @@
 /** The stand-ins on their sockets, each fault among them, with plain sockets and the JDK's HTTP client as peers. */
 @Timeout(60)
 class StandInFleetTest {
-    private static final FleetSpec QUICK = FleetSpec.standard(2, 2, 1).withWork(0, 0).withHeld(0)
-            .withTimes(0, 60_000, 100, 50);
+    private static final FleetSpec QUICK =
+            FleetSpec.standard(2, 2, 1).withWork(0, 0).withHeld(0).withTimes(0, 60_000, 100, 50);
     private static final String KEY = Keys.key(1);
 
     private StandInFleet fleet;
-    private final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+    private final HttpClient http =
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
     private StandInFleet start(FleetSpec spec) {
         fleet = new StandInFleet(spec);
@@ -46,21 +47,29 @@
 
     private HttpResponse<String> origin(String method, String id, String extras) throws Exception {
         InetSocketAddress to = fleet.originAddress();
-        return http.send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + to.getPort() + "/" + KEY))
-                .method(method, HttpRequest.BodyPublishers.noBody()).header("Req-Id", id)
-                .header("Req-Extra", extras).build(), HttpResponse.BodyHandlers.ofString());
+        return http.send(
+                HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + to.getPort() + "/" + KEY))
+                        .method(method, HttpRequest.BodyPublishers.noBody())
+                        .header("Req-Id", id)
+                        .header("Req-Extra", extras)
+                        .build(),
+                HttpResponse.BodyHandlers.ofString());
     }
 
     private CompletableFuture<JsonObject> discovery(String query) {
         InetSocketAddress to = fleet.discovery(0, 0);
-        return http.sendAsync(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + to.getPort()
-                + "/discovery/hosts" + query)).build(), HttpResponse.BodyHandlers.ofString())
+        return http.sendAsync(
+                        HttpRequest.newBuilder(
+                                        URI.create("http://127.0.0.1:" + to.getPort() + "/discovery/hosts" + query))
+                                .build(),
+                        HttpResponse.BodyHandlers.ofString())
                 .thenApply(r -> JsonParser.parseString(r.body()).getAsJsonObject());
     }
 
     /** Returns when the fault has happened. */
     private void fault(Fault.Action action, String target, double forMs, double share) throws Exception {
-        fleet.play(List.of(new Fault(0, target, action, forMs, share)), (p, f) -> { }).get();
+        fleet.play(List.of(new Fault(0, target, action, forMs, share)), (p, f) -> {})
+                .get();
     }
 
     // ---- the protocol
@@ -68,11 +77,13 @@
     @Test
     void whatMissedIsFilledByTheOriginsAnswerAndVoidedByAWrite() throws Exception {
         start(QUICK);
-        try (Peer node = node(0, 0); Peer other = node(1, 1)) {
+        try (Peer node = node(0, 0);
+                Peer other = node(1, 1)) {
             assertThat(node.read(KEY, "1").line()).isEqualTo("EN O1 h0");
             assertThat(other.read(KEY, "2").line()).isEqualTo("EN O2 h0 Z");
             String value = origin("GET", "1", "c=seg-text").body();
-            assertThat(Payload.read(value.getBytes(StandardCharsets.ISO_8859_1))).isEqualTo(new Payload(KEY, 0));
+            assertThat(Payload.read(value.getBytes(StandardCharsets.ISO_8859_1)))
+                    .isEqualTo(new Payload(KEY, 0));
             assertThat(node.read(KEY, "3").line()).isEqualTo("VA " + value.length() + " O3 h1");
             assertThat(node.line()).isEqualTo(value);
             assertThat(other.read(KEY, "4").line()).startsWith("EN"); // its own request has not been answered
@@ -101,7 +112,9 @@
             assertThat(node.say("mn\r\nnonsense\r\nmg x\r\n").line()).isEqualTo("MN");
             assertThat(node.line()).isEqualTo("ERROR");
             assertThat(node.line()).isEqualTo("ERROR");
-            assertThat(node.say("ms " + KEY + " 2 O1 Pc=fix-submit,d=5\r\nhi\r\n").line()).startsWith("CLIENT_ERROR");
+            assertThat(node.say("ms " + KEY + " 2 O1 Pc=fix-submit,d=5\r\nhi\r\n")
+                            .line())
+                    .startsWith("CLIENT_ERROR");
             assertThat(node.say("ms " + KEY + " -2 O1\r\n").line()).startsWith("CLIENT_ERROR");
             assertThat(node.line()).isNull();
         }
@@ -110,7 +123,8 @@
     @Test
     void theCoresQueueAndTheConnectionsAreBounded() throws Exception {
         start(QUICK.withWork(60_000, 0).withHeld(1).withBounds(10, 1, 2, 100));
-        try (Peer node = node(0, 0); Peer second = node(0, 0)) {
+        try (Peer node = node(0, 0);
+                Peer second = node(0, 0)) {
             for (int i = 1; i <= 3; i++) { // one runs, beside the handshakes' work; one waits
                 node.read(KEY, "" + i);
             }
@@ -118,10 +132,11 @@
             assertThat(second.line()).isEqualTo("SERVER_ERROR busy");
             try (Peer third = node(0, 0)) {
                 assertThatThrownBy(() -> {
-                    if (third.read(KEY, "5").line() == null) {
-                        throw new SocketException("closed");
-                    }
-                }).isInstanceOf(SocketException.class);
+                            if (third.read(KEY, "5").line() == null) {
+                                throw new SocketException("closed");
+                            }
+                        })
+                        .isInstanceOf(SocketException.class);
             }
         }
     }
@@ -139,7 +154,10 @@
         JsonObject host = change.getAsJsonArray("hosts").get(0).getAsJsonObject();
         assertThat(host.get("host").getAsString()).isEqualTo("node-1");
         assertThat(host.get("health").getAsString()).isEqualTo("draining");
-        assertThat(discovery("?since=" + change.get("seq") + "&timeout_ms=1").join().getAsJsonArray("hosts")).isEmpty();
+        assertThat(discovery("?since=" + change.get("seq") + "&timeout_ms=1")
+                        .join()
+                        .getAsJsonArray("hosts"))
+                .isEmpty();
         assertThat(discovery("?since=x").join().has("hosts")).isFalse();
     }
 
@@ -224,7 +242,9 @@
     void aNodeThatLeftRefusesAndIsRemovedFromTheList() throws Exception {
         start(QUICK);
         fault(Fault.Action.LEAVE, "node-0", 0, 0);
-        Await.until("the node is off the list", () -> discovery("").join().getAsJsonArray("hosts").size() == 2);
+        Await.until(
+                "the node is off the list",
+                () -> discovery("").join().getAsJsonArray("hosts").size() == 2);
         assertThatThrownBy(() -> node(0, 0)).isInstanceOf(IOException.class);
     }
 
@@ -233,8 +253,10 @@
         start(QUICK.withHeld(1));
         InetSocketAddress before = fleet.nodes(0).get("node-0");
         fault(Fault.Action.RESTART, "node-0", 50, 0);
-        Await.until("the node is born", () -> discovery("").join().getAsJsonArray("hosts").asList().stream().anyMatch(h ->
-                h.getAsJsonObject().get("born_ms").getAsLong() > 0));
+        Await.until(
+                "the node is born",
+                () -> discovery("").join().getAsJsonArray("hosts").asList().stream()
+                        .anyMatch(h -> h.getAsJsonObject().get("born_ms").getAsLong() > 0));
         assertThat(fleet.nodes(0).get("node-0")).isEqualTo(before);
         try (Peer node = node(0, 0)) {
             assertThat(node.read(KEY, "1").line()).startsWith("EN");
@@ -245,8 +267,10 @@
     void aColdNodeThatIsSentTooMuchFallsAndStaysDown() throws Exception {
         start(QUICK.withWork(200, 0));
         fault(Fault.Action.RESTART, "node-0", 0, 0);
-        Await.until("the node is born", () -> discovery("").join().getAsJsonArray("hosts").asList().stream().anyMatch(h ->
-                h.getAsJsonObject().get("born_ms").getAsLong() > 0));
+        Await.until(
+                "the node is born",
+                () -> discovery("").join().getAsJsonArray("hosts").asList().stream()
+                        .anyMatch(h -> h.getAsJsonObject().get("born_ms").getAsLong() > 0));
         try (Peer node = node(0, 0)) {
             StringBuilder flood = new StringBuilder();
             for (int i = 0; i < 2000; i++) {
@@ -268,7 +292,9 @@
                 String line = node.read(KEY, "1").line();
                 if (line.startsWith("VA") && line.contains(" O1 ") && line.split(" ")[1].length() < 8) {
                     int length = Integer.parseInt(line.split(" ")[1]);
-                    assertThat(node.line().length()).as("a length that does not fit").isGreaterThan(length);
+                    assertThat(node.line().length())
+                            .as("a length that does not fit")
+                            .isGreaterThan(length);
                 }
             }
         }
@@ -296,14 +322,17 @@
     void theFrontDealsInTurnNoticesADeadProxyLateAndItsReturn() throws Exception {
         start(QUICK);
         // Two of the nodes' listeners serve as proxies here: what they speak is the same.
-        List<InetSocketAddress> proxies = List.of(fleet.nodes(0).get("node-0"), fleet.nodes(0).get("node-1"));
+        List<InetSocketAddress> proxies =
+                List.of(fleet.nodes(0).get("node-0"), fleet.nodes(0).get("node-1"));
         try (FrontLayer front = new FrontLayer(fleet.loop(), proxies, 100)) {
             for (int i = 0; i < 4; i++) {
                 try (Peer client = new Peer(front.address())) {
                     assertThat(client.say("mn\r\n").line()).isEqualTo("MN");
                 }
             }
-            assertThat(fleet.on(front::shares)).extracting(FrontLayer.Share::dealt).containsExactly(2L, 2L);
+            assertThat(fleet.on(front::shares))
+                    .extracting(FrontLayer.Share::dealt)
+                    .containsExactly(2L, 2L);
             fault(Fault.Action.RESTART, "node-0", 1000, 0);
             int[] ended = {0};
             Await.until("the front leaves it out", () -> {
@@ -313,13 +342,16 @@
                 return !fleet.on(front::shares).get(0).used();
             });
             assertThat(ended[0]).isPositive();
-            try (Peer client = new Peer(front.address()); Peer next = new Peer(front.address())) {
+            try (Peer client = new Peer(front.address());
+                    Peer next = new Peer(front.address())) {
                 assertThat(client.say("mn\r\n").line()).isEqualTo("MN");
                 assertThat(next.say("mn\r\n").line()).isEqualTo("MN");
             }
-            Await.until("the proxy is back", () -> fleet.on(front::shares).get(0).used());
+            Await.until(
+                    "the proxy is back", () -> fleet.on(front::shares).get(0).used());
             long before = fleet.on(front::shares).get(0).dealt();
-            try (Peer client = new Peer(front.address()); Peer next = new Peer(front.address())) {
+            try (Peer client = new Peer(front.address());
+                    Peer next = new Peer(front.address())) {
                 assertThat(client.say("mn\r\n").line()).isEqualTo("MN");
                 assertThat(next.say("mn\r\n").line()).isEqualTo("MN");
             }
--- a/src/test/java/damsonworks/fleet/ValueSizesTest.java
+++ b/src/test/java/damsonworks/fleet/ValueSizesTest.java
@@ -26,10 +26,20 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {"4mb | no SIZE:SHARE", "4mb:5% | no SIZE:SHARE", "5mb:0.1 | more than 4mb",
-        "400:0.1 | name the unit", "4mb:0.6,1kb:0.6 | add up to", "4mb:0 | above 0", "4mb:0.1, | no SIZE:SHARE"})
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "4mb | no SIZE:SHARE",
+                "4mb:5% | no SIZE:SHARE",
+                "5mb:0.1 | more than 4mb",
+                "400:0.1 | name the unit",
+                "4mb:0.6,1kb:0.6 | add up to",
+                "4mb:0 | above 0",
+                "4mb:0.1, | no SIZE:SHARE"
+            })
     void aMixOfNoUseIsToldWithAFix(String mix, String told) {
-        assertThatThrownBy(() -> ValueSizes.parse(mix, 400)).isInstanceOf(IllegalArgumentException.class)
+        assertThatThrownBy(() -> ValueSizes.parse(mix, 400))
+                .isInstanceOf(IllegalArgumentException.class)
                 .hasMessageContaining(told);
     }
 }
--- a/src/test/java/damsonworks/flow/ByteBudgetTest.java
+++ b/src/test/java/damsonworks/flow/ByteBudgetTest.java
@@ -49,13 +49,13 @@
     @Example
     void whatCanNeverFitIsToldSo() {
         ByteBudget budget = new ByteBudget(4 * MB);
-        assertThat(budget.claim(4 * MB, () -> { })).isNull();
-        assertThat(budget.claim(-1, () -> { })).isNull();
-        Ticket all = budget.claim(3 * MB, () -> { });
+        assertThat(budget.claim(4 * MB, () -> {})).isNull();
+        assertThat(budget.claim(-1, () -> {})).isNull();
+        Ticket all = budget.claim(3 * MB, () -> {});
         for (int i = 0; i < ByteBudget.MAX_WAITING; i++) {
-            assertThat(budget.claim(3 * MB, () -> { })).isNotNull();
+            assertThat(budget.claim(3 * MB, () -> {})).isNotNull();
         }
-        assertThat(budget.claim(3 * MB, () -> { })).isNull();
+        assertThat(budget.claim(3 * MB, () -> {})).isNull();
         assertThat(all.granted()).isTrue();
     }
 
@@ -73,13 +73,14 @@
 
     /** Claims and releases in any order: never over the bound, everybody gets room in the end, nothing is left over. */
     @Property(seed = "1", tries = 1000)
-    void theBoundHoldsAndNobodyStarves(@ForAll @Size(max = 60) List<@IntRange(min = 1, max = 3 * MB) Integer> sizes,
+    void theBoundHoldsAndNobodyStarves(
+            @ForAll @Size(max = 60) List<@IntRange(min = 1, max = 3 * MB) Integer> sizes,
             @ForAll @Size(max = 60) List<@IntRange(min = 0, max = 59) Integer> releases) {
         ByteBudget budget = new ByteBudget(4 * MB);
         List<Ticket> held = new ArrayList<>();
         int next = 0;
         for (int bytes : sizes) {
-            held.add(budget.claim(bytes % 3 == 0 ? bytes : 1 + bytes % ByteBudget.SMALL, () -> { }));
+            held.add(budget.claim(bytes % 3 == 0 ? bytes : 1 + bytes % ByteBudget.SMALL, () -> {}));
             if (next < releases.size() && releases.get(next) < held.size()) {
                 held.remove((int) releases.get(next)).release();
             }
--- a/src/test/java/damsonworks/lab/RecoveryExpectationTest.java
+++ b/src/test/java/damsonworks/lab/RecoveryExpectationTest.java
@@ -13,7 +13,10 @@
 
 /** What the lab says of a fleet that comes back, of series whose answer is known. */
 class RecoveryExpectationTest {
-    /** 40 s at 100 requests a second, all proxies killed at 10 s; {@code served}, {@code tries}: parts of those asked, by the tenth. */
+    /**
+     * 40 s at 100 requests a second, all proxies killed at 10 s; {@code served}, {@code tries}: parts of those asked,
+     * by the tenth.
+     */
     private static Outcome outcome(IntToDoubleFunction served, IntToDoubleFunction tries, List<Series.Row> rows) {
         List<long[]> fine = new ArrayList<>();
         for (int t = 0; t < 400; t++) {
@@ -25,8 +28,19 @@
             cell[What.OPENED.ordinal()] = t >= 120 && t < 125 ? 20 : 0;
             fine.add(cell);
         }
-        Scenario scenario = new Scenario("s", FleetSpec.standard(4, 4, 1), 100, 0, 40_000, 10, 10, true, List.of(), List.of(),
-                List.of(), List.of(new Scenario.Band("all die", 10_000, 10_000)));
+        Scenario scenario = new Scenario(
+                "s",
+                FleetSpec.standard(4, 4, 1),
+                100,
+                0,
+                40_000,
+                10,
+                10,
+                true,
+                List.of(),
+                List.of(),
+                List.of(),
+                List.of(new Scenario.Band("all die", 10_000, 10_000)));
         return new Outcome(scenario, 1, null, null, rows, fine, List.of(), null);
     }
 
@@ -37,7 +51,8 @@
     @Test
     void backIsTheStartOfThreeSecondsThatAreAsGoodAsBefore() {
         assertThat(back(t -> t >= 100 && t < 137 ? 0 : 1, t -> 1)).isEqualTo(3700);
-        assertThat(back(t -> (t >= 100 && t < 137) || t == 160 || t == 161 ? 0 : 1, t -> 1)).as("a gap of 0.2 s later")
+        assertThat(back(t -> (t >= 100 && t < 137) || t == 160 || t == 161 ? 0 : 1, t -> 1))
+                .as("a gap of 0.2 s later")
                 .isEqualTo(6200);
         assertThat(back(t -> t < 100 ? 1 : 0.9, t -> 1)).isInfinite();
     }
@@ -59,7 +74,8 @@
         Outcome o = outcome(t -> 1, t -> 1, List.of());
         assertThat(most.check(o).measured()).isEqualTo("100 in the worst second");
         assertThat(most.check(o).held()).isFalse();
-        assertThat(new RecoveryExpectation.AtMost(What.OPENED, 100).check(o).held()).isTrue();
+        assertThat(new RecoveryExpectation.AtMost(What.OPENED, 100).check(o).held())
+                .isTrue();
     }
 
     @Test
@@ -67,11 +83,13 @@
         List<Series.Row> rows = new ArrayList<>();
         for (int s = 0; s < 40; s++) {
             for (int p = 0; p < 4; p++) {
-                rows.add(new Series.Row(s, p, Map.of(What.ASKED, s < 20 ? p == 0 ? 400L : 0L : p == 3 ? 160L : 80L), new long[1]));
+                rows.add(new Series.Row(
+                        s, p, Map.of(What.ASKED, s < 20 ? p == 0 ? 400L : 0L : p == 3 ? 160L : 80L), new long[1]));
             }
         }
         Outcome o = outcome(t -> 1, t -> 1, rows);
-        assertThat(new RecoveryExpectation.BusiestAtMost(1.6).check(o).measured()).isEqualTo("1.60 times the mean");
+        assertThat(new RecoveryExpectation.BusiestAtMost(1.6).check(o).measured())
+                .isEqualTo("1.60 times the mean");
         assertThat(new RecoveryExpectation.BusiestAtMost(1.5).check(o).held()).isFalse();
     }
 }
--- a/src/test/java/damsonworks/load/GeneratorTest.java
+++ b/src/test/java/damsonworks/load/GeneratorTest.java
@@ -40,22 +40,23 @@
 /** The generator against targets that stall, refuse, reset, lie or say nothing. */
 @Timeout(90)
 class GeneratorTest {
-    private static final FleetSpec QUICK = FleetSpec.standard(1, 1, 1).withWork(0, 0).withHeld(1)
-            .withBounds(20_000, 100_000, 500, 50);
+    private static final FleetSpec QUICK =
+            FleetSpec.standard(1, 1, 1).withWork(0, 0).withHeld(1).withBounds(20_000, 100_000, 500, 50);
 
     private static List<TrafficClass> reads(double deadlineMs) {
         return TrafficClass.mix("seg-text=1", deadlineMs);
     }
 
     private static Workload constant(double rate, double seconds, List<TrafficClass> classes) {
-        return new SyntheticWorkload(new SyntheticWorkload.Settings(rate, seconds, Shape.STEADY, Arrivals.CONSTANT,
-                1000, 1, 0, ValueSizes.of(20), classes, 1));
+        return new SyntheticWorkload(new SyntheticWorkload.Settings(
+                rate, seconds, Shape.STEADY, Arrivals.CONSTANT, 1000, 1, 0, ValueSizes.of(20), classes, 1));
     }
 
-    private static Report run(InetSocketAddress to, Workload workload, List<TrafficClass> classes, int connections,
-            int outstanding) throws Exception {
-        Generator.Settings settings = new Generator.Settings(List.of(to), classes, connections, 100_000, outstanding, 0, 0, 10,
-                1);
+    private static Report run(
+            InetSocketAddress to, Workload workload, List<TrafficClass> classes, int connections, int outstanding)
+            throws Exception {
+        Generator.Settings settings =
+                new Generator.Settings(List.of(to), classes, connections, 100_000, outstanding, 0, 0, 10, 1);
         try (Generator generator = new Generator(settings, workload, Observer.NONE)) {
             return generator.start().get(60, TimeUnit.SECONDS);
         }
@@ -66,7 +67,7 @@
     void aLongAnswerThatHasBegunInTimeIsWaitedFor() throws Exception {
         String value = "x".repeat(100_000);
         try (ServerSocket slow = target((s, in) -> {
-            for (String line; (line = in.readLine()) != null;) {
+            for (String line; (line = in.readLine()) != null; ) {
                 String id = line.substring(line.indexOf(" O") + 2).split(" ")[0];
                 s.getOutputStream().write(("VA 100000 O" + id + "\r\n" + value.substring(1)).getBytes(UTF_8));
                 long until = System.nanoTime() + 900_000_000; // three times the request's deadline
@@ -99,8 +100,10 @@
                     Socket socket = server.accept();
                     Thread thread = new Thread(() -> {
                         try (socket) {
-                            script.run(socket, new BufferedReader(new InputStreamReader(socket.getInputStream(),
-                                    StandardCharsets.ISO_8859_1)));
+                            script.run(
+                                    socket,
+                                    new BufferedReader(new InputStreamReader(
+                                            socket.getInputStream(), StandardCharsets.ISO_8859_1)));
                         } catch (Exception e) {
                             // the generator has closed it
                         }
@@ -131,8 +134,8 @@
     }
 
     /**
-     * A stall of S seconds in a run of T at a constant rate: of all requests, (S - x) / T wait longer than x. The
-     * share can't be lower whatever the machine does; the margin above it is for the machine's own pauses.
+     * A stall of S seconds in a run of T at a constant rate: of all requests, (S - x) / T wait longer than x. The share
+     * can't be lower whatever the machine does; the margin above it is for the machine's own pauses.
      */
     @Test
     void aStallStandsInTheTailAsArithmeticSaysWhereAClosedLoopHidesIt() throws Exception {
@@ -143,7 +146,7 @@
             InetSocketAddress node = fleet.nodes(0).get("node-0");
             List<Double> closed = new ArrayList<>();
             CountDownLatch ended = new CountDownLatch(1);
-            fleet.play(List.of(new Fault(2000, "node-0", Fault.Action.FREEZE, stall * 1000, 0)), (p, f) -> { });
+            fleet.play(List.of(new Fault(2000, "node-0", Fault.Action.FREEZE, stall * 1000, 0)), (p, f) -> {});
             Thread loop = new Thread(() -> {
                 closedLoop(node, closed, ended);
             });
@@ -160,7 +163,8 @@
                 assertThat(seen).as("over %s s", x).isBetween(expected - 0.01, expected + 0.05);
             }
             long over = closed.stream().filter(s -> s > 0.5).count();
-            assertThat((double) over / closed.size()).as("closed loop: %d of %d", over, closed.size())
+            assertThat((double) over / closed.size())
+                    .as("closed loop: %d of %d", over, closed.size())
                     .isBetween(1e-9, 0.02);
         }
     }
@@ -199,8 +203,12 @@
     void aTargetThatRefusesConnectionsIsNotWaitedForAndCounted() throws Exception {
         ServerSocket gone = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         gone.close();
-        Report r = run(new InetSocketAddress(InetAddress.getLoopbackAddress(), gone.getLocalPort()),
-                constant(100, 1, reads(300)), reads(300), 4, 1000);
+        Report r = run(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), gone.getLocalPort()),
+                constant(100, 1, reads(300)),
+                reads(300),
+                4,
+                1000);
         sums(r);
         assertThat(r.unanswered()).isEqualTo(r.requests()).isBetween(99L, 100L);
         assertThat(r.connectErrors()).isPositive();
@@ -228,7 +236,8 @@
         assertThat(Descriptors.room(Long.MAX_VALUE, 40)).isEqualTo(Integer.MAX_VALUE);
         assertThat(Descriptors.usedUp(new IOException("x", new SocketException("Too many open files"))))
                 .isTrue();
-        assertThat(Descriptors.usedUp(new ConnectException("Connection refused"))).isFalse();
+        assertThat(Descriptors.usedUp(new ConnectException("Connection refused")))
+                .isFalse();
     }
 
     @Test
@@ -252,7 +261,7 @@
         AtomicInteger connections = new AtomicInteger();
         try (ServerSocket closes = target((s, in) -> {
             boolean first = connections.getAndIncrement() == 0;
-            for (String line; (line = in.readLine()) != null && !first;) {
+            for (String line; (line = in.readLine()) != null && !first; ) {
                 s.getOutputStream().write(("VA 2 O" + id(line) + "\r\nhi\r\n").getBytes(UTF_8));
             }
             s.shutdownOutput();
@@ -268,8 +277,8 @@
     @Test
     void connectionsThatAreOldAreEndedBetweenRequests() throws Exception {
         try (StandInFleet fleet = new StandInFleet(QUICK)) {
-            Generator.Settings settings = new Generator.Settings(List.of(fleet.nodes(0).get("node-0")), reads(20_000),
-                    4, 100, 1000, 0.1, 0, 10, 1);
+            Generator.Settings settings = new Generator.Settings(
+                    List.of(fleet.nodes(0).get("node-0")), reads(20_000), 4, 100, 1000, 0.1, 0, 10, 1);
             try (Generator generator = new Generator(settings, constant(100, 2, reads(20_000)), Observer.NONE)) {
                 Report r = generator.start().get(60, TimeUnit.SECONDS);
                 sums(r);
@@ -299,8 +308,9 @@
     void refusalsFailuresAndMissesAreTold() throws Exception {
         try (ServerSocket refuses = target((s, in) -> {
             String[] answers = {"SERVER_ERROR busy 20\r\n", "SERVER_ERROR failed\r\n", "EN O%s\r\n"};
-            for (int i = 0;; i++) {
-                s.getOutputStream().write(answers[i % 3].formatted(id(in.readLine())).getBytes(UTF_8));
+            for (int i = 0; ; i++) {
+                s.getOutputStream()
+                        .write(answers[i % 3].formatted(id(in.readLine())).getBytes(UTF_8));
             }
         })) {
             Report r = run(at(refuses), constant(90, 1, reads(20_000)), reads(20_000), 1, 1000);
@@ -317,8 +327,16 @@
             lines.append(i).append(",seg-text,").append(Integer.toHexString(i)).append(",read,0\n");
         }
         try (StandInFleet fleet = new StandInFleet(QUICK)) {
-            Report r = run(fleet.nodes(0).get("node-0"), new TraceWorkload(new ByteArrayInputStream(
-                    lines.toString().getBytes(UTF_8)), TraceFormat.CSV, reads(20_000), 1e6), reads(20_000), 8, 100_000);
+            Report r = run(
+                    fleet.nodes(0).get("node-0"),
+                    new TraceWorkload(
+                            new ByteArrayInputStream(lines.toString().getBytes(UTF_8)),
+                            TraceFormat.CSV,
+                            reads(20_000),
+                            1e6),
+                    reads(20_000),
+                    8,
+                    100_000);
             sums(r);
             assertThat(r.keptSchedule()).isFalse();
             assertThat(r.requests()).isEqualTo(50_000);
@@ -354,18 +372,22 @@
         }
         Report merged = Report.merge(read);
         sums(merged);
-        assertThat(merged.requests()).isEqualTo(reports.get(0).requests() + reports.get(1).requests());
+        assertThat(merged.requests())
+                .isEqualTo(reports.get(0).requests() + reports.get(1).requests());
         // A quarter of all waited 400 ms: the joint p90 says so. An average of the two would say some 200 ms.
         assertThat(merged.latency().getValueAtPercentile(90)).isBetween(399_000L, 401_000L);
         JsonObject json = merged.json();
         for (String figure : new String[] {"p50", "p90", "p99", "p999", "max"}) {
-            assertThat(json.getAsJsonObject("latency_ms").get(figure).getAsDouble()).isNotNegative();
-            assertThat(json.getAsJsonObject("schedule_lag_ms").get(figure).getAsDouble()).isNotNegative();
+            assertThat(json.getAsJsonObject("latency_ms").get(figure).getAsDouble())
+                    .isNotNegative();
+            assertThat(json.getAsJsonObject("schedule_lag_ms").get(figure).getAsDouble())
+                    .isNotNegative();
         }
         Path hlog = folder.resolve("x.hlog");
         merged.writeHlog(hlog);
         try (HistogramLogReader reader = new HistogramLogReader(hlog.toFile())) {
-            assertThat(((Histogram) reader.nextIntervalHistogram()).getTotalCount()).isEqualTo(merged.requests());
+            assertThat(((Histogram) reader.nextIntervalHistogram()).getTotalCount())
+                    .isEqualTo(merged.requests());
         }
         String page = HtmlReport.page(merged, "a <b>");
         assertThat(page).contains("<svg", "a &lt;b&gt;", "polyline").doesNotContain("http://", "https://", "NaN");
--- a/src/test/java/damsonworks/load/WorkloadTest.java
+++ b/src/test/java/damsonworks/load/WorkloadTest.java
@@ -25,16 +25,16 @@
 
     private static List<Planned> all(Workload workload) {
         List<Planned> all = new ArrayList<>();
-        for (Planned p; (p = workload.next()) != null;) {
+        for (Planned p; (p = workload.next()) != null; ) {
             all.add(p);
         }
         return all;
     }
 
-    private static SyntheticWorkload drawn(double rate, double seconds, Shape shape, Arrivals arrivals, double zipf,
-            double stay, long seed) {
-        return new SyntheticWorkload(new SyntheticWorkload.Settings(rate, seconds, shape, arrivals, 1000, zipf, stay,
-                ValueSizes.of(100), CLASSES, seed));
+    private static SyntheticWorkload drawn(
+            double rate, double seconds, Shape shape, Arrivals arrivals, double zipf, double stay, long seed) {
+        return new SyntheticWorkload(new SyntheticWorkload.Settings(
+                rate, seconds, shape, arrivals, 1000, zipf, stay, ValueSizes.of(100), CLASSES, seed));
     }
 
     @Test
@@ -47,8 +47,11 @@
     }
 
     @Property(tries = 30, seed = "3")
-    void everyShapeSendsTheRateOnAverageAndInOrder(@ForAll Shape shape, @ForAll Arrivals arrivals,
-            @ForAll @DoubleRange(min = 200, max = 2000) double rate, @ForAll long seed) {
+    void everyShapeSendsTheRateOnAverageAndInOrder(
+            @ForAll Shape shape,
+            @ForAll Arrivals arrivals,
+            @ForAll @DoubleRange(min = 200, max = 2000) double rate,
+            @ForAll long seed) {
         List<Planned> all = all(drawn(rate, 20, shape, arrivals, 1, 0, seed));
         assertThat((double) all.size()).isCloseTo(rate * 20, within(6 * Math.sqrt(rate * 20)));
         assertThat(all).isSortedAccordingTo((a, b) -> Long.compare(a.atNanos(), b.atNanos()));
@@ -59,12 +62,17 @@
     void aSurgeClimbsAndPoissonVariesAsItShould() {
         List<Planned> surge = all(drawn(1000, 20, Shape.SURGE, Arrivals.POISSON, 1, 0, 5));
         long early = surge.stream().filter(p -> p.atNanos() < 2_000_000_000L).count();
-        long peak = surge.stream().filter(p -> p.atNanos() / 1_000_000_000L / 2 == 4).count();
+        long peak = surge.stream()
+                .filter(p -> p.atNanos() / 1_000_000_000L / 2 == 4)
+                .count();
         assertThat((double) peak / early).isCloseTo(4, within(0.5));
         Map<Long, Integer> perTenth = new HashMap<>();
         all(drawn(1000, 100, Shape.STEADY, Arrivals.POISSON, 1, 0, 5))
                 .forEach(p -> perTenth.merge(p.atNanos() / 100_000_000L, 1, Integer::sum));
-        double variance = perTenth.values().stream().mapToDouble(n -> (n - 100.0) * (n - 100.0)).average().orElse(0);
+        double variance = perTenth.values().stream()
+                .mapToDouble(n -> (n - 100.0) * (n - 100.0))
+                .average()
+                .orElse(0);
         assertThat(variance).isCloseTo(100, within(20.0)); // a Poisson count's variance is its mean
     }
 
@@ -99,31 +107,57 @@
     }
 
     private static String top(Map<String, Integer> counts) {
-        return counts.entrySet().stream().max(Map.Entry.comparingByValue()).orElseThrow().getKey();
+        return counts.entrySet().stream()
+                .max(Map.Entry.comparingByValue())
+                .orElseThrow()
+                .getKey();
     }
 
     // ---- traces
 
     private static TraceWorkload trace(TraceFormat format, double speed, String... lines) {
-        return new TraceWorkload(new ByteArrayInputStream(String.join("\n", lines).getBytes(StandardCharsets.UTF_8)),
-                format, CLASSES, speed);
+        return new TraceWorkload(
+                new ByteArrayInputStream(String.join("\n", lines).getBytes(StandardCharsets.UTF_8)),
+                format,
+                CLASSES,
+                speed);
     }
 
     @Test
     void aTraceOfOurOwnIsReplayedFromItsFirstTimeOn() {
-        assertThat(all(trace(TraceFormat.CSV, 2, "time_ms,class,key,op,value_bytes", "5000,seg-text,ab12,read,0",
-                "5100,fix-submit,ab12,write,70", "5100,seg-text,Track #9,read,0"))).containsExactly(
-                        new Planned(0, 0, "ab12", false, 0), new Planned(50_000_000, 2, "ab12", true, 70),
-                        new Planned(50_250_000, 0, trace(TraceFormat.CSV, 1, "0,seg-text,Track #9,read,0").next().key(),
-                                false, 0));
+        assertThat(all(trace(
+                        TraceFormat.CSV,
+                        2,
+                        "time_ms,class,key,op,value_bytes",
+                        "5000,seg-text,ab12,read,0",
+                        "5100,fix-submit,ab12,write,70",
+                        "5100,seg-text,Track #9,read,0")))
+                .containsExactly(
+                        new Planned(0, 0, "ab12", false, 0),
+                        new Planned(50_000_000, 2, "ab12", true, 70),
+                        new Planned(
+                                50_250_000,
+                                0,
+                                trace(TraceFormat.CSV, 1, "0,seg-text,Track #9,read,0")
+                                        .next()
+                                        .key(),
+                                false,
+                                0));
     }
 
     @Test
     void aCacheTraceOfSecondsIsSpreadOverThem() {
-        List<Planned> all = all(trace(TraceFormat.TWITTER, 1, "7,zkey-1,6,100,1,get,0", "7,zkey-2,6,90,1,set,3600",
-                "7,zkey-1,6,100,2,gets,0", "7,zkey-3,6,0,2,delete,0", "9,zkey-1,6,100,1,get,0"));
-        assertThat(all).extracting(Planned::atNanos).containsExactly(0L, 250_000_000L, 500_000_000L, 750_000_000L,
-                2_000_000_000L);
+        List<Planned> all = all(trace(
+                TraceFormat.TWITTER,
+                1,
+                "7,zkey-1,6,100,1,get,0",
+                "7,zkey-2,6,90,1,set,3600",
+                "7,zkey-1,6,100,2,gets,0",
+                "7,zkey-3,6,0,2,delete,0",
+                "9,zkey-1,6,100,1,get,0"));
+        assertThat(all)
+                .extracting(Planned::atNanos)
+                .containsExactly(0L, 250_000_000L, 500_000_000L, 750_000_000L, 2_000_000_000L);
         assertThat(all).extracting(Planned::write).containsExactly(false, true, false, true, false);
         assertThat(all.get(0).key()).isEqualTo(all.get(4).key()).matches("[0-9a-f]{16}");
         assertThat(all.get(1).valueBytes()).isEqualTo(90);
@@ -131,9 +165,19 @@
 
     @Test
     void linesOfNoUseAreCountedWithTheFirstOnesNumbers() {
-        TraceWorkload trace = trace(TraceFormat.CSV, 1, "0,seg-text,a,read,0", "soon,seg-text,a,read,0", "", "1,2",
-                "3,seg-text,a,write,5", "4,none,a,read,0", "5,seg-text,,read,0", "6,seg-text,a,read,-1",
-                "NaN,seg-text,a,read,0", "2,seg-text,b,read,0");
+        TraceWorkload trace = trace(
+                TraceFormat.CSV,
+                1,
+                "0,seg-text,a,read,0",
+                "soon,seg-text,a,read,0",
+                "",
+                "1,2",
+                "3,seg-text,a,write,5",
+                "4,none,a,read,0",
+                "5,seg-text,,read,0",
+                "6,seg-text,a,read,-1",
+                "NaN,seg-text,a,read,0",
+                "2,seg-text,b,read,0");
         List<Planned> all = all(trace);
         assertThat(all).extracting(Planned::key).containsExactly("a", "b");
         assertThat(trace.unreadable()).isEqualTo(new Workload.Unreadable(7, List.of(2L, 4L, 5L, 6L, 7L, 8L, 9L)));
@@ -141,8 +185,10 @@
 
     @Test
     void settingsOfNoSenseAreRefused() {
-        assertThatThrownBy(() -> drawn(0, 1, Shape.STEADY, Arrivals.CONSTANT, 1, 0, 1)).hasMessageContaining("rate");
-        assertThatThrownBy(() -> drawn(1, 1, Shape.STEADY, Arrivals.CONSTANT, -1, 0, 1)).hasMessageContaining("exponent");
+        assertThatThrownBy(() -> drawn(0, 1, Shape.STEADY, Arrivals.CONSTANT, 1, 0, 1))
+                .hasMessageContaining("rate");
+        assertThatThrownBy(() -> drawn(1, 1, Shape.STEADY, Arrivals.CONSTANT, -1, 0, 1))
+                .hasMessageContaining("exponent");
         assertThatThrownBy(() -> trace(TraceFormat.CSV, 0, "")).hasMessageContaining("speed");
     }
 }
--- a/src/test/java/damsonworks/member/EntryTest.java
+++ b/src/test/java/damsonworks/member/EntryTest.java
@@ -18,11 +18,23 @@
     /** What an instance says of itself hangs on its life, incarnation and version alone, as nobody else writes it. */
     @Provide
     static Arbitrary<Entry> entries() {
-        return Combinators.combine(Arbitraries.longs().between(1, 3), Arbitraries.integers().between(0, 2),
-                Arbitraries.of(State.class), Arbitraries.integers().between(0, 9).set().ofMaxSize(4),
-                Arbitraries.integers().between(0, 2)).as((incarnation, life, state, by, version) -> new Entry(7, incarnation,
-                        life, state, new TreeSet<>(state == State.SUSPECT ? by : List.of()), 1, version,
-                        Phase.values()[version], Map.of(version, new byte[] {version.byteValue()}), new byte[0]));
+        return Combinators.combine(
+                        Arbitraries.longs().between(1, 3),
+                        Arbitraries.integers().between(0, 2),
+                        Arbitraries.of(State.class),
+                        Arbitraries.integers().between(0, 9).set().ofMaxSize(4),
+                        Arbitraries.integers().between(0, 2))
+                .as((incarnation, life, state, by, version) -> new Entry(
+                        7,
+                        incarnation,
+                        life,
+                        state,
+                        new TreeSet<>(state == State.SUSPECT ? by : List.of()),
+                        1,
+                        version,
+                        Phase.values()[version],
+                        Map.of(version, new byte[] {version.byteValue()}),
+                        new byte[0]));
     }
 
     @Property(seed = "41", tries = 2000)
@@ -35,7 +47,8 @@
     }
 
     @Property(seed = "42", tries = 500)
-    void tablesThatHeardTheSameHaveOneDigest(@ForAll("entries") Entry a, @ForAll("entries") Entry b, @ForAll("entries") Entry c) {
+    void tablesThatHeardTheSameHaveOneDigest(
+            @ForAll("entries") Entry a, @ForAll("entries") Entry b, @ForAll("entries") Entry c) {
         Table one = new Table(10);
         Table other = new Table(10);
         List.of(a, b, c).forEach(one::join);
@@ -45,8 +58,10 @@
     }
 
     @Property(seed = "43", tries = 1000)
-    void aMessageIsReadAsItWasWritten(@ForAll("entries") Entry a, @ForAll("entries") Entry b, @ForAll Message.Kind kind) {
-        Message m = new Message(kind, 65_535, 3, -5, new int[kind == Message.Kind.DIFFER ? Table.SLICES : 0], List.of(a, b));
+    void aMessageIsReadAsItWasWritten(
+            @ForAll("entries") Entry a, @ForAll("entries") Entry b, @ForAll Message.Kind kind) {
+        Message m = new Message(
+                kind, 65_535, 3, -5, new int[kind == Message.Kind.DIFFER ? Table.SLICES : 0], List.of(a, b));
         byte[] bytes = m.encode();
         Message read = Message.decode(bytes);
         assertThat(read.entries()).isEqualTo(m.entries());
@@ -54,7 +69,9 @@
         assertThat(read.number()).isEqualTo(65_535);
         assertThat(read.digest()).isEqualTo(-5);
         for (int i = 0; i < bytes.length; i++) {
-            assertThat(Message.decode(Arrays.copyOf(bytes, i))).as("cut to %d bytes", i).isNull();
+            assertThat(Message.decode(Arrays.copyOf(bytes, i)))
+                    .as("cut to %d bytes", i)
+                    .isNull();
         }
     }
 
--- a/src/test/java/damsonworks/model/ColdLoadTest.java
+++ b/src/test/java/damsonworks/model/ColdLoadTest.java
@@ -16,6 +16,7 @@
     private static final double BORN_MS = 5000;
     /** Warm, the node does ten requests in a window; at its start it stands 3 x 0.4 x 10 of them, and the slack. */
     private static final double WARM_PER_MS = 0.01;
+
     private static final double STANDS_AT_START = 12 + 2 * Math.sqrt(12) + 2;
 
     private final ColdLoad load = new ColdLoad(LIMITS, WARM_PER_MS, BORN_MS);
@@ -35,9 +36,13 @@
     void aWindowIsHeldAgainstWhatTheNodeStandsThen(ColdRamp ramp) {
         send(21, BORN_MS, 1, true);
         assertThat(load.fullest(ramp).requests()).isEqualTo(21);
-        assertThat(load.fullest(ramp).part()).isCloseTo(21 / STANDS_AT_START, within(1e-9)).isGreaterThan(1);
+        assertThat(load.fullest(ramp).part())
+                .isCloseTo(21 / STANDS_AT_START, within(1e-9))
+                .isGreaterThan(1);
         send(20, BORN_MS + 1001, 1, true);
-        assertThat(load.fullest(ramp).requests()).as("what came a window before no longer counts").isEqualTo(21);
+        assertThat(load.fullest(ramp).requests())
+                .as("what came a window before no longer counts")
+                .isEqualTo(21);
         send(1000, BORN_MS + 10_000, 1, true);
         assertThat(load.fullest(ramp).requests()).as("a warm node stands all").isEqualTo(21);
     }
@@ -54,11 +59,15 @@
         send(10, BORN_MS, 1, false);
         send(20, BORN_MS + 1, 2, true);
         assertThat(load.fullest(ColdRamp.STEADY).part()).isGreaterThan(1);
-        assertThat(load.fullestTold(ColdRamp.STEADY).requests()).as("two thirds are not over two thirds").isZero();
+        assertThat(load.fullestTold(ColdRamp.STEADY).requests())
+                .as("two thirds are not over two thirds")
+                .isZero();
         send(1, BORN_MS + 2, 3, true);
         assertThat(load.fullestTold(ColdRamp.STEADY).requests()).isEqualTo(31);
         assertThat(load.fullestTold(ColdRamp.STEADY).topSender()).isCloseTo(20 / 31.0, within(1e-9));
-        assertThat(load.breaksRule(ColdRamp.STEADY)).as("it fell at 21, half by those who knew").isFalse();
+        assertThat(load.breaksRule(ColdRamp.STEADY))
+                .as("it fell at 21, half by those who knew")
+                .isFalse();
     }
 
     @Test
@@ -86,6 +95,7 @@
         assertThat(one.loads()).isNotEmpty();
         assertThat(one.text()).hasLineCount(ColdRamp.values().length);
         assertThat(one.text()).isEqualTo(ColdStudy.of(ColdCase.ALL, 6, 12, 3, 2).text());
-        assertThat(one.text()).isNotEqualTo(ColdStudy.of(ColdCase.ALL, 6, 12, 5, 2).text());
+        assertThat(one.text())
+                .isNotEqualTo(ColdStudy.of(ColdCase.ALL, 6, 12, 5, 2).text());
     }
 }
--- a/src/test/java/damsonworks/model/FleetPlayTest.java
+++ b/src/test/java/damsonworks/model/FleetPlayTest.java
@@ -38,7 +38,9 @@
     @ParameterizedTest
     @EnumSource(Mutant.class)
     void aModuleThatBreaksARuleIsCaught(Mutant mutant) {
-        assertThat(hardDay(mutant, Policy::new).rules().told()).as("with the module as it is").isEmpty();
+        assertThat(hardDay(mutant, Policy::new).rules().told())
+                .as("with the module as it is")
+                .isEmpty();
         FleetPlay p = hardDay(mutant, mutant::module);
         assertThat(p.rules().kept()).isFalse();
         assertThat(p.rules().counts()).containsKey(mutant.breaks);
@@ -52,7 +54,8 @@
             default -> Day.SPLIT;
         };
         FleetDraw draw = FleetDraw.of(10, 24, 2);
-        FleetPlay p = new FleetPlay(mutant == Mutant.PREFERS_THE_NEWEST ? draw.withLoad(1.5) : draw, day.seconds(), modules);
+        FleetPlay p =
+                new FleetPlay(mutant == Mutant.PREFERS_THE_NEWEST ? draw.withLoad(1.5) : draw, day.seconds(), modules);
         day.arrange(p);
         return p.run();
     }
@@ -62,7 +65,8 @@
         FleetDraw draw = FleetDraw.of(12, 30, 7);
         String one = PlayReport.of(Day.SPLIT, draw, 20).json().toString();
         assertThat(PlayReport.of(Day.SPLIT, draw, 20).json().toString()).isEqualTo(one);
-        assertThat(PlayReport.of(Day.SPLIT, FleetDraw.of(12, 30, 8), 20).json().toString()).isNotEqualTo(one);
+        assertThat(PlayReport.of(Day.SPLIT, FleetDraw.of(12, 30, 8), 20).json().toString())
+                .isNotEqualTo(one);
     }
 
     /** Each figure has its own bound, which names what it may grow with. */
@@ -81,17 +85,22 @@
         assertThat(p.rules().told()).isEmpty();
         // A watch is begun anew every 10 s, at a start, and where peers know better or a call was turned away.
         assertThat(c.total(Figure.CALLS)).as("calls for the list").isLessThanOrEqualTo(n * 14);
-        // Some two tell the others of a version, one for each that goes and one for each that comes; and who is turned away.
-        assertThat(c.total(Figure.MESSAGES)).as("messages")
+        // Some two tell the others of a version, one for each that goes and one for each that comes; and who is turned
+        // away.
+        assertThat(c.total(Figure.MESSAGES))
+                .as("messages")
                 .isLessThanOrEqualTo((n - 1) * (replaced * 2 * 4 + c.total(Figure.NO_PLACE)));
         // What each may send by itself is five, and a twentieth of what it has answered; one that helped is given back.
-        assertThat(c.total(Figure.SECOND_COPIES)).as("second copies")
+        assertThat(c.total(Figure.SECOND_COPIES))
+                .as("second copies")
                 .isLessThanOrEqualTo(n * 5 * 2 + c.total(Figure.REQUESTS) / 10);
-        assertThat(c.total(Figure.FETCHES_AGAIN)).as("fetches of a key under way")
+        assertThat(c.total(Figure.FETCHES_AGAIN))
+                .as("fetches of a key under way")
                 .isLessThanOrEqualTo(c.total(Figure.FETCHES) / 8);
         // Where all had to find it out by themselves, it was some six times for each of those without a place.
-        assertThat(c.total(Figure.NO_PLACE)).as("turned away").isLessThanOrEqualTo(n <= p.draw().places() ? 0
-                : (n - p.draw().places()) * 60.0);
+        assertThat(c.total(Figure.NO_PLACE))
+                .as("turned away")
+                .isLessThanOrEqualTo(n <= p.draw().places() ? 0 : (n - p.draw().places()) * 60.0);
     }
 
     /** Discovery is away while most start anew: what was kept goes on serving, and the calls are spread. */
@@ -137,7 +146,10 @@
         assertThat(p.tally().worth()).isGreaterThan(0.5);
     }
 
-    /** What is kept for nodes that are long gone is let go: 45 minutes in which each of the nodes is replaced many times. */
+    /**
+     * What is kept for nodes that are long gone is let go: 45 minutes in which each of the nodes is replaced many
+     * times.
+     */
     @Test
     void whatIsKeptStaysBoundedOnTheLongDay() throws ReflectiveOperationException {
         FleetPlay p = new FleetPlay(FleetDraw.of(2, 6, 9).withLoad(0.08), 2700);
@@ -146,9 +158,13 @@
         assertThat(p.rules().told()).isEmpty();
         assertThat(p.nodes()).hasSize(6);
         for (int i = 0; i < 2; i++) {
-            assertThat(p.instance(i).held()).as("kept for requests, links and drains").isLessThan(60);
+            assertThat(p.instance(i).held())
+                    .as("kept for requests, links and drains")
+                    .isLessThan(60);
             for (Map.Entry<String, Integer> kept : sizes(p.instance(i).policy()).entrySet()) {
-                assertThat(kept.getValue()).as("%s of the module", kept.getKey()).isLessThan(200);
+                assertThat(kept.getValue())
+                        .as("%s of the module", kept.getKey())
+                        .isLessThan(200);
             }
         }
     }
--- a/src/test/java/damsonworks/model/Mutant.java
+++ b/src/test/java/damsonworks/model/Mutant.java
@@ -28,7 +28,8 @@
     FORGETS_ANSWERS(Rules.Rule.NO_REQUEST_LOST) {
         @Override
         Object order(Actions out, String name, Object[] args) throws ReflectiveOperationException {
-            return (name.equals("deny") || name.equals("fail")) && (int) args[0] % 50 == 0 ? null
+            return (name.equals("deny") || name.equals("fail")) && (int) args[0] % 50 == 0
+                    ? null
                     : super.order(out, name, args);
         }
     },
@@ -36,7 +37,8 @@
     KEEPS_WHAT_DRAINS(Rules.Rule.DRAINS_KEPT) {
         @Override
         Member member(Member m) {
-            return m.state() == State.READY ? m
+            return m.state() == State.READY
+                    ? m
                     : new Member(m.id(), m.zone(), m.kind(), m.cell(), State.READY, m.weight(), m.bornMs());
         }
     },
@@ -84,16 +86,19 @@
     /** Such a module. */
     RoutingApi module(Settings settings, long seed) {
         Policy real = new Policy(settings, seed);
-        return (RoutingApi) Proxy.newProxyInstance(Mutant.class.getClassLoader(), new Class<?>[] {RoutingApi.class},
-                (self, method, args) -> {
+        return (RoutingApi) Proxy.newProxyInstance(
+                Mutant.class.getClassLoader(), new Class<?>[] {RoutingApi.class}, (self, method, args) -> {
                     for (int i = 0; args != null && i < args.length; i++) {
                         if (args[i] instanceof Actions out) {
-                            args[i] = Proxy.newProxyInstance(Mutant.class.getClassLoader(), new Class<?>[] {Actions.class},
+                            args[i] = Proxy.newProxyInstance(
+                                    Mutant.class.getClassLoader(),
+                                    new Class<?>[] {Actions.class},
                                     (s, order, how) -> order(out, order.getName(), how));
                         }
                     }
                     if (method.getName().equals("onList") && args[1] != ListKind.FAILED) {
-                        args[2] = ((List<?>) args[2]).stream().map(m -> member((Member) m)).toList();
+                        args[2] = ((List<?>) args[2])
+                                .stream().map(m -> member((Member) m)).toList();
                     }
                     try {
                         return method.invoke(real, args);
--- a/src/test/java/damsonworks/model/NewsPlayTest.java
+++ b/src/test/java/damsonworks/model/NewsPlayTest.java
@@ -10,7 +10,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-/** News of the list reaches all instances in time, whatever failed, before a discovery that takes three calls a second. */
+/**
+ * News of the list reaches all instances in time, whatever failed, before a discovery that takes three calls a second.
+ */
 class NewsPlayTest {
     private static final double CALLS_A_SECOND = 3;
     /** What discovery has counts as told 6 s after it could be asked. */
@@ -25,7 +27,8 @@
     void allKnowInTimeHoweverManyTheyAre(Failure failure) {
         for (int instances : new int[] {1, 7, 30, 100}) {
             for (long seed = 1; seed <= 3; seed++) {
-                assertThat(play(instances, failure, Sharing.CHANGES, seed).worstMs()).as("%d instances, seed %d", instances, seed)
+                assertThat(play(instances, failure, Sharing.CHANGES, seed).worstMs())
+                        .as("%d instances, seed %d", instances, seed)
                         .isLessThan(TOLD_MS);
             }
         }
--- a/src/test/java/damsonworks/model/check/ExplorerTest.java
+++ b/src/test/java/damsonworks/model/check/ExplorerTest.java
@@ -32,8 +32,17 @@
         REFUTES_NOTHING {
             @Override
             Entry beyond(Entry self, Entry said) {
-                return new Entry(self.id(), Math.max(self.incarnation(), said.incarnation()) + 1, self.life(), said.state(),
-                        said.confirmers(), self.zone(), self.version(), self.phase(), self.notes(), self.address());
+                return new Entry(
+                        self.id(),
+                        Math.max(self.incarnation(), said.incarnation()) + 1,
+                        self.life(),
+                        said.state(),
+                        said.confirmers(),
+                        self.zone(),
+                        self.version(),
+                        self.phase(),
+                        self.notes(),
+                        self.address());
             }
         },
         /** It goes as far as what was said, and no further. */
@@ -91,7 +100,8 @@
     @EnumSource(Mutant.class)
     void oneWrongLineIsFoundWithATrace(Mutant mutant) {
         Wrong.MUTANT.set(mutant);
-        Explorer.Result r = new Explorer<>(new MemberProtocol(BOUNDS, e -> new Wrong(e), k -> new Wrong(k))).run(1_000_000);
+        Explorer.Result r =
+                new Explorer<>(new MemberProtocol(BOUNDS, e -> new Wrong(e), k -> new Wrong(k))).run(1_000_000);
         assertThat(r.broken()).as(r.text()).isNotNull();
         assertThat(r.trace()).hasSize(r.depth()).isNotEmpty();
     }
--- a/src/test/java/damsonworks/peer/BadNodesTest.java
+++ b/src/test/java/damsonworks/peer/BadNodesTest.java
@@ -15,7 +15,9 @@
     @Test
     void threePeersInTwoZonesTakeANodeOut() {
         assertThat(bad.claimed(0, 1, 1, node(7), 11, 4)).isFalse();
-        assertThat(bad.claimed(10, 1, 1, node(7), 11, 4)).as("the same once more").isFalse();
+        assertThat(bad.claimed(10, 1, 1, node(7), 11, 4))
+                .as("the same once more")
+                .isFalse();
         assertThat(bad.claimed(20, 5, 1, node(7), 11, 4)).isFalse();
         assertThat(bad.claimed(30, 9, 1, node(7), 11, 4)).as("all of one zone").isFalse();
         assertThat(bad.claimed(40, 2, 2, node(7), 11, 4)).isTrue();
@@ -38,7 +40,9 @@
         }
         assertThat(bad.knownToAll(100, 7)).isTrue();
         assertThat(bad.knownToAll(100, 8)).isFalse();
-        assertThat(bad.knownToAll(BadNodes.KEPT_MS / 2 + 100, 7)).as("it has to be said anew while it lasts").isFalse();
+        assertThat(bad.knownToAll(BadNodes.KEPT_MS / 2 + 100, 7))
+                .as("it has to be said anew while it lasts")
+                .isFalse();
         for (int peer = 0; peer < BadNodes.ENOUGH; peer++) {
             bad.claimed(0, peer, 1, node(9), 99, 4);
         }
--- a/src/test/java/damsonworks/peer/EnvelopeTest.java
+++ b/src/test/java/damsonworks/peer/EnvelopeTest.java
@@ -13,13 +13,15 @@
 import org.junit.jupiter.api.Test;
 
 class EnvelopeTest {
-    private static final byte[] TWO = Envelope.seal(List.of(new Item(1, 0, new byte[] {0, 0, 0, 0, 0, 0, 0, 41}),
-            new Item(31, 7, new byte[0])));
+    private static final byte[] TWO =
+            Envelope.seal(List.of(new Item(1, 0, new byte[] {0, 0, 0, 0, 0, 0, 0, 41}), new Item(31, 7, new byte[0])));
 
     /** The form on the wire; the test vector of the wire page. */
     @Test
     void theFormIsWhatThePageSays() {
-        assertThat(HexFormat.of().formatHex(TWO)).startsWith("e108080000000000000029ff00").hasSize(30);
+        assertThat(HexFormat.of().formatHex(TWO))
+                .startsWith("e108080000000000000029ff00")
+                .hasSize(30);
         assertThat(Envelope.open(TWO)).hasSize(2).first().satisfies(i -> {
             assertThat(i.kind()).isEqualTo(1);
             assertThat(i.body()).hasSize(8).endsWith(41);
@@ -36,7 +38,8 @@
         }
         assertThatThrownBy(() -> Envelope.seal(List.of(new Item(1, 0, new byte[200]), new Item(1, 0, new byte[60]))))
                 .isInstanceOf(IllegalArgumentException.class);
-        assertThat(Envelope.open(Envelope.seal(List.of(new Item(1, 0, new byte[Envelope.MOST_BODY]))))).hasSize(1);
+        assertThat(Envelope.open(Envelope.seal(List.of(new Item(1, 0, new byte[Envelope.MOST_BODY])))))
+                .hasSize(1);
     }
 
     @Property(seed = "45", tries = 20_000)
@@ -56,6 +59,8 @@
         assertThat(box.admits(0, 1, Level.FIRST)).isFalse();
         assertThat(box.dropped()).isEqualTo(3);
         assertThat(box.admits(600, 100, Level.THIRD)).as("a second fills it").isTrue();
-        assertThat(box.admits(100_000, 501, Level.THIRD)).as("and no more than it holds").isFalse();
+        assertThat(box.admits(100_000, 501, Level.THIRD))
+                .as("and no more than it holds")
+                .isFalse();
     }
 }
