--- a/src/test/java/damsonworks/peer/ListNewsTest.java
+++ b/src/test/java/damsonworks/peer/ListNewsTest.java
@@ -86,7 +86,7 @@
                             silent[i] = false;
                             told(i);
                         }
-                        case NONE, WAIT -> { }
+                        case NONE, WAIT -> {}
                     }
                 }
             }
@@ -94,12 +94,14 @@
     }
 
     /** A message that is on its way. */
-    private record Told(double at, int to, long version) { }
+    private record Told(double at, int to, long version) {}
 
     /** Guards against a fleet that goes on with a list of which every second proxy could have told. */
     @Property(seed = "1", tries = 60)
-    void whoHearsNothingAsksAsSoonAsOthersHaveHeard(@ForAll @IntRange(min = 2, max = 72) int instances,
-            @ForAll @DoubleRange(min = 0, max = 0.5) double loss, @ForAll long seed) {
+    void whoHearsNothingAsksAsSoonAsOthersHaveHeard(
+            @ForAll @IntRange(min = 2, max = 72) int instances,
+            @ForAll @DoubleRange(min = 0, max = 0.5) double loss,
+            @ForAll long seed) {
         Tier tier = new Tier(instances, loss, seed);
         for (int i = 0; i < instances; i++) {
             tier.silent[i] = i % 2 == 1;
@@ -113,19 +115,21 @@
     }
 
     /**
-     * What is told grows with what there is to tell. Seen: discovery tells all at once, and a message takes 5 to 30 ms, so
-     * all of them told all others, 72 times 71 messages for a version.
+     * What is told grows with what there is to tell. Seen: discovery tells all at once, and a message takes 5 to 30 ms,
+     * so all of them told all others, 72 times 71 messages for a version.
      */
     @Property(seed = "1", tries = 60)
-    void fewTellAVersionHoweverManyThereAreAndNobodyAsksWhereAllAreTold(@ForAll @IntRange(min = 2, max = 72) int instances,
-            @ForAll long seed) {
+    void fewTellAVersionHoweverManyThereAreAndNobodyAsksWhereAllAreTold(
+            @ForAll @IntRange(min = 2, max = 72) int instances, @ForAll long seed) {
         Tier tier = new Tier(instances, 0, seed);
         int versions = 12;
         for (int change = 0; change < versions; change++) {
             tier.change();
             tier.pass(2 * ListNews.TURN_MS * instances + 100);
         }
-        assertThat(tier.messages / (double) (instances - 1) / versions).as("who tell one version").isBetween(1.0, 3.0);
+        assertThat(tier.messages / (double) (instances - 1) / versions)
+                .as("who tell one version")
+                .isBetween(1.0, 3.0);
         assertThat(tier.asked).containsOnly(0);
     }
 
@@ -157,7 +161,8 @@
     void whatIsNoMessageAboutTheListIsNone() {
         assertThat(PeerMessage.listVersion(new byte[0])).isNegative();
         assertThat(PeerMessage.listVersion(new byte[9])).isNegative();
-        assertThat(PeerMessage.listVersion(new byte[] {'L', 0, 0, 0, 0, 0, 0, 0})).isNegative();
+        assertThat(PeerMessage.listVersion(new byte[] {'L', 0, 0, 0, 0, 0, 0, 0}))
+                .isNegative();
         assertThat(PeerMessage.listVersion(PeerMessage.list(77))).isEqualTo(77);
         assertThatThrownBy(() -> new ListNews(0, 1)).hasMessageContaining("0 instances");
     }
--- a/src/test/java/damsonworks/peer/ProvisionalMembershipTest.java
+++ b/src/test/java/damsonworks/peer/ProvisionalMembershipTest.java
@@ -35,7 +35,9 @@
 
     /** Servers 1 to {@code n} and the origin, in version 41. */
     private void begin(int n) {
-        List<Member> members = new ArrayList<>(IntStream.rangeClosed(1, n).mapToObj(i -> member(i, State.READY, 0)).toList());
+        List<Member> members = new ArrayList<>(IntStream.rangeClosed(1, n)
+                .mapToObj(i -> member(i, State.READY, 0))
+                .toList());
         members.add(new Member(100, 0, ORIGIN_KIND, 0, State.READY, 1, 0));
         membership.begin(41, members);
     }
@@ -43,7 +45,8 @@
     @Test
     void aServerThatAPeerKnowsToDrainOrToBeGoneIsLeftAlone() {
         begin(5);
-        assertThat(membership.heard(NOW, update(41, 43, change(43, 1, State.DRAINING, 0), change(43, 2, State.GONE, 0))))
+        assertThat(membership.heard(
+                        NOW, update(41, 43, change(43, 1, State.DRAINING, 0), change(43, 2, State.GONE, 0))))
                 .containsExactly(member(1, State.DRAINING, 0), member(2, State.DRAINING, 0));
         assertThat(membership.known()).isEqualTo(43);
     }
@@ -58,14 +61,23 @@
     @Test
     void peersAddNoServerAndChangeNoOriginNorStartAnythingInTheFuture() {
         begin(5);
-        assertThat(membership.heard(NOW, update(41, 43, change(43, 6, State.READY, 0), change(43, 100, State.GONE, 0),
-                change(43, 1, State.READY, NOW + 2 * ProvisionalMembership.MOST_AHEAD_MS)))).isEmpty();
+        assertThat(membership.heard(
+                        NOW,
+                        update(
+                                41,
+                                43,
+                                change(43, 6, State.READY, 0),
+                                change(43, 100, State.GONE, 0),
+                                change(43, 1, State.READY, NOW + 2 * ProvisionalMembership.MOST_AHEAD_MS))))
+                .isEmpty();
     }
 
     @Test
     void peersHaveNoMoreThanHalfOfTheServersLeftAlone() {
         begin(5);
-        ListChange[] all = IntStream.rangeClosed(1, 5).mapToObj(i -> change(43, i, State.GONE, 0)).toArray(ListChange[]::new);
+        ListChange[] all = IntStream.rangeClosed(1, 5)
+                .mapToObj(i -> change(43, i, State.GONE, 0))
+                .toArray(ListChange[]::new);
         assertThat(membership.heard(NOW, update(41, 43, all))).hasSize(2);
         ProvisionalMembership one = new ProvisionalMembership(ORIGIN_KIND);
         one.begin(41, List.of(member(1, State.READY, 0)));
@@ -76,7 +88,8 @@
     void whatDiscoveryHasToldOfThatVersionGoesBeforePeers() {
         begin(5);
         membership.told(43, false, List.of());
-        assertThat(membership.heard(NOW, update(41, 43, change(43, 1, State.GONE, 0)))).isEmpty();
+        assertThat(membership.heard(NOW, update(41, 43, change(43, 1, State.GONE, 0))))
+                .isEmpty();
     }
 
     @Test
@@ -119,8 +132,8 @@
         begin(3);
         membership.told(42, false, List.of(member(1, State.DRAINING, 0)));
         membership.told(43, false, List.of(member(1, State.GONE, 0), member(2, State.DRAINING, 0)));
-        assertThat(membership.since(NOW, 41)).containsExactly(update(41, 43, change(43, 1, State.GONE, 0),
-                change(43, 2, State.DRAINING, 0)));
+        assertThat(membership.since(NOW, 41))
+                .containsExactly(update(41, 43, change(43, 1, State.GONE, 0), change(43, 2, State.DRAINING, 0)));
         assertThat(membership.since(NOW, 43)).isEmpty();
         assertThat(membership.news().after()).isEqualTo(41);
     }
@@ -131,15 +144,18 @@
         begin(5);
         membership.heard(NOW, update(41, 43, change(43, 1, State.GONE, 0)));
         List<ListUpdate> passedOn = membership.since(NOW + 5000, 41);
-        assertThat(passedOn).containsExactly(new ListUpdate(41, 43, ProvisionalMembership.HOLD_MS - 5000,
-                List.of(change(43, 1, State.GONE, 0))));
+        assertThat(passedOn)
+                .containsExactly(new ListUpdate(
+                        41, 43, ProvisionalMembership.HOLD_MS - 5000, List.of(change(43, 1, State.GONE, 0))));
         assertThat(membership.since(NOW + ProvisionalMembership.HOLD_MS, 41)).isEmpty();
         ProvisionalMembership other = new ProvisionalMembership(ORIGIN_KIND);
         other.begin(41, List.of(member(1, State.READY, 0), member(2, State.READY, 0)));
         other.heard(NOW + 5000, passedOn.get(0));
         assertThat(other.dueMs()).isEqualTo(NOW + ProvisionalMembership.HOLD_MS);
         other.told(43, false, List.of());
-        assertThat(other.since(NOW + 5000, 41)).as("discovery's word goes before").isEmpty();
+        assertThat(other.since(NOW + 5000, 41))
+                .as("discovery's word goes before")
+                .isEmpty();
     }
 
     /** Whole lists name no change by itself. */
@@ -147,7 +163,8 @@
     void whatAWholeListNamesNoMoreIsToldAsGone() {
         begin(2);
         membership.told(42, true, List.of(member(1, State.READY, 0)));
-        assertThat(membership.since(NOW, 41)).containsExactly(update(41, 42, change(42, 2, State.GONE, 0), change(42, 100, State.GONE, 0)));
+        assertThat(membership.since(NOW, 41))
+                .containsExactly(update(41, 42, change(42, 2, State.GONE, 0), change(42, 100, State.GONE, 0)));
     }
 
     @Test
@@ -158,11 +175,17 @@
             membership.told(41 + i, false, List.of(member(i, State.DRAINING, 0)));
         }
         assertThat(membership.since(NOW, 41)).hasSize(3);
-        assertThat(membership.since(NOW, 41).stream().flatMap(u -> u.servers().stream()).map(ListChange::server).distinct().count())
+        assertThat(membership.since(NOW, 41).stream()
+                        .flatMap(u -> u.servers().stream())
+                        .map(ListChange::server)
+                        .distinct()
+                        .count())
                 .isEqualTo(servers);
         membership.told(1000, true, List.of(member(1, State.READY, 0)));
         assertThat(membership.news().servers()).hasSize(ListUpdate.MOST_SERVERS);
-        assertThat(membership.news().after()).as("what was dropped is not claimed").isEqualTo(1000);
+        assertThat(membership.news().after())
+                .as("what was dropped is not claimed")
+                .isEqualTo(1000);
     }
 
     /** Whatever peers tell and lose, all that discovery has told of a version in the end is what it says. */
@@ -177,7 +200,13 @@
         for (long version = 42; version < 60; version++) {
             Member next = member(1 + random.nextInt(8), State.values()[random.nextInt(3)], random.nextInt(3) * 1000);
             if (random.nextBoolean()) {
-                membership.heard(NOW, update(41, version + random.nextInt(5), change(version, next.id(), next.state(), next.bornMs())))
+                membership
+                        .heard(
+                                NOW,
+                                update(
+                                        41,
+                                        version + random.nextInt(5),
+                                        change(version, next.id(), next.state(), next.bornMs())))
                         .forEach(m -> used.put(m.id(), m));
             } else {
                 truth.put(next.id(), next);
--- a/src/test/java/damsonworks/proxy/ClientConnectionTest.java
+++ b/src/test/java/damsonworks/proxy/ClientConnectionTest.java
@@ -18,7 +18,9 @@
 
     @Test
     void commandsComeInPiecesAndInHeapsAndAreAnsweredInOrder() throws Exception {
-        try (Fleet fleet = new Fleet().node(FakeServer.node(ClientConnectionTest::hit)).start();
+        try (Fleet fleet = new Fleet()
+                        .node(FakeServer.node(ClientConnectionTest::hit))
+                        .start();
                 Fleet.Client client = fleet.client()) {
             client.say("m").say("n\r").say("\n");
             assertThat(client.line()).isEqualTo("MN");
@@ -44,7 +46,8 @@
             second.countDown();
             c.awaitEnd();
         });
-        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client client = fleet.client()) {
             client.read("1").read("2");
             assertThat(client.line()).isEqualTo("VA 5 O1");
             client.line();
@@ -55,7 +58,8 @@
     @Test
     void theCommandGoesOnUnchangedButForTheDeadline() throws Exception {
         FakeServer node = FakeServer.node(ClientConnectionTest::hit);
-        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client client = fleet.client()) {
             client.say("mg 7f3a v Oab12 Pc=text,t=acme,d=20000,r=1 q\r\n");
             client.line();
             assertThat(node.next()).matches("mg 7f3a v Oab12 Pc=text,t=acme,d=(20000|1\\d{4}),r=1 q");
@@ -70,30 +74,43 @@
             c.request();
             c.sayHttp(200, "", "r1");
         });
-        try (Fleet fleet = new Fleet().origin(origin).start(); Fleet.Client client = fleet.client()) {
-            client.say("ms 7f3a " + value.length + " O9 Pc=fix,d=20000\r\n").say(value).say("\r\n");
+        try (Fleet fleet = new Fleet().origin(origin).start();
+                Fleet.Client client = fleet.client()) {
+            client.say("ms 7f3a " + value.length + " O9 Pc=fix,d=20000\r\n")
+                    .say(value)
+                    .say("\r\n");
             assertThat(client.line()).isEqualTo("HD O9 cr1");
             String request = origin.next();
-            assertThat(request).startsWith("PUT /7f3a HTTP/1.1\n").containsIgnoringCase("req-id: 9\n")
+            assertThat(request)
+                    .startsWith("PUT /7f3a HTTP/1.1\n")
+                    .containsIgnoringCase("req-id: 9\n")
                     .containsPattern("(?i)\\nreq-extra: c=fix,d=(20000|1\\d{4})\\n");
             String body = request.substring(request.indexOf("\n\n") + 2);
-            assertThat(body.equals(new String(value, StandardCharsets.ISO_8859_1))).isTrue();
+            assertThat(body.equals(new String(value, StandardCharsets.ISO_8859_1)))
+                    .isTrue();
         }
     }
 
     @Test
     void brokenCommandsAreToldAndOnlyLostFramingEndsTheConnection() throws Exception {
-        try (Fleet fleet = new Fleet().node(FakeServer.node(ClientConnectionTest::hit)).start()) {
+        try (Fleet fleet =
+                new Fleet().node(FakeServer.node(ClientConnectionTest::hit)).start()) {
             try (Fleet.Client client = fleet.client()) {
-                client.say("mg 7f3a v\r\n").say("ms 7f3a 5 v\r\nhello\r\n").say("mg 7f3a v O1 Pc=none,d=5\r\n")
+                client.say("mg 7f3a v\r\n")
+                        .say("ms 7f3a 5 v\r\nhello\r\n")
+                        .say("mg 7f3a v O1 Pc=none,d=5\r\n")
                         .read("2");
                 assertThat(client.line()).startsWith("CLIENT_ERROR");
                 assertThat(client.line()).startsWith("CLIENT_ERROR");
                 assertThat(client.line()).startsWith("CLIENT_ERROR");
                 assertThat(client.line()).isEqualTo("VA 5 O2");
             }
-            for (String lost : new String[] {"ms 7f3a -5 O1 Pc=fix,d=500\r\n", "ms 7f3a 5 O1 Pc=fix,d=500\r\nhelloXX",
-                "ms 7f3a 4194305 O1 Pc=fix,d=500\r\n", "x".repeat(MetaCodec.MAX_LINE)}) {
+            for (String lost : new String[] {
+                "ms 7f3a -5 O1 Pc=fix,d=500\r\n",
+                "ms 7f3a 5 O1 Pc=fix,d=500\r\nhelloXX",
+                "ms 7f3a 4194305 O1 Pc=fix,d=500\r\n",
+                "x".repeat(MetaCodec.MAX_LINE)
+            }) {
                 try (Fleet.Client client = fleet.client()) {
                     client.say(lost);
                     assertThat(client.line()).as(lost.substring(0, 10)).startsWith("CLIENT_ERROR");
@@ -106,9 +123,18 @@
     @Test
     void whatAServerCouldNotUseIsNotPassedOn() throws Exception {
         FakeServer node = FakeServer.node(ClientConnectionTest::hit);
-        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
-            for (String bad : new String[] {"O1 Pc=text", "O1 Pc=text,d=", "O1 Pc=text,d=soon", "O1 Pc=text,d=NaN",
-                "O1 Pc=text,d=Infinity", "O1 Pc=text,d=-5", "O\u0001 Pc=text,d=500", "O1 Pc=text,d=500 \u00ff"}) {
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client client = fleet.client()) {
+            for (String bad : new String[] {
+                "O1 Pc=text",
+                "O1 Pc=text,d=",
+                "O1 Pc=text,d=soon",
+                "O1 Pc=text,d=NaN",
+                "O1 Pc=text,d=Infinity",
+                "O1 Pc=text,d=-5",
+                "O\u0001 Pc=text,d=500",
+                "O1 Pc=text,d=500 \u00ff"
+            }) {
                 client.say("mg 7f3a v " + bad + "\r\n");
                 assertThat(client.line()).as(bad).startsWith("CLIENT_ERROR");
             }
@@ -121,7 +147,7 @@
     /** A node that answers reads once it may. */
     private static FakeServer waiting(CountDownLatch go) throws Exception {
         return new FakeServer(c -> {
-            for (String line; (line = c.command()) != null;) {
+            for (String line; (line = c.command()) != null; ) {
                 go.await();
                 c.say(hit(line));
             }
@@ -133,7 +159,8 @@
     void theIdOfAnotherRequestIsTurnedAwayWhileThatIsOpenAndRightAfterItsAnswer() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         FakeServer node = waiting(go);
-        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client one = fleet.client();
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client one = fleet.client();
                 Fleet.Client two = fleet.client()) {
             one.read("1");
             node.next();
@@ -157,11 +184,14 @@
     void theIdOfARequestWhoseClientHasGoneIsTurnedAway() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         FakeServer node = waiting(go);
-        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client two = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client two = fleet.client()) {
             Fleet.Client one = fleet.client().read("1");
             node.next();
             one.close();
-            Await.until("the proxy has seen its end", () -> fleet.on(() -> fleet.proxy.core().owed()) == 0);
+            Await.until(
+                    "the proxy has seen its end",
+                    () -> fleet.on(() -> fleet.proxy.core().owed()) == 0);
             two.read("1");
             assertThat(two.line()).startsWith("CLIENT_ERROR");
             go.countDown();
@@ -177,7 +207,8 @@
             setup.set("classes." + i + ".promise", "100.0").set("classes." + i + ".deadline", "200.0");
         }
         String read = "mg 7f3a v O1 Pc=text,d=200\r\n";
-        try (Fleet fleet = setup.start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = setup.start();
+                Fleet.Client client = fleet.client()) {
             assertThat(client.say(read).line()).isEqualTo("VA 5 O1");
             client.line();
             assertThat(client.say(read).line()).startsWith("CLIENT_ERROR");
@@ -209,8 +240,11 @@
         JsonObject limits = new JsonObject();
         limits.addProperty("memory_mb", 8);
         setup.config.add("limits", limits);
-        try (Fleet fleet = setup.start(); Fleet.Client client = fleet.client()) {
-            client.say("ms 7f3a 2000000 O1 Pc=fix,d=20000\r\n").say(new byte[2_000_000]).say("\r\n");
+        try (Fleet fleet = setup.start();
+                Fleet.Client client = fleet.client()) {
+            client.say("ms 7f3a 2000000 O1 Pc=fix,d=20000\r\n")
+                    .say(new byte[2_000_000])
+                    .say("\r\n");
             assertThat(client.line()).isEqualTo("SERVER_ERROR busy");
             client.say("ms 7f3a 5 O2 Pc=fix,d=20000\r\nhello\r\n");
             assertThat(client.line()).isEqualTo("HD O2 cPUT");
@@ -229,9 +263,12 @@
         JsonObject limits = new JsonObject();
         limits.addProperty("memory_mb", 8);
         setup.config.add("limits", limits);
-        try (Fleet fleet = setup.start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = setup.start();
+                Fleet.Client client = fleet.client()) {
             for (int i = 0; i < 6; i++) {
-                client.say("ms 7f3a 400000 O" + i + " Pc=fix,d=20000\r\n").say(new byte[400_000]).say("\r\n");
+                client.say("ms 7f3a 400000 O" + i + " Pc=fix,d=20000\r\n")
+                        .say(new byte[400_000])
+                        .say("\r\n");
                 assertThat(client.line()).isEqualTo("HD O" + i + " cr1");
             }
         }
@@ -247,13 +284,20 @@
             c.say("VA 5 O" + FakeServer.id(line) + " h1\r\nhello\r\n");
             c.awaitEnd();
         });
-        try (Fleet fleet = new Fleet().node(node).set("caps.second-copies", "false").set("caps.may-cancel", "false").start();
-                Fleet.Client patient = fleet.client(); Fleet.Client half = fleet.client()) {
+        try (Fleet fleet = new Fleet()
+                        .node(node)
+                        .set("caps.second-copies", "false")
+                        .set("caps.may-cancel", "false")
+                        .start();
+                Fleet.Client patient = fleet.client();
+                Fleet.Client half = fleet.client()) {
             patient.say("mg 7f3a v O1 Pc=text,d=20000\r\nmg 7f3a v O2 Pc=te"); // and the next is on its way
             half.say("mg 7f3a v");
             node.next();
             double late = fleet.on(() -> fleet.proxy.core().now()) + 15_000;
-            Await.until("both have been read", () -> fleet.on(() -> fleet.proxy.clients().idle()) == 0);
+            Await.until(
+                    "both have been read",
+                    () -> fleet.on(() -> fleet.proxy.clients().idle()) == 0);
             fleet.on(() -> {
                 fleet.proxy.clients().sweep(late);
                 return null;
--- a/src/test/java/damsonworks/proxy/ClosingTest.java
+++ b/src/test/java/damsonworks/proxy/ClosingTest.java
@@ -30,7 +30,9 @@
             for (int i = 0; i < waiting.size(); i++) {
                 assertThat(waiting.get(i).line()).isEqualTo("VA 5 Ow" + i);
             }
-            Await.until("the listener ends then", () -> !fleet.on(() -> fleet.proxy.clients().channel().isOpen()));
+            Await.until(
+                    "the listener ends then",
+                    () -> !fleet.on(() -> fleet.proxy.clients().channel().isOpen()));
         }
     }
 
@@ -43,12 +45,14 @@
 
     @Test
     void aConnectionThatHasJustComeIsNotEndedBeforeItsRequest() throws Exception {
-        try (Fleet fleet = fleet().start(); Fleet.Client used = fleet.client()) {
+        try (Fleet fleet = fleet().start();
+                Fleet.Client used = fleet.client()) {
             assertThat(used.say("mn\r\n").line()).isEqualTo("MN");
             double now = fleet.on(() -> fleet.proxy.core().now());
             Fleet.Client fresh = fleet.client();
             Fleet.Client mute = fleet.client();
-            Await.until("all have come", () -> fleet.on(() -> fleet.proxy.clients().idle()) == 3);
+            Await.until(
+                    "all have come", () -> fleet.on(() -> fleet.proxy.clients().idle()) == 3);
             endIdle(fleet, now);
             assertThat(used.ended()).isTrue();
             assertThat(fresh.read("1").line()).isEqualTo("VA 5 O1");
--- a/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
+++ b/src/test/java/damsonworks/proxy/DiscoveryClientTest.java
@@ -54,7 +54,10 @@
             c.request();
             c.awaitEnd();
         });
-        try (Fleet fleet = new Fleet().discovery(discovery).set("caps.connect-timeout", "200.0").start()) {
+        try (Fleet fleet = new Fleet()
+                .discovery(discovery)
+                .set("caps.connect-timeout", "200.0")
+                .start()) {
             assertThat(discovery.next()).startsWith("GET /discovery/hosts?since=41&timeout_ms=");
             assertThat(discovery.next()).startsWith("GET /discovery/hosts?since=43&timeout_ms=");
             assertThat(served(fleet)).isTrue();
@@ -65,7 +68,10 @@
 
     /** A fleet with one peer, whose datagrams come from this socket. */
     private static Fleet withPeer(FakeServer discovery, DatagramSocket peer, String mode) {
-        Fleet fleet = new Fleet().discovery(discovery).set("caps.connect-timeout", "200.0").set("discovery", mode);
+        Fleet fleet = new Fleet()
+                .discovery(discovery)
+                .set("caps.connect-timeout", "200.0")
+                .set("discovery", mode);
         JsonArray peers = new JsonArray();
         peers.add("127.0.0.1:1"); // its own
         peers.add("127.0.0.1:" + peer.getLocalPort());
@@ -148,7 +154,9 @@
         peer.setSoTimeout(20_000);
         DatagramPacket packet = new DatagramPacket(new byte[1000], 1000);
         peer.receive(packet);
-        return Envelope.open(Arrays.copyOf(packet.getData(), packet.getLength())).get(0).body();
+        return Envelope.open(Arrays.copyOf(packet.getData(), packet.getLength()))
+                .get(0)
+                .body();
     }
 
     /** Guards against instances of a large fleet that hear of a drain only when discovery's line has room for them. */
@@ -174,14 +182,22 @@
                 client.say(read.formatted(1)).line();
                 client.line();
                 assertThat(drained.next()).contains("O1 ");
-                assertThat(PeerMessage.queriedVersion(receive(peer))).as("a call has failed").isEqualTo(41);
-                send(peer, new ListUpdate(41, 43, HOLD_MS, List.of(new ListChange(43, 1, State.DRAINING, 0))).encode(), fleet);
-                Await.until("the peer's word is in use", () -> !fleet.on(() -> fleet.proxy.core().servers().get(1).ready));
+                assertThat(PeerMessage.queriedVersion(receive(peer)))
+                        .as("a call has failed")
+                        .isEqualTo(41);
+                send(
+                        peer,
+                        new ListUpdate(41, 43, HOLD_MS, List.of(new ListChange(43, 1, State.DRAINING, 0))).encode(),
+                        fleet);
+                Await.until(
+                        "the peer's word is in use",
+                        () -> !fleet.on(() -> fleet.proxy.core().servers().get(1).ready));
                 client.say(read.formatted(2)).line();
                 client.line();
                 assertThat(other.next()).contains("O2 ");
                 well.set(true);
-                Await.until("discovery's list of that version knows nothing of it",
+                Await.until(
+                        "discovery's list of that version knows nothing of it",
                         () -> fleet.on(() -> fleet.proxy.core().servers().get(1).ready));
                 client.say(read.formatted(3)).line();
                 client.line();
@@ -205,8 +221,8 @@
             discovery.next();
             assertThat(discovery.next()).contains("since=43&");
             send(peer, PeerMessage.listQuery(41), fleet);
-            assertThat(ListUpdate.decode(receive(peer))).isEqualTo(new ListUpdate(41, 43, HOLD_MS,
-                    List.of(new ListChange(43, 0xbeef, State.READY, 0))));
+            assertThat(ListUpdate.decode(receive(peer)))
+                    .isEqualTo(new ListUpdate(41, 43, HOLD_MS, List.of(new ListChange(43, 0xbeef, State.READY, 0))));
         }
         node.close();
     }
@@ -233,9 +249,13 @@
             c.request();
             c.awaitEnd();
         });
-        Fleet setup = new Fleet().node(before).discovery(discovery).set("guarantees.ask-within", "200.0")
+        Fleet setup = new Fleet()
+                .node(before)
+                .discovery(discovery)
+                .set("guarantees.ask-within", "200.0")
                 .set("balancers", "60"); // one connection to a node
-        try (Fleet fleet = setup.start(); Fleet.Client waiting = fleet.client()) {
+        try (Fleet fleet = setup.start();
+                Fleet.Client waiting = fleet.client()) {
             discovery.next();
             waiting.read("2");
             before.next();
@@ -258,7 +278,7 @@
         String[] bad = {"{", "[]", "{\"seq\":44,\"whole\":true,\"hosts\":[{}]}", unknown.toString()};
         CountDownLatch all = new CountDownLatch(bad.length + 2);
         FakeServer discovery = new FakeServer(c -> {
-            for (String request; (request = c.request()) != null;) {
+            for (String request; (request = c.request()) != null; ) {
                 int call = (int) (bad.length + 2 - all.getCount());
                 all.countDown();
                 if (call == 0) {
@@ -272,8 +292,12 @@
                 }
             }
         });
-        try (Fleet fleet = new Fleet().node(node).discovery(discovery).set("caps.connect-timeout", "50.0")
-                .set("guarantees.ask-within", "200.0").start()) {
+        try (Fleet fleet = new Fleet()
+                .node(node)
+                .discovery(discovery)
+                .set("caps.connect-timeout", "50.0")
+                .set("guarantees.ask-within", "200.0")
+                .start()) {
             for (int i = 0; i < bad.length + 3; i++) {
                 assertThat(discovery.next()).contains("since=41&");
             }
@@ -286,7 +310,7 @@
         FakeServer node = hits();
         CountDownLatch down = new CountDownLatch(1);
         FakeServer agent = new FakeServer(c -> {
-            for (String request; (request = c.request()) != null;) {
+            for (String request; (request = c.request()) != null; ) {
                 if (down.getCount() > 0) {
                     down.countDown();
                     c.sayHttp(503, "", "");
--- a/src/test/java/damsonworks/proxy/DrainOnRequestTest.java
+++ b/src/test/java/damsonworks/proxy/DrainOnRequestTest.java
@@ -19,6 +19,7 @@
 class DrainOnRequestTest {
     /** Far beyond what any of it takes. */
     private static final double LONG_MS = 12_000;
+
     private static final int LONG_VALUE = 4_000_000;
 
     private static Drain.Begun drain(Fleet fleet, double deadlineMs) {
@@ -40,7 +41,7 @@
     /** A node that answers each command when it is let. */
     private static FakeServer held(CountDownLatch go) throws Exception {
         return new FakeServer(c -> {
-            for (String line; (line = c.command()) != null;) {
+            for (String line; (line = c.command()) != null; ) {
                 go.await();
                 c.say(hit(line));
             }
@@ -49,7 +50,7 @@
 
     private static FakeServer longValues() throws Exception {
         return new FakeServer(c -> {
-            for (String line; (line = c.command()) != null;) {
+            for (String line; (line = c.command()) != null; ) {
                 c.say("VA " + LONG_VALUE + " O" + FakeServer.id(line) + " h1\r\n" + "x".repeat(LONG_VALUE) + "\r\n");
             }
         });
@@ -59,7 +60,8 @@
     void requestsInLineAreAllAnsweredBeforeTheirConnectionEnds() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         FakeServer node = held(go);
-        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client client = fleet.client()) {
             client.read("1");
             node.next();
             drain(fleet, LONG_MS);
@@ -83,12 +85,15 @@
                 c.sayHttp(200, "", "r1");
             }
         });
-        try (Fleet fleet = new Fleet().origin(origin).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().origin(origin).start();
+                Fleet.Client client = fleet.client()) {
             client.say("mn\r\nms 7f3a 5 O1 Pc=fix,d=20000\r\nhel");
             assertThat(client.line()).isEqualTo("MN");
             drain(fleet, LONG_MS);
-            Await.until("idle connections would have gone", () -> progress(fleet).leftMs() >= 0
-                    && fleet.on(fleet.proxy::status).clients() == 1);
+            Await.until(
+                    "idle connections would have gone",
+                    () -> progress(fleet).leftMs() >= 0
+                            && fleet.on(fleet.proxy::status).clients() == 1);
             client.say("lo\r\n");
             assertThat(client.line()).isEqualTo("HD O1 cr1");
             assertThat(client.ended()).isTrue();
@@ -107,7 +112,8 @@
             c.say("x".repeat(length / 2) + "\r\n");
             c.awaitEnd();
         });
-        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client client = fleet.client()) {
             client.read("1");
             assertThat(client.line()).isEqualTo("VA " + length + " O1");
             drain(fleet, LONG_MS);
@@ -120,7 +126,9 @@
 
     @Test
     void newConnectionsAreServedAndThenEndedAndClientsThatAskAreTold() throws Exception {
-        try (Fleet fleet = new Fleet().node(FakeServer.node(DrainOnRequestTest::hit)).start();
+        try (Fleet fleet = new Fleet()
+                        .node(FakeServer.node(DrainOnRequestTest::hit))
+                        .start();
                 Fleet.Client busy = fleet.client()) {
             busy.say("m"); // half a command keeps the drain under way
             Await.until("it is read", () -> fleet.on(fleet.proxy::status).clients() == 1);
@@ -140,14 +148,17 @@
 
     @Test
     void aCancelHalfwayGivesFullServiceBackAndASecondDrainWorks() throws Exception {
-        try (Fleet fleet = new Fleet().node(FakeServer.node(DrainOnRequestTest::hit)).start()) {
+        try (Fleet fleet =
+                new Fleet().node(FakeServer.node(DrainOnRequestTest::hit)).start()) {
             Fleet.Client[] clients = new Fleet.Client[40];
             for (int i = 0; i < clients.length; i++) {
                 clients[i] = fleet.client();
                 clients[i].say("mn\r\n").line();
             }
             drain(fleet, LONG_MS); // its pace is 5 s
-            Await.until("half of them are ended", () -> fleet.on(fleet.proxy::status).clients() <= 20);
+            Await.until(
+                    "half of them are ended",
+                    () -> fleet.on(fleet.proxy::status).clients() <= 20);
             assertThat(fleet.on(fleet.proxy::cancelDrain)).isNull();
             int left = fleet.on(fleet.proxy::status).clients();
             assertThat(left).isPositive();
@@ -163,7 +174,9 @@
             }
             int stay = serving;
             assertThat(stay).isBetween(1, left);
-            Await.until("what had been ended is gone", () -> fleet.on(fleet.proxy::status).clients() == stay);
+            Await.until(
+                    "what had been ended is gone",
+                    () -> fleet.on(fleet.proxy::status).clients() == stay);
             try (Fleet.Client late = fleet.client()) {
                 late.read("x");
                 assertThat(late.line()).isEqualTo("VA 5 Ox");
@@ -185,7 +198,8 @@
         FakeServer node = held(go);
         double deadlineMs = 10_000;
         double paceMs = DrainPlan.asked(deadlineMs).paceMs();
-        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client client = fleet.client()) {
             client.read("1");
             node.next();
             drain(fleet, deadlineMs);
@@ -194,24 +208,33 @@
             assertThat(client.line()).isEqualTo("VA 5 O1");
             client.line();
             client.say("mn\r\n");
-            assertThat(client.ended()).as("ended with its answer, not some time after").isTrue();
+            assertThat(client.ended())
+                    .as("ended with its answer, not some time after")
+                    .isTrue();
         }
     }
 
-    /** Whichever of them is first: the request has one answer, its own after a cancel and a refusal after the deadline. */
+    /**
+     * Whichever of them is first: the request has one answer, its own after a cancel and a refusal after the deadline.
+     */
     @Test
     void aCancelRacingTheDeadlineLeavesOneOfTheTwo() throws Exception {
         int deadlineMs = 100;
         for (int offset = -6; offset <= 6; offset += 2) {
             CountDownLatch go = new CountDownLatch(1);
-            try (Fleet fleet = new Fleet().node(held(go)).start(); Fleet.Client client = fleet.client()) {
+            try (Fleet fleet = new Fleet().node(held(go)).start();
+                    Fleet.Client client = fleet.client()) {
                 client.read("1");
                 Await.until("it is taken", () -> fleet.on(fleet.proxy::status).owed() == 1);
                 CompletableFuture<String> cancelled = new CompletableFuture<>();
                 int after = deadlineMs + offset;
                 fleet.on(() -> {
-                    fleet.proxy.loop().schedule(() -> cancelled.complete(String.valueOf(fleet.proxy.cancelDrain())),
-                            after, TimeUnit.MILLISECONDS);
+                    fleet.proxy
+                            .loop()
+                            .schedule(
+                                    () -> cancelled.complete(String.valueOf(fleet.proxy.cancelDrain())),
+                                    after,
+                                    TimeUnit.MILLISECONDS);
                     return fleet.proxy.drain(deadlineMs);
                 });
                 if (cancelled.get(30, TimeUnit.SECONDS).equals("null")) {
@@ -239,7 +262,8 @@
             c.request();
             c.awaitEnd();
         });
-        try (Fleet fleet = new Fleet().node(silent).origin(origin).start(); Fleet.Client read = fleet.client();
+        try (Fleet fleet = new Fleet().node(silent).origin(origin).start();
+                Fleet.Client read = fleet.client();
                 Fleet.Client write = fleet.client()) {
             read.read("1");
             write.say("ms 7f3a 5 O2 Pc=fix,d=20000\r\nhello\r\n");
@@ -259,11 +283,14 @@
     @Test
     void aClientThatReadsSlowlyGetsItsAnswersWhole() throws Exception {
         FakeServer node = longValues();
-        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client client = fleet.client()) {
             for (int i = 0; i < 10; i++) { // more than the system's own buffers take
                 client.read("" + i);
             }
-            Await.until("all are under way, held back by the client", () -> fleet.on(fleet.proxy::status).owed() == 10);
+            Await.until(
+                    "all are under way, held back by the client",
+                    () -> fleet.on(fleet.proxy::status).owed() == 10);
             Thread end = drainAndTerminate(fleet);
             for (int i = 0; i < 10; i++) {
                 assertThat(client.line()).isEqualTo("VA " + LONG_VALUE + " O" + i);
@@ -279,12 +306,15 @@
     @Test
     void answersThatWaitInTheProxyForTheirClientReachItWhole() throws Exception {
         String value = "x".repeat(MetaCodec.WHOLE);
-        FakeServer node = FakeServer.node(line -> "VA " + value.length() + " O" + FakeServer.id(line) + " h1\r\n" + value
-                + "\r\n");
-        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client first = fleet.client(1 << 16);
-                Fleet.Client client = fleet.client(1 << 16); Fleet.Client idle = fleet.client()) {
+        FakeServer node = FakeServer.node(
+                line -> "VA " + value.length() + " O" + FakeServer.id(line) + " h1\r\n" + value + "\r\n");
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client first = fleet.client(1 << 16);
+                Fleet.Client client = fleet.client(1 << 16);
+                Fleet.Client idle = fleet.client()) {
             assertThat(idle.say("mn\r\n").line()).isEqualTo("MN");
-            // So many that the system's buffers are full and the proxy's own are in use: it reads no further command then.
+            // So many that the system's buffers are full and the proxy's own are in use: it reads no further command
+            // then.
             int fit = 0;
             while (answeredSoon(fleet, fit)) {
                 first.read("f" + fit++);
@@ -295,7 +325,9 @@
             }
             answeredSoon(fleet, 2 * (fit - 1));
             Thread end = drainAndTerminate(fleet);
-            assertThat(idle.ended()).as("with the connections that have nothing under way, which end at once").isTrue();
+            assertThat(idle.ended())
+                    .as("with the connections that have nothing under way, which end at once")
+                    .isTrue();
             for (int i = 1; i < fit; i++) {
                 assertThat(client.line()).isEqualTo("VA " + value.length() + " O" + i);
                 assertThat(client.bytes(value.length())).hasSize(value.length());
@@ -305,7 +337,9 @@
         }
     }
 
-    /** Whether so many have been answered within a time that is long for one; a slow machine only makes it too careful. */
+    /**
+     * Whether so many have been answered within a time that is long for one; a slow machine only makes it too careful.
+     */
     private static boolean answeredSoon(Fleet fleet, int many) throws InterruptedException {
         for (int i = 0; i < 100; i++) {
             if (fleet.on(fleet.proxy::status).answered() >= many) {
@@ -335,7 +369,8 @@
     @Test
     void aClientThatNeverReadsHoldsTheEndBackToTheDeadlineAndNoLonger() throws Exception {
         FakeServer node = longValues();
-        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client client = fleet.client()) {
             for (int i = 0; i < 10; i++) { // more than the system's own buffers take
                 client.read("" + i);
             }
@@ -350,14 +385,16 @@
     void sigtermDuringADrainTakesOver() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         FakeServer node = held(go);
-        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client client = fleet.client()) {
             client.read("1");
             node.next();
             drain(fleet, LONG_MS);
             Thread end = new Thread(fleet.proxy::drain);
             end.start();
-            Await.until("it can't be taken back", () ->
-                    String.valueOf(fleet.on(fleet.proxy::cancelDrain)).contains("told to end"));
+            Await.until(
+                    "it can't be taken back",
+                    () -> String.valueOf(fleet.on(fleet.proxy::cancelDrain)).contains("told to end"));
             go.countDown();
             assertThat(client.line()).isEqualTo("VA 5 O1");
             client.line();
@@ -379,8 +416,13 @@
                 c.sayHttp(200, "", Fleet.list(42, false, gone).toString());
             }
         });
-        try (Fleet fleet = new Fleet().node(node).discovery(discovery).set("discovery", "push").start();
-                Fleet.Client before = fleet.client(); Fleet.Client after = fleet.client()) {
+        try (Fleet fleet = new Fleet()
+                        .node(node)
+                        .discovery(discovery)
+                        .set("discovery", "push")
+                        .start();
+                Fleet.Client before = fleet.client();
+                Fleet.Client after = fleet.client()) {
             before.read("1");
             node.next();
             drain(fleet, LONG_MS);
--- a/src/test/java/damsonworks/proxy/DrainTest.java
+++ b/src/test/java/damsonworks/proxy/DrainTest.java
@@ -16,8 +16,10 @@
             c.say("VA 5 O" + FakeServer.id(line) + " h1\r\nhello\r\n");
             c.awaitEnd();
         });
-        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client idle = fleet.client();
-                Fleet.Client busy = fleet.client(); Fleet.Client half = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client idle = fleet.client();
+                Fleet.Client busy = fleet.client();
+                Fleet.Client half = fleet.client()) {
             assertThat(idle.say("mn\r\n").line()).isEqualTo("MN");
             half.say("mn\r\nm");
             assertThat(half.line()).isEqualTo("MN");
--- a/src/test/java/damsonworks/proxy/FakeServer.java
+++ b/src/test/java/damsonworks/proxy/FakeServer.java
@@ -33,6 +33,7 @@
         final OutputStream out;
         /** For scripts that wait for their test. */
         final Semaphore pause = new Semaphore(0);
+
         private final FakeServer server;
 
         Connection(Socket socket, FakeServer server) throws IOException {
@@ -60,7 +61,7 @@
         String request() throws IOException {
             StringBuilder text = new StringBuilder();
             int length = 0;
-            for (String line; (line = line()) != null;) {
+            for (String line; (line = line()) != null; ) {
                 if (line.isEmpty()) {
                     text.append('\n').append(new String(in.readNBytes(length), StandardCharsets.ISO_8859_1));
                     server.commands.add(text.toString());
@@ -104,7 +105,7 @@
     /** A line without its end; null at the end of the stream. */
     static String line(InputStream in) throws IOException {
         ByteArrayOutputStream line = new ByteArrayOutputStream();
-        for (int b; (b = in.read()) != '\n';) {
+        for (int b; (b = in.read()) != '\n'; ) {
             if (b < 0) {
                 return null;
             }
@@ -168,7 +169,7 @@
     /** A cache node that answers reads with what this function makes of the command's line. */
     static FakeServer node(Function<String, String> answer) throws IOException {
         return new FakeServer(c -> {
-            for (String line; (line = c.command()) != null;) {
+            for (String line; (line = c.command()) != null; ) {
                 c.say(answer.apply(line));
             }
         });
@@ -207,8 +208,8 @@
     }
 
     /**
-     * Refuses further connections; those it has go on. An accept that is under way keeps the system's socket open
-     * and would take one more, so its end is waited for.
+     * Refuses further connections; those it has go on. An accept that is under way keeps the system's socket open and
+     * would take one more, so its end is waited for.
      */
     void stopListening() throws IOException {
         server.close();
--- a/src/test/java/damsonworks/proxy/FiguresTest.java
+++ b/src/test/java/damsonworks/proxy/FiguresTest.java
@@ -22,7 +22,7 @@
     void everyRequestIsCountedOnceByWhatItsClientRead() throws Exception {
         AtomicLong commands = new AtomicLong();
         FakeServer node = new FakeServer(c -> {
-            for (String line; (line = c.command()) != null;) {
+            for (String line; (line = c.command()) != null; ) {
                 long n = commands.incrementAndGet();
                 String id = FakeServer.id(line);
                 if (n % 7 == 0) {
@@ -37,7 +37,7 @@
         AtomicLong writes = new AtomicLong();
         AtomicLong fetched = new AtomicLong();
         FakeServer origin = new FakeServer(c -> {
-            for (String request; (request = c.request()) != null;) {
+            for (String request; (request = c.request()) != null; ) {
                 fetched.incrementAndGet();
                 boolean write = request.startsWith("PUT");
                 if (write && writes.incrementAndGet() % 3 == 0) {
@@ -51,12 +51,15 @@
         long[] refused = new long[2];
         long[] failed = new long[2];
         Random random = new Random(11);
-        try (Fleet fleet = new Fleet().node(node).origin(origin).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).origin(origin).start();
+                Fleet.Client client = fleet.client()) {
             for (int i = 0; i < 400; i++) {
                 boolean write = random.nextInt(4) == 0;
                 int kind = write ? 1 : 0;
-                client.say(write ? "ms 7f3a9c21e0b4d65" + i % 8 + " 2 Ow" + i + " Pc=fix,d=20000\r\nab\r\n"
-                        : "mg 7f3a9c21e0b4d65" + i % 8 + " v Or" + i + " Pc=text,d=20000\r\n");
+                client.say(
+                        write
+                                ? "ms 7f3a9c21e0b4d65" + i % 8 + " 2 Ow" + i + " Pc=fix,d=20000\r\nab\r\n"
+                                : "mg 7f3a9c21e0b4d65" + i % 8 + " v Or" + i + " Pc=text,d=20000\r\n");
                 String line = client.line();
                 if (line.startsWith("VA")) {
                     client.line();
@@ -83,12 +86,14 @@
 
     @Test
     void aRejectedCommandOfAKnownClassHasFailedAndOneOfNoClassCountsForNothing() throws Exception {
-        try (Fleet fleet = new Fleet().start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().start();
+                Fleet.Client client = fleet.client()) {
             client.say("mg k v O1 Pc=text,d=x\r\nmg k v O2 Pc=none,d=100\r\nmg k v O3\r\nnonsense\r\n");
             for (int i = 0; i < 4; i++) {
                 assertThat(client.line()).matches("(CLIENT_)?ERROR.*");
             }
-            assertThat(status(fleet).classes()).containsOnlyKeys("text", "fix", "publish")
+            assertThat(status(fleet).classes())
+                    .containsOnlyKeys("text", "fix", "publish")
                     .containsEntry("text", new Endings(0, 0, 1));
         }
     }
@@ -128,14 +133,16 @@
             c.request();
             c.awaitEnd();
         });
-        try (Fleet fleet = new Fleet().node(silent).origin(origin).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(silent).origin(origin).start();
+                Fleet.Client client = fleet.client()) {
             client.read("1").say("ms k 2 O2 Pc=fix,d=20000\r\nab\r\n");
             silent.next();
             origin.next();
             fleet.on(() -> fleet.proxy.drain(100));
             assertThat(client.line()).isEqualTo("SERVER_ERROR busy");
             assertThat(client.line()).isEqualTo("SERVER_ERROR failed");
-            assertThat(status(fleet).classes()).containsEntry("text", new Endings(0, 1, 0))
+            assertThat(status(fleet).classes())
+                    .containsEntry("text", new Endings(0, 1, 0))
                     .containsEntry("fix", new Endings(0, 0, 1));
         }
     }
@@ -145,8 +152,11 @@
         FakeServer gone = FakeServer.node(line -> "");
         gone.close();
         List<String> answers = new ArrayList<>();
-        try (Fleet fleet = new Fleet().node(gone.dial()).node(FakeServer.node(
-                line -> "VA 2 O" + FakeServer.id(line) + " h1\r\nhi\r\n")).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet()
+                        .node(gone.dial())
+                        .node(FakeServer.node(line -> "VA 2 O" + FakeServer.id(line) + " h1\r\nhi\r\n"))
+                        .start();
+                Fleet.Client client = fleet.client()) {
             assertThat(status(fleet).ejected()).isZero();
             for (int i = 0; i < 8; i++) {
                 client.say("mg 7f3a9c21e0b4d65" + i + " v O" + i + " Pc=text,d=20000\r\n");
--- a/src/test/java/damsonworks/proxy/Fleet.java
+++ b/src/test/java/damsonworks/proxy/Fleet.java
@@ -21,22 +21,61 @@
 
 /** A proxy on loopback with the servers that a test gives it, and clients of it. */
 final class Fleet implements AutoCloseable {
-    static final String SETTINGS = String.join("\n", "balancers=1", "me=0", "locality=0", "zones=east,west",
-            "kinds=node-fast,origin", "discovery=ask", "report.how=silent", "report.names=", "value-by=request",
-            "over-share-worth=0.1", "caps.may-cancel=true", "caps.may-probe=false", "caps.peers=true",
-            "caps.second-copies=true", "caps.retry-after=true", "caps.max-attempts=3",
-            "caps.max-retry-after=500.0", "caps.connect-timeout=2000.0", "caps.idle-close=30000.0",
-            "caps.streams-per-conn=128", "extra.mode=aside", "extra.origin-kind=1", "guarantees.drain-grace=2000.0",
-            "guarantees.grace-to-answer=20.0", "guarantees.start-capacity=0.3", "guarantees.warm-up=9000.0",
-            "guarantees.tip-multiple=3.0", "guarantees.fall=1500.0", "guarantees.ask-within=10000.0",
-            "classes.count=3", "classes.0.name=text", "classes.0.idempotency=retryable",
-            "classes.0.promise=20000.0", "classes.0.deadline=30000.0", "classes.0.gain=1.0",
-            "classes.0.late-share=0.2", "classes.0.stream=false", "classes.1.name=fix",
-            "classes.1.idempotency=fragile", "classes.1.promise=20000.0", "classes.1.deadline=30000.0",
-            "classes.1.gain=5.0", "classes.1.late-share=0.3", "classes.1.stream=false", "classes.2.name=publish",
-            "classes.2.idempotency=dedup", "classes.2.group=all", "classes.2.window=1500.0",
-            "classes.2.promise=20000.0", "classes.2.deadline=30000.0", "classes.2.gain=10.0",
-            "classes.2.late-share=0.2", "classes.2.stream=false");
+    static final String SETTINGS = String.join(
+            "\n",
+            "balancers=1",
+            "me=0",
+            "locality=0",
+            "zones=east,west",
+            "kinds=node-fast,origin",
+            "discovery=ask",
+            "report.how=silent",
+            "report.names=",
+            "value-by=request",
+            "over-share-worth=0.1",
+            "caps.may-cancel=true",
+            "caps.may-probe=false",
+            "caps.peers=true",
+            "caps.second-copies=true",
+            "caps.retry-after=true",
+            "caps.max-attempts=3",
+            "caps.max-retry-after=500.0",
+            "caps.connect-timeout=2000.0",
+            "caps.idle-close=30000.0",
+            "caps.streams-per-conn=128",
+            "extra.mode=aside",
+            "extra.origin-kind=1",
+            "guarantees.drain-grace=2000.0",
+            "guarantees.grace-to-answer=20.0",
+            "guarantees.start-capacity=0.3",
+            "guarantees.warm-up=9000.0",
+            "guarantees.tip-multiple=3.0",
+            "guarantees.fall=1500.0",
+            "guarantees.ask-within=10000.0",
+            "classes.count=3",
+            "classes.0.name=text",
+            "classes.0.idempotency=retryable",
+            "classes.0.promise=20000.0",
+            "classes.0.deadline=30000.0",
+            "classes.0.gain=1.0",
+            "classes.0.late-share=0.2",
+            "classes.0.stream=false",
+            "classes.1.name=fix",
+            "classes.1.idempotency=fragile",
+            "classes.1.promise=20000.0",
+            "classes.1.deadline=30000.0",
+            "classes.1.gain=5.0",
+            "classes.1.late-share=0.3",
+            "classes.1.stream=false",
+            "classes.2.name=publish",
+            "classes.2.idempotency=dedup",
+            "classes.2.group=all",
+            "classes.2.window=1500.0",
+            "classes.2.promise=20000.0",
+            "classes.2.deadline=30000.0",
+            "classes.2.gain=10.0",
+            "classes.2.late-share=0.2",
+            "classes.2.stream=false");
 
     final JsonObject config = new JsonObject();
     final List<AutoCloseable> parts = new ArrayList<>();
@@ -138,13 +177,16 @@
 
     Fleet start() throws InterruptedException, IOException {
         config.add("known", list(41, true, hosts));
-        proxy = shared != null ? Proxy.start(Config.parse(config), shared)
-                : routing == null ? Proxy.start(Config.parse(config)) : Proxy.start(Config.parse(config), known -> {
-            if (routing == null) {
-                throw new IllegalArgumentException("no routes");
-            }
-            return routing;
-        });
+        proxy = shared != null
+                ? Proxy.start(Config.parse(config), shared)
+                : routing == null
+                        ? Proxy.start(Config.parse(config))
+                        : Proxy.start(Config.parse(config), known -> {
+                            if (routing == null) {
+                                throw new IllegalArgumentException("no routes");
+                            }
+                            return routing;
+                        });
         return this;
     }
 
--- a/src/test/java/damsonworks/proxy/Keys.java
+++ b/src/test/java/damsonworks/proxy/Keys.java
@@ -4,16 +4,17 @@
 
 /** Keys for tests that must know which node of equal weights takes them. */
 final class Keys {
-    private Keys() { }
+    private Keys() {}
 
     /** A key that these nodes take in this order. */
     static String ranked(int... nodes) {
-        for (int i = 1;; i++) {
+        for (int i = 1; ; i++) {
             String key = Integer.toHexString(i);
             int hash = Carp.keyHash(Installation.key(key));
             boolean inOrder = true;
             for (int n = 1; n < nodes.length; n++) {
-                inOrder &= Carp.score(hash, Carp.memberHash(nodes[n - 1]), 1) > Carp.score(hash, Carp.memberHash(nodes[n]), 1);
+                inOrder &= Carp.score(hash, Carp.memberHash(nodes[n - 1]), 1)
+                        > Carp.score(hash, Carp.memberHash(nodes[n]), 1);
             }
             if (inOrder) {
                 return key;
--- a/src/test/java/damsonworks/proxy/LargeFleetTest.java
+++ b/src/test/java/damsonworks/proxy/LargeFleetTest.java
@@ -43,6 +43,7 @@
 
     @TempDir
     private Path folder;
+
     private final SplittableRandom random = new SplittableRandom(11);
     /** An id is new with every request. */
     private int lastId;
@@ -89,9 +90,12 @@
             assertThat(served(fleet, READS)).isEqualTo(READS);
             List<Upstream> nodes = fleet.on(() -> fleet.proxy.core().servers().nodes());
             assertThat(nodes).hasSize(SERVERS).allMatch(u -> u.openedTimes() > 0);
-            Await.until("no more connections than there are descriptors for",
+            Await.until(
+                    "no more connections than there are descriptors for",
                     () -> fleet.on(() -> fleet.proxy.status().upstream()) <= SOCKETS / 3);
-            assertThat(fleet.on(() -> fleet.proxy.status().ejected())).as("no server is held to be at fault").isZero();
+            assertThat(fleet.on(() -> fleet.proxy.status().ejected()))
+                    .as("no server is held to be at fault")
+                    .isZero();
         }
     }
 
@@ -102,7 +106,7 @@
         FakeServer after = node();
         CountDownLatch change = new CountDownLatch(1);
         FakeServer discovery = new FakeServer(c -> {
-            for (String request; (request = c.request()) != null;) {
+            for (String request; (request = c.request()) != null; ) {
                 if (request.contains("since=41&")) {
                     JsonArray others = LargeList.hosts(SERVERS, i -> after.dial(), after.dial());
                     c.sayHttp(200, "", Fleet.list(42, true, others).toString());
@@ -120,7 +124,9 @@
                 fleet.host(Fleet.host("s-%08x".formatted(5000 + i), "node-fast", before.dial(), "up"));
             }
             fleet.start();
-            Await.until("the whole list", () -> known(fleet).contains(1) && !known(fleet).contains(5000));
+            Await.until(
+                    "the whole list",
+                    () -> known(fleet).contains(1) && !known(fleet).contains(5000));
             assertThat(known(fleet)).hasSize(SERVERS);
             before.commands.clear();
             assertThat(served(fleet, SERVERS)).isEqualTo(SERVERS);
@@ -171,7 +177,10 @@
                 for (int i = 0; i < CLIENTS; i++) {
                     Socket client = new Socket();
                     fleet.parts.add(client);
-                    client.connect(new InetSocketAddress("127.0.0.1", fleet.proxy.address().getPort()), CONNECT_MS);
+                    client.connect(
+                            new InetSocketAddress(
+                                    "127.0.0.1", fleet.proxy.address().getPort()),
+                            CONNECT_MS);
                 }
             } finally {
                 come.countDown();
@@ -188,8 +197,12 @@
             fleet.set("classes.count", Integer.toString(CLASSES)).set("tenants.count", Integer.toString(CLASSES));
             for (int i = 0; i < CLASSES; i++) {
                 String at = "classes." + i + ".";
-                fleet.set(at + "name", "c" + i).set(at + "idempotency", "retryable").set(at + "promise", "20000.0")
-                        .set(at + "deadline", "30000.0").set(at + "gain", "1.0").set(at + "late-share", "0.2")
+                fleet.set(at + "name", "c" + i)
+                        .set(at + "idempotency", "retryable")
+                        .set(at + "promise", "20000.0")
+                        .set(at + "deadline", "30000.0")
+                        .set(at + "gain", "1.0")
+                        .set(at + "late-share", "0.2")
                         .set(at + "stream", "false");
                 fleet.set("tenants." + i + ".name", "t" + i).set("tenants." + i + ".quota-per-s", "10.0");
             }
@@ -201,7 +214,8 @@
                     client.line();
                 }
             }
-            Map<String, Proxy.Endings> classes = fleet.on(() -> fleet.proxy.status().classes());
+            Map<String, Proxy.Endings> classes =
+                    fleet.on(() -> fleet.proxy.status().classes());
             assertThat(classes).hasSize(CLASSES);
             assertThat(classes.values()).allMatch(e -> e.succeeded() == 1);
         }
@@ -224,7 +238,8 @@
             fleet.start();
             fleet.proxy.join(new Proxy.Together(true, true, false));
             assertThat(served(fleet, SERVERS)).isEqualTo(SERVERS);
-            assertThat(fleet.on(() -> fleet.proxy.core().servers().inZone(ZONES - 1))).isEqualTo(1);
+            assertThat(fleet.on(() -> fleet.proxy.core().servers().inZone(ZONES - 1)))
+                    .isEqualTo(1);
             assertThat(fleet.on(() -> fleet.proxy.fleetView())).isNotNull();
             assertThat(fleet.on(() -> fleet.proxy.zones())).isNotNull();
         }
@@ -237,13 +252,19 @@
         try (Fleet fleet = fleet(node).shared(folder)) {
             LargeList.hosts(SERVERS, i -> node.dial(), node.dial()).forEach(fleet::host);
             fleet.start();
-            fleet.config.addProperty("listen", "127.0.0.1:" + fleet.proxy.address().getPort());
+            fleet.config.addProperty(
+                    "listen", "127.0.0.1:" + fleet.proxy.address().getPort());
             fleet.config.add("known", Fleet.list(0, true, new JsonArray()));
             Proxy next = Proxy.start(Config.parse(fleet.config), folder);
             fleet.parts.add(next::close);
-            int discovered = next.loop().submit(() -> next.status().discovered()).syncUninterruptibly().getNow();
+            int discovered = next.loop()
+                    .submit(() -> next.status().discovered())
+                    .syncUninterruptibly()
+                    .getNow();
             assertThat(discovered).isEqualTo(SERVERS);
-            Await.until("the successor is believed", () -> fleet.on(() -> fleet.proxy.status().handovers()) == 1);
+            Await.until(
+                    "the successor is believed",
+                    () -> fleet.on(() -> fleet.proxy.status().handovers()) == 1);
         }
     }
 
@@ -259,9 +280,12 @@
             fleet.proxy.join(new Proxy.Together(true, false, false));
             fleet.on(() -> {
                 Dispatcher core = fleet.proxy.core();
-                long before = core.counters().done(Work.MESSAGES_SENT) + fleet.proxy.fleetView().dropped();
+                long before = core.counters().done(Work.MESSAGES_SENT)
+                        + fleet.proxy.fleetView().dropped();
                 core.servers().nodes().forEach(u -> core.saw(u.id, Evidence.SILENT));
-                assertThat(core.counters().done(Work.MESSAGES_SENT) + fleet.proxy.fleetView().dropped() - before)
+                assertThat(core.counters().done(Work.MESSAGES_SENT)
+                                + fleet.proxy.fleetView().dropped()
+                                - before)
                         .isEqualTo(SERVERS);
                 return null;
             });
@@ -273,15 +297,15 @@
     void theLastOf1024PeersIsHeardAndSentTo() throws Exception {
         FakeServer node = node();
         InetAddress local = InetAddress.getByName("127.0.0.1");
-        try (DatagramSocket last = new DatagramSocket(0, local); Fleet fleet = fleet(node)) {
+        try (DatagramSocket last = new DatagramSocket(0, local);
+                Fleet fleet = fleet(node)) {
             LargeList.peers(fleet.config, PEERS);
             fleet.config.addProperty("peer_listen", "127.0.0.1:0");
-            fleet.config.getAsJsonArray("peers").set(PEERS - 1,
-                    new JsonPrimitive("127.0.0.1:" + last.getLocalPort()));
+            fleet.config.getAsJsonArray("peers").set(PEERS - 1, new JsonPrimitive("127.0.0.1:" + last.getLocalPort()));
             fleet.node(node).start();
             assertThat(served(fleet, 1)).isEqualTo(1);
-            byte[] bytes = Envelope.seal(List.of(new Envelope.Item(PeerSocket.Kind.MODULE.number(),
-                    PeerSocket.Kind.VERSION, new byte[] {0})));
+            byte[] bytes = Envelope.seal(List.of(
+                    new Envelope.Item(PeerSocket.Kind.MODULE.number(), PeerSocket.Kind.VERSION, new byte[] {0})));
             last.send(new DatagramPacket(bytes, bytes.length, fleet.proxy.peerAddress()));
             Counters counters = fleet.proxy.core().counters();
             Await.until("the message", () -> fleet.on(() -> counters.done(Work.MESSAGES_HEARD)) == 1);
--- a/src/test/java/damsonworks/proxy/LargeList.java
+++ b/src/test/java/damsonworks/proxy/LargeList.java
@@ -8,7 +8,7 @@
 final class LargeList {
     private static final String[] SITES = {"east", "west"};
 
-    private LargeList() { }
+    private LargeList() {}
 
     /** The name of a server by its place in the list, from 0 on. */
     static String name(int server) {
--- a/src/test/java/damsonworks/proxy/LargeValuesTest.java
+++ b/src/test/java/damsonworks/proxy/LargeValuesTest.java
@@ -27,7 +27,7 @@
 
     private static FakeServer origin() throws IOException {
         return new FakeServer(c -> {
-            for (String request; (request = c.request()) != null;) {
+            for (String request; (request = c.request()) != null; ) {
                 c.sayHttp(200, "", "v" + (request.length() - request.indexOf("\n\n") - 2));
             }
         });
@@ -72,7 +72,8 @@
 
     @Test
     void smallWritesPassLargeOnesThatAreSentSlowly() throws Exception {
-        try (Fleet fleet = new Fleet().memory(64).origin(origin()).start(); Fleet.Client small = fleet.client()) {
+        try (Fleet fleet = new Fleet().memory(64).origin(origin()).start();
+                Fleet.Client small = fleet.client()) {
             List<Fleet.Client> slow = new ArrayList<>();
             for (int i = 0; i < 4; i++) {
                 Fleet.Client client = fleet.client();
@@ -117,7 +118,7 @@
     void aLongAnswerMayBeCutAnywhere() throws Exception {
         int length = 70_000;
         FakeServer node = new FakeServer(c -> {
-            for (String line; (line = c.command()) != null;) {
+            for (String line; (line = c.command()) != null; ) {
                 String id = FakeServer.id(line);
                 byte[] head = ("VA " + length + " O" + id + " h1\r\n").getBytes(UTF_8);
                 int cut = Integer.parseInt(id.substring(1));
@@ -136,7 +137,8 @@
             }
         });
         byte[] expected = Arrays.copyOf(VALUE, length);
-        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client client = fleet.client()) {
             for (int cut = 0; cut < 30; cut++) {
                 client.read("c" + cut);
                 assertThat(client.line()).isEqualTo("VA " + length + " Oc" + cut);
@@ -159,7 +161,8 @@
             c.say("\r\n");
             c.awaitEnd();
         });
-        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client client = fleet.client()) {
             client.read("1");
             FakeServer.Connection c = node.accepted.take();
             node.next();
@@ -176,7 +179,7 @@
     @Test
     void aSlowReaderHoldsUpNobodyElse() throws Exception {
         FakeServer node = new FakeServer(c -> {
-            for (String line; (line = c.command()) != null;) {
+            for (String line; (line = c.command()) != null; ) {
                 String id = FakeServer.id(line);
                 if (id.startsWith("long")) {
                     c.say("VA " + VALUE.length + " O" + id + " h1\r\n");
@@ -219,7 +222,8 @@
                 c.reset();
             }
         });
-        try (Fleet fleet = new Fleet().node(misses).origin(origin).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(misses).origin(origin).start();
+                Fleet.Client client = fleet.client()) {
             client.read("whole");
             assertThat(client.line()).isEqualTo("VA 100000 Owhole");
             assertThat(client.bytes(100_000)).isEqualTo(Arrays.copyOf(VALUE, 100_000));
--- a/src/test/java/damsonworks/proxy/LateConnectionsTest.java
+++ b/src/test/java/damsonworks/proxy/LateConnectionsTest.java
@@ -35,8 +35,10 @@
     }
 
     private static void awaitWaiting(Fleet fleet, int requests) {
-        Await.until("requests wait for a connection", () -> fleet.on(
-                () -> fleet.proxy.status().owed() == requests && fleet.proxy.status().upstream() > 0));
+        Await.until(
+                "requests wait for a connection",
+                () -> fleet.on(() -> fleet.proxy.status().owed() == requests
+                        && fleet.proxy.status().upstream() > 0));
     }
 
     private static void leaves(Consumer<JsonObject> change) throws Exception {
@@ -45,9 +47,14 @@
             JsonObject host = Fleet.host("s-00000001", "node-fast", node.dial(), "up");
             change.accept(host);
             FakeServer discovery = discovery(told, host);
-            Fleet setup = new Fleet().node(node.dial()).origin(origin()).discovery(discovery)
-                    .set("caps.connect-timeout", "10000.0").set("guarantees.ask-within", "200.0");
-            try (Fleet fleet = setup.start(); Fleet.Client client = fleet.client()) {
+            Fleet setup = new Fleet()
+                    .node(node.dial())
+                    .origin(origin())
+                    .discovery(discovery)
+                    .set("caps.connect-timeout", "10000.0")
+                    .set("guarantees.ask-within", "200.0");
+            try (Fleet fleet = setup.start();
+                    Fleet.Client client = fleet.client()) {
                 assertThat(discovery.next()).contains("since=41&");
                 client.read("1");
                 awaitWaiting(fleet, 1);
@@ -80,8 +87,13 @@
     /** Whatever the settings say of cancelling: what nobody has heard of yet needs no cancelling. */
     @Test
     void nothingIsSentForAClientThatHasLeftMeanwhile() throws Exception {
-        try (LateServer node = LateServer.node(); Fleet fleet = new Fleet().node(node.dial()).set("caps.may-cancel", "false")
-                .set("caps.connect-timeout", "10000.0").start(); Fleet.Client next = fleet.client()) {
+        try (LateServer node = LateServer.node();
+                Fleet fleet = new Fleet()
+                        .node(node.dial())
+                        .set("caps.may-cancel", "false")
+                        .set("caps.connect-timeout", "10000.0")
+                        .start();
+                Fleet.Client next = fleet.client()) {
             Fleet.Client leaving = fleet.client();
             leaving.read("1");
             awaitWaiting(fleet, 1);
@@ -100,18 +112,24 @@
     void whereTheOneThatFetchesLeavesItsWaiterLeads() throws Exception {
         FakeServer node = FakeServer.node(line -> "EN O" + FakeServer.id(line) + " h0\r\n");
         LateServer origin = new LateServer(p -> {
-            for (String line; (line = p.command()) != null;) {
+            for (String line; (line = p.command()) != null; ) {
                 if (line.isEmpty()) {
                     p.say("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfetch");
                 }
             }
         });
-        try (origin; Fleet fleet = new Fleet().node(node).origin(origin.dial()).set("caps.connect-timeout", "10000.0").start();
+        try (origin;
+                Fleet fleet = new Fleet()
+                        .node(node)
+                        .origin(origin.dial())
+                        .set("caps.connect-timeout", "10000.0")
+                        .start();
                 Fleet.Client waiter = fleet.client()) {
             Fleet.Client leader = fleet.client();
             leader.read("1");
             node.next();
-            Await.until("its fetch waits", () -> fleet.on(() -> fleet.proxy.status().upstream()) == 2);
+            Await.until(
+                    "its fetch waits", () -> fleet.on(() -> fleet.proxy.status().upstream()) == 2);
             waiter.read("2");
             node.next();
             fleet.client().say("mn\r\n").line(); // the event loop has been round: the miss has come
@@ -130,7 +148,7 @@
     void nothingIsSentForARequestThatHasItsAnswer() throws Exception {
         CountDownLatch copied = new CountDownLatch(1);
         FakeServer slow = new FakeServer(c -> {
-            for (String line; (line = c.command()) != null;) {
+            for (String line; (line = c.command()) != null; ) {
                 if (FakeServer.id(line).equals("1")) { // the other it never answers
                     copied.await();
                     c.say("VA 5 O1 h1\r\nhello\r\n");
@@ -138,13 +156,22 @@
             }
         });
         // Of sixty proxies each has one connection to a node, so what waits there goes out in order.
-        try (LateServer late = LateServer.node(); Fleet fleet = new Fleet().node(slow).node(late.dial())
-                .set("caps.may-cancel", "false").set("classes.0.promise", "400.0").set("caps.connect-timeout", "10000.0")
-                .set("balancers", "60").start(); Fleet.Client client = fleet.client()) {
+        try (LateServer late = LateServer.node();
+                Fleet fleet = new Fleet()
+                        .node(slow)
+                        .node(late.dial())
+                        .set("caps.may-cancel", "false")
+                        .set("classes.0.promise", "400.0")
+                        .set("caps.connect-timeout", "10000.0")
+                        .set("balancers", "60")
+                        .start();
+                Fleet.Client client = fleet.client()) {
             String first = Keys.ranked(1, 2);
             String second = Keys.ranked(2, 1);
             client.say("mg " + first + " v O1 Pc=text,d=20000\r\n");
-            Await.until("the second copy waits", () -> fleet.on(() -> fleet.proxy.status().upstream()) == 2);
+            Await.until(
+                    "the second copy waits",
+                    () -> fleet.on(() -> fleet.proxy.status().upstream()) == 2);
             copied.countDown();
             assertThat(client.line()).isEqualTo("VA 5 O1");
             client.line();
@@ -152,7 +179,9 @@
             awaitWaiting(fleet, 1);
             late.open();
             assertThat(client.line()).isEqualTo("VA 5 O2");
-            assertThat(late.commands).isNotEmpty().allMatch(l -> FakeServer.id(l).equals("2"));
+            assertThat(late.commands)
+                    .isNotEmpty()
+                    .allMatch(l -> FakeServer.id(l).equals("2"));
         }
     }
 }
--- a/src/test/java/damsonworks/proxy/LateCopiesTest.java
+++ b/src/test/java/damsonworks/proxy/LateCopiesTest.java
@@ -39,7 +39,8 @@
             c.awaitEnd();
             ended.countDown();
         });
-        try (Fleet fleet = new Fleet().origin(origin).start(); Fleet.Client one = fleet.client();
+        try (Fleet fleet = new Fleet().origin(origin).start();
+                Fleet.Client one = fleet.client();
                 Fleet.Client two = fleet.client()) {
             two.say("mn\r\n").line();
             one.say(write(1));
@@ -52,7 +53,9 @@
             assertThat(one.line()).isEqualTo("HD O1 cr1");
             origin.accepted.take().pause.release();
             assertThat(two.line()).isEqualTo("HD O2 cr2");
-            assertThat(ended.await(20, TimeUnit.SECONDS)).as("the copy ends its connection").isTrue();
+            assertThat(ended.await(20, TimeUnit.SECONDS))
+                    .as("the copy ends its connection")
+                    .isTrue();
             assertThat(two.say(write(3)).line()).isEqualTo("HD O3 cr3");
         }
     }
@@ -61,11 +64,12 @@
     @Test
     void noiseBehindTheOriginsAnswerEndsTheConnection() throws Exception {
         FakeServer origin = new FakeServer(c -> {
-            for (String request; (request = c.request()) != null;) {
+            for (String request; (request = c.request()) != null; ) {
                 c.say(receipt(FakeServer.id(request)) + "noise");
             }
         });
-        try (Fleet fleet = new Fleet().origin(origin).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().origin(origin).start();
+                Fleet.Client client = fleet.client()) {
             for (int i = 0; i < 3; i++) {
                 assertThat(client.say(write(i)).line()).isEqualTo("HD O" + i + " cr" + i);
             }
@@ -88,7 +92,7 @@
     @Test
     void aLineEndBehindTheOriginsAnswerIsPassedOver() throws Exception {
         FakeServer origin = new FakeServer(c -> {
-            for (String request; (request = c.request()) != null;) {
+            for (String request; (request = c.request()) != null; ) {
                 c.say(receipt(FakeServer.id(request)) + "\r\n");
             }
         });
@@ -101,11 +105,13 @@
         }
     }
 
-    /** Of sixty proxies each has four connections to the origin; where all of them rest, requests go out nevertheless. */
+    /**
+     * Of sixty proxies each has four connections to the origin; where all of them rest, requests go out nevertheless.
+     */
     @Test
     void whereAllConnectionsRestTheOneThatHasRestedLongestIsUsed() throws Exception {
         FakeServer origin = new FakeServer(c -> {
-            for (String request; (request = c.request()) != null;) {
+            for (String request; (request = c.request()) != null; ) {
                 c.say(receipt(FakeServer.id(request)));
             }
         });
--- a/src/test/java/damsonworks/proxy/LateServer.java
+++ b/src/test/java/damsonworks/proxy/LateServer.java
@@ -70,7 +70,7 @@
     /** A cache node that answers reads with what it has, once it is open. */
     static LateServer node() throws IOException {
         return new LateServer(p -> {
-            for (String line; (line = p.command()) != null;) {
+            for (String line; (line = p.command()) != null; ) {
                 p.say("VA 5 O" + FakeServer.id(line) + " h1\r\nhello\r\n");
             }
         });
--- a/src/test/java/damsonworks/proxy/ListCallsTest.java
+++ b/src/test/java/damsonworks/proxy/ListCallsTest.java
@@ -20,8 +20,8 @@
 import org.junit.jupiter.api.Timeout;
 
 /**
- * How long news that discovery has stays unknown once discovery could be asked for it, by the way in which the call before
- * failed: it counts as told after 6 s, whatever that was.
+ * How long news that discovery has stays unknown once discovery could be asked for it, by the way in which the call
+ * before failed: it counts as told after 6 s, whatever that was.
  */
 @Timeout(120)
 class ListCallsTest {
@@ -34,7 +34,13 @@
 
     /** What discovery does to a call while it is not well. */
     private enum Failure {
-        TURNED_AWAY, RESET, CLOSED, CUT, HALF_JSON, STALLED, SILENT;
+        TURNED_AWAY,
+        RESET,
+        CLOSED,
+        CUT,
+        HALF_JSON,
+        STALLED,
+        SILENT;
 
         void run(FakeServer.Connection c) throws Exception {
             switch (this) {
@@ -99,14 +105,17 @@
         return fleet;
     }
 
-    /** Milliseconds from the end of the last bad call's beginning, when discovery was well again, until the news is in use. */
+    /**
+     * Milliseconds from the end of the last bad call's beginning, when discovery was well again, until the news is in
+     * use.
+     */
     private static double unknownAfter(Failures failures, String mode) throws Exception {
         List<Failure> inOrder = failures.inOrder();
         AtomicInteger calls = new AtomicInteger();
         CompletableFuture<Long> well = new CompletableFuture<>();
         CompletableFuture<Long> known = new CompletableFuture<>();
         FakeServer discovery = new FakeServer(c -> {
-            for (String request; (request = c.request()) != null;) {
+            for (String request; (request = c.request()) != null; ) {
                 int call = calls.getAndIncrement();
                 if (call < inOrder.size()) {
                     if (call == inOrder.size() - 1) {
@@ -132,7 +141,7 @@
         CompletableFuture<Long> silent = new CompletableFuture<>();
         CompletableFuture<Long> known = new CompletableFuture<>();
         FakeServer discovery = new FakeServer(c -> {
-            for (String request; (request = c.request()) != null;) {
+            for (String request; (request = c.request()) != null; ) {
                 if (request.contains("since=44&")) {
                     known.complete(System.nanoTime());
                     c.awaitEnd();
@@ -154,16 +163,17 @@
     private static double unknownAfterNoWayIn(String mode) throws Exception {
         CompletableFuture<Long> known = new CompletableFuture<>();
         try (LateServer discovery = new LateServer(p -> {
-            String request = null;
-            for (String line; (line = p.command()) != null;) {
-                request = line.startsWith("GET ") ? line : request;
-                if (line.isEmpty() && request.contains("since=43&")) {
-                    known.complete(System.nanoTime());
-                } else if (line.isEmpty()) {
-                    p.say("HTTP/1.1 200 OK\r\nContent-Length: " + news().length() + "\r\n\r\n" + news());
-                }
-            }
-        }); Fleet fleet = fleet(discovery.dial(), mode).start()) {
+                    String request = null;
+                    for (String line; (line = p.command()) != null; ) {
+                        request = line.startsWith("GET ") ? line : request;
+                        if (line.isEmpty() && request.contains("since=43&")) {
+                            known.complete(System.nanoTime());
+                        } else if (line.isEmpty()) {
+                            p.say("HTTP/1.1 200 OK\r\nContent-Length: " + news().length() + "\r\n\r\n" + news());
+                        }
+                    }
+                });
+                Fleet fleet = fleet(discovery.dial(), mode).start()) {
             long from = System.nanoTime();
             discovery.open();
             return (known.get(60, TimeUnit.SECONDS) - from) / 1e6;
@@ -178,17 +188,21 @@
         try (ServerSocket reserved = new ServerSocket(0, 1, local)) {
             port = reserved.getLocalPort();
         }
-        FakeServer discovery = new FakeServer(c -> {
-            for (String request; (request = c.request()) != null;) {
-                if (request.contains("since=43&")) {
-                    known.complete(System.nanoTime());
-                    c.awaitEnd();
-                } else {
-                    c.sayHttp(200, "", news());
-                }
-            }
-        }, new InetSocketAddress(local, port), 1500);
-        try (discovery; Fleet fleet = fleet("127.0.0.1:" + port, mode).start()) {
+        FakeServer discovery = new FakeServer(
+                c -> {
+                    for (String request; (request = c.request()) != null; ) {
+                        if (request.contains("since=43&")) {
+                            known.complete(System.nanoTime());
+                            c.awaitEnd();
+                        } else {
+                            c.sayHttp(200, "", news());
+                        }
+                    }
+                },
+                new InetSocketAddress(local, port),
+                1500);
+        try (discovery;
+                Fleet fleet = fleet("127.0.0.1:" + port, mode).start()) {
             return (known.get(60, TimeUnit.SECONDS) - discovery.listeningNanos()) / 1e6;
         }
     }
@@ -222,8 +236,8 @@
     }
 
     /**
-     * What a connection that was given up still brings out as it ends is no answer to the call that took its place: here
-     * one without a length, which its end makes whole. Taken for one, it ended a sound call.
+     * What a connection that was given up still brings out as it ends is no answer to the call that took its place:
+     * here one without a length, which its end makes whole. Taken for one, it ended a sound call.
      */
     @Test
     void theEndOfACallThatWasGivenUpIsNoAnswerToTheNext() throws Exception {
@@ -236,7 +250,7 @@
         });
         CountDownLatch asked = new CountDownLatch(1);
         FakeServer after = new FakeServer(c -> {
-            for (String request; (request = c.request()) != null;) {
+            for (String request; (request = c.request()) != null; ) {
                 if (request.contains("since=43&")) {
                     c.awaitEnd();
                 } else {
@@ -245,7 +259,11 @@
                 }
             }
         });
-        try (after; Fleet fleet = new Fleet().discovery(before).set("guarantees.ask-within", "200.0").start()) {
+        try (after;
+                Fleet fleet = new Fleet()
+                        .discovery(before)
+                        .set("guarantees.ask-within", "200.0")
+                        .start()) {
             begun.await();
             fleet.client().say("mn\r\n").line(); // the event loop has been round: what there is of it has been read
             fleet.config.addProperty("discovery", after.dial());
@@ -263,7 +281,7 @@
     @Test
     void aDiscoveryThatNumbersAnewIsAskedForAllThatItHas() throws Exception {
         FakeServer discovery = new FakeServer(c -> {
-            for (String request; (request = c.request()) != null;) {
+            for (String request; (request = c.request()) != null; ) {
                 if (request.contains("since=41&")) {
                     c.sayHttp(200, "", Fleet.list(3, false, new JsonArray()).toString());
                 } else if (request.contains("since=0&")) {
@@ -275,7 +293,10 @@
                 }
             }
         });
-        try (Fleet fleet = new Fleet().discovery(discovery).set("guarantees.ask-within", "200.0").start()) {
+        try (Fleet fleet = new Fleet()
+                .discovery(discovery)
+                .set("guarantees.ask-within", "200.0")
+                .start()) {
             assertThat(discovery.next()).contains("since=41&");
             assertThat(discovery.next()).contains("since=0&");
             assertThat(discovery.next()).contains("since=3&");
--- a/src/test/java/damsonworks/proxy/PeerSocketTest.java
+++ b/src/test/java/damsonworks/proxy/PeerSocketTest.java
@@ -27,7 +27,8 @@
         socket.setSoTimeout(20_000);
         DatagramPacket packet = new DatagramPacket(new byte[1000], 1000);
         socket.receive(packet);
-        Envelope.Item item = Envelope.open(Arrays.copyOf(packet.getData(), packet.getLength())).get(0);
+        Envelope.Item item = Envelope.open(Arrays.copyOf(packet.getData(), packet.getLength()))
+                .get(0);
         return item.kind() + new String(item.body(), UTF_8);
     }
 
@@ -43,7 +44,8 @@
     void messagesGoToOneOrAllAndComeFromPeersOnly() throws Exception {
         MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
         InetAddress local = InetAddress.getByName("127.0.0.1");
-        try (DatagramSocket peer = new DatagramSocket(0, local); DatagramSocket all = new DatagramSocket(0, local);
+        try (DatagramSocket peer = new DatagramSocket(0, local);
+                DatagramSocket all = new DatagramSocket(0, local);
                 DatagramSocket stranger = new DatagramSocket(0, local)) {
             Fleet fleet = new Fleet();
             JsonArray peers = new JsonArray();
@@ -56,8 +58,11 @@
             EventLoop loop = group.next();
             Counters counters = new Counters();
             LinkedBlockingQueue<String> heard = new LinkedBlockingQueue<>();
-            PeerSocket socket = new PeerSocket(loop, config,
-                    (from, kind, body) -> heard.add(from + kind.name() + new String(body, UTF_8)), counters);
+            PeerSocket socket = new PeerSocket(
+                    loop,
+                    config,
+                    (from, kind, body) -> heard.add(from + kind.name() + new String(body, UTF_8)),
+                    counters);
             socket.send(1, PeerSocket.Kind.LIST, "to one".getBytes(UTF_8));
             assertThat(receive(peer)).isEqualTo("1to one");
             socket.send(-1, PeerSocket.Kind.MODULE, "to all".getBytes(UTF_8));
--- a/src/test/java/damsonworks/proxy/ProcessFigures.java
+++ b/src/test/java/damsonworks/proxy/ProcessFigures.java
@@ -21,14 +21,14 @@
 /**
  * What the real process takes at several sizes of the fleet: starts the deploy file's {@code run} line with so many
  * servers and peers, before a discovery and a node of its own, and prints a row of a table for each size. Run by hand,
- * from the root, after the build, by
- * {@code java -cp target/test-classes:target/classes:target/lib/* damsonworks.proxy.ProcessFigures SIZE...}.
+ * from the root, after the build, by {@code java -cp target/test-classes:target/classes:target/lib/*
+ * damsonworks.proxy.ProcessFigures SIZE...}.
  */
 final class ProcessFigures {
     private static final int REQUESTS = 4000;
     private static final long READY_S = 30;
 
-    private ProcessFigures() { }
+    private ProcessFigures() {}
 
     /** Each argument is a number of servers, and of peers. */
     public static void main(String[] args) throws Exception {
@@ -46,9 +46,10 @@
         FakeServer node = FakeServer.node(line -> "VA 5 O" + FakeServer.id(line) + "\r\nhello\r\n");
         CountDownLatch change = new CountDownLatch(1);
         FakeServer[] discovery = new FakeServer[1];
-        String list = Fleet.list(42, true, LargeList.hosts(size, i -> node.dial(), node.dial())).toString();
+        String list = Fleet.list(42, true, LargeList.hosts(size, i -> node.dial(), node.dial()))
+                .toString();
         discovery[0] = new FakeServer(c -> {
-            for (String request; (request = c.request()) != null;) {
+            for (String request; (request = c.request()) != null; ) {
                 if (request.contains("since=42&")) {
                     change.await(1500, TimeUnit.MILLISECONDS);
                     c.sayHttp(200, "", "{\"seq\":42,\"whole\":false,\"hosts\":[]}");
@@ -65,8 +66,11 @@
         Path file = folder.resolve("config.json");
         Files.writeString(file, config(size, port, discovery[0], node).toString());
         Path log = folder.resolve("log");
-        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream().filter(l -> l.startsWith("run = "))
-                .findFirst().orElseThrow().replaceAll("^run = \"|\"$", "");
+        String run = Files.readAllLines(Path.of("deploy/balancer.toml")).stream()
+                .filter(l -> l.startsWith("run = "))
+                .findFirst()
+                .orElseThrow()
+                .replaceAll("^run = \"|\"$", "");
         ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run + System.getProperty("figures.more", ""));
         builder.redirectErrorStream(true).redirectOutput(log.toFile());
         builder.environment().put("BALANCER_CONFIG", file.toString());
@@ -87,10 +91,19 @@
             double cpuS = process.info().totalCpuDuration().orElseThrow().toMillis() / 1e3;
             Files.writeString(folder.resolve("histogram"), jcmd(process, "GC.class_histogram"));
             String live = heap(process, "GC.heap_info");
-            System.out.printf(Locale.ROOT,
+            System.out.printf(
+                    Locale.ROOT,
                     "| %,d | %.1f s | %.0f MB | %.0f MB | %.0f MB | %s | %s | %.1f s | %d | %d |%n",
-                    size, readyS, rssThen / 1024.0, rss / 1024.0, highest / 1024.0, heap, live, cpuS,
-                    node.accepted.size(), served);
+                    size,
+                    readyS,
+                    rssThen / 1024.0,
+                    rss / 1024.0,
+                    highest / 1024.0,
+                    heap,
+                    live,
+                    cpuS,
+                    node.accepted.size(),
+                    served);
             System.err.println("log and histogram in " + folder);
         } finally {
             process.destroy();
@@ -161,7 +174,9 @@
     private static int status(Process process, String what) throws IOException {
         return Files.readAllLines(Path.of("/proc/" + process.pid() + "/status")).stream()
                 .filter(l -> l.startsWith(what + ":"))
-                .mapToInt(l -> Integer.parseInt(l.replaceAll("[^0-9]", ""))).findFirst().orElse(0);
+                .mapToInt(l -> Integer.parseInt(l.replaceAll("[^0-9]", "")))
+                .findFirst()
+                .orElse(0);
     }
 
     /** Of both generations, in use and in all. */
@@ -179,7 +194,9 @@
 
     private static String jcmd(Process process, String command) throws Exception {
         String tool = System.getProperty("java.home") + File.separator + "bin" + File.separator + "jcmd";
-        Process p = new ProcessBuilder(tool, Long.toString(process.pid()), command).redirectErrorStream(true).start();
+        Process p = new ProcessBuilder(tool, Long.toString(process.pid()), command)
+                .redirectErrorStream(true)
+                .start();
         String text = new String(p.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
         p.waitFor();
         return text;
--- a/src/test/java/damsonworks/proxy/RemainingTimeTest.java
+++ b/src/test/java/damsonworks/proxy/RemainingTimeTest.java
@@ -22,7 +22,8 @@
     }
 
     private static void write(Fleet.Client client, String kind, String id) throws Exception {
-        client.say("ms 7f3a9c21e0b4d655 5 O" + id + " Pk=5c0f6e1a2b3d4c59,c=" + kind + ",d=" + ASKED_MS + ",t=acme\r\nhello\r\n");
+        client.say("ms 7f3a9c21e0b4d655 5 O" + id + " Pk=5c0f6e1a2b3d4c59,c=" + kind + ",d=" + ASKED_MS
+                + ",t=acme\r\nhello\r\n");
     }
 
     /** A promise of 400 ms makes a silent node overdue after 100 ms at the earliest. */
@@ -37,7 +38,11 @@
                 c.sayHttp(200, "", "fetch");
             }
         });
-        try (Fleet fleet = new Fleet().node(silent).origin(origin).set("classes.0.promise", "400.0").start();
+        try (Fleet fleet = new Fleet()
+                        .node(silent)
+                        .origin(origin)
+                        .set("classes.0.promise", "400.0")
+                        .start();
                 Fleet.Client client = fleet.client()) {
             client.say("mg 7f3a9c21e0b4d655 v O1 Pc=text,t=acme,d=" + ASKED_MS + ",size=5\r\n");
             assertThat(client.line()).isEqualTo("VA 5 O1");
@@ -57,7 +62,10 @@
             c.request();
             c.sayHttp(200, "", "receipt");
         });
-        try (Fleet fleet = new Fleet().origin(origin).set("classes.0.promise", "400.0").start();
+        try (Fleet fleet = new Fleet()
+                        .origin(origin)
+                        .set("classes.0.promise", "400.0")
+                        .start();
                 Fleet.Client client = fleet.client()) {
             write(client, "fix", "1");
             assertThat(client.line()).isEqualTo("HD O1 creceipt");
@@ -72,20 +80,29 @@
     @Test
     void whatWaitsForAConnectionTellsWhatIsLeftOnceItIsUp() throws Exception {
         LateServer origin = new LateServer(p -> {
-            for (String line; (line = p.command()) != null;) {
+            for (String line; (line = p.command()) != null; ) {
                 if (line.isEmpty()) {
                     p.say("HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nreceipt");
                 }
             }
         });
-        try (origin; Fleet fleet = new Fleet().origin(origin.dial()).set("caps.connect-timeout", "10000.0").start();
+        try (origin;
+                Fleet fleet = new Fleet()
+                        .origin(origin.dial())
+                        .set("caps.connect-timeout", "10000.0")
+                        .start();
                 Fleet.Client client = fleet.client()) {
             write(client, "fix", "1");
-            Await.until("it waits for the connection", () -> fleet.on(
-                    () -> fleet.proxy.status().owed() == 1 && fleet.proxy.status().upstream() == 1));
+            Await.until(
+                    "it waits for the connection",
+                    () -> fleet.on(() -> fleet.proxy.status().owed() == 1
+                            && fleet.proxy.status().upstream() == 1));
             origin.open();
             assertThat(client.line()).isEqualTo("HD O1 creceipt");
-            String extras = origin.commands.stream().filter(l -> l.startsWith("Req-Extra")).findFirst().orElseThrow();
+            String extras = origin.commands.stream()
+                    .filter(l -> l.startsWith("Req-Extra"))
+                    .findFirst()
+                    .orElseThrow();
             assertThat(told(extras)).isBetween(1, ASKED_MS - 100);
         }
     }
--- a/src/test/java/damsonworks/proxy/RoutesTest.java
+++ b/src/test/java/damsonworks/proxy/RoutesTest.java
@@ -19,8 +19,8 @@
 @Timeout(60)
 class RoutesTest {
     private static final String POOLS = "pool one { host = \"s-00000001\" } pool two { host = \"s-00000002\" } ";
-    private static final String ROUTES = POOLS + "route a { key = \"a*\" pool = one fallback = two } "
-            + "route b { key = \"b*\" pool = two }";
+    private static final String ROUTES =
+            POOLS + "route a { key = \"a*\" pool = one fallback = two } " + "route b { key = \"b*\" pool = two }";
 
     private static Routing routing(String text) {
         Problems problems = new Problems();
@@ -31,8 +31,8 @@
 
     private static FakeServer node(String value) {
         try {
-            return FakeServer.node(line -> "VA " + value.length() + " O" + FakeServer.id(line) + " h1\r\n" + value
-                    + "\r\n");
+            return FakeServer.node(
+                    line -> "VA " + value.length() + " O" + FakeServer.id(line) + " h1\r\n" + value + "\r\n");
         } catch (Exception e) {
             throw new IllegalStateException(e);
         }
@@ -52,13 +52,15 @@
 
     @Test
     void keysGoToTheirPoolsAndOthersToAll() throws Exception {
-        try (Fleet fleet = fleet(ROUTES).node(node("one")).node(node("two")).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = fleet(ROUTES).node(node("one")).node(node("two")).start();
+                Fleet.Client client = fleet.client()) {
             for (int i = 0; i < 20; i++) {
                 assertThat(get(client, "a" + i, "a" + i)).isEqualTo("one");
                 assertThat(get(client, "b" + i, "b" + i)).isEqualTo("two");
                 assertThat(get(client, "c" + i, "c" + i)).isIn("one", "two");
             }
-            assertThat(fleet.on(() -> fleet.proxy.router().routes())).extracting(Router.RouteStatus::requests)
+            assertThat(fleet.on(() -> fleet.proxy.router().routes()))
+                    .extracting(Router.RouteStatus::requests)
                     .containsExactly(20L, 20L, 20L);
         }
     }
@@ -70,7 +72,8 @@
             for (int i = 0; i < 20; i++) {
                 assertThat(get(client, "a" + i, "a" + i)).isEqualTo("two");
             }
-            assertThat(fleet.on(() -> fleet.proxy.router().routes().get(0).fallbacks())).isEqualTo(20);
+            assertThat(fleet.on(() -> fleet.proxy.router().routes().get(0).fallbacks()))
+                    .isEqualTo(20);
         }
     }
 
@@ -84,7 +87,11 @@
         });
         String routes = "pool none { host = \"nobody\" } pool two { host = \"s-00000002\" } "
                 + "route a { key = \"a*\" pool = none fallback = two } route b { key = \"b*\" pool = none }";
-        try (Fleet fleet = fleet(routes).node(node("one")).node(node("two")).origin(origin).start();
+        try (Fleet fleet = fleet(routes)
+                        .node(node("one"))
+                        .node(node("two"))
+                        .origin(origin)
+                        .start();
                 Fleet.Client client = fleet.client()) {
             assertThat(get(client, "a1", "1")).isEqualTo("two");
             assertThat(origin.commands).isEmpty();
@@ -96,12 +103,17 @@
     @Test
     void aWriteThatMayHaveRunIsNotSentToTheFallback() throws Exception {
         FakeServer origin = new FakeServer(c -> c.request()); // and the connection ends
-        try (Fleet fleet = fleet(ROUTES).node(node("one")).node(node("two")).origin(origin).start();
+        try (Fleet fleet = fleet(ROUTES)
+                        .node(node("one"))
+                        .node(node("two"))
+                        .origin(origin)
+                        .start();
                 Fleet.Client client = fleet.client()) {
             client.say("ms a1 5 O1 Pc=fix,d=20000\r\nhello\r\n");
             assertThat(client.line()).isEqualTo("SERVER_ERROR failed");
             assertThat(origin.commands).hasSize(1);
-            assertThat(fleet.on(() -> fleet.proxy.router().routes().get(0).fallbacks())).isZero();
+            assertThat(fleet.on(() -> fleet.proxy.router().routes().get(0).fallbacks()))
+                    .isZero();
         }
     }
 
@@ -109,39 +121,46 @@
     void openRequestsEndUnderTheOldRoutesAndNewOnesBeginUnderTheNew() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         FakeServer one = new FakeServer(c -> {
-            for (String line; (line = c.command()) != null;) {
+            for (String line; (line = c.command()) != null; ) {
                 go.await();
                 c.say("VA 3 O" + FakeServer.id(line) + " h1\r\none\r\n");
             }
         });
-        try (Fleet fleet = fleet(ROUTES).node(one).node(node("two")).start(); Fleet.Client before = fleet.client();
+        try (Fleet fleet = fleet(ROUTES).node(one).node(node("two")).start();
+                Fleet.Client before = fleet.client();
                 Fleet.Client after = fleet.client()) {
             before.say("mg a1 v O1 Pc=text,d=20000\r\n");
             one.next();
             fleet.routing = routing(POOLS.substring(POOLS.indexOf("pool two")) + "route all { pool = two }");
             fleet.reload();
-            Await.until("the new routes hold", () -> fleet.on(() -> fleet.proxy.router().version()) == 2);
+            Await.until(
+                    "the new routes hold",
+                    () -> fleet.on(() -> fleet.proxy.router().version()) == 2);
             assertThat(get(after, "a1", "2")).isEqualTo("two");
-            assertThat(fleet.on(() -> fleet.proxy.router().pools())).extracting(Router.PoolStatus::name)
+            assertThat(fleet.on(() -> fleet.proxy.router().pools()))
+                    .extracting(Router.PoolStatus::name)
                     .containsExactly("", "one", "two");
             go.countDown();
             assertThat(before.line()).isEqualTo("VA 3 O1");
             assertThat(before.line()).isEqualTo("one");
-            Await.until("the pool that vanished has ended", () -> fleet.on(() -> fleet.proxy.router().pools())
-                    .size() == 2);
+            Await.until(
+                    "the pool that vanished has ended",
+                    () -> fleet.on(() -> fleet.proxy.router().pools()).size() == 2);
         }
     }
 
     @Test
     void routesOfNoUseChangeNothing() throws Exception {
-        try (Fleet fleet = fleet(ROUTES).node(node("one")).node(node("two")).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = fleet(ROUTES).node(node("one")).node(node("two")).start();
+                Fleet.Client client = fleet.client()) {
             fleet.routing = null; // reading them fails
             fleet.reload();
             assertThat(get(client, "a1", "1")).isEqualTo("one");
             assertThat(fleet.on(() -> fleet.proxy.router().version())).isEqualTo(1);
             fleet.routing = routing(ROUTES);
             fleet.reload();
-            Await.until("the next hold", () -> fleet.on(() -> fleet.proxy.router().version()) == 2);
+            Await.until(
+                    "the next hold", () -> fleet.on(() -> fleet.proxy.router().version()) == 2);
         }
     }
 }
--- a/src/test/java/damsonworks/proxy/SettingsReloadTest.java
+++ b/src/test/java/damsonworks/proxy/SettingsReloadTest.java
@@ -22,7 +22,8 @@
 class SettingsReloadTest {
     /** As the platform words them, with lists and objects and not flat as in the other tests. */
     private static JsonObject settings() throws Exception {
-        return JsonParser.parseString(Files.readString(Path.of("src/test/resources/config.json"))).getAsJsonObject()
+        return JsonParser.parseString(Files.readString(Path.of("src/test/resources/config.json")))
+                .getAsJsonObject()
                 .getAsJsonObject("settings");
     }
 
@@ -54,7 +55,8 @@
     }
 
     private static String ask(Fleet.Client client, String id, String kind) throws Exception {
-        String line = client.say("mg 7f3a9c21e0b4d655 v O" + id + " Pc=" + kind + ",d=20000\r\n").line();
+        String line = client.say("mg 7f3a9c21e0b4d655 v O" + id + " Pc=" + kind + ",d=20000\r\n")
+                .line();
         if (line.startsWith("VA")) {
             client.line();
         }
@@ -63,7 +65,8 @@
 
     @Test
     void classesAppearAndVanish() throws Exception {
-        try (Fleet fleet = fleet(node()).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = fleet(node()).start();
+                Fleet.Client client = fleet.client()) {
             assertThat(ask(client, "1", "seg-text")).startsWith("VA");
             assertThat(ask(client, "2", "seg-new")).startsWith("CLIENT_ERROR");
             JsonObject old = classes(fleet.config).get(0).getAsJsonObject();
@@ -72,7 +75,8 @@
             assertThat(ask(client, "3", "seg-new")).startsWith("VA");
             assertThat(ask(client, "4", "seg-text")).startsWith("CLIENT_ERROR");
             assertThat(status(fleet).applied()).isEqualTo(1);
-            assertThat(status(fleet).classes()).containsEntry("seg-text", new Proxy.Endings(1, 0, 1))
+            assertThat(status(fleet).classes())
+                    .containsEntry("seg-text", new Proxy.Endings(1, 0, 1))
                     .containsEntry("seg-new", new Proxy.Endings(1, 0, 0));
         }
     }
@@ -81,12 +85,13 @@
     void aRequestUnderWayKeepsItsClassThoughThatVanishes() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         FakeServer slow = new FakeServer(c -> {
-            for (String line; (line = c.command()) != null;) {
+            for (String line; (line = c.command()) != null; ) {
                 go.await();
                 c.say("VA 2 O" + FakeServer.id(line) + " h1\r\nhi\r\n");
             }
         });
-        try (Fleet fleet = fleet(slow).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = fleet(slow).start();
+                Fleet.Client client = fleet.client()) {
             client.say("mg 7f3a9c21e0b4d655 v O1 Pc=seg-text,d=20000\r\n");
             slow.next();
             classes(fleet.config).set(0, kind(classes(fleet.config).get(0).getAsJsonObject(), "seg-new"));
@@ -104,7 +109,8 @@
             c.reset();
         });
         FakeServer misses = FakeServer.node(line -> "EN O" + FakeServer.id(line) + " h0\r\n");
-        try (Fleet fleet = fleet(misses).origin(resets).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = fleet(misses).origin(resets).start();
+                Fleet.Client client = fleet.client()) {
             assertThat(ask(client, "1", "seg-text")).as("safe to repeat").startsWith("SERVER_ERROR busy");
             classes(fleet.config).get(0).getAsJsonObject().addProperty("idempotency", "fragile");
             fleet.reload();
@@ -143,7 +149,8 @@
 
     @Test
     void brokenFilesChangeNothingAndAreCounted() throws Exception {
-        try (Fleet fleet = fleet(node()).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = fleet(node()).start();
+                Fleet.Client client = fleet.client()) {
             String good = fleet.config.toString();
             int broken = 0;
             for (int cut = 0; cut < good.length(); cut += 7) {
@@ -158,8 +165,9 @@
                 }
             }
             for (String value : new String[] {"0", "-2", "0.5", "\"many\""}) {
-                changes.add(c -> c.getAsJsonObject("settings").getAsJsonObject("caps").add("max-attempts",
-                        JsonParser.parseString(value)));
+                changes.add(c -> c.getAsJsonObject("settings")
+                        .getAsJsonObject("caps")
+                        .add("max-attempts", JsonParser.parseString(value)));
             }
             changes.add(c -> c.getAsJsonObject("settings").add("classes", new JsonArray()));
             changes.add(c -> classes(c).add(classes(c).get(0).deepCopy()));
@@ -189,7 +197,9 @@
             changes.add(c -> c.getAsJsonObject("settings").remove(e.getKey()));
             if (e.getValue().isJsonObject()) {
                 for (String inner : e.getValue().getAsJsonObject().keySet()) {
-                    changes.add(c -> c.getAsJsonObject("settings").getAsJsonObject(e.getKey()).remove(inner));
+                    changes.add(c -> c.getAsJsonObject("settings")
+                            .getAsJsonObject(e.getKey())
+                            .remove(inner));
                 }
             }
         }
--- a/src/test/java/damsonworks/proxy/SharedClientsTest.java
+++ b/src/test/java/damsonworks/proxy/SharedClientsTest.java
@@ -6,7 +6,9 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
-/** Connections that are ended so that they are dealt anew: between requests, and none whose first request is on its way. */
+/**
+ * Connections that are ended so that they are dealt anew: between requests, and none whose first request is on its way.
+ */
 @Timeout(60)
 class SharedClientsTest {
     private static int end(Fleet fleet, int many) {
@@ -19,12 +21,15 @@
 
     @Test
     void onlyOnesThatHaveBeenAnsweredAreEndedAndThoseUsedLastFirst() throws Exception {
-        try (Fleet fleet = new Fleet().start(); Fleet.Client first = fleet.client(); Fleet.Client last = fleet.client();
+        try (Fleet fleet = new Fleet().start();
+                Fleet.Client first = fleet.client();
+                Fleet.Client last = fleet.client();
                 Fleet.Client unheard = fleet.client()) {
             for (Fleet.Client c : new Fleet.Client[] {first, last}) {
                 assertThat(c.say("mn\r\n").line()).isEqualTo("MN");
             }
-            Await.until("all are idle", () -> fleet.on(() -> fleet.proxy.clients().idle()) == 3);
+            Await.until(
+                    "all are idle", () -> fleet.on(() -> fleet.proxy.clients().idle()) == 3);
             assertThat(end(fleet, 1)).isEqualTo(1);
             assertThat(last.ended()).isTrue();
             assertThat(end(fleet, 9)).isEqualTo(1);
--- a/src/test/java/damsonworks/proxy/StreamTest.java
+++ b/src/test/java/damsonworks/proxy/StreamTest.java
@@ -27,14 +27,19 @@
     private static final int QUIET_MS = 200;
     /** What the proxy may hold itself. */
     private static final long OWN_ROOM = 8L << 20;
+
     private static final long USUAL_MOST = 32L << 20;
 
-    /** What fits into the buffers on the way from a node to a client: the system's on both connections, and the proxy's. */
+    /**
+     * What fits into the buffers on the way from a node to a client: the system's on both connections, and the proxy's.
+     */
     private static long room() throws IOException {
         return 2 * (most("tcp_rmem") + most("tcp_wmem")) + OWN_ROOM;
     }
 
-    /** The length that the system lets a connection's buffer grow to; it differs by a factor of five between kernels. */
+    /**
+     * The length that the system lets a connection's buffer grow to; it differs by a factor of five between kernels.
+     */
     private static long most(String buffer) throws IOException {
         Path limits = Path.of("/proc/sys/net/ipv4", buffer);
         if (!Files.isReadable(limits)) {
@@ -52,13 +57,14 @@
     @Test
     void aLongValueOfANodePassesWholeAndTheNextAnswerAfterIt() throws Exception {
         FakeServer node = new FakeServer(c -> {
-            for (String line; (line = c.command()) != null;) {
+            for (String line; (line = c.command()) != null; ) {
                 head(c, line);
                 c.out.write(VALUE);
                 c.say("\r\n");
             }
         });
-        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client client = fleet.client()) {
             client.read("1").read("2");
             for (String id : new String[] {"1", "2"}) {
                 assertThat(client.line()).isEqualTo("VA " + VALUE.length + " O" + id);
@@ -117,14 +123,14 @@
     }
 
     /**
-     * Seen: a connection to a node was held as the client had no room for an answer's end, and nobody let go of it again. What
-     * stood behind that answer never came, and ten seconds later its client's connection was ended.
+     * Seen: a connection to a node was held as the client had no room for an answer's end, and nobody let go of it
+     * again. What stood behind that answer never came, and ten seconds later its client's connection was ended.
      */
     @Test
     void whatStandsBehindALongAnswerComesThoughItsClientHadNoRoomForItsEnd() throws Exception {
         Semaphore next = new Semaphore(0);
         FakeServer node = new FakeServer(c -> {
-            for (String line; (line = c.command()) != null;) {
+            for (String line; (line = c.command()) != null; ) {
                 next.acquire(); // nothing of an answer comes with the end of the one before
                 head(c, line);
                 c.out.write(VALUE);
@@ -134,15 +140,22 @@
         try (Fleet fleet = new Fleet().node(node).set("balancers", "60").start()) { // one connection to a node
             for (int i = 0; i < 3; i++) {
                 Full client = new Full();
-                Exchange.Command read = new Exchange.Command(Routing.META, "7f3a", "" + i, false, new Exchange.Terms("text",
-                        null, 20_000, Double.NaN, 0, false), new DeadlineText("c=text,d=", ""),
+                Exchange.Command read = new Exchange.Command(
+                        Routing.META,
+                        "7f3a",
+                        "" + i,
+                        false,
+                        new Exchange.Terms("text", null, 20_000, Double.NaN, 0, false),
+                        new DeadlineText("c=text,d=", ""),
                         new DeadlineText("mg 7f3a v O" + i + " Pc=text,d=", ""));
                 fleet.on(() -> {
                     fleet.proxy.core().take(new Exchange(client, read));
                     return null;
                 });
                 next.release();
-                assertThat(client.ended.get(15, TimeUnit.SECONDS)).as("answer %d", i).isEqualTo("whole");
+                assertThat(client.ended.get(15, TimeUnit.SECONDS))
+                        .as("answer %d", i)
+                        .isEqualTo("whole");
             }
         }
     }
@@ -157,7 +170,8 @@
             c.awaitEnd();
         });
         FakeServer node = FakeServer.node(line -> "EN O" + FakeServer.id(line) + " h0\r\n");
-        try (Fleet fleet = new Fleet().node(node).origin(origin).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).origin(origin).start();
+                Fleet.Client client = fleet.client()) {
             client.read("1");
             assertThat(client.line()).isEqualTo("VA " + VALUE.length + " O1");
             assertThat(client.bytes(VALUE.length)).isEqualTo(VALUE);
@@ -176,7 +190,8 @@
             c.say("\r\n");
             c.awaitEnd();
         });
-        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client client = fleet.client()) {
             client.read("1").line();
             assertThat(client.bytes(1000)).hasSize(1000);
             seen.countDown();
@@ -189,7 +204,7 @@
         AtomicLong sent = new AtomicLong();
         CountDownLatch over = new CountDownLatch(1);
         FakeServer node = new FakeServer(c -> {
-            for (String line; (line = c.command()) != null;) {
+            for (String line; (line = c.command()) != null; ) {
                 head(c, line);
                 for (int at = 0; at < VALUE.length; at += 1 << 14) {
                     c.out.write(VALUE, at, 1 << 14);
@@ -201,7 +216,8 @@
         });
         long room = room();
         int values = (int) (2 * room / VALUE.length);
-        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client client = fleet.client()) {
             for (int i = 0; i < values; i++) {
                 client.read(Integer.toString(i));
             }
@@ -226,7 +242,8 @@
             c.out.write(VALUE, 0, 100_000);
             c.out.flush();
         });
-        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client client = fleet.client()) {
             client.read("1");
             assertThat(client.line()).isEqualTo("VA " + VALUE.length + " O1");
             assertThat(client.bytes(VALUE.length).length).isLessThan(VALUE.length);
--- a/src/test/java/damsonworks/proxy/TakeoverStateTest.java
+++ b/src/test/java/damsonworks/proxy/TakeoverStateTest.java
@@ -30,18 +30,41 @@
     }
 
     private static TakeoverState state() {
-        return new TakeoverState(list(), Map.of("", new Experience(1, 2, 3, 0, new Load(4, 5), new Load(6, 7), 8,
-                List.of(new Hot(-1, 9)), List.of(new Seen(-5, 0, 1, 1.7e12, 0)))),
+        return new TakeoverState(
+                list(),
+                Map.of(
+                        "",
+                        new Experience(
+                                1,
+                                2,
+                                3,
+                                0,
+                                new Load(4, 5),
+                                new Load(6, 7),
+                                8,
+                                List.of(new Hot(-1, 9)),
+                                List.of(new Seen(-5, 0, 1, 1.7e12, 0)))),
                 Map.of(Kind.INCARNATION, new Record(Kind.INCARNATION, 1.7e12, new JsonPrimitive(4))));
     }
 
     @Property(seed = "1", tries = 300)
-    void whatIsToldIsRead(@ForAll @Size(9) List<@DoubleRange(max = 1e14) Double> f,
-            @ForAll @Size(max = 20) List<Long> keys, @ForAll @Size(max = 20) List<Integer> ids,
+    void whatIsToldIsRead(
+            @ForAll @Size(9) List<@DoubleRange(max = 1e14) Double> f,
+            @ForAll @Size(max = 20) List<Long> keys,
+            @ForAll @Size(max = 20) List<Integer> ids,
             @ForAll @IntRange(max = 1000) int count) {
-        Experience e = new Experience(f.get(0), f.get(1), f.get(2), f.get(3), new Load(f.get(4), f.get(5)),
-                new Load(f.get(6), f.get(7)), f.get(8), keys.stream().map(k -> new Hot(k, count)).toList(),
-                ids.stream().map(i -> new Seen(i, f.get(1), count, f.get(0), count)).toList());
+        Experience e = new Experience(
+                f.get(0),
+                f.get(1),
+                f.get(2),
+                f.get(3),
+                new Load(f.get(4), f.get(5)),
+                new Load(f.get(6), f.get(7)),
+                f.get(8),
+                keys.stream().map(k -> new Hot(k, count)).toList(),
+                ids.stream()
+                        .map(i -> new Seen(i, f.get(1), count, f.get(0), count))
+                        .toList());
         TakeoverState told = new TakeoverState(list(), Map.of("", e, "pool", e), state().kept());
         assertThat(TakeoverState.read(told.json())).isEqualTo(told);
     }
--- a/src/test/java/damsonworks/proxy/TimersTest.java
+++ b/src/test/java/damsonworks/proxy/TimersTest.java
@@ -22,25 +22,26 @@
         List<String> wrong = new ArrayList<>();
         List<Integer> same = new ArrayList<>();
         loop.submit(() -> {
-            Timers timers = new Timers(loop);
-            Random random = new Random(5);
-            for (int i = 0; i < count; i++) {
-                // beyond the wheel's four seconds, too
-                double ms = i % 500 == 0 ? 4200 : random.nextInt(300);
-                long due = System.nanoTime() + (long) (ms * 1e6);
-                timers.after(ms, () -> {
-                    if (System.nanoTime() < due) {
-                        wrong.add("early");
+                    Timers timers = new Timers(loop);
+                    Random random = new Random(5);
+                    for (int i = 0; i < count; i++) {
+                        // beyond the wheel's four seconds, too
+                        double ms = i % 500 == 0 ? 4200 : random.nextInt(300);
+                        long due = System.nanoTime() + (long) (ms * 1e6);
+                        timers.after(ms, () -> {
+                            if (System.nanoTime() < due) {
+                                wrong.add("early");
+                            }
+                            last.countDown();
+                        });
+                        timers.after(ms, () -> wrong.add("called off")).cancel();
                     }
-                    last.countDown();
-                });
-                timers.after(ms, () -> wrong.add("called off")).cancel();
-            }
-            timers.after(10, () -> {
-                timers.after(0, () -> same.add(2)); // set from within a timer: runs later
-                same.add(1);
-            });
-        }).sync();
+                    timers.after(10, () -> {
+                        timers.after(0, () -> same.add(2)); // set from within a timer: runs later
+                        same.add(1);
+                    });
+                })
+                .sync();
         assertThat(last.await(60, TimeUnit.SECONDS)).isTrue();
         assertThat(loop.submit(() -> List.copyOf(wrong)).get()).isEmpty();
         assertThat(same).containsExactly(1, 2);
--- a/src/test/java/damsonworks/proxy/UpgradeTest.java
+++ b/src/test/java/damsonworks/proxy/UpgradeTest.java
@@ -45,11 +45,17 @@
     }
 
     private static Phase phase(Proxy proxy) {
-        return proxy.loop().submit(() -> proxy.status().handover()).syncUninterruptibly().getNow();
+        return proxy.loop()
+                .submit(() -> proxy.status().handover())
+                .syncUninterruptibly()
+                .getNow();
     }
 
     private static long answered(Proxy proxy) {
-        return proxy.loop().submit(() -> proxy.status().answered()).syncUninterruptibly().getNow();
+        return proxy.loop()
+                .submit(() -> proxy.status().answered())
+                .syncUninterruptibly()
+                .getNow();
     }
 
     private static Thread end(Proxy proxy) {
@@ -65,12 +71,15 @@
 
     @Test
     void aClientsConnectionOutlivesTheProcessThatTookIt() throws Exception {
-        try (Fleet fleet = serving(node()); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = serving(node());
+                Fleet.Client client = fleet.client()) {
             served(client.read("1"), "1");
             Proxy next = successor(fleet);
             Await.until("the successor is believed", () -> phase(fleet.proxy) == Phase.SERVED);
             served(client.read("2"), "2");
-            assertThat(answered(fleet.proxy)).as("the old one still has its connections").isEqualTo(2);
+            assertThat(answered(fleet.proxy))
+                    .as("the old one still has its connections")
+                    .isEqualTo(2);
             Thread ending = end(fleet.proxy);
             ending.join();
             served(client.read("3").read("4"), "3");
@@ -84,12 +93,13 @@
     void whatIsUnderWayIsAnsweredByTheOldProcessAndItsConnectionGoesOver() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
         FakeServer slow = new FakeServer(c -> {
-            for (String line; (line = c.command()) != null;) {
+            for (String line; (line = c.command()) != null; ) {
                 go.await();
                 c.say("VA 2 O" + FakeServer.id(line) + " h1\r\nhi\r\n");
             }
         });
-        try (Fleet fleet = serving(slow); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = serving(slow);
+                Fleet.Client client = fleet.client()) {
             client.read("1");
             slow.next();
             Proxy next = successor(fleet);
@@ -167,7 +177,8 @@
         FakeServer up = node();
         try (Fleet fleet = new Fleet().node(up).node(dial).shared(folder).start();
                 Fleet.Client client = fleet.client()) {
-            fleet.config.addProperty("listen", "127.0.0.1:" + fleet.proxy.address().getPort());
+            fleet.config.addProperty(
+                    "listen", "127.0.0.1:" + fleet.proxy.address().getPort());
             Await.until("the old one has tried it", () -> {
                 String key = Long.toHexString(System.nanoTime());
                 client.say("mg " + key + " v O" + key + " Pc=text,d=20000\r\n");
@@ -175,8 +186,12 @@
                 return fleet.on(() -> fleet.proxy.status().ejected()) == 1; // what is only doubted is known of, too
             });
             Proxy next = successor(fleet);
-            assertThat(next.loop().submit(() -> next.status().ejected()).syncUninterruptibly().getNow())
-                    .as("before it has sent anything").isEqualTo(1);
+            assertThat(next.loop()
+                            .submit(() -> next.status().ejected())
+                            .syncUninterruptibly()
+                            .getNow())
+                    .as("before it has sent anything")
+                    .isEqualTo(1);
         }
     }
 
@@ -210,7 +225,8 @@
     @Test
     void wordsOutOfTurnEndTheLinkAndNothingElse() throws Exception {
         try (Fleet fleet = serving(node())) {
-            for (String words : new String[] {"SERVING\n", "SOCKET\n", "STATE 9\n", "x".repeat(200), "STATE 1\nSERVING\n"}) {
+            for (String words :
+                    new String[] {"SERVING\n", "SOCKET\n", "STATE 9\n", "x".repeat(200), "STATE 1\nSERVING\n"}) {
                 try (SocketChannel link = SocketChannel.open(StandardProtocolFamily.UNIX)) {
                     link.connect(UnixDomainSocketAddress.of(HandoverLink.path(folder)));
                     link.write(ByteBuffer.wrap(words.getBytes(StandardCharsets.US_ASCII)));
--- a/src/test/java/damsonworks/proxy/UpstreamTest.java
+++ b/src/test/java/damsonworks/proxy/UpstreamTest.java
@@ -44,7 +44,8 @@
     @Test
     void aMissIsFetchedFromTheOrigin() throws Exception {
         FakeServer node = FakeServer.node(line -> "EN O" + FakeServer.id(line) + " h0\r\n");
-        try (Fleet fleet = new Fleet().node(node).origin(origin(200, "", "master")).start();
+        try (Fleet fleet =
+                        new Fleet().node(node).origin(origin(200, "", "master")).start();
                 Fleet.Client client = fleet.client()) {
             client.read("1");
             assertThat(client.line()).isEqualTo("VA 6 O1");
@@ -55,7 +56,8 @@
     @Test
     void oneConnectionServesRequestAfterRequest() throws Exception {
         FakeServer node = FakeServer.node(UpstreamTest::hit);
-        try (Fleet fleet = new Fleet().node(node).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client client = fleet.client()) {
             for (int i = 0; i < 5; i++) {
                 client.read("a" + i);
                 assertThat(client.line()).isEqualTo("VA 5 Oa" + i);
@@ -72,8 +74,12 @@
             busy.incrementAndGet();
             return "SERVER_ERROR busy\r\n";
         });
-        try (Fleet fleet = new Fleet().node(refused()).node(full).node(FakeServer.node(UpstreamTest::hit))
-                .origin(origin(200, "", "fetch")).start();
+        try (Fleet fleet = new Fleet()
+                        .node(refused())
+                        .node(full)
+                        .node(FakeServer.node(UpstreamTest::hit))
+                        .origin(origin(200, "", "fetch"))
+                        .start();
                 Fleet.Client client = fleet.client()) {
             servesReads(client, 30);
             assertThat(busy.get()).isPositive();
@@ -87,7 +93,10 @@
             c.command();
             c.say("SERVER_ERROR busy\r\n");
         });
-        try (Fleet fleet = new Fleet().node(crowded).node(FakeServer.node(UpstreamTest::hit)).start();
+        try (Fleet fleet = new Fleet()
+                        .node(crowded)
+                        .node(FakeServer.node(UpstreamTest::hit))
+                        .start();
                 Fleet.Client client = fleet.client()) {
             servesReads(client, 60);
             assertThat(crowded.commands).hasSize(1);
@@ -95,7 +104,9 @@
         }
     }
 
-    /** Guards against a spoilt answer that is taken for a lack of places: what ends the connection then is the proxy. */
+    /**
+     * Guards against a spoilt answer that is taken for a lack of places: what ends the connection then is the proxy.
+     */
     @Test
     void aRefusalWithNoiseBehindItTellsNothingOfPlaces() throws Exception {
         FakeServer noisy = new FakeServer(c -> {
@@ -103,7 +114,10 @@
             c.say("SERVER_ERROR busy\r\nnoise\r\n");
             c.awaitEnd();
         });
-        try (Fleet fleet = new Fleet().node(noisy).node(FakeServer.node(UpstreamTest::hit)).start();
+        try (Fleet fleet = new Fleet()
+                        .node(noisy)
+                        .node(FakeServer.node(UpstreamTest::hit))
+                        .start();
                 Fleet.Client client = fleet.client()) {
             servesReads(client, 60);
             assertThat(noisy.commands).hasSizeGreaterThan(10);
@@ -114,7 +128,10 @@
     @Test
     void aNodeWhoseQueueIsFullIsAskedAgain() throws Exception {
         FakeServer full = FakeServer.node(line -> "SERVER_ERROR busy\r\n");
-        try (Fleet fleet = new Fleet().node(full).node(FakeServer.node(UpstreamTest::hit)).start();
+        try (Fleet fleet = new Fleet()
+                        .node(full)
+                        .node(FakeServer.node(UpstreamTest::hit))
+                        .start();
                 Fleet.Client client = fleet.client()) {
             servesReads(client, 60);
             assertThat(full.commands).hasSizeGreaterThan(10);
@@ -124,17 +141,22 @@
     @Test
     void anUnsafeWriteIsRefusedOnlyWhenItNeverRan() throws Exception {
         String write = "ms 7f3a 5 O1 Pc=fix,d=2000\r\nhello\r\n";
-        try (Fleet fleet = new Fleet().origin(origin(500, "", "")).start(); Fleet.Client c = fleet.client()) {
+        try (Fleet fleet = new Fleet().origin(origin(500, "", "")).start();
+                Fleet.Client c = fleet.client()) {
             assertThat(c.say(write).line()).isEqualTo("SERVER_ERROR failed");
         }
-        try (Fleet fleet = new Fleet().origin(origin(503, "", "")).start(); Fleet.Client c = fleet.client()) {
+        try (Fleet fleet = new Fleet().origin(origin(503, "", "")).start();
+                Fleet.Client c = fleet.client()) {
             assertThat(c.say(write).line()).isEqualTo("SERVER_ERROR failed");
         }
-        try (Fleet fleet = new Fleet().origin(origin(503, "Srv-Declined: 1\r\n", "")).start();
+        try (Fleet fleet = new Fleet()
+                        .origin(origin(503, "Srv-Declined: 1\r\n", ""))
+                        .start();
                 Fleet.Client c = fleet.client()) {
             assertThat(c.say(write).line()).startsWith("SERVER_ERROR busy");
         }
-        try (Fleet fleet = new Fleet().origin(refused()).start(); Fleet.Client c = fleet.client()) {
+        try (Fleet fleet = new Fleet().origin(refused()).start();
+                Fleet.Client c = fleet.client()) {
             assertThat(c.say(write).line()).startsWith("SERVER_ERROR busy");
         }
     }
@@ -145,7 +167,8 @@
             c.request();
             c.reset();
         });
-        try (Fleet fleet = new Fleet().origin(origin).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().origin(origin).start();
+                Fleet.Client client = fleet.client()) {
             client.say("ms 7f3a 5 O1 Pc=fix,d=20000\r\nhello\r\n");
             assertThat(client.line()).isEqualTo("SERVER_ERROR failed");
             assertThat(client.say("mn\r\n").line()).isEqualTo("MN");
@@ -159,7 +182,8 @@
             c.request();
             c.awaitEnd();
         });
-        try (Fleet fleet = new Fleet().origin(origin).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().origin(origin).start();
+                Fleet.Client client = fleet.client()) {
             client.say("ms 7f3a 5 O1 Pc=fix,d=2000\r\nhello\r\n");
             origin.next();
             assertThat(client.line()).isEqualTo("SERVER_ERROR failed");
@@ -168,8 +192,9 @@
 
     @Test
     void garbageEndsTheAttemptAndTheConnection() throws Exception {
-        for (String garbage : new String[] {"VA x O1\r\n", "VA 5 O7 h1\r\nhello\r\n", "VA 5 O1\r\nhelloXX", "\u0000\r\n",
-            "HD O1 cx\r\n"}) {
+        for (String garbage : new String[] {
+            "VA x O1\r\n", "VA 5 O7 h1\r\nhello\r\n", "VA 5 O1\r\nhelloXX", "\u0000\r\n", "HD O1 cx\r\n"
+        }) {
             CountDownLatch ended = new CountDownLatch(1);
             FakeServer node = new FakeServer(c -> {
                 c.command();
@@ -177,7 +202,10 @@
                 c.awaitEnd();
                 ended.countDown();
             });
-            try (Fleet fleet = new Fleet().node(node).origin(origin(200, "", "fetch")).start();
+            try (Fleet fleet = new Fleet()
+                            .node(node)
+                            .origin(origin(200, "", "fetch"))
+                            .start();
                     Fleet.Client client = fleet.client()) {
                 client.read("1");
                 assertThat(client.line()).as(garbage).isEqualTo("VA 5 O1");
@@ -185,14 +213,15 @@
                 ended.await();
             }
         }
-        for (String garbage : new String[] {"what?\r\n\r\n",
-            "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2\r\n\r\nr1"}) {
+        for (String garbage :
+                new String[] {"what?\r\n\r\n", "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 2\r\n\r\nr1"}) {
             FakeServer broken = new FakeServer(c -> {
                 c.request();
                 c.say(garbage);
                 c.awaitEnd();
             });
-            try (Fleet fleet = new Fleet().origin(broken).start(); Fleet.Client client = fleet.client()) {
+            try (Fleet fleet = new Fleet().origin(broken).start();
+                    Fleet.Client client = fleet.client()) {
                 client.say("ms 7f3a 5 O1 Pc=fix,d=20000\r\nhello\r\n");
                 assertThat(client.line()).as(garbage).isEqualTo("SERVER_ERROR failed");
             }
@@ -205,7 +234,7 @@
         CountDownLatch missed = new CountDownLatch(2);
         CountDownLatch go = new CountDownLatch(1);
         FakeServer node = new FakeServer(c -> {
-            for (String line; (line = c.command()) != null;) {
+            for (String line; (line = c.command()) != null; ) {
                 c.say("EN O" + FakeServer.id(line) + " h0\r\n");
                 missed.countDown();
             }
@@ -219,8 +248,13 @@
             c.say(leads ? first + first : "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother");
             c.awaitEnd();
         });
-        try (Fleet fleet = new Fleet().node(node).origin(origin).set("caps.max-attempts", "2").start();
-                Fleet.Client one = fleet.client(); Fleet.Client two = fleet.client()) {
+        try (Fleet fleet = new Fleet()
+                        .node(node)
+                        .origin(origin)
+                        .set("caps.max-attempts", "2")
+                        .start();
+                Fleet.Client one = fleet.client();
+                Fleet.Client two = fleet.client()) {
             one.read("1");
             origin.next();
             two.read("2");
@@ -244,7 +278,8 @@
             c.socket.close();
             closed.countDown();
         });
-        try (Fleet fleet = new Fleet().origin(origin).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().origin(origin).start();
+                Fleet.Client client = fleet.client()) {
             for (int i = 0; i < 3; i++) {
                 client.say("ms 7f3a 5 O" + i + " Pc=fix,d=20000\r\nhello\r\n");
                 assertThat(client.line()).isEqualTo("HD O" + i + " cr1");
@@ -282,7 +317,8 @@
             c.awaitEnd();
         });
         Fleet setup = new Fleet().node(pipelined).set("balancers", "60");
-        try (Fleet fleet = setup.start(); Fleet.Client other = fleet.client()) {
+        try (Fleet fleet = setup.start();
+                Fleet.Client other = fleet.client()) {
             Fleet.Client leaving = fleet.client();
             leaving.say("mg 7f3a v Oa Pc=text,d=20000\r\n");
             pipelined.next();
@@ -307,7 +343,8 @@
             c.say(hit(first) + hit(second));
             c.awaitEnd();
         });
-        try (Fleet fleet = new Fleet().node(node[0]).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node[0]).start();
+                Fleet.Client client = fleet.client()) {
             client.read("1");
             refusing.await();
             client.read("2");
@@ -334,7 +371,8 @@
                 c.sayHttp(200, "", "fetch");
             }
         });
-        try (Fleet fleet = new Fleet().node(node).origin(origin).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).origin(origin).start();
+                Fleet.Client client = fleet.client()) {
             client.read("1");
             assertThat(client.line()).isEqualTo("VA 5 O1");
             assertThat(client.line()).isEqualTo("fetch");
@@ -349,7 +387,8 @@
     void aReadThatNobodyGainsFromAnyMoreIsGivenUpAtOnce() throws Exception {
         FakeServer silent = new FakeServer(FakeServer.Connection::awaitEnd);
         Fleet setup = new Fleet().node(silent).set("classes.0.late-share", "0").set("classes.0.promise", "300.0");
-        try (Fleet fleet = setup.start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = setup.start();
+                Fleet.Client client = fleet.client()) {
             client.say("mg 7f3a v O1 Pc=text,d=60000\r\n");
             assertThat(client.line()).startsWith("SERVER_ERROR busy");
         }
@@ -357,7 +396,8 @@
 
     @Test
     void aRefusalTellsWhenToComeBack() throws Exception {
-        try (Fleet fleet = new Fleet().start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().start();
+                Fleet.Client client = fleet.client()) {
             client.read("1");
             assertThat(client.line()).isEqualTo("SERVER_ERROR busy 500"); // half of 2.5 s, but no more than is honoured
         }
@@ -384,9 +424,15 @@
         FakeServer quick = FakeServer.node(UpstreamTest::hit);
         FakeServer mute = new FakeServer(FakeServer.Connection::awaitEnd);
         // The third stands in for a clock: its request is given up after the others would have been.
-        Fleet setup = new Fleet().node(shared[0]).node(quick).node(mute).set("caps.second-copies", "false")
+        Fleet setup = new Fleet()
+                .node(shared[0])
+                .node(quick)
+                .node(mute)
+                .set("caps.second-copies", "false")
                 .set("classes.0.promise", "4000.0");
-        try (Fleet fleet = setup.start(); Fleet.Client one = fleet.client(); Fleet.Client two = fleet.client();
+        try (Fleet fleet = setup.start();
+                Fleet.Client one = fleet.client();
+                Fleet.Client two = fleet.client();
                 Fleet.Client clock = fleet.client()) {
             one.say("mg " + Keys.ranked(1, 2, 3) + " v O1 Pc=text,d=20000\r\n");
             refusing.await();
@@ -413,8 +459,12 @@
             c.awaitEnd();
             ended.countDown();
         });
-        Fleet setup = new Fleet().node(mute).node(FakeServer.node(UpstreamTest::hit)).set("caps.second-copies", "false")
-                .set("classes.0.promise", "4000.0").set("balancers", "60");
+        Fleet setup = new Fleet()
+                .node(mute)
+                .node(FakeServer.node(UpstreamTest::hit))
+                .set("caps.second-copies", "false")
+                .set("classes.0.promise", "4000.0")
+                .set("balancers", "60");
         try (Fleet fleet = setup.start()) {
             Fleet.Client[] clients = new Fleet.Client[many];
             for (int i = 0; i < clients.length; i++) {
@@ -427,7 +477,9 @@
         }
     }
 
-    /** An answer without a length ends with its connection: with the origin's end of it, not with ours or with a reset. */
+    /**
+     * An answer without a length ends with its connection: with the origin's end of it, not with ours or with a reset.
+     */
     @Test
     void anAnswerWithoutLengthIsWholeOnlyByItsServersOrderlyEnd() throws Exception {
         String head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
@@ -449,14 +501,17 @@
             c.reset();
         });
         String write = "ms 7f3a 5 O1 Pc=fix,d=20000\r\nhello\r\n";
-        try (Fleet fleet = new Fleet().origin(whole).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().origin(whole).start();
+                Fleet.Client client = fleet.client()) {
             assertThat(client.say(write).line()).isEqualTo("HD O1 creceipt");
         }
-        try (Fleet fleet = new Fleet().origin(stalled).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().origin(stalled).start();
+                Fleet.Client client = fleet.client()) {
             assertThat(client.say(write).line()).isEqualTo("SERVER_ERROR failed");
             assertThat(ended.await(20, TimeUnit.SECONDS)).isTrue();
         }
-        try (Fleet fleet = new Fleet().origin(reset).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().origin(reset).start();
+                Fleet.Client client = fleet.client()) {
             client.say(write);
             reset.next();
             fleet.client().say("mn\r\n").line(); // the event loop has been round
--- a/src/test/java/damsonworks/proxy/WarmUpTest.java
+++ b/src/test/java/damsonworks/proxy/WarmUpTest.java
@@ -24,8 +24,10 @@
         try (var left = Files.list(folder)) {
             assertThat(left).isEmpty();
         }
-        Await.until("its event loop has ended", () -> Thread.getAllStackTraces().keySet().stream()
-                .noneMatch(t -> t.getName().startsWith(WarmUp.THREAD)));
+        Await.until(
+                "its event loop has ended",
+                () -> Thread.getAllStackTraces().keySet().stream()
+                        .noneMatch(t -> t.getName().startsWith(WarmUp.THREAD)));
     }
 
     @Test
--- a/src/test/java/damsonworks/proxy/WorkLogTest.java
+++ b/src/test/java/damsonworks/proxy/WorkLogTest.java
@@ -24,7 +24,8 @@
                 c.sayHttp(200, "", "hello");
             }
         });
-        try (Fleet fleet = new Fleet().node(node).origin(origin).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(node).origin(origin).start();
+                Fleet.Client client = fleet.client()) {
             assertThat(line(fleet).firstAnswerMs()).as("before any answer").isNegative();
             client.read("1");
             assertThat(client.line()).startsWith("VA 5 ");
@@ -46,7 +47,8 @@
         FakeServer gone = FakeServer.node(line -> "");
         String dial = gone.dial();
         gone.close();
-        try (Fleet fleet = new Fleet().node(dial).start(); Fleet.Client client = fleet.client()) {
+        try (Fleet fleet = new Fleet().node(dial).start();
+                Fleet.Client client = fleet.client()) {
             client.read("1").line();
             WorkLine line = line(fleet);
             assertThat(line.count(Work.CONNECTIONS_FAILED)).isEqualTo(1);
@@ -62,8 +64,9 @@
             }
         });
         try (Fleet fleet = new Fleet().discovery(discovery).start()) {
-            Await.until("a call has failed and another followed", () -> line(fleet).count(Work.LIST_CALLS) > 1
-                    && line(fleet).count(Work.LIST_FAILURES) > 0);
+            Await.until(
+                    "a call has failed and another followed",
+                    () -> line(fleet).count(Work.LIST_CALLS) > 1 && line(fleet).count(Work.LIST_FAILURES) > 0);
         }
     }
 
@@ -71,9 +74,16 @@
     void linesComeByThemselves() throws Exception {
         try (Fleet fleet = new Fleet().start()) {
             ByteArrayOutputStream out = new ByteArrayOutputStream();
-            fleet.proxy.workLog(new PrintStream(out, true, StandardCharsets.UTF_8)).every(fleet.proxy.loop(), 5);
-            Await.until("two whole lines", () -> out.toString(StandardCharsets.UTF_8).lines()
-                    .filter(l -> WorkLine.parse(l).isPresent()).count() > 1);
+            fleet.proxy
+                    .workLog(new PrintStream(out, true, StandardCharsets.UTF_8))
+                    .every(fleet.proxy.loop(), 5);
+            Await.until(
+                    "two whole lines",
+                    () -> out.toString(StandardCharsets.UTF_8)
+                                    .lines()
+                                    .filter(l -> WorkLine.parse(l).isPresent())
+                                    .count()
+                            > 1);
         }
     }
 }
--- a/src/test/java/damsonworks/proxy/discovery/ListFormTest.java
+++ b/src/test/java/damsonworks/proxy/discovery/ListFormTest.java
@@ -18,7 +18,8 @@
             + "'block':3,'health':'draining','share':0.5,'born_ms':7}";
 
     private static JsonObject list(String... entries) {
-        return JsonParser.parseString("{'hosts':[" + String.join(",", entries) + "]}").getAsJsonObject();
+        return JsonParser.parseString("{'hosts':[" + String.join(",", entries) + "]}")
+                .getAsJsonObject();
     }
 
     @Test
@@ -34,13 +35,21 @@
     }
 
     @ParameterizedTest
-    @CsvSource(quoteCharacter = '`', value = {"'draining',`'asleep'`,unknown health", "'fast',`'slow'`,unknown site or class",
-        "'west coast',`'north'`,unknown site or class", "0.5,-1,bad share", "'127.0.0.1:9',`'localhost:9'`,not an address",
-        "'127.0.0.1:9',`'127.0.0.1:99999'`,not an address"})
+    @CsvSource(
+            quoteCharacter = '`',
+            value = {
+                "'draining',`'asleep'`,unknown health",
+                "'fast',`'slow'`,unknown site or class",
+                "'west coast',`'north'`,unknown site or class",
+                "0.5,-1,bad share",
+                "'127.0.0.1:9',`'localhost:9'`,not an address",
+                "'127.0.0.1:9',`'127.0.0.1:99999'`,not an address"
+            })
     void oneOfNoUseIsToldWithItsReason(String there, String instead, String told) {
         String entry = ENTRY.replace(there, instead);
         assertThat(entry).isNotEqualTo(ENTRY);
-        assertThatThrownBy(() -> FORM.hosts(list(entry))).isInstanceOf(IllegalArgumentException.class)
+        assertThatThrownBy(() -> FORM.hosts(list(entry)))
+                .isInstanceOf(IllegalArgumentException.class)
                 .hasMessageContaining(told);
     }
 
--- a/src/test/java/damsonworks/quota/ExactLog.java
+++ b/src/test/java/damsonworks/quota/ExactLog.java
@@ -5,7 +5,7 @@
 
 /** All that was counted, for the fullest window of it. */
 public final class ExactLog {
-    private record Counted(double at, long much) { }
+    private record Counted(double at, long much) {}
 
     private final List<Counted> all = new ArrayList<>();
 
--- a/src/test/java/damsonworks/quota/LeaseTest.java
+++ b/src/test/java/damsonworks/quota/LeaseTest.java
@@ -32,6 +32,7 @@
         final int[] life;
         /** Which half an instance is in; messages go within one only. */
         final int[] half;
+
         final double[] perSecond;
         final List<ArrayDeque<Double>> used = new ArrayList<>();
         final ArrayDeque<Double> all = new ArrayDeque<>();
@@ -39,9 +40,11 @@
         final long[] asked;
         /** Each instance's clock is ahead by this. */
         final double[] ahead;
+
         double loss;
         /** Which of the next messages between two are lost, a bit each; negative: by chance. */
         long plan = -1;
+
         int most;
 
         Tier(int many, long seed) {
@@ -60,7 +63,7 @@
                 used.add(new ArrayDeque<>());
                 ahead[i] = random.nextDouble() * 400 - 200;
                 start(i);
-                after(random.nextDouble() * 5, () -> { });
+                after(random.nextDouble() * 5, () -> {});
             }
         }
 
@@ -68,7 +71,10 @@
             return time.now() + ahead[i];
         }
 
-        /** Starts, also under a name that was there before. What it used before still counts for the cap, not for itself. */
+        /**
+         * Starts, also under a name that was there before. What it used before still counts for the cap, not for
+         * itself.
+         */
         void start(int i) {
             life[i]++;
             down[i] = false;
@@ -94,7 +100,8 @@
                 int p = to;
                 send(i, p, () -> {
                     long in = used(p);
-                    LeaseParty.Report report = parties[p].collect(clock(p), i, round, (long) (perSecond[p] * WINDOW / 1000), in);
+                    LeaseParty.Report report =
+                            parties[p].collect(clock(p), i, round, (long) (perSecond[p] * WINDOW / 1000), in);
                     if (report != null) {
                         send(p, i, () -> holders[i].reported(p, report));
                     }
@@ -102,7 +109,8 @@
             }
             after(REPLIES, () -> {
                 if (!down[i] && life[i] == mine) {
-                    for (Map.Entry<Integer, LeaseParty.Grant> g : holders[i].grants(clock(i)).entrySet()) {
+                    for (Map.Entry<Integer, LeaseParty.Grant> g :
+                            holders[i].grants(clock(i)).entrySet()) {
                         send(i, g.getKey(), () -> parties[g.getKey()].granted(clock(g.getKey()), i, g.getValue()));
                     }
                 }
@@ -114,8 +122,9 @@
             for (int copy = random.nextInt(20) == 0 ? 2 : 1; copy > 0; copy--) {
                 if (from == to || !lost()) {
                     // To itself at once; else 3 to 30 ms, and a few much later.
-                    double ms = from == to ? 0 : random.nextInt(50) == 0 ? random.nextDouble() * 6000
-                            : 3 + random.nextDouble() * 27;
+                    double ms = from == to
+                            ? 0
+                            : random.nextInt(50) == 0 ? random.nextDouble() * 6000 : 3 + random.nextDouble() * 27;
                     int mine = life[to];
                     after(ms, () -> {
                         if (!down[to] && life[to] == mine && half[from] == half[to]) {
@@ -175,7 +184,9 @@
 
     /** Losses, delays, holders killed, restarts under the same name, splits in halves, and demand that jumps about. */
     @Property(seed = "1", tries = 150)
-    void allTogetherNeverExceedTheCapInAnyWindow(@ForAll long seed, @ForAll @IntRange(min = 1, max = 6) int many,
+    void allTogetherNeverExceedTheCapInAnyWindow(
+            @ForAll long seed,
+            @ForAll @IntRange(min = 1, max = 6) int many,
             @ForAll @DoubleRange(min = 0, max = 0.7) double loss) {
         Tier tier = new Tier(many, seed);
         tier.loss = loss;
@@ -196,7 +207,9 @@
         }
     }
 
-    /** Every way to lose ten messages in a row, while the one that was idle comes back and the other never goes quiet. */
+    /**
+     * Every way to lose ten messages in a row, while the one that was idle comes back and the other never goes quiet.
+     */
     @Test
     void noPatternOfLossBreaksTheCap() {
         for (int plan = 0; plan < 1 << 10; plan++) {
@@ -218,11 +231,19 @@
         long second = 2L << LeaseParty.LIFE_BITS;
         assertThat(party.collect(10_000, 0, first + 1, 0, 0).ceded()).isEqualTo(50);
         assertThat(party.limit(10_000)).isEqualTo(50);
-        assertThat(party.collect(10_400, 0, first + 2, 0, 0).ceded()).as("the same once more").isEqualTo(50);
+        assertThat(party.collect(10_400, 0, first + 2, 0, 0).ceded())
+                .as("the same once more")
+                .isEqualTo(50);
         assertThat(party.limit(10_400)).isEqualTo(50);
-        assertThat(party.collect(10_800, 0, second + 1, 0, 0).ceded()).as("the next life").isZero();
-        assertThat(party.collect(10_900, 0, first + 3, 0, 0)).as("late, of the life before").isNull();
-        assertThat(party.collect(13_500, 0, second + 2, 0, 0).ceded()).as("when that has ended").isEqualTo(50);
+        assertThat(party.collect(10_800, 0, second + 1, 0, 0).ceded())
+                .as("the next life")
+                .isZero();
+        assertThat(party.collect(10_900, 0, first + 3, 0, 0))
+                .as("late, of the life before")
+                .isNull();
+        assertThat(party.collect(13_500, 0, second + 2, 0, 0).ceded())
+                .as("when that has ended")
+                .isEqualTo(50);
     }
 
     @Test
@@ -232,11 +253,14 @@
             tier.loss = loss;
             tier.perSecond[0] = 10 * CAP;
             tier.pass(10_000);
-            assertThat(tier.servedPerSecond(0, 10_000)).as("with the other idle, loss " + loss)
+            assertThat(tier.servedPerSecond(0, 10_000))
+                    .as("with the other idle, loss " + loss)
                     .isGreaterThan(loss == 0 ? 430 : 340);
             tier.perSecond[1] = 250;
             tier.pass(5000);
-            assertThat(tier.servedPerSecond(1, 10_000)).as("back to 250 of its own 300, loss " + loss).isGreaterThan(245);
+            assertThat(tier.servedPerSecond(1, 10_000))
+                    .as("back to 250 of its own 300, loss " + loss)
+                    .isGreaterThan(245);
             assertThat(tier.most).isLessThanOrEqualTo((int) CAP);
         }
     }
@@ -250,7 +274,9 @@
         tier.down[0] = true;
         assertThat(tier.servedPerSecond(1, 3000)).as("never less than its own").isGreaterThan(195);
         tier.pass(4000);
-        assertThat(tier.servedPerSecond(1, 5000)).as("what the third cedes, by a holder of its own").isGreaterThan(280);
+        assertThat(tier.servedPerSecond(1, 5000))
+                .as("what the third cedes, by a holder of its own")
+                .isGreaterThan(280);
         tier.start(0);
         tier.pass(8000);
         assertThat(tier.servedPerSecond(1, 5000)).isGreaterThan(330);
--- a/src/test/java/damsonworks/quota/LendingTest.java
+++ b/src/test/java/damsonworks/quota/LendingTest.java
@@ -10,8 +10,8 @@
 
 class LendingTest {
     @Property(seed = "1", tries = 500)
-    void nobodyGetsMoreThanWantedAndNothingIsLeftWhileSomebodyWants(@ForAll long seed,
-            @ForAll @IntRange(min = 1, max = 40) int many) {
+    void nobodyGetsMoreThanWantedAndNothingIsLeftWhileSomebodyWants(
+            @ForAll long seed, @ForAll @IntRange(min = 1, max = 40) int many) {
         SplittableRandom random = new SplittableRandom(seed);
         double[] wants = new double[many + 2];
         double[] weights = new double[many + 2];
@@ -37,7 +37,8 @@
         for (int i = 0; i < many && level > 0; i++) {
             // Whoever has less than wanted has as much for each weight as any other; nobody with all has more.
             assertThat(given[i] / weights[i]).isLessThanOrEqualTo(level + 1e-6);
-            assertThat(given[i] < wants[i] - 1e-6 ? given[i] / weights[i] : level).isCloseTo(level, Offset.offset(1e-6));
+            assertThat(given[i] < wants[i] - 1e-6 ? given[i] / weights[i] : level)
+                    .isCloseTo(level, Offset.offset(1e-6));
         }
     }
 }
--- a/src/test/java/damsonworks/quota/QuotaTreeTest.java
+++ b/src/test/java/damsonworks/quota/QuotaTreeTest.java
@@ -26,12 +26,18 @@
     /** The example: three organisations, 1,000 requests a second for all, scaled to another window. */
     private static QuotaSpec partners(long windowMs) {
         long f = windowMs / 1000;
-        return spec("all", List.of(requests(windowMs, 0, 1000 * f)), partner("alpha", 500 * f, 800 * f, windowMs),
-                partner("beta", 300 * f, 800 * f, windowMs), partner("gamma", 200 * f, 800 * f, windowMs));
+        return spec(
+                "all",
+                List.of(requests(windowMs, 0, 1000 * f)),
+                partner("alpha", 500 * f, 800 * f, windowMs),
+                partner("beta", 300 * f, 800 * f, windowMs),
+                partner("gamma", 200 * f, 800 * f, windowMs));
     }
 
     private static QuotaSpec partner(String name, long guarantee, long cap, long windowMs) {
-        return spec(name, List.of(requests(windowMs, guarantee, cap)),
+        return spec(
+                name,
+                List.of(requests(windowMs, guarantee, cap)),
                 spec("player", List.of(requests(windowMs, guarantee * 7 / 10, cap))),
                 spec("set-top", List.of(requests(windowMs, guarantee * 3 / 10, cap))));
     }
@@ -84,7 +90,8 @@
         private void check(String node, QuotaSpec of) {
             for (Limit limit : of.limits()) {
                 ExactLog used = log.getOrDefault(node + " " + limit.measure(), new ExactLog());
-                assertThat(used.fullest(limit.windowMs())).as("%s in the fullest window of %s", node, limit)
+                assertThat(used.fullest(limit.windowMs()))
+                        .as("%s in the fullest window of %s", node, limit)
                         .isLessThanOrEqualTo(limit.cap());
             }
             of.children().forEach(c -> check(node + "/" + c.name(), c));
@@ -144,7 +151,8 @@
                     case 3 -> random.nextDouble() * 7000;
                     default -> random.nextDouble() * 20;
                 };
-                String[] path = random.nextInt(3) == 0 ? new String[] {"org" + random.nextInt(3)}
+                String[] path = random.nextInt(3) == 0
+                        ? new String[] {"org" + random.nextInt(3)}
                         : new String[] {"org" + random.nextInt(3), "app" + random.nextInt(2)};
                 for (int burst = random.nextInt(40); burst >= 0; burst--) {
                     h.ask(path, random.nextInt(3000), random.nextInt(5) == 0);
@@ -159,9 +167,9 @@
     // ---- shares
 
     /** Asks at these rates for so long, counts what was let in, by name; requests come at random. */
-    private static Map<String, Integer> ask(QuotaTree tree, double from, double seconds, Map<String, Double> perSecond,
-            SplittableRandom random) {
-        record Next(String name, double at) { }
+    private static Map<String, Integer> ask(
+            QuotaTree tree, double from, double seconds, Map<String, Double> perSecond, SplittableRandom random) {
+        record Next(String name, double at) {}
         Map<String, Integer> in = new HashMap<>();
         List<Next> next = new ArrayList<>();
         perSecond.forEach((name, rate) -> next.add(new Next(name, from + random.nextDouble() * 1000 / rate)));
@@ -188,13 +196,18 @@
         SplittableRandom random = new SplittableRandom(5);
         double seconds = 2 * window / 1000.0 + 10;
         Map<String, Integer> alone = ask(tree, START, seconds, Map.of("beta/player", 8000.0), random);
-        assertThat(alone.get("beta/player") / seconds).as("lent to one that asks alone").isBetween(700.0, 900.0);
+        assertThat(alone.get("beta/player") / seconds)
+                .as("lent to one that asks alone")
+                .isBetween(700.0, 900.0);
         double back = START + seconds * 1000;
         Map<String, Double> both = Map.of("beta/player", 8000.0, "alpha/player", 330.0, "alpha/set-top", 140.0);
         ask(tree, back, 5, both, random);
         Map<String, Integer> after = ask(tree, back + 5000, 20, both, random);
-        assertThat(after.get("alpha/player")).as("served of what the owner asks").isGreaterThan((int) (330 * 20 * 0.93));
-        assertThat((after.get("alpha/player") + after.get("alpha/set-top")) / 20.0).isGreaterThan(470 * 0.96);
+        assertThat(after.get("alpha/player"))
+                .as("served of what the owner asks")
+                .isGreaterThan((int) (330 * 20 * 0.93));
+        assertThat((after.get("alpha/player") + after.get("alpha/set-top")) / 20.0)
+                .isGreaterThan(470 * 0.96);
     }
 
     @Test
@@ -204,31 +217,50 @@
         Map<String, Double> all = Map.of("alpha/player", 5000.0, "beta/player", 3000.0, "gamma/player", 190.0);
         ask(tree, START, 5, all, random);
         Map<String, Integer> in = ask(tree, START + 5000, 30, all, random);
-        assertThat(in.get("gamma/player") / 30.0).as("asks for less than its own").isGreaterThan(190 * 0.95);
+        assertThat(in.get("gamma/player") / 30.0)
+                .as("asks for less than its own")
+                .isGreaterThan(190 * 0.95);
         assertThat(in.get("alpha/player") / 30.0).isGreaterThan(490);
         assertThat(in.get("beta/player") / 30.0).isGreaterThan(290);
-        assertThat(in.values().stream().mapToInt(n -> n).sum() / 30.0).as("nothing is left idle").isGreaterThan(970);
+        assertThat(in.values().stream().mapToInt(n -> n).sum() / 30.0)
+                .as("nothing is left idle")
+                .isGreaterThan(970);
     }
 
     // ---- charges
 
     @Test
     void whatBecomesOfACharge() {
-        QuotaTree tree = new QuotaTree(spec("all", List.of(requests(1000, 0, 2),
-                new Limit(Measure.BYTES, 1000, 0, 1000), new Limit(Measure.WRITES, 1000, 0, 1))), 1, 1);
+        QuotaTree tree = new QuotaTree(
+                spec(
+                        "all",
+                        List.of(
+                                requests(1000, 0, 2),
+                                new Limit(Measure.BYTES, 1000, 0, 1000),
+                                new Limit(Measure.WRITES, 1000, 0, 1))),
+                1,
+                1);
         String[] path = {};
         Ticket first = new Ticket();
         assertThat(tree.admit(START, path, 400, true, first)).isZero();
         Ticket second = new Ticket();
-        assertThat(tree.admit(START, path, 0, true, second)).as("a second write").isPositive();
+        assertThat(tree.admit(START, path, 0, true, second))
+                .as("a second write")
+                .isPositive();
         assertThat(second.open()).isFalse();
-        assertThat(tree.used(START, path, Measure.REQUESTS, 1000)).as("nothing of it was charged").isEqualTo(1);
+        assertThat(tree.used(START, path, Measure.REQUESTS, 1000))
+                .as("nothing of it was charged")
+                .isEqualTo(1);
         tree.payBack(START + 10, first);
         assertThat(first.open()).isFalse();
         assertThat(tree.used(START + 10, path, Measure.BYTES, 1000)).isZero();
-        assertThat(tree.admit(START + 10, path, 400, true, first)).as("it never ran").isZero();
+        assertThat(tree.admit(START + 10, path, 400, true, first))
+                .as("it never ran")
+                .isZero();
         tree.settle(START + 20, first, 100);
-        assertThat(tree.used(START + 20, path, Measure.BYTES, 1000)).as("less than supposed").isEqualTo(100);
+        assertThat(tree.used(START + 20, path, Measure.BYTES, 1000))
+                .as("less than supposed")
+                .isEqualTo(100);
         assertThat(tree.used(START + 20, path, Measure.WRITES, 1000)).isEqualTo(1);
     }
 
@@ -257,10 +289,12 @@
         tree.admit(START, new String[0], 10, false, ticket);
         tree.settle(START, ticket, 5000);
         for (int hour = 1; hour < 5; hour++) {
-            assertThat(tree.admit(START + hour * 3_600_000.0, new String[0], 1, false, ticket)).isPositive();
+            assertThat(tree.admit(START + hour * 3_600_000.0, new String[0], 1, false, ticket))
+                    .isPositive();
         }
         // Paid for when somebody looks, so who asks once an hour finds it paid somewhat late, and never early.
-        assertThat(tree.admit(START + 9 * 3_600_000.0, new String[0], 1, false, ticket)).isZero();
+        assertThat(tree.admit(START + 9 * 3_600_000.0, new String[0], 1, false, ticket))
+                .isZero();
     }
 
     /** What is asked for is more than the cap: it counts as all of it, or it would never be let in. */
@@ -278,7 +312,8 @@
         QuotaTree tree = new QuotaTree(spec("all", List.of(requests(10_000, 0, 3))), 1, 1);
         Ticket ticket = new Ticket();
         for (int i = 0; i < 3; i++) {
-            assertThat(tree.admit(START + i * 1000, new String[0], 0, false, ticket)).isZero();
+            assertThat(tree.admit(START + i * 1000, new String[0], 0, false, ticket))
+                    .isZero();
         }
         double least = 1e9;
         double most = 0;
@@ -289,7 +324,8 @@
         }
         assertThat(least).isBetween(6000.0, 6300.0);
         assertThat(most).isBetween(8500.0, 9500.0);
-        assertThat(tree.admit(START + 4000 + least, new String[0], 0, false, ticket)).isZero();
+        assertThat(tree.admit(START + 4000 + least, new String[0], 0, false, ticket))
+                .isZero();
     }
 
     @Test
@@ -307,9 +343,17 @@
 
     @Test
     void whoIsNotNamedSharesOrHasOneOfItsOwn() {
-        QuotaTree tree = new QuotaTree(spec("all", List.of(requests(1000, 0, 100)),
-                spec("alpha", List.of(requests(1000, 0, 50)), spec(QuotaSpec.EACH, List.of(requests(1000, 0, 2)))),
-                spec(QuotaSpec.ANY, List.of(requests(1000, 3, 3)))), 64, 1);
+        QuotaTree tree = new QuotaTree(
+                spec(
+                        "all",
+                        List.of(requests(1000, 0, 100)),
+                        spec(
+                                "alpha",
+                                List.of(requests(1000, 0, 50)),
+                                spec(QuotaSpec.EACH, List.of(requests(1000, 0, 2)))),
+                        spec(QuotaSpec.ANY, List.of(requests(1000, 3, 3)))),
+                64,
+                1);
         Ticket ticket = new Ticket();
         int in = 0;
         for (int i = 0; i < 10; i++) {
@@ -318,7 +362,8 @@
         assertThat(in).as("all of them together").isEqualTo(3);
         for (String app : new String[] {"one", "two"}) {
             for (int i = 0; i < 3; i++) {
-                assertThat(tree.admit(START, new String[] {"alpha", app}, 0, false, ticket) == 0).isEqualTo(i < 2);
+                assertThat(tree.admit(START, new String[] {"alpha", app}, 0, false, ticket) == 0)
+                        .isEqualTo(i < 2);
             }
         }
     }
@@ -326,8 +371,8 @@
     /** 100,000 device classes, each seen once: bounded, and whoever owes is still known when it comes again. */
     @Test
     void theUnnamedAreBoundedAndADebtIsNotForgotten() {
-        QuotaTree tree = new QuotaTree(spec("all", List.of(), spec(QuotaSpec.EACH,
-                List.of(new Limit(Measure.BYTES, 1000, 0, 1000)))), 256, 1);
+        QuotaTree tree = new QuotaTree(
+                spec("all", List.of(), spec(QuotaSpec.EACH, List.of(new Limit(Measure.BYTES, 1000, 0, 1000)))), 256, 1);
         Ticket ticket = new Ticket();
         String[] owes = {"owes"};
         tree.admit(START, owes, 1, false, ticket);
@@ -344,15 +389,22 @@
 
     @Test
     void whatIsOfNoSenseIsToldWithAReason() {
-        assertThatThrownBy(() -> new QuotaTree(spec("all", List.of(requests(1000, 0, 10)),
-                spec("a", List.of(requests(1000, 6, 10))), spec("b", List.of(requests(1000, 5, 10)))), 1, 1))
+        assertThatThrownBy(() -> new QuotaTree(
+                        spec(
+                                "all",
+                                List.of(requests(1000, 0, 10)),
+                                spec("a", List.of(requests(1000, 6, 10))),
+                                spec("b", List.of(requests(1000, 5, 10)))),
+                        1,
+                        1))
                 .hasMessage("those beneath all are guaranteed 11 REQUESTS in 1000 ms, more than its cap of 10");
         assertThatThrownBy(() -> spec("a", List.of(requests(1000, 0, 1), requests(1000, 0, 2))))
                 .hasMessageContaining("two quotas for REQUESTS");
         assertThatThrownBy(() -> requests(999, 0, 1)).hasMessageContaining("1 s to 1 h");
         assertThatThrownBy(() -> requests(1000, 2, 1)).hasMessageContaining("guarantee of 2 under a cap of 1");
-        assertThatThrownBy(() -> new QuotaTree(spec("all", List.of(),
-                spec(QuotaSpec.EACH, List.of(requests(1000, 1, 1)))), 1, 1)).hasMessageContaining("has no bound");
+        assertThatThrownBy(() -> new QuotaTree(
+                        spec("all", List.of(), spec(QuotaSpec.EACH, List.of(requests(1000, 1, 1)))), 1, 1))
+                .hasMessageContaining("has no bound");
         QuotaSpec deep = spec("6", List.of());
         for (int i = 5; i >= 0; i--) {
             deep = spec("" + i, List.of(), deep);
--- a/src/test/java/damsonworks/quota/SlidingCountTest.java
+++ b/src/test/java/damsonworks/quota/SlidingCountTest.java
@@ -12,15 +12,18 @@
 
 /** Against a log of everything. */
 class SlidingCountTest {
-    private record Counted(double at, long much) { }
+    private record Counted(double at, long much) {}
 
     private static long exact(List<Counted> log, double from, double to) {
-        return log.stream().filter(c -> c.at > from && c.at <= to).mapToLong(Counted::much).sum();
+        return log.stream()
+                .filter(c -> c.at > from && c.at <= to)
+                .mapToLong(Counted::much)
+                .sum();
     }
 
     @Property(seed = "1", tries = 300)
-    void itIsNeverUnderTheExactSumAndNeverOverThatOfOneStepMore(@ForAll long seed,
-            @ForAll @IntRange(min = 1000, max = 3_600_000) int window) {
+    void itIsNeverUnderTheExactSumAndNeverOverThatOfOneStepMore(
+            @ForAll long seed, @ForAll @IntRange(min = 1000, max = 3_600_000) int window) {
         SplittableRandom random = new SplittableRandom(seed);
         SlidingCount count = new SlidingCount(window);
         List<Counted> log = new ArrayList<>();
@@ -36,8 +39,8 @@
                 log.add(c);
                 count.add(now, c.much);
             }
-            assertThat(count.sum(now)).isBetween(exact(log, now - window, now),
-                    exact(log, now - window - step - 1e-3, now));
+            assertThat(count.sum(now))
+                    .isBetween(exact(log, now - window, now), exact(log, now - window - step - 1e-3, now));
         }
     }
 
--- a/src/test/java/damsonworks/recovery/RecallTest.java
+++ b/src/test/java/damsonworks/recovery/RecallTest.java
@@ -24,7 +24,9 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 
-/** Who has forgotten asks some of those who serve, not all the same, and their word makes it careful and nothing else. */
+/**
+ * Who has forgotten asks some of those who serve, not all the same, and their word makes it careful and nothing else.
+ */
 class RecallTest {
     private static final int ZONES = 4;
 
@@ -32,17 +34,18 @@
     private static View view(int me, int all, int serving) {
         List<Entry> entries = new ArrayList<>();
         for (int i = 0; i < all; i++) {
-            Membership m = new Membership(MemberSettings.of(all), i, i % ZONES, new byte[0], 0, i, new Membership.Allowance() {
-                @Override
-                public boolean take(double nowMs, int bytes, Send.Urgency urgency) {
-                    return true;
-                }
+            Membership m =
+                    new Membership(MemberSettings.of(all), i, i % ZONES, new byte[0], 0, i, new Membership.Allowance() {
+                        @Override
+                        public boolean take(double nowMs, int bytes, Send.Urgency urgency) {
+                            return true;
+                        }
 
-                @Override
-                public int spare(double nowMs) {
-                    return 0;
-                }
-            });
+                        @Override
+                        public int spare(double nowMs) {
+                            return 0;
+                        }
+                    });
             m.phase(i < serving ? Phase.SERVING : Phase.RECOVERING);
             entries.add(m.entry(i));
         }
@@ -107,9 +110,13 @@
         assertThat(recall.state()).isEqualTo(State.UNANSWERED);
     }
 
-    /** Whatever three say, and be it that all nodes are bad: never more than a quarter of a zone, and none that one alone names. */
+    /**
+     * Whatever three say, and be it that all nodes are bad: never more than a quarter of a zone, and none that one
+     * alone names.
+     */
     @Property(seed = "3", tries = 500)
-    void noWordOfPeersTakesOutMoreThanAPartOfAZone(@ForAll @Size(3) List<@Size(max = 40) List<@IntRange(max = 60) Integer>> said) {
+    void noWordOfPeersTakesOutMoreThanAPartOfAZone(
+            @ForAll @Size(3) List<@Size(max = 40) List<@IntRange(max = 60) Integer>> said) {
         Recall recall = new Recall(9, 0);
         View view = view(9, 10, 3);
         List<Integer> asked = recall.tick(0, view);
@@ -127,8 +134,10 @@
             int zone = z;
             assertThat(r.bad().stream().filter(n -> zoneOf.get(n) == zone)).hasSizeLessThanOrEqualTo(3);
         }
-        assertThat(r.bad()).doesNotHaveDuplicates().allMatch(n -> zoneOf.containsKey(n)
-                && said.stream().filter(s -> s.contains(n)).count() >= 2);
+        assertThat(r.bad())
+                .doesNotHaveDuplicates()
+                .allMatch(n -> zoneOf.containsKey(n)
+                        && said.stream().filter(s -> s.contains(n)).count() >= 2);
     }
 
     @Property(seed = "4", tries = 500)
--- a/src/test/java/damsonworks/recovery/SpreadTest.java
+++ b/src/test/java/damsonworks/recovery/SpreadTest.java
@@ -17,7 +17,10 @@
     private static final double TICK_MS = 250;
     private static final double CLIENTS_RATE = 4;
 
-    /** A fleet that serves a number of connections, each with the same load; what ends is dealt to the one with the fewest. */
+    /**
+     * A fleet that serves a number of connections, each with the same load; what ends is dealt to the one with the
+     * fewest.
+     */
     private static final class Fleet {
         final int[] open;
         final List<Spread> spreads = new ArrayList<>();
@@ -56,14 +59,16 @@
         }
 
         double busiest() {
-            return Arrays.stream(open).max().orElse(0) * (double) open.length / Arrays.stream(open).sum();
+            return Arrays.stream(open).max().orElse(0)
+                    * (double) open.length
+                    / Arrays.stream(open).sum();
         }
     }
 
     /** The first one back has all clients. Within ten seconds nobody has more than one and a half times the mean. */
     @Property(seed = "7", tries = 200)
-    void allClientsAtOneComeToBeSpread(@ForAll @IntRange(min = 2, max = 60) int proxies,
-            @ForAll @IntRange(min = 4, max = 40) int each) {
+    void allClientsAtOneComeToBeSpread(
+            @ForAll @IntRange(min = 2, max = 60) int proxies, @ForAll @IntRange(min = 4, max = 40) int each) {
         int[] open = new int[proxies];
         open[proxies / 2] = proxies * each;
         Fleet fleet = new Fleet(open);
--- a/src/test/java/damsonworks/route/GlobTest.java
+++ b/src/test/java/damsonworks/route/GlobTest.java
@@ -28,7 +28,11 @@
 
     @Provide
     Arbitrary<Glob> globs() {
-        return Arbitraries.strings().withChars("ab*?").ofMinLength(1).ofMaxLength(5).filter(s -> !s.contains("**"))
+        return Arbitraries.strings()
+                .withChars("ab*?")
+                .ofMinLength(1)
+                .ofMaxLength(5)
+                .filter(s -> !s.contains("**"))
                 .map(Glob::new);
     }
 
@@ -36,11 +40,15 @@
     void matchesAsTheRegularExpressionDoes(@ForAll("globs") Glob glob) {
         Pattern regex = Pattern.compile(glob.toString().replace("?", ".").replace("*", ".*"));
         for (String text : TEXTS) {
-            assertThat(glob.matches(text)).as(glob + " " + text).isEqualTo(regex.matcher(text).matches());
+            assertThat(glob.matches(text))
+                    .as(glob + " " + text)
+                    .isEqualTo(regex.matcher(text).matches());
         }
     }
 
-    /** Two patterns of five characters that meet do so in a text of nine at most; five are tried here, so one way only. */
+    /**
+     * Two patterns of five characters that meet do so in a text of nine at most; five are tried here, so one way only.
+     */
     @Property(tries = 2000, seed = "52")
     void twoMeetIfThereIsATextThatBothMatch(@ForAll("globs") Glob a, @ForAll("globs") Glob b) {
         boolean shown = TEXTS.stream().anyMatch(t -> a.matches(t) && b.matches(t));
--- a/src/test/java/damsonworks/route/RetryBudgetTest.java
+++ b/src/test/java/damsonworks/route/RetryBudgetTest.java
@@ -11,7 +11,9 @@
 class RetryBudgetTest {
     /** Whatever comes when: no more than the share of the requests, the floor, and ten seconds of it saved. */
     @Property(tries = 200, seed = "71")
-    void neverGivesMoreThanItsShareAndItsFloor(@ForAll long seed, @ForAll @DoubleRange(min = 0, max = 2) double share,
+    void neverGivesMoreThanItsShareAndItsFloor(
+            @ForAll long seed,
+            @ForAll @DoubleRange(min = 0, max = 2) double share,
             @ForAll @DoubleRange(min = 0, max = 20) double floor) {
         Random random = new Random(seed);
         RetryBudget budget = new RetryBudget(share, floor);
@@ -26,8 +28,11 @@
                 requests++;
             }
             taken += budget.take(now) ? 1 : 0;
-            assertThat((double) taken).isLessThanOrEqualTo(requests * share + floor * (now - start) / 1000
-                    + floor * RetryBudget.SAVED_MS / 1000 + 0.1);
+            assertThat((double) taken)
+                    .isLessThanOrEqualTo(requests * share
+                            + floor * (now - start) / 1000
+                            + floor * RetryBudget.SAVED_MS / 1000
+                            + 0.1);
         }
     }
 
--- a/src/test/java/damsonworks/route/RouteTableTest.java
+++ b/src/test/java/damsonworks/route/RouteTableTest.java
@@ -52,7 +52,11 @@
                 default -> text(random, "ab*?", 6);
             };
             if (key == null || (!key.isEmpty() && !key.contains("**"))) {
-                routes.add(route("r" + routes.size(), key, some(random, TENANTS), some(random, CLASSES),
+                routes.add(route(
+                        "r" + routes.size(),
+                        key,
+                        some(random, TENANTS),
+                        some(random, CLASSES),
                         some(random, Routing.FRONTS)));
             }
         }
@@ -62,16 +66,23 @@
     // ---- the model
 
     private static boolean matches(Route r, String key, int t, int c, int f) {
-        return (r.key() == null || r.key().matches(key)) && (r.tenants().isEmpty() || r.tenants().contains(TENANTS.get(t)))
+        return (r.key() == null || r.key().matches(key))
+                && (r.tenants().isEmpty() || r.tenants().contains(TENANTS.get(t)))
                 && (r.classes().isEmpty() || r.classes().contains(CLASSES.get(c)))
                 && (r.fronts().isEmpty() || r.fronts().contains(Routing.FRONTS.get(f)));
     }
 
     /** What the documentation says, as a number: the whole key, its beginning, what is behind it, the conditions. */
     private static long rank(Route r) {
-        long further = r.key() == null || r.key().exact() || r.key().prefix() ? 0 : 1 + r.key().furtherLiterals();
-        return ((r.key() != null && r.key().exact() ? 1 : 0) * 1000L + (r.key() == null ? 0 : r.key().beginning().length()))
-                * 1_000_000 + further * 1000 + (r.tenants().isEmpty() ? 0 : 4) + (r.classes().isEmpty() ? 0 : 2)
+        long further = r.key() == null || r.key().exact() || r.key().prefix()
+                ? 0
+                : 1 + r.key().furtherLiterals();
+        return ((r.key() != null && r.key().exact() ? 1 : 0) * 1000L
+                                + (r.key() == null ? 0 : r.key().beginning().length()))
+                        * 1_000_000
+                + further * 1000
+                + (r.tenants().isEmpty() ? 0 : 4)
+                + (r.classes().isEmpty() ? 0 : 2)
                 + (r.fronts().isEmpty() ? 0 : 1);
     }
 
@@ -97,7 +108,8 @@
             int t = random.nextInt(TENANTS.size());
             int c = random.nextInt(CLASSES.size());
             int f = random.nextInt(Routing.FRONTS.size());
-            List<Route> found = routes.stream().filter(r -> matches(r, key, t, c, f)).toList();
+            List<Route> found =
+                    routes.stream().filter(r -> matches(r, key, t, c, f)).toList();
             long best = found.stream().mapToLong(RouteTableTest::rank).max().orElse(-1);
             List<Route> most = found.stream().filter(r -> rank(r) == best).toList();
             Route expected = most.isEmpty() ? null : most.get(0);
@@ -137,9 +149,11 @@
 
     @Test
     void aWholeKeyIsMoreThanABeginningAndNamesAreNoPartOfEachOther() {
-        RouteTable.Matcher table = matcher(List.of(route("exact", "abc", Set.of(), Set.of(), Set.of()),
-                route("prefix", "abc*", Set.of("t1"), Set.of(), Set.of()), route("short", "a*", Set.of(), Set.of(),
-                Set.of()), route("pattern", "abc*z", Set.of(), Set.of(), Set.of())));
+        RouteTable.Matcher table = matcher(List.of(
+                route("exact", "abc", Set.of(), Set.of(), Set.of()),
+                route("prefix", "abc*", Set.of("t1"), Set.of(), Set.of()),
+                route("short", "a*", Set.of(), Set.of(), Set.of()),
+                route("pattern", "abc*z", Set.of(), Set.of(), Set.of())));
         assertThat(table.match("abc", 0, 0, 0).name()).isEqualTo("exact");
         assertThat(table.match("abcd", 0, 0, 0).name()).isEqualTo("prefix");
         assertThat(table.match("abcz", 0, 0, 0).name()).isEqualTo("pattern");
@@ -153,8 +167,12 @@
     void aMatchAllocatesNothing() {
         List<Route> routes = new ArrayList<>();
         for (int i = 0; i < 1000; i++) {
-            routes.add(route("r" + i, "team" + i % 7 + "/" + i + (i % 3 == 0 ? "" : i % 3 == 1 ? "/*" : "/*/v?"), Set.of(),
-                    i % 2 == 0 ? Set.of("c1") : Set.of(), Set.of()));
+            routes.add(route(
+                    "r" + i,
+                    "team" + i % 7 + "/" + i + (i % 3 == 0 ? "" : i % 3 == 1 ? "/*" : "/*/v?"),
+                    Set.of(),
+                    i % 2 == 0 ? Set.of("c1") : Set.of(),
+                    Set.of()));
         }
         RouteTable.Matcher table = matcher(routes);
         String[] keys = {"team3/3", "team4/4/x", "team5/5/x/v1", "none"};
@@ -174,10 +192,10 @@
 
     @Test
     void twoEquallySpecificRoutesAreRefused() {
-        List<Route> routes = List.of(route("a", "x*", Set.of("t1", "t2"), Set.of(), Set.of()),
+        List<Route> routes = List.of(
+                route("a", "x*", Set.of("t1", "t2"), Set.of(), Set.of()),
                 route("b", "x*", Set.of("t2", "t3"), Set.of(), Set.of()));
-        assertThatThrownBy(() -> new RouteTable(routes))
-                .hasMessageContaining("equally specific");
+        assertThatThrownBy(() -> new RouteTable(routes)).hasMessageContaining("equally specific");
         assertThat(RouteTable.conflicts(routes)).hasSize(1);
     }
 
@@ -187,7 +205,8 @@
         for (int i = 0; i <= RouteTable.MAX_PATTERNS; i++) {
             routes.add(route("r" + i, "x*" + (char) ('A' + i) + "y", Set.of(), Set.of(), Set.of()));
         }
-        assertThatThrownBy(() -> RouteTable.conflicts(routes)).hasMessageContaining((RouteTable.MAX_PATTERNS + 1) + " patterns begin with \"x\"");
+        assertThatThrownBy(() -> RouteTable.conflicts(routes))
+                .hasMessageContaining((RouteTable.MAX_PATTERNS + 1) + " patterns begin with \"x\"");
     }
 
     /** Each of so many tenants with a pattern of its own, all of one beginning. */
--- a/src/test/java/damsonworks/route/RouterRig.java
+++ b/src/test/java/damsonworks/route/RouterRig.java
@@ -35,7 +35,7 @@
     static final double GRACE_MS = 100;
 
     /** One attempt on its way. */
-    record Out(int request, int attempt, int server, double at) { }
+    record Out(int request, int attempt, int server, double at) {}
 
     /** What is known of a request. */
     static final class Asked {
@@ -52,7 +52,7 @@
         }
     }
 
-    private record Timer(double at, long number, int token) { }
+    private record Timer(double at, long number, int token) {}
 
     final Settings settings;
     final Router router;
@@ -61,8 +61,8 @@
     final Map<Integer, Member> list = new HashMap<>();
     final Map<Integer, Double> toldToDrain = new HashMap<>();
     final List<Integer> probes = new ArrayList<>();
-    private final PriorityQueue<Timer> timers = new PriorityQueue<>(Comparator.comparingDouble(Timer::at)
-            .thenComparingLong(Timer::number));
+    private final PriorityQueue<Timer> timers =
+            new PriorityQueue<>(Comparator.comparingDouble(Timer::at).thenComparingLong(Timer::number));
     private long timerNumber;
     private int next;
     int watches;
@@ -78,8 +78,38 @@
                 new ServiceClass("publish", Effect.KEYED, Group.ALL, 400, 300, 1000, 1, 0.2, false),
                 new ServiceClass("fix", Effect.UNSAFE, Group.ALL, 0, 300, 1000, 1, 0.2, false));
         // Writes go to the caches' own servers here, so that their second attempts can be looked at: no origin aside.
-        settings = new Settings(0, 4, 0, 2, 2, true, false, -1, Reports.NONE, List.of(), false, 1, true, true, false,
-                copies, true, 3, 500, 100, GRACE_MS, 20, 0.3, 8000, 3, 2000, 10_000, 0, 0, classes, List.of());
+        settings = new Settings(
+                0,
+                4,
+                0,
+                2,
+                2,
+                true,
+                false,
+                -1,
+                Reports.NONE,
+                List.of(),
+                false,
+                1,
+                true,
+                true,
+                false,
+                copies,
+                true,
+                3,
+                500,
+                100,
+                GRACE_MS,
+                20,
+                0.3,
+                8000,
+                3,
+                2000,
+                10_000,
+                0,
+                0,
+                classes,
+                List.of());
         router = new Router(settings, 42, routing);
     }
 
@@ -103,7 +133,8 @@
                 toldToDrain.putIfAbsent(m.id(), now);
             } else {
                 list.put(m.id(), m);
-                router.describe(m.id(), new Pool.Server("s-" + m.id(), m.zone() == 0 ? "east" : "west", "node", Set.of()));
+                router.describe(
+                        m.id(), new Pool.Server("s-" + m.id(), m.zone() == 0 ? "east" : "west", "node", Set.of()));
                 if (m.state() == State.DRAINING) {
                     toldToDrain.putIfAbsent(m.id(), now);
                 } else {
@@ -126,8 +157,12 @@
     int ask(int kind, String key, double waitMs) {
         int id = ++next;
         asked.put(id, new Asked(kind, now + waitMs));
-        router.onRequest(now, new Request(id, kind, 0, key.hashCode() | 1L << 40, now + waitMs, Double.NaN, 0,
-                kind != READ, false), key, Routing.META, this);
+        router.onRequest(
+                now,
+                new Request(id, kind, 0, key.hashCode() | 1L << 40, now + waitMs, Double.NaN, 0, kind != READ, false),
+                key,
+                Routing.META,
+                this);
         return id;
     }
 
@@ -150,8 +185,10 @@
         if (a.answer == null && (outcome == Outcome.OK || outcome == Outcome.ERROR)) {
             a.answer = "served";
         }
-        router.onAttemptEnd(now, new AttemptEnd(o.request(), o.attempt(), o.server(), outcome, now - o.at(),
-                a.answer != null, 0, null), this);
+        router.onAttemptEnd(
+                now,
+                new AttemptEnd(o.request(), o.attempt(), o.server(), outcome, now - o.at(), a.answer != null, 0, null),
+                this);
     }
 
     void gone(int request) {
@@ -191,7 +228,9 @@
         if (a.kind != READ) {
             assertThat(a.out).as("attempts of a write at once").isZero();
             if (a.kind == FIX) {
-                assertThat(a.mayHaveRun).as("a write that may have run is sent again").isFalse();
+                assertThat(a.mayHaveRun)
+                        .as("a write that may have run is sent again")
+                        .isFalse();
             }
         }
         assertThat(toldToDrain.get(server)).as("sent to a server that drains").isNull();
@@ -217,7 +256,9 @@
 
     @Override
     public void cancel(int request, int attempt) {
-        out.stream().filter(o -> o.request() == request && o.attempt() == attempt).findFirst()
+        out.stream()
+                .filter(o -> o.request() == request && o.attempt() == attempt)
+                .findFirst()
                 .ifPresent(o -> later.add(() -> {
                     if (out.contains(o)) {
                         end(o, Outcome.CANCELLED);
@@ -245,10 +286,10 @@
     }
 
     @Override
-    public void closeIdle(int server) { }
+    public void closeIdle(int server) {}
 
     @Override
-    public void tell(int peer, byte[] message) { }
+    public void tell(int peer, byte[] message) {}
 
     @Override
     public void watch(boolean on) {
@@ -256,8 +297,8 @@
     }
 
     @Override
-    public void fetchList() { }
+    public void fetchList() {}
 
     @Override
-    public void log(String line) { }
+    public void log(String line) {}
 }
