--- a/src/test/java/damsonworks/route/RouterTest.java
+++ b/src/test/java/damsonworks/route/RouterTest.java
@@ -29,17 +29,24 @@
     }
 
     private static Pool hosts(String name, String... globs) {
-        return new Pool(name, Set.of(), Set.of(), Set.of(), List.of(globs).stream().map(Glob::new).toList(), List.of(),
+        return new Pool(
+                name,
+                Set.of(),
+                Set.of(),
+                Set.of(),
+                List.of(globs).stream().map(Glob::new).toList(),
+                List.of(),
                 true);
     }
 
     private static Route route(String name, String key, String pool, String fallback, String policy) {
-        return new Route(name, key == null ? null : new Glob(key), Set.of(), Set.of(), Set.of(), pool, fallback, policy);
+        return new Route(
+                name, key == null ? null : new Glob(key), Set.of(), Set.of(), Set.of(), pool, fallback, policy);
     }
 
     private static RoutePolicy policy(String name, int attempts, double share, boolean copies) {
-        return new RoutePolicy(name, Double.POSITIVE_INFINITY, attempts, share, 0, copies, TurnAway.NOTHING,
-                Integer.MAX_VALUE, 0);
+        return new RoutePolicy(
+                name, Double.POSITIVE_INFINITY, attempts, share, 0, copies, TurnAway.NOTHING, Integer.MAX_VALUE, 0);
     }
 
     private static Routing routing(int version, List<Pool> pools, List<RoutePolicy> policies, Route... routes) {
@@ -53,7 +60,11 @@
     /** Keys that begin with e go east, those with w go west, each with the other to fall back on. */
     private static Routing twoSites(RoutePolicy... policies) {
         String policy = policies.length == 0 ? null : policies[0].name();
-        return routing(1, List.of(EAST, WEST), List.of(policies), route("e", "e*", "east", "west", policy),
+        return routing(
+                1,
+                List.of(EAST, WEST),
+                List.of(policies),
+                route("e", "e*", "east", "west", policy),
                 route("w", "w*", "west", "east", policy));
     }
 
@@ -117,19 +128,27 @@
 
     @Test
     void aPoolWithoutAServerIsPassedOverAtOnce() {
-        RouterRig rig = new RouterRig(routing(1, List.of(hosts("none", "gone-*"), WEST), List.of(),
-                route("r", null, "none", "west", null))).fleet(4);
+        RouterRig rig = new RouterRig(routing(
+                        1, List.of(hosts("none", "gone-*"), WEST), List.of(), route("r", null, "none", "west", null)))
+                .fleet(4);
         int id = rig.ask(RouterRig.FIX, "k");
         assertThat(rig.out(id).server() % 2).isOne();
-        RouterRig without = new RouterRig(routing(1, List.of(hosts("none", "gone-*")), List.of(),
-                route("r", null, "none", null, null))).fleet(4);
-        assertThat(without.of(without.ask(RouterRig.READ, "k")).answer).as("answered at once").isEqualTo("refused");
+        RouterRig without = new RouterRig(
+                        routing(1, List.of(hosts("none", "gone-*")), List.of(), route("r", null, "none", null, null)))
+                .fleet(4);
+        assertThat(without.of(without.ask(RouterRig.READ, "k")).answer)
+                .as("answered at once")
+                .isEqualTo("refused");
     }
 
     @Test
     void aServerThatDrainsOrIsColdIsSoInEachPoolItStandsIn() {
-        Routing both = routing(1, List.of(hosts("a", "s-1", "s-2"), hosts("b", "s-1", "s-3")), List.of(),
-                route("a", "a*", "a", "b", null), route("b", "b*", "b", "a", null));
+        Routing both = routing(
+                1,
+                List.of(hosts("a", "s-1", "s-2"), hosts("b", "s-1", "s-3")),
+                List.of(),
+                route("a", "a*", "a", "b", null),
+                route("b", "b*", "b", "a", null));
         RouterRig rig = new RouterRig(both).fleet(3);
         rig.list(ListKind.CHANGES, List.of(RouterRig.member(1, State.DRAINING, 0)));
         for (int i = 0; i < 200; i++) {
@@ -150,8 +169,9 @@
     /** A pool by names knows no more of a server that is gone than its number. */
     @Test
     void aServerThatIsGoneOrIsSelectedNoMoreIsGoneForItsPool() {
-        RouterRig rig = new RouterRig(routing(1, List.of(hosts("a", "s-1", "s-2")), List.of(),
-                route("a", "a*", "a", null, null))).fleet(3);
+        RouterRig rig = new RouterRig(
+                        routing(1, List.of(hosts("a", "s-1", "s-2")), List.of(), route("a", "a*", "a", null, null)))
+                .fleet(3);
         assertThat(rig.router.pools().get(1).servers()).isEqualTo(2);
         rig.list(ListKind.CHANGES, List.of(RouterRig.member(1, State.GONE, 0)));
         assertThat(rig.router.pools().get(1).servers()).isEqualTo(1);
@@ -172,8 +192,13 @@
         rig.list(ListKind.CHANGES, List.of(RouterRig.member(1, State.READY, rig.now)));
         for (int i = 0; i < 200; i++) {
             int id = rig.ask(RouterRig.READ, "e" + i);
-            for (Out o; rig.of(id).answer == null && (o = rig.out.stream().filter(x -> x.request() == id).findFirst()
-                    .orElse(null)) != null;) {
+            for (Out o;
+                    rig.of(id).answer == null
+                            && (o = rig.out.stream()
+                                            .filter(x -> x.request() == id)
+                                            .findFirst()
+                                            .orElse(null))
+                                    != null; ) {
                 assertThat(o.server()).isNotEqualTo(1);
                 if (o.server() == 3) {
                     rig.end(o, Outcome.OK);
@@ -215,8 +240,8 @@
 
     @Test
     void aPolicysDeadlineEndsARequestBeforeItsClients() {
-        RoutePolicy quick = new RoutePolicy("quick", 200, 3, Double.POSITIVE_INFINITY, 0, true, TurnAway.NOTHING,
-                Integer.MAX_VALUE, 0);
+        RoutePolicy quick = new RoutePolicy(
+                "quick", 200, 3, Double.POSITIVE_INFINITY, 0, true, TurnAway.NOTHING, Integer.MAX_VALUE, 0);
         RouterRig rig = new RouterRig(twoSites(quick)).fleet(4);
         int read = rig.ask(RouterRig.READ, "e1", 60_000);
         int write = rig.ask(RouterRig.FIX, "e1", 60_000);
@@ -229,13 +254,15 @@
 
     @Test
     void aPolicyTurnsAwayAtOnce() {
-        RoutePolicy readOnly = new RoutePolicy("ro", Double.POSITIVE_INFINITY, 3, Double.POSITIVE_INFINITY, 0, true,
-                TurnAway.WRITES, 2, 250);
+        RoutePolicy readOnly = new RoutePolicy(
+                "ro", Double.POSITIVE_INFINITY, 3, Double.POSITIVE_INFINITY, 0, true, TurnAway.WRITES, 2, 250);
         RouterRig rig = new RouterRig(twoSites(readOnly)).fleet(4);
         assertThat(rig.of(rig.ask(RouterRig.FIX, "e1")).answer).isEqualTo("refused");
         int first = rig.ask(RouterRig.READ, "e1");
         int second = rig.ask(RouterRig.READ, "w1");
-        assertThat(rig.of(rig.ask(RouterRig.READ, "e2")).answer).as("two are open").isEqualTo("refused");
+        assertThat(rig.of(rig.ask(RouterRig.READ, "e2")).answer)
+                .as("two are open")
+                .isEqualTo("refused");
         rig.end(rig.out(first), Outcome.OK);
         assertThat(rig.of(rig.ask(RouterRig.READ, "e3")).answer).isNull();
         rig.gone(second);
@@ -278,8 +305,14 @@
     void aPoolChangeDuringAWriteThatMayHaveRunSendsItNowhereElse() {
         RouterRig rig = new RouterRig(twoSites()).fleet(2);
         int write = rig.ask(RouterRig.FIX, "e1");
-        rig.router.replace(rig.now, routing(2, List.of(new Pool("east", Set.of("west"), Set.of(), Set.of(), List.of(),
-                List.of(), true)), List.of(), route("all", null, "east", null, null)), rig);
+        rig.router.replace(
+                rig.now,
+                routing(
+                        2,
+                        List.of(new Pool("east", Set.of("west"), Set.of(), Set.of(), List.of(), List.of(), true)),
+                        List.of(),
+                        route("all", null, "east", null, null)),
+                rig);
         rig.end(rig.out(write), Outcome.RESET);
         assertThat(rig.of(write).servers).containsExactly(2);
         assertThat(rig.of(write).answer).isEqualTo("failed");
@@ -287,10 +320,10 @@
 
     @Test
     void aPoolsOwnWeightsMoveItsKeys() {
-        Pool heavy = new Pool("heavy", Set.of(), Set.of(), Set.of(), List.of(),
-                List.of(new Pool.Weight(new Glob("s-1"), 8)), true);
-        RouterRig rig = new RouterRig(routing(1, List.of(heavy), List.of(), route("r", "h*", "heavy", null, null)))
-                .fleet(9);
+        Pool heavy = new Pool(
+                "heavy", Set.of(), Set.of(), Set.of(), List.of(), List.of(new Pool.Weight(new Glob("s-1"), 8)), true);
+        RouterRig rig =
+                new RouterRig(routing(1, List.of(heavy), List.of(), route("r", "h*", "heavy", null, null))).fleet(9);
         int first = 0;
         int plain = 0;
         for (int i = 0; i < 1600; i++) {
@@ -305,7 +338,10 @@
     @Property(tries = 300, seed = "81")
     void theRulesHoldWhateverHappens(@ForAll long seed) {
         Random random = new Random(seed);
-        RoutePolicy tight = policy("t", 1 + random.nextInt(3), random.nextInt(3) == 0 ? 0.2 : Double.POSITIVE_INFINITY,
+        RoutePolicy tight = policy(
+                "t",
+                1 + random.nextInt(3),
+                random.nextInt(3) == 0 ? 0.2 : Double.POSITIVE_INFINITY,
                 random.nextBoolean());
         RouterRig rig = new RouterRig(twoSites(tight), random.nextBoolean()).fleet(2 + random.nextInt(6));
         int version = 1;
@@ -329,8 +365,13 @@
                 }
                 default -> {
                     if (random.nextInt(4) == 0) {
-                        rig.router.replace(rig.now, ++version % 2 == 0 ? routing(version, List.of(EAST), List.of(),
-                                route("x", "x*", "east", null, null)) : twoSites(tight), rig);
+                        rig.router.replace(
+                                rig.now,
+                                ++version % 2 == 0
+                                        ? routing(
+                                                version, List.of(EAST), List.of(), route("x", "x*", "east", null, null))
+                                        : twoSites(tight),
+                                rig);
                     } else if (!rig.asked.isEmpty()) {
                         rig.gone(1 + random.nextInt(rig.asked.size()));
                     }
--- a/src/test/java/damsonworks/state/CrashTest.java
+++ b/src/test/java/damsonworks/state/CrashTest.java
@@ -14,7 +14,10 @@
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 
-/** Kills at every step of a write, and damage to every byte: what is opened afterwards was written once, and nothing is lost that was done. */
+/**
+ * Kills at every step of a write, and damage to every byte: what is opened afterwards was written once, and nothing is
+ * lost that was done.
+ */
 class CrashTest {
     private static final String ME = "proxy-3";
     private static final String FLEET = "edge";
@@ -111,8 +114,8 @@
                         Opened opened = dead.open();
                         assertThat(opened.findings()).allMatch(f -> f.harm() == Harm.NONE);
                         for (Kind kind : Kind.values()) {
-                            assertThat(number(opened.records().get(kind))).isBetween(done.getOrDefault(kind, 0),
-                                    put.getOrDefault(kind, 0));
+                            assertThat(number(opened.records().get(kind)))
+                                    .isBetween(done.getOrDefault(kind, 0), put.getOrDefault(kind, 0));
                         }
                     }
                     disk.whole(write);
@@ -160,13 +163,18 @@
                     if (mask >= 0) {
                         other[at] ^= (byte) mask;
                     }
-                    Opened opened = snapshot ? Opened.read(other, disk.journal, ME, FLEET)
+                    Opened opened = snapshot
+                            ? Opened.read(other, disk.journal, ME, FLEET)
                             : Opened.read(disk.snapshot, other, ME, FLEET);
-                    opened.records().forEach((kind, r) -> assertThat(r).isEqualTo(sound.records().get(kind)));
+                    opened.records()
+                            .forEach((kind, r) ->
+                                    assertThat(r).isEqualTo(sound.records().get(kind)));
                     // A file that was cut between two lines looks like one that was never longer.
                     boolean between = mask < 0 && (at == 0 || file[at - 1] == '\n');
                     if (!between) {
-                        assertThat(opened.findings()).as("byte %d, mask %d", at, mask).isNotEmpty();
+                        assertThat(opened.findings())
+                                .as("byte %d, mask %d", at, mask)
+                                .isNotEmpty();
                         seen++;
                     }
                 }
@@ -175,7 +183,9 @@
         assertThat(seen).isGreaterThan(1000);
     }
 
-    /** Random bytes, and pieces of sound files in any order: never an exception, never a record that was not written. */
+    /**
+     * Random bytes, and pieces of sound files in any order: never an exception, never a record that was not written.
+     */
     @Test
     void noBytesWhateverThrow() {
         Disk disk = filled();
@@ -183,7 +193,7 @@
         for (long seed = 1; seed <= 3000; seed++) {
             SplittableRandom random = new SplittableRandom(seed);
             byte[] file = new byte[random.nextInt(600)];
-            for (int i = 0; i < file.length;) {
+            for (int i = 0; i < file.length; ) {
                 byte[] from = random.nextBoolean() ? disk.journal : disk.snapshot;
                 if (random.nextInt(3) == 0) {
                     file[i++] = (byte) random.nextInt(256);
@@ -195,7 +205,9 @@
                 }
             }
             Opened opened = Opened.read(random.nextBoolean() ? file : disk.snapshot, file, ME, FLEET);
-            opened.records().forEach((kind, r) -> assertThat(r).isEqualTo(sound.records().get(kind)));
+            opened.records()
+                    .forEach(
+                            (kind, r) -> assertThat(r).isEqualTo(sound.records().get(kind)));
         }
     }
 }
--- a/src/test/java/damsonworks/state/KeeperTest.java
+++ b/src/test/java/damsonworks/state/KeeperTest.java
@@ -35,7 +35,8 @@
         k.put(1500, record(Kind.LIST, "b"));
         assertThat(k.dueMs()).isEqualTo(1600);
         Write w = k.next(1600);
-        assertThat(new String(((Write.Append) w).bytes(), StandardCharsets.UTF_8)).contains("learnt", "list");
+        assertThat(new String(((Write.Append) w).bytes(), StandardCharsets.UTF_8))
+                .contains("learnt", "list");
         k.put(1601, record(Kind.LIST, "c"));
         assertThat(k.next(9000)).as("one is under way").isNull();
         k.done(9000);
@@ -102,9 +103,25 @@
 
     /** Ages in seconds; -300 is a clock that was set back by five minutes. */
     @ParameterizedTest
-    @CsvSource({"INCARNATION,-300,HOLDS", "INCARNATION,1e9,HOLDS", "ORDERS,-300,HOLDS", "ORDERS,1e9,HOLDS", "LIST,0,HOLDS",
-        "LIST,61,HINT", "LIST,86401,NOTHING", "LIST,-300,NOTHING", "LEARNT,29,HOLDS", "LEARNT,31,HINT", "LEARNT,601,NOTHING",
-        "LEARNT,-1,NOTHING", "ZONES,59,HOLDS", "ZONES,61,HINT", "ZONES,1e9,HINT", "ZONES,-300,HINT", "LIST,NaN,NOTHING"})
+    @CsvSource({
+        "INCARNATION,-300,HOLDS",
+        "INCARNATION,1e9,HOLDS",
+        "ORDERS,-300,HOLDS",
+        "ORDERS,1e9,HOLDS",
+        "LIST,0,HOLDS",
+        "LIST,61,HINT",
+        "LIST,86401,NOTHING",
+        "LIST,-300,NOTHING",
+        "LEARNT,29,HOLDS",
+        "LEARNT,31,HINT",
+        "LEARNT,601,NOTHING",
+        "LEARNT,-1,NOTHING",
+        "ZONES,59,HOLDS",
+        "ZONES,61,HINT",
+        "ZONES,1e9,HINT",
+        "ZONES,-300,HINT",
+        "LIST,NaN,NOTHING"
+    })
     void whatWasKeptIsUsedAsFarAsItsAgeAllows(Kind kind, double seconds, Use use) {
         assertThat(kind.use(seconds * 1000)).isEqualTo(use);
     }
@@ -120,11 +137,13 @@
     void whatIsAnothersIsOfNoUse() {
         assertThat(open(null, "p").findings()).isEmpty();
         assertThat(open(null, "q").findings()).extracting(Finding::harm).containsExactly(Harm.ALL);
-        assertThat(open(null, "q").findings().get(0)).hasToString("snapshot:1: belongs to p of fleet 'f', not to q of fleet 'f'");
+        assertThat(open(null, "q").findings().get(0))
+                .hasToString("snapshot:1: belongs to p of fleet 'f', not to q of fleet 'f'");
         String later = "{\"state\":2}";
         CRC32C crc = new CRC32C();
         crc.update(later.getBytes(StandardCharsets.UTF_8));
-        assertThat(open(String.format("%08x %s%n", crc.getValue(), later), "p").findings()).extracting(Finding::what)
+        assertThat(open(String.format("%08x %s%n", crc.getValue(), later), "p").findings())
+                .extracting(Finding::what)
                 .isEqualTo(List.of("is of version 2, and this program reads 1"));
     }
 
--- a/src/test/java/damsonworks/state/StateFolderTest.java
+++ b/src/test/java/damsonworks/state/StateFolderTest.java
@@ -59,7 +59,8 @@
 
     @Test
     void onlyOneWritesAtATime() throws IOException {
-        try (StateFolder one = new StateFolder(path); StateFolder two = new StateFolder(path)) {
+        try (StateFolder one = new StateFolder(path);
+                StateFolder two = new StateFolder(path)) {
             assertThat(one.lock()).isTrue();
             assertThat(two.lock()).isFalse();
             one.close();
@@ -132,7 +133,7 @@
             try (StateFolder folder = new StateFolder(Path.of(words[0]))) {
                 folder.lock();
                 Keeper keeper = new Keeper(folder.open("p", "f"), "p", "f");
-                for (int n = Integer.parseInt(words[1]);; n++) {
+                for (int n = Integer.parseInt(words[1]); ; n++) {
                     keeper.put(n, record(n));
                     folder.write(keeper.next(n + 1e6));
                     keeper.done(n);
@@ -147,22 +148,32 @@
     void whatWasDoneOutlastsAKill() throws Exception {
         int done = 0;
         for (int kill = 1; kill <= KILLS; kill++) {
-            Process process = new ProcessBuilder(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                    "-XX:TieredStopAtLevel=1", "-cp", System.getProperty("java.class.path"), Writer.class.getName(),
-                    path.toString(), String.valueOf(done + 1)).redirectErrorStream(true).start();
+            Process process = new ProcessBuilder(
+                            Path.of(System.getProperty("java.home"), "bin", "java")
+                                    .toString(),
+                            "-XX:TieredStopAtLevel=1",
+                            "-cp",
+                            System.getProperty("java.class.path"),
+                            Writer.class.getName(),
+                            path.toString(),
+                            String.valueOf(done + 1))
+                    .redirectErrorStream(true)
+                    .start();
             List<String> said = new ArrayList<>();
             try (BufferedReader lines = process.inputReader()) {
                 int wanted = 1 + kill * 7 % 23;
-                for (String line; said.size() < wanted && (line = lines.readLine()) != null;) {
+                for (String line; said.size() < wanted && (line = lines.readLine()) != null; ) {
                     said.add(line);
                 }
                 // Not by the process's handle, which would close what it has said and is not read yet.
-                new ProcessBuilder("kill", "-9", String.valueOf(process.pid())).start().waitFor();
+                new ProcessBuilder("kill", "-9", String.valueOf(process.pid()))
+                        .start()
+                        .waitFor();
                 lines.lines().forEach(said::add);
             }
             assertThat(process.waitFor(10, TimeUnit.SECONDS)).isTrue();
-            int last = Integer.parseInt(said.get(said.size() - 1).matches("\\d+") ? said.get(said.size() - 1)
-                    : said.get(said.size() - 2));
+            int last = Integer.parseInt(
+                    said.get(said.size() - 1).matches("\\d+") ? said.get(said.size() - 1) : said.get(said.size() - 2));
             Opened opened = new StateFolder(path).open("p", "f");
             assertThat(number(opened)).as("%s", said).isBetween(last, last + 1);
             assertThat(opened.findings()).allMatch(f -> f.harm() == Harm.NONE);
--- a/src/test/java/damsonworks/takeover/HandoverTest.java
+++ b/src/test/java/damsonworks/takeover/HandoverTest.java
@@ -88,7 +88,9 @@
                 servers += serving[l] ? 1 : 0;
             }
             assertThat(servers).as("successors that serve").isLessThanOrEqualTo(1);
-            assertThat(h.accepts()).as("accepts, with " + servers + " that serve").isEqualTo(servers == 0);
+            assertThat(h.accepts())
+                    .as("accepts, with " + servers + " that serve")
+                    .isEqualTo(servers == 0);
             assertThat(h.passes()).isEqualTo(terminated && servers == 1);
         }
     }
--- a/src/test/java/damsonworks/wire/DrillTest.java
+++ b/src/test/java/damsonworks/wire/DrillTest.java
@@ -13,19 +13,44 @@
 import org.junit.jupiter.api.Test;
 
 class DrillTest {
-    private static final String SETTINGS = String.join("\n", "me=1", "balancers=2", "locality=0", "zones=a,b",
-            "kinds=box,origin", "discovery=push", "report.how=silent", "report.names=", "value-by=request",
-            "caps.may-cancel=true", "caps.may-probe=false", "caps.peers=false", "caps.second-copies=false",
-            "caps.retry-after=true", "caps.max-attempts=3", "caps.connect-timeout=100.0",
-            "guarantees.drain-grace=2000.0", "guarantees.grace-to-answer=20.0", "guarantees.start-capacity=0.3",
-            "guarantees.warm-up=9000.0", "guarantees.tip-multiple=3.0", "guarantees.fall=1500.0",
-            "extra.mode=aside", "extra.origin-kind=1", "a.key.of.tomorrow=x", "classes.count=1",
-            "classes.0.name=read", "classes.0.idempotency=retryable", "classes.0.promise=250.0",
-            "classes.0.deadline=1000.0", "classes.0.stream=false");
+    private static final String SETTINGS = String.join(
+            "\n",
+            "me=1",
+            "balancers=2",
+            "locality=0",
+            "zones=a,b",
+            "kinds=box,origin",
+            "discovery=push",
+            "report.how=silent",
+            "report.names=",
+            "value-by=request",
+            "caps.may-cancel=true",
+            "caps.may-probe=false",
+            "caps.peers=false",
+            "caps.second-copies=false",
+            "caps.retry-after=true",
+            "caps.max-attempts=3",
+            "caps.connect-timeout=100.0",
+            "guarantees.drain-grace=2000.0",
+            "guarantees.grace-to-answer=20.0",
+            "guarantees.start-capacity=0.3",
+            "guarantees.warm-up=9000.0",
+            "guarantees.tip-multiple=3.0",
+            "guarantees.fall=1500.0",
+            "extra.mode=aside",
+            "extra.origin-kind=1",
+            "a.key.of.tomorrow=x",
+            "classes.count=1",
+            "classes.0.name=read",
+            "classes.0.idempotency=retryable",
+            "classes.0.promise=250.0",
+            "classes.0.deadline=1000.0",
+            "classes.0.stream=false");
 
     /** Builds one batch; records are written with their fields at the stated places. */
     private static final class Batch {
-        final ByteBuffer records = ByteBuffer.allocate(4096).order(ByteOrder.LITTLE_ENDIAN).position(20);
+        final ByteBuffer records =
+                ByteBuffer.allocate(4096).order(ByteOrder.LITTLE_ENDIAN).position(20);
         final ByteArrayOutputStream tail = new ByteArrayOutputStream();
         int count;
 
@@ -43,15 +68,22 @@
 
         Batch start(String settings) {
             span(record(10, 3), 11, settings.getBytes(StandardCharsets.UTF_8), settings.length());
-            byte[] entry = ByteBuffer.allocate(22).order(ByteOrder.LITTLE_ENDIAN).putInt(0, 0xF211902C).put(9, (byte) 2)
-                    .putFloat(10, 1).array();
+            byte[] entry = ByteBuffer.allocate(22)
+                    .order(ByteOrder.LITTLE_ENDIAN)
+                    .putInt(0, 0xF211902C)
+                    .put(9, (byte) 2)
+                    .putFloat(10, 1)
+                    .array();
             ByteBuffer list = record(20, 3).put(11, (byte) 2);
             span(list, 12, entry, 1);
             return this;
         }
 
         byte[] bytes() {
-            records.putInt(0, records.position() + tail.size()).putDouble(4, 100).putInt(12, count).putInt(16, 7);
+            records.putInt(0, records.position() + tail.size())
+                    .putDouble(4, 100)
+                    .putInt(12, count)
+                    .putInt(16, 7);
             records.put(tail.toByteArray());
             byte[] all = new byte[records.position()];
             records.get(0, all);
@@ -99,7 +131,10 @@
         Batch batch = new Batch().start(SETTINGS);
         batch.record(100, 3);
         batch.start(SETTINGS);
-        assertThat(ByteBuffer.wrap(run(batch.bytes())).order(ByteOrder.LITTLE_ENDIAN).getInt(8)).isEqualTo(7);
+        assertThat(ByteBuffer.wrap(run(batch.bytes()))
+                        .order(ByteOrder.LITTLE_ENDIAN)
+                        .getInt(8))
+                .isEqualTo(7);
     }
 
     @Test
@@ -108,17 +143,21 @@
         batch.record(30, 3).putInt(3, 1).putDouble(9, 900).putShort(41, (short) 5);
         byte[] reply = run(batch.bytes());
         assertThat(reply[12]).isEqualTo((byte) 100);
-        assertThat(new String(reply, StandardCharsets.UTF_8)).contains("instance 3").contains("class 5");
+        assertThat(new String(reply, StandardCharsets.UTF_8))
+                .contains("instance 3")
+                .contains("class 5");
     }
 
     @Test
     void badFramesAreNamed() {
         byte[] good = new Batch().start(SETTINGS).bytes();
-        assertThatThrownBy(() -> run(java.util.Arrays.copyOf(good, good.length - 1))).hasMessageContaining("inside a frame");
+        assertThatThrownBy(() -> run(java.util.Arrays.copyOf(good, good.length - 1)))
+                .hasMessageContaining("inside a frame");
         assertThatThrownBy(() -> run(new byte[] {5, 0, 0, 0, 0})).hasMessageContaining("frame of 5 bytes");
         Batch unknown = new Batch().start(SETTINGS);
         unknown.record(31, 3);
-        assertThatThrownBy(() -> run(unknown.bytes())).isInstanceOf(WireException.class)
+        assertThatThrownBy(() -> run(unknown.bytes()))
+                .isInstanceOf(WireException.class)
                 .hasMessage("batch 7, record 2: unknown event code 31");
         Batch nobody = new Batch();
         nobody.record(70, 4);
@@ -133,10 +172,13 @@
 
     @Test
     void missingAndUnreadableSettingsAreNamed() {
-        assertThatThrownBy(() -> SettingsParser.ofLines(SETTINGS.replace("caps.max-attempts=3", "")).settings())
+        assertThatThrownBy(() -> SettingsParser.ofLines(SETTINGS.replace("caps.max-attempts=3", ""))
+                        .settings())
                 .hasMessageContaining("caps.max-attempts");
-        assertThatThrownBy(() -> SettingsParser.ofLines(SETTINGS.replace("=250.0", "=soon")).settings())
-                .hasMessageContaining("classes.0.promise").hasMessageContaining("soon");
+        assertThatThrownBy(() -> SettingsParser.ofLines(SETTINGS.replace("=250.0", "=soon"))
+                        .settings())
+                .hasMessageContaining("classes.0.promise")
+                .hasMessageContaining("soon");
         assertThat(SettingsParser.ofLines(SETTINGS).settings().classes()).hasSize(1);
     }
 }
--- a/src/test/java/damsonworks/zone/PlanTest.java
+++ b/src/test/java/damsonworks/zone/PlanTest.java
@@ -17,9 +17,15 @@
 class PlanTest {
     @Provide
     Arbitrary<Plan> plans() {
-        return Combinators.combine(Arbitraries.integers().between(0, 3), Arbitraries.integers().between(0, ZoneState.WHOLE),
-                Arbitraries.of(Cause.class), Arbitraries.integers().between(0, ZoneState.MOST_LEAVES))
-                .as(ZoneState::new).list().ofSize(4).map(Plan::new);
+        return Combinators.combine(
+                        Arbitraries.integers().between(0, 3),
+                        Arbitraries.integers().between(0, ZoneState.WHOLE),
+                        Arbitraries.of(Cause.class),
+                        Arbitraries.integers().between(0, ZoneState.MOST_LEAVES))
+                .as(ZoneState::new)
+                .list()
+                .ofSize(4)
+                .map(Plan::new);
     }
 
     @Property(seed = "1")
@@ -28,7 +34,8 @@
         assertThat(a.join(b).join(c)).isEqualTo(a.join(b.join(c)));
         assertThat(a.join(a)).isSameAs(a);
         for (int z = 0; z < 4; z++) {
-            assertThat(a.join(b).of(z).epoch()).isEqualTo(Math.max(a.of(z).epoch(), b.of(z).epoch()));
+            assertThat(a.join(b).of(z).epoch())
+                    .isEqualTo(Math.max(a.of(z).epoch(), b.of(z).epoch()));
         }
     }
 
@@ -57,7 +64,8 @@
         HexFormat hex = HexFormat.of();
         Plan plan = Plan.untouched(2).with(0, ZoneState.UNTOUCHED.next(0, Cause.EVIDENCE, 1));
         assertThat(hex.formatHex(plan.encode())).isEqualTo("00000104000000f0");
-        assertThat(hex.formatHex(Report.encode(List.of(Sight.LOST, Sight.GOOD), Set.of(), false))).isEqualTo("00002c");
+        assertThat(hex.formatHex(Report.encode(List.of(Sight.LOST, Sight.GOOD), Set.of(), false)))
+                .isEqualTo("00002c");
         Report r = Report.decode(3, 1, Report.encode(List.of(Sight.POOR, Sight.GOOD), Set.of(1), true), new byte[0], 2);
         assertThat(r.sights()).containsExactly(Sight.POOR, Sight.GOOD);
         assertThat(r.cold()).containsExactly(1);
--- a/src/test/java/damsonworks/zone/RememberTest.java
+++ b/src/test/java/damsonworks/zone/RememberTest.java
@@ -11,7 +11,10 @@
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
-/** What a process makes of what its last life held: an epoch never goes back, and what is too old closes and opens nothing. */
+/**
+ * What a process makes of what its last life held: an epoch never goes back, and what is too old closes and opens
+ * nothing.
+ */
 class RememberTest {
     private static final ZoneState CLOSED = new ZoneState(5, 0, Cause.EVIDENCE, 1);
     private final Zones zones = new Zones(new ZoneSettings(0, 0, 4, 9000));
@@ -32,7 +35,9 @@
         assertThat(zones.held()).containsExactly(Map.entry(2, new Held(CLOSED, 5)));
     }
 
-    /** It is not told to others either: in one epoch the wider open share would hold, and open what they have closed. */
+    /**
+     * It is not told to others either: in one epoch the wider open share would hold, and open what they have closed.
+     */
     @Test
     void ofWhatIsTooOldOnlyTheEpochCounts() {
         zones.remember(0, Map.of(2, new Held(CLOSED, 9)), false);
@@ -54,7 +59,9 @@
         assertThat(zones.plan().of(1)).isEqualTo(now);
     }
 
-    /** A zone that was lost and answers again is good by its answers since, not after a whole window without silence. */
+    /**
+     * A zone that was lost and answers again is good by its answers since, not after a whole window without silence.
+     */
     @Test
     void whatWasLostAndAnswersIsSoonGood() {
         Observer o = new Observer(1);
--- a/src/test/java/damsonworks/zone/ZonesTest.java
+++ b/src/test/java/damsonworks/zone/ZonesTest.java
@@ -74,7 +74,12 @@
         assertThat(p.of(0).plan().touched()).isFalse();
         assertThat(p.of(0).quorum()).isFalse();
         p.heal();
-        assertThat(until(p, () -> whole(p) && p.of(0).quorum() && p.of(4).plan().equals(p.of(1).plan()), 20_000))
+        assertThat(until(
+                        p,
+                        () -> whole(p)
+                                && p.of(0).quorum()
+                                && p.of(4).plan().equals(p.of(1).plan()),
+                        20_000))
                 .isLessThan(8000);
         for (int z = 1; z < ZonePlay.ZONES; z++) {
             assertThat(p.of(0).plan().of(z).epoch()).as("never decided").isZero();
@@ -221,7 +226,8 @@
         p.pass(5000);
         assertThat(p.open(2, 1)).isZero();
         p.of(5).comeBack(p.now(), 1);
-        assertThat(until(p, () -> whole(p) && p.of(0).plan().of(1).cause() == Cause.EVIDENCE, 30_000)).isLessThan(8000);
+        assertThat(until(p, () -> whole(p) && p.of(0).plan().of(1).cause() == Cause.EVIDENCE, 30_000))
+                .isLessThan(8000);
     }
 
     @Test
@@ -259,7 +265,9 @@
     void anOrderThatWouldLeaveTooLittleIsTurnedDown() {
         Zones z = new Zones(new ZoneSettings(0, 0, 2, 9000));
         z.leave(0, 0, 0);
-        assertThatThrownBy(() -> z.leave(1, 1, 0)).isInstanceOf(IllegalArgumentException.class).hasMessageContaining("third");
+        assertThatThrownBy(() -> z.leave(1, 1, 0))
+                .isInstanceOf(IllegalArgumentException.class)
+                .hasMessageContaining("third");
         assertThatThrownBy(() -> z.leave(1, 2, 0)).hasMessageContaining("takes no part");
         assertThatThrownBy(() -> z.leave(1, 0, 100_000)).hasMessageContaining("75 s");
         assertThat(z.cost(1, 1).allowed()).isFalse();
