The choice of another instance to ask stands once, in AntiEntropy

Need: PeerSocket, NewsPlay and InstanceModel each drew some other instance by the same three lines. Nothing else changes.

--- a/src/main/java/damsonworks/model/InstanceModel.java
+++ b/src/main/java/damsonworks/model/InstanceModel.java
@@ -578,10 +578,9 @@
             return;
         }
         long known = membership.known();
-        int other = random.nextInt(settings.instances() - 1);
         play.post(
                 this,
-                other < me ? other : other + 1,
+                AntiEntropy.partner(random, me, settings.instances()),
                 peer -> peer.membership
                         .since(time.now(), known)
                         .forEach(u -> play.post(peer, me, asker -> asker.heard(u))));
--- a/src/main/java/damsonworks/model/NewsPlay.java
+++ b/src/main/java/damsonworks/model/NewsPlay.java
@@ -304,8 +304,7 @@
             if (spec.sharing() != Sharing.CHANGES || instances.length < 2) {
                 return;
             }
-            int other = random.nextInt(instances.length - 1);
-            Instance peer = instances[other < me ? other : other + 1];
+            Instance peer = instances[AntiEntropy.partner(random, me, instances.length)];
             long held = membership.known();
             post(() -> peer.membership.since(time.now(), held).forEach(u -> post(() -> heard(u))));
         }
--- a/src/main/java/damsonworks/peer/AntiEntropy.java
+++ b/src/main/java/damsonworks/peer/AntiEntropy.java
@@ -1,5 +1,7 @@
 package damsonworks.peer;
 
+import java.util.SplittableRandom;
+
 /**
  * When to ask some peer for what has changed in the list: while discovery does not answer, as what a peer told
  * meanwhile may have been lost on its way. A proxy with a sound watch asks nobody, so the messages do not grow with
@@ -19,6 +21,15 @@
         answeredMs = nowMs;
     }
 
+    /** The number of some instance but this one, each as likely; negative if this is the only one. */
+    public static int partner(SplittableRandom random, int me, int instances) {
+        if (instances < 2) {
+            return -1;
+        }
+        int other = random.nextInt(instances - 1);
+        return other < me ? other : other + 1;
+    }
+
     /** Discovery has answered, with or without news. */
     public void answered(double nowMs) {
         answeredMs = nowMs;
--- a/src/main/java/damsonworks/proxy/PeerSocket.java
+++ b/src/main/java/damsonworks/proxy/PeerSocket.java
@@ -1,6 +1,7 @@
 package damsonworks.proxy;
 
 import damsonworks.figures.Work;
+import damsonworks.peer.AntiEntropy;
 import damsonworks.peer.Envelope;
 import damsonworks.peer.Envelope.Item;
 import damsonworks.peer.Outbox;
@@ -116,12 +117,8 @@
 
     /** The number of some other proxy of the tier; negative if there is none. */
     int another(SplittableRandom random) {
-        int all = config.peers().size();
-        if (all < 2) {
-            return -1;
-        }
-        int other = random.nextInt(all - 1);
-        return other < config.settings().me() ? other : other + 1;
+        return AntiEntropy.partner(
+                random, config.settings().me(), config.peers().size());
     }
 
     /** Sends to the proxy of this number, or to all of the tier if it is negative, if the budget has room for it. */
--- a/src/test/java/damsonworks/peer/AntiEntropyTest.java
+++ b/src/test/java/damsonworks/peer/AntiEntropyTest.java
@@ -2,6 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
 import org.junit.jupiter.api.Test;
 
 /** Peers are asked while discovery does not answer, and then not too often. */
@@ -32,4 +35,15 @@
         assertThat(antiEntropy.alerted(600)).isTrue();
         assertThat(antiEntropy.dueMs()).isEqualTo(AntiEntropy.STALE_MS);
     }
+
+    @Test
+    void aPartnerIsAnyOtherInstance() {
+        SplittableRandom random = new SplittableRandom(1);
+        Set<Integer> asked = new TreeSet<>();
+        for (int i = 0; i < 200; i++) {
+            asked.add(AntiEntropy.partner(random, 2, 5));
+        }
+        assertThat(asked).containsExactly(0, 1, 3, 4);
+        assertThat(AntiEntropy.partner(random, 0, 1)).isNegative();
+    }
 }
