A stale suppression, a check that stood twice, and a name that clashed with picocli's

Policy.askAgain uses `now` since calls count from their beginning: the suppression of an unused parameter goes. PeerNews asked twice in the same words whether a question is due. NewsPlay.Spec made its command name an annotation in full: it is Setup now. The help of `model` told 1,000 and 2,000 where 4,096 are taken. No change of behaviour.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -474,7 +474,6 @@
         }
     }
 
-    @SuppressWarnings("UnusedVariable") // now: as all handlers take it
     private void askAgain(double now, Actions out) {
         // What is turned away many times comes back within half of that time, or all together jam discovery.
         // The time that the failed call took counts: one that fell silent has been waited for long enough.
--- a/src/main/java/damsonworks/cli/ModelCommand.java
+++ b/src/main/java/damsonworks/cli/ModelCommand.java
@@ -50,14 +50,14 @@
             names = "--instances",
             paramLabel = "N",
             defaultValue = "100",
-            description = "Proxies, 1 to 1000 (default: ${DEFAULT-VALUE}).")
+            description = "Proxies, 1 to 4096 (default: ${DEFAULT-VALUE}).")
     private int instances;
 
     @Option(
             names = "--nodes",
             paramLabel = "N",
             defaultValue = "200",
-            description = "Cache nodes, 2 to 2000 (default: ${DEFAULT-VALUE}).")
+            description = "Cache nodes, 2 to 4096 (default: ${DEFAULT-VALUE}).")
     private int nodes;
 
     @Option(
--- a/src/main/java/damsonworks/cli/ModelNewsCommand.java
+++ b/src/main/java/damsonworks/cli/ModelNewsCommand.java
@@ -3,8 +3,8 @@
 import damsonworks.model.NewsPlay;
 import damsonworks.model.NewsPlay.Failure;
 import damsonworks.model.NewsPlay.Result;
+import damsonworks.model.NewsPlay.Setup;
 import damsonworks.model.NewsPlay.Sharing;
-import damsonworks.model.NewsPlay.Spec;
 import java.io.PrintWriter;
 import java.util.Arrays;
 import java.util.List;
@@ -15,7 +15,7 @@
 import picocli.CommandLine.Model.CommandSpec;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.ParameterException;
-import picocli.CommandLine.Spec.Target;
+import picocli.CommandLine.Spec;
 
 /** {@code model news}: how soon all instances know of a change after calls for the list have failed. */
 @Command(
@@ -27,7 +27,7 @@
         footerHeading = "%nExamples:%n",
         footer = "  model news --instances 30 --seeds 100")
 final class ModelNewsCommand implements Callable<Integer> {
-    @picocli.CommandLine.Spec(Target.SELF)
+    @Spec
     private CommandSpec spec;
 
     @Option(
@@ -82,7 +82,7 @@
     private void row(PrintWriter out, Failure failure, Sharing sharing, int n) {
         List<Result> results = LongStream.rangeClosed(1, seeds)
                 .parallel()
-                .mapToObj(seed -> NewsPlay.of(new Spec(n, failure, sharing, calls, seed)))
+                .mapToObj(seed -> NewsPlay.of(new Setup(n, failure, sharing, calls, seed)))
                 .toList();
         double[] medians =
                 results.stream().mapToDouble(Result::medianMs).sorted().toArray();
--- a/src/main/java/damsonworks/model/NewsPlay.java
+++ b/src/main/java/damsonworks/model/NewsPlay.java
@@ -54,7 +54,7 @@
      * @param newCallsPerSecond what discovery takes, of all instances together
      * @param seed the same gives the same play
      */
-    public record Spec(int instances, Failure failure, Sharing sharing, double newCallsPerSecond, long seed) {}
+    public record Setup(int instances, Failure failure, Sharing sharing, double newCallsPerSecond, long seed) {}
 
     /**
      * What came of it. Times count from when the change was made and discovery could be asked.
@@ -76,33 +76,33 @@
     private static final double PEER_LOSS = 0.02;
     private static final int SERVER = 1;
 
-    private final Spec spec;
+    private final Setup setup;
     private final VirtualTime time = new VirtualTime(START_MS);
     private final SplittableRandom random;
     private final LineDiscovery discovery;
     private final Instance[] instances;
     private long messages;
 
-    private NewsPlay(Spec spec) {
-        this.spec = spec;
-        random = new SplittableRandom(spec.seed());
-        discovery = new LineDiscovery(time, spec.newCallsPerSecond());
-        FleetDraw draw = FleetDraw.of(spec.instances(), Math.max(2, 2 * spec.instances()), spec.seed());
-        instances = new Instance[spec.instances()];
+    private NewsPlay(Setup setup) {
+        this.setup = setup;
+        random = new SplittableRandom(setup.seed());
+        discovery = new LineDiscovery(time, setup.newCallsPerSecond());
+        FleetDraw draw = FleetDraw.of(setup.instances(), Math.max(2, 2 * setup.instances()), setup.seed());
+        instances = new Instance[setup.instances()];
         for (int i = 0; i < instances.length; i++) {
             instances[i] = new Instance(i, draw.settings(i));
         }
     }
 
     /** Plays it. */
-    public static Result of(Spec spec) {
-        return new NewsPlay(spec).run();
+    public static Result of(Setup setup) {
+        return new NewsPlay(setup).run();
     }
 
     private Result run() {
         Arrays.stream(instances).forEach(Instance::start);
         // Until each has been answered once, however few calls discovery takes, with as much again.
-        time.passTo(START_MS + 20_000 + 2000 * spec.instances() / spec.newCallsPerSecond());
+        time.passTo(START_MS + 20_000 + 2000 * setup.instances() / setup.newCallsPerSecond());
         fail();
         int callsBefore = discovery.newCalls();
         int turnedAwayBefore = discovery.turnedAway();
@@ -123,7 +123,7 @@
     }
 
     private void fail() {
-        switch (spec.failure()) {
+        switch (setup.failure()) {
             case NONE -> {}
             case WATCHES_END -> discovery.endWatches();
             case WATCHES_SILENT -> discovery.forgetWatches();
@@ -269,14 +269,14 @@
         private void tellAll() {
             ListUpdate update = membership.news();
             for (Instance peer : instances) {
-                if (peer != this && spec.sharing() != Sharing.NONE) {
+                if (peer != this && setup.sharing() != Sharing.NONE) {
                     post(() -> peer.heard(update));
                 }
             }
         }
 
         private void heard(ListUpdate update) {
-            if (spec.sharing() == Sharing.CHANGES) {
+            if (setup.sharing() == Sharing.CHANGES) {
                 List<Member> changed = membership.heard(time.now(), update);
                 if (!changed.isEmpty()) {
                     policy.onList(time.now(), ListKind.PROVISIONAL, changed, this);
@@ -287,7 +287,7 @@
         }
 
         private void ask() {
-            if (spec.sharing() == Sharing.CHANGES) {
+            if (setup.sharing() == Sharing.CHANGES) {
                 alert();
             } else if (watching) {
                 call(false);
@@ -301,7 +301,7 @@
         }
 
         private void query() {
-            if (spec.sharing() != Sharing.CHANGES || instances.length < 2) {
+            if (setup.sharing() != Sharing.CHANGES || instances.length < 2) {
                 return;
             }
             Instance peer = instances[AntiEntropy.partner(random, me, instances.length)];
--- a/src/main/java/damsonworks/proxy/PeerNews.java
+++ b/src/main/java/damsonworks/proxy/PeerNews.java
@@ -73,9 +73,7 @@
 
     /** A call for the list failed: a peer may know what it would have told. */
     void callFailed() {
-        if (antiEntropy.alerted(dispatcher.now())) {
-            query();
-        }
+        queryUnlessJustDone();
     }
 
     /** A peer says which version it holds, what has changed, or wants to know that. */
@@ -140,6 +138,10 @@
     /** Peers hold a version that discovery has not told here. */
     private void ask() {
         discovery.renew();
+        queryUnlessJustDone();
+    }
+
+    private void queryUnlessJustDone() {
         if (antiEntropy.alerted(dispatcher.now())) {
             query();
         }
--- a/src/test/java/damsonworks/model/NewsPlayTest.java
+++ b/src/test/java/damsonworks/model/NewsPlayTest.java
@@ -4,8 +4,8 @@
 
 import damsonworks.model.NewsPlay.Failure;
 import damsonworks.model.NewsPlay.Result;
+import damsonworks.model.NewsPlay.Setup;
 import damsonworks.model.NewsPlay.Sharing;
-import damsonworks.model.NewsPlay.Spec;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -19,7 +19,7 @@
     private static final double TOLD_MS = 6000;
 
     private static Result play(int instances, Failure failure, Sharing sharing, long seed) {
-        return NewsPlay.of(new Spec(instances, failure, sharing, CALLS_A_SECOND, seed));
+        return NewsPlay.of(new Setup(instances, failure, sharing, CALLS_A_SECOND, seed));
     }
 
     @ParameterizedTest
