Failing tests: stopped clients unheard for 3 s, and time told from when a read is decoded

Reproduction of the incident on loopback before any mend: nine of ten kinds of stopped clients and one that drips bytes hear nothing within the 3 s owed, and the 88th of 100 reads written at once tells its server 19,999 ms 0.6 s after it came.

--- /dev/null
+++ b/src/test/java/damsonworks/proxy/ArrivalTimeTest.java
@@ -0,0 +1,115 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.Await;
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * A request's time counts from when its last byte came to this machine, and not from when the proxy comes to read it:
+ * servers are told at most what the client has left, with 0.15 s of slack.
+ */
+@Timeout(60)
+class ArrivalTimeTest {
+    private static final int ASKED_MS = 20_000;
+    private static final double SLACK_MS = 150;
+    /** Well over the slack. */
+    private static final long LATE_NANOS = TimeUnit.MILLISECONDS.toNanos(600);
+
+    private static final Pattern DEADLINE = Pattern.compile("\\bd=(\\d+)");
+
+    /** What a server was told, and when. */
+    private record Told(String id, int deadlineMs, long atNanos) {}
+
+    private static Told told(String command) {
+        Matcher deadline = DEADLINE.matcher(command);
+        assertThat(deadline.find()).as(command).isTrue();
+        return new Told(FakeServer.id(command), Integer.parseInt(deadline.group(1)), System.nanoTime());
+    }
+
+    private static void assertNotTooMuch(Told told, long sentNanos) {
+        double leftMs = ASKED_MS - (told.atNanos - sentNanos) / 1e6;
+        assertThat((double) told.deadlineMs).as(told.id).isLessThanOrEqualTo(leftMs + SLACK_MS);
+    }
+
+    private static void awaitTime(long nanos) {
+        Await.until("the time has passed", () -> System.nanoTime() >= nanos);
+    }
+
+    private static String reads(int from, int to, String pad) {
+        StringBuilder text = new StringBuilder();
+        for (int i = from; i < to; i++) {
+            text.append("mg 7f3a v O")
+                    .append(i)
+                    .append(pad)
+                    .append(" Pc=text,d=")
+                    .append(ASKED_MS)
+                    .append("\r\n");
+        }
+        return text.toString();
+    }
+
+    /** A node that reads at once and answers once it may; it keeps what it is told of each command. */
+    private static FakeServer answersLate(CountDownLatch go, Map<String, Told> seen) throws Exception {
+        return new FakeServer(c -> {
+            BlockingQueue<String> owed = new LinkedBlockingQueue<>();
+            Thread answers = new Thread(() -> {
+                try {
+                    go.await();
+                    while (true) {
+                        c.say("VA 5 O" + owed.take() + " h1\r\nhello\r\n");
+                    }
+                } catch (InterruptedException | IOException e) {
+                    // the connection has ended
+                }
+            });
+            answers.setDaemon(true);
+            answers.start();
+            for (String line; (line = c.command()) != null; ) {
+                Told told = told(line);
+                seen.put(told.id, told);
+                owed.add(told.id);
+            }
+        });
+    }
+
+    /** All reads are written at once, and none is answered before some time has passed. */
+    private static Map<String, Told> answerLate(int many, String pad) throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Map<String, Told> seen = new ConcurrentHashMap<>();
+        FakeServer node = answersLate(go, seen);
+        try (Fleet fleet = new Fleet()
+                        .node(node)
+                        .set("caps.second-copies", "false")
+                        .set("caps.may-cancel", "false")
+                        .start();
+                Fleet.Client client = fleet.client()) {
+            assertThat(client.say("mn\r\n").line()).isEqualTo("MN");
+            client.say(reads(0, many, pad));
+            long sent = System.nanoTime();
+            awaitTime(sent + LATE_NANOS);
+            go.countDown();
+            for (int i = 0; i < many; i++) {
+                assertThat(client.line()).isEqualTo("VA 5 O" + i + pad);
+                client.line();
+            }
+            seen.values().forEach(t -> assertNotTooMuch(t, sent));
+        }
+        return seen;
+    }
+
+    @Test
+    void aRequestThatWaitsBehindOthersOfItsConnectionCountsFromItsLastByte() throws Exception {
+        assertThat(answerLate(100, "")).hasSize(100);
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/StoppedClientsTest.java
@@ -0,0 +1,111 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.SocketTimeoutException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Clients that stop in the middle of a request and stay: each is owed an error or a close within three seconds. */
+@Timeout(60)
+class StoppedClientsTest {
+    private static final long OWED_NANOS = TimeUnit.SECONDS.toNanos(3);
+    private static final int DRIP_MS = 400;
+    private static final String WRITE = "ms 7f3a9c21e0b4d655 ";
+
+    private static Fleet fleet() throws Exception {
+        return new Fleet()
+                .node(FakeServer.node(line -> "VA 5 O" + FakeServer.id(line) + " h1\r\nhello\r\n"))
+                .start();
+    }
+
+    /** Whether it is told an error, or its connection is ended, before this time; other answers are passed over. */
+    private static boolean heard(Fleet.Client client, long untilNanos) throws IOException {
+        try {
+            for (long left; (left = TimeUnit.NANOSECONDS.toMillis(untilNanos - System.nanoTime())) > 0; ) {
+                client.socket.setSoTimeout((int) left);
+                String line = client.line();
+                if (line == null || line.matches("(CLIENT_ERROR|SERVER_ERROR|ERROR).*")) {
+                    return true;
+                }
+            }
+        } catch (SocketTimeoutException e) {
+            return false;
+        } catch (IOException e) {
+            return true; // a reset is an end, too
+        }
+        return false;
+    }
+
+    private static List<String> unheard(Map<String, byte[]> clients) throws Exception {
+        List<String> unheard = new ArrayList<>();
+        try (Fleet fleet = fleet()) {
+            Map<String, Fleet.Client> open = new LinkedHashMap<>();
+            for (Map.Entry<String, byte[]> client : clients.entrySet()) {
+                open.put(client.getKey(), fleet.client().say(client.getValue()));
+            }
+            long until = System.nanoTime() + OWED_NANOS;
+            for (Map.Entry<String, Fleet.Client> client : open.entrySet()) {
+                if (!heard(client.getValue(), until)) {
+                    unheard.add(client.getKey());
+                }
+            }
+        }
+        return unheard;
+    }
+
+    private static byte[] bytes(String text) {
+        return text.getBytes(java.nio.charset.StandardCharsets.ISO_8859_1);
+    }
+
+    @Test
+    void aClientThatStopsAnywhereInARequestHearsOfItInTime() throws Exception {
+        Map<String, byte[]> clients = new LinkedHashMap<>();
+        clients.put("half a line", bytes("mg 7f3a9c21e0b4d655 v O1"));
+        clients.put("a line without its end", bytes("mg 7f3a9c21e0b4d655 v O2 Pc=text,d=20000"));
+        clients.put("a line without its last byte", bytes("mg 7f3a9c21e0b4d655 v O3 Pc=text,d=20000\r"));
+        clients.put("a value half sent", bytes(WRITE + "5 O4 Pc=fix,d=20000\r\nhel"));
+        clients.put("a value not begun", bytes(WRITE + "5 O5 Pc=fix,d=20000\r\n"));
+        clients.put("a value without its end", bytes(WRITE + "5 O6 Pc=fix,d=20000\r\nhello"));
+        clients.put("half of 4 MiB", bytes(WRITE + "4194304 O7 Pc=fix,d=20000\r\n" + "x".repeat(2 << 20)));
+        clients.put("half a write of an unknown class", bytes(WRITE + "5 O8 Pc=none,d=20000\r\nhe"));
+        clients.put("half a write without an id", bytes(WRITE + "5 v\r\nhe"));
+        clients.put("a read and half of the next", bytes("mg 7f3a v O9 Pc=text,d=20000\r\nmg 7f3a v O10 Pc"));
+        assertThat(unheard(clients)).isEmpty();
+    }
+
+    /** Each byte is activity, and none of it is the end of a request. */
+    @Test
+    void aClientThatSendsAByteNowAndThenHearsOfItInTime() throws Exception {
+        ScheduledExecutorService drip = Executors.newSingleThreadScheduledExecutor();
+        try (Fleet fleet = fleet()) {
+            Fleet.Client line = fleet.client().say("m");
+            Fleet.Client value = fleet.client().say(WRITE + "500 O1 Pc=fix,d=20000\r\n");
+            long until = System.nanoTime() + OWED_NANOS;
+            drip.scheduleAtFixedRate(
+                    () -> {
+                        try {
+                            line.say("g");
+                            value.say("x");
+                        } catch (IOException e) {
+                            throw new IllegalStateException(e); // ends it: one of the two has been ended
+                        }
+                    },
+                    DRIP_MS,
+                    DRIP_MS,
+                    TimeUnit.MILLISECONDS);
+            assertThat(heard(line, until)).as("a line").isTrue();
+            assertThat(heard(value, until)).as("a value").isTrue();
+        } finally {
+            drip.shutdownNow();
+        }
+    }
+}
