--- a/src/main/java/damsonworks/figures/Work.java
+++ b/src/main/java/damsonworks/figures/Work.java
@@ -33,7 +33,9 @@
     /** Refusals. */
     REFUSED("requests refused"),
     /** Failures. */
-    FAILED("requests failed");
+    FAILED("requests failed"),
+    /** Clients that were ended as they stopped in the middle of a request, or sent none. */
+    CLIENTS_TIMED_OUT("clients timed out");
 
     private final String words;
 
--- a/src/main/java/damsonworks/proxy/Acceptor.java
+++ b/src/main/java/damsonworks/proxy/Acceptor.java
@@ -92,7 +92,7 @@
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        accepted(channel);
+                        accepted(channel, false);
                     }
                 });
     }
@@ -101,7 +101,7 @@
     void adopt(EventLoop loop, FileDescriptor client) {
         Channel channel = new EpollSocketChannel(client.intValue());
         channel.config().setOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK);
-        accepted(channel);
+        accepted(channel, true);
         loop.register(channel);
     }
 
@@ -133,8 +133,8 @@
      * idle longest makes room. It ends in order, as a request on it may be on its way, and a close over one would reset
      * what else the client is to read; but clients that do not end theirs have room of their own alone.
      */
-    private void accepted(Channel channel) {
-        ClientConnection client = new ClientConnection(dispatcher);
+    private void accepted(Channel channel, boolean adopted) {
+        ClientConnection client = new ClientConnection(dispatcher, adopted);
         channel.pipeline().addLast(client);
         clients.add(client);
         accepted++;
@@ -159,7 +159,7 @@
         sweep(dispatcher.now());
     }
 
-    /** Ends what has let the proxy wait for too long by then. */
+    /** Ends clients that have not taken their answers for too long by then. */
     void sweep(double now) {
         for (ClientConnection c : List.copyOf(clients)) {
             if (c.stalled(now)) {
--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -1,5 +1,7 @@
 package damsonworks.proxy;
 
+import damsonworks.flow.ArrivalTimes;
+import damsonworks.flow.ReadTimeout;
 import damsonworks.proxy.Exchange.Command;
 import damsonworks.proxy.Exchange.Terms;
 import damsonworks.route.Routing;
@@ -18,7 +20,15 @@
 final class ClientConnection extends PausableDecoder {
     private static final int MAX_PIPELINED = 32;
     private static final long LINGER_MS = 300;
-    private static final double STALLED_MS = 10_000;
+    /** A client that has taken nothing of its answers for so long is given up. */
+    private static final double ANSWER_STALLED_MS = 10_000;
+    /** While no more requests are taken, so many bytes that come are kept, each with the time at which it came. */
+    private static final int READ_AHEAD_BYTES = 32 << 10;
+    /** What is read in search of a client's end behind it. */
+    private static final int SEARCH_BYTES = 1 << 20;
+    /** Reads of one round of the event loop, after which more may be waiting (Netty's default). */
+    private static final int MAX_READS = 16;
+
     /** A client waits for so long before it may send a value; then it is turned away. */
     private static final double ROOM_WAIT_MS = 2000;
 
@@ -37,21 +47,37 @@
 
     private boolean closing;
     private boolean finished;
+    /** Whole commands may be waiting in the decoder. */
+    private boolean decodingStopped;
+
     private boolean readPaused;
+    private boolean readWhilePaused;
+    private int reads;
+    private final ArrivalTimes arrivals = new ArrivalTimes();
+    private final boolean adopted;
+    private ReadTimeout readTimeout;
+    private boolean readTimerSet;
+    /** When requests were last taken again after a time in which they were not. */
+    private double resumedMs = Double.NEGATIVE_INFINITY;
+
     private boolean passing;
     private ChannelFuture lastWrite;
     private double activeMs;
     /** Bytes that were still to be handed to the system when it was last looked at. */
     private long unwrittenBefore;
 
-    ClientConnection(Dispatcher dispatcher) {
+    /** {@code adopted}: another process has accepted it and may have served it. */
+    ClientConnection(Dispatcher dispatcher, boolean adopted) {
         this.dispatcher = dispatcher;
+        this.adopted = adopted;
     }
 
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         ctx = context;
         activeMs = dispatcher.now();
+        readTimeout = adopted ? ReadTimeout.adopted(activeMs) : ReadTimeout.connected(activeMs);
+        setReadTimer();
     }
 
     /** Between requests: nothing owed, nothing begun, and all answers handed to the system. */
@@ -78,10 +104,7 @@
         return activeMs;
     }
 
-    /**
-     * The client has let us wait for too long: for its end, for the rest of what it has begun to send, or until it
-     * takes what is ready for it. What it waits for itself takes as long as its class allows.
-     */
+    /** The client has taken nothing for too long of what is ready for it. */
     boolean stalled(double now) {
         long unwritten = ctx.channel().unsafe().outboundBuffer() == null
                 ? 0
@@ -90,14 +113,96 @@
             unwrittenBefore = unwritten;
             activeMs = now; // it takes it, however slowly
         }
-        boolean waitedFor = finished || !written() || replies.isEmpty() && !idle();
-        return waitedFor && now - activeMs > STALLED_MS;
+        return (finished || !written()) && now - activeMs > ANSWER_STALLED_MS;
     }
 
     void close() {
         ctx.close();
     }
 
+    // ---- what is read, and when it came
+
+    @Override
+    public void channelRead(ChannelHandlerContext context, Object input) throws Exception {
+        ByteBuf bytes = (ByteBuf) input;
+        if (bytes.isReadable()) {
+            reads++;
+            // Only a client's end is told of while nothing is read, and it is told once: it stands behind these bytes.
+            readWhilePaused |= readPaused;
+            arrivals.received(bytes.readableBytes(), dispatcher.inputCameMs(context.channel()), idle());
+            if (bytes.isWritable()) {
+                arrivals.drained(dispatcher.now());
+            }
+        }
+        super.channelRead(context, input);
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) throws Exception {
+        if (!readPaused && reads < MAX_READS) {
+            arrivals.drained(dispatcher.now());
+        } else if (reads > 0) {
+            arrivals.mayWait(dispatcher.now());
+        }
+        reads = 0;
+        super.channelReadComplete(context);
+        if (readWhilePaused) {
+            readWhilePaused = false;
+            if (actualReadableBytes() < SEARCH_BYTES) {
+                context.read();
+            }
+        }
+    }
+
+    /** When the last byte that has been taken out of this input came. */
+    private double cameMs(ByteBuf in) {
+        return arrivals.cameAtMs(arrivals.received() - in.readableBytes());
+    }
+
+    /** Nothing more is taken from the client for now, as it has enough under way or can't be answered. */
+    private boolean blocked() {
+        return replies.size() >= MAX_PIPELINED || !ctx.channel().isWritable() || awaitsRoom;
+    }
+
+    private void setReadTimer() {
+        double expiresMs = readTimeout.expiresAtMs();
+        if (!readTimerSet && expiresMs != Double.POSITIVE_INFINITY) {
+            readTimerSet = true;
+            dispatcher.after(expiresMs - dispatcher.now(), this::checkReadTimeout);
+        }
+    }
+
+    /** Decides behind the next round's input: what came while the process was held up is read first. */
+    private void checkReadTimeout() {
+        ctx.executor()
+                .schedule(
+                        () -> {
+                            readTimerSet = false;
+                            if (!closing && !passing && dispatcher.now() >= readTimeout.expiresAtMs()) {
+                                readTimedOut();
+                            } else if (!closing) {
+                                setReadTimer();
+                            }
+                        },
+                        0,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    /** The client has stopped in the middle of a request, or has said nothing since it came. */
+    private void readTimedOut() {
+        dispatcher.clientTimedOut(readTimeout);
+        if (incoming != null) {
+            dropIncoming();
+        }
+        if (arrivals.received() == 0) {
+            finish(); // a line would be taken for the answer to a request that is on its way
+        } else {
+            say("CLIENT_ERROR timed out\r\n");
+            closing = true;
+            flushAnswers();
+        }
+    }
+
     // ---- commands
 
     @Override
@@ -107,18 +212,15 @@
             in.skipBytes(in.readableBytes());
             return;
         }
-        if (replies.size() >= MAX_PIPELINED || !ctx.channel().isWritable() || awaitsRoom) {
-            pauseReading();
+        if (blocked()) {
+            stopDecoding(in);
             return;
         }
         try {
             if (incoming != null) {
                 value(in);
             } else {
-                String line = MetaCodec.line(in);
-                if (line != null) {
-                    command(line);
-                }
+                line(in);
             }
         } catch (MetaCodec.SyntaxException e) {
             // What follows can't be told apart any more.
@@ -128,7 +230,27 @@
         }
     }
 
-    private void command(String line) throws MetaCodec.SyntaxException {
+    private void stopDecoding(ByteBuf in) {
+        decodingStopped = true;
+        readTimeout.blocked(true, dispatcher.now());
+        if (in.readableBytes() >= READ_AHEAD_BYTES) {
+            pauseReading();
+        }
+    }
+
+    private void line(ByteBuf in) throws MetaCodec.SyntaxException {
+        String line = MetaCodec.line(in);
+        if (line != null) {
+            readTimeout.commandEnded();
+            command(line, cameMs(in));
+        } else if (in.isReadable()) {
+            double beganMs = arrivals.cameAtMs(arrivals.received() - in.readableBytes() + 1);
+            readTimeout.lineBegun(Math.max(beganMs, resumedMs));
+            setReadTimer();
+        }
+    }
+
+    private void command(String line, double cameMs) throws MetaCodec.SyntaxException {
         if (line.equals("mn")) {
             say(dispatcher.drainTold() ? "SERVER_ERROR draining\r\n" : "MN\r\n");
             return;
@@ -160,11 +282,13 @@
                     ? command
                     : new Command(Routing.META, key, null, true, null, DeadlineText.EMPTY, DeadlineText.EMPTY);
             missing = length + 2;
+            readTimeout.valueBegun(Math.max(cameMs, resumedMs));
+            setReadTimer();
             if (command != null) {
                 claimRoom(command);
             }
         } else {
-            take(command);
+            take(command, cameMs);
         }
     }
 
@@ -216,6 +340,8 @@
             value = new ValueBuffer(ctx.alloc(), missing);
         } else if (command.room != null) {
             awaitsRoom = true;
+            decodingStopped = true;
+            readTimeout.blocked(true, dispatcher.now());
             dispatcher.after(ROOM_WAIT_MS, () -> {
                 if (incoming == command && awaitsRoom) {
                     awaitsRoom = false;
@@ -229,6 +355,7 @@
     private void value(ByteBuf in) throws MetaCodec.SyntaxException {
         int n = Math.min(missing, in.readableBytes());
         missing -= n;
+        readTimeout.valueReceived(n, dispatcher.now());
         if (value == null) {
             in.skipBytes(n);
         } else {
@@ -239,6 +366,7 @@
         }
         Command command = incoming;
         incoming = null;
+        readTimeout.commandEnded();
         if (value == null) {
             // No room for the value, or no request that could be made of it. Nothing was sent on.
             if (command.id != null) {
@@ -254,12 +382,12 @@
             command.release();
             throw new MetaCodec.SyntaxException("bad data chunk");
         }
-        take(command);
+        take(command, cameMs(in));
     }
 
-    private void take(Command command) {
+    private void take(Command command, double cameMs) {
         Reply reply = new Reply(command.id);
-        reply.exchange = new Exchange(reply, command);
+        reply.exchange = new Exchange(reply, command, cameMs);
         replies.add(reply);
         dispatcher.take(reply.exchange);
     }
@@ -469,15 +597,24 @@
                 r.source.hold(r != replies.peek() || !ctx.channel().isWritable());
             }
         }
-        if (readPaused && replies.size() < MAX_PIPELINED && ctx.channel().isWritable() && !awaitsRoom) {
-            readPaused = false;
-            ctx.channel().config().setAutoRead(true);
+        if (decodingStopped && !blocked()) {
+            decodingStopped = false;
+            resumedMs = dispatcher.now();
+            readTimeout.blocked(false, resumedMs);
+            setReadTimer();
+            if (readPaused) {
+                readPaused = false;
+                ctx.channel().config().setAutoRead(true);
+            }
             // What has been read already waits in the decoder; it is not told of the pause's end otherwise.
             ctx.executor().execute(() -> ctx.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER));
         }
     }
 
     private void pauseReading() {
+        if (!readPaused) {
+            arrivals.mayWait(dispatcher.now());
+        }
         readPaused = true;
         ctx.channel().config().setAutoRead(false);
     }
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -17,6 +17,7 @@
 import damsonworks.drain.Drain;
 import damsonworks.figures.Work;
 import damsonworks.flow.ByteBudget;
+import damsonworks.flow.ReadTimeout;
 import damsonworks.flow.RecentIds;
 import damsonworks.member.Living;
 import damsonworks.proxy.Counters.Ending;
@@ -32,8 +33,12 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.epoll.EpollTcpInfo;
 import io.netty.util.collection.IntObjectHashMap;
 import io.netty.util.internal.PlatformDependent;
 import java.io.IOException;
@@ -60,6 +65,9 @@
     /** A day; what is longer is no deadline. */
     private static final double MAX_WAIT_MS = 86_400_000;
 
+    /** Bytes of a client that were last added to so long ago have not waited: the system's figure is no time then. */
+    private static final double MAX_UNREAD_MS = 600_000;
+
     private static final double PROBE_TIMEOUT_MS = 250;
     /** Of the memory for buffers, values that are kept whole get one part of so many; the rest is for what passes. */
     private static final int VALUES_PART = 2;
@@ -67,6 +75,8 @@
     private static final long SWEEP_MS = 1000;
 
     private final EventLoop loop;
+    private final LoopClock loopClock;
+    private final EpollTcpInfo tcpInfo = Epoll.isAvailable() ? new EpollTcpInfo() : null;
     private final Timers timers;
     private final Counters counters = new Counters();
     private final Map<String, Integer> classes = new HashMap<>();
@@ -125,8 +135,9 @@
         void retire(ClientConnection client);
     }
 
-    Dispatcher(EventLoop loop, Config config, Class<? extends Channel> upstream) {
+    Dispatcher(EventLoop loop, LoopClock loopClock, Config config, Class<? extends Channel> upstream) {
         this.loop = loop;
+        this.loopClock = loopClock;
         timers = new Timers(loop);
         startedMs = now();
         use(config);
@@ -241,6 +252,30 @@
         return epochMs + (System.nanoTime() - startNanos) / 1e6;
     }
 
+    /**
+     * When input that is being read from this connection came, on the clock of {@link #now}; no later, as far as the
+     * system or the event loop can tell.
+     */
+    double inputCameMs(Channel channel) {
+        double now = now();
+        double sinceMs = now - (System.nanoTime() - loopClock.inputSinceNanos()) / 1e6;
+        if (channel instanceof EpollSocketChannel socket) {
+            try {
+                double quietMs = socket.tcpInfo(tcpInfo).lastDataRecv();
+                return quietMs <= MAX_UNREAD_MS ? Math.min(sinceMs, now - quietMs) : sinceMs;
+            } catch (ChannelException e) {
+                return sinceMs; // the connection has ended, or the system does not tell
+            }
+        }
+        return sinceMs;
+    }
+
+    /** A client has stopped in the middle of a request, or has not sent one. */
+    void clientTimedOut(ReadTimeout at) {
+        counters.did(Work.CLIENTS_TIMED_OUT);
+        log("client timed out in its " + at);
+    }
+
     List<String> reportNames() {
         return settings.reportNames();
     }
@@ -498,7 +533,7 @@
         x.id = ++nextId;
         x.kind = settings.classes().get(kind);
         x.maxAttempts = settings.maxAttempts();
-        x.dueMs = now + wait;
+        x.dueMs = x.cameMs + wait;
         exchanges.put(x.id, x);
         Request request = new Request(
                 x.id,
@@ -512,7 +547,7 @@
                 terms.repeat());
         trust.decided(now, Trust.Thing.LIST);
         // Before the module's own timer for the same time: a silent server's attempt ends as a time-out then.
-        x.timer = after(wait, () -> due(x));
+        x.timer = after(x.dueMs - now, () -> due(x));
         tell(() -> guard(x, () -> {
             if (router != null) {
                 router.onRequest(now, request, c.key, c.front, this);
--- a/src/main/java/damsonworks/proxy/Exchange.java
+++ b/src/main/java/damsonworks/proxy/Exchange.java
@@ -11,6 +11,8 @@
 final class Exchange {
     final Sink sink;
     final Command command;
+    /** When its last byte came to this machine, on the clock of {@link Dispatcher#now}: its time counts from then. */
+    final double cameMs;
 
     int id;
     /** Its class as the settings had it when it came. */
@@ -27,9 +29,10 @@
     Timer timer;
     final List<Attempt> attempts = new ArrayList<>(3);
 
-    Exchange(Sink sink, Command command) {
+    Exchange(Sink sink, Command command, double cameMs) {
         this.sink = sink;
         this.command = command;
+        this.cameMs = cameMs;
     }
 
     /** What is asked for, as a front has read it. */
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -55,7 +55,9 @@
     /** Some rounds of the view, ticks of zones and recovery, and writes. */
     private static final long TRAIN_MS = 700;
 
-    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, Transport.BEST.io());
+    private final LoopClock loopClock = new LoopClock();
+    private final MultiThreadIoEventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, loopClock.wrap(Transport.BEST.io()));
     private final EventLoop loop = group.next();
     /** Written by the thread of a signal, and read by others too. */
     private volatile Config config;
@@ -92,7 +94,7 @@
         if (warm) {
             WarmUp.run(config);
         }
-        dispatcher = new Dispatcher(loop, config, Transport.BEST.socket());
+        dispatcher = new Dispatcher(loop, loopClock, config, Transport.BEST.socket());
         peers = new PeerSocket(loop, config, dispatcher::heard, dispatcher.counters());
         acceptor = new Acceptor(dispatcher, Math.max(16, config.sockets() - config.sockets() / 3 - OWN_DESCRIPTORS));
         Settings atStart = config.settings();
--- a/src/main/java/damsonworks/proxy/WarmUp.java
+++ b/src/main/java/damsonworks/proxy/WarmUp.java
@@ -87,10 +87,10 @@
 
     /** Netty throws what went wrong with a socket as it is, told of or not. */
     private void run() throws IOException, InterruptedException {
-        Dispatcher dispatcher = new Dispatcher(loop, config, Transport.BEST.localSocket());
+        Dispatcher dispatcher = new Dispatcher(loop, new LoopClock(), config, Transport.BEST.localSocket());
         SocketAddress node = listen("n", Node::new);
         SocketAddress origin = listen("o", Origin::new);
-        SocketAddress proxy = listen("p", () -> new ClientConnection(dispatcher));
+        SocketAddress proxy = listen("p", () -> new ClientConnection(dispatcher, false));
         int originKind = config.settings().originKind();
         List<Host> hosts = List.of(host(1, originKind == 0 ? 1 : 0, node), host(2, Math.max(0, originKind), origin));
         loop.submit(() -> {
--- /dev/null
+++ b/src/test/java/damsonworks/flow/ArrivalTimesTest.java
@@ -0,0 +1,81 @@
+package damsonworks.flow;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.ArrayList;
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+
+/** When bytes came that wait to be looked at. */
+class ArrivalTimesTest {
+    @Test
+    void eachByteHasTheTimeOfTheReadThatBroughtIt() {
+        ArrivalTimes times = new ArrivalTimes();
+        times.received(10, 100, true);
+        times.received(5, 200, false);
+        assertThat(times.cameAtMs(1)).isEqualTo(100);
+        assertThat(times.cameAtMs(10)).isEqualTo(100);
+        assertThat(times.cameAtMs(11)).isEqualTo(200);
+        assertThat(times.cameAtMs(15)).isEqualTo(200);
+        assertThatThrownBy(() -> times.cameAtMs(16)).hasMessageContaining("16 of 15");
+    }
+
+    @Test
+    void whatMayHaveWaitedInTheSystemCameWhenItMayHaveBegunToWait() {
+        ArrivalTimes times = new ArrivalTimes();
+        times.mayWait(100);
+        times.mayWait(300);
+        times.received(10, 900, false);
+        assertThat(times.cameAtMs(10)).isEqualTo(100);
+    }
+
+    /** Its sender had no room for it, and sends it as soon as there is some. */
+    @Test
+    void whatComesRightBehindBytesThatWaitedHasWaitedToo() {
+        ArrivalTimes times = new ArrivalTimes();
+        times.mayWait(100);
+        times.received(10, 900, false);
+        times.drained(900);
+        times.received(10, 901, false);
+        times.drained(901);
+        times.received(10, 901 + ArrivalTimes.REFILL_MS + 1, false);
+        assertThat(times.cameAtMs(20)).isEqualTo(100);
+        assertThat(times.cameAtMs(21)).isEqualTo(901 + ArrivalTimes.REFILL_MS + 1);
+    }
+
+    @Test
+    void whatAClientSendsThatHasAllItsAnswersHasNotWaited() {
+        ArrivalTimes times = new ArrivalTimes();
+        times.mayWait(100);
+        times.received(10, 900, false);
+        times.drained(900);
+        times.received(10, 903, true);
+        assertThat(times.cameAtMs(11)).isEqualTo(903);
+    }
+
+    /** The number of pieces is bounded, at the price of times that are too early and never too late. */
+    @Property(tries = 100)
+    void noByteIsTakenToHaveComeLaterThanItDid(
+            @ForAll @Size(min = 1, max = 600) List<@IntRange(min = 1, max = 50) Integer> reads) {
+        ArrivalTimes times = new ArrivalTimes();
+        List<Double> came = new ArrayList<>();
+        double now = 0;
+        for (int bytes : reads) {
+            now += 30;
+            times.received(bytes, now, false);
+            times.drained(now);
+            for (int i = 0; i < bytes; i++) {
+                came.add(now);
+            }
+        }
+        for (int i = 0; i < came.size(); i++) {
+            assertThat(times.cameAtMs(i + 1)).isLessThanOrEqualTo(came.get(i));
+        }
+        assertThat(times.received()).isEqualTo(came.size());
+    }
+}
--- a/src/test/java/damsonworks/proxy/ArrivalTimeTest.java
+++ b/src/test/java/damsonworks/proxy/ArrivalTimeTest.java
@@ -112,4 +112,28 @@
     void aRequestThatWaitsBehindOthersOfItsConnectionCountsFromItsLastByte() throws Exception {
         assertThat(answerLate(100, "")).hasSize(100);
     }
+
+    /** More than the proxy reads ahead. */
+    @Test
+    void aRequestThatWaitsInTheSystemCountsFromItsLastByteToo() throws Exception {
+        assertThat(answerLate(600, "x".repeat(1000))).hasSize(600);
+    }
+
+    @Test
+    void aRequestThatComesWhileTheProxyIsHeldUpCountsFromItsLastByte() throws Exception {
+        FakeServer node = FakeServer.node(line -> "VA 5 O" + FakeServer.id(line) + " h1\r\nhello\r\n");
+        try (Fleet fleet = new Fleet().node(node).start();
+                Fleet.Client client = fleet.client();
+                Fleet.Client fresh = fleet.client()) {
+            assertThat(client.say("mn\r\n").line()).isEqualTo("MN");
+            assertThat(fresh.say("mn\r\n").line()).isEqualTo("MN");
+            CountDownLatch go = fleet.still();
+            client.say(reads(1, 2, ""));
+            long sent = System.nanoTime();
+            awaitTime(sent + LATE_NANOS);
+            go.countDown();
+            assertNotTooMuch(told(node.next()), sent);
+            assertThat(client.line()).isEqualTo("VA 5 O1");
+        }
+    }
 }
--- a/src/test/java/damsonworks/proxy/ClientConnectionTest.java
+++ b/src/test/java/damsonworks/proxy/ClientConnectionTest.java
@@ -274,7 +274,10 @@
         }
     }
 
-    /** A class may wait longer than a client that lets the proxy wait; it is not given up for that. */
+    /**
+     * A class may wait longer than a client that lets the proxy wait; it is not given up for that. Both are told of the
+     * request that they have begun and not ended, the one that waits behind the answer that it is owed.
+     */
     @Test
     void aClientThatWaitsForItsAnswerIsNotTakenForAStalledOne() throws Exception {
         CountDownLatch go = new CountDownLatch(1);
@@ -302,9 +305,13 @@
                 fleet.proxy.clients().sweep(late);
                 return null;
             });
+            assertThat(half.line()).startsWith("CLIENT_ERROR");
             assertThat(half.ended()).isTrue();
             go.countDown();
             assertThat(patient.line()).isEqualTo("VA 5 O1");
+            assertThat(patient.line()).isEqualTo("hello");
+            assertThat(patient.line()).startsWith("CLIENT_ERROR");
+            assertThat(patient.ended()).isTrue();
         }
     }
 }
--- a/src/test/java/damsonworks/proxy/StoppedClientsTest.java
+++ b/src/test/java/damsonworks/proxy/StoppedClientsTest.java
@@ -82,6 +82,11 @@
         assertThat(unheard(clients)).isEmpty();
     }
 
+    @Test
+    void aClientThatConnectsAndSaysNothingHearsOfItInTime() throws Exception {
+        assertThat(unheard(Map.of("mute", new byte[0]))).isEmpty();
+    }
+
     /** Each byte is activity, and none of it is the end of a request. */
     @Test
     void aClientThatSendsAByteNowAndThenHearsOfItInTime() throws Exception {
--- a/src/test/java/damsonworks/proxy/StreamTest.java
+++ b/src/test/java/damsonworks/proxy/StreamTest.java
@@ -149,7 +149,9 @@
                         new DeadlineText("c=text,d=", ""),
                         new DeadlineText("mg 7f3a v O" + i + " Pc=text,d=", ""));
                 fleet.on(() -> {
-                    fleet.proxy.core().take(new Exchange(client, read));
+                    fleet.proxy
+                            .core()
+                            .take(new Exchange(client, read, fleet.proxy.core().now()));
                     return null;
                 });
                 next.release();
