A server's start is timed here where it is news; new settings come where SIGHUP is ignored

Cause 1: a server's age was this process's clock less the list's stamp. On a machine whose wall clock is an hour ahead a server that has just started had its full share at once, an hour behind it stayed cold for an hour. StartTimes takes a start at its word only where it may be true: not in the future, not over 10 s before the last list that did not have it; else it counts from when it was told. Stamps stay as names of a start. Cause 2: a JVM leaves a SIGHUP ignored that was so at its start (nohup), and such a process never took a file. FileWatch looks at it twice a second there. Tests: WallClockTest and four of StartTimesTest were seen to fail without the first; JarIT starts a process with the signal ignored.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -834,7 +834,7 @@
         if (f.attempts > 0 || f.request.repeat() || f.spread > 1) {
             return false;
         }
-        double age = now - s.member.bornMs();
+        double age = now - s.member.startedMs();
         double steady = cfg.startCapacity() + (1 - cfg.startCapacity()) * Math.max(0, age) / cfg.warmUpMs();
         // How it warms up is not told: it must also stand what it gets if it stays at its start for long.
         double capacity = Math.min(steady, cfg.tipMultiple() * cfg.startCapacity() / offered);
@@ -845,7 +845,7 @@
     }
 
     private boolean cold(double now, Server s) {
-        return s.member.bornMs() != 0 && now - s.member.bornMs() < cfg.warmUpMs();
+        return s.member.bornMs() != 0 && now - s.member.startedMs() < cfg.warmUpMs();
     }
 
     private void topRanks(int keyHash, int want) {
--- a/src/main/java/damsonworks/RoutingApi.java
+++ b/src/main/java/damsonworks/RoutingApi.java
@@ -94,8 +94,21 @@
     /** A tenant and the rate, over all instances, that is within its share. */
     record Tenant(String name, double share, double quotaPerSecond) {}
 
-    /** One server of the list. {@code bornMs}: when it last started, 0 if long ago. */
-    record Member(int id, int zone, int kind, int cell, State state, float weight, double bornMs) {}
+    /**
+     * One server of the list. {@code bornMs}: when it last started by the list's clock, 0 if long ago;
+     * {@code startedMs}: the same by this instance's.
+     */
+    record Member(int id, int zone, int kind, int cell, State state, float weight, double bornMs, double startedMs) {
+        /** One whose list and instance have the same clock. */
+        public Member(int id, int zone, int kind, int cell, State state, float weight, double bornMs) {
+            this(id, zone, kind, cell, state, weight, bornMs, bornMs);
+        }
+
+        /** This one, started at this time of the instance's clock. */
+        public Member startedAt(double ms) {
+            return new Member(id, zone, kind, cell, state, weight, bornMs, ms);
+        }
+    }
 
     /** The settings that decisions rest on. Times in milliseconds; shares, and capacity at the start, from 0 to 1. */
     record Settings(
--- /dev/null
+++ b/src/main/java/damsonworks/peer/StartTimes.java
@@ -0,0 +1,63 @@
+package damsonworks.peer;
+
+import damsonworks.RoutingApi.Member;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * When servers started, on this process's clock. Lists tell it by the wall clock of another machine, which may differ
+ * from this one's by an hour: taken at its word, a server that has just started would count as warm, or as cold for an
+ * hour. But that a start is news is an event that can be timed here: it can't lie in the future, nor long before the
+ * last list that did not have it.
+ */
+public final class StartTimes {
+    /** A start comes with a list at most so long after it; what is older when it is news was told by another clock. */
+    static final double MOST_LATE_MS = 10_000;
+    /** Servers whose starts are remembered, those included that have left; the oldest are forgotten first. */
+    static final int MAX_SERVERS = 8192;
+
+    private final Map<Integer, Start> starts = new LinkedHashMap<>();
+    /** When a list came last before the present one; NaN: none has that was no older one handed over at the start. */
+    private double heardMs = Double.NaN;
+
+    private record Start(double bornMs, double startedMs) {}
+
+    /** A list that is older than this process; the next one may tell of starts of any age. */
+    public List<Member> begin(double nowMs, List<Member> members) {
+        heardMs = Double.NaN;
+        return timed(nowMs, members);
+    }
+
+    /** A list has come, or changes of one. */
+    public List<Member> told(double nowMs, List<Member> members) {
+        List<Member> timed = timed(nowMs, members);
+        heardMs = nowMs;
+        return timed;
+    }
+
+    /** The same members, each with when it started on this process's clock; news of others than discovery. */
+    public List<Member> timed(double nowMs, List<Member> members) {
+        List<Member> timed = new ArrayList<>(members.size());
+        for (Member member : members) {
+            timed.add(member.bornMs() == 0 ? member : member.startedAt(startedMs(nowMs, member)));
+        }
+        return timed;
+    }
+
+    private double startedMs(double nowMs, Member member) {
+        Start known = starts.get(member.id());
+        if (known != null && known.bornMs == member.bornMs()) {
+            return known.startedMs;
+        }
+        boolean otherClock = member.bornMs() > nowMs || member.bornMs() < heardMs - MOST_LATE_MS;
+        double startedMs = otherClock ? nowMs : member.bornMs();
+        starts.remove(member.id());
+        starts.put(member.id(), new Start(member.bornMs(), startedMs));
+        if (starts.size() > MAX_SERVERS) {
+            starts.remove(starts.keySet().iterator().next());
+        }
+        return startedMs;
+    }
+}
--- a/src/main/java/damsonworks/proxy/Hangup.java
+++ b/src/main/java/damsonworks/proxy/Hangup.java
@@ -12,8 +12,12 @@
 final class Hangup {
     private Hangup() {}
 
-    /** Runs the task on a thread of its own at each SIGHUP from now on. */
-    static void on(Runnable task) {
+    /**
+     * Runs the task on a thread of its own at each SIGHUP from now on.
+     *
+     * @return whether the signal arrives: one that was ignored at the start, as under nohup, stays so in a JVM
+     */
+    static boolean on(Runnable task) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -26,12 +30,10 @@
                             signal.getConstructor(String.class).newInstance("HUP"),
                             MethodHandleProxies.asInterfaceInstance(
                                     handler, MethodHandles.dropArguments(run, 0, signal)));
-            // The JVM leaves a signal ignored that was so at its start, as under nohup, and says nothing of it.
-            if (before == handler.getField("SIG_IGN").get(null)) {
-                System.err.println("SIGHUP is ignored where this was started (nohup?): no file is taken by it");
-            }
+            return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException e) {
             System.err.println("no handler for SIGHUP: " + e);
+            return false;
         }
     }
 }
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -99,7 +99,9 @@
         acceptor = new Acceptor(dispatcher, Math.max(16, config.sockets() - config.sockets() / 3 - OWN_DESCRIPTORS));
         Settings atStart = config.settings();
         ProvisionalList list = new ProvisionalList(
-                dispatcher, new ProvisionalMembership(atStart.aside() ? atStart.originKind() : NO_KIND));
+                dispatcher,
+                new ProvisionalMembership(atStart.aside() ? atStart.originKind() : NO_KIND),
+                dispatcher::now);
         discovery = new DiscoveryClient(
                 loop,
                 new Bootstrap().group(loop).channel(Transport.BEST.socket()).option(ChannelOption.TCP_NODELAY, true),
@@ -212,7 +214,12 @@
         try {
             Proxy proxy = new Proxy(config, edge, true, HandoverLink.folder(), folder);
             Runtime.getRuntime().addShutdownHook(new Thread(proxy::drain));
-            Hangup.on(() -> proxy.reload(System.getenv("BALANCER_CONFIG")));
+            String file = System.getenv("BALANCER_CONFIG");
+            if (!Hangup.on(() -> proxy.reload(file))) {
+                System.err.println("SIGHUP is ignored where this was started (nohup?): " + file
+                        + " is looked at twice a second in its place");
+                new FileWatch(Path.of(file), () -> proxy.reload(file)).start();
+            }
             // Not on the event loop, which the process's end waits for.
             proxy.whenEnded = () -> new Thread(() -> System.exit(0), "drained").start();
             return proxy;
--- a/src/main/java/damsonworks/proxy/Servers.java
+++ b/src/main/java/damsonworks/proxy/Servers.java
@@ -73,6 +73,7 @@
             }
             u.dial = h.dial();
             u.bornMs = h.member().bornMs();
+            u.startedMs = h.member().startedMs();
             u.place = new Permits.Place(h.member().zone(), h.member().cell());
             u.ready = h.member().state() == State.READY;
         }
@@ -203,11 +204,15 @@
         connections--;
     }
 
-    /** {@code idleCloseMs}: when servers close connections that stand idle. */
-    void sweep(double idleCloseMs) {
+    /** A connection that has stood idle since then is not used any more, as its server may end it. */
+    double idleBeforeMs(double now) {
+        return now - dispatcher.idleCloseMs() * RETIRE_AT;
+    }
+
+    void sweep() {
         double now = dispatcher.now();
         for (Upstream u : servers.values()) {
-            u.closeIdle(now - idleCloseMs * RETIRE_AT);
+            u.closeIdle(idleBeforeMs(now));
             u.sweep(now);
         }
     }
@@ -256,7 +261,7 @@
     List<Double> warmAt(int zone, double warmUpMs) {
         return cacheNodes()
                 .filter(u -> u.place.zone() == zone && u.ready)
-                .map(u -> u.bornMs == 0 ? 0 : u.bornMs + warmUpMs)
+                .map(u -> u.startedMs == 0 ? 0 : u.startedMs + warmUpMs)
                 .sorted()
                 .toList();
     }
--- a/src/main/java/damsonworks/proxy/Upstream.java
+++ b/src/main/java/damsonworks/proxy/Upstream.java
@@ -27,6 +27,9 @@
     final boolean origin;
     SocketAddress dial;
     double bornMs;
+    /** The same on the clock of {@link Dispatcher#now}. */
+    double startedMs;
+
     Permits.Place place;
     /** Whether the list has it take new requests. */
     boolean ready;
@@ -77,13 +80,14 @@
         UpstreamConnection best = null;
         UpstreamConnection busy = null;
         double now = dispatcher.now();
+        double idleBeforeMs = dispatcher.servers().idleBeforeMs(now);
         int standing = 0;
         int all = 0;
         for (int i = connections.size() - 1; i >= 0; i--) {
             UpstreamConnection c = connections.get(i);
             standing += c.retired() || c.streaming() ? 0 : 1;
             all += c.retired() ? 0 : 1;
-            if (!c.usable(maxDepth)) {
+            if (!c.usable(maxDepth, idleBeforeMs)) {
                 continue;
             }
             if (c.streaming()) {
@@ -146,8 +150,9 @@
     boolean sendElsewhere(Attempt attempt) {
         UpstreamConnection best = null;
         double now = dispatcher.now();
+        double idleBeforeMs = dispatcher.servers().idleBeforeMs(now);
         for (UpstreamConnection c : connections) {
-            if (ready && c.connected() && c.usable(maxDepth) && (best == null || better(c, best, now))) {
+            if (ready && c.connected() && c.usable(maxDepth, idleBeforeMs) && (best == null || better(c, best, now))) {
                 best = c;
             }
         }
--- a/src/main/java/damsonworks/proxy/discovery/ProvisionalList.java
+++ b/src/main/java/damsonworks/proxy/discovery/ProvisionalList.java
@@ -5,10 +5,12 @@
 import damsonworks.RoutingApi.State;
 import damsonworks.peer.ListUpdate;
 import damsonworks.peer.ProvisionalMembership;
+import damsonworks.peer.StartTimes;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.DoubleSupplier;
 
 /**
  * Stands between discovery and whoever uses the list, and carries out what {@link ProvisionalMembership} makes of it:
@@ -18,11 +20,14 @@
 public final class ProvisionalList implements DiscoveryClient.Listener {
     private final DiscoveryClient.Listener next;
     private final ProvisionalMembership membership;
+    private final DoubleSupplier nowMs;
+    private final StartTimes startTimes = new StartTimes();
     private final Map<Integer, Host> hosts = new HashMap<>();
     private long version;
 
-    /** Passes all on to {@code next}. */
-    public ProvisionalList(DiscoveryClient.Listener next, ProvisionalMembership membership) {
+    /** Passes all on to {@code next}; {@code nowMs}: its clock. */
+    public ProvisionalList(DiscoveryClient.Listener next, ProvisionalMembership membership, DoubleSupplier nowMs) {
+        this.nowMs = nowMs;
         this.next = next;
         this.membership = membership;
     }
@@ -46,13 +51,13 @@
             hosts.put(host.member().id(), host);
             members.add(host.member());
         }
-        List<Member> used = members;
         if (kind == ListKind.CACHED) {
             membership.begin(version, members);
+            next.listed(kind, hosts(startTimes.begin(nowMs.getAsDouble(), members)));
         } else {
-            used = membership.told(version, kind.whole(), members);
+            List<Member> used = membership.told(version, kind.whole(), members);
+            next.listed(kind, hosts(startTimes.told(nowMs.getAsDouble(), used)));
         }
-        next.listed(kind, hosts(used));
         hosts.values().removeIf(host -> host.member().state() == State.GONE);
     }
 
@@ -68,7 +73,7 @@
 
     private void change(List<Member> changed) {
         if (!changed.isEmpty()) {
-            next.listed(ListKind.PROVISIONAL, hosts(changed));
+            next.listed(ListKind.PROVISIONAL, hosts(startTimes.timed(nowMs.getAsDouble(), changed)));
         }
     }
 
--- a/src/main/java/damsonworks/route/Router.java
+++ b/src/main/java/damsonworks/route/Router.java
@@ -373,7 +373,7 @@
     private static Member with(Member m, State state, float weight) {
         return state == m.state() && weight == m.weight()
                 ? m
-                : new Member(m.id(), m.zone(), m.kind(), m.cell(), state, weight, m.bornMs());
+                : new Member(m.id(), m.zone(), m.kind(), m.cell(), state, weight, m.bornMs(), m.startedMs());
     }
 
     // ---- requests
@@ -612,7 +612,7 @@
 
         private boolean cold(int server) {
             Member m = members.get(server);
-            return m != null && m.bornMs() != 0 && now - m.bornMs() < settings.warmUpMs();
+            return m != null && m.bornMs() != 0 && now - m.startedMs() < settings.warmUpMs();
         }
 
         @Override
--- a/src/test/java/damsonworks/JarIT.java
+++ b/src/test/java/damsonworks/JarIT.java
@@ -13,9 +13,11 @@
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
 import java.util.ArrayList;
 import java.util.HexFormat;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -144,21 +146,46 @@
         }
     }
 
-    /** Also through a SIGHUP in its middle; the commands' own ends and the socket's file are looked at. */
+    /**
+     * Also through a SIGHUP in its middle; the commands' own ends and the socket's file are looked at. A request that
+     * is owed its answer holds the drain up.
+     */
     @Test
     void aDrainIsAskedForWatchedTakenBackAndEndsTheProcess() throws Exception {
-        int port = freePort();
-        Path config = folder.resolve("config.json");
-        Files.writeString(
-                config,
-                Files.readString(Path.of("src/test/resources/config.json"))
-                        .replace("127.0.0.1:0", "127.0.0.1:" + port));
+        CountDownLatch go = new CountDownLatch(1);
+        try (ServerSocket node = new ServerSocket(0, 5, InetAddress.getByName("127.0.0.1"))) {
+            Thread script = new Thread(() -> {
+                try (Socket socket = node.accept()) {
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), UTF_8)).readLine();
+                    go.await();
+                    socket.getOutputStream().write("VA 5 O1 h1\r\nhello\r\n".getBytes(UTF_8));
+                    socket.getInputStream().read();
+                } catch (IOException | InterruptedException e) {
+                    // the test has ended
+                }
+            });
+            script.setDaemon(true);
+            script.start();
+            int port = freePort();
+            Path config = folder.resolve("config.json");
+            Files.writeString(
+                    config,
+                    Files.readString(Path.of("src/test/resources/config.json"))
+                            .replace("127.0.0.1:0", "127.0.0.1:" + port)
+                            .replace("\"dial\": \"127.0.0.1:9\"", "\"dial\": \"127.0.0.1:" + node.getLocalPort() + "\"")
+                            .replace("\"second-copies\": true", "\"second-copies\": false")
+                            .replace("\"may-cancel\": true", "\"may-cancel\": false"));
+            drainWithARequestOpen(port, config, go);
+        }
+    }
+
+    private void drainWithARequestOpen(int port, Path config, CountDownLatch go) throws Exception {
         Path control = folder.resolve("control");
         Process process = start("serve", config.toString(), "--control", control.toString());
         String[] at = {"--control", control.toString()};
         try (Socket client = connect(port, process)) {
             BufferedReader in = new BufferedReader(new InputStreamReader(client.getInputStream(), UTF_8));
-            client.getOutputStream().write("mn\r\nm".getBytes(UTF_8)); // half a command holds a drain up
+            client.getOutputStream().write("mn\r\nmg 7f3a v O1 Pc=seg-text,d=60000\r\n".getBytes(UTF_8));
             assertThat(in.readLine()).isEqualTo("MN");
             Await.until("the socket is there", () -> Files.exists(control));
             assertThat(output(0, "status", at)).contains("clients=1", "phase=serving");
@@ -166,24 +193,21 @@
                     .startsWith("draining; ")
                     .contains(" s to the deadline");
             assertThat(output(0, "drain", at[0], at[1], "--deadline", "90s")).contains("under way already");
-            // Byte by byte: a command that stays half for ten seconds is given up, and seven processes may take that
-            // long to start.
-            client.getOutputStream().write('n');
             new ProcessBuilder("kill", "-HUP", Long.toString(process.pid()))
                     .start()
                     .waitFor();
             assertThat(output(0, "status", at)).contains("phase=draining");
             assertThat(output(0, "drain", at[0], at[1], "--cancel")).contains("in full service");
-            client.getOutputStream().write('\r');
             assertThat(output(1, "drain", at[0], at[1], "--cancel")).contains("no drain is under way");
             assertThat(output(1, "drain", at[0], at[1], "--deadline", "0s")).contains("deadline");
-            client.getOutputStream().write("\nm".getBytes(UTF_8));
-            assertThat(in.readLine()).isEqualTo("MN");
             Process wait = start("drain", null, at[0], at[1], "--deadline", "60s", "--wait");
             BufferedReader bar = wait.inputReader();
             assertThat(bar.readLine()).contains("draining");
             assertThat(bar.readLine()).startsWith("[").contains("1 connections");
-            client.getOutputStream().write("n\r\n".getBytes(UTF_8));
+            client.getOutputStream().write("mn\r\n".getBytes(UTF_8));
+            go.countDown();
+            assertThat(in.readLine()).isEqualTo("VA 5 O1");
+            assertThat(in.readLine()).isEqualTo("hello");
             assertThat(in.readLine()).isEqualTo("SERVER_ERROR draining");
             assertThat(in.readLine()).isNull();
             assertThat(process.waitFor()).isZero();
@@ -194,6 +218,56 @@
         }
     }
 
+    /** As nohup starts it: the signal is ignored for good, and the file is looked at in its place. */
+    @Test
+    void aNewConfigurationIsTakenWhereSighupIsIgnored() throws Exception {
+        InetAddress loopback = InetAddress.getByName("127.0.0.1");
+        try (ServerSocket before = new ServerSocket(0, 5, loopback);
+                ServerSocket after = new ServerSocket(0, 5, loopback)) {
+            int port = freePort();
+            String text = Files.readString(Path.of("src/test/resources/config.json"))
+                    .replace("127.0.0.1:0", "127.0.0.1:" + port);
+            Path config = folder.resolve("config.json");
+            Files.writeString(config, discoveredAt(text, before));
+            List<String> words = List.of(
+                    "sh",
+                    "-c",
+                    "trap '' HUP; exec \"$0\" \"$@\"",
+                    Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                    "-jar",
+                    "target/damsonworks.jar",
+                    "serve");
+            ProcessBuilder builder = new ProcessBuilder(words);
+            builder.environment().put("TMPDIR", folder.toString());
+            builder.environment().put("BALANCER_CONFIG", config.toString());
+            Process process = builder.start();
+            try (Socket client = connect(port, process);
+                    Socket watch = before.accept()) {
+                BufferedReader in = new BufferedReader(new InputStreamReader(client.getInputStream(), UTF_8));
+                client.getOutputStream().write("mn\r\n".getBytes(UTF_8));
+                assertThat(in.readLine()).isEqualTo("MN");
+                Path next = folder.resolve("config.next");
+                Files.writeString(next, discoveredAt(text, after));
+                Files.move(next, config, StandardCopyOption.ATOMIC_MOVE);
+                new ProcessBuilder("kill", "-HUP", Long.toString(process.pid()))
+                        .start()
+                        .waitFor();
+                after.setSoTimeout(10_000);
+                try (Socket moved = after.accept()) {
+                    assertThat(new BufferedReader(new InputStreamReader(moved.getInputStream(), UTF_8)).readLine())
+                            .startsWith("GET /discovery/hosts?since=41&timeout_ms=");
+                }
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private static String discoveredAt(String text, ServerSocket discovery) {
+        return text.replace(
+                "\"discovery\": \"127.0.0.1:9\"", "\"discovery\": \"127.0.0.1:" + discovery.getLocalPort() + "\"");
+    }
+
     private String output(int code, String command, String... flags) throws Exception {
         Process process = start(command, null, flags);
         String told = new String(process.getInputStream().readAllBytes(), UTF_8)
--- /dev/null
+++ b/src/test/java/damsonworks/peer/StartTimesTest.java
@@ -0,0 +1,82 @@
+package damsonworks.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import damsonworks.RoutingApi.Member;
+import damsonworks.RoutingApi.State;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** When servers started, by a clock that others' clocks may differ from. */
+class StartTimesTest {
+    private static final double NOW_MS = 1.8e12;
+    private static final double HOUR_MS = 3_600_000;
+
+    private static Member member(int id, double bornMs) {
+        return new Member(id, 0, 0, 0, State.READY, 1, bornMs);
+    }
+
+    private static double started(List<Member> members) {
+        return members.get(0).startedMs();
+    }
+
+    @Test
+    void aStartIsTakenAtItsWordWhereItMayBeTrue() {
+        StartTimes times = new StartTimes();
+        times.begin(NOW_MS, List.of(member(1, 0)));
+        times.told(NOW_MS + 100, List.of());
+        assertThat(started(times.told(NOW_MS + 5000, List.of(member(2, NOW_MS + 3000)))))
+                .isEqualTo(NOW_MS + 3000);
+        assertThat(started(times.told(NOW_MS + 6000, List.of(member(1, 0))))).isZero();
+    }
+
+    /** This machine's clock is an hour ahead. */
+    @Test
+    void aStartThatIsNewsIsNotAnHourOld() {
+        StartTimes times = new StartTimes();
+        times.begin(NOW_MS, List.of());
+        times.told(NOW_MS + 100, List.of(member(1, 0)));
+        assertThat(started(times.told(NOW_MS + 5000, List.of(member(2, NOW_MS - HOUR_MS)))))
+                .isEqualTo(NOW_MS + 5000);
+    }
+
+    /** This machine's clock is an hour behind. */
+    @Test
+    void aStartIsNotInTheFuture() {
+        StartTimes times = new StartTimes();
+        assertThat(started(times.begin(NOW_MS, List.of(member(1, NOW_MS + HOUR_MS)))))
+                .isEqualTo(NOW_MS);
+        assertThat(started(times.timed(NOW_MS + 50, List.of(member(2, NOW_MS + HOUR_MS)))))
+                .isEqualTo(NOW_MS + 50);
+    }
+
+    @Test
+    void whatWasFoundOfAStartHoldsUntilTheNext() {
+        StartTimes times = new StartTimes();
+        times.begin(NOW_MS, List.of());
+        times.told(NOW_MS, List.of());
+        times.told(NOW_MS + 5000, List.of(member(2, NOW_MS - HOUR_MS)));
+        assertThat(started(times.told(NOW_MS + 90_000, List.of(member(2, NOW_MS - HOUR_MS)))))
+                .isEqualTo(NOW_MS + 5000);
+        assertThat(started(times.told(NOW_MS + 95_000, List.of(member(2, NOW_MS + 94_000)))))
+                .isEqualTo(NOW_MS + 94_000);
+    }
+
+    /** What a process starts with may be older than the first list by any time. */
+    @Test
+    void theFirstListMayTellOfStartsOfAnyAge() {
+        StartTimes times = new StartTimes();
+        times.begin(NOW_MS, List.of());
+        assertThat(started(times.told(NOW_MS + 100, List.of(member(2, NOW_MS - HOUR_MS)))))
+                .isEqualTo(NOW_MS - HOUR_MS);
+    }
+
+    @Test
+    void anOutageOfDiscoveryMakesOldStartsNews() {
+        StartTimes times = new StartTimes();
+        times.begin(NOW_MS, List.of());
+        times.told(NOW_MS, List.of());
+        assertThat(started(times.told(NOW_MS + 600_000, List.of(member(2, NOW_MS + 10_000)))))
+                .isEqualTo(NOW_MS + 10_000);
+    }
+}
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/WallClockTest.java
@@ -0,0 +1,59 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import damsonworks.Await;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** A proxy whose wall clock differs from discovery's by an hour keeps a server that starts cold for its warm-up. */
+@Timeout(60)
+class WallClockTest {
+    private static final double HOUR_MS = 3_600_000;
+    private static final double WARM_UP_MS = 9000;
+
+    private static String started(long seq, double bornMs) {
+        JsonArray hosts = new JsonArray();
+        JsonObject host = Fleet.host("s-00000001", "node-fast", "127.0.0.1:9", "up");
+        host.addProperty("born_ms", bornMs);
+        hosts.add(host);
+        return Fleet.list(seq, false, hosts).toString();
+    }
+
+    /** How long a server that is told to have started at this time of another clock stays cold from then on. */
+    private static double coldForMs(double aheadMs) throws Exception {
+        double told = System.currentTimeMillis();
+        FakeServer discovery = new FakeServer(c -> {
+            c.request();
+            c.sayHttp(200, "", Fleet.list(42, false, new JsonArray()).toString());
+            c.request();
+            c.sayHttp(200, "", started(43, told + aheadMs));
+            c.request();
+            c.awaitEnd();
+        });
+        try (Fleet fleet = new Fleet()
+                .node("127.0.0.1:9")
+                .discovery(discovery)
+                .set("caps.connect-timeout", "200.0")
+                .start()) {
+            Await.until(
+                    "its start is known",
+                    () -> fleet.on(() -> fleet.proxy.core().servers().nodes().get(0).bornMs == told + aheadMs));
+            List<Double> warm = fleet.on(() -> fleet.proxy.core().servers().warmAt(0, WARM_UP_MS));
+            return warm.get(0) - fleet.on(() -> fleet.proxy.core().now());
+        }
+    }
+
+    @Test
+    void itsClockIsAhead() throws Exception {
+        assertThat(coldForMs(-HOUR_MS)).isBetween(WARM_UP_MS / 2, WARM_UP_MS);
+    }
+
+    @Test
+    void itsClockIsBehind() throws Exception {
+        assertThat(coldForMs(HOUR_MS)).isBetween(WARM_UP_MS / 2, WARM_UP_MS);
+    }
+}
