All is answered 3.5 s after SIGTERM, however long a class waits

Cause: the drain that SIGTERM begins waited 0.65 s longer than the longest deadline, and the platform kills 3.7 s after the signal where that is over 3 s: what was open went without an answer. DrainPlan bounds both plans by 3.5 s. Test in DrainTest, seen to fail without.

--- a/src/main/java/damsonworks/drain/DrainPlan.java
+++ b/src/main/java/damsonworks/drain/DrainPlan.java
@@ -20,6 +20,11 @@
         boolean hidden,
         boolean last) {
     private static final double LONGEST_MS = 3_600_000;
+    /**
+     * The platform kills a process 3.7 s after SIGTERM at the earliest, however long its classes wait: by then each
+     * open request must have had its answer. The rest is for these to leave the machine.
+     */
+    static final double ANSWERED_BY_MS = 3500;
 
     /** Checks the ranges. */
     public DrainPlan {
@@ -48,10 +53,11 @@
 
     /**
      * What SIGTERM begins on the platform: no connection comes later than this, and answers that could not be in time
-     * any more are not waited for.
+     * any more, or would come after the process is killed, are not waited for.
      */
     public static DrainPlan terminated(double listenMs, double longestDeadlineMs) {
-        return new DrainPlan(listenMs, listenMs, 0, 0, listenMs + longestDeadlineMs, true, true);
+        double deadlineMs = Math.min(ANSWERED_BY_MS, listenMs + longestDeadlineMs);
+        return new DrainPlan(listenMs, listenMs, 0, 0, deadlineMs, true, true);
     }
 
     /**
@@ -59,7 +65,7 @@
      * those here go over to it as each falls idle.
      */
     public static DrainPlan succeeded(double longestDeadlineMs) {
-        return new DrainPlan(0, 0, 0, 0, longestDeadlineMs, true, true);
+        return new DrainPlan(0, 0, 0, 0, Math.min(ANSWERED_BY_MS, longestDeadlineMs), true, true);
     }
 
     /** This plan with a deadline of this long at most. */
--- a/src/test/java/damsonworks/drain/DrainTest.java
+++ b/src/test/java/damsonworks/drain/DrainTest.java
@@ -146,6 +146,14 @@
         assertThatThrownBy(() -> DrainPlan.asked(1e9)).hasMessageContaining("hour");
     }
 
+    /** The platform's kill does not wait for a class that does. */
+    @Test
+    void afterSigtermAllIsAnsweredBeforeTheKillHoweverLongAClassWaits() {
+        assertThat(DrainPlan.terminated(500, 30_000).deadlineMs()).isEqualTo(DrainPlan.ANSWERED_BY_MS);
+        assertThat(DrainPlan.succeeded(30_000).deadlineMs()).isEqualTo(DrainPlan.ANSWERED_BY_MS);
+        assertThat(DrainPlan.terminated(500, 1000).deadlineMs()).isEqualTo(1500);
+    }
+
     // ---- any interleaving
 
     /** What can happen at one step of 20 ms. */
