An idle connection that its server may end just now is not used

Its age is asked as it would be used. Test in PermitsOnSocketsTest, forced by a loop that stands still; seen to fail without.

--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -176,8 +176,7 @@
         listener = clients;
         router = routing == null ? null : new Router(settings, config.seed(), routing);
         module = router != null ? router : new Policy(settings, config.seed());
-        sweeper = loop.scheduleWithFixedDelay(
-                () -> servers.sweep(config.idleCloseMs()), SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
+        sweeper = loop.scheduleWithFixedDelay(servers::sweep, SWEEP_MS, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 
     private void use(Config next) {
@@ -222,6 +221,11 @@
         return settings.connectTimeoutMs();
     }
 
+    /** When servers close connections that stand idle. */
+    double idleCloseMs() {
+        return config.idleCloseMs();
+    }
+
     Counters counters() {
         return counters;
     }
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -120,10 +120,13 @@
 
     /**
      * Whether one more attempt may go onto it. Not while what has come is still being read: bytes right behind an
-     * answer would be taken for the answer to an attempt that was put on the connection in between.
+     * answer would be taken for the answer to an attempt that was put on the connection in between. Nor one that has
+     * stood idle since {@code idleBeforeMs}: its server may end it just now.
      */
-    boolean usable(int maxDepth) {
+    boolean usable(int maxDepth, double idleBeforeMs) {
+        boolean old = connected && attempts.isEmpty() && idleSinceMs <= idleBeforeMs;
         return !closed
+                && !old
                 && !retired
                 && !reading
                 && attempts.size() < maxDepth
--- a/src/test/java/damsonworks/proxy/PermitsOnSocketsTest.java
+++ b/src/test/java/damsonworks/proxy/PermitsOnSocketsTest.java
@@ -95,6 +95,25 @@
         assertEndIsSeen(ReadAhead.MAX_BYTES / 46 + 1000);
     }
 
+    /** A server ends what stands idle for a second; the sweep that would retire it comes round later. */
+    @Test
+    void aConnectionThatItsServerMayEndJustNowIsNotUsed() throws Exception {
+        FakeServer node = FakeServer.node(line -> "VA 5 O" + FakeServer.id(line) + " h1\r\nhello\r\n");
+        try (Fleet fleet =
+                        new Fleet().node(node).set("caps.idle-close", "1000.0").start();
+                Fleet.Client client = fleet.client()) {
+            assertThat(client.read("1").line()).isEqualTo("VA 5 O1");
+            client.line();
+            CountDownLatch go = fleet.still();
+            long since = System.nanoTime();
+            client.read("2");
+            Await.until("it is old", () -> System.nanoTime() - since > TimeUnit.MILLISECONDS.toNanos(800));
+            go.countDown();
+            assertThat(client.line()).isEqualTo("VA 5 O2");
+            assertThat(node.accepted).hasSize(2);
+        }
+    }
+
     @Test
     void aRefusalOfAWriteThatMayHaveRunIsAnsweredAsFailedAndCounted() throws Exception {
         FakeServer origin = new FakeServer(c -> {
