lab soak: random, overlapping faults of a seed over real processes, with bad clients beside

SoakPlan draws a scenario in the lab's language: a quiet begin, kills, SIGTERM, SIGHUP, stops, upgrades, drains, silent, hanging and cold nodes, cuts, lossy links, discovery down, a quiet end. BadClients stop, drip, say nothing, flood and leave beside, and are owed an error or a close within 3 s. A failing seed keeps its plan and prints the command that plays it again.

--- a/src/main/java/damsonworks/cli/LabCommand.java
+++ b/src/main/java/damsonworks/cli/LabCommand.java
@@ -7,11 +7,14 @@
 import damsonworks.lab.OutcomeText;
 import damsonworks.lab.Scenario;
 import damsonworks.lab.ScenarioFile;
+import damsonworks.lab.SoakPlan;
+import damsonworks.lab.SoakRun;
 import java.io.IOException;
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -42,7 +45,7 @@
 
     @Override
     public void run() {
-        throw new ParameterException(spec.commandLine(), "one of run, check and list is missing");
+        throw new ParameterException(spec.commandLine(), "one of run, soak, check and list is missing");
     }
 
     private PrintWriter out() {
@@ -138,6 +141,80 @@
                 : all.contains(Outcome.Judgement.TOO_BUSY) ? Cli.NOT_KEPT : Cli.OK;
     }
 
+    @Command(
+            name = "soak",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Plays random, overlapping faults of a seed over several proxies, with bad clients beside.",
+                "Exit codes: 0 all held, 1 a seed broke something, 2 wrong use, 3 the machine was too busy to judge."
+            })
+    private int soak(
+            @Option(
+                            names = "--proxies",
+                            paramLabel = "N",
+                            defaultValue = "6",
+                            description = "Processes, 2 to 64 (default: ${DEFAULT-VALUE}).")
+                    int proxies,
+            @Option(
+                            names = "--for",
+                            paramLabel = "TIME",
+                            defaultValue = "60s",
+                            description = "How long each seed lasts, 15s at least (default: ${DEFAULT-VALUE}).")
+                    Duration length,
+            @Option(
+                            names = "--seed",
+                            paramLabel = "N",
+                            defaultValue = "1",
+                            description = "Draws the faults (default: ${DEFAULT-VALUE}).")
+                    long seed,
+            @Option(
+                            names = "--repeat",
+                            paramLabel = "N",
+                            defaultValue = "1",
+                            description = "So many seeds from that one on (default: ${DEFAULT-VALUE}).")
+                    int repeat,
+            @Option(
+                            names = "--kinds",
+                            paramLabel = "KIND",
+                            split = ",",
+                            description = "What goes wrong (default: all): ${COMPLETION-CANDIDATES}.")
+                    Set<SoakPlan.Kind> kinds,
+            @Option(names = "--plan", paramLabel = "FILE", description = "Plays this plan, and draws none.") Path plan,
+            @Option(names = "--logs", paramLabel = "DIR", description = "Keeps the proxies' logs.") Path logs)
+            throws IOException, InterruptedException {
+        if (repeat < 1 || repeat > 1000) {
+            throw new ParameterException(spec.commandLine(), "--repeat takes 1 to 1000, not " + repeat);
+        }
+        Set<SoakPlan.Kind> all = kinds == null ? EnumSet.allOf(SoakPlan.Kind.class) : kinds;
+        List<Outcome> outcomes = new ArrayList<>();
+        boolean held = true;
+        for (long s = seed; s < seed + repeat; s++) {
+            Path file = plan;
+            try {
+                if (plan == null) {
+                    file = Files.createTempFile("soak-" + s + "-", ".conf");
+                    Files.writeString(file, SoakPlan.text(proxies, length.ms(), s, all));
+                }
+                Path own = logs == null ? null : logs.resolve("soak-" + s);
+                SoakRun.Result result = SoakRun.play(file, s, all, own, line -> {});
+                out().print(OutcomeText.text(result.outcome()));
+                result.violations().forEach(v -> out().println("  BROKEN " + v));
+                out().printf("  %d bad clients were owed an answer%n", result.owed());
+                outcomes.add(result.outcome());
+                held &= result.held();
+                if (result.held() && plan == null) {
+                    Files.delete(file);
+                } else {
+                    out().printf("  again: lab soak --plan %s --seed %d%n", file, s);
+                }
+                out().flush();
+            } catch (IllegalArgumentException e) {
+                throw new ParameterException(spec.commandLine(), e.getMessage(), e);
+            }
+        }
+        return held ? Cli.OK : code(outcomes) == Cli.NOT_KEPT ? Cli.NOT_KEPT : Cli.FAILED;
+    }
+
     @Command(
             name = "check",
             mixinStandardHelpOptions = true,
--- a/src/main/java/damsonworks/demo/ProxyProcess.java
+++ b/src/main/java/damsonworks/demo/ProxyProcess.java
@@ -167,7 +167,7 @@
     }
 
     /** The file that its processes write to. */
-    Path logFile() {
+    public Path logFile() {
         return folder.resolve("log");
     }
 
--- a/src/main/java/damsonworks/lab/LabRun.java
+++ b/src/main/java/damsonworks/lab/LabRun.java
@@ -32,13 +32,20 @@
     private final long seed;
     private final Path logs;
     private final Consumer<String> progress;
+    private final Companion beside;
 
     /** {@code logs}: a folder for the proxies' logs, or null; {@code progress}: takes a line a second. */
     public LabRun(Scenario scenario, long seed, Path logs, Consumer<String> progress) {
+        this(scenario, seed, logs, progress, Companion.NONE);
+    }
+
+    /** The same with something beside. */
+    LabRun(Scenario scenario, long seed, Path logs, Consumer<String> progress, Companion beside) {
         this.scenario = scenario;
         this.seed = seed;
         this.logs = logs;
         this.progress = progress;
+        this.beside = beside;
     }
 
     /** Plays it; an IOException says what did not start. */
@@ -51,8 +58,10 @@
             }
             double zeroMs = fleet.fleet().now();
             fleet.play(scenario.faults(), scenario.links());
+            beside.begin(fleet.proxies());
             Report report = run(fleet, workload(scenario.rate(), scenario.forMs(), classes), seed);
             fleet.fleet().awaitGrace();
+            beside.end(fleet.proxies());
             Oracle.Verdict verdict = fleet.fleet().verdict();
             int zero = (int) (zeroMs / 1000);
             List<Series.Row> rows = fleet.fleet().rows().stream()
--- /dev/null
+++ b/src/main/java/damsonworks/lab/SoakPlan.java
@@ -0,0 +1,156 @@
+package damsonworks.lab;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * Random, overlapping faults as a scenario's text, the same for the same seed: a quiet beginning, trouble, and a quiet
+ * end in which all has to come back to where it was.
+ */
+public final class SoakPlan {
+    /** What may go wrong. */
+    public enum Kind {
+        /** Proxies are killed, told to end, stopped, upgraded, drained, and given new settings. */
+        PROXIES,
+        /** Cache nodes and the origin hang, fall silent, reset, restart cold, drain, leave, and spoil answers. */
+        NODES,
+        /** What lies between proxies and nodes is cut, lossy, slow, or breaks answers off. */
+        LINKS,
+        /** Discovery answers nothing for a while. */
+        DISCOVERY,
+        /** Clients stop in the middle of a request, say nothing, leave, or send much at once. */
+        CLIENTS
+    }
+
+    /** The shortest run that has room for quiet, trouble and quiet. */
+    public static final double SHORTEST_MS = 15_000;
+    /** For the last faults' ends, drains and restarts. */
+    private static final double QUIET_END_MS = 9000;
+
+    private static final double QUIET_BEGIN_SHARE = 0.15;
+    private static final double EVERY_MS = 1800;
+    private static final int MOST_LEAVE = 2;
+
+    private final int proxies;
+    private final int nodes;
+    private final Random random;
+    private final StringBuilder text = new StringBuilder();
+    private int left;
+
+    private SoakPlan(int proxies, long seed) {
+        this.proxies = proxies;
+        this.nodes = Math.max(6, Math.min(40, 2 * proxies));
+        random = new Random(seed);
+    }
+
+    /**
+     * A plan in the lab's language.
+     *
+     * @param proxies 2 to 64
+     * @param forMs how long it lasts, at least {@link #SHORTEST_MS}
+     */
+    public static String text(int proxies, double forMs, long seed, Set<Kind> kinds) {
+        if (proxies < 2 || proxies > 64) {
+            throw new IllegalArgumentException("a soak takes 2 to 64 proxies, not " + proxies);
+        }
+        if (!(forMs >= SHORTEST_MS)) {
+            throw new IllegalArgumentException("a soak lasts 15 s at least: it begins and ends in quiet");
+        }
+        return new SoakPlan(proxies, seed).draw(forMs, seed, kinds);
+    }
+
+    private String draw(double forMs, long seed, Set<Kind> kinds) {
+        text.append(String.format(
+                Locale.ROOT,
+                "# A soak of seed %d over %s.%n%nfleet {%n  zones = [a, b]%n  proxies = %d%n  nodes = %d%n  work = 1ms%n"
+                        + "  rate = %d/s%n  patience = 4%n  lead-in = 2s%n  for = %.0fms%n}%n",
+                seed,
+                kinds,
+                proxies,
+                nodes,
+                Math.min(300, 25 * proxies),
+                forMs));
+        List<Kind> drawn = new ArrayList<>(kinds.stream().sorted().toList());
+        drawn.remove(Kind.CLIENTS); // they run beside, from the beginning to the end
+        double beginMs = QUIET_BEGIN_SHARE * forMs;
+        int many = drawn.isEmpty() ? 0 : (int) ((forMs - beginMs - QUIET_END_MS) / EVERY_MS) + 1;
+        for (int i = 0; i < many; i++) {
+            double atMs = beginMs + random.nextDouble() * (forMs - beginMs - QUIET_END_MS);
+            Kind kind = drawn.get(random.nextInt(drawn.size()));
+            fault(kind.name().toLowerCase(Locale.ROOT) + "-" + i, atMs, lines(kind));
+        }
+        text.append("\nexpect {\n  rules = held\n}\n");
+        return text.toString();
+    }
+
+    private void fault(String name, double atMs, List<String> lines) {
+        text.append(String.format(Locale.ROOT, "%nfault \"%s\" {%n  at = %.0fms%n", name, atMs));
+        lines.forEach(line -> text.append("  ").append(line).append('\n'));
+        text.append("}\n");
+    }
+
+    private List<String> lines(Kind kind) {
+        return switch (kind) {
+            case PROXIES -> proxy();
+            case NODES -> random.nextInt(6) == 0 ? origin() : node();
+            case LINKS -> link();
+            case DISCOVERY -> List.of("discovery-down = on", lasts(500, 7000));
+            case CLIENTS -> throw new IllegalArgumentException("clients have no fault of their own");
+        };
+    }
+
+    private List<String> proxy() {
+        String one = "[proxy-" + random.nextInt(proxies) + "]";
+        return switch (random.nextInt(8)) {
+            case 0 -> List.of("kill = " + one, again(200, 2500));
+            case 1 -> List.of("term = " + one);
+            case 2 -> List.of("stop = " + one, lasts(100, 1500));
+            case 3 -> List.of("upgrade = " + one);
+            case 4 -> List.of("retire = " + one, lasts(3000, 5000));
+            case 5 -> List.of("hup = [proxy-*]", "every = 300ms", "times = 3");
+            case 6 -> List.of("retune = [proxy-*]", "every = 1500ms", "times = 2");
+            default -> List.of("misfile = " + one);
+        };
+    }
+
+    private List<String> node() {
+        String one = "[node-" + random.nextInt(nodes) + "]";
+        return switch (random.nextInt(8)) {
+            case 0 -> List.of("stall = " + one, lasts(300, 4000));
+            case 1 -> List.of("freeze = " + one, lasts(300, 4000));
+            case 2 -> List.of("silence = " + one, lasts(500, 5000));
+            case 3 -> List.of("reset = " + one, "every = 400ms", "times = 4");
+            case 4 -> List.of("spoil = " + one, lasts(1000, 5000), "spoilt = " + (5 + random.nextInt(20)) + "%");
+            case 5 -> List.of("drain = " + one);
+            case 6 -> left++ < MOST_LEAVE ? List.of("leave = " + one) : List.of("restart = " + one, again(100, 2000));
+            default -> List.of("restart = " + one, again(100, 2000));
+        };
+    }
+
+    private List<String> origin() {
+        return List.of((random.nextBoolean() ? "stall" : "freeze") + " = [origin]", lasts(100, 900));
+    }
+
+    private List<String> link() {
+        String between = "link = [proxy-*]";
+        String from = "from = [node-*]";
+        return switch (random.nextInt(5)) {
+            case 0 -> List.of("cut = [zone-" + "ab".charAt(random.nextInt(2)) + "]", lasts(500, 4000));
+            case 1 -> List.of("cut = [node-" + random.nextInt(nodes) + "]", "one-way = on", lasts(500, 4000));
+            case 2 -> List.of(between, from, "delay = " + (2 + random.nextInt(40)) + "ms", lasts(1000, 5000));
+            case 3 -> List.of(between, from, "reset-answers = " + (1 + random.nextInt(8)) + "%", lasts(1000, 5000));
+            default -> List.of(between, from, "hold = " + (1 + random.nextInt(5)) + "%", lasts(1000, 5000));
+        };
+    }
+
+    private String lasts(int fromMs, int toMs) {
+        return "for = " + (fromMs + random.nextInt(toMs - fromMs)) + "ms";
+    }
+
+    private String again(int fromMs, int toMs) {
+        return "again-after = " + (fromMs + random.nextInt(toMs - fromMs)) + "ms";
+    }
+}
--- /dev/null
+++ b/src/main/java/damsonworks/lab/SoakRun.java
@@ -0,0 +1,113 @@
+package damsonworks.lab;
+
+import damsonworks.config.Problems;
+import damsonworks.demo.ProxyProcess;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+
+/**
+ * Plays one soak: its scenario with bad clients beside, judged by the oracle, by them, and by the proxies themselves.
+ */
+public final class SoakRun implements Companion {
+    private static final String BREACH = "breach: ";
+    private static final int MOST_LINES = 5;
+    /** Bad clients of the last moment have been ended by then. */
+    private static final long QUIET_MS = 4000;
+
+    private final Scenario scenario;
+    private final BadClients clients;
+    private final List<String> violations = new ArrayList<>();
+    private List<ProcessUse> before = List.of();
+
+    private SoakRun(Scenario scenario, long seed, boolean badClients) {
+        this.scenario = scenario;
+        clients = badClients
+                ? new BadClients(seed, scenario.fleet().classes().get(0).name(), scenario.faults())
+                : null;
+    }
+
+    /**
+     * What came of a soak.
+     *
+     * @param outcome of its scenario
+     * @param owed bad clients that were owed an error or a close
+     * @param violations of what the oracle does not see: bad clients unheard, breaches that proxies report, what they
+     *     hold at the end
+     */
+    public record Result(Outcome outcome, int owed, List<String> violations) {
+        /** Whether nothing was broken; a machine that was too busy to judge held nothing. */
+        public boolean held() {
+            return outcome.judgement() == Outcome.Judgement.HELD && violations.isEmpty();
+        }
+    }
+
+    /**
+     * Plays the plan in a file.
+     *
+     * @param kinds bad clients take part if they are among them
+     * @param logs a folder for the proxies' logs, or null
+     * @param progress takes a line a second
+     */
+    public static Result play(Path plan, long seed, Set<SoakPlan.Kind> kinds, Path logs, Consumer<String> progress)
+            throws IOException, InterruptedException {
+        Problems problems = new Problems();
+        ScenarioFile file = ScenarioFile.read(plan, problems);
+        if (!problems.none()) {
+            throw new IllegalArgumentException(problems.text());
+        }
+        Scenario scenario = file.scenario(seed);
+        SoakRun run = new SoakRun(scenario, seed, kinds.contains(SoakPlan.Kind.CLIENTS));
+        Outcome outcome = new LabRun(scenario, seed, logs, progress, run).play();
+        return new Result(outcome, run.clients == null ? 0 : run.clients.owed(), List.copyOf(run.violations));
+    }
+
+    @Override
+    public void begin(List<ProxyProcess> proxies) throws IOException {
+        List<ProcessUse> uses = new ArrayList<>();
+        for (ProxyProcess proxy : proxies) {
+            uses.add(ProcessUse.of(proxy.pid()));
+        }
+        before = uses;
+        if (clients != null) {
+            clients.begin(proxies);
+        }
+    }
+
+    @Override
+    public void end(List<ProxyProcess> proxies) throws IOException, InterruptedException {
+        if (clients != null) {
+            clients.close();
+            if (clients.unheard() > 0) {
+                violations.add(clients.unheard() + " of " + clients.owed()
+                        + " bad clients got neither an error nor a close in time: " + clients.examples());
+            }
+        }
+        TimeUnit.MILLISECONDS.sleep(QUIET_MS);
+        for (int i = 0; i < proxies.size(); i++) {
+            ProxyProcess proxy = proxies.get(i);
+            readLog(proxy);
+            if (proxy.alive()) {
+                ProcessUse now = ProcessUse.of(proxy.pid());
+                if (!now.backTo(before.get(i), scenario.fleet().nodes())) {
+                    violations.add(proxy.name() + " holds " + now + ", before " + before.get(i));
+                }
+            }
+        }
+    }
+
+    private void readLog(ProxyProcess proxy) throws IOException {
+        List<String> lines = Files.readAllLines(proxy.logFile()).stream()
+                .filter(line -> line.startsWith(BREACH) || line.startsWith("fault: "))
+                .toList();
+        if (!lines.isEmpty()) {
+            violations.add(proxy.name() + " reports " + lines.size() + ": "
+                    + lines.subList(0, Math.min(MOST_LINES, lines.size())));
+        }
+    }
+}
