SIGHUP is handled first of all: new settings while a proxy starts no longer end it

Cause: the handler was installed once the proxy listened (Proxy.main), and a JVM without one ends by the signal. SighupHandler (was Hangup) is installed by Main's first statement and keeps a signal until there is something to be done by it. The stand-in operators wait 0.3 s for a JVM to be able to have a handler; the time before that can't be closed from inside.

--- a/src/main/java/damsonworks/Main.java
+++ b/src/main/java/damsonworks/Main.java
@@ -7,6 +7,7 @@
 import damsonworks.control.Door;
 import damsonworks.control.ProxyControl;
 import damsonworks.proxy.Proxy;
+import damsonworks.proxy.SighupHandler;
 import damsonworks.wire.Drill;
 import java.io.IOException;
 import java.nio.file.InvalidPathException;
@@ -41,6 +42,7 @@
 
     /** Read by hand: a proxy's start waits for nothing that it does not need. */
     private static void serve(String[] args) {
+        SighupHandler sighup = SighupHandler.install(); // first: until then the signal ends the process
         String control = null;
         String edge = null;
         long figuresMs = 0;
@@ -75,7 +77,8 @@
         }
         Proxy proxy = Proxy.main(
                 edge == null ? null : new EdgeFile(Path.of(edge)),
-                state == null ? null : new Proxy.Kept(Path.of(state), fleet));
+                state == null ? null : new Proxy.Kept(Path.of(state), fleet),
+                sighup);
         if (view || zones || recovers) {
             proxy.join(new Proxy.Together(view, zones, recovers));
         }
--- a/src/main/java/damsonworks/demo/ProxyProcess.java
+++ b/src/main/java/damsonworks/demo/ProxyProcess.java
@@ -17,11 +17,14 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 
 /** One real proxy: a process that runs {@code serve} on a configuration of its own. */
 public final class ProxyProcess {
     private static final long READY_MS = 30_000;
     private static final int LOG_LINES = 12;
+    /** A JVM's own start, on a busy machine. */
+    private static final long HANDLER_NANOS = TimeUnit.MILLISECONDS.toNanos(300);
 
     private final String name;
     private final InetAddress host;
@@ -31,6 +34,7 @@
     private final Path edge;
     private final Set<Part> parts;
     private volatile Process process;
+    private volatile long startedNanos;
     private volatile boolean ended;
     /** Whether the process that runs has been told to end, or has been killed. */
     private volatile boolean toEnd;
@@ -142,6 +146,7 @@
         builder.environment().put("BALANCER_CONFIG", config.toString());
         builder.environment().put("TMPDIR", folder.toString());
         toEnd = false;
+        startedNanos = System.nanoTime();
         process = builder.start();
     }
 
@@ -252,7 +257,12 @@
         process.destroy();
     }
 
+    /** Not before a JVM can have a handler for it, as it would end by the signal. */
     void hangUp() throws IOException {
+        long wait = startedNanos + HANDLER_NANOS - System.nanoTime();
+        if (wait > 0) {
+            LockSupport.parkNanos(wait);
+        }
         signal("HUP");
     }
 
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -208,14 +208,16 @@
      *
      * @param edge its routes; null: none
      * @param folder where it keeps what outlasts it; null: nowhere
+     * @param sighup has it take new settings
      */
-    public static Proxy main(Edge edge, Kept folder) {
+    public static Proxy main(Edge edge, Kept folder, SighupHandler sighup) {
         Config config = configuration();
         try {
             Proxy proxy = new Proxy(config, edge, true, HandoverLink.folder(), folder);
             Runtime.getRuntime().addShutdownHook(new Thread(proxy::drain));
             String file = System.getenv("BALANCER_CONFIG");
-            if (!Hangup.on(() -> proxy.reload(file))) {
+            sighup.on(() -> proxy.reload(file));
+            if (!sighup.arrives()) {
                 System.err.println("SIGHUP is ignored where this was started (nohup?): " + file
                         + " is looked at twice a second in its place");
                 new FileWatch(Path.of(file), () -> proxy.reload(file)).start();
--- a/src/test/java/damsonworks/JarIT.java
+++ b/src/test/java/damsonworks/JarIT.java
@@ -263,6 +263,32 @@
         }
     }
 
+    /** The settings may come while the process warms up; before, it ended by the signal. */
+    @Test
+    void aSighupWhileItStartsDoesNotEndIt() throws Exception {
+        int port = freePort();
+        Path config = folder.resolve("config.json");
+        Files.writeString(
+                config,
+                Files.readString(Path.of("src/test/resources/config.json"))
+                        .replace("127.0.0.1:0", "127.0.0.1:" + port));
+        Process process = start("serve", config.toString());
+        try {
+            // The start of the program, well before it serves, is when its JVM has come to load the archive's classes.
+            Await.until(
+                    "it runs",
+                    () -> Files.readString(Path.of("/proc/" + process.pid() + "/maps"))
+                            .contains("netty"));
+            assertThat(process.isAlive()).isTrue();
+            new ProcessBuilder("kill", "-HUP", Long.toString(process.pid()))
+                    .start()
+                    .waitFor();
+            noop(port, process);
+        } finally {
+            process.destroyForcibly();
+        }
+    }
+
     private static String discoveredAt(String text, ServerSocket discovery) {
         return text.replace(
                 "\"discovery\": \"127.0.0.1:9\"", "\"discovery\": \"127.0.0.1:" + discovery.getLocalPort() + "\"");
