A client that has said nothing is not passed on in an upgrade: its time runs on

Cause, of the incident's class: the old process passed connections on that had had no answer yet, and its successor, which doesn't know since when they wait, let them rest for good. UpgradeTest's new test was seen to fail without.

--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -103,6 +103,11 @@
         return lastWrite != null;
     }
 
+    /** It has had an answer, here or of the process that accepted it: no first command of it is waited for. */
+    boolean served() {
+        return adopted || used();
+    }
+
     /** It has been ended from our side, or is on its way to another process. */
     boolean ending() {
         return finished || passing;
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -109,11 +109,11 @@
                 list);
         link = new HandoverLink(loop, shared, handover, acceptor, this::state);
         acceptor.retireBy(c -> {
-            if (handover.passes()) {
-                c.pass(link);
-            } else {
+            if (!handover.passes()) {
                 c.finish();
-            }
+            } else if (c.served()) {
+                c.pass(link);
+            } // else its first command is waited for here: another process does not know since when
         });
         drainer = new Drainer(loop, dispatcher, acceptor, this::ended);
         TakeoverLink old = TakeoverLink.ask(loop, shared); // as late as can be: what it tells is of now
--- a/src/test/java/damsonworks/LabIT.java
+++ b/src/test/java/damsonworks/LabIT.java
@@ -17,6 +17,8 @@
 /** The lab as people run it: several processes of the packaged program, and faults between them. */
 @Timeout(180)
 class LabIT {
+    private static final int TOO_BUSY_TO_JUDGE = 3;
+
     @TempDir
     private Path folder;
 
@@ -51,6 +53,39 @@
         return sum;
     }
 
+    /** Three seeds beside one another, as one after another would take too long for each change. */
+    @Test
+    void aShortSoakOfThreeSeedsHolds() throws Exception {
+        List<Process> soaks = new ArrayList<>();
+        List<Path> outs = new ArrayList<>();
+        for (int seed = 1; seed <= 3; seed++) {
+            Path out = folder.resolve("soak-" + seed);
+            outs.add(out);
+            soaks.add(new ProcessBuilder(
+                            Path.of(System.getProperty("java.home"), "bin", "java")
+                                    .toString(),
+                            "-jar",
+                            "target/damsonworks.jar",
+                            "lab",
+                            "soak",
+                            "--proxies",
+                            "3",
+                            "--for",
+                            "16s",
+                            "--seed",
+                            Integer.toString(seed))
+                    .redirectErrorStream(true)
+                    .redirectOutput(out.toFile())
+                    .start());
+        }
+        for (int i = 0; i < soaks.size(); i++) {
+            int code = soaks.get(i).waitFor();
+            String told = Files.readString(outs.get(i));
+            assertThat(told).doesNotContain("BROKEN").contains("bad clients were owed an answer");
+            assertThat(code).as(told).isIn(0, TOO_BUSY_TO_JUDGE);
+        }
+    }
+
     @Test
     void cutsAndKillsAreBorneAndSeen() throws Exception {
         Path json = folder.resolve("json");
--- a/src/test/java/damsonworks/proxy/UpgradeTest.java
+++ b/src/test/java/damsonworks/proxy/UpgradeTest.java
@@ -16,6 +16,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -117,6 +118,23 @@
         }
     }
 
+    /** What the old process waits for is not begun anew by its successor: three seconds are owed, whoever serves. */
+    @Test
+    void aClientThatSaysNothingHearsOfItInTimeThroughAnUpgrade() throws Exception {
+        try (Fleet fleet = serving(node());
+                Fleet.Client mute = fleet.client()) {
+            long owedBy = System.nanoTime() + TimeUnit.SECONDS.toNanos(3);
+            Await.until(
+                    "it has come", () -> fleet.on(() -> fleet.proxy.clients().open()) == 1);
+            successor(fleet);
+            Await.until("the successor is believed", () -> phase(fleet.proxy) == Phase.SERVED);
+            Thread ending = end(fleet.proxy);
+            mute.socket.setSoTimeout((int) TimeUnit.NANOSECONDS.toMillis(owedBy - System.nanoTime()));
+            assertThat(mute.ended()).isTrue();
+            ending.join();
+        }
+    }
+
     /** Clients that never pause, on old connections and on new ones, through several upgrades. */
     @Test
     void nothingIsTurnedBackUnheard() throws Exception {
