ClientConnection and Dispatcher: the line's parser, the input and the clock apart

Need: code that a newcomer can read; both files had grown by the mends. MetaCommand parses a client's line into a typed command, ClientInput owns when bytes came and how far they are read ahead, ProxyClock is the one clock.

--- a/src/main/java/damsonworks/proxy/ClientConnection.java
+++ b/src/main/java/damsonworks/proxy/ClientConnection.java
@@ -1,11 +1,8 @@
 package damsonworks.proxy;
 
 import damsonworks.figures.EventKind;
-import damsonworks.flow.ArrivalTimes;
-import damsonworks.flow.ReadAhead;
 import damsonworks.flow.ReadTimeout;
 import damsonworks.proxy.Exchange.Command;
-import damsonworks.proxy.Exchange.Terms;
 import damsonworks.route.Routing;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
@@ -25,11 +22,11 @@
     private static final long LINGER_MS = 300;
     /** A client that has taken nothing of its answers for so long is given up. */
     private static final double ANSWER_STALLED_MS = 10_000;
-    /** What is read in search of a client's end behind it. */
-    private static final int SEARCH_BYTES = 1 << 20;
-    /** Reads of one round of the event loop, after which more may be waiting (Netty's default). */
-    private static final int MAX_READS = 16;
 
+    private static final String BAD_FORMAT = "CLIENT_ERROR bad command line format\r\n";
+    /** Stands for a write of which no request can be made; its value is read and dropped. */
+    private static final Command NO_REQUEST =
+            new Command(Routing.META, "", null, true, null, DeadlineText.EMPTY, DeadlineText.EMPTY);
     /** A client waits for so long before it may send a value; then it is turned away. */
     private static final double ROOM_WAIT_MS = 2000;
 
@@ -54,13 +51,7 @@
     /** Whole commands may be waiting in the decoder. */
     private boolean decodingStopped;
 
-    private boolean readPaused;
-    private boolean readWhilePaused;
-    private int reads;
-    private final ArrivalTimes arrivals = new ArrivalTimes();
-    /** What may be read while no more requests are taken, with the time at which it came. */
-    private final ReadAhead.Part readAhead;
-
+    private final ClientInput input;
     private final boolean adopted;
     private ReadTimeout readTimeout;
     private boolean readTimerSet;
@@ -77,7 +68,7 @@
     ClientConnection(Dispatcher dispatcher, boolean adopted) {
         this.dispatcher = dispatcher;
         this.adopted = adopted;
-        readAhead = dispatcher.readAhead().part();
+        input = new ClientInput(dispatcher);
     }
 
     @Override
@@ -138,40 +129,15 @@
     // ---- what is read, and when it came
 
     @Override
-    public void channelRead(ChannelHandlerContext context, Object input) throws Exception {
-        ByteBuf bytes = (ByteBuf) input;
-        if (bytes.isReadable()) {
-            reads++;
-            // Only a client's end is told of while nothing is read, and it is told once: it stands behind these bytes.
-            readWhilePaused |= readPaused;
-            arrivals.received(bytes.readableBytes(), dispatcher.inputCameMs(context.channel()), idle());
-            if (bytes.isWritable()) {
-                arrivals.drained(dispatcher.now());
-            }
-        }
-        super.channelRead(context, input);
+    public void channelRead(ChannelHandlerContext context, Object bytes) throws Exception {
+        input.read(context, (ByteBuf) bytes, idle());
+        super.channelRead(context, bytes);
     }
 
     @Override
     public void channelReadComplete(ChannelHandlerContext context) throws Exception {
-        if (!readPaused && reads < MAX_READS) {
-            arrivals.drained(dispatcher.now());
-        } else if (reads > 0) {
-            arrivals.mayWait(dispatcher.now());
-        }
-        reads = 0;
         super.channelReadComplete(context);
-        if (readWhilePaused) {
-            readWhilePaused = false;
-            if (actualReadableBytes() < SEARCH_BYTES) {
-                context.read();
-            }
-        }
-    }
-
-    /** When the last byte that has been taken out of this input came. */
-    private double cameMs(ByteBuf in) {
-        return arrivals.cameAtMs(arrivals.received() - in.readableBytes());
+        input.readComplete(context, actualReadableBytes());
     }
 
     /** Nothing more is taken from the client for now, as it has enough under way or can't be answered. */
@@ -209,7 +175,7 @@
         if (incoming != null) {
             dropIncoming();
         }
-        if (arrivals.received() == 0) {
+        if (!input.any()) {
             finish(); // a line would be taken for the answer to a request that is on its way
         } else {
             say("CLIENT_ERROR timed out\r\n");
@@ -249,97 +215,44 @@
     private void stopDecoding(ByteBuf in) {
         decodingStopped = true;
         readTimeout.blocked(true, dispatcher.now());
-        if (!readAhead.mayReadOn(in.readableBytes())) {
-            pauseReading();
-        }
+        input.blocked(ctx, in.readableBytes());
     }
 
     private void line(ByteBuf in) throws MetaCodec.SyntaxException {
         String line = MetaCodec.line(in);
         if (line != null) {
             readTimeout.commandEnded();
-            command(line, cameMs(in));
+            command(line, input.takenCameMs(in.readableBytes()));
         } else if (in.isReadable()) {
-            double beganMs = arrivals.cameAtMs(arrivals.received() - in.readableBytes() + 1);
-            readTimeout.lineBegun(Math.max(beganMs, resumedMs));
+            readTimeout.lineBegun(Math.max(input.nextCameMs(in.readableBytes()), resumedMs));
             setReadTimer();
         }
     }
 
     private void command(String line, double cameMs) throws MetaCodec.SyntaxException {
-        if (line.equals("mn")) {
-            say(dispatcher.drainTold() ? "SERVER_ERROR draining\r\n" : "MN\r\n");
-            return;
-        }
-        boolean write = line.startsWith("ms ");
-        if (!write && !line.startsWith("mg ")) {
-            say("ERROR\r\n");
-            return;
-        }
-        String key = MetaCodec.wordAt(line, 3);
-        int flags = 3 + key.length() + 1;
-        int length = 0;
-        if (write) {
-            String word = MetaCodec.wordAt(line, flags);
-            length = MetaCodec.length(word);
-            flags += word.length() + 1;
-        }
-        String id = MetaCodec.flag(line, flags, 'O');
-        String extras = MetaCodec.flag(line, flags, 'P');
-        boolean bad =
-                key.isEmpty() || key.length() > 250 || id == null || id.isEmpty() || extras == null || !printable(line);
-        if (bad && !write) {
-            say("CLIENT_ERROR bad command line format\r\n");
-            return;
-        }
-        Command command = bad ? null : command(line, key, id, extras, flags, write);
-        if (write) {
-            incoming = command != null
-                    ? command
-                    : new Command(Routing.META, key, null, true, null, DeadlineText.EMPTY, DeadlineText.EMPTY);
-            missing = length + 2;
-            readTimeout.valueBegun(Math.max(cameMs, resumedMs));
-            setReadTimer();
-            if (command != null) {
-                claimRoom(command);
+        MetaCommand parsed = MetaCommand.parse(line);
+        switch (parsed.kind()) {
+            case NOOP -> say(dispatcher.drainTold() ? "SERVER_ERROR draining\r\n" : "MN\r\n");
+            case UNKNOWN -> say("ERROR\r\n");
+            case READ -> {
+                if (parsed.command() == null) {
+                    say(BAD_FORMAT);
+                } else {
+                    take(parsed.command(), cameMs);
+                }
             }
-        } else {
-            take(command, cameMs);
-        }
-    }
-
-    /** Guards the servers' connections: one that reads what it can't make out closes on all that wait there. */
-    private static boolean printable(String line) {
-        return line.chars().allMatch(c -> c >= ' ' && c <= '~');
-    }
-
-    private static Command command(String line, String key, String id, String extras, int flags, boolean write) {
-        int list = line.indexOf(" P", flags - 1) + 2;
-        int deadline = MetaCodec.valueAt(extras, "d");
-        int deadlineInLine = deadline < 0 ? -1 : list + deadline;
-        Terms terms = new Terms(
-                MetaCodec.named(extras, "c"),
-                MetaCodec.named(extras, "t"),
-                figure(extras, "d", Double.NaN),
-                figure(extras, "h", Double.NaN),
-                (float) figure(extras, "size", 0),
-                "1".equals(MetaCodec.named(extras, "r")));
-        return new Command(
-                Routing.META,
-                key,
-                id,
-                write,
-                terms,
-                DeadlineText.of(extras, deadline),
-                DeadlineText.of(line, deadlineInLine));
-    }
-
-    private static double figure(String extras, String name, double absent) {
-        String text = MetaCodec.named(extras, name);
-        try {
-            return text == null ? absent : Double.parseDouble(text);
-        } catch (NumberFormatException e) {
-            return absent;
+            case WRITE -> beginValue(parsed, cameMs);
+        }
+    }
+
+    /** A value follows, whatever is made of it. */
+    private void beginValue(MetaCommand write, double cameMs) {
+        incoming = write.command() != null ? write.command() : NO_REQUEST;
+        missing = write.valueLength() + 2;
+        readTimeout.valueBegun(Math.max(cameMs, resumedMs));
+        setReadTimer();
+        if (write.command() != null) {
+            claimRoom(write.command());
         }
     }
 
@@ -388,7 +301,7 @@
             if (command.id != null) {
                 dispatcher.counters().ended(command.terms.kind(), Counters.Ending.DECLINED);
             }
-            say(command.id == null ? "CLIENT_ERROR bad command line format\r\n" : MetaCodec.BUSY + "\r\n");
+            say(command.id == null ? BAD_FORMAT : MetaCodec.BUSY + "\r\n");
             return;
         }
         command.value = value.whole();
@@ -398,7 +311,7 @@
             command.release();
             throw new MetaCodec.SyntaxException("bad data chunk");
         }
-        take(command, cameMs(in));
+        take(command, input.takenCameMs(in.readableBytes()));
     }
 
     private void take(Command command, double cameMs) {
@@ -615,27 +528,15 @@
         }
         if (decodingStopped && !blocked()) {
             decodingStopped = false;
-            readAhead.release();
             resumedMs = dispatcher.now();
             readTimeout.blocked(false, resumedMs);
             setReadTimer();
-            if (readPaused) {
-                readPaused = false;
-                ctx.channel().config().setAutoRead(true);
-            }
+            input.unblocked(ctx);
             // What has been read already waits in the decoder; it is not told of the pause's end otherwise.
             ctx.executor().execute(() -> ctx.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER));
         }
     }
 
-    private void pauseReading() {
-        if (!readPaused) {
-            arrivals.mayWait(dispatcher.now());
-        }
-        readPaused = true;
-        ctx.channel().config().setAutoRead(false);
-    }
-
     /**
      * Ends the connection from our side and waits for the client to do so: closing with unread input would send a
      * reset, which could overtake the last answer.
@@ -661,7 +562,7 @@
     public void channelInactive(ChannelHandlerContext context) throws Exception {
         closing = true;
         finished = true;
-        readAhead.release();
+        input.release();
         super.channelInactive(context);
         if (incoming != null) {
             dropIncoming();
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -37,12 +37,8 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelException;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.epoll.Epoll;
-import io.netty.channel.epoll.EpollSocketChannel;
-import io.netty.channel.epoll.EpollTcpInfo;
 import io.netty.util.collection.IntObjectHashMap;
 import io.netty.util.internal.PlatformDependent;
 import java.io.IOException;
@@ -69,9 +65,6 @@
     /** A day; what is longer is no deadline. */
     private static final double MAX_WAIT_MS = 86_400_000;
 
-    /** Bytes of a client that were last added to so long ago have not waited: the system's figure is no time then. */
-    private static final double MAX_UNREAD_MS = 600_000;
-
     /** Of a server that is not in the list. */
     private static final Permits.Place NOWHERE = new Permits.Place(-1, -1);
 
@@ -85,9 +78,9 @@
 
     private final EventLoop loop;
     private final LoopClock loopClock;
+    private final ProxyClock clock;
     private final EventLog events = new EventLog(System.err, this::now);
     private final RuleMonitor rules = new RuleMonitor(events);
-    private final EpollTcpInfo tcpInfo = Epoll.isAvailable() ? new EpollTcpInfo() : null;
     private final Timers timers;
     private final Counters counters = new Counters();
     private final Map<String, Integer> classes = new HashMap<>();
@@ -98,8 +91,6 @@
 
     private final RecentIds ended = new RecentIds();
     private final ArrayDeque<Runnable> waiting = new ArrayDeque<>();
-    private final double epochMs = System.currentTimeMillis();
-    private final long startNanos = System.nanoTime();
     private final ByteBudget values;
     private final ReadAhead readAhead = new ReadAhead(PlatformDependent.maxDirectMemory() / READ_AHEAD_PART);
     private final Servers servers;
@@ -149,6 +140,7 @@
     Dispatcher(EventLoop loop, LoopClock loopClock, Config config, Class<? extends Channel> upstream) {
         this.loop = loop;
         this.loopClock = loopClock;
+        clock = new ProxyClock(loopClock);
         timers = new Timers(loop);
         startedMs = now();
         use(config);
@@ -266,27 +258,14 @@
         servers.close();
     }
 
-    /** Unix time in milliseconds at the start, monotonic from there: list times need no conversion. */
+    /** The time of {@link ProxyClock}, which every span is measured by. */
     double now() {
-        return epochMs + (System.nanoTime() - startNanos) / 1e6;
+        return clock.now();
     }
 
-    /**
-     * When input that is being read from this connection came, on the clock of {@link #now}; no later, as far as the
-     * system or the event loop can tell.
-     */
+    /** When input that is being read from this connection came, on the clock of {@link #now}. */
     double inputCameMs(Channel channel) {
-        double now = now();
-        double sinceMs = now - (System.nanoTime() - loopClock.inputSinceNanos()) / 1e6;
-        if (channel instanceof EpollSocketChannel socket) {
-            try {
-                double quietMs = socket.tcpInfo(tcpInfo).lastDataRecv();
-                return quietMs <= MAX_UNREAD_MS ? Math.min(sinceMs, now - quietMs) : sinceMs;
-            } catch (ChannelException e) {
-                return sinceMs; // the connection has ended, or the system does not tell
-            }
-        }
-        return sinceMs;
+        return clock.inputCameMs(channel);
     }
 
     /** A client has stopped in the middle of a request, or has not sent one. */
--- /dev/null
+++ b/src/main/java/damsonworks/proxy/ProxyClock.java
@@ -0,0 +1,46 @@
+package damsonworks.proxy;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelException;
+import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.epoll.EpollTcpInfo;
+
+/**
+ * The one clock of a proxy: Unix time in milliseconds at its start, monotonic from there, so that list times need no
+ * conversion and no step of the wall clock is seen. Also tells when input came that is read now. On the event loop
+ * only, but for {@link #now}.
+ */
+final class ProxyClock {
+    /** Bytes of a client that were last added to so long ago have not waited: the system's figure is no time then. */
+    private static final double MAX_UNREAD_MS = 600_000;
+
+    private final double epochMs = System.currentTimeMillis();
+    private final long startNanos = System.nanoTime();
+    private final LoopClock loopClock;
+    private final EpollTcpInfo tcpInfo = Epoll.isAvailable() ? new EpollTcpInfo() : null;
+
+    ProxyClock(LoopClock loopClock) {
+        this.loopClock = loopClock;
+    }
+
+    /** The time now. */
+    double now() {
+        return epochMs + (System.nanoTime() - startNanos) / 1e6;
+    }
+
+    /** When input that is being read from this connection came; no later, as far as system or event loop can tell. */
+    double inputCameMs(Channel channel) {
+        double now = now();
+        double sinceMs = now - (System.nanoTime() - loopClock.inputSinceNanos()) / 1e6;
+        if (channel instanceof EpollSocketChannel socket) {
+            try {
+                double quietMs = socket.tcpInfo(tcpInfo).lastDataRecv();
+                return quietMs <= MAX_UNREAD_MS ? Math.min(sinceMs, now - quietMs) : sinceMs;
+            } catch (ChannelException e) {
+                return sinceMs; // the connection has ended, or the system does not tell
+            }
+        }
+        return sinceMs;
+    }
+}
