System calls that fail: accepting goes on, and what could not be made is told on the loop

Cause: where the system has no socket to give, Netty hands out a channel of no event loop and tells of it on a thread of its own (GlobalEventExecutor): UpstreamConnection and DiscoveryClient changed their state there, beside the loop, and attempts stayed waited for until their deadline. After an error of accept Netty accepts nothing for a second. Change: package proxy.transport: Connecting brings every end of a connection that is being made to the event loop; AcceptErrors goes on after 20 ms, counted and logged. Test: SyscallFaultsIT plays the packaged program with a library of our own preloaded (src/test/c/faults.c): accept4, socket, connect, epoll_wait, short and interrupted reads and writes, by a seed, each logged; a run without any fails.

--- a/src/main/java/damsonworks/figures/EventKind.java
+++ b/src/main/java/damsonworks/figures/EventKind.java
@@ -6,6 +6,8 @@
 public enum EventKind {
     /** A client was ended as it stopped in the middle of a request, or sent none. */
     CLIENT_TIMED_OUT,
+    /** A connection of a client could not be accepted. */
+    ACCEPT_FAILED,
     /** A client was ended as it did not take its answers. */
     CLIENT_STALLED,
     /** A client sent what can't be read; its connection ends. */
--- a/src/main/java/damsonworks/figures/Work.java
+++ b/src/main/java/damsonworks/figures/Work.java
@@ -37,7 +37,9 @@
     /** Clients that were ended as they stopped in the middle of a request, or sent none. */
     CLIENTS_TIMED_OUT("clients timed out"),
     /** Times in which the event loop stood still for longer than deadlines allow for. */
-    HELD_UPS("held up");
+    HELD_UPS("held up"),
+    /** Connections of clients that the system could not hand over. */
+    ACCEPTS_FAILED("accepts failed");
 
     private final String words;
 
--- a/src/main/java/damsonworks/proxy/Acceptor.java
+++ b/src/main/java/damsonworks/proxy/Acceptor.java
@@ -1,5 +1,6 @@
 package damsonworks.proxy;
 
+import damsonworks.proxy.transport.AcceptErrors;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
@@ -85,6 +86,7 @@
     private ServerBootstrap bootstrap(EventLoopGroup group) {
         return new ServerBootstrap()
                 .group(group)
+                .handler(new AcceptErrors(this::regulate, dispatcher::acceptFailed))
                 .option(ChannelOption.SO_BACKLOG, BACKLOG)
                 .option(ChannelOption.SO_REUSEADDR, true)
                 .childOption(ChannelOption.TCP_NODELAY, true)
@@ -116,6 +118,9 @@
     }
 
     private void regulate() {
+        if (server == null) {
+            return; // it has accepted before it was handed over
+        }
         server.config()
                 .setAutoRead(!left && (clients.size() <= maxClients || clients.size() - lingering() <= maxClients));
     }
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -268,6 +268,12 @@
         return clock.inputCameMs(channel);
     }
 
+    /** A connection of a client could not be accepted. */
+    void acceptFailed(Throwable cause) {
+        counters.did(Work.ACCEPTS_FAILED);
+        log(EventKind.ACCEPT_FAILED, String.valueOf(cause.getMessage()));
+    }
+
     /** A client has stopped in the middle of a request, or has not sent one. */
     void clientTimedOut(Object who, ReadTimeout at) {
         counters.did(Work.CLIENTS_TIMED_OUT);
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -4,6 +4,7 @@
 import damsonworks.figures.EventKind;
 import damsonworks.figures.Work;
 import damsonworks.proxy.Exchange.Attempt;
+import damsonworks.proxy.transport.Connecting;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -69,31 +70,35 @@
     }
 
     void opening(ChannelFuture future, SocketAddress to) {
-        channel = future.channel();
+        channel = Connecting.channel(future);
         dial = to;
-        future.addListener(f -> {
-            if (!f.isSuccess()) {
+        Connecting.whenDone(upstream.dispatcher().loop(), future, () -> {
+            if (future.isSuccess()) {
+                opened();
+            } else {
                 upstream.dispatcher().counters().did(Work.CONNECTIONS_FAILED);
                 closed();
-                return;
             }
-            expireWaiting();
-            connected = true;
-            if (attempts.isEmpty()) {
-                idleSinceMs = upstream.dispatcher().now();
-                if (retired) {
-                    close();
-                }
+        });
+    }
+
+    private void opened() {
+        expireWaiting();
+        connected = true;
+        if (attempts.isEmpty()) {
+            idleSinceMs = upstream.dispatcher().now();
+            if (retired) {
+                close();
             }
-            for (Attempt waiting : List.copyOf(attempts)) {
-                if (waiting.exchange == null || upstream.dispatcher().mayBegin(waiting)) {
-                    write(waiting);
-                } else {
-                    attempts.remove(waiting);
-                    upstream.dispatcher().end(waiting, Outcome.NOT_SENT, 0, null, null);
-                }
+        }
+        for (Attempt waiting : List.copyOf(attempts)) {
+            if (waiting.exchange == null || upstream.dispatcher().mayBegin(waiting)) {
+                write(waiting);
+            } else {
+                attempts.remove(waiting);
+                upstream.dispatcher().end(waiting, Outcome.NOT_SENT, 0, null, null);
             }
-        });
+        }
     }
 
     /** A long answer is being passed on. */
--- a/src/main/java/damsonworks/proxy/discovery/DiscoveryClient.java
+++ b/src/main/java/damsonworks/proxy/discovery/DiscoveryClient.java
@@ -5,6 +5,7 @@
 import com.google.gson.JsonObject;
 import com.google.gson.JsonParser;
 import damsonworks.RoutingApi.ListKind;
+import damsonworks.proxy.transport.Connecting;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
@@ -306,6 +307,8 @@
         private Channel channel;
         private Consumer<JsonObject> waiting;
         private Future<?> timer;
+        /** Connections that were made, or given up before they came up. */
+        private int calls;
 
         /**
          * Calls; the consumer gets the answer, or null where there is none that can be used.
@@ -333,12 +336,13 @@
                         }
                     })
                     .connect(settings.address());
-            channel = connecting.channel();
-            connecting.addListener(f -> {
-                if (connecting.channel() != channel) {
+            channel = Connecting.channel(connecting);
+            int call = ++calls;
+            Connecting.whenDone(loop, connecting, () -> {
+                if (call != calls) {
                     return; // closed meanwhile; what waits now waits on another
                 }
-                if (f.isSuccess()) {
+                if (connecting.isSuccess()) {
                     write(channel, path);
                 } else {
                     done(null);
@@ -359,6 +363,7 @@
 
         void close() {
             waiting = null;
+            calls++;
             if (timer != null) {
                 timer.cancel(false);
             }
--- /dev/null
+++ b/src/test/java/damsonworks/proxy/SyscallFaultsIT.java
@@ -0,0 +1,186 @@
+package damsonworks.proxy;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.fail;
+import static org.junit.jupiter.api.Assumptions.abort;
+
+import com.google.gson.JsonArray;
+import damsonworks.Await;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/**
+ * The packaged program while system calls on its sockets fail: each request has one final answer, and in time. The
+ * faults are injected by a library of the project's own (src/test/c/faults.c) and logged; a run without any proves
+ * nothing.
+ */
+@Timeout(120)
+class SyscallFaultsIT {
+    private static final int DEADLINE_MS = 900;
+    private static final int CLIENTS = 6;
+    private static final int REQUESTS = 60;
+
+    @TempDir
+    private Path folder;
+
+    private Path shim() throws IOException, InterruptedException {
+        Path shim = folder.resolve("faults.so");
+        try {
+            Process compiler = new ProcessBuilder(
+                            "cc", "-O1", "-shared", "-fPIC", "-o", shim.toString(), "src/test/c/faults.c", "-ldl")
+                    .inheritIO()
+                    .start();
+            assertThat(compiler.waitFor()).isZero();
+        } catch (IOException e) {
+            if (System.getenv("CI") != null) {
+                fail("CI requires a C compiler for the faults of system calls", e);
+            }
+            abort("no C compiler: the faults of system calls were not played");
+        }
+        return shim;
+    }
+
+    private Path config(int port, FakeServer... nodes) throws IOException {
+        Fleet fleet = new Fleet();
+        JsonArray hosts = new JsonArray();
+        for (FakeServer node : nodes) {
+            hosts.add(Fleet.host("s-0000000" + hosts.size(), "node-fast", node.dial(), "up"));
+        }
+        fleet.config.add("known", Fleet.list(41, true, hosts));
+        fleet.config.addProperty("listen", "127.0.0.1:" + port);
+        return Files.writeString(folder.resolve("config.json"), fleet.config.toString());
+    }
+
+    private Process start(Path config, String faults) throws IOException, InterruptedException {
+        ProcessBuilder builder = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-jar",
+                        "target/damsonworks.jar",
+                        "serve")
+                .redirectErrorStream(true)
+                .redirectOutput(folder.resolve("log").toFile());
+        builder.environment().put("LD_PRELOAD", shim().toString());
+        builder.environment().put("FAULTS", faults);
+        builder.environment().put("FAULTS_LOG", folder.resolve("faults").toString());
+        builder.environment().put("TMPDIR", folder.toString());
+        builder.environment().put("BALANCER_CONFIG", config.toString());
+        return builder.start();
+    }
+
+    /** One request on a connection of its own; what was wrong with its answer, or null. */
+    private static String request(int port, String id) throws IOException {
+        long sent = System.nanoTime();
+        try (Socket socket = new Socket(InetAddress.getByName("127.0.0.1"), port)) {
+            socket.setSoTimeout(10_000);
+            String read = "mg " + Integer.toHexString(id.hashCode()) + " v O" + id + " Pc=text,d=" + DEADLINE_MS;
+            socket.getOutputStream().write((read + "\r\n").getBytes(UTF_8));
+            String line = FakeServer.line(socket.getInputStream());
+            long ms = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sent);
+            boolean answer = line != null && (line.startsWith("VA 5 O" + id) || line.startsWith("SERVER_ERROR"));
+            return answer && ms <= DEADLINE_MS ? null : id + ": " + line + " after " + ms + " ms";
+        }
+    }
+
+    private static List<String> wrong(int port) throws Exception {
+        ExecutorService clients = Executors.newFixedThreadPool(CLIENTS);
+        Queue<String> wrong = new ConcurrentLinkedQueue<>();
+        List<Future<?>> done = new ArrayList<>();
+        for (int c = 0; c < CLIENTS; c++) {
+            int client = c;
+            done.add(clients.submit(() -> {
+                for (int i = 0; i < REQUESTS; i++) {
+                    String what = request(port, client + "-" + i);
+                    if (what != null) {
+                        wrong.add(what);
+                    }
+                }
+                return null;
+            }));
+        }
+        for (Future<?> f : done) {
+            f.get();
+        }
+        clients.shutdown();
+        return List.copyOf(wrong);
+    }
+
+    private static List<String> threads(Process process) throws IOException {
+        List<String> names = new ArrayList<>();
+        try (Stream<Path> tasks = Files.list(Path.of("/proc/" + process.pid() + "/task"))) {
+            for (Path task : tasks.toList()) {
+                names.add(Files.readString(task.resolve("comm")).strip());
+            }
+        }
+        return names;
+    }
+
+    /** Ends each connection after its answer, so that the proxy makes many. */
+    private static FakeServer node() throws IOException {
+        return new FakeServer(c -> c.say("VA 5 O" + FakeServer.id(c.command()) + " h1\r\nhello\r\n"));
+    }
+
+    private void holds(String faults, String... calls) throws Exception {
+        FakeServer one = node();
+        FakeServer two = node();
+        int port;
+        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            port = free.getLocalPort();
+        }
+        Process process = start(config(port, one, two), faults + ",after_ms=4000");
+        try {
+            Await.until("it serves", () -> request(port, "ready" + System.nanoTime()) == null);
+            Await.until("faults begin", () -> {
+                request(port, "warm" + System.nanoTime());
+                return Files.exists(folder.resolve("faults")) && Files.size(folder.resolve("faults")) > 0;
+            });
+            assertThat(wrong(port)).isEmpty();
+            assertThat(process.isAlive()).isTrue();
+            String injected = Files.readString(folder.resolve("faults"));
+            assertThat(injected).contains(calls);
+            assertThat(Files.readString(folder.resolve("log"))).doesNotContain("breach: ", "fault: ");
+            // Netty's own thread for what belongs to no event loop: nothing of the proxy may run on it.
+            assertThat(threads(process)).noneMatch(name -> name.startsWith("globalEvent"));
+        } finally {
+            process.destroyForcibly();
+            one.close();
+            two.close();
+        }
+    }
+
+    @Test
+    void acceptFails() throws Exception {
+        holds("seed=1,accept=0.3", "accept4 103", "accept4 23", "accept4 105");
+    }
+
+    @Test
+    void socketAndConnectFail() throws Exception {
+        holds("seed=2,socket=0.3,connect=0.3", "socket 23", "socket 105", "connect 99", "connect 101");
+    }
+
+    @Test
+    void callsAreInterruptedAndReadsAndWritesAreShort() throws Exception {
+        holds("seed=3,wait=0.2,intr=0.2,short=0.5", "epoll_wait 4", " 4\n", " 0\n");
+    }
+
+    @Test
+    void allOfItTogether() throws Exception {
+        holds("seed=4,accept=0.1,socket=0.1,connect=0.1,wait=0.1,intr=0.1,short=0.2", "accept4", "epoll_wait");
+    }
+}
