--- a/src/main/java/damsonworks/flow/ArrivalTimes.java
+++ b/src/main/java/damsonworks/flow/ArrivalTimes.java
@@ -21,10 +21,18 @@
     /** The same where nothing of this client is under way, so that nothing slows its bytes down. */
     static final double IDLE_REFILL_MS = 2;
 
+    /**
+     * What the system here and the sender's keep of a connection that is not read. What comes behind so much had no
+     * room to wait: its sender was still sending, as in the middle of a long value.
+     */
+    static final int MAX_WAITING_BYTES = 1 << 20;
+
     private final ArrayDeque<Piece> pieces = new ArrayDeque<>(2);
     private long received;
     /** Since when bytes may have been waiting, in the system or for room there; NaN: none may. */
     private double waitingSinceMs = Double.NaN;
+    /** Bytes that have been read since then. */
+    private long waitedBytes;
     /** When all was read that the system held; NaN: not since bytes have been waiting. */
     private double drainedMs = Double.NaN;
 
@@ -34,6 +42,7 @@
     public void mayWait(double sinceMs) {
         if (Double.isNaN(waitingSinceMs)) {
             waitingSinceMs = sinceMs;
+            waitedBytes = 0;
         }
         drainedMs = Double.NaN;
     }
@@ -56,11 +65,12 @@
         if (bytes <= 0) {
             return;
         }
-        if (atMs - drainedMs > (idle ? IDLE_REFILL_MS : REFILL_MS)) {
+        if (atMs - drainedMs > (idle ? IDLE_REFILL_MS : REFILL_MS) || waitedBytes > MAX_WAITING_BYTES) {
             waitingSinceMs = Double.NaN;
         }
         drainedMs = Double.NaN;
         received += bytes;
+        waitedBytes += bytes;
         add(Double.isNaN(waitingSinceMs) ? atMs : Math.min(atMs, waitingSinceMs));
     }
 
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -810,7 +810,7 @@
     void telling(Attempt a, long remainingMs) {
         Exchange x = a.exchange;
         double left = x == null ? Double.POSITIVE_INFINITY : x.dueMs - now();
-        if (Permits.toldTooMuch(remainingMs, left)) {
+        if (Permits.toldTooMuch((double) remainingMs, left)) {
             rules.breached(Breach.TOLD_TOO_MUCH, x, remainingMs + " ms, " + Math.round(left) + " ms are left");
         }
     }
--- a/src/main/java/damsonworks/proxy/SighupHandler.java
+++ b/src/main/java/damsonworks/proxy/SighupHandler.java
@@ -23,9 +23,10 @@
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> type = Class.forName("sun.misc.SignalHandler");
+            Runnable signalled = handler::signalled;
             MethodHandle run = MethodHandles.lookup()
-                    .findVirtual(SighupHandler.class, "signalled", MethodType.methodType(void.class))
-                    .bindTo(handler);
+                    .findVirtual(Runnable.class, "run", MethodType.methodType(void.class))
+                    .bindTo(signalled);
             Object before = signal.getMethod("handle", signal, type)
                     .invoke(
                             null,
--- a/src/test/java/damsonworks/flow/ArrivalTimesTest.java
+++ b/src/test/java/damsonworks/flow/ArrivalTimesTest.java
@@ -48,6 +48,18 @@
         assertThat(times.cameAtMs(21)).isEqualTo(901 + ArrivalTimes.REFILL_MS + 1);
     }
 
+    /** The rest of a long value that had to wait for room is sent once there is some. */
+    @Test
+    void whatComesBehindAllThatCanWaitHasNotWaited() {
+        ArrivalTimes times = new ArrivalTimes();
+        times.mayWait(100);
+        times.received(ArrivalTimes.MAX_WAITING_BYTES + 1, 2000, false);
+        times.drained(2000);
+        times.received(10, 2001, false);
+        assertThat(times.cameAtMs(ArrivalTimes.MAX_WAITING_BYTES + 1)).isEqualTo(100);
+        assertThat(times.cameAtMs(ArrivalTimes.MAX_WAITING_BYTES + 2)).isEqualTo(2001);
+    }
+
     @Test
     void whatAClientSendsThatHasAllItsAnswersHasNotWaited() {
         ArrivalTimes times = new ArrivalTimes();
