The system's word on when input came goes before the event loop's where it has one

Suspect: the earlier of two estimates was taken as the time of arrival, and where processes are held back by their share of a core the event loop's is too early by each hold, so deadlines came too soon. Change: ProxyClock takes TCP_INFO's figure alone once that has been seen to tell anything but now; LoopClock takes no round under 20 ms for a hold-up, and servers are told 20 ms less in turn.

--- a/src/main/java/damsonworks/proxy/LoopClock.java
+++ b/src/main/java/damsonworks/proxy/LoopClock.java
@@ -15,8 +15,13 @@
  * have come as soon as it had looked before. Wraps the handler of one loop, and is used on it alone.
  */
 final class LoopClock implements IoHandler {
+    /** By how much input may have come earlier than it is taken to have. */
+    static final int TOLERATED_MS = 20;
+
     /** A wait that ends sooner found input that had come before it. */
     private static final long WAITED_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+    /** A round of the loop that takes no longer has not held it up; what servers are told leaves as much out. */
+    private static final long TOLERATED_NANOS = TimeUnit.MILLISECONDS.toNanos(TOLERATED_MS);
     /** A wait that ends later than it should by more than this has been held up itself. */
     private static final long OVERSLEPT_NANOS = TimeUnit.MILLISECONDS.toNanos(20);
 
@@ -77,7 +82,7 @@
         waitEnded();
         long waited = returnedNanos - enteredNanos;
         if (waited < WAITED_NANOS) {
-            return returnedBeforeNanos;
+            return enteredNanos - returnedBeforeNanos > TOLERATED_NANOS ? returnedBeforeNanos : returnedNanos;
         }
         return waited > mayWaitNanos + OVERSLEPT_NANOS ? enteredNanos : returnedNanos;
     }
--- a/src/main/java/damsonworks/proxy/ProxyClock.java
+++ b/src/main/java/damsonworks/proxy/ProxyClock.java
@@ -20,6 +20,9 @@
     private final LoopClock loopClock;
     private final EpollTcpInfo tcpInfo = Epoll.isAvailable() ? new EpollTcpInfo() : null;
 
+    /** Whether the system has told of a time other than now. */
+    private boolean systemTells;
+
     ProxyClock(LoopClock loopClock) {
         this.loopClock = loopClock;
     }
@@ -29,18 +32,32 @@
         return epochMs + (System.nanoTime() - startNanos) / 1e6;
     }
 
-    /** When input that is being read from this connection came; no later, as far as system or event loop can tell. */
+    /**
+     * When input that is being read from this connection came. The system knows it to some milliseconds. Where it has
+     * not been seen to tell (another transport, or one that stands in for the system), the event loop's word holds: no
+     * later than it can have been, and so perhaps too early.
+     */
     double inputCameMs(Channel channel) {
         double now = now();
-        double sinceMs = now - (System.nanoTime() - loopClock.inputSinceNanos()) / 1e6;
+        double quietMs = quietMs(channel);
+        if (quietMs > 0) {
+            systemTells = true;
+        }
+        return systemTells && quietMs >= 0
+                ? now - quietMs
+                : now - (System.nanoTime() - loopClock.inputSinceNanos()) / 1e6;
+    }
+
+    /** For how long nothing has come on the connection; negative if that is not known. */
+    private double quietMs(Channel channel) {
         if (channel instanceof EpollSocketChannel socket) {
             try {
                 double quietMs = socket.tcpInfo(tcpInfo).lastDataRecv();
-                return quietMs <= MAX_UNREAD_MS ? Math.min(sinceMs, now - quietMs) : sinceMs;
+                return quietMs <= MAX_UNREAD_MS ? quietMs : -1;
             } catch (ChannelException e) {
-                return sinceMs; // the connection has ended, or the system does not tell
+                return -1; // the connection has ended, or the system does not tell
             }
         }
-        return sinceMs;
+        return -1;
     }
 }
--- a/src/main/java/damsonworks/proxy/UpstreamConnection.java
+++ b/src/main/java/damsonworks/proxy/UpstreamConnection.java
@@ -162,7 +162,8 @@
     }
 
     private void write(Attempt attempt) {
-        long remainingMs = attempt.remainingMs(upstream.dispatcher().now());
+        // Less by what may be wrong with the time at which the request came.
+        long remainingMs = attempt.remainingMs(upstream.dispatcher().now() + LoopClock.TOLERATED_MS);
         upstream.dispatcher().telling(attempt, remainingMs);
         codec.write(channel, attempt, remainingMs, dial).addListener(f -> {
             if (f.isSuccess()) {
