Three event kinds that nothing logs, and a check that stood twice, are gone

No change of behaviour: CliTest, LogBudgetTest, SoakPlanTest, ArchitectureTest, linter and style green; the whole suite was not run again on it.

--- a/src/main/java/damsonworks/cli/LabCommand.java
+++ b/src/main/java/damsonworks/cli/LabCommand.java
@@ -52,6 +52,12 @@
         return spec.commandLine().getOut();
     }
 
+    private void checkRepeat(int repeat) {
+        if (repeat < 1 || repeat > 1000) {
+            throw new ParameterException(spec.commandLine(), "--repeat takes 1 to 1000, not " + repeat);
+        }
+    }
+
     private ScenarioFile read(Path file) {
         Problems problems = new Problems();
         ScenarioFile scenario = ScenarioFile.read(file, problems);
@@ -103,9 +109,7 @@
         if (scenarios.contains(null)) {
             return Cli.USAGE;
         }
-        if (repeat < 1 || repeat > 1000) {
-            throw new ParameterException(spec.commandLine(), "--repeat takes 1 to 1000, not " + repeat);
-        }
+        checkRepeat(repeat);
         @SuppressWarnings("SystemConsoleNull") // holds on Java 17; from 22 on, Console.isTerminal() is to be asked
         boolean terminal = System.console() != null;
         Consumer<String> progress = line -> {
@@ -182,9 +186,7 @@
             @Option(names = "--plan", paramLabel = "FILE", description = "Plays this plan, and draws none.") Path plan,
             @Option(names = "--logs", paramLabel = "DIR", description = "Keeps the proxies' logs.") Path logs)
             throws IOException, InterruptedException {
-        if (repeat < 1 || repeat > 1000) {
-            throw new ParameterException(spec.commandLine(), "--repeat takes 1 to 1000, not " + repeat);
-        }
+        checkRepeat(repeat);
         Set<SoakPlan.Kind> all = kinds == null ? EnumSet.allOf(SoakPlan.Kind.class) : kinds;
         List<Outcome> outcomes = new ArrayList<>();
         boolean held = true;
--- a/src/main/java/damsonworks/figures/EventKind.java
+++ b/src/main/java/damsonworks/figures/EventKind.java
@@ -8,8 +8,6 @@
     CLIENT_TIMED_OUT,
     /** A connection of a client could not be accepted. */
     ACCEPT_FAILED,
-    /** A client was ended as it did not take its answers. */
-    CLIENT_STALLED,
     /** A client sent what can't be read; its connection ends. */
     CLIENT_UNREADABLE,
     /** A request was turned away as none that can be carried out. */
@@ -24,10 +22,6 @@
     SERVER_UNREADABLE,
     /** The event loop was held up for longer than deadlines allow for. */
     HELD_UP,
-    /** News of discovery: calls that failed, lists that can't be used. */
-    DISCOVERY,
-    /** New settings were taken or turned down. */
-    SETTINGS,
     /** A mistake of the program. */
     FAULT,
     /** Anything else. */
