--- a/src/test/java/damsonworks/proxy/Fleet.java
+++ b/src/test/java/damsonworks/proxy/Fleet.java
@@ -175,8 +175,13 @@
         return this;
     }
 
+    /** The list that the proxy starts with. */
+    JsonObject known() {
+        return list(41, true, hosts);
+    }
+
     Fleet start() throws InterruptedException, IOException {
-        config.add("known", list(41, true, hosts));
+        config.add("known", known());
         proxy = shared != null
                 ? Proxy.start(Config.parse(config), shared)
                 : routing == null
