Peers restrict the list and never permit: discovery's own drain stands until its own word

Cause: ProvisionalMembership took any state from a peer. A peer that discovery had told sooner said 'ready' of a server that this proxy's discovery had drained, and new work went there: both evidences lie between discovery's change to ready and the proxy's own news of it. What peers had told was also undone after 15 s though discovery was silent, while a change counts as told after 6 s. Change: what peers tell is a restriction on top of discovery's own word (left alone, or cold): no peer lifts a drain of discovery's or of another peer, nor makes a server older. It ends with discovery's word of that version or later, or with its first answer after 15 s; the timer for that is gone.

--- a/src/main/java/damsonworks/model/NewsPlay.java
+++ b/src/main/java/damsonworks/model/NewsPlay.java
@@ -240,7 +240,7 @@
             List<Member> changed = told > version ? List.of(server(State.DRAINING)) : List.of();
             version = told;
             carryOut(news.held(time.now(), told));
-            policy.onList(time.now(), ListKind.CHANGES, membership.told(told, false, changed), this);
+            policy.onList(time.now(), ListKind.CHANGES, membership.told(time.now(), told, false, changed), this);
             know();
             if (watching) {
                 call(true);
--- a/src/main/java/damsonworks/peer/ProvisionalMembership.java
+++ b/src/main/java/damsonworks/peer/ProvisionalMembership.java
@@ -5,7 +5,6 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -13,16 +12,21 @@
 import java.util.Set;
 
 /**
- * The list of servers as this proxy should use it: what discovery has told, and on top of it newer changes that peers
+ * The list of servers as this proxy should use it: what discovery has told it, restricted by newer changes that peers
  * were told. Discovery takes few calls a second, and a fleet that has to call it anew needs many seconds until the last
- * instance is answered; one answer, passed on, serves all. What peers tell is provisional: discovery's list of that
- * version or a later one settles it, and without that it is undone after {@link #HOLD_MS}.
+ * instance is answered; one answer, passed on, serves all.
  *
- * <p>A peer can have a server left alone, or taken for one that has just started. It can add none, as peers may reach a
- * server at another address; nor, with others, have more than half of the servers left alone.
+ * <p>A server may be used only as discovery's own word to this proxy allows. Everything else restricts and never
+ * permits: a peer can have a ready server left alone, or taken for one that has started later; it can add none, as
+ * peers may reach a server at another address, nor have one used again that discovery or a peer has told to drain; nor,
+ * with others, have more than half of the servers left alone.
+ *
+ * <p>A restriction ends by discovery's word of its version or a later one. As versions of two numberings can't be
+ * compared, and a peer may be wrong, it also ends once it is old and discovery answers: never while discovery is
+ * silent, as a change that could have been learnt counts as told then.
  */
 public final class ProvisionalMembership {
-    /** What peers tell is used for so long without discovery's word: some turns of its line, however full it is. */
+    /** What peers tell ends with discovery's first answer after this time: some turns of its line, however full. */
     static final int HOLD_MS = 15_000;
     /** A start further ahead than this, in milliseconds, is no clock that differs, but a mistake. */
     static final double MOST_AHEAD_MS = 10_000;
@@ -34,13 +38,36 @@
     /** What peers told is kept for others who missed it: so many messages. */
     private static final int MOST_RELAYED = 8;
 
-    private record Provisional(Member member, long version, double untilMs) {}
+    /**
+     * How a server is to be used in place of what discovery's last list has.
+     *
+     * @param drains whether it is left alone
+     * @param bornMs when it last started
+     * @param version discovery's word of it, or a later one, ends this
+     * @param untilMs from then on any answer of discovery's ends it
+     */
+    private record Restriction(boolean drains, double bornMs, long version, double untilMs) {
+        Member applied(Member member) {
+            return new Member(
+                    member.id(),
+                    member.zone(),
+                    member.kind(),
+                    member.cell(),
+                    drains ? State.DRAINING : member.state(),
+                    member.weight(),
+                    Math.max(bornMs, member.bornMs()));
+        }
+
+        boolean endedBy(double nowMs, long version, Member member) {
+            return this.version <= version || untilMs <= nowMs || member.state() != State.READY;
+        }
+    }
 
     private record Relayed(ListUpdate update, double untilMs) {}
 
     private final int originKind;
     private final Map<Integer, Member> told = new LinkedHashMap<>();
-    private final Map<Integer, Provisional> provisional = new HashMap<>();
+    private final Map<Integer, Restriction> restrictions = new LinkedHashMap<>();
     private final ChangeLog log = new ChangeLog();
     private final Deque<Relayed> relayed = new ArrayDeque<>();
     private final long[] lastVersions = new long[VERSIONS_BACK];
@@ -56,7 +83,7 @@
     /** The list that this proxy starts with. */
     public void begin(long listVersion, List<Member> members) {
         told.clear();
-        provisional.clear();
+        restrictions.clear();
         members.forEach(m -> told.put(m.id(), m));
         restart(listVersion);
     }
@@ -77,15 +104,11 @@
     /**
      * Discovery has told the list, or changes of it.
      *
-     * @return what to use in its place: the same kind of list, with what peers have told of later versions, and with
-     *     what becomes of servers about which peers were wrong
+     * @return what to use in its place: the same kind of list, restricted as it should be, and with what becomes of
+     *     servers whose restrictions have ended
      */
-    public List<Member> told(long listVersion, boolean whole, List<Member> members) {
-        Map<Integer, Member> used = new LinkedHashMap<>();
-        members.forEach(m -> used.put(m.id(), m));
-        if (listVersion < version) { // it numbers anew: no version that was told before means anything
-            provisional.keySet().forEach(id -> used.putIfAbsent(id, told.get(id)));
-            provisional.clear();
+    public List<Member> told(double nowMs, long listVersion, boolean whole, List<Member> members) {
+        if (listVersion < version) { // out of turn, or it numbers anew
             restart(listVersion);
         }
         record(listVersion, whole, members);
@@ -95,21 +118,29 @@
         version = listVersion;
         known = Math.max(known, listVersion);
         relayed.removeIf(r -> r.update().version() <= listVersion);
-        for (int id : List.copyOf(provisional.keySet())) {
-            Provisional p = provisional.get(id);
-            Member now = told.get(id);
-            if (p.version() <= version || now == null) {
-                provisional.remove(id);
-                if (now != null) {
-                    used.putIfAbsent(id, now);
-                }
-            } else {
-                used.replace(id, p.member());
+        Map<Integer, Member> used = new LinkedHashMap<>();
+        members.forEach(m -> used.put(m.id(), m));
+        for (int id : endedRestrictions(nowMs)) {
+            restrictions.remove(id);
+            if (told.containsKey(id)) {
+                used.putIfAbsent(id, told.get(id));
             }
         }
+        restrictions.forEach((id, restriction) -> used.computeIfPresent(id, (i, m) -> restriction.applied(m)));
         return List.copyOf(used.values());
     }
 
+    private List<Integer> endedRestrictions(double nowMs) {
+        List<Integer> ended = new ArrayList<>();
+        restrictions.forEach((id, restriction) -> {
+            Member member = told.get(id);
+            if (member == null || restriction.endedBy(nowMs, version, member)) {
+                ended.add(id);
+            }
+        });
+        return ended;
+    }
+
     private void record(long listVersion, boolean whole, List<Member> members) {
         Set<Integer> named = new HashSet<>();
         for (Member m : members) {
@@ -141,10 +172,14 @@
         }
         List<Member> changed = new ArrayList<>();
         for (ListChange change : update.servers()) {
-            Member next = next(nowMs, change);
+            Member member = told.get(change.server());
+            Restriction before = restrictions.get(change.server());
+            Restriction next = member == null ? null : restriction(nowMs, untilMs, member, before, change);
             if (next != null) {
-                provisional.put(next.id(), new Provisional(next, update.version(), untilMs));
-                changed.add(next);
+                restrictions.put(change.server(), next);
+                if (before == null || !next.applied(member).equals(before.applied(member))) {
+                    changed.add(next.applied(member));
+                }
             }
         }
         return changed;
@@ -164,60 +199,34 @@
         }
     }
 
-    /** The server as the change has it; null if the change is to be left alone. */
-    private Member next(double nowMs, ListChange change) {
-        Member base = told.get(change.server());
-        Provisional before = provisional.get(change.server());
-        if (base == null
-                || base.kind() == originKind
+    /** How a server is to be used by a peer's word; null if that says nothing that counts here. */
+    private Restriction restriction(
+            double nowMs, double untilMs, Member member, Restriction before, ListChange change) {
+        if (member.kind() == originKind
+                || member.state() != State.READY
                 || change.bornMs() > nowMs + MOST_AHEAD_MS
                 || (before != null && before.version() >= change.version())) {
             return null;
         }
-        Member present = before != null ? before.member() : base;
-        // One that is gone is only left alone: undone, it is there again.
-        State state = change.state() == State.READY ? State.READY : State.DRAINING;
-        if (state == present.state() && change.bornMs() == present.bornMs()) {
+        boolean drained = before != null && before.drains();
+        double bornMs = before == null ? member.bornMs() : Math.max(before.bornMs(), member.bornMs());
+        boolean drains = change.state() != State.READY;
+        if (drains && !drained && !mayLeaveOneMore()) {
             return null;
         }
-        boolean left = state != State.READY && present.state() == State.READY;
-        return left && !mayLeaveOneMore()
-                ? null
-                : new Member(base.id(), base.zone(), base.kind(), base.cell(), state, base.weight(), change.bornMs());
+        return drains || change.bornMs() > bornMs
+                ? new Restriction(drains || drained, Math.max(bornMs, change.bornMs()), change.version(), untilMs)
+                : null;
     }
 
     private boolean mayLeaveOneMore() {
         long ready = told.values().stream()
                 .filter(m -> m.state() == State.READY && m.kind() != originKind)
                 .count();
-        long left = provisional.values().stream()
-                .filter(p -> p.member().state() != State.READY
-                        && told.get(p.member().id()).state() == State.READY)
-                .count();
+        long left = restrictions.values().stream().filter(Restriction::drains).count();
         return 2 * (left + 1) <= ready;
     }
 
-    /** When the first change that peers told is to be undone, in milliseconds; infinite for never. */
-    public double dueMs() {
-        return provisional.values().stream()
-                .mapToDouble(Provisional::untilMs)
-                .min()
-                .orElse(Double.POSITIVE_INFINITY);
-    }
-
-    /** What becomes of servers of which discovery has not confirmed what peers told, for too long. */
-    public List<Member> due(double nowMs) {
-        List<Member> undone = new ArrayList<>();
-        provisional.values().removeIf(p -> {
-            boolean over = p.untilMs() <= nowMs;
-            if (over) {
-                undone.add(told.get(p.member().id()));
-            }
-            return over;
-        });
-        return undone;
-    }
-
     /** What peers are told of the version that discovery told last, and of some before it: one message. */
     public ListUpdate news() {
         long back = versions == 0 ? version : lastVersions[versions < VERSIONS_BACK ? 0 : versions % VERSIONS_BACK];
--- a/src/main/java/damsonworks/proxy/PeerNews.java
+++ b/src/main/java/damsonworks/proxy/PeerNews.java
@@ -28,7 +28,6 @@
     private final ListNews news;
     private final SplittableRandom random;
     private final AntiEntropy antiEntropy;
-    private boolean expiring;
 
     /** {@code seed}: apart from that of other instances, so that they do not all ask one peer. */
     PeerNews(
@@ -89,7 +88,6 @@
         ListUpdate update = ListUpdate.decode(message);
         if (update != null) {
             list.heard(dispatcher.now(), update);
-            expireLater();
             carryOut(news.heard(dispatcher.now(), update.version()));
             return;
         }
@@ -101,18 +99,6 @@
         }
     }
 
-    private void expireLater() {
-        double due = membership().dueMs();
-        if (!expiring && due != Double.POSITIVE_INFINITY) {
-            expiring = true;
-            dispatcher.after(Math.max(0, due - dispatcher.now()), () -> {
-                expiring = false;
-                list.expire(dispatcher.now());
-                expireLater();
-            });
-        }
-    }
-
     /** So many live. */
     void among(Living living) {
         news.among(living);
--- a/src/main/java/damsonworks/proxy/discovery/ProvisionalList.java
+++ b/src/main/java/damsonworks/proxy/discovery/ProvisionalList.java
@@ -14,7 +14,7 @@
 
 /**
  * Stands between discovery and whoever uses the list, and carries out what {@link ProvisionalMembership} makes of it:
- * what peers were told is in use until discovery's own word comes. Keeps the servers' addresses, which peers do not
+ * what peers were told restricts it until discovery's own word comes. Keeps the servers' addresses, which peers do not
  * tell. On the event loop only.
  */
 public final class ProvisionalList implements DiscoveryClient.Listener {
@@ -55,25 +55,18 @@
             membership.begin(version, members);
             next.listed(kind, hosts(startTimes.begin(nowMs.getAsDouble(), members)));
         } else {
-            List<Member> used = membership.told(version, kind.whole(), members);
-            next.listed(kind, hosts(startTimes.told(nowMs.getAsDouble(), used)));
+            double now = nowMs.getAsDouble();
+            List<Member> used = membership.told(now, version, kind.whole(), members);
+            next.listed(kind, hosts(startTimes.told(now, used)));
         }
         hosts.values().removeIf(host -> host.member().state() == State.GONE);
     }
 
     /** A peer tells what discovery told it. */
     public void heard(double nowMs, ListUpdate update) {
-        change(membership.heard(nowMs, update));
-    }
-
-    /** Undoes what discovery has not confirmed in time. */
-    public void expire(double nowMs) {
-        change(membership.due(nowMs));
-    }
-
-    private void change(List<Member> changed) {
+        List<Member> changed = membership.heard(nowMs, update);
         if (!changed.isEmpty()) {
-            next.listed(ListKind.PROVISIONAL, hosts(startTimes.timed(nowMs.getAsDouble(), changed)));
+            next.listed(ListKind.PROVISIONAL, hosts(startTimes.timed(nowMs, changed)));
         }
     }
 
