--- /dev/null
+++ b/src/test/java/damsonworks/proxy/OlderListTest.java
@@ -0,0 +1,124 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import damsonworks.Await;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Discovery that answers with a list older than one it has told before: a replica that is behind, or lost memory. */
+@Timeout(60)
+class OlderListTest {
+    private static final int KEYS = 64;
+    private static final String DRAINED = "s-00000001";
+    private static final String STAYS = "s-00000002";
+    private static final String JOINS = "s-00000003";
+
+    private final FakeServer drained = node();
+    private final FakeServer stays = node();
+    private int requests;
+
+    OlderListTest() throws IOException {}
+
+    private static FakeServer node() throws IOException {
+        return FakeServer.node(command -> "VA 5 O" + FakeServer.id(command) + " h1\r\nhello\r\n");
+    }
+
+    @AfterEach
+    void closeNodes() throws IOException {
+        drained.close();
+        stays.close();
+    }
+
+    private static JsonObject host(String name, FakeServer node, String health) {
+        return Fleet.host(name, "node-fast", node.dial(), health);
+    }
+
+    private static String list(long version, boolean whole, JsonObject... hosts) {
+        JsonArray all = new JsonArray();
+        for (JsonObject host : hosts) {
+            all.add(host);
+        }
+        return Fleet.list(version, whole, all).toString();
+    }
+
+    private String newer() {
+        return list(44, false, host(DRAINED, drained, "draining"));
+    }
+
+    private String older() {
+        return list(42, true, host(DRAINED, drained, "up"), host(STAYS, stays, "up"), host(JOINS, stays, "up"));
+    }
+
+    private Fleet fleet(FakeServer discovery) {
+        return new Fleet()
+                .discovery(discovery)
+                .host(host(DRAINED, drained, "up"))
+                .host(host(STAYS, stays, "up"))
+                .set("caps.connect-timeout", "100.0");
+    }
+
+    private void readAll(Fleet fleet) throws IOException {
+        drained.commands.clear();
+        try (Fleet.Client client = fleet.client()) {
+            for (int key = 0; key < KEYS; key++) {
+                client.say("mg %x v O%x Pc=text,d=20000\r\n".formatted(key, ++requests));
+                assertThat(client.line()).startsWith("VA 5 ");
+                client.line();
+            }
+        }
+    }
+
+    @Test
+    void anOlderListDoesNotLiftADrain() throws Exception {
+        FakeServer discovery = new FakeServer(c -> {
+            for (String request; (request = c.request()) != null; ) {
+                if (request.contains("since=41&")) {
+                    c.sayHttp(200, "", newer());
+                } else if (request.contains("since=44&")) {
+                    c.sayHttp(200, "", older());
+                } else {
+                    c.awaitEnd();
+                }
+            }
+        });
+        try (Fleet fleet = fleet(discovery).start()) {
+            Await.until(
+                    "the older list, which has a server more",
+                    () -> fleet.on(() -> fleet.proxy.status().discovered()) == 3);
+            readAll(fleet);
+            assertThat(drained.commands).as("reads of the drained server").isEmpty();
+        }
+    }
+
+    /** Two replicas, one behind the other, that each answer at once what the other's answer has the proxy ask for. */
+    @Test
+    void replicasThatDisagreeAreNotCalledWithoutAPause() throws Exception {
+        int calls = 8;
+        List<Long> calledNanos = new ArrayList<>();
+        FakeServer discovery = new FakeServer(c -> {
+            for (String request; (request = c.request()) != null; ) {
+                synchronized (calledNanos) {
+                    calledNanos.add(System.nanoTime());
+                }
+                c.sayHttp(200, "", request.contains("since=44&") ? older() : newer());
+            }
+        });
+        try (Fleet fleet = fleet(discovery).start()) {
+            Await.until("some calls", () -> {
+                synchronized (calledNanos) {
+                    return calledNanos.size() > calls;
+                }
+            });
+            double ms = (calledNanos.get(calls) - calledNanos.get(0)) / 1e6;
+            assertThat(ms).as("the time of %d calls", calls).isGreaterThan(calls * 80.0);
+            assertThat(fleet.on(() -> fleet.proxy.status().discovered())).isBetween(2, 3);
+        }
+    }
+}
