An older list of discovery's does not lift the drains that a newer one told

Cause: ProvisionalMembership took a whole list with a lower number for a numbering begun anew and forgot all it had been told, so a replica that is behind, or an answer out of turn, had drained servers used again. Change: what the newer list had drained or removed stays left alone until discovery tells its version again, the server has started since, or the older numbering has stood for 10 s (longer than a list may be late).

--- a/src/main/java/damsonworks/peer/ChangeLog.java
+++ b/src/main/java/damsonworks/peer/ChangeLog.java
@@ -34,6 +34,11 @@
         }
     }
 
+    /** The last change of a server; null if none is known. */
+    ListChange last(int server) {
+        return byServer.get(server);
+    }
+
     /** What is missing from it are changes of this version and older ones. */
     long completeAfter() {
         return completeAfter;
--- a/src/main/java/damsonworks/peer/ProvisionalMembership.java
+++ b/src/main/java/damsonworks/peer/ProvisionalMembership.java
@@ -19,7 +19,8 @@
  * <p>A server may be used only as discovery's own word to this proxy allows. Everything else restricts and never
  * permits: a peer can have a ready server left alone, or taken for one that has started later; it can add none, as
  * peers may reach a server at another address, nor have one used again that discovery or a peer has told to drain; nor,
- * with others, have more than half of the servers left alone.
+ * with others, have more than half of the servers left alone. An older list of discovery's, out of turn, does not lift
+ * what a newer one has told.
  *
  * <p>A restriction ends by discovery's word of its version or a later one. As versions of two numberings can't be
  * compared, and a peer may be wrong, it also ends once it is old and discovery answers: never while discovery is
@@ -28,6 +29,8 @@
 public final class ProvisionalMembership {
     /** What peers tell ends with discovery's first answer after this time: some turns of its line, however full. */
     static final int HOLD_MS = 15_000;
+    /** What an older list lifts, it lifts if it has stood for so long: longer than a list may be late. */
+    static final int OLDER_LIST_MS = 10_000;
     /** A start further ahead than this, in milliseconds, is no clock that differs, but a mistake. */
     static final double MOST_AHEAD_MS = 10_000;
     /**
@@ -38,6 +41,14 @@
     /** What peers told is kept for others who missed it: so many messages. */
     private static final int MOST_RELAYED = 8;
 
+    /** By whose word a server is used more carefully than discovery's last list has it. */
+    private enum Source {
+        /** A peer, which discovery has told a later version. */
+        PEER,
+        /** Discovery, by a list that was newer than its last one. */
+        NEWER_LIST
+    }
+
     /**
      * How a server is to be used in place of what discovery's last list has.
      *
@@ -46,7 +57,7 @@
      * @param version discovery's word of it, or a later one, ends this
      * @param untilMs from then on any answer of discovery's ends it
      */
-    private record Restriction(boolean drains, double bornMs, long version, double untilMs) {
+    private record Restriction(Source source, boolean drains, double bornMs, long version, double untilMs) {
         Member applied(Member member) {
             return new Member(
                     member.id(),
@@ -59,7 +70,8 @@
         }
 
         boolean endedBy(double nowMs, long version, Member member) {
-            return this.version <= version || untilMs <= nowMs || member.state() != State.READY;
+            boolean startedSince = source == Source.NEWER_LIST && member.bornMs() > bornMs;
+            return this.version <= version || untilMs <= nowMs || member.state() != State.READY || startedSince;
         }
     }
 
@@ -109,6 +121,7 @@
      */
     public List<Member> told(double nowMs, long listVersion, boolean whole, List<Member> members) {
         if (listVersion < version) { // out of turn, or it numbers anew
+            keepRestrictions(nowMs, members);
             restart(listVersion);
         }
         record(listVersion, whole, members);
@@ -130,6 +143,23 @@
         return List.copyOf(used.values());
     }
 
+    /** Of servers that were told to drain or to be gone, and that an older list has ready. */
+    private void keepRestrictions(double nowMs, List<Member> olderList) {
+        for (Member older : olderList) {
+            if (older.state() != State.READY) {
+                continue;
+            }
+            ListChange last = log.last(older.id());
+            Member before = told.get(older.id());
+            boolean drained = before != null ? before.state() != State.READY : last != null;
+            double bornMs = before != null ? before.bornMs() : last != null ? last.bornMs() : 0;
+            if (drained && older.bornMs() <= bornMs) { // else it has started since then
+                restrictions.put(
+                        older.id(), new Restriction(Source.NEWER_LIST, true, bornMs, version, nowMs + OLDER_LIST_MS));
+            }
+        }
+    }
+
     private List<Integer> endedRestrictions(double nowMs) {
         List<Integer> ended = new ArrayList<>();
         restrictions.forEach((id, restriction) -> {
@@ -215,7 +245,8 @@
             return null;
         }
         return drains || change.bornMs() > bornMs
-                ? new Restriction(drains || drained, Math.max(bornMs, change.bornMs()), change.version(), untilMs)
+                ? new Restriction(
+                        Source.PEER, drains || drained, Math.max(bornMs, change.bornMs()), change.version(), untilMs)
                 : null;
     }
 
--- a/src/test/java/damsonworks/peer/ProvisionalMembershipTest.java
+++ b/src/test/java/damsonworks/peer/ProvisionalMembershipTest.java
@@ -143,6 +143,33 @@
                 .containsExactly(member(1, State.READY, NOW));
     }
 
+    /**
+     * A list that comes out of turn, or of a replica that is behind, permits nothing that a newer one has forbidden.
+     */
+    @Test
+    void anOlderListLiftsNothingBeforeItHasStoodForSomeTime() {
+        begin(3);
+        membership.told(NOW, 44, false, List.of(member(1, State.DRAINING, 0), member(2, State.GONE, 0)));
+        List<Member> older = List.of(member(1, State.READY, 0), member(2, State.READY, 0), member(3, State.READY, 0));
+        assertThat(membership.told(NOW, 42, true, older))
+                .containsExactly(member(1, State.DRAINING, 0), member(2, State.DRAINING, 0), member(3, State.READY, 0));
+        assertThat(membership.told(NOW + ProvisionalMembership.OLDER_LIST_MS - 1, 43, false, List.of()))
+                .isEmpty();
+        assertThat(membership.told(NOW + ProvisionalMembership.OLDER_LIST_MS, 43, false, List.of()))
+                .containsExactly(member(1, State.READY, 0), member(2, State.READY, 0));
+    }
+
+    @Test
+    void anOlderListIsTakenAtItsWordOnServersThatHaveStartedSince() {
+        begin(3);
+        membership.told(NOW, 44, false, List.of(member(1, State.DRAINING, 0), member(2, State.DRAINING, 0)));
+        List<Member> older = List.of(member(1, State.READY, NOW - 10), member(2, State.READY, 0));
+        assertThat(membership.told(NOW, 2, true, older))
+                .containsExactly(member(1, State.READY, NOW - 10), member(2, State.DRAINING, 0));
+        assertThat(membership.told(NOW, 3, false, List.of(member(2, State.READY, NOW))))
+                .containsExactly(member(2, State.READY, NOW));
+    }
+
     @Test
     void anOlderListLeavesWhatPeersToldOfALaterOneForItsTime() {
         begin(3);
