--- /dev/null
+++ b/src/test/java/damsonworks/proxy/ListTroubleTest.java
@@ -0,0 +1,205 @@
+package damsonworks.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonArray;
+import damsonworks.Await;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/**
+ * How long a change that discovery has stays unknown, by what is wrong with its answers and for as long as that lasts,
+ * in both forms of discovery: it counts as told after 6 s wherever any way of asking would have brought it.
+ */
+@Timeout(120)
+class ListTroubleTest {
+    private static final String NEWS = list("{\"seq\":43,", entry("s-0000beef", "up"));
+    /** Of what is wrong for some calls only: so many. */
+    private static final int BAD_CALLS = 2;
+
+    /** What discovery does to a call. */
+    private enum Trouble {
+        WATCHES_BREAK_OFF(3000),
+        WATCHES_ARE_SILENT(5500),
+        ANSWERS_ARE_1200_MS_LATE(3000),
+        ANSWERS_ARE_2400_MS_LATE(4000),
+        ANSWERS_ARE_4000_MS_LATE(5500),
+        ONE_BAD_ENTRY(3000),
+        BAD_HEALTH_OF_ANOTHER(3000),
+        HOST_TWICE(3000),
+        HEAD_OF_MEGABYTES(3000),
+        LENGTH_TOO_SHORT(3000),
+        LENGTH_TOO_LONG(5500),
+        TWO_LISTS(3000),
+        NUMBER_PAST_2_53(3000),
+        NEGATIVE_NUMBER(3000),
+        ENDLESS_BODY(3000),
+        NO_LIST(3000);
+
+        final double knownMs;
+
+        Trouble(double knownMs) {
+            this.knownMs = knownMs;
+        }
+
+        void answer(FakeServer.Connection c, String request, int call, CountDownLatch never) throws Exception {
+            boolean watch = request.contains("since=");
+            switch (this) {
+                case WATCHES_BREAK_OFF -> {
+                    if (watch) {
+                        c.say("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"seq\":43,");
+                        c.reset();
+                    } else {
+                        well(c);
+                    }
+                }
+                case WATCHES_ARE_SILENT -> {
+                    if (watch) {
+                        c.awaitEnd();
+                    } else {
+                        well(c);
+                    }
+                }
+                case ANSWERS_ARE_1200_MS_LATE -> late(c, 1200, never);
+                case ANSWERS_ARE_2400_MS_LATE -> late(c, 2400, never);
+                case ANSWERS_ARE_4000_MS_LATE -> late(c, 4000, never);
+                case ONE_BAD_ENTRY -> c.sayHttp(200, "", list("{\"seq\":43,", "{}", entry("s-0000beef", "up")));
+                case BAD_HEALTH_OF_ANOTHER ->
+                    c.sayHttp(200, "", list("{\"seq\":43,", entry("s-1", "asleep"), entry("s-0000beef", "up")));
+                case HOST_TWICE ->
+                    c.sayHttp(
+                            200,
+                            "",
+                            list(
+                                    "{\"seq\":43,",
+                                    entry("s-1", "up"),
+                                    entry("s-1", "draining"),
+                                    entry("s-0000beef", "up")));
+                default -> {
+                    if (call < BAD_CALLS) {
+                        spoilt(c);
+                    } else {
+                        well(c);
+                    }
+                }
+            }
+        }
+
+        private void spoilt(FakeServer.Connection c) throws IOException {
+            switch (this) {
+                case HEAD_OF_MEGABYTES -> {
+                    c.say("HTTP/1.1 200 OK\r\n");
+                    String field = "X-Filler: " + "x".repeat(1000) + "\r\n";
+                    for (int i = 0; i < 4000; i++) {
+                        c.say(field);
+                    }
+                }
+                case LENGTH_TOO_SHORT -> c.say("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n" + NEWS);
+                case LENGTH_TOO_LONG -> {
+                    c.say("HTTP/1.1 200 OK\r\nContent-Length: 5000\r\n\r\n" + NEWS);
+                    c.awaitEnd();
+                }
+                case TWO_LISTS -> c.sayHttp(200, "", NEWS + NEWS);
+                case NUMBER_PAST_2_53 -> c.sayHttp(200, "", NEWS.replace("43", "1e300"));
+                case NEGATIVE_NUMBER -> c.sayHttp(200, "", NEWS.replace("43", "-43"));
+                case ENDLESS_BODY -> {
+                    c.say("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+                    String chunk = "10000\r\n" + " ".repeat(0x10000) + "\r\n";
+                    while (true) { // until the proxy ends the connection
+                        c.say(chunk);
+                    }
+                }
+                default -> c.sayHttp(200, "", "null");
+            }
+        }
+    }
+
+    private static String entry(String name, String health) {
+        return Fleet.host(name, "node-fast", "127.0.0.1:9", health).toString();
+    }
+
+    private static String list(String head, String... entries) {
+        return head + "\"whole\":true,\"hosts\":[" + String.join(",", entries) + "]}";
+    }
+
+    private static void well(FakeServer.Connection c) throws IOException {
+        c.sayHttp(200, "", NEWS);
+    }
+
+    private static void late(FakeServer.Connection c, long ms, CountDownLatch never) throws Exception {
+        never.await(ms, TimeUnit.MILLISECONDS);
+        well(c);
+    }
+
+    /** Milliseconds from the proxy's start until the change is in use. */
+    private static double unknownFor(Trouble trouble, String mode) throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        AtomicInteger calls = new AtomicInteger();
+        FakeServer discovery = new FakeServer(c -> {
+            for (String request; (request = c.request()) != null; ) {
+                if (request.contains("since=43&")) {
+                    c.awaitEnd();
+                } else {
+                    trouble.answer(c, request, calls.getAndIncrement(), never);
+                }
+            }
+        });
+        Fleet fleet = new Fleet().discovery(discovery).set("discovery", mode).set("caps.connect-timeout", "100.0");
+        JsonArray none = new JsonArray();
+        fleet.config.add("known", Fleet.list(41, true, none));
+        try (fleet) {
+            long from = System.nanoTime();
+            fleet.start();
+            Await.until(
+                    "the change is in use",
+                    () -> fleet.on(() -> fleet.proxy.core().servers().get(0xbeef)) != null);
+            return (System.nanoTime() - from) / 1e6;
+        }
+    }
+
+    @Test
+    void newsIsKnownInTimeWhateverIsWrongWithAnswers() throws Exception {
+        Map<String, Future<Double>> times = new LinkedHashMap<>();
+        List<String> late = new ArrayList<>();
+        ExecutorService each = Executors.newCachedThreadPool();
+        try {
+            for (Trouble trouble : Trouble.values()) {
+                for (String mode : new String[] {"ask", "push"}) {
+                    times.put(mode + " " + trouble, each.submit(() -> unknownFor(trouble, mode)));
+                }
+            }
+            for (Trouble trouble : Trouble.values()) {
+                for (String mode : new String[] {"ask", "push"}) {
+                    String name = mode + " " + trouble;
+                    String outcome;
+                    try {
+                        double ms = times.get(name).get();
+                        outcome = ms <= trouble.knownMs ? null : "%.0f ms, %.0f allowed".formatted(ms, trouble.knownMs);
+                        System.out.printf("known after %5.0f ms: %s%n", ms, name);
+                    } catch (ExecutionException e) {
+                        outcome = "never";
+                        System.out.printf("never known: %s%n", name);
+                    }
+                    if (outcome != null) {
+                        late.add(name + ": " + outcome);
+                    }
+                }
+            }
+        } finally {
+            each.shutdownNow();
+        }
+        assertThat(late).isEmpty();
+    }
+}
