One owner of the calls for the list: late answers count, another form follows one that fails

Cause: who failed a watch began a watch, and gave up a late one just before its answer, for ever; the version moved on before the list was in use; one entry that can't be used cost the whole list; an answer that brings nothing new was followed at once. Change: roster.ListCalls, a pure class, decides which calls are made and when each is given up: an overdue call stays out while another begins beside it on a connection of its own, in another form (watch, poll, whole list); its time doubles where none is answered; where discovery is one service, two of all instances ask for whole lists. DiscoveryClient carries that out and moves its version once the list is in use; ListConnection is the one connection; ListForm leaves out entries that can't be used.

--- a/src/main/java/damsonworks/Policy.java
+++ b/src/main/java/damsonworks/Policy.java
@@ -1,6 +1,7 @@
 package damsonworks;
 
 import damsonworks.peer.PeerMessage;
+import damsonworks.roster.RetryPause;
 import java.util.*;
 
 /**
@@ -24,8 +25,6 @@
     /** So many servers of a zone in a row, and no other that answers, are a way that is cut off. */
     private static final int CUT_SERVERS = 3;
     private static final int ALL_PEERS = -1;
-    /** What discovery has and could be asked for counts as told so long after, whatever call failed. */
-    private static final double TOLD_MS = 6000;
     /** Who was answered within so many connect time-outs, 20 s here, still has the connection. */
     private static final int HELD_CONNECTS = 200;
 
@@ -64,7 +63,7 @@
     private int nextToken;
     private boolean watching;
     private boolean asking;
-    private int watchFailures;
+    private RetryPause listRetry;
     /** When the last call for a watch began. */
     private double askedAt;
 
@@ -320,6 +319,9 @@
         }
         boolean same = cfg != null && cfg.tenants().equals(next.tenants())
                 && cfg.overShareWorth() == next.overShareWorth();
+        if (cfg == null || cfg.askWithinMs() != next.askWithinMs()) {
+            listRetry = new RetryPause(next.askWithinMs());
+        }
         cfg = next;
         if (!same) { // open requests stay charged where they were
             shares = next.overShareWorth() < 1 && next.tenants().size() > 1 ? new Shares() : null;
@@ -395,13 +397,13 @@
         }
         if (kind == ListKind.CACHED && cfg.askForList()) {
             // The list service is small: all instances starting together must not call at once.
-            double within = Math.min(cfg.askWithinMs(), TOLD_MS);
+            double within = Math.min(cfg.askWithinMs(), RetryPause.TOLD_MS);
             double span = Math.min(within, cfg.instances() * cfg.connectTimeoutMs()) / 2;
             timer(random.nextDouble() * span, WATCH, null, out);
         } else if (asking && kind != ListKind.PROVISIONAL) {
             asking = false;
             watching = true;
-            watchFailures = 0;
+            listRetry.answered();
         }
         check(members);
         if (kind.whole()) {
@@ -475,12 +477,7 @@
     }
 
     private void askAgain(double now, Actions out) {
-        // What is turned away many times comes back within half of that time, or all together jam discovery.
-        // The time that the failed call took counts: one that fell silent has been waited for long enough.
-        double jitter = 0.5 + random.nextDouble() / 2;
-        double least = Math.min(cfg.askWithinMs(), TOLD_MS) / 32 * jitter;
-        double interval = least * (1 << Math.min(watchFailures++, 4));
-        timer(Math.max(least, interval - (now - askedAt)), WATCH, null, out);
+        timer(listRetry.failed(now - askedAt, random), WATCH, null, out);
     }
 
     // ---- requests
--- a/src/main/java/damsonworks/figures/EventKind.java
+++ b/src/main/java/damsonworks/figures/EventKind.java
@@ -20,6 +20,12 @@
     BREACH,
     /** A server's answer can't be read; its connection ends. */
     SERVER_UNREADABLE,
+    /** The list of servers has changed: to which version, by whose word, and what of it. */
+    LIST_CHANGED,
+    /** A call for the list has failed: its form and why. */
+    LIST_CALL_FAILED,
+    /** Something of an answer of discovery's can't be used and was left out. */
+    LIST_ENTRY_UNUSABLE,
     /** The event loop was held up for longer than deadlines allow for. */
     HELD_UP,
     /** A mistake of the program. */
--- a/src/main/java/damsonworks/proxy/Config.java
+++ b/src/main/java/damsonworks/proxy/Config.java
@@ -12,6 +12,7 @@
 import damsonworks.proxy.discovery.Addresses;
 import damsonworks.proxy.discovery.DiscoveryClient;
 import damsonworks.proxy.discovery.ListForm;
+import damsonworks.roster.ListCalls;
 import damsonworks.route.Known;
 import damsonworks.wire.SettingsParser;
 import java.io.IOException;
@@ -64,7 +65,12 @@
 
     /** Where the list comes from, and how. */
     DiscoveryClient.Settings discoverySettings() {
-        return new DiscoveryClient.Settings(discovery, listForm(), settings.ownSeed(seed), settings.askForList());
+        return new DiscoveryClient.Settings(
+                discovery,
+                listForm(),
+                settings.ownSeed(seed),
+                new ListCalls.Settings(
+                        settings.askForList(), settings.askWithinMs(), settings.instances(), settings.peers()));
     }
 
     /** Reads the file; an IllegalArgumentException says in one line what is wrong. */
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -28,9 +28,9 @@
 import damsonworks.proxy.Exchange.Attempt;
 import damsonworks.proxy.Exchange.Command;
 import damsonworks.proxy.Timers.Timer;
-import damsonworks.proxy.discovery.DiscoveryClient;
 import damsonworks.proxy.discovery.Host;
 import damsonworks.proxy.discovery.ListSource;
+import damsonworks.proxy.discovery.ProvisionalList;
 import damsonworks.recovery.Trust;
 import damsonworks.route.Router;
 import damsonworks.route.Routing;
@@ -57,7 +57,7 @@
  * in: an attempt ends once, a request is answered once. All of it runs on the event loop; the module is never called
  * from within one of its own orders, what happens meanwhile waits in line.
  */
-final class Dispatcher implements Actions, DiscoveryClient.Listener {
+final class Dispatcher implements Actions, ProvisionalList.User {
     /** What was last known of clients and servers may be so old when an attempt begins, in milliseconds. */
     private static final double STALE_MS = 50;
     /** What a request that the module left unanswered at its due time may still wait for it. */
@@ -103,6 +103,9 @@
     private ListSource discovery;
     private PeerSocket peers;
     private PeerNews news;
+    /** Mistakes of the program that were met so far. */
+    private long faults;
+
     private MemberLink members;
     private NodeTalk nodes;
     private ZoneLink zones;
@@ -401,6 +404,7 @@
     }
 
     private void fault(RuntimeException e) {
+        faults++;
         StackTraceElement[] trace = e.getStackTrace();
         log(EventKind.FAULT, e + (trace.length > 0 ? " at " + trace[0] : ""));
     }
@@ -421,22 +425,35 @@
     }
 
     @Override
-    public void listed(ListKind kind, List<Host> hosts) {
-        if (kind == ListKind.FAILED) {
-            counters.did(Work.LIST_FAILURES);
-            if (news != null) {
-                news.callFailed();
-            }
+    public void callFailed(String why) {
+        counters.did(Work.LIST_FAILURES);
+        log(EventKind.LIST_CALL_FAILED, why);
+        if (news != null) {
+            news.callFailed();
         }
+    }
+
+    @Override
+    public void leftOut(String what) {
+        log(EventKind.LIST_ENTRY_UNUSABLE, what);
+    }
+
+    @Override
+    public void listed(ListKind kind, List<Host> hosts) {
         servers.listed(kind, hosts, config.streamsPerConnection());
+        long faultsBefore = faults;
         tell(() -> {
             if (router != null) { // with its event and not before it: another may wait in line
                 hosts.forEach(h -> router.describe(h.member().id(), h.server()));
             }
             module.onList(now(), kind, hosts.stream().map(Host::member).toList(), this);
         });
+        boolean taken = faults == faultsBefore;
         tell(servers::withdraw);
-        followers.forEach(f -> f.accept(kind));
+        if (!taken) {
+            throw new IllegalStateException("the decision module does not take the list");
+        }
+        followers.forEach(f -> tell(() -> f.accept(kind)));
     }
 
     /** This is told of news of the list once it is in use. */
@@ -450,10 +467,10 @@
     }
 
     @Override
-    public void version(long seq) {
+    public void inUse(long version) {
         trust.confirmed(Trust.Thing.LIST);
         if (news != null) {
-            news.held(seq);
+            news.held(version);
         }
     }
 
--- a/src/main/java/damsonworks/proxy/PeerNews.java
+++ b/src/main/java/damsonworks/proxy/PeerNews.java
@@ -123,7 +123,7 @@
 
     /** Peers hold a version that discovery has not told here. */
     private void ask() {
-        discovery.renew();
+        discovery.peerIsAhead();
         queryUnlessJustDone();
     }
 
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -106,7 +106,8 @@
                 loop,
                 new Bootstrap().group(loop).channel(Transport.BEST.socket()).option(ChannelOption.TCP_NODELAY, true),
                 config.discoverySettings(),
-                list);
+                list,
+                dispatcher::now);
         link = new HandoverLink(loop, shared, handover, acceptor, this::state);
         acceptor.retireBy(c -> {
             if (!handover.passes()) {
--- a/src/main/java/damsonworks/proxy/discovery/ListForm.java
+++ b/src/main/java/damsonworks/proxy/discovery/ListForm.java
@@ -1,7 +1,9 @@
 package damsonworks.proxy.discovery;
 
+import com.google.gson.JsonArray;
 import com.google.gson.JsonElement;
 import com.google.gson.JsonObject;
+import com.google.gson.JsonParseException;
 import damsonworks.RoutingApi.Member;
 import damsonworks.RoutingApi.State;
 import damsonworks.route.Pool;
@@ -9,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -22,26 +25,115 @@
  */
 public record ListForm(List<String> zones, List<String> kinds) {
     private static final int MAX_LABELS = 64;
+    /** Versions are whole numbers up to the highest that any reader of JSON keeps exact. */
+    private static final double MAX_VERSION = 1L << 53;
+
+    /**
+     * An answer of discovery's.
+     *
+     * @param version of the list
+     * @param whole whether it names all servers
+     * @param hosts its entries that can be used
+     * @param entries the same as discovery words them, by name
+     * @param unusable names of servers whose entries can't be used
+     * @param wrong what is wrong with it, a line for each entry that can't be used
+     */
+    public record Read(
+            long version,
+            boolean whole,
+            List<Host> hosts,
+            Map<String, JsonObject> entries,
+            Set<String> unusable,
+            List<String> wrong) {}
 
     /** A name as the settings word it, where a list stands on one line. */
     public static String word(String text) {
         return text.replace(' ', '_').replace(',', '_');
     }
 
-    /** The hosts of a list; an exception says what is wrong with one. */
-    public List<Host> hosts(JsonObject json) {
-        List<Host> hosts = new ArrayList<>();
-        Set<Integer> ids = new HashSet<>();
+    /**
+     * Reads an answer. An entry that can't be used is left out and told; one that can't be assigned to a server makes a
+     * whole list one of changes, as it may be any server's. Of a host that is listed twice the entry counts that lets
+     * it be used less.
+     *
+     * @throws JsonParseException if it is no list, or no entry of it can be used
+     */
+    public Read read(JsonElement json) {
+        if (!json.isJsonObject()
+                || !json.getAsJsonObject().has("hosts")
+                || !json.getAsJsonObject().get("hosts").isJsonArray()) {
+            throw new JsonParseException("no list");
+        }
+        JsonObject list = json.getAsJsonObject();
+        Read read = entries(version(list), list.get("whole").getAsBoolean(), list.getAsJsonArray("hosts"));
+        if (read.hosts().isEmpty() && !read.wrong().isEmpty()) {
+            throw new JsonParseException(read.wrong().get(0));
+        }
+        return read;
+    }
+
+    private Read entries(long version, boolean all, JsonArray list) {
         Map<String, Integer> zoneNumbers = numbers(zones);
         Map<String, Integer> kindNumbers = numbers(kinds);
-        for (JsonElement e : json.getAsJsonArray("hosts")) {
-            Host h = host(e.getAsJsonObject(), zoneNumbers, kindNumbers);
-            if (!ids.add(h.member().id())) {
-                throw new IllegalArgumentException("a host is listed twice");
+        Map<String, Host> hosts = new LinkedHashMap<>();
+        Map<String, JsonObject> entries = new LinkedHashMap<>();
+        Set<String> unusable = new HashSet<>();
+        List<String> wrong = new ArrayList<>();
+        boolean anonymous = false;
+        for (JsonElement element : list) {
+            String name = name(element);
+            try {
+                Host host = host(element.getAsJsonObject(), zoneNumbers, kindNumbers);
+                Host other = hosts.get(name);
+                if (other != null) {
+                    wrong.add("host " + name + " is listed twice");
+                }
+                if (other == null || other.member().state() == State.READY) {
+                    hosts.put(name, host);
+                    entries.put(name, element.getAsJsonObject());
+                }
+            } catch (RuntimeException e) {
+                wrong.add(name == null ? "an entry without a host: " + e.getMessage() : e.getMessage());
+                anonymous |= name == null;
+                if (name != null) {
+                    unusable.add(name);
+                }
             }
-            hosts.add(h);
         }
-        return hosts;
+        unusable.removeAll(hosts.keySet());
+        boolean whole = all && !anonymous;
+        return new Read(version, whole, List.copyOf(hosts.values()), entries, unusable, wrong);
+    }
+
+    private static String name(JsonElement entry) {
+        if (!entry.isJsonObject() || !entry.getAsJsonObject().has("host")) {
+            return null;
+        }
+        JsonElement name = entry.getAsJsonObject().get("host");
+        return name.isJsonPrimitive() ? name.getAsString() : null;
+    }
+
+    /**
+     * The version of a list.
+     *
+     * @throws JsonParseException if it is no whole number from 0 to 2 to the power of 53
+     */
+    static long version(JsonObject list) {
+        JsonElement seq = list.get("seq");
+        double version = seq != null && seq.isJsonPrimitive() ? seq.getAsDouble() : Double.NaN;
+        if (!(version >= 0) || version > MAX_VERSION || version != Math.rint(version)) {
+            throw new JsonParseException("no version of a list: " + seq);
+        }
+        return (long) version;
+    }
+
+    /** The hosts of a list; an exception says what is wrong with one. */
+    public List<Host> hosts(JsonObject json) {
+        Read read = entries(0, true, json.getAsJsonArray("hosts"));
+        if (!read.wrong().isEmpty()) {
+            throw new IllegalArgumentException(read.wrong().get(0));
+        }
+        return read.hosts();
     }
 
     /** The places of words in a list, by the words: a search for each host would take the product of both. */
--- a/src/main/java/damsonworks/proxy/discovery/ProvisionalList.java
+++ b/src/main/java/damsonworks/proxy/discovery/ProvisionalList.java
@@ -18,18 +18,35 @@
  * tell. On the event loop only.
  */
 public final class ProvisionalList implements DiscoveryClient.Listener {
-    private final DiscoveryClient.Listener next;
+    /** Who uses the list. */
+    public interface User {
+        /** The list, changes of it, or what peers tell of it ({@code PROVISIONAL}). What can't be used throws. */
+        void listed(ListKind kind, List<Host> hosts);
+
+        /** What discovery has told up to this version is in use. */
+        void inUse(long version);
+
+        /** Discovery is being asked. */
+        void called();
+
+        /** A call has failed: why, in words for people. */
+        void callFailed(String why);
+
+        /** Something of an answer was left out: what, in words for people. */
+        void leftOut(String what);
+    }
+
+    private final User user;
     private final ProvisionalMembership membership;
     private final DoubleSupplier nowMs;
     private final StartTimes startTimes = new StartTimes();
     private final Map<Integer, Host> hosts = new HashMap<>();
-    private long version;
 
-    /** Passes all on to {@code next}; {@code nowMs}: its clock. */
-    public ProvisionalList(DiscoveryClient.Listener next, ProvisionalMembership membership, DoubleSupplier nowMs) {
-        this.nowMs = nowMs;
-        this.next = next;
+    /** {@code nowMs}: the user's clock. */
+    public ProvisionalList(User user, ProvisionalMembership membership, DoubleSupplier nowMs) {
+        this.user = user;
         this.membership = membership;
+        this.nowMs = nowMs;
     }
 
     /** What is known of the list, by discovery or by peers. */
@@ -38,11 +55,7 @@
     }
 
     @Override
-    public void listed(ListKind kind, List<Host> list) {
-        if (kind == ListKind.FAILED) {
-            next.listed(kind, list);
-            return;
-        }
+    public void listed(ListKind kind, long version, List<Host> list) {
         if (kind.whole()) {
             hosts.clear();
         }
@@ -51,13 +64,14 @@
             hosts.put(host.member().id(), host);
             members.add(host.member());
         }
+        double now = nowMs.getAsDouble();
         if (kind == ListKind.CACHED) {
             membership.begin(version, members);
-            next.listed(kind, hosts(startTimes.begin(nowMs.getAsDouble(), members)));
+            user.listed(kind, hosts(startTimes.begin(now, members)));
         } else {
-            double now = nowMs.getAsDouble();
             List<Member> used = membership.told(now, version, kind.whole(), members);
-            next.listed(kind, hosts(startTimes.told(now, used)));
+            user.listed(kind, hosts(startTimes.told(now, used)));
+            user.inUse(version);
         }
         hosts.values().removeIf(host -> host.member().state() == State.GONE);
     }
@@ -66,7 +80,7 @@
     public void heard(double nowMs, ListUpdate update) {
         List<Member> changed = membership.heard(nowMs, update);
         if (!changed.isEmpty()) {
-            next.listed(ListKind.PROVISIONAL, hosts(startTimes.timed(nowMs, changed)));
+            user.listed(ListKind.PROVISIONAL, hosts(startTimes.timed(nowMs, changed)));
         }
     }
 
@@ -81,23 +95,16 @@
 
     @Override
     public void called() {
-        next.called();
-    }
-
-    /** Comes before the list of that version. */
-    @Override
-    public void version(long seq) {
-        version = seq;
-        next.version(seq);
+        user.called();
     }
 
     @Override
-    public void begin(long seq) {
-        version = seq;
+    public void callFailed(String why) {
+        user.callFailed(why);
     }
 
     @Override
-    public void log(String line) {
-        next.log(line);
+    public void leftOut(String what) {
+        user.leftOut(what);
     }
 }
--- a/src/test/java/damsonworks/ArchitectureTest.java
+++ b/src/test/java/damsonworks/ArchitectureTest.java
@@ -35,6 +35,7 @@
                         "damsonworks.takeover..",
                         "damsonworks.flow..",
                         "damsonworks.permit..",
+                        "damsonworks.roster..",
                         "damsonworks.ledger..",
                         "damsonworks.figures..",
                         "damsonworks.quota..",
