--- a/src/main/java/damsonworks/control/ProxyControl.java
+++ b/src/main/java/damsonworks/control/ProxyControl.java
@@ -6,11 +6,14 @@
 import damsonworks.drain.Drain;
 import damsonworks.member.View;
 import damsonworks.proxy.Proxy;
+import damsonworks.proxy.RuleCounts;
 import damsonworks.route.Router;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
 
 /** Hangs a proxy's own status, its figures and its drain on what operators ask by. */
 public final class ProxyControl {
@@ -66,7 +69,9 @@
             }
             return progress(proxy.drainProgress());
         });
-        registry.figures(() -> figures(proxy.status()));
+        registry.figures(() -> figures(proxy.status(), proxy.ruleCounts()));
+        registry.section("list", () -> list(proxy.list()));
+        registry.section("rules", () -> rules(proxy.ruleCounts()));
         registry.section("view", () -> view(proxy.fleetView()));
         registry.command("view", arguments -> members(proxy.fleetView()));
         ZoneCall.register(registry, proxy::zones);
@@ -74,7 +79,29 @@
         return registry;
     }
 
-    private static List<Figure> figures(Proxy.Status s) {
+    private static JsonObject list(Proxy.ListStatus list) {
+        JsonObject o = new JsonObject();
+        o.addProperty("version", list.version());
+        if (!Double.isNaN(list.ageMs())) {
+            o.addProperty("age_ms", Math.round(list.ageMs()));
+        }
+        return o;
+    }
+
+    private static JsonObject rules(RuleCounts counts) {
+        JsonObject o = new JsonObject();
+        o.add("forbidden", counts(counts.forbidden()));
+        o.add("breaches", counts(counts.breaches()));
+        return o;
+    }
+
+    private static JsonObject counts(Map<String, Long> byKey) {
+        JsonObject o = new JsonObject();
+        new TreeMap<>(byKey).forEach(o::addProperty);
+        return o;
+    }
+
+    private static List<Figure> figures(Proxy.Status s, RuleCounts rules) {
         List<Figure> figures = new ArrayList<>();
         s.classes().forEach((name, c) -> {
             figures.add(new Figure("succeeded." + name, Kind.COUNT, c.succeeded()));
@@ -87,6 +114,10 @@
         figures.add(new Figure("ejected", Kind.GAUGE, s.ejected()));
         figures.add(new Figure("sighup_applied", Kind.COUNT, s.applied()));
         figures.add(new Figure("sighup_rejected", Kind.COUNT, s.rejected()));
+        new TreeMap<>(rules.forbidden())
+                .forEach((key, count) -> figures.add(new Figure("forbidden." + key, Kind.COUNT, count)));
+        new TreeMap<>(rules.breaches())
+                .forEach((key, count) -> figures.add(new Figure("breaches." + key, Kind.COUNT, count)));
         return figures;
     }
 
--- a/src/main/java/damsonworks/proxy/Dispatcher.java
+++ b/src/main/java/damsonworks/proxy/Dispatcher.java
@@ -466,6 +466,11 @@
         return trust;
     }
 
+    @Override
+    public void changed(String what) {
+        log(EventKind.LIST_CHANGED, what);
+    }
+
     @Override
     public void inUse(long version) {
         trust.confirmed(Trust.Thing.LIST);
@@ -954,6 +959,11 @@
         log(EventKind.NOTE, line);
     }
 
+    /** What was seen of the rules so far. */
+    RuleCounts ruleCounts() {
+        return rules.counts();
+    }
+
     /** Logs an event, if there is room for one of its kind. */
     void log(EventKind kind, String what) {
         events.log(kind, what);
--- a/src/main/java/damsonworks/proxy/PeerNews.java
+++ b/src/main/java/damsonworks/proxy/PeerNews.java
@@ -87,7 +87,7 @@
         }
         ListUpdate update = ListUpdate.decode(message);
         if (update != null) {
-            list.heard(dispatcher.now(), update);
+            list.heard(dispatcher.now(), peer, update);
             carryOut(news.heard(dispatcher.now(), update.version()));
             return;
         }
--- a/src/main/java/damsonworks/proxy/Proxy.java
+++ b/src/main/java/damsonworks/proxy/Proxy.java
@@ -531,6 +531,24 @@
                 dispatcher.values().waiting());
     }
 
+    /** What was seen of the rules so far. On the event loop only. */
+    public RuleCounts ruleCounts() {
+        return dispatcher.ruleCounts();
+    }
+
+    /**
+     * The list of servers as this proxy holds it.
+     *
+     * @param version of discovery's list
+     * @param ageMs since discovery last answered, with or without news; NaN: not yet
+     */
+    public record ListStatus(long version, double ageMs) {}
+
+    /** How fresh the list is. On the event loop only. */
+    public ListStatus list() {
+        return new ListStatus(discovery.version(), dispatcher.now() - discovery.answeredMs());
+    }
+
     /**
      * How requests of one class have ended since the start.
      *
--- a/src/main/java/damsonworks/proxy/RuleMonitor.java
+++ b/src/main/java/damsonworks/proxy/RuleMonitor.java
@@ -8,6 +8,7 @@
 import java.util.EnumMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.TreeMap;
 
 /** Counts what {@link Permits} forbade and what went against a rule all the same, and logs each with its ids. */
 final class RuleMonitor {
@@ -53,4 +54,13 @@
     Map<Breach, Long> breaches() {
         return breaches;
     }
+
+    /** Both, by their stable names. */
+    RuleCounts counts() {
+        Map<String, Long> forbiddenByKey = new TreeMap<>();
+        forbidden.forEach((verdict, count) -> forbiddenByKey.put(verdict.key(), count));
+        Map<String, Long> breachesByKey = new TreeMap<>();
+        breaches.forEach((breach, count) -> breachesByKey.put(breach.key(), count));
+        return new RuleCounts(forbiddenByKey, breachesByKey);
+    }
 }
--- a/src/main/java/damsonworks/proxy/discovery/ProvisionalList.java
+++ b/src/main/java/damsonworks/proxy/discovery/ProvisionalList.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.function.DoubleSupplier;
 
@@ -23,6 +24,9 @@
         /** The list, changes of it, or what peers tell of it ({@code PROVISIONAL}). What can't be used throws. */
         void listed(ListKind kind, List<Host> hosts);
 
+        /** The list has changed: to which version, by whose word, and what of it, in words for people. */
+        void changed(String what);
+
         /** What discovery has told up to this version is in use. */
         void inUse(long version);
 
@@ -36,6 +40,9 @@
         void leftOut(String what);
     }
 
+    /** Of the servers in a state, so many are named in a line for people. */
+    private static final int MOST_NAMES = 12;
+
     private final User user;
     private final ProvisionalMembership membership;
     private final DoubleSupplier nowMs;
@@ -72,16 +79,37 @@
             List<Member> used = membership.told(now, version, kind.whole(), members);
             user.listed(kind, hosts(startTimes.told(now, used)));
             user.inUse(version);
+            changed("version " + version + " by discovery" + (kind.whole() ? ", whole" : ""), used);
         }
         hosts.values().removeIf(host -> host.member().state() == State.GONE);
     }
 
     /** A peer tells what discovery told it. */
-    public void heard(double nowMs, ListUpdate update) {
+    public void heard(double nowMs, int peer, ListUpdate update) {
         List<Member> changed = membership.heard(nowMs, update);
         if (!changed.isEmpty()) {
             user.listed(ListKind.PROVISIONAL, hosts(startTimes.timed(nowMs, changed)));
+            changed("version " + update.version() + " by peer " + peer, changed);
+        }
+    }
+
+    private void changed(String version, List<Member> members) {
+        if (members.isEmpty()) {
+            return;
+        }
+        StringBuilder line = new StringBuilder(version);
+        for (State state : State.values()) {
+            List<Member> these =
+                    members.stream().filter(m -> m.state() == state).toList();
+            if (!these.isEmpty()) {
+                line.append(", ")
+                        .append(these.size())
+                        .append(' ')
+                        .append(state.name().toLowerCase(Locale.ROOT));
+                these.stream().limit(MOST_NAMES).forEach(m -> line.append(' ').append(Integer.toHexString(m.id())));
+            }
         }
+        user.changed(line.toString());
     }
 
     private List<Host> hosts(List<Member> members) {
--- a/src/test/java/damsonworks/proxy/PermitsOnSocketsTest.java
+++ b/src/test/java/damsonworks/proxy/PermitsOnSocketsTest.java
@@ -6,6 +6,7 @@
 import damsonworks.flow.ReadAhead;
 import damsonworks.permit.Breach;
 import damsonworks.permit.Verdict;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -131,6 +132,9 @@
             assertThat(client.line()).isEqualTo("SERVER_ERROR failed");
             assertThat(fleet.on(() -> fleet.proxy.core().rules().breaches()))
                     .containsEntry(Breach.REFUSED_THOUGH_IT_MAY_HAVE_RUN, 1L);
+            assertThat(fleet.on(() -> fleet.proxy.ruleCounts()).breaches())
+                    .as("what status and figures show")
+                    .containsExactly(Map.entry(Breach.REFUSED_THOUGH_IT_MAY_HAVE_RUN.key(), 1L));
         }
     }
 
