--- a/src/main/java/damsonworks/roster/ListCalls.java
+++ b/src/main/java/damsonworks/roster/ListCalls.java
@@ -51,6 +51,8 @@
     static final int MOST_OUT = 3;
     /** An answer that brings nothing new and did not wait is followed by the next call so long after its own began. */
     static final double PACE_MS = 100;
+    /** The calls of so many instances are no long line. */
+    private static final int FEW_INSTANCES = 10;
     /** Of all instances, so many ask for the whole list where another form fails. */
     private static final double WHOLE_LISTS = 2;
 
@@ -322,12 +324,20 @@
         return call.begunMs() + call.waitMs() + LIMIT_MS * (1 << Math.min(givenUp, MOST_DOUBLINGS));
     }
 
+    /**
+     * Of a call that begins beside an overdue one. What stands in line longest is another call, so it need not wait out
+     * a line; where many instances make the line long, peers tell sooner than a further call would, and it does.
+     */
+    private double besidePatienceMs() {
+        return settings.instances() <= FEW_INSTANCES ? PATIENCE_MS : 2 * PATIENCE_MS;
+    }
+
     private double overdueAfterMs(Form form, double waitMs) {
         if (!settings.asked()) {
             return waitMs + AGENT_PATIENCE_MS;
         }
         if (!out.isEmpty()) {
-            return waitMs + PATIENCE_MS; // what stands in line longest is another call
+            return waitMs + besidePatienceMs();
         }
         if (form != Form.WATCH) {
             return WAIT_MS + PATIENCE_MS;
