The soak as hard as the reports: releases, discovery that lies, delays per proxy, SIGKILL in time

Need: no soak here would have found either incident's fault of the list: all proxies were told at once. The oracle counts a drain as told when its bytes go out to the proxy, and 6 s after it could have been learnt. Check changed: a plan of discovery's kind alone named DOWN only; all its faults now have discovery as their target.

--- a/src/main/java/damsonworks/demo/ProxiedFleet.java
+++ b/src/main/java/damsonworks/demo/ProxiedFleet.java
@@ -9,6 +9,7 @@
 import damsonworks.fleet.LinkFault;
 import damsonworks.fleet.Sockets;
 import damsonworks.fleet.StandInFleet;
+import damsonworks.fleet.TrafficClass;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.IOException;
 import java.io.UncheckedIOException;
@@ -34,6 +35,10 @@
     private static final double SETTLE_MS = 500;
     /** How long a file of no use lies there. */
     private static final double MISFILE_MS = 300;
+    /** A deadline counts as this at most where it bounds how soon SIGKILL follows SIGTERM, in milliseconds. */
+    private static final double LONGEST_DEADLINE_MS = 3000;
+
+    private static final double KILL_SLACK_MS = 700;
 
     private final StandInFleet fleet;
     private final FrontLayer front;
@@ -217,7 +222,7 @@
                     }
                     case TERM -> {
                         p.onExit(() -> later(0, () -> restart(proxy)));
-                        p.terminate();
+                        later(killAfterMs(), p.terminate());
                     }
                     default -> {
                         write(proxy);
@@ -230,6 +235,15 @@
         });
     }
 
+    /** SIGKILL may come so long after SIGTERM, and what it finds unanswered is lost. */
+    private double killAfterMs() {
+        double longest = fleet.spec().classes().stream()
+                .mapToDouble(TrafficClass::deadlineMs)
+                .max()
+                .orElse(LONGEST_DEADLINE_MS);
+        return Math.min(longest, LONGEST_DEADLINE_MS) + KILL_SLACK_MS;
+    }
+
     private static void ask(ProxyProcess p, JsonObject request) throws IOException {
         try (ControlClient client = new ControlClient(p.control())) {
             client.ask(request);
--- a/src/main/java/damsonworks/demo/ProxyProcess.java
+++ b/src/main/java/damsonworks/demo/ProxyProcess.java
@@ -252,9 +252,12 @@
         process.destroyForcibly();
     }
 
-    void terminate() {
+    /** Tells it to end; what comes back kills this process if it has not. */
+    Runnable terminate() {
         toEnd = true;
-        process.destroy();
+        Process ending = process;
+        ending.destroy();
+        return ending::destroyForcibly;
     }
 
     /** Not before a JVM can have a handler for it, as it would end by the signal. */
--- a/src/main/java/damsonworks/fleet/DiscoveryServer.java
+++ b/src/main/java/damsonworks/fleet/DiscoveryServer.java
@@ -4,6 +4,7 @@
 import com.google.gson.JsonObject;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -16,9 +17,12 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.QueryStringDecoder;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Locale;
+import java.util.SplittableRandom;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
@@ -34,6 +38,10 @@
 
     private static final double MAX_WAIT_MS = 60_000;
     private static final int MAX_WATCHES = 256;
+    /** Where some answers are older lists: so many, and of a list so many versions back. */
+    private static final double OLDER_SHARE = 0.3;
+
+    private static final int OLDER_VERSIONS = 5;
 
     private final class Watch {
         final int proxy;
@@ -59,12 +67,20 @@
     private final Roster roster;
     private final Listener listener;
     private final List<Watch> watches = new ArrayList<>();
+    private final Deque<Version> older = new ArrayDeque<>();
+    private final SplittableRandom random;
     private boolean down;
+    private boolean watchesSilent;
+    private boolean olderLists;
     private double freeMs;
 
+    /** The whole list as it was once. */
+    private record Version(long seq, List<Roster.Host> hosts) {}
+
     DiscoveryServer(StandInFleet fleet, Roster roster) {
         this.fleet = fleet;
         this.roster = roster;
+        random = new SplittableRandom(fleet.spec().seed());
         listener = new Listener(fleet.loop(), ~fleet.spec().seed(), this::accepted);
         for (int i = 0; i < fleet.spec().proxies() * ADDRESSES; i++) {
             listener.bind();
@@ -126,7 +142,13 @@
             send(ctx, 400, "{}");
             return;
         }
-        if (since > roster.seq() || since == 0) {
+        if (watchesSilent) {
+            return;
+        }
+        Version old = olderLists && random.nextDouble() < OLDER_SHARE ? older.peekFirst() : null;
+        if (old != null) {
+            send(ctx, 200, json(proxy, old.seq(), old.hosts(), true).toString());
+        } else if (since > roster.seq() || since == 0) {
             answer(proxy, ctx, roster.whole(), true);
         } else if (since < roster.seq() || watches.size() >= MAX_WATCHES) {
             answer(proxy, ctx, roster.since(since), false);
@@ -139,15 +161,45 @@
 
     /** The list has changed: whoever watches hears of it. */
     void changed() {
+        older.addLast(new Version(roster.seq(), roster.whole()));
+        if (older.size() > OLDER_VERSIONS) {
+            older.removeFirst();
+        }
         List.copyOf(watches).forEach(Watch::end);
     }
 
+    /** Answers no watch, those included that wait. */
+    void watchesSilent(boolean on) {
+        watchesSilent = on;
+        forgetWatches();
+    }
+
+    /** Some answers are lists of older versions. */
+    void olderLists(boolean on) {
+        olderLists = on;
+    }
+
+    /** Has lost its memory. */
+    void renumber() {
+        roster.renumber();
+        older.clear();
+        changed();
+    }
+
+    private void forgetWatches() {
+        List.copyOf(watches).forEach(w -> w.timeout.cancel(false));
+        watches.clear();
+    }
+
+    boolean isDown() {
+        return down;
+    }
+
     /** While down it answers nothing, and watches end. */
     void down(boolean on) {
         down = on;
         if (on) {
-            List.copyOf(watches).forEach(w -> w.timeout.cancel(false));
-            watches.clear();
+            forgetWatches();
             listener.close();
         }
     }
@@ -164,16 +216,23 @@
                 .schedule(
                         () -> {
                             if (!down) {
-                                hosts.forEach(h -> fleet.oracle()
-                                        .told(proxy, h.name(), h.health() == Roster.Health.UP, fleet.now()));
-                                send(ctx, 200, body);
+                                send(ctx, 200, body).addListener(written -> {
+                                    if (written.isSuccess()) {
+                                        told(proxy, hosts);
+                                    }
+                                });
                             }
                         },
                         (long) (Math.max(0, freeMs - now) * 1e6),
                         TimeUnit.NANOSECONDS);
     }
 
-    private static void send(ChannelHandlerContext ctx, int status, String body) {
+    /** Counts from when the last byte is on its way to the proxy, whatever its link did to it before. */
+    private void told(int proxy, List<Roster.Host> hosts) {
+        hosts.forEach(h -> fleet.oracle().told(proxy, h.name(), h.health() == Roster.Health.UP, fleet.now()));
+    }
+
+    private static ChannelFuture send(ChannelHandlerContext ctx, int status, String body) {
         FullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1,
                 HttpResponseStatus.valueOf(status),
@@ -181,7 +240,7 @@
         response.headers()
                 .setInt(HttpHeaderNames.CONTENT_LENGTH, response.content().readableBytes())
                 .set(HttpHeaderNames.CONTENT_TYPE, "application/json");
-        ctx.writeAndFlush(response);
+        return ctx.writeAndFlush(response);
     }
 
     /** A list as a proxy is told it, with the addresses that it dials. */
--- a/src/main/java/damsonworks/fleet/Fault.java
+++ b/src/main/java/damsonworks/fleet/Fault.java
@@ -54,6 +54,12 @@
         STALE("node", true, false),
         /** Discovery answers nothing. */
         DOWN("discovery", true, false),
+        /** Discovery answers no watch; what waits gets no answer either. Calls for the whole list are answered. */
+        WATCHES_SILENT("discovery", true, false),
+        /** Some of discovery's answers are whole lists of older versions, as of a replica that is behind. */
+        OLDER_LISTS("discovery", true, false),
+        /** Discovery has lost its memory and numbers its lists from the beginning. */
+        RENUMBER("discovery", false, false),
         /** A proxy is killed and started again after this time. */
         KILL("proxy", true, false),
         /** A proxy's process stands still, and then believes that it is still then. */
--- a/src/main/java/damsonworks/fleet/Oracle.java
+++ b/src/main/java/damsonworks/fleet/Oracle.java
@@ -19,6 +19,9 @@
     /** For how long a finished request and its effects are remembered. */
     static final double MEMORY_MS = 30_000;
 
+    /** A change of discovery's list counts as told so long after it could have been learnt, in milliseconds. */
+    private static final double TOLD_MS = 6000;
+
     private static final int EXAMPLES = 5;
     private static final int MAX_EXCUSES = 10_000;
 
@@ -84,6 +87,9 @@
         }
     }
 
+    /** How discovery's list has a node, and since when. */
+    private record Listed(double atMs, boolean wanted) {}
+
     private record Confirmed(double atMs, long version) {}
 
     private record Told(double atMs, boolean wanted) {}
@@ -105,6 +111,10 @@
     private final ArrayDeque<Map.Entry<String, Double>> keyedAges = new ArrayDeque<>();
     private final Map<String, ArrayDeque<Confirmed>> confirmed = new HashMap<>();
     private final Map<String, Told> told = new HashMap<>();
+    private final Map<String, Listed> listed = new HashMap<>();
+    /** Since when each proxy has been able to reach discovery; infinite while it can't. */
+    private final Map<Integer, Double> reachesSinceMs = new HashMap<>();
+
     private final List<Excuse> excuses = new ArrayList<>();
     private final Map<Rule, Long> breaches = new EnumMap<>(Rule.class);
     private final Map<Rule, List<String>> examples = new EnumMap<>(Rule.class);
@@ -267,9 +277,25 @@
         told.compute(proxy + " " + node, (k, t) -> t != null && t.wanted() == wanted ? t : new Told(atMs, wanted));
     }
 
+    /** Discovery's list has changed. {@code wanted}: whether the node may be sent anything new. */
+    public void changed(String node, boolean wanted, double atMs) {
+        listed.compute(node, (k, l) -> l != null && l.wanted() == wanted ? l : new Listed(atMs, wanted));
+    }
+
+    /** Whether a proxy can reach discovery from now on. */
+    public void reachesDiscovery(int proxy, boolean reaches, double atMs) {
+        if (!reaches) {
+            reachesSinceMs.put(proxy, Double.POSITIVE_INFINITY);
+        } else if (reachesSinceMs.getOrDefault(proxy, 0.0) == Double.POSITIVE_INFINITY) {
+            reachesSinceMs.put(proxy, atMs);
+        }
+    }
+
     /** A proxy is started again and knows nothing of what it was told; what it takes from now on it has to answer. */
     public void restarted(int proxy, double atMs) {
         told.keySet().removeIf(k -> k.startsWith(proxy + " "));
+        reachesSinceMs.computeIfPresent(proxy, (p, since) -> Math.max(since, atMs));
+        reachesSinceMs.putIfAbsent(proxy, atMs);
         excuses.replaceAll(e -> e.proxy() == proxy && e.untilMs() > atMs && !e.standsStill()
                 ? new Excuse(proxy, e.fromMs(), atMs, false)
                 : e);
@@ -282,9 +308,30 @@
             breach(
                     Rule.SENT_AFTER_DRAIN,
                     id + " to " + node + " by proxy " + proxy + ", " + ms(atMs - t.atMs()) + " after it was told");
+            return;
+        }
+        Listed l = listed.get(node);
+        if (l == null || l.wanted()) {
+            return;
+        }
+        double couldMs = Math.max(l.atMs(), Math.max(reachesSinceMs.getOrDefault(proxy, 0.0), goesOnMs(proxy)));
+        if (atMs > couldMs + TOLD_MS + drainGraceMs) {
+            breach(
+                    Rule.SENT_AFTER_DRAIN,
+                    id + " to " + node + " by proxy " + proxy + ", " + ms(atMs - couldMs)
+                            + " after it could have learnt of it from discovery");
         }
     }
 
+    /** Until when a proxy stood still last; 0: it never has. */
+    private double goesOnMs(int proxy) {
+        return excuses.stream()
+                .filter(e -> e.standsStill() && e.proxy() == proxy)
+                .mapToDouble(Excuse::untilMs)
+                .max()
+                .orElse(0);
+    }
+
     /** A node has been pushed over. */
     public void pushedOver(String node, double atMs) {
         breach(Rule.PUSHED_OVER, node + " at " + ms(atMs));
--- a/src/main/java/damsonworks/fleet/Roster.java
+++ b/src/main/java/damsonworks/fleet/Roster.java
@@ -51,6 +51,12 @@
         return seq;
     }
 
+    /** Numbers its versions from the beginning, as if all of it were news. */
+    void renumber() {
+        seq = 1;
+        entries.replaceAll((name, entry) -> new Entry(entry.host(), ++seq));
+    }
+
     /** All hosts that are not gone. */
     List<Host> whole() {
         List<Host> hosts = new ArrayList<>();
--- a/src/main/java/damsonworks/fleet/StandInFleet.java
+++ b/src/main/java/damsonworks/fleet/StandInFleet.java
@@ -248,6 +248,7 @@
             for (CacheNode n : nodes.values()) {
                 n.listener().ways(p, links.way(proxy, n.name()), links.way(n.name(), proxy));
             }
+            oracle.reachesDiscovery(p, !discovery.isDown() && reachesDiscovery(p), now());
             origin.listener().ways(p, links.way(proxy, Parties.ORIGIN), links.way(Parties.ORIGIN, proxy));
             for (int i = 0; i < DiscoveryServer.ADDRESSES; i++) {
                 discovery
@@ -344,7 +345,7 @@
     private void notice(String name, Roster.Health health) {
         after(spec.noticeMs(), () -> {
             roster.health(name, health);
-            discovery.changed();
+            listChanged(name, health);
         });
     }
 
@@ -352,8 +353,7 @@
         if (Parties.isProxy(f.target())) {
             proxyFaults.apply(Parties.number(f.target()), f);
         } else if (f.target().equals(Parties.DISCOVERY)) {
-            discovery.down(true);
-            after(f.forMs(), () -> discovery.down(false));
+            applyToDiscovery(f);
         } else if (f.target().equals(Parties.ORIGIN)) {
             applyToOrigin(f);
         } else {
@@ -361,6 +361,46 @@
         }
     }
 
+    private void applyToDiscovery(Fault f) {
+        switch (f.action()) {
+            case WATCHES_SILENT -> {
+                discovery.watchesSilent(true);
+                after(f.forMs(), () -> discovery.watchesSilent(false));
+            }
+            case OLDER_LISTS -> {
+                discovery.olderLists(true);
+                after(f.forMs(), () -> discovery.olderLists(false));
+            }
+            case RENUMBER -> discovery.renumber();
+            default -> {
+                discovery.down(true);
+                allReachDiscovery(false);
+                after(f.forMs(), () -> {
+                    discovery.down(false);
+                    allReachDiscovery(true);
+                });
+            }
+        }
+    }
+
+    private void allReachDiscovery(boolean reach) {
+        for (int p = 0; p < spec.proxies(); p++) {
+            oracle.reachesDiscovery(p, reach && reachesDiscovery(p), now());
+        }
+    }
+
+    /** Whether what discovery writes to a proxy comes there, if late. */
+    private boolean reachesDiscovery(int proxy) {
+        Way there = links.way(Parties.proxy(proxy), Parties.DISCOVERY);
+        Way back = links.way(Parties.DISCOVERY, Parties.proxy(proxy));
+        return there.sound() && back.sound();
+    }
+
+    private void listChanged(String node, Roster.Health health) {
+        oracle.changed(node, health == Roster.Health.UP, now());
+        discovery.changed();
+    }
+
     private void applyToOrigin(Fault f) {
         switch (f.action()) {
             case STALL -> origin.stall(f.forMs());
@@ -405,7 +445,7 @@
                             Roster.Host host = roster.get(node.name()).born(startUnixMs + (long) now());
                             after(spec.noticeMs(), () -> {
                                 roster.put(host);
-                                discovery.changed();
+                                listChanged(node.name(), host.health());
                             });
                         }));
             }
--- a/src/main/java/damsonworks/fleet/Way.java
+++ b/src/main/java/damsonworks/fleet/Way.java
@@ -39,6 +39,11 @@
         }
     }
 
+    /** Whether all that is sent arrives. */
+    boolean sound() {
+        return !cut && lose == 0 && hold == 0 && reset == 0;
+    }
+
     /** Only slower. */
     public static Way slow(double delayMs) {
         return delayMs == 0 ? OPEN : new Way(false, delayMs, 0, 0, 0, 0, 0, 0);
--- a/src/main/java/damsonworks/lab/ScenarioFile.java
+++ b/src/main/java/damsonworks/lab/ScenarioFile.java
@@ -276,7 +276,7 @@
     /** Whether it needs to be told how long; what dies is told by {@code again-after}. */
     private static boolean lasts(Fault.Action a) {
         return switch (a) {
-            case STALL, FREEZE, SILENCE, SPOIL, STALE, STOP, RETIRE -> true;
+            case STALL, FREEZE, SILENCE, SPOIL, STALE, STOP, RETIRE, WATCHES_SILENT, OLDER_LISTS -> true;
             default -> false;
         };
     }
--- a/src/main/java/damsonworks/lab/SoakPlan.java
+++ b/src/main/java/damsonworks/lab/SoakPlan.java
@@ -5,6 +5,8 @@
 import java.util.Locale;
 import java.util.Random;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 /**
  * Random, overlapping faults as a scenario's text, the same for the same seed: a quiet beginning, trouble, and a quiet
@@ -19,8 +21,13 @@
         NODES,
         /** What lies between proxies and nodes is cut, lossy, slow, or breaks answers off. */
         LINKS,
-        /** Discovery answers nothing for a while. */
+        /**
+         * Discovery answers nothing, no watches, or older lists, numbers anew, or what lies between it and a proxy is
+         * slow or breaks off.
+         */
         DISCOVERY,
+        /** Cache nodes drain in waves and are back under their names soon after. */
+        RELEASES,
         /** Clients stop in the middle of a request, say nothing, leave, or send much at once. */
         CLIENTS
     }
@@ -33,15 +40,27 @@
     private static final double QUIET_BEGIN_SHARE = 0.15;
     private static final double EVERY_MS = 1800;
     private static final int MOST_LEAVE = 2;
+    /** Of all nodes, so many drain in one wave of a release. */
+    private static final double WAVE_SHARE = 0.15;
+
+    private static final int MOST_WAVES = 4;
+    /** From the begin of a wave until its nodes are restarted: longer than the grace of a drain. */
+    private static final int LEAST_DRAIN_MS = 2500;
+
+    private static final int MOST_DRAIN_MS = 5000;
+    /** A run this long has outages of discovery that are longer than anything that is kept for some time. */
+    private static final double LONG_RUN_MS = 60_000;
 
     private final int proxies;
     private final int nodes;
+    private final double forMs;
     private final Random random;
     private final StringBuilder text = new StringBuilder();
     private int left;
 
-    private SoakPlan(int proxies, long seed) {
+    private SoakPlan(int proxies, double forMs, long seed) {
         this.proxies = proxies;
+        this.forMs = forMs;
         this.nodes = Math.max(6, Math.min(40, 2 * proxies));
         random = new Random(seed);
     }
@@ -59,10 +78,10 @@
         if (!(forMs >= SHORTEST_MS)) {
             throw new IllegalArgumentException("a soak lasts 15 s at least: it begins and ends in quiet");
         }
-        return new SoakPlan(proxies, seed).draw(forMs, seed, kinds);
+        return new SoakPlan(proxies, forMs, seed).draw(seed, kinds);
     }
 
-    private String draw(double forMs, long seed, Set<Kind> kinds) {
+    private String draw(long seed, Set<Kind> kinds) {
         text.append(String.format(
                 Locale.ROOT,
                 "# A soak of seed %d over %s.%n%nfleet {%n  zones = [a, b]%n  proxies = %d%n  nodes = %d%n  work = 1ms%n"
@@ -80,7 +99,12 @@
         for (int i = 0; i < many; i++) {
             double atMs = beginMs + random.nextDouble() * (forMs - beginMs - QUIET_END_MS);
             Kind kind = drawn.get(random.nextInt(drawn.size()));
-            fault(kind.name().toLowerCase(Locale.ROOT) + "-" + i, atMs, lines(kind));
+            String name = kind.name().toLowerCase(Locale.ROOT) + "-" + i;
+            if (kind == Kind.RELEASES) {
+                release(name, atMs);
+            } else {
+                fault(name, atMs, lines(kind));
+            }
         }
         text.append("\nexpect {\n  rules = held\n}\n");
         return text.toString();
@@ -92,12 +116,37 @@
         text.append("}\n");
     }
 
+    /** As many waves as have come to their end before the quiet end. */
+    private void release(String name, double fromMs) {
+        int size = Math.max(1, (int) (WAVE_SHARE * nodes));
+        int first = random.nextInt(nodes);
+        double everyMs = 500 + random.nextInt(2000);
+        for (int wave = 0; wave < MOST_WAVES; wave++) {
+            double atMs = fromMs + wave * everyMs;
+            double backMs = atMs + LEAST_DRAIN_MS + random.nextInt(MOST_DRAIN_MS - LEAST_DRAIN_MS);
+            String again = again(100, 1500);
+            if (backMs > forMs - QUIET_END_MS) {
+                return;
+            }
+            String these = nodes(first + wave * size, size);
+            fault(name + "-drain-" + wave, atMs, List.of("drain = " + these));
+            fault(name + "-back-" + wave, backMs, List.of("restart = " + these, again));
+        }
+    }
+
+    private String nodes(int from, int many) {
+        return IntStream.range(from, from + many)
+                .mapToObj(node -> "node-" + node % nodes)
+                .collect(Collectors.joining(", ", "[", "]"));
+    }
+
     private List<String> lines(Kind kind) {
         return switch (kind) {
             case PROXIES -> proxy();
             case NODES -> random.nextInt(6) == 0 ? origin() : node();
             case LINKS -> link();
-            case DISCOVERY -> List.of("discovery-down = on", lasts(500, 7000));
+            case DISCOVERY -> discovery();
+            case RELEASES -> throw new IllegalArgumentException("a release is more than one fault");
             case CLIENTS -> throw new IllegalArgumentException("clients have no fault of their own");
         };
     }
@@ -130,6 +179,20 @@
         };
     }
 
+    private List<String> discovery() {
+        String link = random.nextInt(4) == 0 ? "link = [proxy-*]" : "link = [proxy-" + random.nextInt(proxies) + "]";
+        String from = "from = [discovery]";
+        return switch (random.nextInt(8)) {
+            case 0 -> List.of("discovery-down = on", lasts(500, forMs >= LONG_RUN_MS ? 20_000 : 7000));
+            case 1 -> List.of("watches-silent = [discovery]", lasts(2000, 8000));
+            case 2 -> List.of("older-lists = [discovery]", lasts(2000, 8000));
+            case 3 -> List.of("renumber = [discovery]");
+            case 4 -> List.of(link, from, "reset-answers = " + (30 + random.nextInt(40)) + "%", lasts(2000, 6000));
+            case 5 -> List.of(link, from, "hold = " + (20 + random.nextInt(30)) + "%", lasts(2000, 6000));
+            default -> List.of(link, from, "delay = " + (200 + random.nextInt(1000)) + "ms", lasts(3000, 8000));
+        };
+    }
+
     private List<String> origin() {
         return List.of((random.nextBoolean() ? "stall" : "freeze") + " = [origin]", lasts(100, 900));
     }
--- a/src/test/java/damsonworks/LabIT.java
+++ b/src/test/java/damsonworks/LabIT.java
@@ -71,7 +71,7 @@
                             "--proxies",
                             "3",
                             "--for",
-                            "16s",
+                            "28s",
                             "--seed",
                             Integer.toString(seed))
                     .redirectErrorStream(true)
--- a/src/test/java/damsonworks/lab/SoakPlanTest.java
+++ b/src/test/java/damsonworks/lab/SoakPlanTest.java
@@ -41,7 +41,8 @@
         }
         assertThat(seen)
                 .contains(Fault.Action.KILL, Fault.Action.TERM, Fault.Action.STOP, Fault.Action.UPGRADE)
-                .contains(Fault.Action.SILENCE, Fault.Action.DRAIN, Fault.Action.RESTART, Fault.Action.DOWN);
+                .contains(Fault.Action.SILENCE, Fault.Action.DRAIN, Fault.Action.RESTART, Fault.Action.DOWN)
+                .contains(Fault.Action.WATCHES_SILENT, Fault.Action.OLDER_LISTS, Fault.Action.RENUMBER);
     }
 
     @Test
@@ -55,7 +56,7 @@
         Scenario clients = read(SoakPlan.text(6, FOR_MS, 1, EnumSet.of(SoakPlan.Kind.CLIENTS)), 1);
         assertThat(clients.faults()).isEmpty();
         Scenario discovery = read(SoakPlan.text(6, FOR_MS, 1, EnumSet.of(SoakPlan.Kind.DISCOVERY)), 1);
-        assertThat(discovery.faults()).isNotEmpty().allMatch(f -> f.action() == Fault.Action.DOWN);
+        assertThat(discovery.faults()).isNotEmpty().allMatch(f -> f.target().equals("discovery"));
     }
 
     @Test
