--- a/src/main/java/damsonworks/demo/ProxyProcess.java
+++ b/src/main/java/damsonworks/demo/ProxyProcess.java
@@ -183,13 +183,13 @@
 
     /**
      * Starts a new process beside the one that serves and ends that one once the new one says at its door that it takes
-     * clients; waits for all of it.
+     * clients; waits for all of it. Nothing happens if none serves.
      *
      * @param json the new process's configuration, but for the door
      */
     synchronized void upgrade(JsonObject json) throws IOException {
-        if (ended) {
-            return;
+        if (ended || !process.isAlive()) {
+            return; // there is nobody to take over from, and who killed it starts it again
         }
         Process old = process;
         door = free();
