--- a/src/test/java/damsonworks/proxy/SyscallFaultsIT.java
+++ b/src/test/java/damsonworks/proxy/SyscallFaultsIT.java
@@ -9,12 +9,12 @@
 import damsonworks.Await;
 import java.io.IOException;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.ExecutorService;
@@ -57,7 +57,7 @@
         return shim;
     }
 
-    private Path config(int port, FakeServer... nodes) throws IOException {
+    private static String config(int port, FakeServer... nodes) {
         Fleet fleet = new Fleet();
         JsonArray hosts = new JsonArray();
         for (FakeServer node : nodes) {
@@ -65,23 +65,21 @@
         }
         fleet.config.add("known", Fleet.list(41, true, hosts));
         fleet.config.addProperty("listen", "127.0.0.1:" + port);
-        return Files.writeString(folder.resolve("config.json"), fleet.config.toString());
+        return fleet.config.toString();
     }
 
-    private Process start(Path config, String faults) throws IOException, InterruptedException {
-        ProcessBuilder builder = new ProcessBuilder(
-                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                        "-jar",
-                        "target/damsonworks.jar",
-                        "serve")
-                .redirectErrorStream(true)
-                .redirectOutput(folder.resolve("log").toFile());
-        builder.environment().put("LD_PRELOAD", shim().toString());
-        builder.environment().put("FAULTS", faults);
-        builder.environment().put("FAULTS_LOG", folder.resolve("faults").toString());
-        builder.environment().put("TMPDIR", folder.toString());
-        builder.environment().put("BALANCER_CONFIG", config.toString());
-        return builder.start();
+    private ServeProcess start(String config, String faults) throws IOException, InterruptedException {
+        return new ServeProcess(
+                folder,
+                "n0",
+                config,
+                Map.of(
+                        "LD_PRELOAD",
+                        shim().toString(),
+                        "FAULTS",
+                        faults,
+                        "FAULTS_LOG",
+                        folder.resolve("faults").toString()));
     }
 
     /** One request on a connection of its own; what was wrong with its answer, or null. */
@@ -121,7 +119,7 @@
         return List.copyOf(wrong);
     }
 
-    private static List<String> threads(Process process) throws IOException {
+    private static List<String> threads(ServeProcess process) throws IOException {
         List<String> names = new ArrayList<>();
         try (Stream<Path> tasks = Files.list(Path.of("/proc/" + process.pid() + "/task"))) {
             for (Path task : tasks.toList()) {
@@ -139,12 +137,8 @@
     private void holds(String faults, String... calls) throws Exception {
         FakeServer one = node();
         FakeServer two = node();
-        int port;
-        try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            port = free.getLocalPort();
-        }
-        Process process = start(config(port, one, two), faults + ",after_ms=4000");
-        try {
+        int port = ServeProcess.freePort();
+        try (ServeProcess process = start(config(port, one, two), faults + ",after_ms=4000")) {
             Await.until("it serves", () -> request(port, "ready" + System.nanoTime()) == null);
             Await.until("faults begin", () -> {
                 request(port, "warm" + System.nanoTime());
@@ -154,11 +148,10 @@
             assertThat(process.isAlive()).isTrue();
             String injected = Files.readString(folder.resolve("faults"));
             assertThat(injected).contains(calls);
-            assertThat(Files.readString(folder.resolve("log"))).doesNotContain("breach: ", "fault: ");
+            assertThat(process.log()).doesNotContain("breach: ", "fault: ");
             // Netty's own thread for what belongs to no event loop: nothing of the proxy may run on it.
             assertThat(threads(process)).noneMatch(name -> name.startsWith("globalEvent"));
         } finally {
-            process.destroyForcibly();
             one.close();
             two.close();
         }
