--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,4 +2,4 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0: no disruption.
 set -u
 here="$(cd "$(dirname "$0")" && pwd)"
-exec java -Xmx256m -cp "$here/../build" SecondAnswers "$here"
+exec "$here/../run-case.sh" SecondAnswers "$here"
--- a/review/other.sh
+++ b/review/other.sh
@@ -4,4 +4,4 @@
 set -u
 here="$(cd "$(dirname "$0")" && pwd)"
 mkdir -p "$here/build/$1"
-exec java -Xmx1g -cp "$here/build" "$1" "$here/build/$1"
+exec "$here/run-case.sh" "$1" "$here/build/$1"
--- a/review/standins/Rig.java
+++ b/review/standins/Rig.java
@@ -16,9 +16,11 @@
 
 /** What all cases share: the record, the verdict, a temporary folder and the end of all that was started. */
 final class Rig {
-    static final int HELD = 0;
-    static final int BROKEN = 1;
-    static final int COULD_NOT_RUN = 2;
+    /** Exit codes; run-case.sh turns them into those of the scripts, where 1 must not be a failure of the JVM. */
+    private static final int HELD = 0;
+
+    private static final int BROKEN = 10;
+    private static final int COULD_NOT_RUN = 11;
     /** The protocol page: "each time limit is 50 ms longer". */
     static final long SOCKET_SLACK_MS = 50;
     /** The standing test: a final answer later than half a second after the request's time is lost. */
@@ -67,7 +69,7 @@
         });
         limit.setDaemon(true);
         limit.start();
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> rig.processes.forEach(ProxyProcess::kill)));
+        Runtime.getRuntime().addShutdownHook(new Thread(rig::clearUp));
         int code;
         try {
             rig.note("trouble=" + rig.trouble);
@@ -97,12 +99,18 @@
         } catch (IOException e) {
             code = COULD_NOT_RUN;
         }
+        clearUp();
+        Runtime.getRuntime().halt(code);
+    }
+
+    /** Ends all processes and removes the temporary folder. */
+    private void clearUp() {
+        processes.forEach(ProxyProcess::kill);
         try (Stream<Path> files = Files.walk(temporary)) {
             files.sorted(Comparator.reverseOrder()).forEach(p -> p.toFile().delete());
         } catch (IOException e) {
             System.err.println("temporary folder left: " + temporary);
         }
-        Runtime.getRuntime().halt(code);
     }
 
     void register(ProxyProcess process) {
