--- a/review/standins/ProxyProcess.java
+++ b/review/standins/ProxyProcess.java
@@ -33,6 +33,7 @@
         builder.directory(rig.root.toFile()).redirectErrorStream(true).redirectOutput(log.toFile());
         builder.environment().put("BALANCER_NAME", name);
         builder.environment().put("BALANCER_LISTEN", "127.0.0.1:" + port);
+        builder.environment().put("BALANCER_DISCOVERY", config.split("\"discovery\":\"")[1].split("\"")[0]);
         builder.environment().put("BALANCER_CONFIG", file.toString());
         builder.environment().put("TMPDIR", scratch.toString());
         process = builder.start();
