Nothing is sent on an origin connection in the quiet period after a response

Cause: responses of the origin carry no request id and are assigned by order alone. The quiet period after a response was kept only "where possible": at the connection limit, ServerConnectionPool used a quiet connection, the duplicate of its last response was taken for the new attempt's, and each later response was off by one until the connection closed.

Evidence: hypotheses were (a) use within the quiet period, (b) a duplicate later than 25 ms, (c) pipelining. (c) is out, the depth is 1.

Attempts wait for its end on the connection, and move to another if a duplicate closes it. If attempts wait, quiet connections no longer count against the limit (three times the usual one in all); the attempts in flight at the origin stay within it.

The new test fails before the change.

--- a/src/main/java/cacheproxy/proxy/upstream/CacheCodec.java
+++ b/src/main/java/cacheproxy/proxy/upstream/CacheCodec.java
@@ -88,6 +88,11 @@
         return channel.writeAndFlush(command.value.retainedDuplicate());
     }
 
+    @Override
+    public boolean responsesCarryRequestId() {
+        return true;
+    }
+
     @Override
     public void channelRead(ChannelHandlerContext channelContext, Object input) throws Exception {
         connection.setReading(true);
--- a/src/main/java/cacheproxy/proxy/upstream/ConnectionLimits.java
+++ b/src/main/java/cacheproxy/proxy/upstream/ConnectionLimits.java
@@ -23,6 +23,9 @@
     /** Connections that the origin accepts from all proxies, less a reserve. */
     private static final int ORIGIN_CAPACITY = 240;
 
+    /** The limit including connections that are quiet, as a multiple of the usual one. */
+    private static final int ORIGIN_FACTOR_WITH_QUIET = 3;
+
     /** Attempts on one connection to the origin: HTTP/1.1 without pipelining. */
     private static final int ORIGIN_DEPTH = 1;
     /** An idle connection is closed after this fraction of its server's idle timeout. */
@@ -77,7 +80,7 @@
     ServerConnectionPool.Limits origin() {
         int instances = Math.max(1, context.settings().instanceCount());
         int max = Math.max(MIN_TO_ORIGIN, Math.min(MAX_TO_ORIGIN, ORIGIN_CAPACITY / instances));
-        return new ServerConnectionPool.Limits(max, max, ORIGIN_DEPTH);
+        return new ServerConnectionPool.Limits(max, ORIGIN_FACTOR_WITH_QUIET * max, ORIGIN_DEPTH);
     }
 
     /** Connections that are open or being opened. */
--- a/src/main/java/cacheproxy/proxy/upstream/OriginCodec.java
+++ b/src/main/java/cacheproxy/proxy/upstream/OriginCodec.java
@@ -130,6 +130,11 @@
         return channel.writeAndFlush(request);
     }
 
+    @Override
+    public boolean responsesCarryRequestId() {
+        return false;
+    }
+
     private FullHttpRequest healthCheck() {
         String path = loadReports.inHealthChecks() ? LOAD_QUERY_PATH : HEALTH_CHECK_PATH;
         return new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.GET, path, Unpooled.EMPTY_BUFFER);
--- a/src/main/java/cacheproxy/proxy/upstream/ServerConnectionPool.java
+++ b/src/main/java/cacheproxy/proxy/upstream/ServerConnectionPool.java
@@ -16,22 +16,15 @@
     private static final int TYPICAL_CONNECTIONS = 2;
     /** How long no connection is opened beside others after the server has refused a further one, in milliseconds. */
     private static final double REJECTION_BACKOFF_MS = 5000;
-    /**
-     * How long a connection to the origin is left unused after a response where possible, in milliseconds. HTTP
-     * responses carry no request id, so a duplicate response, which arrives some milliseconds after the original, would
-     * be taken for the response to an attempt sent in between. On an unused connection it is recognized as belonging to
-     * no attempt. Responses of cache nodes carry the id of the request.
-     */
-    private static final double ORIGIN_QUIET_PERIOD_MS = 25;
 
     /**
      * How many connections a pool may have, and how many attempts they may take.
      *
      * @param maxConnections the limit of connections
-     * @param maxWithStreaming the limit including connections that stream responses
+     * @param maxWithUnavailable the limit including connections that stream responses or are quiet
      * @param maxDepth the limit of attempts on one connection
      */
-    record Limits(int maxConnections, int maxWithStreaming, int maxDepth) {}
+    record Limits(int maxConnections, int maxWithUnavailable, int maxDepth) {}
 
     private final UpstreamServer server;
     private final UpstreamContext context;
@@ -73,8 +66,26 @@
         /** The best usable connection that streams; null if there is none. */
         private UpstreamConnection bestStreaming;
 
-        private int notStreaming;
         private int all;
+        private int notStreaming;
+        /** How many have attempts on them that are not waiting for the end of a quiet period. */
+        private int inUse;
+
+        private int quietUnused;
+        /** Whether an attempt waits on a quiet connection. */
+        private boolean quietInDemand;
+
+        private void count(UpstreamConnection connection) {
+            if (connection.isRetired()) {
+                return;
+            }
+            boolean used = connection.depth() > 0;
+            all++;
+            notStreaming += connection.isStreaming() ? 0 : 1;
+            inUse += used && !connection.isQuiet() ? 1 : 0;
+            quietUnused += connection.isQuiet() && !used ? 1 : 0;
+            quietInDemand |= connection.isQuiet() && used;
+        }
     }
 
     /**
@@ -85,6 +96,9 @@
     public boolean send(UpstreamAttempt attempt) {
         double now = context.now();
         Candidates candidates = findCandidates(now);
+        if (isOrigin() && candidates.inUse >= limits.maxConnections()) {
+            return false;
+        }
         UpstreamConnection chosen = shouldOpen(candidates, now) ? open() : candidates.best;
         if (chosen == null) {
             chosen = candidates.bestStreaming;
@@ -102,13 +116,12 @@
         Candidates found = new Candidates();
         for (int i = connections.size() - 1; i >= 0; i--) {
             UpstreamConnection connection = connections.get(i);
-            found.notStreaming += connection.isRetired() || connection.isStreaming() ? 0 : 1;
-            found.all += connection.isRetired() ? 0 : 1;
+            found.count(connection);
             if (!connection.isUsable(limits.maxDepth(), idleCutoffMs)) {
                 continue;
             }
             if (!connection.isStreaming()) {
-                found.best = found.best == null || isBetter(connection, found.best, now) ? connection : found.best;
+                found.best = found.best == null || connection.isPreferredTo(found.best) ? connection : found.best;
             } else if (found.bestStreaming == null || connection.isPreferredTo(found.bestStreaming)) {
                 found.bestStreaming = connection;
             }
@@ -117,36 +130,24 @@
     }
 
     /**
-     * Whether to open a connection: none is usable, or the best one has attempts on it or is in its quiet period. Where
-     * no more may be opened, the one that has been quiet longest is used.
+     * Whether to open a connection: none is usable, or the best one has attempts on it or is quiet. Where no more may
+     * be opened, the attempt waits on the one that has been quiet longest. If attempts have to wait already, quiet
+     * connections no longer count against the usual limit, which would otherwise reduce what the server is sent.
      */
     private boolean shouldOpen(Candidates candidates, double now) {
         UpstreamConnection best = candidates.best;
-        boolean wanted =
-                best == null || ((best.depth() > 0 || inQuietPeriod(best, now)) && now >= openingSuspendedUntilMs);
+        boolean wanted = best == null || ((best.depth() > 0 || best.isQuiet()) && now >= openingSuspendedUntilMs);
         if (!wanted) {
             return false;
         }
         int maxConnections =
                 best != null && !isOrigin() && globalLimits.connectionsScarce() ? 1 : limits.maxConnections();
-        return candidates.notStreaming < maxConnections
-                && candidates.all < limits.maxWithStreaming()
+        int counted = candidates.notStreaming - (candidates.quietInDemand ? candidates.quietUnused : 0);
+        return counted < maxConnections
+                && candidates.all < limits.maxWithUnavailable()
                 && globalLimits.mayOpen(best == null && candidates.bestStreaming == null);
     }
 
-    private boolean inQuietPeriod(UpstreamConnection connection, double now) {
-        return isOrigin() && !connection.quietPeriodOver(now, ORIGIN_QUIET_PERIOD_MS);
-    }
-
-    private boolean isBetter(UpstreamConnection one, UpstreamConnection other, double now) {
-        boolean oneQuiet = inQuietPeriod(one, now);
-        boolean otherQuiet = inQuietPeriod(other, now);
-        if (oneQuiet && otherQuiet) {
-            return one.idleSinceMs() < other.idleSinceMs();
-        }
-        return oneQuiet == otherQuiet ? one.isPreferredTo(other) : otherQuiet;
-    }
-
     private UpstreamConnection open() {
         UpstreamConnection connection = new UpstreamConnection(this, context);
         connections.add(connection);
@@ -164,11 +165,18 @@
         return connection;
     }
 
+    /**
+     * Sends an attempt on another connection because its own ended while the attempt waited; false if none can take it.
+     */
+    boolean resend(UpstreamAttempt attempt) {
+        return server.ready && (attempt.isHealthCheck() || attempt.mayBegin()) && send(attempt);
+    }
+
     /**
      * Sends an attempt on another connection because its own could not be opened; false if there is none. While others
      * are open, the failure means that the server is at its connection limit, not that it is unhealthy.
      */
-    boolean resend(UpstreamAttempt attempt) {
+    boolean resendAfterFailedConnect(UpstreamAttempt attempt) {
         double now = context.now();
         UpstreamConnection best = bestConnected(now);
         if (best == null || !attempt.mayBegin()) {
@@ -186,7 +194,7 @@
             if (server.ready
                     && connection.isConnected()
                     && connection.isUsable(limits.maxDepth(), idleCutoffMs)
-                    && (best == null || isBetter(connection, best, now))) {
+                    && (best == null || connection.isPreferredTo(best))) {
                 best = connection;
             }
         }
--- a/src/main/java/cacheproxy/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/cacheproxy/proxy/upstream/UpstreamConnection.java
@@ -23,6 +23,9 @@
     interface Codec {
         /** Writes an attempt; {@code remainingMs}: how long its response is waited for, as told to the server. */
         ChannelFuture write(Channel channel, UpstreamAttempt attempt, long remainingMs, SocketAddress address);
+
+        /** Whether responses carry the id of their request; otherwise only their order assigns them to attempts. */
+        boolean responsesCarryRequestId();
     }
 
     private static final int TYPICAL_DEPTH = 4;
@@ -32,11 +35,15 @@
     private final ServerConnectionPool pool;
     private final UpstreamContext context;
     private final ResponseWatchdog watchdog;
+    private final QuietPeriodTimer quietPeriodTimer;
     private final ArrayDeque<UpstreamAttempt> attempts = new ArrayDeque<>(TYPICAL_DEPTH);
     private Codec codec;
     private Channel channel;
     private SocketAddress address;
     private boolean connected;
+    /** Whether it is in the quiet period after a response. */
+    private boolean quiet;
+
     private boolean closed;
     /** Whether it takes no further attempts. */
     private boolean retired;
@@ -58,6 +65,7 @@
         this.pool = pool;
         this.context = context;
         watchdog = new ResponseWatchdog(context, this::close);
+        quietPeriodTimer = new QuietPeriodTimer(context, this::quietPeriodEnded);
         idleSinceMs = context.now();
     }
 
@@ -94,6 +102,18 @@
                 close();
             }
         }
+        writeWaiting();
+    }
+
+    private void quietPeriodEnded() {
+        expireWaiting();
+        quiet = false;
+        if (!closedLocally) {
+            writeWaiting();
+        }
+    }
+
+    private void writeWaiting() {
         for (UpstreamAttempt waiting : List.copyOf(attempts)) {
             if (waiting.isHealthCheck() || waiting.mayBegin()) {
                 write(waiting);
@@ -104,7 +124,7 @@
         }
     }
 
-    /** Expires attempts whose time ran out while the connection was opening: nothing may be sent for them. */
+    /** Expires attempts whose time ran out while they waited to be written: nothing may be sent for them. */
     private void expireWaiting() {
         double now = context.now();
         List.copyOf(attempts).stream()
@@ -123,6 +143,16 @@
         return connected;
     }
 
+    /** Whether it is in its quiet period, in which attempts wait. */
+    boolean isQuiet() {
+        return quiet;
+    }
+
+    /** Whether attempts are written at once; otherwise all attempts on it are waiting. */
+    private boolean canWrite() {
+        return connected && !quiet;
+    }
+
     boolean isRetired() {
         return retired;
     }
@@ -152,23 +182,27 @@
         return !closed && !tooOld && !retired && !reading && attempts.size() < maxDepth && writable;
     }
 
-    /** For an idle connection: whether its last response, if any, arrived at least {@code quietPeriodMs} ago. */
-    boolean quietPeriodOver(double now, double quietPeriodMs) {
-        return !hasResponded || now - idleSinceMs >= quietPeriodMs;
-    }
-
-    /** Whether it has fewer attempts than another, or as many and was used more recently. */
+    /**
+     * Whether an attempt should rather be sent on it than on another: because the other is quiet, has more attempts or,
+     * with as many, was used less recently. Of two quiet ones, that which was used less recently is preferred.
+     */
     boolean isPreferredTo(UpstreamConnection other) {
-        return depth() != other.depth() ? depth() < other.depth() : idleSinceMs > other.idleSinceMs;
+        if (quiet != other.quiet) {
+            return other.quiet;
+        }
+        if (depth() != other.depth()) {
+            return depth() < other.depth();
+        }
+        return quiet ? idleSinceMs < other.idleSinceMs : idleSinceMs > other.idleSinceMs;
     }
 
     // ---- attempts
 
-    /** Sends an attempt, as soon as the connection is open. */
+    /** Sends an attempt, as soon as the connection is open and not quiet. */
     void send(UpstreamAttempt attempt) {
         attempt.assignedTo(this);
         attempts.add(attempt);
-        if (connected) {
+        if (canWrite()) {
             write(attempt);
         }
     }
@@ -187,14 +221,14 @@
         });
     }
 
-    /** Removes an attempt that waits for the connection to open; false if part of it may have been sent. */
+    /** Removes an attempt that waits to be written; false if part of it may have been sent. */
     public boolean removeUnsent(UpstreamAttempt attempt) {
-        return !connected && attempts.remove(attempt);
+        return !canWrite() && attempts.remove(attempt);
     }
 
-    /** Ends all attempts that wait for the connection to open, and closes the connection. */
+    /** If attempts on it wait to be written: ends them all, and closes the connection. */
     void endUnsent() {
-        if (connected) {
+        if (canWrite()) {
             return;
         }
         retired = true;
@@ -209,12 +243,12 @@
      * closing the connection, which would also end the other attempts that are waited for.
      */
     public boolean canCancelAttempt() {
-        return !connected || attempts.size() - abandoned == 1;
+        return !canWrite() || attempts.size() - abandoned == 1;
     }
 
     /** Called when nobody waits for an attempt any more. True if no part of it has been sent or will be. */
     public boolean abandon(UpstreamAttempt attempt) {
-        if (!connected) {
+        if (!canWrite()) {
             return removeUnsent(attempt);
         }
         if (!attempts.contains(attempt)) {
@@ -271,7 +305,7 @@
 
     /** The attempt whose response arrives next; null if none is in flight, so that input violates the protocol. */
     UpstreamAttempt currentAttempt() {
-        return attempts.peek();
+        return canWrite() ? attempts.peek() : null;
     }
 
     /** Called when part of a response that is not streamed has arrived. */
@@ -291,6 +325,7 @@
         }
         if (attempts.isEmpty()) {
             idleSinceMs = context.now();
+            startQuietPeriod();
         }
         boolean isFirst = !hasResponded;
         hasResponded = true;
@@ -308,6 +343,13 @@
         }
     }
 
+    private void startQuietPeriod() {
+        if (!codec.responsesCarryRequestId()) {
+            quiet = true;
+            quietPeriodTimer.start();
+        }
+    }
+
     /**
      * Ends a first attempt that was rejected. Only a server that also closes the connection is at its connection limit;
      * that has an outcome of its own, so that proxies do not retry again and again.
@@ -360,10 +402,20 @@
             endRejectedFirstAttempt(atLimit ? AttemptOutcome.CONNECTION_LIMIT : AttemptOutcome.REJECTED);
         }
         for (UpstreamAttempt attempt = attempts.poll(); attempt != null; attempt = attempts.poll()) {
-            if (!connected && !attempt.hasEnded() && pool.resend(attempt)) {
+            if (!attempt.hasEnded() && resendUnsent(attempt)) {
                 continue;
             }
             attempt.end(attempt.isWritten() ? AttemptOutcome.RESET : AttemptOutcome.CONNECT_FAILED);
         }
     }
+
+    /**
+     * Sends an attempt that waited here on another connection; false if it may have been sent, or there is no other.
+     */
+    private boolean resendUnsent(UpstreamAttempt attempt) {
+        if (!connected) {
+            return pool.resendAfterFailedConnect(attempt);
+        }
+        return quiet && pool.resend(attempt);
+    }
 }
--- a/src/test/java/cacheproxy/proxy/DuplicateResponsesTest.java
+++ b/src/test/java/cacheproxy/proxy/DuplicateResponsesTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
@@ -10,7 +12,10 @@
 /** Responses followed by surplus input: late duplicates, and invalid data. */
 @Timeout(60)
 class DuplicateResponsesTest {
-    private static String write(int id) {
+    /** Connections to the origin that each of sixty proxies may usually have. */
+    private static final int MAX_ORIGIN_CONNECTIONS = 4;
+
+    private static String write(Object id) {
         return "ms 7f3a 5 O" + id + " Pc=fix,d=20000\r\nhello\r\n";
     }
 
@@ -60,6 +65,52 @@
         }
     }
 
+    /**
+     * Guards against a client being served with another request's response: once no more connections to the origin may
+     * be opened, the next write was sent on one that had just had a response, and took its duplicate for its own.
+     */
+    @Test
+    void aDuplicateIsNotTakenForTheNextResponseWhereNoMoreConnectionsMayBeOpened() throws Exception {
+        CountDownLatch allArrived = new CountDownLatch(MAX_ORIGIN_CONNECTIONS);
+        CountDownLatch duplicate = new CountDownLatch(1);
+        CountDownLatch duplicated = new CountDownLatch(MAX_ORIGIN_CONNECTIONS);
+        FakeServer origin = new FakeServer(c -> {
+            String id = FakeServer.id(c.request());
+            if (!id.startsWith("early")) {
+                c.send(receipt(id));
+                c.awaitEnd();
+                return;
+            }
+            allArrived.countDown();
+            allArrived.await();
+            c.send(receipt(id));
+            duplicate.await();
+            c.send(receipt(id));
+            duplicated.countDown();
+            for (String request; (request = c.request()) != null; ) {
+                c.send(receipt(FakeServer.id(request)));
+            }
+        });
+        try (ProxyFixture fixture =
+                        new ProxyFixture().origin(origin).set("balancers", "60").start();
+                ProxyFixture.Client late = fixture.client()) {
+            late.send("mn\r\n").line();
+            List<ProxyFixture.Client> early = new ArrayList<>();
+            for (int i = 0; i < MAX_ORIGIN_CONNECTIONS; i++) {
+                early.add(fixture.client().send(write("early" + i)));
+            }
+            for (int i = 0; i < MAX_ORIGIN_CONNECTIONS; i++) {
+                assertThat(early.get(i).line()).isEqualTo("HD Oearly" + i + " crearly" + i);
+            }
+            CountDownLatch resume = fixture.pauseEventLoop();
+            late.send(write("late"));
+            duplicate.countDown();
+            duplicated.await();
+            resume.countDown();
+            assertThat(late.line()).isEqualTo("HD Olate crlate");
+        }
+    }
+
     /** Surplus bytes without a line end would be taken for the start of the next response. */
     @Test
     void invalidInputBehindTheOriginsResponseClosesTheConnection() throws Exception {
