A buffered value counts against its budget until its last byte is written or dropped

Cause: OriginCodec held such a body whole under the value budget, but returned the budget when the body was complete, before a byte of it was written. ClientResponseQueue then copied it into one more buffer of up to 4 MiB, which counted nowhere until a slow client had read it. Direct memory ran out; the JVM blocked the event loop for half a second and threw, after the request had been recorded as answered, so that nothing answered it any more.

Change: a buffered value's parts own their reservation (ReservedBuffer) and return it when released, wherever they are by then. Long values are written in their parts, without a copy. A body that outgrows 64 KiB reserves all it may need at once, and its connection is not read until that is granted, where it failed before. The same cause on related paths: values of writes returned their budget at the request's end although a server that does not read still had them queued; they are counted by the same buffers now. A body that nobody waits for any more is dropped.

Both new tests fail before the change.

--- a/src/main/java/cacheproxy/flow/ByteBudget.java
+++ b/src/main/java/cacheproxy/flow/ByteBudget.java
@@ -37,8 +37,8 @@
 
     /** A memory reservation: granted, waiting or released. */
     public final class Reservation {
-        private final int bytes;
         private final Runnable onGranted;
+        private int bytes;
         private boolean granted;
         private boolean released;
 
@@ -65,6 +65,20 @@
             }
             grantWaiting();
         }
+
+        /** Returns this many bytes of a granted reservation; no effect once all of it is returned. */
+        public void release(int part) {
+            if (released) {
+                return;
+            }
+            if (!granted || part < 0 || part > bytes) {
+                throw new IllegalArgumentException("cannot return " + part + " of " + bytes + " bytes");
+            }
+            bytes -= part;
+            reserved -= part;
+            released = bytes == 0;
+            grantWaiting();
+        }
     }
 
     /**
@@ -89,6 +103,11 @@
         return reservation;
     }
 
+    /** Returns the largest number of bytes that can be reserved at once. */
+    public long maxReservation() {
+        return Math.max(capacity - capacity / SMALL_VALUE_SHARE_DIVISOR, Math.min(capacity, SMALL_VALUE_BYTES));
+    }
+
     /** Returns the number of bytes currently reserved. */
     public long reserved() {
         return reserved;
--- a/src/main/java/cacheproxy/proxy/client/ClientRequestReceiver.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientRequestReceiver.java
@@ -155,7 +155,7 @@
         command.valueReservation =
                 dispatcher.bufferLimits().values().reserve(remainingBytes, () -> reservationGranted(command));
         if (command.valueReservation != null && command.valueReservation.granted()) {
-            value = newValueBuffer();
+            startValueBuffer(command);
         } else if (command.valueReservation != null) {
             awaitsReservation = true;
             pauseDecoding();
@@ -166,7 +166,7 @@
     private void reservationGranted(RequestCommand command) {
         if (incomingWrite == command) {
             awaitsReservation = false;
-            value = newValueBuffer();
+            startValueBuffer(command);
             connection.updateBackpressure();
         }
     }
@@ -179,8 +179,9 @@
         }
     }
 
-    private ValueBuffer newValueBuffer() {
-        return new ValueBuffer(connection.context().alloc(), remainingBytes);
+    private void startValueBuffer(RequestCommand command) {
+        value = new ValueBuffer(connection.context().alloc(), remainingBytes, command.valueReservation);
+        command.valueReservation = null;
     }
 
     private void receiveValue(ByteBuf in) throws MetaCodec.SyntaxException {
--- a/src/main/java/cacheproxy/proxy/client/ClientResponseQueue.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientResponseQueue.java
@@ -8,7 +8,6 @@
 import cacheproxy.proxy.protocol.RequestCommand;
 import cacheproxy.proxy.protocol.ServerResponse;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import java.nio.charset.StandardCharsets;
@@ -19,8 +18,8 @@
  * the queue; of streamed values, only the one at its head is read from its server. Event loop only.
  */
 final class ClientResponseQueue {
-    /** Number of components above which a composite buffer consolidates them. */
-    private static final int MAX_COMPONENTS = 64;
+    /** Data of one response that waits for the responses before it: a short one has one part. */
+    private static final int TYPICAL_PARTS = 1;
 
     private final ClientConnection connection;
     private final Dispatcher dispatcher;
@@ -71,9 +70,8 @@
         boolean wrote = false;
         PendingResponse head;
         while (!connection.finished() && (head = pending.peek()) != null) {
-            if (head.ready != null) {
-                lastWrite = context().write(head.ready);
-                head.ready = null;
+            for (ByteBuf part; (part = head.ready.poll()) != null; ) {
+                lastWrite = context().write(part);
                 wrote = true;
             }
             if (!head.complete) {
@@ -120,8 +118,8 @@
         private final String id;
         /** Null for a response that does not come from the dispatcher. */
         private ClientRequest request;
-        /** Data that can be written; null once it has been passed to the channel. */
-        private ByteBuf ready;
+        /** Data that has not been passed to the channel yet. */
+        private final ArrayDeque<ByteBuf> ready = new ArrayDeque<>(TYPICAL_PARTS);
         /** Whether all of the response has arrived. */
         private boolean complete;
         /** The server of a streamed value, else null. */
@@ -132,7 +130,7 @@
         }
 
         private void complete(ByteBuf text) {
-            ready = text;
+            ready.add(text);
             complete = true;
             flush();
         }
@@ -147,6 +145,10 @@
                 complete(MetaCodec.receipt(id, r.receipt()));
             } else if (response instanceof ServerResponse.Value v) {
                 complete(encode(v.value()));
+            } else if (response instanceof ServerResponse.LongValue v) {
+                ready.add(MetaCodec.encode(context().alloc(), MetaCodec.valueHeader(v.length(), id)));
+                ready.addAll(v.parts());
+                complete("\r\n");
             } else {
                 throw new IllegalStateException("EndOfValue without a preceding beginValue");
             }
@@ -190,13 +192,8 @@
         public void writePart(ByteBuf part) {
             if (connection.finished()) {
                 part.release();
-            } else if (ready == null) {
-                ready = part;
             } else {
-                CompositeByteBuf parts = ready instanceof CompositeByteBuf composite
-                        ? composite
-                        : context().alloc().compositeBuffer(MAX_COMPONENTS).addComponent(true, ready);
-                ready = parts.addComponent(true, part);
+                ready.add(part);
             }
             flush();
         }
@@ -216,9 +213,8 @@
         }
 
         private void drop(boolean closedByProxy) {
-            if (ready != null) {
-                ready.release();
-                ready = null;
+            for (ByteBuf part; (part = ready.poll()) != null; ) {
+                part.release();
             }
             if (source != null) {
                 source.setPaused(false);
--- a/src/main/java/cacheproxy/proxy/protocol/RequestCommand.java
+++ b/src/main/java/cacheproxy/proxy/protocol/RequestCommand.java
@@ -23,7 +23,7 @@
     public final DeadlineTemplate commandLine;
     /** The value with its line end, kept for further attempts until the request is completed; null for reads. */
     public ByteBuf value;
-    /** The reservation of the value budget for the value; null for reads. */
+    /** What is reserved for a value that has not begun to arrive; null for reads, and later, when the value owns it. */
     public ByteBudget.Reservation valueReservation;
 
     /** Creates a command without a value; the codec adds that of a write. */
--- a/src/main/java/cacheproxy/proxy/upstream/OriginCodec.java
+++ b/src/main/java/cacheproxy/proxy/upstream/OriginCodec.java
@@ -31,7 +31,6 @@
 import java.net.SocketAddress;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Map;
 
@@ -68,10 +67,13 @@
     /** The part of the body that has arrived; null if the body is streamed or discarded. */
     private ValueBuffer body;
     /**
-     * Budget for a body that is held completely, beyond {@link MetaCodec#MAX_WHOLE_VALUE_BYTES}, reserved as it grows.
-     * A response that gets none fails.
+     * Memory for a body that is held completely and exceeds {@link MetaCodec#MAX_WHOLE_VALUE_BYTES}; null for others.
+     * All that the body may need is reserved at once: bodies that wait for each other's memory would deadlock.
      */
-    private final ArrayDeque<ByteBudget.Reservation> reservations = new ArrayDeque<>();
+    private ByteBudget.Reservation reservation;
+
+    /** The longest length of the body. */
+    private int maxLength;
 
     private boolean streamed;
     /** Whether further input is ignored, because the connection is being closed. */
@@ -200,12 +202,16 @@
         boolean streamable = isStreamable(head, contentLength);
         streamed = streamable && connection.beginValue((int) contentLength); // if false, nobody waits for it
         if (!streamable) {
-            int maxLength = contentLength < 0 ? MetaCodec.MAX_VALUE_BYTES : (int) contentLength;
+            maxLength = contentLength < 0 ? maxUnknownLength() : (int) contentLength;
             body = new ValueBuffer(channelContext.alloc(), maxLength);
             connection.responseProgressed();
         }
     }
 
+    private int maxUnknownLength() {
+        return (int) Math.min(MetaCodec.MAX_VALUE_BYTES, context.valueBudget().maxReservation());
+    }
+
     /** Why a response can't be used; null if it can. */
     private static String findError(HttpResponse head, long contentLength) {
         if (hasMalformedHeader(head.headers())) {
@@ -252,9 +258,12 @@
             }
         } else if (body != null) {
             int length = body.length() + part.readableBytes();
-            if (length > MetaCodec.MAX_VALUE_BYTES) {
+            if (length > maxLength) {
                 fail("response body too long");
-            } else if (!reserve(length - MetaCodec.MAX_WHOLE_VALUE_BYTES)) {
+            } else if (length > MetaCodec.MAX_WHOLE_VALUE_BYTES
+                    && connection.currentAttempt().hasEnded()) {
+                releaseBody(); // nobody waits for it
+            } else if (length > MetaCodec.MAX_WHOLE_VALUE_BYTES && !reserve()) {
                 fail("no budget for the response body");
             } else {
                 body.add(part, part.readableBytes());
@@ -263,25 +272,27 @@
         }
     }
 
-    /** Extends the reservation to this many bytes in total; false if there is not enough budget now. */
-    private boolean reserve(int bytes) {
-        while (reservations.size() * (long) MetaCodec.MAX_WHOLE_VALUE_BYTES < bytes) {
-            ByteBudget.Reservation reservation =
-                    context.valueBudget().reserve(MetaCodec.MAX_WHOLE_VALUE_BYTES, () -> {});
-            if (reservation == null || !reservation.granted()) {
-                if (reservation != null) {
-                    reservation.release();
-                }
-                return false;
+    /** Reserves memory for the body and pauses reading while there is none; false if there never will be. */
+    private boolean reserve() {
+        if (reservation == null) {
+            reservation = context.valueBudget().reserve(maxLength, this::reservationGranted);
+            if (reservation != null && reservation.granted()) {
+                body.setReservation(reservation);
+            } else if (reservation != null) {
+                connection.setPaused(true);
             }
-            reservations.add(reservation);
         }
-        return true;
+        return reservation != null;
+    }
+
+    private void reservationGranted() {
+        body.setReservation(reservation);
+        context.loop().execute(() -> connection.setPaused(false));
     }
 
     private void complete() {
         HttpResponse head = response;
-        ByteBuf whole = body == null ? null : body.assemble();
+        ServerResponse result = isOk(head) ? toResponse(connection.currentAttempt()) : null;
         response = null;
         releaseBody();
         if (!HttpUtil.isKeepAlive(head)
@@ -291,12 +302,10 @@
         UpstreamAttempt attempt = connection.currentAttempt();
         float[] report = loadReports.parse(head.headers().get(LOAD_HEADER));
         if (attempt.isHealthCheck()) {
-            release(whole);
             connection.responseCompleted(isOk(head) ? AttemptOutcome.OK : AttemptOutcome.ERROR, NO_NOTE, report, null);
         } else if (isOk(head)) {
-            connection.responseCompleted(AttemptOutcome.OK, NO_NOTE, report, toResponse(attempt.command(), whole));
+            connection.responseCompleted(AttemptOutcome.OK, NO_NOTE, report, result);
         } else {
-            release(whole);
             connection.responseCompleted(
                     isRejection(head) ? AttemptOutcome.REJECTED : AttemptOutcome.ERROR, NO_NOTE, report, null);
         }
@@ -309,22 +318,33 @@
                 && "1".equals(head.headers().get(REJECTED_HEADER));
     }
 
-    private ServerResponse toResponse(RequestCommand command, ByteBuf whole) {
-        if (streamed || whole == null) {
+    /** The response to an attempt; null for a health check, whose body is released with the others. */
+    private ServerResponse toResponse(UpstreamAttempt attempt) {
+        if (attempt.isHealthCheck()) {
+            return null;
+        }
+        if (body == null) {
             return ServerResponse.EndOfValue.INSTANCE;
         }
-        if (command.write) {
+        if (attempt.command().write) {
+            ByteBuf whole = body.assemble();
             String receipt = whole.toString(StandardCharsets.ISO_8859_1).trim();
             whole.release();
             return new ServerResponse.Receipt(receipt);
         }
-        return new ServerResponse.Value(whole);
+        return toValue();
     }
 
-    private static void release(ByteBuf buffer) {
-        if (buffer != null) {
-            buffer.release();
+    private ServerResponse toValue() {
+        if (body.length() <= MetaCodec.MAX_WHOLE_VALUE_BYTES) {
+            return new ServerResponse.Value(body.assemble());
+        }
+        if (!reservation.granted()) {
+            reservation.release(); // the rest had been read already
         }
+        ServerResponse value = new ServerResponse.LongValue(body.length(), body.takeParts());
+        reservation = null; // the parts own what was granted
+        return value;
     }
 
     /** Releases the body and its budget; the client side owns what was streamed. */
@@ -333,8 +353,9 @@
             body.release();
             body = null;
         }
-        for (ByteBudget.Reservation next = reservations.poll(); next != null; next = reservations.poll()) {
-            next.release();
+        if (reservation != null) {
+            reservation.release();
+            reservation = null;
         }
     }
 
--- a/src/main/java/cacheproxy/proxy/upstream/ResponseWatchdog.java
+++ b/src/main/java/cacheproxy/proxy/upstream/ResponseWatchdog.java
@@ -43,7 +43,7 @@
 
     private void scheduleCheck(double afterMs) {
         context.after(afterMs, () -> {
-            double remainingMs = SHORT_STALL_MS - (context.now() - lastProgressMs);
+            double remainingMs = paused ? SHORT_STALL_MS : SHORT_STALL_MS - (context.now() - lastProgressMs);
             checkScheduled = shortResponseBegun && !stopped && remainingMs > 0;
             if (checkScheduled) {
                 scheduleCheck(remainingMs);
--- a/src/test/java/cacheproxy/proxy/LargeValuesTest.java
+++ b/src/test/java/cacheproxy/proxy/LargeValuesTest.java
@@ -10,6 +10,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -240,4 +241,79 @@
             Await.until("all reserved memory is released", () -> used(fixture) == 0);
         }
     }
+
+    private static void sendValueWithoutLength(FakeServer.Connection c) throws IOException {
+        c.send("HTTP/1.1 200 \r\nConnection: close\r\n\r\n");
+        c.out.write(VALUE);
+        c.out.flush();
+    }
+
+    private static void awaitCompleted(ProxyFixture fixture, int requests) throws InterruptedException {
+        Await.until(
+                requests + " responses are complete",
+                () -> fixture.onEventLoop(() -> fixture.proxy.dispatcher().completedRequests()) == requests);
+    }
+
+    private static void assertServed(ProxyFixture.Client client, String id) throws IOException {
+        assertThat(client.line()).isEqualTo("VA " + VALUE.length + " O" + id);
+        assertThat(client.bytes(VALUE.length)).isEqualTo(VALUE);
+        assertThat(client.line()).isEmpty();
+    }
+
+    /**
+     * Guards against requests without a response: values without a length that had not been written to their clients
+     * counted against no budget, until an allocation failed for a request that was already recorded as answered.
+     */
+    @Test
+    void aValueWithoutALengthCountsAgainstTheBudgetUntilItIsWrittenToItsClient() throws Exception {
+        CountDownLatch answerWrite = new CountDownLatch(1);
+        FakeServer misses = FakeServer.node(line -> "EN O" + FakeServer.id(line) + " h0\r\n");
+        FakeServer origin = new FakeServer(c -> {
+            if (c.request().startsWith("PUT")) {
+                answerWrite.await();
+                c.sendHttp(200, "", "r1");
+                c.awaitEnd();
+            } else {
+                sendValueWithoutLength(c);
+            }
+        });
+        try (ProxyFixture fixture =
+                        new ProxyFixture().node(misses).origin(origin).start();
+                ProxyFixture.Client client = fixture.client()) {
+            client.send("ms key1 5 O1 Pc=publish,d=20000,k=1\r\nhello\r\nmg key2 v O2 Pc=text,d=20000\r\n");
+            awaitCompleted(fixture, 1);
+            assertThat(used(fixture)).isGreaterThanOrEqualTo(VALUE.length);
+            answerWrite.countDown();
+            assertThat(client.line()).isEqualTo("HD O1 cr1");
+            assertServed(client, "2");
+            Await.until("all reserved memory is released", () -> used(fixture) == 0);
+        }
+    }
+
+    /** Guards against failing a fetch for lack of memory that a slow client returns a moment later. */
+    @Test
+    void aValueWithoutALengthBeyondTheBudgetWaitsAndIsServed() throws Exception {
+        FakeServer misses = FakeServer.node(line -> "EN O" + FakeServer.id(line) + " h0\r\n");
+        try (ProxyFixture fixture = new ProxyFixture()
+                        .memory(48)
+                        .node(misses)
+                        .origin(new FakeServer(c -> {
+                            c.request();
+                            sendValueWithoutLength(c);
+                        }))
+                        .start();
+                ProxyFixture.Client slow = fixture.client(4096);
+                ProxyFixture.Client waiting = fixture.client()) {
+            slow.send("mg key1 v O1 Pc=text,d=20000\r\n");
+            awaitCompleted(fixture, 1);
+            waiting.send("mg key2 v O2 Pc=text,d=20000\r\n");
+            Await.until(
+                    "the second value waits for memory",
+                    () -> fixture.onEventLoop(() ->
+                            fixture.proxy.dispatcher().bufferLimits().values().waiting() == 1));
+            assertServed(slow, "1");
+            assertServed(waiting, "2");
+            Await.until("all reserved memory is released", () -> used(fixture) == 0);
+        }
+    }
 }
