A value behind which other requests wait is written only once it is complete

Cause: a long value was passed on as it arrived, whatever waited behind it. If it broke off, only a close could tell the client, and the close dropped the responses behind it, complete ones as well. It was booked as the client's own disconnect, so the proxy's check for connections closed before an answer did not see it.

Evidence: hypotheses were (a) the close on abort, (b) requests behind the value that die with the node's connection, (c) responses that are written and overtaken by the reset. The case's record shows the reads answered by their nodes and the write by the origin before the reset, and no byte of them sent: (a).

Change: a value is passed on while it arrives only if it is first and nothing waits behind it; from then on commands of that client stay unread until its end, so that a close loses none that was read. Otherwise it is held, within the value budget and the time that its request had left when it became first; if it breaks off or that time ends, its request fails in its place and the others get their responses. A value that breaks off while it still waits behind others no longer closes the connection either. The close is booked as the proxy's own. Same path: a drain's deadline fails a held value where it closed the connection.

--- a/src/main/java/cacheproxy/proxy/ClientRequest.java
+++ b/src/main/java/cacheproxy/proxy/ClientRequest.java
@@ -40,6 +40,11 @@
         this.receivedMs = receivedMs;
     }
 
+    /** When the client stops waiting, on the clock of {@link Dispatcher#now}. */
+    public double deadlineMs() {
+        return deadlineMs;
+    }
+
     RequestState state() {
         return state;
     }
--- a/src/main/java/cacheproxy/proxy/Dispatcher.java
+++ b/src/main/java/cacheproxy/proxy/Dispatcher.java
@@ -170,6 +170,11 @@
         lifecycle.clientDisconnected(request, closedByProxy);
     }
 
+    /** Fails a request whose value began to arrive, but could not be written to its client in time. */
+    public void valueTimedOut(ClientRequest request) {
+        lifecycle.valueTimedOut(request);
+    }
+
     /** Completes all open requests now, because the deadline of a drain has passed. */
     public void completeAll() {
         lifecycle.completeAll();
--- a/src/main/java/cacheproxy/proxy/RequestLifecycle.java
+++ b/src/main/java/cacheproxy/proxy/RequestLifecycle.java
@@ -147,6 +147,18 @@
         completion.release(request);
     }
 
+    /** Fails a request whose value began to arrive, but could not be written to its client in time. */
+    void valueTimedOut(ClientRequest request) {
+        if (!request.isStreaming()) {
+            return;
+        }
+        completion.complete(request, RequestState.ANSWERED, RequestOutcome.FAILED);
+        loadBalancer.clientDisconnected(request); // so that it requests no further actions for it
+        attempts.cancelStreams(request);
+        request.responseWriter.abort();
+        completion.release(request);
+    }
+
     /** Rejects an open request if a repeat is harmless; otherwise fails it, and records a violation of the rules. */
     void reject(ClientRequest request, double retryAfterMs) {
         if (request.isOpen() && !isRejectable(request)) {
--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -169,6 +169,19 @@
         context.executor().execute(() -> context.pipeline().fireChannelRead(Unpooled.EMPTY_BUFFER));
     }
 
+    /** Whether complete commands may be waiting to be decoded. */
+    boolean mayHaveWaitingCommands() {
+        return receiver.isDecodingPaused();
+    }
+
+    /**
+     * Called when the first part of a value is written that has not arrived completely. Leaves further commands unread
+     * until its end: if it breaks off, the connection has to be closed.
+     */
+    void valueBegun() {
+        receiver.pauseReading();
+    }
+
     /** Pauses or resumes reading from servers and from the client, depending on what can be written and decoded now. */
     void updateBackpressure() {
         responses.updateFlowControl();
@@ -277,6 +290,6 @@
 
     private void resumeServing() {
         handingOver = false;
-        context.channel().config().setAutoRead(true);
+        context.channel().config().setAutoRead(!receiver.input().isPaused());
     }
 }
--- a/src/main/java/cacheproxy/proxy/client/ClientInput.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientInput.java
@@ -79,13 +79,24 @@
      * ahead.
      */
     void pauseIfFull(ChannelHandlerContext context, int waitingBytes) {
-        if (!readAhead.tryReserve(waitingBytes) && !paused) {
+        if (!readAhead.tryReserve(waitingBytes)) {
+            pause(context);
+        }
+    }
+
+    /** Pauses reading, so that further input stays unread. */
+    void pause(ChannelHandlerContext context) {
+        if (!paused) {
             arrivals.backlogPossible(dispatcher.now());
             paused = true;
             context.channel().config().setAutoRead(false);
         }
     }
 
+    boolean isPaused() {
+        return paused;
+    }
+
     /** Called when decoding resumes: returns the read-ahead budget and resumes reading. */
     void resume(ChannelHandlerContext context) {
         readAhead.release();
--- a/src/main/java/cacheproxy/proxy/client/ClientRequestReceiver.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientRequestReceiver.java
@@ -13,8 +13,8 @@
 
 /**
  * Decodes the commands of one client connection and passes on their requests. Pauses while the client has too many
- * requests in flight, does not read its responses or waits for memory for a value. Times out a client that stops in the
- * middle of a command. Event loop only.
+ * requests in flight, does not read its responses, is being written a value that is still arriving, or waits for memory
+ * for a value. Times out a client that stops in the middle of a command. Event loop only.
  */
 final class ClientRequestReceiver {
     private static final int MAX_PIPELINED = 32;
@@ -88,6 +88,7 @@
 
     private boolean mustPauseDecoding() {
         return responses.size() >= MAX_PIPELINED
+                || responses.isPassingOnValue()
                 || !connection.context().channel().isWritable()
                 || awaitsReservation;
     }
@@ -97,6 +98,16 @@
         readTimeout.setPaused(true, dispatcher.now());
     }
 
+    boolean isDecodingPaused() {
+        return decodingPaused;
+    }
+
+    /** Pauses decoding and reading, until {@link #resumeIfPossible} finds no more reason for it. */
+    void pauseReading() {
+        pauseDecoding();
+        input.pause(connection.context());
+    }
+
     /** Resumes decoding if it was paused and need not be any more. */
     void resumeIfPossible() {
         if (decodingPaused && !mustPauseDecoding()) {
--- a/src/main/java/cacheproxy/proxy/client/ClientResponseQueue.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientResponseQueue.java
@@ -15,7 +15,8 @@
 
 /**
  * Writes the responses of one client connection in the order of their requests. Responses that are ready early wait in
- * the queue; of streamed values, only the one at its head is read from its server. Event loop only.
+ * the queue; of streamed values, only the one at its head is read from its server. It is passed on as it arrives if no
+ * other request waits behind it, and otherwise held until it is complete. Event loop only.
  */
 final class ClientResponseQueue {
     /** Data of one response that waits for the responses before it: a short one has one part. */
@@ -69,7 +70,7 @@
     void flush() {
         boolean wrote = false;
         PendingResponse head;
-        while (!connection.finished() && (head = pending.peek()) != null) {
+        while (!connection.finished() && (head = pending.peek()) != null && head.mayWrite()) {
             for (ByteBuf part; (part = head.ready.poll()) != null; ) {
                 lastWrite = context().write(part);
                 wrote = true;
@@ -90,16 +91,21 @@
         connection.closeIfDue();
     }
 
-    /** Pauses reading of streamed values that can't be written now, and resumes the others. */
+    /** Pauses reading of values that can be neither written nor held now, and resumes the others. */
     void updateFlowControl() {
         for (PendingResponse response : pending) {
             if (response.source != null) {
-                response.source.setPaused(
-                        response != pending.peek() || !context().channel().isWritable());
+                response.source.setPaused(response != pending.peek() || !response.mayRead());
             }
         }
     }
 
+    /** Whether part of a value has been written that has not arrived completely. */
+    boolean isPassingOnValue() {
+        PendingResponse head = pending.peek();
+        return head != null && head.begun && !head.complete;
+    }
+
     /**
      * Discards outstanding responses at the connection's end; {@code closedByProxy}: it was not closed by the client.
      */
@@ -124,6 +130,14 @@
         private boolean complete;
         /** The server of a streamed value, else null. */
         private FlowControl source;
+        /** Bytes of a streamed value. */
+        private int valueLength;
+        /** How long its value may be held, in milliseconds. */
+        private double maxHoldMs;
+        /** Whether part of a streamed value has been written. */
+        private boolean begun;
+        /** The value, if it is held until it is complete; else null. */
+        private HeldValue held;
 
         PendingResponse(String id) {
             this.id = id;
@@ -182,9 +196,43 @@
             complete("CLIENT_ERROR " + reason + "\r\n");
         }
 
+        /**
+         * Whether what is ready may be written now; decides how a streamed value is passed on that has become first.
+         */
+        private boolean mayWrite() {
+            if (complete || begun || ready.isEmpty()) {
+                return true;
+            }
+            if (held == null && pending.size() == 1 && !connection.mayHaveWaitingCommands()) {
+                begun = true;
+                connection.valueBegun();
+            } else if (held == null) {
+                hold();
+            }
+            return begun;
+        }
+
+        private boolean mayRead() {
+            return held != null ? held.isGranted() : context().channel().isWritable();
+        }
+
+        private void hold() {
+            held = new HeldValue(
+                    context().alloc(), dispatcher.bufferLimits().values(), valueLength, connection::updateBackpressure);
+            dispatcher.after(held.isRejected() ? 0 : maxHoldMs, this::holdTimedOut);
+        }
+
+        private void holdTimedOut() {
+            if (!complete && pending.contains(this)) {
+                dispatcher.valueTimedOut(request);
+            }
+        }
+
         @Override
         public void beginValue(int length, FlowControl flowControl) {
             source = flowControl;
+            valueLength = length;
+            maxHoldMs = Math.max(0, request.deadlineMs() - dispatcher.now());
             writePart(MetaCodec.encode(context().alloc(), MetaCodec.valueHeader(length, id)));
         }
 
@@ -192,6 +240,8 @@
         public void writePart(ByteBuf part) {
             if (connection.finished()) {
                 part.release();
+            } else if (held != null && !complete) {
+                held.add(part);
             } else {
                 ready.add(part);
             }
@@ -202,20 +252,38 @@
         public void endValue() {
             source = null; // cleared first, or the write would pause the connection on which the next response arrives
             complete = true;
+            if (held != null) {
+                ready.addAll(held.takeParts());
+            }
             writePart(MetaCodec.encode(context().alloc(), "\r\n"));
         }
 
-        /** Closes the connection: nothing else tells the client that the value is incomplete. */
+        /**
+         * Closes the connection if part of the value has been written: nothing else tells the client that it is
+         * incomplete. No request of the client waits behind it then.
+         */
         @Override
         public void abort() {
             source = null;
-            context().close();
+            if (begun) {
+                connection.closeNow();
+            } else {
+                release();
+                fail();
+            }
         }
 
-        private void drop(boolean closedByProxy) {
+        private void release() {
             for (ByteBuf part; (part = ready.poll()) != null; ) {
                 part.release();
             }
+            if (held != null && !complete) {
+                held.release();
+            }
+        }
+
+        private void drop(boolean closedByProxy) {
+            release();
             if (source != null) {
                 source.setPaused(false);
                 source = null;
--- a/src/test/java/cacheproxy/proxy/StreamTest.java
+++ b/src/test/java/cacheproxy/proxy/StreamTest.java
@@ -275,4 +275,96 @@
             assertThat(ended.await(20, TimeUnit.SECONDS)).isTrue();
         }
     }
+
+    /** A node that sends the first half of a long value for id 1, and resets the connection once told to. */
+    private static FakeServer nodeThatBreaksOff(CountDownLatch reset) throws IOException {
+        return new FakeServer(c -> {
+            for (String line; (line = c.command()) != null; ) {
+                if (FakeServer.id(line).equals("1")) {
+                    head(c, line);
+                    c.out.write(VALUE, 0, VALUE.length / 2);
+                    c.out.flush();
+                    reset.await();
+                    c.reset();
+                    return;
+                }
+                c.send("VA 5 O" + FakeServer.id(line) + " h1\r\nhello\r\n");
+            }
+        });
+    }
+
+    private static FakeServer originForWrites(CountDownLatch answered) throws IOException {
+        return new FakeServer(c -> {
+            for (String request; (request = c.request()) != null; ) {
+                c.sendHttp(200, "", "r" + FakeServer.id(request));
+                answered.countDown();
+            }
+        });
+    }
+
+    /**
+     * Guards against requests without a response: a value that broke off closed its client's connection, although other
+     * requests of the client, a write that had been executed among them, waited behind it.
+     */
+    @Test
+    void requestsBehindAValueThatBreaksOffGetTheirResponses() throws Exception {
+        CountDownLatch writeAnswered = new CountDownLatch(1);
+        try (ProxyFixture fixture = new ProxyFixture()
+                        .node(nodeThatBreaksOff(writeAnswered))
+                        .origin(originForWrites(writeAnswered))
+                        .start();
+                ProxyFixture.Client client = fixture.client()) {
+            client.send("mg key1 v O1 Pc=text,d=20000\r\nmg key2 v O2 Pc=text,d=20000\r\n"
+                    + "ms key3 5 O3 Pc=fix,d=20000\r\nhello\r\n");
+            assertThat(client.line()).isEqualTo("SERVER_ERROR failed");
+            assertThat(client.line()).isEqualTo("VA 5 O2");
+            assertThat(client.line()).isEqualTo("hello");
+            assertThat(client.line()).isEqualTo("HD O3 cr3");
+        }
+    }
+
+    /** Guards against forwarding a write whose response could not be written if the value before it broke off. */
+    @Test
+    void aCommandBehindAValueThatHasBegunIsNotForwardedBeforeItsEnd() throws Exception {
+        CountDownLatch reset = new CountDownLatch(1);
+        FakeServer origin = originForWrites(new CountDownLatch(1));
+        try (ProxyFixture fixture = new ProxyFixture()
+                        .node(nodeThatBreaksOff(reset))
+                        .origin(origin)
+                        .start();
+                ProxyFixture.Client client = fixture.client();
+                ProxyFixture.Client other = fixture.client()) {
+            client.read("1");
+            assertThat(client.line()).isEqualTo("VA " + VALUE.length + " O1");
+            client.send("ms key3 5 O3 Pc=fix,d=20000\r\nhello\r\n");
+            other.send("mn\r\n").line(); // answered after the sockets have been polled
+            reset.countDown();
+            int received = 0;
+            try {
+                received = client.bytes(VALUE.length).length;
+            } catch (IOException e) {
+                // closing a connection with unread input resets it
+            }
+            assertThat(received).isLessThan(VALUE.length);
+            assertThat(origin.commands).isEmpty();
+        }
+    }
+
+    /** Guards against an answer after the request's time: a held value that does not become complete is given up. */
+    @Test
+    void aHeldValueFailsAtItsDeadlineAndTheResponseBehindItFollows() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        try (ProxyFixture fixture = new ProxyFixture()
+                        .node(nodeThatBreaksOff(never))
+                        .origin(originForWrites(new CountDownLatch(1)))
+                        .start();
+                ProxyFixture.Client client = fixture.client()) {
+            long sentNanos = System.nanoTime();
+            client.send("mg key1 v O1 Pc=text,d=300\r\nms key3 5 O3 Pc=fix,d=20000\r\nhello\r\n");
+            assertThat(client.line()).isEqualTo("SERVER_ERROR failed");
+            assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos))
+                    .isBetween(200L, 800L);
+            assertThat(client.line()).isEqualTo("HD O3 cr3");
+        }
+    }
 }
