--- a/src/main/java/cacheproxy/proxy/client/ClientResponseQueue.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientResponseQueue.java
@@ -264,7 +264,7 @@
          */
         @Override
         public void abort() {
-            source = null;
+            resumeSource();
             if (begun) {
                 connection.closeNow();
             } else {
@@ -273,6 +273,14 @@
             }
         }
 
+        /** Resumes reading from the value's server, on whose connection other responses may follow. */
+        private void resumeSource() {
+            if (source != null) {
+                source.setPaused(false);
+                source = null;
+            }
+        }
+
         private void release() {
             for (ByteBuf part; (part = ready.poll()) != null; ) {
                 part.release();
@@ -284,10 +292,7 @@
 
         private void drop(boolean closedByProxy) {
             release();
-            if (source != null) {
-                source.setPaused(false);
-                source = null;
-            }
+            resumeSource();
             if (request != null) {
                 dispatcher.clientDisconnected(request, closedByProxy);
             }
--- a/src/main/java/cacheproxy/proxy/upstream/ServerConnectionPool.java
+++ b/src/main/java/cacheproxy/proxy/upstream/ServerConnectionPool.java
@@ -72,8 +72,8 @@
         private int inUse;
 
         private int quietUnused;
-        /** Whether an attempt waits on a quiet connection. */
-        private boolean quietInDemand;
+        /** How many quiet connections have an attempt waiting. */
+        private int quietAwaited;
 
         private void count(UpstreamConnection connection) {
             if (connection.isRetired()) {
@@ -84,7 +84,7 @@
             notStreaming += connection.isStreaming() ? 0 : 1;
             inUse += used && !connection.isQuiet() ? 1 : 0;
             quietUnused += connection.isQuiet() && !used ? 1 : 0;
-            quietInDemand |= connection.isQuiet() && used;
+            quietAwaited += connection.isQuiet() && used ? 1 : 0;
         }
     }
 
@@ -131,8 +131,8 @@
 
     /**
      * Whether to open a connection: none is usable, or the best one has attempts on it or is quiet. Where no more may
-     * be opened, the attempt waits on the one that has been quiet longest. If attempts have to wait already, quiet
-     * connections no longer count against the usual limit, which would otherwise reduce what the server is sent.
+     * be opened, the attempt waits on the one that has been quiet longest. Quiet connections count against the usual
+     * limit only while no attempt is in flight or waiting: otherwise attempts come faster than quiet periods end.
      */
     private boolean shouldOpen(Candidates candidates, double now) {
         UpstreamConnection best = candidates.best;
@@ -142,7 +142,8 @@
         }
         int maxConnections =
                 best != null && !isOrigin() && globalLimits.connectionsScarce() ? 1 : limits.maxConnections();
-        int counted = candidates.notStreaming - (candidates.quietInDemand ? candidates.quietUnused : 0);
+        boolean busy = candidates.inUse + candidates.quietAwaited > 0;
+        int counted = candidates.notStreaming - (busy ? candidates.quietUnused : 0);
         return counted < maxConnections
                 && candidates.all < limits.maxWithUnavailable()
                 && globalLimits.mayOpen(best == null && candidates.bestStreaming == null);
