The quiet period of an origin connection is 150 ms long

Cause: with 250 ms, an attempt that comes when four connections are quiet and nothing is in flight may wait as long as the shortest aim.

--- a/src/main/java/cacheproxy/proxy/upstream/QuietPeriodTimer.java
+++ b/src/main/java/cacheproxy/proxy/upstream/QuietPeriodTimer.java
@@ -10,7 +10,7 @@
  */
 final class QuietPeriodTimer {
     /** Some milliseconds for the duplicate itself, the rest for machines and links that are held up. */
-    private static final double QUIET_PERIOD_MS = 250;
+    private static final double QUIET_PERIOD_MS = 150;
 
     private final UpstreamContext context;
     private final Runnable onEnd;
