The codec's interface and the choice of a connection leave UpstreamConnection

Change: ServerCodec is a file of its own, the order of preference stands in the pool that chooses; behaviour is unchanged.

--- a/src/main/java/cacheproxy/proxy/upstream/CacheCodec.java
+++ b/src/main/java/cacheproxy/proxy/upstream/CacheCodec.java
@@ -32,7 +32,7 @@
  * L                       load report
  * </pre>
  */
-final class CacheCodec extends PausableDecoder implements UpstreamConnection.Codec {
+final class CacheCodec extends PausableDecoder implements ServerCodec {
     private static final String VALUE = "VA ";
     private static final String STORED = "HD ";
     private static final String MISS = "EN";
--- a/src/main/java/cacheproxy/proxy/upstream/OriginCodec.java
+++ b/src/main/java/cacheproxy/proxy/upstream/OriginCodec.java
@@ -49,7 +49,7 @@
  * Req-Extra                                  its parameters, with the remaining time
  * </pre>
  */
-final class OriginCodec extends SimpleChannelInboundHandler<HttpObject> implements UpstreamConnection.Codec {
+final class OriginCodec extends SimpleChannelInboundHandler<HttpObject> implements ServerCodec {
     private static final String ID_HEADER = "Req-Id";
     private static final String PARAMETERS_HEADER = "Req-Extra";
     private static final String LOAD_HEADER = "Srv-Load";
--- a/src/main/java/cacheproxy/proxy/upstream/ServerConnectionPool.java
+++ b/src/main/java/cacheproxy/proxy/upstream/ServerConnectionPool.java
@@ -121,8 +121,8 @@
                 continue;
             }
             if (!connection.isStreaming()) {
-                found.best = found.best == null || connection.isPreferredTo(found.best) ? connection : found.best;
-            } else if (found.bestStreaming == null || connection.isPreferredTo(found.bestStreaming)) {
+                found.best = found.best == null || isPreferred(connection, found.best) ? connection : found.best;
+            } else if (found.bestStreaming == null || isPreferred(connection, found.bestStreaming)) {
                 found.bestStreaming = connection;
             }
         }
@@ -149,6 +149,21 @@
                 && globalLimits.mayOpen(best == null && candidates.bestStreaming == null);
     }
 
+    /**
+     * Whether an attempt should rather be sent on one connection than on another: because the other is quiet, has more
+     * attempts or, with as many, was used less recently. Of two quiet ones, that which was used less recently is
+     * preferred.
+     */
+    private static boolean isPreferred(UpstreamConnection one, UpstreamConnection other) {
+        if (one.isQuiet() != other.isQuiet()) {
+            return other.isQuiet();
+        }
+        if (one.depth() != other.depth()) {
+            return one.depth() < other.depth();
+        }
+        return one.isQuiet() ? one.idleSinceMs() < other.idleSinceMs() : one.idleSinceMs() > other.idleSinceMs();
+    }
+
     private UpstreamConnection open() {
         UpstreamConnection connection = new UpstreamConnection(this, context);
         connections.add(connection);
@@ -195,7 +210,7 @@
             if (server.ready
                     && connection.isConnected()
                     && connection.isUsable(limits.maxDepth(), idleCutoffMs)
-                    && (best == null || connection.isPreferredTo(best))) {
+                    && (best == null || isPreferred(connection, best))) {
                 best = connection;
             }
         }
--- a/src/main/java/cacheproxy/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/cacheproxy/proxy/upstream/UpstreamConnection.java
@@ -19,15 +19,6 @@
  * ends, an attempt whose last byte was written may have been executed, any other has not. Event loop only.
  */
 public final class UpstreamConnection implements FlowControl {
-    /** Encodes attempts in the server's protocol, and decodes its responses into method calls on the connection. */
-    interface Codec {
-        /** Writes an attempt; {@code remainingMs}: how long its response is waited for, as told to the server. */
-        ChannelFuture write(Channel channel, UpstreamAttempt attempt, long remainingMs, SocketAddress address);
-
-        /** Whether responses carry the id of their request; otherwise only their order assigns them to attempts. */
-        boolean responsesCarryRequestId();
-    }
-
     private static final int TYPICAL_DEPTH = 4;
     /** A server at its connection limit closes the connection within this time of its response, in milliseconds. */
     private static final double REJECTION_CLOSE_MS = 5;
@@ -37,7 +28,7 @@
     private final ResponseWatchdog watchdog;
     private final QuietPeriodTimer quietPeriodTimer;
     private final ArrayDeque<UpstreamAttempt> attempts = new ArrayDeque<>(TYPICAL_DEPTH);
-    private Codec codec;
+    private ServerCodec codec;
     private Channel channel;
     private SocketAddress address;
     private boolean connected;
@@ -73,7 +64,7 @@
         return context;
     }
 
-    void setCodec(Codec connectionCodec) {
+    void setCodec(ServerCodec connectionCodec) {
         codec = connectionCodec;
     }
 
@@ -182,20 +173,6 @@
         return !closed && !tooOld && !retired && !reading && attempts.size() < maxDepth && writable;
     }
 
-    /**
-     * Whether an attempt should rather be sent on it than on another: because the other is quiet, has more attempts or,
-     * with as many, was used less recently. Of two quiet ones, that which was used less recently is preferred.
-     */
-    boolean isPreferredTo(UpstreamConnection other) {
-        if (quiet != other.quiet) {
-            return other.quiet;
-        }
-        if (depth() != other.depth()) {
-            return depth() < other.depth();
-        }
-        return quiet ? idleSinceMs < other.idleSinceMs : idleSinceMs > other.idleSinceMs;
-    }
-
     // ---- attempts
 
     /** Sends an attempt, as soon as the connection is open and not quiet. */
--- a/src/test/java/cacheproxy/proxy/DuplicateResponsesTest.java
+++ b/src/test/java/cacheproxy/proxy/DuplicateResponsesTest.java
@@ -161,7 +161,8 @@
     }
 
     /**
-     * Each of sixty proxies has four connections to the origin; if all of them are resting, requests are sent anyway.
+     * Each of sixty proxies has four connections to the origin; requests that come one by one wait until one has
+     * rested.
      */
     @Test
     void ifAllConnectionsRestTheOneThatHasRestedLongestIsUsed() throws Exception {
