The test of a late connection opens its server only after the connect has been sent

RemainingTimeTest.anAttemptThatWaitedForItsConnectionIsSentTheTimeThatRemains failed beside six busy processes at its last assertion: the attempt had not waited. Cause, by reading: a connection counts as open before Netty's next task sends the SYN, so the server could be opened before that SYN was dropped. Change: one more task on the event loop before it is opened. Assertions and bounds are unchanged.

--- a/src/test/java/cacheproxy/proxy/RemainingTimeTest.java
+++ b/src/test/java/cacheproxy/proxy/RemainingTimeTest.java
@@ -102,6 +102,7 @@
                     "the request waits for the connection",
                     () -> fixture.onEventLoop(() -> fixture.proxy.status().openRequests() == 1
                             && fixture.proxy.status().upstreamConnections() == 1));
+            fixture.onEventLoop(() -> null); // runs after the task that connects: the first SYN has been dropped
             origin.open();
             assertThat(client.line()).isEqualTo("HD O1 creceipt");
             String extras = origin.commands.stream()
