The warm-up closes its sockets and no longer opens a connection for each miss

Cause: the sockets accepted by the warm-up's stub servers and its listening sockets stayed open as long as the process ran; the end of the event loop does not close them. The quiet period of origin connections made it worse: almost every miss of the warm-up opened a connection. Seen with ss on a running proxy: 20 to 24 leaked sockets of the stub origin before the quiet period, 71 to 85 leaked sockets with it.

Change: the warm-up closes all its channels. How servers are connected to, with the quiet period, is a parameter of the dispatcher; the warm-up, whose stub servers send no duplicates, uses 1 ms.

WarmUpTest.noSocketStaysOpen failed before (71 sockets, then 142) and passes now.

--- a/src/main/java/cacheproxy/proxy/Dispatcher.java
+++ b/src/main/java/cacheproxy/proxy/Dispatcher.java
@@ -7,6 +7,7 @@
 import cacheproxy.proxy.discovery.EndpointListSource;
 import cacheproxy.proxy.peer.PeerDatagramSocket;
 import cacheproxy.proxy.upstream.UpstreamServers;
+import cacheproxy.proxy.upstream.UpstreamTransport;
 import cacheproxy.recovery.ProvenanceTracker;
 import cacheproxy.route.Router;
 import cacheproxy.route.Routing;
@@ -70,8 +71,8 @@
     private DispatcherRoutingActions routingActions;
     private Future<?> sweeper;
 
-    /** {@code upstream}: the type of channel for connections to servers. */
-    public Dispatcher(EventLoop loop, LoopClock loopClock, Config config, Class<? extends Channel> upstream) {
+    /** Creates a dispatcher that has not been started. */
+    public Dispatcher(EventLoop loop, LoopClock loopClock, Config config, UpstreamTransport upstream) {
         this.loop = loop;
         clock = new ProxyClock(loopClock);
         timers = new Timers(loop);
@@ -83,7 +84,9 @@
         failures = new ConnectionFailures(counters, log);
         bufferLimits = new BufferLimits(config.memoryMb());
         servers = new UpstreamServers(
-                new DispatcherUpstreamContext(this), bootstrap(loop, upstream), config.upstreamSockets());
+                new DispatcherUpstreamContext(this, upstream.quietPeriodMs()),
+                bootstrap(loop, upstream.channelType()),
+                config.upstreamSockets());
         executor = new SerialExecutor(log);
         loadBalancer = new SerialLoadBalancer(executor, clock);
         completion = new RequestCompletion(clock, settings, requests, metrics, rules, this::endUnsentAttempts);
@@ -99,9 +102,9 @@
         loopClock.onStall(failures::eventLoopStalled);
     }
 
-    private static Bootstrap bootstrap(EventLoop loop, Class<? extends Channel> upstream) {
-        Bootstrap bootstrap = new Bootstrap().group(loop).channel(upstream);
-        if (upstream == Transport.BEST.socket()) {
+    private static Bootstrap bootstrap(EventLoop loop, Class<? extends Channel> channelType) {
+        Bootstrap bootstrap = new Bootstrap().group(loop).channel(channelType);
+        if (channelType == Transport.BEST.socket()) {
             bootstrap.option(ChannelOption.TCP_NODELAY, true);
         }
         return bootstrap;
--- a/src/main/java/cacheproxy/proxy/DispatcherUpstreamContext.java
+++ b/src/main/java/cacheproxy/proxy/DispatcherUpstreamContext.java
@@ -11,9 +11,11 @@
 /** The context that the {@link Dispatcher} offers to the connections to servers. Event loop only. */
 final class DispatcherUpstreamContext implements UpstreamContext {
     private final Dispatcher dispatcher;
+    private final double quietPeriodMs;
 
-    DispatcherUpstreamContext(Dispatcher dispatcher) {
+    DispatcherUpstreamContext(Dispatcher dispatcher, double quietPeriodMs) {
         this.dispatcher = dispatcher;
+        this.quietPeriodMs = quietPeriodMs;
     }
 
     @Override
@@ -46,6 +48,11 @@
         return dispatcher.idleCloseMs();
     }
 
+    @Override
+    public double quietPeriodMs() {
+        return quietPeriodMs;
+    }
+
     @Override
     public ByteBudget valueBudget() {
         return dispatcher.bufferLimits().values();
--- a/src/main/java/cacheproxy/proxy/lifecycle/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/lifecycle/Proxy.java
@@ -16,6 +16,7 @@
 import cacheproxy.proxy.discovery.DiscoveryClient;
 import cacheproxy.proxy.discovery.EndpointListPublisher;
 import cacheproxy.proxy.peer.PeerDatagramSocket;
+import cacheproxy.proxy.upstream.UpstreamTransport;
 import cacheproxy.route.Router;
 import cacheproxy.route.Routing;
 import cacheproxy.routing.RoutingSettings;
@@ -82,7 +83,7 @@
         if (warmUp) {
             WarmUp.run(config);
         }
-        dispatcher = new Dispatcher(loop, loopClock, config, Transport.BEST.socket());
+        dispatcher = new Dispatcher(loop, loopClock, config, UpstreamTransport.withDuplicates(Transport.BEST.socket()));
         peers = new PeerDatagramSocket(
                 loop,
                 Transport.BEST.datagram(),
--- a/src/main/java/cacheproxy/proxy/lifecycle/WarmUp.java
+++ b/src/main/java/cacheproxy/proxy/lifecycle/WarmUp.java
@@ -9,6 +9,7 @@
 import cacheproxy.proxy.discovery.EndpointListSource;
 import cacheproxy.proxy.protocol.MetaCodec;
 import cacheproxy.proxy.transport.HandlerInitializer;
+import cacheproxy.proxy.upstream.UpstreamTransport;
 import cacheproxy.route.EndpointAttributes;
 import cacheproxy.routing.Endpoint;
 import cacheproxy.routing.EndpointState;
@@ -17,12 +18,15 @@
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.handler.codec.ByteToMessageDecoder;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
@@ -65,6 +69,9 @@
     static final String THREAD_NAME = "warm-up";
     private static final int PIPELINE_DEPTH = 8;
     private static final int TIMEOUT_MS = 6000;
+    /** The stub servers send no duplicates; with a longer period, almost every miss would open a connection. */
+    private static final double QUIET_PERIOD_MS = 1;
+
     /** File names of the sockets of the stub servers and of the proxy, in the warm-up's folder. */
     private static final String NODE_SOCKET = "n";
 
@@ -78,6 +85,9 @@
     private final EventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, new DefaultThreadFactory(THREAD_NAME, true), Transport.BEST.io());
     private final EventLoop loop = group.next();
+    /** All sockets except the connections to servers, since the end of the event loop does not close them. */
+    private final ChannelGroup channels = new DefaultChannelGroup(loop);
+
     private final Config config;
     private final Path folder;
     private final CountDownLatch unanswered = new CountDownLatch(REQUEST_COUNT);
@@ -109,6 +119,7 @@
         } catch (IOException | RuntimeException e) {
             System.err.println("warm-up failed: " + e);
         } finally {
+            warmUp.channels.close().sync();
             warmUp.group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync();
             for (String name : new String[] {NODE_SOCKET, ORIGIN_SOCKET, PROXY_SOCKET}) {
                 Files.deleteIfExists(folder.resolve(name));
@@ -119,7 +130,8 @@
 
     /** Declares IOException, as Netty throws that of a socket without declaring it. */
     private void run() throws IOException, InterruptedException {
-        Dispatcher dispatcher = new Dispatcher(loop, new LoopClock(), config, Transport.BEST.domainSocket());
+        Dispatcher dispatcher = new Dispatcher(
+                loop, new LoopClock(), config, new UpstreamTransport(Transport.BEST.domainSocket(), QUIET_PERIOD_MS));
         SocketAddress node = listen(NODE_SOCKET, Node::new);
         SocketAddress origin = listen(ORIGIN_SOCKET, Origin::new);
         SocketAddress proxy = listen(PROXY_SOCKET, () -> new ClientConnection(dispatcher, NO_LISTENER, false));
@@ -132,12 +144,13 @@
                     dispatcher.endpointList().onEndpoints(EndpointUpdateKind.CACHED, endpoints);
                 })
                 .sync();
-        new Bootstrap()
+        ChannelFuture client = new Bootstrap()
                 .group(loop)
                 .channel(Transport.BEST.domainSocket())
                 .handler(new HandlerInitializer(new Client()))
                 .connect(proxy)
                 .sync();
+        channels.add(client.channel());
         if (!unanswered.await(TIMEOUT_MS, TimeUnit.MILLISECONDS)) {
             System.err.println(
                     "warm-up timed out: " + unanswered.getCount() + " of " + REQUEST_COUNT + " requests unanswered");
@@ -147,17 +160,19 @@
 
     private SocketAddress listen(String name, Supplier<ChannelHandler> handler) throws InterruptedException {
         SocketAddress address = Transport.BEST.domainSocketAddress(folder.resolve(name));
-        new ServerBootstrap()
+        ChannelFuture listening = new ServerBootstrap()
                 .group(loop)
                 .channel(Transport.BEST.domainServer())
                 .childHandler(new ChannelInitializer<>() {
                     @Override
                     protected void initChannel(Channel channel) {
+                        channels.add(channel);
                         channel.pipeline().addLast(handler.get());
                     }
                 })
                 .bind(address)
                 .sync();
+        channels.add(listening.channel());
         return address;
     }
 
--- a/src/main/java/cacheproxy/proxy/upstream/QuietPeriodTimer.java
+++ b/src/main/java/cacheproxy/proxy/upstream/QuietPeriodTimer.java
@@ -9,9 +9,6 @@
  * it is recognized as belonging to no attempt. Event loop only.
  */
 final class QuietPeriodTimer {
-    /** Some milliseconds for the duplicate itself, the rest for machines and links that are held up. */
-    private static final double QUIET_PERIOD_MS = 150;
-
     private final UpstreamContext context;
     private final Runnable onEnd;
 
@@ -23,7 +20,7 @@
 
     /** Starts a quiet period; the previous one must have ended. */
     void start() {
-        context.after(QUIET_PERIOD_MS, this::endAfterNextPoll);
+        context.after(context.quietPeriodMs(), this::endAfterNextPoll);
     }
 
     /**
--- a/src/main/java/cacheproxy/proxy/upstream/UpstreamContext.java
+++ b/src/main/java/cacheproxy/proxy/upstream/UpstreamContext.java
@@ -27,6 +27,9 @@
     /** After how long servers close an idle connection, in milliseconds. */
     double idleCloseMs();
 
+    /** The quiet period of connections, as of {@link UpstreamTransport}, in milliseconds. */
+    double quietPeriodMs();
+
     /** The budget for values that are held completely. */
     ByteBudget valueBudget();
 
--- a/src/test/java/cacheproxy/proxy/lifecycle/WarmUpTest.java
+++ b/src/test/java/cacheproxy/proxy/lifecycle/WarmUpTest.java
@@ -4,8 +4,10 @@
 
 import cacheproxy.Await;
 import cacheproxy.proxy.Config;
+import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
@@ -35,6 +37,28 @@
         assertCleanedUp();
     }
 
+    /** The connections that the stub servers had accepted stayed open for as long as the process ran. */
+    @Test
+    void noSocketStaysOpen() throws Exception {
+        long before = openSockets();
+        WarmUp.run(config(), folder);
+        assertThat(openSockets()).isEqualTo(before);
+    }
+
+    private static long openSockets() throws IOException {
+        try (Stream<Path> descriptors = Files.list(Path.of("/proc/self/fd"))) {
+            return descriptors.filter(WarmUpTest::isSocket).count();
+        }
+    }
+
+    private static boolean isSocket(Path descriptor) {
+        try {
+            return Files.readSymbolicLink(descriptor).toString().startsWith("socket:");
+        } catch (IOException e) {
+            return false; // closed since it was listed
+        }
+    }
+
     /**
      * On a platform without Unix domain sockets the warm-up failed at once, and its periodic cleanup task kept running
      * forever.
