The fixture's list of what it closes may be added to by several threads

Seen once on a busy machine: LargeValuesTest.writesBeyondTheBudgetWaitAndAllSucceed ended with a NullPointerException in ProxyFixture.close, as "part" was null.

Cause: twenty threads of the test open clients at once, and client() adds each to an ArrayList, which may lose an entry or leave a null when it grows.

Change: a CopyOnWriteArrayList. No assertion or bound is changed.

--- a/src/test/java/cacheproxy/proxy/ProxyFixture.java
+++ b/src/test/java/cacheproxy/proxy/ProxyFixture.java
@@ -15,9 +15,9 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 
 /** A proxy under test on loopback sockets, with the fake servers and the clients that a test adds. */
@@ -79,7 +79,9 @@
             "classes.2.stream=false");
 
     final JsonObject config = new JsonObject();
-    final List<AutoCloseable> parts = new ArrayList<>();
+    /** Closed at the end; tests open clients from several threads. */
+    final List<AutoCloseable> parts = new CopyOnWriteArrayList<>();
+
     private final JsonArray hosts = new JsonArray();
     Proxy proxy;
     private Path sharedFolder;
