--- a/review/standins-2/LastAnswers.java
+++ b/review/standins-2/LastAnswers.java
@@ -48,7 +48,8 @@
                 Client client = new Client(proxy.port, 16 << 10);
                 client.patience(10_000);
                 closing.add(client);
-                client.send(Lines.ascii(Client.read("film" + c, "%016x".formatted(c + 1), "read", DEADLINE_MS)));
+                String first = "%016x".formatted(c + 1);
+                client.send(Lines.ascii(Client.read("film" + c, first, "read", DEADLINE_MS)));
                 Record.line("client %d: sent its first command", c);
                 threads.add(Acceptor.daemon(() -> {
                     double began = Record.now();
@@ -65,13 +66,16 @@
                             if (!sent && Record.now() - began > TERM_AFTER_MS + NEXT_COMMAND_AFTER_MS) {
                                 sent = true;
                                 Record.line("client %d: sends its next command, with %d bytes read", number, got);
-                                client.send(Lines.ascii(Client.read("next" + number, "%016x".formatted(number + 101), "read", DEADLINE_MS)));
+                                String id = "%016x".formatted(number + 101);
+                                client.send(Lines.ascii(Client.read("next" + number, id, "read", DEADLINE_MS)));
                             }
                         }
                         Record.line("client %d: the whole value", number);
                         whole.incrementAndGet();
                     } catch (IOException e) {
-                        Record.say("client %d: %s, with %d of %d bytes read", number, e.getMessage(), got, VALUE_BYTES + 2);
+                        Record.say(
+                                "client %d: %s, with %d of %d bytes read",
+                                number, e.getMessage(), got, VALUE_BYTES + 2);
                     }
                 }));
             }
