Connections are not closed while their clients still read what was written

Cause: a connection counted as idle once the kernel had its output, up to 4 MB. Its output was closed then, its socket 300 ms later, and the client's next command met a closed socket: the kernel answers with a reset and discards the rest.

Change: the kernel is asked for unsent bytes and unacknowledged segments (TCP_INFO) before any close between requests; a connection whose output has ended lingers until the client's machine has it; a value that breaks off ends the connection behind what was written.

One system call for a connection that is about to be closed, none for requests.

--- a/src/main/java/cacheproxy/proxy/Dispatcher.java
+++ b/src/main/java/cacheproxy/proxy/Dispatcher.java
@@ -343,9 +343,9 @@
         return clock.now();
     }
 
-    /** Whether the remote side of this connection has closed it, even if that is still unread. */
-    public boolean isClosedByRemote(Channel channel) {
-        return tcpStatus.isClosedByRemote(channel);
+    /** What the operating system reports about connections. */
+    public TcpStatus tcpStatus() {
+        return tcpStatus;
     }
 
     /** When the input that is being read from this connection arrived, on the clock of {@link #now}. */
--- a/src/main/java/cacheproxy/proxy/client/ClientAcceptor.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientAcceptor.java
@@ -24,6 +24,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.stream.Stream;
 
 /**
@@ -61,6 +62,8 @@
 
     private static final Comparator<ClientConnection> LONGEST_IDLE =
             Comparator.comparingDouble(ClientConnection::lastActiveMs);
+    private static final Comparator<ClientConnection> DELIVERED_FIRST =
+            Comparator.comparing(ClientConnection::isDelivered).reversed();
 
     /** Accepts until the queue is empty; by default, Netty's epoll transport accepts one connection an iteration. */
     private static final RecvByteBufAllocator ACCEPTS =
@@ -76,6 +79,8 @@
     private boolean acceptedElsewhere;
 
     private Consumer<ClientConnection> idleCloser = ClientConnection::closeGracefully;
+    /** Which idle connections {@link #idleCloser} may end now. */
+    private Predicate<ClientConnection> mayEnd = ClientConnection::isDelivered;
 
     /** Creates an acceptor with a limit of {@code maxClients} open connections. */
     public ClientAcceptor(Dispatcher dispatcher, int maxClients) {
@@ -83,14 +88,20 @@
         this.maxClients = maxClients;
     }
 
-    /** Sets how idle connections are ended during a drain; by default they are closed gracefully. */
-    public void setIdleCloser(Consumer<ClientConnection> closer) {
+    /**
+     * Sets how idle connections are ended during a drain, and which of them may be now; by default they are closed
+     * gracefully once their clients have received all output.
+     */
+    public void setIdleCloser(Consumer<ClientConnection> closer, Predicate<ClientConnection> mayBeEnded) {
         idleCloser = closer;
+        mayEnd = mayBeEnded;
     }
 
     @Override
     public void idleWhileDraining(ClientConnection client) {
-        idleCloser.accept(client);
+        if (mayEnd.test(client)) {
+            idleCloser.accept(client);
+        }
     }
 
     /** Listens on this address. Blocks, so it must not be called on the event loop. */
@@ -188,15 +199,18 @@
         clients.add(client);
         acceptedCount++;
         if (isFull()) {
+            double now = dispatcher.now();
             idleClients()
                     .filter(c -> c != client)
-                    .min(LONGEST_IDLE)
+                    .sorted(LONGEST_IDLE)
+                    .filter(c -> c.mayBeClosed(now))
+                    .findFirst()
                     .ifPresentOrElse(ClientConnection::closeGracefully, this::updateAutoRead);
         }
         if (clients.size() > maxClients + MAX_CLOSING_CLIENTS) {
             clients.stream()
                     .filter(ClientConnection::isClosingOrHandedOver)
-                    .min(LONGEST_IDLE)
+                    .min(DELIVERED_FIRST.thenComparing(LONGEST_IDLE))
                     .ifPresent(ClientConnection::closeNow);
         }
     }
@@ -263,6 +277,7 @@
     public void closeIdle(int many, double now) {
         idleClients()
                 .filter(c -> c.hasResponded() || now - c.lastActiveMs() >= FIRST_REQUEST_GRACE_MS)
+                .filter(mayEnd)
                 .sorted(LONGEST_IDLE)
                 .limit(many)
                 .toList()
@@ -275,7 +290,7 @@
      */
     public void closeMostRecentlyUsed(int many) {
         idleClients()
-                .filter(ClientConnection::hasResponded)
+                .filter(c -> c.hasResponded() && c.isDelivered())
                 .sorted(LONGEST_IDLE.reversed())
                 .limit(many)
                 .toList()
--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -14,7 +14,6 @@
 import io.netty.channel.socket.DuplexChannel;
 import java.io.IOException;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
@@ -33,8 +32,6 @@
         void idleWhileDraining(ClientConnection client);
     }
 
-    /** How long a client has to close the connection after its output was closed, in milliseconds. */
-    private static final long LINGER_MS = 300;
     /** A client that has read nothing of its pending responses for this time is disconnected, in milliseconds. */
     private static final double WRITE_STALL_MS = 10_000;
 
@@ -45,6 +42,7 @@
     private final ClientResponseQueue responses;
     private final ClientRequestReceiver receiver;
     private ChannelHandlerContext context;
+    private ConnectionLinger linger;
 
     /** Whether no further command is decoded; the connection is closed once its responses are written. */
     private boolean closing;
@@ -78,6 +76,7 @@
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
         lastActiveMs = dispatcher.now();
+        linger = new ConnectionLinger(ctx.executor(), this::isDelivered, this::closeIfDue, this::closeNow);
         receiver.start(lastActiveMs, adopted);
     }
 
@@ -100,6 +99,20 @@
         return responses.isEmpty() && responses.allWritten() && !receiver.receivesValue() && actualReadableBytes() == 0;
     }
 
+    /**
+     * Whether the client's machine has received all that this process has written. Until then, the connection must not
+     * be closed: a command that the client sends on it would meet a closed socket, and the reset would discard the rest
+     * of the output.
+     */
+    public boolean isDelivered() {
+        return responses.allDelivered();
+    }
+
+    /** Whether closing it between requests discards nothing that its client still reads. */
+    boolean mayBeClosed(double nowMs) {
+        return isDelivered() || nowMs - lastActiveMs > WRITE_STALL_MS;
+    }
+
     /** Whether this process has written a response to it; if not, its first request is assumed to be in flight. */
     boolean hasResponded() {
         return responses.hasWritten();
@@ -162,7 +175,7 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext ctx) throws Exception {
         super.channelReadComplete(ctx);
-        if (receiver.input().readComplete() && dispatcher.isClosedByRemote(ctx.channel())) {
+        if (receiver.input().readComplete() && dispatcher.tcpStatus().isClosedByRemote(ctx.channel())) {
             closedUnread = true;
             turns.await();
         }
@@ -170,11 +183,11 @@
 
     @Override
     protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
-        markActive();
         if (closing) {
             in.skipBytes(in.readableBytes());
             return;
         }
+        markActive();
         try {
             receiver.decode(in);
         } catch (MetaCodec.SyntaxException e) {
@@ -237,6 +250,11 @@
     /** Sends a last line after the outstanding responses, then closes the connection gracefully. */
     void respondAndClose(String text) {
         responses.respond(text);
+        closeAfterOutput();
+    }
+
+    /** Closes the connection gracefully behind what has been written; further input is discarded. */
+    void closeAfterOutput() {
         closing = true;
         responses.flush();
     }
@@ -252,7 +270,11 @@
      */
     void closeIfDue() {
         if (mayClose() && responses.isEmpty() && responses.allWritten()) {
-            closeGracefully();
+            if (closing || isDelivered()) {
+                closeGracefully();
+            } else {
+                linger.checkLater();
+            }
         } else if (dispatcher.drain().closing() && idle()) {
             listener.idleWhileDraining(this);
         }
@@ -266,8 +288,9 @@
     }
 
     /**
-     * Closes the output and waits for the client to close the connection: closing a socket with unread input would send
-     * a reset, which could overtake the last response.
+     * Closes the output and waits until the client's machine has received it, and then for the client to close the
+     * connection. A socket that is closed with unread input, or that is sent more, resets the connection, and the
+     * kernel discards what the client has not received.
      */
     public void closeGracefully() {
         if (finished) {
@@ -277,8 +300,9 @@
         finished = true;
         closing = true;
         context.channel().config().setAutoRead(true);
+        boolean delivered = isDelivered();
         ((DuplexChannel) context.channel()).shutdownOutput();
-        InputBarrier.afterDelayAndInput(context.executor(), this::closeNow, LINGER_MS, TimeUnit.MILLISECONDS);
+        linger.start(delivered); // stalled() ends it for a client that takes nothing
     }
 
     /** Closes the connection immediately, even with requests in flight. */
@@ -290,7 +314,7 @@
 
     /** Ends the connection if the client has closed it, even if that is still unread. */
     void detectDisconnect() {
-        if (!ended && dispatcher.isClosedByRemote(context.channel())) {
+        if (!ended && dispatcher.tcpStatus().isClosedByRemote(context.channel())) {
             end();
             context.close();
         }
@@ -353,7 +377,7 @@
             context.close(); // closes only this process's descriptor
         } else {
             resumeServing();
-            if (idle()) {
+            if (idle() && isDelivered()) {
                 closeGracefully();
             }
         }
--- a/src/main/java/cacheproxy/proxy/client/ClientResponseQueue.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientResponseQueue.java
@@ -54,6 +54,12 @@
         return output.isInKernel();
     }
 
+    /** Whether the client's machine has received all that was written; the kernel having it does not suffice. */
+    boolean allDelivered() {
+        return allWritten()
+                && dispatcher.tcpStatus().isOutputDelivered(context().channel());
+    }
+
     /**
      * Passes a request to the dispatcher and adds its pending response to the queue; {@code memory}: what it is counted
      * to until it has been answered.
@@ -317,16 +323,19 @@
         }
 
         /**
-         * Closes the connection if part of the value has been written: nothing else tells the client that it is
-         * incomplete. No request of the client waits behind it then.
+         * Closes the connection behind what has been written if that is part of the value: nothing else tells the
+         * client that it is incomplete. No request of the client waits behind it then, but it may still be reading
+         * earlier responses.
          */
         @Override
         public void abort() {
             resumeSource();
+            release();
             if (begun) {
-                connection.closeNow();
+                pending.remove(this);
+                releaseMemory();
+                connection.closeAfterOutput();
             } else {
-                release();
                 fail();
             }
         }
--- a/src/main/java/cacheproxy/proxy/lifecycle/Proxy.java
+++ b/src/main/java/cacheproxy/proxy/lifecycle/Proxy.java
@@ -100,7 +100,7 @@
         reloader = new ConfigReloader(config, routes, loop, dispatcher, discovery);
         handoverServer =
                 new HandoverServer(loop, takeoverFolder, handover, acceptor, this::takeoverSnapshot, dispatcher);
-        acceptor.setIdleCloser(this::retire);
+        acceptor.setIdleCloser(this::retire, client -> handover.passesClients() || client.isDelivered());
         // As late as possible, so that the snapshot shows the predecessor's latest state.
         TakeoverClient predecessor = TakeoverClient.connect(loop, takeoverFolder, dispatcher);
         TakeoverSnapshot snapshot = predecessor == null ? null : predecessor.snapshot();
--- a/src/main/java/cacheproxy/proxy/transport/TcpStatus.java
+++ b/src/main/java/cacheproxy/proxy/transport/TcpStatus.java
@@ -32,6 +32,27 @@
         return read(channel) && info.lastDataRecv() <= MAX_INPUT_AGE_MS ? info.lastDataRecv() : UNKNOWN;
     }
 
+    /**
+     * Whether the remote side's machine has received all output that the kernel has been given. True where the
+     * operating system does not report it, and for a connection that is closed.
+     */
+    public boolean isOutputDelivered(Channel channel) {
+        TcpOutput output = readOutput(channel);
+        return output == null || output.isDelivered();
+    }
+
+    /** The connection's output; null if there is no report. */
+    private static TcpOutput readOutput(Channel channel) {
+        if (!(channel instanceof EpollSocketChannel) || !channel.isOpen()) {
+            return null;
+        }
+        try {
+            return TcpOutput.of(channel.config().getOption(TcpOutput.OPTION));
+        } catch (ChannelException e) {
+            return null; // as below
+        }
+    }
+
     /** Reads the connection's status; false if there is none. */
     private boolean read(Channel channel) {
         if (!(channel instanceof EpollSocketChannel socket)) {
