A client that reads slowly is no longer taken for one that reads nothing

Cause: progress was the change of the bytes that wait in the process. The kernel takes further bytes only once a third of its send buffer is free, which takes such a client more than the 10 s after which it counted as stalled.

Change: DeliveryProgress, a pure class, also counts bytes that the client's machine has acknowledged (TCP_INFO). The linger of a closed output and the closes that make room ask the same, as a client that still reads while its connection lingers was cut off by the same measure.

One or two system calls a second for each connection, none for requests.

--- a/src/main/java/cacheproxy/proxy/client/ClientConnection.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientConnection.java
@@ -1,5 +1,6 @@
 package cacheproxy.proxy.client;
 
+import cacheproxy.flow.DeliveryProgress;
 import cacheproxy.metrics.EventKind;
 import cacheproxy.proxy.Dispatcher;
 import cacheproxy.proxy.protocol.MetaCodec;
@@ -32,9 +33,6 @@
         void idleWhileDraining(ClientConnection client);
     }
 
-    /** A client that has read nothing of its pending responses for this time is disconnected, in milliseconds. */
-    private static final double WRITE_STALL_MS = 10_000;
-
     private final Dispatcher dispatcher;
     private final Listener listener;
     private final boolean adopted;
@@ -59,8 +57,7 @@
     /** Whether it is being handed over to another process. */
     private boolean handingOver;
 
-    private double lastActiveMs;
-    private long lastUnwrittenBytes;
+    private DeliveryProgress progress;
 
     /** {@code adopted}: another process has accepted it and may have served it. */
     public ClientConnection(Dispatcher dispatcher, Listener listener, boolean adopted) {
@@ -75,9 +72,10 @@
     @Override
     public void handlerAdded(ChannelHandlerContext ctx) {
         context = ctx;
-        lastActiveMs = dispatcher.now();
+        double now = dispatcher.now();
+        progress = new DeliveryProgress(now);
         linger = new ConnectionLinger(ctx.executor(), this::isDelivered, this::closeIfDue, this::closeNow);
-        receiver.start(lastActiveMs, adopted);
+        receiver.start(now, adopted);
     }
 
     ChannelHandlerContext context() {
@@ -110,7 +108,7 @@
 
     /** Whether closing it between requests discards nothing that its client still reads. */
     boolean mayBeClosed(double nowMs) {
-        return isDelivered() || nowMs - lastActiveMs > WRITE_STALL_MS;
+        return isDelivered() || progress.isStalled(nowMs);
     }
 
     /** Whether this process has written a response to it; if not, its first request is assumed to be in flight. */
@@ -142,22 +140,22 @@
 
     /** When the client last sent or read anything, on the clock of {@link Dispatcher#now}. */
     double lastActiveMs() {
-        return lastActiveMs;
+        return progress.progressedMs();
     }
 
     void markActive() {
-        lastActiveMs = dispatcher.now();
+        progress.active(dispatcher.now());
     }
 
-    /** Whether the client has read none of its pending output for too long. */
+    /** Whether the client has taken none of its pending output for too long; to be asked regularly. */
     boolean stalled(double nowMs) {
+        if (isDelivered()) {
+            return false;
+        }
         ChannelOutboundBuffer outbound = context.channel().unsafe().outboundBuffer();
         long unwrittenBytes = outbound == null ? 0 : outbound.totalPendingWriteBytes();
-        if (unwrittenBytes != lastUnwrittenBytes) {
-            lastUnwrittenBytes = unwrittenBytes;
-            lastActiveMs = nowMs; // the client is reading, however slowly
-        }
-        return (finished || !responses.allWritten()) && nowMs - lastActiveMs > WRITE_STALL_MS;
+        progress.observe(nowMs, unwrittenBytes, dispatcher.tcpStatus().deliveredBytes(context.channel()));
+        return (finished || !responses.allWritten()) && progress.isStalled(nowMs);
     }
 
     // ---- input
--- a/src/main/java/cacheproxy/proxy/transport/TcpStatus.java
+++ b/src/main/java/cacheproxy/proxy/transport/TcpStatus.java
@@ -41,6 +41,12 @@
         return output == null || output.isDelivered();
     }
 
+    /** How many bytes of output the remote side's machine has received; 0 where that is not reported. */
+    public long deliveredBytes(Channel channel) {
+        TcpOutput output = readOutput(channel);
+        return output == null ? 0 : output.acknowledgedBytes();
+    }
+
     /** The connection's output; null if there is no report. */
     private static TcpOutput readOutput(Channel channel) {
         if (!(channel instanceof EpollSocketChannel) || !channel.isOpen()) {
--- a/src/test/java/cacheproxy/proxy/UndeliveredOutputTest.java
+++ b/src/test/java/cacheproxy/proxy/UndeliveredOutputTest.java
@@ -18,6 +18,13 @@
     private static final int RECEIVE_BUFFER_BYTES = 16 << 10;
     /** Longer than the proxy waited for a client to close its connection. */
     private static final long CLOSED_AFTER_MS = 1100;
+    /** Values that together exceed what the kernel buffers. */
+    private static final int PIPELINED = 8;
+    /** Checks for clients that have stalled, and the time of the proxy's clock between two, in milliseconds. */
+    private static final int CHECKS = 8;
+
+    private static final double CHECK_INTERVAL_MS = 6000;
+    private static final long ACKNOWLEDGED_AFTER_MS = 50;
 
     /** A node that sends half of the values whose ids begin with "broken", and resets the connection on a signal. */
     private static FakeServer node(CountDownLatch breakOff) throws Exception {
@@ -123,4 +130,35 @@
             assertValue(client, "2");
         }
     }
+
+    /**
+     * review/9: a slow client was taken for one that reads nothing, as the kernel takes further output only once a
+     * third of its buffer is free.
+     */
+    @Test
+    void aClientThatReadsSlowlyIsNotTakenForOneThatReadsNothing() throws Exception {
+        try (ProxyFixture fixture =
+                        new ProxyFixture().node(node(new CountDownLatch(0))).start();
+                ProxyFixture.Client client = fixture.client(RECEIVE_BUFFER_BYTES)) {
+            for (int i = 0; i < PIPELINED; i++) {
+                client.read(Integer.toString(i));
+            }
+            double began = fixture.onEventLoop(() -> fixture.proxy.dispatcher().now());
+            TimeUnit.MILLISECONDS.sleep(CLOSED_AFTER_MS);
+            assertThat(client.line()).isEqualTo("VA " + VALUE_BYTES + " O0");
+            for (int check = 1; check <= CHECKS; check++) {
+                double now = began + check * CHECK_INTERVAL_MS;
+                assertThat(client.bytes(VALUE_BYTES / CHECKS)).hasSize(VALUE_BYTES / CHECKS);
+                TimeUnit.MILLISECONDS.sleep(ACKNOWLEDGED_AFTER_MS);
+                fixture.onEventLoop(() -> {
+                    fixture.proxy.clientAcceptor().closeStalled(now);
+                    return null;
+                });
+            }
+            assertThat(client.line()).isEmpty();
+            for (int i = 1; i < PIPELINED; i++) {
+                assertValue(client, Integer.toString(i));
+            }
+        }
+    }
 }
