Direct memory for responses is reserved before their requests begin

Cause: responses up to 64 KiB that wait for their client counted against nothing, up to 32 a connection. With all direct memory used, each allocation waited half a second in the JDK's reservation, on the event loop.

A client's next request is charged what its last response cost, and a client that had to wait is served behind those whose input has just come.

--- a/src/main/java/cacheproxy/flow/ByteBudget.java
+++ b/src/main/java/cacheproxy/flow/ByteBudget.java
@@ -16,12 +16,15 @@
     public static final int SMALL_VALUE_BYTES = 64 << 10;
     /** The inverse of the fraction of the budget that is reserved for small values. */
     private static final int SMALL_VALUE_SHARE_DIVISOR = 4;
+    /** The inverse of the fraction of the budget up to which pipelined requests are begun. */
+    private static final int PIPELINED_SHARE_DIVISOR = 2;
     /** The maximum number of waiting reservations; further ones are rejected. */
     static final int MAX_WAITING = 1024;
 
     private final long capacity;
     private final ArrayDeque<Reservation> waiting = new ArrayDeque<>();
     private long reserved;
+    private Runnable onRelease = () -> {};
 
     /**
      * Creates the budget.
@@ -103,9 +106,30 @@
         return reservation;
     }
 
+    /**
+     * Whether there is room for responses of this many bytes to pipelined requests; they give way to waiting values.
+     */
+    public boolean hasPipelinedRoom(long bytes) {
+        return waiting.isEmpty() && reserved + bytes <= capacity / PIPELINED_SHARE_DIVISOR;
+    }
+
+    /**
+     * Reserves memory for the response to a pipelined request, whether or not there is room: it has been asked before.
+     */
+    public Reservation reservePipelined(int bytes) {
+        Reservation reservation = new Reservation(bytes, () -> {});
+        grant(reservation);
+        return reservation;
+    }
+
+    /** Sets what runs whenever memory has been returned and the waiting values have been granted theirs. */
+    public void onRelease(Runnable action) {
+        onRelease = action;
+    }
+
     /** Returns the largest number of bytes that can be reserved at once. */
     public long maxReservation() {
-        return Math.max(capacity - capacity / SMALL_VALUE_SHARE_DIVISOR, Math.min(capacity, SMALL_VALUE_BYTES));
+        return Math.max(limitOfLarge(), Math.min(capacity, SMALL_VALUE_BYTES));
     }
 
     /** Returns the number of bytes currently reserved. */
@@ -119,7 +143,11 @@
     }
 
     private long limit(int bytes) {
-        return bytes <= SMALL_VALUE_BYTES ? capacity : capacity - capacity / SMALL_VALUE_SHARE_DIVISOR;
+        return bytes <= SMALL_VALUE_BYTES ? capacity : limitOfLarge();
+    }
+
+    private long limitOfLarge() {
+        return capacity - capacity / SMALL_VALUE_SHARE_DIVISOR;
     }
 
     private boolean fits(Reservation reservation) {
@@ -146,5 +174,6 @@
             }
         }
         granted.forEach(next -> next.onGranted.run());
+        onRelease.run();
     }
 }
--- a/src/main/java/cacheproxy/flow/TurnScheduler.java
+++ b/src/main/java/cacheproxy/flow/TurnScheduler.java
@@ -113,13 +113,27 @@
 
     /** Queues the source for its turn; no effect if it waits already. */
     public void await(Source<T> source) {
-        if (source.waiting) {
-            return;
+        if (!source.waiting) {
+            boolean owes = costInTurn(source) > 0;
+            enqueue(source, owes ? backlogged : fresh);
+        }
+    }
+
+    /**
+     * Queues the source for its turn behind those that have not worked, as it has had work for longer than it could do
+     * any; no effect if it waits already.
+     */
+    public void awaitBacklogged(Source<T> source) {
+        if (!source.waiting) {
+            enqueue(source, backlogged);
         }
+    }
+
+    private void enqueue(Source<T> source, ArrayDeque<Source<T>> queue) {
         source.cost = costInTurn(source);
         source.turn = turn;
         source.waiting = true;
-        (source.cost == 0 ? fresh : backlogged).add(source);
+        queue.add(source);
     }
 
     /** Removes the source, which has no more work. */
--- a/src/main/java/cacheproxy/proxy/RequestAttempt.java
+++ b/src/main/java/cacheproxy/proxy/RequestAttempt.java
@@ -129,6 +129,16 @@
         operations.expire(this);
     }
 
+    @Override
+    public boolean claimMemory() {
+        return request != null && !ended && request.responseWriter.claimMemory();
+    }
+
+    @Override
+    public void returnMemory() {
+        request.responseWriter.returnMemory();
+    }
+
     @Override
     public boolean beginValue(int length) {
         return operations.beginValue(this, length);
--- a/src/main/java/cacheproxy/proxy/ResponseWriter.java
+++ b/src/main/java/cacheproxy/proxy/ResponseWriter.java
@@ -17,6 +17,15 @@
      */
     void detectDisconnect();
 
+    /**
+     * Claims the direct memory that the request holds for its response, for a response that begins to arrive; false if
+     * another one is in it. A response that is written need not return it.
+     */
+    boolean claimMemory();
+
+    /** Returns the memory, as the response in it has been released. */
+    void returnMemory();
+
     /** Writes a complete response and releases it. */
     void writeResponse(ServerResponse response);
 
--- a/src/main/java/cacheproxy/proxy/client/BatchedOutput.java
+++ b/src/main/java/cacheproxy/proxy/client/BatchedOutput.java
@@ -1,8 +1,11 @@
 package cacheproxy.proxy.client;
 
+import cacheproxy.flow.ConnectionMemory;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.function.Supplier;
 
 /**
@@ -18,6 +21,8 @@
     private final Supplier<ChannelHandlerContext> context;
     /** What the channel has not been given yet: one short part, or a batch of several. Null for none. */
     private ByteBuf waiting;
+    /** The memory of responses that have been written and not flushed. */
+    private final List<ConnectionMemory.Request> unflushedMemory = new ArrayList<>();
     /** Whether {@link #waiting} is a batch, to which parts can be added. */
     private boolean isBatch;
     /** The result of the last write; null before the first one. */
@@ -70,10 +75,26 @@
         }
     }
 
+    /** Holds a response's memory until what has been written so far has reached the kernel or was discarded. */
+    void holdUntilWritten(ConnectionMemory.Request memory) {
+        unflushedMemory.add(memory);
+    }
+
     /** Passes all output on to the kernel, as far as it takes it. */
     void flush() {
         passOn();
         context.get().flush();
+        List<ConnectionMemory.Request> flushed = List.copyOf(unflushedMemory);
+        unflushedMemory.clear();
+        if (isInKernel()) {
+            returnMemory(flushed);
+        } else {
+            afterLastWrite(() -> returnMemory(flushed));
+        }
+    }
+
+    private static void returnMemory(List<ConnectionMemory.Request> written) {
+        written.forEach(ConnectionMemory.Request::responseWritten);
     }
 
     /** Whether anything has been written. */
@@ -93,6 +114,8 @@
 
     /** Discards what the channel has not been given, at the connection's end. */
     void discard() {
+        returnMemory(unflushedMemory);
+        unflushedMemory.clear();
         if (waiting != null) {
             waiting.release();
             waiting = null;
--- a/src/main/java/cacheproxy/proxy/client/ClientAcceptor.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientAcceptor.java
@@ -47,8 +47,11 @@
     /** How many connections beyond the limit may wait for their clients to close them. */
     private static final int MAX_CLOSING_CLIENTS = 16;
 
-    /** Decoding of a client's commands pauses above the high mark and resumes below the low mark, in bytes. */
-    private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(32 << 10, 64 << 10);
+    /**
+     * Decoding of a client's commands and streaming of its values pause above the high mark and resume below the low
+     * mark, in bytes.
+     */
+    private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(4 << 10, 8 << 10);
 
     /** The sizes of a read from a client, in bytes: the least, the first and the most. */
     private static final int MIN_READ_BYTES = 64;
--- a/src/main/java/cacheproxy/proxy/client/ClientRequestReceiver.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientRequestReceiver.java
@@ -32,6 +32,8 @@
     private static final int LINE_COST = 1;
     /** What a request costs besides that time: its attempt. */
     private static final int REQUEST_COST = 50;
+    /** How much of a response is passed on in a microsecond of processor time, in bytes. */
+    private static final int RESPONSE_BYTES_PER_MICROSECOND = 200;
 
     private static final String BAD_FORMAT = "CLIENT_ERROR bad command line format\r\n";
     /** Placeholder for a write whose line is not a valid request; its value is read and discarded. */
@@ -65,7 +67,7 @@
         this.connection = connection;
         this.responses = responses;
         this.dispatcher = dispatcher;
-        memory = dispatcher.bufferLimits().connections().newAccount(connection::updateBackpressure);
+        memory = dispatcher.bufferLimits().connections().newAccount(this::memoryCame);
         turns = connection.turns();
         input = new ClientInput(dispatcher, turns, memory.input());
     }
@@ -120,7 +122,7 @@
                 || responses.isPassingOnValue()
                 || !connection.context().channel().isWritable()
                 || awaitsReservation
-                || (incomingWrite == null && !memory.mayBeginRequest());
+                || (incomingWrite == null && !memory.mayBeginRequest(!responses.allWritten()));
     }
 
     private void pauseDecoding() {
@@ -141,15 +143,27 @@
     /** Resumes decoding at the connection's next turn if it was paused and need not be any more. */
     void resumeIfPossible() {
         if (decodingPaused && !isBlocked()) {
-            turns.await();
+            turns.awaitBacklogged();
+        }
+    }
+
+    private void memoryCame() {
+        if (decodingPaused && !isBlocked()) {
+            turns.awaitBacklogged();
+        } else {
+            memory.passOn();
         }
     }
 
     /** Goes on with decoding, as a turn for which the connection waited has come. */
     void turnCame() {
-        if (!decodingPaused || isBlocked()) {
-            return;
+        if (decodingPaused && !isBlocked()) {
+            goOn();
         }
+        memory.passOn();
+    }
+
+    private void goOn() {
         decodingPaused = false;
         resumedMs = dispatcher.now();
         readTimeout.setPaused(false, resumedMs);
@@ -196,7 +210,7 @@
     }
 
     private void accept(RequestCommand command, double receivedMs) {
-        turns.charge(REQUEST_COST);
+        turns.charge(REQUEST_COST + responses.expectedBytes() / RESPONSE_BYTES_PER_MICROSECOND);
         responses.accept(command, receivedMs, memory);
     }
 
--- a/src/main/java/cacheproxy/proxy/client/ClientResponseQueue.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientResponseQueue.java
@@ -10,7 +10,6 @@
 import cacheproxy.proxy.protocol.ServerResponse;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 
 /**
@@ -19,6 +18,8 @@
  * other request waits behind it, and otherwise held until it is complete. Event loop only.
  */
 final class ClientResponseQueue {
+    /** A value of up to this length is copied into one buffer with its lines, in bytes. */
+    private static final int MAX_COPIED_VALUE_BYTES = 4 << 10;
     /** Data of one response that waits for the responses before it: a short one has one part. */
     private static final int TYPICAL_PARTS = 1;
 
@@ -29,6 +30,8 @@
     /** Whether something has been written that is not flushed. */
     private boolean unflushed;
 
+    private int lastResponseBytes = MetaCodec.MAX_WHOLE_VALUE_BYTES;
+
     ClientResponseQueue(ClientConnection connection, Dispatcher dispatcher) {
         this.connection = connection;
         this.dispatcher = dispatcher;
@@ -40,6 +43,11 @@
         return pending.size();
     }
 
+    /** The length of the next response, if it is like the one before; the longest that is held for a first one. */
+    int expectedBytes() {
+        return lastResponseBytes;
+    }
+
     boolean isEmpty() {
         return pending.isEmpty();
     }
@@ -66,7 +74,7 @@
      */
     void accept(RequestCommand command, double receivedMs, ConnectionMemory.Account memory) {
         PendingResponse response = new PendingResponse(command.id);
-        response.holdMemory(memory, ConnectionMemory.requestBytes(command.textLength()));
+        response.memory = memory.beginRequest(command.textLength(), command.write);
         response.request = new ClientRequest(response, command, receivedMs);
         pending.add(response);
         dispatcher.accept(response.request);
@@ -91,7 +99,7 @@
             if (!head.complete) {
                 break;
             }
-            pending.poll().releaseMemory();
+            pending.poll().written();
         }
         if (wrote) {
             connection.markActive();
@@ -127,10 +135,15 @@
         unflushed = false;
         output.flush();
         if (!allWritten()) {
-            output.afterLastWrite(connection::closeIfDue);
+            output.afterLastWrite(this::reachedKernel);
         }
     }
 
+    private void reachedKernel() {
+        connection.updateBackpressure();
+        connection.closeIfDue();
+    }
+
     /** Pauses reading of values that can be neither written nor held now, and resumes the others. */
     void updateFlowControl() {
         for (PendingResponse response : pending) {
@@ -152,7 +165,6 @@
     void drop(boolean closedByProxy) {
         output.discard();
         for (PendingResponse response; (response = pending.poll()) != null; ) {
-            response.releaseMemory();
             response.drop(closedByProxy);
         }
     }
@@ -181,37 +193,52 @@
         /** The value, if it is held until it is complete; else null. */
         private HeldValue held;
         /** Null for a response that does not come from the dispatcher. */
-        private ConnectionMemory.Account memory;
-
-        private int memoryBytes;
+        private ConnectionMemory.Request memory;
+        /** Whether a response that is not complete is in its memory. */
+        private boolean memoryClaimed;
 
         PendingResponse(String id) {
             this.id = id;
         }
 
-        private void holdMemory(ConnectionMemory.Account account, int bytes) {
-            memory = account;
-            memoryBytes = bytes;
-            memory.requestBegan(bytes);
-        }
-
-        private void releaseMemory() {
+        /** Called when all of it has been passed to the channel. */
+        private void written() {
             if (memory != null) {
-                memory.requestEnded(memoryBytes);
-                memory = null;
+                memory.answered();
+                output.holdUntilWritten(memory);
             }
         }
 
         private void complete(ByteBuf text) {
             ready.add(text);
             complete = true;
+            if (memory != null) {
+                lastResponseBytes = heldBytes();
+                memory.responseArrived(lastResponseBytes);
+            }
             flush();
         }
 
+        private int heldBytes() {
+            return ready.stream().mapToInt(ByteBuf::capacity).sum();
+        }
+
         private void complete(String text) {
             complete(MetaCodec.encode(context().alloc(), text));
         }
 
+        @Override
+        public boolean claimMemory() {
+            boolean claimed = !memoryClaimed && !complete;
+            memoryClaimed |= claimed;
+            return claimed;
+        }
+
+        @Override
+        public void returnMemory() {
+            memoryClaimed = false;
+        }
+
         @Override
         public void detectDisconnect() {
             connection.detectDisconnect();
@@ -221,8 +248,14 @@
         public void writeResponse(ServerResponse response) {
             if (response instanceof ServerResponse.Receipt r) {
                 complete(MetaCodec.receipt(id, r.receipt()));
+            } else if (response instanceof ServerResponse.Value v
+                    && v.value().readableBytes() <= MAX_COPIED_VALUE_BYTES) {
+                complete(MetaCodec.encodeValue(context().alloc(), v.value(), id));
             } else if (response instanceof ServerResponse.Value v) {
-                complete(encode(v.value()));
+                ready.add(MetaCodec.encode(
+                        context().alloc(), MetaCodec.valueHeader(v.value().readableBytes(), id)));
+                ready.add(v.value());
+                complete("\r\n");
             } else if (response instanceof ServerResponse.LongValue v) {
                 ready.add(MetaCodec.encode(context().alloc(), MetaCodec.valueHeader(v.length(), id)));
                 ready.addAll(v.parts());
@@ -232,16 +265,6 @@
             }
         }
 
-        /** Encodes a value into one buffer: this costs a copy, but saves the write system call two more buffers. */
-        private ByteBuf encode(ByteBuf value) {
-            String head = MetaCodec.valueHeader(value.readableBytes(), id);
-            ByteBuf out = context().alloc().buffer(head.length() + value.readableBytes() + MetaCodec.LINE_END_BYTES);
-            out.writeCharSequence(head, StandardCharsets.ISO_8859_1);
-            out.writeBytes(value).writeByte('\r').writeByte('\n');
-            value.release();
-            return out;
-        }
-
         @Override
         public void reject(double retryAfterMs) {
             complete(
@@ -333,7 +356,7 @@
             release();
             if (begun) {
                 pending.remove(this);
-                releaseMemory();
+                written();
                 connection.closeAfterOutput();
             } else {
                 fail();
@@ -359,6 +382,10 @@
 
         private void drop(boolean closedByProxy) {
             release();
+            if (memory != null) {
+                memory.answered();
+                memory.responseWritten();
+            }
             resumeSource();
             if (request != null) {
                 dispatcher.clientDisconnected(request, closedByProxy);
--- a/src/main/java/cacheproxy/proxy/protocol/MetaCodec.java
+++ b/src/main/java/cacheproxy/proxy/protocol/MetaCodec.java
@@ -151,4 +151,17 @@
         ByteBufUtil.writeAscii(buf, text);
         return buf;
     }
+
+    /**
+     * Encodes a short value with its lines into one buffer, and releases it: this costs a copy, but saves the system
+     * call two more buffers.
+     */
+    public static ByteBuf encodeValue(ByteBufAllocator allocator, ByteBuf value, String id) {
+        String head = valueHeader(value.readableBytes(), id);
+        ByteBuf out = allocator.buffer(head.length() + value.readableBytes() + LINE_END_BYTES);
+        out.writeCharSequence(head, StandardCharsets.ISO_8859_1);
+        out.writeBytes(value).writeByte('\r').writeByte('\n');
+        value.release();
+        return out;
+    }
 }
--- a/src/main/java/cacheproxy/proxy/transport/InputTurns.java
+++ b/src/main/java/cacheproxy/proxy/transport/InputTurns.java
@@ -69,6 +69,12 @@
             schedule();
         }
 
+        /** Waits for the connection's next turn behind those whose input has just come, as its own had to wait. */
+        public void awaitBacklogged() {
+            scheduler.awaitBacklogged(source);
+            schedule();
+        }
+
         /** Ends the wait, if there is one. */
         public void cancel() {
             scheduler.remove(source);
--- a/src/main/java/cacheproxy/proxy/upstream/CacheCodec.java
+++ b/src/main/java/cacheproxy/proxy/upstream/CacheCodec.java
@@ -4,9 +4,11 @@
 import cacheproxy.proxy.protocol.PausableDecoder;
 import cacheproxy.proxy.protocol.RequestCommand;
 import cacheproxy.proxy.protocol.ServerResponse;
+import cacheproxy.proxy.protocol.ValueBuffer;
 import cacheproxy.routing.AttemptOutcome;
 import cacheproxy.routing.LoadBalancer;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
@@ -43,6 +45,8 @@
     private static final String NO_OP = "mn\r\n";
     private static final String LOAD_QUERY = "stats load\r\n";
     private static final int LINE_END_BYTES = 2;
+    /** A value of up to this length is decoded from the input once all of it has arrived, in bytes. */
+    private static final int MAX_VALUE_IN_INPUT_BYTES = 4 << 10;
     /** No value is being received. */
     private static final int NO_VALUE = -1;
 
@@ -58,8 +62,12 @@
 
     private int length;
     private boolean streamed;
-    /** Whether the streamed value is discarded, because nobody waits for it. */
+    /** Whether the value is discarded, because nobody waits for it. */
     private boolean discarded;
+    /** What has arrived of a value that is neither streamed nor decoded from the input; null if there is none. */
+    private ValueBuffer body;
+
+    private final BodyMemory bodyMemory;
 
     private int note;
     private float[] report;
@@ -70,6 +78,7 @@
         this.connection = connection;
         this.context = connection.context();
         loadReports = new LoadReports(context);
+        bodyMemory = new BodyMemory(connection);
         connection.setCodec(this);
     }
 
@@ -113,14 +122,15 @@
             }
             if (remainingBytes == NO_VALUE) {
                 decodeLine(in);
-            } else if (streamed) {
-                streamValue(in);
+            } else if (streamed || discarded || body != null) {
+                receiveValue(in);
             } else {
                 decodeValue(in);
             }
         } catch (MetaCodec.SyntaxException e) {
             in.skipBytes(in.readableBytes());
             remainingBytes = NO_VALUE;
+            releaseBody();
             connection.protocolError(e.getMessage());
         }
     }
@@ -134,17 +144,18 @@
         } else if (connection.currentAttempt().isHealthCheck()) {
             healthCheckLine(line);
         } else {
-            responseLine(line, connection.currentAttempt().command());
+            responseLine(line, connection.currentAttempt().command(), in.alloc());
         }
     }
 
-    private void responseLine(String line, RequestCommand command) throws MetaCodec.SyntaxException {
+    private void responseLine(String line, RequestCommand command, ByteBufAllocator alloc)
+            throws MetaCodec.SyntaxException {
         if (line.startsWith(MetaCodec.BUSY)) {
             connection.responseCompleted(AttemptOutcome.REJECTED, NOTE_NONE, errorReport(line), null);
         } else if (line.startsWith(ERROR)) {
             connection.responseCompleted(AttemptOutcome.ERROR, NOTE_NONE, errorReport(line), null);
         } else if (line.startsWith(VALUE) && !command.write) {
-            beginValue(line, command);
+            beginValue(line, command, alloc);
         } else if (line.startsWith(STORED) && command.write) {
             decodeFlags(line, STORED.length(), command);
             String receipt = MetaCodec.flag(line, STORED.length(), 'c');
@@ -160,7 +171,8 @@
         }
     }
 
-    private void beginValue(String line, RequestCommand command) throws MetaCodec.SyntaxException {
+    private void beginValue(String line, RequestCommand command, ByteBufAllocator alloc)
+            throws MetaCodec.SyntaxException {
         String lengthToken = MetaCodec.tokenAt(line, VALUE.length());
         length = MetaCodec.parseLength(lengthToken);
         decodeFlags(line, VALUE.length() + lengthToken.length() + 1, command);
@@ -168,6 +180,32 @@
         streamed = length > MetaCodec.MAX_WHOLE_VALUE_BYTES;
         if (streamed) {
             discarded = !connection.beginValue(length);
+        } else {
+            discarded = connection.currentAttempt().hasEnded();
+            if (!discarded && length > MAX_VALUE_IN_INPUT_BYTES) {
+                beginBody(alloc);
+            }
+        }
+    }
+
+    private void beginBody(ByteBufAllocator alloc) throws MetaCodec.SyntaxException {
+        if (!bodyMemory.reserve(length)) {
+            throw new MetaCodec.SyntaxException("no budget for the value");
+        }
+        body = new ValueBuffer(alloc, length);
+    }
+
+    @Override
+    public void discardBody() {
+        discarded |= body != null;
+        releaseBody();
+    }
+
+    private void releaseBody() {
+        bodyMemory.release();
+        if (body != null) {
+            body.release();
+            body = null;
         }
     }
 
@@ -210,26 +248,46 @@
     }
 
     /**
-     * Passes on the part of the value that has arrived. Its end is passed on only once the line end after it is
-     * verified.
+     * Passes on or collects the part of the value that has arrived. Its end is passed on only once the line end after
+     * it is verified.
      */
-    private void streamValue(ByteBuf in) throws MetaCodec.SyntaxException {
+    private void receiveValue(ByteBuf in) throws MetaCodec.SyntaxException {
         int available = Math.min(remainingBytes - LINE_END_BYTES, in.readableBytes());
         if (available > 0) {
             remainingBytes -= available;
-            if (discarded) {
-                in.skipBytes(available);
-            } else {
-                connection.writePart(in.readRetainedSlice(available));
-            }
+            receivePart(in, available);
         }
         if (remainingBytes == LINE_END_BYTES && in.readableBytes() >= LINE_END_BYTES) {
             requireLineEnd(in, in.readerIndex());
             in.skipBytes(LINE_END_BYTES);
             remainingBytes = NO_VALUE;
-            connection.responseCompleted(
-                    AttemptOutcome.OK, note, report, discarded ? null : ServerResponse.EndOfValue.INSTANCE);
+            connection.responseCompleted(AttemptOutcome.OK, note, report, takeResponse());
+        } else if (!streamed) {
+            connection.responseProgressed();
+        }
+    }
+
+    private void receivePart(ByteBuf in, int available) {
+        if (discarded) {
+            in.skipBytes(available);
+        } else if (streamed) {
+            connection.writePart(in.readRetainedSlice(available));
+        } else {
+            body.add(in, available);
+        }
+    }
+
+    /** The value that has arrived completely; null if it is discarded. */
+    private ServerResponse takeResponse() {
+        if (discarded) {
+            return null;
+        }
+        if (streamed) {
+            return ServerResponse.EndOfValue.INSTANCE;
         }
+        ServerResponse value = new ServerResponse.Value(body.assemble());
+        releaseBody();
+        return value;
     }
 
     private static void requireLineEnd(ByteBuf in, int index) throws MetaCodec.SyntaxException {
@@ -256,6 +314,7 @@
     @Override
     public void channelInactive(ChannelHandlerContext channelContext) throws Exception {
         super.channelInactive(channelContext);
+        releaseBody();
         connection.channelClosed();
     }
 
--- a/src/main/java/cacheproxy/proxy/upstream/OriginCodec.java
+++ b/src/main/java/cacheproxy/proxy/upstream/OriginCodec.java
@@ -8,6 +8,7 @@
 import cacheproxy.proxy.protocol.ValueBuffer;
 import cacheproxy.routing.AttemptOutcome;
 import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -72,6 +73,8 @@
      */
     private ByteBudget.Reservation reservation;
 
+    private final BodyMemory bodyMemory;
+
     /** The longest length of the body. */
     private int maxLength;
 
@@ -83,6 +86,7 @@
         this.connection = connection;
         this.context = connection.context();
         loadReports = new LoadReports(context);
+        bodyMemory = new BodyMemory(connection);
         connection.setCodec(this);
     }
 
@@ -201,9 +205,17 @@
         streamed = streamable && connection.beginValue((int) contentLength); // if false, nobody waits for it
         if (!streamable) {
             maxLength = contentLength < 0 ? maxUnknownLength() : (int) contentLength;
-            body = new ValueBuffer(channelContext.alloc(), maxLength);
-            connection.responseProgressed();
+            beginBody(channelContext.alloc());
+        }
+    }
+
+    private void beginBody(ByteBufAllocator allocator) {
+        if (!bodyMemory.reserve(Math.min(maxLength, MetaCodec.MAX_WHOLE_VALUE_BYTES))) {
+            fail("no budget for the response body");
+            return;
         }
+        body = new ValueBuffer(allocator, maxLength);
+        connection.responseProgressed();
     }
 
     private int maxUnknownLength() {
@@ -260,7 +272,7 @@
                 fail("response body too long");
             } else if (length > MetaCodec.MAX_WHOLE_VALUE_BYTES
                     && connection.currentAttempt().hasEnded()) {
-                releaseBody(); // nobody waits for it
+                discardBody(); // nobody waits for it
             } else if (length > MetaCodec.MAX_WHOLE_VALUE_BYTES && !reserve()) {
                 fail("no budget for the response body");
             } else {
@@ -292,7 +304,7 @@
         HttpResponse head = response;
         ServerResponse result = isOk(head) ? toResponse(connection.currentAttempt()) : null;
         response = null;
-        releaseBody();
+        discardBody();
         if (!HttpUtil.isKeepAlive(head)
                 || (!HttpUtil.isContentLengthSet(head) && !HttpUtil.isTransferEncodingChunked(head))) {
             connection.retire();
@@ -346,7 +358,9 @@
     }
 
     /** Releases the body and its budget; the client side owns what was streamed. */
-    private void releaseBody() {
+    @Override
+    public void discardBody() {
+        bodyMemory.release();
         if (body != null) {
             body.release();
             body = null;
@@ -359,14 +373,14 @@
 
     private void fail(String reason) {
         ignoringInput = true;
-        releaseBody();
+        discardBody();
         connection.protocolError(reason);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext channelContext) {
         ignoringInput = true;
-        releaseBody();
+        discardBody();
         connection.channelClosed();
     }
 
@@ -378,7 +392,7 @@
     public void exceptionCaught(ChannelHandlerContext channelContext, Throwable cause) {
         context.connectionFailed(cause);
         ignoringInput = true;
-        releaseBody();
+        discardBody();
         channelContext.close();
     }
 }
--- a/src/main/java/cacheproxy/proxy/upstream/ResponseWatchdog.java
+++ b/src/main/java/cacheproxy/proxy/upstream/ResponseWatchdog.java
@@ -99,6 +99,11 @@
         return streaming && !paused && nowMs - lastProgressMs > STREAM_STALL_MS;
     }
 
+    /** Whether an attempt, which may be null, ended long ago and its response has still not arrived. */
+    static boolean isBlockedBy(UpstreamAttempt current, double nowMs) {
+        return current != null && current.hasEnded() && nowMs - current.expiresMs() > STREAM_STALL_MS;
+    }
+
     private void noteProgress() {
         lastProgressMs = context.now();
     }
--- a/src/main/java/cacheproxy/proxy/upstream/ServerCodec.java
+++ b/src/main/java/cacheproxy/proxy/upstream/ServerCodec.java
@@ -9,6 +9,9 @@
     /** Writes an attempt; {@code remainingMs}: how long its response is waited for, as told to the server. */
     ChannelFuture write(Channel channel, UpstreamAttempt attempt, long remainingMs, SocketAddress address);
 
+    /** Releases what has arrived of the current response, as nobody waits for it any more; the rest is discarded. */
+    void discardBody();
+
     /** Whether responses carry the id of their request; otherwise only their order assigns them to attempts. */
     boolean responsesCarryRequestId();
 }
--- a/src/main/java/cacheproxy/proxy/upstream/UpstreamAttempt.java
+++ b/src/main/java/cacheproxy/proxy/upstream/UpstreamAttempt.java
@@ -75,6 +75,16 @@
     /** Ends it because its time has run out, if it has not ended. */
     void expire();
 
+    /**
+     * Claims the direct memory that its request holds, for its response of up to
+     * {@link cacheproxy.flow.ByteBudget#SMALL_VALUE_BYTES}; false if another attempt's response is in it, or nobody
+     * waits for this one.
+     */
+    boolean claimMemory();
+
+    /** Returns the claimed memory, as the response in it has been passed on or released. */
+    void returnMemory();
+
     /** Begins a streamed response of {@code length} bytes; false if it is to be discarded. */
     boolean beginValue(int length);
 
--- a/src/main/java/cacheproxy/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/cacheproxy/proxy/upstream/UpstreamConnection.java
@@ -238,6 +238,10 @@
             return false;
         }
         abandoned++;
+        if (attempts.peek() == attempt) {
+            codec.discardBody();
+            setPaused(false);
+        }
         if (abandoned == attempts.size() && (retired || pool.mayCloseAbandoned())) {
             close();
         }
@@ -257,11 +261,7 @@
     /** Closes the connection if the response on it has stalled, or an expired attempt still blocks it. */
     void closeIfStalled(double now) {
         UpstreamAttempt current = attempts.peek();
-        boolean blocked = connected
-                && current != null
-                && current.hasEnded()
-                && now - current.expiresMs() > ResponseWatchdog.STREAM_STALL_MS;
-        if (blocked || watchdog.isStreamStalled(now)) {
+        if ((connected && ResponseWatchdog.isBlockedBy(current, now)) || watchdog.isStreamStalled(now)) {
             close();
         }
     }
--- a/src/test/java/cacheproxy/flow/TurnSchedulerTest.java
+++ b/src/test/java/cacheproxy/flow/TurnSchedulerTest.java
@@ -97,6 +97,13 @@
         assertThat(served()).containsExactly("fresh", "busy");
     }
 
+    @Test
+    void aSourceWhoseWorkHadToWaitIsServedBehindThoseThatHaveNotWorked() {
+        scheduler.awaitBacklogged(scheduler.newSource("waited", 1));
+        scheduler.await(scheduler.newSource("fresh", 1));
+        assertThat(served()).containsExactly("fresh", "waited");
+    }
+
     @Test
     void aPhaseEndsWhenItsBudgetIsUsed() {
         List<TurnScheduler.Source<String>> sources = new ArrayList<>();
--- a/src/test/java/cacheproxy/proxy/FloodIT.java
+++ b/src/test/java/cacheproxy/proxy/FloodIT.java
@@ -27,9 +27,6 @@
 /** Clients that send at full speed delay nobody else, and use no memory without limit. Runs the deployed command. */
 @Timeout(60)
 class FloodIT {
-    /** How long after its time a final answer may come. */
-    private static final double ANSWER_SLACK_MS = 500;
-
     private static final int NODES = 2;
     private static final int FEW = 3;
     private static final int MANY = 60;
@@ -127,7 +124,7 @@
 
     private static void assertNoAnswerIsLate(OtherClients others) throws IOException {
         assertThat(others.failuresButRejections()).isEmpty();
-        assertThat(others.longestMs()).isLessThan(OtherClients.TIMEOUT_MS + ANSWER_SLACK_MS);
+        assertThat(others.longestMs()).isLessThan(OtherClients.TIMEOUT_MS + FloodMeasurement.ANSWER_SLACK_MS);
         flooded.assertProcessIsSound();
     }
 
--- a/src/test/java/cacheproxy/proxy/FloodMeasurement.java
+++ b/src/test/java/cacheproxy/proxy/FloodMeasurement.java
@@ -15,6 +15,9 @@
     /** How much longer than in calm another client's answer may take. */
     static final double MAX_DELAY_MS = 100;
 
+    /** How long after its time a final answer may come. */
+    static final double ANSWER_SLACK_MS = 500;
+
     static final int MEMORY_LIMIT_MB = 192;
     private static final long CALM_MS = 300;
     private static final long FLOOD_MS = 1000;
--- a/src/test/java/cacheproxy/proxy/StreamTest.java
+++ b/src/test/java/cacheproxy/proxy/StreamTest.java
@@ -87,6 +87,16 @@
             // this client stays
         }
 
+        @Override
+        public boolean claimMemory() {
+            return true;
+        }
+
+        @Override
+        public void returnMemory() {
+            // it has no limit
+        }
+
         @Override
         public void beginValue(int length, FlowControl from) {
             flow = from;
