A value of a server that vanished and left the list comes to an end

Cause: the check for stalled responses, and the close of all, walked the list's servers. A server that leaves it keeps its connections with a response under way, and nobody asked these from then on.

Evidence: VanishedServersTest, without the change in UpstreamServers: the two cases with a removed server, node and origin, have nothing in 20 s; the six with one that drains, moves or restarts hold.

Change: ConnectionLimits, which counted all open connections, knows them; both walks go over these.

--- a/src/main/java/cacheproxy/proxy/upstream/ConnectionLimits.java
+++ b/src/main/java/cacheproxy/proxy/upstream/ConnectionLimits.java
@@ -2,6 +2,9 @@
 
 import cacheproxy.metrics.Metric;
 import cacheproxy.routing.RoutingSettings;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
 import java.util.function.Supplier;
 
 /**
@@ -41,7 +44,9 @@
     private final UpstreamContext context;
     private final int maxConnections;
     private final Supplier<UpstreamConnection> longestIdle;
-    private int connections;
+    /** All that are open or being opened, whether or not the list still has their servers. */
+    private final Set<UpstreamConnection> connections = new LinkedHashSet<>();
+
     private double scarceUntilMs = Double.NEGATIVE_INFINITY;
     private double abandonedCloseTokens = ABANDONED_CLOSES_BURST;
     private double tokensRefilledMs;
@@ -85,16 +90,21 @@
 
     /** Connections that are open or being opened. */
     int connections() {
-        return connections;
+        return connections.size();
+    }
+
+    /** A copy of the connections that are open or being opened, whether or not the list still has their servers. */
+    List<UpstreamConnection> openConnections() {
+        return List.copyOf(connections);
     }
 
-    void connectionOpened() {
-        connections++;
+    void connectionOpened(UpstreamConnection connection) {
+        connections.add(connection);
         context.increment(Metric.CONNECTIONS_OPENED);
     }
 
-    void connectionClosed() {
-        connections--;
+    void connectionClosed(UpstreamConnection connection) {
+        connections.remove(connection);
     }
 
     /**
@@ -103,7 +113,7 @@
      * descriptor is free then, but it still counts until the next event loop iteration.
      */
     boolean mayOpen(boolean first) {
-        return connections < maxConnections || (first && closeLongestIdle());
+        return connections.size() < maxConnections || (first && closeLongestIdle());
     }
 
     private boolean closeLongestIdle() {
--- a/src/main/java/cacheproxy/proxy/upstream/ServerConnectionPool.java
+++ b/src/main/java/cacheproxy/proxy/upstream/ServerConnectionPool.java
@@ -169,7 +169,7 @@
         TurnedReading reading = new TurnedReading(context.inputTurns(), false);
         UpstreamConnection connection = new UpstreamConnection(this, context, reading);
         connections.add(connection);
-        globalLimits.connectionOpened();
+        globalLimits.connectionOpened(connection);
         openedConnections++;
         ChannelFuture future = bootstrap
                 .clone()
@@ -245,7 +245,7 @@
     /** Removes a connection that has ended or was never opened. */
     void connectionClosed(UpstreamConnection connection) {
         if (connections.remove(connection)) {
-            globalLimits.connectionClosed();
+            globalLimits.connectionClosed(connection);
         }
     }
 
@@ -289,18 +289,6 @@
         }
     }
 
-    /** Closes all connections. */
-    void close() {
-        List.copyOf(connections).forEach(UpstreamConnection::close);
-    }
-
-    /** Closes connections whose response has stalled. */
-    void closeStalled(double now) {
-        for (UpstreamConnection connection : List.copyOf(connections)) {
-            connection.closeIfStalled(now);
-        }
-    }
-
     /** When an attempt was last sent, on the clock of {@link UpstreamContext#now}. */
     double lastSentMs() {
         return lastSentMs;
--- a/src/main/java/cacheproxy/proxy/upstream/UpstreamServers.java
+++ b/src/main/java/cacheproxy/proxy/upstream/UpstreamServers.java
@@ -145,16 +145,20 @@
 
     /** Closes connections that have been idle too long, or whose response has stalled. */
     public void closeIdleAndStalled() {
-        double now = context.now();
+        closeIdleAndStalled(context.now());
+    }
+
+    /** As above, at this time. */
+    public void closeIdleAndStalled(double now) {
         for (UpstreamServer server : servers.values()) {
             server.pool.closeIdle(limits.idleCutoffMs(now));
-            server.pool.closeStalled(now);
         }
+        limits.openConnections().forEach(connection -> connection.closeIfStalled(now));
     }
 
     /** Closes all connections. */
     public void close() {
-        servers.values().forEach(server -> server.pool.close());
+        limits.openConnections().forEach(UpstreamConnection::close);
     }
 
     // ---- cache nodes: state and metrics
--- /dev/null
+++ b/src/test/java/cacheproxy/proxy/VanishedServersTest.java
@@ -0,0 +1,107 @@
+package cacheproxy.proxy;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.gson.JsonArray;
+import com.google.gson.JsonObject;
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Servers that vanish within a long value: what the list says of them afterwards must not keep its client waiting. */
+@Timeout(60)
+class VanishedServersTest {
+    private static final int VALUE_BYTES = 1 << 20;
+    private static final int SENT_BYTES = 100_000;
+
+    /** What the list says of a server after it has vanished. */
+    enum Change {
+        REMOVED(host -> host.addProperty("health", "removed")),
+        DRAINING(host -> host.addProperty("health", "draining")),
+        MOVED(host -> host.addProperty("dial", "127.0.0.1:9")),
+        RESTARTED(host -> host.addProperty("born_ms", 1000));
+
+        private final Consumer<JsonObject> edit;
+
+        Change(Consumer<JsonObject> edit) {
+            this.edit = edit;
+        }
+    }
+
+    private final CountDownLatch report = new CountDownLatch(1);
+
+    /** Sends the beginning of a long value for the first read, and says nothing from then on. */
+    private FakeServer vanishingNode() throws IOException {
+        return new FakeServer(c -> {
+            c.send("VA " + VALUE_BYTES + " O" + FakeServer.id(c.command()) + " h1\r\n");
+            c.out.write(new byte[SENT_BYTES]);
+            c.out.flush();
+            c.awaitEnd();
+        });
+    }
+
+    private FakeServer vanishingOrigin() throws IOException {
+        return new FakeServer(c -> {
+            c.request();
+            c.send("HTTP/1.1 200 OK\r\nContent-Length: " + VALUE_BYTES + "\r\n\r\n");
+            c.out.write(new byte[SENT_BYTES]);
+            c.out.flush();
+            c.awaitEnd();
+        });
+    }
+
+    /** Reports the changed host once told to. */
+    private FakeServer discovery(JsonObject host, Change change) throws IOException {
+        change.edit.accept(host);
+        JsonArray hosts = new JsonArray();
+        hosts.add(host);
+        return new FakeServer(c -> {
+            c.request();
+            report.await();
+            c.sendHttp(200, "", ProxyFixture.list(43, false, hosts).toString());
+            c.request();
+            c.awaitEnd();
+        });
+    }
+
+    /** Has the change reported while the first client is passed the value, and waits until it is in use. */
+    private void change(FakeServer discovery, ProxyFixture.Client client) throws Exception {
+        assertThat(discovery.nextCommand()).contains("since=41&");
+        client.read("1");
+        assertThat(client.line()).isEqualTo("VA " + VALUE_BYTES + " O1");
+        assertThat(client.bytes(SENT_BYTES)).hasSize(SENT_BYTES);
+        report.countDown();
+        assertThat(discovery.nextCommand()).contains("since=43&");
+    }
+
+    private void assertValueEnds(ProxyFixture fixture, FakeServer discovery) throws Exception {
+        fixture.discovery(discovery).set("guarantees.ask-within", "200.0");
+        try (ProxyFixture started = fixture.start();
+                ProxyFixture.Client client = started.client()) {
+            change(discovery, client);
+            assertThat(client.bytes(VALUE_BYTES).length).isLessThan(VALUE_BYTES);
+        }
+    }
+
+    /** Guards against a value that is never ended, as nobody looked at the connections of a server out of the list. */
+    @ParameterizedTest
+    @EnumSource
+    void aValueOfANodeThatHasVanishedEndsWhateverTheListSaysOfIt(Change change) throws Exception {
+        try (FakeServer node = vanishingNode()) {
+            JsonObject host = ProxyFixture.host("s-00000001", "node-fast", node.dial(), "up");
+            assertValueEnds(new ProxyFixture().node(node.dial()), discovery(host, change));
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void aValueOfAnOriginThatHasVanishedEndsWhateverTheListSaysOfIt(Change change) throws Exception {
+        try (FakeServer origin = vanishingOrigin()) {
+            JsonObject host = ProxyFixture.host("s-0000aaaa", "origin", origin.dial(), "up");
+            assertValueEnds(new ProxyFixture().origin(origin.dial()), discovery(host, change));
+        }
+    }
+}
