Lint: the enum of VanishedServersTest holds no function any more

Cause: each change of the list was a function in a field of its enum constant; a switch does the same. The cases and what they expect are as before.

--- a/src/test/java/cacheproxy/proxy/VanishedServersTest.java
+++ b/src/test/java/cacheproxy/proxy/VanishedServersTest.java
@@ -6,7 +6,6 @@
 import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
-import java.util.function.Consumer;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -19,15 +18,18 @@
 
     /** What the list says of a server after it has vanished. */
     enum Change {
-        REMOVED(host -> host.addProperty("health", "removed")),
-        DRAINING(host -> host.addProperty("health", "draining")),
-        MOVED(host -> host.addProperty("dial", "127.0.0.1:9")),
-        RESTARTED(host -> host.addProperty("born_ms", 1000));
+        REMOVED,
+        DRAINING,
+        MOVED,
+        RESTARTED;
 
-        private final Consumer<JsonObject> edit;
-
-        Change(Consumer<JsonObject> edit) {
-            this.edit = edit;
+        void applyTo(JsonObject host) {
+            switch (this) {
+                case REMOVED -> host.addProperty("health", "removed");
+                case DRAINING -> host.addProperty("health", "draining");
+                case MOVED -> host.addProperty("dial", "127.0.0.1:9");
+                case RESTARTED -> host.addProperty("born_ms", 1000);
+            }
         }
     }
 
@@ -55,7 +57,7 @@
 
     /** Reports the changed host once told to. */
     private FakeServer discovery(JsonObject host, Change change) throws IOException {
-        change.edit.accept(host);
+        change.applyTo(host);
         JsonArray hosts = new JsonArray();
         hosts.add(host);
         return new FakeServer(c -> {
