--- a/src/main/java/cacheproxy/proxy/upstream/OriginCodec.java
+++ b/src/main/java/cacheproxy/proxy/upstream/OriginCodec.java
@@ -24,7 +24,6 @@
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpResponseDecoder;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
@@ -92,37 +91,7 @@
 
     /** The handlers of one connection's pipeline. */
     static List<ChannelHandler> handlers(UpstreamConnection connection) {
-        return List.of(new HttpRequestEncoder(), new ResponseDecoder(connection), new OriginCodec(connection));
-    }
-
-    /**
-     * Rejects input that arrives while no attempt is in flight: if buffered, it would become the start of the next
-     * response.
-     */
-    private static final class ResponseDecoder extends HttpResponseDecoder {
-        private static final int MAX_HEADERS_BYTES = 8192;
-        private static final int MAX_CHUNK_BYTES = 64 << 10;
-
-        private final UpstreamConnection connection;
-
-        ResponseDecoder(UpstreamConnection connection) {
-            super(MetaCodec.MAX_LINE_BYTES, MAX_HEADERS_BYTES, MAX_CHUNK_BYTES);
-            this.connection = connection;
-        }
-
-        @Override
-        protected void decode(ChannelHandlerContext channelContext, ByteBuf in, List<Object> out) throws Exception {
-            if (connection.currentAttempt() != null) {
-                super.decode(channelContext, in, out);
-                return;
-            }
-            // Line ends alone do not start a response.
-            boolean lineEndsOnly = in.forEachByte(b -> b == '\r' || b == '\n') < 0;
-            in.skipBytes(in.readableBytes());
-            if (!lineEndsOnly) {
-                connection.protocolError("response without a request");
-            }
-        }
+        return List.of(new HttpRequestEncoder(), new OriginResponseDecoder(connection), new OriginCodec(connection));
     }
 
     // ---- requests
