Responses and requests take turns on the event loop alternately

Cause: connections of servers that had used their quantum waited in one queue with those of clients. With 350 clients in it, each of which begins a request that is charged some 400 microseconds, a server's connection waited for tens of turns, and with it the responses that would have ended work.

Evidence: server connections waited for their turn up to 222 ms, and reads that were first on their connection and had been answered by their node within 1 ms for up to 97 ms (trial with each wait logged).

Change: sources of requests and of responses wait in queues of their own and are served alternately; TurnQueue holds the order within one.

TurnSchedulerTest.aSourceOfResponsesIsServedBehindOneSourceOfRequestsHoweverManyWait is new.

--- a/src/main/java/cacheproxy/flow/TurnScheduler.java
+++ b/src/main/java/cacheproxy/flow/TurnScheduler.java
@@ -1,7 +1,5 @@
 package cacheproxy.flow;
 
-import java.util.ArrayDeque;
-
 /**
  * Shares the turns of an event loop between sources of work, by what the work costs, so that a source with much work
  * delays the others by a bounded time. A deficit round robin (Shreedhar and Varghese, 1995) with priority for sources
@@ -11,6 +9,8 @@
  * <p>A turn is one iteration of the loop and has two phases: sources work as their input arrives, then those that wait
  * are served in order. Each phase has a budget, and each source has a quantum of both together. What a source uses
  * beyond its quantum is taken from its next turns, and what other work costs from the budgets of the next phases.
+ * Sources of requests and sources of responses are served alternately, so that responses, which end work, do not wait
+ * behind all the requests that would begin more.
  *
  * @param <T> what identifies a source to the caller
  */
@@ -26,8 +26,11 @@
      */
     static final int MAX_OWED_TURNS = 10;
 
-    private final ArrayDeque<Source<T>> fresh = new ArrayDeque<>();
-    private final ArrayDeque<Source<T>> backlogged = new ArrayDeque<>();
+    private final TurnQueue<T> requests = new TurnQueue<>();
+    private final TurnQueue<T> responses = new TurnQueue<>();
+    /** Whether a source of responses is served next if one waits. */
+    private boolean responsesNext;
+
     private long turn = 1;
     private int phaseCost;
     /** The cost of work outside of the phases that has not been taken from their budgets. */
@@ -37,6 +40,7 @@
     public static final class Source<T> {
         private final T owner;
         private final int quantum;
+        private final TurnQueue<T> queue;
         /** The turn to which {@link #cost} belongs; while it waits, that in which it began to. */
         private long turn;
         /** What it has used in that turn. */
@@ -46,15 +50,25 @@
 
         private boolean waiting;
 
-        private Source(T owner, int weight) {
+        private Source(T owner, int weight, TurnQueue<T> queue) {
             this.owner = owner;
             quantum = weight * QUANTUM;
+            this.queue = queue;
+        }
+
+        boolean wasServedIn(long someTurn) {
+            return servedTurn == someTurn;
         }
     }
 
-    /** Creates a source, which does not wait; its quantum is {@code weight} times the usual one. */
+    /** Creates a source of requests, which does not wait; its quantum is {@code weight} times the usual one. */
     public Source<T> newSource(T owner, int weight) {
-        return new Source<>(owner, weight);
+        return new Source<>(owner, weight, requests);
+    }
+
+    /** Creates a source of responses, as above. */
+    public Source<T> newResponseSource(T owner, int weight) {
+        return new Source<>(owner, weight, responses);
     }
 
     /**
@@ -115,7 +129,12 @@
     public void await(Source<T> source) {
         if (!source.waiting) {
             boolean owes = costInTurn(source) > 0;
-            enqueue(source, owes ? backlogged : fresh);
+            beginWait(source);
+            if (owes) {
+                source.queue.addBacklogged(source);
+            } else {
+                source.queue.addFresh(source);
+            }
         }
     }
 
@@ -125,23 +144,22 @@
      */
     public void awaitBacklogged(Source<T> source) {
         if (!source.waiting) {
-            enqueue(source, backlogged);
+            beginWait(source);
+            source.queue.addBacklogged(source);
         }
     }
 
-    private void enqueue(Source<T> source, ArrayDeque<Source<T>> queue) {
+    private void beginWait(Source<T> source) {
         source.cost = costInTurn(source);
         source.turn = turn;
         source.waiting = true;
-        queue.add(source);
     }
 
     /** Removes the source, which has no more work. */
     public void remove(Source<T> source) {
         if (source.waiting) {
             source.waiting = false;
-            fresh.remove(source);
-            backlogged.remove(source);
+            source.queue.remove(source);
         }
     }
 
@@ -151,18 +169,17 @@
     }
 
     /**
-     * Takes the next source to be served in this phase, those first that have not worked in the turn; null if the
-     * phase's budget is used or each waiting source has been served.
+     * Takes the next source to be served in this phase, of each kind those first that have not worked in the turn; null
+     * if the phase's budget is used or each waiting source has been served.
      */
     public T next() {
         if (phaseCost >= PHASE_COST) {
             return null;
         }
-        ArrayDeque<Source<T>> queue = isServable(fresh) ? fresh : backlogged;
-        if (!isServable(queue)) {
+        Source<T> source = pollAlternately();
+        if (source == null) {
             return null;
         }
-        Source<T> source = queue.poll();
         source.waiting = false;
         source.servedTurn = turn;
         if (source.turn != turn) {
@@ -172,9 +189,13 @@
         return source.owner;
     }
 
-    private boolean isServable(ArrayDeque<Source<T>> queue) {
-        Source<T> first = queue.peek();
-        return first != null && first.servedTurn != turn;
+    private Source<T> pollAlternately() {
+        Source<T> source = (responsesNext ? responses : requests).poll(turn);
+        if (source == null) {
+            source = (responsesNext ? requests : responses).poll(turn);
+        }
+        responsesNext = source != null && source.queue == requests;
+        return source;
     }
 
     /** Ends the turn, and begins the first phase of the next one. */
@@ -194,6 +215,6 @@
 
     /** Whether any source waits for its turn. */
     public boolean hasWaiting() {
-        return !fresh.isEmpty() || !backlogged.isEmpty();
+        return !requests.isEmpty() || !responses.isEmpty();
     }
 }
--- a/src/main/java/cacheproxy/proxy/transport/InputTurns.java
+++ b/src/main/java/cacheproxy/proxy/transport/InputTurns.java
@@ -42,8 +42,8 @@
     public final class Turns {
         private final TurnScheduler.Source<Runnable> source;
 
-        private Turns(Runnable onTurn, int weight) {
-            source = scheduler.newSource(onTurn, weight);
+        private Turns(TurnScheduler.Source<Runnable> source) {
+            this.source = source;
         }
 
         /** Whether the connection may go on with its input now; otherwise it has to {@link #await} its turn. */
@@ -89,12 +89,12 @@
 
     /** Creates the turns of a client's connection; {@code onTurn} runs when one has come for which it waited. */
     public Turns newClientTurns(Runnable onTurn) {
-        return new Turns(onTurn, CLIENT_WEIGHT);
+        return new Turns(scheduler.newSource(onTurn, CLIENT_WEIGHT));
     }
 
     /** As above, for a server's connection. */
     Turns newServerTurns(Runnable onTurn) {
-        return new Turns(onTurn, SERVER_WEIGHT);
+        return new Turns(scheduler.newResponseSource(onTurn, SERVER_WEIGHT));
     }
 
     /**
--- a/src/test/java/cacheproxy/flow/TurnSchedulerTest.java
+++ b/src/test/java/cacheproxy/flow/TurnSchedulerTest.java
@@ -43,6 +43,17 @@
         assertThat(work(source, 1)).isEqualTo(TurnScheduler.QUANTUM);
     }
 
+    /** Guards against responses that wait behind the requests of hundreds of clients. */
+    @Test
+    void aSourceOfResponsesIsServedBehindOneSourceOfRequestsHoweverManyWait() {
+        for (int i = 0; i < 350; i++) {
+            scheduler.await(scheduler.newSource("client" + i, 1));
+        }
+        TurnScheduler.Source<String> server = scheduler.newResponseSource("server", 1);
+        work(server, TurnScheduler.QUANTUM);
+        assertThat(served()).startsWith("client0", "server", "client1");
+    }
+
     @Test
     void aSourceThatFindsThePhaseUsedByReadingIsServedBeforeThoseThatHaveWorked() {
         TurnScheduler.Source<String> busy = scheduler.newSource("busy", 1);
