Vanished servers: tests for no byte sent, long writes and a class that is gone

Rows of the postmortem that stood there by reading alone are played now: a read whose node vanishes without a byte, a write of 1 MiB whose origin does, each with the server removed, draining, moved and restarted, and a value whose class a reload renames while its node is removed.

--- a/src/main/java/cacheproxy/proxy/upstream/UpstreamServers.java
+++ b/src/main/java/cacheproxy/proxy/upstream/UpstreamServers.java
@@ -145,11 +145,7 @@
 
     /** Closes connections that have been idle too long, or whose response has stalled. */
     public void closeIdleAndStalled() {
-        closeIdleAndStalled(context.now());
-    }
-
-    /** As above, at this time. */
-    public void closeIdleAndStalled(double now) {
+        double now = context.now();
         for (UpstreamServer server : servers.values()) {
             server.pool.closeIdle(limits.idleCutoffMs(now));
         }
--- a/src/test/java/cacheproxy/proxy/VanishedServersTest.java
+++ b/src/test/java/cacheproxy/proxy/VanishedServersTest.java
@@ -1,11 +1,14 @@
 package cacheproxy.proxy;
 
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import com.google.gson.JsonArray;
 import com.google.gson.JsonObject;
 import java.io.IOException;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -15,6 +18,9 @@
 class VanishedServersTest {
     private static final int VALUE_BYTES = 1 << 20;
     private static final int SENT_BYTES = 100_000;
+    private static final int TIMEOUT_MS = 3000;
+    /** How long after its time a final answer may come. */
+    private static final int ANSWER_SLACK_MS = 500;
 
     /** What the list says of a server after it has vanished. */
     enum Change {
@@ -79,15 +85,44 @@
         assertThat(discovery.nextCommand()).contains("since=43&");
     }
 
+    private static ProxyFixture start(ProxyFixture fixture, FakeServer discovery) throws Exception {
+        return fixture.discovery(discovery)
+                .set("guarantees.ask-within", "200.0")
+                .start();
+    }
+
     private void assertValueEnds(ProxyFixture fixture, FakeServer discovery) throws Exception {
-        fixture.discovery(discovery).set("guarantees.ask-within", "200.0");
-        try (ProxyFixture started = fixture.start();
+        try (ProxyFixture started = start(fixture, discovery);
                 ProxyFixture.Client client = started.client()) {
             change(discovery, client);
             assertThat(client.bytes(VALUE_BYTES).length).isLessThan(VALUE_BYTES);
         }
     }
 
+    /** Sends a command to a server that vanishes without a byte; it has to be answered in its time of 3 s. */
+    private void assertAnswered(ProxyFixture fixture, FakeServer discovery, FakeServer vanishing, byte[] command)
+            throws Exception {
+        try (ProxyFixture started = start(fixture, discovery);
+                ProxyFixture.Client client = started.client()) {
+            assertThat(discovery.nextCommand()).contains("since=41&");
+            long sentNanos = System.nanoTime();
+            client.send(command);
+            vanishing.nextCommand();
+            report.countDown();
+            assertThat(client.line()).startsWith("SERVER_ERROR");
+            assertThat(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos))
+                    .isLessThan(TIMEOUT_MS + ANSWER_SLACK_MS);
+        }
+    }
+
+    /** A server that takes the first line of what it is sent, and nothing more. */
+    private static FakeServer silentServer() throws IOException {
+        return new FakeServer(c -> {
+            c.command();
+            c.pause.acquire();
+        });
+    }
+
     /** Guards against a value that is never ended, as nobody looked at the connections of a server out of the list. */
     @ParameterizedTest
     @EnumSource
@@ -106,4 +141,39 @@
             assertValueEnds(new ProxyFixture().origin(origin.dial()), discovery(host, change));
         }
     }
+
+    @ParameterizedTest
+    @EnumSource
+    void aReadOfANodeThatHasVanishedWithoutAByteIsAnsweredInTime(Change change) throws Exception {
+        try (FakeServer node = silentServer()) {
+            JsonObject host = ProxyFixture.host("s-00000001", "node-fast", node.dial(), "up");
+            byte[] read = ("mg 7f3a9c21e0b4d655 v O1 Pc=text,d=" + TIMEOUT_MS + "\r\n").getBytes(ISO_8859_1);
+            assertAnswered(new ProxyFixture().node(node.dial()), discovery(host, change), node, read);
+        }
+    }
+
+    @ParameterizedTest
+    @EnumSource
+    void aLongWriteToAnOriginThatHasVanishedIsAnsweredInTime(Change change) throws Exception {
+        try (FakeServer origin = silentServer()) {
+            JsonObject host = ProxyFixture.host("s-0000aaaa", "origin", origin.dial(), "up");
+            String line = "ms 7f3a9c21e0b4d655 " + VALUE_BYTES + " O1 Pc=publish,d=" + TIMEOUT_MS + ",k=1\r\n";
+            byte[] write = (line + "v".repeat(VALUE_BYTES) + "\r\n").getBytes(ISO_8859_1);
+            assertAnswered(new ProxyFixture().origin(origin.dial()), discovery(host, change), origin, write);
+        }
+    }
+
+    @Test
+    void aValueOfANodeThatHasVanishedEndsThoughItsClassIsGoneByAReload() throws Exception {
+        try (FakeServer node = vanishingNode()) {
+            JsonObject host = ProxyFixture.host("s-00000001", "node-fast", node.dial(), "up");
+            FakeServer discovery = discovery(host, Change.REMOVED);
+            try (ProxyFixture started = start(new ProxyFixture().node(node.dial()), discovery);
+                    ProxyFixture.Client client = started.client()) {
+                change(discovery, client);
+                started.set("classes.0.name", "renamed").reload();
+                assertThat(client.bytes(VALUE_BYTES).length).isLessThan(VALUE_BYTES);
+            }
+        }
+    }
 }
