Connections whose next response may be long wait behind those with less work

Callers saw reads that took up to 222 ms beside 350 clients that connect and send at once, beside three busy processes.

Cause: a connection that had not worked waited for its turn in one queue, in order of arrival, with the 350 that had just connected. The first request of each of these is charged for a value of 64 KiB, more than its quantum, so few begin in a turn.

Change: a connection whose next response may be longer than 10,000 bytes, as one that has had none, waits with those that have worked before.

No test of its own: PipelinedValuesIT plays it, and asks of hundreds of clients that no answer is late.

--- a/src/main/java/cacheproxy/proxy/client/ClientRequestReceiver.java
+++ b/src/main/java/cacheproxy/proxy/client/ClientRequestReceiver.java
@@ -34,6 +34,8 @@
     private static final int REQUEST_COST = 50;
     /** How much of a response is passed on in a microsecond of processor time, in bytes. */
     private static final int RESPONSE_BYTES_PER_MICROSECOND = 200;
+    /** A response of up to this length costs no more than its request, in bytes. */
+    private static final int MAX_SHORT_RESPONSE_BYTES = REQUEST_COST * RESPONSE_BYTES_PER_MICROSECOND;
 
     private static final String BAD_FORMAT = "CLIENT_ERROR bad command line format\r\n";
     /** Placeholder for a write whose line is not a valid request; its value is read and discarded. */
@@ -100,7 +102,7 @@
         } else if (!turns.mayWork()) {
             pauseDecoding();
             input.pauseIfFull(connection.context(), in.readableBytes());
-            turns.await();
+            awaitTurn();
         } else {
             long beganNanos = System.nanoTime();
             receive(in);
@@ -108,6 +110,15 @@
         }
     }
 
+    /** A connection whose next response may be long gives way to those that bring less work. */
+    private void awaitTurn() {
+        if (responses.expectedBytes() > MAX_SHORT_RESPONSE_BYTES) {
+            turns.awaitBacklogged();
+        } else {
+            turns.await();
+        }
+    }
+
     private void receive(ByteBuf in) throws MetaCodec.SyntaxException {
         if (incomingWrite != null) {
             receiveValue(in);
