Vanished servers: the tests share how a host is listed and a proxy started

Two pairs of cases were alike but for the host. The host of the list and its start stand once now; cases and expectations are as they were.

--- a/src/test/java/cacheproxy/proxy/VanishedServersTest.java
+++ b/src/test/java/cacheproxy/proxy/VanishedServersTest.java
@@ -63,9 +63,10 @@
 
     /** Reports the changed host once told to. */
     private FakeServer discovery(JsonObject host, Change change) throws IOException {
-        change.applyTo(host);
+        JsonObject changed = host.deepCopy();
+        change.applyTo(changed);
         JsonArray hosts = new JsonArray();
-        hosts.add(host);
+        hosts.add(changed);
         return new FakeServer(c -> {
             c.request();
             report.await();
@@ -85,14 +86,26 @@
         assertThat(discovery.nextCommand()).contains("since=43&");
     }
 
-    private static ProxyFixture start(ProxyFixture fixture, FakeServer discovery) throws Exception {
-        return fixture.discovery(discovery)
+    private static JsonObject nodeHost(FakeServer node) {
+        return ProxyFixture.host("s-00000001", "node-fast", node.dial(), "up");
+    }
+
+    private static JsonObject originHost(FakeServer origin) {
+        return ProxyFixture.host("s-0000aaaa", "origin", origin.dial(), "up");
+    }
+
+    /** Starts a proxy that knows the host as it is, and asks this discovery. */
+    private static ProxyFixture start(JsonObject host, FakeServer discovery) throws Exception {
+        return new ProxyFixture()
+                .host(host)
+                .discovery(discovery)
                 .set("guarantees.ask-within", "200.0")
                 .start();
     }
 
-    private void assertValueEnds(ProxyFixture fixture, FakeServer discovery) throws Exception {
-        try (ProxyFixture started = start(fixture, discovery);
+    private void assertValueEnds(JsonObject host, Change change) throws Exception {
+        FakeServer discovery = discovery(host, change);
+        try (ProxyFixture started = start(host, discovery);
                 ProxyFixture.Client client = started.client()) {
             change(discovery, client);
             assertThat(client.bytes(VALUE_BYTES).length).isLessThan(VALUE_BYTES);
@@ -100,9 +113,9 @@
     }
 
     /** Sends a command to a server that vanishes without a byte; it has to be answered in its time of 3 s. */
-    private void assertAnswered(ProxyFixture fixture, FakeServer discovery, FakeServer vanishing, byte[] command)
-            throws Exception {
-        try (ProxyFixture started = start(fixture, discovery);
+    private void assertAnswered(JsonObject host, Change change, FakeServer vanishing, byte[] command) throws Exception {
+        FakeServer discovery = discovery(host, change);
+        try (ProxyFixture started = start(host, discovery);
                 ProxyFixture.Client client = started.client()) {
             assertThat(discovery.nextCommand()).contains("since=41&");
             long sentNanos = System.nanoTime();
@@ -128,8 +141,7 @@
     @EnumSource
     void aValueOfANodeThatHasVanishedEndsWhateverTheListSaysOfIt(Change change) throws Exception {
         try (FakeServer node = vanishingNode()) {
-            JsonObject host = ProxyFixture.host("s-00000001", "node-fast", node.dial(), "up");
-            assertValueEnds(new ProxyFixture().node(node.dial()), discovery(host, change));
+            assertValueEnds(nodeHost(node), change);
         }
     }
 
@@ -137,8 +149,7 @@
     @EnumSource
     void aValueOfAnOriginThatHasVanishedEndsWhateverTheListSaysOfIt(Change change) throws Exception {
         try (FakeServer origin = vanishingOrigin()) {
-            JsonObject host = ProxyFixture.host("s-0000aaaa", "origin", origin.dial(), "up");
-            assertValueEnds(new ProxyFixture().origin(origin.dial()), discovery(host, change));
+            assertValueEnds(originHost(origin), change);
         }
     }
 
@@ -146,9 +157,8 @@
     @EnumSource
     void aReadOfANodeThatHasVanishedWithoutAByteIsAnsweredInTime(Change change) throws Exception {
         try (FakeServer node = silentServer()) {
-            JsonObject host = ProxyFixture.host("s-00000001", "node-fast", node.dial(), "up");
             byte[] read = ("mg 7f3a9c21e0b4d655 v O1 Pc=text,d=" + TIMEOUT_MS + "\r\n").getBytes(ISO_8859_1);
-            assertAnswered(new ProxyFixture().node(node.dial()), discovery(host, change), node, read);
+            assertAnswered(nodeHost(node), change, node, read);
         }
     }
 
@@ -156,19 +166,17 @@
     @EnumSource
     void aLongWriteToAnOriginThatHasVanishedIsAnsweredInTime(Change change) throws Exception {
         try (FakeServer origin = silentServer()) {
-            JsonObject host = ProxyFixture.host("s-0000aaaa", "origin", origin.dial(), "up");
             String line = "ms 7f3a9c21e0b4d655 " + VALUE_BYTES + " O1 Pc=publish,d=" + TIMEOUT_MS + ",k=1\r\n";
             byte[] write = (line + "v".repeat(VALUE_BYTES) + "\r\n").getBytes(ISO_8859_1);
-            assertAnswered(new ProxyFixture().origin(origin.dial()), discovery(host, change), origin, write);
+            assertAnswered(originHost(origin), change, origin, write);
         }
     }
 
     @Test
     void aValueOfANodeThatHasVanishedEndsThoughItsClassIsGoneByAReload() throws Exception {
         try (FakeServer node = vanishingNode()) {
-            JsonObject host = ProxyFixture.host("s-00000001", "node-fast", node.dial(), "up");
-            FakeServer discovery = discovery(host, Change.REMOVED);
-            try (ProxyFixture started = start(new ProxyFixture().node(node.dial()), discovery);
+            FakeServer discovery = discovery(nodeHost(node), Change.REMOVED);
+            try (ProxyFixture started = start(nodeHost(node), discovery);
                     ProxyFixture.Client client = started.client()) {
                 change(discovery, client);
                 started.set("classes.0.name", "renamed").reload();
