Acknowledging at once stands in one place, the connection, for both protocols

The codecs of cache nodes and of the origin each asked whether a response is awaited and had its input acknowledged, right behind telling the connection that the input is decoded. The connection does both now.

--- a/src/main/java/cacheproxy/proxy/upstream/CacheCodec.java
+++ b/src/main/java/cacheproxy/proxy/upstream/CacheCodec.java
@@ -5,7 +5,6 @@
 import cacheproxy.proxy.protocol.RequestCommand;
 import cacheproxy.proxy.protocol.ServerResponse;
 import cacheproxy.proxy.protocol.ValueBuffer;
-import cacheproxy.proxy.transport.TcpAcknowledgement;
 import cacheproxy.routing.AttemptOutcome;
 import cacheproxy.routing.LoadBalancer;
 import io.netty.buffer.ByteBuf;
@@ -112,9 +111,6 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext channelContext) throws Exception {
         connection.setReading(false);
-        if (connection.currentAttempt() != null) {
-            TcpAcknowledgement.sendNow(channelContext.channel());
-        }
         super.channelReadComplete(channelContext);
     }
 
--- a/src/main/java/cacheproxy/proxy/upstream/OriginCodec.java
+++ b/src/main/java/cacheproxy/proxy/upstream/OriginCodec.java
@@ -6,7 +6,6 @@
 import cacheproxy.proxy.protocol.RequestCommand;
 import cacheproxy.proxy.protocol.ServerResponse;
 import cacheproxy.proxy.protocol.ValueBuffer;
-import cacheproxy.proxy.transport.TcpAcknowledgement;
 import cacheproxy.routing.AttemptOutcome;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
@@ -133,9 +132,6 @@
     @Override
     public void channelReadComplete(ChannelHandlerContext channelContext) {
         connection.setReading(false);
-        if (connection.currentAttempt() != null) {
-            TcpAcknowledgement.sendNow(channelContext.channel());
-        }
         channelContext.fireChannelReadComplete();
     }
 
--- a/src/main/java/cacheproxy/proxy/upstream/UpstreamConnection.java
+++ b/src/main/java/cacheproxy/proxy/upstream/UpstreamConnection.java
@@ -7,6 +7,7 @@
 import cacheproxy.proxy.protocol.ServerResponse;
 import cacheproxy.proxy.transport.ConnectFutures;
 import cacheproxy.proxy.transport.InputBarrier;
+import cacheproxy.proxy.transport.TcpAcknowledgement;
 import cacheproxy.proxy.transport.TurnedReading;
 import cacheproxy.routing.AttemptOutcome;
 import io.netty.buffer.ByteBuf;
@@ -260,8 +261,7 @@
 
     /** Closes the connection if the response on it has stalled, or an expired attempt still blocks it. */
     void closeIfStalled(double now) {
-        UpstreamAttempt current = attempts.peek();
-        if ((connected && ResponseWatchdog.isBlockedBy(current, now)) || watchdog.isStreamStalled(now)) {
+        if ((connected && ResponseWatchdog.isBlockedBy(attempts.peek(), now)) || watchdog.isStreamStalled(now)) {
             close();
         }
     }
@@ -284,6 +284,9 @@
     /** Called when input has arrived and is being decoded, and when all of it has been. */
     void setReading(boolean nowReading) {
         reading = nowReading;
+        if (!nowReading && currentAttempt() != null) {
+            TcpAcknowledgement.sendNow(channel);
+        }
     }
 
     /** The attempt whose response arrives next; null if none is in flight, so that input violates the protocol. */
@@ -392,9 +395,6 @@
      * Sends an attempt that waited here on another connection; false if it may have been sent, or there is no other.
      */
     private boolean resendUnsent(UpstreamAttempt attempt) {
-        if (!connected) {
-            return pool.resendAfterFailedConnect(attempt);
-        }
-        return quiet && pool.resend(attempt);
+        return connected ? quiet && pool.resend(attempt) : pool.resendAfterFailedConnect(attempt);
     }
 }
